Serve a request over the thin whole path

Cause: nothing stood yet; every later decision needs a place to be called from and a way to be tried.

Conclusion: the path stands end to end; claims, resumed streams, membership by probes, fleet-wide limits and the routing cost function are still to come and are refused or approximated until then.

--- /dev/null
+++ b/bench/benches.ts
@@ -0,0 +1,10 @@
+/**
+ * @module
+ * The measurements by name. Each prints a table for people and, as its last line, one JSON object.
+ */
+
+/** Runs a measurement with its flags. */
+export type Bench = (args: readonly string[]) => Promise<void> | void;
+
+/** Loads a measurement only when it is run. */
+export const benches: Readonly<Record<string, Bench>> = {};
--- /dev/null
+++ b/src/core/_lib/scoreRendezvous.ts
@@ -0,0 +1,18 @@
+/**
+ * @module
+ * Highest-random-weight scoring.
+ */
+import { hashText } from "./hashText.js";
+
+/**
+ * Scores a candidate for a key; the candidate with the highest score owns the key.
+ *
+ * @param key - Hash of what is placed.
+ * @param candidate - Id of the candidate.
+ * @returns A score that is uniform over candidates and the same on every instance.
+ * @example
+ * scoreRendezvous(hashText("prefix"), "engine-1") === scoreRendezvous(hashText("prefix"), "engine-1"); // true
+ */
+export function scoreRendezvous(key: bigint, candidate: string): bigint {
+    return hashText(candidate, key);
+}
--- /dev/null
+++ b/src/core/cache/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * Prefix identity and the view of what engines have cached.
+ */
+export * from "./hashBlocks.js";
--- /dev/null
+++ b/src/core/effects/runSteps.ts
@@ -0,0 +1,49 @@
+/**
+ * @module
+ * Runs a generator of effects with callbacks, so that a virtual clock can drive it without promises.
+ */
+import type { Effect, EffectResults, Steps } from "./effectTypes.js";
+
+/** Performs effects of one kind; calls `resume` exactly once, at once or later. */
+export type EffectHandler<K extends Effect["kind"]> = (
+    effect: Extract<Effect, { readonly kind: K; }>,
+    resume: (result: EffectResults[K]) => void,
+) => void;
+
+/** One handler for each effect kind. */
+export type EffectHandlers = { readonly [K in Effect["kind"]]: EffectHandler<K>; };
+
+/**
+ * Runs steps to their end.
+ *
+ * @param steps - The generator.
+ * @param handlers - Perform the effects.
+ * @param onDone - Receives the steps' return value.
+ * @param onError - Receives what the steps threw.
+ * @example
+ * runSteps(serveModelRequest(req, dependencies), handlers, () => undefined, logFailure);
+ */
+export function runSteps<R>(
+    steps: Steps<R>,
+    handlers: EffectHandlers,
+    onDone: (result: R) => void,
+    onError: (err: unknown) => void,
+): void {
+    function resume(result: unknown): void {
+        let turn: IteratorResult<Effect, R>;
+        try {
+            turn = steps.next(result);
+        }
+        catch (err) {
+            onError(err);
+            return;
+        }
+        if (turn.done === true) {
+            onDone(turn.value);
+            return;
+        }
+        const handler = handlers[turn.value.kind] as (effect: Effect, resume: (result: unknown) => void) => void;
+        handler(turn.value, resume);
+    }
+    resume(undefined);
+}
--- /dev/null
+++ b/src/core/entries/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * The entry list for callers.
+ */
+export * from "./rankEntries.js";
--- /dev/null
+++ b/src/core/limits/index.ts
@@ -0,0 +1,6 @@
+/**
+ * @module
+ * Customers' limits and admission.
+ */
+export * from "./admissionTypes.js";
+export * from "./createStaticAdmission.js";
--- /dev/null
+++ b/src/core/logEvents/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * Numbered log events.
+ */
+export * from "./logEventTable.js";
--- /dev/null
+++ b/src/core/logEvents/logEventTable.ts
@@ -0,0 +1,41 @@
+/**
+ * @module
+ * Numbered log events. docs/LOG-EVENTS.md is checked against this table.
+ */
+
+/** Level of a log event. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** One numbered event. */
+export interface LogEvent {
+    readonly code: string;
+    readonly level: LogLevel;
+    readonly message: string;
+}
+
+function define(code: string, level: LogLevel, message: string): LogEvent {
+    return { code, level, message };
+}
+
+/** Every log event; codes are never reused. */
+export const logEventTable = {
+    started: define("RW1001", "info", "listening"),
+    stopping: define("RW1002", "info", "planned stop began"),
+    stopped: define("RW1003", "info", "stopped"),
+    internalFailure: define("RW1004", "error", "internal failure"),
+    catalogueAdvanced: define("RW2001", "info", "catalogue change accepted"),
+    catalogueConflict: define("RW2002", "warn", "catalogue change rejected: based on an older revision"),
+    catalogueMalformed: define("RW2003", "error", "catalogue record rejected: malformed"),
+    logUnreachable: define("RW2004", "warn", "log not reachable"),
+    logReachable: define("RW2005", "info", "log reachable again"),
+    requestEnded: define("RW3001", "debug", "request ended"),
+    requestRefused: define("RW3002", "info", "request refused"),
+    answerMismatched: define("RW3003", "warn", "upstream answer discarded: wrong correlation id"),
+    peerRejected: define("RW4001", "warn", "peer call rejected: wrong secret"),
+} as const satisfies Record<string, LogEvent>;
+
+/** Name of a log event. */
+export type LogEventName = keyof typeof logEventTable;
+
+/** Writes a numbered event with its fields; fields never hold secrets or prompts. */
+export type WriteLog = (event: LogEventName, fields?: Readonly<Record<string, unknown>>) => void;
--- /dev/null
+++ b/src/core/membership/index.ts
@@ -0,0 +1,6 @@
+/**
+ * @module
+ * Members of the fleet.
+ */
+export * from "./memberTypes.js";
+export * from "./peerAttachment.js";
--- /dev/null
+++ b/src/core/request/requestTypes.ts
@@ -0,0 +1,40 @@
+/**
+ * @module
+ * Requests as the core sees them, after the caller's input was checked.
+ */
+import type { Customer, Model, Service } from "../catalogue/catalogueEntry.js";
+
+/** What every request carries. */
+export interface RequestContext {
+    /** Chosen by the entry; correlates logs, upstream calls and `reedwardctl why`. */
+    readonly requestId: string;
+    readonly customer: Customer;
+    readonly idempotencyKey: string | undefined;
+    /** Deadline on the instance's clock, in milliseconds. */
+    readonly deadlineMs: number;
+}
+
+/** A checked request to a model. */
+export interface ModelRequest extends RequestContext {
+    readonly model: Model;
+    readonly path: "/v1/chat/completions" | "/v1/completions";
+    /** The prompt as one text, for prefix identity and cost. */
+    readonly prompt: string;
+    /** Tokens that may be generated at the most. */
+    readonly maxOutputTokens: number;
+    readonly isStreaming: boolean;
+    /** The caller's body as received. */
+    readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** A checked call to a plain service. */
+export interface ServiceRequest extends RequestContext {
+    readonly service: Service;
+    readonly method: string;
+    /** Path at the service, with the query. */
+    readonly path: string;
+    readonly contentType: string | undefined;
+    readonly body: Uint8Array;
+    /** Whether the call may run at most once. */
+    readonly isUnrepeatable: boolean;
+}
--- /dev/null
+++ b/src/core/stream/createEventScanner.ts
@@ -0,0 +1,96 @@
+/**
+ * @module
+ * Scanner of a server-sent event stream that checks order and end without parsing the payload.
+ */
+
+/** What the scanner found wrong, or that the end was seen. */
+export type ScanState = "open" | "ended" | "outOfOrder";
+
+/** Scanner state over one answer; it continues over several connections. */
+export interface EventScanner {
+    /**
+     * Takes a chunk and returns the length of its prefix that completes whole events in order, in bytes. Bytes after
+     * that prefix are to be passed again together with the next chunk.
+     */
+    readonly scan: (bytes: Uint8Array) => number;
+    readonly state: () => ScanState;
+    /** Number of whole events taken; the offset to resume from. */
+    readonly delivered: () => number;
+}
+
+const lineFeed = 0x0a;
+const digitZero = 0x30;
+const digitNine = 0x39;
+const idPrefix = new TextEncoder().encode("id: ");
+const endMarker = new TextEncoder().encode("data: [DONE]");
+
+function startsWith(bytes: Uint8Array, start: number, prefix: Uint8Array): boolean {
+    for (let index = 0; index < prefix.length; index += 1) {
+        if (bytes[start + index] !== prefix[index]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+function readNumber(bytes: Uint8Array, start: number): number {
+    let value = 0;
+    for (let index = start;; index += 1) {
+        const byte = bytes[index];
+        if (byte === undefined || byte < digitZero || byte > digitNine) {
+            return value;
+        }
+        value = value * 10 + (byte - digitZero);
+    }
+}
+
+function findEventEnd(bytes: Uint8Array, start: number): number {
+    let index = bytes.indexOf(lineFeed, start);
+    while (index !== -1 && index + 1 < bytes.length) {
+        if (bytes[index + 1] === lineFeed) {
+            return index + 2;
+        }
+        index = bytes.indexOf(lineFeed, index + 1);
+    }
+    return -1;
+}
+
+/**
+ * Creates a scanner. Every event begins with "id: N", N rising by 1 from 0; the last event is "data: [DONE]".
+ *
+ * @returns The scanner.
+ * @example
+ * const scanner = createEventScanner();
+ * const whole = scanner.scan(chunk);
+ */
+export function createEventScanner(): EventScanner {
+    let next = 0;
+    let state: ScanState = "open";
+
+    function takeEvent(bytes: Uint8Array, start: number): boolean {
+        if (!startsWith(bytes, start, idPrefix) || readNumber(bytes, start + idPrefix.length) !== next) {
+            state = "outOfOrder";
+            return false;
+        }
+        next += 1;
+        const dataStart = bytes.indexOf(lineFeed, start) + 1;
+        if (startsWith(bytes, dataStart, endMarker)) {
+            state = "ended";
+        }
+        return true;
+    }
+
+    function scan(bytes: Uint8Array): number {
+        let start = 0;
+        while (state === "open") {
+            const end = findEventEnd(bytes, start);
+            if (end === -1 || !takeEvent(bytes, start)) {
+                break;
+            }
+            start = end;
+        }
+        return start;
+    }
+
+    return { scan, state: () => state, delivered: () => next };
+}
--- /dev/null
+++ b/src/core/stream/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * Order and completeness of streamed answers.
+ */
+export * from "./createEventScanner.js";
--- /dev/null
+++ b/src/io/metrics/createMetrics.ts
@@ -0,0 +1,83 @@
+/**
+ * @module
+ * The instance's metrics, through prom-client.
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Every metric of an instance. */
+export interface Metrics {
+    readonly registry: Registry;
+    /** Requests that ended, by kind ("model" or "service") and result ("answered" or an error kind). */
+    readonly requests: Counter<"kind" | "result">;
+    /** Refusals by error kind and customer. */
+    readonly refusals: Counter<"kind" | "customer">;
+    /** Retries by reason. */
+    readonly retries: Counter<"reason">;
+    /** Prompt tokens by whether the engine had them cached. */
+    readonly promptTokens: Counter<"cached">;
+    /** Upstream answers that were discarded, by reason. */
+    readonly discardedAnswers: Counter<"reason">;
+    /** Time from a request's arrival to its first byte, in seconds. */
+    readonly timeToFirstByte: Histogram<"kind">;
+    /** Requests in progress. */
+    readonly inProgress: Gauge;
+    /** Offset up to which the catalogue is folded. */
+    readonly catalogueOffset: Gauge;
+}
+
+/**
+ * Creates the metrics in a registry of their own.
+ *
+ * @returns The metrics.
+ */
+export function createMetrics(): Metrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const buckets = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 1.7, 3, 10];
+    return {
+        registry,
+        requests: new Counter({
+            name: "reedward_requests_total",
+            help: "Requests that ended.",
+            labelNames: ["kind", "result"],
+            registers,
+        }),
+        refusals: new Counter({
+            name: "reedward_refusals_total",
+            help: "Refused requests.",
+            labelNames: ["kind", "customer"],
+            registers,
+        }),
+        retries: new Counter({
+            name: "reedward_retries_total",
+            help: "Retries by reason.",
+            labelNames: ["reason"],
+            registers,
+        }),
+        promptTokens: new Counter({
+            name: "reedward_prompt_tokens_total",
+            help: "Prompt tokens by cache result.",
+            labelNames: ["cached"],
+            registers,
+        }),
+        discardedAnswers: new Counter({
+            name: "reedward_discarded_answers_total",
+            help: "Upstream answers that were discarded.",
+            labelNames: ["reason"],
+            registers,
+        }),
+        timeToFirstByte: new Histogram({
+            name: "reedward_time_to_first_byte_seconds",
+            help: "Time to the first byte of an answer.",
+            labelNames: ["kind"],
+            buckets,
+            registers,
+        }),
+        inProgress: new Gauge({ name: "reedward_requests_in_progress", help: "Requests in progress.", registers }),
+        catalogueOffset: new Gauge({
+            name: "reedward_catalogue_next_offset",
+            help: "Offset up to which the catalogue is folded.",
+            registers,
+        }),
+    };
+}
--- /dev/null
+++ b/src/io/peers/createPeerServer.ts
@@ -0,0 +1,64 @@
+/**
+ * @module
+ * HTTP server of the peer router.
+ */
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createHash, timingSafeEqual } from "node:crypto";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { OperatorService } from "../operator/operatorRouter.js";
+import { createPeerRouter, type PeerService } from "./peerRouter.js";
+import type { PeerContext } from "./trpcBase.js";
+
+/** Options of {@link createPeerServer}. */
+export interface PeerServerOptions {
+    readonly peerSecret: string;
+    readonly operatorSecret: string;
+    readonly onRejected: () => void;
+}
+
+/** Largest body of a peer call, in bytes. */
+const maxPeerBodyBytes = 8 << 20;
+
+function isSameSecret(given: string, expected: string): boolean {
+    const digest = (text: string) => createHash("sha256").update(text).digest();
+    return timingSafeEqual(digest(given), digest(expected));
+}
+
+/**
+ * Creates the server; it is not listening yet.
+ *
+ * @param service - Answers peers.
+ * @param operatorService - Answers operators.
+ * @param options - Secrets and the hook for calls with a wrong one.
+ * @returns The server.
+ */
+export function createPeerServer(
+    service: PeerService,
+    operatorService: OperatorService,
+    options: PeerServerOptions,
+): Server {
+    function findCaller(req: IncomingMessage): PeerContext["caller"] {
+        const given = (req.headers.authorization ?? "").replace(/^Bearer /, "");
+        if (isSameSecret(given, options.peerSecret)) {
+            return "peer";
+        }
+        if (isSameSecret(given, options.operatorSecret)) {
+            return "operator";
+        }
+        options.onRejected();
+        return "stranger";
+    }
+
+    const handler = createHTTPHandler({
+        router: createPeerRouter(service, operatorService),
+        createContext: ({ req }): PeerContext => ({ caller: findCaller(req) }),
+        maxBodySize: maxPeerBodyBytes,
+    });
+    const server = createServer((req, res) => {
+        void handler(req, res);
+    });
+    server.headersTimeout = 5_000;
+    server.requestTimeout = 10_000;
+    server.keepAliveTimeout = 20_000;
+    return server;
+}
--- /dev/null
+++ b/src/io/platform/callJson.ts
@@ -0,0 +1,78 @@
+/**
+ * @module
+ * One JSON call to an outside system, with failures told apart and the answer checked.
+ */
+import { err, ok, type Result } from "true-myth/result";
+import { Agent, type Dispatcher, request } from "undici";
+import type { z } from "zod";
+import type { PortFailure } from "../../core/ports/portFailure.js";
+
+/** One JSON call. */
+export interface JsonCall<T> {
+    readonly method: "GET" | "POST" | "DELETE";
+    readonly url: string;
+    readonly body?: unknown;
+    /** Time limit for the whole call, in milliseconds. */
+    readonly timeoutMs: number;
+    readonly schema: z.ZodType<T>;
+}
+
+/** Performs JSON calls over connections of its own. */
+export type CallJson = <T>(call: JsonCall<T>) => Promise<Result<T, PortFailure>>;
+
+const notSentCodes: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function toFailure(error: unknown): PortFailure {
+    const code = error instanceof Error && "code" in error ? String(error.code) : "";
+    const detail = error instanceof Error ? error.message : String(error);
+    return { kind: notSentCodes.has(code) ? "notSent" : "lost", detail };
+}
+
+function parseAnswer<T>(status: number, text: string, schema: z.ZodType<T>): Result<T, PortFailure> {
+    if (status >= 400) {
+        return err({ kind: "refused", detail: `status ${status}: ${text.slice(0, 200)}` });
+    }
+    try {
+        const parsed = schema.safeParse(JSON.parse(text));
+        return parsed.success ? ok(parsed.data) : err({ kind: "malformed", detail: parsed.error.message });
+    }
+    catch {
+        return err({ kind: "malformed", detail: "the answer is not JSON" });
+    }
+}
+
+/**
+ * Creates the caller of JSON endpoints.
+ *
+ * @param connectTimeoutMs - Time to connect, in milliseconds.
+ * @returns The function and a way to close its connections.
+ */
+export function createCallJson(
+    connectTimeoutMs: number,
+): { readonly call: CallJson; readonly close: () => Promise<void>; } {
+    const agent = new Agent({ connect: { timeout: connectTimeoutMs } });
+    async function call<T>(one: JsonCall<T>): Promise<Result<T, PortFailure>> {
+        try {
+            const options: Parameters<typeof request>[1] = {
+                dispatcher: agent,
+                method: one.method satisfies Dispatcher.HttpMethod,
+                signal: AbortSignal.timeout(one.timeoutMs),
+            };
+            if (one.body !== undefined) {
+                options.headers = { "content-type": "application/json" };
+                options.body = JSON.stringify(one.body);
+            }
+            const res = await request(one.url, options);
+            return parseAnswer(res.statusCode, await res.body.text(), one.schema);
+        }
+        catch (error) {
+            return err(toFailure(error));
+        }
+    }
+    return { call, close: () => agent.destroy() };
+}
--- /dev/null
+++ b/src/io/upstream/collectBody.ts
@@ -0,0 +1,48 @@
+/**
+ * @module
+ * Reads the whole body of an upstream's answer into memory, up to a bound.
+ */
+import type { Readable } from "node:stream";
+import type { CollectResult, ForwardEnd } from "../../core/effects/effectTypes.js";
+
+/** A collection that was started. */
+export interface Collecting {
+    /** Ends the collection for a reason other than the upstream's body. */
+    readonly stop: (end: ForwardEnd) => void;
+}
+
+/**
+ * Collects a body.
+ *
+ * @param body - Body of the upstream's answer.
+ * @param maxBytes - Bound; a longer body counts as cut.
+ * @param onEnd - Called once with the body or the reason why it is not whole.
+ * @returns The collection, to stop it.
+ */
+export function collectBody(body: Readable, maxBytes: number, onEnd: (result: CollectResult) => void): Collecting {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    let isOver = false;
+
+    function finish(result: CollectResult): void {
+        if (!isOver) {
+            isOver = true;
+            body.destroy();
+            onEnd(result);
+        }
+    }
+
+    body.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        length += chunk.length;
+        if (length > maxBytes) {
+            finish({ kind: "broken", end: "cut" });
+        }
+    });
+    body.on("end", () => finish({ kind: "whole", body: Buffer.concat(chunks) }));
+    body.on("error", (err: Error) => {
+        const isSilent = "code" in err && err.code === "UND_ERR_BODY_TIMEOUT";
+        finish({ kind: "broken", end: isSilent ? "silent" : "cut" });
+    });
+    return { stop: end => finish({ kind: "broken", end }) };
+}
--- /dev/null
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -0,0 +1,108 @@
+/**
+ * @module
+ * Calls to upstreams over HTTP, with the outcome of a failure told apart as "not sent" or "lost".
+ */
+import type { Readable } from "node:stream";
+import { Agent, type Dispatcher, request } from "undici";
+import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
+
+/** The head of an upstream's answer with its body. */
+export interface OpenedAnswer {
+    readonly kind: "answered";
+    readonly head: AnswerHead;
+    readonly body: Readable;
+}
+
+/** Result of opening an answer. */
+export type OpenResult = OpenedAnswer | { readonly kind: "notSent" | "lost"; readonly detail: string; };
+
+/** A client for all upstreams of the instance. */
+export interface UpstreamClient {
+    /** Sends a call and waits for the head of its answer; `signal` gives it up. */
+    readonly open: (call: UpstreamCall, signal: AbortSignal) => Promise<OpenResult>;
+    readonly close: () => Promise<void>;
+}
+
+/** Options of {@link createUpstreamClient}. */
+export interface UpstreamClientOptions {
+    readonly connectTimeoutMs: number;
+    /** Silence in a body after which it is given up, in milliseconds. */
+    readonly silenceTimeoutMs: number;
+    readonly onMismatch: (call: UpstreamCall) => void;
+}
+
+/** Error codes after which no byte of the call can have reached the upstream. */
+const notSentCodes: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function toFailure(err: unknown): OpenResult {
+    const code = err instanceof Error && "code" in err ? String(err.code) : "";
+    const detail = err instanceof Error ? err.message : String(err);
+    return { kind: notSentCodes.has(code) ? "notSent" : "lost", detail };
+}
+
+function readText(headers: Dispatcher.ResponseData["headers"], name: string): string | undefined {
+    const value = headers[name];
+    return typeof value === "string" ? value : undefined;
+}
+
+function readNumber(headers: Dispatcher.ResponseData["headers"], name: string): number | undefined {
+    const text = readText(headers, name);
+    return text === undefined || !/^\d+$/.test(text) ? undefined : Number(text);
+}
+
+function readHead(res: Dispatcher.ResponseData): AnswerHead {
+    const retryAfterSeconds = readNumber(res.headers, "retry-after");
+    return {
+        status: res.statusCode,
+        contentType: readText(res.headers, "content-type") ?? "application/octet-stream",
+        incarnation: readText(res.headers, "x-incarnation"),
+        weightsVersion: readText(res.headers, "x-weights-version"),
+        cachedTokens: readNumber(res.headers, "x-cached-tokens"),
+        isNotRun: readText(res.headers, "x-not-run") === "true",
+        retryAfterMs: retryAfterSeconds === undefined ? undefined : retryAfterSeconds * 1000,
+    };
+}
+
+/**
+ * Creates the client.
+ *
+ * @param options - Time limits and the hook for answers with a wrong correlation id.
+ * @returns The client.
+ */
+export function createUpstreamClient(options: UpstreamClientOptions): UpstreamClient {
+    const agent = new Agent({
+        connect: { timeout: options.connectTimeoutMs },
+        bodyTimeout: options.silenceTimeoutMs,
+        pipelining: 1,
+    });
+
+    async function open(call: UpstreamCall, signal: AbortSignal): Promise<OpenResult> {
+        let res: Dispatcher.ResponseData;
+        try {
+            res = await request(`http://${call.upstream.address}${call.path}`, {
+                dispatcher: agent,
+                method: call.method as Dispatcher.HttpMethod,
+                headers: call.headers,
+                body: call.body,
+                headersTimeout: call.timeoutMs,
+                signal,
+            });
+        }
+        catch (err) {
+            return toFailure(err);
+        }
+        if (readText(res.headers, "x-correlation-id") !== call.correlationId) {
+            res.body.on("error", () => undefined).destroy();
+            options.onMismatch(call);
+            return { kind: "lost", detail: "the answer carried another correlation id" };
+        }
+        return { kind: "answered", head: readHead(res), body: res.body };
+    }
+
+    return { open, close: () => agent.destroy() };
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,7 @@
+/**
+ * @module
+ * Settings of the daemon.
+ */
+export * from "./formatHelp.js";
+export * from "./readSettings.js";
+export * from "./settingsTable.js";
--- /dev/null
+++ b/src/wire.ts
@@ -0,0 +1,248 @@
+/**
+ * @module
+ * The one module that constructs the daemon's parts and connects them.
+ */
+import type { Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { hashText } from "./core/_lib/hashText.js";
+import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
+import { listEntries } from "./core/catalogue/catalogue.js";
+import type { Upstream } from "./core/catalogue/catalogueEntry.js";
+import { runSteps } from "./core/effects/runSteps.js";
+import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
+import type { Member } from "./core/membership/memberTypes.js";
+import type { ModelRequest, ServiceRequest } from "./core/request/requestTypes.js";
+import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
+import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
+import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
+import { applyChange } from "./io/catalogue/applyChange.js";
+import { followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { createSystemClock } from "./io/clock/createSystemClock.js";
+import { createCallerServer } from "./io/http/createCallerServer.js";
+import { createExchange, type Exchange } from "./io/http/createExchange.js";
+import { createLogger } from "./io/logging/createLogger.js";
+import { createMetrics } from "./io/metrics/createMetrics.js";
+import { catalogueToSnapshot } from "./io/peers/catalogueSnapshot.js";
+import { createPeerClients } from "./io/peers/createPeerClient.js";
+import { createPeerServer } from "./io/peers/createPeerServer.js";
+import { pollSeeds } from "./io/peers/pollSeeds.js";
+import { createCallJson } from "./io/platform/callJson.js";
+import { createLogClient } from "./io/platform/createLogClient.js";
+import { createEngineClient } from "./io/upstream/createEngineClient.js";
+import { createUpstreamClient } from "./io/upstream/createUpstreamClient.js";
+import type { Settings } from "./settings/settingsTable.js";
+
+/** A constructed daemon. */
+export interface Daemon {
+    /** Binds both addresses and joins the fleet. */
+    readonly start: () => Promise<void>;
+    /** Stops at once; a planned stop drains first. */
+    readonly stop: () => Promise<void>;
+    /** "ip:port" for callers, known after the start. */
+    readonly callerAddress: () => string;
+    /** "ip:port" for peers and reedwardctl, known after the start. */
+    readonly peerAddress: () => string;
+}
+
+/** Time limit of a call to a peer, in milliseconds. */
+const peerTimeoutMs = 2_000;
+
+/** Largest answer that is collected whole, in bytes. */
+const maxAnswerBytes = 32 << 20;
+
+function listen(server: Server, address: string): Promise<string> {
+    const separator = address.lastIndexOf(":");
+    const host = address.slice(0, separator);
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(Number(address.slice(separator + 1)), host, () => {
+            resolve(`${host}:${(server.address() as AddressInfo).port}`);
+        });
+    });
+}
+
+/**
+ * Constructs a daemon from its settings.
+ *
+ * @param settings - The checked settings.
+ * @returns The daemon; nothing runs before `start`.
+ */
+export function createDaemon(settings: Settings): Daemon {
+    const clock = createSystemClock();
+    const metrics = createMetrics();
+    const writeLog = createLogger(settings.instance, settings.logLevel);
+    const json = createCallJson(settings.connectTimeoutMs);
+    const engines = createEngineClient(json.call);
+    const log = settings.logUrl === undefined ? undefined : createLogClient(settings.logUrl, json.call);
+    const peers = createPeerClients(settings.peerSecret, peerTimeoutMs);
+    const upstreams = createUpstreamClient({
+        connectTimeoutMs: settings.connectTimeoutMs,
+        silenceTimeoutMs: settings.silenceTimeoutMs,
+        onMismatch: call => {
+            metrics.discardedAnswers.inc({ reason: "correlation" });
+            writeLog("answerMismatched", { upstream: call.upstream.id, requestId: call.correlationId });
+        },
+    });
+    const inFlight = new Map<string, number>();
+    let callerAddress = settings.advertise ?? settings.listen;
+    let peerAddress = settings.peerAdvertise ?? settings.peerListen;
+    let isStopping = false;
+    let follower: ReturnType<typeof followCatalogue> | undefined;
+    let polling: ReturnType<typeof pollSeeds> | undefined;
+
+    const self = (): Member => ({
+        instance: settings.instance,
+        incarnation: 0,
+        state: isStopping ? "leaving" : "alive",
+        failureDomain: settings.failureDomain,
+        callerAddress,
+        peerAddress,
+    });
+    const catalogue = () => follower!.current();
+    const membership = () => polling!.view();
+
+    function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
+        return listEntries(catalogue(), "upstream")
+            .filter(one => one.role === role && !one.leaving && one.serves.includes(id));
+    }
+
+    const admission = createStaticAdmission({
+        clock,
+        countInstances: () => Math.max(1, membership().members.filter(member => member.state !== "dead").length),
+    });
+    const chooseUpstream = createRendezvousRouter({
+        listCandidates: model => listServing(model, "engine"),
+        countInFlight: upstream => inFlight.get(upstream) ?? 0,
+    });
+    const countRetry = (reason: string) => metrics.retries.inc({ reason });
+    const exchangeDependencies = { clock, admission, upstreams, cancelStream: engines.cancelStream, maxAnswerBytes };
+
+    function noteEnd(kind: string, exchange: Exchange, arrivedMs: number, result: string, customer: string): void {
+        metrics.inProgress.dec();
+        metrics.requests.inc({ kind, result });
+        if (result !== "answered") {
+            metrics.refusals.inc({ kind: result, customer });
+        }
+        const firstByteMs = exchange.firstByteMs();
+        if (firstByteMs !== undefined) {
+            metrics.timeToFirstByte.observe({ kind }, (firstByteMs - arrivedMs) / 1000);
+        }
+    }
+
+    function noteModelEnd(report: ModelRequestReport): void {
+        metrics.promptTokens.inc({ cached: "yes" }, report.cachedTokens);
+        metrics.promptTokens.inc({ cached: "no" }, Math.max(0, report.promptTokens - report.cachedTokens));
+    }
+
+    function serveModel(req: ModelRequest, res: ServerResponse): void {
+        const arrivedMs = clock.now();
+        const exchange = createExchange(req.requestId, res, exchangeDependencies);
+        metrics.inProgress.inc();
+        const steps = serveModelRequest(req, {
+            chooseUpstream,
+            trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
+            reportFeedback: () => undefined,
+            countRetry,
+            now: clock.now,
+        });
+        runSteps(steps, exchange.handlers, report => {
+            noteModelEnd(report);
+            noteEnd("model", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
+            writeLog("requestEnded", { requestId: req.requestId, ...report });
+        }, error => failInternally(req.requestId, res, error));
+    }
+
+    function serveService(req: ServiceRequest, res: ServerResponse): void {
+        const arrivedMs = clock.now();
+        const exchange = createExchange(req.requestId, res, exchangeDependencies);
+        metrics.inProgress.inc();
+        const rankUpstreams = (service: string) =>
+            [...listServing(service, "service")].sort((left, right) =>
+                scoreRendezvous(hashText(req.requestId), left.id) > scoreRendezvous(hashText(req.requestId), right.id)
+                    ? -1
+                    : 1
+            );
+        const steps = serveServiceRequest(req, { rankUpstreams, countRetry, now: clock.now });
+        runSteps(steps, exchange.handlers, report => {
+            noteEnd("service", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
+            writeLog("requestEnded", { requestId: req.requestId, ...report });
+        }, error => failInternally(req.requestId, res, error));
+    }
+
+    function failInternally(requestId: string, res: ServerResponse, error: unknown): void {
+        metrics.inProgress.dec();
+        writeLog("internalFailure", { requestId, detail: error instanceof Error ? error.stack : String(error) });
+        res.destroy();
+    }
+
+    const isReady = () => !isStopping && (follower?.isLoaded() ?? false);
+    const callerServer = createCallerServer({
+        settings,
+        clock,
+        metrics,
+        writeLog,
+        catalogue,
+        isCatalogueLoaded: () => follower?.isLoaded() ?? false,
+        membership,
+        isReady,
+        isClosed: () => false,
+        serveModel,
+        serveService,
+    });
+    const peerServer = createPeerServer({
+        exchange: from => {
+            polling?.noteMember(from);
+            return { catalogue: catalogueToSnapshot(catalogue()), members: membership().members };
+        },
+    }, {
+        status: () => ({
+            instance: settings.instance,
+            isReady: isReady(),
+            nextOffset: catalogue().nextOffset,
+            logContactAgeMs: follower?.logContactAgeMs(),
+            members: membership().members,
+        }),
+        readCatalogue: () => catalogueToSnapshot(catalogue()),
+        applyChange: payload => applyChange(payload, { log, clock, follower: follower! }),
+    }, {
+        peerSecret: settings.peerSecret,
+        operatorSecret: settings.operatorSecret,
+        onRejected: () => writeLog("peerRejected"),
+    });
+
+    async function start(): Promise<void> {
+        follower = followCatalogue({
+            log,
+            clock,
+            writeLog,
+            onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
+        });
+        const boundPeer = await listen(peerServer, settings.peerListen);
+        peerAddress = settings.peerAdvertise ?? boundPeer;
+        const boundCaller = await listen(callerServer, settings.listen);
+        callerAddress = settings.advertise ?? boundCaller;
+        polling = pollSeeds({
+            clock,
+            clients: peers,
+            seeds: settings.seeds.filter(seed => seed !== peerAddress),
+            self,
+            adoptCatalogue: follower.adopt,
+        });
+        writeLog("started", { callerAddress, peerAddress });
+    }
+
+    async function stop(): Promise<void> {
+        isStopping = true;
+        writeLog("stopping");
+        polling?.stop();
+        follower?.stop();
+        for (const server of [callerServer, peerServer]) {
+            server.close();
+            server.closeAllConnections();
+        }
+        await Promise.all([upstreams.close(), peers.close(), json.close()]);
+        writeLog("stopped");
+    }
+
+    return { start, stop, callerAddress: () => callerAddress, peerAddress: () => peerAddress };
+}
