Hold customers' limits fleet-wide by seats on the log and loans between instances

Cause: static division by a local member count overruns a limit whenever views differ. Change: seats recorded on the log, loans whose lender counts longer than the borrower uses them, fair queue, bench.

--- /dev/null
+++ b/bench/limits/runLimits.ts
@@ -0,0 +1,179 @@
+/**
+ * @module
+ * `npm run bench -- limits [--seed N]`: limits held fleet-wide, by policy, at today's and at the two-year size.
+ */
+import { parseArgs } from "node:util";
+import { hashText } from "../../src/core/_lib/hashText.js";
+import { scoreRendezvous } from "../../src/core/_lib/scoreRendezvous.js";
+import type { Customer } from "../../src/core/catalogue/catalogueEntry.js";
+import { createFleet, type Fleet, type LimitPolicy } from "./createFleet.js";
+import { createLimitMeter } from "./createLimitMeter.js";
+import { type CustomerLoad, type LoadRecord, startLoad } from "./createLoad.js";
+
+/** One size and fault that every policy is measured under. */
+interface Scenario {
+    readonly name: string;
+    readonly daemons: number;
+    readonly customers: number;
+    readonly flooding: number;
+    readonly requestsPerSecond: number;
+    readonly entriesPerCustomer: number;
+    readonly measureFromMs: number;
+    readonly measureUntilMs: number;
+    readonly bringFault: (fleet: Fleet) => void;
+}
+
+interface Measured {
+    readonly overrunPct: number;
+    readonly utilisationPct: number;
+    readonly victimP99WaitMs: number;
+    readonly victimP99WaitAloneMs: number;
+    readonly victimAdmittedPct: number;
+    readonly controlBytesPerSecond: number;
+    readonly controlMessagesPerSecond: number;
+    readonly appendsPerSecond: number;
+    readonly undecided: number;
+}
+
+const today = { daemons: 8, customers: 8, flooding: 2, requestsPerSecond: 40, entriesPerCustomer: 8 };
+const warmUpMs = 10_000;
+const flood = 10;
+const victimDemand = 0.6;
+
+const scenarios: readonly Scenario[] = [
+    { name: "today", ...today, measureFromMs: warmUpMs, measureUntilMs: 60_000, bringFault: () => undefined },
+    {
+        name: "partition",
+        ...today,
+        measureFromMs: 20_000,
+        measureUntilMs: 50_000,
+        bringFault: fleet => {
+            fleet.clock.after(20_000, () => fleet.setPartition(daemon => daemon % 2));
+            fleet.clock.after(50_000, () => fleet.setPartition(undefined));
+        },
+    },
+    {
+        name: "herdRestart",
+        ...today,
+        measureFromMs: 20_000,
+        measureUntilMs: 50_000,
+        bringFault: fleet => {
+            fleet.clock.after(20_000, () => {
+                for (let daemon = 0; daemon < today.daemons; daemon += 1) {
+                    fleet.restart(daemon);
+                }
+            });
+        },
+    },
+    {
+        name: "twoYears",
+        daemons: 380,
+        customers: 220,
+        flooding: 22,
+        requestsPerSecond: 10,
+        entriesPerCustomer: 8,
+        measureFromMs: warmUpMs,
+        measureUntilMs: 25_000,
+        bringFault: () => undefined,
+    },
+];
+
+const policies: readonly LimitPolicy[] = ["reedward", "staticSplit", "perDaemonLimit", "oracle"];
+
+function createCustomer(index: number, requestsPerSecond: number): Customer {
+    return {
+        kind: "customer",
+        id: `customer-${index}`,
+        owner: "bench",
+        classOfService: (["interactive", "standard", "batch"] as const)[index % 3]!,
+        limits: {
+            requestsPerSecond,
+            promptTokensPerSecond: requestsPerSecond * 800,
+            outputTokensPerSecond: requestsPerSecond * 120,
+            requestsInFlight: requestsPerSecond * 4,
+            burstSeconds: 4,
+        },
+        credentialSha256: "0".repeat(64),
+    };
+}
+
+function chooseEntries(customer: string, scenario: Scenario): readonly number[] {
+    const key = hashText(customer);
+    return Array.from({ length: scenario.daemons }, (_, daemon) => daemon)
+        .sort((left, right) => scoreRendezvous(key, `entry-${left}`) > scoreRendezvous(key, `entry-${right}`) ? -1 : 1)
+        .slice(0, scenario.entriesPerCustomer);
+}
+
+function findP99(values: readonly number[]): number {
+    const sorted = [...values].sort((left, right) => left - right);
+    return sorted[Math.floor(sorted.length * 0.99)] ?? 0;
+}
+
+function computeUtilisation(scenario: Scenario, records: ReadonlyMap<string, LoadRecord>): number {
+    const seconds = (scenario.measureUntilMs - scenario.measureFromMs) / 1000;
+    const shares = [...records.values()].map(record =>
+        record.admitted / Math.min(record.offered, scenario.requestsPerSecond * seconds)
+    );
+    return 100 * Math.min(1, shares.reduce((sum, share) => sum + Math.min(1, share), 0) / shares.length);
+}
+
+function measure(scenario: Scenario, policy: LimitPolicy, seed: number, isAlone: boolean): Measured {
+    const customers = Array.from(
+        { length: scenario.customers },
+        (_, index) => createCustomer(index, scenario.requestsPerSecond),
+    );
+    const meter = createLimitMeter(customers, () => fleet.clock.now());
+    const fleet = createFleet({ seed, daemons: scenario.daemons, customers, policy, slotsPerDaemon: 64 }, meter);
+    const loads = customers.map((customer, index): CustomerLoad => ({
+        customer,
+        demand: index < scenario.flooding ? flood : victimDemand,
+        entries: chooseEntries(customer.id, scenario),
+    }));
+    scenario.bringFault(fleet);
+    const period = { fromMs: scenario.measureFromMs, untilMs: scenario.measureUntilMs };
+    const records = startLoad(fleet, isAlone ? loads.slice(scenario.flooding) : loads, period);
+    fleet.clock.runUntil(scenario.measureUntilMs + 5_000);
+    const victims = [...records].filter(([id]) => Number(id.slice("customer-".length)) >= scenario.flooding);
+    const sum = (read: (record: LoadRecord) => number) => victims.reduce((total, [, record]) => total + read(record), 0);
+    const daemonSeconds = scenario.daemons * (scenario.measureUntilMs / 1000 + 5);
+    const percent = meter.listExcesses().reduce((most, excess) => Math.max(most, excess.percent), 0);
+    return {
+        overrunPct: percent,
+        utilisationPct: computeUtilisation(scenario, records),
+        victimP99WaitMs: findP99(victims.flatMap(([, record]) => record.waitsMs)),
+        victimP99WaitAloneMs: 0,
+        victimAdmittedPct: (100 * sum(record => record.admitted)) / sum(record => record.offered),
+        controlBytesPerSecond: fleet.messageBytes() / daemonSeconds,
+        controlMessagesPerSecond: fleet.countMessages() / daemonSeconds,
+        appendsPerSecond: fleet.countAppends() / (scenario.measureUntilMs / 1000 + 5),
+        undecided: [...records.values()].reduce((total, record) => total + record.undecided, 0),
+    };
+}
+
+function round(measured: Measured): Measured {
+    const entries = Object.entries(measured).map(([key, value]) => [key, Math.round(value * 100) / 100]);
+    return Object.fromEntries(entries) as Measured;
+}
+
+function measureWithAlone(scenario: Scenario, policy: LimitPolicy, seed: number): Measured {
+    const alone = measure(scenario, policy, seed, true);
+    return round({ ...measure(scenario, policy, seed, false), victimP99WaitAloneMs: alone.victimP99WaitMs });
+}
+
+/** Runs every policy under every scenario; the last line names the figures of today's size without faults by policy. */
+export function runLimits(args: readonly string[]): void {
+    const { values } = parseArgs({ args: [...args], options: { seed: { type: "string", default: "1" } } });
+    const seed = Number(values.seed);
+    const byScenario: Record<string, Record<string, Measured>> = {};
+    for (const scenario of scenarios) {
+        const byPolicy: Record<string, Measured> = {};
+        for (const policy of policies) {
+            byPolicy[policy] = measureWithAlone(scenario, policy, seed);
+        }
+        process.stdout.write(`${scenario.name}, seed ${seed}\n`);
+        console.table(byPolicy);
+        byScenario[scenario.name] = byPolicy;
+    }
+    const { today: figures, ...others } = byScenario;
+    process.stdout.write(`${JSON.stringify({ ...figures, ...others })}\n`);
+}
--- a/src/core/limits/admissionTypes.ts
+++ b/src/core/limits/admissionTypes.ts
@@ -10,6 +10,8 @@
     readonly promptTokens: number;
     /** Upper bound of the tokens to be generated. */
     readonly outputTokens: number;
+    /** Prompt tokens that no cache is expected to hold; all of them when not known. */
+    readonly recomputeTokens?: number;
 }
 
 /** A request that asks to be admitted. */
--- /dev/null
+++ b/src/core/limits/createDemandMeter.ts
@@ -0,0 +1,45 @@
+/**
+ * @module
+ * Average of a flow of amounts over a sliding window with exponential decay.
+ */
+import { millisecondsPerSecond } from "../constants.js";
+import { demandWindowMs } from "./limitConstants.js";
+import { combineAmounts, noAmounts } from "./shareMath.js";
+import type { Amounts } from "./shareTypes.js";
+
+/** Averages a flow. */
+export interface DemandMeter {
+    readonly add: (amounts: Amounts) => void;
+    /** Average amounts a second. */
+    readonly rate: () => Amounts;
+}
+
+/**
+ * Creates a meter.
+ *
+ * @param now - The instance's clock, in milliseconds.
+ * @returns The meter; its rate starts at 0.
+ * @example
+ * createDemandMeter(clock.now).rate().requests; // 0
+ */
+export function createDemandMeter(now: () => number): DemandMeter {
+    let sum = noAmounts;
+    let updatedMs = now();
+
+    function decay(): void {
+        const factor = Math.exp((updatedMs - now()) / demandWindowMs);
+        sum = combineAmounts(sum, noAmounts, value => value * factor);
+        updatedMs = now();
+    }
+
+    return {
+        add: amounts => {
+            decay();
+            sum = combineAmounts(sum, amounts, (left, right) => left + right);
+        },
+        rate: () => {
+            decay();
+            return combineAmounts(sum, noAmounts, value => (value * millisecondsPerSecond) / demandWindowMs);
+        },
+    };
+}
--- /dev/null
+++ b/src/core/limits/limitConstants.ts
@@ -0,0 +1,46 @@
+/**
+ * @module
+ * Constants of shares and queues, with their units.
+ */
+
+/** Seats that each customer's limits are divided into. */
+export const seatsPerCustomer = 8;
+
+/** Milliseconds for which a recorded seat is held without renewal. */
+export const seatTermMs = 7_200_000;
+
+/** Milliseconds between renewals of a held seat. */
+export const seatRenewalMs = 1_800_000;
+
+/** Milliseconds for which a loan between instances runs. */
+export const loanTermMs = 3_000;
+
+/** Milliseconds of a loan's rest below which the borrower asks again. */
+export const loanRenewalMs = 1_500;
+
+/** Milliseconds between the rounds in which an instance asks for loans. */
+export const loanRoundMs = 500;
+
+/** Factor by which the clocks of two instances may run apart. */
+export const clockDriftFactor = 1.001;
+
+/** Part of a seat's rates that may be lent, 0 to 1. */
+export const lendablePart = 0.95;
+
+/** Part of a seat's requests in flight that may be lent, 0 to 1. */
+export const lendableFlightPart = 0.5;
+
+/** Longest time to its deadline of a request that runs on a borrowed permit, in milliseconds. */
+export const maxBorrowedFlightMs = 120_000;
+
+/** Longest time that a request waits for its customer's limits, in milliseconds. */
+export const maxLimitWaitMs = 2_000;
+
+/** Most requests of one customer that wait on an instance. */
+export const maxQueueLength = 256;
+
+/** Most tokens that wait on an instance for each request that may run side by side there. */
+export const maxQueuedTokensPerSlot = 32_768;
+
+/** Milliseconds over which the demand of a customer is averaged. */
+export const demandWindowMs = 1_000;
