--- /dev/null
+++ b/features/steps/catalogueFoldSteps.ts
@@ -0,0 +1,139 @@
+/**
+ * @module
+ * Properties of the catalogue's fold, replica and snapshots.
+ */
+import { Then } from "@cucumber/cucumber";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import type { Catalogue } from "../../src/core/catalogue/catalogue.js";
+import { adoptCatalogue, emptyReplica, type Replica, takePage } from "../../src/core/catalogue/replica.js";
+import { catalogueFromSnapshot, catalogueToSnapshot } from "../../src/core/catalogue/snapshot.js";
+import { cutSnapshot, joinSnapshot, parseSnapshotPart } from "../../src/core/catalogue/snapshotParts.js";
+import type { LogPage } from "../../src/core/ports/logPort.js";
+import { createChanges, foldAll, historyArbitrary, toRecords } from "../support/catalogueHistories.js";
+
+const seed = 60_601;
+
+type Carry = (catalogue: Catalogue) => Catalogue;
+type TakePage = typeof takePage;
+type Adopt = typeof adoptCatalogue;
+
+const carryWhole: Carry = catalogue =>
+    catalogueFromSnapshot(JSON.parse(JSON.stringify(catalogueToSnapshot(catalogue))));
+const carryWithoutChanges: Carry = catalogue => ({ ...carryWhole(catalogue), changes: new Map() });
+
+function createPage(payloads: readonly string[], firstKept: number, from: number, count: number): LogPage {
+    const records = toRecords(payloads).filter(record => record.offset >= Math.max(from, firstKept)).slice(0, count);
+    return { firstKept, end: payloads.length, records };
+}
+
+function toText(catalogue: Catalogue): string {
+    return JSON.stringify(catalogueToSnapshot(catalogue));
+}
+
+function checkFolds(runs: number, carry: Carry): void {
+    const cuts = fc.array(fc.record({ count: fc.integer({ min: 1, max: 5 }), isCarried: fc.boolean() }), {
+        minLength: 24,
+    });
+    fc.assert(
+        fc.property(historyArbitrary, cuts, (payloads, pages) => {
+            let replica: Replica = emptyReplica;
+            for (const page of pages) {
+                const taken = takePage(replica, createPage(payloads, 0, replica.catalogue.nextOffset, page.count));
+                assert.equal(taken.kind, "folded");
+                replica = taken.kind === "folded" ? taken.replica : replica;
+                if (page.isCarried) {
+                    replica = { ...replica, catalogue: carry(replica.catalogue) };
+                }
+            }
+            assert.equal(toText(replica.catalogue), toText(foldAll(payloads)));
+        }),
+        { seed, numRuns: runs },
+    );
+}
+
+const eventArbitrary = fc.record({
+    kind: fc.constantFrom("tail", "peer", "truncate"),
+    at: fc.integer({ min: 0, max: 24 }),
+    count: fc.integer({ min: 0, max: 4 }),
+});
+
+function checkInterleavings(runs: number, take: TakePage, adopt: Adopt): void {
+    fc.assert(
+        fc.property(historyArbitrary, fc.array(eventArbitrary, { maxLength: 30 }), (payloads, events) => {
+            let replica: Replica = emptyReplica;
+            let firstKept = 0;
+            for (const event of events) {
+                const at = Math.min(event.at, payloads.length);
+                const before = replica;
+                if (event.kind === "truncate") {
+                    firstKept = Math.max(firstKept, at);
+                }
+                else if (event.kind === "peer") {
+                    replica = adopt(replica, foldAll(payloads.slice(0, at)));
+                }
+                else {
+                    const page = createPage(payloads, firstKept, replica.catalogue.nextOffset, event.count);
+                    const taken = take(replica, page);
+                    replica = taken.kind === "folded" ? taken.replica : replica;
+                }
+                const { nextOffset } = replica.catalogue;
+                assert.ok(nextOffset >= before.catalogue.nextOffset);
+                assert.ok(replica.isWhole || !before.isWhole);
+                assert.equal(toText(replica.catalogue), toText(foldAll(payloads.slice(0, nextOffset))));
+            }
+        }),
+        { seed, numRuns: runs },
+    );
+}
+
+Then(
+    "{int} random histories fold to the same catalogue however they are paged and snapshotted",
+    (runs: number) => checkFolds(runs, carryWhole),
+);
+
+Then("a fold that forgets repeated change ids at a snapshot is found out", () => {
+    assert.throws(() => checkFolds(300, carryWithoutChanges));
+});
+
+Then(
+    "{int} random interleavings never lower an offset and always hold the fold of a prefix",
+    (runs: number) => checkInterleavings(runs, takePage, adoptCatalogue),
+);
+
+Then("an adoption that takes older catalogues is found out", () => {
+    const adoptAny: Adopt = (_, other) => ({ catalogue: other, isWhole: true });
+    assert.throws(() => checkInterleavings(500, takePage, adoptAny));
+});
+
+Then("a replica that skips truncated records is found out", () => {
+    const skipGap: TakePage = (replica, page) => takePage(replica, { ...page, firstKept: 0, records: page.records });
+    const skipRecords: TakePage = (replica, page) => {
+        const nextOffset = Math.max(replica.catalogue.nextOffset, page.firstKept);
+        return skipGap({ ...replica, catalogue: { ...replica.catalogue, nextOffset } }, page);
+    };
+    assert.throws(() => checkInterleavings(500, skipRecords, adoptCatalogue));
+});
+
+Then("{int} random catalogues come back equal from the records of their snapshot", (runs: number) => {
+    fc.assert(
+        fc.property(historyArbitrary, payloads => {
+            const catalogue = foldAll(payloads);
+            const parts = cutSnapshot(catalogueToSnapshot(catalogue), "entry-1", 0).map(one => parseSnapshotPart(one)!);
+            const joined = joinSnapshot(parts);
+            assert.ok(joined.isOk);
+            assert.equal(toText(catalogueFromSnapshot(joined.value)), toText(catalogue));
+        }),
+        { seed, numRuns: runs },
+    );
+});
+
+Then("a snapshot with a missing part is rejected", () => {
+    const catalogue = foldAll(createChanges(2_000));
+    const parts = cutSnapshot(catalogueToSnapshot(catalogue), "entry-1", 0).map(one => parseSnapshotPart(one)!);
+    assert.ok(parts.length > 1);
+    assert.ok(joinSnapshot(parts).isOk);
+    assert.ok(joinSnapshot(parts.slice(1)).isErr);
+    assert.ok(joinSnapshot(parts.slice(0, -1)).isErr);
+    assert.ok(joinSnapshot([...parts].reverse()).isErr);
+});
--- a/src/core/catalogue/catalogue.ts
+++ b/src/core/catalogue/catalogue.ts
@@ -3,12 +3,25 @@
  * The catalogue in force: the fold of all accepted changes up to a log offset.
  */
 import type { CatalogueEntry, Customer, Model, Policy, Service, Upstream } from "./catalogueEntry.js";
+import type { ChangeVerdict } from "./foldVerdict.js";
+
+/** Which weights versions the upstreams of a model serve while they move to its version. */
+export interface ModelRollout {
+    /** Weights version that upstreams serve which have not moved. */
+    readonly from: string;
+    /** Ids of upstreams whose load was announced and has not ended. */
+    readonly begun: readonly string[];
+    /** Weights version by the id of each upstream that has moved. */
+    readonly moved: Readonly<Record<string, string>>;
+}
 
 /** An entry with the log offset of the change that wrote it. */
 export interface HeldEntry {
     readonly entry: CatalogueEntry;
     /** Log offset plus 1 of the change that wrote the entry. */
     readonly revision: number;
+    /** Present on a model until all its upstreams serve its weights version. */
+    readonly rollout?: ModelRollout;
 }
 
 /** The catalogue in force. */
@@ -17,10 +30,12 @@
     readonly nextOffset: number;
     /** Held entries by "kind/id". */
     readonly entries: ReadonlyMap<string, HeldEntry>;
+    /** Verdicts on the latest changes by change id, oldest first. */
+    readonly changes: ReadonlyMap<string, ChangeVerdict>;
 }
 
 /** The catalogue before any record. */
-export const emptyCatalogue: Catalogue = { nextOffset: 0, entries: new Map() };
+export const emptyCatalogue: Catalogue = { nextOffset: 0, entries: new Map(), changes: new Map() };
 
 interface EntryOfKind {
     readonly customer: Customer;
@@ -30,6 +45,9 @@
     readonly policy: Policy;
 }
 
+/** Lists by kind of each set of entries, so that a list is sorted once a change and not once a request. */
+const sortedLists = new WeakMap<ReadonlyMap<string, HeldEntry>, Map<string, readonly CatalogueEntry[]>>();
+
 /**
  * Finds one entry.
  *
@@ -48,21 +66,29 @@
     return catalogue.entries.get(`${kind}/${id}`)?.entry as EntryOfKind[K] | undefined;
 }
 
+function sortEntries(entries: ReadonlyMap<string, HeldEntry>, kind: string): readonly CatalogueEntry[] {
+    const found: CatalogueEntry[] = [];
+    for (const held of entries.values()) {
+        if (held.entry.kind === kind) {
+            found.push(held.entry);
+        }
+    }
+    return found.sort((left, right) => left.id < right.id ? -1 : 1);
+}
+
 /**
  * Lists the entries of one kind in the order of their ids.
  *
  * @param catalogue - The catalogue in force.
  * @param kind - Kind of the entries.
- * @returns The entries.
+ * @returns The entries; the same list until the entries change.
  * @example
  * listEntries(catalogue, "upstream").length;
  */
 export function listEntries<K extends keyof EntryOfKind>(catalogue: Catalogue, kind: K): readonly EntryOfKind[K][] {
-    const found: EntryOfKind[K][] = [];
-    for (const held of catalogue.entries.values()) {
-        if (held.entry.kind === kind) {
-            found.push(held.entry as EntryOfKind[K]);
-        }
-    }
-    return found.sort((left, right) => left.id < right.id ? -1 : 1);
+    const lists = sortedLists.get(catalogue.entries) ?? new Map<string, readonly CatalogueEntry[]>();
+    sortedLists.set(catalogue.entries, lists);
+    const list = lists.get(kind) ?? sortEntries(catalogue.entries, kind);
+    lists.set(kind, list);
+    return list as readonly EntryOfKind[K][];
 }
--- a/src/core/catalogue/catalogueEntry.ts
+++ b/src/core/catalogue/catalogueEntry.ts
@@ -104,6 +104,29 @@
     ).min(1).max(5000).readonly(),
 }).readonly();
 
+/** Schema of a record that says how far a model's upstreams have moved to its weights version. */
+export const rolloutProgressSchema = z.strictObject({
+    kind: z.literal("rolloutProgress"),
+    changeId: z.string().min(8).max(64),
+    author: z.string().min(1).max(64),
+    model: identifier,
+    /** The weights version that the upstreams move to. */
+    weightsVersion: identifier,
+    /** Upstreams whose load is announced by this record, before the order is sent. */
+    begun: z.array(identifier).max(64).readonly(),
+    /** Upstreams that were read back as serving the new version. */
+    upgraded: z.array(identifier).max(64).readonly(),
+    /** Upstreams whose announced load ended without effect. */
+    failed: z.array(identifier).max(64).readonly(),
+    /** Whether no upstream is left to move. */
+    isDone: z.boolean(),
+}).readonly();
+
+/** Schema of every record of the catalogue's stream. */
+export const catalogueRecordSchema = z.discriminatedUnion("kind", [catalogueChangeSchema, rolloutProgressSchema]);
+
+/** How far a model's upstreams have moved to its weights version. */
+export type RolloutProgress = z.infer<typeof rolloutProgressSchema>;
 /** Class of service of a customer. */
 export type ClassOfService = z.infer<typeof classOfServiceSchema>;
 /** Limits that an owner has accepted for a customer. */
--- a/src/core/catalogue/foldRecord.ts
+++ b/src/core/catalogue/foldRecord.ts
@@ -2,15 +2,10 @@
  * @module
  * The deterministic fold of one log record into the catalogue.
  */
-import { type Catalogue, type HeldEntry } from "./catalogue.js";
-import { type CatalogueChange, catalogueChangeSchema } from "./catalogueEntry.js";
-
-/** What became of a record. */
-export type FoldVerdict =
-    | { readonly kind: "accepted"; readonly changeId: string; }
-    | { readonly kind: "conflict"; readonly changeId: string; readonly key: string; readonly revision: number; }
-    | { readonly kind: "malformed"; readonly detail: string; }
-    | { readonly kind: "alreadyFolded"; };
+import type { Catalogue, HeldEntry, ModelRollout } from "./catalogue.js";
+import type { CatalogueChange, CatalogueEntry, RolloutProgress } from "./catalogueEntry.js";
+import type { ChangeVerdict, FoldVerdict } from "./foldVerdict.js";
+import { parseRecord } from "./parseRecord.js";
 
 /** The catalogue after a record, and what became of the record. */
 export interface FoldResult {
@@ -18,6 +13,9 @@
     readonly verdict: FoldVerdict;
 }
 
+/** Changes whose ids are remembered; a repeat is told apart for this many changes. */
+export const rememberedChanges = 1_024;
+
 function findConflict(catalogue: Catalogue, change: CatalogueChange): { key: string; revision: number; } | undefined {
     for (const edit of change.edits) {
         const revision = catalogue.entries.get(edit.key)?.revision ?? 0;
@@ -28,26 +26,20 @@
     return undefined;
 }
 
-function findKeyMismatch(change: CatalogueChange): string | undefined {
-    const edit = change.edits.find(one => one.entry !== undefined && one.key !== `${one.entry.kind}/${one.entry.id}`);
-    return edit?.key;
-}
-
-function parseChange(payload: string): CatalogueChange | string {
-    let value: unknown;
-    try {
-        value = JSON.parse(payload);
-    }
-    catch {
-        return "the record is not JSON";
+/** A model that changes its version starts a rollout from what its upstreams serve. */
+function findRollout(before: HeldEntry | undefined, entry: CatalogueEntry): ModelRollout | undefined {
+    if (before === undefined || before.entry.kind !== "model" || entry.kind !== "model") {
+        return undefined;
     }
-    const parsed = catalogueChangeSchema.safeParse(value);
-    if (!parsed.success) {
-        const issue = parsed.error.issues[0];
-        return `${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}`;
+    if (before.rollout !== undefined || before.entry.weightsVersion === entry.weightsVersion) {
+        return before.rollout;
     }
-    const mismatch = findKeyMismatch(parsed.data);
-    return mismatch === undefined ? parsed.data : `edit ${mismatch} holds an entry with another key`;
+    return { from: before.entry.weightsVersion, begun: [], moved: {} };
+}
+
+function holdEntry(before: HeldEntry | undefined, entry: CatalogueEntry, revision: number): HeldEntry {
+    const rollout = findRollout(before, entry);
+    return rollout === undefined ? { entry, revision } : { entry, revision, rollout };
 }
 
 function applyEdits(catalogue: Catalogue, change: CatalogueChange, revision: number): ReadonlyMap<string, HeldEntry> {
@@ -57,12 +49,62 @@
             entries.delete(edit.key);
         }
         else {
-            entries.set(edit.key, { entry: edit.entry, revision });
+            entries.set(edit.key, holdEntry(entries.get(edit.key), edit.entry, revision));
         }
     }
     return entries;
 }
 
+function advanceRollout(rollout: ModelRollout, progress: RolloutProgress): ModelRollout {
+    const ended = new Set([...progress.upgraded, ...progress.failed]);
+    const begun = new Set([...rollout.begun, ...progress.begun].filter(id => !ended.has(id)));
+    const moved = Object.fromEntries(progress.upgraded.map(id => [id, progress.weightsVersion]));
+    return { from: rollout.from, begun: [...begun], moved: { ...rollout.moved, ...moved } };
+}
+
+function foldProgress(catalogue: Catalogue, progress: RolloutProgress): FoldResult {
+    const key = `model/${progress.model}`;
+    const held = catalogue.entries.get(key);
+    if (held?.rollout === undefined || held.entry.kind !== "model") {
+        return { catalogue, verdict: { kind: "progress", model: progress.model, isTaken: false } };
+    }
+    const { entry, revision, rollout } = held;
+    const isDone = progress.isDone && entry.weightsVersion === progress.weightsVersion;
+    const after = isDone ? { entry, revision } : { entry, revision, rollout: advanceRollout(rollout, progress) };
+    const entries = new Map(catalogue.entries).set(key, after);
+    return {
+        catalogue: { ...catalogue, entries },
+        verdict: { kind: "progress", model: progress.model, isTaken: true },
+    };
+}
+
+function rememberChange(changes: Catalogue["changes"], verdict: ChangeVerdict): Catalogue["changes"] {
+    const remembered = new Map(changes).set(verdict.changeId, verdict);
+    for (const oldest of remembered.keys()) {
+        if (remembered.size <= rememberedChanges) {
+            break;
+        }
+        remembered.delete(oldest);
+    }
+    return remembered;
+}
+
+function foldChange(catalogue: Catalogue, change: CatalogueChange): FoldResult {
+    const { changeId } = change;
+    const first = catalogue.changes.get(changeId);
+    if (first !== undefined) {
+        return { catalogue, verdict: { kind: "repeated", changeId, first } };
+    }
+    const conflict = findConflict(catalogue, change);
+    const verdict: ChangeVerdict = conflict === undefined
+        ? { kind: "accepted", changeId }
+        : { kind: "conflict", changeId, ...conflict };
+    const entries = conflict === undefined
+        ? applyEdits(catalogue, change, catalogue.nextOffset)
+        : catalogue.entries;
+    return { catalogue: { ...catalogue, entries, changes: rememberChange(catalogue.changes, verdict) }, verdict };
+}
+
 /**
  * Folds one record. Every instance that folds the same records in log order holds the same catalogue.
  *
@@ -78,14 +120,9 @@
         return { catalogue, verdict: { kind: "alreadyFolded" } };
     }
     const passed: Catalogue = { ...catalogue, nextOffset: offset + 1 };
-    const change = parseChange(payload);
-    if (typeof change === "string") {
-        return { catalogue: passed, verdict: { kind: "malformed", detail: change } };
-    }
-    const conflict = findConflict(catalogue, change);
-    if (conflict !== undefined) {
-        return { catalogue: passed, verdict: { kind: "conflict", changeId: change.changeId, ...conflict } };
+    const record = parseRecord(payload);
+    if (record.isErr) {
+        return { catalogue: passed, verdict: { kind: "malformed", detail: record.error } };
     }
-    const entries = applyEdits(catalogue, change, offset + 1);
-    return { catalogue: { ...passed, entries }, verdict: { kind: "accepted", changeId: change.changeId } };
+    return record.value.kind === "change" ? foldChange(passed, record.value) : foldProgress(passed, record.value);
 }
--- a/src/core/catalogue/index.ts
+++ b/src/core/catalogue/index.ts
@@ -1,7 +1,15 @@
 /**
  * @module
- * The catalogue: entries, changes and their fold.
+ * The catalogue: entries, changes, their fold and snapshots.
  */
 export * from "./catalogue.js";
 export * from "./catalogueEntry.js";
+export * from "./checkReferences.js";
 export * from "./foldRecord.js";
+export * from "./foldVerdict.js";
+export * from "./isSnapshotDue.js";
+export * from "./mergeEdits.js";
+export * from "./parseRecord.js";
+export * from "./replica.js";
+export * from "./snapshot.js";
+export * from "./snapshotParts.js";
--- /dev/null
+++ b/src/core/catalogue/parseRecord.ts
@@ -0,0 +1,55 @@
+/**
+ * @module
+ * Checks a record of the catalogue's stream.
+ */
+import { err, ok, type Result } from "true-myth/result";
+import { type CatalogueChange, catalogueRecordSchema, type RolloutProgress } from "./catalogueEntry.js";
+
+/** Largest record, in characters. */
+export const maxRecordCharacters = 1 << 20;
+
+function findKeyMismatch(change: CatalogueChange): string | undefined {
+    const edit = change.edits.find(one => one.entry !== undefined && one.key !== `${one.entry.kind}/${one.entry.id}`);
+    return edit?.key;
+}
+
+function findRepeatedKey(change: CatalogueChange): string | undefined {
+    const seen = new Set<string>();
+    return change.edits.find(edit => seen.size === seen.add(edit.key).size)?.key;
+}
+
+function checkChange(change: CatalogueChange): Result<CatalogueChange, string> {
+    const mismatch = findKeyMismatch(change);
+    if (mismatch !== undefined) {
+        return err(`edit ${mismatch} holds an entry with another key`);
+    }
+    const repeated = findRepeatedKey(change);
+    return repeated === undefined ? ok(change) : err(`two edits of ${repeated}`);
+}
+
+/**
+ * Parses a record.
+ *
+ * @param payload - The record as JSON text.
+ * @returns The record, or a sentence on what is wrong with it.
+ * @example
+ * parseRecord("{}").isErr; // true
+ */
+export function parseRecord(payload: string): Result<CatalogueChange | RolloutProgress, string> {
+    if (payload.length > maxRecordCharacters) {
+        return err(`longer than ${maxRecordCharacters} characters`);
+    }
+    let value: unknown;
+    try {
+        value = JSON.parse(payload);
+    }
+    catch {
+        return err("the record is not JSON");
+    }
+    const parsed = catalogueRecordSchema.safeParse(value);
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0];
+        return err(`${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}`);
+    }
+    return parsed.data.kind === "change" ? checkChange(parsed.data) : ok(parsed.data);
+}
--- a/src/ctl/runCommand.ts
+++ b/src/ctl/runCommand.ts
@@ -6,8 +6,8 @@
 import { readFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { type CatalogueChange, type CatalogueEntry, catalogueEntrySchema } from "../core/catalogue/catalogueEntry.js";
+import type { CatalogueSnapshot } from "../core/catalogue/snapshot.js";
 import { createPeerClients, type PeerClient } from "../io/peers/createPeerClient.js";
-import type { CatalogueSnapshot } from "../io/peers/peerRouter.js";
 import { type ExitCode, exitCodes } from "./exitCodes.js";
 
 /** Where a command writes. */
--- a/src/io/catalogue/applyChange.ts
+++ b/src/io/catalogue/applyChange.ts
@@ -2,8 +2,12 @@
  * @module
  * Appends an operator's change to the log and waits for the verdict of the fold.
  */
-import { catalogueChangeSchema } from "../../core/catalogue/catalogueEntry.js";
-import type { FoldVerdict } from "../../core/catalogue/foldRecord.js";
+import type { Catalogue } from "../../core/catalogue/catalogue.js";
+import type { CatalogueChange } from "../../core/catalogue/catalogueEntry.js";
+import { checkReferences } from "../../core/catalogue/checkReferences.js";
+import type { ChangeVerdict } from "../../core/catalogue/foldVerdict.js";
+import { mergeEdits } from "../../core/catalogue/mergeEdits.js";
+import { parseRecord } from "../../core/catalogue/parseRecord.js";
 import type { LogPort } from "../../core/ports/logPort.js";
 import type { Clock } from "../../core/time/clock.js";
 import type { ApplyAnswer } from "../operator/operatorRouter.js";
@@ -19,24 +23,10 @@
 const verdictTimeoutMs = 4_000;
 const verdictPollMs = 20;
 
-function readChangeId(payload: string): { readonly id: string; } | { readonly problem: string; } {
-    try {
-        const parsed = catalogueChangeSchema.safeParse(JSON.parse(payload));
-        if (parsed.success) {
-            return { id: parsed.data.changeId };
-        }
-        const issue = parsed.error.issues[0];
-        return { problem: `${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}` };
-    }
-    catch {
-        return { problem: "the change is not JSON" };
-    }
-}
-
 async function waitForVerdict(
     changeId: string,
     dependencies: ApplyChangeDependencies,
-): Promise<FoldVerdict | undefined> {
+): Promise<ChangeVerdict | undefined> {
     const { clock, follower } = dependencies;
     const endMs = clock.now() + verdictTimeoutMs;
     while (clock.now() < endMs) {
@@ -49,28 +39,52 @@
     return undefined;
 }
 
+function toAnswer(verdict: ChangeVerdict): ApplyAnswer {
+    const detail = verdict.kind === "conflict"
+        ? `${verdict.key} was changed by revision ${verdict.revision}`
+        : "";
+    return { outcome: verdict.kind, verdict, detail };
+}
+
+/** Changes that race each other may still leave a reference open; such an upstream gets no request. */
+function findProblem(catalogue: Catalogue, change: CatalogueChange): string | undefined {
+    const before = new Set(checkReferences([...catalogue.entries.values()].map(held => held.entry)).map(toText));
+    return checkReferences(mergeEdits(catalogue, change.edits)).map(toText).find(problem => !before.has(problem));
+}
+
+function toText(problem: { readonly key: string; readonly detail: string; }): string {
+    return `${problem.key} ${problem.detail}`;
+}
+
 /**
- * Applies a change. A lost append answer is resolved by the change id in the fold, never by a second append.
+ * Applies a change. A lost append answer is resolved by the change id in the fold, never by a second change.
  *
  * @param payload - The change as JSON text.
  * @param dependencies - The log and the follower.
  * @returns What became of the change.
  */
 export async function applyChange(payload: string, dependencies: ApplyChangeDependencies): Promise<ApplyAnswer> {
-    const read = readChangeId(payload);
-    if ("problem" in read) {
-        return { outcome: "malformed", verdict: undefined, detail: read.problem };
+    const record = parseRecord(payload);
+    if (record.isErr || record.value.kind !== "change") {
+        return { outcome: "malformed", verdict: undefined, detail: record.isErr ? record.error : "not a change" };
+    }
+    const known = dependencies.follower.findVerdict(record.value.changeId);
+    if (known !== undefined) {
+        return toAnswer(known);
+    }
+    const problem = findProblem(dependencies.follower.current(), record.value);
+    if (problem !== undefined) {
+        return { outcome: "malformed", verdict: undefined, detail: problem };
     }
     if (dependencies.log === undefined) {
         return { outcome: "notRun", verdict: undefined, detail: "this instance has no log setting" };
     }
     const appended = await dependencies.log.append("catalogue", [payload]);
-    if (appended.isErr && appended.error.kind !== "lost") {
+    if (appended.isErr && (appended.error.kind === "notSent" || appended.error.kind === "refused")) {
         return { outcome: "notRun", verdict: undefined, detail: `log: ${appended.error.detail}` };
     }
-    const verdict = await waitForVerdict(read.id, dependencies);
-    if (verdict?.kind === "accepted" || verdict?.kind === "conflict") {
-        return { outcome: verdict.kind, verdict, detail: "" };
-    }
-    return { outcome: "unknown", verdict, detail: "no verdict within 4 s; ask again with the same change id" };
+    const verdict = await waitForVerdict(record.value.changeId, dependencies);
+    return verdict === undefined
+        ? { outcome: "unknown", verdict, detail: "no verdict within 4 s; ask again with the same change id" }
+        : toAnswer(verdict);
 }
--- a/src/io/operator/operatorRouter.ts
+++ b/src/io/operator/operatorRouter.ts
@@ -3,9 +3,9 @@
  * The tRPC router for reedwardctl. Every call carries the operator secret.
  */
 import { z } from "zod";
-import type { FoldVerdict } from "../../core/catalogue/foldRecord.js";
+import type { ChangeVerdict } from "../../core/catalogue/foldVerdict.js";
+import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { Member } from "../../core/membership/memberTypes.js";
-import type { CatalogueSnapshot } from "../peers/peerRouter.js";
 import { requireCaller, trpc } from "../peers/trpcBase.js";
 
 /** State of one instance as reedwardctl shows it. */
@@ -20,7 +20,7 @@
 /** What became of an operator's change. */
 export interface ApplyAnswer {
     readonly outcome: "accepted" | "conflict" | "malformed" | "unknown" | "notRun";
-    readonly verdict: FoldVerdict | undefined;
+    readonly verdict: ChangeVerdict | undefined;
     readonly detail: string;
 }
 
--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -3,17 +3,11 @@
  * The tRPC router of an instance: calls of peers, and the operators' router beside them.
  */
 import { z } from "zod";
-import type { CatalogueEntry } from "../../core/catalogue/catalogueEntry.js";
+import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { Member } from "../../core/membership/memberTypes.js";
 import { createOperatorRouter, type OperatorService } from "../operator/operatorRouter.js";
 import { requireCaller, trpc } from "./trpcBase.js";
 
-/** The catalogue as it is sent between processes. */
-export interface CatalogueSnapshot {
-    readonly nextOffset: number;
-    readonly entries: readonly { readonly entry: CatalogueEntry; readonly revision: number; }[];
-}
-
 /** What a peer takes in one exchange. */
 export interface PeerExchange {
     readonly catalogue: CatalogueSnapshot;
--- a/src/io/peers/pollSeeds.ts
+++ b/src/io/peers/pollSeeds.ts
@@ -3,9 +3,9 @@
  * Learns the fleet by exchanging members and catalogue with the seeds at a fixed period.
  */
 import type { Catalogue } from "../../core/catalogue/catalogue.js";
+import { catalogueFromSnapshot } from "../../core/catalogue/snapshot.js";
 import type { Member, MembershipView } from "../../core/membership/memberTypes.js";
 import type { Clock } from "../../core/time/clock.js";
-import { catalogueFromSnapshot } from "./catalogueSnapshot.js";
 import type { PeerClients } from "./createPeerClient.js";
 
 /** What polling needs. */
--- a/src/settings/settingsTable.ts
+++ b/src/settings/settingsTable.ts
@@ -79,6 +79,12 @@
         { isRequired: true, isSecret: true },
     ),
     logUrl: define("log-url", optionalUrl, undefined, "Base URL of the platform's log."),
+    logRetentionMs: define(
+        "log-retention-ms",
+        integer(60_000, 10_000_000_000),
+        "86400000",
+        "Time that the log keeps records, in ms.",
+    ),
     instanceListUrl: define("instance-list-url", optionalUrl, undefined, "URL of the platform's instance list."),
     weightStoreUrl: define("weight-store-url", optionalUrl, undefined, "Base URL of the weight store."),
     kvStoreUrl: define("kv-store-url", optionalUrl, undefined, "Base URL of the KV store."),
@@ -142,6 +148,7 @@
     readonly peerSecret: string;
     readonly operatorSecret: string;
     readonly logUrl: string | undefined;
+    readonly logRetentionMs: number;
     readonly instanceListUrl: string | undefined;
     readonly weightStoreUrl: string | undefined;
     readonly kvStoreUrl: string | undefined;
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -8,6 +8,7 @@
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
 import { listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
+import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
 import { runSteps } from "./core/effects/runSteps.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
 import type { Member } from "./core/membership/memberTypes.js";
@@ -17,12 +18,12 @@
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
 import { applyChange } from "./io/catalogue/applyChange.js";
 import { followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
-import { catalogueToSnapshot } from "./io/peers/catalogueSnapshot.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
 import { pollSeeds } from "./io/peers/pollSeeds.js";
@@ -88,6 +89,7 @@
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
     let isStopping = false;
     let follower: ReturnType<typeof followCatalogue> | undefined;
+    let stopSnapshots: () => void = () => undefined;
     let polling: ReturnType<typeof pollSeeds> | undefined;
 
     const self = (): Member => ({
@@ -214,9 +216,22 @@
         follower = followCatalogue({
             log,
             clock,
+            random: Math.random,
             writeLog,
             onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
         });
+        const loaded = follower;
+        if (log !== undefined) {
+            stopSnapshots = keepSnapshots({
+                log,
+                clock,
+                random: Math.random,
+                writeLog,
+                instance: settings.instance,
+                current: () => loaded.isLoaded() ? loaded.current() : undefined,
+                retentionMs: settings.logRetentionMs,
+            });
+        }
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
@@ -236,6 +251,7 @@
         writeLog("stopping");
         polling?.stop();
         follower?.stop();
+        stopSnapshots();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
