--- /dev/null
+++ b/src/core/membership/createRecentTimes.ts
@@ -0,0 +1,37 @@
+/**
+ * @module
+ * Counts how often something happened to each key within a window of time.
+ */
+import type { Clock } from "../time/clock.js";
+
+/** Counts within a window. */
+export interface RecentTimes {
+    readonly add: (key: string) => void;
+    readonly count: (key: string) => number;
+}
+
+/**
+ * Creates the counter.
+ *
+ * @param clock - The instance's clock.
+ * @param windowMs - Length of the window, in milliseconds.
+ * @returns The counter.
+ * @example
+ * createRecentTimes(clock, 60_000).count("entry-2"); // 0
+ */
+export function createRecentTimes(clock: Clock, windowMs: number): RecentTimes {
+    const times = new Map<string, readonly number[]>();
+
+    function listRecent(key: string): readonly number[] {
+        const recent = (times.get(key) ?? []).filter(timeMs => clock.now() - timeMs < windowMs);
+        if (recent.length === 0) {
+            times.delete(key);
+        }
+        return recent;
+    }
+
+    return {
+        add: key => times.set(key, [...listRecent(key), clock.now()]),
+        count: key => listRecent(key).length,
+    };
+}
--- a/src/io/peers/createPeerClient.ts
+++ b/src/io/peers/createPeerClient.ts
@@ -3,7 +3,7 @@
  * tRPC client of a peer, used by daemons and by reedwardctl.
  */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import { Agent, fetch } from "undici";
+import { Agent, type Dispatcher, request } from "undici";
 import type { PeerRouter } from "./peerRouter.js";
 
 /** A typed client of one peer. */
@@ -16,6 +16,15 @@
     readonly close: () => Promise<void>;
 }
 
+interface CallInit {
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+}
+
+/** Largest answer of a peer, in bytes. */
+const maxAnswerBytes = 32 << 20;
+
 /**
  * Creates the pool of clients.
  *
@@ -24,10 +33,20 @@
  * @returns The pool.
  */
 export function createPeerClients(secret: string, timeoutMs: number): PeerClients {
-    const agent = new Agent({ connect: { timeout: timeoutMs }, connections: 2 });
+    const agent = new Agent({ connect: { timeout: timeoutMs }, connections: 2, maxResponseSize: maxAnswerBytes });
     const clients = new Map<string, PeerClient>();
-    const limitedFetch: typeof fetch = (input, init) =>
-        fetch(input, { ...init, dispatcher: agent, signal: AbortSignal.timeout(timeoutMs) });
+
+    /** Sends a call without the headers that a browser's fetch adds: they would double a probe's bytes. */
+    async function send(url: string, init: CallInit): Promise<{ readonly json: () => Promise<unknown>; }> {
+        const res = await request(url, {
+            dispatcher: agent,
+            method: (init.method ?? "GET") as Dispatcher.HttpMethod,
+            headers: init.headers ?? {},
+            ...(init.body === undefined ? {} : { body: init.body }),
+            signal: AbortSignal.timeout(timeoutMs),
+        });
+        return { json: () => res.body.json() };
+    }
 
     function connect(address: string): PeerClient {
         const known = clients.get(address);
@@ -37,7 +56,7 @@
         const link = httpLink({
             url: `http://${address}`,
             headers: { authorization: `Bearer ${secret}` },
-            fetch: limitedFetch as unknown as typeof globalThis.fetch,
+            fetch: send as unknown as typeof globalThis.fetch,
         });
         const client = createTRPCClient<PeerRouter>({ links: [link] });
         clients.set(address, client);
--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -4,7 +4,10 @@
  */
 import { z } from "zod";
 import type { CatalogueEntry } from "../../core/catalogue/catalogueEntry.js";
+import type { RestartPart } from "../../core/lifecycle/restartSlot.js";
+import { maxAttachmentBytes } from "../../core/membership/createAttachmentExchange.js";
 import type { Member } from "../../core/membership/memberTypes.js";
+import type { ProbeAnswer, ProbeRequest, RelayAnswer, RelayRequest } from "../../core/membership/peerMessages.js";
 import { createOperatorRouter, type OperatorService } from "../operator/operatorRouter.js";
 import { requireCaller, trpc } from "./trpcBase.js";
 
@@ -14,26 +17,45 @@
     readonly entries: readonly { readonly entry: CatalogueEntry; readonly revision: number; }[];
 }
 
-/** What a peer takes in one exchange. */
-export interface PeerExchange {
-    readonly catalogue: CatalogueSnapshot;
+/** What a restarted instance takes from a peer in one exchange. */
+export interface RestartState {
+    /** Undefined when the peer has none yet. */
+    readonly catalogue?: CatalogueSnapshot | undefined;
     readonly members: readonly Member[];
+    readonly parts: readonly RestartPart[];
 }
 
 /** What the instance answers to peers. */
 export interface PeerService {
-    readonly exchange: (from: Member) => PeerExchange;
+    readonly probe: (req: ProbeRequest) => ProbeAnswer;
+    readonly relay: (req: RelayRequest) => Promise<RelayAnswer>;
+    readonly listMembers: () => readonly Member[];
+    readonly exchange: () => RestartState;
 }
 
+const maxMessageUpdates = 32;
+const maxNameLength = 64;
+const name = z.string().max(maxNameLength);
+
 const memberSchema = z.object({
-    instance: z.string(),
-    incarnation: z.number(),
+    instance: name,
+    incarnation: z.number().int().min(0),
     state: z.enum(["alive", "suspect", "leaving", "dead"]),
-    failureDomain: z.string(),
-    callerAddress: z.string(),
-    peerAddress: z.string(),
+    failureDomain: name,
+    callerAddress: name,
+    peerAddress: name,
+});
+
+const probeSchema = z.object({
+    from: memberSchema,
+    viewHash: name,
+    updates: z.array(memberSchema).max(maxMessageUpdates).readonly(),
+    attachments: z.array(z.object({ name, payload: z.string().max(maxAttachmentBytes) })).max(maxMessageUpdates)
+        .readonly(),
 });
 
+const relaySchema = z.object({ target: memberSchema });
+
 /**
  * Creates the router.
  *
@@ -45,7 +67,10 @@
     const peerProcedure = requireCaller("peer");
     return trpc.router({
         peer: trpc.router({
-            exchange: peerProcedure.input(memberSchema).mutation(({ input }) => service.exchange(input)),
+            probe: peerProcedure.input(probeSchema).mutation(({ input }) => service.probe(input)),
+            relay: peerProcedure.input(relaySchema).mutation(({ input }) => service.relay(input)),
+            members: peerProcedure.query(() => service.listMembers()),
+            exchange: peerProcedure.query(() => service.exchange()),
         }),
         operator: createOperatorRouter(operatorService),
     });
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -6,11 +6,13 @@
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
-import { listEntries } from "./core/catalogue/catalogue.js";
+import { type Catalogue, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { runSteps } from "./core/effects/runSteps.js";
+import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
-import type { Member } from "./core/membership/memberTypes.js";
+import { createMembership, type Membership } from "./core/membership/createMembership.js";
+import type { PeerAttachment } from "./core/membership/peerAttachment.js";
 import type { ModelRequest, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
@@ -25,9 +27,12 @@
 import { catalogueToSnapshot } from "./io/peers/catalogueSnapshot.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
-import { pollSeeds } from "./io/peers/pollSeeds.js";
+import { createPeerTransport } from "./io/peers/createPeerTransport.js";
+import { followInstanceList } from "./io/peers/followInstanceList.js";
+import { takeRestartState } from "./io/peers/takeRestartState.js";
 import { createCallJson } from "./io/platform/callJson.js";
 import { createLogClient } from "./io/platform/createLogClient.js";
+import { createInstanceListReader } from "./io/platform/createPlatformClients.js";
 import { createEngineClient } from "./io/upstream/createEngineClient.js";
 import { createUpstreamClient } from "./io/upstream/createUpstreamClient.js";
 import type { Settings } from "./settings/settingsTable.js";
@@ -88,18 +93,18 @@
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
     let isStopping = false;
     let follower: ReturnType<typeof followCatalogue> | undefined;
-    let polling: ReturnType<typeof pollSeeds> | undefined;
-
-    const self = (): Member => ({
-        instance: settings.instance,
-        incarnation: 0,
-        state: isStopping ? "leaving" : "alive",
-        failureDomain: settings.failureDomain,
-        callerAddress,
-        peerAddress,
-    });
+    let fleet: Membership | undefined;
+    let instanceList: ReturnType<typeof followInstanceList> | undefined;
+    let restart: ReturnType<typeof takeRestartState> | undefined;
+
+    /** Subjects whose payloads ride on the messages between peers. */
+    const peerAttachments: readonly PeerAttachment[] = [];
+    /** Subjects whose state a restarted instance takes from a peer. */
+    const restartSlots: readonly RestartSlot[] = [];
+
     const catalogue = () => follower!.current();
-    const membership = () => polling!.view();
+    const membership = () => fleet!.view();
+    const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
         return listEntries(catalogue(), "upstream")
@@ -175,14 +180,14 @@
         res.destroy();
     }
 
-    const isReady = () => !isStopping && (follower?.isLoaded() ?? false);
+    const isReady = () => !isStopping && isCatalogueLoaded() && (restart?.isSettled() ?? false);
     const callerServer = createCallerServer({
         settings,
         clock,
         metrics,
         writeLog,
         catalogue,
-        isCatalogueLoaded: () => follower?.isLoaded() ?? false,
+        isCatalogueLoaded,
         membership,
         isReady,
         isClosed: () => false,
@@ -190,10 +195,17 @@
         serveService,
     });
     const peerServer = createPeerServer({
-        exchange: from => {
-            polling?.noteMember(from);
-            return { catalogue: catalogueToSnapshot(catalogue()), members: membership().members };
-        },
+        probe: req => fleet!.handleProbe(req),
+        relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
+        listMembers: () => membership().members,
+        exchange: () => ({
+            catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
+            members: membership().members,
+            parts: restartSlots.flatMap((slot): readonly RestartPart[] => {
+                const payload = slot.collect();
+                return payload === undefined ? [] : [{ name: slot.name, payload }];
+            }),
+        }),
     }, {
         status: () => ({
             instance: settings.instance,
@@ -221,20 +233,59 @@
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
         callerAddress = settings.advertise ?? boundCaller;
-        polling = pollSeeds({
+        joinFleet(follower.adopt);
+        writeLog("started", { callerAddress, peerAddress });
+    }
+
+    function listContacts(): readonly string[] {
+        const listed = (instanceList?.current() ?? []).filter(one => one.role === "entry" && one.state === "live");
+        const addresses = new Set([...settings.seeds, ...listed.map(one => one.address)]);
+        addresses.delete(peerAddress);
+        return [...addresses];
+    }
+
+    function joinFleet(adoptCatalogue: (catalogue: Catalogue) => void): void {
+        instanceList = followInstanceList({
+            clock,
+            random: Math.random,
+            readInstances: settings.instanceListUrl === undefined
+                ? undefined
+                : createInstanceListReader(settings.instanceListUrl, json.call),
+            countInstances: () => fleet?.view().members.length ?? 1,
+            onRead: () => undefined,
+        });
+        fleet = createMembership({
+            clock,
+            random: Math.random,
+            identity: {
+                instance: settings.instance,
+                failureDomain: settings.failureDomain,
+                callerAddress,
+                peerAddress,
+            },
+            listContacts,
+            transport: createPeerTransport(peers),
+            attachments: peerAttachments,
+            onEvent: () => undefined,
+        });
+        restart = takeRestartState({
             clock,
             clients: peers,
-            seeds: settings.seeds.filter(seed => seed !== peerAddress),
-            self,
-            adoptCatalogue: follower.adopt,
+            listContacts,
+            slots: restartSlots,
+            adoptCatalogue,
+            takeMembers: fleet.takeMembers,
+            isLoaded: isCatalogueLoaded,
+            onTaken: () => undefined,
         });
-        writeLog("started", { callerAddress, peerAddress });
     }
 
     async function stop(): Promise<void> {
         isStopping = true;
         writeLog("stopping");
-        polling?.stop();
+        restart?.stop();
+        instanceList?.stop();
+        fleet?.stop();
         follower?.stop();
         for (const server of [callerServer, peerServer]) {
             server.close();
