Report every attempt of a model request

reedwardctl why needs the grounds of each routing decision, so the report lists the attempts with candidates and result in place of their number.

--- a/src/core/request/serveModelRequest.ts
+++ b/src/core/request/serveModelRequest.ts
@@ -8,7 +8,7 @@
 import type { AnswerHead, ForwardResult, Steps, UpstreamCall } from "../effects/effectTypes.js";
 import { perform } from "../effects/perform.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
-import type { ChooseUpstream, RouteFeedback, RouteRequest } from "../routing/routeTypes.js";
+import type { CandidateCost, ChooseUpstream, RouteFeedback, RouteRequest } from "../routing/routeTypes.js";
 import { deriveStreamIdentity, type StreamIdentity } from "./deriveStreamIdentity.js";
 import type { ModelRequest } from "./requestTypes.js";
 
@@ -26,13 +26,25 @@
 /** Why an attempt was followed by another one. */
 export type RetryReason = "notSent" | "upstreamNotRun" | "lost" | "cut" | "silent" | "outOfOrder";
 
+/** How one attempt ended. */
+export type AttemptOutcome = "complete" | "failed" | RetryReason;
+
+/** One attempt with the grounds of its routing decision, for `reedwardctl why`. */
+export interface AttemptReport {
+    readonly upstream: string;
+    /** Leading blocks that were believed to be cached there. */
+    readonly cachedBlocks: number;
+    readonly candidates: readonly CandidateCost[];
+    readonly result: AttemptOutcome;
+}
+
 /** How a model request ended, for logs, metrics and tests. */
 export interface ModelRequestReport {
     readonly upstream: string | undefined;
     readonly cachedTokens: number;
     readonly promptTokens: number;
     readonly outputTokens: number;
-    readonly attempts: number;
+    readonly attempts: readonly AttemptReport[];
     /** Undefined when the answer was complete. */
     readonly refusal: Refusal | undefined;
 }
@@ -52,6 +64,17 @@
     | { readonly kind: "retry"; readonly reason: RetryReason; readonly refusal: Refusal; }
     | { readonly kind: "failed"; readonly refusal: Refusal; };
 
+function toAttemptOutcome(result: AttemptResult): AttemptOutcome {
+    switch (result.kind) {
+        case "done":
+            return "complete";
+        case "failed":
+            return "failed";
+        case "retry":
+            return result.reason;
+    }
+}
+
 function toRouteRequest(req: ModelRequest): RouteRequest {
     const scope: CacheScope = {
         customer: req.customer.id,
@@ -176,7 +199,7 @@
         cachedTokens: 0,
         promptTokens: route.promptTokens,
         outputTokens: 0,
-        attempts: 0,
+        attempts: [] as AttemptReport[],
     };
     if (verdict.kind === "refused") {
         yield* perform({ kind: "refuse", refusal: verdict.refusal });
@@ -186,15 +209,14 @@
     const excluded = new Set<string>();
     let delivered = 0;
     let refusal = createRefusal("noUpstream", "");
-    while (report.attempts < maxAttempts && dependencies.now() < req.deadlineMs) {
+    while (report.attempts.length < maxAttempts && dependencies.now() < req.deadlineMs) {
         const decision = dependencies.chooseUpstream({ ...route, excluded });
         if (decision.isErr) {
-            refusal = report.attempts === 0 ? decision.error : refusal;
+            refusal = report.attempts.length === 0 ? decision.error : refusal;
             break;
         }
-        const { upstream } = decision.value;
+        const { upstream, cachedBlocks, candidates } = decision.value;
         report.upstream = upstream.id;
-        report.attempts += 1;
         excluded.add(upstream.id);
         dependencies.trackInFlight(upstream.id, 1);
         const call = createCall(req, route, identity, upstream, delivered, dependencies.now());
@@ -202,6 +224,8 @@
             delivered = value;
         });
         dependencies.trackInFlight(upstream.id, -1);
+        const outcome = toAttemptOutcome(result);
+        report.attempts.push({ upstream: upstream.id, cachedBlocks, candidates, result: outcome });
         if (result.kind === "done") {
             report.outputTokens = result.outputTokens;
             yield* perform({
