--- a/fakes/startFakeEngine.ts
+++ b/fakes/startFakeEngine.ts
@@ -22,6 +22,18 @@
     readonly fencesOrders?: boolean;
     /** Milliseconds that loading weights takes. */
     readonly loadMs?: number;
+    /** Receives every model request that reaches it; a refused one has no text. */
+    readonly onAttempt?: (attempt: EngineAttempt) => void;
+}
+
+/** One model request that reached the stand-in. */
+export interface EngineAttempt {
+    readonly streamId: string;
+    readonly cacheSalt: string;
+    readonly weightsVersion: string;
+    readonly body: string;
+    /** The whole text of the answer; undefined when the request was refused as not run. */
+    readonly text: string | undefined;
 }
 
 /** How the next streams fail after some events: connection cut, or silence. */
@@ -43,6 +55,8 @@
     readonly crash: () => void;
     readonly setLeaving: (isLeaving: boolean) => void;
     readonly setNotRun: (isNotRun: boolean) => void;
+    /** While true, cache events are lost and leave a gap in the sequence. */
+    readonly setEventLoss: (isLossy: boolean) => void;
 }
 
 interface Generation {
@@ -88,6 +102,8 @@
     let fault: StreamFault | undefined;
     let isLeaving = false;
     let isNotRun = false;
+    let isLossy = false;
+    let nextSequence = 0;
     let role = "serving";
     let running = 0;
     let lastFencingNumber = 0;
@@ -99,12 +115,19 @@
     const cacheEvents: CacheEvent[] = [];
     const incarnation = () => `${fake.address}/${life}`;
 
+    function noteCacheEvent(action: CacheEvent["action"], block: string): void {
+        if (!isLossy) {
+            cacheEvents.push({ sequence: nextSequence, action, block });
+        }
+        nextSequence += 1;
+    }
+
     function touchBlocks(chain: readonly string[]): number {
         const missing = chain.findIndex(block => !cache.has(block));
         const hits = missing === -1 ? chain.length : missing;
         for (const block of chain) {
             if (!cache.delete(block)) {
-                cacheEvents.push({ sequence: cacheEvents.length, action: "stored", block });
+                noteCacheEvent("stored", block);
             }
             cache.set(block, true);
         }
@@ -113,7 +136,7 @@
                 break;
             }
             cache.delete(block);
-            cacheEvents.push({ sequence: cacheEvents.length, action: "evicted", block });
+            noteCacheEvent("evicted", block);
         }
         return hits;
     }
@@ -201,16 +224,24 @@
         res.setHeader("x-incarnation", incarnation());
         const version = String(req.headers["x-weights-version"]);
         const isLoaded = [...loaded].some(weights => weights.endsWith(`@${version}`));
+        const attempt = {
+            streamId: String(req.headers["x-stream-id"]),
+            cacheSalt: String(req.headers["x-cache-salt"]),
+            weightsVersion: version,
+            body,
+        };
         if (isNotRun || isLeaving || !isLoaded) {
+            options.onAttempt?.({ ...attempt, text: undefined });
             res.setHeader("x-not-run", "true");
             writeJson(res, 503, { error: "not served here now" });
             return;
         }
-        const generation = generations.get(String(req.headers["x-stream-id"])) ?? startGeneration(req, body);
+        const generation = generations.get(attempt.streamId) ?? startGeneration(req, body);
         if (generation === undefined) {
             writeJson(res, 400, { error: "malformed" });
             return;
         }
+        options.onAttempt?.({ ...attempt, text: generation.text });
         res.setHeader("x-weights-version", version);
         res.setHeader("x-cached-tokens", String(generation.cachedTokens));
         res.setHeader("x-load", JSON.stringify(readLoad()));
@@ -282,8 +313,9 @@
         }
         else if (url.pathname === "/cache-events") {
             const from = Number(url.searchParams.get("from"));
-            const events = cacheEvents.slice(from, from + 1000);
-            writeJson(res, 200, { incarnation: incarnation(), nextSequence: from + events.length, events });
+            const events = cacheEvents.filter(event => event.sequence >= from).slice(0, 1000);
+            const next = events.length === 1000 ? events.at(-1)!.sequence + 1 : nextSequence;
+            writeJson(res, 200, { incarnation: incarnation(), nextSequence: next, events });
         }
         else if (url.pathname === "/orders") {
             takeOrder(JSON.parse(body) as EngineOrder, res);
@@ -313,6 +345,7 @@
             cache = new Map();
             generations = new Map();
             cacheEvents.length = 0;
+            nextSequence = 0;
             loaded = new Set([`${options.model}@${options.weightsVersion}`]);
             fake.cutConnections();
         },
@@ -322,5 +355,8 @@
         setNotRun: value => {
             isNotRun = value;
         },
+        setEventLoss: value => {
+            isLossy = value;
+        },
     };
 }
--- a/fakes/startFakeService.ts
+++ b/fakes/startFakeService.ts
@@ -14,8 +14,11 @@
     readonly setFault: (fault: ServiceFault | undefined) => void;
 }
 
-/** Starts the stand-in. */
-export async function startFakeService(port = 0): Promise<FakeService> {
+/** Starts the stand-in; `onRun` receives the path and body of every call that it acts on. */
+export async function startFakeService(
+    port = 0,
+    onRun: (path: string, body: string) => void = () => undefined,
+): Promise<FakeService> {
     const runs = new Map<string, number>();
     let fault: ServiceFault | undefined;
     const fake = await startHttpFake((req, body, res) => {
@@ -27,6 +30,7 @@
         }
         const run = `${req.method} ${req.url} ${req.headers["idempotency-key"] ?? ""}`;
         runs.set(run, (runs.get(run) ?? 0) + 1);
+        onRun(req.url ?? "", body);
         if (fault === "loseAnswer") {
             res.destroy();
         }
