Give reedwardctl all its commands

Cause: reedwardctl could only validate, apply and show one instance. Orders and their progress are folded with the catalogue, and the latest 2,000 request reports are kept for why.

--- a/features/support/catalogueHistories.ts
+++ b/features/support/catalogueHistories.ts
@@ -32,7 +32,7 @@
 }
 
 interface Draft {
-    readonly shape: "change" | "removal" | "progress" | "malformed";
+    readonly shape: "change" | "removal" | "order" | "progress" | "malformed";
     readonly model: number;
     readonly version: number;
     readonly changeId: number;
@@ -51,15 +51,25 @@
             return createChange(changeId, `model/${id}`, draft.basedOn, undefined);
         case "progress":
             return JSON.stringify({
-                kind: "rolloutProgress",
-                changeId,
+                kind: "orderProgress",
                 author: "test",
+                fencingNumber: draft.basedOn,
+                begun: draft.isDone ? [] : [{ upstream: `u${draft.upstream}`, model: id, weightsVersion: "v1" }],
+                ended: [{ upstream: `u${draft.changeId % 3}`, isLoaded: draft.changeId % 2 === 0 }],
+                ordersEnded: [{ orderId: `order-${draft.changeId}0`, outcome: "done", detail: "" }],
+                rolledOut: draft.isDone ? [`${id}@v${draft.version}`] : [],
+            });
+        case "order":
+            return JSON.stringify({
+                kind: "order",
+                orderId: `order-${draft.changeId}0`,
+                author: "test",
+                upstream: `u${draft.upstream}`,
+                action: "load",
                 model: id,
-                weightsVersion: `v${draft.version}`,
-                begun: draft.basedOn % 2 === 0 ? [`u${draft.upstream}`] : [],
-                upgraded: draft.basedOn % 2 === 0 ? [] : [`u${draft.upstream}`],
-                failed: [],
-                isDone: draft.isDone,
+                weightsVersion: "v1",
+                role: "",
+                givenMs: 0,
             });
         case "malformed":
             return "{\"kind\":\"change\"";
@@ -67,7 +77,7 @@
 }
 
 const draftArbitrary: fc.Arbitrary<Draft> = fc.record({
-    shape: fc.constantFrom("change", "change", "change", "removal", "progress", "malformed"),
+    shape: fc.constantFrom("change", "change", "change", "removal", "order", "progress", "progress", "malformed"),
     model: fc.integer({ min: 0, max: 1 }),
     version: fc.integer({ min: 0, max: 2 }),
     changeId: fc.integer({ min: 0, max: 12 }),
--- a/src/core/catalogue/catalogue.ts
+++ b/src/core/catalogue/catalogue.ts
@@ -4,13 +4,12 @@
  */
 import type { CatalogueEntry, Customer, Model, Policy, Service, Upstream } from "./catalogueEntry.js";
 import type { ChangeVerdict } from "./foldVerdict.js";
+import type { HeldOrder, LoadMark } from "./orderRecord.js";
 
 /** Which weights versions the upstreams of a model serve while they move to its version. */
 export interface ModelRollout {
     /** Weights version that upstreams serve which have not moved. */
     readonly from: string;
-    /** Ids of upstreams whose load was announced and has not ended. */
-    readonly begun: readonly string[];
     /** Weights version by the id of each upstream that has moved. */
     readonly moved: Readonly<Record<string, string>>;
 }
@@ -32,10 +31,23 @@
     readonly entries: ReadonlyMap<string, HeldEntry>;
     /** Verdicts on the latest changes by change id, oldest first. */
     readonly changes: ReadonlyMap<string, ChangeVerdict>;
+    /** Operators' orders by id, oldest first; ended ones are kept for a while. */
+    readonly orders: ReadonlyMap<string, HeldOrder>;
+    /** Announced loads by upstream. */
+    readonly loads: ReadonlyMap<string, LoadMark>;
+    /** Highest fencing number of a lease under which progress was recorded; -1 when there was none. */
+    readonly fence: number;
 }
 
 /** The catalogue before any record. */
-export const emptyCatalogue: Catalogue = { nextOffset: 0, entries: new Map(), changes: new Map() };
+export const emptyCatalogue: Catalogue = {
+    nextOffset: 0,
+    entries: new Map(),
+    changes: new Map(),
+    orders: new Map(),
+    loads: new Map(),
+    fence: -1,
+};
 
 interface EntryOfKind {
     readonly customer: Customer;
--- a/src/core/catalogue/catalogueEntry.ts
+++ b/src/core/catalogue/catalogueEntry.ts
@@ -3,8 +3,8 @@
  * The catalogue's entries and changes, with the schema that every record of the log is checked against.
  */
 import { z } from "zod";
+import { identifier } from "./identifier.js";
 
-const identifier = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, "expected 1 to 63 of a-z, 0-9, \".\", \"_\", \"-\"");
 const hostAndPort = z.string().regex(
     /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
     "expected an IP number and a port, as 10.0.0.1:8080",
@@ -104,29 +104,6 @@
     ).min(1).max(5000).readonly(),
 }).readonly();
 
-/** Schema of a record that says how far a model's upstreams have moved to its weights version. */
-export const rolloutProgressSchema = z.strictObject({
-    kind: z.literal("rolloutProgress"),
-    changeId: z.string().min(8).max(64),
-    author: z.string().min(1).max(64),
-    model: identifier,
-    /** The weights version that the upstreams move to. */
-    weightsVersion: identifier,
-    /** Upstreams whose load is announced by this record, before the order is sent. */
-    begun: z.array(identifier).max(64).readonly(),
-    /** Upstreams that were read back as serving the new version. */
-    upgraded: z.array(identifier).max(64).readonly(),
-    /** Upstreams whose announced load ended without effect. */
-    failed: z.array(identifier).max(64).readonly(),
-    /** Whether no upstream is left to move. */
-    isDone: z.boolean(),
-}).readonly();
-
-/** Schema of every record of the catalogue's stream. */
-export const catalogueRecordSchema = z.discriminatedUnion("kind", [catalogueChangeSchema, rolloutProgressSchema]);
-
-/** How far a model's upstreams have moved to its weights version. */
-export type RolloutProgress = z.infer<typeof rolloutProgressSchema>;
 /** Class of service of a customer. */
 export type ClassOfService = z.infer<typeof classOfServiceSchema>;
 /** Limits that an owner has accepted for a customer. */
--- a/src/core/catalogue/foldRecord.ts
+++ b/src/core/catalogue/foldRecord.ts
@@ -3,16 +3,11 @@
  * The deterministic fold of one log record into the catalogue.
  */
 import type { Catalogue, HeldEntry, ModelRollout } from "./catalogue.js";
-import type { CatalogueChange, CatalogueEntry, RolloutProgress } from "./catalogueEntry.js";
-import type { ChangeVerdict, FoldVerdict } from "./foldVerdict.js";
+import type { CatalogueChange, CatalogueEntry } from "./catalogueEntry.js";
+import { foldOrder, foldOrderProgress } from "./foldOrder.js";
+import type { ChangeVerdict, FoldResult } from "./foldVerdict.js";
 import { parseRecord } from "./parseRecord.js";
 
-/** The catalogue after a record, and what became of the record. */
-export interface FoldResult {
-    readonly catalogue: Catalogue;
-    readonly verdict: FoldVerdict;
-}
-
 /** Changes whose ids are remembered; a repeat is told apart for this many changes. */
 export const rememberedChanges = 1_024;
 
@@ -34,7 +29,7 @@
     if (before.rollout !== undefined || before.entry.weightsVersion === entry.weightsVersion) {
         return before.rollout;
     }
-    return { from: before.entry.weightsVersion, begun: [], moved: {} };
+    return { from: before.entry.weightsVersion, moved: {} };
 }
 
 function holdEntry(before: HeldEntry | undefined, entry: CatalogueEntry, revision: number): HeldEntry {
@@ -55,29 +50,6 @@
     return entries;
 }
 
-function advanceRollout(rollout: ModelRollout, progress: RolloutProgress): ModelRollout {
-    const ended = new Set([...progress.upgraded, ...progress.failed]);
-    const begun = new Set([...rollout.begun, ...progress.begun].filter(id => !ended.has(id)));
-    const moved = Object.fromEntries(progress.upgraded.map(id => [id, progress.weightsVersion]));
-    return { from: rollout.from, begun: [...begun], moved: { ...rollout.moved, ...moved } };
-}
-
-function foldProgress(catalogue: Catalogue, progress: RolloutProgress): FoldResult {
-    const key = `model/${progress.model}`;
-    const held = catalogue.entries.get(key);
-    if (held?.rollout === undefined || held.entry.kind !== "model") {
-        return { catalogue, verdict: { kind: "progress", model: progress.model, isTaken: false } };
-    }
-    const { entry, revision, rollout } = held;
-    const isDone = progress.isDone && entry.weightsVersion === progress.weightsVersion;
-    const after = isDone ? { entry, revision } : { entry, revision, rollout: advanceRollout(rollout, progress) };
-    const entries = new Map(catalogue.entries).set(key, after);
-    return {
-        catalogue: { ...catalogue, entries },
-        verdict: { kind: "progress", model: progress.model, isTaken: true },
-    };
-}
-
 function rememberChange(changes: Catalogue["changes"], verdict: ChangeVerdict): Catalogue["changes"] {
     const remembered = new Map(changes).set(verdict.changeId, verdict);
     for (const oldest of remembered.keys()) {
@@ -97,7 +69,7 @@
     }
     const conflict = findConflict(catalogue, change);
     const verdict: ChangeVerdict = conflict === undefined
-        ? { kind: "accepted", changeId }
+        ? { kind: "accepted", changeId, revision: catalogue.nextOffset, author: change.author }
         : { kind: "conflict", changeId, ...conflict };
     const entries = conflict === undefined
         ? applyEdits(catalogue, change, catalogue.nextOffset)
@@ -124,5 +96,12 @@
     if (record.isErr) {
         return { catalogue: passed, verdict: { kind: "malformed", detail: record.error } };
     }
-    return record.value.kind === "change" ? foldChange(passed, record.value) : foldProgress(passed, record.value);
+    switch (record.value.kind) {
+        case "change":
+            return foldChange(passed, record.value);
+        case "order":
+            return foldOrder(passed, record.value);
+        case "orderProgress":
+            return foldOrderProgress(passed, record.value);
+    }
 }
--- a/src/core/catalogue/foldVerdict.ts
+++ b/src/core/catalogue/foldVerdict.ts
@@ -2,10 +2,17 @@
  * @module
  * What became of a record of the catalogue's stream.
  */
+import type { Catalogue } from "./catalogue.js";
 
 /** Verdict on a well-formed change. */
 export type ChangeVerdict =
-    | { readonly kind: "accepted"; readonly changeId: string; }
+    | {
+        readonly kind: "accepted";
+        readonly changeId: string;
+        /** Log offset plus 1 of the change. */
+        readonly revision: number;
+        readonly author: string;
+    }
     | {
         readonly kind: "conflict";
         readonly changeId: string;
@@ -19,6 +26,13 @@
 export type FoldVerdict =
     | ChangeVerdict
     | { readonly kind: "repeated"; readonly changeId: string; readonly first: ChangeVerdict; }
-    | { readonly kind: "progress"; readonly model: string; readonly isTaken: boolean; }
+    | { readonly kind: "order"; readonly orderId: string; readonly isTaken: boolean; }
+    | { readonly kind: "progress"; readonly fencingNumber: number; readonly isTaken: boolean; }
     | { readonly kind: "malformed"; readonly detail: string; }
     | { readonly kind: "alreadyFolded"; };
+
+/** The catalogue after a record, and what became of the record. */
+export interface FoldResult {
+    readonly catalogue: Catalogue;
+    readonly verdict: FoldVerdict;
+}
--- /dev/null
+++ b/src/core/catalogue/identifier.ts
@@ -0,0 +1,11 @@
+/**
+ * @module
+ * The form of every id of the catalogue.
+ */
+import { z } from "zod";
+
+/** Schema of an id. */
+export const identifier = z.string().regex(
+    /^[a-z0-9][a-z0-9._-]{0,62}$/,
+    "expected 1 to 63 of a-z, 0-9, \".\", \"_\", \"-\"",
+);
--- a/src/core/catalogue/parseRecord.ts
+++ b/src/core/catalogue/parseRecord.ts
@@ -3,7 +3,14 @@
  * Checks a record of the catalogue's stream.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { type CatalogueChange, catalogueRecordSchema, type RolloutProgress } from "./catalogueEntry.js";
+import { z } from "zod";
+import { type CatalogueChange, catalogueChangeSchema } from "./catalogueEntry.js";
+import { orderProgressSchema, orderSchema } from "./orderRecord.js";
+
+const recordSchema = z.discriminatedUnion("kind", [catalogueChangeSchema, orderSchema, orderProgressSchema]);
+
+/** A record of the catalogue's stream. */
+export type CatalogueRecord = z.infer<typeof recordSchema>;
 
 /** Largest record, in characters. */
 export const maxRecordCharacters = 1 << 20;
@@ -35,7 +42,7 @@
  * @example
  * parseRecord("{}").isErr; // true
  */
-export function parseRecord(payload: string): Result<CatalogueChange | RolloutProgress, string> {
+export function parseRecord(payload: string): Result<CatalogueRecord, string> {
     if (payload.length > maxRecordCharacters) {
         return err(`longer than ${maxRecordCharacters} characters`);
     }
@@ -46,7 +53,7 @@
     catch {
         return err("the record is not JSON");
     }
-    const parsed = catalogueRecordSchema.safeParse(value);
+    const parsed = recordSchema.safeParse(value);
     if (!parsed.success) {
         const issue = parsed.error.issues[0];
         return err(`${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}`);
--- a/src/core/catalogue/snapshot.ts
+++ b/src/core/catalogue/snapshot.ts
@@ -6,6 +6,7 @@
 import type { Catalogue, HeldEntry } from "./catalogue.js";
 import { catalogueEntrySchema } from "./catalogueEntry.js";
 import type { ChangeVerdict } from "./foldVerdict.js";
+import { type HeldOrder, type LoadMark, orderSchema } from "./orderRecord.js";
 
 /** A whole catalogue without maps. */
 export interface CatalogueSnapshot {
@@ -13,6 +14,11 @@
     readonly entries: readonly HeldEntry[];
     /** Verdicts on the latest changes, oldest first. */
     readonly changes: readonly ChangeVerdict[];
+    /** Operators' orders, oldest first. */
+    readonly orders: readonly HeldOrder[];
+    /** Announced loads with their upstreams. */
+    readonly loads: readonly { readonly upstream: string; readonly mark: LoadMark; }[];
+    readonly fence: number;
 }
 
 const offset = z.number().int().min(0);
@@ -26,14 +32,22 @@
         revision: offset,
         rollout: z.object({
             from: z.string(),
-            begun: z.array(z.string()),
             moved: z.record(z.string(), z.string()),
         }).exactOptional(),
     })).max(20_000),
     changes: z.array(z.discriminatedUnion("kind", [
-        z.object({ kind: z.literal("accepted"), changeId }),
+        z.object({ kind: z.literal("accepted"), changeId, revision: offset, author: z.string() }),
         z.object({ kind: z.literal("conflict"), changeId, key: z.string(), revision: offset }),
     ])).max(1_024),
+    orders: z.array(z.object({
+        order: orderSchema,
+        end: z.object({ outcome: z.enum(["done", "expired"]), detail: z.string() }).exactOptional(),
+    })).max(1_024),
+    loads: z.array(z.object({
+        upstream: z.string(),
+        mark: z.object({ model: z.string(), weightsVersion: z.string(), orderId: z.string().exactOptional() }),
+    })).max(20_000),
+    fence: z.number().int().min(-1),
 });
 
 /**
@@ -49,6 +63,9 @@
         nextOffset: catalogue.nextOffset,
         entries: [...catalogue.entries.values()],
         changes: [...catalogue.changes.values()],
+        orders: [...catalogue.orders.values()],
+        loads: [...catalogue.loads].map(([upstream, mark]) => ({ upstream, mark })),
+        fence: catalogue.fence,
     };
 }
 
@@ -63,5 +80,12 @@
 export function catalogueFromSnapshot(snapshot: CatalogueSnapshot): Catalogue {
     const entries = snapshot.entries.map(held => [`${held.entry.kind}/${held.entry.id}`, held] as const);
     const changes = snapshot.changes.map(verdict => [verdict.changeId, verdict] as const);
-    return { nextOffset: snapshot.nextOffset, entries: new Map(entries), changes: new Map(changes) };
+    return {
+        nextOffset: snapshot.nextOffset,
+        entries: new Map(entries),
+        changes: new Map(changes),
+        orders: new Map(snapshot.orders.map(held => [held.order.orderId, held])),
+        loads: new Map(snapshot.loads.map(({ upstream, mark }) => [upstream, mark])),
+        fence: snapshot.fence,
+    };
 }
--- /dev/null
+++ b/src/core/why/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * How the latest requests ended, for operators.
+ */
+export * from "./createReportRing.js";
--- /dev/null
+++ b/src/ctl/_lib/formatDifferences.ts
@@ -0,0 +1,28 @@
+/**
+ * @module
+ * Formats the differences between a file and the catalogue for people.
+ */
+import type { EntryDifference } from "../../core/catalogue/diffEntries.js";
+
+const signs = { add: "+", change: "~", remove: "-" } as const;
+
+function formatValue(value: unknown): string {
+    return value === undefined ? "(none)" : JSON.stringify(value);
+}
+
+/**
+ * Formats a line for each entry and, below it, for each field that changes.
+ *
+ * @param differences - The differences.
+ * @returns The lines.
+ */
+export function formatDifferences(differences: readonly EntryDifference[]): readonly string[] {
+    return differences.flatMap(({ key, action, revision, fields }) => {
+        const head = `${signs[action]} ${key}${action === "add" ? "" : ` (revision ${revision})`}`;
+        const changed = action === "change" ? fields : [];
+        return [
+            head,
+            ...changed.map(one => `    ${one.field}: ${formatValue(one.inForce)} -> ${formatValue(one.wanted)}`),
+        ];
+    });
+}
--- /dev/null
+++ b/src/ctl/_lib/readCatalogue.ts
@@ -0,0 +1,17 @@
+/**
+ * @module
+ * Reads the catalogue in force at the asked instance.
+ */
+import type { Catalogue } from "../../core/catalogue/catalogue.js";
+import { catalogueFromSnapshot } from "../../core/catalogue/snapshot.js";
+import type { Invocation } from "../commandTypes.js";
+
+/**
+ * Reads the catalogue in force at the asked instance.
+ *
+ * @param invocation - The invocation.
+ * @returns The catalogue.
+ */
+export async function readCatalogue(invocation: Invocation): Promise<Catalogue> {
+    return catalogueFromSnapshot(await invocation.client.operator.readCatalogue.query());
+}
--- /dev/null
+++ b/src/ctl/commands/status.ts
@@ -0,0 +1,29 @@
+/**
+ * @module
+ * `reedwardctl status`: every member with its revision and its contact with the log.
+ */
+import { formatFleet } from "../_lib/formatFleet.js";
+import { readFleet } from "../_lib/readFleet.js";
+import type { CommandResult, Invocation } from "../commandTypes.js";
+import { exitCodes } from "../exitCodes.js";
+
+/**
+ * Asks every member for its state.
+ *
+ * @param invocation - The invocation.
+ * @returns A row for each member.
+ */
+export async function status(invocation: Invocation): Promise<CommandResult> {
+    const rows = await readFleet(invocation);
+    const revisions = rows.flatMap(row => row.status === undefined ? [] : [row.status.nextOffset]);
+    const newest = Math.max(0, ...revisions);
+    const behind = rows.filter(row => row.status?.nextOffset !== newest).map(row => row.instance);
+    const end = behind.length === 0
+        ? `all ${rows.length} instances are at revision ${newest}`
+        : `not at revision ${newest} or without answer: ${behind.join(", ")}`;
+    return {
+        exitCode: exitCodes.done,
+        json: { outcome: "done", revision: newest, behind, instances: rows },
+        lines: [...formatFleet(rows), end],
+    };
+}
--- a/src/ctl/exitCodes.ts
+++ b/src/ctl/exitCodes.ts
@@ -1,6 +1,6 @@
 /**
  * @module
- * Exit codes of reedwardctl.
+ * Exit codes of reedwardctl. docs/operating/reedwardctl.md is checked against this table.
  */
 
 /** Exit code by the outcome of a command. */
@@ -13,6 +13,9 @@
     malformed: 2,
     conflict: 3,
     unknown: 4,
+    differs: 5,
+    notInForce: 6,
+    notFound: 7,
 } as const;
 
 /** An exit code. */
--- a/src/io/operator/operatorRouter.ts
+++ b/src/io/operator/operatorRouter.ts
@@ -6,21 +6,32 @@
 import type { ChangeVerdict } from "../../core/catalogue/foldVerdict.js";
 import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { Member } from "../../core/membership/memberTypes.js";
+import type { RequestReport } from "../../core/why/createReportRing.js";
 import { requireCaller, trpc } from "../peers/trpcBase.js";
+import type { UpstreamState } from "./readUpstreamStates.js";
 
 /** State of one instance as reedwardctl shows it. */
 export interface InstanceStatus {
     readonly instance: string;
     readonly isReady: boolean;
+    /** Whether the instance has the catalogue. */
+    readonly isLoaded: boolean;
+    /** Offset up to which its catalogue is folded. */
     readonly nextOffset: number;
-    readonly logContactAgeMs: number | undefined;
+    readonly logContactAgeMs?: number | undefined;
     readonly members: readonly Member[];
 }
 
 /** What became of an operator's change. */
 export interface ApplyAnswer {
     readonly outcome: "accepted" | "conflict" | "malformed" | "unknown" | "notRun";
-    readonly verdict: ChangeVerdict | undefined;
+    readonly verdict?: ChangeVerdict | undefined;
+    readonly detail: string;
+}
+
+/** What became of an operator's order. */
+export interface OrderAnswer {
+    readonly outcome: "accepted" | "malformed" | "unknown" | "notRun";
     readonly detail: string;
 }
 
@@ -29,11 +40,18 @@
     readonly status: () => InstanceStatus;
     readonly readCatalogue: () => CatalogueSnapshot;
     readonly applyChange: (payload: string) => Promise<ApplyAnswer>;
+    readonly giveOrder: (payload: string) => Promise<OrderAnswer>;
+    readonly readUpstreamStates: () => Promise<readonly UpstreamState[]>;
+    /** How a request ended, while it is remembered. */
+    readonly why: (requestId: string) => RequestReport | undefined;
 }
 
 /** Largest change, in characters. */
 const maxChangeCharacters = 1 << 20;
 
+/** Largest order, in characters. */
+const maxOrderCharacters = 4_096;
+
 /**
  * Creates the operators' router.
  *
@@ -42,10 +60,15 @@
  */
 export function createOperatorRouter(service: OperatorService) {
     const operatorProcedure = requireCaller("operator");
+    const requestId = z.string().min(1).max(64);
+    const order = z.string().max(maxOrderCharacters);
     const change = z.string().max(maxChangeCharacters);
     return trpc.router({
         status: operatorProcedure.query(() => service.status()),
         readCatalogue: operatorProcedure.query(() => service.readCatalogue()),
         applyChange: operatorProcedure.input(change).mutation(({ input }) => service.applyChange(input)),
+        giveOrder: operatorProcedure.input(order).mutation(({ input }) => service.giveOrder(input)),
+        readUpstreamStates: operatorProcedure.query(() => service.readUpstreamStates()),
+        why: operatorProcedure.input(requestId).query(({ input }) => service.why(input)),
     });
 }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -10,15 +10,16 @@
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
 import { runSteps } from "./core/effects/runSteps.js";
+import type { Refusal } from "./core/errors/createRefusal.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
-import type { ModelRequest, ServiceRequest } from "./core/request/requestTypes.js";
+import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
-import { applyChange } from "./io/catalogue/applyChange.js";
+import { createReportRing } from "./core/why/createReportRing.js";
 import { followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
@@ -26,6 +27,7 @@
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
+import { createOperatorService } from "./io/operator/createOperatorService.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
 import { createPeerTransport } from "./io/peers/createPeerTransport.js";
@@ -53,6 +55,9 @@
 /** Time limit of a call to a peer, in milliseconds. */
 const peerTimeoutMs = 2_000;
 
+/** Ended requests that `reedwardctl why` can explain. */
+const keptReports = 2_000;
+
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
@@ -90,6 +95,7 @@
         },
     });
     const inFlight = new Map<string, number>();
+    const reports = createReportRing(keptReports);
     let callerAddress = settings.advertise ?? settings.listen;
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
     let isStopping = false;
@@ -141,6 +147,17 @@
         metrics.promptTokens.inc({ cached: "no" }, Math.max(0, report.promptTokens - report.cachedTokens));
     }
 
+    function describeEnd(req: RequestContext, arrivedMs: number, refusal: Refusal | undefined) {
+        return {
+            requestId: req.requestId,
+            customer: req.customer.id,
+            result: refusal?.kind ?? "answered",
+            detail: refusal?.detail ?? "",
+            durationMs: clock.now() - arrivedMs,
+            endedMs: clock.wallNow(),
+        };
+    }
+
     function serveModel(req: ModelRequest, res: ServerResponse): void {
         const arrivedMs = clock.now();
         const exchange = createExchange(req.requestId, res, exchangeDependencies);
@@ -156,6 +173,12 @@
             noteModelEnd(report);
             noteEnd("model", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
             writeLog("requestEnded", { requestId: req.requestId, ...report });
+            reports.add({
+                ...report,
+                ...describeEnd(req, arrivedMs, report.refusal),
+                kind: "model",
+                target: req.model.id,
+            });
         }, error => failInternally(req.requestId, res, error));
     }
 
@@ -173,6 +196,9 @@
         runSteps(steps, exchange.handlers, report => {
             noteEnd("service", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
             writeLog("requestEnded", { requestId: req.requestId, ...report });
+            const tokens = { promptTokens: 0, cachedTokens: 0, outputTokens: 0, attempts: [] };
+            const end = describeEnd(req, arrivedMs, report.refusal);
+            reports.add({ ...tokens, ...report, ...end, kind: "service", target: req.service.id });
         }, error => failInternally(req.requestId, res, error));
     }
 
@@ -196,33 +222,36 @@
         serveModel,
         serveService,
     });
-    const peerServer = createPeerServer({
-        probe: req => fleet!.handleProbe(req),
-        relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
-        listMembers: () => membership().members,
-        exchange: () => ({
-            catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
-            members: membership().members,
-            parts: restartSlots.flatMap((slot): readonly RestartPart[] => {
-                const payload = slot.collect();
-                return payload === undefined ? [] : [{ name: slot.name, payload }];
+    const peerServer = createPeerServer(
+        {
+            probe: req => fleet!.handleProbe(req),
+            relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
+            listMembers: () => membership().members,
+            exchange: () => ({
+                catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
+                members: membership().members,
+                parts: restartSlots.flatMap((slot): readonly RestartPart[] => {
+                    const payload = slot.collect();
+                    return payload === undefined ? [] : [{ name: slot.name, payload }];
+                }),
             }),
-        }),
-    }, {
-        status: () => ({
+        },
+        createOperatorService({
             instance: settings.instance,
-            isReady: isReady(),
-            nextOffset: catalogue().nextOffset,
-            logContactAgeMs: follower?.logContactAgeMs(),
-            members: membership().members,
+            log,
+            clock,
+            follower: () => follower!,
+            members: () => membership().members,
+            isReady,
+            readState: engines.readState,
+            reports,
         }),
-        readCatalogue: () => catalogueToSnapshot(catalogue()),
-        applyChange: payload => applyChange(payload, { log, clock, follower: follower! }),
-    }, {
-        peerSecret: settings.peerSecret,
-        operatorSecret: settings.operatorSecret,
-        onRejected: () => writeLog("peerRejected"),
-    });
+        {
+            peerSecret: settings.peerSecret,
+            operatorSecret: settings.operatorSecret,
+            onRejected: () => writeLog("peerRejected"),
+        },
+    );
 
     async function start(): Promise<void> {
         follower = followCatalogue({
