--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -3,7 +3,7 @@
  * The tRPC router of an instance: calls of peers, and the operators' router beside them.
  */
 import { z } from "zod";
-import type { CatalogueEntry } from "../../core/catalogue/catalogueEntry.js";
+import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { RestartPart } from "../../core/lifecycle/restartSlot.js";
 import { maxAttachmentBytes } from "../../core/membership/createAttachmentExchange.js";
 import type { Member } from "../../core/membership/memberTypes.js";
@@ -11,12 +11,6 @@
 import { createOperatorRouter, type OperatorService } from "../operator/operatorRouter.js";
 import { requireCaller, trpc } from "./trpcBase.js";
 
-/** The catalogue as it is sent between processes. */
-export interface CatalogueSnapshot {
-    readonly nextOffset: number;
-    readonly entries: readonly { readonly entry: CatalogueEntry; readonly revision: number; }[];
-}
-
 /** What a restarted instance takes from a peer in one exchange. */
 export interface RestartState {
     /** Undefined when the peer has none yet. */
--- a/src/io/peers/takeRestartState.ts
+++ b/src/io/peers/takeRestartState.ts
@@ -4,10 +4,10 @@
  * answer wins.
  */
 import type { Catalogue } from "../../core/catalogue/catalogue.js";
+import { catalogueFromSnapshot } from "../../core/catalogue/snapshot.js";
 import type { RestartSlot } from "../../core/lifecycle/restartSlot.js";
 import type { Member } from "../../core/membership/memberTypes.js";
 import type { Clock } from "../../core/time/clock.js";
-import { catalogueFromSnapshot } from "./catalogueSnapshot.js";
 import type { PeerClients } from "./createPeerClient.js";
 import type { RestartState } from "./peerRouter.js";
 
