--- a/bench/slopes/cases/catalogueCases.ts
+++ b/bench/slopes/cases/catalogueCases.ts
@@ -5,7 +5,7 @@
 import { type Catalogue, emptyCatalogue, listEntries } from "../../../src/core/catalogue/catalogue.js";
 import type { CatalogueEntry } from "../../../src/core/catalogue/catalogueEntry.js";
 import { foldRecord } from "../../../src/core/catalogue/foldRecord.js";
-import { catalogueToSnapshot } from "../../../src/io/peers/catalogueSnapshot.js";
+import { catalogueToSnapshot } from "../../../src/core/catalogue/snapshot.js";
 import { measureBytes, measureCpuMicroseconds } from "../../_lib/measureCost.js";
 import { changesPerSecond, requestsPerDaemon, type SlopeCase, twoYears } from "../slopeCase.js";
 
