--- a/features/steps/tableSteps.ts
+++ b/features/steps/tableSteps.ts
@@ -7,6 +7,7 @@
 import { readFileSync } from "node:fs";
 import { errorTable } from "../../src/core/errors/errorTable.js";
 import { logEventTable } from "../../src/core/logEvents/logEventTable.js";
+import { createMetrics } from "../../src/io/metrics/createMetrics.js";
 import { formatSettingsReference } from "../../src/settings/formatSettingsReference.js";
 
 function readRows(file: string): readonly (readonly string[])[] {
@@ -39,3 +40,8 @@
         assert.ok(row.status >= 400 && row.sentence.endsWith("."), kind);
     }
 });
+
+Then("the metrics page has one row for each metric", async function() {
+    const expected = (await createMetrics().registry.getMetricsAsJSON()).map(metric => metric.name);
+    assert.deepEqual(readRows("docs/operating/metrics.md").map(row => row[0]).toSorted(), expected.toSorted());
+});
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -12,3 +12,6 @@
 
     Scenario: A refusal that says "not run" never has a status that clients take for success
         Then every error kind has a status of 400 or more and a sentence that ends with a full stop
+
+    Scenario: Metrics
+        Then the metrics page has one row for each metric
