Give orders under a lease and roll out weights versions

Cause: orders had no holder, no bound on loads and no memory beyond the instance that took them. Change: a lease on the log whose record counts only directly behind the last one its writer had read; the fencing number is its offset; the holder asks its own clock before each order; a successor waits out lease, order validity and clock rates. Loads are announced in the catalogue's stream before they are sent, so that a successor counts them; a rollout keeps the model's share in service, exchanges weights engine by engine, and each instance knows from the fold what an engine serves.

--- /dev/null
+++ b/features/steps/orderFaultSteps.ts
@@ -0,0 +1,166 @@
+/**
+ * @module
+ * Rollouts under random faults, and planted faults that the same checks find.
+ */
+import { Then } from "@cucumber/cucumber";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { isLeaseHeld, isLeaseOver } from "../../src/core/leases/leaseView.js";
+import { planOrders } from "../../src/core/orders/planOrders.js";
+import {
+    createSceneChange,
+    createSceneModel,
+    findNewest,
+    type OrderScene,
+    type OrderSceneOptions,
+    startOrderScene,
+} from "../support/orderScene.js";
+
+const seed = 60_602;
+const faultyMs = 60_000;
+const calmMs = 240_000;
+const plantedRuns = 8;
+const pauseRuns = 80;
+
+const faultArbitrary = fc.record({
+    kind: fc.constantFrom("pause", "pause", "pauseHolder", "pauseHolder", "crash", "silence", "logDown", "loseAnswers"),
+    atMs: fc.integer({ min: 1_000, max: faultyMs }),
+    durationMs: fc.integer({ min: 500, max: 25_000 }),
+    target: fc.nat(5),
+});
+
+type Fault = typeof faultArbitrary extends fc.Arbitrary<infer T> ? T : never;
+
+function findHolder(scene: OrderScene): number {
+    const last = scene.log.list("leases").at(-1);
+    return last === undefined ? 0 : Number((JSON.parse(last.payload) as { holder: string; }).holder.at(-1)) - 1;
+}
+
+function bringAbout(scene: OrderScene, fault: Fault): void {
+    const address = scene.addresses[fault.target]!;
+    switch (fault.kind) {
+        case "pause":
+            scene.instances[fault.target % scene.instances.length]!.clock.pauseFor(fault.durationMs);
+            break;
+        case "pauseHolder":
+            scene.instances[findHolder(scene)]!.clock.pauseFor(fault.durationMs);
+            break;
+        case "crash":
+            scene.engines.crash(address);
+            break;
+        case "silence":
+            scene.engines.setSilent(address, true);
+            scene.clock.after(fault.durationMs, () => scene.engines.setSilent(address, false));
+            break;
+        case "logDown":
+            scene.log.setDown(true);
+            scene.clock.after(fault.durationMs, () => scene.log.setDown(false));
+            break;
+        case "loseAnswers":
+            scene.log.loseAppendAnswers(1 + fault.target);
+            break;
+    }
+}
+
+function checkRules(scene: OrderScene, maxConcurrentLoads: number): void {
+    const numbers = scene.engines.effects.map(effect => effect.order.fencingNumber);
+    const crossed = numbers.findIndex((number, index) => index > 0 && number < numbers[index - 1]!);
+    assert.equal(crossed, -1, `an order under ${numbers[crossed]} took effect after one under ${numbers[crossed - 1]}`);
+    assert.ok(scene.engines.mostLoading() <= maxConcurrentLoads, `${scene.engines.mostLoading()} loaded together`);
+}
+
+async function runOnce(faults: readonly Fault[], options: OrderSceneOptions): Promise<void> {
+    const scene = await startOrderScene(options);
+    try {
+        const revision = findNewest(scene).entries.get("model/easy-read")!.revision;
+        void scene.log.append("catalogue", [
+            createSceneChange("change-forward", [createSceneModel("v2")], () => revision),
+        ]);
+        faults.forEach(fault => scene.clock.after(fault.atMs, () => bringAbout(scene, fault)));
+        const lastCrashMs = new Map<string, number>();
+        faults.filter(fault => fault.kind === "crash").forEach(fault => {
+            const address = scene.addresses[fault.target]!;
+            lastCrashMs.set(address, Math.max(fault.atMs, lastCrashMs.get(address) ?? 0));
+        });
+        const startMs = scene.clock.now();
+        let doneMs = Infinity;
+        const check = () => {
+            checkRules(scene, options.maxConcurrentLoads ?? 2);
+            const { rollout } = findNewest(scene).entries.get("model/easy-read")!;
+            doneMs = rollout === undefined ? Math.min(doneMs, scene.clock.now()) : Infinity;
+        };
+        await scene.pass(faultyMs, check);
+        const isDone = () => findNewest(scene).entries.get("model/easy-read")?.rollout === undefined;
+        for (let passedMs = 0; passedMs < calmMs && !isDone(); passedMs += 2_000) {
+            await scene.pass(2_000, check);
+        }
+        assert.ok(isDone(), "the rollout did not end");
+        // An engine that crashes after the end of a rollout is not the rollout's matter.
+        const lasting = scene.addresses.filter(address => startMs + (lastCrashMs.get(address) ?? 0) < doneMs - 6_000);
+        assert.deepEqual(lasting.filter(address => !scene.engines.isLoaded(address, "easy-read@v2")), []);
+    }
+    finally {
+        scene.stop();
+    }
+}
+
+/** Pauses that outlast the lease. */
+const longPauseArbitrary: fc.Arbitrary<Fault> = fc.record({
+    kind: fc.constant("pauseHolder" as const),
+    atMs: fc.integer({ min: 1_000, max: faultyMs }),
+    durationMs: fc.integer({ min: 15_000, max: 30_000 }),
+    target: fc.nat(5),
+});
+
+async function checkRollouts(
+    runs: number,
+    options: Omit<OrderSceneOptions, "seed">,
+    one: fc.Arbitrary<Fault> = faultArbitrary,
+): Promise<void> {
+    const faults = fc.array(one, { minLength: 2, maxLength: 8 });
+    await fc.assert(
+        fc.asyncProperty(
+            fc.nat(1_000_000),
+            faults,
+            (sceneSeed, schedule) => runOnce(schedule, { ...options, seed: sceneSeed }),
+        ),
+        { seed, numRuns: runs, endOnFailure: true, includeErrorInReport: true },
+    );
+}
+
+Then(
+    "{int} rollouts with random faults keep the rules on engines of which {word} fence, with at most {int} loads",
+    async (runs: number, fences: "none" | "some", maxConcurrentLoads: number) => {
+        await checkRollouts(runs, { fences, maxConcurrentLoads });
+    },
+);
+
+Then(
+    "{int} rollouts with pauses that outlast the lease keep the rules on engines that do not fence",
+    async (runs: number) => {
+        await checkRollouts(runs, { fences: "none" }, longPauseArbitrary);
+    },
+);
+
+Then("a holder that does not check its clock breaks the rules", async () => {
+    const rules = { isHeld: () => true, isOver: isLeaseOver };
+    await assert.rejects(checkRollouts(pauseRuns, { fences: "none", rules }, longPauseArbitrary), /took effect after/);
+});
+
+Then("a successor that does not wait breaks the rules", async () => {
+    const isOver: typeof isLeaseOver = (view, nowMs) => isLeaseOver({ ...view, heardMs: view.heardMs - 12_000 }, nowMs);
+    const rules = { isHeld: isLeaseHeld, isOver };
+    await assert.rejects(checkRollouts(plantedRuns, { fences: "none", rules }), /took effect after|loaded together/);
+});
+
+Then("a plan that ignores the bound on loads breaks the rules", async () => {
+    const plan: typeof planOrders = input => {
+        const entries = new Map(input.catalogue.entries);
+        const held = entries.get("policy/policy")!;
+        if (held.entry.kind === "policy") {
+            entries.set("policy/policy", { ...held, entry: { ...held.entry, maxConcurrentLoads: 3 } });
+        }
+        return planOrders({ ...input, catalogue: { ...input.catalogue, entries } });
+    };
+    await assert.rejects(checkRollouts(plantedRuns, { fences: "none", plan }), /loaded together/);
+});
--- /dev/null
+++ b/features/steps/orderSteps.ts
@@ -0,0 +1,273 @@
+/**
+ * @module
+ * Steps of orders and rollouts on the virtual clock.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { setImmediate as flush } from "node:timers/promises";
+import { err, ok } from "true-myth/result";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { findEntry } from "../../src/core/catalogue/catalogue.js";
+import { isLeaseOver, startLeaseView, takeLeasePage } from "../../src/core/leases/leaseView.js";
+import { listServingEngines } from "../../src/core/orders/weightsVersions.js";
+import { readWeightStore } from "../../src/io/orders/readWeightStore.js";
+import {
+    createSceneChange,
+    createSceneModel,
+    findNewest,
+    type OrderScene,
+    startOrderScene,
+} from "../support/orderScene.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface State {
+    readonly scene: OrderScene;
+    leastServing: number;
+    wrongRoutes: number;
+}
+
+const states = new WeakMap<SiteWorld, State>();
+const orderId = "order-of-the-scene";
+
+function find(world: SiteWorld): State {
+    return states.get(world)!;
+}
+
+/** Observes the engines after each step of the clock. */
+function observe(state: State): void {
+    const { scene } = state;
+    const { loads } = findNewest(scene);
+    const serving = scene.addresses.filter((address, index) =>
+        !loads.has(`engine-${index + 1}`)
+        && ["v1", "v2"].some(version => scene.engines.isLoaded(address, `easy-read@${version}`))
+    );
+    state.leastServing = Math.min(state.leastServing, serving.length);
+    for (const { follower } of scene.instances) {
+        for (const version of ["v1", "v2"]) {
+            const routed = listServingEngines(follower.current(), "easy-read", version);
+            const wrong = routed.filter(one => !scene.engines.isLoaded(one.address, `easy-read@${version}`));
+            state.wrongRoutes += wrong.length;
+        }
+    }
+}
+
+async function pass(state: State, durationMs: number): Promise<void> {
+    await state.scene.pass(durationMs, () => observe(state));
+}
+
+async function start(world: SiteWorld, engines: number, hasWeights = true): Promise<void> {
+    const scene = await startOrderScene({ seed: 62, engines, hasWeights: () => hasWeights });
+    world.cleanups.push(scene.stop);
+    states.set(world, { scene, leastServing: engines, wrongRoutes: 0 });
+}
+
+function changeVersion(state: State, changeId: string, version: string): void {
+    const { entries } = findNewest(state.scene);
+    const change = createSceneChange(changeId, [createSceneModel(version)], key => entries.get(key)?.revision ?? 0);
+    void state.scene.log.append("catalogue", [change]);
+}
+
+Given("engines that serve a model with {int} upstreams", async function(this: SiteWorld, engines: number) {
+    await start(this, engines);
+});
+
+Given(
+    "engines that serve a model with {int} upstreams and a weight store without the new version",
+    async function(this: SiteWorld, engines: number) {
+        await start(this, engines, false);
+    },
+);
+
+Given("engine {int} runs requests without end", function(this: SiteWorld, engine: number) {
+    const { scene } = find(this);
+    scene.engines.setRunning(scene.addresses[engine - 1]!, 3);
+});
+
+Given("engine {int} is silent", function(this: SiteWorld, engine: number) {
+    const { scene } = find(this);
+    scene.engines.setSilent(scene.addresses[engine - 1]!, true);
+});
+
+When("the model's weights version changes", function(this: SiteWorld) {
+    changeVersion(find(this), "change-forward", "v2");
+});
+
+When("it changes back after {int} seconds", async function(this: SiteWorld, seconds: number) {
+    await pass(find(this), seconds * 1_000);
+    changeVersion(find(this), "change-backward", "v1");
+});
+
+When("the holder is stopped for good after {int} seconds", async function(this: SiteWorld, seconds: number) {
+    const state = find(this);
+    await pass(state, seconds * 1_000);
+    const last = state.scene.log.list("leases").at(-1);
+    const { holder } = JSON.parse(last!.payload) as { holder: string; };
+    state.scene.instances[Number(holder.at(-1)) - 1]!.stop();
+});
+
+When("{int} seconds pass by", async function(this: SiteWorld, seconds: number) {
+    await pass(find(this), seconds * 1_000);
+});
+
+When("{int} seconds pass by slowly", async function(this: SiteWorld, seconds: number) {
+    await find(this).scene.pass(seconds * 1_000);
+});
+
+function giveOrder(state: State, engine: number, fields: Readonly<Record<string, string>>): void {
+    const order = { model: "", weightsVersion: "", role: "", ...fields };
+    const upstream = `engine-${engine}`;
+    const givenMs = state.scene.clock.wallNow();
+    const record = { kind: "order", orderId, author: "operator", upstream, givenMs, ...order };
+    void state.scene.log.append("catalogue", [JSON.stringify(record)]);
+}
+
+When(
+    "an operator orders engine {int} to load version {string}",
+    function(this: SiteWorld, engine: number, version: string) {
+        giveOrder(find(this), engine, { action: "load", model: "easy-read", weightsVersion: version });
+    },
+);
+
+When("an operator orders engine {int} to role", function(this: SiteWorld, engine: number) {
+    giveOrder(find(this), engine, { action: "role", role: "prefill" });
+});
+
+When("an operator orders engine {int} to drain", function(this: SiteWorld, engine: number) {
+    giveOrder(find(this), engine, { action: "drain" });
+});
+
+When("an operator orders engine {int} to unload", function(this: SiteWorld, engine: number) {
+    giveOrder(find(this), engine, { action: "unload", model: "easy-read", weightsVersion: "v1" });
+});
+
+async function waitUntilDone(state: State, seconds: number): Promise<void> {
+    const isDone = () => findNewest(state.scene).entries.get("model/easy-read")?.rollout === undefined;
+    for (let passed = 0; passed < seconds && !isDone(); passed += 1) {
+        await pass(state, 1_000);
+    }
+    assert.ok(isDone(), JSON.stringify(findNewest(state.scene).entries.get("model/easy-read")));
+    await pass(state, 3_000);
+}
+
+Then(
+    "within {int} seconds every engine serves the new version and the old one is unloaded",
+    async function(this: SiteWorld, seconds: number) {
+        const state = find(this);
+        await pass(state, 1_000);
+        await waitUntilDone(state, seconds);
+        for (const address of state.scene.addresses) {
+            assert.equal(state.scene.engines.isLoaded(address, "easy-read@v2"), true);
+            assert.equal(state.scene.engines.isLoaded(address, "easy-read@v1"), false);
+        }
+        assert.ok(state.scene.engines.mostLoading() <= 2);
+    },
+);
+
+Then(
+    "within {int} seconds every engine serves the old version again",
+    async function(this: SiteWorld, seconds: number) {
+        const state = find(this);
+        await pass(state, 1_000);
+        await waitUntilDone(state, seconds);
+        const serving = listServingEngines(findNewest(state.scene), "easy-read", "v1");
+        assert.equal(serving.length, state.scene.addresses.length);
+        assert.ok(serving.every(one => state.scene.engines.isLoaded(one.address, "easy-read@v1")));
+        assert.equal(state.wrongRoutes, 0);
+    },
+);
+
+Then("the share of serving engines never fell below the model's", function(this: SiteWorld) {
+    const state = find(this);
+    const share = findEntry(findNewest(state.scene), "model", "easy-read")!.minimumServingShare;
+    assert.ok(state.leastServing >= share * state.scene.addresses.length, String(state.leastServing));
+    assert.ok(state.leastServing < state.scene.addresses.length);
+});
+
+Then("no request version was ever routed to an engine without it", function(this: SiteWorld) {
+    assert.equal(find(this).wrongRoutes, 0);
+});
+
+Then("a second lease was taken", function(this: SiteWorld) {
+    const numbers = new Set(find(this).scene.engines.effects.map(effect => effect.order.fencingNumber));
+    assert.equal(numbers.size, 2);
+});
+
+Then("engine {int} still has the old weights and gets no new request", function(this: SiteWorld, engine: number) {
+    const { scene } = find(this);
+    assert.equal(scene.engines.isLoaded(scene.addresses[engine - 1]!, "easy-read@v1"), true);
+    for (const version of ["v1", "v2"]) {
+        const routed = listServingEngines(findNewest(scene), "easy-read", version).map(one => one.id);
+        assert.equal(routed.includes(`engine-${engine}`), false);
+    }
+});
+
+function assertOrder(state: State, outcome: string): void {
+    assert.equal(findNewest(state.scene).orders.get(orderId)?.end?.outcome, outcome);
+}
+
+Then(
+    "engine {int} has version {string} and the order is done",
+    function(this: SiteWorld, engine: number, version: string) {
+        const { scene } = find(this);
+        assert.equal(scene.engines.isLoaded(scene.addresses[engine - 1]!, `easy-read@${version}`), true);
+        assertOrder(find(this), "done");
+    },
+);
+
+Then("the order is {word}", function(this: SiteWorld, outcome: string) {
+    assertOrder(find(this), outcome);
+});
+
+Then("no engine was ordered anything", function(this: SiteWorld) {
+    assert.equal(find(this).scene.engines.effects.length, 0);
+    assert.ok(find(this).scene.log.countAppends("leases") > 0);
+});
+
+Then("no lease was appended", function(this: SiteWorld) {
+    assert.equal(find(this).scene.log.countAppends("leases"), 0);
+});
+
+Then("a view that lost its records waits at least {int} seconds before it takes the lease", (seconds: number) => {
+    const view = takeLeasePage(startLeaseView(0, 0), { firstKept: 5, end: 5, records: [] }, 1_000);
+    assert.equal(isLeaseOver(view, seconds * 1_000), false);
+    assert.equal(isLeaseOver(view, 10 * seconds * 1_000), true);
+    assert.equal(isLeaseOver(startLeaseView(0, 0), 0), true);
+});
+
+Then("a record that does not follow the last one does not count", () => {
+    const format = (session: string, follows: number) =>
+        JSON.stringify({ kind: "lease", holder: "entry-1", session, sequence: 1, durationMs: 10_000, follows });
+    const records = ["a", "b", "a"].map((session, offset) => ({
+        offset,
+        payload: format(session, offset === 1 ? -1 : offset - 1),
+    }));
+    const view = takeLeasePage(startLeaseView(0, 0), { firstKept: 0, end: 3, records }, 1_000);
+    assert.deepEqual([view.last?.session, view.last?.fencingNumber, view.nextOffset], ["a", 0, 3]);
+});
+
+Then(
+    "{int} questions within a second read the weight store once, and a refused read backs off",
+    async (questions: number) => {
+        const clock = createVirtualClock(1);
+        let reads = 0;
+        let isRefused = false;
+        const store = readWeightStore(async () => {
+            reads += 1;
+            return isRefused ? err({ kind: "refused", detail: "too many" }) : ok(["v2"]);
+        }, clock);
+        async function ask(durationMs: number, count: number): Promise<void> {
+            for (let question = 0; question < count; question += 1) {
+                store.has("easy-read@v2");
+                await flush();
+                clock.runUntil(clock.now() + durationMs / count);
+            }
+        }
+        await ask(1_000, questions);
+        assert.equal(reads, 1);
+        assert.equal(store.has("easy-read@v2"), true);
+        assert.equal(store.has("easy-read@v3"), false);
+        isRefused = true;
+        await ask(120_000, 120);
+        assert.ok(reads <= 8, String(reads));
+    },
+);
--- /dev/null
+++ b/features/support/orderScene.ts
@@ -0,0 +1,173 @@
+/**
+ * @module
+ * Instances that give orders to model engines over a log in memory, on the virtual clock.
+ */
+import { setImmediate as flush } from "node:timers/promises";
+import { createMemoryLog, type MemoryLog } from "../../bench/support/createMemoryLog.js";
+import { createModelEngines, type ModelEngines } from "../../bench/support/createModelEngines.js";
+import { createPausableClock, type PausableClock } from "../../bench/support/createPausableClock.js";
+import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import type { Catalogue } from "../../src/core/catalogue/catalogue.js";
+import type { CatalogueEntry, Model } from "../../src/core/catalogue/catalogueEntry.js";
+import { hasOrderWork } from "../../src/core/orders/hasOrderWork.js";
+import type { planOrders } from "../../src/core/orders/planOrders.js";
+import { type CatalogueFollower, followCatalogue } from "../../src/io/catalogue/followCatalogue.js";
+import { keepLease, type LeaseRules } from "../../src/io/orders/keepLease.js";
+import { runOrders } from "../../src/io/orders/runOrders.js";
+
+/** One instance. */
+export interface OrderInstance {
+    readonly clock: PausableClock;
+    readonly follower: CatalogueFollower;
+    /** Ends it for good, as a crash would. */
+    readonly stop: () => void;
+}
+
+/** The scene with its faults. */
+export interface OrderScene {
+    readonly clock: VirtualClock;
+    readonly log: MemoryLog;
+    readonly engines: ModelEngines;
+    readonly addresses: readonly string[];
+    readonly instances: readonly OrderInstance[];
+    readonly events: readonly string[];
+    readonly pass: (durationMs: number, check?: () => void) => Promise<void>;
+    readonly stop: () => void;
+}
+
+/** Shape of the scene. */
+export interface OrderSceneOptions {
+    readonly seed: number;
+    readonly engines?: number;
+    readonly maxConcurrentLoads?: number;
+    readonly fences?: "all" | "none" | "some";
+    readonly rules?: LeaseRules;
+    readonly plan?: typeof planOrders;
+    readonly hasWeights?: (weights: string) => boolean;
+}
+
+const instanceCount = 3;
+const stepMs = 25;
+
+/** Creates the model of the scenes. */
+export function createSceneModel(weightsVersion: string): Model {
+    return { kind: "model", id: "easy-read", owner: "operations", weightsVersion, minimumServingShare: 0.5 };
+}
+
+function createEntries(addresses: readonly string[], maxConcurrentLoads: number): readonly CatalogueEntry[] {
+    return [
+        { kind: "policy", id: "policy", owner: "operations", preset: "lectura", maxConcurrentLoads },
+        createSceneModel("v1"),
+        ...addresses.map((address, index): CatalogueEntry => ({
+            kind: "upstream",
+            id: `engine-${index + 1}`,
+            owner: "operations",
+            address,
+            failureDomain: "bilbao-a",
+            role: "engine",
+            serves: ["easy-read"],
+            fencesOrders: false,
+            slots: 16,
+            prefillTokensPerSecond: 8000,
+            leaving: false,
+        })),
+    ];
+}
+
+/** Creates the text of a change of entries. */
+export function createSceneChange(
+    changeId: string,
+    entries: readonly CatalogueEntry[],
+    basedOn: (key: string) => number,
+): string {
+    const edits = entries.map(entry => {
+        const key = `${entry.kind}/${entry.id}`;
+        return { key, basedOn: basedOn(key), entry };
+    });
+    return JSON.stringify({ kind: "change", changeId, author: "operator", edits });
+}
+
+/** Starts the scene with the first catalogue in force. */
+export async function startOrderScene(options: OrderSceneOptions): Promise<OrderScene> {
+    const clock = createVirtualClock(options.seed);
+    const log = createMemoryLog({ clock, drawDelayMs: () => 2 + 40 * clock.random() });
+    const addresses = Array.from({ length: options.engines ?? 6 }, (_, index) => `10.0.0.${index + 1}:80`);
+    const fencing = options.fences ?? "some";
+    const engines = createModelEngines({
+        clock,
+        addresses,
+        loaded: ["easy-read@v1"],
+        fences: address => fencing === "all" || (fencing === "some" && addresses.indexOf(address) % 2 === 0),
+        drawDelayMs: () => 2 + (clock.random() < 0.05 ? 1_800 : 20) * clock.random(),
+        drawLoadMs: () => 3_000 + 5_000 * clock.random(),
+    });
+    const events: string[] = [];
+    const instances: OrderInstance[] = [];
+
+    async function pass(durationMs: number, check: () => void = () => undefined): Promise<void> {
+        const endMs = clock.now() + durationMs;
+        await flush();
+        while (clock.now() < endMs) {
+            clock.runUntil(Math.min(endMs, clock.now() + stepMs));
+            await flush();
+            check();
+        }
+    }
+
+    function startInstance(name: string): OrderInstance {
+        const own = createPausableClock(clock);
+        const port = { append: own.hold(log.append), read: own.hold(log.read) };
+        const shared = { log: port, clock: own, random: clock.random, writeLog: (event: string) => events.push(event) };
+        const follower = followCatalogue({ ...shared, onAdvance: () => undefined });
+        let sessions = 0;
+        const lease = keepLease({
+            ...shared,
+            createSession: () => `${name}-${sessions += 1}`,
+            instance: name,
+            isWanted: () => hasOrderWork(follower.current()),
+            ...(options.rules === undefined ? {} : { rules: options.rules }),
+        });
+        const stopRunning = runOrders({
+            ...shared,
+            engines: {
+                readState: own.hold(engines.readState),
+                readLoad: own.hold(engines.readLoad),
+                sendOrder: own.hold(engines.sendOrder),
+            },
+            lease,
+            instance: name,
+            catalogue: follower.current,
+            hasWeights: options.hasWeights ?? (() => true),
+            ...(options.plan === undefined ? {} : { plan: options.plan }),
+        });
+        const stop = () => {
+            stopRunning();
+            lease.stop();
+            follower.stop();
+        };
+        return { clock: own, follower, stop };
+    }
+
+    void log.append("catalogue", [
+        createSceneChange("change-first", createEntries(addresses, options.maxConcurrentLoads ?? 2), () => 0),
+    ]);
+    await pass(200);
+    instances.push(...Array.from({ length: instanceCount }, (_, index) => startInstance(`entry-${index + 1}`)));
+    await pass(500);
+    return {
+        clock,
+        log,
+        engines,
+        addresses,
+        instances,
+        events,
+        pass,
+        stop: () => instances.forEach(instance => instance.stop()),
+    };
+}
+
+/** The catalogue of the instance that has folded most. */
+export function findNewest(scene: OrderScene): Catalogue {
+    return scene.instances.map(instance => instance.follower.current())
+        .reduce((left, right) => left.nextOffset >= right.nextOffset ? left : right);
+}
--- /dev/null
+++ b/src/core/leases/leaseRecord.ts
@@ -0,0 +1,39 @@
+/**
+ * @module
+ * Records of the `leases` stream.
+ */
+import { z } from "zod";
+
+const leaseSchema = z.strictObject({
+    kind: z.literal("lease"),
+    /** Name of the instance. */
+    holder: z.string().min(1).max(64),
+    /** Identity of one uninterrupted holding; a holder whose lease has lapsed starts another one. */
+    session: z.string().min(1).max(64),
+    /** Position among the session's records. */
+    sequence: z.number().int().min(0),
+    durationMs: z.number().int().min(1_000).max(60_000),
+    /** Offset of the last record that the holder had read; -1 when it had read none. */
+    follows: z.number().int().min(-1),
+}).readonly();
+
+/** A record that takes or renews the lease. */
+export type LeaseRecord = z.infer<typeof leaseSchema>;
+
+/**
+ * Parses a record.
+ *
+ * @param payload - The record as JSON text.
+ * @returns The record, or undefined when it is malformed.
+ * @example
+ * parseLease("{}"); // undefined
+ */
+export function parseLease(payload: string): LeaseRecord | undefined {
+    try {
+        const parsed = leaseSchema.safeParse(JSON.parse(payload));
+        return parsed.success ? parsed.data : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/core/orders/index.ts
@@ -0,0 +1,9 @@
+/**
+ * @module
+ * Orders to engines and rollouts of weights versions.
+ */
+export * from "./findServedVersion.js";
+export * from "./hasOrderWork.js";
+export * from "./listWatchedEngines.js";
+export * from "./planOrders.js";
+export * from "./weightsVersions.js";
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -2,6 +2,7 @@
  * @module
  * The one module that constructs the daemon's parts and connects them.
  */
+import { randomUUID } from "node:crypto";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
@@ -15,12 +16,13 @@
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
+import { hasOrderWork } from "./core/orders/hasOrderWork.js";
 import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
 import { createReportRing } from "./core/why/createReportRing.js";
-import { followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
@@ -28,6 +30,9 @@
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
 import { createOperatorService } from "./io/operator/createOperatorService.js";
+import { keepLease } from "./io/orders/keepLease.js";
+import { readWeightStore } from "./io/orders/readWeightStore.js";
+import { runOrders } from "./io/orders/runOrders.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
 import { createPeerTransport } from "./io/peers/createPeerTransport.js";
@@ -35,7 +40,7 @@
 import { takeRestartState } from "./io/peers/takeRestartState.js";
 import { createCallJson } from "./io/platform/callJson.js";
 import { createLogClient } from "./io/platform/createLogClient.js";
-import { createInstanceListReader } from "./io/platform/createPlatformClients.js";
+import { createInstanceListReader, createWeightVersionReader } from "./io/platform/createPlatformClients.js";
 import { createEngineClient } from "./io/upstream/createEngineClient.js";
 import { createUpstreamClient } from "./io/upstream/createUpstreamClient.js";
 import type { Settings } from "./settings/settingsTable.js";
@@ -55,6 +60,9 @@
 /** Time limit of a call to a peer, in milliseconds. */
 const peerTimeoutMs = 2_000;
 
+/** Instances that contend for the lease under which orders are given. */
+const leaseContenders = 3;
+
 /** Ended requests that `reedwardctl why` can explain. */
 const keptReports = 2_000;
 
@@ -101,6 +109,7 @@
     let isStopping = false;
     let follower: ReturnType<typeof followCatalogue> | undefined;
     let stopSnapshots: () => void = () => undefined;
+    let stopOrders: () => void = () => undefined;
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
@@ -253,6 +262,46 @@
         },
     );
 
+    /** Few instances contend for the lease, so that the log is not read by all while there is work. */
+    function isContender(): boolean {
+        const key = hashText("orders");
+        const ranked = membership().members.filter(member => member.state === "alive")
+            .sort((left, right) => scoreRendezvous(key, left.instance) > scoreRendezvous(key, right.instance) ? -1 : 1);
+        return !isStopping && ranked.slice(0, leaseContenders).some(member => member.instance === settings.instance);
+    }
+
+    function startOrders(loaded: CatalogueFollower): void {
+        if (log === undefined) {
+            return;
+        }
+        const lease = keepLease({
+            log,
+            clock,
+            random: Math.random,
+            createSession: randomUUID,
+            writeLog,
+            instance: settings.instance,
+            isWanted: () => fleet !== undefined && hasOrderWork(loaded.current()) && isContender(),
+        });
+        const readVersions = settings.weightStoreUrl === undefined
+            ? undefined
+            : createWeightVersionReader(settings.weightStoreUrl, json.call);
+        const stopRunning = runOrders({
+            log,
+            clock,
+            engines,
+            lease,
+            instance: settings.instance,
+            catalogue: loaded.current,
+            hasWeights: readWeightStore(readVersions, clock).has,
+            writeLog,
+        });
+        stopOrders = () => {
+            stopRunning();
+            lease.stop();
+        };
+    }
+
     async function start(): Promise<void> {
         follower = followCatalogue({
             log,
@@ -273,6 +322,7 @@
                 retentionMs: settings.logRetentionMs,
             });
         }
+        startOrders(loaded);
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
@@ -332,6 +382,7 @@
         fleet?.stop();
         follower?.stop();
         stopSnapshots();
+        stopOrders();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
