--- /dev/null
+++ b/src/core/claims/createClaimKeeper.ts
@@ -0,0 +1,249 @@
+/**
+ * @module
+ * Claims keys on the log before a call is sent, and repeats the ends of calls that were claimed before.
+ */
+import type { Result } from "true-myth/result";
+import type { LogPage } from "../ports/logPort.js";
+import type { PortFailure } from "../ports/portFailure.js";
+import type { CancelTimer, Clock } from "../time/clock.js";
+import { type ClaimRecord, parseClaimRecord } from "./claimRecord.js";
+import type { ClaimConclusion, ClaimEnd, ClaimRequest, ClaimVerdict, HeldClaim } from "./claimTypes.js";
+import { createClaimLedger } from "./createClaimLedger.js";
+import { createRecordAppender } from "./createRecordAppender.js";
+
+/** Claims of one instance. */
+export interface ClaimKeeper {
+    /** Starts to follow the claims stream. */
+    readonly start: () => void;
+    /** Claims a key or says what became of it; calls `decide` exactly once, at once or later. */
+    readonly claim: (req: ClaimRequest, decide: (verdict: ClaimVerdict) => void) => void;
+    /** Ends a claim that was won. */
+    readonly conclude: (key: string, claimId: string, conclusion: ClaimConclusion) => void;
+    readonly stop: () => void;
+}
+
+/** What the keeper needs. */
+export interface ClaimKeeperDependencies {
+    readonly clock: Clock;
+    /** Appends records to the claims stream; calls `onDone` exactly once. */
+    readonly append: (payloads: readonly string[], onDone: (isStored: boolean) => void) => void;
+    /** Reads from an offset, waiting for records up to `waitMs`; calls `onDone` exactly once. */
+    readonly read: (from: number, waitMs: number, onDone: (page: Result<LogPage, PortFailure>) => void) => void;
+    /** Creates an id that no other claim has. */
+    readonly createClaimId: () => string;
+    readonly onAppend?: (records: number) => void;
+}
+
+/** Age from which a key is refused, in milliseconds; the log must keep records for longer. */
+export const keyLifetimeMs = 900_000;
+
+/**
+ * Milliseconds by which clocks may differ and by which an append may take effect after it was sent. Keys that were
+ * issued this short after the first kept record are refused.
+ */
+export const claimMarginMs = 60_000;
+
+/** Time to get a verdict from the log, in milliseconds. */
+const claimTimeoutMs = 2_000;
+
+const readWaitMs = 1_000;
+const readRetryMs = 100;
+const maxLoggedAnswerBytes = 8 << 10;
+const ledgerOptions = { maxClaims: 50_000, maxAnswerBytes: 8 << 20 } as const;
+
+interface WaitingClaim {
+    readonly req: ClaimRequest;
+    /** Undefined for a repeat that waits for the end of another holder's call. */
+    readonly claimId: string | undefined;
+    readonly decide: (verdict: ClaimVerdict) => void;
+    readonly cancelTimer: CancelTimer;
+}
+
+function createEndRecord(key: string, claimId: string, end: ClaimEnd, atMs: number): ClaimRecord {
+    if (end.kind === "unknown") {
+        return { type: "unknown", key, claimId, atMs };
+    }
+    const { answer } = end;
+    return {
+        type: "answered",
+        key,
+        claimId,
+        atMs,
+        status: answer?.status ?? 0,
+        contentType: answer?.contentType ?? "",
+        body: answer === undefined || answer.body.length > maxLoggedAnswerBytes
+            ? undefined
+            : Buffer.from(answer.body).toString("base64"),
+    };
+}
+
+/**
+ * Creates the keeper. A claim is won only when the stream was read up to the
+ * claim's own record without a gap and no earlier claim on the key stands there; the answer of the append is not
+ * trusted, so that losing it does no harm.
+ *
+ * @param dependencies - The log, the clock and an id source.
+ * @returns The keeper.
+ * @example
+ * const keeper = createClaimKeeper({ clock, append, read, createClaimId: randomUUID });
+ */
+export function createClaimKeeper(dependencies: ClaimKeeperDependencies): ClaimKeeper {
+    const { clock } = dependencies;
+    const ledger = createClaimLedger(ledgerOptions);
+    const appender = createRecordAppender(dependencies);
+    const waiting = new Map<string, Set<WaitingClaim>>();
+    const abandoned = new Map<string, string>();
+    let isFollowing = false;
+    let isStopped = false;
+
+    const isComplete = (issuedMs: number) =>
+        issuedMs >= ledger.completeSinceMs() + claimMarginMs && issuedMs >= clock.wallNow() - keyLifetimeMs;
+
+    function judgeHeld(req: ClaimRequest, held: HeldClaim, claimId: string | undefined): ClaimVerdict | undefined {
+        if (held.claimId === claimId) {
+            return isComplete(req.issuedMs) ? { kind: "won", claimId } : { kind: "keyExpired" };
+        }
+        if (held.fingerprint !== req.fingerprint) {
+            return { kind: "keyReused" };
+        }
+        return held.end === undefined ? undefined : { kind: "ended", end: held.end };
+    }
+
+    function settle(one: WaitingClaim, verdict: ClaimVerdict): void {
+        const group = waiting.get(one.req.key);
+        group?.delete(one);
+        if (group?.size === 0) {
+            waiting.delete(one.req.key);
+        }
+        one.cancelTimer();
+        if (one.claimId !== undefined && verdict.kind !== "won") {
+            abandon(one.req.key, one.claimId);
+        }
+        one.decide(verdict);
+    }
+
+    /** A claim that was given up is released, also when its record shows up only later. */
+    function abandon(key: string, claimId: string): void {
+        if (appender.withdraw(claimId)) {
+            return;
+        }
+        abandoned.set(claimId, key);
+        clock.after(claimMarginMs, () => abandoned.delete(claimId));
+        releaseAbandoned(key, claimId);
+    }
+
+    function releaseAbandoned(key: string, claimId: string): void {
+        if (ledger.find(key)?.claimId === claimId) {
+            abandoned.delete(claimId);
+            appender.add({ type: "release", key, claimId, atMs: clock.wallNow() });
+        }
+    }
+
+    function wake(key: string): void {
+        const held = ledger.find(key);
+        if (held === undefined) {
+            return;
+        }
+        for (const one of [...waiting.get(key) ?? []]) {
+            const verdict = judgeHeld(one.req, held, one.claimId);
+            if (verdict !== undefined) {
+                settle(one, verdict);
+            }
+        }
+    }
+
+    function takePage(page: LogPage): void {
+        if (page.firstKept > ledger.nextOffset()) {
+            const first = page.records[0] === undefined ? undefined : parseClaimRecord(page.records[0].payload);
+            ledger.skipTo(page.firstKept, first?.atMs ?? clock.wallNow());
+        }
+        isFollowing = true;
+        for (const record of page.records) {
+            ledger.take(record.offset, record.payload);
+            const parsed = parseClaimRecord(record.payload);
+            if (parsed !== undefined) {
+                wake(parsed.key);
+                if (abandoned.has(parsed.claimId)) {
+                    releaseAbandoned(parsed.key, parsed.claimId);
+                }
+            }
+        }
+    }
+
+    function follow(): void {
+        if (isStopped) {
+            return;
+        }
+        dependencies.read(ledger.nextOffset(), readWaitMs, page => {
+            if (page.isOk) {
+                takePage(page.value);
+                follow();
+                return;
+            }
+            clock.after(readRetryMs, follow);
+        });
+    }
+
+    function giveUp(one: WaitingClaim): void {
+        const held = ledger.find(one.req.key);
+        const isHeldByOther = held !== undefined && held.claimId !== one.claimId;
+        settle(
+            one,
+            isHeldByOther ? { kind: "running" } : { kind: "unavailable", detail: "the log did not show it in time" },
+        );
+    }
+
+    function wait(req: ClaimRequest, claimId: string | undefined, decide: WaitingClaim["decide"]): void {
+        const remainingMs = Math.max(0, req.deadlineMs - clock.now());
+        const limitMs = claimId === undefined ? remainingMs : Math.min(remainingMs, claimTimeoutMs);
+        const one: WaitingClaim = { req, claimId, decide, cancelTimer: clock.after(limitMs, () => giveUp(one)) };
+        const group = waiting.get(req.key) ?? new Set();
+        waiting.set(req.key, group.add(one));
+    }
+
+    function claim(req: ClaimRequest, decide: (verdict: ClaimVerdict) => void): void {
+        const held = ledger.find(req.key);
+        if (held !== undefined) {
+            const verdict = judgeHeld(req, held, undefined);
+            if (verdict === undefined) {
+                wait(req, undefined, decide);
+            }
+            else {
+                decide(verdict);
+            }
+            return;
+        }
+        if (!isFollowing) {
+            decide({ kind: "unavailable", detail: "the claims were not read yet" });
+            return;
+        }
+        if (!isComplete(req.issuedMs)) {
+            decide({ kind: "keyExpired" });
+            return;
+        }
+        const { key, fingerprint, issuedMs } = req;
+        const claimId = dependencies.createClaimId();
+        wait(req, claimId, decide);
+        appender.add({ type: "claim", key, claimId, fingerprint, issuedMs, atMs: clock.wallNow() });
+    }
+
+    function conclude(key: string, claimId: string, conclusion: ClaimConclusion): void {
+        if (conclusion.kind === "notRun") {
+            appender.add({ type: "release", key, claimId, atMs: clock.wallNow() });
+            return;
+        }
+        ledger.noteEnd(key, claimId, conclusion);
+        appender.add(createEndRecord(key, claimId, conclusion, clock.wallNow()));
+        wake(key);
+    }
+
+    return {
+        start: follow,
+        claim,
+        conclude,
+        stop: () => {
+            isStopped = true;
+            appender.stop();
+        },
+    };
+}
--- /dev/null
+++ b/src/core/claims/index.ts
@@ -0,0 +1,10 @@
+/**
+ * @module
+ * Claims that make a call run at most once.
+ */
+export * from "./claimRecord.js";
+export * from "./claimTypes.js";
+export * from "./createClaimKeeper.js";
+export * from "./createClaimLedger.js";
+export * from "./createRecordAppender.js";
+export * from "./parseKeyIssueTime.js";
--- a/src/core/effects/effectTypes.ts
+++ b/src/core/effects/effectTypes.ts
@@ -3,6 +3,7 @@
  * Effects that a request's generator yields, and their results. The I/O shell or a test performs them.
  */
 import type { Upstream } from "../catalogue/catalogueEntry.js";
+import type { ClaimConclusion, ClaimRequest, ClaimVerdict } from "../claims/claimTypes.js";
 import type { Refusal } from "../errors/createRefusal.js";
 import type { AdmissionRequest, AdmissionVerdict, RequestCost } from "../limits/admissionTypes.js";
 
@@ -17,6 +18,10 @@
     readonly correlationId: string;
     /** Time limit for the head of the answer, in milliseconds. */
     readonly timeoutMs: number;
+    /** Whether the call must go over a new connection; else a kept one may be used. */
+    readonly isFreshConnection: boolean;
+    /** Whether the call goes on when the caller's connection is gone. */
+    readonly outlivesCaller: boolean;
 }
 
 /** What the head of an upstream's answer says. */
@@ -32,14 +37,16 @@
     readonly retryAfterMs: number | undefined;
 }
 
-/** Result of a send effect. `notSent`: no byte can have been acted on; `lost`: the call may have been acted on. */
+/** Result of a send effect. `notSent`: no byte can have been acted on; `lost` and
+ * `callerGone`: the call may have been acted on. */
 export type SendResult =
     | { readonly kind: "answered"; readonly head: AnswerHead; }
     | { readonly kind: "notSent"; readonly detail: string; }
-    | { readonly kind: "lost"; readonly detail: string; };
+    | { readonly kind: "lost"; readonly detail: string; }
+    | { readonly kind: "callerGone"; };
 
 /** Why forwarding of an answer's body ended. */
-export type ForwardEnd = "complete" | "cut" | "silent" | "outOfOrder" | "callerGone" | "deadline";
+export type ForwardEnd = "complete" | "cut" | "silent" | "outOfOrder" | "callerGone" | "callerStalled" | "deadline";
 
 /** Result of a forward effect. */
 export interface ForwardResult {
@@ -93,17 +100,38 @@
     readonly deadlineMs: number;
 }
 
-/** Cancels a stream at an upstream without waiting; returns nothing. */
+/** Claims an idempotency key; returns a {@link ClaimVerdict}. */
+export interface ClaimEffect {
+    readonly kind: "claim";
+    readonly req: ClaimRequest;
+}
+
+/** Ends a claim that was won, without waiting for the log; returns nothing. */
+export interface ConcludeEffect {
+    readonly kind: "conclude";
+    readonly key: string;
+    readonly claimId: string;
+    readonly conclusion: ClaimConclusion;
+}
+
+/** Cancels a stream at an upstream after a delay, without waiting for it; returns nothing. */
 export interface CancelEffect {
     readonly kind: "cancel";
     readonly upstream: Upstream;
     readonly streamId: string;
+    readonly delayMs: number;
+    /** Asked after the delay; false when another reader has joined the stream. */
+    readonly isWanted: () => boolean;
 }
 
-/** Waits; returns nothing. */
+/** How a wait ended. */
+export type WaitResult = "elapsed" | "callerGone";
+
+/** Waits; returns a {@link WaitResult}. A wait that outlives the caller always elapses. */
 export interface WaitEffect {
     readonly kind: "wait";
     readonly delayMs: number;
+    readonly outlivesCaller: boolean;
 }
 
 /** Answers the caller with a whole body; returns nothing. */
@@ -125,6 +153,8 @@
     | SendEffect
     | ForwardEffect
     | CollectEffect
+    | ClaimEffect
+    | ConcludeEffect
     | CancelEffect
     | WaitEffect
     | AnswerEffect
@@ -137,8 +167,10 @@
     readonly send: SendResult;
     readonly forward: ForwardResult;
     readonly collect: CollectResult;
+    readonly claim: ClaimVerdict;
+    readonly conclude: undefined;
     readonly cancel: undefined;
-    readonly wait: undefined;
+    readonly wait: WaitResult;
     readonly answer: undefined;
     readonly refuse: undefined;
 }
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -31,6 +31,7 @@
     requestEnded: define("RW3001", "debug", "request ended"),
     requestRefused: define("RW3002", "info", "request refused"),
     answerMismatched: define("RW3003", "warn", "upstream answer discarded: wrong correlation id"),
+    processPaused: define("RW3004", "warn", "process was paused: kept connections are given up"),
     peerRejected: define("RW4001", "warn", "peer call rejected: wrong secret"),
 } as const satisfies Record<string, LogEvent>;
 
--- /dev/null
+++ b/src/core/request/computeRetryDelay.ts
@@ -0,0 +1,20 @@
+/**
+ * @module
+ * Delay before a retry.
+ */
+
+const baseDelayMs = 10;
+const maxDelayMs = 250;
+
+/**
+ * Computes a delay with full jitter that grows with each retry.
+ *
+ * @param retry - Number of retries before this one.
+ * @param random - Returns a number from 0 (included) to 1 (excluded).
+ * @returns Delay in milliseconds.
+ * @example
+ * computeRetryDelay(0, () => 0.5); // 5
+ */
+export function computeRetryDelay(retry: number, random: () => number): number {
+    return Math.min(maxDelayMs, baseDelayMs * 2 ** retry) * random();
+}
--- /dev/null
+++ b/src/core/request/createModelCall.ts
@@ -0,0 +1,73 @@
+/**
+ * @module
+ * Builds the call to an engine.
+ */
+import { type CacheScope, formatCacheSalt } from "../cache/hashBlocks.js";
+import type { Upstream } from "../catalogue/catalogueEntry.js";
+import type { UpstreamCall } from "../effects/effectTypes.js";
+import type { StreamIdentity } from "./deriveStreamIdentity.js";
+import type { ModelRequest } from "./requestTypes.js";
+
+/** Engine priorities by class of service; a lower number goes first. */
+const enginePriority = { interactive: 0, standard: 1, batch: 2 } as const;
+
+/** New connections that a whole answer may be awaited on before its deadline. */
+const wholeAnswerTries = 3;
+
+/** Where and how an attempt goes. */
+export interface ModelCallOptions {
+    readonly upstream: Upstream;
+    readonly scope: CacheScope;
+    readonly identity: StreamIdentity;
+    /** Number of the attempt, from 0; part of the correlation id. */
+    readonly attempt: number;
+    /** Whole events that the caller has; the engine continues after them. */
+    readonly delivered: number;
+    readonly isFreshConnection: boolean;
+    readonly nowMs: number;
+    readonly silenceTimeoutMs: number;
+}
+
+function limitHeadTime(req: ModelRequest, remainingMs: number, silenceTimeoutMs: number): number {
+    const patienceMs = req.isStreaming
+        ? silenceTimeoutMs
+        : Math.max(silenceTimeoutMs, Math.floor(remainingMs / wholeAnswerTries));
+    return Math.min(remainingMs, patienceMs);
+}
+
+/**
+ * Builds the call of one attempt. Stream id and seed are equal for all attempts, so that an engine joins a generation
+ * that it already runs.
+ *
+ * @param req - The request.
+ * @param options - Where and how it goes.
+ * @returns The call.
+ * @example
+ * createModelCall(req, options).headers["x-stream-offset"]; // "12"
+ */
+export function createModelCall(req: ModelRequest, options: ModelCallOptions): UpstreamCall {
+    const { identity } = options;
+    const remainingMs = Math.max(1, Math.floor(req.deadlineMs - options.nowMs));
+    const correlationId = `${req.requestId}/${options.attempt}`;
+    return {
+        upstream: options.upstream,
+        method: "POST",
+        path: req.path,
+        headers: {
+            "content-type": "application/json",
+            "x-correlation-id": correlationId,
+            "x-stream-id": identity.streamId,
+            "x-stream-offset": String(options.delivered),
+            "x-seed": String(identity.seed),
+            "x-priority": String(enginePriority[req.customer.classOfService]),
+            "x-cache-salt": formatCacheSalt(options.scope),
+            "x-weights-version": req.model.weightsVersion,
+            "x-deadline-ms": String(remainingMs),
+        },
+        body: JSON.stringify({ ...req.body, seed: identity.seed }),
+        correlationId,
+        timeoutMs: limitHeadTime(req, remainingMs, options.silenceTimeoutMs),
+        isFreshConnection: options.isFreshConnection,
+        outlivesCaller: false,
+    };
+}
--- a/src/core/request/isUnrepeatable.ts
+++ b/src/core/request/isUnrepeatable.ts
@@ -4,6 +4,16 @@
  */
 import type { Service } from "../catalogue/catalogueEntry.js";
 
+/** The path without query, with dots and escapes resolved, as the service will see it. */
+function normalizePath(path: string): string {
+    try {
+        return decodeURIComponent(new URL(path.replace(/^\/+/, "/"), "http://service").pathname).replace(/\/+/g, "/");
+    }
+    catch {
+        return path;
+    }
+}
+
 /**
  * Tells whether a call may not be repeated.
  *
@@ -15,8 +25,9 @@
  * isUnrepeatable(bookingService, "POST", "/bookings/confirm"); // true
  */
 export function isUnrepeatable(service: Service, method: string, path: string): boolean {
+    const normalized = normalizePath(path);
     return service.unrepeatableCalls.some(pattern => {
         const [patternMethod, patternPath] = pattern.split(" ");
-        return patternMethod === method && path.startsWith(patternPath ?? "/");
+        return patternMethod === method && normalized.startsWith(patternPath ?? "/");
     });
 }
--- /dev/null
+++ b/src/core/request/runModelAttempt.ts
@@ -0,0 +1,202 @@
+/**
+ * @module
+ * One attempt of a model request at one engine.
+ */
+import { blockTokens, millisecondsPerSecond } from "../constants.js";
+import type { AnswerHead, ForwardEnd, Steps, UpstreamCall } from "../effects/effectTypes.js";
+import { perform } from "../effects/perform.js";
+import { createRefusal, type Refusal } from "../errors/createRefusal.js";
+import type { ExecutionOutcome } from "../errors/errorTable.js";
+import type { RouteFeedback, RouteRequest } from "../routing/routeTypes.js";
+import { readOutputTokens } from "./readOutputTokens.js";
+import type { ModelRequest } from "./requestTypes.js";
+import type { RetryReason } from "./retryTypes.js";
+import { type AttemptTracker, trackAttempt } from "./trackAttempt.js";
+
+/** The engine process that an answer began at. */
+export interface AnswerOrigin {
+    readonly upstream: string;
+    readonly incarnation: string | undefined;
+}
+
+/** What an attempt continues and hands on. */
+export interface AnswerProgress {
+    /** Whole events that the caller was sent. */
+    readonly delivered: number;
+    readonly outputTokens: number;
+    readonly cachedTokens: number;
+    readonly origin: AnswerOrigin | undefined;
+}
+
+/** How an attempt ended. */
+export interface AttemptEnd {
+    readonly kind: "done" | "retry" | "failed";
+    /** Present when the attempt may be repeated. */
+    readonly reason: RetryReason | undefined;
+    /** Undefined when the answer was complete. */
+    readonly refusal: Refusal | undefined;
+    readonly outcome: ExecutionOutcome;
+    readonly progress: AnswerProgress;
+}
+
+/** When a caller may come back if the engine did not say. */
+const defaultRetryAfterMs = millisecondsPerSecond;
+
+type Judgement = Pick<AttemptEnd, "kind" | "reason" | "refusal">;
+
+function retry(reason: RetryReason, refusal: Refusal): Judgement {
+    return { kind: "retry", reason, refusal };
+}
+
+function fail(refusal: Refusal): Judgement {
+    return { kind: "failed", reason: undefined, refusal };
+}
+
+const done: Judgement = { kind: "done", reason: undefined, refusal: undefined };
+
+/** Tells whether an answer comes from the weights that the caller's answer needs. */
+function hasRightWeights(req: ModelRequest, call: UpstreamCall, head: AnswerHead, progress: AnswerProgress): boolean {
+    if (head.weightsVersion !== undefined) {
+        return head.weightsVersion === req.model.weightsVersion;
+    }
+    const { origin, delivered } = progress;
+    const isSameProcess = origin?.upstream === call.upstream.id && origin.incarnation !== undefined
+        && origin.incarnation === head.incarnation;
+    return delivered === 0 || isSameProcess;
+}
+
+function judgeHead(
+    req: ModelRequest,
+    call: UpstreamCall,
+    head: AnswerHead,
+    progress: AnswerProgress,
+    attempt: AttemptTracker,
+): Judgement | undefined {
+    if (head.isNotRun) {
+        attempt.note("refusedUnrun");
+        const retryAfterMs = head.retryAfterMs ?? defaultRetryAfterMs;
+        return retry("upstreamNotRun", createRefusal("upstreamNotReached", "it did not run it", { retryAfterMs }));
+    }
+    if (head.status >= 500) {
+        attempt.note("lose");
+        return retry("lost", createRefusal("outcomeUnknown", `status ${head.status}`));
+    }
+    if (head.status >= 400) {
+        attempt.note("rejected");
+        return fail(createRefusal("upstreamRejected", `status ${head.status}`));
+    }
+    attempt.note("answer");
+    if (!hasRightWeights(req, call, head, progress)) {
+        attempt.note("interrupt");
+        return retry("wrongVersion", createRefusal("streamInterrupted", "the engine has other weights"));
+    }
+    return undefined;
+}
+
+function judgeEnd(end: ForwardEnd, delivered: number): Judgement {
+    switch (end) {
+        case "complete":
+            return done;
+        case "callerGone":
+            return fail(createRefusal("cancelled", ""));
+        case "callerStalled":
+            return fail(createRefusal("cancelled", "the caller stopped reading"));
+        case "deadline":
+            return fail(createRefusal("deadlineExceeded", `after ${delivered} events`));
+        case "cut":
+        case "silent":
+        case "outOfOrder":
+            return retry(end, createRefusal("streamInterrupted", `after ${delivered} events`));
+    }
+}
+
+interface Taken {
+    readonly judgement: Judgement;
+    readonly progress: AnswerProgress;
+}
+
+function* takeStream(req: ModelRequest, progress: AnswerProgress): Steps<Taken> {
+    const { end, delivered, outputTokens } = yield* perform({ kind: "forward", deadlineMs: req.deadlineMs });
+    return { judgement: judgeEnd(end, delivered), progress: { ...progress, delivered, outputTokens } };
+}
+
+function* takeWhole(req: ModelRequest, head: AnswerHead, progress: AnswerProgress): Steps<Taken> {
+    const collected = yield* perform({ kind: "collect", deadlineMs: req.deadlineMs });
+    if (collected.kind === "broken") {
+        return { judgement: judgeEnd(collected.end, 0), progress };
+    }
+    const { status, contentType } = head;
+    yield* perform({ kind: "answer", answer: { status, contentType, body: collected.body } });
+    const outputTokens = readOutputTokens(collected.body) ?? req.maxOutputTokens;
+    return { judgement: done, progress: { ...progress, outputTokens } };
+}
+
+function createFeedback(call: UpstreamCall, route: RouteRequest, head: AnswerHead): RouteFeedback {
+    const { cachedTokens, incarnation } = head;
+    const cachedBlocks = cachedTokens === undefined ? undefined : Math.floor(cachedTokens / blockTokens);
+    return { upstream: call.upstream.id, req: route, cachedBlocks, incarnation };
+}
+
+function* sendAndTake(
+    req: ModelRequest,
+    call: UpstreamCall,
+    route: RouteRequest,
+    progress: AnswerProgress,
+    attempt: AttemptTracker,
+    reportFeedback: (feedback: RouteFeedback) => void,
+): Steps<Taken> {
+    attempt.note("send");
+    const sent = yield* perform({ kind: "send", call });
+    if (sent.kind === "notSent") {
+        attempt.note("notSent");
+        const options = { retryAfterMs: defaultRetryAfterMs };
+        return { judgement: retry("notSent", createRefusal("upstreamNotReached", sent.detail, options)), progress };
+    }
+    if (sent.kind !== "answered") {
+        attempt.note("lose");
+        const isGone = sent.kind === "callerGone";
+        const judgement = isGone
+            ? fail(createRefusal("cancelled", ""))
+            : retry("lost", createRefusal("outcomeUnknown", sent.detail));
+        return { judgement, progress };
+    }
+    const { head } = sent;
+    const judged = judgeHead(req, call, head, progress, attempt);
+    if (judged !== undefined) {
+        return { judgement: judged, progress };
+    }
+    if (progress.delivered === 0) {
+        reportFeedback(createFeedback(call, route, head));
+    }
+    const begun: AnswerProgress = {
+        ...progress,
+        cachedTokens: head.cachedTokens ?? 0,
+        origin: { upstream: call.upstream.id, incarnation: head.incarnation },
+    };
+    return req.isStreaming ? yield* takeStream(req, begun) : yield* takeWhole(req, head, begun);
+}
+
+/**
+ * Runs one attempt: sends the call, checks the head, and passes the body on.
+ *
+ * @param req - The request.
+ * @param call - The call of this attempt.
+ * @param route - The request as routing sees it.
+ * @param progress - What the attempts before delivered.
+ * @param reportFeedback - Tells routing what the engine had cached.
+ * @returns Steps that return how the attempt ended.
+ * @example
+ * const end = yield* runModelAttempt(req, call, route, progress, reportFeedback);
+ */
+export function* runModelAttempt(
+    req: ModelRequest,
+    call: UpstreamCall,
+    route: RouteRequest,
+    progress: AnswerProgress,
+    reportFeedback: (feedback: RouteFeedback) => void,
+): Steps<AttemptEnd> {
+    const attempt = trackAttempt();
+    const taken = yield* sendAndTake(req, call, route, progress, attempt, reportFeedback);
+    attempt.note(taken.judgement.kind === "done" ? "complete" : "interrupt");
+    return { ...taken.judgement, outcome: attempt.outcome(), progress: taken.progress };
+}
--- /dev/null
+++ b/src/core/request/runServiceCall.ts
@@ -0,0 +1,115 @@
+/**
+ * @module
+ * One attempt of a call at one upstream of a plain service.
+ */
+import type { Upstream } from "../catalogue/catalogueEntry.js";
+import type { AnswerHead, Steps, UpstreamCall, WholeAnswer } from "../effects/effectTypes.js";
+import { perform } from "../effects/perform.js";
+import { createRefusal, type Refusal } from "../errors/createRefusal.js";
+import type { ExecutionOutcome } from "../errors/errorTable.js";
+import type { ServiceRequest } from "./requestTypes.js";
+import type { RetryReason } from "./retryTypes.js";
+import { type AttemptTracker, trackAttempt } from "./trackAttempt.js";
+
+/** How an attempt at a service ended. */
+export type ServiceCallEnd =
+    | { readonly kind: "answered"; readonly answer: WholeAnswer; }
+    | { readonly kind: "callerGone"; }
+    | {
+        readonly kind: "failed";
+        readonly reason: RetryReason;
+        readonly refusal: Refusal;
+        readonly outcome: ExecutionOutcome;
+    };
+
+/** Where and how an attempt goes. */
+export interface ServiceCallOptions {
+    readonly upstream: Upstream;
+    /** Number of the attempt, from 0; part of the correlation id. */
+    readonly attempt: number;
+    /** Time limit for the head of the answer, in milliseconds. */
+    readonly timeoutMs: number;
+    readonly remainingMs: number;
+}
+
+/** When a caller may come back if the service did not say, in milliseconds. */
+const defaultRetryAfterMs = 1_000;
+
+function createCall(req: ServiceRequest, options: ServiceCallOptions): UpstreamCall {
+    const correlationId = `${req.requestId}/${options.attempt}`;
+    const headers: Record<string, string> = {
+        "x-correlation-id": correlationId,
+        "x-deadline-ms": String(Math.max(1, Math.floor(options.remainingMs))),
+    };
+    if (req.contentType !== undefined) {
+        headers["content-type"] = req.contentType;
+    }
+    if (req.idempotencyKey !== undefined) {
+        headers["idempotency-key"] = req.idempotencyKey;
+    }
+    return {
+        upstream: options.upstream,
+        method: req.method,
+        path: req.path,
+        headers,
+        body: req.body.length === 0 ? undefined : req.body,
+        correlationId,
+        timeoutMs: Math.max(1, Math.floor(options.timeoutMs)),
+        // A connection that was kept may be dead without notice; only a failed connect proves that nothing was sent.
+        isFreshConnection: req.isUnrepeatable || options.attempt > 0,
+        outlivesCaller: req.isUnrepeatable,
+    };
+}
+
+function fail(attempt: AttemptTracker, reason: RetryReason, refusal: Refusal): ServiceCallEnd {
+    return { kind: "failed", reason, refusal, outcome: attempt.outcome() };
+}
+
+function* takeHead(req: ServiceRequest, head: AnswerHead, attempt: AttemptTracker): Steps<ServiceCallEnd> {
+    if (head.isNotRun) {
+        attempt.note("refusedUnrun");
+        const retryAfterMs = head.retryAfterMs ?? defaultRetryAfterMs;
+        const refusal = createRefusal("upstreamNotReached", "it did not run it", { retryAfterMs });
+        return fail(attempt, "upstreamNotRun", refusal);
+    }
+    attempt.note("answer");
+    const collected = yield* perform({ kind: "collect", deadlineMs: req.deadlineMs });
+    if (collected.kind === "whole") {
+        const { status, contentType } = head;
+        return { kind: "answered", answer: { status, contentType, body: collected.body } };
+    }
+    if (collected.end === "callerGone") {
+        return { kind: "callerGone" };
+    }
+    attempt.note("interrupt");
+    return fail(attempt, "lost", createRefusal("outcomeUnknown", collected.end));
+}
+
+/**
+ * Runs one attempt.
+ *
+ * @param req - The call.
+ * @param options - Where and how it goes.
+ * @returns Steps that return the answer or how the attempt failed.
+ * @example
+ * const end = yield* runServiceCall(req, { upstream, attempt: 0, timeoutMs, remainingMs });
+ */
+export function* runServiceCall(req: ServiceRequest, options: ServiceCallOptions): Steps<ServiceCallEnd> {
+    const attempt = trackAttempt();
+    attempt.note("send");
+    const sent = yield* perform({ kind: "send", call: createCall(req, options) });
+    switch (sent.kind) {
+        case "answered":
+            return yield* takeHead(req, sent.head, attempt);
+        case "notSent": {
+            attempt.note("notSent");
+            const refusal = createRefusal("upstreamNotReached", sent.detail, { retryAfterMs: defaultRetryAfterMs });
+            return fail(attempt, "notSent", refusal);
+        }
+        case "lost":
+            attempt.note("lose");
+            return fail(attempt, "lost", createRefusal("outcomeUnknown", sent.detail));
+        case "callerGone":
+            return { kind: "callerGone" };
+    }
+}
--- a/src/core/request/serveModelRequest.ts
+++ b/src/core/request/serveModelRequest.ts
@@ -2,78 +2,70 @@
  * @module
  * The life of a model request, from admission to the last byte of the answer.
  */
-import { type CacheScope, formatCacheSalt, hashBlocks } from "../cache/hashBlocks.js";
+import { type CacheScope, hashBlocks } from "../cache/hashBlocks.js";
 import type { Upstream } from "../catalogue/catalogueEntry.js";
-import { blockTokens, charactersPerToken } from "../constants.js";
-import type { AnswerHead, ForwardResult, Steps, UpstreamCall } from "../effects/effectTypes.js";
+import { charactersPerToken } from "../constants.js";
+import type { Steps } from "../effects/effectTypes.js";
 import { perform } from "../effects/perform.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
-import type { CandidateCost, ChooseUpstream, RouteFeedback, RouteRequest } from "../routing/routeTypes.js";
+import type { ExecutionOutcome } from "../errors/errorTable.js";
+import type { RequestCost } from "../limits/admissionTypes.js";
+import type { CandidateCost, RouteRequest } from "../routing/routeTypes.js";
+import { alignRefusal } from "./alignRefusal.js";
+import { combineOutcomes } from "./combineOutcomes.js";
+import { computeRetryDelay } from "./computeRetryDelay.js";
+import { createModelCall } from "./createModelCall.js";
 import { deriveStreamIdentity, type StreamIdentity } from "./deriveStreamIdentity.js";
+import type { AttemptReport, ModelRequestDependencies, ModelRequestReport } from "./modelRequestTypes.js";
 import type { ModelRequest } from "./requestTypes.js";
+import type { RetryDenial, RetryReason } from "./retryTypes.js";
+import { type AnswerProgress, type AttemptEnd, runModelAttempt } from "./runModelAttempt.js";
 
-/** What the life of a model request needs from the instance. */
-export interface ModelRequestDependencies {
-    readonly chooseUpstream: ChooseUpstream;
-    /** Tells routing that a request was sent to or left an upstream. */
-    readonly trackInFlight: (upstream: string, change: 1 | -1) => void;
-    readonly reportFeedback: (feedback: RouteFeedback) => void;
-    readonly countRetry: (reason: RetryReason) => void;
-    /** Instance's clock, in milliseconds. */
-    readonly now: () => number;
-}
+export type * from "./modelRequestTypes.js";
+export type { RetryReason } from "./retryTypes.js";
+
+/** Attempts at all upstreams together. */
+const maxAttempts = 6;
+
+/** Attempts in a row that join the stream at the same engine. */
+const maxResumes = 2;
 
-/** Why an attempt was followed by another one. */
-export type RetryReason = "notSent" | "upstreamNotRun" | "lost" | "cut" | "silent" | "outOfOrder";
+/** Time that a caller's retry has to join a stream before it is cancelled at the engine, in milliseconds. */
+export const retryJoinMs = 2_000;
 
-/** How one attempt ended. */
-export type AttemptOutcome = "complete" | "failed" | RetryReason;
+/** Reasons after which the engine may still hold the stream. */
+const resumableReasons: ReadonlySet<RetryReason> = new Set(["lost", "cut", "silent", "outOfOrder"]);
 
-/** One attempt with the grounds of its routing decision, for `reedwardctl why`. */
-export interface AttemptReport {
-    readonly upstream: string;
-    /** Leading blocks that were believed to be cached there. */
+interface Target {
+    readonly upstream: Upstream;
     readonly cachedBlocks: number;
     readonly candidates: readonly CandidateCost[];
-    readonly result: AttemptOutcome;
+    /** Attempts in a row that joined the stream there. */
+    readonly resumes: number;
 }
 
-/** How a model request ended, for logs, metrics and tests. */
-export interface ModelRequestReport {
-    readonly upstream: string | undefined;
-    readonly cachedTokens: number;
-    readonly promptTokens: number;
-    readonly outputTokens: number;
+interface Life {
+    readonly progress: AnswerProgress;
+    readonly outcome: ExecutionOutcome;
     readonly attempts: readonly AttemptReport[];
-    /** Undefined when the answer was complete. */
+    readonly excluded: ReadonlySet<string>;
+    readonly target: Target | undefined;
+    /** Why the latest attempt failed; undefined before the first and after a complete one. */
     readonly refusal: Refusal | undefined;
+    readonly reason: RetryReason | undefined;
+    readonly isOver: boolean;
 }
 
-const maxAttempts = 4;
-
-/** Engine priorities by class of service; a lower number goes first. */
-const enginePriority = { interactive: 0, standard: 1, batch: 2 } as const;
-
-interface Attempt {
-    readonly upstream: Upstream;
-    readonly head: AnswerHead;
-}
-
-type AttemptResult =
-    | { readonly kind: "done"; readonly outputTokens: number; }
-    | { readonly kind: "retry"; readonly reason: RetryReason; readonly refusal: Refusal; }
-    | { readonly kind: "failed"; readonly refusal: Refusal; };
-
-function toAttemptOutcome(result: AttemptResult): AttemptOutcome {
-    switch (result.kind) {
-        case "done":
-            return "complete";
-        case "failed":
-            return "failed";
-        case "retry":
-            return result.reason;
-    }
-}
+const unbegun: Life = {
+    progress: { delivered: 0, outputTokens: 0, cachedTokens: 0, origin: undefined },
+    outcome: "notRun",
+    attempts: [],
+    excluded: new Set(),
+    target: undefined,
+    refusal: undefined,
+    reason: undefined,
+    isOver: false,
+};
 
 function toRouteRequest(req: ModelRequest): RouteRequest {
     const scope: CacheScope = {
@@ -90,95 +82,176 @@
     };
 }
 
-function createCall(
-    req: ModelRequest,
-    route: RouteRequest,
-    identity: StreamIdentity,
-    upstream: Upstream,
-    deliveredEvents: number,
-    nowMs: number,
-): UpstreamCall {
-    const remainingMs = Math.max(1, Math.floor(req.deadlineMs - nowMs));
+function endLife(life: Life, refusal: Refusal): Life {
+    return { ...life, refusal, isOver: true };
+}
+
+function deny(life: Life, denial: RetryDenial, dependencies: ModelRequestDependencies): Life {
+    dependencies.countDenial(denial);
+    return { ...life, isOver: true };
+}
+
+function mayResume(life: Life): boolean {
+    return life.target !== undefined && life.target.resumes < maxResumes && life.reason !== undefined
+        && resumableReasons.has(life.reason);
+}
+
+/** Chooses the same engine when it may still hold the stream, else another one. */
+function chooseTarget(life: Life, route: RouteRequest, dependencies: ModelRequestDependencies): Life {
+    const { target } = life;
+    if (target !== undefined && mayResume(life)) {
+        return { ...life, target: { ...target, resumes: target.resumes + 1 } };
+    }
+    const excluded = target === undefined ? life.excluded : new Set([...life.excluded, target.upstream.id]);
+    const decision = dependencies.chooseUpstream({ ...route, excluded });
+    if (decision.isErr) {
+        return life.refusal === undefined ? endLife(life, decision.error) : deny(life, "noUpstream", dependencies);
+    }
+    return { ...life, excluded, target: { ...decision.value, resumes: 0 } };
+}
+
+/** An attempt that repeats work from the start draws on the budget; one that goes on with a begun answer does not. */
+function mayRepeat(life: Life, dependencies: ModelRequestDependencies): boolean {
+    return life.outcome !== "notRun" || dependencies.retryBudget.take();
+}
+
+function* prepareRetry(req: ModelRequest, life: Life, dependencies: ModelRequestDependencies): Steps<Life> {
+    if (life.attempts.length >= maxAttempts) {
+        return deny(life, "attempts", dependencies);
+    }
+    if (!mayRepeat(life, dependencies)) {
+        return deny(life, "budget", dependencies);
+    }
+    const delayMs = computeRetryDelay(life.attempts.length - 1, dependencies.random);
+    if (dependencies.now() + delayMs >= req.deadlineMs) {
+        return deny(life, "deadline", dependencies);
+    }
+    const waited = yield* perform({ kind: "wait", delayMs, outlivesCaller: false });
+    return waited === "callerGone" ? endLife(life, createRefusal("cancelled", "")) : life;
+}
+
+function takeEnd(life: Life, target: Target, end: AttemptEnd): Life {
+    const { upstream, cachedBlocks, candidates } = target;
+    const result = end.kind === "done" ? "complete" : end.reason ?? "failed";
+    const hasProgress = end.progress.delivered > life.progress.delivered;
     return {
-        upstream,
-        method: "POST",
-        path: req.path,
-        headers: {
-            "content-type": "application/json",
-            "x-correlation-id": req.requestId,
-            "x-stream-id": identity.streamId,
-            "x-stream-offset": String(deliveredEvents),
-            "x-seed": String(identity.seed),
-            "x-priority": String(enginePriority[req.customer.classOfService]),
-            "x-cache-salt": formatCacheSalt(route.scope),
-            "x-weights-version": req.model.weightsVersion,
-            "x-deadline-ms": String(remainingMs),
-        },
-        body: JSON.stringify({ ...req.body, seed: identity.seed }),
-        correlationId: req.requestId,
-        timeoutMs: remainingMs,
+        ...life,
+        target: hasProgress ? { ...target, resumes: 0 } : target,
+        progress: end.progress,
+        outcome: combineOutcomes(life.outcome, end.outcome),
+        attempts: [...life.attempts, { upstream: upstream.id, cachedBlocks, candidates, result }],
+        refusal: end.refusal,
+        reason: end.reason,
+        isOver: end.kind !== "retry",
     };
 }
 
-function judgeHead(head: AnswerHead): AttemptResult | undefined {
-    if (head.isNotRun) {
-        const refusal = createRefusal("upstreamNotReached", "the upstream did not run it", {
-            ...(head.retryAfterMs === undefined ? {} : { retryAfterMs: head.retryAfterMs }),
-        });
-        return { kind: "retry", reason: "upstreamNotRun", refusal };
-    }
-    if (head.status >= 500) {
-        return { kind: "retry", reason: "lost", refusal: createRefusal("outcomeUnknown", `status ${head.status}`) };
+function* attemptOnce(
+    req: ModelRequest,
+    route: RouteRequest,
+    identity: StreamIdentity,
+    life: Life,
+    dependencies: ModelRequestDependencies,
+): Steps<Life> {
+    const chosen = chooseTarget(life, route, dependencies);
+    const { target } = chosen;
+    if (chosen.isOver || target === undefined) {
+        return chosen;
     }
-    if (head.status >= 400) {
-        return { kind: "failed", refusal: createRefusal("upstreamRejected", `status ${head.status}`) };
+    if (life.reason !== undefined) {
+        dependencies.countRetry(life.reason);
     }
-    return undefined;
+    const call = createModelCall(req, {
+        upstream: target.upstream,
+        scope: route.scope,
+        identity,
+        attempt: life.attempts.length,
+        delivered: life.progress.delivered,
+        isFreshConnection: life.attempts.length > 0,
+        nowMs: dependencies.now(),
+        silenceTimeoutMs: dependencies.silenceTimeoutMs,
+    });
+    dependencies.trackInFlight(target.upstream.id, 1);
+    const end = yield* runModelAttempt(req, call, route, life.progress, dependencies.reportFeedback);
+    dependencies.trackInFlight(target.upstream.id, -1);
+    return takeEnd(chosen, target, end);
 }
 
-function judgeForward(result: ForwardResult): AttemptResult {
-    switch (result.end) {
-        case "complete":
-            return { kind: "done", outputTokens: result.outputTokens };
-        case "callerGone":
-            return { kind: "failed", refusal: createRefusal("cancelled", "") };
-        case "deadline":
-            return { kind: "failed", refusal: createRefusal("deadlineExceeded", "") };
-        case "cut":
-        case "silent":
-        case "outOfOrder":
-            return {
-                kind: "retry",
-                reason: result.end,
-                refusal: createRefusal("streamInterrupted", `after ${result.delivered} events`),
-            };
+function* runAttempts(
+    req: ModelRequest,
+    route: RouteRequest,
+    identity: StreamIdentity,
+    dependencies: ModelRequestDependencies,
+): Steps<Life> {
+    let life = unbegun;
+    dependencies.retryBudget.earn();
+    while (!life.isOver) {
+        if (dependencies.now() >= req.deadlineMs) {
+            const kind = life.outcome === "notRun" ? "deadlineBeforeSend" : "deadlineExceeded";
+            return endLife(life, createRefusal(kind, ""));
+        }
+        life = yield* attemptOnce(req, route, identity, life, dependencies);
+        if (!life.isOver) {
+            life = yield* prepareRetry(req, life, dependencies);
+        }
     }
+    return life;
 }
 
-function* takeAnswer(
+/** Cancels a generation that nobody reads; with a key, the caller's retry has some time to join it. */
+function* cancelUnread(
     req: ModelRequest,
-    attempt: Attempt,
-    onProgress: (delivered: number) => void,
-): Steps<AttemptResult> {
-    if (req.isStreaming) {
-        const result = yield* perform({ kind: "forward", deadlineMs: req.deadlineMs });
-        onProgress(result.delivered);
-        return judgeForward(result);
+    identity: StreamIdentity,
+    life: Life,
+    dependencies: ModelRequestDependencies,
+): Steps<void> {
+    if (life.target === undefined || life.outcome === "notRun") {
+        return;
     }
-    const collected = yield* perform({ kind: "collect", deadlineMs: req.deadlineMs });
-    if (collected.kind === "broken") {
-        return judgeForward({ end: collected.end, delivered: 0, outputTokens: 0 });
+    yield* perform({
+        kind: "cancel",
+        upstream: life.target.upstream,
+        streamId: identity.streamId,
+        delayMs: req.idempotencyKey === undefined ? 0 : retryJoinMs,
+        isWanted: () => !dependencies.readers.has(identity.streamId),
+    });
+}
+
+function computeUsed(life: Life, cost: RequestCost): RequestCost {
+    return {
+        promptTokens: life.outcome === "notRun" ? 0 : cost.promptTokens,
+        outputTokens: life.progress.outputTokens,
+    };
+}
+
+function* finish(
+    req: ModelRequest,
+    identity: StreamIdentity,
+    life: Life,
+    cost: RequestCost,
+    dependencies: ModelRequestDependencies,
+): Steps<ModelRequestReport> {
+    const refusal = life.refusal === undefined ? undefined : alignRefusal(life.refusal, life.outcome);
+    if (refusal !== undefined) {
+        yield* perform({ kind: "refuse", refusal });
+        yield* cancelUnread(req, identity, life, dependencies);
     }
-    const { status, contentType } = attempt.head;
-    yield* perform({ kind: "answer", answer: { status, contentType, body: collected.body } });
-    return { kind: "done", outputTokens: req.maxOutputTokens };
+    yield* perform({ kind: "settle", requestId: req.requestId, used: computeUsed(life, cost) });
+    return {
+        upstream: life.target?.upstream.id,
+        cachedTokens: life.progress.cachedTokens,
+        promptTokens: cost.promptTokens,
+        outputTokens: life.progress.outputTokens,
+        attempts: life.attempts,
+        refusal,
+    };
 }
 
 /**
- * Serves a model request: admission, choice of the upstream, sending, forwarding, and safe retries.
+ * Serves a model request: admission, choice of the upstream, sending, forwarding, resuming and safe retries.
  *
  * @param req - The checked request.
- * @param dependencies - Routing and counters.
+ * @param dependencies - Routing, retries and counters.
  * @returns Steps that return a report of how the request ended.
  * @example
  * runSteps(serveModelRequest(req, dependencies), handlers, onDone, onError);
@@ -189,90 +262,19 @@
 ): Steps<ModelRequestReport> {
     const route = toRouteRequest(req);
     const identity = deriveStreamIdentity(req);
-    const cost = { promptTokens: route.promptTokens, outputTokens: req.maxOutputTokens };
+    const cost: RequestCost = { promptTokens: route.promptTokens, outputTokens: req.maxOutputTokens };
     const verdict = yield* perform({
         kind: "admit",
         req: { requestId: req.requestId, customer: req.customer, cost, deadlineMs: req.deadlineMs },
     });
-    const report = {
-        upstream: undefined as string | undefined,
-        cachedTokens: 0,
-        promptTokens: route.promptTokens,
-        outputTokens: 0,
-        attempts: [] as AttemptReport[],
-    };
     if (verdict.kind === "refused") {
         yield* perform({ kind: "refuse", refusal: verdict.refusal });
-        return { ...report, refusal: verdict.refusal };
-    }
-
-    const excluded = new Set<string>();
-    let delivered = 0;
-    let refusal = createRefusal("noUpstream", "");
-    while (report.attempts.length < maxAttempts && dependencies.now() < req.deadlineMs) {
-        const decision = dependencies.chooseUpstream({ ...route, excluded });
-        if (decision.isErr) {
-            refusal = report.attempts.length === 0 ? decision.error : refusal;
-            break;
-        }
-        const { upstream, cachedBlocks, candidates } = decision.value;
-        report.upstream = upstream.id;
-        excluded.add(upstream.id);
-        dependencies.trackInFlight(upstream.id, 1);
-        const call = createCall(req, route, identity, upstream, delivered, dependencies.now());
-        const result = yield* attemptOnce(req, call, route, dependencies, report, value => {
-            delivered = value;
-        });
-        dependencies.trackInFlight(upstream.id, -1);
-        const outcome = toAttemptOutcome(result);
-        report.attempts.push({ upstream: upstream.id, cachedBlocks, candidates, result: outcome });
-        if (result.kind === "done") {
-            report.outputTokens = result.outputTokens;
-            yield* perform({
-                kind: "settle",
-                requestId: req.requestId,
-                used: { ...cost, outputTokens: result.outputTokens },
-            });
-            return { ...report, refusal: undefined };
-        }
-        refusal = result.refusal;
-        if (result.kind === "failed") {
-            break;
-        }
-        dependencies.countRetry(result.reason);
+        const { promptTokens } = route;
+        const { refusal } = verdict;
+        return { upstream: undefined, cachedTokens: 0, promptTokens, outputTokens: 0, attempts: [], refusal };
     }
-    yield* perform({ kind: "settle", requestId: req.requestId, used: { promptTokens: 0, outputTokens: 0 } });
-    yield* perform({ kind: "refuse", refusal });
-    return { ...report, refusal };
-}
-
-function* attemptOnce(
-    req: ModelRequest,
-    call: UpstreamCall,
-    route: RouteRequest,
-    dependencies: ModelRequestDependencies,
-    report: { cachedTokens: number; },
-    onProgress: (delivered: number) => void,
-): Steps<AttemptResult> {
-    const sent = yield* perform({ kind: "send", call });
-    if (sent.kind === "notSent") {
-        return { kind: "retry", reason: "notSent", refusal: createRefusal("upstreamNotReached", sent.detail) };
-    }
-    if (sent.kind === "lost") {
-        return { kind: "retry", reason: "lost", refusal: createRefusal("outcomeUnknown", sent.detail) };
-    }
-    const judged = judgeHead(sent.head);
-    if (judged !== undefined) {
-        return judged;
-    }
-    report.cachedTokens = sent.head.cachedTokens ?? 0;
-    dependencies.reportFeedback({
-        upstream: call.upstream.id,
-        req: route,
-        cachedBlocks: sent.head.cachedTokens === undefined
-            ? undefined
-            : Math.floor(sent.head.cachedTokens / blockTokens),
-        incarnation: sent.head.incarnation,
-    });
-    return yield* takeAnswer(req, { upstream: call.upstream, head: sent.head }, onProgress);
+    dependencies.readers.join(identity.streamId);
+    const life = yield* runAttempts(req, route, identity, dependencies);
+    dependencies.readers.leave(identity.streamId);
+    return yield* finish(req, identity, life, cost, dependencies);
 }
--- a/src/core/request/serveServiceRequest.ts
+++ b/src/core/request/serveServiceRequest.ts
@@ -2,20 +2,19 @@
  * @module
  * The life of a call to a plain service.
  */
-import type { Upstream } from "../catalogue/catalogueEntry.js";
-import type { AnswerHead, Steps } from "../effects/effectTypes.js";
+import type { ClaimConclusion, ClaimEnd, ClaimRequest, ClaimVerdict } from "../claims/claimTypes.js";
+import { parseKeyIssueTime } from "../claims/parseKeyIssueTime.js";
+import type { Steps } from "../effects/effectTypes.js";
 import { perform } from "../effects/perform.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
+import { hashCall } from "./hashCall.js";
 import type { ServiceRequest } from "./requestTypes.js";
-import type { RetryReason } from "./serveModelRequest.js";
+import { runServiceAttempts, type ServiceAttemptDependencies, type ServiceAttemptsEnd } from "./runServiceAttempts.js";
 
 /** What the life of a service call needs from the instance. */
-export interface ServiceRequestDependencies {
-    /** Upstreams of the service in the order in which they should be tried. */
-    readonly rankUpstreams: (service: string) => readonly Upstream[];
-    readonly countRetry: (reason: RetryReason) => void;
-    /** Instance's clock, in milliseconds. */
-    readonly now: () => number;
+export interface ServiceRequestDependencies extends ServiceAttemptDependencies {
+    /** Milliseconds since the Unix epoch. */
+    readonly wallNow: () => number;
 }
 
 /** How a service call ended. */
@@ -25,50 +24,109 @@
     readonly refusal: Refusal | undefined;
 }
 
-type CallResult =
-    | { readonly kind: "done"; }
-    | { readonly kind: "retry"; readonly reason: RetryReason; readonly refusal: Refusal; };
+/** Milliseconds by which a caller's clock may run ahead. */
+const maxClockLeadMs = 30_000;
 
-function* callOnce(req: ServiceRequest, upstream: Upstream, nowMs: number): Steps<CallResult> {
-    const timeoutMs = Math.max(1, Math.floor(req.deadlineMs - nowMs));
-    const headers: Record<string, string> = { "x-correlation-id": req.requestId, "x-deadline-ms": String(timeoutMs) };
-    if (req.contentType !== undefined) {
-        headers["content-type"] = req.contentType;
+/** When a caller may ask again about a claim that could not be recorded or has not ended, in milliseconds. */
+const claimRetryAfterMs = 1_000;
+
+function* refuse(refusal: Refusal, upstream?: string): Steps<ServiceRequestReport> {
+    yield* perform({ kind: "refuse", refusal });
+    return { upstream, refusal };
+}
+
+function* report(end: ServiceAttemptsEnd): Steps<ServiceRequestReport> {
+    if (end.answer === undefined) {
+        return yield* refuse(end.refusal!, end.upstream);
     }
-    const sent = yield* perform({
-        kind: "send",
-        call: {
-            upstream,
-            method: req.method,
-            path: req.path,
-            headers,
-            body: req.body.length === 0 ? undefined : req.body,
-            correlationId: req.requestId,
-            timeoutMs,
-        },
-    });
-    if (sent.kind !== "answered") {
-        const kind = sent.kind === "notSent" ? "upstreamNotReached" : "outcomeUnknown";
-        return { kind: "retry", reason: sent.kind, refusal: createRefusal(kind, sent.detail) };
+    yield* perform({ kind: "answer", answer: end.answer });
+    return { upstream: end.upstream, refusal: undefined };
+}
+
+function* repeatEnd(end: ClaimEnd): Steps<ServiceRequestReport> {
+    if (end.kind === "unknown") {
+        return yield* refuse(createRefusal("outcomeUnknown", "an earlier call with this key lost its answer"));
     }
-    return yield* passOn(req, sent.head);
+    if (end.answer === undefined) {
+        return yield* refuse(createRefusal("alreadyRun", ""));
+    }
+    yield* perform({ kind: "answer", answer: end.answer });
+    return { upstream: undefined, refusal: undefined };
 }
 
-function* passOn(req: ServiceRequest, head: AnswerHead): Steps<CallResult> {
-    const collected = yield* perform({ kind: "collect", deadlineMs: req.deadlineMs });
-    if (collected.kind === "broken") {
-        return { kind: "retry", reason: "lost", refusal: createRefusal("outcomeUnknown", collected.end) };
+function toConclusion(end: ServiceAttemptsEnd): ClaimConclusion {
+    if (end.answer !== undefined) {
+        return { kind: "answered", answer: end.answer };
     }
-    const { status, contentType } = head;
-    yield* perform({ kind: "answer", answer: { status, contentType, body: collected.body } });
-    return { kind: "done" };
+    return end.outcome === "notRun" ? { kind: "notRun" } : { kind: "unknown" };
+}
+
+function createClaimRequest(req: ServiceRequest, key: string, issuedMs: number): ClaimRequest {
+    return {
+        key: `${req.customer.id}/${req.service.id}/${key}`,
+        fingerprint: hashCall(req.method, req.path, req.body),
+        issuedMs,
+        deadlineMs: req.deadlineMs,
+    };
+}
+
+function refuseVerdict(verdict: Exclude<ClaimVerdict, { readonly kind: "won" | "ended"; }>): Refusal {
+    const options = { retryAfterMs: claimRetryAfterMs };
+    switch (verdict.kind) {
+        case "running":
+            return createRefusal("alreadyRunning", "", options);
+        case "keyReused":
+            return createRefusal("keyReused", "");
+        case "keyExpired":
+            return createRefusal("keyExpired", "");
+        case "unavailable":
+            return createRefusal("claimUnavailable", verdict.detail, options);
+    }
+}
+
+function* serveClaimed(
+    req: ServiceRequest,
+    claim: ClaimRequest,
+    dependencies: ServiceRequestDependencies,
+): Steps<ServiceRequestReport> {
+    const verdict = yield* perform({ kind: "claim", req: claim });
+    if (verdict.kind === "ended") {
+        return yield* repeatEnd(verdict.end);
+    }
+    if (verdict.kind !== "won") {
+        return yield* refuse(refuseVerdict(verdict));
+    }
+    const end = yield* runServiceAttempts(req, dependencies);
+    const { claimId } = verdict;
+    yield* perform({ kind: "conclude", key: claim.key, claimId, conclusion: toConclusion(end) });
+    return yield* report(end);
+}
+
+function* serveUnrepeatable(
+    req: ServiceRequest,
+    dependencies: ServiceRequestDependencies,
+): Steps<ServiceRequestReport> {
+    const key = req.idempotencyKey;
+    if (key === undefined) {
+        return yield* refuse(createRefusal("missingIdempotencyKey", `${req.method} ${req.path}`));
+    }
+    const issuedMs = parseKeyIssueTime(key);
+    if (issuedMs === undefined) {
+        const detail = "expected a UUID version 7, or 13 digits of milliseconds since 1970, \"-\" and text of your own";
+        return yield* refuse(createRefusal("malformedIdempotencyKey", detail));
+    }
+    if (issuedMs > dependencies.wallNow() + maxClockLeadMs) {
+        return yield* refuse(createRefusal("malformedIdempotencyKey", "its issue time lies in the future"));
+    }
+    return yield* serveClaimed(req, createClaimRequest(req, key, issuedMs), dependencies);
 }
 
 /**
- * Serves a call to a plain service. A repeatable call is retried at the next upstream.
+ * Serves a call to a plain service. A repeatable call is retried at the next upstream; one that may run at most once is
+ * sent only after its key was claimed on the log.
  *
  * @param req - The checked call.
- * @param dependencies - Upstreams and counters.
+ * @param dependencies - Upstreams, retries and counters.
  * @returns Steps that return a report of how the call ended.
  * @example
  * runSteps(serveServiceRequest(req, dependencies), handlers, onDone, onError);
@@ -78,22 +136,7 @@
     dependencies: ServiceRequestDependencies,
 ): Steps<ServiceRequestReport> {
     if (req.isUnrepeatable) {
-        const refusal = createRefusal("claimUnavailable", "claims are not kept by this version");
-        yield* perform({ kind: "refuse", refusal });
-        return { upstream: undefined, refusal };
-    }
-    let refusal = createRefusal("noUpstream", `service "${req.service.id}"`);
-    for (const upstream of dependencies.rankUpstreams(req.service.id)) {
-        if (dependencies.now() >= req.deadlineMs) {
-            break;
-        }
-        const result = yield* callOnce(req, upstream, dependencies.now());
-        if (result.kind === "done") {
-            return { upstream: upstream.id, refusal: undefined };
-        }
-        refusal = result.refusal;
-        dependencies.countRetry(result.reason);
+        return yield* serveUnrepeatable(req, dependencies);
     }
-    yield* perform({ kind: "refuse", refusal });
-    return { upstream: undefined, refusal };
+    return yield* report(yield* runServiceAttempts(req, dependencies));
 }
--- /dev/null
+++ b/src/core/request/trackAttempt.ts
@@ -0,0 +1,73 @@
+/**
+ * @module
+ * States of one attempt at an upstream, and what each state says about the request's execution.
+ */
+import { createMachine, interpret, state, transition } from "robot3";
+import type { ExecutionOutcome } from "../errors/errorTable.js";
+
+const machine = createMachine("unsent", {
+    unsent: state(transition("send", "sent")),
+    sent: state(
+        transition("notSent", "notRun"),
+        transition("refusedUnrun", "notRun"),
+        transition("rejected", "notRun"),
+        transition("lose", "lost"),
+        transition("answer", "answering"),
+    ),
+    answering: state(transition("complete", "complete"), transition("interrupt", "interrupted")),
+    notRun: state(),
+    lost: state(),
+    interrupted: state(),
+    complete: state(),
+});
+
+/** State of an attempt. */
+export type AttemptState = "unsent" | "sent" | "answering" | "notRun" | "lost" | "interrupted" | "complete";
+
+/** What can happen to an attempt. */
+export type AttemptEvent =
+    | "send"
+    | "notSent"
+    | "refusedUnrun"
+    | "rejected"
+    | "lose"
+    | "answer"
+    | "complete"
+    | "interrupt";
+
+const outcomes: Readonly<Record<AttemptState, ExecutionOutcome>> = {
+    unsent: "notRun",
+    sent: "unknown",
+    notRun: "notRun",
+    lost: "unknown",
+    answering: "run",
+    interrupted: "run",
+    complete: "run",
+};
+
+/** One attempt. */
+export interface AttemptTracker {
+    /** Takes an event; one that the state does not know is ignored. */
+    readonly note: (event: AttemptEvent) => void;
+    readonly state: () => AttemptState;
+    readonly outcome: () => ExecutionOutcome;
+}
+
+/**
+ * Starts to track one attempt.
+ *
+ * @returns The tracker, in state "unsent".
+ * @example
+ * const attempt = trackAttempt();
+ * attempt.note("send");
+ * attempt.outcome(); // "unknown"
+ */
+export function trackAttempt(): AttemptTracker {
+    const service = interpret(machine, () => undefined);
+    const readState = () => service.machine.current as AttemptState;
+    return {
+        note: event => service.send(event),
+        state: readState,
+        outcome: () => outcomes[readState()],
+    };
+}
--- a/src/core/stream/createEventScanner.ts
+++ b/src/core/stream/createEventScanner.ts
@@ -9,16 +9,21 @@
 /** Scanner state over one answer; it continues over several connections. */
 export interface EventScanner {
     /**
-     * Takes a chunk and returns the length of its prefix that completes whole events in order, in bytes. Bytes after
-     * that prefix are to be passed again together with the next chunk.
+     * Takes a chunk and returns the end of its whole events in order, in bytes. Bytes from there on are to be passed
+     * again together with the next chunk.
      */
     readonly scan: (bytes: Uint8Array) => number;
+    /** Start of the bytes of the last scan that are new to the caller; events before it were delivered earlier. */
+    readonly freshStart: () => number;
+    /** Begins the next connection, which continues after the delivered events. */
+    readonly reopen: () => void;
     readonly state: () => ScanState;
     /** Number of whole events taken; the offset to resume from. */
     readonly delivered: () => number;
 }
 
 const lineFeed = 0x0a;
+const colon = 0x3a;
 const digitZero = 0x30;
 const digitNine = 0x39;
 const idPrefix = new TextEncoder().encode("id: ");
@@ -55,25 +60,50 @@
     return -1;
 }
 
+/** Skips comment lines, which engines send as heartbeats. */
+function skipComments(bytes: Uint8Array, start: number, end: number): number {
+    let index = start;
+    while (index < end && bytes[index] === colon) {
+        index = bytes.indexOf(lineFeed, index) + 1;
+    }
+    return index;
+}
+
 /**
- * Creates a scanner. Every event begins with "id: N", N rising by 1 from 0; the last event is "data: [DONE]".
+ * Creates a scanner. Every event begins with "id: N", N rising by 1 from 0; the last event is "data: [DONE]". Comment
+ * lines may stand before any event. A connection that begins with events that were delivered is accepted; they are
+ * left out.
  *
  * @returns The scanner.
  * @example
  * const scanner = createEventScanner();
- * const whole = scanner.scan(chunk);
+ * const end = scanner.scan(chunk);
+ * res.write(chunk.subarray(scanner.freshStart(), end));
  */
 export function createEventScanner(): EventScanner {
     let next = 0;
     let state: ScanState = "open";
+    let freshStart = 0;
+    let mayReplay = false;
 
-    function takeEvent(bytes: Uint8Array, start: number): boolean {
-        if (!startsWith(bytes, start, idPrefix) || readNumber(bytes, start + idPrefix.length) !== next) {
+    /** Takes one event; false when it is out of order. */
+    function takeEvent(bytes: Uint8Array, start: number, end: number): boolean {
+        const idStart = skipComments(bytes, start, end);
+        if (bytes[idStart] === lineFeed) {
+            return true;
+        }
+        const id = startsWith(bytes, idStart, idPrefix) ? readNumber(bytes, idStart + idPrefix.length) : -1;
+        if (mayReplay && id >= 0 && id < next) {
+            freshStart = end;
+            return true;
+        }
+        mayReplay = false;
+        if (id !== next) {
             state = "outOfOrder";
             return false;
         }
         next += 1;
-        const dataStart = bytes.indexOf(lineFeed, start) + 1;
+        const dataStart = bytes.indexOf(lineFeed, idStart) + 1;
         if (startsWith(bytes, dataStart, endMarker)) {
             state = "ended";
         }
@@ -82,9 +112,10 @@
 
     function scan(bytes: Uint8Array): number {
         let start = 0;
+        freshStart = 0;
         while (state === "open") {
             const end = findEventEnd(bytes, start);
-            if (end === -1 || !takeEvent(bytes, start)) {
+            if (end === -1 || !takeEvent(bytes, start, end)) {
                 break;
             }
             start = end;
@@ -92,5 +123,14 @@
         return start;
     }
 
-    return { scan, state: () => state, delivered: () => next };
+    return {
+        scan,
+        freshStart: () => freshStart,
+        reopen: () => {
+            mayReplay = next > 0;
+            state = state === "outOfOrder" ? "open" : state;
+        },
+        state: () => state,
+        delivered: () => next,
+    };
 }
--- /dev/null
+++ b/src/core/time/createPauseDetector.ts
@@ -0,0 +1,52 @@
+/**
+ * @module
+ * Notices that the process was paused, by a jump between two looks at the clock.
+ */
+import type { CancelTimer, Clock } from "./clock.js";
+
+/** Looks for pauses. */
+export interface PauseDetector {
+    /** Starts to look at a steady interval. */
+    readonly start: () => void;
+    /** Looks at the clock now; to be called before anything that must not trust the time before a pause. */
+    readonly check: () => void;
+    readonly stop: () => void;
+}
+
+const lookIntervalMs = 250;
+
+/** A jump beyond the interval that counts as a pause, in milliseconds. */
+const pauseThresholdMs = 1_500;
+
+/**
+ * Creates a detector.
+ *
+ * @param clock - The clock; both its monotonic and its wall time are compared.
+ * @param onPause - Receives the length of the jump in milliseconds.
+ * @returns The detector.
+ * @example
+ * const detector = createPauseDetector(clock, () => upstreams.distrustAll());
+ */
+export function createPauseDetector(clock: Clock, onPause: (pausedMs: number) => void): PauseDetector {
+    let lastMs = clock.now();
+    let lastWallMs = clock.wallNow();
+    let cancelTimer: CancelTimer = () => undefined;
+
+    function check(): void {
+        const jumpMs = Math.max(clock.now() - lastMs, clock.wallNow() - lastWallMs);
+        lastMs = clock.now();
+        lastWallMs = clock.wallNow();
+        if (jumpMs > lookIntervalMs + pauseThresholdMs) {
+            onPause(jumpMs);
+        }
+    }
+
+    function schedule(): void {
+        cancelTimer = clock.after(lookIntervalMs, () => {
+            check();
+            schedule();
+        });
+    }
+
+    return { start: schedule, check, stop: () => cancelTimer() };
+}
--- a/src/io/http/createExchange.ts
+++ b/src/io/http/createExchange.ts
@@ -3,9 +3,11 @@
  * Performs the effects of one caller's request on sockets and timers.
  */
 import type { ServerResponse } from "node:http";
-import type { ForwardEnd } from "../../core/effects/effectTypes.js";
+import type { ClaimKeeper } from "../../core/claims/createClaimKeeper.js";
+import type { ForwardEnd, UpstreamCall, WaitResult } from "../../core/effects/effectTypes.js";
 import type { EffectHandlers } from "../../core/effects/runSteps.js";
-import type { Admission } from "../../core/limits/admissionTypes.js";
+import { createRefusal } from "../../core/errors/createRefusal.js";
+import type { Admission, AdmissionRequest, AdmissionVerdict } from "../../core/limits/admissionTypes.js";
 import type { EnginePort } from "../../core/ports/enginePort.js";
 import { createEventScanner } from "../../core/stream/createEventScanner.js";
 import type { Clock } from "../../core/time/clock.js";
@@ -19,6 +21,7 @@
     readonly clock: Clock;
     readonly admission: Admission;
     readonly upstreams: UpstreamClient;
+    readonly claims: ClaimKeeper;
     readonly cancelStream: EnginePort["cancelStream"];
     /** Largest answer that is collected whole, in bytes. */
     readonly maxAnswerBytes: number;
@@ -44,21 +47,86 @@
     const scanner = createEventScanner();
     const callerGone = new AbortController();
     let opened: OpenedAnswer | undefined;
+    let openedCall: UpstreamCall | undefined;
     let stopBody: ((end: ForwardEnd) => void) | undefined;
+    let endWait: (() => void) | undefined;
     let firstByteMs: number | undefined;
 
     res.on("close", () => {
         if (!res.writableEnded) {
             callerGone.abort();
-            admission.cancel(requestId);
-            stopBody?.("callerGone");
+            endWait?.();
+            if (openedCall?.outlivesCaller !== true) {
+                stopBody?.("callerGone");
+            }
         }
     });
 
+    /** Ends a wait for the caller's going; the handler of a wait sets it again. */
+    function whileCallerIsThere(end: () => void): void {
+        endWait = () => {
+            endWait = undefined;
+            end();
+        };
+        if (callerGone.signal.aborted) {
+            endWait();
+        }
+    }
+
     function startDeadline(deadlineMs: number): () => void {
         return clock.after(Math.max(0, deadlineMs - clock.now()), () => stopBody?.("deadline"));
     }
 
+    /** Waits for admission until the deadline or the caller's going; a verdict that comes later gives its slot back. */
+    function admit(req: AdmissionRequest, resume: (verdict: AdmissionVerdict) => void): void {
+        let isOver = false;
+        let hasVerdict = false;
+
+        function finish(verdict: AdmissionVerdict): void {
+            isOver = true;
+            endWait = undefined;
+            cancelDeadline();
+            resume(verdict);
+        }
+
+        function giveUp(kind: "cancelled" | "deadlineBeforeSend"): void {
+            if (isOver) {
+                return;
+            }
+            isOver = true;
+            admission.cancel(requestId);
+            finish({ kind: "refused", refusal: createRefusal(kind, "") });
+        }
+
+        const waitMs = Math.max(0, req.deadlineMs - clock.now());
+        const cancelDeadline = clock.after(waitMs, () => giveUp("deadlineBeforeSend"));
+        admission.admit(req, verdict => {
+            hasVerdict = true;
+            if (!isOver) {
+                finish(verdict);
+            }
+            else if (verdict.kind === "admitted") {
+                admission.settle(requestId, { promptTokens: 0, outputTokens: 0 });
+            }
+        });
+        if (!hasVerdict) {
+            whileCallerIsThere(() => giveUp("cancelled"));
+        }
+    }
+
+    function wait(delayMs: number, outlivesCaller: boolean, resume: (result: WaitResult) => void): void {
+        const cancelTimer = clock.after(delayMs, () => {
+            endWait = undefined;
+            resume("elapsed");
+        });
+        if (!outlivesCaller) {
+            whileCallerIsThere(() => {
+                cancelTimer();
+                resume("callerGone");
+            });
+        }
+    }
+
     function beginStream(answer: OpenedAnswer): void {
         if (!res.headersSent) {
             res.writeHead(200, {
@@ -74,8 +142,15 @@
         }
     }
 
+    /** Other connections to an upstream whose connection went silent may be as dead. */
+    function distrustAfter(end: ForwardEnd): void {
+        if (end === "silent" && openedCall !== undefined) {
+            dependencies.upstreams.distrust(openedCall.upstream.address);
+        }
+    }
+
     const handlers: EffectHandlers = {
-        admit: (effect, resume) => admission.admit(effect.req, resume),
+        admit: (effect, resume) => admit(effect.req, resume),
         settle: (effect, resume) => {
             admission.settle(effect.requestId, effect.used);
             resume(undefined);
@@ -83,7 +158,9 @@
         send: (effect, resume) => {
             opened?.body.destroy();
             opened = undefined;
-            void dependencies.upstreams.open(effect.call, callerGone.signal).then(result => {
+            openedCall = effect.call;
+            const signal = effect.call.outlivesCaller ? undefined : callerGone.signal;
+            void dependencies.upstreams.open(effect.call, signal).then(result => {
                 if (result.kind !== "answered") {
                     resume(result);
                     return;
@@ -103,9 +180,18 @@
                 if (end === "complete") {
                     res.end();
                 }
-                resume({ end, delivered: scanner.delivered(), outputTokens: scanner.delivered() });
+                else if (end === "callerStalled") {
+                    res.destroy();
+                }
+                distrustAfter(end);
+                const delivered = scanner.delivered();
+                resume({ end, delivered, outputTokens: end === "complete" ? delivered - 1 : delivered });
             };
-            stopBody = forwardEvents(answer.body, res, scanner, onEnd).stop;
+            if (callerGone.signal.aborted) {
+                onEnd("callerGone");
+                return;
+            }
+            stopBody = forwardEvents(answer.body, res, scanner, clock, onEnd).stop;
         },
         collect: (effect, resume) => {
             const answer = opened!;
@@ -113,16 +199,27 @@
             stopBody = collectBody(answer.body, dependencies.maxAnswerBytes, result => {
                 cancelDeadline();
                 stopBody = undefined;
+                distrustAfter(result.kind === "broken" ? result.end : "complete");
                 resume(result);
             }).stop;
+            if (callerGone.signal.aborted && openedCall?.outlivesCaller !== true) {
+                stopBody("callerGone");
+            }
         },
-        cancel: (effect, resume) => {
-            void dependencies.cancelStream(effect.upstream.address, effect.streamId);
+        claim: (effect, resume) => dependencies.claims.claim(effect.req, resume),
+        conclude: (effect, resume) => {
+            dependencies.claims.conclude(effect.key, effect.claimId, effect.conclusion);
             resume(undefined);
         },
-        wait: (effect, resume) => {
-            clock.after(effect.delayMs, () => resume(undefined));
+        cancel: (effect, resume) => {
+            clock.after(effect.delayMs, () => {
+                if (effect.isWanted()) {
+                    void dependencies.cancelStream(effect.upstream.address, effect.streamId);
+                }
+            });
+            resume(undefined);
         },
+        wait: (effect, resume) => wait(effect.delayMs, effect.outlivesCaller, resume),
         answer: (effect, resume) => {
             firstByteMs ??= clock.now();
             if (!res.destroyed) {
--- a/src/io/metrics/createMetrics.ts
+++ b/src/io/metrics/createMetrics.ts
@@ -13,6 +13,14 @@
     readonly refusals: Counter<"kind" | "customer">;
     /** Retries by reason. */
     readonly retries: Counter<"reason">;
+    /** Retries that were not made, by reason. */
+    readonly retryDenials: Counter<"reason">;
+    /** Appends to the claims stream. */
+    readonly claimAppends: Counter;
+    /** Records in those appends. */
+    readonly claimRecords: Counter;
+    /** Pauses of the process that were noticed. */
+    readonly processPauses: Counter;
     /** Prompt tokens by whether the engine had them cached. */
     readonly promptTokens: Counter<"cached">;
     /** Upstream answers that were discarded, by reason. */
@@ -54,6 +62,27 @@
             labelNames: ["reason"],
             registers,
         }),
+        retryDenials: new Counter({
+            name: "reedward_retry_denials_total",
+            help: "Retries that were not made, by reason.",
+            labelNames: ["reason"],
+            registers,
+        }),
+        claimAppends: new Counter({
+            name: "reedward_claim_appends_total",
+            help: "Appends to the claims stream.",
+            registers,
+        }),
+        claimRecords: new Counter({
+            name: "reedward_claim_records_total",
+            help: "Records in appends to the claims stream.",
+            registers,
+        }),
+        processPauses: new Counter({
+            name: "reedward_process_pauses_total",
+            help: "Pauses of the process that were noticed.",
+            registers,
+        }),
         promptTokens: new Counter({
             name: "reedward_prompt_tokens_total",
             help: "Prompt tokens by cache result.",
--- /dev/null
+++ b/src/io/upstream/createConnectionPools.ts
@@ -0,0 +1,87 @@
+/**
+ * @module
+ * Connections to upstreams: kept ones by address, new ones on demand, and none kept that may have gone silent.
+ */
+import { Client, type Dispatcher, Pool } from "undici";
+
+/** Connections by upstream address. */
+export interface ConnectionPools {
+    /** A dispatcher over kept connections. */
+    readonly getKept: (address: string) => Dispatcher;
+    /** A dispatcher over one new connection, closed after its first request. */
+    readonly openFresh: (address: string) => Dispatcher;
+    /** Never uses the kept connections of an address again; requests on them go on. */
+    readonly distrust: (address: string) => void;
+    /** Never uses any kept connection again; requests on them go on. */
+    readonly distrustAll: () => void;
+    readonly close: () => Promise<void>;
+}
+
+/** Options of {@link createConnectionPools}. */
+export interface ConnectionPoolsOptions {
+    readonly connectTimeoutMs: number;
+    /** Silence in a body after which it is given up, in milliseconds. */
+    readonly silenceTimeoutMs: number;
+}
+
+/** Addresses whose connections are kept; the least recently added one goes first. */
+const maxPools = 512;
+
+/** Connections kept to one address. */
+const maxConnections = 256;
+
+/**
+ * Creates empty pools.
+ *
+ * @param options - Time limits.
+ * @returns The pools.
+ */
+export function createConnectionPools(options: ConnectionPoolsOptions): ConnectionPools {
+    const pools = new Map<string, Pool>();
+    const retired = new Set<Dispatcher>();
+    const settings = {
+        connect: { timeout: options.connectTimeoutMs },
+        bodyTimeout: options.silenceTimeoutMs,
+        pipelining: 1,
+    };
+
+    function retire(dispatcher: Dispatcher): void {
+        retired.add(dispatcher);
+        const forget = () => retired.delete(dispatcher);
+        dispatcher.close().then(forget, forget);
+    }
+
+    function distrust(address: string): void {
+        const pool = pools.get(address);
+        if (pool !== undefined) {
+            pools.delete(address);
+            retire(pool);
+        }
+    }
+
+    function getKept(address: string): Dispatcher {
+        const found = pools.get(address);
+        if (found !== undefined) {
+            return found;
+        }
+        const oldest = pools.keys().next().value;
+        if (pools.size >= maxPools && oldest !== undefined) {
+            distrust(oldest);
+        }
+        const pool = new Pool(`http://${address}`, { ...settings, connections: maxConnections });
+        pools.set(address, pool);
+        return pool;
+    }
+
+    return {
+        getKept,
+        openFresh: address => new Client(`http://${address}`, settings),
+        distrust,
+        distrustAll: () => [...pools.keys()].forEach(distrust),
+        close: async () => {
+            const all = [...pools.values(), ...retired];
+            pools.clear();
+            await Promise.all(all.map(one => one.destroy()));
+        },
+    };
+}
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -3,8 +3,9 @@
  * Calls to upstreams over HTTP, with the outcome of a failure told apart as "not sent" or "lost".
  */
 import type { Readable } from "node:stream";
-import { Agent, type Dispatcher, request } from "undici";
+import { type Dispatcher, request } from "undici";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
+import { createConnectionPools } from "./createConnectionPools.js";
 
 /** The head of an upstream's answer with its body. */
 export interface OpenedAnswer {
@@ -14,12 +15,19 @@
 }
 
 /** Result of opening an answer. */
-export type OpenResult = OpenedAnswer | { readonly kind: "notSent" | "lost"; readonly detail: string; };
+export type OpenResult =
+    | OpenedAnswer
+    | { readonly kind: "notSent" | "lost"; readonly detail: string; }
+    | { readonly kind: "callerGone"; };
 
 /** A client for all upstreams of the instance. */
 export interface UpstreamClient {
     /** Sends a call and waits for the head of its answer; `signal` gives it up. */
-    readonly open: (call: UpstreamCall, signal: AbortSignal) => Promise<OpenResult>;
+    readonly open: (call: UpstreamCall, signal: AbortSignal | undefined) => Promise<OpenResult>;
+    /** Never uses a kept connection of the address again. */
+    readonly distrust: (address: string) => void;
+    /** Never uses any kept connection again, as after a pause of the process. */
+    readonly distrustAll: () => void;
     readonly close: () => Promise<void>;
 }
 
@@ -29,6 +37,8 @@
     /** Silence in a body after which it is given up, in milliseconds. */
     readonly silenceTimeoutMs: number;
     readonly onMismatch: (call: UpstreamCall) => void;
+    /** Called before each call; notices a pause of the process before its timers run. */
+    readonly beforeOpen?: () => void;
 }
 
 /** Error codes after which no byte of the call can have reached the upstream. */
@@ -39,7 +49,7 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-function toFailure(err: unknown): OpenResult {
+function toFailure(err: unknown): { readonly kind: "notSent" | "lost"; readonly detail: string; } {
     const code = err instanceof Error && "code" in err ? String(err.code) : "";
     const detail = err instanceof Error ? err.message : String(err);
     return { kind: notSentCodes.has(code) ? "notSent" : "lost", detail };
@@ -75,26 +85,40 @@
  * @returns The client.
  */
 export function createUpstreamClient(options: UpstreamClientOptions): UpstreamClient {
-    const agent = new Agent({
-        connect: { timeout: options.connectTimeoutMs },
-        bodyTimeout: options.silenceTimeoutMs,
-        pipelining: 1,
-    });
+    const pools = createConnectionPools(options);
 
-    async function open(call: UpstreamCall, signal: AbortSignal): Promise<OpenResult> {
+    async function send(call: UpstreamCall, signal: AbortSignal | undefined): Promise<Dispatcher.ResponseData> {
+        const { address } = call.upstream;
+        const dispatcher = call.isFreshConnection ? pools.openFresh(address) : pools.getKept(address);
+        const answer = request(`http://${address}${call.path}`, {
+            dispatcher,
+            method: call.method as Dispatcher.HttpMethod,
+            headers: call.headers,
+            headersTimeout: call.timeoutMs,
+            ...(call.body === undefined ? {} : { body: call.body }),
+            ...(signal === undefined ? {} : { signal }),
+        });
+        if (call.isFreshConnection) {
+            void dispatcher.close().catch(() => undefined);
+        }
+        return await answer;
+    }
+
+    async function open(call: UpstreamCall, signal: AbortSignal | undefined): Promise<OpenResult> {
+        options.beforeOpen?.();
         let res: Dispatcher.ResponseData;
         try {
-            res = await request(`http://${call.upstream.address}${call.path}`, {
-                dispatcher: agent,
-                method: call.method as Dispatcher.HttpMethod,
-                headers: call.headers,
-                body: call.body,
-                headersTimeout: call.timeoutMs,
-                signal,
-            });
+            res = await send(call, signal);
         }
         catch (err) {
-            return toFailure(err);
+            if (signal?.aborted === true) {
+                return { kind: "callerGone" };
+            }
+            const failure = toFailure(err);
+            if (failure.kind === "lost") {
+                pools.distrust(call.upstream.address);
+            }
+            return failure;
         }
         if (readText(res.headers, "x-correlation-id") !== call.correlationId) {
             res.body.on("error", () => undefined).destroy();
@@ -104,5 +128,5 @@
         return { kind: "answered", head: readHead(res), body: res.body };
     }
 
-    return { open, close: () => agent.destroy() };
+    return { open, distrust: pools.distrust, distrustAll: pools.distrustAll, close: pools.close };
 }
--- a/src/io/upstream/forwardEvents.ts
+++ b/src/io/upstream/forwardEvents.ts
@@ -6,6 +6,7 @@
 import type { Readable } from "node:stream";
 import type { ForwardEnd } from "../../core/effects/effectTypes.js";
 import type { EventScanner } from "../../core/stream/createEventScanner.js";
+import type { CancelTimer, Clock } from "../../core/time/clock.js";
 
 /** A forwarding that was started. */
 export interface Forwarding {
@@ -13,17 +14,25 @@
     readonly stop: (end: ForwardEnd) => void;
 }
 
+/** Time that a caller may leave its socket full, in milliseconds. */
+const callerStallMs = 30_000;
+
+/** Largest event, in bytes; a longer one is malformed. */
+const maxEventBytes = 1 << 20;
+
 function toEnd(err: Error): ForwardEnd {
     return "code" in err && err.code === "UND_ERR_BODY_TIMEOUT" ? "silent" : "cut";
 }
 
 /**
  * Forwards events until the stream ends, breaks or is stopped. Bytes of an incomplete event are never sent. A slow
- * caller pauses the upstream's body, so that at most the socket buffers are held in memory.
+ * caller pauses the upstream's body, so that at most the socket buffers are held in memory, and is given up when its
+ * socket stays full.
  *
  * @param body - Body of the upstream's answer.
  * @param res - The caller's answer, its head already written.
  * @param scanner - Checks order and end; carries over to the next connection.
+ * @param clock - Bounds the time that a caller may stall.
  * @param onEnd - Called once with the reason of the end.
  * @returns The forwarding, to stop it.
  */
@@ -31,33 +40,52 @@
     body: Readable,
     res: ServerResponse,
     scanner: EventScanner,
+    clock: Clock,
     onEnd: (end: ForwardEnd) => void,
 ): Forwarding {
     let rest: Buffer | undefined;
     let isOver = false;
-    const onDrain = () => body.resume();
+    let cancelStall: CancelTimer = () => undefined;
+    scanner.reopen();
 
     function finish(end: ForwardEnd): void {
         if (isOver) {
             return;
         }
         isOver = true;
+        cancelStall();
         res.off("drain", onDrain);
+        body.off("data", takeChunk);
         body.destroy();
         onEnd(end);
     }
 
+    function onDrain(): void {
+        cancelStall();
+        body.resume();
+    }
+
+    function waitForDrain(): void {
+        body.pause();
+        cancelStall();
+        cancelStall = clock.after(callerStallMs, () => finish("callerStalled"));
+    }
+
     function takeChunk(chunk: Buffer): void {
         const bytes = rest === undefined ? chunk : Buffer.concat([rest, chunk]);
-        const whole = scanner.scan(bytes);
-        rest = whole === bytes.length ? undefined : bytes.subarray(whole);
-        if (whole > 0 && !res.write(whole === bytes.length ? bytes : bytes.subarray(0, whole))) {
-            body.pause();
+        const end = scanner.scan(bytes);
+        const start = scanner.freshStart();
+        rest = end === bytes.length ? undefined : bytes.subarray(end);
+        if (end > start && !res.write(start === 0 && end === bytes.length ? bytes : bytes.subarray(start, end))) {
+            waitForDrain();
         }
         const state = scanner.state();
         if (state !== "open") {
             finish(state === "ended" ? "complete" : "outOfOrder");
         }
+        else if (rest !== undefined && rest.length > maxEventBytes) {
+            finish("outOfOrder");
+        }
     }
 
     res.on("drain", onDrain);
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -11,12 +11,16 @@
 import { runSteps } from "./core/effects/runSteps.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
 import type { Member } from "./core/membership/memberTypes.js";
+import { createRetryBudget } from "./core/request/createRetryBudget.js";
+import { createStreamReaders } from "./core/request/createStreamReaders.js";
 import type { ModelRequest, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
+import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { applyChange } from "./io/catalogue/applyChange.js";
 import { followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { createLogClaims } from "./io/claims/createLogClaims.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
@@ -50,6 +54,9 @@
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
+/** Retries that repeat work: a fifth of traffic, and a reserve for failures that strike many requests at once. */
+const retryBudgetOptions = { share: 0.2, reserve: 100 } as const;
+
 function listen(server: Server, address: string): Promise<string> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -78,11 +85,34 @@
     const upstreams = createUpstreamClient({
         connectTimeoutMs: settings.connectTimeoutMs,
         silenceTimeoutMs: settings.silenceTimeoutMs,
+        beforeOpen: () => pauses.check(),
         onMismatch: call => {
             metrics.discardedAnswers.inc({ reason: "correlation" });
             writeLog("answerMismatched", { upstream: call.upstream.id, requestId: call.correlationId });
         },
     });
+    const pauses = createPauseDetector(clock, pausedMs => {
+        metrics.processPauses.inc();
+        writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
+        upstreams.distrustAll();
+    });
+    const claims = createLogClaims({
+        log,
+        clock,
+        onAppend: records => {
+            metrics.claimAppends.inc();
+            metrics.claimRecords.inc(records);
+        },
+    });
+    const readers = createStreamReaders();
+    const retrying = {
+        retryBudget: createRetryBudget(retryBudgetOptions),
+        countRetry: (reason: string) => metrics.retries.inc({ reason }),
+        countDenial: (reason: string) => metrics.retryDenials.inc({ reason }),
+        now: clock.now,
+        random: Math.random,
+        silenceTimeoutMs: settings.silenceTimeoutMs,
+    };
     const inFlight = new Map<string, number>();
     let callerAddress = settings.advertise ?? settings.listen;
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
@@ -114,8 +144,8 @@
         listCandidates: model => listServing(model, "engine"),
         countInFlight: upstream => inFlight.get(upstream) ?? 0,
     });
-    const countRetry = (reason: string) => metrics.retries.inc({ reason });
-    const exchangeDependencies = { clock, admission, upstreams, cancelStream: engines.cancelStream, maxAnswerBytes };
+    const { cancelStream } = engines;
+    const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
 
     function noteEnd(kind: string, exchange: Exchange, arrivedMs: number, result: string, customer: string): void {
         metrics.inProgress.dec();
@@ -142,8 +172,8 @@
             chooseUpstream,
             trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
             reportFeedback: () => undefined,
-            countRetry,
-            now: clock.now,
+            readers,
+            ...retrying,
         });
         runSteps(steps, exchange.handlers, report => {
             noteModelEnd(report);
@@ -162,7 +192,7 @@
                     ? -1
                     : 1
             );
-        const steps = serveServiceRequest(req, { rankUpstreams, countRetry, now: clock.now });
+        const steps = serveServiceRequest(req, { rankUpstreams, wallNow: clock.wallNow, ...retrying });
         runSteps(steps, exchange.handlers, report => {
             noteEnd("service", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
             writeLog("requestEnded", { requestId: req.requestId, ...report });
@@ -211,6 +241,8 @@
     });
 
     async function start(): Promise<void> {
+        pauses.start();
+        claims.start();
         follower = followCatalogue({
             log,
             clock,
@@ -236,6 +268,8 @@
         writeLog("stopping");
         polling?.stop();
         follower?.stop();
+        claims.stop();
+        pauses.stop();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
