--- a/src/core/claims/createClaimKeeper.ts
+++ b/src/core/claims/createClaimKeeper.ts
@@ -59,6 +59,10 @@
     readonly cancelTimer: CancelTimer;
 }
 
+interface EarlyClaim {
+    readonly retry: () => void;
+}
+
 function createEndRecord(key: string, claimId: string, end: ClaimEnd, atMs: number): ClaimRecord {
     if (end.kind === "unknown") {
         return { type: "unknown", key, claimId, atMs };
@@ -92,6 +96,7 @@
     const ledger = createClaimLedger(ledgerOptions);
     const appender = createRecordAppender(dependencies);
     const waiting = new Map<string, Set<WaitingClaim>>();
+    const early = new Set<EarlyClaim>();
     const abandoned = new Map<string, string>();
     let isFollowing = false;
     let isStopped = false;
@@ -157,7 +162,6 @@
             const first = page.records[0] === undefined ? undefined : parseClaimRecord(page.records[0].payload);
             ledger.skipTo(page.firstKept, first?.atMs ?? clock.wallNow());
         }
-        isFollowing = true;
         for (const record of page.records) {
             ledger.take(record.offset, record.payload);
             const parsed = parseClaimRecord(record.payload);
@@ -168,6 +172,27 @@
                 }
             }
         }
+        if (!isFollowing) {
+            isFollowing = true;
+            early.forEach(one => one.retry());
+        }
+    }
+
+    /** Holds a claim back until the stream was read for the first time. */
+    function waitForLog(req: ClaimRequest, decide: WaitingClaim["decide"]): void {
+        const limitMs = Math.min(Math.max(0, req.deadlineMs - clock.now()), claimTimeoutMs);
+        const cancelTimer = clock.after(limitMs, () => {
+            early.delete(one);
+            decide({ kind: "unavailable", detail: "the claims were not read yet" });
+        });
+        const one: EarlyClaim = {
+            retry: () => {
+                cancelTimer();
+                early.delete(one);
+                claim(req, decide);
+            },
+        };
+        early.add(one);
     }
 
     function follow(): void {
@@ -214,7 +239,7 @@
             return;
         }
         if (!isFollowing) {
-            decide({ kind: "unavailable", detail: "the claims were not read yet" });
+            waitForLog(req, decide);
             return;
         }
         if (!isComplete(req.issuedMs)) {
