Route each request to engines that serve its weights version

Cause: after a change of a model's version every engine answered not-run until it had loaded the new weights. Conclusion: completions over real sockets are answered throughout a rollout.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -99,3 +99,8 @@
         Then it exits with 0 and prints "done"
         When reedwardctl runs "orders"
         Then it exits with 0 and prints "easy-read@v2"
+
+    Scenario: Callers are served throughout a rollout on real sockets
+        Given a fleet of 2 daemons that know each other
+        When the model is changed to weights version "v2" by reedwardctl
+        Then every completion is answered until all engines serve "v2"
--- a/src/core/orders/index.ts
+++ b/src/core/orders/index.ts
@@ -6,4 +6,5 @@
 export * from "./hasOrderWork.js";
 export * from "./listWatchedEngines.js";
 export * from "./planOrders.js";
+export * from "./routeToVersion.js";
 export * from "./weightsVersions.js";
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -10,6 +10,7 @@
 import { type Catalogue, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
+import { blockCharacters } from "./core/constants.js";
 import { runSteps } from "./core/effects/runSteps.js";
 import type { Refusal } from "./core/errors/createRefusal.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
@@ -17,13 +18,19 @@
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
 import { hasOrderWork } from "./core/orders/hasOrderWork.js";
+import { routeToVersion } from "./core/orders/routeToVersion.js";
+import { chooseWeightsVersion } from "./core/orders/weightsVersions.js";
+import { createRetryBudget } from "./core/request/createRetryBudget.js";
+import { createStreamReaders } from "./core/request/createStreamReaders.js";
 import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
+import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createReportRing } from "./core/why/createReportRing.js";
 import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
+import { createLogClaims } from "./io/claims/createLogClaims.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
@@ -63,12 +70,18 @@
 /** Instances that contend for the lease under which orders are given. */
 const leaseContenders = 3;
 
+/** Leading characters of a prompt that decide its weights version during a rollout. */
+const versionKeyCharacters = 4 * blockCharacters;
+
 /** Ended requests that `reedwardctl why` can explain. */
 const keptReports = 2_000;
 
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
+/** Retries that repeat work: a fifth of traffic, and a reserve for failures that strike many requests at once. */
+const retryBudgetOptions = { share: 0.2, reserve: 100 } as const;
+
 function listen(server: Server, address: string): Promise<string> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -97,11 +110,34 @@
     const upstreams = createUpstreamClient({
         connectTimeoutMs: settings.connectTimeoutMs,
         silenceTimeoutMs: settings.silenceTimeoutMs,
+        beforeOpen: () => pauses.check(),
         onMismatch: call => {
             metrics.discardedAnswers.inc({ reason: "correlation" });
             writeLog("answerMismatched", { upstream: call.upstream.id, requestId: call.correlationId });
         },
     });
+    const pauses = createPauseDetector(clock, pausedMs => {
+        metrics.processPauses.inc();
+        writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
+        upstreams.distrustAll();
+    });
+    const claims = createLogClaims({
+        log,
+        clock,
+        onAppend: records => {
+            metrics.claimAppends.inc();
+            metrics.claimRecords.inc(records);
+        },
+    });
+    const readers = createStreamReaders();
+    const retrying = {
+        retryBudget: createRetryBudget(retryBudgetOptions),
+        countRetry: (reason: string) => metrics.retries.inc({ reason }),
+        countDenial: (reason: string) => metrics.retryDenials.inc({ reason }),
+        now: clock.now,
+        random: Math.random,
+        silenceTimeoutMs: settings.silenceTimeoutMs,
+    };
     const inFlight = new Map<string, number>();
     const reports = createReportRing(keptReports);
     let callerAddress = settings.advertise ?? settings.listen;
@@ -136,8 +172,8 @@
         listCandidates: model => listServing(model, "engine"),
         countInFlight: upstream => inFlight.get(upstream) ?? 0,
     });
-    const countRetry = (reason: string) => metrics.retries.inc({ reason });
-    const exchangeDependencies = { clock, admission, upstreams, cancelStream: engines.cancelStream, maxAnswerBytes };
+    const { cancelStream } = engines;
+    const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
 
     function noteEnd(kind: string, exchange: Exchange, arrivedMs: number, result: string, customer: string): void {
         metrics.inProgress.dec();
@@ -167,16 +203,24 @@
         };
     }
 
+    /** During a rollout, requests with the same beginning are sent for the same weights version. */
+    function withServedVersion(req: ModelRequest): ModelRequest {
+        const { model, customer, prompt } = req;
+        const key = hashText(prompt.slice(0, versionKeyCharacters), hashText(customer.id));
+        const weightsVersion = chooseWeightsVersion(catalogue(), model.id, key) ?? model.weightsVersion;
+        return weightsVersion === model.weightsVersion ? req : { ...req, model: { ...model, weightsVersion } };
+    }
+
     function serveModel(req: ModelRequest, res: ServerResponse): void {
         const arrivedMs = clock.now();
         const exchange = createExchange(req.requestId, res, exchangeDependencies);
         metrics.inProgress.inc();
-        const steps = serveModelRequest(req, {
-            chooseUpstream,
+        const steps = serveModelRequest(withServedVersion(req), {
+            chooseUpstream: routeToVersion(chooseUpstream, catalogue),
             trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
             reportFeedback: () => undefined,
-            countRetry,
-            now: clock.now,
+            readers,
+            ...retrying,
         });
         runSteps(steps, exchange.handlers, report => {
             noteModelEnd(report);
@@ -201,7 +245,7 @@
                     ? -1
                     : 1
             );
-        const steps = serveServiceRequest(req, { rankUpstreams, countRetry, now: clock.now });
+        const steps = serveServiceRequest(req, { rankUpstreams, wallNow: clock.wallNow, ...retrying });
         runSteps(steps, exchange.handlers, report => {
             noteEnd("service", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
             writeLog("requestEnded", { requestId: req.requestId, ...report });
@@ -303,6 +347,8 @@
     }
 
     async function start(): Promise<void> {
+        pauses.start();
+        claims.start();
         follower = followCatalogue({
             log,
             clock,
@@ -381,6 +427,8 @@
         instanceList?.stop();
         fleet?.stop();
         follower?.stop();
+        claims.stop();
+        pauses.stop();
         stopSnapshots();
         stopOrders();
         for (const server of [callerServer, peerServer]) {
