--- a/src/core/catalogue/catalogueEntry.ts
+++ b/src/core/catalogue/catalogueEntry.ts
@@ -3,8 +3,8 @@
  * The catalogue's entries and changes, with the schema that every record of the log is checked against.
  */
 import { z } from "zod";
+import { identifier } from "./identifier.js";
 
-const identifier = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, "expected 1 to 63 of a-z, 0-9, \".\", \"_\", \"-\"");
 const hostAndPort = z.string().regex(
     /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
     "expected an IP number and a port, as 10.0.0.1:8080",
