Put fleet-wide limits in force on the daemon

Cause: the daemon divided limits by its own count of members, which is not safe when views differ. Change: seats on the log's share stream, loans by tRPC between instances, the ledger handed to restarted instances, use of limits fleet-wide for operators; static admission is gone.

--- a/src/core/limits/createAdmission.ts
+++ b/src/core/limits/createAdmission.ts
@@ -147,7 +147,7 @@
     function mayGrow(account: ShareAccount, waitingCount: number): boolean {
         const fraction = account.rate.fraction();
         const isWithoutShare = fraction <= leastShare;
-        return fraction < account.neededFraction() && (isWithoutShare || waitingCount < maxWaitingForLoan);
+        return isWithoutShare || (fraction < account.neededFraction() && waitingCount < maxWaitingForLoan);
     }
 
     function findRefusal(waiting: Waiting, account: ShareAccount): Refusal | undefined {
--- a/src/core/limits/createLoanDesk.ts
+++ b/src/core/limits/createLoanDesk.ts
@@ -90,7 +90,7 @@
     function createAsk(account: ShareAccount, customer: string, lender: string, deficit: number): LoanAsk | undefined {
         const loan = account.rate.findLoanIn(lender);
         const held = loan?.fraction ?? 0;
-        const fraction = Math.max(0, held + deficit);
+        const fraction = Math.max(deficit > 0 ? leastFraction : 0, held + deficit);
         const onLender = account.flights.countOnLender(lender);
         const flightLoan = account.flights.findLoanIn(lender);
         const usable = flightLoan !== undefined && flightLoan.untilMs > now() ? flightLoan.permits : onLender;
--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -4,9 +4,11 @@
  */
 export * from "./admissionTypes.js";
 export * from "./createAdmission.js";
+export * from "./createLimits.js";
 export * from "./createLoanDesk.js";
 export * from "./createSeatKeeper.js";
 export * from "./createShareBook.js";
-export * from "./createStaticAdmission.js";
 export * from "./foldSeatRecord.js";
+export * from "./loanCodec.js";
+export * from "./seatSnapshot.js";
 export * from "./shareTypes.js";
--- a/src/core/ports/logPort.ts
+++ b/src/core/ports/logPort.ts
@@ -6,7 +6,7 @@
 import type { PortFailure } from "./portFailure.js";
 
 /** Streams that the system keeps on the log. */
-export type LogStream = "catalogue" | "claims" | "leases" | "snapshots" | "orders";
+export type LogStream = "catalogue" | "claims" | "leases" | "snapshots" | "orders" | "shares";
 
 /** One record of a log stream. */
 export interface LogRecord {
--- /dev/null
+++ b/src/io/limits/readCustomerUse.ts
@@ -0,0 +1,81 @@
+/**
+ * @module
+ * Use of every customer's limits over the whole fleet, for operators.
+ */
+import { type Catalogue, listEntries } from "../../core/catalogue/catalogue.js";
+import type { ClassOfService, CustomerLimits } from "../../core/catalogue/catalogueEntry.js";
+import { combineAmounts, noAmounts } from "../../core/limits/shareMath.js";
+import type { Amounts, ShareUse } from "../../core/limits/shareTypes.js";
+import type { Member } from "../../core/membership/memberTypes.js";
+import type { PeerClients } from "../peers/createPeerClient.js";
+
+/** One customer's use against its limits. */
+export interface CustomerUse {
+    readonly customer: string;
+    readonly owner: string;
+    readonly classOfService: ClassOfService;
+    readonly limits: CustomerLimits;
+    /** What is admitted a second, over the instances that answered. */
+    readonly admittedPerSecond: Amounts;
+    readonly inFlight: number;
+}
+
+/** The answer to an operator. */
+export interface CustomerUseReport {
+    readonly customers: readonly CustomerUse[];
+    /** Instances that are believed to be alive but did not answer; their use is missing. */
+    readonly unanswered: readonly string[];
+}
+
+/** What reading needs. */
+export interface CustomerUseDependencies {
+    readonly catalogue: () => Catalogue;
+    readonly members: () => readonly Member[];
+    readonly instance: string;
+    readonly clients: PeerClients;
+    readonly listOwnUse: () => readonly ShareUse[];
+}
+
+function sumUse(uses: readonly ShareUse[]): Pick<CustomerUse, "admittedPerSecond" | "inFlight"> {
+    return {
+        admittedPerSecond: uses.reduce(
+            (sum, use) => combineAmounts(sum, use.admittedPerSecond, (left, right) => left + right),
+            noAmounts,
+        ),
+        inFlight: uses.reduce((sum, use) => sum + use.inFlight, 0),
+    };
+}
+
+/**
+ * Asks every member for its use and adds it up.
+ *
+ * @param dependencies - The catalogue, the members and this instance's own use.
+ * @returns Use by customer, and who did not answer.
+ */
+export async function readCustomerUse(dependencies: CustomerUseDependencies): Promise<CustomerUseReport> {
+    const peers = dependencies.members().filter(member =>
+        member.instance !== dependencies.instance && member.state !== "dead"
+    );
+    const answers = await Promise.allSettled(
+        peers.map(peer => dependencies.clients.connect(peer.peerAddress).limits.use.query()),
+    );
+    const uses = [
+        ...dependencies.listOwnUse(),
+        ...answers.flatMap(answer => answer.status === "fulfilled" ? answer.value : []),
+    ];
+    const byCustomer = new Map<string, ShareUse[]>();
+    for (const use of uses) {
+        byCustomer.set(use.customer, [...byCustomer.get(use.customer) ?? [], use]);
+    }
+    const customers = listEntries(dependencies.catalogue(), "customer").map((
+        { id, owner, classOfService, limits },
+    ) => ({
+        customer: id,
+        owner,
+        classOfService,
+        limits,
+        ...sumUse(byCustomer.get(id) ?? []),
+    }));
+    const unanswered = peers.filter((_, index) => answers[index]!.status === "rejected").map(peer => peer.instance);
+    return { customers, unanswered };
+}
--- a/src/io/operator/createOperatorService.ts
+++ b/src/io/operator/createOperatorService.ts
@@ -10,6 +10,7 @@
 import type { ReportRing } from "../../core/why/createReportRing.js";
 import { applyChange } from "../catalogue/applyChange.js";
 import type { CatalogueFollower } from "../catalogue/followCatalogue.js";
+import type { CustomerUseReport } from "../limits/readCustomerUse.js";
 import { giveOrder } from "../orders/giveOrder.js";
 import type { OperatorService } from "./operatorRouter.js";
 import { readUpstreamStates } from "./readUpstreamStates.js";
@@ -24,6 +25,7 @@
     readonly isReady: () => boolean;
     readonly readState: EnginePort["readState"];
     readonly reports: ReportRing;
+    readonly readCustomerUse: () => Promise<CustomerUseReport>;
 }
 
 /**
@@ -47,6 +49,7 @@
         applyChange: payload => applyChange(payload, { log, clock, follower: follower() }),
         giveOrder: payload => giveOrder(payload, { log, clock, follower: follower() }),
         readUpstreamStates: () => readUpstreamStates(follower().current(), dependencies.readState),
+        readCustomerUse: dependencies.readCustomerUse,
         why: requestId => dependencies.reports.find(requestId),
     };
 }
--- a/src/io/operator/operatorRouter.ts
+++ b/src/io/operator/operatorRouter.ts
@@ -7,6 +7,7 @@
 import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { Member } from "../../core/membership/memberTypes.js";
 import type { RequestReport } from "../../core/why/createReportRing.js";
+import type { CustomerUseReport } from "../limits/readCustomerUse.js";
 import { requireCaller, trpc } from "../peers/trpcBase.js";
 import type { UpstreamState } from "./readUpstreamStates.js";
 
@@ -42,6 +43,8 @@
     readonly applyChange: (payload: string) => Promise<ApplyAnswer>;
     readonly giveOrder: (payload: string) => Promise<OrderAnswer>;
     readonly readUpstreamStates: () => Promise<readonly UpstreamState[]>;
+    /** Use of every customer's limits over the whole fleet. */
+    readonly readCustomerUse: () => Promise<CustomerUseReport>;
     /** How a request ended, while it is remembered. */
     readonly why: (requestId: string) => RequestReport | undefined;
 }
@@ -69,6 +72,7 @@
         applyChange: operatorProcedure.input(change).mutation(({ input }) => service.applyChange(input)),
         giveOrder: operatorProcedure.input(order).mutation(({ input }) => service.giveOrder(input)),
         readUpstreamStates: operatorProcedure.query(() => service.readUpstreamStates()),
+        customers: operatorProcedure.query(() => service.readCustomerUse()),
         why: operatorProcedure.input(requestId).query(({ input }) => service.why(input)),
     });
 }
--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -8,6 +8,7 @@
 import { maxAttachmentBytes } from "../../core/membership/createAttachmentExchange.js";
 import type { Member } from "../../core/membership/memberTypes.js";
 import type { ProbeAnswer, ProbeRequest, RelayAnswer, RelayRequest } from "../../core/membership/peerMessages.js";
+import { createLimitsRouter, type LimitsService } from "../limits/limitsRouter.js";
 import { createOperatorRouter, type OperatorService } from "../operator/operatorRouter.js";
 import { requireCaller, trpc } from "./trpcBase.js";
 
@@ -25,6 +26,7 @@
     readonly relay: (req: RelayRequest) => Promise<RelayAnswer>;
     readonly listMembers: () => readonly Member[];
     readonly exchange: () => RestartState;
+    readonly limits: LimitsService;
 }
 
 const maxMessageUpdates = 32;
@@ -66,6 +68,7 @@
             members: peerProcedure.query(() => service.listMembers()),
             exchange: peerProcedure.query(() => service.exchange()),
         }),
+        limits: createLimitsRouter(service.limits),
         operator: createOperatorRouter(operatorService),
     });
 }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -7,14 +7,18 @@
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
-import { type Catalogue, listEntries } from "./core/catalogue/catalogue.js";
+import { type Catalogue, findEntry, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
 import { blockCharacters } from "./core/constants.js";
 import { runSteps } from "./core/effects/runSteps.js";
 import type { Refusal } from "./core/errors/createRefusal.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
-import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
+import type { Admission } from "./core/limits/admissionTypes.js";
+import { createLimits, type Limits } from "./core/limits/createLimits.js";
+import { decodeLoanAnswer, decodeLoanRequest, encodeLoanAnswer, encodeLoanRequest } from "./core/limits/loanCodec.js";
+import { decodeSeatLedger, encodeSeatLedger } from "./core/limits/seatSnapshot.js";
+import type { LoanAnswer, LoanRequest } from "./core/limits/shareTypes.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
 import { hasOrderWork } from "./core/orders/hasOrderWork.js";
@@ -34,6 +38,8 @@
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
+import { followSeats } from "./io/limits/followSeats.js";
+import { readCustomerUse } from "./io/limits/readCustomerUse.js";
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
 import { createOperatorService } from "./io/operator/createOperatorService.js";
@@ -76,6 +82,9 @@
 /** Ended requests that `reedwardctl why` can explain. */
 const keptReports = 2_000;
 
+/** Factor by which the instances together may pass the engines' slots, as demand is seldom equal on all. */
+const slotOvercommit = 4;
+
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
@@ -149,11 +158,21 @@
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
+    let limits: Limits | undefined;
 
     /** Subjects whose payloads ride on the messages between peers. */
     const peerAttachments: readonly PeerAttachment[] = [];
     /** Subjects whose state a restarted instance takes from a peer. */
-    const restartSlots: readonly RestartSlot[] = [];
+    const restartSlots: readonly RestartSlot[] = [{
+        name: "limits",
+        collect: () => limits === undefined ? undefined : encodeSeatLedger(limits.keeper.ledger()),
+        adopt: payload => {
+            const ledger = decodeSeatLedger(payload);
+            if (ledger !== undefined) {
+                limits?.keeper.adopt(ledger);
+            }
+        },
+    }];
 
     const catalogue = () => follower!.current();
     const membership = () => fleet!.view();
@@ -164,10 +183,12 @@
             .filter(one => one.role === role && !one.leaving && one.serves.includes(id));
     }
 
-    const admission = createStaticAdmission({
-        clock,
-        countInstances: () => Math.max(1, membership().members.filter(member => member.state !== "dead").length),
-    });
+    const seats = followSeats({ log, clock, keeper: () => limits!.keeper });
+    const admission: Admission = {
+        admit: (req, decide) => limits!.admission.admit(req, decide),
+        cancel: requestId => limits?.admission.cancel(requestId),
+        settle: (requestId, used) => limits?.admission.settle(requestId, used),
+    };
     const chooseUpstream = createRendezvousRouter({
         listCandidates: model => listServing(model, "engine"),
         countInFlight: upstream => inFlight.get(upstream) ?? 0,
@@ -280,6 +301,7 @@
             probe: req => fleet!.handleProbe(req),
             relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
             listMembers: () => membership().members,
+            limits: { borrow: answerLoanRequest, listUse: () => limits?.listUse() ?? [] },
             exchange: () => ({
                 catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
                 members: membership().members,
@@ -298,6 +320,14 @@
             isReady,
             readState: engines.readState,
             reports,
+            readCustomerUse: () =>
+                readCustomerUse({
+                    catalogue,
+                    members: () => membership().members,
+                    instance: settings.instance,
+                    clients: peers,
+                    listOwnUse: () => limits?.listUse() ?? [],
+                }),
         }),
         {
             peerSecret: settings.peerSecret,
@@ -306,6 +336,50 @@
         },
     );
 
+    function answerLoanRequest(payload: string): string | undefined {
+        const req = decodeLoanRequest(payload);
+        const answer = req === undefined ? undefined : limits?.answerLoan(req);
+        return answer === undefined ? undefined : encodeLoanAnswer(answer);
+    }
+
+    /** A request that gets no answer is repeated by a later round. */
+    function sendLoanRequest(lender: string, req: LoanRequest, onAnswer: (answer: LoanAnswer) => void): void {
+        const member = membership().members.find(one => one.instance === lender && one.state !== "dead");
+        if (member === undefined) {
+            return;
+        }
+        peers.connect(member.peerAddress).limits.borrow.mutate(encodeLoanRequest(req)).then(payload => {
+            const answer = payload === undefined ? undefined : decodeLoanAnswer(payload, req);
+            if (answer !== undefined) {
+                onAnswer(answer);
+            }
+        }).catch(() => undefined);
+    }
+
+    const countAlive = () => membership().members.filter(member => member.state === "alive").length;
+
+    function countSlots(): number {
+        const engines = listEntries(catalogue(), "upstream").filter(one => one.role === "engine" && !one.leaving);
+        const slots = engines.reduce((sum, one) => sum + one.slots, 0);
+        return Math.max(1, Math.ceil((slots * slotOvercommit) / Math.max(1, countAlive())));
+    }
+
+    function startLimits(): void {
+        limits = createLimits({
+            clock,
+            instance: settings.instance,
+            incarnation: randomUUID(),
+            findLimits: customer => findEntry(catalogue(), "customer", customer)?.limits,
+            countAlive,
+            countSlots,
+            preset: () => findEntry(catalogue(), "policy", "policy")?.preset ?? "lectura",
+            random: Math.random,
+            sendLoanRequest,
+            appendRecord: seats.append,
+        });
+        seats.start();
+    }
+
     /** Few instances contend for the lease, so that the log is not read by all while there is work. */
     function isContender(): boolean {
         const key = hashText("orders");
@@ -369,6 +443,7 @@
             });
         }
         startOrders(loaded);
+        startLimits();
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
@@ -424,6 +499,7 @@
         isStopping = true;
         writeLog("stopping");
         restart?.stop();
+        limits?.stop();
         instanceList?.stop();
         fleet?.stop();
         follower?.stop();
@@ -435,6 +511,7 @@
             server.close();
             server.closeAllConnections();
         }
+        await seats.stop();
         await Promise.all([upstreams.close(), peers.close(), json.close()]);
         writeLog("stopped");
     }
