--- a/bench/histories/createInstanceModel.ts
+++ b/bench/histories/createInstanceModel.ts
@@ -70,7 +70,20 @@
     const ownClock: Clock = {
         now: clock.now,
         wallNow: clock.wallNow,
-        after: (delayMs, action) => clock.after(delayMs, bind(action)),
+        after: (delayMs, action) => {
+            let isCancelled = false;
+            clock.after(
+                delayMs,
+                bind(() => {
+                    if (!isCancelled) {
+                        action();
+                    }
+                }),
+            );
+            return () => {
+                isCancelled = true;
+            };
+        },
     };
 
     function start(): void {
