Hand a released key on to the repeats that wait for it

A repeat that waited for a holder kept waiting for its whole deadline after the holder had released the key. It now claims the key itself, and a claim that lost the race waits as a repeat.

--- a/src/core/claims/createClaimKeeper.ts
+++ b/src/core/claims/createClaimKeeper.ts
@@ -97,7 +97,8 @@
     const appender = createRecordAppender(dependencies);
     const waiting = new Map<string, Set<WaitingClaim>>();
     const early = new Set<EarlyClaim>();
-    const abandoned = new Map<string, string>();
+    /** Claim ids that were given up, with the time until which their records may show up. */
+    const abandoned = new Map<string, number>();
     let isFollowing = false;
     let isStopped = false;
 
@@ -114,13 +115,18 @@
         return held.end === undefined ? undefined : { kind: "ended", end: held.end };
     }
 
-    function settle(one: WaitingClaim, verdict: ClaimVerdict): void {
+    /** Takes a claim out of the waiting ones. */
+    function remove(one: WaitingClaim): void {
         const group = waiting.get(one.req.key);
         group?.delete(one);
         if (group?.size === 0) {
             waiting.delete(one.req.key);
         }
         one.cancelTimer();
+    }
+
+    function settle(one: WaitingClaim, verdict: ClaimVerdict): void {
+        remove(one);
         if (one.claimId !== undefined && verdict.kind !== "won") {
             abandon(one.req.key, one.claimId);
         }
@@ -132,11 +138,21 @@
         if (appender.withdraw(claimId)) {
             return;
         }
-        abandoned.set(claimId, key);
-        clock.after(claimMarginMs, () => abandoned.delete(claimId));
+        forgetAbandoned();
+        abandoned.set(claimId, clock.now() + claimMarginMs);
         releaseAbandoned(key, claimId);
     }
 
+    /** Forgets claims whose records can't show up any more. */
+    function forgetAbandoned(): void {
+        for (const [claimId, untilMs] of abandoned) {
+            if (untilMs > clock.now()) {
+                return;
+            }
+            abandoned.delete(claimId);
+        }
+    }
+
     function releaseAbandoned(key: string, claimId: string): void {
         if (ledger.find(key)?.claimId === claimId) {
             abandoned.delete(claimId);
@@ -144,14 +160,35 @@
         }
     }
 
+    /** Waits for the end of another holder's call in place of its own claim, which has lost. */
+    function joinHolder(one: WaitingClaim): void {
+        if (one.claimId !== undefined) {
+            remove(one);
+            abandon(one.req.key, one.claimId);
+            wait(one.req, undefined, one.decide);
+        }
+    }
+
+    /** A repeat that waited for a holder claims the key itself once the holder has released it. */
+    function claimAgain(one: WaitingClaim): void {
+        if (one.claimId === undefined) {
+            remove(one);
+            claim(one.req, one.decide);
+        }
+    }
+
     function wake(key: string): void {
         const held = ledger.find(key);
-        if (held === undefined) {
-            return;
-        }
         for (const one of [...waiting.get(key) ?? []]) {
+            if (held === undefined) {
+                claimAgain(one);
+                continue;
+            }
             const verdict = judgeHeld(one.req, held, one.claimId);
-            if (verdict !== undefined) {
+            if (verdict === undefined) {
+                joinHolder(one);
+            }
+            else {
                 settle(one, verdict);
             }
         }
