--- /dev/null
+++ b/src/core/cache/createCacheView.ts
@@ -0,0 +1,272 @@
+/**
+ * @module
+ * The view of what engines have cached: hints from answers and from cache events, in bounded memory.
+ */
+import type { CacheEventPage } from "../ports/enginePort.js";
+import { createHintTable, maxSlots } from "./_lib/hintTable.js";
+
+/** An upstream that is believed to hold leading blocks of a prompt. */
+export interface Holder {
+    readonly upstream: string;
+    /** Leading blocks that it is believed to hold. */
+    readonly cachedBlocks: number;
+    /** Milliseconds since the belief was last confirmed. */
+    readonly ageMs: number;
+}
+
+/** Why the hints of an upstream were voided. */
+export type VoidReason = "incarnation" | "weightsVersion" | "gap" | "gone";
+
+/** Options of {@link createCacheView}. */
+export interface CacheViewOptions {
+    /** Memory of the view, in bytes; allocated at once and never exceeded. */
+    readonly maxBytes: number;
+    /** One block hash in this many is kept, a power of two; a chain hash vouches for the blocks before it. */
+    readonly sampleEvery: number;
+    /** Called when the hints of an upstream were voided. */
+    readonly onVoid?: (upstream: string, reason: VoidReason) => void;
+}
+
+/** The cache view. Times are milliseconds on the instance's clock. */
+export interface CacheView {
+    /** Bytes that the view occupies at the most. */
+    readonly bytes: number;
+    /** Notes the identity that an engine states; a changed one voids its hints. */
+    readonly noteIncarnation: (upstream: string, incarnation: string) => void;
+    /** Notes the weights version that an engine states; a changed one voids its hints. */
+    readonly noteWeightsVersion: (upstream: string, weightsVersion: string) => void;
+    /** Notes that an upstream holds, or is about to hold, the leading blocks of a chain. */
+    readonly noteHeld: (upstream: string, blocks: readonly bigint[], nowMs: number) => void;
+    /** Notes whether a hint of the given age was right; wrong ones shorten the time that hints of the upstream live. */
+    readonly noteOutcome: (holder: Holder, isRight: boolean) => void;
+    /** Applies a page of cache events; a gap voids the upstream's hints first. */
+    readonly applyEvents: (upstream: string, page: CacheEventPage, nowMs: number) => void;
+    /** Sequence number from which the upstream's events are to be read. */
+    readonly nextSequence: (upstream: string) => number;
+    /** Forgets an upstream that crashed or left. */
+    readonly forget: (upstream: string) => void;
+    /** Holders of leading blocks of a chain, the longest prefix first. */
+    readonly findHolders: (blocks: readonly bigint[], nowMs: number) => readonly Holder[];
+    /** Incarnation that the hints of an upstream belong to; undefined when none was stated. */
+    readonly incarnationOf: (upstream: string) => string | undefined;
+    /** Calls `visit` for each hint. */
+    readonly visitHints: (visit: (block: bigint, upstream: string, atMs: number) => void) => void;
+    /** Stores one hint that a peer vouches for. */
+    readonly adoptHint: (upstream: string, block: bigint, atMs: number) => void;
+}
+
+interface Slot {
+    readonly index: number;
+    readonly upstream: string;
+    incarnation: string | undefined;
+    weightsVersion: string | undefined;
+    nextSequence: number | undefined;
+    /** Milliseconds that an unconfirmed hint of this upstream is believed. */
+    lifetimeMs: number;
+}
+
+/** Bytes set aside for each upstream beside its hints. */
+const slotBytes = 512;
+
+/** Share of the memory that may go to upstreams, one in this many. */
+const slotMemoryShare = 8;
+
+/** Most holders that are told for one prompt. */
+const maxHolders = 16;
+
+/** Most characters of an identity that is kept; longer ones are cut. */
+const maxIdentityCharacters = 64;
+
+const initialLifetimeMs = 30_000;
+const minLifetimeMs = 1_000;
+const maxLifetimeMs = 120_000;
+const lifetimeShrink = 0.8;
+const lifetimeGrowth = 1.05;
+
+/**
+ * Creates an empty view.
+ *
+ * @param options - Memory bound, sampling and the hook for voided hints.
+ * @returns The view.
+ * @example
+ * const view = createCacheView({ maxBytes: 12 << 20, sampleEvery: 4 });
+ * view.noteHeld("engine-1", blocks, clock.now());
+ * view.findHolders(blocks, clock.now())[0]?.upstream; // "engine-1"
+ */
+export function createCacheView(options: CacheViewOptions): CacheView {
+    const slotLimit = Math.max(1, Math.min(maxSlots, Math.floor(options.maxBytes / slotMemoryShare / slotBytes)));
+    const generationBytes = (maxSlots + 1) * 4;
+    const table = createHintTable(options.maxBytes - slotLimit * slotBytes - generationBytes);
+    const slots = new Map<string, Slot>();
+    const slotsByIndex: (Slot | undefined)[] = [undefined];
+    const freeIndexes: number[] = [];
+    const sampleMask = BigInt(options.sampleEvery - 1);
+
+    function isSampled(block: bigint): boolean {
+        return (block & sampleMask) === 0n;
+    }
+
+    function voidHints(slot: Slot, reason: VoidReason): void {
+        table.voidSlot(slot.index);
+        options.onVoid?.(slot.upstream, reason);
+    }
+
+    function forget(upstream: string): void {
+        const slot = slots.get(upstream);
+        if (slot !== undefined) {
+            voidHints(slot, "gone");
+            slots.delete(upstream);
+            slotsByIndex[slot.index] = undefined;
+            freeIndexes.push(slot.index);
+        }
+    }
+
+    function takeIndex(): number {
+        if (freeIndexes.length === 0 && slotsByIndex.length > slotLimit) {
+            forget(slots.keys().next().value!);
+        }
+        return freeIndexes.pop() ?? slotsByIndex.length;
+    }
+
+    function findSlot(upstream: string): Slot {
+        const known = slots.get(upstream);
+        if (known !== undefined) {
+            return known;
+        }
+        const slot: Slot = {
+            index: takeIndex(),
+            upstream,
+            incarnation: undefined,
+            weightsVersion: undefined,
+            nextSequence: undefined,
+            lifetimeMs: initialLifetimeMs,
+        };
+        slots.set(upstream, slot);
+        slotsByIndex[slot.index] = slot;
+        return slot;
+    }
+
+    function noteIncarnation(upstream: string, incarnation: string): void {
+        const slot = findSlot(upstream);
+        const stated = incarnation.slice(0, maxIdentityCharacters);
+        if (slot.incarnation !== undefined && slot.incarnation !== stated) {
+            voidHints(slot, "incarnation");
+            slot.nextSequence = undefined;
+        }
+        slot.incarnation = stated;
+    }
+
+    function noteWeightsVersion(upstream: string, weightsVersion: string): void {
+        const slot = findSlot(upstream);
+        const stated = weightsVersion.slice(0, maxIdentityCharacters);
+        if (slot.weightsVersion !== undefined && slot.weightsVersion !== stated) {
+            voidHints(slot, "weightsVersion");
+        }
+        slot.weightsVersion = stated;
+    }
+
+    function noteHeld(upstream: string, blocks: readonly bigint[], nowMs: number): void {
+        const { index } = findSlot(upstream);
+        for (const block of blocks) {
+            if (isSampled(block)) {
+                table.put(block, index, nowMs);
+            }
+        }
+    }
+
+    function noteOutcome(holder: Holder, isRight: boolean): void {
+        const slot = findSlot(holder.upstream);
+        if (!isRight) {
+            slot.lifetimeMs = Math.max(minLifetimeMs, Math.min(slot.lifetimeMs, holder.ageMs * lifetimeShrink));
+        }
+        else if (holder.ageMs > slot.lifetimeMs / 2) {
+            slot.lifetimeMs = Math.min(maxLifetimeMs, slot.lifetimeMs * lifetimeGrowth);
+        }
+    }
+
+    function applyEvents(upstream: string, page: CacheEventPage, nowMs: number): void {
+        noteIncarnation(upstream, page.incarnation);
+        const slot = findSlot(upstream);
+        const first = slot.nextSequence;
+        if (hasGap(page, first)) {
+            voidHints(slot, "gap");
+        }
+        for (const event of page.events) {
+            if (first !== undefined && event.sequence < first) {
+                continue;
+            }
+            const block = BigInt(`0x${event.block}`);
+            if (!isSampled(block)) {
+                continue;
+            }
+            if (event.action === "stored") {
+                table.put(block, slot.index, nowMs);
+            }
+            else {
+                table.remove(block, slot.index);
+            }
+        }
+        slot.nextSequence = Math.max(first ?? 0, page.nextSequence);
+    }
+
+    function findHolders(blocks: readonly bigint[], nowMs: number): readonly Holder[] {
+        const found: Holder[] = [];
+        let cachedBlocks = blocks.length;
+        function visit(index: number, atMs: number): void {
+            const slot = slotsByIndex[index];
+            const ageMs = Math.max(0, nowMs - atMs);
+            if (slot === undefined || ageMs > slot.lifetimeMs || found.length >= maxHolders) {
+                return;
+            }
+            if (!found.some(holder => holder.upstream === slot.upstream)) {
+                found.push({ upstream: slot.upstream, cachedBlocks, ageMs });
+            }
+        }
+        for (; cachedBlocks > 0; cachedBlocks -= 1) {
+            const block = blocks[cachedBlocks - 1]!;
+            if (isSampled(block)) {
+                table.visitHolders(block, visit);
+            }
+        }
+        return found;
+    }
+
+    function visitHints(visit: (block: bigint, upstream: string, atMs: number) => void): void {
+        table.visitAll((block, index, atMs) => {
+            const slot = slotsByIndex[index];
+            if (slot !== undefined) {
+                visit(block, slot.upstream, atMs);
+            }
+        });
+    }
+
+    return {
+        bytes: table.bytes + slotLimit * slotBytes,
+        noteIncarnation,
+        noteWeightsVersion,
+        noteHeld,
+        noteOutcome,
+        applyEvents,
+        nextSequence: upstream => slots.get(upstream)?.nextSequence ?? 0,
+        forget,
+        findHolders,
+        incarnationOf: upstream => slots.get(upstream)?.incarnation,
+        visitHints,
+        adoptHint: (upstream, block, atMs) => {
+            if (isSampled(block)) {
+                table.put(block, findSlot(upstream).index, atMs);
+            }
+        },
+    };
+}
+
+function hasGap(page: CacheEventPage, first: number | undefined): boolean {
+    let expected = first ?? page.events[0]?.sequence ?? page.nextSequence;
+    for (const event of page.events) {
+        if (event.sequence > expected) {
+            return true;
+        }
+        expected = Math.max(expected, event.sequence + 1);
+    }
+    return page.nextSequence > expected;
+}
--- /dev/null
+++ b/src/core/routing/createCostRouter.ts
@@ -0,0 +1,182 @@
+/**
+ * @module
+ * Choice of the upstream by predicted cost: wait, and prefill of what is not cached, over few candidates.
+ */
+import { err, ok, type Result } from "true-myth/result";
+import type { CacheView, Holder } from "../cache/createCacheView.js";
+import type { Upstream } from "../catalogue/catalogueEntry.js";
+import { blockTokens, millisecondsPerSecond } from "../constants.js";
+import { createRefusal, type Refusal } from "../errors/createRefusal.js";
+import { chooseReplica } from "./_lib/chooseReplica.js";
+import { findCaseKey, findSharedKey } from "./_lib/placementKeys.js";
+import type { HeatSketch } from "./createHeatSketch.js";
+import type { LoadView, PendingSend } from "./createLoadView.js";
+import { createPlacement, type Placement } from "./createPlacement.js";
+import type { CandidateCost, ChooseUpstream, RouteDecision, RouteFeedback, RouteRequest } from "./routeTypes.js";
+import type { RoutingPreset } from "./routingPresets.js";
+
+/** What the router reads and keeps. */
+export interface CostRouterDependencies {
+    /** Upstreams in service for a model; the same array as long as nothing changed. */
+    readonly listCandidates: (model: string) => readonly Upstream[];
+    readonly cache: CacheView;
+    readonly load: LoadView;
+    readonly heat: HeatSketch;
+    /** The preset in force. */
+    readonly preset: () => RoutingPreset;
+    /** Instance's clock, in milliseconds. */
+    readonly now: () => number;
+    /** A random number from 0 (included) to 1 (excluded). */
+    readonly random: () => number;
+}
+
+/** The router: the choice, and what it learns from answers. */
+export interface CostRouter {
+    readonly chooseUpstream: ChooseUpstream;
+    readonly reportFeedback: (feedback: RouteFeedback) => void;
+}
+
+interface Fleet {
+    readonly placement: Placement;
+    readonly byId: ReadonlyMap<string, Upstream>;
+}
+
+interface Candidate {
+    readonly upstream: Upstream;
+    readonly holder: Holder | undefined;
+    /** Whether it is where every instance would send this case. */
+    readonly isHome: boolean;
+}
+
+interface Sent {
+    readonly pending: PendingSend;
+    readonly holder: Holder | undefined;
+}
+
+/** Choices of a spread prefix that are weighed. */
+const maxReplicasWeighed = 4;
+
+/** Upstreams that are weighed by chance, so that a free one is found. */
+const sparesWeighed = 2;
+
+/** Blocks by which a hint may be wrong and still count as right; sampling leaves this much open. */
+const holderToleranceBlocks = 8;
+
+function toMs(tokens: number, upstream: Upstream): number {
+    return (Math.max(0, tokens) * millisecondsPerSecond) / upstream.prefillTokensPerSecond;
+}
+
+/**
+ * Creates the router.
+ *
+ * @param dependencies - Views of cache, load and heat, the preset, clock and randomness.
+ * @returns The router; it refuses with `noUpstream` when no candidate is left.
+ * @example
+ * const router = createCostRouter({ listCandidates, cache, load, heat, preset, now: clock.now, random });
+ * router.chooseUpstream(req).map(decision => decision.upstream.id);
+ */
+export function createCostRouter(dependencies: CostRouterDependencies): CostRouter {
+    const { cache, load, heat } = dependencies;
+    const fleets = new WeakMap<readonly Upstream[], Fleet>();
+    const sends = new WeakMap<readonly bigint[], Sent>();
+
+    function fleetOf(upstreams: readonly Upstream[]): Fleet {
+        let fleet = fleets.get(upstreams);
+        if (fleet === undefined) {
+            fleet = { placement: createPlacement(upstreams), byId: new Map(upstreams.map(one => [one.id, one])) };
+            fleets.set(upstreams, fleet);
+        }
+        return fleet;
+    }
+
+    function listWeighed(req: RouteRequest, upstreams: readonly Upstream[], nowMs: number): readonly Candidate[] {
+        const preset = dependencies.preset();
+        const fleet = fleetOf(upstreams);
+        const holders = new Map(cache.findHolders(req.blocks, nowMs).map(holder => [holder.upstream, holder]));
+        const found = new Map<string, Candidate>();
+        function add(upstream: Upstream | undefined, isHome: boolean): void {
+            if (upstream !== undefined && !req.excluded.has(upstream.id) && !found.has(upstream.id)) {
+                found.set(upstream.id, { upstream, holder: holders.get(upstream.id), isHome });
+            }
+        }
+        const key = findSharedKey(req, preset.placementBlocks);
+        heat.note(key, nowMs);
+        const needed = Math.ceil((heat.shareOf(key) * upstreams.length) / preset.boundedLoadFactor);
+        const replicas = Math.max(1, Math.min(upstreams.length, needed));
+        const home = chooseReplica(findCaseKey(req), replicas);
+        add(fleet.placement.pick(key, home, req.excluded), true);
+        for (let step = 1; step < Math.min(replicas, maxReplicasWeighed); step += 1) {
+            add(fleet.placement.pick(key, (home + step) % replicas, req.excluded), false);
+        }
+        for (const holder of holders.keys()) {
+            add(fleet.byId.get(holder), false);
+        }
+        for (let spare = 0; spare < sparesWeighed; spare += 1) {
+            add(upstreams[Math.floor(dependencies.random() * upstreams.length)], false);
+        }
+        return [...found.values()];
+    }
+
+    function weigh(req: RouteRequest, candidate: Candidate, nowMs: number): CandidateCost {
+        const preset = dependencies.preset();
+        const { upstream, holder, isHome } = candidate;
+        const cachedBlocks = holder?.cachedBlocks ?? 0;
+        const waitMs = load.predictWaitMs(upstream, nowMs);
+        const prefillMs = toMs(req.promptTokens - cachedBlocks * blockTokens, upstream);
+        const affinityMs = isHome ? preset.affinityMs : 0;
+        const cost = preset.waitWeight * waitMs + preset.prefillWeight * prefillMs - affinityMs;
+        return { upstream: upstream.id, cachedBlocks, waitMs, prefillMs, cost };
+    }
+
+    function chooseUpstream(req: RouteRequest): Result<RouteDecision, Refusal> {
+        const upstreams = dependencies.listCandidates(req.scope.model);
+        const nowMs = dependencies.now();
+        const weighed = upstreams.length === 0 ? [] : listWeighed(req, upstreams, nowMs);
+        if (weighed.length === 0) {
+            return err(createRefusal("noUpstream", `no upstream is left for model "${req.scope.model}"`));
+        }
+        const candidates = weighed.map(candidate => weigh(req, candidate, nowMs));
+        let best = 0;
+        for (let index = 1; index < candidates.length; index += 1) {
+            if (candidates[index]!.cost < candidates[best]!.cost) {
+                best = index;
+            }
+        }
+        const { upstream, holder } = weighed[best]!;
+        const pending = load.noteSend(upstream, candidates[best]!.prefillMs, nowMs);
+        sends.set(req.blocks, { pending, holder });
+        cache.noteHeld(upstream.id, req.blocks, nowMs);
+        return ok({ upstream, cachedBlocks: holder?.cachedBlocks ?? 0, candidates });
+    }
+
+    function reportFeedback(feedback: RouteFeedback): void {
+        const nowMs = dependencies.now();
+        if (feedback.incarnation !== undefined) {
+            cache.noteIncarnation(feedback.upstream, feedback.incarnation);
+        }
+        if (feedback.weightsVersion !== undefined) {
+            cache.noteWeightsVersion(feedback.upstream, feedback.weightsVersion);
+        }
+        cache.noteHeld(feedback.upstream, feedback.req.blocks, nowMs);
+        const sent = sends.get(feedback.req.blocks);
+        if (sent === undefined || sent.pending.upstream.id !== feedback.upstream) {
+            return;
+        }
+        sends.delete(feedback.req.blocks);
+        if (feedback.cachedBlocks === undefined) {
+            return;
+        }
+        const { upstream } = sent.pending;
+        const prefillMs = toMs(feedback.req.promptTokens - feedback.cachedBlocks * blockTokens, upstream);
+        load.noteAnswer(sent.pending, prefillMs, nowMs);
+        if (feedback.load !== undefined) {
+            load.noteReport(upstream, feedback.load, nowMs);
+        }
+        if (sent.holder !== undefined) {
+            const isRight = feedback.cachedBlocks + holderToleranceBlocks >= sent.holder.cachedBlocks;
+            cache.noteOutcome(sent.holder, isRight);
+        }
+    }
+
+    return { chooseUpstream, reportFeedback };
+}
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -2,5 +2,10 @@
  * @module
  * Choice of the upstream of a model request.
  */
+export * from "./createCostRouter.js";
+export * from "./createHeatSketch.js";
+export * from "./createLoadView.js";
+export * from "./createPlacement.js";
 export * from "./createRendezvousRouter.js";
 export * from "./routeTypes.js";
+export * from "./routingPresets.js";
--- a/src/core/routing/routeTypes.ts
+++ b/src/core/routing/routeTypes.ts
@@ -6,6 +6,7 @@
 import type { CacheScope } from "../cache/hashBlocks.js";
 import type { Upstream } from "../catalogue/catalogueEntry.js";
 import type { Refusal } from "../errors/createRefusal.js";
+import type { EngineLoad } from "../ports/enginePort.js";
 
 /** One model request as routing sees it. */
 export interface RouteRequest {
@@ -46,4 +47,8 @@
     readonly cachedBlocks: number | undefined;
     /** Identity of the engine process; undefined when it did not say. */
     readonly incarnation: string | undefined;
+    /** Weights version that the engine ran; undefined when it did not say. */
+    readonly weightsVersion?: string | undefined;
+    /** Load report that rode on the answer; undefined when there was none. */
+    readonly load?: EngineLoad | undefined;
 }
--- /dev/null
+++ b/src/core/routing/routingPresets.ts
@@ -0,0 +1,37 @@
+/**
+ * @module
+ * The two named sets of routing weights; the catalogue's policy entry names the one in force.
+ */
+import type { Policy } from "../catalogue/catalogueEntry.js";
+
+/** Weights of the routing decision. */
+export interface RoutingPreset {
+    /** Cost of one millisecond of predicted wait. */
+    readonly waitWeight: number;
+    /** Cost of one millisecond of prefill that the cache does not save. */
+    readonly prefillWeight: number;
+    /** Blocks that decide which upstreams share a prefix: they reach into the document type, not into the case. */
+    readonly placementBlocks: number;
+    /** A prefix is spread until each upstream carries at most this multiple of the mean load of it. */
+    readonly boundedLoadFactor: number;
+    /** Predicted wait up to which a request stays with the upstream of its case, in milliseconds. */
+    readonly affinityMs: number;
+}
+
+/** The presets by the name that the catalogue uses. */
+export const routingPresets: Readonly<Record<Policy["preset"], RoutingPreset>> = {
+    lectura: {
+        waitWeight: 0.5,
+        prefillWeight: 1,
+        placementBlocks: 20,
+        boundedLoadFactor: 1.25,
+        affinityMs: 100,
+    },
+    compagnon: {
+        waitWeight: 1,
+        prefillWeight: 1,
+        placementBlocks: 12,
+        boundedLoadFactor: 1.25,
+        affinityMs: 20,
+    },
+};
