--- a/bench/routing/createEngineModel.ts
+++ b/bench/routing/createEngineModel.ts
@@ -24,6 +24,8 @@
     readonly backlogMs: () => number;
     /** Exact leading blocks that a new request would find cached, with what is being computed before it. */
     readonly countCached: (ids: readonly number[]) => number;
+    /** The same by the blocks' hashes. */
+    readonly countCachedBlocks: (blocks: readonly bigint[]) => number;
     /** The load as of the report lag ago. */
     readonly readLoad: () => EngineLoad;
     readonly readEvents: (from: number) => CacheEventPage;
@@ -172,6 +174,14 @@
         return pending.reduce((most, job) => Math.max(most, countCommon(job.one.ids, ids)), countHits(ids));
     }
 
+    function countCachedBlocks(blocks: readonly bigint[]): number {
+        const held = new Set(cache.values());
+        const pending = prefilling === undefined ? queue : [prefilling, ...queue];
+        pending.forEach(job => job.one.req.blocks.forEach(block => held.add(block)));
+        const missing = blocks.findIndex(block => !held.has(block));
+        return missing === -1 ? blocks.length : missing;
+    }
+
     function backlogMs(): number {
         let sumMs = prefilling === undefined ? 0 : prefillEndMs - clock.now();
         const ahead: Job[] = prefilling === undefined ? [] : [prefilling];
@@ -241,6 +251,7 @@
         submit,
         backlogMs,
         countCached,
+        countCachedBlocks,
         readLoad,
         readEvents,
         crash,
--- a/bench/routing/createReedwardPolicy.ts
+++ b/bench/routing/createReedwardPolicy.ts
@@ -2,7 +2,7 @@
  * @module
  * The product's router in each simulated daemon, driven as the request core drives it.
  */
-import { createCacheView } from "../../src/core/cache/createCacheView.js";
+import { createCacheView, type Holder } from "../../src/core/cache/createCacheView.js";
 import type { Upstream } from "../../src/core/catalogue/catalogueEntry.js";
 import { type CostRouter, createCostRouter } from "../../src/core/routing/createCostRouter.js";
 import { createHeatSketch } from "../../src/core/routing/createHeatSketch.js";
@@ -17,21 +17,46 @@
     /** Whether cache events are read beside the feedback of answers. */
     readonly readsEvents: boolean;
     readonly sampleEvery: number;
+    /** Whether the exact backlog of engines is known, to tell what better load knowledge would be worth. */
+    readonly knowsBacklog?: boolean;
+    /** Whether exact caches are known, to tell what a better cache view would be worth. */
+    readonly knowsCaches?: boolean;
     /** Weights that differ from the preset's. */
     readonly weights?: Partial<RoutingPreset>;
 }
 
 const viewBytes = 1 << 20;
 
+function findTrueHolders(context: PolicyContext, blocks: readonly bigint[]): readonly Holder[] {
+    return context.engines
+        .map((engine, index) => ({
+            upstream: context.engineIds[index]!,
+            cachedBlocks: engine.countCachedBlocks(blocks),
+            ageMs: 0,
+        }))
+        .filter(holder => holder.cachedBlocks > 0);
+}
+
 function createDaemon(upstreams: readonly Upstream[], context: PolicyContext, clock: Clock, options: ReedwardOptions) {
-    const cache = createCacheView({ maxBytes: viewBytes, sampleEvery: options.sampleEvery });
-    const load = createLoadView();
+    const ownCache = createCacheView({ maxBytes: viewBytes, sampleEvery: options.sampleEvery });
+    const ownLoad = createLoadView();
+    const engineOf = (id: string) => context.engines[context.engineIds.indexOf(id)]!;
+    const load = options.knowsBacklog === true
+        ? { ...ownLoad, predictWaitMs: (upstream: Upstream) => engineOf(upstream.id).backlogMs() }
+        : ownLoad;
+    const cache = options.knowsCaches === true
+        ? { ...ownCache, findHolders: (blocks: readonly bigint[]) => findTrueHolders(context, blocks) }
+        : ownCache;
     const preset = { ...routingPresets[context.shape.preset], ...options.weights };
     const router: CostRouter = createCostRouter({
         listCandidates: () => upstreams,
         cache,
         load,
         heat: createHeatSketch({ width: 4096, decayMs: 10_000 }),
+        readSpread: () => ({
+            instances: context.shape.daemons,
+            entriesOfCustomer: context.shape.entriesPerCustomer,
+        }),
         preset: () => preset,
         now: clock.now,
         random: context.random,
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -15,6 +15,14 @@
 import type { CandidateCost, ChooseUpstream, RouteDecision, RouteFeedback, RouteRequest } from "./routeTypes.js";
 import type { RoutingPreset } from "./routingPresets.js";
 
+/** Over how many instances requests are spread. */
+export interface RequestSpread {
+    /** Instances of the fleet. */
+    readonly instances: number;
+    /** Instances that share the requests of one customer. */
+    readonly entriesOfCustomer: number;
+}
+
 /** What the router reads and keeps. */
 export interface CostRouterDependencies {
     /** Upstreams in service for a model; the same array as long as nothing changed. */
@@ -22,6 +30,8 @@
     readonly cache: CacheView;
     readonly load: LoadView;
     readonly heat: HeatSketch;
+    /** Over how many instances requests are spread. */
+    readonly readSpread: () => RequestSpread;
     /** The preset in force. */
     readonly preset: () => RoutingPreset;
     /** Instance's clock, in milliseconds. */
@@ -51,6 +61,7 @@
 interface Sent {
     readonly pending: PendingSend;
     readonly holder: Holder | undefined;
+    readonly isHome: boolean;
 }
 
 /** Choices of a spread prefix that are weighed. */
@@ -59,6 +70,9 @@
 /** Upstreams that are weighed by chance, so that a free one is found. */
 const sparesWeighed = 2;
 
+/** Weight of a newer answer against the ones before, in the share that homes hold without a hint. */
+const unhintedWeight = 0.02;
+
 /** Blocks by which a hint may be wrong and still count as right; sampling leaves this much open. */
 const holderToleranceBlocks = 8;
 
@@ -72,13 +86,15 @@
  * @param dependencies - Views of cache, load and heat, the preset, clock and randomness.
  * @returns The router; it refuses with `noUpstream` when no candidate is left.
  * @example
- * const router = createCostRouter({ listCandidates, cache, load, heat, preset, now: clock.now, random });
+ * const router = createCostRouter({ listCandidates, cache, load, heat, readSpread, preset, now, random });
  * router.chooseUpstream(req).map(decision => decision.upstream.id);
  */
 export function createCostRouter(dependencies: CostRouterDependencies): CostRouter {
     const { cache, load, heat } = dependencies;
     const fleets = new WeakMap<readonly Upstream[], Fleet>();
     const sends = new WeakMap<readonly bigint[], Sent>();
+    // Share of a prompt's unhinted blocks that its home turns out to hold: other instances send there as well.
+    let unhintedShare = 0;
 
     function fleetOf(upstreams: readonly Upstream[]): Fleet {
         let fleet = fleets.get(upstreams);
@@ -89,6 +105,16 @@
         return fleet;
     }
 
+    function countReplicas(key: number, upstreams: number, nowMs: number): number {
+        const { prefixLoadBound } = dependencies.preset();
+        const { instances, entriesOfCustomer } = dependencies.readSpread();
+        const fleetLoad = (heat.ratePerSecond(key, nowMs) * entriesOfCustomer) / millisecondsPerSecond;
+        // Spreading costs hits and so adds work: the fair share of the upstreams keeps it from feeding on itself.
+        const fairShare = (heat.shareOf(key) * upstreams * entriesOfCustomer) / instances;
+        const needed = Math.ceil(Math.min(fleetLoad / prefixLoadBound, fairShare));
+        return Math.max(1, Math.min(upstreams, needed));
+    }
+
     function listWeighed(req: RouteRequest, upstreams: readonly Upstream[], nowMs: number): readonly Candidate[] {
         const preset = dependencies.preset();
         const fleet = fleetOf(upstreams);
@@ -100,9 +126,7 @@
             }
         }
         const key = findSharedKey(req, preset.placementBlocks);
-        heat.note(key, nowMs);
-        const needed = Math.ceil((heat.shareOf(key) * upstreams.length) / preset.boundedLoadFactor);
-        const replicas = Math.max(1, Math.min(upstreams.length, needed));
+        const replicas = countReplicas(key, upstreams.length, nowMs);
         const home = chooseReplica(findCaseKey(req), replicas);
         add(fleet.placement.pick(key, home, req.excluded), true);
         for (let step = 1; step < Math.min(replicas, maxReplicasWeighed); step += 1) {
@@ -122,7 +146,8 @@
         const { upstream, holder, isHome } = candidate;
         const cachedBlocks = holder?.cachedBlocks ?? 0;
         const waitMs = load.predictWaitMs(upstream, nowMs);
-        const prefillMs = toMs(req.promptTokens - cachedBlocks * blockTokens, upstream);
+        const expectedBlocks = cachedBlocks + (isHome ? unhintedShare * (req.blocks.length - cachedBlocks) : 0);
+        const prefillMs = toMs(req.promptTokens - expectedBlocks * blockTokens, upstream);
         const affinityMs = isHome ? preset.affinityMs : 0;
         const cost = preset.waitWeight * waitMs + preset.prefillWeight * prefillMs - affinityMs;
         return { upstream: upstream.id, cachedBlocks, waitMs, prefillMs, cost };
@@ -142,13 +167,20 @@
                 best = index;
             }
         }
-        const { upstream, holder } = weighed[best]!;
+        const { upstream, holder, isHome } = weighed[best]!;
         const pending = load.noteSend(upstream, candidates[best]!.prefillMs, nowMs);
-        sends.set(req.blocks, { pending, holder });
+        sends.set(req.blocks, { pending, holder, isHome });
         cache.noteHeld(upstream.id, req.blocks, nowMs);
         return ok({ upstream, cachedBlocks: holder?.cachedBlocks ?? 0, candidates });
     }
 
+    function noteHome(promptBlocks: number, hintedBlocks: number, cachedBlocks: number): void {
+        if (hintedBlocks < promptBlocks) {
+            const share = Math.max(0, cachedBlocks - hintedBlocks) / (promptBlocks - hintedBlocks);
+            unhintedShare += unhintedWeight * (share - unhintedShare);
+        }
+    }
+
     function reportFeedback(feedback: RouteFeedback): void {
         const nowMs = dependencies.now();
         if (feedback.incarnation !== undefined) {
@@ -168,10 +200,14 @@
         }
         const { upstream } = sent.pending;
         const prefillMs = toMs(feedback.req.promptTokens - feedback.cachedBlocks * blockTokens, upstream);
-        load.noteAnswer(sent.pending, prefillMs, nowMs);
+        load.noteAnswer(sent.pending, prefillMs, toMs(feedback.req.promptTokens, upstream), nowMs);
+        heat.note(findSharedKey(feedback.req, dependencies.preset().placementBlocks), prefillMs, nowMs);
         if (feedback.load !== undefined) {
             load.noteReport(upstream, feedback.load, nowMs);
         }
+        if (sent.isHome) {
+            noteHome(feedback.req.blocks.length, sent.holder?.cachedBlocks ?? 0, feedback.cachedBlocks);
+        }
         if (sent.holder !== undefined) {
             const isRight = feedback.cachedBlocks + holderToleranceBlocks >= sent.holder.cachedBlocks;
             cache.noteOutcome(sent.holder, isRight);
--- a/src/core/routing/createHeatSketch.ts
+++ b/src/core/routing/createHeatSketch.ts
@@ -3,6 +3,7 @@
  * Finds hot prefixes in bounded memory: a count-min sketch whose counts decay with time.
  */
 import { mixBits } from "../_lib/mixBits.js";
+import { millisecondsPerSecond } from "../constants.js";
 
 /** Options of {@link createHeatSketch}. */
 export interface HeatSketchOptions {
@@ -15,9 +16,11 @@
 /** The sketch. Times are milliseconds on the instance's clock. */
 export interface HeatSketch {
     readonly bytes: number;
-    /** Counts one request for a key. */
-    readonly note: (key: number, nowMs: number) => void;
-    /** Share of the recent requests that had this key, 0 to 1; never below the truth by more than the decay's step. */
+    /** Adds an amount of work to a key. */
+    readonly note: (key: number, amount: number, nowMs: number) => void;
+    /** Work of a key a second, averaged over the decay time. */
+    readonly ratePerSecond: (key: number, nowMs: number) => number;
+    /** Share of a key in all work, 0 to 1. */
     readonly shareOf: (key: number) => number;
 }
 
@@ -26,9 +29,6 @@
 /** Weight of a new request at which all counts are scaled back. */
 const maxWeight = 1e9;
 
-/** Recent requests below which every share counts as 0. */
-const minRequests = 8;
-
 /**
  * Creates an empty sketch. A count is never underestimated: colliding keys only add to it.
  *
@@ -36,14 +36,18 @@
  * @returns The sketch.
  * @example
  * const heat = createHeatSketch({ width: 4096, decayMs: 5_000 });
- * heat.note(key, clock.now());
- * heat.shareOf(key);
+ * heat.note(key, 40, clock.now());
+ * heat.ratePerSecond(key, clock.now());
  */
 export function createHeatSketch(options: HeatSketchOptions): HeatSketch {
     const counts = new Float64Array(rowCount * options.width);
     let startMs = 0;
     let total = 0;
-    let weight = 1;
+
+    // Counts are kept as of `startMs`; newer work weighs more in place of older counts decaying.
+    function weightAt(nowMs: number): number {
+        return Math.exp((nowMs - startMs) / options.decayMs);
+    }
 
     function cellOf(key: number, row: number): number {
         return row * options.width + (mixBits(key, row + 1) % options.width);
@@ -58,30 +62,30 @@
     }
 
     function scaleBack(nowMs: number): void {
+        const weight = weightAt(nowMs);
         for (let cell = 0; cell < counts.length; cell += 1) {
             counts[cell]! /= weight;
         }
         total /= weight;
         startMs = nowMs;
-        weight = 1;
     }
 
-    function note(key: number, nowMs: number): void {
-        weight = Math.exp((nowMs - startMs) / options.decayMs);
-        if (!(weight < maxWeight)) {
+    function note(key: number, amount: number, nowMs: number): void {
+        if (weightAt(nowMs) > maxWeight) {
             scaleBack(nowMs);
         }
-        const raised = countOf(key) + weight;
+        total += amount * weightAt(nowMs);
+        const raised = countOf(key) + amount * weightAt(nowMs);
         for (let row = 0; row < rowCount; row += 1) {
             const cell = cellOf(key, row);
             // Conservative update: only counters below the new estimate rise.
             counts[cell] = Math.max(counts[cell]!, raised);
         }
-        total += weight;
     }
 
-    function shareOf(key: number): number {
-        return total < minRequests * weight ? 0 : Math.min(1, countOf(key) / total);
+    function ratePerSecond(key: number, nowMs: number): number {
+        return (countOf(key) / weightAt(nowMs) / options.decayMs) * millisecondsPerSecond;
     }
-    return { bytes: counts.byteLength, note, shareOf };
+    const shareOf = (key: number) => total === 0 ? 0 : Math.min(1, countOf(key) / total);
+    return { bytes: counts.byteLength, note, ratePerSecond, shareOf };
 }
--- a/src/core/routing/createLoadView.ts
+++ b/src/core/routing/createLoadView.ts
@@ -22,12 +22,12 @@
     readonly predictWaitMs: (upstream: Upstream, nowMs: number) => number;
     /** Notes a send, with the prefill it is expected to need; the result is passed on when its answer begins. */
     readonly noteSend: (upstream: Upstream, prefillMs: number, nowMs: number) => PendingSend;
-    /** Notes that the answer began, with the prefill that it truly needed. */
-    readonly noteAnswer: (pending: PendingSend, prefillMs: number, nowMs: number) => void;
+    /** Notes that the answer began, with the prefill that it truly needed and what it had needed without a cache. */
+    readonly noteAnswer: (pending: PendingSend, prefillMs: number, wholePrefillMs: number, nowMs: number) => void;
     /** Changes the number of the instance's own requests at an upstream; 0 clears what was pending there. */
     readonly noteInFlight: (upstream: string, change: 1 | -1) => void;
     readonly countInFlight: (upstream: string) => number;
-    /** Notes a load report; a report that repeats the last one is ignored. */
+    /** Notes a load report; it weighs little, for it lags. */
     readonly noteReport: (upstream: Upstream, load: EngineLoad, nowMs: number) => void;
     readonly forget: (upstream: string) => void;
 }
@@ -35,22 +35,28 @@
 interface LoadState {
     readonly pending: Set<PendingSend>;
     inFlight: number;
-    /** Smoothed milliseconds of others' backlog. */
-    othersMs: number;
-    othersAtMs: number;
+    /** Milliseconds of others' backlog: the average, and the last observation. */
+    meanOthersMs: number;
+    lastOthersMs: number;
+    lastOthersAtMs: number;
     /** Requests that others run, by the last report. */
     othersRunning: number;
-    reportAtMs: number;
 }
 
-/** Milliseconds in which an observation of others' backlog loses its weight. */
-const observationDecayMs = 2_000;
+/** Milliseconds in which an observed backlog falls back to the average; queues turn over about as fast. */
+const observationDecayMs = 400;
 
-/** Weight of a newer observation against the one before. */
-const observationWeight = 0.5;
+/** Weight of a newer observation in the average of its upstream. */
+const averageWeight = 0.1;
 
-/** Milliseconds in which a report loses its weight against the mean of all. */
-const reportDecayMs = 2_000;
+/** Weight of a report in the average of its upstream. */
+const reportWeight = 0.05;
+
+/** Weight of a newer observation in the averages over all upstreams. */
+const fleetWeight = 0.02;
+
+/** Factor by which the least seen overhead rises an answer, so that it follows a slower network. */
+const overheadGrowth = 1.002;
 
 /** Milliseconds after which a send without an answer is no longer counted. */
 const pendingLimitMs = 60_000;
@@ -65,10 +71,16 @@
  * @example
  * const load = createLoadView();
  * const pending = load.noteSend(upstream, 40, clock.now());
- * load.noteAnswer(pending, 55, clock.now());
+ * load.noteAnswer(pending, 55, 400, clock.now());
  */
 export function createLoadView(): LoadView {
     const states = new Map<string, LoadState>();
+    // Backlog that is assumed where nothing was seen lately, so that not knowing an upstream is no advantage.
+    let fleetOthersMs = 0;
+    // Share of queued prompt tokens that has to be computed; the rest is found cached.
+    let computedShare = 1;
+    // Time that every answer takes beside wait and prefill: network and first decoding step.
+    let overheadMs = Infinity;
 
     function stateOf(upstream: string): LoadState {
         let state = states.get(upstream);
@@ -76,10 +88,10 @@
             state = {
                 pending: new Set(),
                 inFlight: 0,
-                othersMs: 0,
-                othersAtMs: -Infinity,
+                meanOthersMs: fleetOthersMs,
+                lastOthersMs: 0,
+                lastOthersAtMs: -Infinity,
                 othersRunning: 0,
-                reportAtMs: -Infinity,
             };
             states.set(upstream, state);
         }
@@ -101,8 +113,9 @@
         return Math.max(0, sum - (nowMs - oldestMs));
     }
 
-    function decayOthers(state: LoadState, nowMs: number): number {
-        return state.othersMs * Math.exp(-(nowMs - state.othersAtMs) / observationDecayMs);
+    function estimateOthers(state: LoadState, nowMs: number): number {
+        const weight = Math.exp(-(nowMs - state.lastOthersAtMs) / observationDecayMs);
+        return state.meanOthersMs + weight * (state.lastOthersMs - state.meanOthersMs);
     }
 
     function waitForSlot(state: LoadState, slots: number): number {
@@ -113,14 +126,9 @@
     function predictWaitMs(upstream: Upstream, nowMs: number): number {
         const state = states.get(upstream.id);
         if (state === undefined) {
-            return 0;
+            return fleetOthersMs;
         }
-        return sumOwnMs(state, nowMs) + decayOthers(state, nowMs) + waitForSlot(state, upstream.slots);
-    }
-
-    function observe(state: LoadState, othersMs: number, weight: number, nowMs: number): void {
-        state.othersMs = (1 - weight) * decayOthers(state, nowMs) + weight * othersMs;
-        state.othersAtMs = nowMs;
+        return sumOwnMs(state, nowMs) + estimateOthers(state, nowMs) + waitForSlot(state, upstream.slots);
     }
 
     function noteSend(upstream: Upstream, prefillMs: number, nowMs: number): PendingSend {
@@ -130,11 +138,17 @@
         return pending;
     }
 
-    function noteAnswer(pending: PendingSend, prefillMs: number, nowMs: number): void {
+    function noteAnswer(pending: PendingSend, prefillMs: number, wholePrefillMs: number, nowMs: number): void {
         const state = stateOf(pending.upstream.id);
         state.pending.delete(pending);
-        const waitedMs = nowMs - pending.sentMs - prefillMs - pending.ownWaitMs;
-        observe(state, Math.max(0, waitedMs), observationWeight, nowMs);
+        const elapsedMs = nowMs - pending.sentMs - prefillMs;
+        overheadMs = Math.min(elapsedMs, overheadMs * overheadGrowth);
+        const othersMs = Math.max(0, elapsedMs - Math.max(0, overheadMs) - pending.ownWaitMs);
+        state.lastOthersMs = othersMs;
+        state.lastOthersAtMs = nowMs;
+        state.meanOthersMs += averageWeight * (othersMs - state.meanOthersMs);
+        computedShare += fleetWeight * (prefillMs / Math.max(1, wholePrefillMs) - computedShare);
+        fleetOthersMs += fleetWeight * (othersMs - fleetOthersMs);
     }
 
     function noteInFlight(upstream: string, change: 1 | -1): void {
@@ -148,13 +162,10 @@
     function noteReport(upstream: Upstream, load: EngineLoad, nowMs: number): void {
         const state = stateOf(upstream.id);
         state.othersRunning = Math.max(0, load.runningRequests + load.queuedRequests - state.inFlight);
-        const queuedMs = (load.queuedPromptTokens * millisecondsPerSecond) / upstream.prefillTokensPerSecond;
+        const computedTokens = load.queuedPromptTokens * computedShare;
+        const queuedMs = (computedTokens * millisecondsPerSecond) / upstream.prefillTokensPerSecond;
         const othersMs = Math.max(0, queuedMs - sumOwnMs(state, nowMs));
-        // Observed waits are fresher than any report; a report counts only where they are missing.
-        const silenceMs = nowMs - state.othersAtMs;
-        const weight = 1 - Math.exp(-Math.min(silenceMs, nowMs - state.reportAtMs) / reportDecayMs);
-        observe(state, othersMs, weight * observationWeight, nowMs);
-        state.reportAtMs = nowMs;
+        state.meanOthersMs += reportWeight * (othersMs - state.meanOthersMs);
     }
 
     return {
--- a/src/core/routing/routingPresets.ts
+++ b/src/core/routing/routingPresets.ts
@@ -12,8 +12,8 @@
     readonly prefillWeight: number;
     /** Blocks that decide which upstreams share a prefix: they reach into the document type, not into the case. */
     readonly placementBlocks: number;
-    /** A prefix is spread until each upstream carries at most this multiple of the mean load of it. */
-    readonly boundedLoadFactor: number;
+    /** Share of an upstream's prefill time that one prefix may take before it is spread over a further upstream. */
+    readonly prefixLoadBound: number;
     /** Predicted wait up to which a request stays with the upstream of its case, in milliseconds. */
     readonly affinityMs: number;
 }
@@ -24,14 +24,14 @@
         waitWeight: 0.5,
         prefillWeight: 1,
         placementBlocks: 20,
-        boundedLoadFactor: 1.25,
+        prefixLoadBound: 0.5,
         affinityMs: 100,
     },
     compagnon: {
         waitWeight: 1,
         prefillWeight: 1,
         placementBlocks: 12,
-        boundedLoadFactor: 1.25,
+        prefixLoadBound: 0.3,
         affinityMs: 20,
     },
 };
