--- a/bench/routing/createBaseline.ts
+++ b/bench/routing/createBaseline.ts
@@ -102,7 +102,6 @@
 
 function createOracle(context: PolicyContext): SimPolicy {
     const { shape, engines } = context;
-    const { waitWeight, prefillWeight } = routingPresets[shape.preset];
     function costOf(one: SimRequest, engine: number): number {
         const model = engines[engine]!;
         if (!model.isUp()) {
@@ -110,7 +109,7 @@
         }
         const missing = one.ids.length - model.countCached(one.ids);
         const prefillMs = (missing * blockTokens * 1000) / shape.prefillTokensPerSecond;
-        return waitWeight * model.backlogMs() + prefillWeight * prefillMs;
+        return model.backlogMs() + prefillMs;
     }
     return {
         choose: (one, excluded) =>
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -106,12 +106,12 @@
     }
 
     function countReplicas(key: number, upstreams: number, nowMs: number): number {
-        const { prefixLoadBound } = dependencies.preset();
+        const { prefixLoadBound, maxSpreadFactor } = dependencies.preset();
         const { instances, entriesOfCustomer } = dependencies.readSpread();
         const fleetLoad = (heat.ratePerSecond(key, nowMs) * entriesOfCustomer) / millisecondsPerSecond;
         // Spreading costs hits and so adds work: the fair share of the upstreams keeps it from feeding on itself.
         const fairShare = (heat.shareOf(key) * upstreams * entriesOfCustomer) / instances;
-        const needed = Math.ceil(Math.min(fleetLoad / prefixLoadBound, fairShare));
+        const needed = Math.ceil(Math.min(fleetLoad / prefixLoadBound, fairShare * maxSpreadFactor));
         return Math.max(1, Math.min(upstreams, needed));
     }
 
--- a/src/core/routing/createLoadView.ts
+++ b/src/core/routing/createLoadView.ts
@@ -14,6 +14,8 @@
     readonly prefillMs: number;
     /** Milliseconds that it was expected to wait behind the instance's own sends. */
     readonly ownWaitMs: number;
+    /** When its prefill was expected to begin. */
+    readonly beginMs: number;
 }
 
 /** The load view. Times are milliseconds on the instance's clock. */
@@ -58,6 +60,9 @@
 /** Factor by which the least seen overhead rises an answer, so that it follows a slower network. */
 const overheadGrowth = 1.002;
 
+/** Most overhead that is allowed for before an answer counts as late, in milliseconds. */
+const maxOverheadMs = 1_000;
+
 /** Milliseconds after which a send without an answer is no longer counted. */
 const pendingLimitMs = 60_000;
 
@@ -100,17 +105,25 @@
 
     function sumOwnMs(state: LoadState, nowMs: number): number {
         let sum = 0;
-        let oldestMs = nowMs;
+        let first: PendingSend | undefined;
         for (const one of state.pending) {
             if (nowMs - one.sentMs > pendingLimitMs) {
                 state.pending.delete(one);
                 continue;
             }
             sum += one.prefillMs;
-            oldestMs = Math.min(oldestMs, one.sentMs);
+            first ??= one;
+        }
+        // Engines prefill in order: only the first one can have been worked on.
+        return first === undefined ? 0 : sum - Math.min(first.prefillMs, Math.max(0, nowMs - first.beginMs));
+    }
+
+    /** Time by which the first send is late: others' work must have come before it. */
+    function findOverdueMs(state: LoadState, nowMs: number): number {
+        for (const one of state.pending) {
+            return Math.max(0, nowMs - one.beginMs - one.prefillMs - Math.min(overheadMs, maxOverheadMs));
         }
-        // What was sent first has been worked on since.
-        return Math.max(0, sum - (nowMs - oldestMs));
+        return 0;
     }
 
     function estimateOthers(state: LoadState, nowMs: number): number {
@@ -128,12 +141,15 @@
         if (state === undefined) {
             return fleetOthersMs;
         }
-        return sumOwnMs(state, nowMs) + estimateOthers(state, nowMs) + waitForSlot(state, upstream.slots);
+        const othersMs = Math.max(estimateOthers(state, nowMs), findOverdueMs(state, nowMs));
+        return sumOwnMs(state, nowMs) + othersMs + waitForSlot(state, upstream.slots);
     }
 
     function noteSend(upstream: Upstream, prefillMs: number, nowMs: number): PendingSend {
         const state = stateOf(upstream.id);
-        const pending = { upstream, sentMs: nowMs, prefillMs, ownWaitMs: sumOwnMs(state, nowMs) };
+        const ownWaitMs = sumOwnMs(state, nowMs);
+        const beginMs = nowMs + ownWaitMs + estimateOthers(state, nowMs);
+        const pending = { upstream, sentMs: nowMs, prefillMs, ownWaitMs, beginMs };
         state.pending.add(pending);
         return pending;
     }
--- a/src/core/routing/routingPresets.ts
+++ b/src/core/routing/routingPresets.ts
@@ -14,6 +14,8 @@
     readonly placementBlocks: number;
     /** Share of an upstream's prefill time that one prefix may take before it is spread over a further upstream. */
     readonly prefixLoadBound: number;
+    /** Multiple of its fair share of the upstreams over which a prefix is spread at the most. */
+    readonly maxSpreadFactor: number;
     /** Predicted wait up to which a request stays with the upstream of its case, in milliseconds. */
     readonly affinityMs: number;
 }
@@ -24,14 +26,16 @@
         waitWeight: 0.5,
         prefillWeight: 1,
         placementBlocks: 20,
-        prefixLoadBound: 0.5,
+        prefixLoadBound: 1,
+        maxSpreadFactor: 1,
         affinityMs: 100,
     },
     compagnon: {
         waitWeight: 1,
         prefillWeight: 1,
         placementBlocks: 12,
-        prefixLoadBound: 0.3,
+        prefixLoadBound: 0.05,
+        maxSpreadFactor: 4,
         affinityMs: 20,
     },
 };
