--- a/src/core/routing/_lib/placementKeys.ts
+++ b/src/core/routing/_lib/placementKeys.ts
@@ -33,8 +33,24 @@
 }
 
 /**
- * Finds the key of the case: the block at the largest of 4, 6, 8, 12, 16, 24, ... that leaves the tail out, so that
- * prompts of a case whose lengths differ a little have the same key.
+ * Finds the depth that identifies a case: the largest of 4, 6, 8, 12, 16, 24, ... that leaves the tail out, so that
+ * prompts of a case whose lengths differ a little have the same depth.
+ *
+ * @param promptBlocks - Blocks of the prompt.
+ * @returns A number of leading blocks, 0 for an empty prompt.
+ * @example
+ * findCaseDepth(30); // 24
+ */
+export function findCaseDepth(promptBlocks: number): number {
+    let depth = 4;
+    while (nextDepth(depth) <= promptBlocks - caseTailBlocks) {
+        depth = nextDepth(depth);
+    }
+    return Math.min(depth, promptBlocks);
+}
+
+/**
+ * Finds the key of the case.
  *
  * @param req - The request.
  * @returns A 32-bit key.
@@ -42,10 +58,5 @@
  * findCaseKey(req);
  */
 export function findCaseKey(req: RouteRequest): number {
-    const longest = req.blocks.length - caseTailBlocks;
-    let depth = 4;
-    while (nextDepth(depth) <= longest) {
-        depth = nextDepth(depth);
-    }
-    return toKey(req.blocks[Math.min(depth, req.blocks.length) - 1] ?? hashText(req.scope.customer));
+    return toKey(req.blocks[findCaseDepth(req.blocks.length) - 1] ?? hashText(req.scope.customer));
 }
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -94,7 +94,7 @@
     const fleets = new WeakMap<readonly Upstream[], Fleet>();
     const sends = new WeakMap<readonly bigint[], Sent>();
     // Share of a prompt's unhinted blocks that its home turns out to hold: other instances send there as well.
-    let unhintedShare = 0;
+    let unhintedShare = 0.8;
 
     function fleetOf(upstreams: readonly Upstream[]): Fleet {
         let fleet = fleets.get(upstreams);
--- a/src/core/routing/createLoadView.ts
+++ b/src/core/routing/createLoadView.ts
@@ -161,7 +161,7 @@
         overheadMs = Math.min(elapsedMs, overheadMs * overheadGrowth);
         const othersMs = Math.max(0, elapsedMs - Math.max(0, overheadMs) - pending.ownWaitMs);
         state.lastOthersMs = othersMs;
-        state.lastOthersAtMs = nowMs;
+        state.lastOthersAtMs = pending.sentMs;
         state.meanOthersMs += averageWeight * (othersMs - state.meanOthersMs);
         computedShare += fleetWeight * (prefillMs / Math.max(1, wholePrefillMs) - computedShare);
         fleetOthersMs += fleetWeight * (othersMs - fleetOthersMs);
