--- a/bench/routing/createReedwardPolicy.ts
+++ b/bench/routing/createReedwardPolicy.ts
@@ -4,7 +4,6 @@
  */
 import { createCacheView, type Holder } from "../../src/core/cache/createCacheView.js";
 import type { Upstream } from "../../src/core/catalogue/catalogueEntry.js";
-import { findCaseDepth } from "../../src/core/routing/_lib/placementKeys.js";
 import { type CostRouter, createCostRouter } from "../../src/core/routing/createCostRouter.js";
 import { createHeatSketch } from "../../src/core/routing/createHeatSketch.js";
 import { createLoadView } from "../../src/core/routing/createLoadView.js";
@@ -18,7 +17,6 @@
     /** Whether cache events are read beside the feedback of answers. */
     readonly readsEvents: boolean;
     readonly sampleEvery: number;
-    readonly gossipMs?: number;
     /** Whether the exact backlog of engines is known, to tell what better load knowledge would be worth. */
     readonly knowsBacklog?: boolean;
     /** Whether exact caches are known, to tell what a better cache view would be worth. */
@@ -91,16 +89,6 @@
             const decision = router.chooseUpstream({ ...one.req, excluded });
             const id = decision.isOk ? decision.value.upstream.id : upstreams[0]!.id;
             load.noteInFlight(id, 1);
-            if (options.gossipMs !== undefined) {
-                const depth = findCaseDepth(one.req.blocks.length);
-                clock.after(clock.now() % options.gossipMs === 0 ? 0 : options.gossipMs - (clock.now() % options.gossipMs), () => {
-                    daemons.forEach((other, index) => {
-                        if (index !== one.daemon) {
-                            other.cache.noteHeld(id, one.req.blocks.slice(depth - 1, depth), clock.now());
-                        }
-                    });
-                });
-            }
             return indexOf.get(id)!;
         },
         onHead: (one, engine, head) =>
--- a/bench/routing/runRouting.ts
+++ b/bench/routing/runRouting.ts
@@ -54,7 +54,7 @@
             shape,
             plan,
             workload,
-            (context, clock) => createReedwardPolicy(context, clock, { readsEvents: true, sampleEvery: 4 }),
+            (context, clock) => createReedwardPolicy(context, clock, { readsEvents: true, sampleEvery: 1 }),
         ),
     };
     for (const name of baselines) {
--- a/bench/routing/simulate.ts
+++ b/bench/routing/simulate.ts
@@ -10,7 +10,7 @@
 import type { PolicyResult, RunPlan, SimHead, SimPolicy, SimRequest, SiteShape } from "./simTypes.js";
 
 /** Period of load and event reads of each daemon, in milliseconds. */
-const pollPeriodMs = Number(process.env["POLL"] ?? 1000);
+const pollPeriodMs = 1000;
 
 /** Time for which a crashed engine stays down, in milliseconds. */
 const downMs = 2000;
--- a/src/core/cache/createCacheView.ts
+++ b/src/core/cache/createCacheView.ts
@@ -80,8 +80,8 @@
 const initialLifetimeMs = 30_000;
 const minLifetimeMs = 1_000;
 const maxLifetimeMs = 120_000;
-const lifetimeShrink = 0.8;
-const lifetimeGrowth = 1.05;
+const lifetimeShrink = 0.9;
+const lifetimeGrowth = 1.02;
 
 /**
  * Creates an empty view.
@@ -176,12 +176,8 @@
 
     function noteOutcome(holder: Holder, isRight: boolean): void {
         const slot = findSlot(holder.upstream);
-        if (!isRight) {
-            slot.lifetimeMs = Math.max(minLifetimeMs, Math.min(slot.lifetimeMs, holder.ageMs * lifetimeShrink));
-        }
-        else if (holder.ageMs > slot.lifetimeMs / 2) {
-            slot.lifetimeMs = Math.min(maxLifetimeMs, slot.lifetimeMs * lifetimeGrowth);
-        }
+        const factor = isRight ? lifetimeGrowth : lifetimeShrink;
+        slot.lifetimeMs = Math.min(maxLifetimeMs, Math.max(minLifetimeMs, slot.lifetimeMs * factor));
     }
 
     function applyEvents(upstream: string, page: CacheEventPage, nowMs: number): void {
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -70,6 +70,12 @@
 /** Upstreams that are weighed by chance, so that a free one is found. */
 const sparesWeighed = 2;
 
+/**
+ * Share of a prompt's unhinted blocks that its home is believed to hold at first. Instances that begin in doubt would
+ * scatter a case, and then find their doubt confirmed.
+ */
+const initialUnhintedShare = 0.8;
+
 /** Weight of a newer answer against the ones before, in the share that homes hold without a hint. */
 const unhintedWeight = 0.02;
 
@@ -94,7 +100,7 @@
     const fleets = new WeakMap<readonly Upstream[], Fleet>();
     const sends = new WeakMap<readonly bigint[], Sent>();
     // Share of a prompt's unhinted blocks that its home turns out to hold: other instances send there as well.
-    let unhintedShare = 0.8;
+    let unhintedShare = initialUnhintedShare;
 
     function fleetOf(upstreams: readonly Upstream[]): Fleet {
         let fleet = fleets.get(upstreams);
@@ -148,8 +154,7 @@
         const waitMs = load.predictWaitMs(upstream, nowMs);
         const expectedBlocks = cachedBlocks + (isHome ? unhintedShare * (req.blocks.length - cachedBlocks) : 0);
         const prefillMs = toMs(req.promptTokens - expectedBlocks * blockTokens, upstream);
-        const affinityMs = isHome ? preset.affinityMs : 0;
-        const cost = preset.waitWeight * waitMs + preset.prefillWeight * prefillMs - affinityMs;
+        const cost = preset.waitWeight * waitMs + preset.prefillWeight * prefillMs;
         return { upstream: upstream.id, cachedBlocks, waitMs, prefillMs, cost };
     }
 
--- a/src/core/routing/createLoadView.ts
+++ b/src/core/routing/createLoadView.ts
@@ -37,22 +37,20 @@
 interface LoadState {
     readonly pending: Set<PendingSend>;
     inFlight: number;
-    /** Milliseconds of others' backlog: the average, and the last observation. */
-    meanOthersMs: number;
-    lastOthersMs: number;
-    lastOthersAtMs: number;
+    /** Average milliseconds of others' backlog. */
+    othersMs: number;
     /** Requests that others run, by the last report. */
     othersRunning: number;
 }
 
-/** Milliseconds in which an observed backlog falls back to the average; queues turn over about as fast. */
-const observationDecayMs = 400;
-
-/** Weight of a newer observation in the average of its upstream. */
-const averageWeight = 0.1;
+/**
+ * Weight of a newer observation in the average of its upstream. Queues turn over faster than observations come, so that
+ * the average tells more than the last one.
+ */
+const averageWeight = 0.03;
 
 /** Weight of a report in the average of its upstream. */
-const reportWeight = 0.05;
+const reportWeight = 0.01;
 
 /** Weight of a newer observation in the averages over all upstreams. */
 const fleetWeight = 0.02;
@@ -93,9 +91,7 @@
             state = {
                 pending: new Set(),
                 inFlight: 0,
-                meanOthersMs: fleetOthersMs,
-                lastOthersMs: 0,
-                lastOthersAtMs: -Infinity,
+                othersMs: fleetOthersMs,
                 othersRunning: 0,
             };
             states.set(upstream, state);
@@ -126,11 +122,6 @@
         return 0;
     }
 
-    function estimateOthers(state: LoadState, nowMs: number): number {
-        const weight = Math.exp(-(nowMs - state.lastOthersAtMs) / observationDecayMs);
-        return state.meanOthersMs + weight * (state.lastOthersMs - state.meanOthersMs);
-    }
-
     function waitForSlot(state: LoadState, slots: number): number {
         const running = state.othersRunning + state.inFlight;
         return running < slots ? 0 : ((running - slots + 1) * slotTurnMs) / slots;
@@ -141,14 +132,14 @@
         if (state === undefined) {
             return fleetOthersMs;
         }
-        const othersMs = Math.max(estimateOthers(state, nowMs), findOverdueMs(state, nowMs));
+        const othersMs = Math.max(state.othersMs, findOverdueMs(state, nowMs));
         return sumOwnMs(state, nowMs) + othersMs + waitForSlot(state, upstream.slots);
     }
 
     function noteSend(upstream: Upstream, prefillMs: number, nowMs: number): PendingSend {
         const state = stateOf(upstream.id);
         const ownWaitMs = sumOwnMs(state, nowMs);
-        const beginMs = nowMs + ownWaitMs + estimateOthers(state, nowMs);
+        const beginMs = nowMs + ownWaitMs + state.othersMs;
         const pending = { upstream, sentMs: nowMs, prefillMs, ownWaitMs, beginMs };
         state.pending.add(pending);
         return pending;
@@ -160,9 +151,7 @@
         const elapsedMs = nowMs - pending.sentMs - prefillMs;
         overheadMs = Math.min(elapsedMs, overheadMs * overheadGrowth);
         const othersMs = Math.max(0, elapsedMs - Math.max(0, overheadMs) - pending.ownWaitMs);
-        state.lastOthersMs = othersMs;
-        state.lastOthersAtMs = pending.sentMs;
-        state.meanOthersMs += averageWeight * (othersMs - state.meanOthersMs);
+        state.othersMs += averageWeight * (othersMs - state.othersMs);
         computedShare += fleetWeight * (prefillMs / Math.max(1, wholePrefillMs) - computedShare);
         fleetOthersMs += fleetWeight * (othersMs - fleetOthersMs);
     }
@@ -181,7 +170,7 @@
         const computedTokens = load.queuedPromptTokens * computedShare;
         const queuedMs = (computedTokens * millisecondsPerSecond) / upstream.prefillTokensPerSecond;
         const othersMs = Math.max(0, queuedMs - sumOwnMs(state, nowMs));
-        state.meanOthersMs += reportWeight * (othersMs - state.meanOthersMs);
+        state.othersMs += reportWeight * (othersMs - state.othersMs);
     }
 
     return {
--- a/src/core/routing/routingPresets.ts
+++ b/src/core/routing/routingPresets.ts
@@ -16,8 +16,6 @@
     readonly prefixLoadBound: number;
     /** Multiple of its fair share of the upstreams over which a prefix is spread at the most. */
     readonly maxSpreadFactor: number;
-    /** Predicted wait up to which a request stays with the upstream of its case, in milliseconds. */
-    readonly affinityMs: number;
 }
 
 /** The presets by the name that the catalogue uses. */
@@ -26,9 +24,8 @@
         waitWeight: 0.5,
         prefillWeight: 1,
         placementBlocks: 20,
-        prefixLoadBound: 1,
-        maxSpreadFactor: 1,
-        affinityMs: 100,
+        prefixLoadBound: 0.1,
+        maxSpreadFactor: 2,
     },
     compagnon: {
         waitWeight: 1,
@@ -36,6 +33,5 @@
         placementBlocks: 12,
         prefixLoadBound: 0.05,
         maxSpreadFactor: 4,
-        affinityMs: 20,
     },
 };
