Measure what claims cost at the two-year size

Cause: every daemon reads and folds every claim; it was not known what that costs when calls that may not be repeated grow.

Change: slope cases for folding, holding and reading claims, at an assumed 1 in 100 requests that may not be repeated.

--- a/bench/slopes/slopeCases.ts
+++ b/bench/slopes/slopeCases.ts
@@ -3,8 +3,9 @@
  * The costs that `npm run bench -- slopes` measures, gathered from the roles.
  */
 import { catalogueCases } from "./cases/catalogueCases.js";
+import { claimCases } from "./cases/claimCases.js";
 import { requestCases } from "./cases/requestCases.js";
 import type { SlopeCase } from "./slopeCase.js";
 
 /** Every measured cost. */
-export const slopeCases: readonly SlopeCase[] = [...requestCases, ...catalogueCases];
+export const slopeCases: readonly SlopeCase[] = [...requestCases, ...catalogueCases, ...claimCases];
