--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -9,4 +9,6 @@
 /** Loads a measurement only when it is run. */
 export const benches: Readonly<Record<string, Bench>> = {
     routing: async args => (await import("./routing/runRouting.js")).runRouting(args),
+    limits: async args => (await import("./limits/runLimits.js")).runLimits(args),
+    slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
 };
--- a/src/core/catalogue/foldRecord.ts
+++ b/src/core/catalogue/foldRecord.ts
@@ -2,21 +2,14 @@
  * @module
  * The deterministic fold of one log record into the catalogue.
  */
-import { type Catalogue, type HeldEntry } from "./catalogue.js";
-import { type CatalogueChange, catalogueChangeSchema } from "./catalogueEntry.js";
+import type { Catalogue, HeldEntry, ModelRollout } from "./catalogue.js";
+import type { CatalogueChange, CatalogueEntry } from "./catalogueEntry.js";
+import { foldOrder, foldOrderProgress } from "./foldOrder.js";
+import type { ChangeVerdict, FoldResult } from "./foldVerdict.js";
+import { parseRecord } from "./parseRecord.js";
 
-/** What became of a record. */
-export type FoldVerdict =
-    | { readonly kind: "accepted"; readonly changeId: string; }
-    | { readonly kind: "conflict"; readonly changeId: string; readonly key: string; readonly revision: number; }
-    | { readonly kind: "malformed"; readonly detail: string; }
-    | { readonly kind: "alreadyFolded"; };
-
-/** The catalogue after a record, and what became of the record. */
-export interface FoldResult {
-    readonly catalogue: Catalogue;
-    readonly verdict: FoldVerdict;
-}
+/** Changes whose ids are remembered; a repeat is told apart for this many changes. */
+export const rememberedChanges = 1_024;
 
 function findConflict(catalogue: Catalogue, change: CatalogueChange): { key: string; revision: number; } | undefined {
     for (const edit of change.edits) {
@@ -28,26 +21,20 @@
     return undefined;
 }
 
-function findKeyMismatch(change: CatalogueChange): string | undefined {
-    const edit = change.edits.find(one => one.entry !== undefined && one.key !== `${one.entry.kind}/${one.entry.id}`);
-    return edit?.key;
-}
-
-function parseChange(payload: string): CatalogueChange | string {
-    let value: unknown;
-    try {
-        value = JSON.parse(payload);
+/** A model that changes its version starts a rollout from what its upstreams serve. */
+function findRollout(before: HeldEntry | undefined, entry: CatalogueEntry): ModelRollout | undefined {
+    if (before === undefined || before.entry.kind !== "model" || entry.kind !== "model") {
+        return undefined;
     }
-    catch {
-        return "the record is not JSON";
+    if (before.rollout !== undefined || before.entry.weightsVersion === entry.weightsVersion) {
+        return before.rollout;
     }
-    const parsed = catalogueChangeSchema.safeParse(value);
-    if (!parsed.success) {
-        const issue = parsed.error.issues[0];
-        return `${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}`;
-    }
-    const mismatch = findKeyMismatch(parsed.data);
-    return mismatch === undefined ? parsed.data : `edit ${mismatch} holds an entry with another key`;
+    return { from: before.entry.weightsVersion, moved: {} };
+}
+
+function holdEntry(before: HeldEntry | undefined, entry: CatalogueEntry, revision: number): HeldEntry {
+    const rollout = findRollout(before, entry);
+    return rollout === undefined ? { entry, revision } : { entry, revision, rollout };
 }
 
 function applyEdits(catalogue: Catalogue, change: CatalogueChange, revision: number): ReadonlyMap<string, HeldEntry> {
@@ -57,12 +44,39 @@
             entries.delete(edit.key);
         }
         else {
-            entries.set(edit.key, { entry: edit.entry, revision });
+            entries.set(edit.key, holdEntry(entries.get(edit.key), edit.entry, revision));
         }
     }
     return entries;
 }
 
+function rememberChange(changes: Catalogue["changes"], verdict: ChangeVerdict): Catalogue["changes"] {
+    const remembered = new Map(changes).set(verdict.changeId, verdict);
+    for (const oldest of remembered.keys()) {
+        if (remembered.size <= rememberedChanges) {
+            break;
+        }
+        remembered.delete(oldest);
+    }
+    return remembered;
+}
+
+function foldChange(catalogue: Catalogue, change: CatalogueChange): FoldResult {
+    const { changeId } = change;
+    const first = catalogue.changes.get(changeId);
+    if (first !== undefined) {
+        return { catalogue, verdict: { kind: "repeated", changeId, first } };
+    }
+    const conflict = findConflict(catalogue, change);
+    const verdict: ChangeVerdict = conflict === undefined
+        ? { kind: "accepted", changeId, revision: catalogue.nextOffset, author: change.author }
+        : { kind: "conflict", changeId, ...conflict };
+    const entries = conflict === undefined
+        ? applyEdits(catalogue, change, catalogue.nextOffset)
+        : catalogue.entries;
+    return { catalogue: { ...catalogue, entries, changes: rememberChange(catalogue.changes, verdict) }, verdict };
+}
+
 /**
  * Folds one record. Every instance that folds the same records in log order holds the same catalogue.
  *
@@ -78,14 +92,16 @@
         return { catalogue, verdict: { kind: "alreadyFolded" } };
     }
     const passed: Catalogue = { ...catalogue, nextOffset: offset + 1 };
-    const change = parseChange(payload);
-    if (typeof change === "string") {
-        return { catalogue: passed, verdict: { kind: "malformed", detail: change } };
+    const record = parseRecord(payload);
+    if (record.isErr) {
+        return { catalogue: passed, verdict: { kind: "malformed", detail: record.error } };
     }
-    const conflict = findConflict(catalogue, change);
-    if (conflict !== undefined) {
-        return { catalogue: passed, verdict: { kind: "conflict", changeId: change.changeId, ...conflict } };
+    switch (record.value.kind) {
+        case "change":
+            return foldChange(passed, record.value);
+        case "order":
+            return foldOrder(passed, record.value);
+        case "orderProgress":
+            return foldOrderProgress(passed, record.value);
     }
-    const entries = applyEdits(catalogue, change, offset + 1);
-    return { catalogue: { ...passed, entries }, verdict: { kind: "accepted", changeId: change.changeId } };
 }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -2,32 +2,52 @@
  * @module
  * The one module that constructs the daemon's parts and connects them.
  */
+import { randomUUID } from "node:crypto";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
-import { listEntries } from "./core/catalogue/catalogue.js";
+import { type Catalogue, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
+import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
+import { blockCharacters } from "./core/constants.js";
 import { runSteps } from "./core/effects/runSteps.js";
+import type { Refusal } from "./core/errors/createRefusal.js";
+import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
-import type { Member } from "./core/membership/memberTypes.js";
-import type { ModelRequest, ServiceRequest } from "./core/request/requestTypes.js";
+import { createMembership, type Membership } from "./core/membership/createMembership.js";
+import type { PeerAttachment } from "./core/membership/peerAttachment.js";
+import { hasOrderWork } from "./core/orders/hasOrderWork.js";
+import { routeToVersion } from "./core/orders/routeToVersion.js";
+import { chooseWeightsVersion } from "./core/orders/weightsVersions.js";
+import { createRetryBudget } from "./core/request/createRetryBudget.js";
+import { createStreamReaders } from "./core/request/createStreamReaders.js";
+import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
-import { applyChange } from "./io/catalogue/applyChange.js";
-import { followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { createPauseDetector } from "./core/time/createPauseDetector.js";
+import { createReportRing } from "./core/why/createReportRing.js";
+import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
+import { createLogClaims } from "./io/claims/createLogClaims.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
-import { catalogueToSnapshot } from "./io/peers/catalogueSnapshot.js";
+import { createOperatorService } from "./io/operator/createOperatorService.js";
+import { keepLease } from "./io/orders/keepLease.js";
+import { readWeightStore } from "./io/orders/readWeightStore.js";
+import { runOrders } from "./io/orders/runOrders.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
-import { pollSeeds } from "./io/peers/pollSeeds.js";
+import { createPeerTransport } from "./io/peers/createPeerTransport.js";
+import { followInstanceList } from "./io/peers/followInstanceList.js";
+import { takeRestartState } from "./io/peers/takeRestartState.js";
 import { createCallJson } from "./io/platform/callJson.js";
 import { createLogClient } from "./io/platform/createLogClient.js";
+import { createInstanceListReader, createWeightVersionReader } from "./io/platform/createPlatformClients.js";
 import { createEngineClient } from "./io/upstream/createEngineClient.js";
 import { createUpstreamClient } from "./io/upstream/createUpstreamClient.js";
 import type { Settings } from "./settings/settingsTable.js";
@@ -47,9 +67,21 @@
 /** Time limit of a call to a peer, in milliseconds. */
 const peerTimeoutMs = 2_000;
 
+/** Instances that contend for the lease under which orders are given. */
+const leaseContenders = 3;
+
+/** Leading characters of a prompt that decide its weights version during a rollout. */
+const versionKeyCharacters = 4 * blockCharacters;
+
+/** Ended requests that `reedwardctl why` can explain. */
+const keptReports = 2_000;
+
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
+/** Retries that repeat work: a fifth of traffic, and a reserve for failures that strike many requests at once. */
+const retryBudgetOptions = { share: 0.2, reserve: 100 } as const;
+
 function listen(server: Server, address: string): Promise<string> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -78,28 +110,54 @@
     const upstreams = createUpstreamClient({
         connectTimeoutMs: settings.connectTimeoutMs,
         silenceTimeoutMs: settings.silenceTimeoutMs,
+        beforeOpen: () => pauses.check(),
         onMismatch: call => {
             metrics.discardedAnswers.inc({ reason: "correlation" });
             writeLog("answerMismatched", { upstream: call.upstream.id, requestId: call.correlationId });
         },
     });
+    const pauses = createPauseDetector(clock, pausedMs => {
+        metrics.processPauses.inc();
+        writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
+        upstreams.distrustAll();
+    });
+    const claims = createLogClaims({
+        log,
+        clock,
+        onAppend: records => {
+            metrics.claimAppends.inc();
+            metrics.claimRecords.inc(records);
+        },
+    });
+    const readers = createStreamReaders();
+    const retrying = {
+        retryBudget: createRetryBudget(retryBudgetOptions),
+        countRetry: (reason: string) => metrics.retries.inc({ reason }),
+        countDenial: (reason: string) => metrics.retryDenials.inc({ reason }),
+        now: clock.now,
+        random: Math.random,
+        silenceTimeoutMs: settings.silenceTimeoutMs,
+    };
     const inFlight = new Map<string, number>();
+    const reports = createReportRing(keptReports);
     let callerAddress = settings.advertise ?? settings.listen;
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
     let isStopping = false;
     let follower: ReturnType<typeof followCatalogue> | undefined;
-    let polling: ReturnType<typeof pollSeeds> | undefined;
-
-    const self = (): Member => ({
-        instance: settings.instance,
-        incarnation: 0,
-        state: isStopping ? "leaving" : "alive",
-        failureDomain: settings.failureDomain,
-        callerAddress,
-        peerAddress,
-    });
+    let stopSnapshots: () => void = () => undefined;
+    let stopOrders: () => void = () => undefined;
+    let fleet: Membership | undefined;
+    let instanceList: ReturnType<typeof followInstanceList> | undefined;
+    let restart: ReturnType<typeof takeRestartState> | undefined;
+
+    /** Subjects whose payloads ride on the messages between peers. */
+    const peerAttachments: readonly PeerAttachment[] = [];
+    /** Subjects whose state a restarted instance takes from a peer. */
+    const restartSlots: readonly RestartSlot[] = [];
+
     const catalogue = () => follower!.current();
-    const membership = () => polling!.view();
+    const membership = () => fleet!.view();
+    const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
         return listEntries(catalogue(), "upstream")
@@ -114,8 +172,8 @@
         listCandidates: model => listServing(model, "engine"),
         countInFlight: upstream => inFlight.get(upstream) ?? 0,
     });
-    const countRetry = (reason: string) => metrics.retries.inc({ reason });
-    const exchangeDependencies = { clock, admission, upstreams, cancelStream: engines.cancelStream, maxAnswerBytes };
+    const { cancelStream } = engines;
+    const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
 
     function noteEnd(kind: string, exchange: Exchange, arrivedMs: number, result: string, customer: string): void {
         metrics.inProgress.dec();
@@ -134,21 +192,46 @@
         metrics.promptTokens.inc({ cached: "no" }, Math.max(0, report.promptTokens - report.cachedTokens));
     }
 
+    function describeEnd(req: RequestContext, arrivedMs: number, refusal: Refusal | undefined) {
+        return {
+            requestId: req.requestId,
+            customer: req.customer.id,
+            result: refusal?.kind ?? "answered",
+            detail: refusal?.detail ?? "",
+            durationMs: clock.now() - arrivedMs,
+            endedMs: clock.wallNow(),
+        };
+    }
+
+    /** During a rollout, requests with the same beginning are sent for the same weights version. */
+    function withServedVersion(req: ModelRequest): ModelRequest {
+        const { model, customer, prompt } = req;
+        const key = hashText(prompt.slice(0, versionKeyCharacters), hashText(customer.id));
+        const weightsVersion = chooseWeightsVersion(catalogue(), model.id, key) ?? model.weightsVersion;
+        return weightsVersion === model.weightsVersion ? req : { ...req, model: { ...model, weightsVersion } };
+    }
+
     function serveModel(req: ModelRequest, res: ServerResponse): void {
         const arrivedMs = clock.now();
         const exchange = createExchange(req.requestId, res, exchangeDependencies);
         metrics.inProgress.inc();
-        const steps = serveModelRequest(req, {
-            chooseUpstream,
+        const steps = serveModelRequest(withServedVersion(req), {
+            chooseUpstream: routeToVersion(chooseUpstream, catalogue),
             trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
             reportFeedback: () => undefined,
-            countRetry,
-            now: clock.now,
+            readers,
+            ...retrying,
         });
         runSteps(steps, exchange.handlers, report => {
             noteModelEnd(report);
             noteEnd("model", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
             writeLog("requestEnded", { requestId: req.requestId, ...report });
+            reports.add({
+                ...report,
+                ...describeEnd(req, arrivedMs, report.refusal),
+                kind: "model",
+                target: req.model.id,
+            });
         }, error => failInternally(req.requestId, res, error));
     }
 
@@ -162,10 +245,13 @@
                     ? -1
                     : 1
             );
-        const steps = serveServiceRequest(req, { rankUpstreams, countRetry, now: clock.now });
+        const steps = serveServiceRequest(req, { rankUpstreams, wallNow: clock.wallNow, ...retrying });
         runSteps(steps, exchange.handlers, report => {
             noteEnd("service", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
             writeLog("requestEnded", { requestId: req.requestId, ...report });
+            const tokens = { promptTokens: 0, cachedTokens: 0, outputTokens: 0, attempts: [] };
+            const end = describeEnd(req, arrivedMs, report.refusal);
+            reports.add({ ...tokens, ...report, ...end, kind: "service", target: req.service.id });
         }, error => failInternally(req.requestId, res, error));
     }
 
@@ -175,67 +261,176 @@
         res.destroy();
     }
 
-    const isReady = () => !isStopping && (follower?.isLoaded() ?? false);
+    const isReady = () => !isStopping && isCatalogueLoaded() && (restart?.isSettled() ?? false);
     const callerServer = createCallerServer({
         settings,
         clock,
         metrics,
         writeLog,
         catalogue,
-        isCatalogueLoaded: () => follower?.isLoaded() ?? false,
+        isCatalogueLoaded,
         membership,
         isReady,
         isClosed: () => false,
         serveModel,
         serveService,
     });
-    const peerServer = createPeerServer({
-        exchange: from => {
-            polling?.noteMember(from);
-            return { catalogue: catalogueToSnapshot(catalogue()), members: membership().members };
+    const peerServer = createPeerServer(
+        {
+            probe: req => fleet!.handleProbe(req),
+            relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
+            listMembers: () => membership().members,
+            exchange: () => ({
+                catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
+                members: membership().members,
+                parts: restartSlots.flatMap((slot): readonly RestartPart[] => {
+                    const payload = slot.collect();
+                    return payload === undefined ? [] : [{ name: slot.name, payload }];
+                }),
+            }),
         },
-    }, {
-        status: () => ({
+        createOperatorService({
             instance: settings.instance,
-            isReady: isReady(),
-            nextOffset: catalogue().nextOffset,
-            logContactAgeMs: follower?.logContactAgeMs(),
-            members: membership().members,
+            log,
+            clock,
+            follower: () => follower!,
+            members: () => membership().members,
+            isReady,
+            readState: engines.readState,
+            reports,
         }),
-        readCatalogue: () => catalogueToSnapshot(catalogue()),
-        applyChange: payload => applyChange(payload, { log, clock, follower: follower! }),
-    }, {
-        peerSecret: settings.peerSecret,
-        operatorSecret: settings.operatorSecret,
-        onRejected: () => writeLog("peerRejected"),
-    });
+        {
+            peerSecret: settings.peerSecret,
+            operatorSecret: settings.operatorSecret,
+            onRejected: () => writeLog("peerRejected"),
+        },
+    );
+
+    /** Few instances contend for the lease, so that the log is not read by all while there is work. */
+    function isContender(): boolean {
+        const key = hashText("orders");
+        const ranked = membership().members.filter(member => member.state === "alive")
+            .sort((left, right) => scoreRendezvous(key, left.instance) > scoreRendezvous(key, right.instance) ? -1 : 1);
+        return !isStopping && ranked.slice(0, leaseContenders).some(member => member.instance === settings.instance);
+    }
+
+    function startOrders(loaded: CatalogueFollower): void {
+        if (log === undefined) {
+            return;
+        }
+        const lease = keepLease({
+            log,
+            clock,
+            random: Math.random,
+            createSession: randomUUID,
+            writeLog,
+            instance: settings.instance,
+            isWanted: () => fleet !== undefined && hasOrderWork(loaded.current()) && isContender(),
+        });
+        const readVersions = settings.weightStoreUrl === undefined
+            ? undefined
+            : createWeightVersionReader(settings.weightStoreUrl, json.call);
+        const stopRunning = runOrders({
+            log,
+            clock,
+            engines,
+            lease,
+            instance: settings.instance,
+            catalogue: loaded.current,
+            hasWeights: readWeightStore(readVersions, clock).has,
+            writeLog,
+        });
+        stopOrders = () => {
+            stopRunning();
+            lease.stop();
+        };
+    }
 
     async function start(): Promise<void> {
+        pauses.start();
+        claims.start();
         follower = followCatalogue({
             log,
             clock,
+            random: Math.random,
             writeLog,
             onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
         });
+        const loaded = follower;
+        if (log !== undefined) {
+            stopSnapshots = keepSnapshots({
+                log,
+                clock,
+                random: Math.random,
+                writeLog,
+                instance: settings.instance,
+                current: () => loaded.isLoaded() ? loaded.current() : undefined,
+                retentionMs: settings.logRetentionMs,
+            });
+        }
+        startOrders(loaded);
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
         callerAddress = settings.advertise ?? boundCaller;
-        polling = pollSeeds({
+        joinFleet(follower.adopt);
+        writeLog("started", { callerAddress, peerAddress });
+    }
+
+    function listContacts(): readonly string[] {
+        const listed = (instanceList?.current() ?? []).filter(one => one.role === "entry" && one.state === "live");
+        const addresses = new Set([...settings.seeds, ...listed.map(one => one.address)]);
+        addresses.delete(peerAddress);
+        return [...addresses];
+    }
+
+    function joinFleet(adoptCatalogue: (catalogue: Catalogue) => void): void {
+        instanceList = followInstanceList({
+            clock,
+            random: Math.random,
+            readInstances: settings.instanceListUrl === undefined
+                ? undefined
+                : createInstanceListReader(settings.instanceListUrl, json.call),
+            countInstances: () => fleet?.view().members.length ?? 1,
+            onRead: () => undefined,
+        });
+        fleet = createMembership({
+            clock,
+            random: Math.random,
+            identity: {
+                instance: settings.instance,
+                failureDomain: settings.failureDomain,
+                callerAddress,
+                peerAddress,
+            },
+            listContacts,
+            transport: createPeerTransport(peers),
+            attachments: peerAttachments,
+            onEvent: () => undefined,
+        });
+        restart = takeRestartState({
             clock,
             clients: peers,
-            seeds: settings.seeds.filter(seed => seed !== peerAddress),
-            self,
-            adoptCatalogue: follower.adopt,
+            listContacts,
+            slots: restartSlots,
+            adoptCatalogue,
+            takeMembers: fleet.takeMembers,
+            isLoaded: isCatalogueLoaded,
+            onTaken: () => undefined,
         });
-        writeLog("started", { callerAddress, peerAddress });
     }
 
     async function stop(): Promise<void> {
         isStopping = true;
         writeLog("stopping");
-        polling?.stop();
+        restart?.stop();
+        instanceList?.stop();
+        fleet?.stop();
         follower?.stop();
+        claims.stop();
+        pauses.stop();
+        stopSnapshots();
+        stopOrders();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
