--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -9,4 +9,5 @@
 /** Loads a measurement only when it is run. */
 export const benches: Readonly<Record<string, Bench>> = {
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
+    catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
 };
--- a/features/catalogue.feature
+++ b/features/catalogue.feature
@@ -114,3 +114,10 @@
         And 8 instances that keep snapshots with a retention of 60 minutes
         When 15 minutes pass
         Then the newest snapshot has offset 1000
+
+    Scenario: A start reads the snapshot in place of a long log
+        Given a log with 1500 changes whose first 0 are gone
+        And a snapshot of the first 1400 changes on the log behind a malformed one
+        When an instance follows it for 3 seconds
+        Then it is loaded at offset 1500
+        And it has event "catalogueAdvanced" 100 times
--- a/src/io/catalogue/followCatalogue.ts
+++ b/src/io/catalogue/followCatalogue.ts
@@ -45,6 +45,9 @@
 
 /** Longest wait of one read; with the log client's time limit a silent connection is given up within 3 s. */
 const pollWaitMs = 1_000;
+
+/** Records that a start reads one by one; with more, it begins at the newest snapshot. */
+const snapshotWorthRecords = 500;
 const leastRetryDelayMs = 250;
 const mostRetryDelayMs = 1_000;
 
@@ -59,6 +62,7 @@
     let replica: Replica = emptyReplica;
     let lastContactMs: number | undefined;
     let isReachable = true;
+    let hasTriedSnapshot = false;
     let reportedTrouble = "";
     let retryDelayMs = leastRetryDelayMs;
     let isStopped = false;
@@ -110,6 +114,21 @@
         });
     }
 
+    /** A long log is not folded from its beginning when a snapshot stands further on. */
+    async function startFromSnapshot(from: LogPort, page: LogPage): Promise<boolean> {
+        const isLong = !replica.isWhole && page.end - replica.catalogue.nextOffset > snapshotWorthRecords;
+        if (!isLong || hasTriedSnapshot) {
+            return false;
+        }
+        hasTriedSnapshot = true;
+        const { nextOffset } = replica.catalogue;
+        const found = await readNewestSnapshot(from);
+        if (found !== undefined) {
+            put(adoptCatalogue(replica, catalogueFromSnapshot(found.snapshot)));
+        }
+        return replica.catalogue.nextOffset > nextOffset;
+    }
+
     async function bridgeGap(from: LogPort, firstKept: number): Promise<boolean> {
         const { nextOffset } = replica.catalogue;
         reportOnce("catalogueGap", { nextOffset, firstKept });
@@ -128,6 +147,9 @@
             // A peer's catalogue was adopted while the page was on its way.
             return true;
         }
+        if (await startFromSnapshot(from, page)) {
+            return true;
+        }
         const result = takePage(replica, page);
         if (result.kind === "folded") {
             put(page.records.length > 0 || !replica.isWhole ? result.replica : replica);
--- a/src/io/orders/keepLease.ts
+++ b/src/io/orders/keepLease.ts
@@ -84,6 +84,11 @@
         });
     }
 
+    function forgetOldRecords(): void {
+        const last = view.last?.session === session ? view.last?.sequence ?? 0 : 0;
+        [...sentMs.keys()].filter(one => one < last).forEach(one => sentMs.delete(one));
+    }
+
     async function append(): Promise<void> {
         sequence += 1;
         const record: LeaseRecord = {
@@ -140,6 +145,7 @@
             return false;
         }
         view = takeLeasePage(view, page.value, clock.now());
+        forgetOldRecords();
         if (view.last?.session === session && before?.session !== session && isHeld()) {
             writeLog("leaseTaken", { fencingNumber: view.last?.fencingNumber });
         }
