--- a/features/steps/ctlSteps.ts
+++ b/features/steps/ctlSteps.ts
@@ -4,9 +4,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { readFileSync } from "node:fs";
 import { setTimeout as delay } from "node:timers/promises";
 import { createSiteEntries, siteOperatorSecret, startSite } from "../../demo/startSite.js";
 import type { CatalogueEntry } from "../../src/core/catalogue/catalogueEntry.js";
@@ -14,6 +12,7 @@
 import { exitCodes } from "../../src/ctl/exitCodes.js";
 import { runCommand } from "../../src/ctl/runCommand.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { writeCatalogueFile } from "../support/writeCatalogueFile.js";
 
 interface Run {
     readonly exitCode: number;
@@ -51,14 +50,6 @@
     return { exitCode, text };
 }
 
-function writeFile(world: SiteWorld, content: string): string {
-    const folder = mkdtempSync(join(tmpdir(), "reedward-"));
-    world.cleanups.push(() => rmSync(folder, { recursive: true }));
-    const file = join(folder, "catalogue.json");
-    writeFileSync(file, content);
-    return file;
-}
-
 function listEntries(world: SiteWorld): readonly CatalogueEntry[] {
     const addresses = world.site?.engines.map(engine => engine.address) ?? ["127.0.0.1:1"];
     return createSiteEntries(addresses, world.site?.service.address ?? "127.0.0.1:2");
@@ -83,24 +74,27 @@
 ]);
 
 Given("a catalogue file with {}", function(this: SiteWorld, fault: string) {
-    find(this).file = writeFile(this, faultyFiles.get(fault)!(listEntries(this)));
+    find(this).file = writeCatalogueFile(this, faultyFiles.get(fault)!(listEntries(this)));
 });
 
 Given("a catalogue file that changes the model", function(this: SiteWorld) {
-    find(this).file = writeFile(this, changeModel(this, 0.25));
+    find(this).file = writeCatalogueFile(this, changeModel(this, 0.25));
 });
 
 Given("a catalogue file that changes the model otherwise", function(this: SiteWorld) {
-    find(this).file = writeFile(this, changeModel(this, 0.75));
+    find(this).file = writeCatalogueFile(this, changeModel(this, 0.75));
 });
 
 Given("a catalogue file that lacks the plain service and its upstream", function(this: SiteWorld) {
     const entries = listEntries(this).filter(entry => !entry.id.startsWith("booking"));
-    find(this).file = writeFile(this, JSON.stringify(entries));
+    find(this).file = writeCatalogueFile(this, JSON.stringify(entries));
 });
 
 Given("a catalogue file that lacks the plain service", function(this: SiteWorld) {
-    find(this).file = writeFile(this, JSON.stringify(listEntries(this).filter(entry => entry.id !== "booking")));
+    find(this).file = writeCatalogueFile(
+        this,
+        JSON.stringify(listEntries(this).filter(entry => entry.id !== "booking")),
+    );
 });
 
 Given("a fleet of {int} daemons that know each other", async function(this: SiteWorld, daemons: number) {
@@ -125,7 +119,7 @@
 
 When("two operators apply different changes of the model at once", async function(this: SiteWorld) {
     const state = find(this);
-    const files = [0.25, 0.75].map(share => writeFile(this, changeModel(this, share)));
+    const files = [0.25, 0.75].map(share => writeCatalogueFile(this, changeModel(this, share)));
     state.runs = await Promise.all(files.map((file, index) => run(this, `--author operator-${index} apply ${file}`)));
 });
 
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -2,6 +2,7 @@
  * @module
  * The one module that constructs the daemon's parts and connects them.
  */
+import { randomUUID } from "node:crypto";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
@@ -9,12 +10,16 @@
 import { type Catalogue, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
+import { blockCharacters } from "./core/constants.js";
 import { runSteps } from "./core/effects/runSteps.js";
 import type { Refusal } from "./core/errors/createRefusal.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
+import { hasOrderWork } from "./core/orders/hasOrderWork.js";
+import { routeToVersion } from "./core/orders/routeToVersion.js";
+import { chooseWeightsVersion } from "./core/orders/weightsVersions.js";
 import { createRetryBudget } from "./core/request/createRetryBudget.js";
 import { createStreamReaders } from "./core/request/createStreamReaders.js";
 import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
@@ -23,7 +28,7 @@
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createReportRing } from "./core/why/createReportRing.js";
-import { followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
 import { createLogClaims } from "./io/claims/createLogClaims.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
@@ -32,6 +37,9 @@
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
 import { createOperatorService } from "./io/operator/createOperatorService.js";
+import { keepLease } from "./io/orders/keepLease.js";
+import { readWeightStore } from "./io/orders/readWeightStore.js";
+import { runOrders } from "./io/orders/runOrders.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
 import { createPeerTransport } from "./io/peers/createPeerTransport.js";
@@ -39,7 +47,7 @@
 import { takeRestartState } from "./io/peers/takeRestartState.js";
 import { createCallJson } from "./io/platform/callJson.js";
 import { createLogClient } from "./io/platform/createLogClient.js";
-import { createInstanceListReader } from "./io/platform/createPlatformClients.js";
+import { createInstanceListReader, createWeightVersionReader } from "./io/platform/createPlatformClients.js";
 import { createEngineClient } from "./io/upstream/createEngineClient.js";
 import { createUpstreamClient } from "./io/upstream/createUpstreamClient.js";
 import type { Settings } from "./settings/settingsTable.js";
@@ -59,6 +67,12 @@
 /** Time limit of a call to a peer, in milliseconds. */
 const peerTimeoutMs = 2_000;
 
+/** Instances that contend for the lease under which orders are given. */
+const leaseContenders = 3;
+
+/** Leading characters of a prompt that decide its weights version during a rollout. */
+const versionKeyCharacters = 4 * blockCharacters;
+
 /** Ended requests that `reedwardctl why` can explain. */
 const keptReports = 2_000;
 
@@ -131,6 +145,7 @@
     let isStopping = false;
     let follower: ReturnType<typeof followCatalogue> | undefined;
     let stopSnapshots: () => void = () => undefined;
+    let stopOrders: () => void = () => undefined;
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
@@ -188,12 +203,20 @@
         };
     }
 
+    /** During a rollout, requests with the same beginning are sent for the same weights version. */
+    function withServedVersion(req: ModelRequest): ModelRequest {
+        const { model, customer, prompt } = req;
+        const key = hashText(prompt.slice(0, versionKeyCharacters), hashText(customer.id));
+        const weightsVersion = chooseWeightsVersion(catalogue(), model.id, key) ?? model.weightsVersion;
+        return weightsVersion === model.weightsVersion ? req : { ...req, model: { ...model, weightsVersion } };
+    }
+
     function serveModel(req: ModelRequest, res: ServerResponse): void {
         const arrivedMs = clock.now();
         const exchange = createExchange(req.requestId, res, exchangeDependencies);
         metrics.inProgress.inc();
-        const steps = serveModelRequest(req, {
-            chooseUpstream,
+        const steps = serveModelRequest(withServedVersion(req), {
+            chooseUpstream: routeToVersion(chooseUpstream, catalogue),
             trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
             reportFeedback: () => undefined,
             readers,
@@ -283,6 +306,46 @@
         },
     );
 
+    /** Few instances contend for the lease, so that the log is not read by all while there is work. */
+    function isContender(): boolean {
+        const key = hashText("orders");
+        const ranked = membership().members.filter(member => member.state === "alive")
+            .sort((left, right) => scoreRendezvous(key, left.instance) > scoreRendezvous(key, right.instance) ? -1 : 1);
+        return !isStopping && ranked.slice(0, leaseContenders).some(member => member.instance === settings.instance);
+    }
+
+    function startOrders(loaded: CatalogueFollower): void {
+        if (log === undefined) {
+            return;
+        }
+        const lease = keepLease({
+            log,
+            clock,
+            random: Math.random,
+            createSession: randomUUID,
+            writeLog,
+            instance: settings.instance,
+            isWanted: () => fleet !== undefined && hasOrderWork(loaded.current()) && isContender(),
+        });
+        const readVersions = settings.weightStoreUrl === undefined
+            ? undefined
+            : createWeightVersionReader(settings.weightStoreUrl, json.call);
+        const stopRunning = runOrders({
+            log,
+            clock,
+            engines,
+            lease,
+            instance: settings.instance,
+            catalogue: loaded.current,
+            hasWeights: readWeightStore(readVersions, clock).has,
+            writeLog,
+        });
+        stopOrders = () => {
+            stopRunning();
+            lease.stop();
+        };
+    }
+
     async function start(): Promise<void> {
         pauses.start();
         claims.start();
@@ -305,6 +368,7 @@
                 retentionMs: settings.logRetentionMs,
             });
         }
+        startOrders(loaded);
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
@@ -366,6 +430,7 @@
         claims.stop();
         pauses.stop();
         stopSnapshots();
+        stopOrders();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
