--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -51,6 +51,8 @@
         Then it exits with 0 and prints "outcome.:.done"
         When reedwardctl runs "status"
         Then it exits with 0 and prints "all 2 instances are at revision 2"
+        When reedwardctl runs "status --customers"
+        Then it exits with 0 and prints "town-hall +town-hall +standard +0/1000"
         When reedwardctl runs "--json status"
         Then it exits with 0 and prints "logContactAgeMs"
 
--- a/src/ctl/commandTypes.ts
+++ b/src/ctl/commandTypes.ts
@@ -21,6 +21,8 @@
     /** Whether to read back what the engines have loaded. */
     readonly state: boolean;
     readonly undo: boolean;
+    /** Whether to show the use of the customers' limits. */
+    readonly customers: boolean;
 }
 
 /** One invocation of a command. */
--- a/src/ctl/commands/status.ts
+++ b/src/ctl/commands/status.ts
@@ -2,19 +2,21 @@
  * @module
  * `reedwardctl status`: every member with its revision and its contact with the log.
  */
+import { formatCustomers } from "../_lib/formatCustomers.js";
 import { formatFleet } from "../_lib/formatFleet.js";
 import { readFleet } from "../_lib/readFleet.js";
 import type { CommandResult, Invocation } from "../commandTypes.js";
 import { exitCodes } from "../exitCodes.js";
 
 /**
- * Asks every member for its state.
+ * Asks every member for its state; with `--customers` also for the use of the customers' limits.
  *
  * @param invocation - The invocation.
  * @returns A row for each member.
  */
 export async function status(invocation: Invocation): Promise<CommandResult> {
     const rows = await readFleet(invocation);
+    const use = invocation.flags.customers ? await invocation.client.operator.customers.query() : undefined;
     const revisions = rows.flatMap(row => row.status === undefined ? [] : [row.status.nextOffset]);
     const newest = Math.max(0, ...revisions);
     const behind = rows.filter(row => row.status?.nextOffset !== newest).map(row => row.instance);
@@ -23,7 +25,7 @@
         : `not at revision ${newest} or without answer: ${behind.join(", ")}`;
     return {
         exitCode: exitCodes.done,
-        json: { outcome: "done", revision: newest, behind, instances: rows },
-        lines: [...formatFleet(rows), end],
+        json: { outcome: "done", revision: newest, behind, instances: rows, customers: use },
+        lines: [...formatFleet(rows), end, ...(use === undefined ? [] : formatCustomers(use))],
     };
 }
--- a/src/ctl/formatUsage.ts
+++ b/src/ctl/formatUsage.ts
@@ -30,6 +30,7 @@
         "  --model ID --weights V   order load, order unload: the weights.",
         "  --role NAME              order role: the role.",
         "  --state                  upstreams: ask the engines what they have loaded.",
+        "  --customers              status: show each customer's use of its limits over the whole fleet.",
         "  --undo                   drain: take the upstream back into routing.",
         "",
         "The operator secret is read from REEDWARD_OPERATOR_SECRET.",
--- a/src/ctl/parseInvocation.ts
+++ b/src/ctl/parseInvocation.ts
@@ -40,6 +40,7 @@
             role: { type: "string", default: "" },
             state: { type: "boolean", default: false },
             undo: { type: "boolean", default: false },
+            customers: { type: "boolean", default: false },
         },
     });
 }
@@ -81,6 +82,7 @@
             role: values.role,
             state: values.state,
             undo: values.undo,
+            customers: values.customers,
         },
         isJson: values.json,
         address: values.address ?? environment["REEDWARD_ADDRESS"] ?? defaultAddress,
--- a/src/io/catalogue/followCatalogue.ts
+++ b/src/io/catalogue/followCatalogue.ts
@@ -3,7 +3,7 @@
  * Follows the catalogue's stream on the log and keeps the fold in force.
  */
 import { type Catalogue, emptyCatalogue } from "../../core/catalogue/catalogue.js";
-import type { ChangeVerdict } from "../../core/catalogue/foldVerdict.js";
+import type { ChangeVerdict, FoldVerdict } from "../../core/catalogue/foldVerdict.js";
 import {
     adoptCatalogue,
     emptyReplica,
@@ -41,6 +41,8 @@
     readonly random: () => number;
     readonly writeLog: WriteLog;
     readonly onAdvance: (catalogue: Catalogue) => void;
+    /** Counts what became of each record. */
+    readonly countVerdict?: (kind: FoldVerdict["kind"]) => void;
 }
 
 /** Longest wait of one read; with the log client's time limit a silent connection is given up within 3 s. */
@@ -77,6 +79,7 @@
     }
 
     function report({ offset, verdict }: RecordVerdict): void {
+        dependencies.countVerdict?.(verdict.kind);
         if (verdict.kind === "accepted") {
             writeLog("catalogueAdvanced", { offset, changeId: verdict.changeId });
         }
--- a/src/io/metrics/createMetrics.ts
+++ b/src/io/metrics/createMetrics.ts
@@ -29,6 +29,10 @@
     readonly timeToFirstByte: Histogram<"kind">;
     /** Requests in progress. */
     readonly inProgress: Gauge;
+    /** Records of the catalogue's stream by what became of them. */
+    readonly catalogueRecords: Counter<"verdict">;
+    /** Orders sent to engines, by action and by how the call ended. */
+    readonly orders: Counter<"action" | "result">;
     /** Offset up to which the catalogue is folded. */
     readonly catalogueOffset: Gauge;
 }
@@ -103,6 +107,18 @@
             registers,
         }),
         inProgress: new Gauge({ name: "reedward_requests_in_progress", help: "Requests in progress.", registers }),
+        catalogueRecords: new Counter({
+            name: "reedward_catalogue_records_total",
+            help: "Records of the catalogue by verdict.",
+            labelNames: ["verdict"],
+            registers,
+        }),
+        orders: new Counter({
+            name: "reedward_orders_total",
+            help: "Orders sent to engines.",
+            labelNames: ["action", "result"],
+            registers,
+        }),
         catalogueOffset: new Gauge({
             name: "reedward_catalogue_next_offset",
             help: "Offset up to which the catalogue is folded.",
--- a/src/io/orders/runOrders.ts
+++ b/src/io/orders/runOrders.ts
@@ -11,6 +11,7 @@
 import { type Plan, type PlannedOrder, planOrders } from "../../core/orders/planOrders.js";
 import type { EnginePort } from "../../core/ports/enginePort.js";
 import type { LogPort } from "../../core/ports/logPort.js";
+import type { PortFailure } from "../../core/ports/portFailure.js";
 import type { Clock } from "../../core/time/clock.js";
 import type { LeaseKeeper } from "./keepLease.js";
 import { observeEngines } from "./observeEngines.js";
@@ -26,6 +27,8 @@
     /** Whether the weight store holds "model@version". */
     readonly hasWeights: (weights: string) => boolean;
     readonly writeLog: WriteLog;
+    /** Counts how each call to an engine ended. */
+    readonly countOrder?: (action: PlannedOrder["action"], result: "sent" | PortFailure["kind"]) => void;
     readonly plan?: typeof planOrders;
 }
 
@@ -122,6 +125,7 @@
             fencingNumber,
             validForMs: orderValidMs,
         });
+        dependencies.countOrder?.(action, answer.isOk ? "sent" : answer.error.kind);
         const fields = { upstream: order.upstream, action, model, weightsVersion, fencingNumber };
         writeLog(answer.isOk ? "orderSent" : "orderFailed", answer.isOk ? fields : { ...fields, ...answer.error });
     }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -411,6 +411,7 @@
             lease,
             instance: settings.instance,
             catalogue: loaded.current,
+            countOrder: (action, result) => metrics.orders.inc({ action, result }),
             hasWeights: readWeightStore(readVersions, clock).has,
             writeLog,
         });
@@ -429,6 +430,7 @@
             random: Math.random,
             writeLog,
             onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
+            countVerdict: verdict => metrics.catalogueRecords.inc({ verdict }),
         });
         const loaded = follower;
         if (log !== undefined) {
