Measure forwarding and claims, and send every request at once

A pool of 256 connections to one upstream let further streams wait unsent: 300 streams took twice their time. The first read of the claims stream does not wait for records any more, which held a restarted instance's first claims back for 1 s.

--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -10,6 +10,8 @@
 export const benches: Readonly<Record<string, Bench>> = {
     routing: async args => (await import("./routing/runRouting.js")).runRouting(args),
     limits: async args => (await import("./limits/runLimits.js")).runLimits(args),
+    forward: async args => (await import("./forward/runForward.js")).runForward(args),
+    claims: async args => (await import("./claims/runClaims.js")).runClaims(args),
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
     catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
 };
--- a/features/request.feature
+++ b/features/request.feature
@@ -60,5 +60,8 @@
     Scenario: Retries are bounded to a share of traffic
         Then 1000 failing requests with share 0.2 and reserve 10 are followed by at most 210 retries
 
+    Scenario: Many requests at once to one upstream are all sent
+        Then 300 calls to a service that never answers all reach it
+
     Scenario: A pause of the process is noticed
         Then a pause detector reports a jump of 5000 ms once and no pause in steady time
--- a/features/steps/requestSteps.ts
+++ b/features/steps/requestSteps.ts
@@ -6,6 +6,9 @@
 import assert from "node:assert/strict";
 import { setTimeout as delay } from "node:timers/promises";
 import { startSite } from "../../demo/startSite.js";
+import { startFakeService } from "../../fakes/startFakeService.js";
+import type { Upstream } from "../../src/core/catalogue/catalogueEntry.js";
+import { createUpstreamClient } from "../../src/io/upstream/createUpstreamClient.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 const streams = new WeakMap<SiteWorld, readonly string[]>();
@@ -127,3 +130,31 @@
     }
     assert.deepEqual([...engine.cancelled], [...engine.runs.keys()]);
 });
+
+Then("{int} calls to a service that never answers all reach it", async function(this: SiteWorld, count: number) {
+    const service = await startFakeService();
+    service.setFault("hang");
+    const limits = { connectTimeoutMs: 5_000, silenceTimeoutMs: 5_000 };
+    const client = createUpstreamClient({ ...limits, onMismatch: () => undefined });
+    this.cleanups.push(async () => {
+        await client.close();
+        await service.close();
+    });
+    for (let index = 0; index < count; index += 1) {
+        void client.open({
+            upstream: { id: "booking-1", address: service.address } as Upstream,
+            method: "POST",
+            path: `/${index}`,
+            headers: {},
+            body: undefined,
+            correlationId: "c",
+            timeoutMs: 60_000,
+            isFreshConnection: false,
+            outlivesCaller: false,
+        }, undefined);
+    }
+    for (let poll = 0; poll < polls && service.runs.size < count; poll += 1) {
+        await delay(pollMs);
+    }
+    assert.equal(service.runs.size, count);
+});
--- a/src/core/claims/createClaimKeeper.ts
+++ b/src/core/claims/createClaimKeeper.ts
@@ -236,7 +236,7 @@
         if (isStopped) {
             return;
         }
-        dependencies.read(ledger.nextOffset(), readWaitMs, page => {
+        dependencies.read(ledger.nextOffset(), isFollowing ? readWaitMs : 0, page => {
             if (page.isOk) {
                 takePage(page.value);
                 follow();
--- a/src/io/upstream/createConnectionPools.ts
+++ b/src/io/upstream/createConnectionPools.ts
@@ -4,7 +4,10 @@
  */
 import { Client, type Dispatcher, Pool } from "undici";
 
-/** Connections by upstream address. */
+/**
+ * Connections by upstream address. Their number is not bounded here: admission bounds the requests in flight, and a
+ * request that waited for a connection would be neither sent nor refused.
+ */
 export interface ConnectionPools {
     /** A dispatcher over kept connections. */
     readonly getKept: (address: string) => Dispatcher;
@@ -27,9 +30,6 @@
 /** Addresses whose connections are kept; the least recently added one goes first. */
 const maxPools = 512;
 
-/** Connections kept to one address. */
-const maxConnections = 256;
-
 /**
  * Creates empty pools.
  *
@@ -68,7 +68,7 @@
         if (pools.size >= maxPools && oldest !== undefined) {
             distrust(oldest);
         }
-        const pool = new Pool(`http://${address}`, { ...settings, connections: maxConnections });
+        const pool = new Pool(`http://${address}`, settings);
         pools.set(address, pool);
         return pool;
     }
