Send the ends of calls to the log before an instance stops

A stopping instance dropped the records that waited for their batch, so repeats at other entries found the key claimed without an end. Waiting for admission has a module of its own.

--- a/bench/forward/startForwarders.ts
+++ b/bench/forward/startForwarders.ts
@@ -11,6 +11,7 @@
 import { createRetryBudget } from "../../src/core/request/createRetryBudget.js";
 import { createStreamReaders } from "../../src/core/request/createStreamReaders.js";
 import { serveModelRequest } from "../../src/core/request/serveModelRequest.js";
+import { createLogClaims } from "../../src/io/claims/createLogClaims.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { createExchange } from "../../src/io/http/createExchange.js";
 import { createUpstreamClient } from "../../src/io/upstream/createUpstreamClient.js";
@@ -36,7 +37,7 @@
             cancel: () => undefined,
             settle: () => undefined,
         },
-        claims: { start: () => undefined, claim: () => undefined, conclude: () => undefined, stop: () => undefined },
+        claims: createLogClaims({ log: undefined, clock, onAppend: () => undefined }),
         upstreams,
         cancelStream: () => Promise.resolve(err({ kind: "notSent" as const, detail: "" })),
         maxAnswerBytes: 1 << 20,
--- a/src/core/claims/createClaimKeeper.ts
+++ b/src/core/claims/createClaimKeeper.ts
@@ -19,6 +19,8 @@
     readonly claim: (req: ClaimRequest, decide: (verdict: ClaimVerdict) => void) => void;
     /** Ends a claim that was won. */
     readonly conclude: (key: string, claimId: string, conclusion: ClaimConclusion) => void;
+    /** Sends the ends of calls to the log at once; calls `onDone` when the log has them or can't be reached. */
+    readonly flush: (onDone: () => void) => void;
     readonly stop: () => void;
 }
 
@@ -303,6 +305,7 @@
         start: follow,
         claim,
         conclude,
+        flush: appender.flush,
         stop: () => {
             isStopped = true;
             appender.stop();
--- a/src/core/claims/createRecordAppender.ts
+++ b/src/core/claims/createRecordAppender.ts
@@ -10,6 +10,8 @@
     readonly add: (record: ClaimRecord) => void;
     /** Takes back a claim that was never sent to the log; false when it may stand there. */
     readonly withdraw: (claimId: string) => boolean;
+    /** Sends what is queued at once; calls `onDone` when the log has it or an append has failed. */
+    readonly flush: (onDone: () => void) => void;
     readonly stop: () => void;
 }
 
@@ -45,6 +47,7 @@
     const { clock } = dependencies;
     let queue: QueuedRecord[] = [];
     let isAppending = false;
+    let flushing: (() => void)[] = [];
     let cancelTimer: CancelTimer | undefined;
 
     function schedule(delayMs: number): void {
@@ -71,9 +74,31 @@
                 queue = queue.filter(one => !stored.has(one));
             }
             schedule(isStored ? 0 : retryDelayMs);
+            if (!isStored || queue.length === 0) {
+                endFlush();
+            }
         });
     }
 
+    function endFlush(): void {
+        const ended = flushing;
+        flushing = [];
+        ended.forEach(onDone => onDone());
+    }
+
+    function flush(onDone: () => void): void {
+        flushing.push(onDone);
+        if (isAppending) {
+            return;
+        }
+        cancelTimer?.();
+        if (queue.length === 0) {
+            endFlush();
+            return;
+        }
+        appendBatch();
+    }
+
     function withdraw(claimId: string): boolean {
         const index = queue.findIndex(one => one.record.type === "claim" && one.record.claimId === claimId);
         const found = queue[index];
@@ -91,6 +116,7 @@
             schedule(batchDelayMs);
         },
         withdraw,
+        flush,
         stop: () => {
             cancelTimer?.();
             queue = [];
--- a/src/io/claims/createLogClaims.ts
+++ b/src/io/claims/createLogClaims.ts
@@ -19,6 +19,7 @@
     start: () => undefined,
     claim: (_, decide) => decide({ kind: "unavailable", detail: "this instance has no log setting" }),
     conclude: () => undefined,
+    flush: onDone => onDone(),
     stop: () => undefined,
 };
 
--- a/src/io/http/createExchange.ts
+++ b/src/io/http/createExchange.ts
@@ -6,14 +6,14 @@
 import type { ClaimKeeper } from "../../core/claims/createClaimKeeper.js";
 import type { ForwardEnd, UpstreamCall, WaitResult } from "../../core/effects/effectTypes.js";
 import type { EffectHandlers } from "../../core/effects/runSteps.js";
-import { createRefusal } from "../../core/errors/createRefusal.js";
-import type { Admission, AdmissionRequest, AdmissionVerdict } from "../../core/limits/admissionTypes.js";
+import type { Admission } from "../../core/limits/admissionTypes.js";
 import type { EnginePort } from "../../core/ports/enginePort.js";
 import { createEventScanner } from "../../core/stream/createEventScanner.js";
 import type { Clock } from "../../core/time/clock.js";
 import { collectBody } from "../upstream/collectBody.js";
 import type { OpenedAnswer, UpstreamClient } from "../upstream/createUpstreamClient.js";
 import { forwardEvents } from "../upstream/forwardEvents.js";
+import { awaitAdmission } from "./awaitAdmission.js";
 import { writeRefusal } from "./writeRefusal.js";
 
 /** What performing effects needs from the instance. */
@@ -77,43 +77,6 @@
         return clock.after(Math.max(0, deadlineMs - clock.now()), () => stopBody?.("deadline"));
     }
 
-    /** Waits for admission until the deadline or the caller's going; a verdict that comes later gives its slot back. */
-    function admit(req: AdmissionRequest, resume: (verdict: AdmissionVerdict) => void): void {
-        let isOver = false;
-        let hasVerdict = false;
-
-        function finish(verdict: AdmissionVerdict): void {
-            isOver = true;
-            endWait = undefined;
-            cancelDeadline();
-            resume(verdict);
-        }
-
-        function giveUp(kind: "cancelled" | "deadlineBeforeSend"): void {
-            if (isOver) {
-                return;
-            }
-            isOver = true;
-            admission.cancel(requestId);
-            finish({ kind: "refused", refusal: createRefusal(kind, "") });
-        }
-
-        const waitMs = Math.max(0, req.deadlineMs - clock.now());
-        const cancelDeadline = clock.after(waitMs, () => giveUp("deadlineBeforeSend"));
-        admission.admit(req, verdict => {
-            hasVerdict = true;
-            if (!isOver) {
-                finish(verdict);
-            }
-            else if (verdict.kind === "admitted") {
-                admission.settle(requestId, { promptTokens: 0, outputTokens: 0 });
-            }
-        });
-        if (!hasVerdict) {
-            whileCallerIsThere(() => giveUp("cancelled"));
-        }
-    }
-
     function wait(delayMs: number, outlivesCaller: boolean, resume: (result: WaitResult) => void): void {
         const cancelTimer = clock.after(delayMs, () => {
             endWait = undefined;
@@ -150,7 +113,15 @@
     }
 
     const handlers: EffectHandlers = {
-        admit: (effect, resume) => admit(effect.req, resume),
+        admit: (effect, resume) => {
+            const onGone = awaitAdmission(effect.req, dependencies, verdict => {
+                endWait = undefined;
+                resume(verdict);
+            });
+            if (onGone !== undefined) {
+                whileCallerIsThere(onGone);
+            }
+        },
         settle: (effect, resume) => {
             admission.settle(effect.requestId, effect.used);
             resume(undefined);
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -503,6 +503,7 @@
         instanceList?.stop();
         fleet?.stop();
         follower?.stop();
+        await new Promise<void>(claims.flush);
         claims.stop();
         pauses.stop();
         stopSnapshots();
