--- a/features/request.feature
+++ b/features/request.feature
@@ -46,6 +46,9 @@
         When the deadline passes before the request was sent
         Then it is refused as "deadlineBeforeSend" and its admission is settled with nothing used
 
+    Scenario: A caller goes while it waits for admission
+        Then its wait is cancelled, and a slot that is granted later is given back with nothing used
+
     Scenario: Tokens that were generated are settled when the stream is interrupted
         When a stream is cut for good after 7 events
         Then it is refused as "streamInterrupted" and its admission is settled with 7 output tokens
--- a/features/requestClaims.feature
+++ b/features/requestClaims.feature
@@ -65,6 +65,13 @@
         Then the last answer is refused as "alreadyRun" with outcome "run"
         And the service ran 1 bookings
 
+    Scenario: An instance that stops leaves the ends of its calls on the log
+        When the booking "i" is sent to daemon 1
+        And daemon 1 is stopped
+        And the booking "i" is sent to daemon 2
+        Then all answers have status 200 and are equal
+        And the service ran 1 bookings
+
     Scenario Outline: A key that <case>
         When a booking is sent to daemon 1 with a key that <case>
         Then the last answer is refused as "<kind>" with outcome "<outcome>"
--- a/features/steps/requestClaimSteps.ts
+++ b/features/steps/requestClaimSteps.ts
@@ -119,6 +119,10 @@
     },
 );
 
+When("daemon {int} is stopped", async function(this: SiteWorld, daemon: number) {
+    await this.site!.daemons[daemon - 1]!.stop();
+});
+
 const badKeys: ReadonlyMap<string, () => string> = new Map([
     ["holds no issue time", () => "booking-17"],
     ["was issued in the future", () => `${Date.now() + dayMs}-booking`],
--- a/features/steps/requestCoreSteps.ts
+++ b/features/steps/requestCoreSteps.ts
@@ -11,6 +11,7 @@
 import type { CancelEffect, Effect, ForwardEnd } from "../../src/core/effects/effectTypes.js";
 import { createRefusal } from "../../src/core/errors/createRefusal.js";
 import { type ErrorKind, errorTable, type ExecutionOutcome } from "../../src/core/errors/errorTable.js";
+import type { Admission, AdmissionVerdict } from "../../src/core/limits/admissionTypes.js";
 import { alignRefusal } from "../../src/core/request/alignRefusal.js";
 import { combineOutcomes } from "../../src/core/request/combineOutcomes.js";
 import { createRetryBudget } from "../../src/core/request/createRetryBudget.js";
@@ -20,6 +21,7 @@
 import { createEventScanner } from "../../src/core/stream/createEventScanner.js";
 import type { Clock } from "../../src/core/time/clock.js";
 import { createPauseDetector } from "../../src/core/time/createPauseDetector.js";
+import { awaitAdmission } from "../../src/io/http/awaitAdmission.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface CoreRun {
@@ -145,6 +147,25 @@
     },
 );
 
+Then("its wait is cancelled, and a slot that is granted later is given back with nothing used", function() {
+    const verdicts: AdmissionVerdict[] = [];
+    const calls: unknown[] = [];
+    let decide: (verdict: AdmissionVerdict) => void = () => undefined;
+    const admission: Admission = {
+        admit: (_, decideLater) => {
+            decide = decideLater;
+        },
+        cancel: requestId => calls.push(["cancel", requestId]),
+        settle: (requestId, used) => calls.push(["settle", requestId, used]),
+    };
+    const req = { requestId: "r1", customer, cost: { promptTokens: 1, outputTokens: 1 }, deadlineMs: 1_000 };
+    const onGone = awaitAdmission(req, { admission, clock: createVirtualClock(1) }, one => verdicts.push(one));
+    onGone!();
+    decide({ kind: "admitted" });
+    assert.deepEqual(verdicts.map(one => one.kind === "refused" && one.refusal.kind), ["cancelled"]);
+    assert.deepEqual(calls, [["cancel", "r1"], ["settle", "r1", { promptTokens: 0, outputTokens: 0 }]]);
+});
+
 const eventCount = 12;
 const events = Array.from(
     { length: eventCount },
