Measure slopes of membership and limits

Cause: the capacity page needs their processor time and memory.

Change: slope cases for answering a probe, members in memory, admission and accounts.

--- a/bench/slopes/slopeCases.ts
+++ b/bench/slopes/slopeCases.ts
@@ -4,8 +4,16 @@
  */
 import { catalogueCases } from "./cases/catalogueCases.js";
 import { claimCases } from "./cases/claimCases.js";
+import { limitCases } from "./cases/limitCases.js";
+import { membershipCases } from "./cases/membershipCases.js";
 import { requestCases } from "./cases/requestCases.js";
 import type { SlopeCase } from "./slopeCase.js";
 
 /** Every measured cost. */
-export const slopeCases: readonly SlopeCase[] = [...requestCases, ...catalogueCases, ...claimCases];
+export const slopeCases: readonly SlopeCase[] = [
+    ...requestCases,
+    ...catalogueCases,
+    ...claimCases,
+    ...membershipCases,
+    ...limitCases,
+];
