--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -14,4 +14,5 @@
     claims: async args => (await import("./claims/runClaims.js")).runClaims(args),
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
     catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
+    orders: async args => (await import("./orders/runOrderCosts.js")).runOrderCosts(args),
 };
