--- a/features/request.feature
+++ b/features/request.feature
@@ -46,6 +46,9 @@
         When the deadline passes before the request was sent
         Then it is refused as "deadlineBeforeSend" and its admission is settled with nothing used
 
+    Scenario: A caller goes while it waits for admission
+        Then its wait is cancelled, and a slot that is granted later is given back with nothing used
+
     Scenario: Tokens that were generated are settled when the stream is interrupted
         When a stream is cut for good after 7 events
         Then it is refused as "streamInterrupted" and its admission is settled with 7 output tokens
@@ -60,5 +63,8 @@
     Scenario: Retries are bounded to a share of traffic
         Then 1000 failing requests with share 0.2 and reserve 10 are followed by at most 210 retries
 
+    Scenario: Many requests at once to one upstream are all sent
+        Then 300 calls to a service that never answers all reach it
+
     Scenario: A pause of the process is noticed
         Then a pause detector reports a jump of 5000 ms once and no pause in steady time
