--- a/bench/membership/createFleet.ts
+++ b/bench/membership/createFleet.ts
@@ -6,7 +6,7 @@
 import { createMembership, type Membership, type MembershipEvent } from "../../src/core/membership/createMembership.js";
 import type { Member } from "../../src/core/membership/memberTypes.js";
 import type { PeerAttachment } from "../../src/core/membership/peerAttachment.js";
-import type { PeerTransport } from "../../src/core/membership/peerMessages.js";
+import type { PeerTransport, RelayAnswer } from "../../src/core/membership/peerMessages.js";
 import { createPausableClock, type PausableClock } from "./createPausableClock.js";
 
 /** Bytes of a call beside the JSON bodies of its request and answer. */
@@ -61,6 +61,8 @@
     /** Sets which messages are lost, by sender and receiver. */
     readonly setCut: (isCut: (from: FleetProcess, to: FleetProcess) => boolean) => void;
     readonly setLossShare: (share: number) => void;
+    /** Relays say that they did not reach the target, whether they did or not. */
+    readonly breakRelays: () => void;
     readonly runFor: (durationMs: number) => void;
     /** What one process holds about another. */
     readonly findMember: (observer: number, subject: number) => Member | undefined;
@@ -78,6 +80,7 @@
     const processes: FleetProcess[] = [];
     const byAddress = new Map<string, FleetProcess>();
     let lossShare = options.lossShare ?? 0;
+    let areRelaysBroken = false;
     let isCut: (from: FleetProcess, to: FleetProcess) => boolean = () => false;
 
     function carry(
@@ -139,7 +142,13 @@
             probe: (address, req, onAnswer) =>
                 call(from, address, req, (membership, answer) => answer(membership.handleProbe(req)), onAnswer),
             relay: (address, req, onAnswer) =>
-                call(from, address, req, (membership, answer) => membership.handleRelay(req, answer), onAnswer),
+                call<RelayAnswer>(
+                    from,
+                    address,
+                    req,
+                    (membership, answer) => membership.handleRelay(req, answer),
+                    answer => onAnswer(areRelaysBroken && answer !== undefined ? { isReached: false } : answer),
+                ),
             readMembers: (address, onAnswer) =>
                 call(from, address, {}, (membership, answer) => answer(membership.view().members), onAnswer),
         };
@@ -186,6 +195,9 @@
         setLossShare: share => {
             lossShare = share;
         },
+        breakRelays: () => {
+            areRelaysBroken = true;
+        },
         runFor: durationMs => clock.runUntil(clock.now() + durationMs),
         findMember: (observer, subject) =>
             processes[observer]!.membership.view().members.find(member =>
--- a/src/core/membership/createGossipQueue.ts
+++ b/src/core/membership/createGossipQueue.ts
@@ -10,7 +10,8 @@
     readonly add: (update: Member) => void;
     /** Takes the news for one message, the least told first. */
     readonly take: () => readonly Member[];
-    readonly isEmpty: () => boolean;
+    /** Drops all news, once it is known everywhere. */
+    readonly clear: () => void;
 }
 
 interface QueuedUpdate {
@@ -30,7 +31,7 @@
  * @param countMembers - Size of the fleet; news is told about its logarithm times.
  * @returns The queue.
  * @example
- * createGossipQueue(() => 8).isEmpty(); // true
+ * createGossipQueue(() => 8).take(); // []
  */
 export function createGossipQueue(countMembers: () => number): GossipQueue {
     const queued = new Map<string, QueuedUpdate>();
@@ -55,6 +56,6 @@
     return {
         add: update => queued.set(update.instance, { update, timesTold: 0 }),
         take,
-        isEmpty: () => queued.size === 0,
+        clear: () => queued.clear(),
     };
 }
--- a/src/core/membership/createMemberTable.ts
+++ b/src/core/membership/createMemberTable.ts
@@ -30,7 +30,7 @@
 }
 
 /**
- * Hashes what all instances should agree on about a present member. A suspicion is left out, since it passes.
+ * Hashes what all instances should agree on about a present member.
  *
  * @param member - The member.
  * @returns The hash, 0 for a dead member.
@@ -41,7 +41,7 @@
     if (member.state === "dead") {
         return 0n;
     }
-    return hashText(`${member.instance}/${member.incarnation}`);
+    return hashText(`${member.instance}/${member.incarnation}/${member.state}`);
 }
 
 /**
--- a/src/core/membership/createMembership.ts
+++ b/src/core/membership/createMembership.ts
@@ -63,6 +63,10 @@
 /** Receivers of the last message of an instance that stops. */
 const farewellReceivers = 3;
 
+function isVerdict(member: Member): boolean {
+    return member.state === "suspect" || member.state === "dead";
+}
+
 /**
  * Creates and starts membership. The incarnation starts at the wall clock, so that it rises across a restart.
  *
@@ -103,7 +107,7 @@
     });
     const repair = createViewRepair({
         clock,
-        isQuiet: queue.isEmpty,
+        onAgreement: queue.clear,
         readHash: hashView,
         readMembers: (address, onAnswer) => transport.readMembers(address, onAnswer),
         takeMembers,
@@ -159,14 +163,19 @@
         if (held === undefined ? update.state === "dead" : !supersedes(update, held)) {
             return;
         }
-        store(update, held);
+        put(update, held);
+        queue.add(update);
+        if (update.state !== "dead") {
+            urgent.request();
+        }
     }
 
-    function store(update: Member, held: Member | undefined): void {
+    function put(update: Member, held: Member | undefined): void {
         if (held?.state === "suspect" && update.incarnation > held.incarnation) {
             refutations.add(update.instance);
         }
         table.put(update, clock.now());
+        repair.noteChange();
         suspicions.clear(update.instance);
         if (update.state === "suspect") {
             suspicions.start(update);
@@ -174,10 +183,6 @@
         if (update.state === "dead") {
             heardMs.delete(update.instance);
         }
-        queue.add(update);
-        if (update.state !== "dead") {
-            urgent.request();
-        }
         onEvent({ kind: "changed", member: update });
     }
 
@@ -189,24 +194,32 @@
         take(isSurprising ? { ...update, state: "suspect" } : update);
     }
 
+    /** What a whole list says need not be told on: others read the list themselves. */
+    function takeListed(member: Member, held: Member | undefined): void {
+        if (held === undefined ? member.state === "dead" : !supersedes(member, held)) {
+            return;
+        }
+        put(member, held);
+    }
+
     function takeMembers(members: readonly Member[]): void {
         for (const member of members) {
             const held = table.find(member.instance);
-            const isVerdict = member.state === "suspect" || member.state === "dead";
-            if (
-                !isVerdict || (member.instance !== self.instance && held !== undefined
-                    && held.incarnation < member.incarnation)
-            ) {
+            if (member.instance === self.instance) {
                 take(member);
             }
+            else if (!isVerdict(member) || (held !== undefined && held.incarnation < member.incarnation)) {
+                takeListed(member, held);
+            }
         }
     }
 
     /** News for one peer; what this view wrongly or rightly says of the peer itself comes first. */
     function takeNewsFor(peer: Member | undefined): readonly Member[] {
         const updates = queue.take();
-        const isDisputed = peer !== undefined && (peer.state === "suspect" || peer.state === "dead");
-        return isDisputed && !updates.some(one => one.instance === peer.instance) ? [peer, ...updates] : updates;
+        return peer !== undefined && isVerdict(peer) && !updates.some(one => one.instance === peer.instance)
+            ? [peer, ...updates]
+            : updates;
     }
 
     function createProbe(peer: Member | undefined): ProbeRequest {
@@ -223,7 +236,7 @@
         heardMs.set(answer.instance, clock.now());
         answer.updates.forEach(takeNews);
         attachments.receive(answer.instance, answer.attachments);
-        repair.note(address, answer.viewHash);
+        repair.noteAnswer(address, answer.viewHash);
     }
 
     function sendProbe(target: Member, onAnswer: (isReached: boolean) => void): void {
@@ -263,6 +276,7 @@
 
     function handleProbe(req: ProbeRequest): ProbeAnswer {
         pause.check();
+        repair.noteRequest(req.viewHash);
         heardMs.set(req.from.instance, clock.now());
         take(req.from);
         req.updates.forEach(takeNews);
