Stop as planned, restart from peers, and take leaving upstreams out of service

A stop closed all connections at once. Upstreams that leave by instance list, engine's word or catalogue get no new work; one instance learns it and tells the others.

--- a/demo/startSite.ts
+++ b/demo/startSite.ts
@@ -19,9 +19,17 @@
     readonly daemons: readonly Daemon[];
     /** Publishes entries as one change; `basedOn` holds the revisions of those that exist. */
     readonly publish: (entries: readonly CatalogueEntry[], basedOn?: Readonly<Record<string, number>>) => Promise<void>;
+    /** Stops daemons at once and starts them again on their addresses, waiting until they are ready if asked to. */
+    readonly restart: (indices: readonly number[], options?: RestartOptions) => Promise<void>;
     readonly stop: () => Promise<void>;
 }
 
+/** How daemons of a site are restarted. */
+export interface RestartOptions {
+    /** Whether to wait until they are ready; true when absent. */
+    readonly isAwaited?: boolean;
+}
+
 /** Shape of a site. */
 export interface SiteOptions {
     readonly daemons: number;
@@ -167,9 +175,24 @@
     }
     await Promise.all(daemons.map(waitUntilReady));
 
+    async function restartOne(index: number): Promise<void> {
+        const earlier = daemons[index]!;
+        const seeds = daemons.filter(one => one !== earlier).map(one => one.peerAddress());
+        const addresses = ["--listen", earlier.callerAddress(), "--peer-listen", earlier.peerAddress()];
+        daemons[index] = await startDaemon(index, log.address, seeds, [...options.flags ?? [], ...addresses]);
+    }
+
+    async function restart(indices: readonly number[], restartOptions: RestartOptions = {}): Promise<void> {
+        await Promise.all(indices.map(index => daemons[index]!.stop()));
+        await Promise.all(indices.map(restartOne));
+        if (restartOptions.isAwaited ?? true) {
+            await Promise.all(indices.map(index => waitUntilReady(daemons[index]!)));
+        }
+    }
+
     async function stop(): Promise<void> {
         await Promise.all(daemons.map(daemon => daemon.stop()));
         await Promise.all([...engines, service, log].map(fake => fake.close()));
     }
-    return { log, engines, service, daemons, publish, stop };
+    return { log, engines, service, daemons, publish, restart, stop };
 }
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -23,6 +23,10 @@
     stopping: define("RW1002", "info", "planned stop began"),
     stopped: define("RW1003", "info", "stopped"),
     internalFailure: define("RW1004", "error", "internal failure"),
+    leaving: define("RW1005", "info", "leaving: off the entry list, still accepting"),
+    draining: define("RW1006", "info", "draining: accepting nothing, finishing what runs"),
+    stopWouldCut: define("RW1007", "warn", "the stop's time bound is near and would cut requests"),
+    stopCut: define("RW1008", "error", "the stop's time bound cut requests"),
     catalogueAdvanced: define("RW2001", "info", "catalogue change accepted"),
     catalogueConflict: define("RW2002", "warn", "catalogue change rejected: based on an older revision"),
     catalogueMalformed: define("RW2003", "error", "catalogue record rejected: malformed"),
@@ -48,6 +52,7 @@
     answerMismatched: define("RW3003", "warn", "upstream answer discarded: wrong correlation id"),
     processPaused: define("RW3004", "warn", "process was paused: kept connections are given up"),
     peerRejected: define("RW4001", "warn", "peer call rejected: wrong secret"),
+    memberChanged: define("RW4002", "info", "a member of the fleet changed its state"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/core/membership/createMembership.ts
+++ b/src/core/membership/createMembership.ts
@@ -4,6 +4,7 @@
  * messages. Driven by messages and timers alone.
  */
 import type { Clock } from "../time/clock.js";
+import { shuffle } from "./_lib/shuffle.js";
 import { createAttachmentExchange } from "./createAttachmentExchange.js";
 import { createGossipQueue } from "./createGossipQueue.js";
 import { createLocalHealth } from "./createLocalHealth.js";
@@ -48,6 +49,8 @@
     readonly handleRelay: (req: RelayRequest, onAnswer: (answer: RelayAnswer) => void) => void;
     /** Takes members that a peer listed; its verdicts on members that run in this view are not taken. */
     readonly takeMembers: (members: readonly Member[]) => void;
+    /** Sends messages to a few peers soon, for news of an attachment that may not wait for the next probe. */
+    readonly hurry: () => void;
     /** Tells the fleet that this instance leaves. */
     readonly leave: () => void;
     /** Tells the fleet that this instance is gone, and stops. */
@@ -60,9 +63,6 @@
 /** Time for which a contradicted suspicion makes the next one harder, in milliseconds. */
 const refutationMemoryMs = 60_000;
 
-/** Receivers of the last message of an instance that stops. */
-const farewellReceivers = 3;
-
 function isVerdict(member: Member): boolean {
     return member.state === "suspect" || member.state === "dead";
 }
@@ -81,7 +81,7 @@
     const health = createLocalHealth();
     const attachments = createAttachmentExchange(dependencies.attachments);
     const queue = createGossipQueue(() => table.listPresent().length + 1);
-    const urgent = createUrgentGossip({ clock, random, tellOne: () => tellOne() });
+    const urgent = createUrgentGossip({ clock, random, tell: receivers => tell(receivers) });
     const heardMs = new Map<string, number>();
     const refutations = createRecentTimes(clock, refutationMemoryMs);
     let self: Member = { ...dependencies.identity, incarnation: Math.floor(clock.wallNow()), state: "alive" };
@@ -248,10 +248,8 @@
         });
     }
 
-    function tellOne(): void {
-        const present = table.listPresent();
-        const receiver = present[Math.floor(random() * present.length)];
-        if (receiver !== undefined) {
+    function tell(receivers: number): void {
+        for (const receiver of shuffle(table.listPresent(), random).slice(0, receivers)) {
             sendProbe(receiver, () => undefined);
         }
     }
@@ -311,15 +309,16 @@
     function leave(): void {
         self = { ...self, incarnation: self.incarnation + 1, state: "leaving" };
         queue.add(self);
-        urgent.request();
+        urgent.sendNow();
     }
 
     function stop(): void {
+        if (isStopped) {
+            return;
+        }
         self = { ...self, incarnation: self.incarnation + 1, state: "dead" };
         queue.add(self);
-        for (let receiver = 0; receiver < farewellReceivers; receiver += 1) {
-            tellOne();
-        }
+        urgent.sendNow();
         isStopped = true;
         prober.stop();
         pause.stop();
@@ -328,5 +327,5 @@
     }
 
     contactAbsent();
-    return { view, handleProbe, handleRelay, takeMembers, leave, stop };
+    return { view, handleProbe, handleRelay, takeMembers, hurry: urgent.request, leave, stop };
 }
--- a/src/core/membership/createUrgentGossip.ts
+++ b/src/core/membership/createUrgentGossip.ts
@@ -8,6 +8,8 @@
 export interface UrgentGossip {
     /** Asks for a send soon. */
     readonly request: () => void;
+    /** Sends at once, whenever the last send was. */
+    readonly sendNow: () => void;
     readonly stop: () => void;
 }
 
@@ -15,8 +17,8 @@
 export interface UrgentGossipDependencies {
     readonly clock: Clock;
     readonly random: () => number;
-    /** Tells the queued news to one random member. */
-    readonly tellOne: () => void;
+    /** Tells the queued news to some random members. */
+    readonly tell: (receivers: number) => void;
 }
 
 const maxDelayMs = 50;
@@ -31,7 +33,7 @@
  * @param dependencies - The clock, randomness and the send itself.
  * @returns The sender.
  * @example
- * createUrgentGossip({ clock, random, tellOne }).request();
+ * createUrgentGossip({ clock, random, tell }).request();
  */
 export function createUrgentGossip(dependencies: UrgentGossipDependencies): UrgentGossip {
     const { clock, random } = dependencies;
@@ -41,9 +43,7 @@
     function send(): void {
         cancel = undefined;
         lastSendMs = clock.now();
-        for (let receiver = 0; receiver < receiversPerSend; receiver += 1) {
-            dependencies.tellOne();
-        }
+        dependencies.tell(receiversPerSend);
     }
 
     return {
@@ -51,6 +51,10 @@
             const earliestMs = Math.max(clock.now() + random() * maxDelayMs, lastSendMs + minIntervalMs);
             cancel ??= clock.after(earliestMs - clock.now(), send);
         },
+        sendNow: () => {
+            cancel?.();
+            send();
+        },
         stop: () => cancel?.(),
     };
 }
--- /dev/null
+++ b/src/core/upstreams/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * Upstreams that leave.
+ */
+export * from "./createUpstreamLeaves.js";
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -39,9 +39,15 @@
         return;
     }
     const daemon = createDaemon(settings);
-    const stop = () => void daemon.stop().then(() => process.exit(0));
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    let isStopping = false;
+    const stop = () => {
+        if (!isStopping) {
+            isStopping = true;
+            void daemon.drain().then(() => process.exit(0));
+        }
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
     await daemon.start();
 }
 
--- a/src/io/metrics/createMetrics.ts
+++ b/src/io/metrics/createMetrics.ts
@@ -29,6 +29,10 @@
     readonly timeToFirstByte: Histogram<"kind">;
     /** Requests in progress. */
     readonly inProgress: Gauge;
+    /** Events of membership: "accused", "changed", "refuted" or "paused". */
+    readonly membershipEvents: Counter<"event">;
+    /** Restart exchanges by result: "taken" from a peer, or "none" when the first round had no good answer. */
+    readonly restartExchanges: Counter<"result">;
     /** Offset up to which the catalogue is folded. */
     readonly catalogueOffset: Gauge;
 }
@@ -103,6 +107,18 @@
             registers,
         }),
         inProgress: new Gauge({ name: "reedward_requests_in_progress", help: "Requests in progress.", registers }),
+        membershipEvents: new Counter({
+            name: "reedward_membership_events_total",
+            help: "Events of membership.",
+            labelNames: ["event"],
+            registers,
+        }),
+        restartExchanges: new Counter({
+            name: "reedward_restart_exchanges_total",
+            help: "Restart exchanges by result.",
+            labelNames: ["result"],
+            registers,
+        }),
         catalogueOffset: new Gauge({
             name: "reedward_catalogue_next_offset",
             help: "Offset up to which the catalogue is folded.",
--- a/src/io/peers/takeRestartState.ts
+++ b/src/io/peers/takeRestartState.ts
@@ -22,7 +22,8 @@
     readonly takeMembers: (members: readonly Member[]) => void;
     /** True once the instance needs no exchange any more. */
     readonly isLoaded: () => boolean;
-    readonly onTaken: (peer: string) => void;
+    /** Called once a good answer was taken, and before that with undefined when one round has ended without any. */
+    readonly onSettled: (peer: string | undefined) => void;
 }
 
 /** The running exchange. */
@@ -64,7 +65,7 @@
         for (const part of state.parts) {
             dependencies.slots.find(slot => slot.name === part.name)?.adopt(part.payload);
         }
-        dependencies.onTaken(peer);
+        dependencies.onSettled(peer);
     }
 
     async function ask(peer: string): Promise<void> {
@@ -80,7 +81,10 @@
         round += 1;
         const chosen = [...contacts.slice(first), ...contacts.slice(0, first)].slice(0, parallelPeers);
         await Promise.allSettled(chosen.map(ask));
-        isSettled = true;
+        if (!isSettled && !isStopped) {
+            isSettled = true;
+            dependencies.onSettled(undefined);
+        }
         if (!isTaken && !isStopped && !dependencies.isLoaded()) {
             cancelRetry = clock.after(retryDelayMs, () => void runRound());
         }
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -4,6 +4,7 @@
  */
 import type { Readable } from "node:stream";
 import { type Dispatcher, request } from "undici";
+import { z } from "zod";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
 import { createConnectionPools } from "./createConnectionPools.js";
 
@@ -31,16 +32,27 @@
     readonly close: () => Promise<void>;
 }
 
+/** What an answer's head says about the upstream's wish for work. */
+export interface WorkSignal {
+    readonly isNotRun: boolean;
+    /** Whether the load report in the head says that the upstream leaves. */
+    readonly isLeaving: boolean;
+}
+
 /** Options of {@link createUpstreamClient}. */
 export interface UpstreamClientOptions {
     readonly connectTimeoutMs: number;
     /** Silence in a body after which it is given up, in milliseconds. */
     readonly silenceTimeoutMs: number;
     readonly onMismatch: (call: UpstreamCall) => void;
+    /** Called with what each answer's head says about the upstream's wish for work. */
+    readonly onSignal?: (call: UpstreamCall, signal: WorkSignal) => void;
     /** Called before each call; notices a pause of the process before its timers run. */
     readonly beforeOpen?: () => void;
 }
 
+const loadSchema = z.object({ leaving: z.boolean() });
+
 /** Error codes after which no byte of the call can have reached the upstream. */
 const notSentCodes: ReadonlySet<string> = new Set([
     "ECONNREFUSED",
@@ -65,6 +77,16 @@
     return text === undefined || !/^\d+$/.test(text) ? undefined : Number(text);
 }
 
+function readLeaving(headers: Dispatcher.ResponseData["headers"]): boolean {
+    try {
+        const report: unknown = JSON.parse(readText(headers, "x-load") ?? "{}");
+        return loadSchema.safeParse(report).data?.leaving ?? false;
+    }
+    catch {
+        return false;
+    }
+}
+
 function readHead(res: Dispatcher.ResponseData): AnswerHead {
     const retryAfterSeconds = readNumber(res.headers, "retry-after");
     return {
@@ -125,7 +147,9 @@
             options.onMismatch(call);
             return { kind: "lost", detail: "the answer carried another correlation id" };
         }
-        return { kind: "answered", head: readHead(res), body: res.body };
+        const head = readHead(res);
+        options.onSignal?.(call, { isNotRun: head.isNotRun, isLeaving: readLeaving(res.headers) });
+        return { kind: "answered", head, body: res.body };
     }
 
     return { open, distrust: pools.distrust, distrustAll: pools.distrustAll, close: pools.close };
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -13,6 +13,7 @@
 import { blockCharacters } from "./core/constants.js";
 import { runSteps } from "./core/effects/runSteps.js";
 import type { Refusal } from "./core/errors/createRefusal.js";
+import { createLifecycle } from "./core/lifecycle/createLifecycle.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
 import { createStaticAdmission } from "./core/limits/createStaticAdmission.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
@@ -27,6 +28,7 @@
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
+import { createUpstreamLeaves } from "./core/upstreams/createUpstreamLeaves.js";
 import { createReportRing } from "./core/why/createReportRing.js";
 import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
@@ -34,6 +36,8 @@
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
+import { trackConnections } from "./io/lifecycle/trackConnections.js";
+import { type EngineWatch, watchEngineLeaves } from "./io/lifecycle/watchEngineLeaves.js";
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
 import { createOperatorService } from "./io/operator/createOperatorService.js";
@@ -58,6 +62,8 @@
     readonly start: () => Promise<void>;
     /** Stops at once; a planned stop drains first. */
     readonly stop: () => Promise<void>;
+    /** Stops as planned: leaves, finishes what runs, and cuts only what still runs at the time bound. */
+    readonly drain: () => Promise<void>;
     /** "ip:port" for callers, known after the start. */
     readonly callerAddress: () => string;
     /** "ip:port" for peers and reedwardctl, known after the start. */
@@ -67,6 +73,9 @@
 /** Time limit of a call to a peer, in milliseconds. */
 const peerTimeoutMs = 2_000;
 
+/** Time for the last messages to peers, in milliseconds. */
+const farewellMs = 100;
+
 /** Instances that contend for the lease under which orders are given. */
 const leaseContenders = 3;
 
@@ -111,6 +120,13 @@
         connectTimeoutMs: settings.connectTimeoutMs,
         silenceTimeoutMs: settings.silenceTimeoutMs,
         beforeOpen: () => pauses.check(),
+        onSignal: (call, signal) => {
+            leaves.noteEngine(call.upstream.address, signal.isLeaving);
+            if (signal.isNotRun) {
+                leaves.noteNotRun(call.upstream.address);
+                engineWatch?.readNow(call.upstream.address);
+            }
+        },
         onMismatch: call => {
             metrics.discardedAnswers.inc({ reason: "correlation" });
             writeLog("answerMismatched", { upstream: call.upstream.id, requestId: call.correlationId });
@@ -146,12 +162,19 @@
     let follower: ReturnType<typeof followCatalogue> | undefined;
     let stopSnapshots: () => void = () => undefined;
     let stopOrders: () => void = () => undefined;
+    let engineWatch: EngineWatch | undefined;
+    let resolveDrained: () => void = () => undefined;
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
 
+    const leaves = createUpstreamLeaves({
+        clock,
+        hurry: () => fleet?.hurry(),
+        countPeers: () => fleet?.view().members.length ?? 1,
+    });
     /** Subjects whose payloads ride on the messages between peers. */
-    const peerAttachments: readonly PeerAttachment[] = [];
+    const peerAttachments: readonly PeerAttachment[] = [leaves.attachment];
     /** Subjects whose state a restarted instance takes from a peer. */
     const restartSlots: readonly RestartSlot[] = [];
 
@@ -160,8 +183,9 @@
     const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
-        return listEntries(catalogue(), "upstream")
-            .filter(one => one.role === role && !one.leaving && one.serves.includes(id));
+        const serving = listEntries(catalogue(), "upstream")
+            .filter(one => one.role === role && one.serves.includes(id));
+        return leaves.selectServing(serving);
     }
 
     const admission = createStaticAdmission({
@@ -261,7 +285,38 @@
         res.destroy();
     }
 
-    const isReady = () => !isStopping && isCatalogueLoaded() && (restart?.isSettled() ?? false);
+    const lifecycle = createLifecycle({
+        clock,
+        entryLifetimeMs: settings.entryLifetimeMs,
+        stopBoundMs: settings.stopBoundMs,
+        announceLeaving: () => {
+            writeLog("leaving");
+            fleet?.leave();
+        },
+        closeIdle: () => {
+            writeLog("draining");
+            callerServer.close();
+            callerServer.closeIdleConnections();
+        },
+        warnOfCut: (requests, remainingMs) => writeLog("stopWouldCut", { requests, remainingMs }),
+        onStopped: cut => {
+            if (cut.length > 0) {
+                writeLog("stopCut", { requests: cut });
+            }
+            fleet?.stop();
+            clock.after(farewellMs, () => void stop().then(resolveDrained));
+        },
+    });
+    const isReady = () =>
+        !isStopping && (lifecycle.state() === "starting" || lifecycle.state() === "serving")
+        && isCatalogueLoaded() && (restart?.isSettled() ?? false);
+
+    function noteIfReady(): void {
+        if (isReady()) {
+            lifecycle.noteReady();
+        }
+    }
+
     const callerServer = createCallerServer({
         settings,
         clock,
@@ -271,10 +326,11 @@
         isCatalogueLoaded,
         membership,
         isReady,
-        isClosed: () => false,
+        isClosed: () => lifecycle.state() === "draining" || lifecycle.state() === "stopped",
         serveModel,
         serveService,
     });
+    trackConnections(callerServer, lifecycle);
     const peerServer = createPeerServer(
         {
             probe: req => fleet!.handleProbe(req),
@@ -354,7 +410,10 @@
             clock,
             random: Math.random,
             writeLog,
-            onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
+            onAdvance: current => {
+                metrics.catalogueOffset.set(current.nextOffset);
+                noteIfReady();
+            },
         });
         const loaded = follower;
         if (log !== undefined) {
@@ -392,7 +451,7 @@
                 ? undefined
                 : createInstanceListReader(settings.instanceListUrl, json.call),
             countInstances: () => fleet?.view().members.length ?? 1,
-            onRead: () => undefined,
+            onRead: leaves.noteList,
         });
         fleet = createMembership({
             clock,
@@ -406,7 +465,13 @@
             listContacts,
             transport: createPeerTransport(peers),
             attachments: peerAttachments,
-            onEvent: () => undefined,
+            onEvent: event => {
+                metrics.membershipEvents.inc({ event: event.kind });
+                if (event.kind === "changed") {
+                    const { instance, incarnation, state } = event.member;
+                    writeLog("memberChanged", { member: instance, incarnation, state });
+                }
+            },
         });
         restart = takeRestartState({
             clock,
@@ -416,7 +481,17 @@
             adoptCatalogue,
             takeMembers: fleet.takeMembers,
             isLoaded: isCatalogueLoaded,
-            onTaken: () => undefined,
+            onSettled: peer => {
+                metrics.restartExchanges.inc({ result: peer === undefined ? "none" : "taken" });
+                noteIfReady();
+            },
+        });
+        engineWatch = watchEngineLeaves({
+            clock,
+            readLoad: engines.readLoad,
+            listEngines: () => listEntries(catalogue(), "upstream").filter(one => one.role === "engine"),
+            membership,
+            noteEngine: leaves.noteEngine,
         });
     }
 
@@ -425,6 +500,7 @@
         writeLog("stopping");
         restart?.stop();
         instanceList?.stop();
+        engineWatch?.stop();
         fleet?.stop();
         follower?.stop();
         claims.stop();
@@ -439,5 +515,12 @@
         writeLog("stopped");
     }
 
-    return { start, stop, callerAddress: () => callerAddress, peerAddress: () => peerAddress };
+    function drain(): Promise<void> {
+        return new Promise(resolve => {
+            resolveDrained = resolve;
+            lifecycle.beginStop();
+        });
+    }
+
+    return { start, stop, drain, callerAddress: () => callerAddress, peerAddress: () => peerAddress };
 }
