--- a/features/steps/lifecycleSteps.ts
+++ b/features/steps/lifecycleSteps.ts
@@ -42,6 +42,8 @@
 const authorization = "Bearer clinic:secret-clinic";
 const callers = 6;
 const streamTokens = 40;
+const warmUpRounds = 100;
+const warmUpPauseMs = 50;
 const tokenIntervalMs = 60;
 
 Given(
@@ -166,9 +168,23 @@
     return { streams: await Promise.all(pending) };
 }
 
+/** A new daemon starts with empty rate limits; the load begins once it admits a burst. */
+async function warmUp(address: string): Promise<void> {
+    for (let round = 0; round < warmUpRounds; round += 1) {
+        const burst = await Promise.all(Array.from({ length: 2 * callers }, () => streamOnce(address, 1)));
+        if (burst.every(one => one.isComplete)) {
+            return;
+        }
+        await delay(warmUpPauseMs);
+    }
+    assert.fail("the daemon never admitted a burst");
+}
+
 async function stopUnderLoad(site: Site, stop: () => Promise<void>): Promise<StopRun> {
     const address = site.daemons[0]!.callerAddress();
     const other = site.daemons[1]!.callerAddress();
+    await warmUp(address);
+    await warmUp(other);
     const earlier = streamOnce(address, streamTokens);
     const running = Array.from({ length: callers }, () => runCaller(address, other));
     const { lifetimeMs } = await readEntries(address);
