--- a/src/io/http/createCallerServer.ts
+++ b/src/io/http/createCallerServer.ts
@@ -42,6 +42,9 @@
 type ModelPath = ModelRequest["path"];
 type Handle = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 
+/** Requests per second of one customer that one entry is meant for. */
+const requestsPerSecondPerEntry = 100;
+
 const keyPattern = /^[\x21-\x7e]{1,200}$/;
 
 function readHeader(req: IncomingMessage, name: string): string | undefined {
@@ -196,9 +199,12 @@
         const query = new URL(req.url ?? "/", "http://entry").searchParams;
         const failureDomain = query.get("failureDomain") ?? undefined;
         const customer = query.get("customer") ?? "";
+        const found = findEntry(dependencies.catalogue(), "customer", customer);
         const list = rankEntries(dependencies.membership(), customer, {
             limit: settings.entryLimit,
             lifetimeMs: settings.entryLifetimeMs,
+            subsetSize: Math.ceil((found?.limits.requestsPerSecond ?? 0) / requestsPerSecondPerEntry),
+            spread: Math.random(),
             ...(failureDomain === undefined ? {} : { failureDomain }),
         });
         writeJson(res, 200, list);
