--- a/src/core/membership/createViewRepair.ts
+++ b/src/core/membership/createViewRepair.ts
@@ -36,7 +36,7 @@
 
 /** Least time between two repairs; it doubles with each repair until views are equal, which bounds the cost. */
 const minRepairIntervalMs = 2_000;
-const maxRepairIntervalMs = 20_000;
+const maxRepairIntervalMs = 8_000;
 
 /**
  * Creates the repair.
--- a/src/core/membership/startProber.ts
+++ b/src/core/membership/startProber.ts
@@ -51,6 +51,9 @@
 /** Periods between two contacts with addresses that no present member has. */
 const absentContactPeriods = 5;
 
+/** Periods after the start in each of which such an address is contacted. */
+const joinPeriods = 10;
+
 /** Failed probes that an accusation needs at the most, for a member that often contradicts suspicions. */
 const maxStrikes = 4;
 
@@ -158,7 +161,7 @@
         if (target !== undefined) {
             probe(target);
         }
-        if (target === undefined || period % absentContactPeriods === 0) {
+        if (target === undefined || period <= joinPeriods || period % absentContactPeriods === 0) {
             dependencies.contactAbsent();
         }
     }
