--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -9,6 +9,8 @@
 /** Loads a measurement only when it is run. */
 export const benches: Readonly<Record<string, Bench>> = {
     membership: async args => (await import("./membership/runMembership.js")).runMembership(args),
+    routing: async args => (await import("./routing/runRouting.js")).runRouting(args),
     limits: async args => (await import("./limits/runLimits.js")).runLimits(args),
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
+    catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
 };
