--- a/src/io/metrics/createMetrics.ts
+++ b/src/io/metrics/createMetrics.ts
@@ -33,6 +33,10 @@
     readonly membershipEvents: Counter<"event">;
     /** Restart exchanges by result: "taken" from a peer, or "none" when the first round had no good answer. */
     readonly restartExchanges: Counter<"result">;
+    /** Records of the catalogue's stream by what became of them. */
+    readonly catalogueRecords: Counter<"verdict">;
+    /** Orders sent to engines, by action and by how the call ended. */
+    readonly orders: Counter<"action" | "result">;
     /** Offset up to which the catalogue is folded. */
     readonly catalogueOffset: Gauge;
 }
@@ -119,6 +123,18 @@
             labelNames: ["result"],
             registers,
         }),
+        catalogueRecords: new Counter({
+            name: "reedward_catalogue_records_total",
+            help: "Records of the catalogue by verdict.",
+            labelNames: ["verdict"],
+            registers,
+        }),
+        orders: new Counter({
+            name: "reedward_orders_total",
+            help: "Orders sent to engines.",
+            labelNames: ["action", "result"],
+            registers,
+        }),
         catalogueOffset: new Gauge({
             name: "reedward_catalogue_next_offset",
             help: "Offset up to which the catalogue is folded.",
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -467,6 +467,7 @@
             lease,
             instance: settings.instance,
             catalogue: loaded.current,
+            countOrder: (action, result) => metrics.orders.inc({ action, result }),
             hasWeights: readWeightStore(readVersions, clock).has,
             writeLog,
         });
@@ -488,6 +489,7 @@
                 metrics.catalogueOffset.set(current.nextOffset);
                 noteIfReady();
             },
+            countVerdict: verdict => metrics.catalogueRecords.inc({ verdict }),
         });
         const loaded = follower;
         if (log !== undefined) {
