--- a/src/wire.ts
+++ b/src/wire.ts
@@ -581,6 +581,7 @@
         engineWatch?.stop();
         fleet?.stop();
         follower?.stop();
+        await new Promise<void>(claims.flush);
         claims.stop();
         pauses.stop();
         stopSnapshots();
