--- a/src/wire.ts
+++ b/src/wire.ts
@@ -133,7 +133,9 @@
             leaves.noteEngine(call.upstream.address, signal.isLeaving);
             if (signal.isNotRun) {
                 leaves.noteNotRun(call.upstream.address);
-                engineWatch?.readNow(call.upstream.address);
+                if (call.upstream.role === "engine") {
+                    engineWatch?.readNow(call.upstream.address);
+                }
             }
         },
         onMismatch: call => {
