--- a/bench/routing/createReedwardPolicy.ts
+++ b/bench/routing/createReedwardPolicy.ts
@@ -2,11 +2,15 @@
  * @module
  * The product's router in each simulated daemon, driven as the request core drives it.
  */
+import { adoptHintDigest } from "../../src/core/cache/adoptHintDigest.js";
 import { createCacheView, type Holder } from "../../src/core/cache/createCacheView.js";
+import { createHintDigest } from "../../src/core/cache/createHintDigest.js";
+import { createHintExchange } from "../../src/core/cache/createHintExchange.js";
 import type { Upstream } from "../../src/core/catalogue/catalogueEntry.js";
 import { type CostRouter, createCostRouter } from "../../src/core/routing/createCostRouter.js";
 import { createHeatSketch } from "../../src/core/routing/createHeatSketch.js";
 import { createLoadView } from "../../src/core/routing/createLoadView.js";
+import type { RouteRequest } from "../../src/core/routing/routeTypes.js";
 import { type RoutingPreset, routingPresets } from "../../src/core/routing/routingPresets.js";
 import type { Clock } from "../../src/core/time/clock.js";
 import type { PolicyContext } from "./createBaseline.js";
@@ -17,6 +21,12 @@
     /** Whether cache events are read beside the feedback of answers. */
     readonly readsEvents: boolean;
     readonly sampleEvery: number;
+    /** Period at which daemons tell each other their sends, in milliseconds; undefined: never. */
+    readonly exchangeMs?: number | undefined;
+    /** Largest payload of one exchange, in bytes. */
+    readonly exchangeBytes?: number;
+    /** Told the bytes of each exchange. */
+    readonly onExchange?: (bytes: number) => void;
     /** Whether the exact backlog of engines is known, to tell what better load knowledge would be worth. */
     readonly knowsBacklog?: boolean;
     /** Whether exact caches are known, to tell what a better cache view would be worth. */
@@ -26,6 +36,7 @@
 }
 
 const viewBytes = 1 << 20;
+const digestBytes = 1 << 17;
 
 function findTrueHolders(context: PolicyContext, blocks: readonly bigint[]): readonly Holder[] {
     return context.engines
@@ -37,7 +48,13 @@
         .filter(holder => holder.cachedBlocks > 0);
 }
 
-function createDaemon(upstreams: readonly Upstream[], context: PolicyContext, clock: Clock, options: ReedwardOptions) {
+function createDaemon(
+    upstreams: readonly Upstream[],
+    context: PolicyContext,
+    clock: Clock,
+    options: ReedwardOptions,
+    findPeers: (req: RouteRequest) => readonly string[],
+) {
     const ownCache = createCacheView({ maxBytes: viewBytes, sampleEvery: options.sampleEvery });
     const ownLoad = createLoadView();
     const engineOf = (id: string) => context.engines[context.engineIds.indexOf(id)]!;
@@ -47,6 +64,7 @@
     const cache = options.knowsCaches === true
         ? { ...ownCache, findHolders: (blocks: readonly bigint[]) => findTrueHolders(context, blocks) }
         : ownCache;
+    const exchange = createHintExchange({ maxBytes: options.exchangeBytes ?? 4096, maxPeers: 16 });
     const preset = { ...routingPresets[context.shape.preset], ...options.weights };
     const router: CostRouter = createCostRouter({
         listCandidates: () => upstreams,
@@ -57,11 +75,18 @@
             instances: context.shape.daemons,
             entriesOfCustomer: context.shape.entriesPerCustomer,
         }),
+        onPlaced: (req, upstream, blocks) => {
+            const incarnation = ownCache.incarnationOf(upstream);
+            if (options.exchangeMs !== undefined && incarnation !== undefined) {
+                const peers = findPeers(req);
+                exchange.note(peers, { upstream, incarnation, blocks, atMs: clock.now() });
+            }
+        },
         preset: () => preset,
         now: clock.now,
         random: context.random,
     });
-    return { cache, load, router };
+    return { cache, load, router, exchange };
 }
 
 /** Creates the policy. */
@@ -81,11 +106,41 @@
         leaving: false,
     }));
     const indexOf = new Map(upstreams.map((one, index) => [one.id, index]));
-    const daemons = Array.from({ length: shape.daemons }, () => createDaemon(upstreams, context, clock, options));
+    // Entries of a customer, learned from its requests: the simulation has no membership.
+    const entriesOf = new Map<string, readonly number[]>();
+    const create = (daemon: number) =>
+        createDaemon(
+            upstreams,
+            context,
+            clock,
+            options,
+            req => (entriesOf.get(req.scope.customer) ?? []).filter(other => other !== daemon).map(String),
+        );
+    const daemons = Array.from({ length: shape.daemons }, (_, daemon) => create(daemon));
+
+    function tellPeers(daemon: number, periodMs: number): void {
+        const { exchange } = daemons[daemon]!;
+        for (const peer of exchange.listPeers()) {
+            const payload = exchange.collect(peer, clock.now());
+            if (payload !== undefined) {
+                options.onExchange?.(payload.length);
+                clock.after(shape.networkMs, () => adoptHintDigest(daemons[Number(peer)]!.cache, payload, clock.now()));
+            }
+        }
+        clock.after(periodMs, () => tellPeers(daemon, periodMs));
+    }
+
+    const { exchangeMs } = options;
+    if (exchangeMs !== undefined) {
+        daemons.forEach((_, daemon) =>
+            clock.after((exchangeMs * daemon) / shape.daemons, () => tellPeers(daemon, exchangeMs))
+        );
+    }
 
     const policy: SimPolicy = {
         choose: (one, excluded) => {
             const { router, load } = daemons[one.daemon]!;
+            entriesOf.set(one.req.scope.customer, one.entries);
             const decision = router.chooseUpstream({ ...one.req, excluded });
             const id = decision.isOk ? decision.value.upstream.id : upstreams[0]!.id;
             load.noteInFlight(id, 1);
@@ -105,8 +160,10 @@
             cache.noteIncarnation(upstreams[engine]!.id, load.incarnation);
             view.noteReport(upstreams[engine]!, load, clock.now());
         },
-        restart: daemon => {
-            daemons[daemon] = createDaemon(upstreams, context, clock, options);
+        restart: (daemon, survivor) => {
+            const digest = createHintDigest(daemons[survivor]!.cache, clock.now(), digestBytes);
+            daemons[daemon] = create(daemon);
+            adoptHintDigest(daemons[daemon]!.cache, digest, clock.now());
         },
     };
     if (!options.readsEvents) {
--- a/bench/routing/createWorkload.ts
+++ b/bench/routing/createWorkload.ts
@@ -90,6 +90,7 @@
             arrivals.push({
                 atMs,
                 daemon: daemons[Math.floor(random() * daemons.length)]!,
+                entries: daemons,
                 req: {
                     scope: { customer: type.customer, model: "model", weightsVersion: "v1", adapter: undefined },
                     blocks,
--- a/bench/routing/runRouting.ts
+++ b/bench/routing/runRouting.ts
@@ -4,7 +4,7 @@
  */
 import { parseArgs } from "node:util";
 import { createBaseline } from "./createBaseline.js";
-import { createReedwardPolicy } from "./createReedwardPolicy.js";
+import { createReedwardPolicy, type ReedwardOptions } from "./createReedwardPolicy.js";
 import { createWorkload } from "./createWorkload.js";
 import {
     type FaultName,
@@ -18,6 +18,9 @@
 
 const baselines = ["random", "roundRobin", "leastLoaded", "powerOfTwo", "rendezvous", "oracle"] as const;
 
+/** What the daemon does. */
+const productOptions: ReedwardOptions = { readsEvents: true, sampleEvery: 1, exchangeMs: 250 };
+
 function createPlan(seed: number, fault: FaultName): RunPlan {
     return {
         seed,
@@ -54,7 +57,7 @@
             shape,
             plan,
             workload,
-            (context, clock) => createReedwardPolicy(context, clock, { readsEvents: true, sampleEvery: 1 }),
+            (context, clock) => createReedwardPolicy(context, clock, productOptions),
         ),
     };
     for (const name of baselines) {
--- a/bench/routing/simTypes.ts
+++ b/bench/routing/simTypes.ts
@@ -13,6 +13,8 @@
 export interface SimRequest {
     readonly atMs: number;
     readonly daemon: number;
+    /** Daemons that the customer's requests go to. */
+    readonly entries: readonly number[];
     readonly req: RouteRequest;
     /** Numbers of the prompt's blocks, in the order of `req.blocks`. */
     readonly ids: readonly number[];
--- /dev/null
+++ b/src/core/cache/adoptHintDigest.ts
@@ -0,0 +1,32 @@
+/**
+ * @module
+ * Takes over hints that a peer vouches for.
+ */
+import { decodeHints } from "./_lib/hintCodec.js";
+import type { CacheView } from "./createCacheView.js";
+
+/**
+ * Stores a peer's hints. Hints that belong to another incarnation than the one known here are left out: the peer, or
+ * this instance, has not heard of a restart yet.
+ *
+ * @param view - The cache view.
+ * @param digest - What {@link createHintDigest} or a hint exchange gave; a malformed one holds no hints.
+ * @param nowMs - Instance's clock, in milliseconds.
+ * @returns Number of hints stored.
+ * @example
+ * adoptHintDigest(view, digest, clock.now());
+ */
+export function adoptHintDigest(view: CacheView, digest: string, nowMs: number): number {
+    let adopted = 0;
+    for (const hint of decodeHints(digest)) {
+        const known = view.incarnationOf(hint.upstream);
+        if (known === undefined) {
+            view.noteIncarnation(hint.upstream, hint.incarnation);
+        }
+        if (known === undefined || known === hint.incarnation) {
+            view.adoptHint(hint.upstream, hint.block, Math.max(0, nowMs - hint.ageMs));
+            adopted += 1;
+        }
+    }
+    return adopted;
+}
--- /dev/null
+++ b/src/core/cache/createHintExchange.ts
@@ -0,0 +1,120 @@
+/**
+ * @module
+ * Tells the instances that serve the same customers what this instance has sent where, in bounded bytes.
+ */
+import { encodeHints, hintCharacters, type SharedHint, upstreamCharacters } from "./_lib/hintCodec.js";
+
+/** Options of {@link createHintExchange}. */
+export interface HintExchangeOptions {
+    /** Largest payload for one peer, in bytes. */
+    readonly maxBytes: number;
+    /** Peers that are kept in mind at the most. */
+    readonly maxPeers: number;
+}
+
+/** Own sends that peers have not been told yet. */
+export interface HintExchange {
+    /** Notes blocks that an upstream is about to hold, for each of the peers. */
+    readonly note: (peers: readonly string[], hint: PlacedBlocks) => void;
+    /** Peers for whom there is a payload. */
+    readonly listPeers: () => readonly string[];
+    /** The payload for a peer, at most `maxBytes` bytes; its hints are not told again. */
+    readonly collect: (peer: string, nowMs: number) => string | undefined;
+}
+
+/** Blocks of one request that was sent. */
+export interface PlacedBlocks {
+    readonly upstream: string;
+    readonly incarnation: string;
+    readonly blocks: readonly bigint[];
+    readonly atMs: number;
+}
+
+interface Untold {
+    readonly hints: Map<string, NotedHint>;
+    /** Block hashes with one of these bits set are left out; more of them the more there is to tell. */
+    leftOutMask: bigint;
+}
+
+interface NotedHint {
+    readonly upstream: string;
+    readonly incarnation: string;
+    readonly block: bigint;
+    readonly atMs: number;
+}
+
+/** Upstreams of one payload at the most. */
+const maxUpstreams = 16;
+
+/**
+ * Creates an exchange that has nothing to tell. When there is more to tell than fits, every second block hash is left
+ * out, then three in four and so on: a chain hash vouches for the blocks before it.
+ *
+ * @param options - Bounds of bytes and peers.
+ * @returns The exchange.
+ * @example
+ * const exchange = createHintExchange({ maxBytes: 1024, maxPeers: 16 });
+ * exchange.note(["entry-2"], { upstream: "engine-1", incarnation: "a/1", blocks, atMs: clock.now() });
+ * exchange.collect("entry-2", clock.now());
+ */
+export function createHintExchange(options: HintExchangeOptions): HintExchange {
+    const limit = Math.max(1, Math.floor((options.maxBytes - maxUpstreams * upstreamCharacters) / hintCharacters));
+    const untoldByPeer = new Map<string, Untold>();
+
+    function untoldOf(peer: string): Untold | undefined {
+        let untold = untoldByPeer.get(peer);
+        if (untold === undefined && untoldByPeer.size < options.maxPeers) {
+            untold = { hints: new Map(), leftOutMask: 0n };
+            untoldByPeer.set(peer, untold);
+        }
+        return untold;
+    }
+
+    function thinOut(untold: Untold): void {
+        untold.leftOutMask = (untold.leftOutMask << 1n) | 1n;
+        for (const [key, hint] of untold.hints) {
+            if ((hint.block & untold.leftOutMask) !== 0n) {
+                untold.hints.delete(key);
+            }
+        }
+    }
+
+    function noteFor(peer: string, placed: PlacedBlocks): void {
+        const untold = untoldOf(peer);
+        if (untold === undefined) {
+            return;
+        }
+        for (const block of placed.blocks) {
+            if ((block & untold.leftOutMask) === 0n) {
+                const { upstream, incarnation, atMs } = placed;
+                untold.hints.set(`${upstream}/${block}`, { upstream, incarnation, block, atMs });
+            }
+        }
+        while (untold.hints.size > limit) {
+            thinOut(untold);
+        }
+    }
+
+    function collect(peer: string, nowMs: number): string | undefined {
+        const untold = untoldByPeer.get(peer);
+        untoldByPeer.delete(peer);
+        if (untold === undefined || untold.hints.size === 0) {
+            return undefined;
+        }
+        const upstreams = new Set<string>();
+        const hints: SharedHint[] = [];
+        for (const { upstream, incarnation, block, atMs } of untold.hints.values()) {
+            if (upstreams.size < maxUpstreams || upstreams.has(upstream)) {
+                upstreams.add(upstream);
+                hints.push({ upstream, incarnation, block, ageMs: nowMs - atMs });
+            }
+        }
+        return encodeHints(hints);
+    }
+
+    return {
+        note: (peers, placed) => peers.forEach(peer => noteFor(peer, placed)),
+        listPeers: () => [...untoldByPeer.keys()],
+        collect,
+    };
+}
--- a/src/core/cache/index.ts
+++ b/src/core/cache/index.ts
@@ -2,5 +2,8 @@
  * @module
  * Prefix identity and the view of what engines have cached.
  */
+export * from "./adoptHintDigest.js";
 export * from "./createCacheView.js";
+export * from "./createHintDigest.js";
+export * from "./createHintExchange.js";
 export * from "./hashBlocks.js";
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -8,7 +8,7 @@
 import { blockTokens, millisecondsPerSecond } from "../constants.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import { chooseReplica } from "./_lib/chooseReplica.js";
-import { findCaseKey, findSharedKey } from "./_lib/placementKeys.js";
+import { findCaseDepth, findCaseKey, findSharedKey } from "./_lib/placementKeys.js";
 import type { HeatSketch } from "./createHeatSketch.js";
 import type { LoadView, PendingSend } from "./createLoadView.js";
 import { createPlacement, type Placement } from "./createPlacement.js";
@@ -32,6 +32,8 @@
     readonly heat: HeatSketch;
     /** Over how many instances requests are spread. */
     readonly readSpread: () => RequestSpread;
+    /** Told which blocks an upstream is about to hold, so that other instances can be told as well. */
+    readonly onPlaced: (req: RouteRequest, upstream: string, blocks: readonly bigint[]) => void;
     /** The preset in force. */
     readonly preset: () => RoutingPreset;
     /** Instance's clock, in milliseconds. */
@@ -92,7 +94,7 @@
  * @param dependencies - Views of cache, load and heat, the preset, clock and randomness.
  * @returns The router; it refuses with `noUpstream` when no candidate is left.
  * @example
- * const router = createCostRouter({ listCandidates, cache, load, heat, readSpread, preset, now, random });
+ * const router = createCostRouter({ listCandidates, cache, load, heat, readSpread, onPlaced, preset, now, random });
  * router.chooseUpstream(req).map(decision => decision.upstream.id);
  */
 export function createCostRouter(dependencies: CostRouterDependencies): CostRouter {
@@ -158,6 +160,14 @@
         return { upstream: upstream.id, cachedBlocks, waitMs, prefillMs, cost };
     }
 
+    /** Tells the new blocks, and one of each level that was there before, so that its hint stays young elsewhere. */
+    function tellPlaced(req: RouteRequest, upstream: string, heldBlocks: number): void {
+        const renewed = [dependencies.preset().placementBlocks, findCaseDepth(req.blocks.length)]
+            .filter(depth => depth <= heldBlocks)
+            .map(depth => req.blocks[depth - 1]!);
+        dependencies.onPlaced(req, upstream, [...renewed, ...req.blocks.slice(heldBlocks)]);
+    }
+
     function chooseUpstream(req: RouteRequest): Result<RouteDecision, Refusal> {
         const upstreams = dependencies.listCandidates(req.scope.model);
         const nowMs = dependencies.now();
@@ -176,6 +186,7 @@
         const pending = load.noteSend(upstream, candidates[best]!.prefillMs, nowMs);
         sends.set(req.blocks, { pending, holder, isHome });
         cache.noteHeld(upstream.id, req.blocks, nowMs);
+        tellPlaced(req, upstream.id, holder?.cachedBlocks ?? 0);
         return ok({ upstream, cachedBlocks: holder?.cachedBlocks ?? 0, candidates });
     }
 
