--- a/bench/routing/createReedwardPolicy.ts
+++ b/bench/routing/createReedwardPolicy.ts
@@ -4,6 +4,7 @@
  */
 import { adoptHintDigest } from "../../src/core/cache/adoptHintDigest.js";
 import { createCacheView, type Holder } from "../../src/core/cache/createCacheView.js";
+import { createEventBackoff } from "../../src/core/cache/createEventBackoff.js";
 import { createHintDigest } from "../../src/core/cache/createHintDigest.js";
 import { createHintExchange } from "../../src/core/cache/createHintExchange.js";
 import type { Upstream } from "../../src/core/catalogue/catalogueEntry.js";
@@ -86,7 +87,7 @@
         now: clock.now,
         random: context.random,
     });
-    return { cache, load, router, exchange };
+    return { cache, load, router, exchange, backoff: createEventBackoff() };
 }
 
 /** Creates the policy. */
@@ -171,8 +172,15 @@
     }
     return {
         ...policy,
-        nextSequence: (daemon, engine) => daemons[daemon]!.cache.nextSequence(upstreams[engine]!.id),
-        onEvents: (daemon, engine, page) =>
-            daemons[daemon]!.cache.applyEvents(upstreams[engine]!.id, page, clock.now()),
+        nextSequence: (daemon, engine) => {
+            const { cache, backoff } = daemons[daemon]!;
+            const { id } = upstreams[engine]!;
+            return backoff.isDue(id, clock.now()) ? cache.nextSequence(id) : undefined;
+        },
+        onEvents: (daemon, engine, page) => {
+            const { cache, backoff } = daemons[daemon]!;
+            const { id } = upstreams[engine]!;
+            backoff.noteRead(id, cache.applyEvents(id, page, clock.now()), clock.now());
+        },
     };
 }
--- a/bench/routing/simTypes.ts
+++ b/bench/routing/simTypes.ts
@@ -36,7 +36,8 @@
     readonly onEnd?: (one: SimRequest, engine: number) => void;
     readonly onReport?: (daemon: number, engine: number, load: EngineLoad) => void;
     readonly onEvents?: (daemon: number, engine: number, page: CacheEventPage) => void;
-    readonly nextSequence?: (daemon: number, engine: number) => number;
+    /** Sequence number from which events are read; undefined when they are not read now. */
+    readonly nextSequence?: (daemon: number, engine: number) => number | undefined;
     /** A daemon loses its state and may take over from a survivor. */
     readonly restart?: (daemon: number, survivor: number) => void;
 }
--- a/bench/routing/simulate.ts
+++ b/bench/routing/simulate.ts
@@ -34,8 +34,9 @@
                 return;
             }
             policy.onReport?.(daemon, index, engine.readLoad());
-            if (policy.onEvents !== undefined) {
-                policy.onEvents(daemon, index, engine.readEvents(policy.nextSequence!(daemon, index)));
+            const from = policy.nextSequence?.(daemon, index);
+            if (from !== undefined) {
+                policy.onEvents?.(daemon, index, engine.readEvents(from));
             }
         });
         if (clock.now() < plan.endMs) {
--- a/src/core/cache/createCacheView.ts
+++ b/src/core/cache/createCacheView.ts
@@ -39,8 +39,8 @@
     readonly noteHeld: (upstream: string, blocks: readonly bigint[], nowMs: number) => void;
     /** Notes whether a hint of the given age was right; wrong ones shorten the time that hints of the upstream live. */
     readonly noteOutcome: (holder: Holder, isRight: boolean) => void;
-    /** Applies a page of cache events; a gap voids the upstream's hints first. */
-    readonly applyEvents: (upstream: string, page: CacheEventPage, nowMs: number) => void;
+    /** Applies a page of cache events; a gap voids the upstream's hints first. Returns whether there was a gap. */
+    readonly applyEvents: (upstream: string, page: CacheEventPage, nowMs: number) => boolean;
     /** Sequence number from which the upstream's events are to be read. */
     readonly nextSequence: (upstream: string) => number;
     /** Forgets an upstream that crashed or left. */
@@ -180,11 +180,12 @@
         slot.lifetimeMs = Math.min(maxLifetimeMs, Math.max(minLifetimeMs, slot.lifetimeMs * factor));
     }
 
-    function applyEvents(upstream: string, page: CacheEventPage, nowMs: number): void {
+    function applyEvents(upstream: string, page: CacheEventPage, nowMs: number): boolean {
         noteIncarnation(upstream, page.incarnation);
         const slot = findSlot(upstream);
         const first = slot.nextSequence;
-        if (hasGap(page, first)) {
+        const isGap = hasGap(page, first);
+        if (isGap) {
             voidHints(slot, "gap");
         }
         for (const event of page.events) {
@@ -203,6 +204,7 @@
             }
         }
         slot.nextSequence = Math.max(first ?? 0, page.nextSequence);
+        return isGap;
     }
 
     function findHolders(blocks: readonly bigint[], nowMs: number): readonly Holder[] {
--- a/src/core/cache/index.ts
+++ b/src/core/cache/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./adoptHintDigest.js";
 export * from "./createCacheView.js";
+export * from "./createEventBackoff.js";
 export * from "./createHintDigest.js";
 export * from "./createHintExchange.js";
 export * from "./hashBlocks.js";
