--- a/src/core/cache/createHintExchange.ts
+++ b/src/core/cache/createHintExchange.ts
@@ -43,6 +43,9 @@
     readonly atMs: number;
 }
 
+/** Largest payload that instances accept from each other, in bytes. */
+export const maxHintPayloadBytes = 1 << 14;
+
 /** Upstreams of one payload at the most. */
 const maxUpstreams = 16;
 
--- a/src/core/cache/index.ts
+++ b/src/core/cache/index.ts
@@ -7,4 +7,5 @@
 export * from "./createEventBackoff.js";
 export * from "./createHintDigest.js";
 export * from "./createHintExchange.js";
+export * from "./findHintPeers.js";
 export * from "./hashBlocks.js";
--- a/src/core/effects/effectTypes.ts
+++ b/src/core/effects/effectTypes.ts
@@ -6,6 +6,7 @@
 import type { ClaimConclusion, ClaimRequest, ClaimVerdict } from "../claims/claimTypes.js";
 import type { Refusal } from "../errors/createRefusal.js";
 import type { AdmissionRequest, AdmissionVerdict, RequestCost } from "../limits/admissionTypes.js";
+import type { EngineLoad } from "../ports/enginePort.js";
 
 /** One call to an upstream. */
 export interface UpstreamCall {
@@ -31,6 +32,8 @@
     readonly incarnation: string | undefined;
     readonly weightsVersion: string | undefined;
     readonly cachedTokens: number | undefined;
+    /** Load report that rode on the answer. */
+    readonly load?: EngineLoad | undefined;
     /** Whether the upstream says that it did not act on the request. */
     readonly isNotRun: boolean;
     /** Milliseconds after which the upstream may be tried again. */
--- a/src/core/request/runModelAttempt.ts
+++ b/src/core/request/runModelAttempt.ts
@@ -132,9 +132,9 @@
 }
 
 function createFeedback(call: UpstreamCall, route: RouteRequest, head: AnswerHead): RouteFeedback {
-    const { cachedTokens, incarnation } = head;
+    const { cachedTokens, incarnation, weightsVersion, load } = head;
     const cachedBlocks = cachedTokens === undefined ? undefined : Math.floor(cachedTokens / blockTokens);
-    return { upstream: call.upstream.id, req: route, cachedBlocks, incarnation };
+    return { upstream: call.upstream.id, req: route, cachedBlocks, incarnation, weightsVersion, load };
 }
 
 function* sendAndTake(
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -202,9 +202,6 @@
         if (feedback.incarnation !== undefined) {
             cache.noteIncarnation(feedback.upstream, feedback.incarnation);
         }
-        if (feedback.weightsVersion !== undefined) {
-            cache.noteWeightsVersion(feedback.upstream, feedback.weightsVersion);
-        }
         cache.noteHeld(feedback.upstream, feedback.req.blocks, nowMs);
         const sent = sends.get(feedback.req.blocks);
         if (sent === undefined || sent.pending.upstream.id !== feedback.upstream) {
--- /dev/null
+++ b/src/io/cache/pollEngines.ts
@@ -0,0 +1,95 @@
+/**
+ * @module
+ * Polls loads and cache events of the engines that this instance uses, within bounds of calls and bytes.
+ */
+import type { CacheView } from "../../core/cache/createCacheView.js";
+import type { EventBackoff } from "../../core/cache/createEventBackoff.js";
+import type { Upstream } from "../../core/catalogue/catalogueEntry.js";
+import { millisecondsPerSecond } from "../../core/constants.js";
+import type { EngineLoad, EnginePort } from "../../core/ports/enginePort.js";
+import type { Clock } from "../../core/time/clock.js";
+
+/** What polling needs. */
+export interface EnginePollingDependencies {
+    readonly clock: Clock;
+    readonly engines: Pick<EnginePort, "readLoad" | "readCacheEvents">;
+    /** Engines that this instance has sent to lately. */
+    readonly listUsed: () => readonly Upstream[];
+    readonly cache: CacheView;
+    readonly backoff: EventBackoff;
+    readonly onLoad: (upstream: Upstream, load: EngineLoad) => void;
+    /** Bytes of cache events that are read a second at the most, averaged; 0 reads none. */
+    readonly eventBytesPerSecond: number;
+}
+
+const periodMs = 1_000;
+
+/** Engines polled in one period at the most; more of them take turns. */
+const maxPolls = 16;
+
+/** Bytes of one event and of a page on the wire, about. */
+const eventBytes = 64;
+const pageBytes = 256;
+
+/** Seconds of the byte bound that may be spent at once. */
+const burstSeconds = 2;
+
+/**
+ * Starts polling.
+ *
+ * @param dependencies - The engines, the views and the bounds.
+ * @returns Stops polling.
+ */
+export function pollEngines(dependencies: EnginePollingDependencies): () => void {
+    const { clock, engines, cache, backoff } = dependencies;
+    const busy = new Set<string>();
+    const maxBytes = dependencies.eventBytesPerSecond * burstSeconds;
+    let bytesLeft = maxBytes;
+    let turn = 0;
+    let isStopped = false;
+    let cancelTimer: () => void = () => undefined;
+
+    async function readEvents({ id, address }: Upstream): Promise<void> {
+        if (bytesLeft <= 0 || !backoff.isDue(id, clock.now())) {
+            return;
+        }
+        const page = await engines.readCacheEvents(address, cache.nextSequence(id));
+        if (page.isOk && !isStopped) {
+            bytesLeft -= pageBytes + page.value.events.length * eventBytes;
+            backoff.noteRead(id, cache.applyEvents(id, page.value, clock.now()), clock.now());
+        }
+    }
+
+    async function poll(upstream: Upstream): Promise<void> {
+        busy.add(upstream.id);
+        const load = await engines.readLoad(upstream.address);
+        if (load.isOk && !isStopped) {
+            dependencies.onLoad(upstream, load.value);
+        }
+        await readEvents(upstream);
+        busy.delete(upstream.id);
+    }
+
+    function tick(): void {
+        bytesLeft = Math.min(
+            maxBytes,
+            bytesLeft + (dependencies.eventBytesPerSecond * periodMs) / millisecondsPerSecond,
+        );
+        const used = dependencies.listUsed();
+        const count = Math.min(maxPolls, used.length);
+        for (let index = 0; index < count; index += 1) {
+            const upstream = used[(turn + index) % used.length]!;
+            if (!busy.has(upstream.id)) {
+                void poll(upstream);
+            }
+        }
+        turn += count;
+        cancelTimer = clock.after(periodMs, tick);
+    }
+
+    tick();
+    return () => {
+        isStopped = true;
+        cancelTimer();
+    };
+}
--- a/src/io/metrics/createMetrics.ts
+++ b/src/io/metrics/createMetrics.ts
@@ -31,6 +31,8 @@
     readonly inProgress: Gauge;
     /** Offset up to which the catalogue is folded. */
     readonly catalogueOffset: Gauge;
+    readonly voidedHints: Counter<"reason">;
+    readonly hintBytesSent: Counter;
 }
 
 /**
@@ -95,6 +97,17 @@
             labelNames: ["reason"],
             registers,
         }),
+        voidedHints: new Counter({
+            name: "reedward_voided_hints_total",
+            help: "Times that all cache hints of an upstream were voided, by reason.",
+            labelNames: ["reason"],
+            registers,
+        }),
+        hintBytesSent: new Counter({
+            name: "reedward_hint_bytes_sent_total",
+            help: "Bytes of cache hints sent to peers.",
+            registers,
+        }),
         timeToFirstByte: new Histogram({
             name: "reedward_time_to_first_byte_seconds",
             help: "Time to the first byte of an answer.",
--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -3,6 +3,7 @@
  * The tRPC router of an instance: calls of peers, and the operators' router beside them.
  */
 import { z } from "zod";
+import { maxHintPayloadBytes } from "../../core/cache/createHintExchange.js";
 import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { RestartPart } from "../../core/lifecycle/restartSlot.js";
 import { maxAttachmentBytes } from "../../core/membership/createAttachmentExchange.js";
@@ -25,6 +26,8 @@
     readonly relay: (req: RelayRequest) => Promise<RelayAnswer>;
     readonly listMembers: () => readonly Member[];
     readonly exchange: () => RestartState;
+    /** Takes cache hints of a peer. */
+    readonly noteHints: (payload: string) => void;
 }
 
 const maxMessageUpdates = 32;
@@ -48,6 +51,8 @@
         .readonly(),
 });
 
+const hintsSchema = z.object({ payload: z.string().max(maxHintPayloadBytes) });
+
 const relaySchema = z.object({ target: memberSchema });
 
 /**
@@ -65,6 +70,7 @@
             relay: peerProcedure.input(relaySchema).mutation(({ input }) => service.relay(input)),
             members: peerProcedure.query(() => service.listMembers()),
             exchange: peerProcedure.query(() => service.exchange()),
+            noteHints: peerProcedure.input(hintsSchema).mutation(({ input }) => service.noteHints(input.payload)),
         }),
         operator: createOperatorRouter(operatorService),
     });
--- a/src/io/upstream/createEngineClient.ts
+++ b/src/io/upstream/createEngineClient.ts
@@ -7,7 +7,8 @@
 import type { EnginePort } from "../../core/ports/enginePort.js";
 import type { CallJson } from "../platform/callJson.js";
 
-const loadSchema = z.object({
+/** Schema of an engine's load report, also where it rides on an answer. */
+export const loadSchema = z.object({
     incarnation: z.string(),
     weightsVersion: z.string(),
     queuedRequests: z.number().min(0),
@@ -21,7 +22,7 @@
     events: z.array(z.object({
         sequence: z.number().int().min(0),
         action: z.enum(["stored", "evicted"]),
-        block: z.string(),
+        block: z.string().regex(/^[0-9a-f]{1,16}$/),
     })),
 });
 const stateSchema = z.object({
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -5,7 +5,9 @@
 import type { Readable } from "node:stream";
 import { type Dispatcher, request } from "undici";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
+import type { EngineLoad } from "../../core/ports/enginePort.js";
 import { createConnectionPools } from "./createConnectionPools.js";
+import { loadSchema } from "./createEngineClient.js";
 
 /** The head of an upstream's answer with its body. */
 export interface OpenedAnswer {
@@ -65,6 +67,16 @@
     return text === undefined || !/^\d+$/.test(text) ? undefined : Number(text);
 }
 
+function readLoad(headers: Dispatcher.ResponseData["headers"]): EngineLoad | undefined {
+    const text = readText(headers, "x-load");
+    try {
+        return text === undefined ? undefined : loadSchema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        return undefined;
+    }
+}
+
 function readHead(res: Dispatcher.ResponseData): AnswerHead {
     const retryAfterSeconds = readNumber(res.headers, "retry-after");
     return {
@@ -73,6 +85,7 @@
         incarnation: readText(res.headers, "x-incarnation"),
         weightsVersion: readText(res.headers, "x-weights-version"),
         cachedTokens: readNumber(res.headers, "x-cached-tokens"),
+        load: readLoad(res.headers),
         isNotRun: readText(res.headers, "x-not-run") === "true",
         retryAfterMs: retryAfterSeconds === undefined ? undefined : retryAfterSeconds * 1000,
     };
--- a/src/settings/settingsTable.ts
+++ b/src/settings/settingsTable.ts
@@ -131,6 +131,12 @@
         "12582912",
         "Memory of the cache view, in bytes.",
     ),
+    eventBytesPerSecond: define(
+        "event-bytes-per-second",
+        integer(0, 1 << 24),
+        "65536",
+        "Cache events read from engines, in bytes a second; 0 reads none.",
+    ),
 } as const satisfies Record<string, SettingDefinition>;
 
 /** Name of a setting in code. */
@@ -165,4 +171,5 @@
     readonly entryLimit: number;
     readonly stopBoundMs: number;
     readonly hintMemoryBytes: number;
+    readonly eventBytesPerSecond: number;
 }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -7,7 +7,13 @@
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
-import { type Catalogue, listEntries } from "./core/catalogue/catalogue.js";
+import { adoptHintDigest } from "./core/cache/adoptHintDigest.js";
+import { createCacheView } from "./core/cache/createCacheView.js";
+import { createEventBackoff } from "./core/cache/createEventBackoff.js";
+import { createHintDigest } from "./core/cache/createHintDigest.js";
+import { createHintExchange } from "./core/cache/createHintExchange.js";
+import { findHintPeers } from "./core/cache/findHintPeers.js";
+import { type Catalogue, findEntry, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
 import { blockCharacters } from "./core/constants.js";
@@ -25,9 +31,14 @@
 import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
-import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
+import { createCostRouter } from "./core/routing/createCostRouter.js";
+import { createHeatSketch } from "./core/routing/createHeatSketch.js";
+import { createLoadView } from "./core/routing/createLoadView.js";
+import { routingPresets } from "./core/routing/routingPresets.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createReportRing } from "./core/why/createReportRing.js";
+import { pollEngines } from "./io/cache/pollEngines.js";
+import { shareHints } from "./io/cache/shareHints.js";
 import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
 import { createLogClaims } from "./io/claims/createLogClaims.js";
@@ -76,12 +87,63 @@
 /** Ended requests that `reedwardctl why` can explain. */
 const keptReports = 2_000;
 
+/** Largest digest of hints for a restarted peer, in bytes. */
+const hintDigestBytes = 1 << 17;
+
+/** Largest payload of hints for one peer, in bytes. */
+const hintPayloadBytes = 1 << 12;
+
+/** Peers that are told of own sends at the most. */
+const maxHintPeers = 32;
+
+/** Counters of one row of the sketch that finds hot prefixes. */
+const heatSketchWidth = 4_096;
+
+/** Milliseconds in which a prefix cools. */
+const heatDecayMs = 10_000;
+
+/** Greatest age of the view of the fleet that routing uses, in milliseconds. */
+const viewAgeMs = 1_000;
+
+/** Milliseconds after its last request for which an engine is polled. */
+const usedForMs = 60_000;
+
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
 /** Retries that repeat work: a fifth of traffic, and a reserve for failures that strike many requests at once. */
 const retryBudgetOptions = { share: 0.2, reserve: 100 } as const;
 
+/** Reads again only when the last result is older than `lifetimeMs`. */
+function keepFor<T>(lifetimeMs: number, now: () => number, read: () => T): () => T {
+    let kept: { readonly value: T; readonly atMs: number; } | undefined;
+    return () => {
+        if (kept === undefined || now() - kept.atMs > lifetimeMs) {
+            kept = { value: read(), atMs: now() };
+        }
+        return kept.value;
+    };
+}
+
+/** Keeps the results of `read` as long as `version` stays the same object. */
+function keepWhileSame<T>(version: () => object, read: (key: string) => T): (key: string) => T {
+    let kept = new Map<string, T>();
+    let keptFor: object | undefined;
+    return key => {
+        const current = version();
+        if (current !== keptFor) {
+            kept = new Map();
+            keptFor = current;
+        }
+        let value = kept.get(key);
+        if (value === undefined) {
+            value = read(key);
+            kept.set(key, value);
+        }
+        return value;
+    };
+}
+
 function listen(server: Server, address: string): Promise<string> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -138,7 +200,14 @@
         random: Math.random,
         silenceTimeoutMs: settings.silenceTimeoutMs,
     };
-    const inFlight = new Map<string, number>();
+    const cacheView = createCacheView({
+        maxBytes: settings.hintMemoryBytes,
+        sampleEvery: 1,
+        onVoid: (_, reason) => metrics.voidedHints.inc({ reason }),
+    });
+    const loadView = createLoadView();
+    const hintExchange = createHintExchange({ maxBytes: hintPayloadBytes, maxPeers: maxHintPeers });
+    const lastUsedMs = new Map<string, number>();
     const reports = createReportRing(keptReports);
     let callerAddress = settings.advertise ?? settings.listen;
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
@@ -146,6 +215,7 @@
     let follower: ReturnType<typeof followCatalogue> | undefined;
     let stopSnapshots: () => void = () => undefined;
     let stopOrders: () => void = () => undefined;
+    let stopHints: () => void = () => undefined;
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
@@ -153,10 +223,16 @@
     /** Subjects whose payloads ride on the messages between peers. */
     const peerAttachments: readonly PeerAttachment[] = [];
     /** Subjects whose state a restarted instance takes from a peer. */
-    const restartSlots: readonly RestartSlot[] = [];
+    const restartSlots: readonly RestartSlot[] = [{
+        name: "hints",
+        collect: () => createHintDigest(cacheView, clock.now(), hintDigestBytes),
+        adopt: payload => adoptHintDigest(cacheView, payload, clock.now()),
+    }];
 
     const catalogue = () => follower!.current();
     const membership = () => fleet!.view();
+    /** The view of the fleet, at most a second old: routing reads it at every request. */
+    const recentMembership = keepFor(viewAgeMs, clock.now, membership);
     const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
@@ -168,9 +244,30 @@
         clock,
         countInstances: () => Math.max(1, membership().members.filter(member => member.state !== "dead").length),
     });
-    const chooseUpstream = createRendezvousRouter({
-        listCandidates: model => listServing(model, "engine"),
-        countInFlight: upstream => inFlight.get(upstream) ?? 0,
+    const listCandidates = keepWhileSame(catalogue, model => listServing(model, "engine"));
+    const findPeers = keepWhileSame(recentMembership, customer => findHintPeers(recentMembership(), customer));
+    const readSpread = keepWhileSame(recentMembership, () => {
+        const { members } = recentMembership();
+        const failureDomains = new Set(members.map(member => member.failureDomain)).size;
+        return { instances: members.length, entriesOfCustomer: Math.min(members.length, failureDomains) };
+    });
+    const router = createCostRouter({
+        listCandidates,
+        cache: cacheView,
+        load: loadView,
+        heat: createHeatSketch({ width: heatSketchWidth, decayMs: heatDecayMs }),
+        preset: () => routingPresets[findEntry(catalogue(), "policy", "policy")?.preset ?? "lectura"],
+        readSpread: () => readSpread(""),
+        onPlaced: (req, upstream, blocks) => {
+            lastUsedMs.set(upstream, clock.now());
+            const incarnation = cacheView.incarnationOf(upstream);
+            if (incarnation !== undefined) {
+                const peersOfCustomer = findPeers(req.scope.customer);
+                hintExchange.note(peersOfCustomer, { upstream, incarnation, blocks, atMs: clock.now() });
+            }
+        },
+        now: clock.now,
+        random: Math.random,
     });
     const { cancelStream } = engines;
     const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
@@ -216,9 +313,9 @@
         const exchange = createExchange(req.requestId, res, exchangeDependencies);
         metrics.inProgress.inc();
         const steps = serveModelRequest(withServedVersion(req), {
-            chooseUpstream: routeToVersion(chooseUpstream, catalogue),
-            trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
-            reportFeedback: () => undefined,
+            chooseUpstream: routeToVersion(router.chooseUpstream, catalogue),
+            trackInFlight: loadView.noteInFlight,
+            reportFeedback: router.reportFeedback,
             readers,
             ...retrying,
         });
@@ -280,6 +377,7 @@
             probe: req => fleet!.handleProbe(req),
             relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
             listMembers: () => membership().members,
+            noteHints: payload => adoptHintDigest(cacheView, payload, clock.now()),
             exchange: () => ({
                 catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
                 members: membership().members,
@@ -346,6 +444,55 @@
         };
     }
 
+    /** Engines that this instance has sent to lately; what it no longer uses is forgotten. */
+    function listUsed(): readonly Upstream[] {
+        const used: Upstream[] = [];
+        for (const [id, atMs] of lastUsedMs) {
+            const upstream = findEntry(catalogue(), "upstream", id);
+            if (upstream === undefined) {
+                cacheView.forget(id);
+                loadView.forget(id);
+            }
+            if (upstream === undefined || clock.now() - atMs > usedForMs) {
+                lastUsedMs.delete(id);
+                continue;
+            }
+            used.push(upstream);
+        }
+        return used;
+    }
+
+    function startHints(): void {
+        const stopPolling = pollEngines({
+            clock,
+            engines,
+            listUsed,
+            cache: cacheView,
+            backoff: createEventBackoff(),
+            onLoad: (upstream, load) => {
+                cacheView.noteIncarnation(upstream.id, load.incarnation);
+                cacheView.noteWeightsVersion(upstream.id, load.weightsVersion);
+                loadView.noteReport(upstream, load, clock.now());
+            },
+            eventBytesPerSecond: settings.eventBytesPerSecond,
+        });
+        const stopSharing = shareHints({
+            clock,
+            exchange: hintExchange,
+            send: async (instance, payload) => {
+                const peer = membership().members.find(member => member.instance === instance);
+                if (peer !== undefined) {
+                    await peers.connect(peer.peerAddress).peer.noteHints.mutate({ payload });
+                }
+            },
+            onSent: bytes => metrics.hintBytesSent.inc(bytes),
+        });
+        stopHints = () => {
+            stopPolling();
+            stopSharing();
+        };
+    }
+
     async function start(): Promise<void> {
         pauses.start();
         claims.start();
@@ -374,6 +521,7 @@
         const boundCaller = await listen(callerServer, settings.listen);
         callerAddress = settings.advertise ?? boundCaller;
         joinFleet(follower.adopt);
+        startHints();
         writeLog("started", { callerAddress, peerAddress });
     }
 
@@ -431,6 +579,7 @@
         pauses.stop();
         stopSnapshots();
         stopOrders();
+        stopHints();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
