--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -9,6 +9,7 @@
 import { maxAttachmentBytes } from "../../core/membership/createAttachmentExchange.js";
 import type { Member } from "../../core/membership/memberTypes.js";
 import type { ProbeAnswer, ProbeRequest, RelayAnswer, RelayRequest } from "../../core/membership/peerMessages.js";
+import { createLimitsRouter, type LimitsService } from "../limits/limitsRouter.js";
 import { createOperatorRouter, type OperatorService } from "../operator/operatorRouter.js";
 import { requireCaller, trpc } from "./trpcBase.js";
 
@@ -28,6 +29,7 @@
     readonly exchange: () => RestartState;
     /** Takes cache hints of a peer. */
     readonly noteHints: (payload: string) => void;
+    readonly limits: LimitsService;
 }
 
 const maxMessageUpdates = 32;
@@ -72,6 +74,7 @@
             exchange: peerProcedure.query(() => service.exchange()),
             noteHints: peerProcedure.input(hintsSchema).mutation(({ input }) => service.noteHints(input.payload)),
         }),
+        limits: createLimitsRouter(service.limits),
         operator: createOperatorRouter(operatorService),
     });
 }
