--- a/src/core/cache/_lib/hintTable.ts
+++ b/src/core/cache/_lib/hintTable.ts
@@ -55,7 +55,7 @@
 
     function findBucket(block: bigint): number {
         wide[0] = block;
-        return ((halves[0]! ^ halves[1]!) % bucketCount) * bucketWays * entryWords;
+        return (((halves[0]! ^ halves[1]!) >>> 0) % bucketCount) * bucketWays * entryWords;
     }
 
     function ownerOf(slot: number): number {
--- a/src/core/cache/createHintDigest.ts
+++ b/src/core/cache/createHintDigest.ts
@@ -50,7 +50,7 @@
         const ageMs = Math.max(0, nowMs - atMs);
         const incarnation = view.incarnationOf(upstream);
         const more = hintCharacters + (upstreams.has(upstream) ? 0 : upstreamCharacters);
-        if (incarnation === undefined || ageMs > oldestStep * ageStepMs || characters + more > maxBytes) {
+        if (incarnation === undefined || ageMs >= (oldestStep + 1) * ageStepMs || characters + more > maxBytes) {
             return;
         }
         characters += more;
