--- a/src/core/cache/createCacheView.ts
+++ b/src/core/cache/createCacheView.ts
@@ -103,7 +103,7 @@
     const sampleMask = BigInt(options.sampleEvery - 1);
 
     function isSampled(block: bigint): boolean {
-        return (block & sampleMask) === 0n;
+        return sampleMask === 0n || (block & sampleMask) === 0n;
     }
 
     function voidHints(slot: Slot, reason: VoidReason): void {
