--- a/src/wire.ts
+++ b/src/wire.ts
@@ -508,6 +508,7 @@
             lease,
             instance: settings.instance,
             catalogue: loaded.current,
+            countOrder: (action, result) => metrics.orders.inc({ action, result }),
             hasWeights: readWeightStore(readVersions, clock).has,
             writeLog,
         });
@@ -575,6 +576,7 @@
             random: Math.random,
             writeLog,
             onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
+            countVerdict: verdict => metrics.catalogueRecords.inc({ verdict }),
         });
         const loaded = follower;
         if (log !== undefined) {
@@ -650,6 +652,7 @@
         instanceList?.stop();
         fleet?.stop();
         follower?.stop();
+        await new Promise<void>(claims.flush);
         claims.stop();
         pauses.stop();
         stopSnapshots();
