Route prompts that are shorter than one block

A prompt without a whole block had no block to renew at peers; the request failed with an internal failure once the engine's incarnation was known. Found by the rollout on real sockets; now checked by a scenario of its own.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -31,6 +31,11 @@
         When 4 requests a second of one prefix arrive for 60 s
         Then its cases have 1 home
 
+    Scenario: A prompt shorter than one block is routed and tells peers nothing
+        Given a router before 13 upstreams
+        When a prompt shorter than one block arrives
+        Then peers are told of no block
+
     Scenario Outline: Targets of <preset> on a simulated site
         When the site of <preset> runs with reedward, leastLoaded, rendezvous and oracle
         Then the hit rate of reedward is at least 0.95 of the oracle's
--- a/features/steps/routingSteps.ts
+++ b/features/steps/routingSteps.ts
@@ -87,6 +87,7 @@
 let nowMs = 0;
 let nextCase = 0;
 let homes = new Set<string>();
+let placedBlocks: readonly bigint[] | undefined;
 
 function createUpstream(index: number): Upstream {
     return {
@@ -125,13 +126,23 @@
         load,
         heat: createHeatSketch({ width: 1024, decayMs: 10_000 }),
         readSpread: () => ({ instances: 1, entriesOfCustomer: 1 }),
-        onPlaced: () => undefined,
+        onPlaced: (...[, , blocks]) => {
+            placedBlocks = blocks;
+        },
         preset: () => routingPresets.compagnon,
         now: () => nowMs,
         random: () => 0,
     });
 });
 
+When("a prompt shorter than one block arrives", () => {
+    assert.ok(router.chooseUpstream({ ...createCase(), blocks: [], promptTokens: 10 }).isOk);
+});
+
+Then("peers are told of no block", () => {
+    assert.deepEqual(placedBlocks, []);
+});
+
 When(/^(\d+) requests a second of one prefix arrive for (\d+) s$/, (perSecond: string, seconds: string) => {
     const intervalMs = 1000 / Number(perSecond);
     const endMs = nowMs + Number(seconds) * 1000;
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -163,7 +163,7 @@
     /** Tells the new blocks, and one of each level that was there before, so that its hint stays young elsewhere. */
     function tellPlaced(req: RouteRequest, upstream: string, heldBlocks: number): void {
         const renewed = [dependencies.preset().placementBlocks, findCaseDepth(req.blocks.length)]
-            .filter(depth => depth <= heldBlocks)
+            .filter(depth => depth > 0 && depth <= heldBlocks)
             .map(depth => req.blocks[depth - 1]!);
         dependencies.onPlaced(req, upstream, [...renewed, ...req.blocks.slice(heldBlocks)]);
     }
