--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -13,6 +13,7 @@
 /** Loads a measurement only when it is run. */
 export const benches: Readonly<Record<string, Bench>> = {
     "route-cost": measureRouteCost,
+    membership: async args => (await import("./membership/runMembership.js")).runMembership(args),
     routing: async args => (await import("./routing/runRouting.js")).runRouting(args),
     limits: async args => (await import("./limits/runLimits.js")).runLimits(args),
     forward: async args => (await import("./forward/runForward.js")).runForward(args),
--- a/src/io/metrics/createMetrics.ts
+++ b/src/io/metrics/createMetrics.ts
@@ -29,6 +29,10 @@
     readonly timeToFirstByte: Histogram<"kind">;
     /** Requests in progress. */
     readonly inProgress: Gauge;
+    /** Events of membership: "accused", "changed", "refuted" or "paused". */
+    readonly membershipEvents: Counter<"event">;
+    /** Restart exchanges by result: "taken" from a peer, or "none" when the first round had no good answer. */
+    readonly restartExchanges: Counter<"result">;
     /** Records of the catalogue's stream by what became of them. */
     readonly catalogueRecords: Counter<"verdict">;
     /** Orders sent to engines, by action and by how the call ended. */
@@ -120,6 +124,18 @@
             registers,
         }),
         inProgress: new Gauge({ name: "reedward_requests_in_progress", help: "Requests in progress.", registers }),
+        membershipEvents: new Counter({
+            name: "reedward_membership_events_total",
+            help: "Events of membership.",
+            labelNames: ["event"],
+            registers,
+        }),
+        restartExchanges: new Counter({
+            name: "reedward_restart_exchanges_total",
+            help: "Restart exchanges by result.",
+            labelNames: ["result"],
+            registers,
+        }),
         catalogueRecords: new Counter({
             name: "reedward_catalogue_records_total",
             help: "Records of the catalogue by verdict.",
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -19,6 +19,7 @@
 import { blockCharacters } from "./core/constants.js";
 import { runSteps } from "./core/effects/runSteps.js";
 import type { Refusal } from "./core/errors/createRefusal.js";
+import { createLifecycle } from "./core/lifecycle/createLifecycle.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
 import type { Admission } from "./core/limits/admissionTypes.js";
 import { createLimits, type Limits } from "./core/limits/createLimits.js";
@@ -40,6 +41,7 @@
 import { createLoadView } from "./core/routing/createLoadView.js";
 import { routingPresets } from "./core/routing/routingPresets.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
+import { createUpstreamLeaves } from "./core/upstreams/createUpstreamLeaves.js";
 import { createReportRing } from "./core/why/createReportRing.js";
 import { pollEngines } from "./io/cache/pollEngines.js";
 import { shareHints } from "./io/cache/shareHints.js";
@@ -49,6 +51,8 @@
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
+import { trackConnections } from "./io/lifecycle/trackConnections.js";
+import { type EngineWatch, watchEngineLeaves } from "./io/lifecycle/watchEngineLeaves.js";
 import { followSeats } from "./io/limits/followSeats.js";
 import { readCustomerUse } from "./io/limits/readCustomerUse.js";
 import { createLogger } from "./io/logging/createLogger.js";
@@ -75,6 +79,8 @@
     readonly start: () => Promise<void>;
     /** Stops at once; a planned stop drains first. */
     readonly stop: () => Promise<void>;
+    /** Stops as planned: leaves, finishes what runs, and cuts only what still runs at the time bound. */
+    readonly drain: () => Promise<void>;
     /** "ip:port" for callers, known after the start. */
     readonly callerAddress: () => string;
     /** "ip:port" for peers and reedwardctl, known after the start. */
@@ -84,6 +90,9 @@
 /** Time limit of a call to a peer, in milliseconds. */
 const peerTimeoutMs = 2_000;
 
+/** Time for the last messages to peers, in milliseconds. */
+const farewellMs = 100;
+
 /** Instances that contend for the lease under which orders are given. */
 const leaseContenders = 3;
 
@@ -133,6 +142,20 @@
     };
 }
 
+/** Gives the same array again as long as a list has the same items, so that what is derived from it can be kept. */
+function keepEqualLists<T>(read: (key: string) => readonly T[]): (key: string) => readonly T[] {
+    const kept = new Map<string, readonly T[]>();
+    return key => {
+        const list = read(key);
+        const last = kept.get(key);
+        if (last?.length === list.length && last.every((item, index) => item === list[index])) {
+            return last;
+        }
+        kept.set(key, list);
+        return list;
+    };
+}
+
 /** Keeps the results of `read` as long as `version` stays the same object. */
 function keepWhileSame<T>(version: () => object, read: (key: string) => T): (key: string) => T {
     let kept = new Map<string, T>();
@@ -181,6 +204,15 @@
         connectTimeoutMs: settings.connectTimeoutMs,
         silenceTimeoutMs: settings.silenceTimeoutMs,
         beforeOpen: () => pauses.check(),
+        onSignal: (call, signal) => {
+            leaves.noteEngine(call.upstream.address, signal.isLeaving);
+            if (signal.isNotRun) {
+                leaves.noteNotRun(call.upstream.address);
+                if (call.upstream.role === "engine") {
+                    engineWatch?.readNow(call.upstream.address);
+                }
+            }
+        },
         onMismatch: call => {
             metrics.discardedAnswers.inc({ reason: "correlation" });
             writeLog("answerMismatched", { upstream: call.upstream.id, requestId: call.correlationId });
@@ -224,13 +256,20 @@
     let stopSnapshots: () => void = () => undefined;
     let stopOrders: () => void = () => undefined;
     let stopHints: () => void = () => undefined;
+    let engineWatch: EngineWatch | undefined;
+    let resolveDrained: () => void = () => undefined;
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
     let limits: Limits | undefined;
 
+    const leaves = createUpstreamLeaves({
+        clock,
+        hurry: () => fleet?.hurry(),
+        countPeers: () => fleet?.view().members.length ?? 1,
+    });
     /** Subjects whose payloads ride on the messages between peers. */
-    const peerAttachments: readonly PeerAttachment[] = [];
+    const peerAttachments: readonly PeerAttachment[] = [leaves.attachment];
     /** Subjects whose state a restarted instance takes from a peer. */
     const restartSlots: readonly RestartSlot[] = [{
         name: "hints",
@@ -241,8 +280,8 @@
         collect: () => limits === undefined ? undefined : encodeSeatLedger(limits.keeper.ledger()),
         adopt: payload => {
             const ledger = decodeSeatLedger(payload);
-            if (ledger !== undefined) {
-                limits?.keeper.adopt(ledger);
+            if (ledger !== undefined && limits !== undefined) {
+                seats.adopt(ledger);
             }
         },
     }];
@@ -254,17 +293,18 @@
     const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
-        return listEntries(catalogue(), "upstream")
-            .filter(one => one.role === role && !one.leaving && one.serves.includes(id));
+        const serving = listEntries(catalogue(), "upstream")
+            .filter(one => one.role === role && one.serves.includes(id));
+        return leaves.selectServing(serving);
     }
 
-    const seats = followSeats({ log, clock, keeper: () => limits!.keeper });
+    const seats = followSeats({ log, clock, random: Math.random, keeper: () => limits!.keeper });
     const admission: Admission = {
         admit: (req, decide) => limits!.admission.admit(req, decide),
         cancel: requestId => limits?.admission.cancel(requestId),
         settle: (requestId, used) => limits?.admission.settle(requestId, used),
     };
-    const listCandidates = keepWhileSame(catalogue, model => listServing(model, "engine"));
+    const listCandidates = keepEqualLists(model => listServing(model, "engine"));
     const findPeers = keepWhileSame(recentMembership, customer => findHintPeers(recentMembership(), customer));
     const readSpread = keepWhileSame(recentMembership, () => {
         const { members } = recentMembership();
@@ -378,7 +418,38 @@
         res.destroy();
     }
 
-    const isReady = () => !isStopping && isCatalogueLoaded() && (restart?.isSettled() ?? false);
+    const lifecycle = createLifecycle({
+        clock,
+        entryLifetimeMs: settings.entryLifetimeMs,
+        stopBoundMs: settings.stopBoundMs,
+        announceLeaving: () => {
+            writeLog("leaving");
+            fleet?.leave();
+        },
+        closeIdle: () => {
+            writeLog("draining");
+            callerServer.close();
+            callerServer.closeIdleConnections();
+        },
+        warnOfCut: (requests, remainingMs) => writeLog("stopWouldCut", { requests, remainingMs }),
+        onStopped: cut => {
+            if (cut.length > 0) {
+                writeLog("stopCut", { requests: cut });
+            }
+            fleet?.stop();
+            clock.after(farewellMs, () => void stop().then(resolveDrained));
+        },
+    });
+    const isReady = () =>
+        !isStopping && (lifecycle.state() === "starting" || lifecycle.state() === "serving")
+        && isCatalogueLoaded() && (restart?.isSettled() ?? false);
+
+    function noteIfReady(): void {
+        if (isReady()) {
+            lifecycle.noteReady();
+        }
+    }
+
     const callerServer = createCallerServer({
         settings,
         clock,
@@ -388,10 +459,11 @@
         isCatalogueLoaded,
         membership,
         isReady,
-        isClosed: () => false,
+        isClosed: () => lifecycle.state() === "draining" || lifecycle.state() === "stopped",
         serveModel,
         serveService,
     });
+    trackConnections(callerServer, lifecycle);
     const peerServer = createPeerServer(
         {
             probe: req => fleet!.handleProbe(req),
@@ -575,7 +647,10 @@
             clock,
             random: Math.random,
             writeLog,
-            onAdvance: current => metrics.catalogueOffset.set(current.nextOffset),
+            onAdvance: current => {
+                metrics.catalogueOffset.set(current.nextOffset);
+                noteIfReady();
+            },
             countVerdict: verdict => metrics.catalogueRecords.inc({ verdict }),
         });
         const loaded = follower;
@@ -616,7 +691,7 @@
                 ? undefined
                 : createInstanceListReader(settings.instanceListUrl, json.call),
             countInstances: () => fleet?.view().members.length ?? 1,
-            onRead: () => undefined,
+            onRead: leaves.noteList,
         });
         fleet = createMembership({
             clock,
@@ -630,7 +705,13 @@
             listContacts,
             transport: createPeerTransport(peers),
             attachments: peerAttachments,
-            onEvent: () => undefined,
+            onEvent: event => {
+                metrics.membershipEvents.inc({ event: event.kind });
+                if (event.kind === "changed") {
+                    const { instance, incarnation, state } = event.member;
+                    writeLog("memberChanged", { member: instance, incarnation, state });
+                }
+            },
         });
         restart = takeRestartState({
             clock,
@@ -640,7 +721,17 @@
             adoptCatalogue,
             takeMembers: fleet.takeMembers,
             isLoaded: isCatalogueLoaded,
-            onTaken: () => undefined,
+            onSettled: peer => {
+                metrics.restartExchanges.inc({ result: peer === undefined ? "none" : "taken" });
+                noteIfReady();
+            },
+        });
+        engineWatch = watchEngineLeaves({
+            clock,
+            readLoad: engines.readLoad,
+            listEngines: () => listEntries(catalogue(), "upstream").filter(one => one.role === "engine"),
+            membership,
+            noteEngine: leaves.noteEngine,
         });
     }
 
@@ -650,6 +741,7 @@
         restart?.stop();
         limits?.stop();
         instanceList?.stop();
+        engineWatch?.stop();
         fleet?.stop();
         follower?.stop();
         await new Promise<void>(claims.flush);
@@ -667,5 +759,12 @@
         writeLog("stopped");
     }
 
-    return { start, stop, callerAddress: () => callerAddress, peerAddress: () => peerAddress };
+    function drain(): Promise<void> {
+        return new Promise(resolve => {
+            resolveDrained = resolve;
+            lifecycle.beginStop();
+        });
+    }
+
+    return { start, stop, drain, callerAddress: () => callerAddress, peerAddress: () => peerAddress };
 }
