--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -6,8 +6,13 @@
 /** Runs a measurement with its flags. */
 export type Bench = (args: readonly string[]) => Promise<void> | void;
 
+async function measureRouteCost(): Promise<void> {
+    (await import("./routeCost/runRouteCost.js")).runRouteCost();
+}
+
 /** Loads a measurement only when it is run. */
 export const benches: Readonly<Record<string, Bench>> = {
+    "route-cost": measureRouteCost,
     membership: async args => (await import("./membership/runMembership.js")).runMembership(args),
     routing: async args => (await import("./routing/runRouting.js")).runRouting(args),
     limits: async args => (await import("./limits/runLimits.js")).runLimits(args),
--- a/bench/routing/simTypes.ts
+++ b/bench/routing/simTypes.ts
@@ -13,6 +13,8 @@
 export interface SimRequest {
     readonly atMs: number;
     readonly daemon: number;
+    /** Daemons that the customer's requests go to. */
+    readonly entries: readonly number[];
     readonly req: RouteRequest;
     /** Numbers of the prompt's blocks, in the order of `req.blocks`. */
     readonly ids: readonly number[];
@@ -34,7 +36,8 @@
     readonly onEnd?: (one: SimRequest, engine: number) => void;
     readonly onReport?: (daemon: number, engine: number, load: EngineLoad) => void;
     readonly onEvents?: (daemon: number, engine: number, page: CacheEventPage) => void;
-    readonly nextSequence?: (daemon: number, engine: number) => number;
+    /** Sequence number from which events are read; undefined when they are not read now. */
+    readonly nextSequence?: (daemon: number, engine: number) => number | undefined;
     /** A daemon loses its state and may take over from a survivor. */
     readonly restart?: (daemon: number, survivor: number) => void;
 }
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -6,7 +6,9 @@
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
+import type { EngineLoad } from "../../core/ports/enginePort.js";
 import { createConnectionPools } from "./createConnectionPools.js";
+import { loadSchema as engineLoadSchema } from "./createEngineClient.js";
 
 /** The head of an upstream's answer with its body. */
 export interface OpenedAnswer {
@@ -77,6 +79,16 @@
     return text === undefined || !/^\d+$/.test(text) ? undefined : Number(text);
 }
 
+function readLoad(headers: Dispatcher.ResponseData["headers"]): EngineLoad | undefined {
+    const text = readText(headers, "x-load");
+    try {
+        return text === undefined ? undefined : engineLoadSchema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        return undefined;
+    }
+}
+
 function readLeaving(headers: Dispatcher.ResponseData["headers"]): boolean {
     try {
         const report: unknown = JSON.parse(readText(headers, "x-load") ?? "{}");
@@ -95,6 +107,7 @@
         incarnation: readText(res.headers, "x-incarnation"),
         weightsVersion: readText(res.headers, "x-weights-version"),
         cachedTokens: readNumber(res.headers, "x-cached-tokens"),
+        load: readLoad(res.headers),
         isNotRun: readText(res.headers, "x-not-run") === "true",
         retryAfterMs: retryAfterSeconds === undefined ? undefined : retryAfterSeconds * 1000,
     };
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -7,6 +7,12 @@
 import type { AddressInfo } from "node:net";
 import { hashText } from "./core/_lib/hashText.js";
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
+import { adoptHintDigest } from "./core/cache/adoptHintDigest.js";
+import { createCacheView } from "./core/cache/createCacheView.js";
+import { createEventBackoff } from "./core/cache/createEventBackoff.js";
+import { createHintDigest } from "./core/cache/createHintDigest.js";
+import { createHintExchange } from "./core/cache/createHintExchange.js";
+import { findHintPeers } from "./core/cache/findHintPeers.js";
 import { type Catalogue, findEntry, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
@@ -30,10 +36,15 @@
 import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
 import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
 import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
-import { createRendezvousRouter } from "./core/routing/createRendezvousRouter.js";
+import { createCostRouter } from "./core/routing/createCostRouter.js";
+import { createHeatSketch } from "./core/routing/createHeatSketch.js";
+import { createLoadView } from "./core/routing/createLoadView.js";
+import { routingPresets } from "./core/routing/routingPresets.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createUpstreamLeaves } from "./core/upstreams/createUpstreamLeaves.js";
 import { createReportRing } from "./core/why/createReportRing.js";
+import { pollEngines } from "./io/cache/pollEngines.js";
+import { shareHints } from "./io/cache/shareHints.js";
 import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { keepSnapshots } from "./io/catalogue/keepSnapshots.js";
 import { createLogClaims } from "./io/claims/createLogClaims.js";
@@ -91,6 +102,26 @@
 /** Ended requests that `reedwardctl why` can explain. */
 const keptReports = 2_000;
 
+/** Largest digest of hints for a restarted peer, in bytes. */
+const hintDigestBytes = 1 << 17;
+
+/** Largest payload of hints for one peer, in bytes. */
+const hintPayloadBytes = 1 << 12;
+
+/** Peers that are told of own sends at the most. */
+const maxHintPeers = 32;
+
+/** Counters of one row of the sketch that finds hot prefixes. */
+const heatSketchWidth = 4_096;
+
+/** Milliseconds in which a prefix cools. */
+const heatDecayMs = 10_000;
+
+/** Greatest age of the view of the fleet that routing uses, in milliseconds. */
+const viewAgeMs = 1_000;
+
+/** Milliseconds after its last request for which an engine is polled. */
+const usedForMs = 60_000;
 /** Factor by which the instances together may pass the engines' slots, as demand is seldom equal on all. */
 const slotOvercommit = 4;
 
@@ -100,6 +131,50 @@
 /** Retries that repeat work: a fifth of traffic, and a reserve for failures that strike many requests at once. */
 const retryBudgetOptions = { share: 0.2, reserve: 100 } as const;
 
+/** Reads again only when the last result is older than `lifetimeMs`. */
+function keepFor<T>(lifetimeMs: number, now: () => number, read: () => T): () => T {
+    let kept: { readonly value: T; readonly atMs: number; } | undefined;
+    return () => {
+        if (kept === undefined || now() - kept.atMs > lifetimeMs) {
+            kept = { value: read(), atMs: now() };
+        }
+        return kept.value;
+    };
+}
+
+/** Gives the same array again as long as a list has the same items, so that what is derived from it can be kept. */
+function keepEqualLists<T>(read: (key: string) => readonly T[]): (key: string) => readonly T[] {
+    const kept = new Map<string, readonly T[]>();
+    return key => {
+        const list = read(key);
+        const last = kept.get(key);
+        if (last?.length === list.length && last.every((item, index) => item === list[index])) {
+            return last;
+        }
+        kept.set(key, list);
+        return list;
+    };
+}
+
+/** Keeps the results of `read` as long as `version` stays the same object. */
+function keepWhileSame<T>(version: () => object, read: (key: string) => T): (key: string) => T {
+    let kept = new Map<string, T>();
+    let keptFor: object | undefined;
+    return key => {
+        const current = version();
+        if (current !== keptFor) {
+            kept = new Map();
+            keptFor = current;
+        }
+        let value = kept.get(key);
+        if (value === undefined) {
+            value = read(key);
+            kept.set(key, value);
+        }
+        return value;
+    };
+}
+
 function listen(server: Server, address: string): Promise<string> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -165,7 +240,14 @@
         random: Math.random,
         silenceTimeoutMs: settings.silenceTimeoutMs,
     };
-    const inFlight = new Map<string, number>();
+    const cacheView = createCacheView({
+        maxBytes: settings.hintMemoryBytes,
+        sampleEvery: 1,
+        onVoid: (_, reason) => metrics.voidedHints.inc({ reason }),
+    });
+    const loadView = createLoadView();
+    const hintExchange = createHintExchange({ maxBytes: hintPayloadBytes, maxPeers: maxHintPeers });
+    const lastUsedMs = new Map<string, number>();
     const reports = createReportRing(keptReports);
     let callerAddress = settings.advertise ?? settings.listen;
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
@@ -173,6 +255,7 @@
     let follower: ReturnType<typeof followCatalogue> | undefined;
     let stopSnapshots: () => void = () => undefined;
     let stopOrders: () => void = () => undefined;
+    let stopHints: () => void = () => undefined;
     let engineWatch: EngineWatch | undefined;
     let resolveDrained: () => void = () => undefined;
     let fleet: Membership | undefined;
@@ -189,6 +272,10 @@
     const peerAttachments: readonly PeerAttachment[] = [leaves.attachment];
     /** Subjects whose state a restarted instance takes from a peer. */
     const restartSlots: readonly RestartSlot[] = [{
+        name: "hints",
+        collect: () => createHintDigest(cacheView, clock.now(), hintDigestBytes),
+        adopt: payload => adoptHintDigest(cacheView, payload, clock.now()),
+    }, {
         name: "limits",
         collect: () => limits === undefined ? undefined : encodeSeatLedger(limits.keeper.ledger()),
         adopt: payload => {
@@ -201,6 +288,8 @@
 
     const catalogue = () => follower!.current();
     const membership = () => fleet!.view();
+    /** The view of the fleet, at most a second old: routing reads it at every request. */
+    const recentMembership = keepFor(viewAgeMs, clock.now, membership);
     const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
@@ -215,9 +304,30 @@
         cancel: requestId => limits?.admission.cancel(requestId),
         settle: (requestId, used) => limits?.admission.settle(requestId, used),
     };
-    const chooseUpstream = createRendezvousRouter({
-        listCandidates: model => listServing(model, "engine"),
-        countInFlight: upstream => inFlight.get(upstream) ?? 0,
+    const listCandidates = keepEqualLists(model => listServing(model, "engine"));
+    const findPeers = keepWhileSame(recentMembership, customer => findHintPeers(recentMembership(), customer));
+    const readSpread = keepWhileSame(recentMembership, () => {
+        const { members } = recentMembership();
+        const failureDomains = new Set(members.map(member => member.failureDomain)).size;
+        return { instances: members.length, entriesOfCustomer: Math.min(members.length, failureDomains) };
+    });
+    const router = createCostRouter({
+        listCandidates,
+        cache: cacheView,
+        load: loadView,
+        heat: createHeatSketch({ width: heatSketchWidth, decayMs: heatDecayMs }),
+        preset: () => routingPresets[findEntry(catalogue(), "policy", "policy")?.preset ?? "lectura"],
+        readSpread: () => readSpread(""),
+        onPlaced: (req, upstream, blocks) => {
+            lastUsedMs.set(upstream, clock.now());
+            const incarnation = cacheView.incarnationOf(upstream);
+            if (incarnation !== undefined) {
+                const peersOfCustomer = findPeers(req.scope.customer);
+                hintExchange.note(peersOfCustomer, { upstream, incarnation, blocks, atMs: clock.now() });
+            }
+        },
+        now: clock.now,
+        random: Math.random,
     });
     const { cancelStream } = engines;
     const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
@@ -263,9 +373,9 @@
         const exchange = createExchange(req.requestId, res, exchangeDependencies);
         metrics.inProgress.inc();
         const steps = serveModelRequest(withServedVersion(req), {
-            chooseUpstream: routeToVersion(chooseUpstream, catalogue),
-            trackInFlight: (upstream, change) => inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change),
-            reportFeedback: () => undefined,
+            chooseUpstream: routeToVersion(router.chooseUpstream, catalogue),
+            trackInFlight: loadView.noteInFlight,
+            reportFeedback: router.reportFeedback,
             readers,
             ...retrying,
         });
@@ -359,6 +469,7 @@
             probe: req => fleet!.handleProbe(req),
             relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
             listMembers: () => membership().members,
+            noteHints: payload => adoptHintDigest(cacheView, payload, clock.now()),
             limits: { borrow: answerLoanRequest, listUse: () => limits?.listUse() ?? [] },
             exchange: () => ({
                 catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
@@ -479,6 +590,55 @@
         };
     }
 
+    /** Engines that this instance has sent to lately; what it no longer uses is forgotten. */
+    function listUsed(): readonly Upstream[] {
+        const used: Upstream[] = [];
+        for (const [id, atMs] of lastUsedMs) {
+            const upstream = findEntry(catalogue(), "upstream", id);
+            if (upstream === undefined) {
+                cacheView.forget(id);
+                loadView.forget(id);
+            }
+            if (upstream === undefined || clock.now() - atMs > usedForMs) {
+                lastUsedMs.delete(id);
+                continue;
+            }
+            used.push(upstream);
+        }
+        return used;
+    }
+
+    function startHints(): void {
+        const stopPolling = pollEngines({
+            clock,
+            engines,
+            listUsed,
+            cache: cacheView,
+            backoff: createEventBackoff(),
+            onLoad: (upstream, load) => {
+                cacheView.noteIncarnation(upstream.id, load.incarnation);
+                cacheView.noteWeightsVersion(upstream.id, load.weightsVersion);
+                loadView.noteReport(upstream, load, clock.now());
+            },
+            eventBytesPerSecond: settings.eventBytesPerSecond,
+        });
+        const stopSharing = shareHints({
+            clock,
+            exchange: hintExchange,
+            send: async (instance, payload) => {
+                const peer = membership().members.find(member => member.instance === instance);
+                if (peer !== undefined) {
+                    await peers.connect(peer.peerAddress).peer.noteHints.mutate({ payload });
+                }
+            },
+            onSent: bytes => metrics.hintBytesSent.inc(bytes),
+        });
+        stopHints = () => {
+            stopPolling();
+            stopSharing();
+        };
+    }
+
     async function start(): Promise<void> {
         pauses.start();
         claims.start();
@@ -512,6 +672,7 @@
         const boundCaller = await listen(callerServer, settings.listen);
         callerAddress = settings.advertise ?? boundCaller;
         joinFleet(follower.adopt);
+        startHints();
         writeLog("started", { callerAddress, peerAddress });
     }
 
@@ -588,6 +749,7 @@
         pauses.stop();
         stopSnapshots();
         stopOrders();
+        stopHints();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
