Classify call errors in one place and list a model's upstreams once a catalogue

Cause: the read-through found two tables of the errors after which a call was surely not sent, on which "not run" rests, two checks of the idle timeout of a body, a router that nothing constructs any more, and a scan of the whole catalogue for every request.

Change: io/_lib/classifyCallError serves upstream calls, JSON calls, forwarding and collecting. Upstreams by role and id are kept as long as the catalogue is the same; which of them take work is still read at every request.

The cost of the listing was not measured again.

--- a/src/core/orders/routeToVersion.ts
+++ b/src/core/orders/routeToVersion.ts
@@ -23,7 +23,7 @@
  * @param readCatalogue - Reads the catalogue in force.
  * @returns A router for the version of each request's scope.
  * @example
- * const choose = routeToVersion(createRendezvousRouter(dependencies), follower.current);
+ * const choose = routeToVersion(createCostRouter(dependencies), follower.current);
  */
 export function routeToVersion(chooseUpstream: ChooseUpstream, readCatalogue: () => Catalogue): ChooseUpstream {
     return req => {
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -6,6 +6,5 @@
 export * from "./createHeatSketch.js";
 export * from "./createLoadView.js";
 export * from "./createPlacement.js";
-export * from "./createRendezvousRouter.js";
 export * from "./routeTypes.js";
 export * from "./routingPresets.js";
--- a/src/io/platform/callJson.ts
+++ b/src/io/platform/callJson.ts
@@ -6,6 +6,7 @@
 import { Agent, type Dispatcher, request } from "undici";
 import type { z } from "zod";
 import type { PortFailure } from "../../core/ports/portFailure.js";
+import { classifyCallError } from "../_lib/classifyCallError.js";
 
 /** One JSON call. */
 export interface JsonCall<T> {
@@ -20,19 +21,6 @@
 /** Performs JSON calls over connections of its own. */
 export type CallJson = <T>(call: JsonCall<T>) => Promise<Result<T, PortFailure>>;
 
-const notSentCodes: ReadonlySet<string> = new Set([
-    "ECONNREFUSED",
-    "EHOSTUNREACH",
-    "ENETUNREACH",
-    "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-function toFailure(error: unknown): PortFailure {
-    const code = error instanceof Error && "code" in error ? String(error.code) : "";
-    const detail = error instanceof Error ? error.message : String(error);
-    return { kind: notSentCodes.has(code) ? "notSent" : "lost", detail };
-}
-
 function parseAnswer<T>(status: number, text: string, schema: z.ZodType<T>): Result<T, PortFailure> {
     if (status >= 400) {
         return err({ kind: "refused", detail: `status ${status}: ${text.slice(0, 200)}` });
@@ -71,7 +59,7 @@
             return parseAnswer(res.statusCode, await res.body.text(), one.schema);
         }
         catch (error) {
-            return err(toFailure(error));
+            return err(classifyCallError(error));
         }
     }
     return { call, close: () => agent.destroy() };
--- a/src/io/upstream/collectBody.ts
+++ b/src/io/upstream/collectBody.ts
@@ -4,6 +4,7 @@
  */
 import type { Readable } from "node:stream";
 import type { CollectResult, ForwardEnd } from "../../core/effects/effectTypes.js";
+import { classifyBodyError } from "../_lib/classifyCallError.js";
 
 /** A collection that was started. */
 export interface Collecting {
@@ -40,9 +41,6 @@
         }
     });
     body.on("end", () => finish({ kind: "whole", body: Buffer.concat(chunks) }));
-    body.on("error", (err: Error) => {
-        const isSilent = "code" in err && err.code === "UND_ERR_BODY_TIMEOUT";
-        finish({ kind: "broken", end: isSilent ? "silent" : "cut" });
-    });
+    body.on("error", (err: Error) => finish({ kind: "broken", end: classifyBodyError(err) }));
     return { stop: end => finish({ kind: "broken", end }) };
 }
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
 import type { EngineLoad } from "../../core/ports/enginePort.js";
+import { classifyCallError } from "../_lib/classifyCallError.js";
 import { createConnectionPools } from "./createConnectionPools.js";
 import { loadSchema as engineLoadSchema } from "./createEngineClient.js";
 
@@ -55,20 +56,6 @@
 
 const loadSchema = z.object({ leaving: z.boolean() });
 
-/** Error codes after which no byte of the call can have reached the upstream. */
-const notSentCodes: ReadonlySet<string> = new Set([
-    "ECONNREFUSED",
-    "EHOSTUNREACH",
-    "ENETUNREACH",
-    "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-function toFailure(err: unknown): { readonly kind: "notSent" | "lost"; readonly detail: string; } {
-    const code = err instanceof Error && "code" in err ? String(err.code) : "";
-    const detail = err instanceof Error ? err.message : String(err);
-    return { kind: notSentCodes.has(code) ? "notSent" : "lost", detail };
-}
-
 function readText(headers: Dispatcher.ResponseData["headers"], name: string): string | undefined {
     const value = headers[name];
     return typeof value === "string" ? value : undefined;
@@ -149,7 +136,7 @@
             if (signal?.aborted === true) {
                 return { kind: "callerGone" };
             }
-            const failure = toFailure(err);
+            const failure = classifyCallError(err);
             if (failure.kind === "lost") {
                 pools.distrust(call.upstream.address);
             }
--- a/src/io/upstream/forwardEvents.ts
+++ b/src/io/upstream/forwardEvents.ts
@@ -7,6 +7,7 @@
 import type { ForwardEnd } from "../../core/effects/effectTypes.js";
 import type { EventScanner } from "../../core/stream/createEventScanner.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import { classifyBodyError } from "../_lib/classifyCallError.js";
 
 /** A forwarding that was started. */
 export interface Forwarding {
@@ -20,10 +21,6 @@
 /** Largest event, in bytes; a longer one is malformed. */
 const maxEventBytes = 1 << 20;
 
-function toEnd(err: Error): ForwardEnd {
-    return "code" in err && err.code === "UND_ERR_BODY_TIMEOUT" ? "silent" : "cut";
-}
-
 /**
  * Forwards events until the stream ends, breaks or is stopped. Bytes of an incomplete event are never sent. A slow
  * caller pauses the upstream's body, so that at most the socket buffers are held in memory, and is given up when its
@@ -91,6 +88,6 @@
     res.on("drain", onDrain);
     body.on("data", takeChunk);
     body.on("end", () => finish("cut"));
-    body.on("error", (err: Error) => finish(toEnd(err)));
+    body.on("error", (err: Error) => finish(classifyBodyError(err)));
     return { stop: finish };
 }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -175,6 +175,10 @@
     };
 }
 
+function listUpstreams(catalogue: Catalogue, role: Upstream["role"], id: string): readonly Upstream[] {
+    return listEntries(catalogue, "upstream").filter(one => one.role === role && one.serves.includes(id));
+}
+
 function listen(server: Server, address: string): Promise<string> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -292,10 +296,13 @@
     const recentMembership = keepFor(viewAgeMs, clock.now, membership);
     const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
 
+    const listByRole = {
+        engine: keepWhileSame(catalogue, id => listUpstreams(catalogue(), "engine", id)),
+        service: keepWhileSame(catalogue, id => listUpstreams(catalogue(), "service", id)),
+    };
+
     function listServing(id: string, role: Upstream["role"]): readonly Upstream[] {
-        const serving = listEntries(catalogue(), "upstream")
-            .filter(one => one.role === role && one.serves.includes(id));
-        return leaves.selectServing(serving);
+        return leaves.selectServing(listByRole[role](id));
     }
 
     const seats = followSeats({ log, clock, random: Math.random, keeper: () => limits!.keeper });
