Serve the platform's requests through an adapter: thin path

Cause: the daemon speaks OpenAI bodies and a log of its own design; on the platform it served nothing. A request of opaque method, path, headers and body now has a core of its own (src/core/proxy, placement, registry, routes, weights, fleet); platform/ translates.

Ruled out for this path: importing src/wire.ts (0.5 s of processor time at start, 80 MB) and tRPC between instances, for the same reason.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,7 +44,7 @@
             ],
         },
     },
-    { files: ["src/**/*.ts", "fakes/**/*.ts"], ...publicDocs },
+    { files: ["src/**/*.ts", "platform/**/*.ts", "fakes/**/*.ts"], ...publicDocs },
     {
         // Stand-ins are described in a sentence each; their parameters are typed.
         files: ["fakes/**/*.ts"],
--- /dev/null
+++ b/src/assemble/assembleProxy.ts
@@ -0,0 +1,102 @@
+/**
+ * @module
+ * Assembles the path of a request: placing, sending, and serving callers.
+ */
+import type { RequestListener } from "node:http";
+import { createPlacer } from "../core/placement/createPlacer.js";
+import { createRetryAllowance } from "../core/proxy/createRetryAllowance.js";
+import type { SendEffect } from "../core/proxy/proxyEffects.js";
+import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
+import { createConnectionShelf } from "../io/proxy/createConnectionShelf.js";
+import { createProxyService } from "../io/proxy/createProxyService.js";
+import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
+import type { AnswerHead } from "../io/proxy/proxyCodec.js";
+import type { Fleet } from "./assembleFleet.js";
+import type { InstanceViews } from "./assembleViews.js";
+import type { InstanceContext } from "./routerPorts.js";
+
+/** The path of requests. */
+export interface Proxy {
+    readonly handle: RequestListener;
+    readonly countActive: () => number;
+    /** Places requests that wait. */
+    readonly advance: () => void;
+    /** Uses no connection again that was opened before. */
+    readonly distrustConnections: () => void;
+}
+
+/** Part of the time limit for outdated weights that is used: the instance learned of the newer ones later than they were named. */
+const weightsLimitShare = 0.65;
+
+/**
+ * Assembles the path of requests.
+ *
+ * @param context - The instance.
+ * @param views - What it believes.
+ * @param fleet - The other instances.
+ * @param isClosing - Whether answers close their connections.
+ * @returns The path.
+ */
+export function assembleProxy(
+    context: InstanceContext,
+    views: InstanceViews,
+    fleet: Fleet,
+    isClosing: () => boolean,
+): Proxy {
+    const { settings, ports, clock, random, writeLog } = context;
+    const shelf = createConnectionShelf(clock);
+    const placer = createPlacer({
+        clock,
+        failureDomain: settings.failureDomain,
+        registry: views.registry,
+        weights: views.weights,
+        use: views.use,
+        parts: views.parts,
+        health: views.health,
+        findService: name => views.routes()?.findService(name),
+        outdatedLimitMs: settings.weightsLimitMs * weightsLimitShare,
+    });
+
+    function noteAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead): void {
+        if (!head.isNotRun) {
+            placer.noteAnswer(req);
+        }
+        if (head.weightsVersion !== undefined && req.prompt !== undefined) {
+            views.weights.noteLoaded(effect.placement.upstream.id, req.prompt.model, head.weightsVersion);
+        }
+    }
+
+    const send = createUpstreamSender({
+        clock,
+        codec: ports.codec,
+        shelf,
+        health: views.health,
+        onAnswerHead: noteAnswerHead,
+        onForeignAnswer: (req, effect, answeredId) =>
+            writeLog("foreignAnswer", { requestId: req.id, upstream: effect.placement.upstream.id, answeredId }),
+    });
+    const service = createProxyService({
+        clock,
+        random,
+        codec: ports.codec,
+        writeLog,
+        placer,
+        send,
+        allowance: createRetryAllowance({
+            ratio: settings.retryRatio,
+            slack: settings.retrySlack,
+            windowMs: settings.retryWindowMs,
+            countInstances: fleet.countInstances,
+        }),
+        routes: views.routes,
+        isClosing,
+        onRepeat: () => undefined,
+        onEnd: end => writeLog("requestServed", { ...end }),
+    });
+    return {
+        handle: service.handle,
+        countActive: service.countActive,
+        advance: placer.advance,
+        distrustConnections: shelf.distrustAll,
+    };
+}
--- /dev/null
+++ b/src/assemble/assembleServers.ts
@@ -0,0 +1,147 @@
+/**
+ * @module
+ * Assembles the servers: requests of callers, readiness, the list of entries, and state for peers.
+ */
+import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import polka from "polka";
+import type { RouteIndex } from "../core/routes/indexRoutes.js";
+import { peerStatePath } from "../io/fleet/fetchPeerState.js";
+import type { Fleet } from "./assembleFleet.js";
+import type { InstanceContext } from "./routerPorts.js";
+
+/** What the servers need beside the instance. */
+export interface ServerSources {
+    readonly fleet: Fleet;
+    readonly routes: () => RouteIndex | undefined;
+    readonly isReady: () => boolean;
+    readonly handle: RequestListener;
+}
+
+/** The servers. */
+export interface Servers {
+    /** Requests in flight and kept connections of callers. */
+    readonly countConnections: () => Promise<number>;
+    readonly closeIdle: () => void;
+    /** Applies the limits of the configuration in force to connections of callers. */
+    readonly applyLimits: () => void;
+    readonly close: () => void;
+}
+
+/** Time for which callers keep a list of entries, in milliseconds: some keep it three times as long. */
+const entryLifeMs = 1_000;
+
+/** Most entries in a list. */
+const maxEntries = 64;
+
+/** Largest head that is read at all, in bytes; the configuration's limit is checked on the head that was read. */
+const maxHeadBytes = 65_536;
+
+/** Interval at which the time limit of unfinished heads is checked, in milliseconds. */
+const headCheckMs = 500;
+
+/** Time beyond the stated idle limit for which a connection is kept, for requests that are under way, in milliseconds. */
+const idleSlackMs = 500;
+
+function listen(listener: RequestListener, address: string): Server {
+    const [host, port] = address.split(":");
+    const server = createServer(listener);
+    server.listen(Number(port), host);
+    return server;
+}
+
+function sendJson(res: ServerResponse, status: number, text: string): void {
+    res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+    res.end(text);
+}
+
+function createListener(routes: Readonly<Record<string, (url: URL, res: ServerResponse) => void>>): RequestListener {
+    const app = polka();
+    for (const [path, answer] of Object.entries(routes)) {
+        app.get(path, (req, res) => answer(new URL(req.url ?? "", "http://instance"), res));
+    }
+    return app.handler as unknown as RequestListener;
+}
+
+/**
+ * Starts the servers.
+ *
+ * @param context - The instance.
+ * @param sources - What they answer from.
+ * @returns The servers.
+ */
+export function assembleServers(context: InstanceContext, sources: ServerSources): Servers {
+    const { settings, ports, writeLog } = context;
+
+    function listEntries(failureDomain: string | undefined): readonly string[] {
+        const own = sources.isReady() ? [sources.fleet.self()] : [];
+        const others = sources.fleet.listLive().map(member => member.instance).filter(one => one.state === "serving");
+        const near = (domain: string) => (domain === failureDomain ? 0 : 1);
+        return [...own, ...others].toSorted((left, right) => near(left.failureDomain) - near(right.failureDomain))
+            .slice(0, maxEntries)
+            .map(instance => instance.callerAddress);
+    }
+
+    function answerEntries(url: URL, res: ServerResponse): void {
+        const { failureDomain } = ports.readEntryQuery(url.searchParams);
+        const entries = listEntries(failureDomain);
+        if (entries.length === 0) {
+            sendJson(res, 503, JSON.stringify({ error: "no instance is ready" }));
+            return;
+        }
+        sendJson(res, 200, ports.formatEntries(entries, Math.min(entryLifeMs, settings.maxEntryLifeMs)));
+    }
+
+    const [callerHost, callerPort] = settings.callerAddress.split(":");
+    const front = createServer(
+        { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
+        sources.handle,
+    );
+    front.on("clientError", (error: Error & { code?: string; }, socket: Socket) => {
+        writeLog("clientError", { detail: error.code ?? error.message });
+        if (!socket.writable || socket.destroyed) {
+            return;
+        }
+        const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
+        const isLate = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
+        const status = isTooLarge ? "431 Request Header Fields Too Large" : isLate ? "408 Request Timeout" : "400 Bad Request";
+        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    });
+    front.listen(Number(callerPort), callerHost);
+
+    const others = [
+        listen(
+            createListener({
+                [ports.readinessPath]: (_, res) => sendJson(res, sources.isReady() ? 200 : 503, "{}"),
+            }),
+            settings.readinessAddress,
+        ),
+        listen(createListener({ [ports.entriesPath]: answerEntries }), settings.directoryAddress),
+        listen(
+            createListener({
+                [peerStatePath]: (url, res) => {
+                    const knownVersion = Number(url.searchParams.get("known") ?? 0);
+                    sendJson(res, 200, JSON.stringify(sources.fleet.describeState(knownVersion)));
+                },
+            }),
+            settings.peerAddress,
+        ),
+    ];
+
+    return {
+        countConnections: () =>
+            new Promise(resolve => front.getConnections((error, count) => resolve(error === null ? count : 0))),
+        closeIdle: () => front.closeIdleConnections(),
+        applyLimits: () => {
+            const limits = sources.routes()?.table.limits;
+            if (limits !== undefined) {
+                front.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
+                front.headersTimeout = limits.headerTimeoutMs;
+            }
+        },
+        close: () => {
+            front.close();
+            others.forEach(server => server.close());
+        },
+    };
+}
--- a/src/core/effects/runSteps.ts
+++ b/src/core/effects/runSteps.ts
@@ -2,7 +2,7 @@
  * @module
  * Runs a generator of effects with callbacks, so that a virtual clock can drive it without promises.
  */
-import type { Effect, EffectResults, Steps } from "./effectTypes.js";
+import type { Effect, EffectResults } from "./effectTypes.js";
 
 /** Performs effects of one kind; calls `resume` exactly once, at once or later. */
 export type EffectHandler<K extends Effect["kind"]> = (
@@ -13,6 +13,14 @@
 /** One handler for each effect kind. */
 export type EffectHandlers = { readonly [K in Effect["kind"]]: EffectHandler<K>; };
 
+/** Handlers of any closed set of effects, by kind. */
+export type AnyHandlers<E extends { readonly kind: string; }, Results extends Record<E["kind"], unknown>> = {
+    readonly [K in E["kind"]]: (
+        effect: Extract<E, { readonly kind: K; }>,
+        resume: (result: Results[K]) => void,
+    ) => void;
+};
+
 /**
  * Runs steps to their end.
  *
@@ -23,14 +31,14 @@
  * @example
  * runSteps(serveModelRequest(req, dependencies), handlers, () => undefined, logFailure);
  */
-export function runSteps<R>(
-    steps: Steps<R>,
-    handlers: EffectHandlers,
+export function runSteps<R, E extends { readonly kind: string; }, Results extends Record<E["kind"], unknown>>(
+    steps: Generator<E, R, unknown>,
+    handlers: AnyHandlers<E, Results>,
     onDone: (result: R) => void,
     onError: (err: unknown) => void,
 ): void {
     function resume(result: unknown): void {
-        let turn: IteratorResult<Effect, R>;
+        let turn: IteratorResult<E, R>;
         try {
             turn = steps.next(result);
         }
@@ -42,7 +50,8 @@
             onDone(turn.value);
             return;
         }
-        const handler = handlers[turn.value.kind] as (effect: Effect, resume: (result: unknown) => void) => void;
+        const kind = turn.value.kind as E["kind"];
+        const handler = handlers[kind] as (effect: E, resume: (result: unknown) => void) => void;
         handler(turn.value, resume);
     }
     resume(undefined);
--- /dev/null
+++ b/src/core/fleet/peerState.ts
@@ -0,0 +1,88 @@
+/**
+ * @module
+ * What one instance gives to another that cannot read the platform's store: the configuration, the upstreams and the named
+ * weights, with their versions and age.
+ */
+import { z } from "zod";
+
+const routeSchema = z.object({
+    name: z.string(),
+    host: z.string(),
+    pathPrefix: z.string(),
+    kind: z.enum(["idempotent", "nonIdempotent", "stream"]),
+    timeoutMs: z.number(),
+    targetLatencyMs: z.number(),
+    attempts: z.number(),
+    priority: z.number(),
+    shares: z.array(z.object({ service: z.string(), weight: z.number() })),
+    isOpen: z.boolean(),
+    isResumable: z.boolean(),
+});
+
+const serviceSchema = z.object({
+    name: z.string(),
+    maxConnections: z.number(),
+    engine: z.object({ slots: z.number(), memoryTokens: z.number(), models: z.array(z.string()) }).optional(),
+});
+
+const tableSchema = z.object({
+    version: z.number(),
+    routes: z.array(routeSchema),
+    services: z.array(serviceSchema.transform(service => ({ ...service, engine: service.engine }))),
+    customers: z.array(
+        z.object({
+            name: z.string(),
+            keys: z.array(z.string()),
+            priority: z.number().optional(),
+            isIsolated: z.boolean(),
+        }).transform(customer => ({ ...customer, priority: customer.priority })),
+    ),
+    limits: z.object({
+        maxHeaderBytes: z.number(),
+        maxBodyBytes: z.number(),
+        headerTimeoutMs: z.number(),
+        idleTimeoutMs: z.number(),
+    }),
+});
+
+const upstreamSchema = z.object({
+    id: z.string(),
+    service: z.string(),
+    address: z.string(),
+    failureDomain: z.string(),
+    isDraining: z.boolean(),
+    slots: z.number(),
+    startedAtMs: z.number(),
+    weights: z.array(z.object({ model: z.string(), version: z.number() })),
+    acceptedOrders: z.number(),
+});
+
+const peerStateSchema = z.object({
+    /** Left out when the asking instance has this version or a newer one. */
+    table: tableSchema.optional(),
+    upstreams: z.array(upstreamSchema),
+    /** Milliseconds since the giving instance last read the list of upstreams. */
+    upstreamsAgeMs: z.number(),
+    named: z.array(z.object({ model: z.string(), version: z.number() })),
+}).readonly();
+
+/** The state. */
+export type PeerState = z.infer<typeof peerStateSchema>;
+
+/**
+ * Parses a state.
+ *
+ * @param text - The state as JSON text.
+ * @returns The state; undefined when it is malformed.
+ * @example
+ * parsePeerState("{}"); // undefined
+ */
+export function parsePeerState(text: string): PeerState | undefined {
+    try {
+        const parsed = peerStateSchema.safeParse(JSON.parse(text));
+        return parsed.success ? parsed.data : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/core/placement/index.ts
@@ -0,0 +1,11 @@
+/**
+ * @module
+ * Placing requests at upstreams.
+ */
+export * from "./choosePlacement.js";
+export * from "./createHealthView.js";
+export * from "./createPartView.js";
+export * from "./createUpstreamUse.js";
+export * from "./createWaitingLine.js";
+export * from "./placementTypes.js";
+export * from "./createPlacer.js";
--- /dev/null
+++ b/src/core/ports/recordStore.ts
@@ -0,0 +1,52 @@
+/**
+ * @module
+ * Port to the platform's store: an ordered log of records by topic, and the newest record of each key.
+ */
+
+/** One record of a topic with keys. */
+export interface KeyedRecord {
+    readonly offset: number;
+    readonly key: string;
+    /** Undefined when the key was removed. */
+    readonly value: Uint8Array | undefined;
+}
+
+/** A call that brought nothing. */
+export interface StoreFailure {
+    readonly kind: "failed";
+    readonly reason: string;
+}
+
+/** Newest record of each key. */
+export type NewestResult =
+    | { readonly kind: "newest"; readonly records: readonly KeyedRecord[]; readonly end: number; }
+    | StoreFailure;
+
+/** Records from an offset on. `truncated`: the records from that offset on are gone. */
+export type ReadResult<R> =
+    | { readonly kind: "records"; readonly records: readonly R[]; readonly next: number; readonly end: number; }
+    | { readonly kind: "truncated"; readonly first: number; }
+    | StoreFailure;
+
+/** A record of a topic without keys. */
+export interface PlainRecord {
+    readonly offset: number;
+    readonly value: Uint8Array;
+}
+
+/** Result of a conditional append. `moved`: the topic did not end at the expected offset; nothing was appended. After
+ * `failed` the record may have been appended, or may be appended later while the condition still holds. */
+export type AppendResult =
+    | { readonly kind: "appended"; readonly offset: number; }
+    | { readonly kind: "moved"; readonly end: number; }
+    | StoreFailure;
+
+/** The store. No call is repeated by the port. */
+export interface RecordStore {
+    readonly readNewest: (topic: string) => Promise<NewestResult>;
+    readonly readKeyed: (topic: string, from: number, waitMs: number) => Promise<ReadResult<KeyedRecord>>;
+    readonly readPlain: (topic: string, from: number) => Promise<ReadResult<PlainRecord>>;
+    readonly appendAt: (topic: string, expectedEnd: number, value: Uint8Array) => Promise<AppendResult>;
+    readonly putKeyed: (topic: string, key: string, value: Uint8Array | undefined) => Promise<AppendResult>;
+    readonly close: () => void;
+}
--- /dev/null
+++ b/src/core/proxy/index.ts
@@ -0,0 +1,9 @@
+/**
+ * @module
+ * Requests with opaque content.
+ */
+export * from "./createRetryAllowance.js";
+export * from "./deriveCacheSalt.js";
+export * from "./proxyEffects.js";
+export * from "./proxyTypes.js";
+export * from "./serveProxyRequest.js";
--- /dev/null
+++ b/src/core/registry/index.ts
@@ -0,0 +1,6 @@
+/**
+ * @module
+ * The list of upstreams.
+ */
+export * from "./createUpstreamRegistry.js";
+export * from "./upstreamRecord.js";
--- a/src/core/stream/index.ts
+++ b/src/core/stream/index.ts
@@ -3,3 +3,4 @@
  * Order and completeness of streamed answers.
  */
 export * from "./createEventScanner.js";
+export * from "./createEventSplitter.js";
--- a/src/core/time/createPauseDetector.ts
+++ b/src/core/time/createPauseDetector.ts
@@ -18,19 +18,31 @@
 
 const lookIntervalMs = 250;
 
-/** A jump beyond the interval that counts as a pause, in milliseconds. */
-const pauseThresholdMs = 1_000;
+/** A jump beyond the interval that counts as a pause unless told otherwise, in milliseconds. */
+const defaultThresholdMs = 1_000;
+
+/** Options of {@link createPauseDetector}. */
+export interface PauseDetectorOptions {
+    /** A jump beyond the interval that counts as a pause, in milliseconds. */
+    readonly thresholdMs?: number;
+}
 
 /**
  * Creates a detector.
  *
  * @param clock - The clock; both its monotonic and its wall time are compared.
  * @param onPause - Receives the length of the jump in milliseconds.
+ * @param options - Least length of a pause.
  * @returns The detector.
  * @example
  * const detector = createPauseDetector(clock, () => upstreams.distrustAll());
  */
-export function createPauseDetector(clock: Clock, onPause: (pausedMs: number) => void): PauseDetector {
+export function createPauseDetector(
+    clock: Clock,
+    onPause: (pausedMs: number) => void,
+    options: PauseDetectorOptions = {},
+): PauseDetector {
+    const thresholdMs = options.thresholdMs ?? defaultThresholdMs;
     let lastMs = clock.now();
     let lastWallMs = clock.wallNow();
     let cancelTimer: CancelTimer = () => undefined;
@@ -39,7 +51,7 @@
         const jumpMs = Math.max(clock.now() - lastMs, clock.wallNow() - lastWallMs);
         lastMs = clock.now();
         lastWallMs = clock.wallNow();
-        if (jumpMs <= lookIntervalMs + pauseThresholdMs) {
+        if (jumpMs <= lookIntervalMs + thresholdMs) {
             return "running";
         }
         onPause(jumpMs);
--- /dev/null
+++ b/src/core/weights/index.ts
@@ -0,0 +1,8 @@
+/**
+ * @module
+ * Weights of models and their rollout.
+ */
+export * from "./createRolloutLease.js";
+export * from "./createWeightsView.js";
+export * from "./loadWeights.js";
+export * from "./planLoads.js";
--- /dev/null
+++ b/src/io/fleet/startHeartbeats.ts
@@ -0,0 +1,83 @@
+/**
+ * @module
+ * Sends and receives heartbeats as datagrams.
+ */
+import { createSocket } from "node:dgram";
+import type { Heartbeat } from "../../core/fleet/heartbeat.js";
+import { parseHeartbeat } from "../../core/fleet/heartbeat.js";
+import type { CancelTimer, Clock } from "../../core/time/clock.js";
+
+/** Options of {@link startHeartbeats}. */
+export interface StartHeartbeatsOptions {
+    readonly clock: Clock;
+    readonly host: string;
+    readonly port: number;
+    readonly intervalMs: number;
+    readonly compose: () => Heartbeat;
+    readonly chooseTargets: () => readonly string[];
+    readonly onHeartbeat: (heartbeat: Heartbeat) => void;
+    readonly onMalformed: (detail: string) => void;
+}
+
+/** The running exchange. */
+export interface Heartbeats {
+    /** Sends a heartbeat now, for news that must not wait for the interval. */
+    readonly hurry: () => void;
+    readonly stop: () => void;
+}
+
+/**
+ * Starts the exchange.
+ *
+ * @param options - Addresses, and what heartbeats say.
+ * @returns The running exchange.
+ */
+export function startHeartbeats(options: StartHeartbeatsOptions): Heartbeats {
+    const socket = createSocket("udp4");
+    let cancelTimer: CancelTimer = () => undefined;
+    let isStopped = false;
+
+    function sendAll(): void {
+        const message = Buffer.from(JSON.stringify(options.compose()));
+        for (const target of options.chooseTargets()) {
+            const [host, port] = target.split(":");
+            // A datagram that cannot be sent is a lost one; the receiver counts on some being lost.
+            socket.send(message, Number(port), host, () => undefined);
+        }
+    }
+
+    function schedule(): void {
+        cancelTimer = options.clock.after(options.intervalMs, () => {
+            if (!isStopped) {
+                sendAll();
+                schedule();
+            }
+        });
+    }
+
+    socket.on("message", message => {
+        const heartbeat = parseHeartbeat(message.toString());
+        if (heartbeat === undefined) {
+            options.onMalformed(message.toString("utf8", 0, 80));
+            return;
+        }
+        options.onHeartbeat(heartbeat);
+    });
+    socket.on("error", err => options.onMalformed(err.message));
+    socket.bind(options.port, options.host, () => {
+        sendAll();
+        schedule();
+    });
+    return {
+        hurry: () => {
+            if (!isStopped) {
+                sendAll();
+            }
+        },
+        stop: () => {
+            isStopped = true;
+            cancelTimer();
+            socket.close();
+        },
+    };
+}
--- /dev/null
+++ b/src/io/proxy/createConnectionShelf.ts
@@ -0,0 +1,129 @@
+/**
+ * @module
+ * Connections to upstreams, one request at a time on each. How long one may have been idle is decided per request: a
+ * request that must not run twice needs one that the other side cannot have closed unnoticed.
+ */
+import { Client } from "undici";
+import type { Clock } from "../../core/time/clock.js";
+
+/** One connection. */
+export interface ShelfConnection {
+    readonly client: Client;
+    readonly address: string;
+    /** Whether a request was sent on it before. */
+    readonly isReused: boolean;
+}
+
+/** The connections. */
+export interface ConnectionShelf {
+    /** Takes the most recently used connection that was idle for less than `maxIdleMs`, or a new one. */
+    readonly acquire: (address: string, maxIdleMs: number) => ShelfConnection;
+    /** Keeps a connection for the next request, or closes it. */
+    readonly release: (connection: ShelfConnection, isReusable: boolean) => void;
+    /** Closes all idle connections, as after a pause of the process. */
+    readonly distrustAll: () => void;
+    /** Number of connections that were opened. */
+    readonly countOpened: () => number;
+}
+
+interface IdleConnection {
+    readonly client: Client;
+    readonly sinceMs: number;
+}
+
+/** Idle time after which a connection is closed, in milliseconds. */
+const maxKeptMs = 3_000;
+
+/** Idle connections that are kept of one address. */
+const maxIdle = 16;
+
+/** Interval at which idle connections are looked through, in milliseconds. */
+const sweepIntervalMs = 1_000;
+
+/** Time limit of undici for opening a connection, in milliseconds; the sender's own limit is shorter. */
+const connectLimitMs = 2_000;
+
+/**
+ * Creates an empty shelf.
+ *
+ * @param clock - The clock.
+ * @returns The connections.
+ */
+export function createConnectionShelf(clock: Clock): ConnectionShelf {
+    const shelves = new Map<string, IdleConnection[]>();
+    let opened = 0;
+
+    function open(address: string): ShelfConnection {
+        opened += 1;
+        const client = new Client(`http://${address}`, {
+            connect: { timeout: connectLimitMs },
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            keepAliveTimeout: maxKeptMs,
+            pipelining: 1,
+        });
+        client.on("disconnect", () => forget(address, client));
+        return { client, address, isReused: false };
+    }
+
+    function destroy(client: Client): void {
+        // A client that is destroyed twice reports it; there is nothing left to do then.
+        client.destroy().catch(() => undefined);
+    }
+
+    function forget(address: string, client: Client): void {
+        const idle = shelves.get(address);
+        if (idle?.some(one => one.client === client) === true) {
+            shelves.set(address, idle.filter(one => one.client !== client));
+            destroy(client);
+        }
+    }
+
+    function acquire(address: string, maxIdleMs: number): ShelfConnection {
+        const idle = shelves.get(address) ?? [];
+        const newest = idle.at(-1);
+        if (newest === undefined || newest.client.destroyed || clock.now() - newest.sinceMs > maxIdleMs) {
+            return open(address);
+        }
+        idle.pop();
+        return { client: newest.client, address, isReused: true };
+    }
+
+    function release(connection: ShelfConnection, isReusable: boolean): void {
+        const idle = shelves.get(connection.address) ?? [];
+        if (!isReusable || connection.client.destroyed || idle.length >= maxIdle) {
+            destroy(connection.client);
+            return;
+        }
+        idle.push({ client: connection.client, sinceMs: clock.now() });
+        shelves.set(connection.address, idle);
+    }
+
+    function sweep(): void {
+        for (const [address, idle] of shelves) {
+            const [old, recent] = [
+                idle.filter(one => clock.now() - one.sinceMs > maxKeptMs),
+                idle.filter(one => clock.now() - one.sinceMs <= maxKeptMs),
+            ];
+            old.forEach(one => destroy(one.client));
+            if (recent.length === 0) {
+                shelves.delete(address);
+            }
+            else {
+                shelves.set(address, recent);
+            }
+        }
+        clock.after(sweepIntervalMs, sweep);
+    }
+    clock.after(sweepIntervalMs, sweep);
+
+    return {
+        acquire,
+        release,
+        distrustAll: () => {
+            [...shelves.values()].flat().forEach(one => destroy(one.client));
+            shelves.clear();
+        },
+        countOpened: () => opened,
+    };
+}
--- /dev/null
+++ b/src/io/proxy/createProxyService.ts
@@ -0,0 +1,274 @@
+/**
+ * @module
+ * Takes callers' requests: checks them against the configuration, reads their bodies and runs their steps.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { err, ok, type Result } from "true-myth/result";
+import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
+import { errorTable } from "../../core/errors/errorTable.js";
+import { runSteps } from "../../core/effects/runSteps.js";
+import type { WriteLog } from "../../core/logEvents/logEventTable.js";
+import type { Placer } from "../../core/placement/createPlacer.js";
+import type { RetryAllowance } from "../../core/proxy/createRetryAllowance.js";
+import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
+import type { ProxyRequest } from "../../core/proxy/proxyTypes.js";
+import { type RepeatReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
+import { chooseService } from "../../core/routes/chooseService.js";
+import type { RouteIndex } from "../../core/routes/indexRoutes.js";
+import type { Route, RouteCustomer } from "../../core/routes/routingTable.js";
+import type { Clock } from "../../core/time/clock.js";
+import { readBody } from "../http/readBody.js";
+import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
+import type { SendToUpstream } from "./createUpstreamSender.js";
+import type { ProxyCodec, RequestHead } from "./proxyCodec.js";
+
+/** What the service needs. */
+export interface ProxyServiceDependencies {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly codec: ProxyCodec;
+    readonly writeLog: WriteLog;
+    readonly placer: Placer;
+    readonly send: SendToUpstream;
+    readonly allowance: RetryAllowance;
+    /** The configuration in force; undefined while there is none. */
+    readonly routes: () => RouteIndex | undefined;
+    /** Whether connections are being closed, so that each answer says so. */
+    readonly isClosing: () => boolean;
+    readonly onRepeat: (reason: RepeatReason) => void;
+    /** Receives the end of each request. */
+    readonly onEnd: (end: RequestEnd) => void;
+}
+
+/** How a request ended. */
+export interface RequestEnd {
+    readonly requestId: string;
+    readonly route: string;
+    readonly result: string;
+    readonly tookMs: number;
+}
+
+/** The service. */
+export interface ProxyService {
+    readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
+    /** Requests that are being served. */
+    readonly countActive: () => number;
+}
+
+/** A request whose head has passed all checks. */
+interface CheckedHead {
+    readonly head: RequestHead;
+    readonly route: Route;
+    readonly service: string;
+    readonly customer: RouteCustomer | undefined;
+    readonly deadlineMs: number;
+    readonly maxBodyBytes: number;
+}
+
+/** Time limit for a body to arrive when the route's timeout is longer, in milliseconds. */
+const maxBodyTimeMs = 30_000;
+
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+    // Two bytes for ": " or for the line's end stand beside each name and value.
+    return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+function toPath(target: string): string {
+    const end = target.indexOf("?");
+    return end === -1 ? target : target.slice(0, end);
+}
+
+/**
+ * Creates the service.
+ *
+ * @param deps - The instance's parts.
+ * @returns The service.
+ */
+export function createProxyService(deps: ProxyServiceDependencies): ProxyService {
+    let active = 0;
+
+    function checkCustomer(index: RouteIndex, route: Route, head: RequestHead): Result<RouteCustomer | undefined, Refusal> {
+        if (!index.hasCustomers || (route.isOpen && head.credential === undefined)) {
+            return ok(undefined);
+        }
+        const customer = head.credential === undefined ? undefined : index.findCustomer(head.credential);
+        if (customer === undefined && !route.isOpen) {
+            const detail = head.credential === undefined ? "no key was sent" : "no customer has this key";
+            return err(createRefusal("unknownCustomer", detail));
+        }
+        return ok(customer);
+    }
+
+    function checkHead(req: IncomingMessage, arrivedMs: number): Result<CheckedHead, Refusal> {
+        const index = deps.routes();
+        if (index === undefined) {
+            return err(createRefusal("noCatalogue", "no configuration has arrived yet", { retryAfterMs: 300 }));
+        }
+        const { limits } = index.table;
+        if (countHeaderBytes(req.rawHeaders) > limits.maxHeaderBytes) {
+            return err(createRefusal("headersTooLarge", `more than ${limits.maxHeaderBytes} bytes`));
+        }
+        return deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders).andThen(head => {
+            const route = index.findRoute(head.host, toPath(head.target));
+            if (route === undefined) {
+                return err(createRefusal("unknownRoute", ""));
+            }
+            return checkCustomer(index, route, head).andThen(customer => {
+                const service = chooseService(route.shares, deps.random());
+                if (service === undefined) {
+                    return err(createRefusal("noUpstream", "the route has no service", { retryAfterMs: 500 }));
+                }
+                const budgetMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
+                const deadlineMs = arrivedMs + budgetMs;
+                return ok({ head, route, service, customer, deadlineMs, maxBodyBytes: limits.maxBodyBytes });
+            });
+        });
+    }
+
+    function toRequest(checked: CheckedHead, body: Buffer, arrivedMs: number): ProxyRequest {
+        const { head, route, customer } = checked;
+        return {
+            id: head.id,
+            method: head.method,
+            target: head.target,
+            headers: head.headers,
+            body: body.length === 0 ? undefined : body,
+            route,
+            service: checked.service,
+            customer,
+            prompt: head.prompt,
+            lastEventId: head.lastEventId,
+            arrivedMs,
+            deadlineMs: checked.deadlineMs,
+            priority: customer?.priority ?? route.priority,
+        };
+    }
+
+    function tellEnd(req: ProxyRequest, result: string): void {
+        const tookMs = Math.round(deps.clock.now() - req.arrivedMs);
+        deps.onEnd({ requestId: req.id, route: req.route.name, result, tookMs });
+    }
+
+    function serve(req: ProxyRequest, caller: CallerExchange): void {
+        active += 1;
+        const done = () => {
+            active -= 1;
+        };
+        let isPlaced = false;
+        const leaveUpstream = () => {
+            if (isPlaced) {
+                isPlaced = false;
+                deps.placer.end(req);
+            }
+        };
+        deps.allowance.noteRequest(req.service, deps.clock.now());
+        const steps = serveProxyRequest(req, {
+            takeRepeat: service => deps.allowance.take(service, deps.clock.now()),
+            onRepeat: reason => {
+                deps.onRepeat(reason);
+                deps.writeLog("requestRepeated", { requestId: req.id, reason });
+            },
+        });
+        runSteps<void, ProxyEffect, ProxyEffectResults>(steps, {
+            place: (effect, resume) => {
+                if (caller.isGone()) {
+                    resume({ kind: "callerGone" });
+                    return;
+                }
+                let cancelPlace: () => void = () => undefined;
+                const cancelGone = caller.onGone(() => {
+                    cancelPlace();
+                    resume({ kind: "callerGone" });
+                });
+                cancelPlace = deps.placer.place(req, effect, result => {
+                    cancelGone();
+                    isPlaced = result.kind === "placed";
+                    resume(result);
+                });
+            },
+            send: (effect, resume) => {
+                const { placement } = effect;
+                const { upstream, weightsVersion } = placement;
+                deps.writeLog("requestSent", { requestId: req.id, upstream: upstream.id, weightsVersion });
+                deps.send(req, effect, caller, outcome => {
+                    leaveUpstream();
+                    if (outcome.kind !== "answered" && outcome.kind !== "finished") {
+                        const detail = "detail" in outcome ? outcome.detail : undefined;
+                        deps.writeLog("sendEnded", {
+                            requestId: req.id,
+                            upstream: upstream.id,
+                            outcome: outcome.kind,
+                            detail,
+                            status: outcome.kind === "rejected" ? outcome.status : undefined,
+                        });
+                    }
+                    if (outcome.kind === "finished") {
+                        tellEnd(req, "answered");
+                    }
+                    resume(outcome);
+                });
+            },
+            answer: (effect, resume) => {
+                caller.answer(effect.answer);
+                tellEnd(req, "answered");
+                resume(undefined);
+            },
+            refuse: (effect, resume) => {
+                const { kind, detail, retryAfterMs } = effect.refusal;
+                const { status, outcome } = errorTable[kind];
+                deps.writeLog("requestRefused", { requestId: req.id, kind, status, outcome, detail, retryAfterMs });
+                caller.refuse(effect.refusal);
+                tellEnd(req, kind);
+                resume(undefined);
+            },
+            cut: (effect, resume) => {
+                deps.writeLog("streamCut", { requestId: req.id, detail: effect.detail });
+                caller.cut();
+                tellEnd(req, "cut");
+                resume(undefined);
+            },
+        }, done, error => {
+            done();
+            leaveUpstream();
+            deps.writeLog("internalFailure", { requestId: req.id, detail: error instanceof Error ? error.stack : String(error) });
+            caller.cut();
+        });
+    }
+
+    function refuseHead(res: ServerResponse, req: IncomingMessage, refusal: Refusal): void {
+        const requestId = "";
+        const status = errorTable[refusal.kind].status;
+        deps.writeLog("requestRefused", { kind: refusal.kind, status, detail: refusal.detail, target: req.url });
+        const mustClose = status === 400 || status === 413 || status === 431;
+        const caller = createCallerExchange(res, { requestId, isClosing: () => mustClose || deps.isClosing() });
+        caller.refuse(refusal);
+        req.resume();
+    }
+
+    async function accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const arrivedMs = deps.clock.now();
+        const checked = checkHead(req, arrivedMs);
+        if (checked.isErr) {
+            refuseHead(res, req, checked.error);
+            return;
+        }
+        const timeoutMs = Math.min(maxBodyTimeMs, checked.value.deadlineMs - arrivedMs);
+        const body = await readBody(req, deps.clock, { maxBytes: checked.value.maxBodyBytes, timeoutMs });
+        if (body.isErr) {
+            refuseHead(res, req, body.error);
+            return;
+        }
+        const options = { requestId: checked.value.head.id, isClosing: deps.isClosing };
+        serve(toRequest(checked.value, body.value, arrivedMs), createCallerExchange(res, options));
+    }
+
+    return {
+        handle: (req, res) => {
+            accept(req, res).catch((error: unknown) => {
+                deps.writeLog("internalFailure", { detail: error instanceof Error ? error.stack : String(error) });
+                res.destroy();
+            });
+        },
+        countActive: () => active,
+    };
+}
--- /dev/null
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -0,0 +1,278 @@
+/**
+ * @module
+ * Sends one request to one upstream and carries out its answer: whole answers are collected, streams are passed on as they
+ * arrive.
+ */
+import type { Dispatcher } from "undici";
+import type { HealthView } from "../../core/placement/createHealthView.js";
+import type { SendEffect } from "../../core/proxy/proxyEffects.js";
+import type { HeaderPair, ProxyRequest, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
+import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import { createStreamDelivery, type StreamDelivery } from "./createStreamDelivery.js";
+import type { ConnectionShelf, ShelfConnection } from "./createConnectionShelf.js";
+import type { AnswerHead, ProxyCodec } from "./proxyCodec.js";
+import type { CallerExchange } from "./createCallerExchange.js";
+
+/** What the sender needs. */
+export interface UpstreamSenderDependencies {
+    readonly clock: Clock;
+    readonly codec: ProxyCodec;
+    readonly shelf: ConnectionShelf;
+    readonly health: HealthView;
+    /** Receives the head of each answer. */
+    readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
+    /** Receives answers that belong to another request or to none. */
+    readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
+}
+
+/** Sends a request; the outcome is told exactly once. */
+export type SendToUpstream = (
+    req: ProxyRequest,
+    effect: SendEffect,
+    caller: CallerExchange,
+    onOutcome: (outcome: SendOutcome) => void,
+) => void;
+
+/** Time within which a connection must be open, in milliseconds: a lost opening packet is sent again only after seconds. */
+const connectTimeoutMs = 400;
+
+/** Idle time up to which a connection is taken for a request that must not run twice, in milliseconds. */
+const trustedIdleMs = 250;
+
+/** Idle time up to which a connection is taken for other requests, in milliseconds. */
+const repeatableIdleMs = 2_000;
+
+/** Largest answer that is collected, in bytes. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+
+/** Interval at which a send looks whether its upstream has fallen silent, in milliseconds. */
+const silenceLookMs = 200;
+
+const firstSuccess = 200;
+const firstRedirect = 300;
+
+type Deliverer = Dispatcher.DispatchHandler;
+
+/** One send while it is at work. */
+class Send implements Deliverer {
+    private isWritten = false;
+    private head: AnswerHead | undefined;
+    private stream: StreamDelivery | undefined;
+    private readonly chunks: Buffer[] = [];
+    private collectedBytes = 0;
+    private isOver = false;
+    private readonly cancels: CancelTimer[] = [];
+    private controller: Dispatcher.DispatchController | undefined;
+
+    constructor(
+        private readonly deps: UpstreamSenderDependencies,
+        private readonly req: ProxyRequest,
+        private readonly effect: SendEffect,
+        private readonly caller: CallerExchange,
+        private readonly connection: ShelfConnection,
+        private readonly onOutcome: (outcome: SendOutcome) => void,
+    ) {}
+
+    start(): void {
+        const { clock, health, codec } = this.deps;
+        const { req, effect } = this;
+        const nowMs = clock.now();
+        const budgetMs = Math.floor(req.deadlineMs - nowMs);
+        const { placement, lastEventId } = effect;
+        const pairs = codec.writeHeaders({ req, placement, budgetMs, lastEventId });
+        health.noteSent(this.upstreamId(), req.id, nowMs);
+        this.cancels.push(this.caller.onGone(() => this.finish({ kind: "callerGone" })));
+        this.cancels.push(clock.after(req.deadlineMs - nowMs, () => this.expire()));
+        if (!this.connection.isReused) {
+            this.cancels.push(clock.after(connectTimeoutMs, () => this.checkConnected()));
+        }
+        if (effect.needsFreshConnection === false) {
+            this.watchSilence();
+        }
+        this.connection.client.dispatch({
+            path: req.target,
+            method: req.method as Dispatcher.HttpMethod,
+            headers: pairs.flat(),
+            body: req.body === undefined ? undefined : Buffer.from(req.body.buffer, req.body.byteOffset, req.body.length),
+        }, this);
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.isWritten = true;
+        this.controller = controller;
+    }
+
+    onResponseStart(
+        controller: Dispatcher.DispatchController,
+        status: number,
+        headers: Readonly<Record<string, string | string[] | undefined>>,
+    ): void {
+        if (this.isOver || status < firstSuccess) {
+            return;
+        }
+        this.controller = controller;
+        const head = this.deps.codec.readAnswer(status, toPairs(headers));
+        if (!this.isOwnAnswer(head)) {
+            this.deps.onForeignAnswer(this.req, this.effect, head.requestId);
+            this.lose("the answer belongs to another request");
+            return;
+        }
+        this.head = head;
+        this.deps.health.noteHeard(this.upstreamId(), this.deps.clock.now());
+        this.deps.onAnswerHead(this.req, this.effect, head);
+        if (this.req.route.kind === "stream" && status < firstRedirect) {
+            this.stream = createStreamDelivery({
+                caller: this.caller,
+                head,
+                isResumable: this.req.route.isResumable,
+                pause: () => controller.pause(),
+                resume: () => controller.resume(),
+            });
+        }
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        if (this.isOver) {
+            return;
+        }
+        this.deps.health.noteHeard(this.upstreamId(), this.deps.clock.now());
+        if (this.stream !== undefined) {
+            this.stream.take(chunk);
+            return;
+        }
+        this.chunks.push(chunk);
+        this.collectedBytes += chunk.length;
+        if (this.collectedBytes > maxAnswerBytes) {
+            this.lose("the answer is too large");
+        }
+    }
+
+    onResponseEnd(): void {
+        const { head } = this;
+        if (this.isOver || head === undefined) {
+            return;
+        }
+        if (this.stream !== undefined) {
+            this.endStream(this.stream);
+            return;
+        }
+        if (head.isNotRun) {
+            this.finish({ kind: "rejected", status: head.status, retryAfterMs: head.retryAfterMs });
+            return;
+        }
+        this.deps.health.noteSuccess(this.upstreamId());
+        const answer = { status: head.status, headers: head.headers, body: Buffer.concat(this.chunks) };
+        this.finish({ kind: "answered", answer });
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        if (this.isOver) {
+            return;
+        }
+        if (!this.isWritten) {
+            this.deps.health.noteFailure(this.upstreamId(), this.deps.clock.now());
+            this.finish({ kind: "notSent", detail: err.message });
+            return;
+        }
+        this.lose(err.message);
+    }
+
+    private upstreamId(): string {
+        return this.effect.placement.upstream.id;
+    }
+
+    /** An answer without an id can only be this request's on a connection that carried no other one. */
+    private isOwnAnswer(head: AnswerHead): boolean {
+        if (head.requestId === undefined) {
+            return !this.connection.isReused && head.isNotRun;
+        }
+        return head.requestId === this.req.id;
+    }
+
+    private endStream(stream: StreamDelivery): void {
+        if (stream.pendingBytes() > 0) {
+            this.lose("the stream ended within an event");
+            return;
+        }
+        this.deps.health.noteSuccess(this.upstreamId());
+        stream.end();
+        this.finish({ kind: "finished" });
+    }
+
+    private checkConnected(): void {
+        if (!this.isOver && !this.isWritten) {
+            this.deps.health.noteFailure(this.upstreamId(), this.deps.clock.now());
+            this.finish({ kind: "notSent", detail: `no connection within ${connectTimeoutMs} ms` });
+        }
+    }
+
+    /** A request that may run again goes to another upstream when this one has fallen silent. */
+    private watchSilence(): void {
+        const cancel = this.deps.clock.after(silenceLookMs, () => {
+            if (this.isOver) {
+                return;
+            }
+            if (this.head === undefined && this.deps.health.isSilent(this.upstreamId(), this.deps.clock.now())) {
+                this.lose("the upstream has fallen silent");
+                return;
+            }
+            this.watchSilence();
+        });
+        this.cancels.push(cancel);
+    }
+
+    private delivered(): StreamProgress | undefined {
+        return this.stream?.progress();
+    }
+
+    private expire(): void {
+        if (!this.isWritten) {
+            this.finish({ kind: "notSent", detail: "the deadline passed before the connection was open" });
+            return;
+        }
+        this.finish({ kind: "expired", delivered: this.delivered() });
+    }
+
+    private lose(detail: string): void {
+        this.deps.health.noteFailure(this.upstreamId(), this.deps.clock.now());
+        this.finish({ kind: "lost", detail, delivered: this.delivered() });
+    }
+
+    private finish(outcome: SendOutcome): void {
+        if (this.isOver) {
+            return;
+        }
+        this.isOver = true;
+        this.cancels.forEach(cancel => cancel());
+        this.deps.health.noteEnded(this.upstreamId(), this.req.id);
+        const isWhole = outcome.kind === "answered" || outcome.kind === "finished" || outcome.kind === "rejected";
+        const isReusable = isWhole && this.head !== undefined && !this.head.isLast;
+        // undici still holds the connection while it reports the end; the next request may be sent on it after that.
+        setImmediate(() => this.deps.shelf.release(this.connection, isReusable));
+        if (!isWhole) {
+            this.controller?.abort(new Error(outcome.kind));
+        }
+        this.onOutcome(outcome);
+    }
+}
+
+function toPairs(headers: Readonly<Record<string, string | string[] | undefined>>): readonly HeaderPair[] {
+    return Object.entries(headers).flatMap(([name, value]) => {
+        const values = Array.isArray(value) ? value : [value ?? ""];
+        return values.map((one): HeaderPair => [name, one]);
+    });
+}
+
+/**
+ * Creates the sender.
+ *
+ * @param deps - Connections, health view and codec.
+ * @returns The sender.
+ */
+export function createUpstreamSender(deps: UpstreamSenderDependencies): SendToUpstream {
+    return (req, effect, caller, onOutcome) => {
+        const idleMs = effect.needsFreshConnection ? trustedIdleMs : repeatableIdleMs;
+        const connection = deps.shelf.acquire(effect.placement.upstream.address, idleMs);
+        new Send(deps, req, effect, caller, connection, onOutcome).start();
+    };
+}
