Read what engines and stores keep, fetch prompt parts and keep them in a store

Change: events of engines and stores give the part view; requests name where missing parts are fetched and a store that lacks them. A version counts as outdated since the first newer one was named, and the oldest weights are replaced first. Ruled out: truncating streams at an order (costs the retry budget).

--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -12,6 +12,7 @@
 import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
 import type { AnswerHead } from "../io/proxy/proxyCodec.js";
 import type { Fleet } from "./assembleFleet.js";
+import type { PartFeeds } from "./assembleParts.js";
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -34,6 +35,7 @@
  * @param context - The instance.
  * @param views - What it believes.
  * @param fleet - The other instances.
+ * @param partFeeds - Stores of kept cache.
  * @param isClosing - Whether answers close their connections.
  * @returns The path.
  */
@@ -41,6 +43,7 @@
     context: InstanceContext,
     views: InstanceViews,
     fleet: Fleet,
+    partFeeds: PartFeeds,
     isClosing: () => boolean,
 ): Proxy {
     const { settings, ports, clock, random, writeLog } = context;
@@ -55,6 +58,7 @@
         health: views.health,
         findService: name => views.routes()?.findService(name),
         outdatedLimitMs: settings.weightsLimitMs * weightsLimitShare,
+        listStores: partFeeds.listStores,
     });
 
     function noteAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead): void {
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -9,6 +9,7 @@
 import type { RoutingTable } from "../core/routes/routingTable.js";
 import type { Clock } from "../core/time/clock.js";
 import type { ProxyCodec } from "../io/proxy/proxyCodec.js";
+import type { ReadPartEvents } from "../io/parts/followPartEvents.js";
 import type { EngineOrders } from "../io/weights/runRollout.js";
 
 /** Settings of one instance. Addresses are "ip:port", times are milliseconds. */
@@ -72,6 +73,7 @@
     readonly decodeUpstreamRecord: (record: KeyedRecord) => Result<UpstreamRecord, string>;
     readonly codec: ProxyCodec;
     readonly engines: EngineOrders;
+    readonly readPartEvents: ReadPartEvents;
     readonly readinessPath: string;
     readonly entriesPath: string;
     readonly readEntryQuery: (query: URLSearchParams) => EntryQuery;
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -22,13 +22,19 @@
 const serviceSchema = z.object({
     name: z.string(),
     maxConnections: z.number(),
-    engine: z.object({ slots: z.number(), memoryTokens: z.number(), models: z.array(z.string()) }).optional(),
+    engine: z.object({
+        slots: z.number(),
+        memoryTokens: z.number(),
+        models: z.array(z.string()),
+        maxReaders: z.number(),
+    }).optional(),
+    cacheStore: z.object({ address: z.string(), failureDomain: z.string(), maxReaders: z.number() }).optional(),
 });
 
 const tableSchema = z.object({
     version: z.number(),
     routes: z.array(routeSchema),
-    services: z.array(serviceSchema.transform(service => ({ ...service, engine: service.engine }))),
+    services: z.array(serviceSchema.transform(service => ({ ...service, engine: service.engine, cacheStore: service.cacheStore }))),
     customers: z.array(
         z.object({
             name: z.string(),
--- a/src/core/placement/createPartView.ts
+++ b/src/core/placement/createPartView.ts
@@ -1,51 +1,74 @@
 /**
  * @module
- * Which prompt parts each engine is likely to hold: from this instance's own sends, and from the home that every instance
- * computes alike for a shared prompt.
+ * Which prompt parts engines and stores of kept cache hold: from the events that they publish, late and with gaps, and
+ * from this instance's own sends, whose events have not arrived yet.
  */
 import { hashText } from "../_lib/hashText.js";
 import { scoreRendezvous } from "../_lib/scoreRendezvous.js";
-import type { Prompt } from "./placementTypes.js";
+import type { Prompt, PromptPart } from "./placementTypes.js";
+
+/** A change of what a holder keeps. */
+export interface PartEvent {
+    readonly salt: string;
+    readonly part: string;
+    /** Tokens of the part that are kept now; 0 when it was evicted. */
+    readonly tokens: number;
+}
 
 /** The view. Times are milliseconds on the instance's clock. */
 export interface PartView {
-    /** Prompt tokens that each engine would have to read, in the order of `engines`. */
-    readonly estimateMissing: (prompt: Prompt, salt: string, engines: readonly string[], nowMs: number) => number[];
-    /** Notes that an engine has read a prompt. */
-    readonly noteRead: (prompt: Prompt, salt: string, engine: string, nowMs: number) => void;
-    /** Forgets all parts of an engine. */
-    readonly forget: (engine: string) => void;
+    readonly takeEvents: (holder: string, events: readonly PartEvent[]) => void;
+    /** Forgets all parts of a holder, as after its restart. */
+    readonly forget: (holder: string) => void;
+    /** Prompt tokens from the start of the prompt that a holder keeps without a gap; the last part is never counted. */
+    readonly countHeld: (prompt: Prompt, salt: string, holder: string, nowMs: number) => number;
+    /** Notes that an engine was sent a prompt, and reads its parts. */
+    readonly noteSent: (prompt: Prompt, salt: string, engine: string, nowMs: number) => void;
+    /** Rank of an engine among those that instances choose alike for a prompt that nobody holds; 0 is first. */
+    readonly rankHome: (prompt: Prompt, salt: string, engines: readonly string[]) => readonly string[];
 }
 
-/** Milliseconds after which a part that was not used again is taken as evicted. */
-const partLifeMs = 15_000;
+/** Time for which an own send stands in for the events of the engine that reads it, in milliseconds. */
+const sentLifeMs = 1_500;
 
-/** Parts that are kept of one engine. */
-const maxParts = 4_096;
+/** Parts that are kept of one holder; beyond it, those that were told first are forgotten. */
+const maxParts = 20_000;
 
-/** Share of a shared part's tokens that the first and second home of a prompt are expected to lack. */
-const homeMissShares = [0.25, 0.6] as const;
+interface Holder {
+    /** Tokens by salt and part. */
+    readonly tokens: Map<string, number>;
+    /** When this instance last sent the part. */
+    readonly sentMs: Map<string, number>;
+}
 
-/** Identity of the prompt up to and including each part. */
-function listChains(prompt: Prompt, salt: string): readonly string[] {
-    let chain = salt;
-    return prompt.parts.map(part => {
-        chain = `${chain}/${part.id}`;
-        return chain;
-    });
+const keyOf = (salt: string, part: string) => `${salt} ${part}`;
+
+/** Parts before the last one, which belongs to the request itself. */
+function listShared(prompt: Prompt): readonly PromptPart[] {
+    return prompt.parts.slice(0, -1);
 }
 
-/** Identity of the parts before the last one, which belongs to the request itself. */
+/**
+ * Names the shared prompt of a request.
+ *
+ * @param prompt - The prompt.
+ * @param salt - The salt of its cached parts.
+ * @returns The same text for all requests that share everything but their last part.
+ * @example
+ * findSharedKey(prompt, "adapt/3/shared");
+ */
 export function findSharedKey(prompt: Prompt, salt: string): string {
-    const parts = prompt.parts.slice(0, -1).map(part => part.id).join("/");
-    return `${salt}/${parts}`;
+    return keyOf(salt, listShared(prompt).map(part => part.id).join("/"));
 }
 
-function rankHomes(key: string, engines: readonly string[]): readonly string[] {
-    const hash = hashText(key);
-    const scored = engines.map(engine => ({ engine, score: scoreRendezvous(hash, engine) }));
-    scored.sort((left, right) => (left.score > right.score ? -1 : 1));
-    return scored.slice(0, homeMissShares.length).map(one => one.engine);
+/** Drops the oldest entries beyond a number. */
+function limitSize(entries: Map<string, number>): void {
+    for (const key of entries.keys()) {
+        if (entries.size <= maxParts) {
+            return;
+        }
+        entries.delete(key);
+    }
 }
 
 /**
@@ -54,56 +77,80 @@
  * @returns The view.
  * @example
  * const view = createPartView();
- * view.noteRead(prompt, "adapt/3", "engine-1", clock.now());
+ * view.takeEvents("engine-1", [{ salt: "adapt/3/shared", part: "5c1e", tokens: 800 }]);
  */
 export function createPartView(): PartView {
-    const held = new Map<string, Map<string, number>>();
+    const holders = new Map<string, Holder>();
 
-    function isHeld(engine: string, chain: string, nowMs: number): boolean {
-        const usedMs = held.get(engine)?.get(chain);
-        return usedMs !== undefined && nowMs - usedMs < partLifeMs;
+    function holderOf(id: string): Holder {
+        const known = holders.get(id);
+        if (known !== undefined) {
+            return known;
+        }
+        const holder: Holder = { tokens: new Map(), sentMs: new Map() };
+        holders.set(id, holder);
+        return holder;
     }
 
-    function countMissing(prompt: Prompt, chains: readonly string[], engine: string, home: number, nowMs: number): number {
-        const missShare = homeMissShares[home] ?? 1;
-        let missing = 0;
-        let isPrefixHeld = true;
-        prompt.parts.forEach((part, index) => {
-            isPrefixHeld &&= isHeld(engine, chains[index]!, nowMs);
-            const isOwn = index === prompt.parts.length - 1;
-            if (!isPrefixHeld) {
-                missing += isOwn ? part.tokens : part.tokens * missShare;
+    function takeEvents(id: string, events: readonly PartEvent[]): void {
+        const { tokens } = holderOf(id);
+        for (const event of events) {
+            const key = keyOf(event.salt, event.part);
+            tokens.delete(key);
+            if (event.tokens > 0) {
+                tokens.set(key, event.tokens);
             }
-        });
-        return missing;
+        }
+        limitSize(tokens);
     }
 
-    function estimateMissing(prompt: Prompt, salt: string, engines: readonly string[], nowMs: number): number[] {
-        const chains = listChains(prompt, salt);
-        const homes = rankHomes(findSharedKey(prompt, salt), engines);
-        return engines.map(engine => countMissing(prompt, chains, engine, homes.indexOf(engine), nowMs));
+    function countPart(holder: Holder, key: string, part: PromptPart, nowMs: number): number {
+        const sentMs = holder.sentMs.get(key);
+        if (sentMs !== undefined && nowMs - sentMs < sentLifeMs) {
+            return part.tokens;
+        }
+        return Math.min(part.tokens, holder.tokens.get(key) ?? 0);
     }
 
-    function noteRead(prompt: Prompt, salt: string, engine: string, nowMs: number): void {
-        const parts = held.get(engine) ?? new Map<string, number>();
-        held.set(engine, parts);
-        for (const chain of listChains(prompt, salt).slice(0, -1)) {
-            parts.delete(chain);
-            parts.set(chain, nowMs);
+    function countHeld(prompt: Prompt, salt: string, id: string, nowMs: number): number {
+        const holder = holders.get(id);
+        let held = 0;
+        if (holder === undefined) {
+            return held;
         }
-        for (const chain of parts.keys()) {
-            if (parts.size <= maxParts) {
-                return;
+        for (const part of listShared(prompt)) {
+            const tokens = countPart(holder, keyOf(salt, part.id), part, nowMs);
+            held += tokens;
+            if (tokens < part.tokens) {
+                break;
             }
-            parts.delete(chain);
         }
+        return held;
+    }
+
+    function noteSent(prompt: Prompt, salt: string, engine: string, nowMs: number): void {
+        const { sentMs } = holderOf(engine);
+        for (const part of listShared(prompt)) {
+            const key = keyOf(salt, part.id);
+            sentMs.delete(key);
+            sentMs.set(key, nowMs);
+        }
+        limitSize(sentMs);
+    }
+
+    function rankHome(prompt: Prompt, salt: string, engines: readonly string[]): readonly string[] {
+        const hash = hashText(findSharedKey(prompt, salt));
+        const scored = engines.map(engine => ({ engine, score: scoreRendezvous(hash, engine) }));
+        return scored.toSorted((left, right) => (left.score > right.score ? -1 : 1)).map(one => one.engine);
     }
 
     return {
-        estimateMissing,
-        noteRead,
-        forget: engine => {
-            held.delete(engine);
+        takeEvents,
+        forget: id => {
+            holders.delete(id);
         },
+        countHeld,
+        noteSent,
+        rankHome,
     };
 }
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -11,6 +11,7 @@
 import type { Service } from "../routes/routingTable.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
+import { type CacheHolder, chooseCacheSource } from "./chooseCacheSource.js";
 import { choosePlacement } from "./choosePlacement.js";
 import type { HealthView } from "./createHealthView.js";
 import { findSharedKey, type PartView } from "./createPartView.js";
@@ -30,6 +31,15 @@
     readonly findService: (name: string) => Service | undefined;
     /** Milliseconds after which no request may begin on weights that are older than named. */
     readonly outdatedLimitMs: number;
+    /** Stores of kept cache that answer. */
+    readonly listStores: () => readonly ReachableStore[];
+}
+
+/** A store of kept cache. */
+export interface ReachableStore {
+    readonly id: string;
+    readonly address: string;
+    readonly failureDomain: string;
 }
 
 /** The placer. */
@@ -52,6 +62,15 @@
     readonly isOutdated: boolean;
 }
 
+/** Part of the time of reading tokens that it takes to fetch them. */
+const fetchShare = 0.2;
+
+/** Part of a shared prompt's tokens by which its home is preferred while nobody holds it, so that instances agree. */
+const homeShare = 0.1;
+
+/** Fewest shared tokens that are worth sending to a store. */
+const leastKeptTokens = 64;
+
 /** Time before the deadline at which a waiting request is refused: an answer would come too late, in milliseconds. */
 const leastServiceMs = 150;
 
@@ -101,7 +120,8 @@
         }
         const named = deps.weights.findNamed(prompt.model);
         const isOutdated = named !== undefined && weightsVersion < named.version;
-        const isPastLimit = isOutdated && deps.clock.now() - named.sinceMs > deps.outdatedLimitMs;
+        const sinceMs = deps.weights.outdatedSinceMs(prompt.model, weightsVersion);
+        const isPastLimit = sinceMs !== undefined && deps.clock.now() - sinceMs > deps.outdatedLimitMs;
         return isPastLimit ? undefined : { record, weightsVersion, isOutdated };
     }
 
@@ -135,33 +155,88 @@
         };
     }
 
+    /** Engines and stores that keep parts of a prompt, other than `except`. */
+    function listHolders(req: ProxyRequest, prompt: Prompt, salt: string, choice: Choice): readonly CacheHolder[] {
+        const nowMs = deps.clock.now();
+        const { id: own, failureDomain } = choice.record;
+        const describe = (id: string, address: string, domain: string): CacheHolder => ({
+            address,
+            heldTokens: deps.parts.countHeld(prompt, salt, id, nowMs),
+            isNear: domain === failureDomain,
+            requests: deps.use.read(id).requests,
+        });
+        const engines = deps.registry.listService(req.service)
+            .filter(record => record.id !== own && !deps.health.isSuspect(record.id, nowMs))
+            .map(record => describe(record.id, record.address, record.failureDomain));
+        const stores = deps.listStores().map(store => describe(store.id, store.address, store.failureDomain));
+        return [...engines, ...stores];
+    }
+
+    function findSource(req: ProxyRequest, prompt: Prompt, salt: string, choice: Choice): CacheHolder | undefined {
+        const ownTokens = deps.parts.countHeld(prompt, salt, choice.record.id, deps.clock.now());
+        return chooseCacheSource(listHolders(req, prompt, salt, choice), ownTokens);
+    }
+
+    /** Prompt tokens that an engine would read; a token that it fetches counts for the time that this takes. */
+    function countMissing(req: ProxyRequest, prompt: Prompt, salt: string, choice: Choice, home: string): number {
+        const { id } = choice.record;
+        const held = deps.parts.countHeld(prompt, salt, id, deps.clock.now());
+        const source = findSource(req, prompt, salt, choice);
+        if (source !== undefined) {
+            return prompt.promptTokens - source.heldTokens + (source.heldTokens - held) * fetchShare;
+        }
+        const preferred = id === home ? sumTokens(prompt, 0, -1) * homeShare : 0;
+        return prompt.promptTokens - Math.max(held, preferred);
+    }
+
     function describeEngines(req: ProxyRequest, prompt: Prompt, choices: readonly Choice[]): PlacementCandidate[] {
         const engine = deps.findService(req.service)?.engine;
         const ids = choices.map(choice => choice.record.id);
-        const newest = Math.max(...choices.map(choice => choice.weightsVersion ?? 0));
-        const salt = saltOf(req, prompt, newest);
-        const missing = deps.parts.estimateMissing(prompt, salt, ids, deps.clock.now());
-        const sharedKey = findSharedKey(prompt, salt);
-        return choices.map((choice, index) => {
-            const isShared = deps.use.holdsShared(choice.record.id, sharedKey);
+        return choices.map(choice => {
+            const salt = saltOf(req, prompt, choice.weightsVersion ?? 0);
+            const home = deps.parts.rankHome(prompt, salt, ids)[0] ?? "";
+            const isShared = deps.use.holdsShared(choice.record.id, findSharedKey(prompt, salt));
             return {
                 ...describePlain(choice),
                 slots: engine?.slots ?? choice.record.slots,
                 memoryTokens: engine?.memoryTokens,
-                missingTokens: choice.weightsVersion === newest ? missing[index]! : prompt.promptTokens,
+                missingTokens: countMissing(req, prompt, salt, choice, home),
                 neededTokens: countOwnTokens(prompt) + (isShared ? 0 : countSharedTokens(prompt)),
                 isOutdated: choice.isOutdated,
             };
         });
     }
 
+    /** A store that lacks shared parts of the prompt. */
+    function findTarget(prompt: Prompt, salt: string): ReachableStore | undefined {
+        const shared = sumTokens(prompt, 0, -1);
+        if (shared < leastKeptTokens) {
+            return undefined;
+        }
+        const nowMs = deps.clock.now();
+        return deps.listStores().find(store => deps.parts.countHeld(prompt, salt, store.id, nowMs) < shared);
+    }
+
     function toPlacement(req: ProxyRequest, choice: Choice): Placement {
         const { prompt } = req;
         const { record: upstream, weightsVersion } = choice;
         if (prompt === undefined || weightsVersion === undefined) {
-            return { upstream, weightsVersion: undefined, cacheSalt: undefined };
+            return {
+                upstream,
+                weightsVersion: undefined,
+                cacheSalt: undefined,
+                cacheSource: undefined,
+                cacheTarget: undefined,
+            };
         }
-        return { upstream, weightsVersion, cacheSalt: saltOf(req, prompt, weightsVersion) };
+        const cacheSalt = saltOf(req, prompt, weightsVersion);
+        return {
+            upstream,
+            weightsVersion,
+            cacheSalt,
+            cacheSource: findSource(req, prompt, cacheSalt, choice)?.address,
+            cacheTarget: findTarget(prompt, cacheSalt)?.address,
+        };
     }
 
     function noteBegin(req: ProxyRequest, candidate: PlacementCandidate, placement: Placement): void {
@@ -180,7 +255,7 @@
             sharedTokens: countSharedTokens(prompt),
             unreadTokens: candidate.missingTokens,
         });
-        deps.parts.noteRead(prompt, salt, upstream, deps.clock.now());
+        deps.parts.noteSent(prompt, salt, upstream, deps.clock.now());
     }
 
     /** Tries to place now. */
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -9,3 +9,5 @@
 export * from "./createWaitingLine.js";
 export * from "./placementTypes.js";
 export * from "./createPlacer.js";
+export * from "./chooseCacheSource.js";
+export * from "./isFeedReader.js";
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -39,6 +39,10 @@
     readonly weightsVersion: number | undefined;
     /** Separates cached prompts by weights and isolated customers; undefined for a plain service. */
     readonly cacheSalt: string | undefined;
+    /** "ip:port" from which the engine fetches prompt parts that it lacks. */
+    readonly cacheSource: string | undefined;
+    /** "ip:port" of the store to which the engine sends parts that it has read. */
+    readonly cacheTarget: string | undefined;
 }
 
 /** An upstream's whole answer. */
--- a/src/core/routes/routingTable.ts
+++ b/src/core/routes/routingTable.ts
@@ -42,6 +42,17 @@
     /** Memory of one engine for prompts and generated tokens, in tokens. */
     readonly memoryTokens: number;
     readonly models: readonly string[];
+    /** Reads of its events that one engine answers at once. */
+    readonly maxReaders: number;
+}
+
+/** A store of kept cache, from which engines fetch prompt parts. */
+export interface CacheStoreTraits {
+    /** "ip:port". */
+    readonly address: string;
+    readonly failureDomain: string;
+    /** Reads of its events that it answers at once. */
+    readonly maxReaders: number;
 }
 
 /** One service. */
@@ -51,6 +62,8 @@
     readonly maxConnections: number;
     /** Undefined for a plain service. */
     readonly engine: EngineTraits | undefined;
+    /** Undefined unless the service is a store of kept cache. */
+    readonly cacheStore: CacheStoreTraits | undefined;
 }
 
 /** One customer. */
--- a/src/core/weights/createWeightsView.ts
+++ b/src/core/weights/createWeightsView.ts
@@ -18,6 +18,8 @@
     readonly noteNamed: (model: string, version: number, nowMs: number) => boolean;
     readonly findNamed: (model: string) => NamedWeights | undefined;
     readonly listNamed: () => readonly NamedWeights[];
+    /** When the first version after `version` was named; undefined while it is the newest. */
+    readonly outdatedSinceMs: (model: string, version: number) => number | undefined;
     /** Notes a version that an engine was seen to have. */
     readonly noteLoaded: (engine: string, model: string, version: number) => void;
     /** Version of a model that an engine is believed to have; undefined when it does not have the model. */
@@ -37,6 +39,8 @@
  */
 export function createWeightsView(): WeightsView {
     const named = new Map<string, NamedWeights>();
+    /** Every version that was named, in ascending order. */
+    const history = new Map<string, readonly NamedWeights[]>();
     const seen = new Map<string, number>();
     const loading = new Map<string, ReadonlySet<string>>();
     const seenKey = (engine: string, model: string) => `${engine} ${model}`;
@@ -52,11 +56,14 @@
             if (version <= (named.get(model)?.version ?? -Infinity)) {
                 return false;
             }
-            named.set(model, { model, version, sinceMs: nowMs });
+            const newest = { model, version, sinceMs: nowMs };
+            named.set(model, newest);
+            history.set(model, [...history.get(model) ?? [], newest]);
             return true;
         },
         findNamed: model => named.get(model),
         listNamed: () => [...named.values()],
+        outdatedSinceMs: (model, version) => history.get(model)?.find(one => one.version > version)?.sinceMs,
         noteLoaded: (engine, model, version) => {
             const key = seenKey(engine, model);
             seen.set(key, Math.max(version, seen.get(key) ?? version));
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -262,6 +262,7 @@
             id: engine.id,
             isOutdated: (weights.versionAt(engine, named.model) ?? 0) < named.version
                 && nowMs >= (pausedUntil.get(engine.id) ?? 0),
+            version: weights.versionAt(engine, named.model) ?? 0,
             isLoading: loading.has(engine.id),
             requests: deps.use.read(engine.id).requests,
         }));
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -4,6 +4,7 @@
  */
 import { assembleFeeds } from "./assemble/assembleFeeds.js";
 import { assembleFleet, type Fleet } from "./assemble/assembleFleet.js";
+import { assembleParts } from "./assemble/assembleParts.js";
 import { assembleProxy } from "./assemble/assembleProxy.js";
 import { assembleServers } from "./assemble/assembleServers.js";
 import { assembleViews } from "./assemble/assembleViews.js";
@@ -60,7 +61,8 @@
         noteLease: (instance, offset) => lease.noteClaim({ instance, offset }, clock.now()),
     });
 
-    const proxy = assembleProxy(context, views, fleet, () => isLeaving);
+    const partFeeds = assembleParts(context, views, fleet);
+    const proxy = assembleProxy(context, views, fleet, partFeeds, () => isLeaving);
     const pauses = createPauseDetector(clock, pausedMs => {
         writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
         rollout.distrust();
@@ -92,6 +94,7 @@
         isReady: () => !isLeaving && isInformed(),
         handle: proxy.handle,
     });
+    views.onChange(partFeeds.refresh);
     views.onChange(servers.applyLimits);
     views.onChange(proxy.advance);
     views.onChange(() => rollout.wake());
@@ -114,6 +117,7 @@
         servers.closeIdle();
         servers.close();
         feeds.stop();
+        partFeeds.stop();
         rollout.stop();
         fleet.stop();
         writeLog("stopped", { active: proxy.countActive() });
