--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -174,7 +174,9 @@
         if (lease.fence(nowMs) !== undefined && lease.remainingMs(nowMs) > leaseValidMs * renewShare) {
             return true;
         }
-        if (lease.fence(nowMs) === undefined && (!isPreferred(nowMs) || !await learnClaims())) {
+        const mustClaim = lease.fence(nowMs) === undefined;
+        // The store is asked only when, by what peers tell, nobody can hold the lease.
+        if (mustClaim && (!isPreferred(nowMs) || !lease.isFree(nowMs) || !await learnClaims())) {
             return false;
         }
         if (lease.isFree(clock.now())) {
