Take a reset as no end of an answer; destroy unsent requests at once; know how old named weights are

Heartbeats and peers' state tell the age of named versions; without one, 0.4 of the limit counts as passed.

--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -67,7 +67,8 @@
         writeLog("recordRejected", { topic, key: record.key, offset: record.offset, detail });
     }
 
-    function takeOperatorRecord(record: KeyedRecord): void {
+    /** `isLive`: the record was appended while this instance was reading. */
+    function takeOperatorRecord(record: KeyedRecord, isLive: boolean): void {
         const decoded = ports.decodeOperatorRecord(record);
         if (decoded.isErr) {
             reject(topics.operator, record, decoded.error);
@@ -79,13 +80,15 @@
             views.takeTable(news.table, "store");
         }
         else if (news?.kind === "weights") {
-            views.takeNamed(news.model, news.version, "store");
+            const { model, version } = news;
+            views.takeNamed({ model, version, ageMs: isLive ? 0 : undefined }, "store");
         }
     }
 
-    function takeOperatorRecords(records: readonly KeyedRecord[]): void {
+    function takeOperatorRecords(records: readonly KeyedRecord[], isLive: boolean): void {
+        const hasBeenAway = operatorFreshness.ageMs() > lostMs;
         operatorFreshness.noteRead();
-        records.forEach(takeOperatorRecord);
+        records.forEach(record => takeOperatorRecord(record, isLive && !hasBeenAway));
     }
 
     function decodeUpstream(record: KeyedRecord): UpstreamRecord | undefined {
@@ -119,8 +122,8 @@
             random,
             topic: topics.operator,
             pace: () => ({ waitMs: operatorWaitMs, intervalMs: 0 }),
-            onNewest: takeOperatorRecords,
-            onRecords: takeOperatorRecords,
+            onNewest: records => takeOperatorRecords(records, false),
+            onRecords: records => takeOperatorRecords(records, true),
             onFailure: operatorFreshness.noteFailure,
             onTruncated: () => writeLog("topicTruncated", { topic: topics.operator }),
         }),
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -102,7 +102,7 @@
             from: self(),
             tableVersion: tableVersion(),
             storeAgeMs: Math.min(maxAgeMs, Math.round(feeds.upstreamsAgeMs())),
-            named: views.weights.listNamed().map(({ model, version }) => ({ model, version })),
+            named: views.tellNamed(),
             uses: views.use.listOwn(),
             loading: sources.listLoading(),
             loaded: sources.listLoading().length > 0 ? listLoaded() : [],
@@ -119,7 +119,7 @@
         peerVersions.set(from.name, { tableVersion: heartbeat.tableVersion, storeAgeMs: heartbeat.storeAgeMs });
         views.use.takePeer(from.name, heartbeat.uses);
         views.weights.setLoading(from.name, heartbeat.loading);
-        heartbeat.named.forEach(({ model, version }) => views.takeNamed(model, version, from.name));
+        heartbeat.named.forEach(named => views.takeNamed(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.noteLoaded(engine, model, version));
         if (heartbeat.leaseOffset !== undefined) {
             sources.noteLease(from.name, heartbeat.leaseOffset);
@@ -176,7 +176,7 @@
         if (state.table !== undefined) {
             views.takeTable(state.table as Parameters<typeof views.takeTable>[0], source);
         }
-        state.named.forEach(({ model, version }) => views.takeNamed(model, version, source));
+        state.named.forEach(named => views.takeNamed(named, source));
         const asOfMs = askedMs - state.upstreamsAgeMs;
         if (clock.now() - asOfMs < upstreamsAgeMs()) {
             takenAsOfMs = asOfMs;
@@ -248,7 +248,7 @@
             table: tableVersion() > knownVersion ? views.routes()?.table as PeerState["table"] : undefined,
             upstreams: views.registry.list() as PeerState["upstreams"],
             upstreamsAgeMs: Math.min(maxAgeMs, upstreamsAgeMs()),
-            named: views.weights.listNamed().map(({ model, version }) => ({ model, version })),
+            named: [...views.tellNamed()],
         }),
         upstreamsAgeMs,
         stop: () => {
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -11,6 +11,17 @@
 import { createWeightsView, type WeightsView } from "../core/weights/createWeightsView.js";
 import type { InstanceContext } from "./routerPorts.js";
 
+/** Weights that were named, as they are told. */
+export interface ToldWeights {
+    readonly model: string;
+    readonly version: number;
+    /** Milliseconds since they were named; undefined where nobody saw it. */
+    readonly ageMs?: number | undefined;
+}
+
+/** Part of the time limit for older weights that is taken as passed when nobody saw newer ones being named. */
+const unknownAgeShare = 0.4;
+
 /** The views. */
 export interface InstanceViews {
     readonly registry: UpstreamRegistry;
@@ -21,7 +32,9 @@
     readonly routes: () => RouteIndex | undefined;
     /** Puts a configuration in force unless a newer one is. */
     readonly takeTable: (table: RoutingTable, source: string) => void;
-    readonly takeNamed: (model: string, version: number, source: string) => void;
+    readonly takeNamed: (named: ToldWeights, source: string) => void;
+    /** Versions that were named, for peers. */
+    readonly tellNamed: () => readonly ToldWeights[];
     /** Calls `action` after anything has changed that lets requests be placed. */
     readonly onChange: (action: () => void) => void;
     readonly noteChange: () => void;
@@ -34,7 +47,7 @@
  * @returns The views.
  */
 export function assembleViews(context: InstanceContext): InstanceViews {
-    const { clock, writeLog } = context;
+    const { clock, settings, writeLog } = context;
     const weights = createWeightsView();
     const health = createHealthView();
     const parts = createPartView();
@@ -68,12 +81,20 @@
             writeLog("configurationInForce", { version, source, routes: routes.length, customers: customers.length });
             noteChange();
         },
-        takeNamed: (model, version, source) => {
-            if (weights.noteNamed(model, version, clock.now())) {
-                writeLog("weightsNamed", { model, version, source });
+        takeNamed: ({ model, version, ageMs }, source) => {
+            const isObserved = ageMs !== undefined;
+            const sinceMs = clock.now() - (ageMs ?? settings.weightsLimitMs * unknownAgeShare);
+            if (weights.noteNamed({ model, version, sinceMs, isObserved })) {
+                writeLog("weightsNamed", { model, version, source, ageMs });
                 noteChange();
             }
         },
+        tellNamed: () =>
+            weights.listHistory().map(({ model, version, sinceMs, isObserved }) => ({
+                model,
+                version,
+                ageMs: isObserved ? Math.max(0, Math.round(clock.now() - sinceMs)) : undefined,
+            })),
         onChange: action => {
             actions.push(action);
         },
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -46,7 +46,10 @@
     tableVersion: z.number(),
     /** Milliseconds since the sender last read the platform's store. */
     storeAgeMs: z.number().min(0),
-    named: z.array(z.object({ model: z.string(), version: z.number().int() }).readonly()).readonly(),
+    /** Versions that were named, with their age where an instance saw them being named. */
+    named: z.array(
+        z.object({ model: z.string(), version: z.number().int(), ageMs: z.number().min(0).optional() }).readonly(),
+    ).readonly(),
     uses: z.array(upstreamUseSchema).readonly(),
     /** Engines that the sender has ordered to load weights. */
     loading: z.array(z.string()).readonly(),
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -69,7 +69,7 @@
     upstreams: z.array(upstreamSchema),
     /** Milliseconds since the giving instance last read the list of upstreams. */
     upstreamsAgeMs: z.number(),
-    named: z.array(z.object({ model: z.string(), version: z.number() })),
+    named: z.array(z.object({ model: z.string(), version: z.number(), ageMs: z.number().min(0).optional() })),
 }).readonly();
 
 /** The state. */
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -74,6 +74,9 @@
 /** Time before the deadline at which a waiting request is refused: an answer would come too late, in milliseconds. */
 const leastServiceMs = 150;
 
+/** Time left below which a request is not sent any more, in milliseconds. */
+const leastSendMs = 20;
+
 /** Multiple of a route's target latency for which a request may wait for room. */
 const waitTargets = 2;
 
@@ -302,6 +305,10 @@
     }
 
     function place(req: ProxyRequest, effect: PlaceEffect, onResult: (result: PlaceResult) => void): CancelTimer {
+        if (req.deadlineMs - deps.clock.now() < leastSendMs) {
+            onResult({ kind: "refused", refusal: createRefusal("deadlineTooShort", "no time is left") });
+            return () => undefined;
+        }
         const choices = listChoices(req, effect.excluded);
         if (choices.length === 0) {
             onResult({ kind: "refused", refusal: createRefusal("noUpstream", `service ${req.service}`, { retryAfterMs }) });
--- a/src/core/weights/createWeightsView.ts
+++ b/src/core/weights/createWeightsView.ts
@@ -4,20 +4,25 @@
  */
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
 
-/** Newest weights of a model. */
+/** Weights of a model that the operator named. */
 export interface NamedWeights {
     readonly model: string;
     readonly version: number;
-    /** Instance's clock when it learned of them, in milliseconds. */
+    /** When they were named, on the instance's clock in milliseconds; at the latest when it learned of them. */
     readonly sinceMs: number;
+    /** Whether this instance or one that told it saw them being named; else `sinceMs` is an assumption. */
+    readonly isObserved: boolean;
 }
 
 /** The view. */
 export interface WeightsView {
-    /** Takes a named version; an older one than known is ignored. Returns whether it is newer. */
-    readonly noteNamed: (model: string, version: number, nowMs: number) => boolean;
+    /** Takes a named version. Returns whether it is newer than all known ones. */
+    readonly noteNamed: (named: NamedWeights) => boolean;
     readonly findNamed: (model: string) => NamedWeights | undefined;
+    /** Newest weights of each model. */
     readonly listNamed: () => readonly NamedWeights[];
+    /** The latest versions of each model that were named, in ascending order. */
+    readonly listHistory: () => readonly NamedWeights[];
     /** When the first version after `version` was named; undefined while it is the newest. */
     readonly outdatedSinceMs: (model: string, version: number) => number | undefined;
     /** Notes a version that an engine was seen to have. */
@@ -29,17 +34,19 @@
     readonly isLoading: (engine: string) => boolean;
 }
 
+/** Versions of one model that are remembered. */
+const maxHistory = 6;
+
 /**
  * Creates an empty view.
  *
  * @returns The view.
  * @example
  * const weights = createWeightsView();
- * weights.noteNamed("adapt", 3, clock.now());
+ * weights.noteNamed({ model: "adapt", version: 3, sinceMs: clock.now(), isObserved: true });
  */
 export function createWeightsView(): WeightsView {
-    const named = new Map<string, NamedWeights>();
-    /** Every version that was named, in ascending order. */
+    /** Versions that were named, in ascending order. */
     const history = new Map<string, readonly NamedWeights[]>();
     const seen = new Map<string, number>();
     const loading = new Map<string, ReadonlySet<string>>();
@@ -51,18 +58,24 @@
         return told === undefined ? observed : Math.max(told, observed ?? told);
     }
 
+    function noteNamed(named: NamedWeights): boolean {
+        const versions = history.get(named.model) ?? [];
+        const known = versions.find(one => one.version === named.version);
+        if (known !== undefined && (known.isObserved || !named.isObserved)) {
+            return false;
+        }
+        const others = versions.filter(one => one.version !== named.version);
+        const all = [...others, named].toSorted((left, right) => left.version - right.version);
+        history.set(named.model, all.slice(-maxHistory));
+        return known === undefined && all.at(-1) === named;
+    }
+
+    const findNamed = (model: string) => history.get(model)?.at(-1);
     return {
-        noteNamed: (model, version, nowMs) => {
-            if (version <= (named.get(model)?.version ?? -Infinity)) {
-                return false;
-            }
-            const newest = { model, version, sinceMs: nowMs };
-            named.set(model, newest);
-            history.set(model, [...history.get(model) ?? [], newest]);
-            return true;
-        },
-        findNamed: model => named.get(model),
-        listNamed: () => [...named.values()],
+        noteNamed,
+        findNamed,
+        listNamed: () => [...history.keys()].map(findNamed).filter(named => named !== undefined),
+        listHistory: () => [...history.values()].flat(),
         outdatedSinceMs: (model, version) => history.get(model)?.find(one => one.version > version)?.sinceMs,
         noteLoaded: (engine, model, version) => {
             const key = seenKey(engine, model);
--- a/src/io/proxy/createConnectionShelf.ts
+++ b/src/io/proxy/createConnectionShelf.ts
@@ -3,7 +3,7 @@
  * Connections to upstreams, one request at a time on each. How long one may have been idle is decided per request: a
  * request that must not run twice needs one that the other side cannot have closed unnoticed.
  */
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 import type { Clock } from "../../core/time/clock.js";
 
 /** One connection. */
@@ -12,6 +12,8 @@
     readonly address: string;
     /** Whether a request was sent on it before. */
     readonly isReused: boolean;
+    /** Whether the connection failed, as by a reset. undici takes a reset as the end of an answer without a length. */
+    readonly hasFailed: () => boolean;
 }
 
 /** The connections. */
@@ -27,7 +29,7 @@
 }
 
 interface IdleConnection {
-    readonly client: Client;
+    readonly connection: ShelfConnection;
     readonly sinceMs: number;
 }
 
@@ -51,19 +53,27 @@
  */
 export function createConnectionShelf(clock: Clock): ConnectionShelf {
     const shelves = new Map<string, IdleConnection[]>();
+    const connector = buildConnector({ timeout: connectLimitMs });
     let opened = 0;
 
     function open(address: string): ShelfConnection {
         opened += 1;
+        let hasFailed = false;
         const client = new Client(`http://${address}`, {
-            connect: { timeout: connectLimitMs },
+            connect: (options, onConnected) =>
+                connector(options, (...connected) => {
+                    connected[1]?.on("error", () => {
+                        hasFailed = true;
+                    });
+                    onConnected(...connected);
+                }),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: maxKeptMs,
             pipelining: 1,
         });
         client.on("disconnect", () => forget(address, client));
-        return { client, address, isReused: false };
+        return { client, address, isReused: false, hasFailed: () => hasFailed };
     }
 
     function destroy(client: Client): void {
@@ -73,8 +83,8 @@
 
     function forget(address: string, client: Client): void {
         const idle = shelves.get(address);
-        if (idle?.some(one => one.client === client) === true) {
-            shelves.set(address, idle.filter(one => one.client !== client));
+        if (idle?.some(one => one.connection.client === client) === true) {
+            shelves.set(address, idle.filter(one => one.connection.client !== client));
             destroy(client);
         }
     }
@@ -82,11 +92,11 @@
     function acquire(address: string, maxIdleMs: number): ShelfConnection {
         const idle = shelves.get(address) ?? [];
         const newest = idle.at(-1);
-        if (newest === undefined || newest.client.destroyed || clock.now() - newest.sinceMs > maxIdleMs) {
+        if (newest === undefined || newest.connection.client.destroyed || clock.now() - newest.sinceMs > maxIdleMs) {
             return open(address);
         }
         idle.pop();
-        return { client: newest.client, address, isReused: true };
+        return { ...newest.connection, isReused: true };
     }
 
     function release(connection: ShelfConnection, isReusable: boolean): void {
@@ -95,7 +105,7 @@
             destroy(connection.client);
             return;
         }
-        idle.push({ client: connection.client, sinceMs: clock.now() });
+        idle.push({ connection, sinceMs: clock.now() });
         shelves.set(connection.address, idle);
     }
 
@@ -105,7 +115,7 @@
                 idle.filter(one => clock.now() - one.sinceMs > maxKeptMs),
                 idle.filter(one => clock.now() - one.sinceMs <= maxKeptMs),
             ];
-            old.forEach(one => destroy(one.client));
+            old.forEach(one => destroy(one.connection.client));
             if (recent.length === 0) {
                 shelves.delete(address);
             }
@@ -121,7 +131,7 @@
         acquire,
         release,
         distrustAll: () => {
-            [...shelves.values()].flat().forEach(one => destroy(one.client));
+            [...shelves.values()].flat().forEach(one => destroy(one.connection.client));
             shelves.clear();
         },
         countOpened: () => opened,
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -152,6 +152,10 @@
         if (this.isOver || head === undefined) {
             return;
         }
+        if (this.connection.hasFailed()) {
+            this.lose("the connection was reset before the answer's end");
+            return;
+        }
         if (this.stream !== undefined) {
             this.endStream(this.stream);
             return;
@@ -247,10 +251,14 @@
         this.deps.health.noteEnded(this.upstreamId(), this.req.id);
         const isWhole = outcome.kind === "answered" || outcome.kind === "finished" || outcome.kind === "rejected";
         const isReusable = isWhole && this.head !== undefined && !this.head.isLast;
-        // undici still holds the connection while it reports the end; the next request may be sent on it after that.
-        setImmediate(() => this.deps.shelf.release(this.connection, isReusable));
-        if (!isWhole) {
+        if (isWhole) {
+            // undici still holds the connection while it reports the end; the next request may be sent on it after that.
+            setImmediate(() => this.deps.shelf.release(this.connection, isReusable));
+        }
+        else {
+            // At once: a connection that opens a moment later must not carry the request any more.
             this.controller?.abort(new Error(outcome.kind));
+            this.deps.shelf.release(this.connection, false);
         }
         this.onOutcome(outcome);
     }
