--- /dev/null
+++ b/features/steps/proxySendSteps.ts
@@ -0,0 +1,251 @@
+/**
+ * @module
+ * Steps that send requests to scripted upstreams over loopback.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { type ScriptedRequest, type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
+import { createCodec } from "../../platform/createCodec.js";
+import { createHealthView } from "../../src/core/placement/createHealthView.js";
+import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
+import type { RequestKind } from "../../src/core/routes/routingTable.js";
+import type { Clock } from "../../src/core/time/clock.js";
+import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
+import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
+import { createConnectionShelf } from "../../src/io/proxy/createConnectionShelf.js";
+import { connectTimeoutMs, createUpstreamSender, type SendToUpstream } from "../../src/io/proxy/createUpstreamSender.js";
+import { createProxyRequest, createRecord } from "../support/proxyScene.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface Caller extends CallerExchange {
+    readonly leave: () => void;
+    readonly received: () => string;
+}
+
+interface SendScene {
+    readonly upstream: ScriptedUpstream;
+    readonly send: SendToUpstream;
+    readonly clock: Clock;
+    readonly caller: Caller;
+    readonly outcomes: SendOutcome[];
+}
+
+const scenes = new WeakMap<SiteWorld, SendScene>();
+
+function sceneOf(world: SiteWorld): SendScene {
+    const scene = scenes.get(world);
+    assert.ok(scene !== undefined);
+    return scene;
+}
+
+const id = "Attempt-Id: attempt-1\r\n";
+const seal = "Server-Seal: s\r\n";
+
+const answers: Readonly<Record<string, string>> = {
+    "a whole body": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Length: 4\r\n\r\nbody`,
+    "a body without a length": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n\r\nbody`,
+    "half a body without a length": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n\r\nbo`,
+    "half a body with a length": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Length: 4\r\n\r\nbo`,
+    "half a chunked body": `HTTP/1.1 200 OK\r\n${id}${seal}Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n`,
+    "nothing": "",
+    "an answer to another request": "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nbody",
+    "an answer without an id": `HTTP/1.1 200 OK\r\n${seal}Content-Length: 4\r\n\r\nbody`,
+    "bytes that are no answer": "}{ not http\r\n\r\n",
+    "a rejection before it ran": `HTTP/1.1 503 Busy\r\n${id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+    "a rejection of another instance": "HTTP/1.1 421 Misdirected\r\nInstance-Id: u-2\r\nContent-Length: 0\r\n\r\n",
+    "a failure with its seal": `HTTP/1.1 500 Failed\r\n${id}${seal}Content-Length: 4\r\n\r\nbody`,
+    "one event and a half": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\n`
+        + "Transfer-Encoding: chunked\r\n\r\n14\r\nid: 7\ndata: a\n\nid: 8\r\n",
+    "a stream that ends within an event": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\n`
+        + "Connection: close\r\n\r\nid: 7\ndata: a\n\nid: 8\nda",
+};
+
+/** Time in which written bytes reach the other side over loopback, in milliseconds. */
+const flushMs = 30;
+
+const ends: Readonly<Record<string, (socket: Socket) => void>> = {
+    closes: socket => socket.end(),
+    resets: socket => {
+        setTimeout(() => socket.resetAndDestroy(), flushMs);
+    },
+    waits: () => undefined,
+};
+
+function createCaller(): Caller {
+    const actions = new Set<() => void>();
+    let received = "";
+    let hasBegun = false;
+    return {
+        isGone: () => false,
+        onGone: action => {
+            actions.add(action);
+            return () => actions.delete(action);
+        },
+        hasBegun: () => hasBegun,
+        beginStream: () => {
+            hasBegun = true;
+        },
+        writeChunk: bytes => {
+            received += Buffer.from(bytes).toString();
+            return true;
+        },
+        onDrained: () => undefined,
+        endStream: () => undefined,
+        answer: () => undefined,
+        refuse: () => undefined,
+        cut: () => undefined,
+        leave: () => [...actions].forEach(action => action()),
+        received: () => received,
+    };
+}
+
+async function start(world: SiteWorld, answer: (req: ScriptedRequest) => void, clock = createSystemClock()): Promise<void> {
+    const upstream = await startScriptedUpstream(answer);
+    const shelf = createConnectionShelf(clock);
+    const send = createUpstreamSender({
+        clock,
+        codec: createCodec(),
+        shelf,
+        health: createHealthView(),
+        onAnswerHead: () => undefined,
+        onForeignAnswer: () => undefined,
+    });
+    scenes.set(world, { upstream, send, clock, caller: createCaller(), outcomes: [] });
+    world.cleanups.push(async () => {
+        shelf.close();
+        await upstream.stop();
+    });
+}
+
+function send(scene: SendScene, req: ProxyRequest, needsFreshConnection: boolean): Promise<SendOutcome> {
+    const record = createRecord({ address: scene.upstream.address });
+    const placement = {
+        upstream: record,
+        weightsVersion: undefined,
+        cacheSalt: undefined,
+        cacheSource: undefined,
+        cacheTarget: undefined,
+    };
+    const due = { ...req, deadlineMs: scene.clock.now() + 3_000 };
+    return new Promise(resolve => {
+        const effect = { kind: "send", placement, needsFreshConnection, lastEventId: undefined } as const;
+        scene.send(due, effect, scene.caller, outcome => {
+            scene.outcomes.push(outcome);
+            resolve(outcome);
+        });
+    });
+}
+
+Given("an upstream that answers by {word} {} and then {word}", async function(this: SiteWorld, article, rest, end) {
+    const bytes = answers[`${article} ${rest}`];
+    assert.ok(bytes !== undefined, `${article} ${rest}`);
+    await start(this, ({ socket }) => {
+        socket.write(bytes);
+        ends[end]?.(socket);
+    });
+});
+
+Given("an upstream that answers by nothing and then {word}", async function(this: SiteWorld, end: string) {
+    await start(this, ({ socket }) => ends[end]?.(socket));
+});
+
+Given("an upstream that sends each answer twice", async function(this: SiteWorld) {
+    await start(this, ({ text, socket }) => {
+        const own = /attempt-id: (\S+)/i.exec(text)?.[1];
+        const answer = `HTTP/1.1 200 OK\r\nAttempt-Id: ${own}\r\nContent-Length: 9\r\n\r\n${own}`;
+        socket.write(answer);
+        // The second answer arrives where the next request's answer is due.
+        setTimeout(() => socket.write(answer), flushMs);
+    });
+});
+
+Given(
+    "an upstream whose connection opens in the same turn of the loop in which the send is given up",
+    async function(this: SiteWorld) {
+        const clock = createSystemClock();
+        // The limit for opening a connection passes before the loop has looked at the socket even once.
+        const hasty: Clock = {
+            ...clock,
+            after: (delayMs, action) => {
+                if (delayMs !== connectTimeoutMs) {
+                    return clock.after(delayMs, action);
+                }
+                queueMicrotask(action);
+                return () => undefined;
+            },
+        };
+        await start(this, ({ socket }) => socket.write(answers["a whole body"]!), hasty);
+    },
+);
+
+When("a {string} request is sent to it", async function(this: SiteWorld, kind: RequestKind) {
+    await send(sceneOf(this), createProxyRequest(kind), true);
+});
+
+When("a resumable stream is sent to it", async function(this: SiteWorld) {
+    await send(sceneOf(this), createProxyRequest("stream", {}, true), false);
+});
+
+When("two requests are sent to it one after the other", async function(this: SiteWorld) {
+    const scene = sceneOf(this);
+    for (const name of ["attempt-1", "attempt-2"]) {
+        const headers = [["host", "h"], ["attempt-id", name]] as const;
+        await send(scene, createProxyRequest("idempotent", { id: name, headers }), false);
+        await new Promise(resolve => setTimeout(resolve, flushMs / 2));
+    }
+});
+
+When("a {string} request follows another one after {int} ms", async function(this: SiteWorld, kind: RequestKind, delayMs) {
+    const scene = sceneOf(this);
+    await send(scene, createProxyRequest(kind), true);
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    await send(scene, createProxyRequest(kind), true);
+});
+
+When("the caller of a {string} request leaves", async function(this: SiteWorld, kind: RequestKind) {
+    const scene = sceneOf(this);
+    const sent = send(scene, createProxyRequest(kind), true);
+    while (scene.upstream.requests.length === 0) {
+        await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    scene.caller.leave();
+    await sent;
+});
+
+Then("the outcome is {string}", function(this: SiteWorld, kind: string) {
+    assert.deepEqual(sceneOf(this).outcomes.map(outcome => outcome.kind), [kind]);
+});
+
+Then("the upstream has received no request", async function(this: SiteWorld) {
+    await new Promise(resolve => setTimeout(resolve, flushMs * 4));
+    assert.deepEqual(sceneOf(this).upstream.requests, []);
+});
+
+Then("each gets its own answer or none", function(this: SiteWorld) {
+    const { outcomes } = sceneOf(this);
+    assert.equal(outcomes.length, 2);
+    outcomes.forEach((outcome, index) => {
+        if (outcome.kind === "answered") {
+            assert.equal(Buffer.from(outcome.answer.body).toString(), `attempt-${index + 1}`);
+        }
+    });
+});
+
+Then("two connections were opened", function(this: SiteWorld) {
+    assert.equal(sceneOf(this).upstream.countConnections(), 2);
+});
+
+Then("the upstream's connection is closed", async function(this: SiteWorld) {
+    const { upstream } = sceneOf(this);
+    await new Promise(resolve => setTimeout(resolve, flushMs));
+    assert.equal(upstream.requests.length, 1);
+});
+
+Then("the caller has one whole event with its id", function(this: SiteWorld) {
+    const { caller, outcomes } = sceneOf(this);
+    assert.equal(caller.received(), "id: 7\ndata: a\n\n");
+    const [outcome] = outcomes;
+    assert.ok(outcome?.kind === "lost");
+    assert.equal(outcome.delivered?.lastEventId, "7");
+});
--- a/src/io/proxy/createConnectionShelf.ts
+++ b/src/io/proxy/createConnectionShelf.ts
@@ -24,6 +24,8 @@
     readonly release: (connection: ShelfConnection, isReusable: boolean) => void;
     /** Closes all idle connections, as after a pause of the process. */
     readonly distrustAll: () => void;
+    /** Closes all idle connections and looks after none any more. */
+    readonly close: () => void;
     /** Number of connections that were opened. */
     readonly countOpened: () => number;
 }
@@ -123,16 +125,22 @@
                 shelves.set(address, recent);
             }
         }
-        clock.after(sweepIntervalMs, sweep);
+        cancelSweep = clock.after(sweepIntervalMs, sweep);
+    }
+    let cancelSweep = clock.after(sweepIntervalMs, sweep);
+
+    function distrustAll(): void {
+        [...shelves.values()].flat().forEach(one => destroy(one.connection.client));
+        shelves.clear();
     }
-    clock.after(sweepIntervalMs, sweep);
 
     return {
         acquire,
         release,
-        distrustAll: () => {
-            [...shelves.values()].flat().forEach(one => destroy(one.connection.client));
-            shelves.clear();
+        distrustAll,
+        close: () => {
+            cancelSweep();
+            distrustAll();
         },
         countOpened: () => opened,
     };
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -34,7 +34,7 @@
 ) => void;
 
 /** Time within which a connection must be open, in milliseconds: a lost opening packet is sent again only after seconds. */
-const connectTimeoutMs = 400;
+export const connectTimeoutMs = 400;
 
 /** Idle time up to which a connection is taken for a request that must not run twice, in milliseconds. */
 const trustedIdleMs = 250;
