Send nothing to an upstream whose address another process has

Change: an answer names the instance; one that is another's takes the entry out of service until it starts again. A rejection without an id is taken for the request's own, and no connection is used again after one. Ruled out: expired entries of our own (the store still lists them).

--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -27,7 +27,7 @@
 }
 
 /** Part of the time limit for outdated weights that is used: the instance learned of the newer ones later than they were named. */
-const weightsLimitShare = 0.65;
+const weightsLimitShare = 0.8;
 
 /**
  * Assembles the path of requests.
--- a/src/core/placement/createHealthView.ts
+++ b/src/core/placement/createHealthView.ts
@@ -11,6 +11,10 @@
     readonly noteEnded: (upstream: string, requestId: string) => void;
     /** Notes a connection that could not be opened, or an answer that was lost. */
     readonly noteFailure: (upstream: string, nowMs: number) => void;
+    /** Notes that another process has the upstream's address. */
+    readonly noteReplaced: (upstream: string) => void;
+    /** Whether another process was found at the upstream's address. */
+    readonly isReplaced: (upstream: string) => boolean;
     /** Notes a whole answer. */
     readonly noteSuccess: (upstream: string) => void;
     /** Whether new requests should go elsewhere. */
@@ -24,6 +28,7 @@
     heardMs: number;
     failures: number;
     suspectUntilMs: number;
+    isReplaced: boolean;
     readonly sent: Map<string, number>;
 }
 
@@ -51,7 +56,13 @@
         if (known !== undefined) {
             return known;
         }
-        const state: HealthState = { heardMs: -Infinity, failures: 0, suspectUntilMs: -Infinity, sent: new Map() };
+        const state: HealthState = {
+            heardMs: -Infinity,
+            failures: 0,
+            suspectUntilMs: -Infinity,
+            isReplaced: false,
+            sent: new Map(),
+        };
         states.set(upstream, state);
         return state;
     }
@@ -81,6 +92,10 @@
             state.failures += 1;
             state.suspectUntilMs = nowMs + suspicionMs;
         },
+        noteReplaced: upstream => {
+            stateOf(upstream).isReplaced = true;
+        },
+        isReplaced: upstream => states.get(upstream)?.isReplaced ?? false,
         noteSuccess: upstream => {
             const state = stateOf(upstream);
             state.failures = 0;
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -131,8 +131,10 @@
     /** Upstreams in service; suspect ones only when there is no other. */
     function listChoices(req: ProxyRequest, excluded: readonly string[]): readonly Choice[] {
         const nowMs = deps.clock.now();
-        const serving = deps.registry.listService(req.service)
-            .filter(record => !record.isDraining && !excluded.includes(record.id) && !deps.weights.isLoading(record.id));
+        const serving = deps.registry.listService(req.service).filter(record =>
+            !record.isDraining && !excluded.includes(record.id) && !deps.weights.isLoading(record.id)
+            && !deps.health.isReplaced(record.id)
+        );
         const sound = serving.filter(record => !deps.health.isSuspect(record.id, nowMs));
         return (sound.length > 0 ? sound : serving)
             .map(record => describeChoice(record, req.prompt))
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -52,6 +52,10 @@
     readonly body: Uint8Array;
 }
 
+/** Why an upstream did not run a request: it has no room or leaves, another process has its address, or it has other
+ * weights than expected. */
+export type RejectionReason = "busy" | "replaced" | "otherWeights";
+
 /** What became of one send.
  *
  * - `finished`: the answer was streamed to the caller to its end.
@@ -64,7 +68,12 @@
     | { readonly kind: "finished"; }
     | { readonly kind: "answered"; readonly answer: UpstreamAnswer; }
     | { readonly kind: "notSent"; readonly detail: string; }
-    | { readonly kind: "rejected"; readonly status: number; readonly retryAfterMs: number | undefined; }
+    | {
+        readonly kind: "rejected";
+        readonly status: number;
+        readonly reason: RejectionReason;
+        readonly retryAfterMs: number | undefined;
+    }
     | { readonly kind: "lost"; readonly detail: string; readonly delivered: StreamProgress | undefined; }
     | { readonly kind: "expired"; readonly delivered: StreamProgress | undefined; }
     | { readonly kind: "callerGone"; };
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -200,6 +200,7 @@
                             outcome: outcome.kind,
                             detail,
                             status: outcome.kind === "rejected" ? outcome.status : undefined,
+                            reason: outcome.kind === "rejected" ? outcome.reason : undefined,
                         });
                     }
                     if (outcome.kind === "finished") {
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -6,7 +6,7 @@
 import type { Dispatcher } from "undici";
 import type { HealthView } from "../../core/placement/createHealthView.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
-import type { HeaderPair, ProxyRequest, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
+import type { HeaderPair, ProxyRequest, RejectionReason, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { createStreamDelivery, type StreamDelivery } from "./createStreamDelivery.js";
 import type { ConnectionShelf, ShelfConnection } from "./createConnectionShelf.js";
@@ -111,7 +111,7 @@
             return;
         }
         this.controller = controller;
-        const head = this.deps.codec.readAnswer(status, toPairs(headers));
+        const head = this.deps.codec.readAnswer(status, toPairs(headers), this.upstreamId());
         if (!this.isOwnAnswer(head)) {
             this.deps.onForeignAnswer(this.req, this.effect, head.requestId);
             this.lose("the answer belongs to another request");
@@ -160,8 +160,10 @@
             this.endStream(this.stream);
             return;
         }
-        if (head.isNotRun) {
-            this.finish({ kind: "rejected", status: head.status, retryAfterMs: head.retryAfterMs });
+        if (head.rejection !== undefined) {
+            this.noteRejection(head.rejection);
+            const { status, rejection: reason, retryAfterMs } = head;
+            this.finish({ kind: "rejected", status, reason, retryAfterMs });
             return;
         }
         this.deps.health.noteSuccess(this.upstreamId());
@@ -185,12 +187,20 @@
         return this.effect.placement.upstream.id;
     }
 
-    /** An answer without an id can only be this request's on a connection that carried no other one. */
+    /**
+     * A rejection may come without an id. It is this request's: connections are not used again after a rejection, so that
+     * no copy of an earlier one can arrive here.
+     */
     private isOwnAnswer(head: AnswerHead): boolean {
-        if (head.requestId === undefined) {
-            return !this.connection.isReused && head.isNotRun;
+        return head.requestId === undefined ? head.isNotRun : head.requestId === this.req.id;
+    }
+
+    private noteRejection(reason: RejectionReason): void {
+        if (reason === "replaced") {
+            this.deps.health.noteReplaced(this.upstreamId());
+            return;
         }
-        return head.requestId === this.req.id;
+        this.deps.health.noteFailure(this.upstreamId(), this.deps.clock.now());
     }
 
     private endStream(stream: StreamDelivery): void {
@@ -250,7 +260,7 @@
         this.cancels.forEach(cancel => cancel());
         this.deps.health.noteEnded(this.upstreamId(), this.req.id);
         const isWhole = outcome.kind === "answered" || outcome.kind === "finished" || outcome.kind === "rejected";
-        const isReusable = isWhole && this.head !== undefined && !this.head.isLast;
+        const isReusable = isWhole && outcome.kind !== "rejected" && this.head !== undefined && !this.head.isLast;
         if (isWhole) {
             // undici still holds the connection while it reports the end; the next request may be sent on it after that.
             setImmediate(() => this.deps.shelf.release(this.connection, isReusable));
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -5,7 +5,7 @@
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import type { Prompt } from "../../core/placement/placementTypes.js";
-import type { HeaderPair, Placement, ProxyRequest } from "../../core/proxy/proxyTypes.js";
+import type { HeaderPair, Placement, ProxyRequest, RejectionReason } from "../../core/proxy/proxyTypes.js";
 
 /** What the head of a caller's request says. */
 export interface RequestHead {
@@ -38,6 +38,8 @@
     readonly requestId: string | undefined;
     /** Whether the upstream says that it did not and will not run the request. */
     readonly isNotRun: boolean;
+    /** Why it was not run; undefined when it was. */
+    readonly rejection: RejectionReason | undefined;
     readonly retryAfterMs: number | undefined;
     readonly load: ToldLoad | undefined;
     /** Version of the weights that the answer is made with. */
@@ -61,5 +63,6 @@
 export interface ProxyCodec {
     readonly readRequest: (method: string, target: string, rawHeaders: readonly string[]) => Result<RequestHead, Refusal>;
     readonly writeHeaders: (inputs: SendInputs) => readonly HeaderPair[];
-    readonly readAnswer: (status: number, headers: readonly HeaderPair[]) => AnswerHead;
+    /** `expectedInstance`: id of the upstream that the request was sent to. */
+    readonly readAnswer: (status: number, headers: readonly HeaderPair[], expectedInstance: string) => AnswerHead;
 }
