--- /dev/null
+++ b/features/steps/proxyRequestSteps.ts
@@ -0,0 +1,242 @@
+/**
+ * @module
+ * Steps that drive the steps of a request by outcomes of its sends, without sockets.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { createCodec } from "../../platform/createCodec.js";
+import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
+import { decodeOperatorRecord } from "../../platform/decodeOperatorRecord.js";
+import { decodeSettings } from "../../platform/decodeSettings.js";
+import { decodeUpstreamRecord } from "../../platform/decodeUpstreamRecord.js";
+import { errorTable } from "../../src/core/errors/errorTable.js";
+import { parseHeartbeat } from "../../src/core/fleet/heartbeat.js";
+import { parsePeerState } from "../../src/core/fleet/peerState.js";
+import { createRetryAllowance } from "../../src/core/proxy/createRetryAllowance.js";
+import type { ProxyEffect, SendEffect } from "../../src/core/proxy/proxyEffects.js";
+import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
+import { isRepeatable, serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
+import { createProxyRequest, createRecord } from "../support/proxyScene.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+type OutcomeName = "answered" | "failed" | "finished" | "notSent" | "busy" | "lost" | "begun" | "expired" | "callerGone";
+
+interface Run {
+    readonly sends: readonly SendEffect[];
+    /** Outcomes that were used, one for each send. */
+    readonly used: readonly OutcomeName[];
+    /** Refusal's kind, "answer STATUS", "cut", or the last outcome when nothing was left to be said. */
+    readonly end: string;
+}
+
+interface Conditions {
+    readonly hasBudget: boolean;
+    readonly mostPlaces: number;
+}
+
+const runs = new WeakMap<SiteWorld, Run>();
+const conditions = new WeakMap<SiteWorld, Conditions>();
+const ample: Conditions = { hasBudget: true, mostPlaces: Infinity };
+
+const answerOf = (status: number) => ({ status, headers: [], body: new Uint8Array(0) });
+
+const outcomes: Readonly<Record<OutcomeName, SendOutcome>> = {
+    answered: { kind: "answered", answer: answerOf(200) },
+    failed: { kind: "answered", answer: answerOf(500) },
+    finished: { kind: "finished" },
+    notSent: { kind: "notSent", detail: "refused" },
+    busy: { kind: "rejected", status: 503, reason: "busy", retryAfterMs: undefined },
+    lost: { kind: "lost", detail: "reset", delivered: undefined },
+    begun: { kind: "lost", detail: "reset", delivered: { lastEventId: "7" } },
+    expired: { kind: "expired", delivered: undefined },
+    callerGone: { kind: "callerGone" },
+};
+
+function requestOf(kind: string): ProxyRequest {
+    if (kind === "resumable stream") {
+        return createProxyRequest("stream", {}, true);
+    }
+    return createProxyRequest(kind as "idempotent" | "nonIdempotent" | "stream");
+}
+
+function describeEnd(effect: ProxyEffect): string | undefined {
+    switch (effect.kind) {
+        case "answer":
+            return `answer ${effect.answer.status}`;
+        case "refuse":
+            return effect.refusal.kind;
+        case "cut":
+            return "cut";
+        default:
+            return undefined;
+    }
+}
+
+function runRequest(req: ProxyRequest, names: readonly OutcomeName[], given: Conditions): Run {
+    const sends: SendEffect[] = [];
+    const used: OutcomeName[] = [];
+    let end: string | undefined;
+    let places = 0;
+    const steps = serveProxyRequest(req, { takeRepeat: () => given.hasBudget, onRepeat: () => undefined });
+    let turn = steps.next();
+    while (turn.done !== true) {
+        const effect = turn.value;
+        end = describeEnd(effect) ?? end;
+        if (effect.kind === "place") {
+            places += 1;
+            const upstream = createRecord({ id: `u-${places}` });
+            const placement = {
+                upstream,
+                weightsVersion: undefined,
+                cacheSalt: undefined,
+                cacheSource: undefined,
+                cacheTarget: undefined,
+            };
+            const refusal = { kind: "noUpstream", detail: "", retryAfterMs: 1 } as const;
+            turn = steps.next(
+                places > given.mostPlaces ? { kind: "refused", refusal } : { kind: "placed", placement },
+            );
+            continue;
+        }
+        if (effect.kind === "send") {
+            const name = names[sends.length] ?? "answered";
+            sends.push(effect);
+            used.push(name);
+            turn = steps.next(outcomes[name]);
+            continue;
+        }
+        turn = steps.next(undefined);
+    }
+    return { sends, used, end: end ?? used.at(-1) ?? "nothing" };
+}
+
+Given("the retry budget is used up", function(this: SiteWorld) {
+    conditions.set(this, { ...ample, hasBudget: false });
+});
+
+Given("no upstream has room after the first send", function(this: SiteWorld) {
+    conditions.set(this, { ...ample, mostPlaces: 1 });
+});
+
+When("a {string} request meets {string}", function(this: SiteWorld, kind: string, names: string) {
+    const given = conditions.get(this) ?? ample;
+    runs.set(this, runRequest(requestOf(kind), names.split(" ") as OutcomeName[], given));
+});
+
+Then("it is sent {int} times and ends as {string}", function(this: SiteWorld, sends: number, end: string) {
+    const run = runs.get(this);
+    assert.deepEqual({ sends: run?.sends.length, end: run?.end }, { sends, end });
+});
+
+Then("the second send goes on behind event {string}", function(this: SiteWorld, id: string) {
+    assert.equal(runs.get(this)?.sends[1]?.lastEventId, id);
+});
+
+const runNames: ReadonlySet<OutcomeName> = new Set(["answered", "failed", "finished", "lost", "begun", "expired"]);
+
+/** Names the promise that a run breaks. */
+function findBroken(req: ProxyRequest, run: Run): string | undefined {
+    const mayHaveRun = run.used.filter(name => runNames.has(name)).length;
+    if (!isRepeatable(req) && mayHaveRun > 1) {
+        return "a request that must not run twice may have";
+    }
+    if (mayHaveRun > req.route.attempts) {
+        return "more upstreams may have run the request than its route allows";
+    }
+    const row = Object.entries(errorTable).find(([kind]) => kind === run.end)?.[1];
+    if (row?.outcome === "notRun" && mayHaveRun > 0) {
+        return `"${run.end}" says that it was not run`;
+    }
+    const hasBegun = run.used.includes("begun");
+    if (hasBegun && row !== undefined) {
+        return "a stream that has begun is refused in place of being cut";
+    }
+    return undefined;
+}
+
+const kinds = ["idempotent", "nonIdempotent", "stream", "resumable stream"];
+const historyArbitrary = fc.record({
+    kind: fc.constantFrom(...kinds),
+    names: fc.array(fc.constantFrom(...Object.keys(outcomes) as OutcomeName[]), { maxLength: 7 }),
+    hasBudget: fc.boolean(),
+    mostPlaces: fc.integer({ min: 0, max: 6 }),
+});
+
+/** A stream's outcomes are not those of a whole answer: what cannot come is left out. */
+function fits(kind: string, names: readonly OutcomeName[]): boolean {
+    const isStream = kind.endsWith("stream");
+    return names.every(name => isStream || (name !== "begun" && name !== "finished"));
+}
+
+Then("over {int} random histories with seed {int} no promise is broken", function(numRuns: number, seed: number) {
+    const property = fc.property(historyArbitrary, ({ kind, names, ...given }) => {
+        fc.pre(fits(kind, names));
+        const req = requestOf(kind);
+        assert.equal(findBroken(req, runRequest(req, names, given)), undefined);
+    });
+    fc.assert(property, { numRuns, seed });
+});
+
+Then("a request core that repeats lost sends is found by the same check", function() {
+    const req = requestOf("nonIdempotent");
+    // The route claims that repeats are allowed; the check judges by the kind that the caller was promised.
+    const planted = runRequest({ ...req, route: { ...req.route, kind: "idempotent" } }, ["lost", "answered"], ample);
+    assert.notEqual(findBroken(req, planted), undefined);
+});
+
+Then(
+    "{int} instances under random load with seed {int} stay within {float} of the requests and {int} repeats in {int} s",
+    function(count: number, seed: number, ratio: number, slack: number, windowS: number) {
+        const windowMs = windowS * 1_000;
+        const loadArbitrary = fc.array(fc.tuple(fc.integer({ min: 0, max: count - 1 }), fc.integer({ min: 0, max: 60 })), {
+            minLength: 200,
+            maxLength: 800,
+        });
+        const property = fc.property(loadArbitrary, load => {
+            const allowances = Array.from(
+                { length: count },
+                () => createRetryAllowance({ ratio, slack, windowMs, countInstances: () => count }),
+            );
+            const requests: number[] = [];
+            const repeats: number[] = [];
+            let nowMs = 0;
+            for (const [instance, stepMs] of load) {
+                nowMs += stepMs;
+                allowances[instance]!.noteRequest("adapt", nowMs);
+                requests.push(nowMs);
+                // Every request is tried again as often as the allowance lets it be.
+                while (allowances[instance]!.take("adapt", nowMs)) {
+                    repeats.push(nowMs);
+                }
+                const inWindow = (times: readonly number[]) => times.filter(time => time > nowMs - windowMs).length;
+                assert.ok(inWindow(repeats) <= inWindow(requests) * ratio + slack);
+            }
+        });
+        fc.assert(property, { numRuns: 30, seed });
+    },
+);
+
+Then("{int} random inputs with seed {int} make no decoder throw", function(numRuns: number, seed: number) {
+    const codec = createCodec();
+    const known = fc.constantFrom("version", "routes", "services", "address", "slots", "state", "born", "models", "seq_no");
+    const jsonArbitrary = fc.oneof(fc.jsonValue(), fc.dictionary(known, fc.jsonValue()));
+    const textArbitrary = fc.oneof(fc.string(), jsonArbitrary.map(value => JSON.stringify(value)));
+    const headerArbitrary = fc.array(
+        fc.tuple(fc.oneof(fc.constantFrom("Attempt-Id", "Host", "Time-Budget", "Prompt-Prefix", "Token-Count"), fc.string()), fc.string()),
+    );
+    const property = fc.property(textArbitrary, fc.uint8Array(), headerArbitrary, (text, bytes, headers) => {
+        for (const value of [Buffer.from(text), bytes]) {
+            decodeConfiguration(value);
+            decodeUpstreamRecord({ key: "u-1", offset: 0, value });
+            decodeOperatorRecord({ key: "config", offset: 0, value });
+            decodeOperatorRecord({ key: "version/m", offset: 0, value });
+        }
+        decodeSettings(text);
+        parseHeartbeat(text);
+        parsePeerState(text);
+        codec.readRequest("GET", text, headers.flat());
+        codec.readAnswer(200, headers.map(([name, value]) => [name.toLowerCase(), value] as const), "u-1");
+    });
+    fc.assert(property, { numRuns, seed });
+});
