--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -32,7 +32,7 @@
 const turnArbitrary: fc.Arbitrary<Turn> = fc.tuple(
     fc.integer({ min: 0, max: 2 }),
     fc.constantFrom("act", "act", "act", "act", "pause", "cut", "heal", "loseAnswer"),
-    fc.integer({ min: 5, max: 2_500 }),
+    fc.integer({ min: 5, max: 400 }),
 );
 
 interface Instance {
@@ -89,7 +89,7 @@
     for (const [index, action, turnMs] of turns) {
         const instance = instances[index]!;
         // A pause may outlast the time after which another instance takes over.
-        const durationMs = action === "pause" ? turnMs * 3 : turnMs;
+        const durationMs = action === "pause" ? turnMs * 20 : turnMs;
         if (action === "pause") {
             // The steady clock does not count a suspension; it is noticed by the wall clock at the next look.
             instance.pausedMs += durationMs;
--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -17,14 +17,17 @@
     readonly stop: () => void;
 }
 
-/** Time for which the store holds a read of the operator's topic back, in milliseconds. */
-const operatorWaitMs = 1_500;
+/**
+ * Time for which the store holds a read of the operator's topic back, in milliseconds. Should the connection have gone
+ * silent, heartbeats of peers tell within their interval that there is a newer configuration.
+ */
+const operatorWaitMs = 4_000;
 
 /** Share of the time in which a leaving upstream must get no new request that lies between two reads of the list. */
-const upstreamReadShare = 0.25;
+const upstreamReadShare = 0.4;
 
 /** Time without an answer after which the store counts as lost, in milliseconds. */
-const lostMs = 2_500;
+const lostMs = 5_500;
 
 /** Watches whether one topic is read, and logs when that is lost and regained. */
 function watchFreshness(context: InstanceContext, topic: string): { noteRead: () => void; ageMs: () => number; noteFailure: (reason: string) => void; } {
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -55,6 +55,24 @@
     readonly countWaiting: () => number;
 }
 
+/** A holder of parts of one prompt. */
+interface KnownHolder {
+    readonly id: string;
+    readonly address: string;
+    readonly failureDomain: string;
+    readonly heldTokens: number;
+    readonly requests: number;
+}
+
+/** Where the parts of one prompt are under one version of the weights. */
+interface PromptView {
+    readonly salt: string;
+    readonly sharedKey: string;
+    readonly holders: readonly KnownHolder[];
+    /** Engine that all instances prefer while nobody keeps the prompt. */
+    readonly home: string | undefined;
+}
+
 /** An upstream that may take a request, with the weights that it has. */
 interface Choice {
     readonly record: UpstreamRecord;
@@ -77,8 +95,8 @@
 /** Time left below which a request is not sent any more, in milliseconds. */
 const leastSendMs = 20;
 
-/** Multiple of a route's target latency for which a request may wait for room. */
-const waitTargets = 2;
+/** Part of the caller's time for which a request may wait for room: a later answer is still worth something to it. */
+const waitShare = 0.35;
 
 /** Time after which a refused caller may find room, in milliseconds. */
 const retryAfterMs = 500;
@@ -160,52 +178,65 @@
         };
     }
 
-    /** Engines and stores that keep parts of a prompt, other than `except`. */
-    function listHolders(req: ProxyRequest, prompt: Prompt, salt: string, choice: Choice): readonly CacheHolder[] {
+    /** Engines and stores that keep parts of a prompt under one version of the weights. */
+    function describePrompt(req: ProxyRequest, prompt: Prompt, version: number, ids: readonly string[]): PromptView {
         const nowMs = deps.clock.now();
-        const { id: own, failureDomain } = choice.record;
-        const describe = (id: string, address: string, domain: string): CacheHolder => ({
+        const salt = saltOf(req, prompt, version);
+        const describe = (id: string, address: string, failureDomain: string): KnownHolder => ({
+            id,
             address,
+            failureDomain,
             heldTokens: deps.parts.countHeld(prompt, salt, id, nowMs),
-            isNear: domain === failureDomain,
             requests: deps.use.read(id).requests,
         });
         const engines = deps.registry.listService(req.service)
-            .filter(record => record.id !== own && !deps.health.isSuspect(record.id, nowMs))
+            .filter(record => !deps.health.isReplaced(record.id) && !deps.health.isSuspect(record.id, nowMs))
             .map(record => describe(record.id, record.address, record.failureDomain));
         const stores = deps.listStores().map(store => describe(store.id, store.address, store.failureDomain));
-        return [...engines, ...stores];
+        return {
+            salt,
+            sharedKey: findSharedKey(prompt, salt),
+            holders: [...engines, ...stores].filter(holder => holder.heldTokens > 0),
+            home: deps.parts.rankHome(prompt, salt, ids)[0],
+        };
+    }
+
+    function findSource(view: PromptView, record: UpstreamRecord, ownTokens: number): CacheHolder | undefined {
+        const others = view.holders.filter(holder => holder.id !== record.id)
+            .map(holder => ({ ...holder, isNear: holder.failureDomain === record.failureDomain }));
+        return chooseCacheSource(others, ownTokens);
     }
 
-    function findSource(req: ProxyRequest, prompt: Prompt, salt: string, choice: Choice): CacheHolder | undefined {
-        const ownTokens = deps.parts.countHeld(prompt, salt, choice.record.id, deps.clock.now());
-        return chooseCacheSource(listHolders(req, prompt, salt, choice), ownTokens);
+    /** Tokens that an engine keeps; it counts also while the engine is not fetched from. */
+    function countOwnHeld(prompt: Prompt, view: PromptView, id: string): number {
+        return deps.parts.countHeld(prompt, view.salt, id, deps.clock.now());
     }
 
     /** Prompt tokens that an engine would read; a token that it fetches counts for the time that this takes. */
-    function countMissing(req: ProxyRequest, prompt: Prompt, salt: string, choice: Choice, home: string): number {
-        const { id } = choice.record;
-        const held = deps.parts.countHeld(prompt, salt, id, deps.clock.now());
-        const source = findSource(req, prompt, salt, choice);
+    function countMissing(prompt: Prompt, view: PromptView, record: UpstreamRecord): number {
+        const held = countOwnHeld(prompt, view, record.id);
+        const source = findSource(view, record, held);
         if (source !== undefined) {
             return prompt.promptTokens - source.heldTokens + (source.heldTokens - held) * fetchShare;
         }
-        const preferred = id === home ? sumTokens(prompt, 0, -1) * homeShare : 0;
+        const preferred = record.id === view.home ? sumTokens(prompt, 0, -1) * homeShare : 0;
         return prompt.promptTokens - Math.max(held, preferred);
     }
 
     function describeEngines(req: ProxyRequest, prompt: Prompt, choices: readonly Choice[]): PlacementCandidate[] {
         const engine = deps.findService(req.service)?.engine;
         const ids = choices.map(choice => choice.record.id);
+        const views = new Map<number, PromptView>();
         return choices.map(choice => {
-            const salt = saltOf(req, prompt, choice.weightsVersion ?? 0);
-            const home = deps.parts.rankHome(prompt, salt, ids)[0] ?? "";
-            const isShared = deps.use.holdsShared(choice.record.id, findSharedKey(prompt, salt));
+            const version = choice.weightsVersion ?? 0;
+            const view = views.get(version) ?? describePrompt(req, prompt, version, ids);
+            views.set(version, view);
+            const isShared = deps.use.holdsShared(choice.record.id, view.sharedKey);
             return {
                 ...describePlain(choice),
                 slots: engine?.slots ?? choice.record.slots,
                 memoryTokens: engine?.memoryTokens,
-                missingTokens: countMissing(req, prompt, salt, choice, home),
+                missingTokens: countMissing(prompt, view, choice.record),
                 neededTokens: countOwnTokens(prompt) + (isShared ? 0 : countSharedTokens(prompt)),
                 isOutdated: choice.isOutdated,
             };
@@ -234,13 +265,14 @@
                 cacheTarget: undefined,
             };
         }
-        const cacheSalt = saltOf(req, prompt, weightsVersion);
+        const view = describePrompt(req, prompt, weightsVersion, [upstream.id]);
+        const held = countOwnHeld(prompt, view, upstream.id);
         return {
             upstream,
             weightsVersion,
-            cacheSalt,
-            cacheSource: findSource(req, prompt, cacheSalt, choice)?.address,
-            cacheTarget: findTarget(prompt, cacheSalt)?.address,
+            cacheSalt: view.salt,
+            cacheSource: findSource(view, upstream, held)?.address,
+            cacheTarget: findTarget(prompt, view.salt)?.address,
         };
     }
 
@@ -281,7 +313,7 @@
     function waitInLine(req: ProxyRequest, excluded: readonly string[], onResult: (result: PlaceResult) => void): CancelTimer {
         const line = lineOf(req.service);
         const nowMs = deps.clock.now();
-        const limitMs = Math.min(req.deadlineMs - leastServiceMs, nowMs + req.route.targetLatencyMs * waitTargets);
+        const limitMs = Math.min(req.deadlineMs - leastServiceMs, nowMs + (req.deadlineMs - req.arrivedMs) * waitShare);
         const cancelLimit = deps.clock.after(limitMs - nowMs, () => {
             line.leave(req.id);
             onResult({ kind: "refused", refusal: createRefusal("overloaded", "no upstream had room", { retryAfterMs }) });
