--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -112,6 +112,7 @@
         health: createHealthView(),
         onAnswerHead: () => undefined,
         onForeignAnswer: () => undefined,
+        onHeadTime: () => undefined,
     });
     scenes.set(world, { upstream, send, clock, caller: createCaller(), outcomes: [] });
     world.cleanups.push(async () => {
--- a/features/steps/registrySteps.ts
+++ b/features/steps/registrySteps.ts
@@ -9,6 +9,7 @@
 import type { InstanceContext } from "../../src/assemble/routerPorts.js";
 import { createUpstreamRegistry, type RegistryEvent, type UpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
 import { indexRoutes, type RouteIndex } from "../../src/core/routes/indexRoutes.js";
+import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
 import { createRecord, createRoute, createTable } from "../support/proxyScene.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -85,8 +86,9 @@
 });
 
 Then("a configuration is in force only when its version is higher", function() {
-    const context = { clock: { now: () => 0 }, settings: {}, writeLog: () => undefined } as unknown as InstanceContext;
-    const views = assembleViews(context);
+    const metrics = createRouterMetrics();
+    const context = { clock: { now: () => 0 }, settings: {}, writeLog: () => undefined, metrics };
+    const views = assembleViews(context as unknown as InstanceContext);
     const inForce = [3, 2, 3, 7, 5].map(version => {
         views.takeTable(createTable({ version }), "store");
         return views.routes()?.table.version;
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -222,14 +222,14 @@
     return Array.from({ length: count }, (_, index) => ({
         id: `e-${index}`,
         isOutdated: true,
-        version: index < 3 ? 1 : 2,
+        version: index < 4 ? 1 : 2,
         isLoading: index >= count - loadingCount,
         requests: count - index,
     }));
 }
 
 Then("of {int} engines the {int} with the oldest weights are ordered", function(count: number, ordered: number) {
-    const expected = ["e-0", "e-1", "e-2"].slice(0, ordered);
+    const expected = ["e-0", "e-1", "e-2", "e-3"].slice(0, ordered);
     assert.deepEqual(planLoads(createEngines(count, 0)).toSorted(), expected);
 });
 
--- a/features/steps/tableSteps.ts
+++ b/features/steps/tableSteps.ts
@@ -8,6 +8,7 @@
 import { errorTable } from "../../src/core/errors/errorTable.js";
 import { logEventTable } from "../../src/core/logEvents/logEventTable.js";
 import { createMetrics } from "../../src/io/metrics/createMetrics.js";
+import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
 import { formatSettingsReference } from "../../src/settings/formatSettingsReference.js";
 
 function readRows(file: string): readonly (readonly string[])[] {
@@ -41,6 +42,11 @@
     }
 });
 
+Then("the router's metrics page has one row for each metric", async function() {
+    const expected = (await createRouterMetrics().registry.getMetricsAsJSON()).map(metric => metric.name);
+    assert.deepEqual(readRows("docs/operating/router-metrics.md").map(row => row[0]).toSorted(), expected.toSorted());
+});
+
 Then("the metrics page has one row for each metric", async function() {
     const expected = (await createMetrics().registry.getMetricsAsJSON()).map(metric => metric.name);
     assert.deepEqual(readRows("docs/operating/metrics.md").map(row => row[0]).toSorted(), expected.toSorted());
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -15,3 +15,6 @@
 
     Scenario: Metrics
         Then the metrics page has one row for each metric
+
+    Scenario: Metrics of the router
+        Then the router's metrics page has one row for each metric
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -4,7 +4,8 @@
  */
 import type { RequestListener } from "node:http";
 import { createPlacer } from "../core/placement/createPlacer.js";
-import { createRetryAllowance } from "../core/proxy/createRetryAllowance.js";
+import { millisecondsPerSecond } from "../core/constants.js";
+import { createRetryAllowance, type RetryAllowance } from "../core/proxy/createRetryAllowance.js";
 import type { SendEffect } from "../core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
 import { createConnectionShelf } from "../io/proxy/createConnectionShelf.js";
@@ -20,6 +21,10 @@
 export interface Proxy {
     readonly handle: RequestListener;
     readonly countActive: () => number;
+    /** Requests that wait for a place. */
+    readonly countWaiting: () => number;
+    /** Connections opened to upstreams. */
+    readonly countOpened: () => number;
     /** Places requests that wait. */
     readonly advance: () => void;
     /** Uses no connection again that was opened before. */
@@ -46,7 +51,7 @@
     partFeeds: PartFeeds,
     isClosing: () => boolean,
 ): Proxy {
-    const { settings, ports, clock, random, writeLog } = context;
+    const { settings, ports, clock, random, writeLog, metrics } = context;
     const shelf = createConnectionShelf(clock);
     const placer = createPlacer({
         clock,
@@ -76,9 +81,24 @@
         shelf,
         health: views.health,
         onAnswerHead: noteAnswerHead,
+        onHeadTime: tookMs => metrics.headSeconds.observe(tookMs / millisecondsPerSecond),
         onForeignAnswer: (req, effect, answeredId) =>
             writeLog("foreignAnswer", { requestId: req.id, upstream: effect.placement.upstream.id, answeredId }),
     });
+    const budget = createRetryAllowance({
+        ratio: settings.retryRatio,
+        slack: settings.retrySlack,
+        windowMs: settings.retryWindowMs,
+        countInstances: fleet.countInstances,
+    });
+    const allowance: RetryAllowance = {
+        ...budget,
+        take: (service, nowMs) => {
+            const isAllowed = budget.take(service, nowMs);
+            metrics.repeatDenials.inc(isAllowed ? 0 : 1);
+            return isAllowed;
+        },
+    };
     const service = createProxyService({
         clock,
         random,
@@ -86,20 +106,24 @@
         writeLog,
         placer,
         send,
-        allowance: createRetryAllowance({
-            ratio: settings.retryRatio,
-            slack: settings.retrySlack,
-            windowMs: settings.retryWindowMs,
-            countInstances: fleet.countInstances,
-        }),
+        allowance,
         routes: views.routes,
         isClosing,
-        onRepeat: () => undefined,
-        onEnd: end => writeLog("requestServed", { ...end }),
+        onRepeat: reason => metrics.repeats.inc({ reason }),
+        onEnd: end => {
+            metrics.requests.inc({ kind: end.kind, result: end.result });
+            metrics.requestSeconds.observe({ kind: end.kind }, end.tookMs / millisecondsPerSecond);
+            writeLog("requestServed", { ...end });
+        },
+        onSend: outcome => metrics.sends.inc({ outcome }),
+        onPlaced: waitedMs => metrics.placeSeconds.observe(waitedMs / millisecondsPerSecond),
+        onRefusal: kind => metrics.refusals.inc({ kind }),
     });
     return {
         handle: service.handle,
         countActive: service.countActive,
+        countWaiting: placer.countWaiting,
+        countOpened: shelf.countOpened,
         advance: placer.advance,
         distrustConnections: shelf.distrustAll,
     };
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -128,6 +128,21 @@
         ),
     ];
 
+    const metricsServer = createServer((_, res) => {
+        context.metrics.registry.metrics().then(text => {
+            res.writeHead(200, { "content-type": context.metrics.registry.contentType });
+            res.end(text);
+        }).catch((error: unknown) => {
+            writeLog("internalFailure", { detail: String(error) });
+            res.destroy();
+        });
+    });
+    const [metricsHost, metricsPort] = settings.metricsAddress.split(":");
+    // Requests are served also where the metrics' port is taken.
+    metricsServer.on("error", error => writeLog("internalFailure", { detail: `metrics: ${error.message}` }));
+    metricsServer.listen(Number(metricsPort), metricsHost);
+    others.push(metricsServer);
+
     return {
         countConnections: () =>
             new Promise(resolve => front.getConnections((error, count) => resolve(error === null ? count : 0))),
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -47,7 +47,7 @@
  * @returns The views.
  */
 export function assembleViews(context: InstanceContext): InstanceViews {
-    const { clock, settings, writeLog } = context;
+    const { clock, settings, writeLog, metrics } = context;
     const weights = createWeightsView();
     const health = createHealthView();
     const parts = createPartView();
@@ -61,6 +61,7 @@
             parts.forget(id);
             health.forget(id);
         }
+        metrics.upstreamChanges.inc({ change: event.kind });
         writeLog("upstreamChanged", { change: event.kind, upstream: id, service, address, isDraining });
     }
 
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -8,6 +8,7 @@
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import type { RoutingTable } from "../core/routes/routingTable.js";
 import type { Clock } from "../core/time/clock.js";
+import type { RouterMetrics } from "../io/metrics/createRouterMetrics.js";
 import type { ProxyCodec } from "../io/proxy/proxyCodec.js";
 import type { ReadPartEvents } from "../io/parts/followPartEvents.js";
 import type { EngineOrders } from "../io/weights/runRollout.js";
@@ -23,7 +24,8 @@
     readonly peerAddress: string;
     readonly peerPort: number;
     readonly heartbeatPort: number;
-    readonly metricsPort: number;
+    /** Address on which metrics are served. */
+    readonly metricsAddress: string;
     /** Heartbeat addresses of some instances; they may be out of date. */
     readonly contacts: readonly string[];
     /** Time between the request to stop and the end of the process. */
@@ -89,4 +91,7 @@
     /** A number from 0 (included) to 1 (excluded). */
     readonly random: () => number;
     readonly writeLog: WriteLog;
+    readonly metrics: RouterMetrics;
+    /** Log lines left out since the start, by event. */
+    readonly listLeftOut: () => ReadonlyMap<string, number>;
 }
--- a/src/core/placement/chooseCacheSource.ts
+++ b/src/core/placement/chooseCacheSource.ts
@@ -14,6 +14,8 @@
     readonly isNear: boolean;
     /** Requests at work there; its transfers run one after another. */
     readonly requests: number;
+    /** Whether it is a store, whose one link serves the transfers of all engines. */
+    readonly isStore: boolean;
 }
 
 /** Fewest tokens that are worth a fetch: below it, finding out takes as long as reading them. */
@@ -23,6 +25,9 @@
     if (left.heldTokens !== right.heldTokens) {
         return left.heldTokens > right.heldTokens;
     }
+    if (left.isStore !== right.isStore) {
+        return right.isStore;
+    }
     if (left.isNear !== right.isNear) {
         return left.isNear;
     }
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -62,6 +62,7 @@
     readonly failureDomain: string;
     readonly heldTokens: number;
     readonly requests: number;
+    readonly isStore: boolean;
 }
 
 /** Where the parts of one prompt are under one version of the weights. */
@@ -182,17 +183,18 @@
     function describePrompt(req: ProxyRequest, prompt: Prompt, version: number, ids: readonly string[]): PromptView {
         const nowMs = deps.clock.now();
         const salt = saltOf(req, prompt, version);
-        const describe = (id: string, address: string, failureDomain: string): KnownHolder => ({
+        const describe = (id: string, address: string, failureDomain: string, isStore: boolean): KnownHolder => ({
             id,
             address,
             failureDomain,
+            isStore,
             heldTokens: deps.parts.countHeld(prompt, salt, id, nowMs),
             requests: deps.use.read(id).requests,
         });
         const engines = deps.registry.listService(req.service)
             .filter(record => !deps.health.isReplaced(record.id) && !deps.health.isSuspect(record.id, nowMs))
-            .map(record => describe(record.id, record.address, record.failureDomain));
-        const stores = deps.listStores().map(store => describe(store.id, store.address, store.failureDomain));
+            .map(record => describe(record.id, record.address, record.failureDomain, false));
+        const stores = deps.listStores().map(store => describe(store.id, store.address, store.failureDomain, true));
         return {
             salt,
             sharedKey: findSharedKey(prompt, salt),
--- a/src/core/weights/loadWeights.ts
+++ b/src/core/weights/loadWeights.ts
@@ -39,7 +39,7 @@
 const lookMs = 120;
 
 /** Looks after which a load is given up; another one may follow. */
-const maxLooks = 30;
+const maxLooks = 90;
 
 /** Answers after which the engine's state is read again. */
 const openAnswers: ReadonlySet<OrderAnswer> = new Set(["accepted", "conflict", "unanswered"]);
--- /dev/null
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -0,0 +1,121 @@
+/**
+ * @module
+ * Counters, gauges and histograms of a router's instance, through prom-client. Labels take values from closed lists only,
+ * so that their number does not grow with customers, models or upstreams.
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** What gauges read when metrics are collected. */
+export interface RouterGauges {
+    readonly waiting: () => number;
+    readonly active: () => number;
+    readonly liveInstances: () => number;
+    readonly upstreams: () => number;
+    readonly tableVersion: () => number;
+    /** Seconds since the list of upstreams was read, here or by the peer that it was taken from. */
+    readonly upstreamsAgeSeconds: () => number;
+    /** Seconds since the operator's topic was read. */
+    readonly operatorAgeSeconds: () => number;
+    readonly connectionsOpened: () => number;
+    readonly logLinesLeftOut: () => ReadonlyMap<string, number>;
+}
+
+/** Every metric that is counted as things happen. */
+export interface RouterMetrics {
+    readonly registry: Registry;
+    /** Requests that ended, by kind of request and result ("answered", "cut" or an error kind). */
+    readonly requests: Counter<"kind" | "result">;
+    /** Refusals by error kind; also those before a route was found. */
+    readonly refusals: Counter<"kind">;
+    /** Requests that were sent again, by reason. */
+    readonly repeats: Counter<"reason">;
+    /** Repeats that the retry budget did not allow. */
+    readonly repeatDenials: Counter<string>;
+    /** Sends to upstreams by outcome. */
+    readonly sends: Counter<"outcome">;
+    /** Changes of upstreams by kind. */
+    readonly upstreamChanges: Counter<"change">;
+    /** Orders to engines by answer. */
+    readonly orders: Counter<"answer">;
+    /** Claims of the rollout lease by result. */
+    readonly leaseClaims: Counter<"result">;
+    /** Time until a request's whole answer, by kind of request. */
+    readonly requestSeconds: Histogram<"kind">;
+    /** Time that requests waited for a place. */
+    readonly placeSeconds: Histogram<string>;
+    /** Time from a send to the head of its answer. */
+    readonly headSeconds: Histogram<string>;
+    /** Connects the gauges to what they read. */
+    readonly observe: (gauges: RouterGauges) => void;
+}
+
+/** Upper bounds of latencies in seconds, from a fast call to the longest timeout of a stream. */
+const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 16];
+
+/**
+ * Creates the metrics with a registry of their own.
+ *
+ * @returns The metrics.
+ */
+export function createRouterMetrics(): RouterMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+
+    function counter<T extends string>(name: string, help: string, labelNames: readonly T[] = []): Counter<T> {
+        return new Counter({ name: `reedward_router_${name}`, help, labelNames: [...labelNames], registers });
+    }
+
+    function histogram<T extends string>(name: string, help: string, labelNames: readonly T[] = []): Histogram<T> {
+        const buckets = latencyBuckets;
+        return new Histogram({ name: `reedward_router_${name}`, help, labelNames: [...labelNames], buckets, registers });
+    }
+
+    let gauges: RouterGauges | undefined;
+    function gauge(name: string, help: string, read: (from: RouterGauges) => number): void {
+        new Gauge({
+            name: `reedward_router_${name}`,
+            help,
+            registers,
+            collect() {
+                const value = gauges === undefined ? 0 : read(gauges);
+                this.set(Number.isFinite(value) ? value : -1);
+            },
+        });
+    }
+    gauge("waiting_requests", "Requests that wait for a place.", from => from.waiting());
+    gauge("active_requests", "Requests that are served now.", from => from.active());
+    gauge("live_instances", "Other instances that were heard of lately.", from => from.liveInstances());
+    gauge("upstreams", "Upstreams in the list.", from => from.upstreams());
+    gauge("configuration_version", "Version of the configuration in force.", from => from.tableVersion());
+    gauge("upstreams_age_seconds", "Age of the list of upstreams; -1 before the first.", from => from.upstreamsAgeSeconds());
+    gauge("operator_age_seconds", "Age of the last read of the operator's topic; -1 before the first.", from =>
+        from.operatorAgeSeconds());
+    gauge("connections_opened", "Connections opened to upstreams since the start.", from => from.connectionsOpened());
+    new Gauge({
+        name: "reedward_router_log_lines_left_out",
+        help: "Log lines left out since the start, by event.",
+        labelNames: ["event"],
+        registers,
+        collect() {
+            gauges?.logLinesLeftOut().forEach((count, event) => this.set({ event }, count));
+        },
+    });
+
+    return {
+        registry,
+        requests: counter("requests_total", "Requests that ended.", ["kind", "result"]),
+        refusals: counter("refusals_total", "Refusals by error kind.", ["kind"]),
+        repeats: counter("repeats_total", "Requests sent again.", ["reason"]),
+        repeatDenials: counter("repeat_denials_total", "Repeats that the retry budget did not allow."),
+        sends: counter("sends_total", "Sends to upstreams.", ["outcome"]),
+        upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
+        orders: counter("orders_total", "Orders to engines.", ["answer"]),
+        leaseClaims: counter("lease_claims_total", "Claims of the rollout lease.", ["result"]),
+        requestSeconds: histogram("request_seconds", "Time until a request's whole answer.", ["kind"]),
+        placeSeconds: histogram("place_seconds", "Time that requests waited for a place."),
+        headSeconds: histogram("head_seconds", "Time from a send to the head of its answer."),
+        observe: from => {
+            gauges = from;
+        },
+    };
+}
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -5,13 +5,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
 import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
-import { errorTable } from "../../core/errors/errorTable.js";
+import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
 import { runSteps } from "../../core/effects/runSteps.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { RetryAllowance } from "../../core/proxy/createRetryAllowance.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
-import type { ProxyRequest } from "../../core/proxy/proxyTypes.js";
+import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type RepeatReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import { chooseService } from "../../core/routes/chooseService.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
@@ -36,6 +36,11 @@
     /** Whether connections are being closed, so that each answer says so. */
     readonly isClosing: () => boolean;
     readonly onRepeat: (reason: RepeatReason) => void;
+    /** Receives the outcome of each send. */
+    readonly onSend: (outcome: SendOutcome["kind"]) => void;
+    /** Receives the time that a request waited for its place, in milliseconds. */
+    readonly onPlaced: (waitedMs: number) => void;
+    readonly onRefusal: (kind: ErrorKind) => void;
     /** Receives the end of each request. */
     readonly onEnd: (end: RequestEnd) => void;
 }
@@ -44,6 +49,7 @@
 export interface RequestEnd {
     readonly requestId: string;
     readonly route: string;
+    readonly kind: Route["kind"];
     readonly result: string;
     readonly tookMs: number;
 }
@@ -146,7 +152,8 @@
 
     function tellEnd(req: ProxyRequest, result: string): void {
         const tookMs = Math.round(deps.clock.now() - req.arrivedMs);
-        deps.onEnd({ requestId: req.id, route: req.route.name, result, tookMs });
+        const { name: route, kind } = req.route;
+        deps.onEnd({ requestId: req.id, route, kind, result, tookMs });
     }
 
     function serve(req: ProxyRequest, caller: CallerExchange): void {
@@ -180,9 +187,11 @@
                     cancelPlace();
                     resume({ kind: "callerGone" });
                 });
+                const askedMs = deps.clock.now();
                 cancelPlace = deps.placer.place(req, effect, result => {
                     cancelGone();
                     isPlaced = result.kind === "placed";
+                    deps.onPlaced(deps.clock.now() - askedMs);
                     resume(result);
                 });
             },
@@ -192,6 +201,7 @@
                 deps.writeLog("requestSent", { requestId: req.id, upstream: upstream.id, weightsVersion });
                 deps.send(req, effect, caller, outcome => {
                     leaveUpstream();
+                    deps.onSend(outcome.kind);
                     if (outcome.kind !== "answered" && outcome.kind !== "finished") {
                         const detail = "detail" in outcome ? outcome.detail : undefined;
                         deps.writeLog("sendEnded", {
@@ -217,6 +227,7 @@
             refuse: (effect, resume) => {
                 const { kind, detail, retryAfterMs } = effect.refusal;
                 const { status, outcome } = errorTable[kind];
+                deps.onRefusal(kind);
                 deps.writeLog("requestRefused", { requestId: req.id, kind, status, outcome, detail, retryAfterMs });
                 caller.refuse(effect.refusal);
                 tellEnd(req, kind);
@@ -239,6 +250,7 @@
     function refuseHead(res: ServerResponse, req: IncomingMessage, refusal: Refusal): void {
         const requestId = "";
         const status = errorTable[refusal.kind].status;
+        deps.onRefusal(refusal.kind);
         deps.writeLog("requestRefused", { kind: refusal.kind, status, detail: refusal.detail, target: req.url });
         const mustClose = status === 400 || status === 413 || status === 431;
         const caller = createCallerExchange(res, { requestId, isClosing: () => mustClose || deps.isClosing() });
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -21,6 +21,8 @@
     readonly health: HealthView;
     /** Receives the head of each answer. */
     readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
+    /** Receives the time from a send to the head of its answer. */
+    readonly onHeadTime: (tookMs: number) => void;
     /** Receives answers that belong to another request or to none. */
     readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
 }
@@ -56,6 +58,7 @@
 /** One send while it is at work. */
 class Send implements Deliverer {
     private isWritten = false;
+    private sentMs = 0;
     private head: AnswerHead | undefined;
     private stream: StreamDelivery | undefined;
     private readonly chunks: Buffer[] = [];
@@ -77,6 +80,7 @@
         const { clock, health, codec } = this.deps;
         const { req, effect } = this;
         const nowMs = clock.now();
+        this.sentMs = nowMs;
         const budgetMs = Math.floor(req.deadlineMs - nowMs);
         const { placement, lastEventId } = effect;
         const pairs = codec.writeHeaders({ req, placement, budgetMs, lastEventId });
@@ -123,6 +127,7 @@
         }
         this.deps.health.noteHeard(this.upstreamId(), this.deps.clock.now());
         this.deps.onAnswerHead(this.req, this.effect, head);
+        this.deps.onHeadTime(this.deps.clock.now() - this.sentMs);
         if (this.req.route.kind === "stream" && status < firstRedirect) {
             this.stream = createStreamDelivery({
                 caller: this.caller,
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -5,7 +5,7 @@
 import type { FleetMember } from "../../core/fleet/createFleetView.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import type { UpstreamUseAccount } from "../../core/placement/createUpstreamUse.js";
-import type { RecordStore } from "../../core/ports/recordStore.js";
+import type { AppendResult, RecordStore } from "../../core/ports/recordStore.js";
 import type { UpstreamRegistry } from "../../core/registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../../core/registry/upstreamRecord.js";
 import type { Clock } from "../../core/time/clock.js";
@@ -61,6 +61,8 @@
     readonly tellPeers: () => void;
     readonly onChange: () => void;
     readonly writeLog: WriteLog;
+    readonly onOrder: (answer: OrderAnswer) => void;
+    readonly onClaim: (result: AppendResult["kind"]) => void;
 }
 
 /** The rollout. */
@@ -158,6 +160,7 @@
     async function claim(): Promise<void> {
         const sentMs = clock.now();
         const appended = await deps.store.appendAt(deps.leaseTopic, lease.end(), Buffer.from(deps.instance));
+        deps.onClaim(appended.kind);
         if (appended.kind === "appended") {
             lease.noteOwn(appended.offset, sentMs);
             deps.writeLog("leaseTaken", { fence: appended.offset });
@@ -209,6 +212,7 @@
         const timeoutMs = orderArrivalMs;
         const holder = deps.instance;
         const answer = await deps.engines.order({ engine, model, version, holder, fence, expectedOrders, timeoutMs });
+        deps.onOrder(answer);
         if (answer !== "accepted") {
             deps.writeLog("orderFailed", { engine: engine.id, version, fence, answer });
         }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -9,6 +9,7 @@
 import { assembleServers } from "./assemble/assembleServers.js";
 import { assembleViews } from "./assemble/assembleViews.js";
 import type { InstanceContext } from "./assemble/routerPorts.js";
+import { millisecondsPerSecond } from "./core/constants.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { runRollout } from "./io/weights/runRollout.js";
@@ -42,7 +43,7 @@
  * @returns The running instance.
  */
 export function wireRouter(context: InstanceContext): Router {
-    const { settings, ports, clock, writeLog } = context;
+    const { settings, ports, clock, writeLog, metrics } = context;
     let isLeaving = false;
     const views = assembleViews(context);
     const feeds = assembleFeeds(context, views);
@@ -86,6 +87,19 @@
         tellPeers: fleet.hurry,
         onChange: views.noteChange,
         writeLog,
+        onOrder: answer => metrics.orders.inc({ answer }),
+        onClaim: result => metrics.leaseClaims.inc({ result }),
+    });
+    metrics.observe({
+        waiting: proxy.countWaiting,
+        active: proxy.countActive,
+        liveInstances: () => fleet.listLive().length,
+        upstreams: () => views.registry.list().length,
+        tableVersion: () => views.routes()?.table.version ?? 0,
+        upstreamsAgeSeconds: () => fleet.upstreamsAgeMs() / millisecondsPerSecond,
+        operatorAgeSeconds: () => feeds.operatorAgeMs() / millisecondsPerSecond,
+        connectionsOpened: proxy.countOpened,
+        logLinesLeftOut: context.listLeftOut,
     });
 
     const servers = assembleServers(context, {
