Learn an engine's weights from the engine when it answers that it has others

It asks the engine once in 0.4 s now. An instance that has left also stops its pause detector and its connections, so that a process without an exit call ends.

--- a/features/platformPath.feature
+++ b/features/platformPath.feature
@@ -31,6 +31,11 @@
         When a caller streams a request through the second instance
         Then the engine was asked for version 2
 
+    Scenario: An instance that hears nothing of new weights learns them from the engines
+        Given the store goes away
+        And both engines take version 2 by orders of somebody else
+        Then a caller's stream is served with version 2 in the end
+
     Scenario: A draining server gets no more requests, and an outage of the store changes nothing
         When the plain server says that it drains
         Then a plain call is refused as not run within a second
--- a/features/steps/platformPathSteps.ts
+++ b/features/steps/platformPathSteps.ts
@@ -343,6 +343,23 @@
     });
 });
 
+When("both engines take version {int} by orders of somebody else", async function(this: SiteWorld, version: number) {
+    for (const engine of sceneOf(this).engines) {
+        const res = await request(`http://${engine.address}/reedward/order`, {
+            method: "POST",
+            body: JSON.stringify({ op: "version", model: "easy-read", version, fence: 99, holder: "other", expect: 0 }),
+            reset: true,
+        });
+        await res.body.dump();
+    }
+});
+
+Then("a caller's stream is served with version {int} in the end", async function(this: SiteWorld, version: number) {
+    const scene = sceneOf(this);
+    await waitUntil("the weights are learned", async () => (await call(scene, 0)).status === 200);
+    assert.equal(scene.engines.flatMap(engine => engine.runs).at(-1)?.["expect-version"], String(version));
+});
+
 When("the plain server says that it drains", function(this: SiteWorld) {
     const { store, plain } = sceneOf(this);
     store.put("keyed.servers", plain.id, plain.entry("draining"));
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -8,6 +8,7 @@
 import { createRetryAllowance, type RetryAllowance } from "../core/proxy/createRetryAllowance.js";
 import type { SendEffect } from "../core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
+import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import { createConnectionShelf } from "../io/proxy/createConnectionShelf.js";
 import { createProxyService } from "../io/proxy/createProxyService.js";
 import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
@@ -17,6 +18,9 @@
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
 
+/** Time between two questions for the weights of one engine, in milliseconds. */
+const askPauseMs = 400;
+
 /** The path of requests. */
 export interface Proxy {
     readonly handle: RequestListener;
@@ -29,6 +33,8 @@
     readonly advance: () => void;
     /** Uses no connection again that was opened before. */
     readonly distrustConnections: () => void;
+    /** Closes idle connections to upstreams and looks after none any more. */
+    readonly close: () => void;
 }
 
 /** Part of the time limit for outdated weights that is used: the instance learned of the newer ones later than they were named. */
@@ -53,6 +59,8 @@
 ): Proxy {
     const { settings, ports, clock, random, writeLog, metrics } = context;
     const shelf = createConnectionShelf(clock);
+    /** Engines that were asked for their weights a short time ago. */
+    const asked = new Set<string>();
     const placer = createPlacer({
         clock,
         failureDomain: settings.failureDomain,
@@ -66,6 +74,21 @@
         listStores: partFeeds.listStores,
     });
 
+    /** Asks an engine that has other weights than believed which ones it has; one question at a time. */
+    function learnWeights(engine: UpstreamRecord, model: string): void {
+        if (asked.has(engine.id)) {
+            return;
+        }
+        asked.add(engine.id);
+        ports.engines.readState(engine, model).then(state => {
+            if (state?.version !== undefined) {
+                views.weights.noteLoaded(engine.id, model, state.version);
+                views.noteChange();
+            }
+        }).catch((error: unknown) => writeLog("internalFailure", { detail: String(error) }))
+            .finally(() => clock.after(askPauseMs, () => asked.delete(engine.id)));
+    }
+
     function noteAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead): void {
         if (!head.isNotRun) {
             placer.noteAnswer(req);
@@ -73,6 +96,9 @@
         if (head.weightsVersion !== undefined && req.prompt !== undefined) {
             views.weights.noteLoaded(effect.placement.upstream.id, req.prompt.model, head.weightsVersion);
         }
+        else if (head.rejection === "otherWeights" && req.prompt !== undefined) {
+            learnWeights(effect.placement.upstream, req.prompt.model);
+        }
     }
 
     const send = createUpstreamSender({
@@ -126,5 +152,6 @@
         countOpened: shelf.countOpened,
         advance: placer.advance,
         distrustConnections: shelf.distrustAll,
+        close: shelf.close,
     };
 }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -137,6 +137,8 @@
         partFeeds.stop();
         rollout.stop();
         fleet.stop();
+        pauses.stop();
+        proxy.close();
         writeLog("stopped", { active: proxy.countActive() });
     }
     let left: Promise<void> | undefined;
