--- /dev/null
+++ b/features/steps/loggingSteps.ts
@@ -0,0 +1,135 @@
+/**
+ * @module
+ * Steps on the writing of logs.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { closeSync, constants, mkdtempSync, openSync, read, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { type BoundedLogger, createBoundedLogger } from "../../src/io/logging/createBoundedLogger.js";
+import { createLineWriter, type LineWriter } from "../../src/io/logging/createLineWriter.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface StalledLog {
+    readonly descriptor: number;
+    readonly writer: LineWriter;
+    readonly logger: BoundedLogger;
+    turns: number;
+    text: string;
+}
+
+const maxQueued = 65_536;
+const scenes = new WeakMap<SiteWorld, StalledLog>();
+const written = new WeakMap<SiteWorld, readonly string[]>();
+
+function sceneOf(world: SiteWorld): StalledLog {
+    const scene = scenes.get(world);
+    assert.ok(scene !== undefined);
+    return scene;
+}
+
+const turn = () => new Promise<void>(resolve => setImmediate(resolve));
+
+Given("a log whose reader has stalled", function(this: SiteWorld) {
+    const folder = mkdtempSync(join(tmpdir(), "reedward-log-"));
+    const path = join(folder, "pipe");
+    assert.equal(spawnSync("mkfifo", [path]).status, 0);
+    // Opened for both, so that neither side waits for the other; nobody reads until a step does.
+    const descriptor = openSync(path, constants.O_RDWR);
+    this.cleanups.push(() => {
+        closeSync(descriptor);
+        rmSync(folder, { recursive: true });
+    });
+    const writer = createLineWriter({ descriptor, maxQueued });
+    const clock = createVirtualClock(1);
+    const logger = createBoundedLogger({ instance: "entry-1", clock, writer, linesPerSecond: 1e6, burst: 1e6 });
+    scenes.set(this, { descriptor, writer, logger, turns: 0, text: "" });
+});
+
+When("{int} lines are written to it", async function(this: SiteWorld, count: number) {
+    const scene = sceneOf(this);
+    for (let line = 0; line < count; line += 1) {
+        scene.logger.writeLog("requestServed", { requestId: `r-${line}` });
+        if (line % 100 === 0) {
+            await turn();
+            scene.turns += 1;
+        }
+    }
+});
+
+Then("the loop went on turning meanwhile", function(this: SiteWorld) {
+    assert.equal(sceneOf(this).turns, 200);
+});
+
+Then("at most {int} characters wait, and the lines left out are counted", function(this: SiteWorld, most: number) {
+    const { writer, logger } = sceneOf(this);
+    assert.ok(writer.queuedBytes() <= most);
+    assert.ok((logger.listDropped().get("requestServed") ?? 0) > 0);
+});
+
+/** Reads what is in the pipe; the read ends when the pipe holds at least one byte. */
+function readSome(descriptor: number): Promise<string> {
+    const buffer = Buffer.alloc(maxQueued);
+    return new Promise((resolve, reject) => {
+        read(descriptor, { buffer }, (err, length) => {
+            if (err instanceof Error) {
+                reject(err);
+                return;
+            }
+            resolve(buffer.toString("utf8", 0, length));
+        });
+    });
+}
+
+When("the reader reads again", async function(this: SiteWorld) {
+    const scene = sceneOf(this);
+    while (scene.writer.queuedBytes() > 0) {
+        scene.text += await readSome(scene.descriptor);
+        await turn();
+    }
+    scene.logger.writeLog("requestServed", { requestId: "last" });
+    while (!scene.text.endsWith("\n") || !scene.text.includes("\"last\"")) {
+        scene.text += await readSome(scene.descriptor);
+    }
+});
+
+Then(
+    "it gets whole lines only, and the first one that follows left-out lines says how many",
+    function(this: SiteWorld) {
+        const { text, logger } = sceneOf(this);
+        const lines = text.trimEnd().split("\n").map(line =>
+            JSON.parse(line) as { requestId: string; leftOut?: number; }
+        );
+        const leftOut = lines.reduce((sum, line) => sum + (line.leftOut ?? 0), 0);
+        assert.equal(leftOut, logger.listDropped().get("requestServed"));
+        assert.equal(lines.length + leftOut, 20_001);
+    },
+);
+
+When(
+    "{int} lines of one event are written at once and one more after {int} s",
+    function(this: SiteWorld, count: number, delayS: number) {
+        const clock = createVirtualClock(1);
+        const lines: string[] = [];
+        const writer: LineWriter = { write: line => lines.push(line) > 0, queuedBytes: () => 0 };
+        const logger = createBoundedLogger({ instance: "entry-1", clock, writer, linesPerSecond: 40, burst: 400 });
+        for (let line = 0; line < count; line += 1) {
+            logger.writeLog("requestServed", { requestId: `r-${line}` });
+        }
+        clock.runUntil(delayS * 1_000);
+        logger.writeLog("requestServed", { requestId: "last" });
+        written.set(this, lines);
+    },
+);
+
+Then(
+    "{int} lines are written and the last one says that {int} were left out",
+    function(this: SiteWorld, count, leftOut) {
+        const lines = written.get(this) ?? [];
+        assert.equal(lines.length, count + 1);
+        assert.equal((JSON.parse(lines.at(-1)!) as { leftOut?: number; }).leftOut, leftOut);
+    },
+);
