Remove what the platform's path made dead or wrote again

- the place effect's isRepeat: the placer never read it, and its comment promised a wait that was not skipped

--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -52,7 +52,7 @@
     const req = createProxyRequest("stream", { id, prompt, arrivedMs: nowMs, deadlineMs: nowMs + 4_000, ...changes });
     const entry: PlacementScene["asked"][number] = { req, result: undefined };
     scene.asked.push(entry);
-    scene.placer.place(req, { kind: "place", excluded: [], isRepeat: false }, result => {
+    scene.placer.place(req, { kind: "place", excluded: [] }, result => {
         entry.result = result;
         if (result.kind === "placed") {
             scene.placedOrder.push(req.id);
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -22,7 +22,6 @@
     readonly readinessAddress: string;
     readonly directoryAddress: string;
     readonly peerAddress: string;
-    readonly peerPort: number;
     readonly heartbeatPort: number;
     /** Address on which metrics are served. */
     readonly metricsAddress: string;
@@ -32,8 +31,6 @@
     readonly graceMs: number;
     /** Time within which an upstream that leaves gets no new request. */
     readonly drainMs: number;
-    /** Time within which a configuration is in force. */
-    readonly configurationMs: number;
     /** Time that must lie between the orders of two holders of the rollout lease. */
     readonly leaseSeparationMs: number;
     /** Time after which no request may begin on weights that are older than named. */
--- a/src/core/effects/runSteps.ts
+++ b/src/core/effects/runSteps.ts
@@ -4,16 +4,7 @@
  */
 import type { Effect, EffectResults } from "./effectTypes.js";
 
-/** Performs effects of one kind; calls `resume` exactly once, at once or later. */
-export type EffectHandler<K extends Effect["kind"]> = (
-    effect: Extract<Effect, { readonly kind: K; }>,
-    resume: (result: EffectResults[K]) => void,
-) => void;
-
-/** One handler for each effect kind. */
-export type EffectHandlers = { readonly [K in Effect["kind"]]: EffectHandler<K>; };
-
-/** Handlers of any closed set of effects, by kind. */
+/** Handlers of any closed set of effects, by kind; each calls `resume` exactly once, at once or later. */
 export type AnyHandlers<E extends { readonly kind: string; }, Results extends Record<E["kind"], unknown>> = {
     readonly [K in E["kind"]]: (
         effect: Extract<E, { readonly kind: K; }>,
@@ -21,6 +12,9 @@
     ) => void;
 };
 
+/** One handler for each effect of a model or service request. */
+export type EffectHandlers = AnyHandlers<Effect, EffectResults>;
+
 /**
  * Runs steps to their end.
  *
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -68,7 +68,6 @@
     weightsNamed: define("RW5006", "info", "newer weights named"),
     peerStateTaken: define("RW5007", "info", "state taken from a peer"),
     topicTruncated: define("RW5008", "warn", "records of a topic are gone; reading the newest of each key"),
-    logDropped: define("RW5009", "warn", "log events left out"),
     settingsReloaded: define("RW5010", "info", "settings read again"),
     loadEnded: define("RW5011", "info", "loading of weights at an engine ended"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -17,11 +17,8 @@
 /** Share of an engine's memory that placed requests may take: above it, engines suspend requests that run. */
 const memoryShare = 0.95;
 
-/** Share of an engine's slots that placed requests may take. */
-const slotShare = 1;
-
 function hasRoom(candidate: PlacementCandidate): boolean {
-    if (candidate.use.requests >= candidate.slots * slotShare) {
+    if (candidate.use.requests >= candidate.slots) {
         return false;
     }
     if (candidate.memoryTokens === undefined || candidate.use.requests === 0) {
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -121,7 +121,7 @@
  * @param deps - The views that it reads.
  * @returns The placer.
  * @example
- * placer.place(req, { kind: "place", excluded: [], isRepeat: false }, result => resume(result));
+ * placer.place(req, { kind: "place", excluded: [] }, result => resume(result));
  */
 export function createPlacer(deps: PlacerDependencies): Placer {
     const lines = new Map<string, WaitingLine>();
--- a/src/core/proxy/proxyEffects.ts
+++ b/src/core/proxy/proxyEffects.ts
@@ -16,8 +16,6 @@
     readonly kind: "place";
     /** Upstreams that were tried. */
     readonly excluded: readonly string[];
-    /** Whether an earlier send may have run: then no time is spent on waiting. */
-    readonly isRepeat: boolean;
 }
 
 /** Sends the request; returns a {@link SendOutcome}. */
@@ -69,7 +67,7 @@
  * @param effect - The effect.
  * @returns Steps that return the effect's result.
  * @example
- * const placed = yield* performProxy({ kind: "place", excluded: [], isRepeat: false });
+ * const placed = yield* performProxy({ kind: "place", excluded: [] });
  */
 export function* performProxy<E extends ProxyEffect>(effect: E): ProxySteps<ProxyEffectResults[E["kind"]]> {
     return (yield effect) as ProxyEffectResults[E["kind"]];
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -151,8 +151,7 @@
     };
     let last: SendOutcome | undefined;
     for (;;) {
-        const isRepeat = history.possibleRuns > 0;
-        const placed = yield* performProxy({ kind: "place", excluded: history.excluded, isRepeat });
+        const placed = yield* performProxy({ kind: "place", excluded: history.excluded });
         if (placed.kind === "callerGone") {
             return;
         }
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -59,10 +59,8 @@
 const firstSuccess = 200;
 const firstRedirect = 300;
 
-type Deliverer = Dispatcher.DispatchHandler;
-
 /** One send while it is at work. */
-class Send implements Deliverer {
+class Send implements Dispatcher.DispatchHandler {
     private isWritten = false;
     private sentMs = 0;
     private head: AnswerHead | undefined;
