Serve waiting requests that can be on time first, and refuse streams before their callers leave

Change: the caller's patience is computed from the route (objective, longest pause); a line serves those that can be on time first; a request waits at most 0.6 of the time until its caller leaves.

Two scenarios failed before and pass now.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -59,3 +59,17 @@
         And a request of priority 0 waits behind one of priority 2
         And a placed request ends
         Then the request of priority 0 is placed before that of priority 2
+
+    Scenario: A request that can still be on time goes before one that is late already
+        Given engines "u-1" that run nothing
+        When requests are placed until one waits
+        And 200 ms have passed
+        And one more request waits
+        And a placed request ends
+        Then the request that came last is placed and the one before it waits
+
+    Scenario: A stream that waits is refused before its caller gives it up
+        Given engines "u-1" that run nothing
+        When requests with a deadline of 15000 ms are placed until one waits
+        And 2300 ms have passed
+        Then the waiting request is refused as "overloaded"
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -130,11 +130,23 @@
     parts.takeEvents(id, [{ salt, part: "style", tokens: 2_000 }, { salt, part: "case", tokens: 4_000 }]);
 });
 
-When("requests are placed until one waits", function(this: SiteWorld) {
-    const scene = sceneOf(this);
-    while (ask(scene)?.kind === "placed") {
+function fill(scene: PlacementScene, changes: Partial<ProxyRequest> = {}): void {
+    while (ask(scene, changes)?.kind === "placed") {
         assert.ok(scene.asked.length < 100);
     }
+}
+
+When("requests are placed until one waits", function(this: SiteWorld) {
+    fill(sceneOf(this));
+});
+
+When("requests with a deadline of {int} ms are placed until one waits", function(this: SiteWorld, leftMs: number) {
+    const scene = sceneOf(this);
+    fill(scene, { deadlineMs: scene.clock.now() + leftMs });
+});
+
+When("one more request waits", function(this: SiteWorld) {
+    assert.equal(ask(sceneOf(this)), undefined);
 });
 
 When("a placed request ends", function(this: SiteWorld) {
@@ -197,6 +209,11 @@
     assert.equal(sceneOf(this).asked.at(-1)?.result?.kind, "placed");
 });
 
+Then("the request that came last is placed and the one before it waits", function(this: SiteWorld) {
+    const { asked } = sceneOf(this);
+    assert.deepEqual(asked.slice(-2).map(entry => entry.result?.kind), [undefined, "placed"]);
+});
+
 Then("the waiting request is refused as {string}", function(this: SiteWorld, kind: string) {
     const result = sceneOf(this).asked.at(-1)?.result;
     assert.equal(result?.kind === "refused" ? result.refusal.kind : result?.kind, kind);
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -101,6 +101,8 @@
                 cacheSalt: undefined,
                 cacheSource: undefined,
                 cacheTarget: undefined,
+                heldTokens: 0,
+                fetchedTokens: 0,
             };
             const refusal = { kind: "noUpstream", detail: "", retryAfterMs: 1 } as const;
             turn = steps.next(
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -141,6 +141,8 @@
         cacheSalt: undefined,
         cacheSource: undefined,
         cacheTarget: undefined,
+        heldTokens: 0,
+        fetchedTokens: 0,
     };
     const due = { ...req, deadlineMs: scene.clock.now() + 3_000 };
     return new Promise(resolve => {
--- a/features/support/proxyScene.ts
+++ b/features/support/proxyScene.ts
@@ -32,6 +32,7 @@
         kind: "idempotent",
         timeoutMs: 4_000,
         targetLatencyMs: 300,
+        longestPauseMs: 300,
         attempts: 2,
         priority: 0,
         shares: [{ service: "adapt", weight: 1 }],
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -12,6 +12,7 @@
     kind: z.enum(["idempotent", "nonIdempotent", "stream"]),
     timeoutMs: z.number(),
     targetLatencyMs: z.number(),
+    longestPauseMs: z.number().optional(),
     attempts: z.number(),
     priority: z.number(),
     shares: z.array(z.object({ service: z.string(), weight: z.number() })),
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -3,43 +3,34 @@
  * Places requests at upstreams, and keeps those waiting that find no room yet.
  */
 import { createRefusal } from "../errors/createRefusal.js";
+import { computePatience } from "../proxy/computePatience.js";
 import { deriveCacheSalt } from "../proxy/deriveCacheSalt.js";
 import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
-import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
 import type { Service } from "../routes/routingTable.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
-import { type CacheHolder, chooseCacheSource } from "./chooseCacheSource.js";
 import { choosePlacement } from "./choosePlacement.js";
-import type { HealthView } from "./createHealthView.js";
-import { findSharedKey, type PartView } from "./createPartView.js";
-import type { UpstreamUseAccount } from "./createUpstreamUse.js";
+import { findSharedKey } from "./createPartView.js";
+import {
+    createPromptReader,
+    type PromptReaderDependencies,
+    type PromptShare,
+    type PromptView,
+    sumTokens,
+} from "./createPromptReader.js";
 import { createWaitingLine, type WaitingLine } from "./createWaitingLine.js";
 import type { PlacementCandidate, Prompt } from "./placementTypes.js";
 
 /** What the placer reads. */
-export interface PlacerDependencies {
+export interface PlacerDependencies extends Omit<PromptReaderDependencies, "now"> {
     readonly clock: Clock;
     readonly failureDomain: string;
-    readonly registry: UpstreamRegistry;
     readonly weights: WeightsView;
-    readonly use: UpstreamUseAccount;
-    readonly parts: PartView;
-    readonly health: HealthView;
     readonly findService: (name: string) => Service | undefined;
     /** Milliseconds after which no request may begin on weights that are older than named. */
     readonly outdatedLimitMs: number;
-    /** Stores of kept cache that answer. */
-    readonly listStores: () => readonly ReachableStore[];
-}
-
-/** A store of kept cache. */
-export interface ReachableStore {
-    readonly id: string;
-    readonly address: string;
-    readonly failureDomain: string;
 }
 
 /** The placer. */
@@ -55,25 +46,6 @@
     readonly countWaiting: () => number;
 }
 
-/** A holder of parts of one prompt. */
-interface KnownHolder {
-    readonly id: string;
-    readonly address: string;
-    readonly failureDomain: string;
-    readonly heldTokens: number;
-    readonly requests: number;
-    readonly isStore: boolean;
-}
-
-/** Where the parts of one prompt are under one version of the weights. */
-interface PromptView {
-    readonly salt: string;
-    readonly sharedKey: string;
-    readonly holders: readonly KnownHolder[];
-    /** Engine that all instances prefer while nobody keeps the prompt. */
-    readonly home: string | undefined;
-}
-
 /** An upstream that may take a request, with the weights that it has. */
 interface Choice {
     readonly record: UpstreamRecord;
@@ -81,31 +53,27 @@
     readonly isOutdated: boolean;
 }
 
-/** Part of the time of reading tokens that it takes to fetch them. */
-const fetchShare = 0.2;
-
-/** Part of a shared prompt's tokens by which its home is preferred while nobody holds it, so that instances agree. */
-const homeShare = 0.1;
-
-/** Fewest shared tokens that are worth sending to a store. */
-const leastKeptTokens = 64;
+/** An upstream that may take a request, as it is weighed. */
+interface Option {
+    readonly choice: Choice;
+    readonly candidate: PlacementCandidate;
+    /** Salt and share of the prompt; undefined for a plain service. */
+    readonly salt?: string;
+    readonly share?: PromptShare;
+}
 
-/** Time before the deadline at which a waiting request is refused: an answer would come too late, in milliseconds. */
+/** Time from the placing of a request to the beginning of its answer, in milliseconds: reading a prompt of ten thousand tokens. */
 const leastServiceMs = 150;
 
 /** Time left below which a request is not sent any more, in milliseconds. */
 const leastSendMs = 20;
 
-/** Part of the caller's time for which a request may wait for room: a later answer is still worth something to it. */
-const waitShare = 0.35;
+/** Part of the time until its caller leaves for which a request may wait for room. */
+const waitShare = 0.6;
 
 /** Time after which a refused caller may find room, in milliseconds. */
 const retryAfterMs = 500;
 
-function sumTokens(prompt: Prompt, from: number, to: number): number {
-    return prompt.parts.slice(from, to).reduce((sum, part) => sum + part.tokens, 0);
-}
-
 /** Tokens of the parts that only few requests share: all but the first and the last part. */
 function countSharedTokens(prompt: Prompt): number {
     return sumTokens(prompt, prompt.parts.length > 2 ? 1 : 0, -1);
@@ -125,6 +93,7 @@
  */
 export function createPlacer(deps: PlacerDependencies): Placer {
     const lines = new Map<string, WaitingLine>();
+    const reader = createPromptReader({ ...deps, now: deps.clock.now });
 
     function lineOf(service: string): WaitingLine {
         const line = lines.get(service) ?? createWaitingLine();
@@ -179,102 +148,51 @@
         };
     }
 
-    /** Engines and stores that keep parts of a prompt under one version of the weights. */
-    function describePrompt(req: ProxyRequest, prompt: Prompt, version: number, ids: readonly string[]): PromptView {
-        const nowMs = deps.clock.now();
-        const salt = saltOf(req, prompt, version);
-        const describe = (id: string, address: string, failureDomain: string, isStore: boolean): KnownHolder => ({
-            id,
-            address,
-            failureDomain,
-            isStore,
-            heldTokens: deps.parts.countHeld(prompt, salt, id, nowMs),
-            requests: deps.use.read(id).requests,
-        });
-        const engines = deps.registry.listService(req.service)
-            .filter(record => !deps.health.isReplaced(record.id) && !deps.health.isSuspect(record.id, nowMs))
-            .map(record => describe(record.id, record.address, record.failureDomain, false));
-        const stores = deps.listStores().map(store => describe(store.id, store.address, store.failureDomain, true));
-        return {
-            salt,
-            sharedKey: findSharedKey(prompt, salt),
-            holders: [...engines, ...stores].filter(holder => holder.heldTokens > 0),
-            home: deps.parts.rankHome(prompt, salt, ids)[0],
-        };
-    }
-
-    function findSource(view: PromptView, record: UpstreamRecord, ownTokens: number): CacheHolder | undefined {
-        const others = view.holders.filter(holder => holder.id !== record.id)
-            .map(holder => ({ ...holder, isNear: holder.failureDomain === record.failureDomain }));
-        return chooseCacheSource(others, ownTokens);
-    }
-
-    /** Tokens that an engine keeps; it counts also while the engine is not fetched from. */
-    function countOwnHeld(prompt: Prompt, view: PromptView, id: string): number {
-        return deps.parts.countHeld(prompt, view.salt, id, deps.clock.now());
-    }
-
-    /** Prompt tokens that an engine would read; a token that it fetches counts for the time that this takes. */
-    function countMissing(prompt: Prompt, view: PromptView, record: UpstreamRecord): number {
-        const held = countOwnHeld(prompt, view, record.id);
-        const source = findSource(view, record, held);
-        if (source !== undefined) {
-            return prompt.promptTokens - source.heldTokens + (source.heldTokens - held) * fetchShare;
-        }
-        const preferred = record.id === view.home ? sumTokens(prompt, 0, -1) * homeShare : 0;
-        return prompt.promptTokens - Math.max(held, preferred);
-    }
-
-    function describeEngines(req: ProxyRequest, prompt: Prompt, choices: readonly Choice[]): PlacementCandidate[] {
+    function describeEngines(req: ProxyRequest, prompt: Prompt, choices: readonly Choice[]): readonly Option[] {
         const engine = deps.findService(req.service)?.engine;
         const ids = choices.map(choice => choice.record.id);
         const views = new Map<number, PromptView>();
         return choices.map(choice => {
             const version = choice.weightsVersion ?? 0;
-            const view = views.get(version) ?? describePrompt(req, prompt, version, ids);
+            const view = views.get(version) ?? reader.read(req.service, prompt, saltOf(req, prompt, version), ids);
             views.set(version, view);
+            const share = reader.describeShare(prompt, view, choice.record);
             const isShared = deps.use.holdsShared(choice.record.id, view.sharedKey);
-            return {
+            const candidate = {
                 ...describePlain(choice),
                 slots: engine?.slots ?? choice.record.slots,
                 memoryTokens: engine?.memoryTokens,
-                missingTokens: countMissing(prompt, view, choice.record),
+                missingTokens: share.missingTokens,
                 neededTokens: countOwnTokens(prompt) + (isShared ? 0 : countSharedTokens(prompt)),
                 isOutdated: choice.isOutdated,
             };
+            return { choice, candidate, salt: view.salt, share };
         });
     }
 
-    /** A store that lacks shared parts of the prompt. */
-    function findTarget(prompt: Prompt, salt: string): ReachableStore | undefined {
-        const shared = sumTokens(prompt, 0, -1);
-        if (shared < leastKeptTokens) {
-            return undefined;
-        }
-        const nowMs = deps.clock.now();
-        return deps.listStores().find(store => deps.parts.countHeld(prompt, salt, store.id, nowMs) < shared);
-    }
-
-    function toPlacement(req: ProxyRequest, choice: Choice): Placement {
+    function toPlacement(req: ProxyRequest, { choice, salt, share }: Option): Placement {
         const { prompt } = req;
         const { record: upstream, weightsVersion } = choice;
-        if (prompt === undefined || weightsVersion === undefined) {
+        if (prompt === undefined || weightsVersion === undefined || salt === undefined) {
             return {
                 upstream,
                 weightsVersion: undefined,
                 cacheSalt: undefined,
                 cacheSource: undefined,
                 cacheTarget: undefined,
+                heldTokens: 0,
+                fetchedTokens: 0,
             };
         }
-        const view = describePrompt(req, prompt, weightsVersion, [upstream.id]);
-        const held = countOwnHeld(prompt, view, upstream.id);
+        const heldTokens = share?.heldTokens ?? 0;
         return {
             upstream,
             weightsVersion,
-            cacheSalt: view.salt,
-            cacheSource: findSource(view, upstream, held)?.address,
-            cacheTarget: findTarget(prompt, view.salt)?.address,
+            cacheSalt: salt,
+            cacheSource: share?.source?.address,
+            cacheTarget: reader.findTarget(prompt, salt)?.address,
+            heldTokens,
+            fetchedTokens: Math.max(0, (share?.source?.heldTokens ?? 0) - heldTokens),
         };
     }
 
@@ -299,16 +217,16 @@
 
     /** Tries to place now. */
     function tryPlace(req: ProxyRequest, choices: readonly Choice[]): Placement | undefined {
-        const candidates = req.prompt === undefined
-            ? choices.map(describePlain)
+        const options = req.prompt === undefined
+            ? choices.map((choice): Option => ({ choice, candidate: describePlain(choice) }))
             : describeEngines(req, req.prompt, choices);
-        const chosen = choosePlacement(candidates);
-        const choice = choices.find(one => one.record.id === chosen?.id);
-        if (chosen === undefined || choice === undefined) {
+        const chosen = choosePlacement(options.map(option => option.candidate));
+        const option = options.find(one => one.candidate === chosen);
+        if (option === undefined) {
             return undefined;
         }
-        const placement = toPlacement(req, choice);
-        noteBegin(req, chosen, placement);
+        const placement = toPlacement(req, option);
+        noteBegin(req, option.candidate, placement);
         return placement;
     }
 
@@ -319,7 +237,8 @@
     ): CancelTimer {
         const line = lineOf(req.service);
         const nowMs = deps.clock.now();
-        const limitMs = Math.min(req.deadlineMs - leastServiceMs, nowMs + (req.deadlineMs - req.arrivedMs) * waitShare);
+        const { onTimeUntilMs, leavesAtMs } = computePatience(req);
+        const limitMs = Math.min(leavesAtMs - leastServiceMs, nowMs + (leavesAtMs - req.arrivedMs) * waitShare);
         const cancelLimit = deps.clock.after(limitMs - nowMs, () => {
             line.leave(req.id);
             onResult({
@@ -330,7 +249,8 @@
         line.join({
             id: req.id,
             priority: req.priority,
-            deadlineMs: req.deadlineMs,
+            onTimeUntilMs: onTimeUntilMs - leastServiceMs,
+            leavesAtMs,
             tryPlace: () => {
                 const placement = tryPlace(req, listChoices(req, excluded));
                 if (placement === undefined) {
@@ -368,13 +288,13 @@
         return waitInLine(req, effect.excluded, onResult);
     }
 
-    const advance = () => lines.forEach(line => line.advance());
+    const advance = () => lines.forEach(line => line.advance(deps.clock.now()));
     return {
         place,
         noteAnswer: req => deps.use.noteAnswer(req.id),
         end: req => {
             deps.use.end(req.id);
-            lines.get(req.service)?.advance();
+            lines.get(req.service)?.advance(deps.clock.now());
         },
         advance,
         countWaiting: () => [...lines.values()].reduce((sum, line) => sum + line.size(), 0),
--- /dev/null
+++ b/src/core/placement/createPromptReader.ts
@@ -0,0 +1,153 @@
+/**
+ * @module
+ * Where the parts of a prompt are kept, and what an engine would have to read or fetch of it.
+ */
+import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
+import type { UpstreamRecord } from "../registry/upstreamRecord.js";
+import { type CacheHolder, chooseCacheSource } from "./chooseCacheSource.js";
+import type { HealthView } from "./createHealthView.js";
+import { findSharedKey, type PartView } from "./createPartView.js";
+import type { UpstreamUseAccount } from "./createUpstreamUse.js";
+import type { Prompt } from "./placementTypes.js";
+
+/** A store of kept cache. */
+export interface ReachableStore {
+    readonly id: string;
+    readonly address: string;
+    readonly failureDomain: string;
+}
+
+/** What a prompt reader needs. */
+export interface PromptReaderDependencies {
+    /** Instance's clock, in milliseconds. */
+    readonly now: () => number;
+    readonly registry: UpstreamRegistry;
+    readonly use: UpstreamUseAccount;
+    readonly parts: PartView;
+    readonly health: HealthView;
+    /** Stores of kept cache that answer. */
+    readonly listStores: () => readonly ReachableStore[];
+}
+
+/** A holder of parts of one prompt. */
+interface KnownHolder {
+    readonly id: string;
+    readonly address: string;
+    readonly failureDomain: string;
+    readonly heldTokens: number;
+    readonly requests: number;
+    readonly isStore: boolean;
+}
+
+/** Where the parts of one prompt are under one salt. */
+export interface PromptView {
+    readonly salt: string;
+    readonly sharedKey: string;
+    readonly holders: readonly KnownHolder[];
+    /** Engine that all instances prefer while nobody keeps the prompt. */
+    readonly home: string | undefined;
+}
+
+/** One engine's part in a prompt. */
+export interface PromptShare {
+    /** Tokens that the engine keeps. */
+    readonly heldTokens: number;
+    /** From where it fetches more; undefined when nothing worthwhile is kept elsewhere. */
+    readonly source: CacheHolder | undefined;
+    /** Tokens that it would read; one that it fetches counts for the time that this takes. */
+    readonly missingTokens: number;
+}
+
+/** Reads where prompts are. */
+export interface PromptReader {
+    /** Engines and stores that keep parts of a prompt; `ids` are the engines of which one is its home. */
+    readonly read: (service: string, prompt: Prompt, salt: string, ids: readonly string[]) => PromptView;
+    readonly describeShare: (prompt: Prompt, view: PromptView, record: UpstreamRecord) => PromptShare;
+    /** A store that lacks shared parts of the prompt. */
+    readonly findTarget: (prompt: Prompt, salt: string) => ReachableStore | undefined;
+}
+
+/** Part of the time of reading tokens that it takes to fetch them. */
+const fetchShare = 0.2;
+
+/** Part of a shared prompt's tokens by which its home is preferred while nobody holds it, so that instances agree. */
+const homeShare = 0.1;
+
+/** Fewest shared tokens that are worth sending to a store. */
+const leastKeptTokens = 64;
+
+/**
+ * Adds up the tokens of a prompt's parts.
+ *
+ * @param prompt - The prompt.
+ * @param from - First part.
+ * @param to - Part after the last; negative numbers count from the end.
+ * @returns Tokens.
+ * @example
+ * sumTokens(prompt, 0, -1); // of all shared parts
+ */
+export function sumTokens(prompt: Prompt, from: number, to: number): number {
+    return prompt.parts.slice(from, to).reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/**
+ * Creates the reader.
+ *
+ * @param deps - The views that it reads.
+ * @returns The reader.
+ * @example
+ * createPromptReader(deps).read("writer", prompt, salt, ["engine-1"]).holders.length;
+ */
+export function createPromptReader(deps: PromptReaderDependencies): PromptReader {
+    const { parts, health, use } = deps;
+
+    function read(service: string, prompt: Prompt, salt: string, ids: readonly string[]): PromptView {
+        const nowMs = deps.now();
+        const describe = (
+            { id, address, failureDomain }: ReachableStore,
+            isStore: boolean,
+        ): KnownHolder => ({
+            id,
+            address,
+            failureDomain,
+            isStore,
+            heldTokens: parts.countHeld(prompt, salt, id, nowMs),
+            requests: use.read(id).requests,
+        });
+        const engines = deps.registry.listService(service)
+            .filter(record => !health.isReplaced(record.id) && !health.isSuspect(record.id, nowMs))
+            .map(record => describe(record, false));
+        const stores = deps.listStores().map(store => describe(store, true));
+        return {
+            salt,
+            sharedKey: findSharedKey(prompt, salt),
+            holders: [...engines, ...stores].filter(holder => holder.heldTokens > 0),
+            home: parts.rankHome(prompt, salt, ids)[0],
+        };
+    }
+
+    /** What the engine keeps itself counts also while nobody fetches from it. */
+    function describeShare(prompt: Prompt, view: PromptView, record: UpstreamRecord): PromptShare {
+        const heldTokens = parts.countHeld(prompt, view.salt, record.id, deps.now());
+        const others = view.holders.filter(holder => holder.id !== record.id)
+            .map(holder => ({ ...holder, isNear: holder.failureDomain === record.failureDomain }));
+        const source = chooseCacheSource(others, heldTokens);
+        if (source !== undefined) {
+            const fetched = (source.heldTokens - heldTokens) * fetchShare;
+            return { heldTokens, source, missingTokens: prompt.promptTokens - source.heldTokens + fetched };
+        }
+        const preferred = record.id === view.home ? sumTokens(prompt, 0, -1) * homeShare : 0;
+        return { heldTokens, source, missingTokens: prompt.promptTokens - Math.max(heldTokens, preferred) };
+    }
+
+    function findTarget(prompt: Prompt, salt: string): ReachableStore | undefined {
+        const shared = sumTokens(prompt, 0, -1);
+        if (shared < leastKeptTokens) {
+            return undefined;
+        }
+        const nowMs = deps.now();
+        return deps.listStores().find(store => parts.countHeld(prompt, salt, store.id, nowMs) < shared);
+    }
+
+    return { read, describeShare, findTarget };
+}
--- a/src/core/placement/createWaitingLine.ts
+++ b/src/core/placement/createWaitingLine.ts
@@ -8,7 +8,9 @@
     readonly id: string;
     /** 0 is placed first. */
     readonly priority: number;
-    readonly deadlineMs: number;
+    /** Until then the request is placed in time for its objective. */
+    readonly onTimeUntilMs: number;
+    readonly leavesAtMs: number;
     /** Tries to place the request; true when it no longer waits. */
     readonly tryPlace: () => boolean;
 }
@@ -17,8 +19,8 @@
 export interface WaitingLine {
     readonly join: (waiting: WaitingRequest) => void;
     readonly leave: (id: string) => void;
-    /** Places as many requests as there is room for. */
-    readonly advance: () => void;
+    /** Places as many requests as there is room for, as of a time. */
+    readonly advance: (nowMs: number) => void;
     readonly size: () => number;
 }
 
@@ -32,16 +34,18 @@
     if (left.priority !== right.priority) {
         return left.priority < right.priority;
     }
-    return left.deadlineMs < right.deadlineMs;
+    return left.leavesAtMs < right.leavesAtMs;
 }
 
 /**
- * Creates an empty line: the most urgent priority first, and the nearest deadline first among equals.
+ * Creates an empty line. Requests that can still be on time go before those that cannot: under a load that does not fit,
+ * serving them in the order of their arrival would make all of them late. Within both, the most urgent priority goes
+ * first, and among equals the one whose caller leaves first.
  *
  * @returns The line.
  * @example
  * const line = createWaitingLine();
- * line.join({ id: "r-1", priority: 0, deadlineMs: 4_000, tryPlace: () => false });
+ * line.join({ id: "r-1", priority: 0, onTimeUntilMs: 300, leavesAtMs: 2_400, tryPlace: () => false });
  */
 export function createWaitingLine(): WaitingLine {
     let waiting: readonly WaitingRequest[] = [];
@@ -51,13 +55,18 @@
         waiting = waiting.filter(one => one.id !== id);
     }
 
-    function advance(): void {
-        if (isAdvancing) {
+    function order(nowMs: number): readonly WaitingRequest[] {
+        const isOnTime = (one: WaitingRequest) => nowMs <= one.onTimeUntilMs;
+        return [...waiting.filter(isOnTime), ...waiting.filter(one => !isOnTime(one))];
+    }
+
+    function advance(nowMs: number): void {
+        if (isAdvancing || waiting.length === 0) {
             return;
         }
         isAdvancing = true;
         let misses = 0;
-        for (const one of waiting) {
+        for (const one of order(nowMs)) {
             if (misses >= maxMisses) {
                 break;
             }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -7,6 +7,7 @@
 export * from "./createHealthView.js";
 export * from "./createPartView.js";
 export * from "./createPlacer.js";
+export * from "./createPromptReader.js";
 export * from "./createUpstreamUse.js";
 export * from "./createWaitingLine.js";
 export * from "./isFeedReader.js";
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -43,6 +43,9 @@
     readonly cacheSource: string | undefined;
     /** "ip:port" of the store to which the engine sends parts that it has read. */
     readonly cacheTarget: string | undefined;
+    /** Tokens of the prompt that the engine keeps, and that it is to fetch, as this instance sees it. */
+    readonly heldTokens: number;
+    readonly fetchedTokens: number;
 }
 
 /** An upstream's whole answer. */
--- a/src/core/routes/routingTable.ts
+++ b/src/core/routes/routingTable.ts
@@ -24,6 +24,8 @@
     readonly timeoutMs: number;
     /** Time within which an answer is on time, in milliseconds. */
     readonly targetLatencyMs: number;
+    /** Longest pause between the events of a stream that is on time, in milliseconds; undefined when not declared. */
+    readonly longestPauseMs: number | undefined;
     /** Most upstreams to which one request may be sent. */
     readonly attempts: number;
     /** Rank of the route; 0 is served first. */
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -11,7 +11,7 @@
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { RetryAllowance } from "../../core/proxy/createRetryAllowance.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
-import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
+import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type RepeatReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import { chooseService } from "../../core/routes/chooseService.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
@@ -84,6 +84,15 @@
     return end === -1 ? target : target.slice(0, end);
 }
 
+/** What decided a send, for the log; fields that do not apply are left out. */
+function describeSend(req: ProxyRequest, placement: Placement, nowMs: number): Readonly<Record<string, unknown>> {
+    const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
+    const basis = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
+    return req.prompt === undefined
+        ? basis
+        : { ...basis, weightsVersion, promptTokens: req.prompt.promptTokens, heldTokens, fetchedTokens, cacheSource };
+}
+
 /**
  * Creates the service.
  *
@@ -203,8 +212,8 @@
                 },
                 send: (effect, resume) => {
                     const { placement } = effect;
-                    const { upstream, weightsVersion } = placement;
-                    deps.writeLog("requestSent", { requestId: req.id, upstream: upstream.id, weightsVersion });
+                    const { upstream } = placement;
+                    deps.writeLog("requestSent", describeSend(req, placement, deps.clock.now()));
                     deps.send(req, effect, caller, outcome => {
                         leaveUpstream();
                         deps.onSend(outcome.kind);
