List once what a store of kept cache holds when its early events are gone

Cause: a holder tells only its newest events, and a store announces a part only once.

Ruled out: the store's link (fetches from it did not fail before the restart), lost salts (all sends named version 2), readers beyond the store's bound (no instance was turned away for good).

Change: a store is listed when its events do not reach back to its start or were missed; engines are not, since a list holds up their work and they tell 4,000 events. Event RW5012.

--- a/src/assemble/assembleParts.ts
+++ b/src/assemble/assembleParts.ts
@@ -52,14 +52,14 @@
             const { engine, cacheStore } = service;
             if (cacheStore !== undefined) {
                 const { address, maxReaders } = cacheStore;
-                return [{ id: service.name, address, isNamed: false, maxReaders }];
+                return [{ id: service.name, address, isNamed: false, maxReaders, isListed: true }];
             }
             if (engine === undefined) {
                 return [];
             }
             const { maxReaders } = engine;
             return views.registry.listService(service.name)
-                .map(({ id, address }) => ({ id, address, isNamed: true, maxReaders }));
+                .map(({ id, address }) => ({ id, address, isNamed: true, maxReaders, isListed: false }));
         });
     }
 
@@ -70,6 +70,7 @@
             stop: followPartEvents({
                 holder,
                 read: ports.readPartEvents,
+                list: ports.listParts,
                 clock,
                 isReader: () => {
                     const others = fleet.listLive().map(member => member.instance.name);
@@ -77,6 +78,7 @@
                 },
                 onEvents: events => views.parts.takeEvents(holder.id, events),
                 onReset: () => views.parts.forget(holder.id),
+                onListed: parts => context.writeLog("partsListed", { holder: holder.id, parts }),
                 onReachable: isReachable => {
                     entry.isReachable = isReachable;
                 },
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -9,7 +9,7 @@
 import type { RoutingTable } from "../core/routes/routingTable.js";
 import type { Clock } from "../core/time/clock.js";
 import type { RouterMetrics } from "../io/metrics/createRouterMetrics.js";
-import type { ReadPartEvents } from "../io/parts/followPartEvents.js";
+import type { ListParts, ReadPartEvents } from "../io/parts/followPartEvents.js";
 import type { ProxyCodec } from "../io/proxy/proxyCodec.js";
 import type { EngineOrders } from "../io/weights/runRollout.js";
 
@@ -73,6 +73,7 @@
     readonly codec: ProxyCodec;
     readonly engines: EngineOrders;
     readonly readPartEvents: ReadPartEvents;
+    readonly listParts: ListParts;
     readonly readinessPath: string;
     readonly entriesPath: string;
     readonly readEntryQuery: (query: URLSearchParams) => EntryQuery;
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -76,6 +76,7 @@
     topicTruncated: define("RW5008", "warn", "records of a topic are gone; reading the newest of each key"),
     settingsReloaded: define("RW5010", "info", "settings read again"),
     loadEnded: define("RW5011", "info", "loading of weights at an engine ended"),
+    partsListed: define("RW5012", "info", "all prompt parts that a store keeps were read"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/io/parts/followPartEvents.ts
+++ b/src/io/parts/followPartEvents.ts
@@ -14,6 +14,8 @@
     readonly isNamed: boolean;
     /** Reads that it answers at once. */
     readonly maxReaders: number;
+    /** Whether all that it keeps is read when its events are not known without a gap. It then holds up its work. */
+    readonly isListed: boolean;
 }
 
 /** Events since a number. `busy`: too many instances read. */
@@ -34,15 +36,21 @@
 /** Reads events; held back up to `waitMs` until there are some. */
 export type ReadPartEvents = (holder: PartHolder, since: number, waitMs: number) => Promise<PartEventsResult>;
 
+/** Reads all that a holder keeps, as events from which the next read goes on. */
+export type ListParts = (holder: PartHolder) => Promise<PartEventsResult>;
+
 /** Options of {@link followPartEvents}. */
 export interface FollowPartEventsOptions {
     readonly holder: PartHolder;
     readonly read: ReadPartEvents;
+    readonly list: ListParts;
     readonly clock: Clock;
     readonly isReader: () => boolean;
     readonly onEvents: (events: readonly PartEvent[]) => void;
     /** The holder has restarted, or too much was missed: nothing is known of it. */
     readonly onReset: () => void;
+    /** All that the holder keeps was read: so many parts. */
+    readonly onListed: (parts: number) => void;
     /** Whether the holder answers. */
     readonly onReachable: (isReachable: boolean) => void;
 }
@@ -67,6 +75,8 @@
     let isStopped = false;
     let epoch: number | undefined;
     let since = 0;
+    /** Whether the events that were read say all that the holder keeps. */
+    let isComplete = !holder.isListed;
 
     const pause = (delayMs: number) => new Promise<void>(resolve => clock.after(delayMs, resolve));
 
@@ -74,7 +84,9 @@
         if (result.hasGap || (epoch !== undefined && result.epoch !== epoch)) {
             options.onReset();
         }
-        const isOtherLife = epoch !== undefined && result.epoch !== epoch;
+        const isFirst = epoch === undefined;
+        const isOtherLife = !isFirst && result.epoch !== epoch;
+        isComplete = !holder.isListed || (!result.hasGap && (isFirst || isOtherLife || isComplete));
         epoch = result.epoch;
         since = result.next;
         if (!isOtherLife || result.events.length > 0) {
@@ -82,6 +94,20 @@
         }
     }
 
+    /** Events say only what is new: what was kept before them is listed once. */
+    async function listAll(): Promise<void> {
+        const result = await options.list(holder);
+        if (isStopped || result.kind !== "events") {
+            return;
+        }
+        options.onReset();
+        epoch = result.epoch;
+        since = result.next;
+        isComplete = true;
+        options.onEvents(result.events);
+        options.onListed(result.events.length);
+    }
+
     async function step(): Promise<void> {
         if (!options.isReader()) {
             await pause(idlePauseMs);
@@ -95,6 +121,9 @@
         if (result.kind === "events") {
             take(result);
         }
+        if (result.kind === "events" && !isComplete) {
+            await listAll();
+        }
         await pause(result.kind === "events" ? pauseMs : idlePauseMs);
     }
 
