Explain a request from the log files of several instances

A refusal at the head of a request (401, 404, 413) now names the request's id, the configuration's version and what it promises; three scenarios failed before. A refusal for want of room says against which upstreams the request was weighed.

--- a/features/platformPath.feature
+++ b/features/platformPath.feature
@@ -25,6 +25,16 @@
             | a request with a length and an encoding   | 400    |
             | a request that sets the system's headers  | 200    |
 
+    Scenario Outline: A refusal is found in the log by the request's id
+        When a caller sends <request>
+        Then the log says for the request that it was refused as "<kind>"
+
+        Examples:
+            | request                                   | kind            |
+            | a request with an unknown key             | unknownCustomer |
+            | a request to an unknown path              | unknownRoute    |
+            | a request with a body that is too large   | bodyTooLarge    |
+
     Scenario: New weights are rolled out by one holder, and requests follow
         When the operator names version 2
         Then both engines have version 2 by orders of one holder with one order each
--- a/features/steps/platformPathSteps.ts
+++ b/features/steps/platformPathSteps.ts
@@ -13,6 +13,7 @@
 import { createPorts } from "../../platform/createPorts.js";
 import { createStoreClient } from "../../platform/createStoreClient.js";
 import type { RouterSettings } from "../../src/assemble/routerPorts.js";
+import type { LogEventName } from "../../src/core/logEvents/logEventTable.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
 import { type Router, wireRouter } from "../../src/wireRouter.js";
@@ -34,6 +35,7 @@
     readonly engines: readonly FakeServer[];
     readonly plain: FakeServer;
     readonly instances: RunningInstance[];
+    readonly logged: { readonly event: LogEventName; readonly fields: Readonly<Record<string, unknown>>; }[];
     answer: Answer | undefined;
 }
 
@@ -134,7 +136,9 @@
         ports: createPorts(store, createCodec(), createEngineOrders()),
         clock: createSystemClock(),
         random: Math.random,
-        writeLog: () => undefined,
+        writeLog: (event, fields) => {
+            scene.logged.push({ event, fields: fields ?? {} });
+        },
         metrics: createRouterMetrics(),
         listLeftOut: () => new Map(),
     });
@@ -164,7 +168,7 @@
         const store = await startFakeStore();
         const engines = [await startFakeServer("i-1", "adapt"), await startFakeServer("i-2", "adapt")];
         const plain = await startFakeServer("i-3", "portal");
-        const scene: PlatformScene = { store, engines, plain, instances: [], answer: undefined };
+        const scene: PlatformScene = { store, engines, plain, instances: [], logged: [], answer: undefined };
         scenes.set(this, scene);
         this.cleanups.push(() => store.stop(), ...[...engines, plain].map(server => () => server.stop()));
         store.put("keyed.op", "config", configuration);
@@ -317,6 +321,17 @@
     assert.equal(status, expected);
 });
 
+Then(
+    "the log says for the request that it was refused as {string}",
+    function(this: SiteWorld, kind: string) {
+        const refusals = sceneOf(this).logged.filter(line => line.event === "requestRefused");
+        assert.deepEqual(refusals.map(line => [line.fields["requestId"], line.fields["kind"]]), [[
+            streamHeaders["attempt-id"],
+            kind,
+        ]]);
+    },
+);
+
 When("the operator names version {int}", function(this: SiteWorld, version: number) {
     sceneOf(this).store.put("keyed.op", "version/easy-read", { model: "easy-read", version });
 });
--- /dev/null
+++ b/features/why.feature
@@ -0,0 +1,42 @@
+Feature: Explaining a request from log files alone
+
+    Scenario: The lines of several instances become one time line
+        Given the log of "entry-1" has these lines
+            | ms   | code   | fields                                                                                                  |
+            | 100  | RW3006 | requestId=r-1 upstream=e-1 afterMs=2 weightsVersion=3 promptTokens=900 heldTokens=600 fetchedTokens=0   |
+            | 140  | RW3007 | requestId=r-1 upstream=e-1 outcome=rejected status=503 reason=busy                                      |
+            | 141  | RW3005 | requestId=r-1 reason=rejected                                                                           |
+            | 150  | RW3006 | requestId=r-2 upstream=e-1 afterMs=2                                                                    |
+            | 900  | RW3002 | requestId=r-1 kind=overloaded status=503 outcome=notRun detail=full retryAfterMs=500                    |
+        And the log of "entry-2" has these lines
+            | ms   | code   | fields                                                                                                  |
+            | 130  | RW5005 | upstream=e-9 change=removed                                                                             |
+            | 1500 | RW3006 | requestId=r-1 upstream=e-2 afterMs=1                                                                    |
+            | 1450 | RW2103 | engine=e-2 version=4                                                                                    |
+            | 9000 | RW5005 | upstream=e-2 change=removed                                                                             |
+        When the logs are asked why "r-1" went as it went
+        Then the answer tells in this order
+            | entry-1 | sent to e-1 2 ms after it arrived; weights version 3; 600 of 900 prompt tokens believed kept there |
+            | entry-1 | e-1 answered 503 and did not run it: busy                                                          |
+            | entry-1 | may be sent again: rejected                                                                        |
+            | entry-1 | refused with 503 overloaded (it has not run): full; the caller may return after 500 ms             |
+            | entry-2 | e-2 was ordered to load weights version 4                                                          |
+            | entry-2 | sent to e-2 1 ms after it arrived                                                                  |
+
+    Scenario: A request that no log names is not found
+        Given the log of "entry-1" has these lines
+            | ms  | code   | fields                     |
+            | 100 | RW3006 | requestId=r-1 upstream=e-1 |
+        When the logs are asked why "r-9" went as it went
+        Then the answer is that no line names it
+
+    Scenario: Lines that are no events are passed over and counted
+        Given the log of "entry-1" has these lines
+            | ms  | code   | fields                     |
+            | 100 | RW3006 | requestId=r-1 upstream=e-1 |
+        And the log of "entry-1" ends in a line that was cut off
+        When the logs are asked why "r-1" went as it went
+        Then one line was passed over
+
+    Scenario: Every event that touches a request has a sentence of its own
+        Then the log events of requests are all told in sentences
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -71,6 +71,9 @@
 /** Part of the time until its caller leaves for which a request may wait for room. */
 const waitShare = 0.6;
 
+/** Upstreams that a refusal names at the most. */
+const maxDescribedUpstreams = 3;
+
 /** Time after which a refused caller may find room, in milliseconds. */
 const retryAfterMs = 500;
 
@@ -230,6 +233,19 @@
         return placement;
     }
 
+    /** What a request that found no room was weighed against. */
+    function describeLoad(req: ProxyRequest, excluded: readonly string[]): string {
+        const known = deps.registry.listService(req.service);
+        const choices = listChoices(req, excluded);
+        const loading = known.filter(record => deps.weights.isLoading(record.id)).length;
+        const uses = choices.map(({ record }) => ({ id: record.id, ...deps.use.read(record.id) }))
+            .toSorted((left, right) => left.memoryTokens - right.memoryTokens)
+            .slice(0, maxDescribedUpstreams)
+            .map(({ id, requests, memoryTokens }) => `${id}: ${requests} requests, ${Math.round(memoryTokens)} tokens`);
+        const counts = `${choices.length} of ${known.length} upstreams in use, ${loading} load weights`;
+        return `no upstream had room (${counts}; least used ${uses.join("; ")})`;
+    }
+
     function waitInLine(
         req: ProxyRequest,
         excluded: readonly string[],
@@ -243,7 +259,7 @@
             line.leave(req.id);
             onResult({
                 kind: "refused",
-                refusal: createRefusal("overloaded", "no upstream had room", { retryAfterMs }),
+                refusal: createRefusal("overloaded", describeLoad(req, excluded), { retryAfterMs }),
             });
         });
         line.join({
--- /dev/null
+++ b/src/core/why/describeLogLine.ts
@@ -0,0 +1,102 @@
+/**
+ * @module
+ * A plain sentence for a log line.
+ */
+import { type LogEventName, logEventTable } from "../logEvents/logEventTable.js";
+import type { LogLine } from "./parseLogLine.js";
+
+type Fields = LogLine["fields"];
+
+const names: ReadonlyMap<string, LogEventName> = new Map(
+    (Object.keys(logEventTable) as LogEventName[]).map(name => [logEventTable[name].code, name]),
+);
+
+/** A field as text; what the line does not say is named as such. */
+function text(fields: Fields, name: string): string {
+    const value = fields[name];
+    return value === undefined || value === ""
+        ? `(no ${name})`
+        : typeof value === "string"
+        ? value
+        : JSON.stringify(value);
+}
+
+function describeSent(fields: Fields): string {
+    const head = `sent to ${text(fields, "upstream")} ${text(fields, "afterMs")} ms after it arrived`;
+    if (fields["promptTokens"] === undefined) {
+        return head;
+    }
+    const kept = `${text(fields, "heldTokens")} of ${text(fields, "promptTokens")} prompt tokens believed kept there`;
+    const fetched = fields["cacheSource"] === undefined
+        ? ""
+        : `, ${text(fields, "fetchedTokens")} to be fetched from ${text(fields, "cacheSource")}`;
+    return `${head}; weights version ${text(fields, "weightsVersion")}; ${kept}${fetched}`;
+}
+
+const outcomes: ReadonlyMap<unknown, (fields: Fields) => string> = new Map<unknown, (fields: Fields) => string>([
+    ["notSent", fields => `did not reach ${text(fields, "upstream")}: ${text(fields, "detail")}; it did not run there`],
+    [
+        "rejected",
+        fields =>
+            `${text(fields, "upstream")} answered ${text(fields, "status")} and did not run it: ${
+                text(fields, "reason")
+            }`,
+    ],
+    [
+        "lost",
+        fields => `the answer of ${text(fields, "upstream")} was lost: ${text(fields, "detail")}; it may have run`,
+    ],
+    ["expired", fields => `${text(fields, "upstream")} had not ended it at the deadline; it may have run`],
+    ["callerGone", fields => `the caller left while it was at ${text(fields, "upstream")}`],
+]);
+
+function describeRefused(fields: Fields): string {
+    const promise = fields["outcome"] === "notRun" ? "it has not run" : "whether it ran is not known";
+    const retry = fields["retryAfterMs"] === undefined
+        ? ""
+        : `; the caller may return after ${text(fields, "retryAfterMs")} ms`;
+    return `refused with ${text(fields, "status")} ${text(fields, "kind")} (${promise}): ${
+        text(fields, "detail")
+    }${retry}`;
+}
+
+function describeServed(fields: Fields): string {
+    return `ended as "${text(fields, "result")}" after ${text(fields, "tookMs")} ms; route ${text(fields, "route")}`;
+}
+
+const sentences: Readonly<Partial<Record<LogEventName, (fields: Fields) => string>>> = {
+    requestSent: describeSent,
+    sendEnded: fields => outcomes.get(fields["outcome"])?.(fields) ?? `a send ended: ${text(fields, "outcome")}`,
+    requestRepeated: fields => `may be sent again: ${text(fields, "reason")}`,
+    requestRefused: describeRefused,
+    streamCut: fields => `its stream was broken off, so that it does not look complete: ${text(fields, "detail")}`,
+    requestServed: describeServed,
+    foreignAnswer: fields =>
+        `${text(fields, "upstream")} sent an answer to request ${text(fields, "answeredId")}; discarded`,
+    upstreamChanged: fields =>
+        `${text(fields, "upstream")} at ${text(fields, "address")}: ${text(fields, "change")}`
+        + (fields["isDraining"] === true ? ", it is draining" : ""),
+    orderSent: fields => `${text(fields, "engine")} was ordered to load weights version ${text(fields, "version")}`,
+    orderFailed: fields => `the order to ${text(fields, "engine")} failed: ${text(fields, "answer")}`,
+    loadEnded: fields => `loading of weights at ${text(fields, "engine")} ended: ${text(fields, "end")}`,
+    processPaused: fields => `the instance's process was paused for ${text(fields, "pausedMs")} ms`,
+    configurationInForce: fields => `configuration version ${text(fields, "version")} came into force`,
+    weightsNamed: fields => `weights version ${text(fields, "version")} of ${text(fields, "model")} were named`,
+};
+
+/**
+ * Describes a line for people.
+ *
+ * @param line - The line.
+ * @returns The sentence; an event without one of its own is told by its message and fields.
+ * @example
+ * describeLogLine(line); // "refused with 503 overloaded (it has not run): no upstream had room"
+ */
+export function describeLogLine(line: LogLine): string {
+    const name = names.get(line.code);
+    const describe = name === undefined ? undefined : sentences[name];
+    const before = line.fields["leftOut"] === undefined
+        ? ""
+        : ` [${text(line.fields, "leftOut")} lines of this event were left out before it]`;
+    return `${describe?.(line.fields) ?? `${line.message} ${JSON.stringify(line.fields)}`}${before}`;
+}
--- /dev/null
+++ b/src/core/why/explainRequest.ts
@@ -0,0 +1,89 @@
+/**
+ * @module
+ * Joins the log lines of several instances into the time line of one request.
+ */
+import { type LogEventName, logEventTable } from "../logEvents/logEventTable.js";
+import { describeLogLine } from "./describeLogLine.js";
+import type { LogLine } from "./parseLogLine.js";
+
+/** One entry of a time line. */
+export interface TimeLineEntry {
+    readonly timeMs: number;
+    /** Time since the request's first line, in milliseconds. */
+    readonly afterMs: number;
+    readonly instance: string;
+    readonly code: string;
+    readonly sentence: string;
+    /** Whether the line is about the request itself; else about what served it. */
+    readonly isOwn: boolean;
+}
+
+/** Time around a request within which changes of what served it are told, in milliseconds. */
+const contextMs = 1_000;
+
+const codeOf = (name: LogEventName) => logEventTable[name].code;
+
+/** Changes of an upstream. */
+const upstreamCodes: ReadonlySet<string> = new Set(
+    (["upstreamChanged", "orderSent", "orderFailed", "loadEnded"] as const).map(codeOf),
+);
+
+/** Changes of an instance and of what it depends on. */
+const instanceCodes: ReadonlySet<string> = new Set(
+    (["processPaused", "storeLost", "storeRegained", "configurationInForce", "weightsNamed"] as const).map(codeOf),
+);
+
+/**
+ * Tells whether a line may be part of some request's time line, so that a reader can pass over the rest.
+ *
+ * @param line - The line.
+ * @param requestId - Id of the request.
+ * @returns False for lines that never are.
+ * @example
+ * isTimeLineCandidate(line, "9c41d07be2a35f68");
+ */
+export function isTimeLineCandidate(line: LogLine, requestId: string): boolean {
+    return line.fields["requestId"] === requestId || upstreamCodes.has(line.code) || instanceCodes.has(line.code);
+}
+
+function listUpstreams(lines: readonly LogLine[]): ReadonlySet<unknown> {
+    return new Set(lines.map(line => line.fields["upstream"]).filter(upstream => upstream !== undefined));
+}
+
+/**
+ * Explains a request.
+ *
+ * @param lines - Lines of all instances, in any order.
+ * @param requestId - Id of the request.
+ * @returns The time line; empty when no line names the request.
+ * @example
+ * explainRequest(lines, "9c41d07be2a35f68").map(entry => entry.sentence);
+ */
+export function explainRequest(lines: readonly LogLine[], requestId: string): readonly TimeLineEntry[] {
+    const own = lines.filter(line => line.fields["requestId"] === requestId);
+    if (own.length === 0) {
+        return [];
+    }
+    const times = own.map(line => line.timeMs);
+    const [firstMs, lastMs] = [Math.min(...times), Math.max(...times)];
+    const upstreams = listUpstreams(own);
+    const instances = new Set(own.map(line => line.instance));
+
+    function isContext(line: LogLine): boolean {
+        const isNear = line.timeMs >= firstMs - contextMs && line.timeMs <= lastMs + contextMs;
+        const upstream = line.fields["upstream"] ?? line.fields["engine"];
+        const isOfUpstream = upstreamCodes.has(line.code) && upstreams.has(upstream);
+        return isNear && (isOfUpstream || (instanceCodes.has(line.code) && instances.has(line.instance)));
+    }
+
+    return [...own, ...lines.filter(line => !own.includes(line) && isContext(line))]
+        .toSorted((left, right) => left.timeMs - right.timeMs)
+        .map(line => ({
+            timeMs: line.timeMs,
+            afterMs: line.timeMs - firstMs,
+            instance: line.instance,
+            code: line.code,
+            sentence: describeLogLine(line),
+            isOwn: own.includes(line),
+        }));
+}
--- a/src/ctl/commandTypes.ts
+++ b/src/ctl/commandTypes.ts
@@ -21,6 +21,8 @@
     /** Whether to read back what the engines have loaded. */
     readonly state: boolean;
     readonly undo: boolean;
+    /** Log files of instances. */
+    readonly logs: readonly string[];
     /** Whether to show the use of the customers' limits. */
     readonly customers: boolean;
 }
--- a/src/ctl/commands/why.ts
+++ b/src/ctl/commands/why.ts
@@ -3,8 +3,10 @@
  * `reedwardctl why`: why a request went where it went.
  */
 import type { RequestReport } from "../../core/why/createReportRing.js";
+import { explainRequest, type TimeLineEntry } from "../../core/why/explainRequest.js";
 import { formatTable } from "../_lib/formatTable.js";
 import { readFleet } from "../_lib/readFleet.js";
+import { readLogs } from "../_lib/readLogs.js";
 import type { CommandResult, Invocation } from "../commandTypes.js";
 import { exitCodes } from "../exitCodes.js";
 
@@ -53,18 +55,41 @@
     ];
 }
 
+function reportNotFound(line: string): CommandResult {
+    return { exitCode: exitCodes.notFound, json: { outcome: "notFound", detail: line }, lines: [line] };
+}
+
+function formatEntry({ timeMs, afterMs, instance, code, sentence, isOwn }: TimeLineEntry): string {
+    const time = new Date(timeMs).toISOString().slice("2026-12-03T".length, -1);
+    return `${time} ${`+${afterMs} ms`.padStart(9)} ${code} ${instance}${isOwn ? "" : " (around it)"}: ${sentence}`;
+}
+
+/** Needs no instance, so that a request can be explained on a site whose instances take no operator's calls. */
+async function explainFromLogs(requestId: string, files: readonly string[]): Promise<CommandResult> {
+    const { lines, skipped } = await readLogs(files, requestId);
+    const timeLine = explainRequest(lines, requestId);
+    if (timeLine.length === 0) {
+        const passedOver = skipped === 0 ? "" : `; ${skipped} lines there are no events of reedward`;
+        return reportNotFound(`no line in ${files.join(", ")} names request ${requestId}${passedOver}`);
+    }
+    const json = { outcome: "done", requestId, skipped, timeLine };
+    return { exitCode: exitCodes.done, json, lines: timeLine.map(formatEntry) };
+}
+
 /**
  * Explains a request.
  *
  * @param invocation - The invocation; its operand is the request id that the answer carried.
- * @returns The report of the instance that served it.
+ * @returns The time line by the log files that were given; else the report of the instance that served it.
  */
 export async function why(invocation: Invocation): Promise<CommandResult> {
     const requestId = invocation.operands[0]!;
+    if (invocation.flags.logs.length > 0) {
+        return await explainFromLogs(requestId, invocation.flags.logs);
+    }
     const found = await findReport(requestId, invocation);
     if (found === undefined) {
-        const line = `no instance remembers request ${requestId}`;
-        return { exitCode: exitCodes.notFound, json: { outcome: "notFound", detail: line }, lines: [line] };
+        return reportNotFound(`no instance remembers request ${requestId}`);
     }
     return { exitCode: exitCodes.done, json: { outcome: "done", ...found }, lines: formatReport(found) };
 }
--- a/src/ctl/formatUsage.ts
+++ b/src/ctl/formatUsage.ts
@@ -31,6 +31,7 @@
         "  --role NAME              order role: the role.",
         "  --state                  upstreams: ask the engines what they have loaded.",
         "  --customers              status: show each customer's use of its limits over the whole fleet.",
+        "  --log FILE               why: join the lines of log files, one an instance, into a time line; asks no instance.",
         "  --undo                   drain: take the upstream back into routing.",
         "",
         "The operator secret is read from REEDWARD_OPERATOR_SECRET.",
--- a/src/ctl/parseInvocation.ts
+++ b/src/ctl/parseInvocation.ts
@@ -41,6 +41,7 @@
             state: { type: "boolean", default: false },
             undo: { type: "boolean", default: false },
             customers: { type: "boolean", default: false },
+            log: { type: "string", multiple: true, default: [] },
         },
     });
 }
@@ -83,6 +84,7 @@
             state: values.state,
             undo: values.undo,
             customers: values.customers,
+            logs: values.log,
         },
         isJson: values.json,
         address: values.address ?? environment["REEDWARD_ADDRESS"] ?? defaultAddress,
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -269,10 +269,13 @@
     }
 
     function refuseHead(res: ServerResponse, req: IncomingMessage, refusal: Refusal): void {
-        const requestId = "";
-        const status = errorTable[refusal.kind].status;
-        deps.onRefusal(refusal.kind);
-        deps.writeLog("requestRefused", { kind: refusal.kind, status, detail: refusal.detail, target: req.url });
+        const requestId = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders)
+            .map(head => head.id).unwrapOr("");
+        const { kind, detail } = refusal;
+        const { status, outcome } = errorTable[kind];
+        deps.onRefusal(kind);
+        const tableVersion = deps.routes()?.table.version;
+        deps.writeLog("requestRefused", { requestId, kind, status, outcome, detail, tableVersion, target: req.url });
         const mustClose = status === 400 || status === 413 || status === 431;
         const caller = createCallerExchange(res, { requestId, isClosing: () => mustClose || deps.isClosing() });
         caller.refuse(refusal);
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -3,14 +3,10 @@
  * Brings all engines to the newest weights while this instance holds the rollout lease.
  */
 import { runSteps } from "../../core/effects/runSteps.js";
-import type { FleetMember } from "../../core/fleet/createFleetView.js";
-import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import type { UpstreamUseAccount } from "../../core/placement/createUpstreamUse.js";
-import type { AppendResult, RecordStore } from "../../core/ports/recordStore.js";
 import type { UpstreamRegistry } from "../../core/registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../../core/registry/upstreamRecord.js";
-import type { Clock } from "../../core/time/clock.js";
-import { leaseValidMs, orderArrivalMs, type RolloutLease } from "../../core/weights/createRolloutLease.js";
+import { orderArrivalMs } from "../../core/weights/createRolloutLease.js";
 import type { NamedWeights, WeightsView } from "../../core/weights/createWeightsView.js";
 import {
     type EngineState,
@@ -21,6 +17,7 @@
     type OrderAnswer,
 } from "../../core/weights/loadWeights.js";
 import { planLoads } from "../../core/weights/planLoads.js";
+import { keepRolloutLease, type LeaseKeeperDependencies } from "./keepRolloutLease.js";
 
 /** An order to load weights. */
 export interface LoadOrder {
@@ -41,28 +38,16 @@
 }
 
 /** What the rollout needs. */
-export interface RolloutDependencies {
-    readonly clock: Clock;
-    readonly instance: string;
-    readonly store: RecordStore;
-    readonly leaseTopic: string;
-    readonly lease: RolloutLease;
+export interface RolloutDependencies extends Omit<LeaseKeeperDependencies, "workSinceMs"> {
     readonly registry: UpstreamRegistry;
     readonly weights: WeightsView;
     readonly use: UpstreamUseAccount;
     readonly engines: EngineOrders;
-    readonly listLive: () => readonly FleetMember[];
     readonly isLeaving: () => boolean;
-    /** Notices a pause of the process before anything that must not trust the time before it. */
-    readonly checkPause: () => void;
     /** Whether the store was read a short time ago. */
     readonly isStoreFresh: () => boolean;
-    /** Tells peers at once which engines load. */
-    readonly tellPeers: () => void;
     readonly onChange: () => void;
-    readonly writeLog: WriteLog;
     readonly onOrder: (answer: OrderAnswer) => void;
-    readonly onClaim: (result: AppendResult["kind"]) => void;
 }
 
 /** The rollout. */
@@ -79,12 +64,6 @@
 /** Interval at which work is looked for, in milliseconds. */
 const tickMs = 100;
 
-/** Part of the lease's validity that is left when it is renewed. */
-const renewShare = 0.5;
-
-/** Time for which another instance waits for the preferred one to begin, in milliseconds. */
-const stepInMs = 1_500;
-
 /** Time for which an engine that failed to load is left alone, in milliseconds. */
 const failedPauseMs = 600;
 
@@ -107,7 +86,8 @@
     let isStopped = false;
     let isTicking = false;
     let workSinceMs: number | undefined;
-    let renewal: Promise<boolean> | undefined;
+
+    const keepLease = keepRolloutLease({ ...deps, workSinceMs: () => workSinceMs });
 
     function listEngines(model: string): readonly UpstreamRecord[] {
         return deps.registry.list().filter(record =>
@@ -123,82 +103,6 @@
         return weights.listNamed().filter(named => listOutdated(named).length > 0);
     }
 
-    /** The last holder goes on; without it the instance whose name is first steps in, and after a while any other. */
-    function isPreferred(nowMs: number): boolean {
-        const live = deps.listLive().map(member => member.instance)
-            .filter(instance => instance.state === "serving");
-        const holder = lease.holder();
-        if (holder === deps.instance) {
-            return true;
-        }
-        const waitedMs = nowMs - (workSinceMs ?? nowMs);
-        if (waitedMs > stepInMs) {
-            const rank = live.filter(instance => instance.name < deps.instance).length;
-            return waitedMs > stepInMs + rank * tickMs;
-        }
-        if (holder !== undefined && live.some(instance => instance.name === holder)) {
-            return false;
-        }
-        return live.every(instance => instance.name > deps.instance);
-    }
-
-    async function learnClaims(): Promise<boolean> {
-        const read = await deps.store.readPlain(deps.leaseTopic, lease.end());
-        const nowMs = clock.now();
-        if (read.kind === "failed") {
-            return false;
-        }
-        if (read.kind === "truncated") {
-            lease.noteEnd(read.first, nowMs);
-            return false;
-        }
-        for (const record of read.records) {
-            lease.noteClaim({ instance: Buffer.from(record.value).toString(), offset: record.offset }, nowMs);
-        }
-        lease.noteEnd(read.end, nowMs);
-        return true;
-    }
-
-    async function claim(): Promise<void> {
-        const sentMs = clock.now();
-        const appended = await deps.store.appendAt(deps.leaseTopic, lease.end(), Buffer.from(deps.instance));
-        deps.onClaim(appended.kind);
-        if (appended.kind === "appended") {
-            lease.noteOwn(appended.offset, sentMs);
-            deps.writeLog("leaseTaken", { fence: appended.offset });
-            deps.tellPeers();
-        }
-        else {
-            deps.writeLog("leaseLost", { reason: appended.kind });
-            await learnClaims();
-        }
-    }
-
-    async function renewLease(): Promise<boolean> {
-        const nowMs = clock.now();
-        if (lease.fence(nowMs) !== undefined && lease.remainingMs(nowMs) > leaseValidMs * renewShare) {
-            return true;
-        }
-        const mustClaim = lease.fence(nowMs) === undefined;
-        // The store is asked only when, by what peers tell, nobody can hold the lease.
-        if (mustClaim && (!isPreferred(nowMs) || !lease.isFree(nowMs) || !await learnClaims())) {
-            return false;
-        }
-        if (lease.isFree(clock.now())) {
-            await claim();
-        }
-        return lease.fence(clock.now()) !== undefined;
-    }
-
-    /** Makes sure that the lease is held with enough time left; loads that ask at once share one append. */
-    function keepLease(): Promise<boolean> {
-        deps.checkPause();
-        renewal ??= renewLease().finally(() => {
-            renewal = undefined;
-        });
-        return renewal;
-    }
-
     async function order(engine: UpstreamRecord, named: NamedWeights, expectedOrders: number): Promise<OrderAnswer> {
         if (!await keepLease()) {
             return "unheld";
