--- a/src/io/parts/followPartEvents.ts
+++ b/src/io/parts/followPartEvents.ts
@@ -61,6 +61,9 @@
 /** Pause after events, so that more come together, in milliseconds. */
 const pauseMs = 120;
 
+/** Least time between two lists of one holder, which hold up its work, in milliseconds. */
+const listPauseMs = 3_000;
+
 /** Pause after a failed read or while another instance reads, in milliseconds. */
 const idlePauseMs = 500;
 
@@ -77,6 +80,7 @@
     let since = 0;
     /** Whether the events that were read say all that the holder keeps. */
     let isComplete = !holder.isListed;
+    let listAfterMs = -Infinity;
 
     const pause = (delayMs: number) => new Promise<void>(resolve => clock.after(delayMs, resolve));
 
@@ -121,7 +125,8 @@
         if (result.kind === "events") {
             take(result);
         }
-        if (result.kind === "events" && !isComplete) {
+        if (result.kind === "events" && !isComplete && clock.now() >= listAfterMs) {
+            listAfterMs = clock.now() + listPauseMs;
             await listAll();
         }
         await pause(result.kind === "events" ? pauseMs : idlePauseMs);
