Assemble the customers' limits in a module of their own

Change: assembleLimits; keepFor, keepWhileSame, keepEqualLists and rankMembers are public functions; the ranking for orders and that for standbys are one.

--- /dev/null
+++ b/src/assemble/assembleLimits.ts
@@ -0,0 +1,204 @@
+/**
+ * @module
+ * Assembles the customers' limits: seats on the log, loans between instances, and seats that others keep meanwhile.
+ */
+import { randomUUID } from "node:crypto";
+import { keepFor } from "../core/_lib/keepFor.js";
+import { keepWhileSame } from "../core/_lib/keepWhileSame.js";
+import { type Catalogue, findEntry, listEntries } from "../core/catalogue/catalogue.js";
+import type { RestartSlot } from "../core/lifecycle/restartSlot.js";
+import type { Admission } from "../core/limits/admissionTypes.js";
+import { createLimits, type Limits } from "../core/limits/createLimits.js";
+import type { HandedSeat } from "../core/limits/createSeatCustody.js";
+import type { SeatOwner } from "../core/limits/createSeatHolding.js";
+import { homeCustomersLifetimeMs } from "../core/limits/limitConstants.js";
+import { decodeLoanAnswer, decodeLoanRequest, encodeLoanAnswer, encodeLoanRequest } from "../core/limits/loanCodec.js";
+import { decodeSeatLedger, encodeSeatLedger } from "../core/limits/seatSnapshot.js";
+import type { LoanAnswer, LoanRequest } from "../core/limits/shareTypes.js";
+import type { WriteLog } from "../core/logEvents/logEventTable.js";
+import type { MembershipView } from "../core/membership/memberTypes.js";
+import { rankMembers } from "../core/membership/rankMembers.js";
+import type { LogPort } from "../core/ports/logPort.js";
+import type { Clock } from "../core/time/clock.js";
+import { followSeats } from "../io/limits/followSeats.js";
+import { handSeatsOver } from "../io/limits/handSeatsOver.js";
+import type { LimitsService } from "../io/limits/limitsRouter.js";
+import type { PeerClient, PeerClients } from "../io/peers/createPeerClient.js";
+
+/** What the limits need of an instance. */
+export interface LimitsContext {
+    readonly instance: string;
+    readonly log: LogPort | undefined;
+    readonly clock: Clock;
+    readonly writeLog: WriteLog;
+    readonly catalogue: () => Catalogue;
+    readonly isCatalogueLoaded: () => boolean;
+    readonly membership: () => MembershipView;
+    readonly peers: PeerClients;
+}
+
+/** The limits of an instance. */
+export interface AssembledLimits {
+    readonly admission: Admission;
+    /** Answers peers. */
+    readonly service: LimitsService;
+    /** What a restarted instance takes from a peer. */
+    readonly restartSlot: RestartSlot;
+    /** Whether an instance that starts has its seats, or cannot have them. */
+    readonly isSettled: () => boolean;
+    readonly start: () => void;
+    /** Plans seats soon, out of turn: the fleet's members have changed. */
+    readonly reviewSeats: () => void;
+    /** Ends the rounds in which seats and loans are asked for. */
+    readonly stopRounds: () => void;
+    /** Gives up every seat, on the log or else to standbys. */
+    readonly stop: () => Promise<void>;
+}
+
+/** Greatest age of the view of the fleet that is used, in milliseconds. */
+const viewAgeMs = 1_000;
+
+/** Factor by which the instances together may pass the engines' slots, as demand is seldom equal on all. */
+const slotOvercommit = 4;
+
+/**
+ * Assembles the limits; nothing runs before the start.
+ *
+ * @param context - The instance.
+ * @returns The limits.
+ */
+export function assembleLimits(context: LimitsContext): AssembledLimits {
+    const { instance, log, clock, writeLog, catalogue, membership } = context;
+    let limits: Limits | undefined;
+
+    const listLiving = keepFor(
+        viewAgeMs,
+        clock.now,
+        () => new Set(membership().members.filter(member => member.state !== "dead").map(member => member.instance)),
+    );
+
+    /** Client of an instance that is not believed to be dead. */
+    function connect(other: string): PeerClient | undefined {
+        const member = membership().members.find(one => one.instance === other && one.state !== "dead");
+        return member === undefined ? undefined : context.peers.connect(member.peerAddress);
+    }
+
+    const seats = followSeats({
+        log,
+        clock,
+        random: Math.random,
+        keeper: () => limits!.keeper,
+        handOver: ended =>
+            handSeatsOver(ended, {
+                connect,
+                onHandedOver: outcome => writeLog("seatsHandedOver", outcome),
+                onLost: lost => writeLog("seatsLost", { seats: lost }),
+            }),
+    });
+
+    /** A question that gets no answer is asked again in the next round. */
+    function askStandby(
+        standby: string,
+        claimant: SeatOwner,
+        onAnswer: (seats: readonly HandedSeat[]) => void,
+    ): void {
+        connect(standby)?.limits.returnSeats.mutate(claimant).then(handed => {
+            if (handed !== undefined) {
+                onAnswer(handed);
+            }
+        }).catch(() => undefined);
+    }
+
+    /** A request that gets no answer is repeated by a later round. */
+    function sendLoanRequest(lender: string, req: LoanRequest, onAnswer: (answer: LoanAnswer) => void): void {
+        connect(lender)?.limits.borrow.mutate(encodeLoanRequest(req)).then(payload => {
+            const answer = payload === undefined ? undefined : decodeLoanAnswer(payload, req);
+            if (answer !== undefined) {
+                onAnswer(answer);
+            }
+        }).catch(() => undefined);
+    }
+
+    function answerLoanRequest(payload: string): string | undefined {
+        const req = decodeLoanRequest(payload);
+        const answer = req === undefined ? undefined : limits?.answerLoan(req);
+        return answer === undefined ? undefined : encodeLoanAnswer(answer);
+    }
+
+    const countAlive = () => membership().members.filter(member => member.state === "alive").length;
+
+    function countSlots(): number {
+        const engines = listEntries(catalogue(), "upstream").filter(one => one.role === "engine" && !one.leaving);
+        const slots = engines.reduce((sum, one) => sum + one.slots, 0);
+        return Math.max(1, Math.ceil((slots * slotOvercommit) / Math.max(1, countAlive())));
+    }
+
+    function chooseHomeCustomers(): readonly string[] {
+        const customers = listEntries(catalogue(), "customer").map(customer => customer.id);
+        return customers.filter(customer => rankMembers(membership().members, customer)[0] === instance);
+    }
+
+    /** Ranking every customer takes long in a large fleet: the choice is kept for a while under one catalogue. */
+    const keptChoice = keepWhileSame(
+        catalogue,
+        () => keepFor(homeCustomersLifetimeMs, clock.now, chooseHomeCustomers),
+    );
+
+    /** Each instance has other standbys, so that the fleet shares the work of one that leaves. */
+    function rankStandbys(): readonly string[] {
+        return rankMembers(membership().members, `standbys of ${instance}`).filter(other => other !== instance);
+    }
+
+    function start(): void {
+        limits = createLimits({
+            clock,
+            instance,
+            incarnation: randomUUID(),
+            findLimits: customer => findEntry(catalogue(), "customer", customer)?.limits,
+            countAlive,
+            countSlots,
+            preset: () => findEntry(catalogue(), "policy", "policy")?.preset ?? "lectura",
+            random: Math.random,
+            sendLoanRequest,
+            isAlive: other => listLiving().has(other),
+            rankStandbys,
+            listHomeCustomers: () => context.isCatalogueLoaded() ? keptChoice("")() : [],
+            isLogUp: seats.isLogUp,
+            appendRecord: seats.append,
+            askStandby,
+        });
+        seats.start();
+    }
+
+    function adoptLedger(payload: string): void {
+        const ledger = decodeSeatLedger(payload);
+        if (ledger !== undefined && limits !== undefined) {
+            seats.adopt(ledger);
+        }
+    }
+
+    return {
+        admission: {
+            admit: (req, decide) => limits!.admission.admit(req, decide),
+            cancel: requestId => limits?.admission.cancel(requestId),
+            settle: (requestId, used) => limits?.admission.settle(requestId, used),
+        },
+        service: {
+            borrow: answerLoanRequest,
+            listUse: () => limits?.listUse() ?? [],
+            readCustodyClock: () => limits?.keeper.custody.readClock(),
+            takeSeats: handover => limits?.keeper.custody.accept(handover) ?? false,
+            returnSeats: claimant => limits?.keeper.custody.giveBack(claimant),
+        },
+        restartSlot: {
+            name: "limits",
+            collect: () => limits === undefined ? undefined : encodeSeatLedger(limits.keeper.ledger()),
+            adopt: adoptLedger,
+        },
+        isSettled: seats.isSettled,
+        start,
+        reviewSeats: () => limits?.reviewSeats(),
+        stopRounds: () => limits?.stop(),
+        stop: seats.stop,
+    };
+}
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -6,3 +6,4 @@
 export * from "./memberTypes.js";
 export * from "./peerAttachment.js";
 export * from "./peerMessages.js";
+export * from "./rankMembers.js";
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -5,7 +5,11 @@
 import { randomUUID } from "node:crypto";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { assembleLimits } from "./assemble/assembleLimits.js";
 import { hashText } from "./core/_lib/hashText.js";
+import { keepEqualLists } from "./core/_lib/keepEqualLists.js";
+import { keepFor } from "./core/_lib/keepFor.js";
+import { keepWhileSame } from "./core/_lib/keepWhileSame.js";
 import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
 import { adoptHintDigest } from "./core/cache/adoptHintDigest.js";
 import { createCacheView } from "./core/cache/createCacheView.js";
@@ -21,16 +25,9 @@
 import type { Refusal } from "./core/errors/createRefusal.js";
 import { createLifecycle } from "./core/lifecycle/createLifecycle.js";
 import type { RestartPart, RestartSlot } from "./core/lifecycle/restartSlot.js";
-import type { Admission } from "./core/limits/admissionTypes.js";
-import { createLimits, type Limits } from "./core/limits/createLimits.js";
-import type { HandedSeat } from "./core/limits/createSeatCustody.js";
-import type { SeatOwner } from "./core/limits/createSeatHolding.js";
-import { homeCustomersLifetimeMs } from "./core/limits/limitConstants.js";
-import { decodeLoanAnswer, decodeLoanRequest, encodeLoanAnswer, encodeLoanRequest } from "./core/limits/loanCodec.js";
-import { decodeSeatLedger, encodeSeatLedger } from "./core/limits/seatSnapshot.js";
-import type { LoanAnswer, LoanRequest } from "./core/limits/shareTypes.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
+import { rankMembers } from "./core/membership/rankMembers.js";
 import { hasOrderWork } from "./core/orders/hasOrderWork.js";
 import { routeToVersion } from "./core/orders/routeToVersion.js";
 import { chooseWeightsVersion } from "./core/orders/weightsVersions.js";
@@ -56,8 +53,6 @@
 import { createExchange, type Exchange } from "./io/http/createExchange.js";
 import { trackConnections } from "./io/lifecycle/trackConnections.js";
 import { type EngineWatch, watchEngineLeaves } from "./io/lifecycle/watchEngineLeaves.js";
-import { followSeats } from "./io/limits/followSeats.js";
-import { handSeatsOver } from "./io/limits/handSeatsOver.js";
 import { readCustomerUse } from "./io/limits/readCustomerUse.js";
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
@@ -65,7 +60,7 @@
 import { keepLease } from "./io/orders/keepLease.js";
 import { readWeightStore } from "./io/orders/readWeightStore.js";
 import { runOrders } from "./io/orders/runOrders.js";
-import { createPeerClients, type PeerClient } from "./io/peers/createPeerClient.js";
+import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
 import { createPeerTransport } from "./io/peers/createPeerTransport.js";
 import { followInstanceList } from "./io/peers/followInstanceList.js";
@@ -126,59 +121,12 @@
 
 /** Milliseconds after its last request for which an engine is polled. */
 const usedForMs = 60_000;
-/** Factor by which the instances together may pass the engines' slots, as demand is seldom equal on all. */
-const slotOvercommit = 4;
-
 /** Largest answer that is collected whole, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
 /** Retries that repeat work: a fifth of traffic, and a reserve for failures that strike many requests at once. */
 const retryBudgetOptions = { share: 0.2, reserve: 100 } as const;
 
-/** Reads again only when the last result is older than `lifetimeMs`. */
-function keepFor<T>(lifetimeMs: number, now: () => number, read: () => T): () => T {
-    let kept: { readonly value: T; readonly atMs: number; } | undefined;
-    return () => {
-        if (kept === undefined || now() - kept.atMs > lifetimeMs) {
-            kept = { value: read(), atMs: now() };
-        }
-        return kept.value;
-    };
-}
-
-/** Gives the same array again as long as a list has the same items, so that what is derived from it can be kept. */
-function keepEqualLists<T>(read: (key: string) => readonly T[]): (key: string) => readonly T[] {
-    const kept = new Map<string, readonly T[]>();
-    return key => {
-        const list = read(key);
-        const last = kept.get(key);
-        if (last?.length === list.length && last.every((item, index) => item === list[index])) {
-            return last;
-        }
-        kept.set(key, list);
-        return list;
-    };
-}
-
-/** Keeps the results of `read` as long as `version` stays the same object. */
-function keepWhileSame<T>(version: () => object, read: (key: string) => T): (key: string) => T {
-    let kept = new Map<string, T>();
-    let keptFor: object | undefined;
-    return key => {
-        const current = version();
-        if (current !== keptFor) {
-            kept = new Map();
-            keptFor = current;
-        }
-        let value = kept.get(key);
-        if (value === undefined) {
-            value = read(key);
-            kept.set(key, value);
-        }
-        return value;
-    };
-}
-
 function listUpstreams(catalogue: Catalogue, role: Upstream["role"], id: string): readonly Upstream[] {
     return listEntries(catalogue, "upstream").filter(one => one.role === role && one.serves.includes(id));
 }
@@ -269,7 +217,6 @@
     let fleet: Membership | undefined;
     let instanceList: ReturnType<typeof followInstanceList> | undefined;
     let restart: ReturnType<typeof takeRestartState> | undefined;
-    let limits: Limits | undefined;
 
     const leaves = createUpstreamLeaves({
         clock,
@@ -278,32 +225,28 @@
     });
     /** Subjects whose payloads ride on the messages between peers. */
     const peerAttachments: readonly PeerAttachment[] = [leaves.attachment];
-    /** Subjects whose state a restarted instance takes from a peer. */
-    const restartSlots: readonly RestartSlot[] = [{
-        name: "hints",
-        collect: () => createHintDigest(cacheView, clock.now(), hintDigestBytes),
-        adopt: payload => adoptHintDigest(cacheView, payload, clock.now()),
-    }, {
-        name: "limits",
-        collect: () => limits === undefined ? undefined : encodeSeatLedger(limits.keeper.ledger()),
-        adopt: payload => {
-            const ledger = decodeSeatLedger(payload);
-            if (ledger !== undefined && limits !== undefined) {
-                seats.adopt(ledger);
-            }
-        },
-    }];
-
     const catalogue = () => follower!.current();
     const membership = () => fleet!.view();
     /** The view of the fleet, at most a second old: routing reads it at every request. */
     const recentMembership = keepFor(viewAgeMs, clock.now, membership);
-    const listLiving = keepFor(
-        viewAgeMs,
-        clock.now,
-        () => new Set(membership().members.filter(member => member.state !== "dead").map(member => member.instance)),
-    );
     const isCatalogueLoaded = () => follower?.isLoaded() ?? false;
+    const limits = assembleLimits({
+        instance: settings.instance,
+        log,
+        clock,
+        writeLog,
+        catalogue,
+        isCatalogueLoaded,
+        membership,
+        peers,
+    });
+
+    /** Subjects whose state a restarted instance takes from a peer. */
+    const restartSlots: readonly RestartSlot[] = [{
+        name: "hints",
+        collect: () => createHintDigest(cacheView, clock.now(), hintDigestBytes),
+        adopt: payload => adoptHintDigest(cacheView, payload, clock.now()),
+    }, limits.restartSlot];
 
     const listByRole = {
         engine: keepWhileSame(catalogue, id => listUpstreams(catalogue(), "engine", id)),
@@ -314,23 +257,6 @@
         return leaves.selectServing(listByRole[role](id));
     }
 
-    const seats = followSeats({
-        log,
-        clock,
-        random: Math.random,
-        keeper: () => limits!.keeper,
-        handOver: ended =>
-            handSeatsOver(ended, {
-                connect: connectInstance,
-                onHandedOver: outcome => writeLog("seatsHandedOver", outcome),
-                onLost: lost => writeLog("seatsLost", { seats: lost }),
-            }),
-    });
-    const admission: Admission = {
-        admit: (req, decide) => limits!.admission.admit(req, decide),
-        cancel: requestId => limits?.admission.cancel(requestId),
-        settle: (requestId, used) => limits?.admission.settle(requestId, used),
-    };
     const listCandidates = keepEqualLists(model => listServing(model, "engine"));
     const findPeers = keepWhileSame(recentMembership, customer => findHintPeers(recentMembership(), customer));
     const readSpread = keepWhileSame(recentMembership, () => {
@@ -357,6 +283,7 @@
         random: Math.random,
     });
     const { cancelStream } = engines;
+    const { admission } = limits;
     const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
 
     function noteEnd(kind: string, exchange: Exchange, arrivedMs: number, result: string, customer: string): void {
@@ -469,7 +396,7 @@
     });
     const isReady = () =>
         !isStopping && (lifecycle.state() === "starting" || lifecycle.state() === "serving")
-        && isCatalogueLoaded() && (restart?.isSettled() ?? false) && seats.isSettled();
+        && isCatalogueLoaded() && (restart?.isSettled() ?? false) && limits.isSettled();
 
     function noteIfReady(): void {
         if (isReady()) {
@@ -497,13 +424,7 @@
             relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
             listMembers: () => membership().members,
             noteHints: payload => adoptHintDigest(cacheView, payload, clock.now()),
-            limits: {
-                borrow: answerLoanRequest,
-                listUse: () => limits?.listUse() ?? [],
-                readCustodyClock: () => limits?.keeper.custody.readClock(),
-                takeSeats: handover => limits?.keeper.custody.accept(handover) ?? false,
-                returnSeats: claimant => limits?.keeper.custody.giveBack(claimant),
-            },
+            limits: limits.service,
             exchange: () => ({
                 catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
                 members: membership().members,
@@ -528,7 +449,7 @@
                     members: () => membership().members,
                     instance: settings.instance,
                     clients: peers,
-                    listOwnUse: () => limits?.listUse() ?? [],
+                    listOwnUse: limits.service.listUse,
                 }),
         }),
         {
@@ -538,100 +459,10 @@
         },
     );
 
-    function answerLoanRequest(payload: string): string | undefined {
-        const req = decodeLoanRequest(payload);
-        const answer = req === undefined ? undefined : limits?.answerLoan(req);
-        return answer === undefined ? undefined : encodeLoanAnswer(answer);
-    }
-
-    /** Client of an instance that is not believed to be dead. */
-    function connectInstance(instance: string): PeerClient | undefined {
-        const member = membership().members.find(one => one.instance === instance && one.state !== "dead");
-        return member === undefined ? undefined : peers.connect(member.peerAddress);
-    }
-
-    /** A question that gets no answer is asked again in the next round. */
-    function askStandby(
-        standby: string,
-        claimant: SeatOwner,
-        onAnswer: (seats: readonly HandedSeat[]) => void,
-    ): void {
-        connectInstance(standby)?.limits.returnSeats.mutate(claimant).then(seats => {
-            if (seats !== undefined) {
-                onAnswer(seats);
-            }
-        }).catch(() => undefined);
-    }
-
-    /** A request that gets no answer is repeated by a later round. */
-    function sendLoanRequest(lender: string, req: LoanRequest, onAnswer: (answer: LoanAnswer) => void): void {
-        connectInstance(lender)?.limits.borrow.mutate(encodeLoanRequest(req)).then(payload => {
-            const answer = payload === undefined ? undefined : decodeLoanAnswer(payload, req);
-            if (answer !== undefined) {
-                onAnswer(answer);
-            }
-        }).catch(() => undefined);
-    }
-
-    const countAlive = () => membership().members.filter(member => member.state === "alive").length;
-
-    function countSlots(): number {
-        const engines = listEntries(catalogue(), "upstream").filter(one => one.role === "engine" && !one.leaving);
-        const slots = engines.reduce((sum, one) => sum + one.slots, 0);
-        return Math.max(1, Math.ceil((slots * slotOvercommit) / Math.max(1, countAlive())));
-    }
-
-    function startLimits(): void {
-        limits = createLimits({
-            clock,
-            instance: settings.instance,
-            incarnation: randomUUID(),
-            findLimits: customer => findEntry(catalogue(), "customer", customer)?.limits,
-            countAlive,
-            countSlots,
-            preset: () => findEntry(catalogue(), "policy", "policy")?.preset ?? "lectura",
-            random: Math.random,
-            sendLoanRequest,
-            isAlive: instance => listLiving().has(instance),
-            rankStandbys,
-            listHomeCustomers,
-            isLogUp: seats.isLogUp,
-            appendRecord: seats.append,
-            askStandby,
-        });
-        seats.start();
-    }
-
-    /** Living instances in the order of their scores for a subject. */
-    function rankInstances(subject: string): readonly string[] {
-        const key = hashText(subject);
-        const living = membership().members.filter(member => member.state === "alive");
-        return living.map(({ instance }) => ({ instance, score: scoreRendezvous(key, instance) }))
-            .sort((left, right) => left.score > right.score ? -1 : 1)
-            .map(({ instance }) => instance);
-    }
-
-    const chooseHomeCustomers = keepWhileSame(
-        catalogue,
-        () =>
-            keepFor(
-                homeCustomersLifetimeMs,
-                clock.now,
-                () =>
-                    listEntries(catalogue(), "customer").map(customer => customer.id)
-                        .filter(customer => rankInstances(customer)[0] === settings.instance),
-            ),
-    );
-    const listHomeCustomers = () => isCatalogueLoaded() ? chooseHomeCustomers("")() : [];
-
     /** Few instances contend for the lease, so that the log is not read by all while there is work. */
     function isContender(): boolean {
-        return !isStopping && rankInstances("orders").slice(0, leaseContenders).includes(settings.instance);
-    }
-
-    /** Each instance has other standbys, so that the fleet shares the work of one that leaves. */
-    function rankStandbys(): readonly string[] {
-        return rankInstances(`standbys of ${settings.instance}`).filter(one => one !== settings.instance);
+        return !isStopping
+            && rankMembers(membership().members, "orders").slice(0, leaseContenders).includes(settings.instance);
     }
 
     function startOrders(loaded: CatalogueFollower): void {
@@ -743,7 +574,7 @@
             });
         }
         startOrders(loaded);
-        startLimits();
+        limits.start();
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
@@ -785,7 +616,7 @@
             onEvent: event => {
                 metrics.membershipEvents.inc({ event: event.kind });
                 if (event.kind === "changed") {
-                    limits?.reviewSeats();
+                    limits.reviewSeats();
                     const { instance, incarnation, state } = event.member;
                     writeLog("memberChanged", { member: instance, incarnation, state });
                 }
@@ -817,7 +648,7 @@
         isStopping = true;
         writeLog("stopping");
         restart?.stop();
-        limits?.stop();
+        limits.stopRounds();
         instanceList?.stop();
         engineWatch?.stop();
         fleet?.stop();
@@ -832,7 +663,7 @@
             server.close();
             server.closeAllConnections();
         }
-        await seats.stop();
+        await limits.stop();
         await Promise.all([upstreams.close(), peers.close(), json.close()]);
         writeLog("stopped");
     }
