Say in a refusal why the request was not sent again

Cause: of six failed requests explained from the log, one was refused after a single rejection and the log did not tell that the service's repeats were used up.

Ruled out: the bound on sends and the route's attempts, which the log showed not to be reached.

Change: the obstacle (sends, runs that the route allows, repeats used up) is found once and joined to the refusal's detail.

Figures: a scenario that failed before passes; no behaviour of requests changes.

--- a/features/proxyRequest.feature
+++ b/features/proxyRequest.feature
@@ -32,6 +32,12 @@
         When a "idempotent" request meets "lost answered"
         Then it is sent 1 times and ends as "outcomeUnknown"
 
+    Scenario: A refusal says why nothing was sent again
+        Given the retry budget is used up
+        When a "nonIdempotent" request meets "busy"
+        Then it is sent 1 times and ends as "upstreamNotReached"
+        And its refusal says "the repeats of its service are used up"
+
     Scenario: No place after a send that may have run does not mean "not run"
         Given no upstream has room after the first send
         When a "idempotent" request meets "lost"
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -37,6 +37,8 @@
     readonly used: readonly OutcomeName[];
     /** Refusal's kind, "answer STATUS", "cut", or the last outcome when nothing was left to be said. */
     readonly end: string;
+    /** What the refusal says to people; empty without one. */
+    readonly detail: string;
 }
 
 interface Conditions {
@@ -86,12 +88,14 @@
     const sends: SendEffect[] = [];
     const used: OutcomeName[] = [];
     let end: string | undefined;
+    let detail = "";
     let places = 0;
     const steps = serveProxyRequest(req, { takeRepeat: () => given.hasBudget, onRepeat: () => undefined });
     let turn = steps.next();
     while (turn.done !== true) {
         const effect = turn.value;
         end = describeEnd(effect) ?? end;
+        detail = effect.kind === "refuse" ? effect.refusal.detail : detail;
         if (effect.kind === "place") {
             places += 1;
             const upstream = createRecord({ id: `u-${places}` });
@@ -119,7 +123,7 @@
         }
         turn = steps.next(undefined);
     }
-    return { sends, used, end: end ?? used.at(-1) ?? "nothing" };
+    return { sends, used, end: end ?? used.at(-1) ?? "nothing", detail };
 }
 
 Given("the retry budget is used up", function(this: SiteWorld) {
@@ -140,6 +144,10 @@
     assert.deepEqual({ sends: run?.sends.length, end: run?.end }, { sends, end });
 });
 
+Then("its refusal says {string}", function(this: SiteWorld, reason: string) {
+    assert.ok(runs.get(this)?.detail.includes(reason), runs.get(this)?.detail);
+});
+
 Then("the second send goes on behind event {string}", function(this: SiteWorld, id: string) {
     assert.equal(runs.get(this)?.sends[1]?.lastEventId, id);
 });
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -69,34 +69,43 @@
     }
 }
 
-function mayRepeat(
+/** Why a request is not sent again; undefined when it may be. */
+function findRepeatObstacle(
     req: ProxyRequest,
     history: SendHistory,
     reason: RepeatReason,
     deps: ServeProxyDependencies,
-): boolean {
-    if (history.sends >= maxSends || history.possibleRuns >= req.route.attempts) {
-        return false;
+): string | undefined {
+    if (history.sends >= maxSends) {
+        return `it was sent ${history.sends} times`;
+    }
+    if (history.possibleRuns >= req.route.attempts) {
+        return `its route allows ${req.route.attempts} runs`;
     }
     // A request that no upstream has received does not count as a repeat there.
-    return reason === "notSent" || deps.takeRepeat(req.service);
+    return reason === "notSent" || deps.takeRepeat(req.service) ? undefined : "the repeats of its service are used up";
+}
+
+/** Joins what was wrong with why the request is not sent again. */
+function joinDetails(detail: string, obstacle: string | undefined): string {
+    return [detail, obstacle].filter(part => part !== undefined && part !== "").join("; ");
 }
 
 /** The refusal that is true after all sends. */
-function describeEnd(history: SendHistory, outcome: SendOutcome): Refusal {
+function describeEnd(history: SendHistory, outcome: SendOutcome, obstacle: string | undefined): Refusal {
     if (outcome.kind === "expired") {
         return createRefusal("deadlineExceeded", "the upstream had not answered");
     }
     if (history.possibleRuns > 0) {
-        return createRefusal("outcomeUnknown", outcome.kind === "lost" ? outcome.detail : "");
+        return createRefusal("outcomeUnknown", joinDetails(outcome.kind === "lost" ? outcome.detail : "", obstacle));
     }
     if (outcome.kind === "rejected") {
-        const detail = `the upstream answered ${outcome.status}`;
+        const detail = joinDetails(`the upstream answered ${outcome.status}`, obstacle);
         return createRefusal("upstreamNotReached", detail, {
             retryAfterMs: outcome.retryAfterMs ?? defaultRetryAfterMs,
         });
     }
-    const detail = outcome.kind === "notSent" ? outcome.detail : "";
+    const detail = joinDetails(outcome.kind === "notSent" ? outcome.detail : "", obstacle);
     return createRefusal("upstreamNotReached", detail, { retryAfterMs: defaultRetryAfterMs });
 }
 
@@ -111,7 +120,7 @@
     };
 }
 
-function* end(history: SendHistory, outcome: SendOutcome): ProxySteps<void> {
+function* end(history: SendHistory, outcome: SendOutcome, obstacle?: string): ProxySteps<void> {
     if (outcome.kind === "answered") {
         yield* performProxy({ kind: "answer", answer: outcome.answer });
         return;
@@ -120,7 +129,7 @@
         yield* performProxy({ kind: "cut", detail: outcome.kind });
         return;
     }
-    yield* performProxy({ kind: "refuse", refusal: describeEnd(history, outcome) });
+    yield* performProxy({ kind: "refuse", refusal: describeEnd(history, outcome, obstacle) });
 }
 
 /** A refusal to place says "not run", which is true only if no send may have run. */
@@ -168,8 +177,9 @@
             return;
         }
         const reason = findRepeatReason(req, last);
-        if (reason === undefined || !mayRepeat(req, history, reason, deps)) {
-            yield* end(history, last);
+        const obstacle = reason === undefined ? undefined : findRepeatObstacle(req, history, reason, deps);
+        if (reason === undefined || obstacle !== undefined) {
+            yield* end(history, last, obstacle);
             return;
         }
         deps.onRepeat(reason);
