Count room that peers have probably taken since their last news

Cause: instances tell their use every 0.3 s.

Change: an instance takes it that each peer has placed as much memory at an engine within a heartbeat as it has itself. Plain services and the choice among engines with room are as before.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -53,6 +53,11 @@
         Given engines "u-1" that run nothing
         Then a request with 10 ms left is refused as "deadlineTooShort"
 
+    Scenario: Instances that place by late news of each other do not overfill an engine
+        Given 8 instances that tell each other their use every 300 ms
+        When each of them places a request every 20 ms at one engine that all see empty
+        Then the engine's memory is not taken more than once before the news arrives
+
     Scenario: The most urgent request is placed first
         Given engines "u-1" that run nothing
         When requests are placed until one waits
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -5,6 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { choosePlacement } from "../../src/core/placement/choosePlacement.js";
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
 import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
@@ -236,3 +237,60 @@
     ];
     assert.ok(lastJoined < before);
 });
+
+/** Instances that place at one engine, each with its own account of work. */
+interface LateNewsScene {
+    readonly count: number;
+    readonly newsMs: number;
+    /** Memory taken at the engine when the first news arrives, in tokens. */
+    takenTokens: number;
+}
+
+const lateNews = new WeakMap<SiteWorld, LateNewsScene>();
+const lateNewsOwnTokens = 1_020;
+const lateNewsEngineTokens = 60_000;
+
+Given(
+    "{int} instances that tell each other their use every {int} ms",
+    function(this: SiteWorld, count: number, newsMs: number) {
+        lateNews.set(this, { count, newsMs, takenTokens: 0 });
+    },
+);
+
+When(
+    "each of them places a request every {int} ms at one engine that all see empty",
+    function(this: SiteWorld, spacingMs: number) {
+        const scene = lateNews.get(this)!;
+        const accounts = Array.from({ length: scene.count }, () => createUpstreamUse());
+        for (const account of accounts) {
+            accounts.filter(other => other !== account).forEach((_, index) => account.takePeer(`peer-${index}`, []));
+        }
+        for (let nowMs = 0; nowMs < scene.newsMs; nowMs += spacingMs) {
+            for (const [index, account] of accounts.entries()) {
+                const chosen = choosePlacement([{
+                    id: "e-1",
+                    use: account.read("e-1"),
+                    unseenTokens: account.readUnseenTokens("e-1", nowMs),
+                    slots: 1_000,
+                    memoryTokens: lateNewsEngineTokens,
+                    missingTokens: lateNewsOwnTokens,
+                    neededTokens: lateNewsOwnTokens,
+                    isOutdated: false,
+                    isNear: true,
+                }]);
+                if (chosen !== undefined) {
+                    const shared = { sharedKey: "k", sharedTokens: 0, unreadTokens: lateNewsOwnTokens };
+                    const placed = { upstream: "e-1", ownTokens: lateNewsOwnTokens, ...shared };
+                    account.begin(`${index}-${nowMs}`, placed, nowMs);
+                    scene.takenTokens += lateNewsOwnTokens;
+                }
+            }
+        }
+    },
+);
+
+Then("the engine's memory is not taken more than once before the news arrives", function(this: SiteWorld) {
+    const { takenTokens } = lateNews.get(this)!;
+    assert.ok(takenTokens > 0);
+    assert.ok(takenTokens <= lateNewsEngineTokens, `${takenTokens} tokens`);
+});
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -24,7 +24,8 @@
     if (candidate.memoryTokens === undefined || candidate.use.requests === 0) {
         return true;
     }
-    return candidate.use.memoryTokens + candidate.neededTokens <= candidate.memoryTokens * memoryShare;
+    const takenTokens = candidate.use.memoryTokens + candidate.unseenTokens;
+    return takenTokens + candidate.neededTokens <= candidate.memoryTokens * memoryShare;
 }
 
 /** Prompt tokens that the request would wait for, in reading its own prompt and behind others. */
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -142,6 +142,7 @@
         return {
             id: record.id,
             use: deps.use.read(record.id),
+            unseenTokens: deps.use.readUnseenTokens(record.id, deps.clock.now()),
             slots: record.slots,
             memoryTokens: undefined,
             missingTokens: 0,
@@ -205,7 +206,7 @@
         const upstream = candidate.id;
         if (prompt === undefined || salt === undefined) {
             const plain = { upstream, ownTokens: 0, sharedKey: "", sharedTokens: 0, unreadTokens: 0 };
-            deps.use.begin(req.id, plain);
+            deps.use.begin(req.id, plain, deps.clock.now());
             return;
         }
         deps.use.begin(req.id, {
@@ -214,7 +215,7 @@
             sharedKey: findSharedKey(prompt, salt),
             sharedTokens: countSharedTokens(prompt),
             unreadTokens: candidate.missingTokens,
-        });
+        }, deps.clock.now());
         deps.parts.noteSent(prompt, salt, upstream, deps.clock.now());
     }
 
--- a/src/core/placement/createUpstreamUse.ts
+++ b/src/core/placement/createUpstreamUse.ts
@@ -22,12 +22,14 @@
 
 /** The account of work. */
 export interface UpstreamUseAccount {
-    readonly begin: (requestId: string, placed: PlacedRequest) => void;
+    readonly begin: (requestId: string, placed: PlacedRequest, nowMs: number) => void;
     /** Notes that the answer has begun, so that the prompt has been read. */
     readonly noteAnswer: (requestId: string) => void;
     readonly end: (requestId: string) => void;
     /** Use by this instance and its peers. */
     readonly read: (upstream: string) => UpstreamUse;
+    /** Memory that peers have probably taken since they told their use, in tokens: they place as this instance does. */
+    readonly readUnseenTokens: (upstream: string, nowMs: number) => number;
     /** Whether a request of this instance holds a shared prompt at an upstream. */
     readonly holdsShared: (upstream: string, sharedKey: string) => boolean;
     /** This instance's own use, for its peers. */
@@ -37,7 +39,17 @@
     readonly forgetPeer: (peer: string) => void;
 }
 
+/** Time in which peers hear of a placed request, in milliseconds: a heartbeat and the way. */
+const newsLagMs = 350;
+
+interface RecentRequest {
+    readonly atMs: number;
+    readonly ownTokens: number;
+}
+
 interface OwnState {
+    /** Requests that were placed a short time ago, the oldest first. */
+    recent: readonly RecentRequest[];
     requests: number;
     ownTokens: number;
     unreadTokens: number;
@@ -69,7 +81,7 @@
  * @returns The account.
  * @example
  * const use = createUpstreamUse();
- * use.begin("r-1", { upstream: "e-1", ownTokens: 900, sharedKey: "k", sharedTokens: 6000, unreadTokens: 900 });
+ * use.begin("r-1", { upstream: "e-1", ownTokens: 9, sharedKey: "k", sharedTokens: 60, unreadTokens: 9 }, clock.now());
  */
 export function createUpstreamUse(): UpstreamUseAccount {
     const requests = new Map<string, PlacedRequest & { isRead: boolean; }>();
@@ -81,14 +93,15 @@
         if (known !== undefined) {
             return known;
         }
-        const state: OwnState = { requests: 0, ownTokens: 0, unreadTokens: 0, shared: new Map() };
+        const state: OwnState = { recent: [], requests: 0, ownTokens: 0, unreadTokens: 0, shared: new Map() };
         own.set(upstream, state);
         return state;
     }
 
-    function begin(requestId: string, placed: PlacedRequest): void {
+    function begin(requestId: string, placed: PlacedRequest, nowMs: number): void {
         requests.set(requestId, { ...placed, isRead: false });
         const state = stateOf(placed.upstream);
+        state.recent = [...listRecent(state, nowMs), { atMs: nowMs, ownTokens: placed.ownTokens }];
         state.requests += 1;
         state.ownTokens += placed.ownTokens;
         state.unreadTokens += placed.unreadTokens;
@@ -97,6 +110,14 @@
         state.shared.set(placed.sharedKey, shared);
     }
 
+    const listRecent = (state: OwnState, nowMs: number) => state.recent.filter(one => nowMs - one.atMs < newsLagMs);
+
+    function readUnseenTokens(upstream: string, nowMs: number): number {
+        const state = own.get(upstream);
+        const recent = state === undefined ? [] : listRecent(state, nowMs);
+        return peers.size * recent.reduce((sum, one) => sum + one.ownTokens, 0);
+    }
+
     function noteAnswer(requestId: string): void {
         const placed = requests.get(requestId);
         if (placed !== undefined && !placed.isRead) {
@@ -146,6 +167,7 @@
         noteAnswer,
         end,
         read,
+        readUnseenTokens,
         holdsShared: (upstream, sharedKey) => own.get(upstream)?.shared.has(sharedKey) ?? false,
         listOwn: () => [...own].map(([upstream, state]) => ({ upstream, ...sumOwn(state) })),
         takePeer: (peer, uses) => {
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -32,6 +32,8 @@
     readonly id: string;
     /** Use by all instances, as far as known. */
     readonly use: UpstreamUse;
+    /** Memory that peers have probably taken since they told their use, in tokens. */
+    readonly unseenTokens: number;
     /** Requests that it runs at once. */
     readonly slots: number;
     /** Memory of an engine in tokens; undefined for a plain service. */
