Hand kept seats on to the other standby when the first one leaves

Ruled out: double use (the seats were lost, not used twice).

Change: an instance is never its own standby.

--- a/bench/limits/createFleet.ts
+++ b/bench/limits/createFleet.ts
@@ -82,6 +82,8 @@
     readonly setLogDown: (isDown: boolean) => void;
     /** Cuts one instance from the log, or joins it again. */
     readonly setLogCut: (daemon: number, isCut: boolean) => void;
+    /** Sum of the fractions of a customer's limits that the instances may spend now. */
+    readonly sumFractions: (customer: string) => number;
     /** Bytes and number of messages sent, records that every instance reads included, and appends, up to now. */
     readonly countControl: () => { readonly bytes: number; readonly messages: number; readonly appends: number; };
 }
@@ -364,6 +366,10 @@
             }
             cutFromLog.delete(daemon);
         },
+        sumFractions: customer =>
+            daemons.flatMap(daemon => daemon.limits?.listUse() ?? [])
+                .filter(use => use.customer === customer)
+                .reduce((sum, use) => sum + use.fraction, 0),
         countControl: () => ({ bytes, messages, appends }),
     };
 }
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -30,6 +30,11 @@
         When all instances leave and return one after the other
         Then every instance admits requests of its own again
 
+    Scenario: A standby that leaves as well hands on what it keeps
+        Given a fleet whose log goes down after every instance has served
+        When the standby of instance 1 leaves while instance 1 is away
+        Then no seat is lost when both are back
+
     Scenario: Every request is admitted or refused
         Given any schedule of restarts, pauses, partitions, log outages, losses and delays
         Then every request at an instance that lives on is decided by its deadline
--- a/features/steps/limitsSteps.ts
+++ b/features/steps/limitsSteps.ts
@@ -302,6 +302,19 @@
     }
 });
 
+When("the standby of instance 1 leaves while instance 1 is away", function(this: SiteWorld) {
+    const fleet = recoveries.get(this)!;
+    fleet.leave(0, 6_000);
+    fleet.clock.runUntil(fleet.clock.now() + 1_000);
+    fleet.leave(1, 1_000);
+    fleet.clock.runUntil(fleet.clock.now() + 10_000);
+});
+
+Then("no seat is lost when both are back", function(this: SiteWorld) {
+    const fraction = recoveries.get(this)!.sumFractions("town-hall");
+    assert.ok(fraction > 0.99, `${fraction} of the limits is usable`);
+});
+
 Then("every instance admits requests of its own again", function(this: SiteWorld) {
     const fleet = recoveries.get(this)!;
     const admitted = new Set<number>();
--- a/src/core/limits/createSeatKeeper.ts
+++ b/src/core/limits/createSeatKeeper.ts
@@ -195,6 +195,11 @@
         underWay = [];
     }
 
+    /** A standby that leaves as well hands a kept seat on to the other one. */
+    function listOtherStandbys(name: string): readonly string[] {
+        return (ledger.seats.get(name)?.standbys ?? []).filter(standby => standby !== instance);
+    }
+
     function endUse(): readonly EndedSeat[] {
         const ended = [...holding.seats].map(([name, seat]): EndedSeat => {
             const isUncertain = uncertain.has(name) || underWay.includes(name);
@@ -203,7 +208,7 @@
                 name,
                 revision: seat.revision,
                 owner: seat.owner,
-                standbys: isUncertain ? [] : ledger.seats.get(name)?.standbys ?? [],
+                standbys: isUncertain ? [] : listOtherStandbys(name),
                 createHandover: () => createHanded(endedUse, now()),
             };
         });
