Read what placing needs once a request, and a request's head once

Cause (by reading the whole change again): for each request the placer summed every peer's use of each engine twice, and looked up the parts that each engine keeps twice, once for the view of the prompt and once for the engine's share; the prompt's shared key was formed again at its begin. A refusal at the head parsed the head a second time for its id. Use not yet told by peers was computed for plain services, which have no memory to compare it with.

Ruled out: keeping such sums between requests, which would change what a request sees.

Change: the prompt's view carries use and kept tokens, and an option carries the view; a plain placement is the same without a prompt instead of a branch of its own. What the log tells of a send has a module; tests that need a plain placement share one.

--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -17,7 +17,7 @@
 import type { ProxyEffect, SendEffect } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
 import { isRepeatable, serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
-import { createProxyRequest, createRecord } from "../support/proxyScene.js";
+import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyScene.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 type OutcomeName =
@@ -98,16 +98,7 @@
         detail = effect.kind === "refuse" ? effect.refusal.detail : detail;
         if (effect.kind === "place") {
             places += 1;
-            const upstream = createRecord({ id: `u-${places}` });
-            const placement = {
-                upstream,
-                weightsVersion: undefined,
-                cacheSalt: undefined,
-                cacheSource: undefined,
-                cacheTarget: undefined,
-                heldTokens: 0,
-                fetchedTokens: 0,
-            };
+            const placement = createPlainPlacement(createRecord({ id: `u-${places}` }));
             const refusal = { kind: "noUpstream", detail: "", retryAfterMs: 1 } as const;
             turn = steps.next(
                 places > given.mostPlaces ? { kind: "refused", refusal } : { kind: "placed", placement },
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -23,7 +23,7 @@
     createUpstreamSender,
     type SendToUpstream,
 } from "../../src/io/proxy/createUpstreamSender.js";
-import { createProxyRequest, createRecord } from "../support/proxyScene.js";
+import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyScene.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface Caller extends CallerExchange {
@@ -134,16 +134,7 @@
 }
 
 function send(scene: SendScene, req: ProxyRequest, needsFreshConnection: boolean): Promise<SendOutcome> {
-    const record = createRecord({ address: scene.upstream.address });
-    const placement = {
-        upstream: record,
-        weightsVersion: undefined,
-        cacheSalt: undefined,
-        cacheSource: undefined,
-        cacheTarget: undefined,
-        heldTokens: 0,
-        fetchedTokens: 0,
-    };
+    const placement = createPlainPlacement(createRecord({ address: scene.upstream.address }));
     const due = { ...req, deadlineMs: scene.clock.now() + 3_000 };
     return new Promise(resolve => {
         const effect = { kind: "send", placement, needsFreshConnection, lastEventId: undefined } as const;
--- a/features/support/proxyScene.ts
+++ b/features/support/proxyScene.ts
@@ -3,7 +3,7 @@
  * Requests, routes and upstreams that the scenarios of the proxy share.
  */
 import type { Prompt } from "../../src/core/placement/placementTypes.js";
-import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
+import type { Placement, ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
 import type { RequestKind, Route, RoutingTable } from "../../src/core/routes/routingTable.js";
 
@@ -70,6 +70,19 @@
     };
 }
 
+/** Creates a placement of a request without a prompt. */
+export function createPlainPlacement(upstream: UpstreamRecord): Placement {
+    return {
+        upstream,
+        weightsVersion: undefined,
+        cacheSalt: undefined,
+        cacheSource: undefined,
+        cacheTarget: undefined,
+        heldTokens: 0,
+        fetchedTokens: 0,
+    };
+}
+
 /** Creates a request of a kind. */
 export function createProxyRequest(
     kind: RequestKind,
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -12,7 +12,6 @@
 import type { CancelTimer, Clock } from "../time/clock.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
 import { choosePlacement } from "./choosePlacement.js";
-import { findSharedKey } from "./createPartView.js";
 import {
     createPromptReader,
     type PromptReaderDependencies,
@@ -21,7 +20,7 @@
     sumTokens,
 } from "./createPromptReader.js";
 import { createWaitingLine, type WaitingLine } from "./createWaitingLine.js";
-import type { PlacementCandidate, Prompt } from "./placementTypes.js";
+import type { PlacementCandidate, Prompt, UpstreamUse } from "./placementTypes.js";
 
 /** What the placer reads. */
 export interface PlacerDependencies extends Omit<PromptReaderDependencies, "now"> {
@@ -57,9 +56,14 @@
 interface Option {
     readonly choice: Choice;
     readonly candidate: PlacementCandidate;
-    /** Salt and share of the prompt; undefined for a plain service. */
-    readonly salt?: string;
-    readonly share?: PromptShare;
+    /** The prompt and the engine's part in it; undefined for a plain service. */
+    readonly model?: ModelOption;
+}
+
+interface ModelOption {
+    readonly prompt: Prompt;
+    readonly view: PromptView;
+    readonly share: PromptShare;
 }
 
 /** Time from the placing of a request to the beginning of its answer, in milliseconds: reading a prompt of ten thousand tokens. */
@@ -137,12 +141,11 @@
         return deriveCacheSalt({ model: prompt.model, weightsVersion, isolatedCustomer });
     }
 
-    function describePlain(choice: Choice): PlacementCandidate {
-        const { record } = choice;
+    function describePlain({ record }: Choice, use: UpstreamUse): PlacementCandidate {
         return {
             id: record.id,
-            use: deps.use.read(record.id),
-            unseenTokens: deps.use.readUnseenTokens(record.id, deps.clock.now()),
+            use,
+            unseenTokens: 0,
             slots: record.slots,
             memoryTokens: undefined,
             missingTokens: 0,
@@ -160,77 +163,69 @@
             const version = choice.weightsVersion ?? 0;
             const view = views.get(version) ?? reader.read(req.service, prompt, saltOf(req, prompt, version), ids);
             views.set(version, view);
+            const { id } = choice.record;
             const share = reader.describeShare(prompt, view, choice.record);
-            const isShared = deps.use.holdsShared(choice.record.id, view.sharedKey);
+            const isShared = deps.use.holdsShared(id, view.sharedKey);
             const candidate = {
-                ...describePlain(choice),
+                ...describePlain(choice, view.uses.get(id) ?? deps.use.read(id)),
+                unseenTokens: deps.use.readUnseenTokens(id, deps.clock.now()),
                 slots: engine?.slots ?? choice.record.slots,
                 memoryTokens: engine?.memoryTokens,
                 missingTokens: share.missingTokens,
                 neededTokens: countOwnTokens(prompt) + (isShared ? 0 : countSharedTokens(prompt)),
                 isOutdated: choice.isOutdated,
             };
-            return { choice, candidate, salt: view.salt, share };
+            return { choice, candidate, model: { prompt, view, share } };
         });
     }
 
-    function toPlacement(req: ProxyRequest, { choice, salt, share }: Option): Placement {
-        const { prompt } = req;
-        const { record: upstream, weightsVersion } = choice;
-        if (prompt === undefined || weightsVersion === undefined || salt === undefined) {
-            return {
-                upstream,
-                weightsVersion: undefined,
-                cacheSalt: undefined,
-                cacheSource: undefined,
-                cacheTarget: undefined,
-                heldTokens: 0,
-                fetchedTokens: 0,
-            };
-        }
-        const heldTokens = share?.heldTokens ?? 0;
+    function toPlacement({ choice, model }: Option): Placement {
+        const heldTokens = model?.share.heldTokens ?? 0;
         return {
-            upstream,
-            weightsVersion,
-            cacheSalt: salt,
-            cacheSource: share?.source?.address,
-            cacheTarget: reader.findTarget(prompt, salt)?.address,
+            upstream: choice.record,
+            weightsVersion: choice.weightsVersion,
+            cacheSalt: model?.view.salt,
+            cacheSource: model?.share.source?.address,
+            cacheTarget: model === undefined ? undefined : reader.findTarget(model.prompt, model.view)?.address,
             heldTokens,
-            fetchedTokens: Math.max(0, (share?.source?.heldTokens ?? 0) - heldTokens),
+            fetchedTokens: Math.max(0, (model?.share.source?.heldTokens ?? 0) - heldTokens),
         };
     }
 
-    function noteBegin(req: ProxyRequest, candidate: PlacementCandidate, placement: Placement): void {
-        const { prompt } = req;
-        const salt = placement.cacheSalt;
+    function noteBegin(req: ProxyRequest, { candidate, model }: Option): void {
+        const nowMs = deps.clock.now();
         const upstream = candidate.id;
-        if (prompt === undefined || salt === undefined) {
+        if (model === undefined) {
             const plain = { upstream, ownTokens: 0, sharedKey: "", sharedTokens: 0, unreadTokens: 0 };
-            deps.use.begin(req.id, plain, deps.clock.now());
+            deps.use.begin(req.id, plain, nowMs);
             return;
         }
+        const { prompt, view } = model;
         deps.use.begin(req.id, {
             upstream,
             ownTokens: countOwnTokens(prompt),
-            sharedKey: findSharedKey(prompt, salt),
+            sharedKey: view.sharedKey,
             sharedTokens: countSharedTokens(prompt),
             unreadTokens: candidate.missingTokens,
-        }, deps.clock.now());
-        deps.parts.noteSent(prompt, salt, upstream, deps.clock.now());
+        }, nowMs);
+        deps.parts.noteSent(prompt, view.salt, upstream, nowMs);
     }
 
     /** Tries to place now. */
     function tryPlace(req: ProxyRequest, choices: readonly Choice[]): Placement | undefined {
         const options = req.prompt === undefined
-            ? choices.map((choice): Option => ({ choice, candidate: describePlain(choice) }))
+            ? choices.map((choice): Option => ({
+                choice,
+                candidate: describePlain(choice, deps.use.read(choice.record.id)),
+            }))
             : describeEngines(req, req.prompt, choices);
         const chosen = choosePlacement(options.map(option => option.candidate));
         const option = options.find(one => one.candidate === chosen);
         if (option === undefined) {
             return undefined;
         }
-        const placement = toPlacement(req, option);
-        noteBegin(req, option.candidate, placement);
+        const placement = toPlacement(option);
+        noteBegin(req, option);
         return placement;
     }
 
--- a/src/core/placement/createPromptReader.ts
+++ b/src/core/placement/createPromptReader.ts
@@ -8,7 +8,7 @@
 import type { HealthView } from "./createHealthView.js";
 import { findSharedKey, type PartView } from "./createPartView.js";
 import type { UpstreamUseAccount } from "./createUpstreamUse.js";
-import type { Prompt } from "./placementTypes.js";
+import type { Prompt, UpstreamUse } from "./placementTypes.js";
 
 /** A store of kept cache. */
 export interface ReachableStore {
@@ -43,6 +43,11 @@
 export interface PromptView {
     readonly salt: string;
     readonly sharedKey: string;
+    /** Tokens that each engine of the service and each store keeps. */
+    readonly heldTokens: ReadonlyMap<string, number>;
+    /** Work at each engine of the service. */
+    readonly uses: ReadonlyMap<string, UpstreamUse>;
+    /** Engines and stores from which parts may be fetched. */
     readonly holders: readonly KnownHolder[];
     /** Engine that all instances prefer while nobody keeps the prompt. */
     readonly home: string | undefined;
@@ -64,7 +69,7 @@
     readonly read: (service: string, prompt: Prompt, salt: string, ids: readonly string[]) => PromptView;
     readonly describeShare: (prompt: Prompt, view: PromptView, record: UpstreamRecord) => PromptShare;
     /** A store that lacks shared parts of the prompt. */
-    readonly findTarget: (prompt: Prompt, salt: string) => ReachableStore | undefined;
+    readonly findTarget: (prompt: Prompt, view: PromptView) => ReachableStore | undefined;
 }
 
 /** Part of the time of reading tokens that it takes to fetch them. */
@@ -103,32 +108,35 @@
 
     function read(service: string, prompt: Prompt, salt: string, ids: readonly string[]): PromptView {
         const nowMs = deps.now();
-        const describe = (
-            { id, address, failureDomain }: ReachableStore,
-            isStore: boolean,
-        ): KnownHolder => ({
+        const engines = deps.registry.listService(service);
+        const stores = deps.listStores();
+        const uses = new Map(engines.map(({ id }) => [id, use.read(id)]));
+        const heldTokens = new Map(
+            [...engines, ...stores].map(({ id }) => [id, parts.countHeld(prompt, salt, id, nowMs)]),
+        );
+        const describe = ({ id, address, failureDomain }: ReachableStore, isStore: boolean): KnownHolder => ({
             id,
             address,
             failureDomain,
             isStore,
-            heldTokens: parts.countHeld(prompt, salt, id, nowMs),
-            requests: use.read(id).requests,
+            heldTokens: heldTokens.get(id) ?? 0,
+            requests: uses.get(id)?.requests ?? 0,
         });
-        const engines = deps.registry.listService(service)
-            .filter(record => !health.isReplaced(record.id) && !health.isSuspect(record.id, nowMs))
-            .map(record => describe(record, false));
-        const stores = deps.listStores().map(store => describe(store, true));
+        const sound = engines.filter(({ id }) => !health.isReplaced(id) && !health.isSuspect(id, nowMs));
+        const holders = [...sound.map(one => describe(one, false)), ...stores.map(one => describe(one, true))];
         return {
             salt,
             sharedKey: findSharedKey(prompt, salt),
-            holders: [...engines, ...stores].filter(holder => holder.heldTokens > 0),
+            heldTokens,
+            uses,
+            holders: holders.filter(holder => holder.heldTokens > 0),
             home: parts.rankHome(prompt, salt, ids)[0],
         };
     }
 
     /** What the engine keeps itself counts also while nobody fetches from it. */
     function describeShare(prompt: Prompt, view: PromptView, record: UpstreamRecord): PromptShare {
-        const heldTokens = parts.countHeld(prompt, view.salt, record.id, deps.now());
+        const heldTokens = view.heldTokens.get(record.id) ?? 0;
         const others = view.holders.filter(holder => holder.id !== record.id)
             .map(holder => ({ ...holder, isNear: holder.failureDomain === record.failureDomain }));
         const source = chooseCacheSource(others, heldTokens);
@@ -140,13 +148,11 @@
         return { heldTokens, source, missingTokens: prompt.promptTokens - Math.max(heldTokens, preferred) };
     }
 
-    function findTarget(prompt: Prompt, salt: string): ReachableStore | undefined {
+    function findTarget(prompt: Prompt, view: PromptView): ReachableStore | undefined {
         const shared = sumTokens(prompt, 0, -1);
-        if (shared < leastKeptTokens) {
-            return undefined;
-        }
-        const nowMs = deps.now();
-        return deps.listStores().find(store => parts.countHeld(prompt, salt, store.id, nowMs) < shared);
+        return shared < leastKeptTokens
+            ? undefined
+            : deps.listStores().find(store => (view.heldTokens.get(store.id) ?? 0) < shared);
     }
 
     return { read, describeShare, findTarget };
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -11,7 +11,7 @@
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { RetryAllowance } from "../../core/proxy/createRetryAllowance.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
-import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
+import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type RepeatReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import { chooseService } from "../../core/routes/chooseService.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
@@ -20,6 +20,7 @@
 import { readBody } from "../http/readBody.js";
 import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
 import type { SendToUpstream } from "./createUpstreamSender.js";
+import { describeSend, describeSendEnd } from "./describeSend.js";
 import type { ProxyCodec, RequestHead } from "./proxyCodec.js";
 
 /** What the service needs. */
@@ -84,15 +85,6 @@
     return end === -1 ? target : target.slice(0, end);
 }
 
-/** What decided a send, for the log; fields that do not apply are left out. */
-function describeSend(req: ProxyRequest, placement: Placement, nowMs: number): Readonly<Record<string, unknown>> {
-    const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
-    const basis = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
-    return req.prompt === undefined
-        ? basis
-        : { ...basis, weightsVersion, promptTokens: req.prompt.promptTokens, heldTokens, fetchedTokens, cacheSource };
-}
-
 /**
  * Creates the service.
  *
@@ -118,7 +110,11 @@
         return ok(customer);
     }
 
-    function checkHead(req: IncomingMessage, arrivedMs: number): Result<CheckedHead, Refusal> {
+    function checkHead(
+        req: IncomingMessage,
+        read: Result<RequestHead, Refusal>,
+        arrivedMs: number,
+    ): Result<CheckedHead, Refusal> {
         const index = deps.routes();
         if (index === undefined) {
             return err(createRefusal("noCatalogue", "no configuration has arrived yet", { retryAfterMs: 300 }));
@@ -127,7 +123,7 @@
         if (countHeaderBytes(req.rawHeaders) > limits.maxHeaderBytes) {
             return err(createRefusal("headersTooLarge", `more than ${limits.maxHeaderBytes} bytes`));
         }
-        return deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders).andThen(head => {
+        return read.andThen(head => {
             const route = index.findRoute(head.host, toPath(head.target));
             if (route === undefined) {
                 return err(createRefusal("unknownRoute", ""));
@@ -212,21 +208,12 @@
                 },
                 send: (effect, resume) => {
                     const { placement } = effect;
-                    const { upstream } = placement;
                     deps.writeLog("requestSent", describeSend(req, placement, deps.clock.now()));
                     deps.send(req, effect, caller, outcome => {
                         leaveUpstream();
                         deps.onSend(outcome.kind);
                         if (outcome.kind !== "answered" && outcome.kind !== "finished") {
-                            const detail = "detail" in outcome ? outcome.detail : undefined;
-                            deps.writeLog("sendEnded", {
-                                requestId: req.id,
-                                upstream: upstream.id,
-                                outcome: outcome.kind,
-                                detail,
-                                status: outcome.kind === "rejected" ? outcome.status : undefined,
-                                reason: outcome.kind === "rejected" ? outcome.reason : undefined,
-                            });
+                            deps.writeLog("sendEnded", describeSendEnd(req, placement, outcome));
                         }
                         if (outcome.kind === "finished") {
                             tellEnd(req, "answered");
@@ -268,9 +255,7 @@
         );
     }
 
-    function refuseHead(res: ServerResponse, req: IncomingMessage, refusal: Refusal): void {
-        const requestId = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders)
-            .map(head => head.id).unwrapOr("");
+    function refuseHead(res: ServerResponse, req: IncomingMessage, requestId: string, refusal: Refusal): void {
         const { kind, detail } = refusal;
         const { status, outcome } = errorTable[kind];
         deps.onRefusal(kind);
@@ -284,18 +269,20 @@
 
     async function accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedMs = deps.clock.now();
-        const checked = checkHead(req, arrivedMs);
+        const read = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders);
+        const requestId = read.map(head => head.id).unwrapOr("");
+        const checked = checkHead(req, read, arrivedMs);
         if (checked.isErr) {
-            refuseHead(res, req, checked.error);
+            refuseHead(res, req, requestId, checked.error);
             return;
         }
         const timeoutMs = Math.min(maxBodyTimeMs, checked.value.deadlineMs - arrivedMs);
         const body = await readBody(req, deps.clock, { maxBytes: checked.value.maxBodyBytes, timeoutMs });
         if (body.isErr) {
-            refuseHead(res, req, body.error);
+            refuseHead(res, req, requestId, body.error);
             return;
         }
-        const options = { requestId: checked.value.head.id, isClosing: deps.isClosing };
+        const options = { requestId, isClosing: deps.isClosing };
         serve(toRequest(checked.value, body.value, arrivedMs), createCallerExchange(res, options));
     }
 
--- /dev/null
+++ b/src/io/proxy/describeSend.ts
@@ -0,0 +1,42 @@
+/**
+ * @module
+ * What the log tells of a send; fields that do not apply are left out.
+ */
+import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
+
+type LogFields = Readonly<Record<string, unknown>>;
+
+/**
+ * Describes what decided a send.
+ *
+ * @param req - The request.
+ * @param placement - Where it is sent.
+ * @param nowMs - The instance's clock, in milliseconds.
+ * @returns The fields of the log line.
+ */
+export function describeSend(req: ProxyRequest, placement: Placement, nowMs: number): LogFields {
+    const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
+    const basis = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
+    return req.prompt === undefined
+        ? basis
+        : { ...basis, weightsVersion, promptTokens: req.prompt.promptTokens, heldTokens, fetchedTokens, cacheSource };
+}
+
+/**
+ * Describes a send that brought no whole answer.
+ *
+ * @param req - The request.
+ * @param placement - Where it was sent.
+ * @param outcome - What became of it.
+ * @returns The fields of the log line.
+ */
+export function describeSendEnd(req: ProxyRequest, placement: Placement, outcome: SendOutcome): LogFields {
+    return {
+        requestId: req.id,
+        upstream: placement.upstream.id,
+        outcome: outcome.kind,
+        detail: "detail" in outcome ? outcome.detail : undefined,
+        status: outcome.kind === "rejected" ? outcome.status : undefined,
+        reason: outcome.kind === "rejected" ? outcome.reason : undefined,
+    };
+}
