Let one function parse JSON against a schema, and one repeat an action

Ruled out: the places that tell what was wrong with the text (configuration, orders, answers of the log), which need the error.

A repetition ends with its stop in place of at its next turn.

--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -6,6 +6,7 @@
 import { createFleetView, type FleetMember, heartbeatIntervalMs } from "../core/fleet/createFleetView.js";
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
 import type { PeerState } from "../core/fleet/peerState.js";
+import { repeatEvery } from "../core/time/repeatEvery.js";
 import { fetchPeerState } from "../io/fleet/fetchPeerState.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { Feeds } from "./assembleFeeds.js";
@@ -213,15 +214,7 @@
     });
 
     let isStopped = false;
-    function repeat(delayMs: number, action: () => void): void {
-        clock.after(delayMs, () => {
-            if (!isStopped) {
-                action();
-                repeat(delayMs, action);
-            }
-        });
-    }
-    repeat(lookMs, look);
+    const stopLooking = repeatEvery(clock, lookMs, look);
 
     /** Tells the store where this instance is, and reads there where others are. */
     async function findOthers(turn: number): Promise<void> {
@@ -257,6 +250,7 @@
         upstreamsAgeMs,
         stop: () => {
             isStopped = true;
+            stopLooking();
             heartbeats.stop();
         },
     };
--- a/src/core/catalogue/snapshotParts.ts
+++ b/src/core/catalogue/snapshotParts.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 import { type CatalogueSnapshot, catalogueSnapshotSchema } from "./snapshot.js";
 
 /** Largest text of one part, in characters. */
@@ -63,13 +64,7 @@
  * parseSnapshotPart("{}"); // undefined
  */
 export function parseSnapshotPart(payload: string): SnapshotPart | undefined {
-    try {
-        const parsed = partSchema.safeParse(JSON.parse(payload));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(partSchema, payload);
 }
 
 /**
--- a/src/core/claims/claimRecord.ts
+++ b/src/core/claims/claimRecord.ts
@@ -3,6 +3,7 @@
  * Records of the log stream "claims".
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 
 const common = {
     key: z.string().max(400),
@@ -37,10 +38,5 @@
  * parseClaimRecord("{}"); // undefined
  */
 export function parseClaimRecord(payload: string): ClaimRecord | undefined {
-    try {
-        return claimRecordSchema.safeParse(JSON.parse(payload)).data;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(claimRecordSchema, payload);
 }
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -3,6 +3,7 @@
  * The message by which instances tell each other that they run and what they know.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 
 const instanceSchema = z.object({
     name: z.string().min(1).max(128),
@@ -72,11 +73,5 @@
  * parseHeartbeat("{}"); // undefined
  */
 export function parseHeartbeat(text: string): Heartbeat | undefined {
-    try {
-        const parsed = heartbeatSchema.safeParse(JSON.parse(text));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(heartbeatSchema, text);
 }
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -4,6 +4,7 @@
  * weights, with their versions and age.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 
 const routeSchema = z.object({
     name: z.string(),
@@ -87,11 +88,5 @@
  * parsePeerState("{}"); // undefined
  */
 export function parsePeerState(text: string): PeerState | undefined {
-    try {
-        const parsed = peerStateSchema.safeParse(JSON.parse(text));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(peerStateSchema, text);
 }
--- a/src/core/leases/leaseRecord.ts
+++ b/src/core/leases/leaseRecord.ts
@@ -3,6 +3,7 @@
  * Records of the `leases` stream.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 
 const leaseSchema = z.strictObject({
     kind: z.literal("lease"),
@@ -29,11 +30,5 @@
  * parseLease("{}"); // undefined
  */
 export function parseLease(payload: string): LeaseRecord | undefined {
-    try {
-        const parsed = leaseSchema.safeParse(JSON.parse(payload));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(leaseSchema, payload);
 }
--- a/src/core/limits/createLimits.ts
+++ b/src/core/limits/createLimits.ts
@@ -4,6 +4,7 @@
  */
 import type { CustomerLimits, Policy } from "../catalogue/catalogueEntry.js";
 import type { Clock } from "../time/clock.js";
+import { repeatEvery } from "../time/repeatEvery.js";
 import { createAdmission, type ShareAdmission } from "./createAdmission.js";
 import { createLoanDesk } from "./createLoanDesk.js";
 import type { HandedSeat } from "./createSeatCustody.js";
@@ -168,17 +169,10 @@
         }
     }
 
-    function repeat(periodMs: number, action: () => void): void {
-        clock.after(periodMs, () => {
-            if (!isStopped) {
-                action();
-                repeat(periodMs, action);
-            }
-        });
-    }
-
-    repeat(loanRoundMs, scheduleLoanRound);
-    repeat(seatRoundMs, seatRound);
+    const stops = [
+        repeatEvery(clock, loanRoundMs, scheduleLoanRound),
+        repeatEvery(clock, seatRoundMs, seatRound),
+    ];
     return {
         admission,
         keeper,
@@ -187,6 +181,7 @@
         reviewSeats: () => void clock.after(firstClaimDelayMs, seatRound),
         stop: () => {
             isStopped = true;
+            stops.forEach(stop => stop());
         },
     };
 }
--- a/src/core/limits/foldSeatRecord.ts
+++ b/src/core/limits/foldSeatRecord.ts
@@ -4,6 +4,7 @@
  * of a customer's limits; the log order alone decides who holds it.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 
 /** Standbys that a record names at the most: one may leave at the same time. */
 export const maxStandbys = 2;
@@ -54,15 +55,6 @@
 /** The ledger before any record. */
 export const emptySeatLedger: SeatLedger = { nextOffset: 0, seats: new Map() };
 
-function parseRecord(payload: string): SeatRecord | undefined {
-    try {
-        return seatRecordSchema.safeParse(JSON.parse(payload)).data;
-    }
-    catch {
-        return undefined;
-    }
-}
-
 /**
  * Folds one record. An edit takes effect only if it was based on the seat's newest revision, so of several instances
  * that want the same seat the first in log order gets it. A malformed record changes nothing.
@@ -78,7 +70,7 @@
     if (offset < ledger.nextOffset) {
         return ledger;
     }
-    const record = parseRecord(payload);
+    const record = parseJson(seatRecordSchema, payload);
     const nextOffset = offset + 1;
     if (record === undefined) {
         return { ...ledger, nextOffset };
--- a/src/core/limits/loanCodec.ts
+++ b/src/core/limits/loanCodec.ts
@@ -3,6 +3,7 @@
  * The form in which loan messages are sent: JSON arrays without names, fractions in whole ten-thousandths.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 import type { LoanAnswer, LoanRequest } from "./shareTypes.js";
 
 const whole = z.number().int().min(0);
@@ -21,15 +22,6 @@
     z.array(z.tuple([whole.max(fractionScale), whole, whole, whole, whole])).max(maxAsks),
 ]);
 
-function parse<T>(schema: z.ZodType<T>, payload: string): T | undefined {
-    try {
-        return schema.safeParse(JSON.parse(payload)).data;
-    }
-    catch {
-        return undefined;
-    }
-}
-
 /**
  * Encodes a request for loans.
  *
@@ -52,7 +44,7 @@
  * decodeLoanRequest(encodeLoanRequest(req))?.sequence === req.sequence; // true
  */
 export function decodeLoanRequest(payload: string): LoanRequest | undefined {
-    const parsed = parse(requestSchema, payload);
+    const parsed = parseJson(requestSchema, payload);
     if (parsed === undefined) {
         return undefined;
     }
@@ -90,7 +82,7 @@
  * decodeLoanAnswer(payload, req)?.grants.length;
  */
 export function decodeLoanAnswer(payload: string, req: LoanRequest): LoanAnswer | undefined {
-    const parsed = parse(answerSchema, payload);
+    const parsed = parseJson(answerSchema, payload);
     if (parsed === undefined || parsed[0] !== req.sequence || parsed[1].length !== req.asks.length) {
         return undefined;
     }
--- a/src/core/limits/seatSnapshot.ts
+++ b/src/core/limits/seatSnapshot.ts
@@ -3,6 +3,7 @@
  * The ledger of seats as a restarted instance takes it from a peer.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 import { maxStandbys, type SeatLedger } from "./foldSeatRecord.js";
 
 const whole = z.number().int().min(0);
@@ -38,14 +39,12 @@
  * decodeSeatLedger(encodeSeatLedger(ledger))?.nextOffset === ledger.nextOffset; // true
  */
 export function decodeSeatLedger(payload: string): SeatLedger | undefined {
-    try {
-        const parsed = snapshotSchema.parse(JSON.parse(payload));
-        const seats = parsed.seats.map(([seat, revision, instance, incarnation, sentMs, isHeld, standbys]) =>
-            [seat, { revision, instance, incarnation, sentMs, isHeld, standbys }] as const
-        );
-        return { nextOffset: parsed.nextOffset, seats: new Map(seats) };
-    }
-    catch {
+    const parsed = parseJson(snapshotSchema, payload);
+    if (parsed === undefined) {
         return undefined;
     }
+    const seats = parsed.seats.map(([seat, revision, instance, incarnation, sentMs, isHeld, standbys]) =>
+        [seat, { revision, instance, incarnation, sentMs, isHeld, standbys }] as const
+    );
+    return { nextOffset: parsed.nextOffset, seats: new Map(seats) };
 }
--- a/src/core/request/readOutputTokens.ts
+++ b/src/core/request/readOutputTokens.ts
@@ -3,6 +3,7 @@
  * Reads how many tokens a whole answer says that it generated.
  */
 import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
 
 const usageSchema = z.object({ usage: z.object({ completion_tokens: z.number().int().min(0) }) });
 
@@ -15,11 +16,5 @@
  * readOutputTokens(new TextEncoder().encode("{}")); // undefined
  */
 export function readOutputTokens(body: Uint8Array): number | undefined {
-    try {
-        const parsed = usageSchema.safeParse(JSON.parse(new TextDecoder().decode(body)));
-        return parsed.data?.usage.completion_tokens;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(usageSchema, new TextDecoder().decode(body))?.usage.completion_tokens;
 }
--- a/src/core/time/createPauseDetector.ts
+++ b/src/core/time/createPauseDetector.ts
@@ -3,6 +3,7 @@
  * Notices that the process was paused, by a jump between two looks at the clock.
  */
 import type { CancelTimer, Clock } from "./clock.js";
+import { repeatEvery } from "./repeatEvery.js";
 
 /** Whether the process has just resumed after a pause. */
 export type PauseVerdict = "resumed" | "running";
@@ -45,7 +46,7 @@
     const thresholdMs = options.thresholdMs ?? defaultThresholdMs;
     let lastMs = clock.now();
     let lastWallMs = clock.wallNow();
-    let cancelTimer: CancelTimer = () => undefined;
+    let stopLooking: CancelTimer = () => undefined;
 
     function check(): PauseVerdict {
         const jumpMs = Math.max(clock.now() - lastMs, clock.wallNow() - lastWallMs);
@@ -58,12 +59,11 @@
         return "resumed";
     }
 
-    function schedule(): void {
-        cancelTimer = clock.after(lookIntervalMs, () => {
-            check();
-            schedule();
-        });
-    }
-
-    return { start: schedule, check, stop: () => cancelTimer() };
+    return {
+        start: () => {
+            stopLooking = repeatEvery(clock, lookIntervalMs, check);
+        },
+        check,
+        stop: () => stopLooking(),
+    };
 }
--- a/src/core/why/explainRequest.ts
+++ b/src/core/why/explainRequest.ts
@@ -33,6 +33,8 @@
     (["processPaused", "storeLost", "storeRegained", "configurationInForce", "weightsNamed"] as const).map(codeOf),
 );
 
+const isOwnLine = (line: LogLine, requestId: string) => line.fields["requestId"] === requestId;
+
 /**
  * Tells whether a line may be part of some request's time line, so that a reader can pass over the rest.
  *
@@ -43,7 +45,7 @@
  * isTimeLineCandidate(line, "9c41d07be2a35f68");
  */
 export function isTimeLineCandidate(line: LogLine, requestId: string): boolean {
-    return line.fields["requestId"] === requestId || upstreamCodes.has(line.code) || instanceCodes.has(line.code);
+    return isOwnLine(line, requestId) || upstreamCodes.has(line.code) || instanceCodes.has(line.code);
 }
 
 function listUpstreams(lines: readonly LogLine[]): ReadonlySet<unknown> {
@@ -60,7 +62,7 @@
  * explainRequest(lines, "9c41d07be2a35f68").map(entry => entry.sentence);
  */
 export function explainRequest(lines: readonly LogLine[], requestId: string): readonly TimeLineEntry[] {
-    const own = lines.filter(line => line.fields["requestId"] === requestId);
+    const own = lines.filter(line => isOwnLine(line, requestId));
     if (own.length === 0) {
         return [];
     }
@@ -76,7 +78,7 @@
         return isNear && (isOfUpstream || (instanceCodes.has(line.code) && instances.has(line.instance)));
     }
 
-    return [...own, ...lines.filter(line => !own.includes(line) && isContext(line))]
+    return [...own, ...lines.filter(line => !isOwnLine(line, requestId) && isContext(line))]
         .toSorted((left, right) => left.timeMs - right.timeMs)
         .map(line => ({
             timeMs: line.timeMs,
@@ -84,6 +86,6 @@
             instance: line.instance,
             code: line.code,
             sentence: describeLogLine(line),
-            isOwn: own.includes(line),
+            isOwn: isOwnLine(line, requestId),
         }));
 }
--- a/src/io/cache/pollEngines.ts
+++ b/src/io/cache/pollEngines.ts
@@ -8,6 +8,7 @@
 import { millisecondsPerSecond } from "../../core/constants.js";
 import type { EngineLoad, EnginePort } from "../../core/ports/enginePort.js";
 import type { Clock } from "../../core/time/clock.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
 
 /** What polling needs. */
 export interface EnginePollingDependencies {
@@ -47,7 +48,6 @@
     let bytesLeft = maxBytes;
     let turn = 0;
     let isStopped = false;
-    let cancelTimer: () => void = () => undefined;
 
     async function readEvents({ id, address }: Upstream): Promise<void> {
         if (bytesLeft <= 0 || !backoff.isDue(id, clock.now())) {
@@ -84,12 +84,12 @@
             }
         }
         turn += count;
-        cancelTimer = clock.after(periodMs, tick);
     }
 
     tick();
+    const stopPolling = repeatEvery(clock, periodMs, tick);
     return () => {
         isStopped = true;
-        cancelTimer();
+        stopPolling();
     };
 }
--- a/src/io/cache/shareHints.ts
+++ b/src/io/cache/shareHints.ts
@@ -4,6 +4,7 @@
  */
 import type { HintExchange } from "../../core/cache/createHintExchange.js";
 import type { Clock } from "../../core/time/clock.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
 
 /** What sharing needs. */
 export interface HintSharingDependencies {
@@ -25,7 +26,6 @@
 export function shareHints(dependencies: HintSharingDependencies): () => void {
     const { clock, exchange } = dependencies;
     const busy = new Set<string>();
-    let cancelTimer: () => void = () => undefined;
 
     async function tell(peer: string): Promise<void> {
         const payload = exchange.collect(peer, clock.now());
@@ -43,11 +43,7 @@
         busy.delete(peer);
     }
 
-    function tick(): void {
+    return repeatEvery(clock, periodMs, () => {
         exchange.listPeers().filter(peer => !busy.has(peer)).forEach(peer => void tell(peer));
-        cancelTimer = clock.after(periodMs, tick);
-    }
-
-    cancelTimer = clock.after(periodMs, tick);
-    return () => cancelTimer();
+    });
 }
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -6,6 +6,7 @@
 import type { Heartbeat } from "../../core/fleet/heartbeat.js";
 import { parseHeartbeat } from "../../core/fleet/heartbeat.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
 
 /** Options of {@link startHeartbeats}. */
 export interface StartHeartbeatsOptions {
@@ -34,7 +35,7 @@
  */
 export function startHeartbeats(options: StartHeartbeatsOptions): Heartbeats {
     const socket = createSocket("udp4");
-    let cancelTimer: CancelTimer = () => undefined;
+    let stopSending: CancelTimer = () => undefined;
     let isStopped = false;
 
     function sendAll(): void {
@@ -46,13 +47,10 @@
         }
     }
 
-    function schedule(): void {
-        cancelTimer = options.clock.after(options.intervalMs, () => {
-            if (!isStopped) {
-                sendAll();
-                schedule();
-            }
-        });
+    function hurry(): void {
+        if (!isStopped) {
+            sendAll();
+        }
     }
 
     socket.on("message", message => {
@@ -65,18 +63,16 @@
     });
     socket.on("error", err => options.onMalformed(err.message));
     socket.bind(options.port, options.host, () => {
-        sendAll();
-        schedule();
+        if (!isStopped) {
+            sendAll();
+            stopSending = repeatEvery(options.clock, options.intervalMs, sendAll);
+        }
     });
     return {
-        hurry: () => {
-            if (!isStopped) {
-                sendAll();
-            }
-        },
+        hurry,
         stop: () => {
             isStopped = true;
-            cancelTimer();
+            stopSending();
             socket.close();
         },
     };
--- a/src/io/lifecycle/watchEngineLeaves.ts
+++ b/src/io/lifecycle/watchEngineLeaves.ts
@@ -8,6 +8,7 @@
 import type { MembershipView } from "../../core/membership/memberTypes.js";
 import type { EnginePort } from "../../core/ports/enginePort.js";
 import type { Clock } from "../../core/time/clock.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
 
 /** What watching needs. */
 export interface EngineWatchDependencies {
@@ -63,15 +64,14 @@
         for (const engine of dependencies.listEngines().filter(one => isOwner(view, one))) {
             void read(engine.address);
         }
-        cancel = dependencies.clock.after(readPeriodMs, readOwned);
     }
 
-    let cancel = dependencies.clock.after(readPeriodMs, readOwned);
+    const stopReading = repeatEvery(dependencies.clock, readPeriodMs, readOwned);
     return {
         readNow: address => void read(address),
         stop: () => {
             isStopped = true;
-            cancel();
+            stopReading();
         },
     };
 }
--- a/src/io/proxy/createConnectionShelf.ts
+++ b/src/io/proxy/createConnectionShelf.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 import type { Clock } from "../../core/time/clock.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
 
 /** One connection. */
 export interface ShelfConnection {
@@ -157,9 +158,8 @@
                 shelves.set(address, recent);
             }
         }
-        cancelSweep = clock.after(sweepIntervalMs, sweep);
     }
-    let cancelSweep = clock.after(sweepIntervalMs, sweep);
+    const stopSweeping = repeatEvery(clock, sweepIntervalMs, sweep);
 
     function distrustAll(): void {
         [...shelves.values()].flat().forEach(one => destroy(one.connection.client));
@@ -171,7 +171,7 @@
         release,
         distrustAll,
         close: () => {
-            cancelSweep();
+            stopSweeping();
             distrustAll();
         },
         countOpened: () => opened,
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -6,6 +6,7 @@
 import type { UpstreamUseAccount } from "../../core/placement/createUpstreamUse.js";
 import type { UpstreamRegistry } from "../../core/registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../../core/registry/upstreamRecord.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
 import { orderArrivalMs } from "../../core/weights/createRolloutLease.js";
 import type { NamedWeights, WeightsView } from "../../core/weights/createWeightsView.js";
 import {
@@ -217,21 +218,14 @@
         });
     }
 
-    function schedule(): void {
-        clock.after(tickMs, () => {
-            if (!isStopped) {
-                wake();
-                schedule();
-            }
-        });
-    }
-    schedule();
+    const stopTicking = repeatEvery(clock, tickMs, wake);
     return {
         listLoading: () => [...loading.keys()],
         wake,
         distrust: () => lease.giveUp(),
         stop: () => {
             isStopped = true;
+            stopTicking();
         },
     };
 }
