Wait for the standbys' answers before an instance that returned is ready

While the log was down an instance counted as settled at once, so that the next one, its standby, could be restarted before it was asked for the seats that it kept.

Change: an instance is settled only when no standby is left to be asked, for 2 s at the most; it plans its seats as soon as it has a ledger in that time.

A scenario on a virtual clock failed before and passes now; one more holds the bound of 2 s.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -35,6 +35,17 @@
         When the standby of instance 1 leaves while instance 1 is away
         Then no seat is lost when both are back
 
+    Scenario: An instance that returns while the log is down is not ready before its standbys have answered
+        Given an instance that starts while the log is down and whose seats "entry-2" may keep
+        Then its seats are not settled
+        When "entry-2" answers that it keeps them
+        Then its seats are settled
+
+    Scenario: An instance does not wait for a standby that stays away
+        Given an instance that starts while the log is down and whose seats "entry-2" may keep
+        When 2000 ms pass without an answer
+        Then its seats are settled
+
     Scenario: Every request is admitted or refused
         Given any schedule of restarts, pauses, partitions, log outages, losses and delays
         Then every request at an instance that lives on is decided by its deadline
--- a/src/assemble/assembleLimits.ts
+++ b/src/assemble/assembleLimits.ts
@@ -88,6 +88,7 @@
         clock,
         random: Math.random,
         keeper: () => limits!.keeper,
+        reviewSeats: () => limits?.reviewSeats(),
         handOver: ended =>
             handSeatsOver(ended, {
                 connect,
--- a/src/io/limits/followSeats.ts
+++ b/src/io/limits/followSeats.ts
@@ -18,6 +18,8 @@
     readonly keeper: () => SeatKeeper;
     /** Hands seats whose use has ended to the standbys; called when the log has not taken their release. */
     readonly handOver: (seats: readonly EndedSeat[]) => Promise<void>;
+    /** Plans seats soon, out of turn. */
+    readonly reviewSeats: () => void;
     /** Random number from 0 (included) to 1 (excluded). */
     readonly random: () => number;
 }
@@ -81,12 +83,20 @@
         folded.forEach(one => one.onSettled("folded"));
     }
 
+    /** An instance that starts learns from the ledger whom it has to ask; it is not ready before. */
+    function adoptLedger(ledger: SeatLedger): void {
+        keeper().adopt(ledger);
+        if (clock.now() - startedMs < maxSeatSettlingMs) {
+            dependencies.reviewSeats();
+        }
+    }
+
     /** While the stream's state is not known, as after its beginning was dropped, no record is appended. */
     function takePage(page: LogPage): void {
         const ledger = reader.take(page);
         isReadable = ledger !== undefined;
         if (ledger !== undefined) {
-            keeper().adopt(ledger);
+            adoptLedger(ledger);
             settleFolded();
             considerCheckpoint();
         }
@@ -146,7 +156,8 @@
 
     function checkSettled(): boolean {
         const isLate = clock.now() - startedMs >= maxSeatSettlingMs;
-        isSettled = isSettled || isLate || (isTried && (!isReached || keeper().isSettled()));
+        const hasAsked = keeper().custody.listUnasked().length === 0;
+        isSettled = isSettled || isLate || (isTried && hasAsked && (!isReached || keeper().isSettled()));
         return isSettled;
     }
 
@@ -160,7 +171,7 @@
         },
         adopt: ledger => {
             reader.adopt(ledger);
-            keeper().adopt(ledger);
+            adoptLedger(ledger);
         },
         isLogUp: () => isReached,
         append: (record, onSettled) => void appendRecord(record, onSettled),
