Start no suspicion timer after a member has stopped; find ports that are free for datagrams too

Cause: a probe that failed after Membership.stop started a suspicion, whose expiry the stopped pause detector took for a pause and started again, so that the test process sometimes did not end. The scenarios of the platform's path looked for free TCP ports only; another process could hold the same number as UDP port, and heartbeats failed with EADDRINUSE. Ruled out: the daemon was not affected (it ends by process.exit). Test: a suspicion started after the stop expired before, and does not now.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -49,6 +49,11 @@
         When 20 s pass
         Then every running member sees member 24 as "dead"
 
+    Scenario: A member that has stopped suspects no one any more
+        Given the suspicion timers of a member
+        When the member stops and a probe that it had sent fails
+        Then no suspicion expires within 60 s
+
     Scenario: Failure domains that cannot reach each other do not make views flap
         When the links between failure domains 1 and 2 are cut
         And 120 s pass
--- a/features/steps/platformPathSteps.ts
+++ b/features/steps/platformPathSteps.ts
@@ -4,6 +4,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
 import { connect, createServer } from "node:net";
 import { request } from "undici";
 import { type FakeServer, startFakeServer } from "../../fakes/startFakeServer.js";
@@ -50,18 +51,33 @@
     return fixture;
 }
 
-function findFreePort(): Promise<number> {
+function isFreeForDatagrams(port: number): Promise<boolean> {
     return new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const address = server.address();
-            const port = typeof address === "object" ? address?.port : undefined;
-            assert.ok(port !== undefined);
-            server.close(() => resolve(port));
+        const socket = createSocket("udp4");
+        socket.once("error", () => {
+            socket.close();
+            resolve(false);
         });
+        socket.bind(port, "127.0.0.1", () => socket.close(() => resolve(true)));
     });
 }
 
+/** Finds a port that no other process uses for connections or for datagrams. */
+async function findFreePort(): Promise<number> {
+    for (;;) {
+        const server = createServer();
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = server.address();
+        const port = typeof address === "object" ? address?.port : undefined;
+        assert.ok(port !== undefined);
+        const isFree = await isFreeForDatagrams(port);
+        await new Promise<void>(resolve => server.close(() => resolve()));
+        if (isFree) {
+            return port;
+        }
+    }
+}
+
 async function waitUntil(what: string, isTrue: () => boolean | Promise<boolean>): Promise<void> {
     const untilMs = Date.now() + timeoutMs;
     while (!await isTrue()) {
--- a/src/core/membership/createSuspicions.ts
+++ b/src/core/membership/createSuspicions.ts
@@ -13,6 +13,7 @@
     readonly clear: (instance: string) => void;
     /** Restarts all timers with the full timeout, as after a pause of this process. */
     readonly restart: () => void;
+    /** Cancels all timers; none is started any more. */
     readonly stop: () => void;
 }
 
@@ -42,6 +43,7 @@
  */
 export function createSuspicions(dependencies: SuspicionDependencies): Suspicions {
     const running = new Map<string, RunningSuspicion>();
+    let isStopped = false;
 
     function clear(instance: string): void {
         running.get(instance)?.cancel();
@@ -61,12 +63,15 @@
 
     return {
         start: suspect => {
-            if (running.get(suspect.instance)?.suspect.incarnation !== suspect.incarnation) {
+            if (!isStopped && running.get(suspect.instance)?.suspect.incarnation !== suspect.incarnation) {
                 begin(suspect);
             }
         },
         clear,
         restart: () => [...running.values()].forEach(one => begin(one.suspect)),
-        stop: () => [...running.keys()].forEach(clear),
+        stop: () => {
+            isStopped = true;
+            [...running.keys()].forEach(clear);
+        },
     };
 }
