Count the prefill that peers have probably placed since their last report

Cause: a placement knew its peers' queued prefill only as of their last report, up to 350 ms ago. After a change of weights all instances chose the same few engines within that time, and prompts queued there. Hypothesis: the estimate that memory already had (each peer has placed as much there as this instance) spreads them. Ruled out: reports more often (bytes between failure domains).

--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -276,7 +276,7 @@
                 const chosen = choosePlacement([{
                     id: "e-1",
                     use: tracker.read("e-1"),
-                    unreportedTokens: tracker.estimateUnreportedTokens("e-1", nowMs),
+                    unreported: tracker.estimateUnreported("e-1", nowMs),
                     slots: 1_000,
                     memoryTokens: engineMemoryTokens,
                     prefillTokens: requestTokens,
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -25,13 +25,14 @@
     if (candidate.memoryTokens === undefined || candidate.use.requests === 0) {
         return true;
     }
-    const usedTokens = candidate.use.memoryTokens + candidate.unreportedTokens;
+    const usedTokens = candidate.use.memoryTokens + candidate.unreported.memoryTokens;
     return usedTokens + candidate.neededTokens <= candidate.memoryTokens * maxMemoryFraction;
 }
 
 /** Estimates the cost of a placement in prompt tokens: the prefill, the work queued before it, and penalties. */
 function estimateCost(candidate: PlacementCandidate): number {
-    const wait = candidate.use.unreadTokens + candidate.use.requests * runningRequestTokens;
+    const unreadTokens = candidate.use.unreadTokens + candidate.unreported.unreadTokens;
+    const wait = unreadTokens + candidate.use.requests * runningRequestTokens;
     const outdated = candidate.isOutdated ? outdatedTokens : 0;
     const remoteDomain = candidate.isSameFailureDomain ? 0 : remoteDomainTokens;
     return candidate.prefillTokens + wait + outdated + remoteDomain;
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -20,7 +20,7 @@
     sumTokens,
 } from "./createPromptCacheReader.js";
 import { createWaitQueue, type WaitQueue } from "./createWaitQueue.js";
-import type { PlacementCandidate, Prompt, UpstreamUse } from "./placementTypes.js";
+import type { PlacementCandidate, Prompt, UnreportedUse, UpstreamUse } from "./placementTypes.js";
 
 /** Dependencies of {@link createPlacer}. */
 export interface PlacerDependencies extends Omit<PromptCacheReaderDependencies, "now"> {
@@ -69,6 +69,9 @@
 /** Time from the placement of a request to the start of its answer: the prefill of ten thousand tokens. */
 const minServiceMs = 150;
 
+/** Plain services are placed by running requests alone, which they report with their answers. */
+const noUnreportedUse: UnreportedUse = { memoryTokens: 0, unreadTokens: 0 };
+
 /** Minimum time to the deadline for a request to be sent. */
 const minSendMs = 20;
 
@@ -145,7 +148,7 @@
         return {
             id: record.id,
             use,
-            unreportedTokens: 0,
+            unreported: noUnreportedUse,
             slots: record.slots,
             memoryTokens: undefined,
             prefillTokens: 0,
@@ -168,7 +171,7 @@
             const isShared = deps.use.holdsShared(id, view.sharedKey);
             const candidate = {
                 ...describePlain(choice, view.uses.get(id) ?? deps.use.read(id)),
-                unreportedTokens: deps.use.estimateUnreportedTokens(id, deps.clock.now()),
+                unreported: deps.use.estimateUnreported(id, deps.clock.now()),
                 slots: engine?.slots ?? choice.record.slots,
                 memoryTokens: engine?.memoryTokens,
                 prefillTokens: coverage.prefillTokens,
--- a/src/core/placement/createUpstreamUseTracker.ts
+++ b/src/core/placement/createUpstreamUseTracker.ts
@@ -2,7 +2,7 @@
  * @module
  * Tracks the use of upstreams: exact for this instance's own requests, as last reported for those of its peers.
  */
-import type { UpstreamUse } from "./placementTypes.js";
+import type { UnreportedUse, UpstreamUse } from "./placementTypes.js";
 
 /** A request of this instance at an upstream. */
 export interface PlacedRequest {
@@ -31,10 +31,10 @@
     /** Use by this instance and its peers. */
     readonly read: (upstream: string) => UpstreamUse;
     /**
-     * Estimates the memory that peers have taken since their last report, in tokens. The estimate assumes that each
-     * peer has placed as much as this instance.
+     * Estimates what peers have placed since their last report. The estimate assumes that each peer has placed as much
+     * as this instance.
      */
-    readonly estimateUnreportedTokens: (upstream: string, nowMs: number) => number;
+    readonly estimateUnreported: (upstream: string, nowMs: number) => UnreportedUse;
     /** Whether a request of this instance uses a shared prompt on an upstream. */
     readonly holdsShared: (upstream: string, sharedKey: string) => boolean;
     /** Lists this instance's own use, as reported to its peers. */
@@ -50,6 +50,7 @@
 interface RecentRequest {
     readonly atMs: number;
     readonly ownTokens: number;
+    readonly unreadTokens: number;
 }
 
 interface OwnState {
@@ -107,7 +108,11 @@
     function begin(requestId: string, placed: PlacedRequest, nowMs: number): void {
         requests.set(requestId, { ...placed, isPrefilled: false });
         const state = stateOf(placed.upstream);
-        state.recent = [...listRecent(state, nowMs), { atMs: nowMs, ownTokens: placed.ownTokens }];
+        state.recent = [...listRecent(state, nowMs), {
+            atMs: nowMs,
+            ownTokens: placed.ownTokens,
+            unreadTokens: placed.unreadTokens,
+        }];
         state.requests += 1;
         state.ownTokens += placed.ownTokens;
         state.unreadTokens += placed.unreadTokens;
@@ -118,10 +123,13 @@
 
     const listRecent = (state: OwnState, nowMs: number) => state.recent.filter(one => nowMs - one.atMs < reportLagMs);
 
-    function estimateUnreportedTokens(upstream: string, nowMs: number): number {
+    function estimateUnreported(upstream: string, nowMs: number): UnreportedUse {
         const state = own.get(upstream);
         const recent = state === undefined ? [] : listRecent(state, nowMs);
-        return peers.size * recent.reduce((sum, one) => sum + one.ownTokens, 0);
+        return {
+            memoryTokens: peers.size * recent.reduce((sum, one) => sum + one.ownTokens, 0),
+            unreadTokens: peers.size * recent.reduce((sum, one) => sum + one.unreadTokens, 0),
+        };
     }
 
     function recordAnswerStart(requestId: string): void {
@@ -173,7 +181,7 @@
         recordAnswerStart,
         end,
         read,
-        estimateUnreportedTokens,
+        estimateUnreported,
         holdsShared: (upstream, sharedKey) => own.get(upstream)?.shared.has(sharedKey) ?? false,
         listOwn: () => [...own].map(([upstream, state]) => ({ upstream, ...sumOwn(state) })),
         updatePeer: (peer, uses) => {
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -27,13 +27,20 @@
     readonly unreadTokens: number;
 }
 
+/** Estimated use by requests that peers have placed since their last report. */
+export interface UnreportedUse {
+    /** Memory for the parts that no other request shares, in tokens. */
+    readonly memoryTokens: number;
+    /** Prompt tokens to prefill. */
+    readonly unreadTokens: number;
+}
+
 /** One upstream that may run a request. */
 export interface PlacementCandidate {
     readonly id: string;
     /** Use by this instance and, as last reported, by its peers. */
     readonly use: UpstreamUse;
-    /** Estimated memory that peers have taken since their last report, in tokens. */
-    readonly unreportedTokens: number;
+    readonly unreported: UnreportedUse;
     /** Maximum number of concurrent requests. */
     readonly slots: number;
     /** Memory of an engine in tokens; undefined for a plain service. */
