Refuse waiting requests that the queue's progress does not reach; split the placer into small modules

A request without free capacity waited for 0.6 of its caller's patience at each send, also when it had no chance. The part that most prompts begin with was prefilled by each engine after a change of weights, and parts were fetched from engines that had not prefilled them yet. Tests: a load that does not fit (refused after 1,440 ms of 2,400 before; at most half now, at 95 % of the capacity and all on time), a short excess (nobody refused too early), outdated weights. The scenario of outdated weights is replaced: its first step was true only because outdated weights cost from the first moment; the new one checks all three phases.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -17,11 +17,14 @@
         When the registry reports that "u-1" is draining
         Then 20 requests are all placed at "u-2"
 
-    Scenario: Outdated weights are avoided, and refused past their limit
+    Scenario: Outdated weights are used while answers on them are worth as much, then avoided, and refused past their limit
         Given idle engines "u-1, u-2"
+        And "u-1" reports that it has cached the shared parts
         And the target weights version is 2 and "u-2" has loaded it
+        Then 2 requests are all placed at "u-1"
+        When 1500 ms have passed
         Then 2 requests are all placed at "u-2"
-        When 7000 ms have passed
+        When 5500 ms have passed
         And a request to "u-2" is found to be misdirected
         Then a request is refused as "noUpstream"
 
@@ -78,3 +81,14 @@
         When requests with a deadline of 15000 ms are placed until one waits
         And 2300 ms have passed
         Then the waiting request is refused as "overloaded"
+
+    Scenario: Under a load that does not fit, callers who cannot be served learn it while they have time to come back
+        Given an engine with room for two requests that answers each in 200 ms
+        When a request arrives every 50 ms for 6 s
+        Then from second 1 on, each refused caller has at least half of its time left
+        And of 6 s of capacity at least 95 % is used, and from second 2 on each answer is on time
+
+    Scenario: A short excess over the capacity is queued, not refused
+        Given an engine with room for two requests that answers each in 200 ms
+        When a request arrives every 50 ms for 1 s
+        Then of 1 s of capacity at least 95 % is used, and from second 1 on each answer is on time
--- /dev/null
+++ b/features/steps/placementLoadSteps.ts
@@ -0,0 +1,105 @@
+/**
+ * @module
+ * Steps that play a load on placers and check what the callers get.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { computeCallerDeadlines } from "../../src/core/proxy/computeCallerDeadlines.js";
+import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
+import { createPlacerFixture, type PlacerFixture } from "../support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+/** What one caller got. */
+interface CallerResult {
+    readonly req: ProxyRequest;
+    readonly kind: "answered" | "refused";
+    readonly atMs: number;
+}
+
+interface LoadFixture {
+    readonly placing: PlacerFixture;
+    readonly serviceMs: number;
+    readonly capacityPerSecond: number;
+    readonly results: CallerResult[];
+}
+
+const loads = new WeakMap<SiteWorld, LoadFixture>();
+
+/** Tokens of a request of which two fit into an engine's memory. */
+const largePromptTokens = 9_000;
+const concurrentRequests = 2;
+
+function createLargeRequest(id: string, nowMs: number): ProxyRequest {
+    const parts = [{ id: `own-${id}`, tokens: largePromptTokens }];
+    const prompt = createPrompt({ parts, promptTokens: largePromptTokens });
+    return createProxyRequest("stream", { id, prompt, arrivedMs: nowMs, deadlineMs: nowMs + 4_000 });
+}
+
+function serve(load: LoadFixture, req: ProxyRequest): void {
+    const { clock, placer } = load.placing;
+    placer.place(req, { kind: "place", excluded: [] }, result => {
+        if (result.kind !== "placed") {
+            load.results.push({ req, kind: "refused", atMs: clock.now() });
+            return;
+        }
+        clock.after(load.serviceMs, () => {
+            load.results.push({ req, kind: "answered", atMs: clock.now() });
+            placer.end(req);
+        });
+    });
+}
+
+Given(
+    "an engine with room for two requests that answers each in {int} ms",
+    function(this: SiteWorld, serviceMs: number) {
+        const placing = createPlacerFixture(createVirtualClock(1), ["u-1"]);
+        const capacityPerSecond = concurrentRequests * 1_000 / serviceMs;
+        loads.set(this, { placing, serviceMs, capacityPerSecond, results: [] });
+    },
+);
+
+When(
+    "a request arrives every {int} ms for {int} s",
+    function(this: SiteWorld, spacingMs: number, seconds: number) {
+        const load = loads.get(this)!;
+        const { clock } = load.placing;
+        for (let atMs = 0; atMs < seconds * 1_000; atMs += spacingMs) {
+            clock.after(atMs, () => serve(load, createLargeRequest(`r-${atMs}`, clock.now())));
+        }
+        clock.runUntil(clock.now() + seconds * 1_000 + 5_000);
+        assert.equal(load.results.length, seconds * 1_000 / spacingMs);
+    },
+);
+
+Then(
+    "from second {int} on, each refused caller has at least half of its time left",
+    function(this: SiteWorld, second: number) {
+        const refused = loads.get(this)!.results
+            .filter(({ req, kind }) => kind === "refused" && req.arrivedMs >= second * 1_000);
+        assert.ok(refused.length > 0);
+        for (const { req, atMs } of refused) {
+            const patienceMs = computeCallerDeadlines(req).disconnectMs - req.arrivedMs;
+            assert.ok(atMs - req.arrivedMs <= patienceMs / 2, `refused after ${atMs - req.arrivedMs} ms`);
+        }
+    },
+);
+
+Then(
+    "of {int} s of capacity at least {int} % is used, and from second {int} on each answer is on time",
+    function(this: SiteWorld, seconds: number, percent: number, second: number) {
+        const { results, capacityPerSecond, serviceMs } = loads.get(this)!;
+        const answered = results.filter(({ kind }) => kind === "answered");
+        assert.ok(answered.length >= seconds * capacityPerSecond * percent / 100, `${answered.length} answers`);
+        for (const { req, atMs } of answered.filter(one => one.req.arrivedMs >= second * 1_000)) {
+            const startedMs = atMs - serviceMs;
+            const { latencyDeadlineMs } = computeCallerDeadlines(req);
+            assert.ok(startedMs <= latencyDeadlineMs, `placed ${startedMs - latencyDeadlineMs} ms too late`);
+        }
+    },
+);
+
+Then("no caller is refused", function(this: SiteWorld) {
+    assert.deepEqual(loads.get(this)!.results.filter(({ kind }) => kind === "refused"), []);
+});
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -4,27 +4,22 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import { choosePlacement } from "../../src/core/placement/choosePlacement.js";
-import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
-import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
-import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
 import { createUpstreamUseTracker } from "../../src/core/placement/createUpstreamUseTracker.js";
 import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
-import { createUpstreamRegistry, type UpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
-import { indexRoutes } from "../../src/core/routes/indexRoutes.js";
-import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
-import { createPrompt, createProxyRequest, createRecord, createTable } from "../support/proxyFixtures.js";
+import {
+    createEngineRecord,
+    createPlacerFixture,
+    engineMemoryTokens,
+    firstSalt,
+    type PlacerFixture,
+} from "../support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
-interface PlacementFixture {
-    readonly clock: VirtualClock;
-    readonly registry: UpstreamRegistry;
-    readonly weights: WeightsView;
-    readonly health: HealthView;
-    readonly parts: PartView;
-    readonly placer: Placer;
+interface PlacementFixture extends PlacerFixture {
     /** Requests with their results, in the order of arrival. */
     readonly requests: { readonly req: ProxyRequest; result: PlaceResult | undefined; }[];
     /** Ids of requests in the order in which they were placed. */
@@ -32,8 +27,6 @@
 }
 
 const fixtures = new WeakMap<SiteWorld, PlacementFixture>();
-const memoryTokens = 20_000;
-const salt = "easy-read/1/shared";
 
 function getFixture(world: SiteWorld): PlacementFixture {
     const fixture = fixtures.get(world);
@@ -41,10 +34,6 @@
     return fixture;
 }
 
-function recordOf(id: string, changes: Parameters<typeof createRecord>[0] = {}) {
-    return createRecord({ id, address: `10.0.0.${id.slice(2)}:80`, ...changes });
-}
-
 function placeNext(fixture: PlacementFixture, changes: Partial<ProxyRequest> = {}): PlaceResult | undefined {
     const nowMs = fixture.clock.now();
     const id = `r-${fixture.requests.length}`;
@@ -71,30 +60,8 @@
 }
 
 Given("idle engines {string}", function(this: SiteWorld, names: string) {
-    const clock = createVirtualClock(1);
-    const health = createHealthView();
-    const registry = createUpstreamRegistry(event => {
-        if (event.kind === "restarted" || event.kind === "removed") {
-            health.remove(event.record.id);
-        }
-    });
-    const weights = createWeightsView();
-    const parts = createPartView();
-    const index = indexRoutes(createTable());
-    const placer = createPlacer({
-        clock,
-        failureDomain: "north",
-        registry,
-        weights,
-        use: createUpstreamUseTracker(),
-        parts,
-        health,
-        findService: index.findService,
-        outdatedLimitMs: 6_400,
-        listStores: () => [],
-    });
-    registry.applyList(names.split(", ").map(id => recordOf(id)), 0);
-    fixtures.set(this, { clock, registry, weights, health, parts, placer, requests: [], placedOrder: [] });
+    const fixture = createPlacerFixture(createVirtualClock(1), names.split(", "));
+    fixtures.set(this, { ...fixture, requests: [], placedOrder: [] });
 });
 
 When("a request to {string} is found to be misdirected", function(this: SiteWorld, id: string) {
@@ -103,14 +70,14 @@
 
 When("the registry reports that {string} has restarted", function(this: SiteWorld, id: string) {
     const { registry, clock } = getFixture(this);
-    registry.applyChanges([{ kind: "put", record: recordOf(id, { startedAtMs: 2 }) }], clock.now());
+    registry.applyChanges([{ kind: "put", record: createEngineRecord(id, { startedAtMs: 2 }) }], clock.now());
 });
 
 When(
     /^(?:the registry reports that )?"([^"]+)" is draining(?: according to the registry)?$/,
     function(this: SiteWorld, id: string) {
         const { registry, clock } = getFixture(this);
-        registry.applyChanges([{ kind: "put", record: recordOf(id, { isDraining: true }) }], clock.now());
+        registry.applyChanges([{ kind: "put", record: createEngineRecord(id, { isDraining: true }) }], clock.now());
     },
 );
 
@@ -134,7 +101,11 @@
 
 When("{string} reports that it has cached the shared parts", function(this: SiteWorld, id: string) {
     const { parts } = getFixture(this);
-    parts.applyEvents(id, [{ salt, part: "style", tokens: 2_000 }, { salt, part: "case", tokens: 4_000 }]);
+    parts.applyEvents(id, [{ salt: firstSalt, part: "style", tokens: 2_000 }, {
+        salt: firstSalt,
+        part: "case",
+        tokens: 4_000,
+    }]);
 });
 
 function placeUntilOneWaits(fixture: PlacementFixture, changes: Partial<ProxyRequest> = {}): void {
@@ -189,7 +160,7 @@
         const result = placeNext(getFixture(this));
         assert.ok(result?.kind === "placed");
         assert.equal(result.placement.upstream.id, id);
-        assert.equal(result.placement.cacheSource, recordOf(source).address);
+        assert.equal(result.placement.cacheSource, createEngineRecord(source).address);
     },
 );
 
@@ -209,7 +180,7 @@
     // The parts before the last are shared by all of them; each has 1,000 tokens and 20 generated ones of its own.
     const tokens = 6_000 + placed.length * 1_020;
     assert.ok(placed.length > 1);
-    assert.ok(tokens <= memoryTokens, `${tokens} tokens`);
+    assert.ok(tokens <= engineMemoryTokens, `${tokens} tokens`);
 });
 
 Then("the waiting request is placed", function(this: SiteWorld) {
@@ -254,7 +225,7 @@
 
 const delayedReports = new WeakMap<SiteWorld, DelayedReportsFixture>();
 const requestTokens = 1_020;
-const engineMemoryTokens = 60_000;
+const sharedEngineTokens = 60_000;
 
 Given(
     "{int} instances that report their use to each other every {int} ms",
@@ -278,8 +249,9 @@
                     use: tracker.read("e-1"),
                     unreported: tracker.estimateUnreported("e-1", nowMs),
                     slots: 1_000,
-                    memoryTokens: engineMemoryTokens,
+                    memoryTokens: sharedEngineTokens,
                     prefillTokens: requestTokens,
+                    repeatedTokens: 0,
                     neededTokens: requestTokens,
                     isOutdated: false,
                     isSameFailureDomain: true,
@@ -298,5 +270,5 @@
 Then("the engine's memory is not overcommitted before the reports arrive", function(this: SiteWorld) {
     const { takenTokens } = delayedReports.get(this)!;
     assert.ok(takenTokens > 0);
-    assert.ok(takenTokens <= engineMemoryTokens, `${takenTokens} tokens`);
+    assert.ok(takenTokens <= sharedEngineTokens, `${takenTokens} tokens`);
 });
--- /dev/null
+++ b/features/support/placerFixtures.ts
@@ -0,0 +1,66 @@
+/**
+ * @module
+ * A placer with its views on a virtual clock, for scenarios of placement.
+ */
+import type { VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
+import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
+import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
+import {
+    createUpstreamUseTracker,
+    type UpstreamUseTracker,
+} from "../../src/core/placement/createUpstreamUseTracker.js";
+import { createUpstreamRegistry, type UpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
+import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
+import { indexRoutes } from "../../src/core/routes/indexRoutes.js";
+import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
+import { createRecord, createTable } from "./proxyFixtures.js";
+
+/** A placer and the views on which it decides. */
+export interface PlacerFixture {
+    readonly clock: VirtualClock;
+    readonly registry: UpstreamRegistry;
+    readonly weights: WeightsView;
+    readonly health: HealthView;
+    readonly parts: PartView;
+    readonly use: UpstreamUseTracker;
+    readonly placer: Placer;
+}
+
+/** Memory of an engine, in tokens. */
+export const engineMemoryTokens = 20_000;
+
+/** Salt of parts that are cached under the first version of the weights. */
+export const firstSalt = "easy-read/1/shared";
+
+/** Creates the record of an engine, whose id ends in a number. */
+export function createEngineRecord(id: string, changes: Parameters<typeof createRecord>[0] = {}): UpstreamRecord {
+    return createRecord({ id, address: `10.0.0.${id.slice(2)}:80`, ...changes });
+}
+
+/** Creates a placer for idle engines. */
+export function createPlacerFixture(clock: VirtualClock, engines: readonly string[]): PlacerFixture {
+    const health = createHealthView();
+    const registry = createUpstreamRegistry(event => {
+        if (event.kind === "restarted" || event.kind === "removed") {
+            health.remove(event.record.id);
+        }
+    });
+    const weights = createWeightsView();
+    const parts = createPartView();
+    const use = createUpstreamUseTracker();
+    const placer = createPlacer({
+        clock,
+        failureDomain: "north",
+        registry,
+        weights,
+        use,
+        parts,
+        health,
+        findService: indexRoutes(createTable()).findService,
+        outdatedLimitMs: 6_400,
+        listStores: () => [],
+    });
+    registry.applyList(engines.map(id => createEngineRecord(id)), 0);
+    return { clock, registry, weights, health, parts, use, placer };
+}
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -91,7 +91,7 @@
 
     function recordAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead): void {
         if (!head.isNotRun) {
-            placer.recordAnswerStart(req);
+            placer.recordAnswerStart(req, effect.placement);
         }
         if (head.weightsVersion !== undefined && req.prompt !== undefined) {
             views.weights.recordLoaded(effect.placement.upstream.id, req.prompt.model, head.weightsVersion);
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -9,6 +9,9 @@
 /** Cost of each running request for a new one, in prompt tokens: it makes each decoding step longer. */
 const runningRequestTokens = 40;
 
+/** Cost of a token that is prefilled again, beside its prefill: it takes capacity from other requests. */
+const repeatedTokenCost = 1;
+
 /** Cost of outdated weights, in prompt tokens: the answer is worth a fifth less to its caller. */
 const outdatedTokens = 8_000;
 
@@ -35,7 +38,8 @@
     const wait = unreadTokens + candidate.use.requests * runningRequestTokens;
     const outdated = candidate.isOutdated ? outdatedTokens : 0;
     const remoteDomain = candidate.isSameFailureDomain ? 0 : remoteDomainTokens;
-    return candidate.prefillTokens + wait + outdated + remoteDomain;
+    const repeated = candidate.repeatedTokens * repeatedTokenCost;
+    return candidate.prefillTokens + repeated + wait + outdated + remoteDomain;
 }
 
 /**
--- a/src/core/placement/createPartView.ts
+++ b/src/core/placement/createPartView.ts
@@ -3,8 +3,6 @@
  * Tracks which prompt parts are cached by engines and cache stores: from the events that they publish, which arrive
  * late and with gaps, and from this instance's own sends, whose events have not arrived yet.
  */
-import { hashText } from "../_lib/hashText.js";
-import { scoreRendezvous } from "../_lib/scoreRendezvous.js";
 import type { Prompt, PromptPart } from "./placementTypes.js";
 
 /** A change in the cache of a holder, which is an engine or a cache store. */
@@ -20,12 +18,20 @@
     readonly applyEvents: (holder: string, events: readonly PartEvent[]) => void;
     /** Removes a holder with all its parts, for example after its restart. */
     readonly removeHolder: (holder: string) => void;
-    /** Counts the tokens cached by a holder from the start of the prompt up to the first gap, without the last part. */
-    readonly countCachedTokens: (prompt: Prompt, salt: string, holder: string, nowMs: number) => number;
+    /** Counts a holder's cached tokens from the start of the prompt up to the first gap, without the last part. */
+    readonly countCachedTokens: (prompt: Prompt, salt: string, holder: string, nowMs: number) => CachedTokens;
     /** Records that a prompt was sent to an engine, whose prefill will cache its parts. */
     readonly recordSent: (prompt: Prompt, salt: string, engine: string, nowMs: number) => void;
-    /** Ranks the engines for a prompt by rendezvous hashing, so that all instances prefer the same one. */
-    readonly rankByRendezvous: (prompt: Prompt, salt: string, engines: readonly string[]) => readonly string[];
+    /** Records that an engine has begun its answer to a prompt, so that it has cached the shared parts. */
+    readonly recordPrefilled: (prompt: Prompt, salt: string, engine: string) => void;
+}
+
+/** Tokens of a prompt that a holder has cached. */
+export interface CachedTokens {
+    /** Tokens that are cached, and that another engine can fetch. */
+    readonly cached: number;
+    /** The same with those of prompts that were sent there recently, whose prefill may not have ended. */
+    readonly expected: number;
 }
 
 /** Time for which a sent part counts as cached while the engine's own event has not arrived. */
@@ -41,6 +47,8 @@
     readonly sentMs: Map<string, number>;
 }
 
+const noCachedTokens: CachedTokens = { cached: 0, expected: 0 };
+
 const keyOf = (salt: string, part: string) => `${salt} ${part}`;
 
 /** Parts before the last one, which belongs to the request itself. */
@@ -59,7 +67,21 @@
  * deriveSharedKey({ ...prompt, parts: [shared, own] }, "adapt/3/shared"); // "adapt/3/shared style"
  */
 export function deriveSharedKey(prompt: Prompt, salt: string): string {
-    return keyOf(salt, listShared(prompt).map(part => part.id).join("/"));
+    return derivePrefixKey(prompt, salt, prompt.parts.length - 1);
+}
+
+/**
+ * Derives the key of the first parts of a prompt.
+ *
+ * @param prompt - The prompt.
+ * @param salt - The salt of its cached parts.
+ * @param count - Number of parts.
+ * @returns The key; equal for all requests that begin with these parts.
+ * @example
+ * derivePrefixKey({ ...prompt, parts: [{ id: "style", tokens: 800 }, own] }, "adapt/3/shared", 1); // "adapt/3/shared style"
+ */
+export function derivePrefixKey(prompt: Prompt, salt: string, count: number): string {
+    return keyOf(salt, prompt.parts.slice(0, count).map(part => part.id).join("/"));
 }
 
 /** Deletes the oldest entries beyond the maximum number of parts. */
@@ -79,7 +101,7 @@
  * @example
  * const view = createPartView();
  * view.applyEvents("engine-1", [{ salt: "adapt/3/shared", part: "5c1e", tokens: 800 }]);
- * view.countCachedTokens(prompt, "adapt/3/shared", "engine-1", clock.now()); // 800
+ * view.countCachedTokens(prompt, "adapt/3/shared", "engine-1", clock.now()).cached; // 800
  */
 export function createPartView(): PartView {
     const holders = new Map<string, Holder>();
@@ -106,28 +128,31 @@
         limitSize(tokens);
     }
 
-    function countPart(holder: Holder, key: string, part: PromptPart, nowMs: number): number {
+    function isExpected(holder: Holder, key: string, nowMs: number): boolean {
         const sentMs = holder.sentMs.get(key);
-        if (sentMs !== undefined && nowMs - sentMs < sentTtlMs) {
-            return part.tokens;
-        }
-        return Math.min(part.tokens, holder.tokens.get(key) ?? 0);
+        return sentMs !== undefined && nowMs - sentMs < sentTtlMs;
     }
 
-    function countCachedTokens(prompt: Prompt, salt: string, id: string, nowMs: number): number {
+    function countCachedTokens(prompt: Prompt, salt: string, id: string, nowMs: number): CachedTokens {
         const holder = holders.get(id);
-        let cachedTokens = 0;
         if (holder === undefined) {
-            return cachedTokens;
+            return noCachedTokens;
         }
+        let cached = 0;
+        let expected = 0;
+        let hasGap = false;
         for (const part of listShared(prompt)) {
-            const tokens = countPart(holder, keyOf(salt, part.id), part, nowMs);
-            cachedTokens += tokens;
-            if (tokens < part.tokens) {
+            const key = keyOf(salt, part.id);
+            const partTokens = Math.min(part.tokens, holder.tokens.get(key) ?? 0);
+            const expectedTokens = isExpected(holder, key, nowMs) ? part.tokens : partTokens;
+            cached += hasGap ? 0 : partTokens;
+            expected += expectedTokens;
+            hasGap ||= partTokens < part.tokens;
+            if (expectedTokens < part.tokens) {
                 break;
             }
         }
-        return cachedTokens;
+        return { cached, expected };
     }
 
     function recordSent(prompt: Prompt, salt: string, engine: string, nowMs: number): void {
@@ -140,10 +165,9 @@
         limitSize(sentMs);
     }
 
-    function rankByRendezvous(prompt: Prompt, salt: string, engines: readonly string[]): readonly string[] {
-        const hash = hashText(deriveSharedKey(prompt, salt));
-        const scored = engines.map(engine => ({ engine, score: scoreRendezvous(hash, engine) }));
-        return scored.toSorted((left, right) => (left.score > right.score ? -1 : 1)).map(one => one.engine);
+    function recordPrefilled(prompt: Prompt, salt: string, engine: string): void {
+        const events = listShared(prompt).map(({ id, tokens }): PartEvent => ({ salt, part: id, tokens }));
+        applyEvents(engine, events);
     }
 
     return {
@@ -153,6 +177,6 @@
         },
         countCachedTokens,
         recordSent,
-        rankByRendezvous,
+        recordPrefilled,
     };
 }
--- /dev/null
+++ b/src/core/placement/createPlacementQueues.ts
@@ -0,0 +1,129 @@
+/**
+ * @module
+ * Holds the requests that find no free capacity, and refuses those that will not find any in time. It answers a load that
+ * exceeds the capacity of a service: a caller whose request cannot be served learns it while there is time to come back.
+ */
+import { createRefusal } from "../errors/createRefusal.js";
+import { computeCallerDeadlines } from "../proxy/computeCallerDeadlines.js";
+import type { PlaceResult } from "../proxy/proxyEffects.js";
+import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
+import type { CancelTimer, Clock } from "../time/clock.js";
+import { countOwnTokens, countSharedTokens } from "./_lib/countPromptTokens.js";
+import { createWaitQueue, type WaitQueue } from "./createWaitQueue.js";
+
+/** A request that waits for capacity. */
+export interface PlacementWait {
+    readonly req: ProxyRequest;
+    /** Places the request if an upstream has free capacity. */
+    readonly tryPlace: () => Placement | undefined;
+    /** Describes the load for a refusal. */
+    readonly describeLoad: () => string;
+    readonly onResult: (result: PlaceResult) => void;
+}
+
+/** The queues of all services. */
+export interface PlacementQueues {
+    /** Lets a request wait, or refuses it at once; `onResult` is called once. Returns a function that ends the wait. */
+    readonly wait: (wait: PlacementWait) => CancelTimer;
+    /** Places waiting requests of a service. */
+    readonly dispatch: (service: string) => void;
+    readonly dispatchAll: () => void;
+    readonly countWaiting: () => number;
+}
+
+/** Time from the placement of a request to the start of its answer: the prefill of ten thousand tokens. */
+const minServiceMs = 150;
+
+/** Fraction of the time until the caller's timeout for which a request may wait for capacity, over all its sends. */
+const maxWaitFraction = 0.6;
+
+/** Minimum delay after which a refused caller may find free capacity. */
+const minRetryAfterMs = 500;
+
+/** Maximum delay that is asked of a refused caller. */
+const maxRetryAfterMs = 2_000;
+
+function sizeOf({ prompt }: ProxyRequest): number {
+    return prompt === undefined ? 1 : countOwnTokens(prompt) + countSharedTokens(prompt);
+}
+
+function chooseRetryAfterMs(predictedMs: number): number {
+    return Math.max(minRetryAfterMs, Math.min(maxRetryAfterMs, Math.round(predictedMs)));
+}
+
+/**
+ * Creates empty queues.
+ *
+ * @param clock - The clock.
+ * @returns The queues.
+ * @example
+ * const cancel = createPlacementQueues(clock).wait({ req, tryPlace, describeLoad, onResult });
+ */
+export function createPlacementQueues(clock: Clock): PlacementQueues {
+    const queues = new Map<string, WaitQueue>();
+
+    function queueOf(service: string): WaitQueue {
+        const queue = queues.get(service) ?? createWaitQueue();
+        queues.set(service, queue);
+        return queue;
+    }
+
+    function wait({ req, tryPlace, describeLoad, onResult }: PlacementWait): CancelTimer {
+        const queue = queueOf(req.service);
+        const { latencyDeadlineMs, disconnectMs } = computeCallerDeadlines(req);
+        const lastStartMs = latencyDeadlineMs - minServiceMs;
+        const patienceMs = (disconnectMs - req.arrivedMs) * maxWaitFraction;
+        const limitMs = Math.min(disconnectMs - minServiceMs, req.arrivedMs + patienceMs);
+        const timers: CancelTimer[] = [];
+
+        function end(): void {
+            timers.forEach(cancel => cancel());
+            queue.remove(req.id);
+        }
+
+        function refuse(retryAfterMs: number): void {
+            end();
+            const refusal = createRefusal("overloaded", describeLoad(), { retryAfterMs });
+            onResult({ kind: "refused", refusal });
+        }
+
+        /** Refuses the request when the observed progress of the queue does not reach it in time. */
+        function refuseIfHopeless(): void {
+            const nowMs = clock.now();
+            const predictedMs = queue.predictWaitMs(req.id, nowMs);
+            if (predictedMs !== undefined && nowMs + predictedMs > limitMs) {
+                refuse(chooseRetryAfterMs(predictedMs));
+            }
+        }
+
+        queue.enqueue({
+            id: req.id,
+            priority: req.priority,
+            size: sizeOf(req),
+            latencyDeadlineMs: lastStartMs,
+            disconnectMs,
+            tryPlace: () => {
+                const placement = tryPlace();
+                if (placement === undefined) {
+                    return false;
+                }
+                timers.forEach(cancel => cancel());
+                onResult({ kind: "placed", placement });
+                return true;
+            },
+        }, clock.now());
+        timers.push(clock.after(Math.max(0, limitMs - clock.now()), () => refuse(minRetryAfterMs)));
+        if (lastStartMs > clock.now()) {
+            timers.push(clock.after(lastStartMs - clock.now() + 1, refuseIfHopeless));
+        }
+        refuseIfHopeless();
+        return end;
+    }
+
+    return {
+        wait,
+        dispatch: service => queues.get(service)?.dispatch(clock.now()),
+        dispatchAll: () => queues.forEach(queue => queue.dispatch(clock.now())),
+        countWaiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.size(), 0),
+    };
+}
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -4,7 +4,9 @@
  */
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
+import { sumTokens } from "./_lib/countPromptTokens.js";
 import { type CacheHolder, chooseCacheSource } from "./chooseCacheSource.js";
+import { choosePreferredEngine, type PreferredEngine } from "./choosePreferredEngine.js";
 import type { HealthView } from "./createHealthView.js";
 import { deriveSharedKey, type PartView } from "./createPartView.js";
 import type { UpstreamUseTracker } from "./createUpstreamUseTracker.js";
@@ -34,6 +36,7 @@
     readonly id: string;
     readonly address: string;
     readonly failureDomain: string;
+    /** Tokens that can be fetched from it. */
     readonly heldTokens: number;
     readonly requests: number;
     readonly isStore: boolean;
@@ -43,14 +46,16 @@
 export interface PromptCacheView {
     readonly salt: string;
     readonly sharedKey: string;
-    /** Cached tokens by engine of the service and by store. */
+    /** Tokens that each engine of the service and each store has cached, or will have when it serves the prompt. */
     readonly heldTokens: ReadonlyMap<string, number>;
+    /** Most tokens that any of them has cached or will have. */
+    readonly mostHeldTokens: number;
     /** Use of each engine of the service. */
     readonly uses: ReadonlyMap<string, UpstreamUse>;
     /** Engines and stores from which parts can be fetched. */
     readonly holders: readonly KnownHolder[];
-    /** Engine that all instances prefer, by rendezvous hashing, while the prompt is not cached anywhere. */
-    readonly preferred: string | undefined;
+    /** Preferred engine for the first shared part that is not cached anywhere; undefined when all are cached. */
+    readonly preferred: PreferredEngine | undefined;
 }
 
 /** How much of a prompt one engine has cached or can fetch. */
@@ -61,6 +66,8 @@
     readonly source: CacheHolder | undefined;
     /** Tokens to prefill; fetched tokens count at the fraction of the time that a fetch takes. */
     readonly prefillTokens: number;
+    /** Tokens among them that another engine has prefilled or is about to: prefilling them twice wastes capacity. */
+    readonly repeatedTokens: number;
 }
 
 /** Lookup of cached prompts. */
@@ -75,26 +82,9 @@
 /** Time to fetch tokens, as a fraction of the time of their prefill. */
 const fetchCostFraction = 0.2;
 
-/** Bonus of the preferred engine, as a fraction of the shared tokens, so that all instances choose the same engine. */
-const preferredFraction = 0.1;
-
 /** Minimum of shared tokens for a write to a store. */
 const minStoredTokens = 64;
 
-/**
- * Adds up the tokens of a prompt's parts.
- *
- * @param prompt - The prompt.
- * @param from - Index of the first part.
- * @param to - Index after the last part; negative numbers count from the end.
- * @returns The sum.
- * @example
- * sumTokens({ ...prompt, parts: [{ id: "style", tokens: 800 }, own] }, 0, -1); // 800
- */
-export function sumTokens(prompt: Prompt, from: number, to: number): number {
-    return prompt.parts.slice(from, to).reduce((sum, part) => sum + part.tokens, 0);
-}
-
 /**
  * Creates the reader.
  *
@@ -111,7 +101,7 @@
         const engines = deps.registry.listService(service);
         const stores = deps.listStores();
         const uses = new Map(engines.map(({ id }) => [id, use.read(id)]));
-        const heldTokens = new Map(
+        const tokens = new Map(
             [...engines, ...stores].map(({ id }) => [id, parts.countCachedTokens(prompt, salt, id, nowMs)]),
         );
         const describe = ({ id, address, failureDomain }: ReachableStore, isStore: boolean): KnownHolder => ({
@@ -119,33 +109,43 @@
             address,
             failureDomain,
             isStore,
-            heldTokens: heldTokens.get(id) ?? 0,
+            heldTokens: tokens.get(id)?.cached ?? 0,
             requests: uses.get(id)?.requests ?? 0,
         });
         const healthy = engines.filter(({ id }) => !health.isMisdirected(id) && !health.isEjected(id, nowMs));
         const holders = [...healthy.map(one => describe(one, false)), ...stores.map(one => describe(one, true))];
+        const heldTokens = new Map([...tokens].map(([id, { expected }]) => [id, expected]));
+        const mostHeldTokens = Math.max(0, ...heldTokens.values());
         return {
             salt,
             sharedKey: deriveSharedKey(prompt, salt),
             heldTokens,
+            mostHeldTokens,
             uses,
             holders: holders.filter(holder => holder.heldTokens > 0),
-            preferred: parts.rankByRendezvous(prompt, salt, ids)[0],
+            preferred: choosePreferredEngine(prompt, salt, mostHeldTokens, ids),
         };
     }
 
     /** The engine's own cache counts even when the engine is ejected and no other engine may fetch from it. */
     function describeCoverage(prompt: Prompt, view: PromptCacheView, record: UpstreamRecord): CacheCoverage {
+        const { preferred } = view;
         const heldTokens = view.heldTokens.get(record.id) ?? 0;
         const others = view.holders.filter(holder => holder.id !== record.id)
             .map(holder => ({ ...holder, isSameFailureDomain: holder.failureDomain === record.failureDomain }));
         const source = chooseCacheSource(others, heldTokens);
-        if (source !== undefined) {
-            const fetchCost = (source.heldTokens - heldTokens) * fetchCostFraction;
-            return { heldTokens, source, prefillTokens: prompt.promptTokens - source.heldTokens + fetchCost };
-        }
-        const preferredTokens = record.id === view.preferred ? sumTokens(prompt, 0, -1) * preferredFraction : 0;
-        return { heldTokens, source, prefillTokens: prompt.promptTokens - Math.max(heldTokens, preferredTokens) };
+        const availableTokens = source?.heldTokens ?? heldTokens;
+        const fetchCost = (availableTokens - heldTokens) * fetchCostFraction;
+        const isPreferred = record.id === preferred?.id;
+        const bonusTokens = isPreferred ? preferred.bonusTokens : 0;
+        const bestTokens = view.mostHeldTokens + (preferred?.sharedTokens ?? 0);
+        const ownBestTokens = isPreferred ? availableTokens + preferred.sharedTokens : availableTokens;
+        return {
+            heldTokens,
+            source,
+            prefillTokens: prompt.promptTokens - availableTokens + fetchCost - bonusTokens,
+            repeatedTokens: Math.max(0, bestTokens - ownBestTokens),
+        };
     }
 
     function findCacheTarget(prompt: Prompt, view: PromptCacheView): ReachableStore | undefined {
--- a/src/core/placement/createWaitQueue.ts
+++ b/src/core/placement/createWaitQueue.ts
@@ -2,12 +2,15 @@
  * @module
  * Queue of requests that wait for free capacity on a service's upstreams, in the order of placement.
  */
+import { createQueueProgress } from "./createQueueProgress.js";
 
 /** One waiting request. Times are milliseconds on the instance's clock. */
 export interface WaitingRequest {
     readonly id: string;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Memory that the request needs, in tokens. */
+    readonly size: number;
     /** Latest time of placement at which the request still meets its latency objective. */
     readonly latencyDeadlineMs: number;
     /** Expected time of the caller's own timeout. */
@@ -18,10 +21,12 @@
 
 /** Queue of the requests of one service. */
 export interface WaitQueue {
-    readonly enqueue: (waiting: WaitingRequest) => void;
+    readonly enqueue: (waiting: WaitingRequest, nowMs: number) => void;
     readonly remove: (id: string) => void;
     /** Places the waiting requests that fit into the capacity free at `nowMs`. */
     readonly dispatch: (nowMs: number) => void;
+    /** Predicts how long a waiting request will still wait, at least; undefined when too little was observed. */
+    readonly predictWaitMs: (id: string, nowMs: number) => number | undefined;
     readonly size: () => number;
 }
 
@@ -46,20 +51,37 @@
  * @returns The queue.
  * @example
  * const queue = createWaitQueue();
- * queue.enqueue({ id: "r-1", priority: 0, latencyDeadlineMs: 300, disconnectMs: 2_400, tryPlace: () => false });
+ * const times = { latencyDeadlineMs: 300, disconnectMs: 2_400 };
+ * queue.enqueue({ id: "r-1", priority: 0, size: 900, ...times, tryPlace: () => false }, clock.now());
  * queue.size(); // 1
  */
 export function createWaitQueue(): WaitQueue {
     let waiting: readonly WaitingRequest[] = [];
     let isDispatching = false;
+    const onTimeProgress = createQueueProgress();
+    const lateProgress = createQueueProgress();
 
     function remove(id: string): void {
         waiting = waiting.filter(one => one.id !== id);
     }
 
+    const isOnTime = (one: WaitingRequest, nowMs: number) => nowMs <= one.latencyDeadlineMs;
+
     function order(nowMs: number): readonly WaitingRequest[] {
-        const isOnTime = (one: WaitingRequest) => nowMs <= one.latencyDeadlineMs;
-        return [...waiting.filter(isOnTime), ...waiting.filter(one => !isOnTime(one))];
+        return [
+            ...waiting.filter(one => isOnTime(one, nowMs)),
+            ...waiting.filter(one => !isOnTime(one, nowMs)),
+        ];
+    }
+
+    function enqueue(added: WaitingRequest, nowMs: number): void {
+        if (waiting.length === 0) {
+            onTimeProgress.start(nowMs);
+            lateProgress.start(nowMs);
+        }
+        const index = waiting.findIndex(one => isBefore(added, one));
+        const at = index === -1 ? waiting.length : index;
+        waiting = [...waiting.slice(0, at), added, ...waiting.slice(at)];
     }
 
     function dispatch(nowMs: number): void {
@@ -74,6 +96,7 @@
             }
             if (one.tryPlace()) {
                 remove(one.id);
+                (isOnTime(one, nowMs) ? onTimeProgress : lateProgress).recordPlaced(one.size, nowMs);
             }
             else {
                 failedAttempts += 1;
@@ -82,14 +105,30 @@
         isDispatching = false;
     }
 
+    /** Requests that are late wait behind those on time; when none of either was placed, the upstreams are stalled. */
+    function predictWaitMs(id: string, nowMs: number): number | undefined {
+        const position = waiting.findIndex(one => one.id === id);
+        const request = waiting[position];
+        if (request === undefined) {
+            return undefined;
+        }
+        const group = isOnTime(request, nowMs);
+        const ahead = waiting.slice(0, position).filter(one => isOnTime(one, nowMs) === group);
+        const sizeAhead = ahead.reduce((sum, one) => sum + one.size, 0);
+        const onTimeMs = onTimeProgress.predictWaitMs(sizeAhead, nowMs);
+        const isStalled = onTimeMs === Infinity;
+        if (group) {
+            return isStalled ? undefined : onTimeMs;
+        }
+        const lateMs = lateProgress.predictWaitMs(sizeAhead, nowMs);
+        return lateMs === Infinity && isStalled ? undefined : lateMs;
+    }
+
     return {
-        enqueue: added => {
-            const index = waiting.findIndex(one => isBefore(added, one));
-            const at = index === -1 ? waiting.length : index;
-            waiting = [...waiting.slice(0, at), added, ...waiting.slice(at)];
-        },
+        enqueue,
         remove,
         dispatch,
+        predictWaitMs,
         size: () => waiting.length,
     };
 }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -4,10 +4,15 @@
  */
 export * from "./chooseCacheSource.js";
 export * from "./choosePlacement.js";
+export * from "./choosePreferredEngine.js";
+export * from "./createChoiceLister.js";
 export * from "./createHealthView.js";
+export * from "./createOptionReader.js";
 export * from "./createPartView.js";
+export * from "./createPlacementQueues.js";
 export * from "./createPlacer.js";
 export * from "./createPromptCacheReader.js";
+export * from "./createQueueProgress.js";
 export * from "./createUpstreamUseTracker.js";
 export * from "./createWaitQueue.js";
 export * from "./isFeedReader.js";
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -47,6 +47,8 @@
     readonly memoryTokens: number | undefined;
     /** Prompt tokens to prefill for this request; fetched tokens count as a fraction. */
     readonly prefillTokens: number;
+    /** Prompt tokens among them that another upstream has prefilled or is about to. */
+    readonly repeatedTokens: number;
     /** Memory that the request needs on this upstream, in tokens. */
     readonly neededTokens: number;
     /** Whether its weights are older than the target version. */
