Tell peers at once which shared parts an engine is about to prefill

Cause: others learned of a cached part from the engine's events only: its prefill, 80 ms of the feed and a batch of 120 ms later. Change: a placement that prefills 512 shared tokens or more is reported in a datagram of its own, collected over 20 ms.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -92,3 +92,26 @@
         Given an engine with room for two requests that answers each in 200 ms
         When a request arrives every 50 ms for 1 s
         Then of 1 s of capacity at least 95 % is used, and from second 1 on each answer is on time
+
+    Scenario: Instances that place at the same moment have a part that most prompts begin with prefilled by one engine
+        Given 7 instances with 6 idle engines that know nothing of each other's requests
+        When each of them places a prompt that begins with the same part and goes on with one of its own
+        Then all of these prompts are placed at one engine
+
+    Scenario: Peers are told at once which parts an engine is about to prefill
+        Given 7 instances with 6 idle engines that tell each other what is about to be prefilled
+        When each of them in turn places a prompt with the same shared parts
+        Then all of these prompts are placed at one engine
+        And the parts were reported once
+
+    Scenario: A part is fetched only from an engine that has prefilled it
+        Given idle engines "u-1, u-2, u-3"
+        When a prompt is sent to an engine and its answer has not begun
+        Then a prompt with the same parts that avoids this engine is placed without a source
+        When the answer of the first engine begins
+        Then a prompt with the same parts that avoids both engines has the first one as its source
+
+    Scenario: Instances that place on delayed reports do not all queue at the first engine that has new weights
+        Given 7 instances with 6 engines of which only "u-1" has the target weights
+        When each of them places 3 prompts of 3000 uncached tokens before any report arrives
+        Then "u-1" is to prefill at most what it prefills in 600 ms at 38.4 tokens a ms
--- a/features/steps/placementLoadSteps.ts
+++ b/features/steps/placementLoadSteps.ts
@@ -103,3 +103,123 @@
 Then("no caller is refused", function(this: SiteWorld) {
     assert.deepEqual(loads.get(this)!.results.filter(({ kind }) => kind === "refused"), []);
 });
+
+/** Instances that place prompts with shared parts. */
+interface InstancesFixture {
+    readonly placers: readonly PlacerFixture[];
+    readonly areTold: boolean;
+    readonly placedAt: string[];
+}
+
+const fleets = new WeakMap<SiteWorld, InstancesFixture>();
+
+function createInstances(count: number, engineCount: number, areTold: boolean): InstancesFixture {
+    const clock = createVirtualClock(1);
+    const engines = Array.from({ length: engineCount }, (_, index) => `u-${index + 1}`);
+    const placers = Array.from({ length: count }, () => createPlacerFixture(clock, engines));
+    return { placers, areTold, placedAt: [] };
+}
+
+/** Places a prompt whose second part has the given id; peers that are told learn of it before the next one. */
+function placeShared(fleet: InstancesFixture, index: number, secondPart: string): void {
+    const instance = fleet.placers[index]!;
+    const id = `r-${index}`;
+    const parts = [{ id: "style", tokens: 2_500 }, { id: secondPart, tokens: 500 }, { id, tokens: 50 }];
+    const prompt = createPrompt({ parts, promptTokens: 3_050 });
+    const before = instance.prefills.length;
+    instance.placer.place(createProxyRequest("stream", { id, prompt }), { kind: "place", excluded: [] }, result => {
+        assert.ok(result.kind === "placed");
+        fleet.placedAt.push(result.placement.upstream.id);
+    });
+    if (!fleet.areTold) {
+        return;
+    }
+    for (const prefill of instance.prefills.slice(before)) {
+        fleet.placers.filter(other => other !== instance)
+            .forEach(other => other.parts.recordSent(prefill.parts, prefill.salt, prefill.engine, 0));
+    }
+}
+
+/** Places a prompt of which nothing is cached and that needs little memory of its own. */
+function placeUncached(fleet: InstancesFixture, instance: PlacerFixture, id: string, tokens: number): void {
+    const parts = [{ id: `first-${id}`, tokens }, { id: `second-${id}`, tokens: 10 }, { id, tokens: 10 }];
+    const prompt = createPrompt({ parts, promptTokens: tokens + 20 });
+    instance.placer.place(createProxyRequest("stream", { id, prompt }), { kind: "place", excluded: [] }, result => {
+        assert.ok(result.kind === "placed");
+        fleet.placedAt.push(result.placement.upstream.id);
+    });
+}
+
+Given(
+    "{int} instances with {int} idle engines that know nothing of each other's requests",
+    function(this: SiteWorld, count: number, engineCount: number) {
+        fleets.set(this, createInstances(count, engineCount, false));
+    },
+);
+
+Given(
+    "{int} instances with {int} idle engines that tell each other what is about to be prefilled",
+    function(this: SiteWorld, count: number, engineCount: number) {
+        fleets.set(this, createInstances(count, engineCount, true));
+    },
+);
+
+When(
+    "each of them places a prompt that begins with the same part and goes on with one of its own",
+    function(this: SiteWorld) {
+        const fleet = fleets.get(this)!;
+        fleet.placers.forEach((_, index) => placeShared(fleet, index, `case-${index}`));
+    },
+);
+
+Given(
+    "{int} instances with {int} engines of which only {string} has the target weights",
+    function(this: SiteWorld, count: number, engineCount: number, updated: string) {
+        const fleet = createInstances(count, engineCount, false);
+        for (const { clock, weights, use } of fleet.placers) {
+            weights.recordTarget({ model: "easy-read", version: 2, sinceMs: clock.now() - 2_000, isObserved: true });
+            weights.recordLoaded(updated, "easy-read", 2);
+            Array.from({ length: count - 1 }, (_, index) => use.updatePeer(`peer-${index}`, []));
+        }
+        fleets.set(this, fleet);
+    },
+);
+
+When(
+    "each of them places {int} prompts of {int} uncached tokens before any report arrives",
+    function(this: SiteWorld, count: number, tokens: number) {
+        const fleet = fleets.get(this)!;
+        for (const [index, instance] of fleet.placers.entries()) {
+            for (let prompt = 0; prompt < count; prompt += 1) {
+                placeUncached(fleet, instance, `r-${index}-${prompt}`, tokens);
+            }
+        }
+    },
+);
+
+Then(
+    "{string} is to prefill at most what it prefills in {int} ms at {float} tokens a ms",
+    function(this: SiteWorld, id: string, limitMs: number, tokensPerMs: number) {
+        const limitTokens = limitMs * tokensPerMs;
+        const uses = fleets.get(this)!.placers.map(({ use }) => use.listOwn().find(one => one.upstream === id));
+        const tokens = uses.reduce((sum, use) => sum + (use?.unreadTokens ?? 0), 0);
+        assert.ok(tokens > 0);
+        assert.ok(tokens <= limitTokens, `${tokens} tokens`);
+    },
+);
+
+When("each of them in turn places a prompt with the same shared parts", function(this: SiteWorld) {
+    const fleet = fleets.get(this)!;
+    fleet.placers.forEach((_, index) => placeShared(fleet, index, "case"));
+});
+
+Then("all of these prompts are placed at one engine", function(this: SiteWorld) {
+    const { placedAt, placers } = fleets.get(this)!;
+    assert.equal(placedAt.length, placers.length);
+    assert.equal(new Set(placedAt).size, 1, placedAt.join(", "));
+});
+
+Then("the parts were reported once", function(this: SiteWorld) {
+    const { placers } = fleets.get(this)!;
+    assert.equal(placers.flatMap(({ prefills }) => prefills).length, 1);
+});
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -8,7 +8,7 @@
 import { choosePlacement } from "../../src/core/placement/choosePlacement.js";
 import { createUpstreamUseTracker } from "../../src/core/placement/createUpstreamUseTracker.js";
 import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
-import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
+import type { Placement, ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import {
     createEngineRecord,
     createPlacerFixture,
@@ -34,7 +34,11 @@
     return fixture;
 }
 
-function placeNext(fixture: PlacementFixture, changes: Partial<ProxyRequest> = {}): PlaceResult | undefined {
+function placeNext(
+    fixture: PlacementFixture,
+    changes: Partial<ProxyRequest> = {},
+    excluded: readonly string[] = [],
+): PlaceResult | undefined {
     const nowMs = fixture.clock.now();
     const id = `r-${fixture.requests.length}`;
     const parts = [{ id: "style", tokens: 2_000 }, { id: "case", tokens: 4_000 }, { id, tokens: 1_000 }];
@@ -42,7 +46,7 @@
     const req = createProxyRequest("stream", { id, prompt, arrivedMs: nowMs, deadlineMs: nowMs + 4_000, ...changes });
     const entry: PlacementFixture["requests"][number] = { req, result: undefined };
     fixture.requests.push(entry);
-    fixture.placer.place(req, { kind: "place", excluded: [] }, result => {
+    fixture.placer.place(req, { kind: "place", excluded }, result => {
         entry.result = result;
         if (result.kind === "placed") {
             fixture.placedOrder.push(req.id);
@@ -108,6 +112,41 @@
     }]);
 });
 
+/** Returns the placement of one of the requests, counted from 0. */
+function findPlacement(fixture: PlacementFixture, index: number): Placement {
+    const result = fixture.requests[index]?.result;
+    assert.ok(result?.kind === "placed");
+    return result.placement;
+}
+
+/** Places a prompt with the same shared parts at an engine that none of the requests before was placed at. */
+function placeElsewhere(fixture: PlacementFixture): Placement {
+    const excluded = fixture.requests.map((_, index) => findPlacement(fixture, index).upstream.id);
+    placeNext(fixture, {}, excluded);
+    return findPlacement(fixture, fixture.requests.length - 1);
+}
+
+When("a prompt is sent to an engine and its answer has not begun", function(this: SiteWorld) {
+    assert.equal(placeNext(getFixture(this))?.kind, "placed");
+});
+
+Then("a prompt with the same parts that avoids this engine is placed without a source", function(this: SiteWorld) {
+    assert.equal(placeElsewhere(getFixture(this)).cacheSource, undefined);
+});
+
+When("the answer of the first engine begins", function(this: SiteWorld) {
+    const fixture = getFixture(this);
+    fixture.placer.recordAnswerStart(fixture.requests[0]!.req, findPlacement(fixture, 0));
+});
+
+Then(
+    "a prompt with the same parts that avoids both engines has the first one as its source",
+    function(this: SiteWorld) {
+        const fixture = getFixture(this);
+        assert.equal(placeElsewhere(fixture).cacheSource, findPlacement(fixture, 0).upstream.address);
+    },
+);
+
 function placeUntilOneWaits(fixture: PlacementFixture, changes: Partial<ProxyRequest> = {}): void {
     while (placeNext(fixture, changes)?.kind === "placed") {
         assert.ok(fixture.requests.length < 100);
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -11,7 +11,7 @@
 import { decodeSettings } from "../../platform/decodeSettings.js";
 import { decodeUpstreamRecord } from "../../platform/decodeUpstreamRecord.js";
 import { errorTable } from "../../src/core/errors/errorTable.js";
-import { parseHeartbeat } from "../../src/core/fleet/heartbeat.js";
+import { parseFleetMessage } from "../../src/core/fleet/parseFleetMessage.js";
 import { parsePeerState } from "../../src/core/fleet/peerState.js";
 import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
 import type { ProxyEffect, SendEffect } from "../../src/core/proxy/proxyEffects.js";
@@ -259,7 +259,7 @@
             decodeOperatorRecord({ key: "version/m", offset: 0, value });
         }
         decodeSettings(text);
-        parseHeartbeat(text);
+        parseFleetMessage(text);
         parsePeerState(text);
         codec.readRequest("GET", text, headers.flat());
         codec.readAnswer(200, headers.map(([name, value]) => [name.toLowerCase(), value] as const), "u-1");
--- a/features/support/placerFixtures.ts
+++ b/features/support/placerFixtures.ts
@@ -3,6 +3,7 @@
  * A placer with its views on a virtual clock, for scenarios of placement.
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
+import type { Prefill } from "../../src/core/fleet/prefillReport.js";
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
 import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
@@ -25,6 +26,8 @@
     readonly parts: PartView;
     readonly use: UpstreamUseTracker;
     readonly placer: Placer;
+    /** Prefills that the placer reported to its peers. */
+    readonly prefills: readonly Prefill[];
 }
 
 /** Memory of an engine, in tokens. */
@@ -49,8 +52,10 @@
     const weights = createWeightsView();
     const parts = createPartView();
     const use = createUpstreamUseTracker();
+    const prefills: Prefill[] = [];
     const placer = createPlacer({
         clock,
+        onPrefill: prefill => prefills.push(prefill),
         failureDomain: "north",
         registry,
         weights,
@@ -62,5 +67,5 @@
         listStores: () => [],
     });
     registry.applyList(engines.map(id => createEngineRecord(id)), 0);
-    return { clock, registry, weights, health, parts, use, placer };
+    return { clock, registry, weights, health, parts, use, placer, prefills };
 }
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -4,8 +4,10 @@
  * cannot read the store itself.
  */
 import { createFleetView, type FleetMember, heartbeatIntervalMs } from "../core/fleet/createFleetView.js";
+import { createPrefillReporter } from "../core/fleet/createPrefillReporter.js";
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
 import type { PeerState } from "../core/fleet/peerState.js";
+import type { Prefill } from "../core/fleet/prefillReport.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
 import { fetchPeerState } from "../io/fleet/fetchPeerState.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
@@ -20,6 +22,8 @@
     readonly self: () => FleetInstance;
     /** Sends heartbeats without waiting for the next interval. */
     readonly sendNow: () => void;
+    /** Reports to peers that an engine is about to prefill shared parts. */
+    readonly reportPrefill: (prefill: Prefill) => void;
     /** Returns this instance's state for a peer that has configuration `knownVersion`. */
     readonly describeState: (knownVersion: number) => PeerState;
     /** Milliseconds since the list of upstreams was read, by this instance or by the peer that it was fetched from. */
@@ -212,9 +216,14 @@
         compose,
         chooseTargets: () => view.chooseTargets(clock.now()),
         onHeartbeat: applyHeartbeat,
+        onPrefillReport: ({ prefills }) => {
+            prefills.forEach(({ engine, salt, parts }) => views.parts.recordSent(parts, salt, engine, clock.now()));
+        },
         onMalformed: detail => writeLog("recordRejected", { topic: "heartbeat", detail }),
     });
 
+    const prefillReporter = createPrefillReporter(clock, heartbeats.sendPrefillReport);
+
     let isStopped = false;
     const stopPolling = repeatEvery(clock, pollIntervalMs, poll);
 
@@ -243,6 +252,7 @@
         countInstances: () => view.countInstances(clock.now()),
         self,
         sendNow: heartbeats.sendNow,
+        reportPrefill: prefillReporter.add,
         describeState: knownVersion => ({
             table: tableVersion() > knownVersion ? views.routes()?.table as PeerState["table"] : undefined,
             upstreams: views.registry.list() as PeerState["upstreams"],
@@ -253,6 +263,7 @@
         stop: () => {
             isStopped = true;
             stopPolling();
+            prefillReporter.stop();
             heartbeats.stop();
         },
     };
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -63,6 +63,7 @@
     const recentlyRead = new Set<string>();
     const placer = createPlacer({
         clock,
+        onPrefill: fleet.reportPrefill,
         failureDomain: settings.failureDomain,
         registry: views.registry,
         weights: views.weights,
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -3,7 +3,6 @@
  * Heartbeats: the messages in which instances report that they run, and their view of the fleet.
  */
 import { z } from "zod";
-import { parseJson } from "../_lib/parseJson.js";
 
 const instanceSchema = z.object({
     name: z.string().min(1).max(128),
@@ -42,7 +41,8 @@
     version: z.number().int(),
 }).readonly();
 
-const heartbeatSchema = z.object({
+/** Schema of a heartbeat. */
+export const heartbeatSchema = z.object({
     from: instanceSchema,
     /** Version of the configuration in force; 0 when there is none. */
     tableVersion: z.number(),
@@ -65,15 +65,3 @@
 
 /** One heartbeat. */
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
-
-/**
- * Parses a heartbeat.
- *
- * @param text - The message.
- * @returns The heartbeat; undefined when it is malformed.
- * @example
- * parseHeartbeat("{}"); // undefined
- */
-export function parseHeartbeat(text: string): Heartbeat | undefined {
-    return parseJson(heartbeatSchema, text);
-}
--- /dev/null
+++ b/src/core/fleet/parseFleetMessage.ts
@@ -0,0 +1,25 @@
+/**
+ * @module
+ * Parses the messages that instances send each other as datagrams.
+ */
+import { z } from "zod";
+import { parseJson } from "../_lib/parseJson.js";
+import { type Heartbeat, heartbeatSchema } from "./heartbeat.js";
+import { type PrefillReport, prefillReportSchema } from "./prefillReport.js";
+
+/** A message of a peer. */
+export type FleetMessage = Heartbeat | PrefillReport;
+
+const messageSchema = z.union([prefillReportSchema, heartbeatSchema]);
+
+/**
+ * Parses a message.
+ *
+ * @param text - The message.
+ * @returns The heartbeat or the report; undefined when it is malformed.
+ * @example
+ * parseFleetMessage("{}"); // undefined
+ */
+export function parseFleetMessage(text: string): FleetMessage | undefined {
+    return parseJson(messageSchema, text);
+}
--- a/src/core/placement/createPartView.ts
+++ b/src/core/placement/createPartView.ts
@@ -20,8 +20,8 @@
     readonly removeHolder: (holder: string) => void;
     /** Counts a holder's cached tokens from the start of the prompt up to the first gap, without the last part. */
     readonly countCachedTokens: (prompt: Prompt, salt: string, holder: string, nowMs: number) => CachedTokens;
-    /** Records that a prompt was sent to an engine, whose prefill will cache its parts. */
-    readonly recordSent: (prompt: Prompt, salt: string, engine: string, nowMs: number) => void;
+    /** Records that a prompt with these shared parts was sent to an engine, whose prefill will cache them. */
+    readonly recordSent: (shared: readonly PromptPart[], salt: string, engine: string, nowMs: number) => void;
     /** Records that an engine has begun its answer to a prompt, so that it has cached the shared parts. */
     readonly recordPrefilled: (prompt: Prompt, salt: string, engine: string) => void;
 }
@@ -43,7 +43,7 @@
 interface Holder {
     /** Tokens by salt and part. */
     readonly tokens: Map<string, number>;
-    /** Time at which this instance last sent the part, by salt and part. */
+    /** Time at which this instance or a peer last sent the part, by salt and part. */
     readonly sentMs: Map<string, number>;
 }
 
@@ -155,9 +155,9 @@
         return { cached, expected };
     }
 
-    function recordSent(prompt: Prompt, salt: string, engine: string, nowMs: number): void {
+    function recordSent(shared: readonly PromptPart[], salt: string, engine: string, nowMs: number): void {
         const { sentMs } = holderOf(engine);
-        for (const part of listShared(prompt)) {
+        for (const part of shared) {
             const key = keyOf(salt, part.id);
             sentMs.delete(key);
             sentMs.set(key, nowMs);
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -3,12 +3,13 @@
  * Places requests on upstreams, and lets those wait for which no upstream has free capacity.
  */
 import { createRefusal } from "../errors/createRefusal.js";
+import type { Prefill } from "../fleet/prefillReport.js";
 import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
-import { countOwnTokens, countSharedTokens } from "./_lib/countPromptTokens.js";
+import { countOwnTokens, countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
 import { describeLoad } from "./_lib/describeLoad.js";
-import type { Choice, Option } from "./_lib/placementOptions.js";
+import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
 import { choosePlacement } from "./choosePlacement.js";
 import { type ChoiceListerDependencies, createChoiceLister } from "./createChoiceLister.js";
 import { createOptionReader, type OptionReaderDependencies } from "./createOptionReader.js";
@@ -23,6 +24,8 @@
         Omit<OptionReaderDependencies, "now" | "reader">,
         Omit<PromptCacheReaderDependencies, "now"> {
     readonly clock: Clock;
+    /** Called when an engine is about to prefill shared parts that neither it nor another one has cached. */
+    readonly onPrefill: (prefill: Prefill) => void;
 }
 
 /** Placer of requests. */
@@ -41,6 +44,9 @@
 /** Minimum time to the deadline for a request to be sent. */
 const minSendMs = 20;
 
+/** Minimum of shared tokens to prefill that is reported to peers. */
+const minReportedTokens = 512;
+
 /** Delay after which an upstream may be available again. */
 const retryAfterMs = 500;
 
@@ -85,11 +91,21 @@
             };
     }
 
+    function recordPrefill(engine: string, { prompt, view, coverage }: ModelOption): void {
+        const { salt } = view;
+        const parts = prompt.parts.slice(0, -1);
+        deps.parts.recordSent(parts, salt, engine, now());
+        const availableTokens = coverage.source?.heldTokens ?? coverage.heldTokens;
+        if (sumTokens(prompt, 0, -1) - availableTokens >= minReportedTokens) {
+            deps.onPrefill({ engine, salt, parts });
+        }
+    }
+
     function recordBegin(req: ProxyRequest, option: Option): void {
         const { candidate, model } = option;
         deps.use.begin(req.id, toPlacedRequest(option), now());
         if (model !== undefined) {
-            deps.parts.recordSent(model.prompt, model.view.salt, candidate.id, now());
+            recordPrefill(candidate.id, model);
         }
     }
 
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -1,10 +1,11 @@
 /**
  * @module
- * Sends and receives heartbeats as datagrams.
+ * Sends and receives heartbeats, and reports of prefills, as datagrams.
  */
 import { createSocket } from "node:dgram";
 import type { Heartbeat } from "../../core/fleet/heartbeat.js";
-import { parseHeartbeat } from "../../core/fleet/heartbeat.js";
+import { type FleetMessage, parseFleetMessage } from "../../core/fleet/parseFleetMessage.js";
+import type { PrefillReport } from "../../core/fleet/prefillReport.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
 
@@ -18,6 +19,7 @@
     readonly compose: () => Heartbeat;
     readonly chooseTargets: () => readonly string[];
     readonly onHeartbeat: (heartbeat: Heartbeat) => void;
+    readonly onPrefillReport: (report: PrefillReport) => void;
     readonly onMalformed: (detail: string) => void;
 }
 
@@ -25,9 +27,13 @@
 export interface Heartbeats {
     /** Sends a heartbeat now, for updates that must not wait for the interval. */
     readonly sendNow: () => void;
+    readonly sendPrefillReport: (report: PrefillReport) => void;
     readonly stop: () => void;
 }
 
+/** Maximum length of a malformed message in the log. */
+const maxLoggedLength = 80;
+
 /**
  * Starts the exchange of heartbeats.
  *
@@ -39,8 +45,8 @@
     let stopSending: CancelTimer = () => undefined;
     let isStopped = false;
 
-    function sendAll(): void {
-        const message = Buffer.from(JSON.stringify(options.compose()));
+    function send(content: FleetMessage): void {
+        const message = Buffer.from(JSON.stringify(content));
         for (const target of options.chooseTargets()) {
             const [host, port] = target.split(":");
             // A datagram that cannot be sent counts as lost; receivers tolerate some loss.
@@ -48,20 +54,28 @@
         }
     }
 
+    const sendAll = () => send(options.compose());
+
     function sendNow(): void {
         if (!isStopped) {
             sendAll();
         }
     }
 
-    socket.on("message", message => {
-        const heartbeat = parseHeartbeat(message.toString());
-        if (heartbeat === undefined) {
-            options.onMalformed(message.toString("utf8", 0, 80));
-            return;
+    function receive(text: string): void {
+        const message = parseFleetMessage(text);
+        if (message === undefined) {
+            options.onMalformed(text.slice(0, maxLoggedLength));
         }
-        options.onHeartbeat(heartbeat);
-    });
+        else if ("prefills" in message) {
+            options.onPrefillReport(message);
+        }
+        else {
+            options.onHeartbeat(message);
+        }
+    }
+
+    socket.on("message", message => receive(message.toString()));
     socket.on("error", err => options.onMalformed(err.message));
     socket.bind(options.port, options.host, () => {
         if (!isStopped) {
@@ -71,6 +85,11 @@
     });
     return {
         sendNow,
+        sendPrefillReport: report => {
+            if (!isStopped) {
+                send(report);
+            }
+        },
         stop: () => {
             isStopped = true;
             stopSending();
