Bound the bytes of prefill reports; refuse a prompt that no engine can hold

Cause: reports of prefills grew with the load, 14 peers times 50 a second, against 13 KB/s for all control. A prompt that is larger than an engine's memory waited for its whole patience although no engine can run it. Change: a budget of 8 KB/s; what exceeds it is left out, peers learn it from events. Such a prompt is refused at once. A refusal tells the predicted wait. Tests: 40 prefills a second for 10 s stay within 96,000 bytes and use 90,000; a prompt of one token more than the memory. Tried and reverted: a second report when the prefill has ended, so that peers can fetch at once.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -56,6 +56,11 @@
         Given idle engines "u-1"
         Then a request with 10 ms left is refused as "deadlineTooShort"
 
+    Scenario: A prompt that no engine can hold is refused at once, also when all engines are busy
+        Given idle engines "u-1"
+        When requests are placed until one waits
+        Then a request with a prompt of 20001 tokens is refused as "noUpstream"
+
     Scenario: Instances that place on delayed reports from each other do not overcommit an engine
         Given 8 instances that report their use to each other every 300 ms
         When each of them places a request every 20 ms at one engine that all see as idle
@@ -104,6 +109,12 @@
         Then all of these prompts are placed at one engine
         And the parts were reported once
 
+    Scenario: Reports of prefills stay within their budget of bytes, however many there are
+        Given a reporter of prefills whose reports take 2000 bytes each
+        When 40 prefills begin every second for 10 s
+        Then at most 96000 bytes were sent
+        And at least 90000 bytes were sent
+
     Scenario: A part is fetched only from an engine that has prefilled it
         Given idle engines "u-1, u-2, u-3"
         When a prompt is sent to an engine and its answer has not begun
--- a/features/steps/placementLoadSteps.ts
+++ b/features/steps/placementLoadSteps.ts
@@ -4,7 +4,8 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createPrefillReporter, type PrefillReporter } from "../../src/core/fleet/createPrefillReporter.js";
 import { computeCallerDeadlines } from "../../src/core/proxy/computeCallerDeadlines.js";
 import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import { createPlacerFixture, type PlacerFixture } from "../support/placerFixtures.js";
@@ -120,24 +121,33 @@
     return { placers, areTold, placedAt: [] };
 }
 
-/** Places a prompt whose second part has the given id; peers that are told learn of it before the next one. */
+const sharedTokens = 3_000;
+
+/** Performs an action of an instance; peers that are told learn at once of the prefills that it reports. */
+function perform(fleet: InstancesFixture, instance: PlacerFixture, action: () => void): void {
+    const before = instance.prefills.length;
+    action();
+    const reported = fleet.areTold ? instance.prefills.slice(before) : [];
+    for (const prefill of reported) {
+        fleet.placers.filter(other => other !== instance)
+            .forEach(other => other.parts.recordSent(prefill.parts, prefill.salt, prefill.engine, 0));
+    }
+}
+
+/** Places a prompt whose second part has the given id. */
 function placeShared(fleet: InstancesFixture, index: number, secondPart: string): void {
     const instance = fleet.placers[index]!;
     const id = `r-${index}`;
     const parts = [{ id: "style", tokens: 2_500 }, { id: secondPart, tokens: 500 }, { id, tokens: 50 }];
-    const prompt = createPrompt({ parts, promptTokens: 3_050 });
-    const before = instance.prefills.length;
-    instance.placer.place(createProxyRequest("stream", { id, prompt }), { kind: "place", excluded: [] }, result => {
-        assert.ok(result.kind === "placed");
-        fleet.placedAt.push(result.placement.upstream.id);
+    const req = createProxyRequest("stream", {
+        id,
+        prompt: createPrompt({ parts, promptTokens: sharedTokens + 50 }),
     });
-    if (!fleet.areTold) {
-        return;
-    }
-    for (const prefill of instance.prefills.slice(before)) {
-        fleet.placers.filter(other => other !== instance)
-            .forEach(other => other.parts.recordSent(prefill.parts, prefill.salt, prefill.engine, 0));
-    }
+    perform(fleet, instance, () =>
+        instance.placer.place(req, { kind: "place", excluded: [] }, result => {
+            assert.ok(result.kind === "placed");
+            fleet.placedAt.push(result.placement.upstream.id);
+        }));
 }
 
 /** Places a prompt of which nothing is cached and that needs little memory of its own. */
@@ -223,3 +233,41 @@
     const { placers } = fleets.get(this)!;
     assert.equal(placers.flatMap(({ prefills }) => prefills).length, 1);
 });
+
+/** A reporter with what it has sent. */
+interface ReporterFixture {
+    readonly clock: VirtualClock;
+    readonly reporter: PrefillReporter;
+    sentBytes: number;
+}
+
+const reporters = new WeakMap<SiteWorld, ReporterFixture>();
+
+Given("a reporter of prefills whose reports take {int} bytes each", function(this: SiteWorld, bytes: number) {
+    const clock = createVirtualClock(1);
+    const reporter = createPrefillReporter(clock, () => {
+        fixture.sentBytes += bytes;
+        return bytes;
+    });
+    const fixture: ReporterFixture = { clock, reporter, sentBytes: 0 };
+    reporters.set(this, fixture);
+});
+
+When("{int} prefills begin every second for {int} s", function(this: SiteWorld, rate: number, seconds: number) {
+    const { clock, reporter } = reporters.get(this)!;
+    for (let index = 0; index < rate * seconds; index += 1) {
+        clock.after(
+            index * 1_000 / rate,
+            () => reporter.add({ engine: "u-1", salt: "s", parts: [{ id: `p-${index}`, tokens: 900 }] }),
+        );
+    }
+    clock.runUntil(clock.now() + seconds * 1_000);
+});
+
+Then("at most {int} bytes were sent", function(this: SiteWorld, bytes: number) {
+    assert.ok(reporters.get(this)!.sentBytes <= bytes, `${reporters.get(this)!.sentBytes} bytes`);
+});
+
+Then("at least {int} bytes were sent", function(this: SiteWorld, bytes: number) {
+    assert.ok(reporters.get(this)!.sentBytes >= bytes, `${reporters.get(this)!.sentBytes} bytes`);
+});
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -208,6 +208,15 @@
     assert.equal(result?.kind === "refused" ? result.refusal.kind : result?.kind, kind);
 });
 
+Then(
+    "a request with a prompt of {int} tokens is refused as {string}",
+    function(this: SiteWorld, promptTokens: number, kind: string) {
+        const prompt = createPrompt({ parts: [{ id: "own", tokens: promptTokens }], promptTokens });
+        const result = placeNext(getFixture(this), { prompt });
+        assert.equal(result?.kind === "refused" ? result.refusal.kind : result?.kind, kind);
+    },
+);
+
 Then("a request with {int} ms left is refused as {string}", function(this: SiteWorld, leftMs: number, kind: string) {
     const fixture = getFixture(this);
     const result = placeNext(fixture, { deadlineMs: fixture.clock.now() + leftMs });
--- a/src/core/fleet/createPrefillReporter.ts
+++ b/src/core/fleet/createPrefillReporter.ts
@@ -1,7 +1,9 @@
 /**
  * @module
- * Collects the prefills that begin within a moment into one report to the peers.
+ * Collects the prefills that begin within a moment into one report to the peers, within a budget of bytes: peers
+ * that miss a report learn the same from the engines' events, later.
  */
+import { millisecondsPerSecond } from "../constants.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import type { Prefill, PrefillReport } from "./prefillReport.js";
 
@@ -11,26 +13,40 @@
     readonly stop: () => void;
 }
 
-/** Delay of a report, in milliseconds. It bounds the reports of a busy instance to 50 a second. */
+/** Delay of a report, in milliseconds. */
 const reportDelayMs = 20;
 
+/** Bytes that reports may take on average, to all peers together; beyond them reports are left out. */
+const bytesPerSecond = 8_000;
+
+/** Bytes that may be saved up for a moment with many prefills, such as the one after a change of weights. */
+const maxSavedBytes = 16_000;
+
 /**
  * Creates a reporter with nothing to report.
  *
  * @param clock - The clock.
- * @param send - Sends a report to the peers; it may be lost.
+ * @param send - Sends a report to the peers, where it may be lost; returns the bytes sent to all of them.
  * @returns The reporter.
  * @example
- * createPrefillReporter(clock, send).add({ engine: "engine-1", salt, parts: [{ id: "style", tokens: 800 }] });
+ * createPrefillReporter(clock, send).add({ engine: "engine-1", salt, parts });
  */
-export function createPrefillReporter(clock: Clock, send: (report: PrefillReport) => void): PrefillReporter {
+export function createPrefillReporter(clock: Clock, send: (report: PrefillReport) => number): PrefillReporter {
     let pending: readonly Prefill[] = [];
     let cancel: CancelTimer = () => undefined;
+    let savedBytes = maxSavedBytes;
+    let savedAtMs = clock.now();
 
     function flush(): void {
+        const nowMs = clock.now();
+        const earnedBytes = (nowMs - savedAtMs) * bytesPerSecond / millisecondsPerSecond;
+        savedBytes = Math.min(maxSavedBytes, savedBytes + earnedBytes);
+        savedAtMs = nowMs;
         const prefills = pending;
         pending = [];
-        send({ prefills });
+        if (savedBytes > 0) {
+            savedBytes -= send({ prefills });
+        }
     }
 
     return {
--- a/src/core/fleet/prefillReport.ts
+++ b/src/core/fleet/prefillReport.ts
@@ -10,7 +10,7 @@
     /** Salt under which the parts will be cached. */
     salt: z.string(),
     /** Shared parts from the start of a prompt. */
-    parts: z.array(z.object({ id: z.string(), tokens: z.number().int().positive() }).readonly()).readonly(),
+    parts: z.array(z.object({ id: z.string(), tokens: z.number().int().min(0) }).readonly()).readonly(),
 }).readonly();
 
 /** Shared parts that an engine is about to prefill. */
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -81,9 +81,9 @@
             queue.remove(req.id);
         }
 
-        function refuse(retryAfterMs: number): void {
+        function refuse(retryAfterMs: number, reason: string): void {
             end();
-            const refusal = createRefusal("overloaded", describeLoad(), { retryAfterMs });
+            const refusal = createRefusal("overloaded", `${describeLoad()}; ${reason}`, { retryAfterMs });
             onResult({ kind: "refused", refusal });
         }
 
@@ -92,7 +92,7 @@
             const nowMs = clock.now();
             const predictedMs = queue.predictWaitMs(req.id, nowMs);
             if (predictedMs !== undefined && nowMs + predictedMs > limitMs) {
-                refuse(chooseRetryAfterMs(predictedMs));
+                refuse(chooseRetryAfterMs(predictedMs), `predicted wait ${Math.round(predictedMs)} ms`);
             }
         }
 
@@ -112,7 +112,9 @@
                 return true;
             },
         }, clock.now());
-        timers.push(clock.after(Math.max(0, limitMs - clock.now()), () => refuse(minRetryAfterMs)));
+        timers.push(
+            clock.after(Math.max(0, limitMs - clock.now()), () => refuse(minRetryAfterMs, "waited as long as it may")),
+        );
         if (lastStartMs > clock.now()) {
             timers.push(clock.after(lastStartMs - clock.now() + 1, refuseIfHopeless));
         }
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -2,7 +2,7 @@
  * @module
  * Places requests on upstreams, and lets those wait for which no upstream has free capacity.
  */
-import { createRefusal } from "../errors/createRefusal.js";
+import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { Prefill } from "../fleet/prefillReport.js";
 import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
@@ -91,21 +91,13 @@
             };
     }
 
-    function recordPrefill(engine: string, { prompt, view, coverage }: ModelOption): void {
+    function recordPrefill({ prompt, view }: ModelOption, placement: Placement): void {
+        const { upstream, heldTokens, fetchedTokens } = placement;
         const { salt } = view;
         const parts = prompt.parts.slice(0, -1);
-        deps.parts.recordSent(parts, salt, engine, now());
-        const availableTokens = coverage.source?.heldTokens ?? coverage.heldTokens;
-        if (sumTokens(prompt, 0, -1) - availableTokens >= minReportedTokens) {
-            deps.onPrefill({ engine, salt, parts });
-        }
-    }
-
-    function recordBegin(req: ProxyRequest, option: Option): void {
-        const { candidate, model } = option;
-        deps.use.begin(req.id, toPlacedRequest(option), now());
-        if (model !== undefined) {
-            recordPrefill(candidate.id, model);
+        deps.parts.recordSent(parts, salt, upstream.id, now());
+        if (sumTokens(prompt, 0, -1) - heldTokens - fetchedTokens >= minReportedTokens) {
+            deps.onPrefill({ engine: upstream.id, salt, parts });
         }
     }
 
@@ -118,7 +110,10 @@
             return undefined;
         }
         const placement = toPlacement(option);
-        recordBegin(req, option);
+        deps.use.begin(req.id, toPlacedRequest(option), now());
+        if (option.model !== undefined) {
+            recordPrefill(option.model, placement);
+        }
         return placement;
     }
 
@@ -131,20 +126,30 @@
         });
     }
 
+    /** Returns why no upstream can run the request, however long it waits; undefined when one can. */
+    function findObstacle(req: ProxyRequest, choices: readonly Choice[]): Refusal | undefined {
+        if (req.deadlineMs - now() < minSendMs) {
+            return createRefusal("deadlineTooShort", "remaining time is too short for an answer");
+        }
+        if (choices.length === 0) {
+            return createRefusal("noUpstream", `no upstream available for service ${req.service}`, { retryAfterMs });
+        }
+        const memoryTokens = deps.findService(req.service)?.engine?.memoryTokens ?? Infinity;
+        const promptTokens = req.prompt?.promptTokens ?? 0;
+        return promptTokens > memoryTokens
+            ? createRefusal("noUpstream", `the prompt has ${promptTokens} tokens, an engine holds ${memoryTokens}`)
+            : undefined;
+    }
+
     function place(
         req: ProxyRequest,
         { excluded }: PlaceEffect,
         onResult: (result: PlaceResult) => void,
     ): CancelTimer {
-        if (req.deadlineMs - now() < minSendMs) {
-            const refusal = createRefusal("deadlineTooShort", "remaining time is too short for an answer");
-            onResult({ kind: "refused", refusal });
-            return () => undefined;
-        }
         const choices = listChoices(req, excluded);
-        if (choices.length === 0) {
-            const detail = `no upstream available for service ${req.service}`;
-            onResult({ kind: "refused", refusal: createRefusal("noUpstream", detail, { retryAfterMs }) });
+        const obstacle = findObstacle(req, choices);
+        if (obstacle !== undefined) {
+            onResult({ kind: "refused", refusal: obstacle });
             return () => undefined;
         }
         const placement = tryPlace(req, choices);
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -40,6 +40,7 @@
     readonly id: string;
     /** Use by this instance and, as last reported, by its peers. */
     readonly use: UpstreamUse;
+    /** Use by requests that peers have probably placed since their last report. */
     readonly unreported: UnreportedUse;
     /** Maximum number of concurrent requests. */
     readonly slots: number;
@@ -51,7 +52,7 @@
     readonly repeatedTokens: number;
     /** Memory that the request needs on this upstream, in tokens. */
     readonly neededTokens: number;
-    /** Whether its weights are older than the target version. */
+    /** Whether its weights have been outdated for so long that an answer made on them is worth less. */
     readonly isOutdated: boolean;
     /** Whether it is in the same failure domain as this instance. */
     readonly isSameFailureDomain: boolean;
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -27,7 +27,8 @@
 export interface Heartbeats {
     /** Sends a heartbeat now, for updates that must not wait for the interval. */
     readonly sendNow: () => void;
-    readonly sendPrefillReport: (report: PrefillReport) => void;
+    /** Returns the bytes sent to all peers together. */
+    readonly sendPrefillReport: (report: PrefillReport) => number;
     readonly stop: () => void;
 }
 
@@ -45,16 +46,20 @@
     let stopSending: CancelTimer = () => undefined;
     let isStopped = false;
 
-    function send(content: FleetMessage): void {
+    function send(content: FleetMessage): number {
         const message = Buffer.from(JSON.stringify(content));
-        for (const target of options.chooseTargets()) {
+        const targets = options.chooseTargets();
+        for (const target of targets) {
             const [host, port] = target.split(":");
             // A datagram that cannot be sent counts as lost; receivers tolerate some loss.
             socket.send(message, Number(port), host, () => undefined);
         }
+        return message.length * targets.length;
     }
 
-    const sendAll = () => send(options.compose());
+    function sendAll(): void {
+        send(options.compose());
+    }
 
     function sendNow(): void {
         if (!isStopped) {
@@ -85,11 +90,7 @@
     });
     return {
         sendNow,
-        sendPrefillReport: report => {
-            if (!isStopped) {
-                send(report);
-            }
-        },
+        sendPrefillReport: report => (isStopped ? 0 : send(report)),
         stop: () => {
             isStopped = true;
             stopSending();
