--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -51,6 +51,12 @@
     return Math.max(minRetryAfterMs, Math.min(maxRetryAfterMs, Math.round(predictedMs)));
 }
 
+function describeWait(predictedMs: number): string {
+    return Number.isFinite(predictedMs)
+        ? `predicted wait ${Math.round(predictedMs)} ms`
+        : "no late request was placed lately";
+}
+
 /**
  * Creates empty queues.
  *
@@ -92,7 +98,7 @@
             const nowMs = clock.now();
             const predictedMs = queue.predictWaitMs(req.id, nowMs);
             if (predictedMs !== undefined && nowMs + predictedMs > limitMs) {
-                refuse(chooseRetryAfterMs(predictedMs), `predicted wait ${Math.round(predictedMs)} ms`);
+                refuse(chooseRetryAfterMs(predictedMs), describeWait(predictedMs));
             }
         }
 
