Fetch parts only from engines that have the weights of the request; ignore prefills of unknown engines

Cause, found in reading the change: an engine that has loaded other weights dropped its parts, but its events tell it late, and a request of the previous version could name it as source. A part that it prefills again for a stream that went on over the load would be of other weights than its salt says. Test: the source of a request on the previous weights was the engine that had loaded the next ones; none now. A report of a prefill that arrived after its engine had left created a view of it again; such reports are ignored.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -39,6 +39,12 @@
         And "u-1" is draining according to the registry
         Then a request is placed at "u-2" with the address of "u-1" as its source
 
+    Scenario: Parts are not fetched from an engine that has loaded other weights since it prefilled them
+        Given idle engines "u-1, u-2"
+        And "u-1" reports that it has cached the shared parts
+        And the target weights version is 2 and "u-1" has loaded it
+        Then a request that avoids "u-1" is placed without a source
+
     Scenario: No request is placed beyond an engine's memory, and the waiting one is placed when memory is freed
         Given idle engines "u-1"
         When requests are placed until one waits
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -112,6 +112,12 @@
     }]);
 });
 
+Then("a request that avoids {string} is placed without a source", function(this: SiteWorld, id: string) {
+    const result = placeNext(getFixture(this), {}, [id]);
+    assert.ok(result?.kind === "placed");
+    assert.equal(result.placement.cacheSource, undefined);
+});
+
 /** Returns the placement of one of the requests, counted from 0. */
 function findPlacement(fixture: PlacementFixture, index: number): Placement {
     const result = fixture.requests[index]?.result;
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -217,7 +217,8 @@
         chooseTargets: () => view.chooseTargets(clock.now()),
         onHeartbeat: applyHeartbeat,
         onPrefillReport: ({ prefills }) => {
-            prefills.forEach(({ engine, salt, parts }) => views.parts.recordSent(parts, salt, engine, clock.now()));
+            prefills.filter(({ engine }) => views.registry.find(engine) !== undefined)
+                .forEach(({ engine, salt, parts }) => views.parts.recordSent(parts, salt, engine, clock.now()));
         },
         onMalformed: detail => writeLog("recordRejected", { topic: "heartbeat", detail }),
     });
--- a/src/core/placement/createOptionReader.ts
+++ b/src/core/placement/createOptionReader.ts
@@ -64,10 +64,9 @@
         const views = new Map<number, PromptCacheView>();
 
         function readView(version: number): PromptCacheView {
-            const engines = choices.filter(choice => (choice.weightsVersion ?? 0) === version).map(choice =>
-                choice.record.id
-            );
-            const view = reader.read(req.service, prompt, saltOf(req, prompt, version), engines);
+            const ids = choices.filter(choice => choice.weightsVersion === version).map(choice => choice.record.id);
+            const scope = { weightsVersion: version, salt: saltOf(req, prompt, version) };
+            const view = reader.read(req.service, prompt, scope, ids);
             views.set(version, view);
             return view;
         }
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -4,6 +4,7 @@
  */
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
+import type { WeightsView } from "../weights/createWeightsView.js";
 import { sumTokens } from "./_lib/countPromptTokens.js";
 import type { CacheHolder } from "./chooseCacheSource.js";
 import { choosePreferredEngine, type PreferredEngine } from "./choosePreferredEngine.js";
@@ -28,10 +29,17 @@
     readonly use: UpstreamUseTracker;
     readonly parts: PartView;
     readonly health: HealthView;
+    readonly weights: WeightsView;
     /** Lists the cache stores that answer. */
     readonly listStores: () => readonly ReachableStore[];
 }
 
+/** The weights under which a prompt is to run, and the salt that keeps its parts apart from those of other weights. */
+export interface CacheScope {
+    readonly weightsVersion: number;
+    readonly salt: string;
+}
+
 /** State of the caches for one prompt under one salt. */
 export interface PromptCacheView {
     readonly salt: string;
@@ -63,7 +71,7 @@
 /** Lookup of cached prompts. */
 export interface PromptCacheReader {
     /** Reads the state of the caches for a prompt; the preferred engine is one of `ids`. */
-    readonly read: (service: string, prompt: Prompt, salt: string, ids: readonly string[]) => PromptCacheView;
+    readonly read: (service: string, prompt: Prompt, scope: CacheScope, ids: readonly string[]) => PromptCacheView;
     readonly describeCoverage: (prompt: Prompt, view: PromptCacheView, record: UpstreamRecord) => CacheCoverage;
     /** Finds a store that lacks shared parts of the prompt, to which the engine should write them. */
     readonly findCacheTarget: (prompt: Prompt, view: PromptCacheView) => ReachableStore | undefined;
@@ -81,12 +89,19 @@
  * @param deps - The views that it reads.
  * @returns The reader.
  * @example
- * createPromptCacheReader(deps).read("writer", prompt, salt, ["engine-1"]).preferred; // "engine-1"
+ * createPromptCacheReader(deps).read("writer", prompt, { weightsVersion: 3, salt }, ["engine-1"]).preferred; // "engine-1"
  */
 export function createPromptCacheReader(deps: PromptCacheReaderDependencies): PromptCacheReader {
-    const { parts, health, use } = deps;
+    const { parts, health, use, weights } = deps;
+
+    /** An engine that has loaded other weights since has no parts of this scope any more, or not of its weights. */
+    function isSource(engine: UpstreamRecord, prompt: Prompt, weightsVersion: number, nowMs: number): boolean {
+        return weights.findVersion(engine, prompt.model) === weightsVersion
+            && !health.isMisdirected(engine.id) && !health.isEjected(engine.id, nowMs);
+    }
 
-    function read(service: string, prompt: Prompt, salt: string, ids: readonly string[]): PromptCacheView {
+    function read(service: string, prompt: Prompt, scope: CacheScope, ids: readonly string[]): PromptCacheView {
+        const { salt, weightsVersion } = scope;
         const nowMs = deps.now();
         const engines = deps.registry.listService(service);
         const stores = deps.listStores();
@@ -102,8 +117,8 @@
             heldTokens: tokens.get(id)?.cached ?? 0,
             requests: uses.get(id)?.requests ?? 0,
         });
-        const healthy = engines.filter(({ id }) => !health.isMisdirected(id) && !health.isEjected(id, nowMs));
-        const holders = [...healthy.map(one => describe(one, false)), ...stores.map(one => describe(one, true))];
+        const sources = engines.filter(engine => isSource(engine, prompt, weightsVersion, nowMs));
+        const holders = [...sources.map(one => describe(one, false)), ...stores.map(one => describe(one, true))];
         const heldTokens = new Map([...tokens].map(([id, { expected }]) => [id, expected]));
         const mostHeldTokens = Math.max(0, ...heldTokens.values());
         return {
