--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -5,8 +5,6 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
-import { choosePlacement } from "../../src/core/placement/choosePlacement.js";
-import { createUpstreamUseTracker } from "../../src/core/placement/createUpstreamUseTracker.js";
 import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import {
@@ -268,61 +266,3 @@
     ];
     assert.ok(lastQueued < before);
 });
-
-/** Instances that place at one engine, each with its own tracker of the engine's use. */
-interface DelayedReportsFixture {
-    readonly count: number;
-    readonly reportIntervalMs: number;
-    /** Memory that is in use at the engine before the first report arrives, in tokens. */
-    takenTokens: number;
-}
-
-const delayedReports = new WeakMap<SiteWorld, DelayedReportsFixture>();
-const requestTokens = 1_020;
-const sharedEngineTokens = 60_000;
-
-Given(
-    "{int} instances that report their use to each other every {int} ms",
-    function(this: SiteWorld, count: number, reportIntervalMs: number) {
-        delayedReports.set(this, { count, reportIntervalMs, takenTokens: 0 });
-    },
-);
-
-When(
-    "each of them places a request every {int} ms at one engine that all see as idle",
-    function(this: SiteWorld, spacingMs: number) {
-        const fixture = delayedReports.get(this)!;
-        const trackers = Array.from({ length: fixture.count }, () => createUpstreamUseTracker());
-        for (const tracker of trackers) {
-            trackers.filter(other => other !== tracker).forEach((_, index) => tracker.updatePeer(`peer-${index}`, []));
-        }
-        for (let nowMs = 0; nowMs < fixture.reportIntervalMs; nowMs += spacingMs) {
-            for (const [index, tracker] of trackers.entries()) {
-                const chosen = choosePlacement([{
-                    id: "e-1",
-                    use: tracker.read("e-1"),
-                    unreported: tracker.estimateUnreported("e-1", nowMs),
-                    slots: 1_000,
-                    memoryTokens: sharedEngineTokens,
-                    prefillTokens: requestTokens,
-                    repeatedTokens: 0,
-                    neededTokens: requestTokens,
-                    isOutdated: false,
-                    isSameFailureDomain: true,
-                }]);
-                if (chosen !== undefined) {
-                    const shared = { sharedKey: "k", sharedTokens: 0, unreadTokens: requestTokens };
-                    const placed = { upstream: "e-1", ownTokens: requestTokens, ...shared };
-                    tracker.begin(`${index}-${nowMs}`, placed, nowMs);
-                    fixture.takenTokens += requestTokens;
-                }
-            }
-        }
-    },
-);
-
-Then("the engine's memory is not overcommitted before the reports arrive", function(this: SiteWorld) {
-    const { takenTokens } = delayedReports.get(this)!;
-    assert.ok(takenTokens > 0);
-    assert.ok(takenTokens <= sharedEngineTokens, `${takenTokens} tokens`);
-});
