Check refusals under a short excess, and record that it fails

Found in reading the change: the scenario of a short excess said "queued, not refused" and had no such check, its step stood unused, and its second clause covered no request. Seen: of 20 callers in 1 s one is refused when it becomes late; with an excess of 2 s 23 of 40 are answered, 34 when nothing is refused early; with 6 s 62 and 74. Cause: no late request placed for a second is taken for an endless wait. Not mended here, as behaviour stays as it is.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -97,12 +97,19 @@
         Given an engine with room for two requests that answers each in 200 ms
         When a request arrives every 50 ms for 6 s
         Then from second 1 on, each refused caller has at least half of its time left
-        And of 6 s of capacity at least 95 % is used, and from second 2 on each answer is on time
+        And of 6 s of capacity at least 95 % is used
+        And from second 2 on each answer is on time
 
-    Scenario: A short excess over the capacity is queued, not refused
+    Scenario: A short excess over the capacity is queued, so that the capacity is used
         Given an engine with room for two requests that answers each in 200 ms
         When a request arrives every 50 ms for 1 s
-        Then of 1 s of capacity at least 95 % is used, and from second 1 on each answer is on time
+        Then of 1 s of capacity at least 95 % is used
+
+    @known-red
+    Scenario: Callers of a short excess that fits once it has ended are not refused
+        Given an engine with room for two requests that answers each in 200 ms
+        When a request arrives every 50 ms for 1 s
+        Then no caller is refused
 
     Scenario: Instances that place at the same moment have a part that most prompts begin with prefilled by one engine
         Given 7 instances with 6 idle engines that know nothing of each other's requests
--- a/features/steps/placementLoadSteps.ts
+++ b/features/steps/placementLoadSteps.ts
@@ -86,20 +86,28 @@
     },
 );
 
+const listAnswered = ({ results }: LoadFixture) => results.filter(({ kind }) => kind === "answered");
+
 Then(
-    "of {int} s of capacity at least {int} % is used, and from second {int} on each answer is on time",
-    function(this: SiteWorld, seconds: number, percent: number, second: number) {
-        const { results, capacityPerSecond, serviceMs } = loads.get(this)!;
-        const answered = results.filter(({ kind }) => kind === "answered");
-        assert.ok(answered.length >= seconds * capacityPerSecond * percent / 100, `${answered.length} answers`);
-        for (const { req, atMs } of answered.filter(one => one.req.arrivedMs >= second * 1_000)) {
-            const startedMs = atMs - serviceMs;
-            const { latencyDeadlineMs } = computeCallerDeadlines(req);
-            assert.ok(startedMs <= latencyDeadlineMs, `placed ${startedMs - latencyDeadlineMs} ms too late`);
-        }
+    "of {int} s of capacity at least {int} % is used",
+    function(this: SiteWorld, seconds: number, percent: number) {
+        const load = loads.get(this)!;
+        const answers = listAnswered(load).length;
+        assert.ok(answers >= seconds * load.capacityPerSecond * percent / 100, `${answers} answers`);
     },
 );
 
+Then("from second {int} on each answer is on time", function(this: SiteWorld, second: number) {
+    const load = loads.get(this)!;
+    const answered = listAnswered(load).filter(({ req }) => req.arrivedMs >= second * 1_000);
+    assert.ok(answered.length > 0);
+    for (const { req, atMs } of answered) {
+        const startedMs = atMs - load.serviceMs;
+        const { latencyDeadlineMs } = computeCallerDeadlines(req);
+        assert.ok(startedMs <= latencyDeadlineMs, `placed ${startedMs - latencyDeadlineMs} ms too late`);
+    }
+});
+
 Then("no caller is refused", function(this: SiteWorld) {
     assert.deepEqual(loads.get(this)!.results.filter(({ kind }) => kind === "refused"), []);
 });
