Remove the second choice of a cache source; list shared parts in one place

Found in reading the change: chooseCacheSource had no caller left but the test that compared createSourceChooser with it, and both used one comparison; the parts that requests share were sliced in three files.

--- a/features/steps/cacheSourceSteps.ts
+++ b/features/steps/cacheSourceSteps.ts
@@ -5,7 +5,6 @@
 import { Then } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { chooseCacheSource } from "../../src/core/placement/chooseCacheSource.js";
 import { createSourceChooser, type SourceCandidate } from "../../src/core/placement/createSourceChooser.js";
 
 const failureDomains = ["north", "south", "west"];
@@ -20,6 +19,26 @@
     { maxLength: 8 },
 ).map(holders => holders.map((holder, index) => ({ ...holder, id: `u-${index}`, address: `10.0.0.${index}:80` })));
 
+/** Sorts all holders that are worth a fetch, by the rules written out: what the chooser has to find in one pass. */
+function findSource(
+    holders: readonly SourceCandidate[],
+    engine: { readonly id: string; readonly failureDomain: string; },
+    ownTokens: number,
+): SourceCandidate | undefined {
+    const rank = (holder: SourceCandidate) => [
+        -holder.heldTokens,
+        Number(holder.isStore),
+        Number(holder.failureDomain !== engine.failureDomain),
+        holder.requests,
+    ];
+    return holders.filter(({ id, heldTokens }) => id !== engine.id && heldTokens >= ownTokens + 64)
+        .toSorted((left, right) => {
+            const [leftRank, rightRank] = [rank(left), rank(right)];
+            const index = leftRank.findIndex((value, position) => value !== rightRank[position]);
+            return index === -1 ? 0 : leftRank[index]! - rightRank[index]!;
+        })[0];
+}
+
 Then(
     "over {int} random sets of holders with seed {int} every engine has the same source",
     function(numRuns: number, seed: number) {
@@ -28,10 +47,10 @@
             const chooseSource = createSourceChooser(holders);
             const strangers = failureDomains.map(failureDomain => ({ id: `other-${failureDomain}`, failureDomain }));
             for (const engine of [...holders, ...strangers]) {
-                const others = holders.filter(({ id }) => id !== engine.id)
-                    .map(one => ({ ...one, isSameFailureDomain: one.failureDomain === engine.failureDomain }));
-                const expected = chooseCacheSource(others, ownTokens)?.address;
-                assert.equal(chooseSource(engine, ownTokens)?.address, expected);
+                assert.equal(
+                    chooseSource(engine, ownTokens)?.address,
+                    findSource(holders, engine, ownTokens)?.address,
+                );
             }
         });
         fc.assert(property, { numRuns, seed });
--- a/src/core/placement/choosePreferredEngine.ts
+++ b/src/core/placement/choosePreferredEngine.ts
@@ -6,6 +6,7 @@
  */
 import { hashText } from "../_lib/hashText.js";
 import { scoreRendezvous } from "../_lib/scoreRendezvous.js";
+import { listSharedParts } from "./_lib/listSharedParts.js";
 import { derivePrefixKey } from "./createPartView.js";
 import type { Prompt } from "./placementTypes.js";
 
@@ -23,7 +24,7 @@
 
 function findUncachedIndex(prompt: Prompt, cachedTokens: number): number | undefined {
     let tokens = 0;
-    for (const [index, part] of prompt.parts.slice(0, -1).entries()) {
+    for (const [index, part] of listSharedParts(prompt).entries()) {
         tokens += part.tokens;
         if (tokens > cachedTokens) {
             return index;
--- a/src/core/placement/createPartView.ts
+++ b/src/core/placement/createPartView.ts
@@ -3,6 +3,7 @@
  * Tracks which prompt parts are cached by engines and cache stores: from the events that they publish, which arrive
  * late and with gaps, and from this instance's own sends, whose events have not arrived yet.
  */
+import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Prompt, PromptPart } from "./placementTypes.js";
 
 /** A change in the cache of a holder, which is an engine or a cache store. */
@@ -51,11 +52,6 @@
 
 const keyOf = (salt: string, part: string) => `${salt} ${part}`;
 
-/** Parts before the last one, which belongs to the request itself. */
-function listShared(prompt: Prompt): readonly PromptPart[] {
-    return prompt.parts.slice(0, -1);
-}
-
 /**
  * Derives the key of a request's shared prompt.
  *
@@ -141,7 +137,7 @@
         let cached = 0;
         let expected = 0;
         let hasGap = false;
-        for (const part of listShared(prompt)) {
+        for (const part of listSharedParts(prompt)) {
             const key = keyOf(salt, part.id);
             const partTokens = Math.min(part.tokens, holder.tokens.get(key) ?? 0);
             const expectedTokens = isExpected(holder, key, nowMs) ? part.tokens : partTokens;
@@ -166,7 +162,7 @@
     }
 
     function recordPrefilled(prompt: Prompt, salt: string, engine: string): void {
-        const events = listShared(prompt).map(({ id, tokens }): PartEvent => ({ salt, part: id, tokens }));
+        const events = listSharedParts(prompt).map(({ id, tokens }): PartEvent => ({ salt, part: id, tokens }));
         applyEvents(engine, events);
     }
 
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -9,6 +9,7 @@
 import type { CancelTimer, Clock } from "../time/clock.js";
 import { countOwnTokens, countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
 import { describeLoad } from "./_lib/describeLoad.js";
+import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
 import { choosePlacement } from "./choosePlacement.js";
 import { type ChoiceListerDependencies, createChoiceLister } from "./createChoiceLister.js";
@@ -94,7 +95,7 @@
     function recordPrefill({ prompt, view }: ModelOption, placement: Placement): void {
         const { upstream, heldTokens, fetchedTokens } = placement;
         const { salt } = view;
-        const parts = prompt.parts.slice(0, -1);
+        const parts = listSharedParts(prompt);
         deps.parts.recordSent(parts, salt, upstream.id, now());
         if (sumTokens(prompt, 0, -1) - heldTokens - fetchedTokens >= minReportedTokens) {
             deps.onPrefill({ engine: upstream.id, salt, parts });
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -6,11 +6,15 @@
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
 import { sumTokens } from "./_lib/countPromptTokens.js";
-import type { CacheHolder } from "./chooseCacheSource.js";
 import { choosePreferredEngine, type PreferredEngine } from "./choosePreferredEngine.js";
 import type { HealthView } from "./createHealthView.js";
 import { deriveSharedKey, type PartView } from "./createPartView.js";
-import { type ChooseSource, createSourceChooser, type SourceCandidate } from "./createSourceChooser.js";
+import {
+    type CacheHolder,
+    type ChooseSource,
+    createSourceChooser,
+    type SourceCandidate,
+} from "./createSourceChooser.js";
 import type { UpstreamUseTracker } from "./createUpstreamUseTracker.js";
 import type { Prompt, UpstreamUse } from "./placementTypes.js";
 
