Report how each answer of an upstream ended

Now: RW3012 for each answer whose connection ended with it or whose last event is unfinished, with framing, state of the connection, last event id, unfinished bytes and the judgement; a counter of all ends by framing, state and judgement; a sentence in reedwardctl why. What counts as complete is unchanged.

--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -20,6 +20,20 @@
             | a rejection of another instance      | waits   | nonIdempotent | rejected |
             | a failure with its seal              | waits   | nonIdempotent | answered |
 
+    Scenario Outline: How an answer ended is reported with its framing and the state of its connection
+        Given an upstream that answers with <bytes> and then <end>
+        When a "nonIdempotent" request is sent to it
+        Then the answer is reported as "<framing>" with its connection "<connection>"
+
+        Examples:
+            | bytes                        | end            | framing         | connection |
+            | a complete body              | waits          | contentLength   | open       |
+            | a body without a length      | closes         | connectionClose | closed     |
+            | half a body without a length | resets         | connectionClose | reset      |
+            | half a body without a length | resets-at-once | connectionClose | reset      |
+            | half a body with a length    | closes         | contentLength   | closed     |
+            | half a chunked body          | closes         | chunked         | closed     |
+
     Scenario: A second answer on a reused connection is not taken as the next request's
         Given an upstream that sends each answer twice
         When two requests are sent to it one after the other
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -12,6 +12,7 @@
 } from "../../fakes/startScriptedUpstream.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { createHealthView } from "../../src/core/placement/createHealthView.js";
+import type { AnswerEnd } from "../../src/core/proxy/answerEnd.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
 import type { RequestKind } from "../../src/core/routes/routingTable.js";
 import type { Clock } from "../../src/core/time/clock.js";
@@ -37,6 +38,8 @@
     readonly clock: Clock;
     readonly caller: Caller;
     readonly outcomes: SendOutcome[];
+    /** Ends of the answers, as reported by the sender. */
+    readonly ends: readonly AnswerEnd[];
 }
 
 const fixtures = new WeakMap<SiteWorld, SendFixture>();
@@ -72,7 +75,7 @@
 /** Time in which written bytes reach the other side over loopback, in milliseconds. */
 const flushMs = 30;
 
-const ends: ReadonlyMap<string, (socket: Socket) => void> = new Map<string, (socket: Socket) => void>([
+const endings: ReadonlyMap<string, (socket: Socket) => void> = new Map<string, (socket: Socket) => void>([
     ["closes", socket => socket.end()],
     ["resets", socket => {
         setTimeout(() => socket.resetAndDestroy(), flushMs);
@@ -117,16 +120,18 @@
 ): Promise<void> {
     const upstream = await startScriptedUpstream(answer);
     const pool = createConnectionPool(clock);
+    const ends: AnswerEnd[] = [];
     const send = createUpstreamSender({
         clock,
         codec: createCodec(),
         connections: pool,
         health: createHealthView(),
         onAnswerHead: () => undefined,
+        onAnswerEnd: (...[, , end]) => ends.push(end),
         onForeignAnswer: () => undefined,
         onHeadTime: () => undefined,
     });
-    fixtures.set(world, { upstream, send, clock, caller: createCaller(), outcomes: [] });
+    fixtures.set(world, { upstream, send, clock, caller: createCaller(), outcomes: [], ends });
     world.cleanups.push(async () => {
         pool.close();
         await upstream.stop();
@@ -150,12 +155,12 @@
     assert.ok(bytes !== undefined, `${article} ${rest}`);
     await start(this, ({ socket }) => {
         socket.write(bytes);
-        ends.get(end)?.(socket);
+        endings.get(end)?.(socket);
     });
 });
 
 Given("an upstream that answers with nothing and then {word}", async function(this: SiteWorld, end: string) {
-    await start(this, ({ socket }) => ends.get(end)?.(socket));
+    await start(this, ({ socket }) => endings.get(end)?.(socket));
 });
 
 Given("an upstream that sends each answer twice", async function(this: SiteWorld) {
@@ -228,6 +233,14 @@
     assert.deepEqual(getFixture(this).outcomes.map(outcome => outcome.kind), [kind]);
 });
 
+Then(
+    "the answer is reported as {string} with its connection {string}",
+    function(this: SiteWorld, framing: string, connection: string) {
+        const reported = getFixture(this).ends.map(end => [end.framing, end.connection]);
+        assert.deepEqual(reported, [[framing, connection]]);
+    },
+);
+
 Then("the upstream has received no request", async function(this: SiteWorld) {
     await new Promise(resolve => setTimeout(resolve, flushMs * 4));
     assert.deepEqual(getFixture(this).upstream.requests, []);
--- a/features/steps/whySteps.ts
+++ b/features/steps/whySteps.ts
@@ -108,6 +108,7 @@
     "streamCut",
     "requestServed",
     "foreignAnswer",
+    "answerEndJudged",
 ] as const;
 
 Then("every log event of requests is described by a sentence", () => {
--- a/features/why.feature
+++ b/features/why.feature
@@ -7,6 +7,7 @@
             | 140  | RW3007 | requestId=r-1 upstream=e-1 outcome=rejected status=503 reason=busy                                      |
             | 141  | RW3005 | requestId=r-1 reason=rejected                                                                           |
             | 150  | RW3006 | requestId=r-2 upstream=e-1 afterMs=2                                                                    |
+            | 142  | RW3012 | requestId=r-1 upstream=e-1 framing=connectionClose connection=closed unfinishedBytes=3 isComplete=false  |
             | 900  | RW3002 | requestId=r-1 kind=overloaded status=503 outcome=notRun detail=full retryAfterMs=500                    |
         And the log of "entry-2" has these lines
             | ms   | code   | fields                                                                                                  |
@@ -19,6 +20,7 @@
             | entry-1 | sent to e-1 2 ms after it arrived; weights version 3; 600 of 900 prompt tokens believed kept there |
             | entry-1 | e-1 answered 503 and did not run it: busy                                                          |
             | entry-1 | may be sent again: rejected                                                                        |
+            | entry-1 | the answer of e-1 (connectionClose) ended with its connection closed and 3 bytes of an unfinished event: it counts as incomplete |
             | entry-1 | refused with 503 overloaded (it has not run): full; the caller may return after 500 ms             |
             | entry-2 | e-2 was ordered to load weights version 4                                                          |
             | entry-2 | sent to e-2 1 ms after it arrived                                                                  |
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -5,6 +5,7 @@
 import type { RequestListener } from "node:http";
 import { millisecondsPerSecond } from "../core/constants.js";
 import { createPlacer } from "../core/placement/createPlacer.js";
+import type { AnswerEnd } from "../core/proxy/answerEnd.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
 import type { SendEffect } from "../core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
@@ -102,6 +103,31 @@
         }
     }
 
+    function recordAnswerEnd(
+        req: ProxyRequest,
+        effect: SendEffect,
+        end: AnswerEnd,
+        incompleteReason: string | undefined,
+    ): void {
+        const { framing, connection, eventStream } = end;
+        const isComplete = incompleteReason === undefined;
+        metrics.answerEnds.inc({ framing, connection, complete: String(isComplete) });
+        const unfinishedBytes = eventStream?.unfinishedBytes ?? 0;
+        if (isComplete && connection === "open" && unfinishedBytes === 0) {
+            return;
+        }
+        writeLog("answerEndJudged", {
+            requestId: req.id,
+            upstream: effect.placement.upstream.id,
+            framing,
+            connection,
+            lastEventId: eventStream?.lastEventId,
+            unfinishedBytes,
+            isComplete,
+            reason: incompleteReason,
+        });
+    }
+
     const send = createUpstreamSender({
         clock,
         codec: ports.codec,
@@ -109,6 +135,7 @@
         health: views.health,
         onAnswerHead: recordAnswerHead,
         onHeadTime: tookMs => metrics.headSeconds.observe(tookMs / millisecondsPerSecond),
+        onAnswerEnd: recordAnswerEnd,
         onForeignAnswer: (req, effect, answeredId) =>
             writeLog("foreignAnswer", { requestId: req.id, upstream: effect.placement.upstream.id, answeredId }),
     });
--- a/src/core/proxy/index.ts
+++ b/src/core/proxy/index.ts
@@ -2,6 +2,7 @@
  * @module
  * Proxying of requests with opaque content: deadlines, retries and effects.
  */
+export * from "./answerEnd.js";
 export * from "./computeCallerDeadlines.js";
 export * from "./createFleetRetryBudget.js";
 export * from "./deriveCacheSalt.js";
--- a/src/core/why/describeLogLine.ts
+++ b/src/core/why/describeLogLine.ts
@@ -64,9 +64,18 @@
     return `ended as "${text(fields, "result")}" after ${text(fields, "tookMs")} ms; route ${text(fields, "route")}`;
 }
 
+function describeAnswerEnd(fields: Fields): string {
+    const judgement = fields["isComplete"] === true ? "counts as complete" : "counts as incomplete";
+    const unfinished = `${text(fields, "unfinishedBytes")} bytes of an unfinished event`;
+    return `the answer of ${text(fields, "upstream")} (${text(fields, "framing")}) ended with its connection ${
+        text(fields, "connection")
+    } and ${unfinished}: it ${judgement}`;
+}
+
 const sentences: Readonly<Partial<Record<LogEventName, (fields: Fields) => string>>> = {
     requestSent: describeSent,
     sendEnded: fields => outcomes.get(fields["outcome"])?.(fields) ?? `a send ended: ${text(fields, "outcome")}`,
+    answerEndJudged: describeAnswerEnd,
     requestRepeated: fields => `may be sent again: ${text(fields, "reason")}`,
     requestRefused: describeRefused,
     streamCut: fields => `its stream was aborted so that it does not appear complete: ${text(fields, "detail")}`,
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -33,6 +33,8 @@
     readonly retryDenials: Counter<string>;
     /** Sends to upstreams by outcome. */
     readonly sends: Counter<"outcome">;
+    /** Ends of upstreams' answers by framing, state of the connection, and whether the answer counts as complete. */
+    readonly answerEnds: Counter<"framing" | "connection" | "complete">;
     /** Changes of upstreams by kind. */
     readonly upstreamChanges: Counter<"change">;
     /** Orders to engines by answer. */
@@ -121,6 +123,7 @@
         retries: counter("repeats_total", "Retries by reason.", ["reason"]),
         retryDenials: counter("repeat_denials_total", "Retries that the retry budget did not allow."),
         sends: counter("sends_total", "Sends to upstreams.", ["outcome"]),
+        answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         leaseClaims: counter("lease_claims_total", "Claims of the rollout lease.", ["result"]),
--- a/src/io/proxy/createConnectionPool.ts
+++ b/src/io/proxy/createConnectionPool.ts
@@ -5,6 +5,7 @@
  */
 import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
+import type { ConnectionState } from "../../core/proxy/answerEnd.js";
 import type { Clock } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
 
@@ -14,8 +15,8 @@
     readonly address: string;
     /** Whether an earlier request was sent on it. */
     readonly isReused: boolean;
-    /** Whether the connection failed, e.g. by a reset. undici treats a reset as the end of an answer without length. */
-    readonly hasFailed: () => boolean;
+    /** State of the connection. undici treats a reset as the end of an answer without length. */
+    readonly state: () => ConnectionState;
     /** Marks the current answer as ending with the connection, so that the end is checked for a reset. */
     readonly expectEnd: () => void;
 }
@@ -73,15 +74,18 @@
 
     function open(address: string): PooledConnection {
         opened += 1;
-        let hasFailed = false;
+        let state: ConnectionState = "open";
         let isEndExpected = false;
 
         function watch(socket: Socket): void {
             socket.on("error", () => {
-                hasFailed = true;
+                // undici destroys a socket with an error after its peer has closed it within an answer.
+                state = state === "open" ? "reset" : state;
             });
             socket.on("end", () => {
-                hasFailed ||= isEndExpected && isReset(socket);
+                if (state === "open") {
+                    state = isEndExpected && isReset(socket) ? "reset" : "closed";
+                }
             });
         }
 
@@ -104,7 +108,7 @@
             client,
             address,
             isReused: false,
-            hasFailed: () => hasFailed,
+            state: () => state,
             expectEnd: () => {
                 isEndExpected = true;
             },
--- a/src/io/proxy/createStreamDelivery.ts
+++ b/src/io/proxy/createStreamDelivery.ts
@@ -2,6 +2,7 @@
  * @module
  * Forwards the events of one upstream's stream to the caller.
  */
+import type { EventStreamEnd } from "../../core/proxy/answerEnd.js";
 import type { StreamProgress } from "../../core/proxy/proxyTypes.js";
 import { createEventSplitter } from "../../core/stream/createEventSplitter.js";
 import type { CallerExchange } from "./createCallerExchange.js";
@@ -12,8 +13,8 @@
     readonly write: (chunk: Buffer) => void;
     /** Ends the caller's stream as complete. */
     readonly end: () => void;
-    /** Buffered bytes of an incomplete event; always 0 for streams that are forwarded chunk by chunk. */
-    readonly pendingBytes: () => number;
+    /** How far the upstream's events have arrived. */
+    readonly eventStreamEnd: () => EventStreamEnd;
     /** What the caller has received of the stream; undefined when it has received nothing. */
     readonly progress: () => StreamProgress | undefined;
 }
@@ -59,7 +60,7 @@
             caller.startStream(head);
             caller.endStream();
         },
-        pendingBytes: () => (options.isResumable ? splitter.pendingBytes() : 0),
+        eventStreamEnd: () => ({ lastEventId: splitter.lastId(), unfinishedBytes: splitter.pendingBytes() }),
         progress: () => (caller.hasStarted() ? { lastEventId: splitter.lastId() } : undefined),
     };
 }
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -5,6 +5,7 @@
  */
 import type { Dispatcher } from "undici";
 import type { HealthView } from "../../core/placement/createHealthView.js";
+import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type {
     HeaderPair,
@@ -29,6 +30,13 @@
     readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
     /** Receives the time from a send to the head of its answer, in milliseconds. */
     readonly onHeadTime: (tookMs: number) => void;
+    /** Receives how an answer ended, and why it is incomplete if it is. */
+    readonly onAnswerEnd: (
+        req: ProxyRequest,
+        effect: SendEffect,
+        end: AnswerEnd,
+        incompleteReason: string | undefined,
+    ) => void;
     /** Receives answers that belong to another request or to none. */
     readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
 }
@@ -128,7 +136,7 @@
             return;
         }
         this.head = head;
-        if (head.endsWithConnection) {
+        if (head.framing === "connectionClose") {
             this.connection.expectEnd();
         }
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
@@ -166,8 +174,10 @@
         if (this.isFinished || head === undefined) {
             return;
         }
-        if (this.connection.hasFailed()) {
-            this.finishLost("the connection was reset before the answer was complete");
+        const incompleteReason = this.findIncompleteReason();
+        this.reportAnswerEnd(head, incompleteReason);
+        if (incompleteReason !== undefined) {
+            this.finishLost(incompleteReason);
             return;
         }
         if (this.stream !== undefined) {
@@ -194,6 +204,9 @@
             this.finish({ kind: "notSent", detail: err.message });
             return;
         }
+        if (this.head !== undefined) {
+            this.reportAnswerEnd(this.head, err.message);
+        }
         this.finishLost(err.message);
     }
 
@@ -217,11 +230,27 @@
         this.deps.health.recordFailure(this.upstreamId(), this.deps.clock.now());
     }
 
-    private endStream(stream: StreamDelivery): void {
-        if (stream.pendingBytes() > 0) {
-            this.finishLost("the stream ended in the middle of an event");
-            return;
+    private findIncompleteReason(): string | undefined {
+        if (this.connection.state() === "reset") {
+            return "the connection was reset before the answer was complete";
         }
+        const { stream } = this;
+        if (stream !== undefined && this.req.route.isResumable && stream.eventStreamEnd().unfinishedBytes > 0) {
+            return "the stream ended in the middle of an event";
+        }
+        return undefined;
+    }
+
+    private reportAnswerEnd(head: AnswerHead, incompleteReason: string | undefined): void {
+        const end = {
+            framing: head.framing,
+            connection: this.connection.state(),
+            eventStream: this.stream?.eventStreamEnd(),
+        };
+        this.deps.onAnswerEnd(this.req, this.effect, end, incompleteReason);
+    }
+
+    private endStream(stream: StreamDelivery): void {
         this.deps.health.recordSuccess(this.upstreamId());
         stream.end();
         this.finish({ kind: "finished" });
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -6,6 +6,7 @@
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import type { Prompt } from "../../core/placement/placementTypes.js";
+import type { AnswerFraming } from "../../core/proxy/answerEnd.js";
 import type { HeaderPair, Placement, ProxyRequest, RejectionReason } from "../../core/proxy/proxyTypes.js";
 
 /** The decoded head of a caller's request. */
@@ -47,8 +48,8 @@
     readonly weightsVersion: number | undefined;
     /** Whether the upstream closes the connection after this answer. */
     readonly closesConnection: boolean;
-    /** Whether the answer has no length and ends with the connection. */
-    readonly endsWithConnection: boolean;
+    /** What marks the end of the answer. */
+    readonly framing: AnswerFraming;
     /** Headers to forward to the caller. */
     readonly headers: readonly HeaderPair[];
 }
