Reproduce streams that are broken off and reach their callers as complete

The scenario sends a stream that cannot be resumed to an upstream whose answer has neither a length nor chunks and whose connection is closed in order within an event: the send ends as "finished" and the caller's stream is ended. The same answer to a resumable stream is "lost".

--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -62,6 +62,13 @@
         Then the outcome is "lost"
         And the caller has received one complete event with its id
 
+    @known-red
+    Scenario: A stream without length or chunks that is broken off within an event does not reach its caller as complete
+        Given an upstream that answers with a stream that ends within an event and then closes
+        When a stream that cannot be resumed is sent to it
+        Then the outcome is "lost"
+        And the caller's stream is not ended as complete
+
     Scenario: A stream that ends within an event is incomplete
         Given an upstream that answers with a stream that ends within an event and then closes
         When a resumable stream is sent to it
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -30,6 +30,7 @@
 interface Caller extends CallerExchange {
     readonly disconnect: () => void;
     readonly received: () => string;
+    readonly hasEnded: () => boolean;
 }
 
 interface SendFixture {
@@ -89,6 +90,7 @@
     const actions = new Set<() => void>();
     let received = "";
     let hasBegun = false;
+    let hasEnded = false;
     return {
         isDisconnected: () => false,
         onDisconnect: action => {
@@ -104,12 +106,15 @@
             return true;
         },
         onDrained: () => undefined,
-        endStream: () => undefined,
+        endStream: () => {
+            hasEnded = true;
+        },
         answer: () => undefined,
         refuse: () => undefined,
         abort: () => undefined,
         disconnect: () => [...actions].forEach(action => action()),
         received: () => received,
+        hasEnded: () => hasEnded,
     };
 }
 
@@ -200,6 +205,10 @@
     await send(getFixture(this), createProxyRequest("stream", {}, true), false);
 });
 
+When("a stream that cannot be resumed is sent to it", async function(this: SiteWorld) {
+    await send(getFixture(this), createProxyRequest("stream"), true);
+});
+
 When("two requests are sent to it one after the other", async function(this: SiteWorld) {
     const fixture = getFixture(this);
     for (const name of ["attempt-1", "attempt-2"]) {
@@ -241,6 +250,10 @@
     },
 );
 
+Then("the caller's stream is not ended as complete", function(this: SiteWorld) {
+    assert.equal(getFixture(this).caller.hasEnded(), false);
+});
+
 Then("the upstream has received no request", async function(this: SiteWorld) {
     await new Promise(resolve => setTimeout(resolve, flushMs * 4));
     assert.deepEqual(getFixture(this).upstream.requests, []);
