Judge the end of an answer by the answer, not by how it is delivered

Cause: an answer without length and chunks ends with its connection, so only its content tells whether an orderly close came too early. The check for an unfinished event stood in the path of resumable routes, because only these are held back until an event is complete; a stream forwarded chunk by chunk reported 0 pending bytes and was ended as complete. Completeness depended on the way of delivery.

Evidence: in the incident's logs every wrongly complete stream belongs to the route that cannot be resumed, while the resumable route reports "the stream ended in the middle of an event" 8 times in the same seconds.

Ruled out: a reset that is not noticed (rows with resets, alone and together with the bytes, pass before and after; and both routes would show it); a framed answer with "Connection: close" that is cut short (rows pass before and after).

Now: findIncompleteReason decides from the connection's state and the events, for every stream. Since it applies to streams that were not checked before, the splitter knows all three line ends and leaves trailing comments out of account, and only an answer that is an event stream is treated as one; another type on a stream's route is collected and delivered whole.

--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -12,6 +12,8 @@
             | half a body without a length         | resets-at-once | nonIdempotent | lost     |
             | half a body with a length            | closes  | nonIdempotent | lost     |
             | half a chunked body                  | closes  | nonIdempotent | lost     |
+            | half a chunked body and "Connection: close"       | closes | nonIdempotent | lost |
+            | half a body with a length and "Connection: close" | closes | nonIdempotent | lost |
             | nothing                              | resets  | nonIdempotent | lost     |
             | an answer to another request         | waits   | nonIdempotent | lost     |
             | an answer without an id              | waits   | nonIdempotent | lost     |
@@ -62,7 +64,6 @@
         Then the outcome is "lost"
         And the caller has received one complete event with its id
 
-    @known-red
     Scenario: A stream without length or chunks that is broken off within an event does not reach its caller as complete
         Given an upstream that answers with a stream that ends within an event and then closes
         When a stream that cannot be resumed is sent to it
@@ -73,3 +74,23 @@
         Given an upstream that answers with a stream that ends within an event and then closes
         When a resumable stream is sent to it
         Then the outcome is "lost"
+
+    Scenario Outline: The end of a stream that cannot be resumed decides whether it is complete
+        Given an upstream that answers with <bytes> and then <end>
+        When a stream that cannot be resumed is sent to it
+        Then the outcome is "<outcome>"
+
+        Examples:
+            | bytes                                                 | end            | outcome  |
+            | a stream that ends after an event                     | closes         | finished |
+            | a stream that ends after an event                     | resets         | lost     |
+            | a stream that ends after an event                     | resets-at-once | lost     |
+            | a stream whose lines end with CRLF                    | closes         | finished |
+            | a stream whose lines end with CR                      | closes         | finished |
+            | a stream that ends after a comment                    | closes         | finished |
+            | a chunked stream whose last chunk ends within an event | waits         | lost     |
+            | a JSON document                                       | waits          | answered |
+
+    Scenario: A random stream that is closed counts as complete only between two of its events
+        Then 2000 random streams with seed 29 that are closed count as complete only between two events
+        And the same check detects a splitter that ignores unfinished events
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -54,12 +54,18 @@
 const id = "Attempt-Id: attempt-1\r\n";
 const seal = "Server-Seal: s\r\n";
 
+const unframedStream = `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n`;
+
 const answers: Readonly<Record<string, string>> = {
     "a complete body": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Length: 4\r\n\r\nbody`,
     "a body without a length": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n\r\nbody`,
     "half a body without a length": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n\r\nbo`,
     "half a body with a length": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Length: 4\r\n\r\nbo`,
     "half a chunked body": `HTTP/1.1 200 OK\r\n${id}${seal}Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n`,
+    "half a chunked body and \"Connection: close\"": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n`
+        + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n",
+    "half a body with a length and \"Connection: close\"": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n`
+        + "Content-Length: 4\r\n\r\nbo",
     "nothing": "",
     "an answer to another request": "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nbody",
     "an answer without an id": `HTTP/1.1 200 OK\r\n${seal}Content-Length: 4\r\n\r\nbody`,
@@ -69,8 +75,14 @@
     "a failure with its seal": `HTTP/1.1 500 Failed\r\n${id}${seal}Content-Length: 4\r\n\r\nbody`,
     "one event and a half": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\n`
         + "Transfer-Encoding: chunked\r\n\r\n14\r\nid: 7\ndata: a\n\nid: 8\r\n",
-    "a stream that ends within an event": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\n`
-        + "Connection: close\r\n\r\nid: 7\ndata: a\n\nid: 8\nda",
+    "a stream that ends within an event": `${unframedStream}id: 7\ndata: a\n\nid: 8\nda`,
+    "a stream that ends after an event": `${unframedStream}id: 7\ndata: a\n\nid: 8\ndata: b\n\n`,
+    "a stream whose lines end with CRLF": `${unframedStream}id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: b\r\n\r\n`,
+    "a stream whose lines end with CR": `${unframedStream}id: 7\rdata: a\r\rid: 8\rdata: b\r\r`,
+    "a stream that ends after a comment": `${unframedStream}id: 7\ndata: a\n\n: still here\n`,
+    "a chunked stream whose last chunk ends within an event": `HTTP/1.1 200 OK\r\n${id}${seal}`
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 7\ndata: a\n\nid: 8\r\n0\r\n\r\n",
+    "a JSON document": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}`,
 };
 
 /** Time in which written bytes reach the other side over loopback, in milliseconds. */
--- a/src/core/proxy/index.ts
+++ b/src/core/proxy/index.ts
@@ -6,6 +6,7 @@
 export * from "./computeCallerDeadlines.js";
 export * from "./createFleetRetryBudget.js";
 export * from "./deriveCacheSalt.js";
+export * from "./findIncompleteReason.js";
 export * from "./proxyEffects.js";
 export * from "./proxyTypes.js";
 export * from "./serveProxyRequest.js";
--- a/src/core/stream/createEventSplitter.ts
+++ b/src/core/stream/createEventSplitter.ts
@@ -9,31 +9,43 @@
     readonly push: (chunk: Uint8Array) => Uint8Array | undefined;
     /** Id of the last complete event that has one; undefined when no event had an id. */
     readonly lastId: () => string | undefined;
-    /** Number of bytes of the incomplete event at the end. */
-    readonly pendingBytes: () => number;
+    /** Number of bytes of an unfinished event at the end; 0 when only comments and line ends follow the last event. */
+    readonly unfinishedBytes: () => number;
 }
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idField = "id:";
+const commentStart = ":";
+
+/** Lines of an event stream end with CRLF, LF or CR. */
+const lineEnd = /\r\n|\n|\r/;
+
+function isLineEnd(byte: number | undefined): boolean {
+    return byte === lineFeed || byte === carriageReturn;
+}
 
 /** Finds the index after the last blank line; 0 when there is none. */
 function findEventsEnd(bytes: Uint8Array): number {
     for (let index = bytes.length - 1; index > 0; index -= 1) {
-        if (bytes[index] !== lineFeed) {
+        if (!isLineEnd(bytes[index])) {
             continue;
         }
-        const before = bytes[index - 1];
-        const isBlank = before === lineFeed || (before === carriageReturn && bytes[index - 2] === lineFeed);
-        if (isBlank) {
+        const isCrlf = bytes[index] === lineFeed && bytes[index - 1] === carriageReturn;
+        const previous = isCrlf ? bytes[index - 2] : bytes[index - 1];
+        if (isLineEnd(previous)) {
             return index + 1;
         }
     }
     return 0;
 }
 
+function hasField(text: string): boolean {
+    return text.split(lineEnd).some(line => line !== "" && !line.startsWith(commentStart));
+}
+
 function findLastId(text: string): string | undefined {
-    const lines = text.split(/\r?\n/);
+    const lines = text.split(lineEnd);
     const line = lines.findLast(one => one.startsWith(idField));
     return line?.slice(idField.length).trim();
 }
@@ -72,6 +84,6 @@
             return complete;
         },
         lastId: () => lastId,
-        pendingBytes: () => pending.length,
+        unfinishedBytes: () => (hasField(decoder.decode(pending)) ? pending.length : 0),
     };
 }
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from "undici";
 import type { HealthView } from "../../core/placement/createHealthView.js";
 import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
+import { findIncompleteReason } from "../../core/proxy/findIncompleteReason.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type {
     HeaderPair,
@@ -142,7 +143,7 @@
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
         this.deps.onAnswerHead(this.req, this.effect, head);
         this.deps.onHeadTime(this.deps.clock.now() - this.sentMs);
-        if (this.req.route.kind === "stream" && status < firstRedirect) {
+        if (this.req.route.kind === "stream" && head.isEventStream && status < firstRedirect) {
             this.stream = createStreamDelivery({
                 caller: this.caller,
                 head,
@@ -174,8 +175,9 @@
         if (this.isFinished || head === undefined) {
             return;
         }
-        const incompleteReason = this.findIncompleteReason();
-        this.reportAnswerEnd(head, incompleteReason);
+        const end = this.describeEnd(head);
+        const incompleteReason = findIncompleteReason(end);
+        this.deps.onAnswerEnd(this.req, this.effect, end, incompleteReason);
         if (incompleteReason !== undefined) {
             this.finishLost(incompleteReason);
             return;
@@ -205,7 +207,7 @@
             return;
         }
         if (this.head !== undefined) {
-            this.reportAnswerEnd(this.head, err.message);
+            this.deps.onAnswerEnd(this.req, this.effect, this.describeEnd(this.head), err.message);
         }
         this.finishLost(err.message);
     }
@@ -230,24 +232,9 @@
         this.deps.health.recordFailure(this.upstreamId(), this.deps.clock.now());
     }
 
-    private findIncompleteReason(): string | undefined {
-        if (this.connection.state() === "reset") {
-            return "the connection was reset before the answer was complete";
-        }
-        const { stream } = this;
-        if (stream !== undefined && this.req.route.isResumable && stream.eventStreamEnd().unfinishedBytes > 0) {
-            return "the stream ended in the middle of an event";
-        }
-        return undefined;
-    }
-
-    private reportAnswerEnd(head: AnswerHead, incompleteReason: string | undefined): void {
-        const end = {
-            framing: head.framing,
-            connection: this.connection.state(),
-            eventStream: this.stream?.eventStreamEnd(),
-        };
-        this.deps.onAnswerEnd(this.req, this.effect, end, incompleteReason);
+    private describeEnd(head: AnswerHead): AnswerEnd {
+        const eventStream = this.stream?.eventStreamEnd();
+        return { framing: head.framing, connection: this.connection.state(), eventStream };
     }
 
     private endStream(stream: StreamDelivery): void {
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -50,6 +50,8 @@
     readonly closesConnection: boolean;
     /** What marks the end of the answer. */
     readonly framing: AnswerFraming;
+    /** Whether the body is an event stream; also true for an answer that does not state its type. */
+    readonly isEventStream: boolean;
     /** Headers to forward to the caller. */
     readonly headers: readonly HeaderPair[];
 }
