Take a stream that is closed before its first event for broken off

What callers would see: a stream with status 200, sealed and complete, without any event, where the upstream closed its connection after the head of an answer that has neither length nor chunks.

Evidence: two new rows (no bytes, only a comment) ended as "finished" before. An empty stream whose framing says that it ends stays complete (third row). An empty rest of a resumed stream without framing now counts as lost, since it looks like a crash before the first event.

--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -6,21 +6,21 @@
         Then the outcome is "<outcome>"
 
         Examples:
-            | bytes                                | end     | kind         | outcome  |
-            | a body without a length              | closes  | nonIdempotent | answered |
-            | half a body without a length         | resets  | nonIdempotent | lost     |
-            | half a body without a length         | resets-at-once | nonIdempotent | lost     |
-            | half a body with a length            | closes  | nonIdempotent | lost     |
-            | half a chunked body                  | closes  | nonIdempotent | lost     |
-            | half a chunked body and "Connection: close"       | closes | nonIdempotent | lost |
-            | half a body with a length and "Connection: close" | closes | nonIdempotent | lost |
-            | nothing                              | resets  | nonIdempotent | lost     |
-            | an answer to another request         | waits   | nonIdempotent | lost     |
-            | an answer without an id              | waits   | nonIdempotent | lost     |
-            | bytes that are no answer             | closes  | nonIdempotent | lost     |
-            | a rejection before it ran            | waits   | nonIdempotent | rejected |
-            | a rejection of another instance      | waits   | nonIdempotent | rejected |
-            | a failure with its seal              | waits   | nonIdempotent | answered |
+            | bytes                                             | end            | kind          | outcome  |
+            | a body without a length                           | closes         | nonIdempotent | answered |
+            | half a body without a length                      | resets         | nonIdempotent | lost     |
+            | half a body without a length                      | resets-at-once | nonIdempotent | lost     |
+            | half a body with a length                         | closes         | nonIdempotent | lost     |
+            | half a chunked body                               | closes         | nonIdempotent | lost     |
+            | half a chunked body and "Connection: close"       | closes         | nonIdempotent | lost     |
+            | half a body with a length and "Connection: close" | closes         | nonIdempotent | lost     |
+            | nothing                                           | resets         | nonIdempotent | lost     |
+            | an answer to another request                      | waits          | nonIdempotent | lost     |
+            | an answer without an id                           | waits          | nonIdempotent | lost     |
+            | bytes that are no answer                          | closes         | nonIdempotent | lost     |
+            | a rejection before it ran                         | waits          | nonIdempotent | rejected |
+            | a rejection of another instance                   | waits          | nonIdempotent | rejected |
+            | a failure with its seal                           | waits          | nonIdempotent | answered |
 
     Scenario Outline: How an answer ended is reported with its framing and the state of its connection
         Given an upstream that answers with <bytes> and then <end>
@@ -81,15 +81,18 @@
         Then the outcome is "<outcome>"
 
         Examples:
-            | bytes                                                 | end            | outcome  |
-            | a stream that ends after an event                     | closes         | finished |
-            | a stream that ends after an event                     | resets         | lost     |
-            | a stream that ends after an event                     | resets-at-once | lost     |
-            | a stream whose lines end with CRLF                    | closes         | finished |
-            | a stream whose lines end with CR                      | closes         | finished |
-            | a stream that ends after a comment                    | closes         | finished |
-            | a chunked stream whose last chunk ends within an event | waits         | lost     |
-            | a JSON document                                       | waits          | answered |
+            | bytes                                                  | end            | outcome  |
+            | a stream that ends after an event                      | closes         | finished |
+            | a stream that ends after an event                      | resets         | lost     |
+            | a stream that ends after an event                      | resets-at-once | lost     |
+            | a stream whose lines end with CRLF                     | closes         | finished |
+            | a stream whose lines end with CR                       | closes         | finished |
+            | a stream that ends after a comment                     | closes         | finished |
+            | a stream without events                                | closes         | lost     |
+            | a stream of comments                                   | closes         | lost     |
+            | a chunked stream without events                        | waits          | finished |
+            | a chunked stream whose last chunk ends within an event | waits          | lost     |
+            | a JSON document                                        | waits          | answered |
 
     Scenario: A random stream that is closed counts as complete only between two of its events
         Then 2000 random streams with seed 29 that are closed count as complete only between two events
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -80,6 +80,10 @@
     "a stream whose lines end with CRLF": `${unframedStream}id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: b\r\n\r\n`,
     "a stream whose lines end with CR": `${unframedStream}id: 7\rdata: a\r\rid: 8\rdata: b\r\r`,
     "a stream that ends after a comment": `${unframedStream}id: 7\ndata: a\n\n: still here\n`,
+    "a stream without events": unframedStream,
+    "a stream of comments": `${unframedStream}: still here\n\n`,
+    "a chunked stream without events": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\n`
+        + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "a chunked stream whose last chunk ends within an event": `HTTP/1.1 200 OK\r\n${id}${seal}`
         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 7\ndata: a\n\nid: 8\r\n0\r\n\r\n",
     "a JSON document": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}`,
--- a/features/steps/streamEndSteps.ts
+++ b/features/steps/streamEndSteps.ts
@@ -41,9 +41,10 @@
     return { events, cutAt: Math.floor(cut * length), chunkSizes };
 });
 
-/** Returns whether the cut lies within an event, after the start of its first field. */
-function isCutWithinEvent({ events, cutAt }: CutStream): boolean {
+/** Returns whether the cut lies between two events: after at least one, and before the first field of the next. */
+function isCutBetweenEvents({ events, cutAt }: CutStream): boolean {
     let start = 0;
+    let complete = 0;
     for (const event of events) {
         const bytes = Buffer.from(event);
         const arrived = bytes.subarray(0, Math.max(0, cutAt - start));
@@ -51,11 +52,12 @@
         const isDispatched = arrived.length === bytes.length
             || (event.endsWith("\r\n") && arrived.length === bytes.length - 1);
         if (!isDispatched && arrived.toString().split(/[\r\n]/).some(line => line !== "" && !line.startsWith(":"))) {
-            return true;
+            return false;
         }
+        complete += isDispatched ? 1 : 0;
         start += bytes.length;
     }
-    return false;
+    return complete > 0;
 }
 
 function pushArrived(splitter: EventSplitter, { events, cutAt, chunkSizes }: CutStream): void {
@@ -70,7 +72,11 @@
 
 function countsAsComplete(stream: CutStream, splitter: EventSplitter): boolean {
     pushArrived(splitter, stream);
-    const eventStream = { lastEventId: splitter.lastId(), unfinishedBytes: splitter.unfinishedBytes() };
+    const eventStream = {
+        hasEvents: splitter.hasEvents(),
+        lastEventId: splitter.lastId(),
+        unfinishedBytes: splitter.unfinishedBytes(),
+    };
     return findIncompleteReason({ framing: "connectionClose", connection: "closed", eventStream }) === undefined;
 }
 
@@ -78,7 +84,7 @@
     fc.assert(
         fc.property(
             cutStreams,
-            stream => assert.equal(countsAsComplete(stream, createSplitter()), !isCutWithinEvent(stream)),
+            stream => assert.equal(countsAsComplete(stream, createSplitter()), isCutBetweenEvents(stream)),
         ),
         { numRuns: runs, seed },
     );
--- a/src/core/proxy/answerEnd.ts
+++ b/src/core/proxy/answerEnd.ts
@@ -11,6 +11,8 @@
 
 /** The end of an event stream. */
 export interface EventStreamEnd {
+    /** Whether an event was complete; comments are none. */
+    readonly hasEvents: boolean;
     /** Id of the last complete event that has one. */
     readonly lastEventId: string | undefined;
     /** Number of bytes of the incomplete event at the end. */
--- a/src/core/proxy/findIncompleteReason.ts
+++ b/src/core/proxy/findIncompleteReason.ts
@@ -10,15 +10,21 @@
  * @param end - How the answer ended.
  * @returns The reason; undefined for a complete answer.
  * @example
- * const eventStream = { lastEventId: "7", unfinishedBytes: 12 };
+ * const eventStream = { hasEvents: true, lastEventId: "7", unfinishedBytes: 12 };
  * findIncompleteReason({ framing: "connectionClose", connection: "closed", eventStream });
  */
 export function findIncompleteReason(end: AnswerEnd): string | undefined {
     if (end.connection === "reset") {
         return "the connection was reset before the answer was complete";
     }
-    if (end.eventStream !== undefined && end.eventStream.unfinishedBytes > 0) {
+    const { eventStream } = end;
+    if (eventStream === undefined) {
+        return undefined;
+    }
+    if (eventStream.unfinishedBytes > 0) {
         return "the stream ended in the middle of an event";
     }
-    return undefined;
+    return end.connection === "closed" && !eventStream.hasEvents
+        ? "the connection was closed before the first event"
+        : undefined;
 }
--- a/src/core/stream/createEventSplitter.ts
+++ b/src/core/stream/createEventSplitter.ts
@@ -7,6 +7,8 @@
 export interface EventSplitter {
     /** Appends bytes and returns the events that they complete; undefined when no event is complete. */
     readonly push: (chunk: Uint8Array) => Uint8Array | undefined;
+    /** Whether an event with a field was complete. */
+    readonly hasEvents: () => boolean;
     /** Id of the last complete event that has one; undefined when no event had an id. */
     readonly lastId: () => string | undefined;
     /** Number of bytes of an unfinished event at the end; 0 when only comments and line ends follow the last event. */
@@ -40,12 +42,11 @@
     return 0;
 }
 
-function hasField(text: string): boolean {
-    return text.split(lineEnd).some(line => line !== "" && !line.startsWith(commentStart));
+function hasField(lines: readonly string[]): boolean {
+    return lines.some(line => line !== "" && !line.startsWith(commentStart));
 }
 
-function findLastId(text: string): string | undefined {
-    const lines = text.split(lineEnd);
+function findLastId(lines: readonly string[]): string | undefined {
     const line = lines.findLast(one => one.startsWith(idField));
     return line?.slice(idField.length).trim();
 }
@@ -70,7 +71,13 @@
 export function createEventSplitter(): EventSplitter {
     const decoder = new TextDecoder();
     let pending: Uint8Array = new Uint8Array(0);
+    let hasEvents = false;
     let lastId: string | undefined;
+
+    function readLines(bytes: Uint8Array): readonly string[] {
+        return decoder.decode(bytes).split(lineEnd);
+    }
+
     return {
         push: chunk => {
             const bytes = concatenate(pending, chunk);
@@ -80,10 +87,13 @@
                 return undefined;
             }
             const complete = bytes.subarray(0, end);
-            lastId = findLastId(decoder.decode(complete)) ?? lastId;
+            const lines = readLines(complete);
+            hasEvents ||= hasField(lines);
+            lastId = findLastId(lines) ?? lastId;
             return complete;
         },
+        hasEvents: () => hasEvents,
         lastId: () => lastId,
-        unfinishedBytes: () => (hasField(decoder.decode(pending)) ? pending.length : 0),
+        unfinishedBytes: () => (hasField(readLines(pending)) ? pending.length : 0),
     };
 }
--- a/src/io/proxy/createStreamDelivery.ts
+++ b/src/io/proxy/createStreamDelivery.ts
@@ -60,7 +60,11 @@
             caller.startStream(head);
             caller.endStream();
         },
-        eventStreamEnd: () => ({ lastEventId: splitter.lastId(), unfinishedBytes: splitter.unfinishedBytes() }),
+        eventStreamEnd: () => ({
+            hasEvents: splitter.hasEvents(),
+            lastEventId: splitter.lastId(),
+            unfinishedBytes: splitter.unfinishedBytes(),
+        }),
         progress: () => (caller.hasStarted() ? { lastEventId: splitter.lastId() } : undefined),
     };
 }
