Do not return a connection to the pool that ended with its answer

What callers would see: nothing at most times; a request that must wait for its deadline in place of 400 ms when its upstream is unreachable.

Cause: an answer that does not announce the close but ends with its connection counted as one after which the connection can be reused. Until the socket reported its close, a request of the same turn of the event loop took the client from the pool as a reused connection, for which no connect timeout runs, and the client connected anew.

The state of the connection, known since the end of answers is reported, decides.

--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -52,6 +52,12 @@
         When a "nonIdempotent" request follows another one after 400 ms
         Then two connections were opened
 
+    Scenario: A connection that ended with its answer is not used again
+        Given an upstream that answers with a body without a length or an announced close and then closes
+        When a "nonIdempotent" request follows another one in the same turn of the event loop
+        Then two connections were opened
+        And the pool opened two connections
+
     Scenario: The caller disconnects
         Given an upstream that answers with nothing and then waits
         When the caller of a "nonIdempotent" request disconnects
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -39,6 +39,7 @@
     readonly clock: Clock;
     readonly caller: Caller;
     readonly outcomes: SendOutcome[];
+    readonly countOpened: () => number;
     /** Ends of the answers, as reported by the sender. */
     readonly ends: readonly AnswerEnd[];
 }
@@ -59,6 +60,7 @@
 const answers: Readonly<Record<string, string>> = {
     "a complete body": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Length: 4\r\n\r\nbody`,
     "a body without a length": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n\r\nbody`,
+    "a body without a length or an announced close": `HTTP/1.1 200 OK\r\n${id}${seal}\r\nbody`,
     "half a body without a length": `HTTP/1.1 200 OK\r\n${id}${seal}Connection: close\r\n\r\nbo`,
     "half a body with a length": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Length: 4\r\n\r\nbo`,
     "half a chunked body": `HTTP/1.1 200 OK\r\n${id}${seal}Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n`,
@@ -152,7 +154,15 @@
         onForeignAnswer: () => undefined,
         onHeadTime: () => undefined,
     });
-    fixtures.set(world, { upstream, send, clock, caller: createCaller(), outcomes: [], ends });
+    fixtures.set(world, {
+        upstream,
+        send,
+        clock,
+        caller: createCaller(),
+        outcomes: [],
+        countOpened: pool.countOpened,
+        ends,
+    });
     world.cleanups.push(async () => {
         pool.close();
         await upstream.stop();
@@ -244,6 +254,16 @@
     },
 );
 
+When(
+    "a {string} request follows another one in the same turn of the event loop",
+    async function(this: SiteWorld, kind: RequestKind) {
+        const fixture = getFixture(this);
+        await send(fixture, createProxyRequest(kind), true);
+        await new Promise(resolve => setImmediate(resolve));
+        await send(fixture, createProxyRequest(kind), true);
+    },
+);
+
 When("the caller of a {string} request disconnects", async function(this: SiteWorld, kind: RequestKind) {
     const fixture = getFixture(this);
     const sent = send(fixture, createProxyRequest(kind), true);
@@ -289,6 +309,10 @@
     assert.equal(getFixture(this).upstream.countConnections(), 2);
 });
 
+Then("the pool opened two connections", function(this: SiteWorld) {
+    assert.equal(getFixture(this).countOpened(), 2);
+});
+
 Then("the upstream's connection is closed", async function(this: SiteWorld) {
     const { upstream } = getFixture(this);
     await new Promise(resolve => setTimeout(resolve, flushMs));
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -291,7 +291,7 @@
         this.deps.health.recordEnded(this.upstreamId(), this.req.id);
         const isComplete = outcome.kind === "answered" || outcome.kind === "finished" || outcome.kind === "rejected";
         const isReusable = isComplete && outcome.kind !== "rejected" && this.head !== undefined
-            && !this.head.closesConnection;
+            && !this.head.closesConnection && this.connection.state() === "open";
         if (isComplete) {
             // undici still uses the connection while it reports the end, so it is released only after this callback.
             setImmediate(() => this.deps.connections.release(this.connection, isReusable));
