Reset the connection of an HTTP/1.0 caller whose stream is aborted

What callers would see: a stream that reedward aborts, for example after its upstream broke it off, as a complete one.

Evidence: the scenario failed for HTTP/1.0 and passed for HTTP/1.1, whose chunks show the missing end. An answer that has begun without chunks is now aborted by a reset.

--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -92,6 +92,10 @@
             }
         },
         abort: () => {
+            // Without chunks, an HTTP/1.0 caller takes an orderly close for the end of the answer.
+            if (res.headersSent && !res.chunkedEncoding) {
+                res.socket?.resetAndDestroy();
+            }
             res.destroy();
         },
     };
