Recognise a reset of an answer without length on the product's own interface

What callers would see: the first part of a plain service's answer as the whole, with a matching length, where the service reset its connection within an answer that has neither length nor chunks.

Cause: the HTTP client reports any end of a connection, a reset too, as the end of such an answer. The platform's pool checked that, the pools of the own interface did not.

Streams of engines on this interface were not affected: they carry an end marker.

Now: one connector watches how connections end (moved out of the pool, unchanged but that a new connection begins anew), and a client over it reports such an answer as failed; both pools use it. The framing of an answer is read in one place. Other reads by HTTP (store, engine reports, peers) decode JSON or records with lengths and fail or read on when the end is missing.

--- /dev/null
+++ b/src/io/_lib/createWatchedConnector.ts
@@ -0,0 +1,67 @@
+/**
+ * @module
+ * Opens connections for one undici client and watches how they end. undici treats any end of a connection, a reset too,
+ * as the end of an answer without length.
+ */
+import type { Socket } from "node:net";
+import { buildConnector } from "undici";
+import type { ConnectionState } from "../../core/proxy/answerEnd.js";
+
+/** Opens and watches the connections of one client, one at a time. */
+export interface WatchedConnector {
+    readonly connect: buildConnector.connector;
+    /** State of the current connection, or of the last one. */
+    readonly state: () => ConnectionState;
+    /** Marks the current answer as ending with the connection, so that the end is checked for a reset. */
+    readonly expectEnd: () => void;
+}
+
+/**
+ * Returns whether a connection whose readable side has ended was reset. When data and a reset arrive together, Node.js
+ * reports a normal end; a write then fails immediately, and has no effect on a peer that closed in order.
+ */
+function isReset(socket: Socket): boolean {
+    socket.write("\r\n");
+    return Boolean(socket.errored);
+}
+
+/**
+ * Creates a connector that has opened no connection.
+ *
+ * @param connectTimeoutMs - Connect timeout in milliseconds.
+ * @returns The connector.
+ */
+export function createWatchedConnector(connectTimeoutMs: number): WatchedConnector {
+    const open = buildConnector({ timeout: connectTimeoutMs, allowHalfOpen: true });
+    let state: ConnectionState = "open";
+    let isEndExpected = false;
+
+    function watch(socket: Socket): void {
+        state = "open";
+        isEndExpected = false;
+        socket.on("error", () => {
+            // undici destroys a socket with an error after its peer has closed it within an answer.
+            state = state === "open" ? "reset" : state;
+        });
+        socket.on("end", () => {
+            if (state === "open") {
+                state = isEndExpected && isReset(socket) ? "reset" : "closed";
+            }
+        });
+    }
+
+    return {
+        connect: (options, onConnected) =>
+            open(options, (...connected) => {
+                const socket = connected[1] ?? undefined;
+                if (socket !== undefined) {
+                    watch(socket);
+                }
+                onConnected(...connected);
+            }),
+        state: () => state,
+        expectEnd: () => {
+            isEndExpected = true;
+        },
+    };
+}
--- a/src/io/proxy/createConnectionPool.ts
+++ b/src/io/proxy/createConnectionPool.ts
@@ -3,11 +3,11 @@
  * A pool of connections to upstreams, with one request at a time on each. The permitted idle time is set per request: a
  * request that must not run twice needs a connection that the upstream cannot have closed unnoticed.
  */
-import type { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import { Client } from "undici";
 import type { ConnectionState } from "../../core/proxy/answerEnd.js";
 import type { Clock } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
+import { createWatchedConnector } from "../_lib/createWatchedConnector.js";
 
 /** A connection of the pool. */
 export interface PooledConnection {
@@ -52,15 +52,6 @@
 /** Connect timeout of undici; the sender's own timeout is shorter. */
 const undiciConnectTimeoutMs = 2_000;
 
-/**
- * Returns whether a connection whose readable side has ended was reset. When data and a reset arrive together, Node.js
- * reports a normal end; a write then fails immediately, and has no effect on a peer that closed in order.
- */
-function isReset(socket: Socket): boolean {
-    socket.write("\r\n");
-    return Boolean(socket.errored);
-}
-
 /**
  * Creates an empty connection pool.
  *
@@ -69,35 +60,13 @@
  */
 export function createConnectionPool(clock: Clock): ConnectionPool {
     const idleByAddress = new Map<string, IdleConnection[]>();
-    const connector = buildConnector({ timeout: undiciConnectTimeoutMs, allowHalfOpen: true });
     let opened = 0;
 
     function open(address: string): PooledConnection {
         opened += 1;
-        let state: ConnectionState = "open";
-        let isEndExpected = false;
-
-        function watch(socket: Socket): void {
-            socket.on("error", () => {
-                // undici destroys a socket with an error after its peer has closed it within an answer.
-                state = state === "open" ? "reset" : state;
-            });
-            socket.on("end", () => {
-                if (state === "open") {
-                    state = isEndExpected && isReset(socket) ? "reset" : "closed";
-                }
-            });
-        }
-
+        const connector = createWatchedConnector(undiciConnectTimeoutMs);
         const client = new Client(`http://${address}`, {
-            connect: (options, onConnected) =>
-                connector(options, (...connected) => {
-                    const socket = connected[1] ?? undefined;
-                    if (socket !== undefined) {
-                        watch(socket);
-                    }
-                    onConnected(...connected);
-                }),
+            connect: connector.connect,
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: maxIdleLifetimeMs,
@@ -108,10 +77,8 @@
             client,
             address,
             isReused: false,
-            state: () => state,
-            expectEnd: () => {
-                isEndExpected = true;
-            },
+            state: connector.state,
+            expectEnd: connector.expectEnd,
         };
     }
 
--- a/src/io/upstream/createConnectionPools.ts
+++ b/src/io/upstream/createConnectionPools.ts
@@ -2,7 +2,8 @@
  * @module
  * Connection pools by upstream address; pools whose connections may be dead are discarded.
  */
-import { Client, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
+import { createCheckedClient } from "../_lib/createCheckedClient.js";
 
 /**
  * Connections by upstream address. Their number is not limited here: admission limits the requests in flight, and a
@@ -39,11 +40,7 @@
 export function createConnectionPools(options: ConnectionPoolsOptions): ConnectionPools {
     const pools = new Map<string, Pool>();
     const retired = new Set<Dispatcher>();
-    const settings = {
-        connect: { timeout: options.connectTimeoutMs },
-        bodyTimeout: options.silenceTimeoutMs,
-        pipelining: 1,
-    };
+    const clientOptions = { connectTimeoutMs: options.connectTimeoutMs, bodyTimeoutMs: options.silenceTimeoutMs };
 
     function retire(dispatcher: Dispatcher): void {
         retired.add(dispatcher);
@@ -68,14 +65,16 @@
         if (pools.size >= maxPools && oldest !== undefined) {
             discardIdle(oldest);
         }
-        const pool = new Pool(`http://${address}`, settings);
+        const pool = new Pool(`http://${address}`, {
+            factory: origin => createCheckedClient(origin, clientOptions),
+        });
         pools.set(address, pool);
         return pool;
     }
 
     return {
         getPooled,
-        openNew: address => new Client(`http://${address}`, settings),
+        openNew: address => createCheckedClient(`http://${address}`, clientOptions),
         discardIdle,
         discardAllIdle: () => [...pools.keys()].forEach(discardIdle),
         close: async () => {
