Give late requests the whole capacity in the prediction once none waits on time

Cause: the wait of a late request was predicted from the rate at which late requests had been placed. While the excess lasts that rate is 0, since those on time go first, and the prediction stayed infinite for a request that became late just after the last arrival, when nobody waited on time any more and late requests got all of the capacity.

Now: without others waiting on time, the prediction uses the rate at which any request was placed.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -105,12 +105,17 @@
         When a request arrives every 50 ms for 1 s
         Then of 1 s of capacity at least 95 % is used
 
-    @known-red
     Scenario: Callers of a short excess that fits once it has ended are not refused
         Given an engine with room for two requests that answers each in 200 ms
         When a request arrives every 50 ms for 1 s
         Then no caller is refused
 
+    Scenario: Callers of a longer excess are answered within their deadline when they come back once as advised
+        Given an engine with room for two requests that answers each in 200 ms
+        And refused callers come back once after the delay of their refusal
+        When a request arrives every 50 ms for 2 s
+        Then no caller is refused
+
     Scenario: Instances that place at the same moment have a part that most prompts begin with prefilled by one engine
         Given 7 instances with 6 idle engines that know nothing of each other's requests
         When each of them places a prompt that begins with the same part and goes on with one of its own
--- a/features/steps/placementLoadSteps.ts
+++ b/features/steps/placementLoadSteps.ts
@@ -23,6 +23,8 @@
     readonly serviceMs: number;
     readonly capacityPerSecond: number;
     readonly results: CallerResult[];
+    /** How often a refused caller comes back. */
+    maxReturns: number;
 }
 
 const loads = new WeakMap<SiteWorld, LoadFixture>();
@@ -31,15 +33,24 @@
 const largePromptTokens = 9_000;
 const concurrentRequests = 2;
 
-function createLargeRequest(id: string, nowMs: number): ProxyRequest {
+/** Time from a caller's first request to its deadline, in milliseconds. */
+const callerTimeoutMs = 4_000;
+
+function createLargeRequest(id: string, nowMs: number, deadlineMs: number): ProxyRequest {
     const parts = [{ id: `own-${id}`, tokens: largePromptTokens }];
     const prompt = createPrompt({ parts, promptTokens: largePromptTokens });
-    return createProxyRequest("stream", { id, prompt, arrivedMs: nowMs, deadlineMs: nowMs + 4_000 });
+    return createProxyRequest("stream", { id, prompt, arrivedMs: nowMs, deadlineMs });
 }
 
-function serve(load: LoadFixture, req: ProxyRequest): void {
+function serve(load: LoadFixture, req: ProxyRequest, returns = 0): void {
     const { clock, placer } = load.placing;
     placer.place(req, { kind: "place", excluded: [] }, result => {
+        if (result.kind === "refused" && returns < load.maxReturns) {
+            clock.after(result.refusal.retryAfterMs ?? 0, () => {
+                serve(load, createLargeRequest(`${req.id}-again`, clock.now(), req.deadlineMs), returns + 1);
+            });
+            return;
+        }
         if (result.kind !== "placed") {
             load.results.push({ req, kind: "refused", atMs: clock.now() });
             return;
@@ -56,17 +67,24 @@
     function(this: SiteWorld, serviceMs: number) {
         const placing = createPlacerFixture(createVirtualClock(1), ["u-1"]);
         const capacityPerSecond = concurrentRequests * 1_000 / serviceMs;
-        loads.set(this, { placing, serviceMs, capacityPerSecond, results: [] });
+        loads.set(this, { placing, serviceMs, capacityPerSecond, results: [], maxReturns: 0 });
     },
 );
 
+Given("refused callers come back once after the delay of their refusal", function(this: SiteWorld) {
+    loads.get(this)!.maxReturns = 1;
+});
+
 When(
     "a request arrives every {int} ms for {int} s",
     function(this: SiteWorld, spacingMs: number, seconds: number) {
         const load = loads.get(this)!;
         const { clock } = load.placing;
         for (let atMs = 0; atMs < seconds * 1_000; atMs += spacingMs) {
-            clock.after(atMs, () => serve(load, createLargeRequest(`r-${atMs}`, clock.now())));
+            clock.after(
+                atMs,
+                () => serve(load, createLargeRequest(`r-${atMs}`, clock.now(), clock.now() + callerTimeoutMs)),
+            );
         }
         clock.runUntil(clock.now() + seconds * 1_000 + 5_000);
         assert.equal(load.results.length, seconds * 1_000 / spacingMs);
--- a/src/core/placement/createWaitQueue.ts
+++ b/src/core/placement/createWaitQueue.ts
@@ -60,6 +60,7 @@
     let isDispatching = false;
     const onTimeProgress = createQueueProgress();
     const lateProgress = createQueueProgress();
+    const allProgress = createQueueProgress();
 
     function remove(id: string): void {
         waiting = waiting.filter(one => one.id !== id);
@@ -78,6 +79,7 @@
         if (waiting.length === 0) {
             onTimeProgress.start(nowMs);
             lateProgress.start(nowMs);
+            allProgress.start(nowMs);
         }
         const index = waiting.findIndex(one => isBefore(added, one));
         const at = index === -1 ? waiting.length : index;
@@ -97,6 +99,7 @@
             if (one.tryPlace()) {
                 remove(one.id);
                 (isOnTime(one, nowMs) ? onTimeProgress : lateProgress).recordPlaced(one.size, nowMs);
+                allProgress.recordPlaced(one.size, nowMs);
             }
             else {
                 failedAttempts += 1;
@@ -105,7 +108,10 @@
         isDispatching = false;
     }
 
-    /** Requests that are late wait behind those on time; when none of either was placed, the upstreams are stalled. */
+    /**
+     * Requests that are late wait behind those on time: they get what these leave, and all of the capacity once none of
+     * these waits. When no request was placed at all, the upstreams are stalled, and nothing is predicted.
+     */
     function predictWaitMs(id: string, nowMs: number): number | undefined {
         const position = waiting.findIndex(one => one.id === id);
         const request = waiting[position];
@@ -115,13 +121,16 @@
         const group = isOnTime(request, nowMs);
         const ahead = waiting.slice(0, position).filter(one => isOnTime(one, nowMs) === group);
         const sizeAhead = ahead.reduce((sum, one) => sum + one.size, 0);
-        const onTimeMs = onTimeProgress.predictWaitMs(sizeAhead, nowMs);
-        const isStalled = onTimeMs === Infinity;
         if (group) {
-            return isStalled ? undefined : onTimeMs;
+            const onTimeMs = onTimeProgress.predictWaitMs(sizeAhead, nowMs);
+            return onTimeMs === Infinity ? undefined : onTimeMs;
         }
-        const lateMs = lateProgress.predictWaitMs(sizeAhead, nowMs);
-        return lateMs === Infinity && isStalled ? undefined : lateMs;
+        const allMs = allProgress.predictWaitMs(sizeAhead, nowMs);
+        if (allMs === Infinity) {
+            return undefined;
+        }
+        const hasOnTime = waiting.some(one => isOnTime(one, nowMs));
+        return hasOnTime ? lateProgress.predictWaitMs(sizeAhead, nowMs) : allMs;
     }
 
     return {
