Let the fake store come back from an older copy, and show what that breaks

The fake store does that now: it drops the newest records of each topic, ends open connections, raises its era, and answers 410 to a read from an offset that it does not have.

--- a/fakes/startFakeStore.ts
+++ b/fakes/startFakeStore.ts
@@ -16,6 +16,13 @@
     /** While true, connections are closed without a response. */
     readonly setDown: (isDown: boolean) => void;
     readonly countRecords: (topic: string) => number;
+    /**
+     * Comes back from an older copy: the newest records of each topic are gone, open connections end, and the era rises.
+     * Their offsets are given out again.
+     */
+    readonly returnFromCopy: (lostRecords: (topic: string) => number) => void;
+    /** Replaces the era that answers state; undefined leaves the header out. */
+    readonly setStatedEra: (text: string | undefined) => void;
     readonly stop: () => Promise<void>;
 }
 
@@ -49,11 +56,15 @@
     res.end(JSON.stringify(body));
 }
 
+const eraHeader = "store-era";
+
 /** Starts the fake store on loopback. */
 export function startFakeStore(): Promise<FakeStore> {
     const topics = new Map<string, Buffer[]>();
     const longPolls = new Set<LongPoll>();
     let isDown = false;
+    let era = 1;
+    let statedEra: string | undefined = String(era);
     const findRecords = (topic: string) => {
         const records = topics.get(topic) ?? [];
         topics.set(topic, records);
@@ -91,6 +102,10 @@
 
     function sendRecords(res: ServerResponse, topic: string, from: number): void {
         const records = findRecords(topic);
+        if (from > records.length) {
+            sendJson(res, 410, { first: 0 });
+            return;
+        }
         res.writeHead(200, { "content-type": "application/octet-stream" });
         res.end(Buffer.concat([frameOffset(records.length), frameOffset(0), ...records.slice(from).map(frame)]));
     }
@@ -99,7 +114,7 @@
         const topic = query.get("topic") ?? "";
         const from = Number(query.get("from"));
         const waitMs = Number(query.get("wait_ms") ?? 0);
-        if (findRecords(topic).length > from || waitMs === 0) {
+        if (findRecords(topic).length !== from || waitMs === 0) {
             sendRecords(res, topic, from);
             return;
         }
@@ -131,6 +146,9 @@
             res.destroy();
             return;
         }
+        if (statedEra !== undefined) {
+            res.setHeader(eraHeader, statedEra);
+        }
         switch (url.pathname) {
             case "/reedward/log-newest":
                 sendNewest(res, url.searchParams.get("topic") ?? "");
@@ -163,6 +181,18 @@
                     }
                 },
                 countRecords: topic => findRecords(topic).length,
+                returnFromCopy: lostRecords => {
+                    server.closeAllConnections();
+                    longPolls.clear();
+                    for (const [topic, records] of topics) {
+                        records.splice(Math.max(0, records.length - lostRecords(topic)));
+                    }
+                    era += 1;
+                    statedEra = String(era);
+                },
+                setStatedEra: text => {
+                    statedEra = text;
+                },
                 stop: () =>
                     new Promise(stopped => {
                         server.closeAllConnections();
--- a/features/steps/platformPathSteps.ts
+++ b/features/steps/platformPathSteps.ts
@@ -45,6 +45,9 @@
 /** Upper bound of each wait, in milliseconds; only a failing test reaches it. */
 const timeoutMs = 20_000;
 
+/** Time after its start in which an instance reads the addresses of the others, in milliseconds. */
+const addressReadsMs = 3_500;
+
 function getFixture(world: SiteWorld): PlatformFixture {
     const fixture = fixtures.get(world);
     assert.ok(fixture !== undefined);
@@ -122,7 +125,11 @@
     tenants: [{ name: "clinic", api_keys: ["key-clinic"], isolated: true }],
 };
 
-async function startInstance(world: SiteWorld, fixture: PlatformFixture): Promise<void> {
+async function startInstance(
+    world: SiteWorld,
+    fixture: PlatformFixture,
+    contacts = fixture.instances.slice(0, 1).map(one => `127.0.0.1:${one.settings.heartbeatPort}`),
+): Promise<void> {
     const [caller, ready, directory, peer, heartbeat, metrics] = await Promise.all(
         Array.from({ length: 6 }, findFreePort),
     );
@@ -136,7 +143,7 @@
         peerAddress: `127.0.0.1:${peer}`,
         heartbeatPort: heartbeat!,
         metricsAddress: `127.0.0.1:${metrics}`,
-        contacts: fixture.instances.slice(0, 1).map(one => `127.0.0.1:${one.settings.heartbeatPort}`),
+        contacts,
         graceMs: 900,
         drainMs: 1_000,
         leaseSeparationMs: 3_000,
@@ -363,6 +370,63 @@
     },
 );
 
+Then("both engines have version {int}", async function(this: SiteWorld, version: number) {
+    const { engines } = getFixture(this);
+    await waitUntil("both engines have the version", () => engines.every(engine => engine.version() === version));
+});
+
+When("the store comes back without the claims of the rollout lease", function(this: SiteWorld) {
+    const { store } = getFixture(this);
+    store.returnFromCopy(topic => topic === "reedward-rollout-lease" ? store.countRecords(topic) : 0);
+});
+
+Then("each order carries a higher fencing number than the orders of earlier claims", function(this: SiteWorld) {
+    for (const { orders } of getFixture(this).engines) {
+        assert.deepEqual(orders.map(order => order.version), [2, 3]);
+        assert.ok(orders[1]!.fence > orders[0]!.fence, JSON.stringify(orders));
+    }
+});
+
+When("the operator publishes configuration {int}", function(this: SiteWorld, version: number) {
+    getFixture(this).store.put("keyed.op", "config", { ...configuration, version });
+});
+
+When(
+    "the store comes back without the last record of the operator",
+    function(this: SiteWorld) {
+        getFixture(this).store.returnFromCopy(topic => topic === "keyed.op" ? 1 : 0);
+    },
+);
+
+When("the operator publishes configuration {int} at once", function(this: SiteWorld, version: number) {
+    getFixture(this).store.put("keyed.op", "config", { ...configuration, version });
+});
+
+Then("both instances have configuration {int}", async function(this: SiteWorld, version: number) {
+    const { logged } = getFixture(this);
+    const count = () =>
+        logged.filter(({ event, fields }) => event === "configurationInForce" && fields["version"] === version).length;
+    await waitUntil("both instances have the configuration", () => count() === 2);
+});
+
+Given("the instances read the addresses of the others for the last time", async () => {
+    await new Promise(resolve => setTimeout(resolve, addressReadsMs));
+});
+
+When("the store comes back without the addresses of the instances", function(this: SiteWorld) {
+    const { store } = getFixture(this);
+    store.returnFromCopy(topic => topic === "keyed.reedward-instances" ? store.countRecords(topic) : 0);
+});
+
+When("a third instance starts that knows only the store", async function(this: SiteWorld) {
+    await startInstance(this, getFixture(this), []);
+});
+
+Then("the third instance lists all three", async function(this: SiteWorld) {
+    const third = getFixture(this).instances[2]!;
+    await waitUntil("all three are listed", async () => (await listEntries(third)).length === 3);
+});
+
 Then("the orders let the engines continue their running requests", function(this: SiteWorld) {
     const orders = getFixture(this).engines.flatMap(engine => engine.orders);
     assert.deepEqual(new Set(orders.map(order => order.switchMode)), new Set(["retain"]));
