Keep one lease holder and rising fencing numbers when the store comes back from an older copy

What users would see: after such a return two instances order engines with one fencing number, or a lower one follows a higher one; or nobody rolls out new weights any more, since the holder's topic ends before what it knows.

Cause: the fencing number was the offset of the lease's record, and the lease compared offsets only, although the store gives offsets out again. An instance could not see that a claim was lost whose holder may still send orders.

Now: - The era that the store states in each answer is decoded in platform/ and judged in one place (createStoreEra): an answer of an older era says nothing, a missing or malformed one changes nothing; each is logged once. RW5013 to RW5015 and two metrics tell the era and its rises. Every result of the store's port carries the era in which it holds. - The fencing number has the era above the offset (2^32 offsets each). While the store states no era it is the offset, as before. - A rise of the era, seen in an answer or in a peer's heartbeat, ends the own claim. The lease is free again when the time has passed in which orders under a lost claim can have an effect, counted from when the rise was seen. Records of the lease state their era, so that an instance that starts sees whether claims may be missing: one of the current era shows that none is. A claim that was sent in one era and appended in the next does not count. - A topic that ends before what is known is read anew, also without eras.

Weighed: engines' numbers are integers in JSON; the sum stays exact below era 2^21. A separate number of our own, kept in the store, would be lost with the copy. Instances of the build before write records without an era, which count as learned when they are read.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -6,6 +6,12 @@
         And the same check detects a lease without separation
         And the same check detects a lease that stays valid across a pause of its holder
 
+    Scenario: No two instances hold the lease across a return of the store from an older copy, and it is free again
+        Then over 2000 random histories with seed 13 and returns of the store, no two holders' orders are too close
+        And the same check detects a lease that does not see returns
+        And the same check detects a lease that trusts claims from before a return
+        And after each of 500 such histories with seed 17 the lease is held again within 10000 ms
+
     Scenario Outline: Loading one engine
         When version 3 is loaded at an engine that <behaviour>
         Then the load ends as "<end>" after <orders> orders
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -5,164 +5,97 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import {
-    createRolloutLease,
-    leaseValidMs,
-    orderArrivalMs,
-    type RolloutLease,
-} from "../../src/core/weights/createRolloutLease.js";
+import { leaseValidMs } from "../../src/core/weights/createRolloutLease.js";
 import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
 import { type LoadEffect, type LoadEnd, loadWeights, type OrderAnswer } from "../../src/core/weights/loadWeights.js";
 import { planLoads } from "../../src/core/weights/planLoads.js";
+import {
+    createTurnArbitrary,
+    findClose,
+    findFallingFence,
+    findSharedFence,
+    type InjectedFaults,
+    playLeaseHistory,
+    type Turn,
+} from "../support/leaseHistories.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 const separationMs = 3_000;
 
-/** Period in which an order may arrive: from when it is sent until the arrival limit. */
-interface SeenOrder {
-    readonly holder: string;
-    readonly fence: number;
-    readonly firstMs: number;
-    readonly lastMs: number;
-}
-
-interface InjectedFaults {
-    readonly separationMs: number;
-    /** Whether an instance keeps using its lease after a pause. */
-    readonly ignoresPauses: boolean;
-}
-
-type Turn = readonly [
-    instance: number,
-    action: "act" | "pause" | "partition" | "heal" | "loseAnswer",
-    durationMs: number,
-];
-
-const turnArbitrary: fc.Arbitrary<Turn> = fc.tuple(
-    fc.integer({ min: 0, max: 2 }),
-    fc.constantFrom("act", "act", "act", "act", "pause", "partition", "heal", "loseAnswer"),
-    fc.integer({ min: 5, max: 400 }),
-);
-
-interface Instance {
-    readonly name: string;
-    readonly lease: RolloutLease;
-    /** Time that the instance's own clock does not count, in milliseconds. */
-    pausedMs: number;
-    isPartitioned: boolean;
-}
-
-/** Simulates instances on one topic: each claims the lease when it is free and sends orders while it holds it. */
-function playHistory(turns: readonly Turn[], faults: InjectedFaults): readonly SeenOrder[] {
-    const topic: string[] = [];
-    const orders: SeenOrder[] = [];
-    let trueMs = 0;
-    const instances = ["a", "b", "c"].map((name): Instance => ({
-        name,
-        lease: createRolloutLease({ instance: name, separationMs: faults.separationMs }),
-        pausedMs: 0,
-        isPartitioned: false,
-    }));
-    const clockOf = (instance: Instance) => trueMs - instance.pausedMs;
-
-    function readTopic(instance: Instance): void {
-        topic.forEach((holder, offset) => {
-            instance.lease.recordClaim({ instance: holder, offset }, clockOf(instance));
-        });
-    }
-
-    function claim(instance: Instance, isAnswerLost: boolean): void {
-        const sentMs = clockOf(instance);
-        if (instance.lease.end() !== topic.length) {
-            return;
-        }
-        topic.push(instance.name);
-        if (!isAnswerLost) {
-            instance.lease.recordOwnClaim(topic.length - 1, sentMs);
-        }
-    }
-
-    function act(instance: Instance, isAnswerLost: boolean): void {
-        if (!instance.isPartitioned) {
-            readTopic(instance);
-            if (instance.lease.fence(clockOf(instance)) === undefined && instance.lease.isFree(clockOf(instance))) {
-                claim(instance, isAnswerLost);
-            }
-        }
-        const fence = instance.lease.fence(clockOf(instance));
-        if (fence !== undefined) {
-            orders.push({ holder: instance.name, fence, firstMs: trueMs, lastMs: trueMs + orderArrivalMs });
-        }
-    }
-
-    for (const [index, action, turnMs] of turns) {
-        const instance = instances[index]!;
-        // A pause may outlast the time after which another instance takes over.
-        const durationMs = action === "pause" ? turnMs * 20 : turnMs;
-        if (action === "pause") {
-            // The steady clock does not count a suspension; the wall clock reveals it at the next check.
-            instance.pausedMs += durationMs;
-            if (!faults.ignoresPauses) {
-                instance.lease.relinquish();
-            }
-        }
-        instance.isPartitioned = action === "partition" || (instance.isPartitioned && action !== "heal");
-        trueMs += durationMs;
-        if (action !== "pause") {
-            act(instance, action === "loseAnswer");
-        }
-    }
-    return orders;
-}
-
-function findClose(orders: readonly SeenOrder[]): SeenOrder | undefined {
-    return orders.find((order, index) => {
-        const before = orders[index - 1];
-        return before !== undefined && before.holder !== order.holder
-            && order.firstMs - before.lastMs < separationMs;
-    });
-}
-
-function findSharedFence(orders: readonly SeenOrder[]): SeenOrder | undefined {
-    const holders = new Map<number, string>();
-    return orders.find(order => {
-        const holder = holders.get(order.fence) ?? order.holder;
-        holders.set(order.fence, holder);
-        return holder !== order.holder;
-    });
-}
-
-function checkHistories(numRuns: number, seed: number, faults: InjectedFaults): boolean {
-    const property = fc.property(fc.array(turnArbitrary, { minLength: 30, maxLength: 120 }), turns => {
-        const orders = playHistory(turns, faults);
-        return findClose(orders) === undefined && findSharedFence(orders) === undefined;
+function checkHistories(numRuns: number, seed: number, hasReturns: boolean, faults: InjectedFaults): boolean {
+    const turns = fc.array(createTurnArbitrary(hasReturns), { minLength: 30, maxLength: 120 });
+    const property = fc.property(turns, history => {
+        const orders = playLeaseHistory(history, faults);
+        return findClose(orders, separationMs) === undefined && findSharedFence(orders) === undefined
+            && findFallingFence(orders) === undefined;
     });
     return !fc.check(property, { numRuns, seed }).failed;
 }
 
-const noFaults: InjectedFaults = { separationMs, ignoresPauses: false };
+const noFaults: InjectedFaults = {
+    separationMs,
+    ignoresPauses: false,
+    ignoresReturns: false,
+    trustsOldClaims: false,
+};
 
 Then(
     "over {int} random histories with seed {int} orders of two holders are at least {int} ms apart",
     function(numRuns: number, seed: number, apartMs: number) {
         assert.equal(apartMs, separationMs);
-        assert.ok(checkHistories(numRuns, seed, noFaults));
+        assert.ok(checkHistories(numRuns, seed, false, noFaults));
     },
 );
 
 Then("every fencing number was used by one holder", function() {
-    const turns = fc.sample(fc.array(turnArbitrary, { minLength: 300, maxLength: 300 }), { numRuns: 20, seed: 9 });
-    turns.forEach(history => assert.equal(findSharedFence(playHistory(history, noFaults)), undefined));
+    const turns = fc.array(createTurnArbitrary(false), { minLength: 300, maxLength: 300 });
+    fc.sample(turns, { numRuns: 20, seed: 9 })
+        .forEach(history => assert.equal(findSharedFence(playLeaseHistory(history, noFaults)), undefined));
 });
 
 Then("the same check detects a lease without separation", function() {
-    assert.ok(!checkHistories(300, 7, { ...noFaults, separationMs: -leaseValidMs }));
+    assert.ok(!checkHistories(300, 7, false, { ...noFaults, separationMs: -leaseValidMs }));
 });
 
 Then("the same check detects a lease that stays valid across a pause of its holder", function() {
-    assert.ok(!checkHistories(300, 7, { ...noFaults, ignoresPauses: true }));
+    assert.ok(!checkHistories(300, 7, false, { ...noFaults, ignoresPauses: true }));
 });
 
+Then(
+    "over {int} random histories with seed {int} and returns of the store, no two holders' orders are too close",
+    function(numRuns: number, seed: number) {
+        assert.ok(checkHistories(numRuns, seed, true, noFaults));
+    },
+);
+
+Then("the same check detects a lease that does not see returns", function() {
+    assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, ignoresReturns: true }));
+});
+
+Then("the same check detects a lease that trusts claims from before a return", function() {
+    assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, trustsOldClaims: true }));
+});
+
+/** Time between the turns of a calm phase, in milliseconds. */
+const calmTurnMs = 50;
+
+Then(
+    "after each of {int} such histories with seed {int} the lease is held again within {int} ms",
+    function(numRuns: number, seed: number, boundMs: number) {
+        const turns = fc.array(createTurnArbitrary(true), { minLength: 30, maxLength: 120 });
+        const heals: readonly Turn[] = [0, 1, 2].map(instance => [instance, "heal", calmTurnMs]);
+        const calm = Array.from({ length: boundMs / calmTurnMs }, (_, index): Turn => [index % 3, "act", calmTurnMs]);
+        fc.assert(
+            fc.property(turns, history => {
+                const before = playLeaseHistory([...history, ...heals], noFaults).length;
+                const after = playLeaseHistory([...history, ...heals, ...calm], noFaults).length;
+                assert.ok(after > before);
+            }),
+            { numRuns, seed },
+        );
+    },
+);
+
 interface LoadRun {
     readonly end: LoadEnd;
     readonly orders: number;
--- a/features/storeReturn.feature
+++ b/features/storeReturn.feature
@@ -4,7 +4,6 @@
     Background:
         Given a store with a configuration, two engines, a plain server and two instances on them
 
-    @known-red
     Scenario: Weights are rolled out again after the claims of the lease were lost
         When the operator sets the target version to 2
         Then both engines have version 2
@@ -21,6 +20,15 @@
         And the operator publishes configuration 5 at once
         Then both instances have configuration 5
 
+    Scenario: A store that states no usable era is used as before, and the log says so once
+        Given the store states the era "soon"
+        When the operator publishes configuration 4
+        Then both instances have configuration 4
+        When the store states no era
+        And the operator publishes configuration 5
+        Then both instances have configuration 5
+        And each instance has logged each unusable era once
+
     @known-red
     Scenario: An instance that starts after the addresses of the others were lost finds them
         Given the instances read the addresses of the others for the last time
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -9,6 +9,7 @@
 import type { PeerState } from "../core/fleet/peerState.js";
 import type { Prefill } from "../core/fleet/prefillReport.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
+import type { LeaseClaim } from "../core/weights/createRolloutLease.js";
 import { fetchPeerState } from "../io/fleet/fetchPeerState.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { Feeds } from "./assembleFeeds.js";
@@ -35,8 +36,8 @@
 export interface FleetSources {
     readonly state: () => FleetInstance["state"];
     readonly listLoading: () => readonly string[];
-    readonly leaseOffset: () => number | undefined;
-    readonly recordLease: (instance: string, offset: number) => void;
+    readonly heldLease: () => LeaseClaim | undefined;
+    readonly recordLease: (claim: LeaseClaim) => void;
 }
 
 /** Age of the list of upstreams beyond which a peer's list is fetched, in milliseconds. */
@@ -103,6 +104,7 @@
     }
 
     function compose(): Heartbeat {
+        const lease = sources.heldLease();
         return {
             from: self(),
             tableVersion: tableVersion(),
@@ -111,7 +113,8 @@
             uses: views.use.listOwn(),
             loading: sources.listLoading(),
             loaded: sources.listLoading().length > 0 ? listLoaded() : [],
-            leaseOffset: sources.leaseOffset(),
+            leaseOffset: lease?.offset,
+            leaseEra: lease?.era ?? 0,
             known: view.chooseKnown(clock.now()),
         };
     }
@@ -127,7 +130,7 @@
         heartbeat.named.forEach(named => views.recordTarget(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.recordLoaded(engine, model, version));
         if (heartbeat.leaseOffset !== undefined) {
-            sources.recordLease(from.name, heartbeat.leaseOffset);
+            sources.recordLease({ instance: from.name, era: heartbeat.leaseEra, offset: heartbeat.leaseOffset });
         }
     }
 
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -7,6 +7,7 @@
 import type { KeyedRecord, RecordStore } from "../core/ports/recordStore.js";
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import type { RoutingTable } from "../core/routes/routingTable.js";
+import type { StoreEra } from "../core/store/createStoreEra.js";
 import type { Clock } from "../core/time/clock.js";
 import type { RouterMetrics } from "../io/metrics/createRouterMetrics.js";
 import type { ListParts, ReadPartEvents } from "../io/parts/followPartEvents.js";
@@ -67,6 +68,8 @@
 /** The ports that an adapter implements. */
 export interface RouterPorts {
     readonly store: RecordStore;
+    /** The era that the store states in its answers. */
+    readonly storeEra: StoreEra;
     readonly topics: RouterTopics;
     readonly decodeOperatorRecord: (record: KeyedRecord) => Result<OperatorUpdate | undefined, string>;
     readonly decodeUpstreamRecord: (record: KeyedRecord) => Result<UpstreamRecord, string>;
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -60,6 +60,8 @@
     loaded: z.array(loadedSchema).readonly(),
     /** Offset of the rollout lease that the sender holds. */
     leaseOffset: z.number().int().optional(),
+    /** Era of the store in which the sender claimed it. */
+    leaseEra: z.number().int().min(0).default(0),
     known: z.array(knownInstanceSchema).readonly(),
 }).readonly();
 
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -86,6 +86,10 @@
     settingsReloaded: define("RW5010", "info", "settings reloaded"),
     loadEnded: define("RW5011", "info", "loading of weights at an engine ended"),
     partsListed: define("RW5012", "info", "all cached prompt parts of a store were read"),
+    storeEraKnown: define("RW5013", "info", "era of the store known"),
+    storeReturned: define("RW5014", "warn", "store came back from an older copy: its topics are read anew"),
+    storeEraRejected: define("RW5015", "warn", "answer of the store states no usable era"),
+    upstreamsReconciled: define("RW5016", "info", "upstreams reconciled with an older copy of their list"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/core/ports/recordStore.ts
+++ b/src/core/ports/recordStore.ts
@@ -1,6 +1,7 @@
 /**
  * @module
- * Port to the platform's store: an ordered log of records by topic, and the newest record of each key.
+ * Port to the platform's store: an ordered log of records by topic, and the newest record of each key. Each result
+ * carries the era of the store in which it holds; offsets of different eras are not comparable.
  */
 
 /** One record of a topic with keys. */
@@ -19,13 +20,24 @@
 
 /** Result of reading the newest record of each key. */
 export type NewestResult =
-    | { readonly kind: "newest"; readonly records: readonly KeyedRecord[]; readonly end: number; }
+    | {
+        readonly kind: "newest";
+        readonly era: number;
+        readonly records: readonly KeyedRecord[];
+        readonly end: number;
+    }
     | StoreFailure;
 
-/** Records from an offset on. `truncated`: the records from that offset on have been deleted. */
+/** Records from an offset on. `truncated`: the topic has no such offset; `first` is the lowest one that it has. */
 export type ReadResult<R> =
-    | { readonly kind: "records"; readonly records: readonly R[]; readonly next: number; readonly end: number; }
-    | { readonly kind: "truncated"; readonly first: number; }
+    | {
+        readonly kind: "records";
+        readonly era: number;
+        readonly records: readonly R[];
+        readonly next: number;
+        readonly end: number;
+    }
+    | { readonly kind: "truncated"; readonly era: number; readonly first: number; }
     | StoreFailure;
 
 /** A record of a topic without keys. */
@@ -37,8 +49,8 @@
 /** Result of a conditional append. `moved`: the topic did not end at the expected offset; nothing was appended. After
  * `failed` the record may have been appended, or may be appended later while the condition still holds. */
 export type AppendResult =
-    | { readonly kind: "appended"; readonly offset: number; }
-    | { readonly kind: "moved"; readonly end: number; }
+    | { readonly kind: "appended"; readonly era: number; readonly offset: number; }
+    | { readonly kind: "moved"; readonly era: number; readonly end: number; }
     | StoreFailure;
 
 /** The store. The port does not retry calls. */
--- /dev/null
+++ b/src/core/store/index.ts
@@ -0,0 +1,5 @@
+/**
+ * @module
+ * The platform's store as seen by an instance.
+ */
+export * from "./createStoreEra.js";
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -1,30 +1,51 @@
 /**
  * @module
  * The lease under which one instance at a time sends orders to engines. It is a record that a conditional append put at
- * the end of a topic; the record's offset is the fencing number. Clocks of different instances are not compared: others
- * measure from when they learned of a record, which is later than when its holder sent it.
+ * the end of a topic; era and offset of the record make the fencing number. Clocks of different instances are not
+ * compared: others measure from when they learned of a record, which is later than when its holder sent it.
+ *
+ * When the store comes back from an older copy, the newest claims may be gone while their holder still sends orders. The
+ * lease is then free only after the time in which such orders can still have an effect.
  */
+import { toFencingNumber } from "./toFencingNumber.js";
 
-/** A record of the lease's topic. */
+/** A claim of the lease. */
 export interface LeaseClaim {
     readonly instance: string;
+    /** Era in which the claim was made. */
+    readonly era: number;
+    /** Offset of its record in the topic. */
     readonly offset: number;
 }
 
 /** The lease as known to this instance. Times are milliseconds on its clock. */
 export interface RolloutLease {
-    /** Records the newest record of the topic. */
+    /** Records a record of the topic, read in the current era. */
     readonly recordClaim: (claim: LeaseClaim, nowMs: number) => void;
+    /** Records a claim that its holder reports to its peers. */
+    readonly recordReportedClaim: (claim: LeaseClaim, nowMs: number) => void;
+    /** Records that the topic has no records before an offset. */
+    readonly recordFirst: (first: number, nowMs: number) => void;
     /** Records that the topic ends at an offset, without knowing the record before it. */
     readonly recordEnd: (end: number, nowMs: number) => void;
     /** Records a successful append of this instance that was sent at `sentMs`. */
-    readonly recordOwnClaim: (offset: number, sentMs: number) => void;
+    readonly recordOwnClaim: (claim: Omit<LeaseClaim, "instance">, sentMs: number) => void;
+    /** Records the era of the store; in a new one, nothing is known of the topic. */
+    readonly recordEra: (era: number, nowMs: number) => void;
+    /** Forgets the topic, which has lost records that this instance knows. */
+    readonly reset: (nowMs: number) => void;
+    /** Newest era that is known; 0 before the first. */
+    readonly era: () => number;
     /** Offset at which the topic ends, as far as known. */
     readonly end: () => number;
     /** The last holder; undefined when it is not known. */
     readonly holder: () => string | undefined;
+    /** Whether the topic may have lost claims whose holder still sends orders. */
+    readonly mayHaveLostClaims: (nowMs: number) => boolean;
     /** Whether the last holder's orders can no longer have an effect. */
     readonly isFree: (nowMs: number) => boolean;
+    /** The claim under which this instance may send orders; undefined when it does not hold the lease. */
+    readonly heldClaim: (nowMs: number) => LeaseClaim | undefined;
     /** Fencing number while orders may be sent; undefined when the lease is not held. */
     readonly fence: (nowMs: number) => number | undefined;
     /** Milliseconds for which this instance still holds the lease. */
@@ -40,6 +61,9 @@
     readonly separationMs: number;
 }
 
+/** Era of a claim that states none. */
+export const unknownEra = 0;
+
 /** Time for which a record allows orders, in milliseconds, counted from before it was sent. */
 export const leaseValidMs = 1_500;
 
@@ -56,44 +80,111 @@
  */
 export function createRolloutLease(options: RolloutLeaseOptions): RolloutLease {
     const takeoverDelayMs = leaseValidMs + orderArrivalMs + options.separationMs;
+    let era: number | undefined;
     let holder: string | undefined;
     let end = 0;
     let learnedMs = -Infinity;
-    let own: { readonly offset: number; readonly sentMs: number; } | undefined;
+    let own: { readonly claim: LeaseClaim; readonly sentMs: number; } | undefined;
+    /** Since when claims may be missing from the topic; undefined once a claim of the current era was read. */
+    let uncertainSinceMs: number | undefined;
+
+    const currentEra = () => era ?? unknownEra;
+
+    function reset(nowMs: number): void {
+        holder = undefined;
+        end = 0;
+        own = undefined;
+        learnedMs = nowMs;
+        uncertainSinceMs = nowMs;
+    }
+
+    function recordEra(newEra: number, nowMs: number): void {
+        if (era === undefined || newEra > era) {
+            era = newEra;
+            reset(nowMs);
+        }
+    }
+
+    function recordClaim(claim: LeaseClaim, nowMs: number): void {
+        if (claim.offset < end) {
+            return;
+        }
+        holder = claim.instance;
+        end = claim.offset + 1;
+        // A claim of an earlier era was made before the return, from which the takeover delay counts.
+        if (claim.era === currentEra() || claim.era === unknownEra) {
+            learnedMs = nowMs;
+        }
+        if (claim.era === currentEra()) {
+            uncertainSinceMs = undefined;
+        }
+    }
+
+    function recordEnd(newEnd: number, nowMs: number): void {
+        if (newEnd > end) {
+            holder = undefined;
+            end = newEnd;
+            learnedMs = nowMs;
+        }
+    }
 
     function remainingMs(nowMs: number): number {
         return own === undefined ? 0 : Math.max(0, own.sentMs + leaseValidMs - nowMs);
     }
 
+    function heldClaim(nowMs: number): LeaseClaim | undefined {
+        const isHeld = own !== undefined && remainingMs(nowMs) > 0 && own.claim.offset === end - 1;
+        return isHeld ? own?.claim : undefined;
+    }
+
+    function mayHaveLostClaims(nowMs: number): boolean {
+        return uncertainSinceMs !== undefined && nowMs - uncertainSinceMs < takeoverDelayMs;
+    }
+
     return {
-        recordClaim: (claim, nowMs) => {
-            if (claim.offset < end) {
-                return;
+        recordClaim,
+        recordReportedClaim: (claim, nowMs) => {
+            if (claim.era > currentEra()) {
+                recordEra(claim.era, nowMs);
+            }
+            if (claim.era === currentEra() || claim.era === unknownEra) {
+                recordClaim(claim, nowMs);
             }
-            holder = claim.instance;
-            end = claim.offset + 1;
-            learnedMs = nowMs;
         },
-        recordEnd: (newEnd, nowMs) => {
-            if (newEnd > end) {
-                holder = undefined;
-                end = newEnd;
-                learnedMs = nowMs;
+        recordFirst: (first, nowMs) => {
+            if (uncertainSinceMs === undefined) {
+                recordEnd(first, nowMs);
+            }
+            else {
+                // Records that are deleted already are older than the return, from which the takeover delay counts.
+                end = Math.max(end, first);
             }
         },
-        recordOwnClaim: (offset, sentMs) => {
-            if (offset >= end) {
-                holder = options.instance;
-                end = offset + 1;
-                learnedMs = sentMs;
-                own = { offset, sentMs };
+        recordEnd,
+        recordOwnClaim: (claim, sentMs) => {
+            if (claim.era !== currentEra() || claim.offset < end) {
+                return;
             }
+            holder = options.instance;
+            end = claim.offset + 1;
+            learnedMs = sentMs;
+            own = { claim: { ...claim, instance: options.instance }, sentMs };
+            uncertainSinceMs = undefined;
         },
+        recordEra,
+        reset,
+        era: currentEra,
         end: () => end,
         holder: () => holder,
-        isFree: nowMs => end === 0 || holder === options.instance || nowMs - learnedMs >= takeoverDelayMs,
-        fence:
-            nowMs => (own !== undefined && remainingMs(nowMs) > 0 && own.offset === end - 1 ? own.offset : undefined),
+        mayHaveLostClaims,
+        isFree: nowMs =>
+            !mayHaveLostClaims(nowMs)
+            && (end === 0 || holder === options.instance || nowMs - learnedMs >= takeoverDelayMs),
+        heldClaim,
+        fence: nowMs => {
+            const claim = heldClaim(nowMs);
+            return claim === undefined ? undefined : toFencingNumber(claim.era, claim.offset);
+        },
         remainingMs,
         relinquish: () => {
             own = undefined;
--- a/src/core/weights/index.ts
+++ b/src/core/weights/index.ts
@@ -4,5 +4,7 @@
  */
 export * from "./createRolloutLease.js";
 export * from "./createWeightsView.js";
+export * from "./leaseRecord.js";
 export * from "./loadWeights.js";
 export * from "./planLoads.js";
+export * from "./toFencingNumber.js";
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -12,6 +12,8 @@
     readonly liveInstances: () => number;
     readonly upstreams: () => number;
     readonly tableVersion: () => number;
+    /** Era that the store last stated; 0 before the first. */
+    readonly storeEra: () => number;
     /** Seconds since the list of upstreams was read, by this instance or by the peer that it was copied from. */
     readonly upstreamsAgeSeconds: () => number;
     /** Seconds since the operator's topic was read. */
@@ -39,6 +41,8 @@
     readonly upstreamChanges: Counter<"change">;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
+    /** Returns of the store from an older copy. */
+    readonly storeReturns: Counter<string>;
     /** Claims of the rollout lease by result. */
     readonly leaseClaims: Counter<"result">;
     /** Time until a request's answer was complete, by kind of request. */
@@ -95,6 +99,7 @@
     gauge("live_instances", "Other instances with a recent heartbeat.", from => from.liveInstances());
     gauge("upstreams", "Upstreams in the list.", from => from.upstreams());
     gauge("configuration_version", "Version of the configuration in force.", from => from.tableVersion());
+    gauge("store_era", "Era that the store last stated; 0 before the first.", from => from.storeEra());
     gauge(
         "upstreams_age_seconds",
         "Age of the list of upstreams; -1 before the first.",
@@ -126,6 +131,7 @@
         answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
+        storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
         leaseClaims: counter("lease_claims_total", "Claims of the rollout lease.", ["result"]),
         requestSeconds: histogram("request_seconds", "Time until a request's answer was complete.", ["kind"]),
         placementSeconds: histogram("place_seconds", "Time that requests waited for placement."),
--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -7,6 +7,7 @@
 import type { AppendResult, RecordStore } from "../../core/ports/recordStore.js";
 import type { Clock } from "../../core/time/clock.js";
 import { leaseValidMs, type RolloutLease } from "../../core/weights/createRolloutLease.js";
+import { decodeLeaseRecord, encodeLeaseRecord } from "../../core/weights/leaseRecord.js";
 
 /** Dependencies of {@link maintainRolloutLease}. */
 export interface RolloutLeaseDependencies {
@@ -46,6 +47,8 @@
 export function maintainRolloutLease(deps: RolloutLeaseDependencies): () => Promise<boolean> {
     const { clock, lease } = deps;
     let renewal: Promise<boolean> | undefined;
+    /** Era in which the claims were last read. */
+    let readEra: number | undefined;
 
     /** The last holder is preferred; without it the instance with the lowest name, and after a delay any other. */
     function isPreferred(nowMs: number): boolean {
@@ -66,36 +69,74 @@
         return live.every(instance => instance.name > deps.instance);
     }
 
-    async function readClaims(): Promise<boolean> {
-        const read = await deps.store.readPlain(deps.leaseTopic, lease.end());
+    /** Reads the claims from the known end on; returns whether the topic was read to its end. */
+    async function readFromEnd(): Promise<boolean> {
+        const from = lease.end();
+        const era = lease.era();
+        const read = await deps.store.readPlain(deps.leaseTopic, from);
         const nowMs = clock.now();
-        if (read.kind === "failed") {
+        if (read.kind === "failed" || lease.era() !== era) {
             return false;
         }
         if (read.kind === "truncated") {
-            lease.recordEnd(read.first, nowMs);
+            if (read.first > from) {
+                lease.recordFirst(read.first, nowMs);
+            }
+            else {
+                lease.reset(nowMs);
+            }
+            return false;
+        }
+        if (read.end < from) {
+            lease.reset(nowMs);
             return false;
         }
         for (const record of read.records) {
-            lease.recordClaim({ instance: Buffer.from(record.value).toString(), offset: record.offset }, nowMs);
+            const decoded = decodeLeaseRecord(Buffer.from(record.value).toString());
+            lease.recordClaim({ ...decoded, offset: record.offset }, nowMs);
         }
         lease.recordEnd(read.end, nowMs);
         return true;
     }
 
+    /** Reads the claims; a second read follows a first one that showed that the topic begins or ends elsewhere. */
+    async function readClaims(): Promise<boolean> {
+        const isRead = await readFromEnd() || await readFromEnd();
+        readEra = isRead ? lease.era() : undefined;
+        return isRead;
+    }
+
     async function claim(): Promise<void> {
         const sentMs = clock.now();
-        const appended = await deps.store.appendAt(deps.leaseTopic, lease.end(), Buffer.from(deps.instance));
+        const era = lease.era();
+        const end = lease.end();
+        const record = Buffer.from(encodeLeaseRecord({ instance: deps.instance, era }));
+        const appended = await deps.store.appendAt(deps.leaseTopic, end, record);
         deps.onClaim(appended.kind);
-        if (appended.kind === "appended") {
-            lease.recordOwnClaim(appended.offset, sentMs);
-            deps.writeLog("leaseTaken", { fence: appended.offset });
+        if (appended.kind === "appended" && appended.era === era) {
+            lease.recordOwnClaim({ era, offset: appended.offset }, sentMs);
+            deps.writeLog("leaseTaken", { fence: lease.fence(clock.now()) });
             deps.notifyPeers();
+            return;
+        }
+        // A claim that was sent in one era and appended in the next one does not count.
+        deps.writeLog("leaseLost", { reason: appended.kind === "appended" ? "returned" : appended.kind });
+        if (appended.kind === "moved" && appended.end < lease.end()) {
+            lease.reset(clock.now());
+        }
+        await readClaims();
+    }
+
+    /** The store is read only when, according to the peers' reports, no instance can hold the lease. */
+    async function mayClaim(nowMs: number): Promise<boolean> {
+        if (!isPreferred(nowMs)) {
+            return false;
         }
-        else {
-            deps.writeLog("leaseLost", { reason: appended.kind });
+        // A claim of the current era shows that no claim was lost.
+        if (lease.mayHaveLostClaims(nowMs) && readEra !== lease.era()) {
             await readClaims();
         }
+        return lease.isFree(clock.now()) && await readClaims();
     }
 
     async function renewLease(): Promise<boolean> {
@@ -103,9 +144,7 @@
         if (lease.fence(nowMs) !== undefined && lease.remainingMs(nowMs) > leaseValidMs * renewShare) {
             return true;
         }
-        const mustClaim = lease.fence(nowMs) === undefined;
-        // The store is read only when, according to the peers' reports, no instance can hold the lease.
-        if (mustClaim && (!isPreferred(nowMs) || !lease.isFree(nowMs) || !await readClaims())) {
+        if (lease.fence(nowMs) === undefined && !await mayClaim(nowMs)) {
             return false;
         }
         if (lease.isFree(clock.now())) {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -9,6 +9,7 @@
 import { assembleServers } from "./assemble/assembleServers.js";
 import { assembleViews } from "./assemble/assembleViews.js";
 import type { InstanceContext } from "./assemble/routerPorts.js";
+import { watchStoreEra } from "./assemble/watchStoreEra.js";
 import { millisecondsPerSecond } from "./core/constants.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
@@ -54,6 +55,7 @@
     const views = assembleViews(context);
     const feeds = assembleFeeds(context, views);
     const lease = createRolloutLease({ instance: settings.instance, separationMs: settings.leaseSeparationMs });
+    watchStoreEra(context, lease);
     const hasState = () => views.routes() !== undefined && Number.isFinite(fleet.upstreamsAgeMs());
 
     const fleet: Fleet = assembleFleet(context, views, feeds, {
@@ -64,8 +66,8 @@
             return hasState() ? "serving" : "starting";
         },
         listLoading: () => rollout.listLoading(),
-        leaseOffset: () => lease.fence(clock.now()),
-        recordLease: (instance, offset) => lease.recordClaim({ instance, offset }, clock.now()),
+        heldLease: () => lease.heldClaim(clock.now()),
+        recordLease: claim => lease.recordReportedClaim(claim, clock.now()),
     });
 
     const partFeeds = assembleParts(context, views, fleet);
@@ -102,6 +104,7 @@
         liveInstances: () => fleet.listLive().length,
         upstreams: () => views.registry.list().length,
         tableVersion: () => views.routes()?.table.version ?? 0,
+        storeEra: ports.storeEra.current,
         upstreamsAgeSeconds: () => fleet.upstreamsAgeMs() / millisecondsPerSecond,
         operatorAgeSeconds: () => feeds.operatorAgeMs() / millisecondsPerSecond,
         connectionsOpened: proxy.countOpened,
