Read topics anew, and reconcile the upstreams, when the store comes back from an older copy

What callers would see: requests by an old configuration, since a newer one that took the offset of a lost one was never read; 503 while upstreams live that had not written again yet; requests to an upstream that had left or was leaving, since the copy still lists it as ready.

Cause: a follower keeps an offset, and where the topic had grown past it again before its next read nothing showed that the records before were others. The list of upstreams was then replaced by the copy's.

Now: a follower's position has an era; an answer of another era, a topic that ends before the position, or a missing offset below it make it read the newest record of each key anew.

Configurations and target weights did not fall back before either (higher versions win); a scenario holds that now.

--- a/features/registry.feature
+++ b/features/registry.feature
@@ -19,6 +19,44 @@
         When "u-1" is removed at 1000 ms
         Then the list holds "u-2" at 1000 ms
 
+    Scenario: An upstream that an older copy of the list lacks is kept until it had time to register again
+        Given the list holds "u-1, u-2"
+        When an older copy of the list is read at 1000 ms with "u-2"
+        Then the list holds "u-1, u-2" at 2900 ms
+        And the list holds "u-2" at 3100 ms
+
+    Scenario: An upstream that an older copy of the list lacks stays when it registers again
+        Given the list holds "u-1, u-2"
+        When an older copy of the list is read at 1000 ms with "u-2"
+        And "u-1" is put at 2000 ms
+        Then the list holds "u-1, u-2" at 9000 ms
+
+    Scenario: An older copy of the list does not bring back an upstream that has left, until it registers again
+        Given the list holds "u-1, u-2"
+        When "u-1" is removed at 500 ms
+        And an older copy of the list is read at 1000 ms with "u-1, u-2"
+        Then the list holds "u-2" at 1000 ms
+        When "u-1" is put at 1500 ms
+        Then the list holds "u-1, u-2" at 1500 ms
+
+    Scenario: An older copy of the list brings a process that was started after the one that left
+        Given the list holds "u-2"
+        When an older copy of the list is read at 1000 ms with "u-1, u-2"
+        Then the list holds "u-1, u-2" at 1000 ms
+
+    Scenario Outline: What an older copy of the list says of a known process is merged with what is known
+        Given the list holds "u-1"
+        When "u-1" is put with state <known> and <knownOrders> orders
+        And an older copy says of "u-1" that it has state <copied> and <copiedOrders> orders
+        Then "u-1" has state <merged> and <mergedOrders> orders
+
+        Examples:
+            | known    | knownOrders | copied   | copiedOrders | merged   | mergedOrders |
+            | draining | 3           | ready    | 3            | draining | 3            |
+            | ready    | 3           | draining | 2            | draining | 3            |
+            | ready    | 3           | ready    | 2            | ready    | 3            |
+            | ready    | 2           | ready    | 3            | ready    | 3            |
+
     Scenario: A process that restarts under its id counts as a new one
         Given the list holds "u-1"
         When "u-1" is put with a later start
--- a/features/steps/registrySteps.ts
+++ b/features/steps/registrySteps.ts
@@ -54,6 +54,37 @@
     registry.applyList(registry.list().filter(record => record.id !== id), nowMs);
 });
 
+When(
+    "an older copy of the list is read at {int} ms with {string}",
+    function(this: SiteWorld, nowMs: number, names: string) {
+        getFixture(this).registry.applyReturnedList(names.split(", ").map(id => createRecord({ id })), nowMs);
+    },
+);
+
+When(
+    /^"([^"]+)" is put with state (ready|draining) and (\d+) orders$/,
+    function(this: SiteWorld, id: string, state: string, orders: string) {
+        const record = createRecord({ id, isDraining: state === "draining", acceptedOrders: Number(orders) });
+        getFixture(this).registry.applyChanges([{ kind: "put", record }], 100);
+    },
+);
+
+When(
+    /^an older copy says of "([^"]+)" that it has state (ready|draining) and (\d+) orders$/,
+    function(this: SiteWorld, id: string, state: string, orders: string) {
+        const record = createRecord({ id, isDraining: state === "draining", acceptedOrders: Number(orders) });
+        getFixture(this).registry.applyReturnedList([record], 200);
+    },
+);
+
+Then(
+    /^"([^"]+)" has state (ready|draining) and (\d+) orders$/,
+    function(this: SiteWorld, id: string, state: string, orders: string) {
+        const record = getFixture(this).registry.find(id);
+        assert.deepEqual([record?.isDraining, record?.acceptedOrders], [state === "draining", Number(orders)]);
+    },
+);
+
 When("{string} is put at {int} ms", function(this: SiteWorld, id: string, nowMs: number) {
     getFixture(this).registry.applyChanges([{ kind: "put", record: createRecord({ id }) }], nowMs);
 });
--- a/features/storeReturn.feature
+++ b/features/storeReturn.feature
@@ -12,7 +12,6 @@
         Then both engines have version 3
         And each order carries a higher fencing number than the orders of earlier claims
 
-    @known-red
     Scenario: A record that took the offset of a lost one is read
         When the operator publishes configuration 4
         Then both instances have configuration 4
@@ -20,6 +19,17 @@
         And the operator publishes configuration 5 at once
         Then both instances have configuration 5
 
+    Scenario: A configuration and target weights that the copy lacks stay in force
+        When the operator publishes configuration 4
+        And the operator sets the target version to 2
+        Then both engines have version 2
+        And both instances have configuration 4
+        When the store comes back without the last 2 records of the operator
+        Then both instances have reported the return
+        When the operator publishes configuration 5 at once
+        Then both instances have configuration 5
+        And no instance has taken an older configuration or asked an engine for older weights
+
     Scenario: A store that states no usable era is used as before, and the log says so once
         Given the store states the era "soon"
         When the operator publishes configuration 4
--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -4,7 +4,7 @@
  */
 import type { KeyedRecord } from "../core/ports/recordStore.js";
 import type { UpstreamChange, UpstreamRecord } from "../core/registry/upstreamRecord.js";
-import { type FollowedTopic, followTopic } from "../io/store/followTopic.js";
+import { type FollowedTopic, followTopic, type ReadCause } from "../io/store/followTopic.js";
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -119,6 +119,18 @@
         return decoded === undefined ? [] : [{ kind: "put", record: decoded }];
     }
 
+    function applyUpstreamList(records: readonly KeyedRecord[], cause: ReadCause): void {
+        const list = records.filter(record => record.value !== undefined)
+            .map(decodeUpstream)
+            .filter(record => record !== undefined);
+        if (cause === "returned") {
+            views.registry.applyReturnedList(list, clock.now());
+            writeLog("upstreamsReconciled", { listed: list.length, kept: views.registry.list().length });
+            return;
+        }
+        views.registry.applyList(list, clock.now());
+    }
+
     function updateUpstreams(apply: () => void): void {
         upstreamReads.recordRead();
         apply();
@@ -143,11 +155,7 @@
             random,
             topic: topics.upstreams,
             timing: () => ({ waitMs: 0, intervalMs: settings.drainMs * upstreamReadFraction }),
-            onNewest: records =>
-                updateUpstreams(() => {
-                    const list = records.filter(record => record.value !== undefined).map(decodeUpstream);
-                    views.registry.applyList(list.filter(record => record !== undefined), clock.now());
-                }),
+            onNewest: (records, cause) => updateUpstreams(() => applyUpstreamList(records, cause)),
             onRecords: records =>
                 updateUpstreams(() => views.registry.applyChanges(records.flatMap(toChanges), clock.now())),
             onFailure: reason => {
--- a/src/core/registry/createUpstreamRegistry.ts
+++ b/src/core/registry/createUpstreamRegistry.ts
@@ -18,6 +18,11 @@
     readonly applyChanges: (changes: readonly UpstreamChange[], nowMs: number) => void;
     /** Applies the complete list, as read from the source at `nowMs`; upstreams that are not in it are removed. */
     readonly applyList: (records: readonly UpstreamRecord[], nowMs: number) => void;
+    /**
+     * Applies the complete list as read at `nowMs` from an older copy of the source. Upstreams that are not in it are kept
+     * for the grace period, and what is known to be newer stays.
+     */
+    readonly applyReturnedList: (records: readonly UpstreamRecord[], nowMs: number) => void;
     /** Applies the complete list of a peer; the source may be unreachable for the peer too. */
     readonly applyPeerList: (records: readonly UpstreamRecord[], nowMs: number) => void;
     /** Records that the source did not answer. */
@@ -32,6 +37,15 @@
  */
 const removalGraceMs = 2_000;
 
+/** Time for which a removed upstream is remembered, in milliseconds; an older copy of the source may still list it. */
+const removalMemoryMs = 60_000;
+
+/** A removed upstream. */
+interface Removal {
+    readonly startedAtMs: number;
+    readonly atMs: number;
+}
+
 function isSame(left: UpstreamRecord, right: UpstreamRecord): boolean {
     return JSON.stringify(left) === JSON.stringify(right);
 }
@@ -57,6 +71,7 @@
     const records = new Map<string, UpstreamRecord>();
     /** Time at which each pending removal takes effect, by id. */
     const pendingRemovals = new Map<string, number>();
+    const removals = new Map<string, Removal>();
     let outageSinceMs: number | undefined;
     let graceUntilMs = -Infinity;
     let byService: ReadonlyMap<string, readonly UpstreamRecord[]> | undefined;
@@ -72,10 +87,22 @@
         onEvent({ kind: findEventKind(known, record), record });
     }
 
-    function removeNow(id: string): void {
+    function rememberRemoval({ id, startedAtMs }: UpstreamRecord, nowMs: number): void {
+        removals.delete(id);
+        removals.set(id, { startedAtMs, atMs: nowMs });
+        for (const [removedId, { atMs }] of removals) {
+            if (nowMs - atMs <= removalMemoryMs) {
+                return;
+            }
+            removals.delete(removedId);
+        }
+    }
+
+    function removeNow(id: string, nowMs: number): void {
         const record = records.get(id);
         pendingRemovals.delete(id);
         if (record !== undefined) {
+            rememberRemoval(record, nowMs);
             records.delete(id);
             byService = undefined;
             onEvent({ kind: "removed", record });
@@ -84,7 +111,7 @@
 
     function remove(id: string, nowMs: number): void {
         if (nowMs >= graceUntilMs) {
-            removeNow(id);
+            removeNow(id, nowMs);
         }
         else if (records.has(id) && !pendingRemovals.has(id)) {
             pendingRemovals.set(id, graceUntilMs);
@@ -101,7 +128,7 @@
     function removeExpired(nowMs: number): void {
         for (const [id, dueMs] of pendingRemovals) {
             if (nowMs >= dueMs && outageSinceMs === undefined) {
-                removeNow(id);
+                removeNow(id, nowMs);
             }
         }
     }
@@ -112,6 +139,27 @@
         [...records.keys()].filter(id => !listed.has(id)).forEach(id => remove(id, nowMs));
     }
 
+    /** Merges a record of an older copy with what is known; undefined when the upstream is known to have left. */
+    function reconcile(record: UpstreamRecord): UpstreamRecord | undefined {
+        const known = records.get(record.id);
+        if (known === undefined) {
+            const removal = removals.get(record.id);
+            return removal !== undefined && removal.startedAtMs >= record.startedAtMs ? undefined : record;
+        }
+        if (known.startedAtMs !== record.startedAtMs) {
+            return record;
+        }
+        const newer = record.acceptedOrders > known.acceptedOrders ? record : known;
+        return { ...newer, isDraining: known.isDraining || record.isDraining };
+    }
+
+    function applyReturnedList(list: readonly UpstreamRecord[], nowMs: number): void {
+        outageSinceMs = undefined;
+        graceUntilMs = nowMs + removalGraceMs;
+        applyList(list.map(reconcile).filter(record => record !== undefined), nowMs);
+        removeExpired(nowMs);
+    }
+
     function groupByService(): ReadonlyMap<string, readonly UpstreamRecord[]> {
         const groups = new Map<string, UpstreamRecord[]>();
         for (const record of records.values()) {
@@ -146,6 +194,7 @@
             applyList(list, nowMs);
             removeExpired(nowMs);
         },
+        applyReturnedList,
         applyPeerList: applyList,
         recordOutage: nowMs => {
             outageSinceMs ??= nowMs;
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -13,6 +13,10 @@
     readonly intervalMs: number;
 }
 
+/** Why the newest records were read: at the start, after a deletion of records, or after the store's return from an older
+ * copy, in which newer records may be missing. */
+export type ReadCause = "start" | "truncated" | "returned";
+
 /** Options of {@link followTopic}. */
 export interface FollowTopicOptions {
     readonly store: RecordStore;
@@ -21,7 +25,7 @@
     readonly topic: string;
     readonly timing: () => PollTiming;
     /** Receives the newest record of each key; they replace all that was read before. */
-    readonly onNewest: (records: readonly KeyedRecord[]) => void;
+    readonly onNewest: (records: readonly KeyedRecord[], cause: ReadCause) => void;
     /** Receives records in order; an empty list means that there are no newer ones. */
     readonly onRecords: (records: readonly KeyedRecord[]) => void;
     readonly onFailure: (reason: string) => void;
@@ -34,6 +38,12 @@
     readonly stop: () => void;
 }
 
+/** Where the next read begins; offsets of different eras are not comparable. */
+interface Position {
+    readonly era: number;
+    readonly offset: number;
+}
+
 /** Delay after a failed read, in milliseconds; a random jitter of up to the same length is added. */
 const retryDelayMs = 150;
 
@@ -46,7 +56,8 @@
 export function followTopic(options: FollowTopicOptions): FollowedTopic {
     const { store, clock, topic } = options;
     let isStopped = false;
-    let nextOffset: number | undefined;
+    let position: Position | undefined;
+    let cause: ReadCause = "start";
 
     function pause(delayMs: number): Promise<void> {
         return new Promise(resolve => clock.after(delayMs, resolve));
@@ -63,30 +74,39 @@
             await fail(read.reason);
             return;
         }
-        nextOffset = read.end;
-        options.onNewest(read.records);
+        position = { era: read.era, offset: read.end };
+        options.onNewest(read.records, cause);
     }
 
-    async function readNext(from: number): Promise<void> {
+    function readAnew(newCause: ReadCause): void {
+        position = undefined;
+        cause = newCause;
+    }
+
+    async function readNext({ era, offset }: Position): Promise<void> {
         const timing = options.timing();
-        const read = await store.readKeyed(topic, from, timing.waitMs);
+        const read = await store.readKeyed(topic, offset, timing.waitMs);
         if (read.kind === "failed") {
             await fail(read.reason);
             return;
         }
+        if (read.era !== era || (read.kind === "records" && read.end < offset)) {
+            readAnew("returned");
+            return;
+        }
         if (read.kind === "truncated") {
             options.onTruncated();
-            nextOffset = undefined;
+            readAnew(read.first > offset ? "truncated" : "returned");
             return;
         }
-        nextOffset = read.next;
+        position = { era, offset: read.next };
         options.onRecords(read.records);
         await pause(timing.intervalMs);
     }
 
     async function follow(): Promise<void> {
         while (!isStopped) {
-            await (nextOffset === undefined ? readNewest() : readNext(nextOffset));
+            await (position === undefined ? readNewest() : readNext(position));
         }
     }
 
