Register heartbeat addresses again when the store comes back from an older copy

What operators would see: an instance that starts afterwards and knows no other one, because its seeds are out of date, stays alone: it learns configuration and weights from the store only, and shares no use of engines with the others.

Cause: an instance wrote its heartbeat address once, at its start, also when that write failed.

Now: it is written again after a rise of the store's era, within a random second so that a large fleet does not write at once, and until it succeeded within the reads that follow.

--- a/features/storeReturn.feature
+++ b/features/storeReturn.feature
@@ -39,7 +39,6 @@
         Then both instances have configuration 5
         And each instance has logged each unusable era once
 
-    @known-red
     Scenario: An instance that starts after the addresses of the others were lost finds them
         Given the instances read the addresses of the others for the last time
         When the store comes back without the addresses of the instances
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -78,6 +78,8 @@
     const peerVersions = new Map<string, { readonly tableVersion: number; readonly storeAgeMs: number; }>();
     let fetchedAsOfMs = -Infinity;
     let isFetching = false;
+    /** Whether this instance's heartbeat address lies in the store. */
+    let isRegistered = false;
     view.addContacts(settings.contacts);
 
     function self(): FleetInstance {
@@ -233,9 +235,10 @@
 
     /** Registers this instance's heartbeat address in the store and reads the addresses of the others. */
     async function discoverPeers(attempt: number): Promise<void> {
-        if (attempt === 0) {
+        if (!isRegistered) {
             const { topics, store } = ports;
-            await store.putKeyed(topics.instances, settings.instance, Buffer.from(heartbeatAddress));
+            const put = await store.putKeyed(topics.instances, settings.instance, Buffer.from(heartbeatAddress));
+            isRegistered = put.kind === "appended";
         }
         const read = await ports.store.readNewest(ports.topics.instances);
         if (read.kind === "newest") {
@@ -251,6 +254,14 @@
     }
     void discoverPeers(0);
 
+    // The addresses that were registered since the copy are gone.
+    ports.storeEra.subscribe(event => {
+        if (event.kind === "returned") {
+            isRegistered = false;
+            clock.after(random() * discoveryIntervalMs, () => void discoverPeers(0));
+        }
+    });
+
     return {
         listLive: () => view.listLive(clock.now()),
         countInstances: () => view.countInstances(clock.now()),
