--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -9,7 +9,7 @@
 import type { PeerState } from "../core/fleet/peerState.js";
 import type { Prefill } from "../core/fleet/prefillReport.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
-import type { LeaseClaim } from "../core/weights/createRolloutLease.js";
+import { type LeaseClaim, unknownEra } from "../core/weights/createRolloutLease.js";
 import { fetchPeerState } from "../io/fleet/fetchPeerState.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { Feeds } from "./assembleFeeds.js";
@@ -116,7 +116,7 @@
             loading: sources.listLoading(),
             loaded: sources.listLoading().length > 0 ? listLoaded() : [],
             leaseOffset: lease?.offset,
-            leaseEra: lease?.era ?? 0,
+            leaseEra: lease?.era,
             known: view.chooseKnown(clock.now()),
         };
     }
@@ -132,7 +132,8 @@
         heartbeat.named.forEach(named => views.recordTarget(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.recordLoaded(engine, model, version));
         if (heartbeat.leaseOffset !== undefined) {
-            sources.recordLease({ instance: from.name, era: heartbeat.leaseEra, offset: heartbeat.leaseOffset });
+            const era = heartbeat.leaseEra ?? unknownEra;
+            sources.recordLease({ instance: from.name, era, offset: heartbeat.leaseOffset });
         }
     }
 
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -60,8 +60,8 @@
     loaded: z.array(loadedSchema).readonly(),
     /** Offset of the rollout lease that the sender holds. */
     leaseOffset: z.number().int().optional(),
-    /** Era of the store in which the sender claimed it. */
-    leaseEra: z.number().int().min(0).default(0),
+    /** Era of the store in which the sender claimed it; builds before the store had eras leave it out. */
+    leaseEra: z.number().int().min(0).optional(),
     known: z.array(knownInstanceSchema).readonly(),
 }).readonly();
 
