Split the sender of requests, and share the ways in which scripted upstreams end

The scripted endings of connections stood in two step files. Behaviour is unchanged; the scenarios of sends, service answers and the platform's path pass.

--- a/features/serviceAnswers.feature
+++ b/features/serviceAnswers.feature
@@ -9,4 +9,4 @@
             | end                    | verdict    |
             | closes                 | complete   |
             | resets                 | incomplete |
-            | resets at once         | incomplete |
+            | resets-at-once         | incomplete |
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -4,7 +4,6 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
 import {
     type ScriptedRequest,
     type ScriptedUpstream,
@@ -24,6 +23,7 @@
     createUpstreamSender,
     type SendToUpstream,
 } from "../../src/io/proxy/createUpstreamSender.js";
+import { connectionEndings, flushMs } from "../support/connectionEndings.js";
 import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -91,19 +91,6 @@
     "a JSON document": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}`,
 };
 
-/** Time in which written bytes reach the other side over loopback, in milliseconds. */
-const flushMs = 30;
-
-const endings: ReadonlyMap<string, (socket: Socket) => void> = new Map<string, (socket: Socket) => void>([
-    ["closes", socket => socket.end()],
-    ["resets", socket => {
-        setTimeout(() => socket.resetAndDestroy(), flushMs);
-    }],
-    // Both the bytes and the reset have arrived when the other side reads.
-    ["resets-at-once", socket => socket.resetAndDestroy()],
-    ["waits", () => undefined],
-]);
-
 function createCaller(): Caller {
     const actions = new Set<() => void>();
     let received = "";
@@ -186,12 +173,12 @@
     assert.ok(bytes !== undefined, `${article} ${rest}`);
     await start(this, ({ socket }) => {
         socket.write(bytes);
-        endings.get(end)?.(socket);
+        connectionEndings.get(end)?.(socket);
     });
 });
 
 Given("an upstream that answers with nothing and then {word}", async function(this: SiteWorld, end: string) {
-    await start(this, ({ socket }) => endings.get(end)?.(socket));
+    await start(this, ({ socket }) => connectionEndings.get(end)?.(socket));
 });
 
 Given("an upstream that sends each answer twice", async function(this: SiteWorld) {
--- a/features/steps/serviceAnswerSteps.ts
+++ b/features/steps/serviceAnswerSteps.ts
@@ -4,12 +4,12 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
 import { type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
 import type { Upstream } from "../../src/core/catalogue/catalogueEntry.js";
 import type { CollectResult } from "../../src/core/effects/effectTypes.js";
 import { collectBody } from "../../src/io/upstream/collectBody.js";
 import { createUpstreamClient } from "../../src/io/upstream/createUpstreamClient.js";
+import { connectionEndings } from "../support/connectionEndings.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 const services = new WeakMap<SiteWorld, ScriptedUpstream>();
@@ -17,22 +17,10 @@
 
 const maxAnswerBytes = 1_000;
 
-/** Time in which written bytes reach the other side over loopback, in milliseconds. */
-const flushMs = 30;
-
-const ends: ReadonlyMap<string, (socket: Socket) => void> = new Map<string, (socket: Socket) => void>([
-    ["closes", socket => socket.end()],
-    ["resets", socket => {
-        setTimeout(() => socket.resetAndDestroy(), flushMs);
-    }],
-    // Both the bytes and the reset have arrived when the other side reads.
-    ["resets at once", socket => socket.resetAndDestroy()],
-]);
-
 Given(/^a service that answers without a length and then (.+)$/, async function(this: SiteWorld, end: string) {
     const service = await startScriptedUpstream(({ socket }) => {
         socket.write("HTTP/1.1 200 OK\r\nX-Correlation-Id: c-1\r\nConnection: close\r\n\r\nconfirm");
-        ends.get(end)?.(socket);
+        connectionEndings.get(end)?.(socket);
     });
     services.set(this, service);
     this.cleanups.push(service.stop);
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -8,14 +8,11 @@
 import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
 import { findIncompleteReason } from "../../core/proxy/findIncompleteReason.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
-import type {
-    HeaderPair,
-    ProxyRequest,
-    RejectionReason,
-    SendOutcome,
-    StreamProgress,
-} from "../../core/proxy/proxyTypes.js";
+import type { ProxyRequest, RejectionReason, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import { repeatEvery } from "../../core/time/repeatEvery.js";
+import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
+import { createAnswerCollection } from "./createAnswerCollection.js";
 import type { CallerExchange } from "./createCallerExchange.js";
 import type { ConnectionPool, PooledConnection } from "./createConnectionPool.js";
 import { createStreamDelivery, type StreamDelivery } from "./createStreamDelivery.js";
@@ -59,9 +56,6 @@
 /** Maximum idle time of a connection for other requests. */
 const maxRetryableIdleMs = 2_000;
 
-/** Maximum size of a collected answer. */
-const maxAnswerBytes = 8 * 1024 * 1024;
-
 /** Interval at which a send checks whether its upstream has become unresponsive. */
 const unresponsivePollIntervalMs = 200;
 
@@ -74,8 +68,7 @@
     private sentMs = 0;
     private head: AnswerHead | undefined;
     private stream: StreamDelivery | undefined;
-    private readonly chunks: Buffer[] = [];
-    private collectedBytes = 0;
+    private readonly collection = createAnswerCollection();
     private isFinished = false;
     private readonly cancels: CancelTimer[] = [];
     private controller: Dispatcher.DispatchController | undefined;
@@ -104,7 +97,7 @@
             this.cancels.push(clock.after(connectTimeoutMs, () => this.checkConnected()));
         }
         if (effect.needsFreshConnection === false) {
-            this.watchUnresponsive();
+            this.cancels.push(repeatEvery(clock, unresponsivePollIntervalMs, () => this.checkResponsive()));
         }
         this.connection.client.dispatch({
             path: req.target,
@@ -130,7 +123,7 @@
             return;
         }
         this.controller = controller;
-        const head = this.deps.codec.readAnswer(status, toPairs(headers), this.upstreamId());
+        const head = this.deps.codec.readAnswer(status, toHeaderPairs(headers), this.upstreamId());
         if (!this.isOwnAnswer(head)) {
             this.deps.onForeignAnswer(this.req, this.effect, head.requestId);
             this.finishLost("the answer has the id of another request or none");
@@ -163,9 +156,7 @@
             this.stream.write(chunk);
             return;
         }
-        this.chunks.push(chunk);
-        this.collectedBytes += chunk.length;
-        if (this.collectedBytes > maxAnswerBytes) {
+        if (!this.collection.write(chunk)) {
             this.finishLost("the answer exceeds the size limit");
         }
     }
@@ -193,8 +184,7 @@
             return;
         }
         this.deps.health.recordSuccess(this.upstreamId());
-        const answer = { status: head.status, headers: head.headers, body: Buffer.concat(this.chunks) };
-        this.finish({ kind: "answered", answer });
+        this.finish({ kind: "answered", answer: this.collection.toAnswer(head.status, head.headers) });
     }
 
     onResponseError(_: Dispatcher.DispatchController, err: Error): void {
@@ -251,18 +241,10 @@
     }
 
     /** Ends the send of a retryable request when its upstream becomes unresponsive, so that it can be retried. */
-    private watchUnresponsive(): void {
-        const cancel = this.deps.clock.after(unresponsivePollIntervalMs, () => {
-            if (this.isFinished) {
-                return;
-            }
-            if (this.head === undefined && this.deps.health.isUnresponsive(this.upstreamId(), this.deps.clock.now())) {
-                this.finishLost("the upstream became unresponsive");
-                return;
-            }
-            this.watchUnresponsive();
-        });
-        this.cancels.push(cancel);
+    private checkResponsive(): void {
+        if (this.head === undefined && this.deps.health.isUnresponsive(this.upstreamId(), this.deps.clock.now())) {
+            this.finishLost("the upstream became unresponsive");
+        }
     }
 
     private delivered(): StreamProgress | undefined {
@@ -305,13 +287,6 @@
     }
 }
 
-function toPairs(headers: Readonly<Record<string, string | string[] | undefined>>): readonly HeaderPair[] {
-    return Object.entries(headers).flatMap(([name, value]) => {
-        const values = Array.isArray(value) ? value : [value ?? ""];
-        return values.map((one): HeaderPair => [name, one]);
-    });
-}
-
 /**
  * Creates the sender.
  *
