Take an empty Retry-After of an upstream for no delay

What callers would see: a refusal that asks them to come back at once. Cause: an empty header was read as the number 0. The row with an empty text failed before; a fraction, a word and a date stay as they were.

--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -36,6 +36,19 @@
             | half a body with a length    | closes         | contentLength   | closed     |
             | half a chunked body          | closes         | chunked         | closed     |
 
+    Scenario Outline: A rejected request returns after the delay that the upstream states, if it is one
+        Given an upstream that answers with a rejection that states a delay of "<stated>"
+        When a "nonIdempotent" request is sent to it
+        Then the request may return after "<delayMs>" ms
+
+        Examples:
+            | stated                        | delayMs |
+            | 2                             | 2000    |
+            | 0.25                          | 250     |
+            |                               | none    |
+            | soon                          | none    |
+            | Fri, 04 Dec 2026 08:00:00 GMT | none    |
+
     Scenario: A second answer on a reused connection is not taken as the next request's
         Given an upstream that sends each answer twice
         When two requests are sent to it one after the other
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -177,6 +177,20 @@
     });
 });
 
+Given("an upstream that answers with a rejection that states a delay of {string}", async function(
+    this: SiteWorld,
+    stated: string,
+) {
+    const head = `HTTP/1.1 503 Busy\r\n${id}Not-Executed: 1\r\nRetry-After: ${stated}\r\nContent-Length: 0\r\n\r\n`;
+    await start(this, ({ socket }) => socket.write(head));
+});
+
+Then("the request may return after {string} ms", function(this: SiteWorld, delayMs: string) {
+    const [outcome] = getFixture(this).outcomes;
+    assert.ok(outcome?.kind === "rejected");
+    assert.equal(String(outcome.retryAfterMs ?? "none"), delayMs);
+});
+
 Given("an upstream that answers with nothing and then {word}", async function(this: SiteWorld, end: string) {
     await start(this, ({ socket }) => connectionEndings.get(end)?.(socket));
 });
