--- a/features/proxyRequest.feature
+++ b/features/proxyRequest.feature
@@ -50,5 +50,8 @@
     Scenario: The retry budget holds over the fleet in any window
         Then 8 instances under random load with seed 5 stay within 0.2 of the requests and 56 retries in 10 s
 
+    Scenario: A settings file that cannot be read is reported as a problem
+        Then reading the settings from a missing file reports why
+
     Scenario: Decoders do not throw on arbitrary input
         Then 2000 random inputs with seed 3 make no decoder throw
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -10,6 +10,7 @@
 import { decodeOperatorRecord } from "../../platform/decodeOperatorRecord.js";
 import { decodeSettings } from "../../platform/decodeSettings.js";
 import { decodeUpstreamRecord } from "../../platform/decodeUpstreamRecord.js";
+import { readSettingsFile } from "../../platform/readSettingsFile.js";
 import { errorTable } from "../../src/core/errors/errorTable.js";
 import { parseFleetMessage } from "../../src/core/fleet/parseFleetMessage.js";
 import { parsePeerState } from "../../src/core/fleet/peerState.js";
@@ -266,3 +267,9 @@
     });
     fc.assert(property, { numRuns, seed });
 });
+
+Then("reading the settings from a missing file reports why", () => {
+    const read = readSettingsFile("no-such-directory/node.json");
+    assert.ok(read.isErr);
+    assert.match(read.error.join(" "), /ENOENT/);
+});
