Remove an unused count of connections, and parse load headers with the shared parser

countConnections had no caller and turned an error into 0. The two readers of the load header each repeated a guarded parse. Behaviour is unchanged.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -21,8 +21,6 @@
 
 /** The servers. */
 export interface Servers {
-    /** Returns the number of open connections of callers, idle ones included. */
-    readonly countConnections: () => Promise<number>;
     readonly closeIdle: () => void;
     /** Applies the limits of the configuration in force to connections of callers. */
     readonly applyLimits: () => void;
@@ -143,10 +141,6 @@
     others.push(metricsServer);
 
     return {
-        countConnections: () =>
-            new Promise(resolve =>
-                callerServer.getConnections((error, count) => resolve(error instanceof Error ? 0 : count))
-            ),
         closeIdle: () => callerServer.closeIdleConnections(),
         applyLimits: () => {
             const limits = sources.routes()?.table.limits;
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -5,6 +5,7 @@
 import type { Readable } from "node:stream";
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
+import { parseJson } from "../../core/_lib/parseJson.js";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
 import type { EngineLoad } from "../../core/ports/enginePort.js";
 import { classifyCallError } from "../_lib/classifyCallError.js";
@@ -67,23 +68,11 @@
 }
 
 function readLoad(headers: Dispatcher.ResponseData["headers"]): EngineLoad | undefined {
-    const text = readText(headers, "x-load");
-    try {
-        return text === undefined ? undefined : loadSchema.safeParse(JSON.parse(text)).data;
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(loadSchema, readText(headers, "x-load") ?? "");
 }
 
 function readDraining(headers: Dispatcher.ResponseData["headers"]): boolean {
-    try {
-        const report: unknown = JSON.parse(readText(headers, "x-load") ?? "{}");
-        return drainReportSchema.safeParse(report).data?.leaving ?? false;
-    }
-    catch {
-        return false;
-    }
+    return parseJson(drainReportSchema, readText(headers, "x-load") ?? "")?.leaving ?? false;
 }
 
 function readHead(res: Dispatcher.ResponseData): AnswerHead {
