Prove by a stated era only that no claim of the lease is missing

What users would see, on a store that states no eras and comes back from an older copy: an instance that finds its own name in the last claim that is left orders at once, while the holder of a lost claim may still order.

Cause: a claim without an era was taken for one of the current era, which is 0 while the store states none. Now it proves nothing, and the lease is free after the time in which orders under a lost claim can have an effect. Whether the topic was lost is decided by a missing offset or by the end that a rejected append states, not by the end of a read; a failed read is not repeated at once.

Evidence: "A topic that has lost records is read anew although the store states no era" held the lease at once before.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -12,6 +12,18 @@
         And the same check detects a lease that trusts claims from before a return
         And after each of 500 such histories with seed 17 the lease is held again within 10000 ms
 
+    Scenario: A claim that was sent before a return of the store and appended after it does not count
+        Given an instance alone that knows era 1 of the store
+        When it claims the lease while the store comes back from an older copy
+        Then it does not hold the lease
+        And 5000 ms later it claims the lease again and holds it
+
+    Scenario: A topic that has lost records is read anew although the store states no era
+        Given an instance alone that knows 4 claims and no era of the store
+        When the store has lost 3 of the claims
+        Then it does not hold the lease
+        And 5000 ms later it claims the lease again and holds it
+
     Scenario Outline: Loading one engine
         When version 3 is loaded at an engine that <behaviour>
         Then the load ends as "<end>" after <orders> orders
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -85,7 +85,7 @@
     let end = 0;
     let learnedMs = -Infinity;
     let own: { readonly claim: LeaseClaim; readonly sentMs: number; } | undefined;
-    /** Since when claims may be missing from the topic; undefined once a claim of the current era was read. */
+    /** Since when claims may be missing from the topic; undefined once a claim shows that none is. */
     let uncertainSinceMs: number | undefined;
 
     const currentEra = () => era ?? unknownEra;
@@ -115,7 +115,7 @@
         if (claim.era === currentEra() || claim.era === unknownEra) {
             learnedMs = nowMs;
         }
-        if (claim.era === currentEra()) {
+        if (claim.era === currentEra() && claim.era !== unknownEra) {
             uncertainSinceMs = undefined;
         }
     }
@@ -152,13 +152,12 @@
             }
         },
         recordFirst: (first, nowMs) => {
-            if (uncertainSinceMs === undefined) {
-                recordEnd(first, nowMs);
-            }
-            else {
+            if (mayHaveLostClaims(nowMs)) {
                 // Records that are deleted already are older than the return, from which the takeover delay counts.
                 end = Math.max(end, first);
+                return;
             }
+            recordEnd(first, nowMs);
         },
         recordEnd,
         recordOwnClaim: (claim, sentMs) => {
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -90,7 +90,7 @@
             await fail(read.reason);
             return;
         }
-        if (read.era !== era || (read.kind === "records" && read.end < offset)) {
+        if (read.era !== era) {
             readAnew("returned");
             return;
         }
--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../../core/time/clock.js";
 import { leaseValidMs, type RolloutLease } from "../../core/weights/createRolloutLease.js";
 import { decodeLeaseRecord, encodeLeaseRecord } from "../../core/weights/leaseRecord.js";
+import { toFencingNumber } from "../../core/weights/toFencingNumber.js";
 
 /** Dependencies of {@link maintainRolloutLease}. */
 export interface RolloutLeaseDependencies {
@@ -69,14 +70,17 @@
         return live.every(instance => instance.name > deps.instance);
     }
 
-    /** Reads the claims from the known end on; returns whether the topic was read to its end. */
-    async function readFromEnd(): Promise<boolean> {
+    /** Reads the claims from the known end on. `moved`: the topic begins or ends elsewhere than was known. */
+    async function readFromEnd(): Promise<"read" | "failed" | "moved"> {
         const from = lease.end();
         const era = lease.era();
         const read = await deps.store.readPlain(deps.leaseTopic, from);
         const nowMs = clock.now();
-        if (read.kind === "failed" || lease.era() !== era) {
-            return false;
+        if (read.kind === "failed") {
+            return "failed";
+        }
+        if (lease.era() !== era) {
+            return "moved";
         }
         if (read.kind === "truncated") {
             if (read.first > from) {
@@ -85,25 +89,21 @@
             else {
                 lease.reset(nowMs);
             }
-            return false;
-        }
-        if (read.end < from) {
-            lease.reset(nowMs);
-            return false;
+            return "moved";
         }
         for (const record of read.records) {
             const decoded = decodeLeaseRecord(Buffer.from(record.value).toString());
             lease.recordClaim({ ...decoded, offset: record.offset }, nowMs);
         }
         lease.recordEnd(read.end, nowMs);
-        return true;
+        return "read";
     }
 
-    /** Reads the claims; a second read follows a first one that showed that the topic begins or ends elsewhere. */
     async function readClaims(): Promise<boolean> {
-        const isRead = await readFromEnd() || await readFromEnd();
-        readEra = isRead ? lease.era() : undefined;
-        return isRead;
+        const first = await readFromEnd();
+        const last = first === "moved" ? await readFromEnd() : first;
+        readEra = last === "read" ? lease.era() : undefined;
+        return last === "read";
     }
 
     async function claim(): Promise<void> {
@@ -115,7 +115,7 @@
         deps.onClaim(appended.kind);
         if (appended.kind === "appended" && appended.era === era) {
             lease.recordOwnClaim({ era, offset: appended.offset }, sentMs);
-            deps.writeLog("leaseTaken", { fence: lease.fence(clock.now()) });
+            deps.writeLog("leaseTaken", { fence: toFencingNumber(era, appended.offset) });
             deps.notifyPeers();
             return;
         }
