Split the check of a request's head from the service that handles requests

createProxyService was over 300 lines and mixed the checks against the configuration with the running of requests. The checks are a module of their own; behaviour is unchanged, the scenarios of the platform's path and of requests pass.

--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -3,9 +3,8 @@
  * Handles callers' requests: validates them against the configuration, reads their bodies and runs their steps.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { err, ok, type Result } from "true-myth/result";
 import { runSteps } from "../../core/effects/runSteps.js";
-import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
+import type { Refusal } from "../../core/errors/createRefusal.js";
 import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
@@ -13,15 +12,15 @@
 import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
-import { chooseService } from "../../core/routes/chooseService.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
-import type { Route, RouteCustomer } from "../../core/routes/routingTable.js";
+import type { Route } from "../../core/routes/routingTable.js";
 import type { Clock } from "../../core/time/clock.js";
 import { readBody } from "../http/readBody.js";
+import { type CheckedHead, checkRequestHead } from "./checkRequestHead.js";
 import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
 import type { SendToUpstream } from "./createUpstreamSender.js";
 import { describeSend, describeSendEnd } from "./describeSend.js";
-import type { ProxyCodec, RequestHead } from "./proxyCodec.js";
+import type { ProxyCodec } from "./proxyCodec.js";
 
 /** Dependencies of the service. */
 export interface ProxyServiceDependencies {
@@ -62,29 +61,9 @@
     readonly countActive: () => number;
 }
 
-/** A request whose head has been validated. */
-interface CheckedHead {
-    readonly head: RequestHead;
-    readonly route: Route;
-    readonly service: string;
-    readonly customer: RouteCustomer | undefined;
-    readonly deadlineMs: number;
-    readonly maxBodyBytes: number;
-}
-
 /** Timeout for receiving a body when the route's timeout is longer. */
 const maxBodyTimeoutMs = 30_000;
 
-function countHeaderBytes(rawHeaders: readonly string[]): number {
-    // Each name and value is followed by two bytes: ": " or the line end.
-    return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
-
-function toPath(target: string): string {
-    const end = target.indexOf("?");
-    return end === -1 ? target : target.slice(0, end);
-}
-
 /**
  * Creates the service.
  *
@@ -94,56 +73,6 @@
 export function createProxyService(deps: ProxyServiceDependencies): ProxyService {
     let active = 0;
 
-    function checkCustomer(
-        index: RouteIndex,
-        route: Route,
-        head: RequestHead,
-    ): Result<RouteCustomer | undefined, Refusal> {
-        if (!index.hasCustomers || (route.isOpen && head.credential === undefined)) {
-            return ok(undefined);
-        }
-        const customer = head.credential === undefined ? undefined : index.findCustomer(head.credential);
-        if (customer === undefined && !route.isOpen) {
-            const detail = head.credential === undefined
-                ? "the request has no API key"
-                : "the API key belongs to no customer";
-            return err(createRefusal("unknownCustomer", detail));
-        }
-        return ok(customer);
-    }
-
-    function checkHead(
-        req: IncomingMessage,
-        read: Result<RequestHead, Refusal>,
-        arrivedMs: number,
-    ): Result<CheckedHead, Refusal> {
-        const index = deps.routes();
-        if (index === undefined) {
-            return err(createRefusal("noCatalogue", "no configuration has been received yet", { retryAfterMs: 300 }));
-        }
-        const { limits } = index.table;
-        if (countHeaderBytes(req.rawHeaders) > limits.maxHeaderBytes) {
-            return err(createRefusal("headersTooLarge", `the headers exceed ${limits.maxHeaderBytes} bytes`));
-        }
-        return read.andThen(head => {
-            const route = index.findRoute(head.host, toPath(head.target));
-            if (route === undefined) {
-                return err(createRefusal("unknownRoute", ""));
-            }
-            return checkCustomer(index, route, head).andThen(customer => {
-                const service = chooseService(route.shares, deps.random());
-                if (service === undefined) {
-                    return err(
-                        createRefusal("noUpstream", "no service is configured for the route", { retryAfterMs: 500 }),
-                    );
-                }
-                const budgetMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
-                const deadlineMs = arrivedMs + budgetMs;
-                return ok({ head, route, service, customer, deadlineMs, maxBodyBytes: limits.maxBodyBytes });
-            });
-        });
-    }
-
     function toRequest(checked: CheckedHead, body: Buffer, arrivedMs: number): ProxyRequest {
         const { head, route, customer } = checked;
         return {
@@ -275,7 +204,12 @@
         const arrivedMs = deps.clock.now();
         const read = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders);
         const requestId = read.map(head => head.id).unwrapOr("");
-        const checked = checkHead(req, read, arrivedMs);
+        const checked = checkRequestHead(read, {
+            routes: deps.routes(),
+            rawHeaders: req.rawHeaders,
+            arrivedMs,
+            random: deps.random,
+        });
         if (checked.isErr) {
             refuseHead(res, req, requestId, checked.error);
             return;
