--- a/src/wire.ts
+++ b/src/wire.ts
@@ -3,14 +3,13 @@
  * Composition root of the daemon: constructs its components and connects them.
  */
 import { randomUUID } from "node:crypto";
-import type { Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { assembleLimits } from "./assemble/assembleLimits.js";
-import { hashText } from "./core/_lib/hashText.js";
+import { assembleRequests } from "./assemble/assembleRequests.js";
 import { memoizeByVersion } from "./core/_lib/memoizeByVersion.js";
 import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { reuseEqualLists } from "./core/_lib/reuseEqualLists.js";
-import { scoreRendezvous } from "./core/_lib/scoreRendezvous.js";
 import { applyHintDigest } from "./core/cache/applyHintDigest.js";
 import { createCacheView } from "./core/cache/createCacheView.js";
 import { createEventBackoff } from "./core/cache/createEventBackoff.js";
@@ -20,22 +19,14 @@
 import { type Catalogue, findEntry, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
-import { blockCharacters } from "./core/constants.js";
-import { runSteps } from "./core/effects/runSteps.js";
-import type { Refusal } from "./core/errors/createRefusal.js";
 import { createLifecycle } from "./core/lifecycle/createLifecycle.js";
 import type { RestartStatePart, RestartStateProvider } from "./core/lifecycle/restartState.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
 import { rankMembers } from "./core/membership/rankMembers.js";
 import { hasUnfinishedWork } from "./core/orders/hasUnfinishedWork.js";
-import { routeToVersion } from "./core/orders/routeToVersion.js";
-import { chooseWeightsVersion } from "./core/orders/weightsVersions.js";
 import { createRetryBudget } from "./core/request/createRetryBudget.js";
 import { createStreamReaders } from "./core/request/createStreamReaders.js";
-import type { ModelRequest, RequestContext, ServiceRequest } from "./core/request/requestTypes.js";
-import { type ModelRequestReport, serveModelRequest } from "./core/request/serveModelRequest.js";
-import { serveServiceRequest } from "./core/request/serveServiceRequest.js";
 import { createCostRouter } from "./core/routing/createCostRouter.js";
 import { createFrequencySketch } from "./core/routing/createFrequencySketch.js";
 import { createLoadView } from "./core/routing/createLoadView.js";
@@ -50,7 +41,6 @@
 import { createLogClaims } from "./io/claims/createLogClaims.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
 import { createCallerServer } from "./io/http/createCallerServer.js";
-import { createExchange, type Exchange } from "./io/http/createExchange.js";
 import { trackConnections } from "./io/lifecycle/trackConnections.js";
 import { type EngineWatch, watchDrainingEngines } from "./io/lifecycle/watchDrainingEngines.js";
 import { readCustomerUse } from "./io/limits/readCustomerUse.js";
@@ -95,9 +85,6 @@
 /** Number of instances that contend for the lease under which orders are sent. */
 const leaseContenders = 3;
 
-/** Leading characters of a prompt whose hash selects the weights version during a rollout. */
-const versionKeyCharacters = 4 * blockCharacters;
-
 /** Maximum number of ended requests that `reedwardctl why` can explain. */
 const maxReports = 2_000;
 
@@ -287,91 +274,18 @@
     const { admission } = limits;
     const exchangeDependencies = { clock, admission, claims, upstreams, cancelStream, maxAnswerBytes };
 
-    function recordEnd(kind: string, exchange: Exchange, arrivedMs: number, result: string, customer: string): void {
-        metrics.inProgress.dec();
-        metrics.requests.inc({ kind, result });
-        if (result !== "answered") {
-            metrics.refusals.inc({ kind: result, customer });
-        }
-        const firstByteMs = exchange.firstByteMs();
-        if (firstByteMs !== undefined) {
-            metrics.timeToFirstByte.observe({ kind }, (firstByteMs - arrivedMs) / 1000);
-        }
-    }
-
-    function recordPromptTokens(report: ModelRequestReport): void {
-        metrics.promptTokens.inc({ cached: "yes" }, report.cachedTokens);
-        metrics.promptTokens.inc({ cached: "no" }, Math.max(0, report.promptTokens - report.cachedTokens));
-    }
-
-    function describeEnd(req: RequestContext, arrivedMs: number, refusal: Refusal | undefined) {
-        return {
-            requestId: req.requestId,
-            customer: req.customer.id,
-            result: refusal?.kind ?? "answered",
-            detail: refusal?.detail ?? "",
-            durationMs: clock.now() - arrivedMs,
-            endedMs: clock.wallNow(),
-        };
-    }
-
-    /** During a rollout, requests with the same prompt prefix get the same weights version. */
-    function withServedVersion(req: ModelRequest): ModelRequest {
-        const { model, customer, prompt } = req;
-        const key = hashText(prompt.slice(0, versionKeyCharacters), hashText(customer.id));
-        const weightsVersion = chooseWeightsVersion(catalogue(), model.id, key) ?? model.weightsVersion;
-        return weightsVersion === model.weightsVersion ? req : { ...req, model: { ...model, weightsVersion } };
-    }
-
-    function serveModel(req: ModelRequest, res: ServerResponse): void {
-        const arrivedMs = clock.now();
-        const exchange = createExchange(req.requestId, res, exchangeDependencies);
-        metrics.inProgress.inc();
-        const steps = serveModelRequest(withServedVersion(req), {
-            chooseUpstream: routeToVersion(router.chooseUpstream, catalogue),
-            trackInFlight: loadView.recordInFlight,
-            reportFeedback: router.reportFeedback,
-            readers,
-            ...retrying,
-        });
-        runSteps(steps, exchange.handlers, report => {
-            recordPromptTokens(report);
-            recordEnd("model", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
-            writeLog("requestEnded", { requestId: req.requestId, ...report });
-            reports.add({
-                ...report,
-                ...describeEnd(req, arrivedMs, report.refusal),
-                kind: "model",
-                target: req.model.id,
-            });
-        }, error => failInternally(req.requestId, res, error));
-    }
-
-    function serveService(req: ServiceRequest, res: ServerResponse): void {
-        const arrivedMs = clock.now();
-        const exchange = createExchange(req.requestId, res, exchangeDependencies);
-        metrics.inProgress.inc();
-        const rankUpstreams = (service: string) =>
-            [...listServing(service, "service")].sort((left, right) =>
-                scoreRendezvous(hashText(req.requestId), left.id) > scoreRendezvous(hashText(req.requestId), right.id)
-                    ? -1
-                    : 1
-            );
-        const steps = serveServiceRequest(req, { rankUpstreams, wallNow: clock.wallNow, ...retrying });
-        runSteps(steps, exchange.handlers, report => {
-            recordEnd("service", exchange, arrivedMs, report.refusal?.kind ?? "answered", req.customer.id);
-            writeLog("requestEnded", { requestId: req.requestId, ...report });
-            const tokens = { promptTokens: 0, cachedTokens: 0, outputTokens: 0, attempts: [] };
-            const end = describeEnd(req, arrivedMs, report.refusal);
-            reports.add({ ...tokens, ...report, ...end, kind: "service", target: req.service.id });
-        }, error => failInternally(req.requestId, res, error));
-    }
-
-    function failInternally(requestId: string, res: ServerResponse, error: unknown): void {
-        metrics.inProgress.dec();
-        writeLog("internalFailure", { requestId, detail: error instanceof Error ? error.stack : String(error) });
-        res.destroy();
-    }
+    const requests = assembleRequests({
+        clock,
+        metrics,
+        writeLog,
+        catalogue,
+        reports,
+        exchange: exchangeDependencies,
+        router,
+        loadView,
+        retrying: { readers, ...retrying },
+        listServices: service => listServing(service, "service"),
+    });
 
     const lifecycle = createLifecycle({
         clock,
@@ -415,8 +329,8 @@
         membership,
         isReady,
         isClosed: () => lifecycle.state() === "draining" || lifecycle.state() === "stopped",
-        serveModel,
-        serveService,
+        serveModel: requests.serveModel,
+        serveService: requests.serveService,
     });
     trackConnections(callerServer, lifecycle);
     const peerServer = createPeerServer(
