--- a/features/steps/storeReturnSteps.ts
+++ b/features/steps/storeReturnSteps.ts
@@ -27,8 +27,8 @@
     }
 });
 
-When("the operator publishes configuration {int}", function(this: SiteWorld, version: number) {
-    getFixture(this).store.put("keyed.op", "config", { ...configuration, version });
+When(/^the operator publishes configuration (\d+)(?: at once)?$/, function(this: SiteWorld, version: string) {
+    getFixture(this).store.put("keyed.op", "config", { ...configuration, version: Number(version) });
 });
 
 When(
@@ -81,10 +81,6 @@
     assert.deepEqual(listStated().toSorted(), ["malformed", "malformed", "missing", "missing"]);
 });
 
-When("the operator publishes configuration {int} at once", function(this: SiteWorld, version: number) {
-    getFixture(this).store.put("keyed.op", "config", { ...configuration, version });
-});
-
 Then("both instances have configuration {int}", async function(this: SiteWorld, version: number) {
     const { logged } = getFixture(this);
     const count = () =>
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -133,8 +133,10 @@
     }
 
     function heldClaim(nowMs: number): LeaseClaim | undefined {
-        const isHeld = own !== undefined && remainingMs(nowMs) > 0 && own.claim.offset === end - 1;
-        return isHeld ? own?.claim : undefined;
+        if (own === undefined || remainingMs(nowMs) === 0) {
+            return undefined;
+        }
+        return own.claim.offset === end - 1 ? own.claim : undefined;
     }
 
     function mayHaveLostClaims(nowMs: number): boolean {
