--- a/src/core/limits/createAdmission.ts
+++ b/src/core/limits/createAdmission.ts
@@ -3,19 +3,18 @@
  * Admission control: customer quotas, fair queueing in front of upstream capacity, deadlines and load shedding.
  */
 import type { ClassOfService, Policy } from "../catalogue/catalogueEntry.js";
-import { millisecondsPerSecond } from "../constants.js";
-import { createRefusal, type Refusal } from "../errors/createRefusal.js";
-import type { ErrorKind } from "../errors/errorTable.js";
+import { createRefusal } from "../errors/createRefusal.js";
 import type { Clock } from "../time/clock.js";
 import type { Admission, AdmissionRequest, AdmissionVerdict, RequestCost } from "./admissionTypes.js";
 import { createDemandMeter } from "./createDemandMeter.js";
-import { createFairQueue, type QueuedRequest } from "./createFairQueue.js";
+import { createFairQueue } from "./createFairQueue.js";
 import type { Permit } from "./createPermitPool.js";
 import type { CustomerQuota, QuotaRegistry } from "./createQuotaRegistry.js";
+import { createRefusalRules, type WaitingRequest } from "./createRefusalRules.js";
 import { findShortage } from "./findShortage.js";
-import { maxLimitWaitMs, maxQueuedTokensPerSlot, maxQueueLength } from "./limitConstants.js";
-import { combineAmounts, getRates, rateDimensions, zeroAmounts } from "./quotaMath.js";
-import type { Amounts, LimitDimension } from "./quotaTypes.js";
+import { maxLimitWaitMs, maxQueuedTokensPerSlot } from "./limitConstants.js";
+import { combineAmounts, getRates, zeroAmounts } from "./quotaMath.js";
+import type { Amounts } from "./quotaTypes.js";
 
 /** What admission depends on. */
 export interface AdmissionDependencies {
@@ -36,13 +35,6 @@
     readonly reevaluate: () => void;
 }
 
-interface WaitingRequest extends QueuedRequest {
-    readonly req: AdmissionRequest;
-    readonly cost: Amounts;
-    readonly waitDeadlineMs: number;
-    readonly decide: (verdict: AdmissionVerdict) => void;
-}
-
 interface RunningRequest {
     readonly quota: CustomerQuota;
     readonly cost: Amounts;
@@ -52,23 +44,6 @@
 /** Queue weights by class of service. */
 const queueWeights: Readonly<Record<ClassOfService, number>> = { interactive: 4, standard: 2, batch: 1 };
 
-/** Kind of refusal by the limit that was reached. */
-const refusalKinds: Readonly<Record<LimitDimension, ErrorKind>> = {
-    requests: "requestRateLimited",
-    promptTokens: "promptTokensLimited",
-    outputTokens: "outputTokensLimited",
-    requestsInFlight: "inFlightLimited",
-};
-
-/** Estimated time until a permit for one more request becomes free, in milliseconds. */
-const permitRetryMs = 1_000;
-
-/** Fraction of the limits up to which an instance counts as one that has no quota yet. */
-const negligibleFraction = 0.01;
-
-/** Maximum number of requests of one customer that wait for borrowed quota. */
-const maxWaitingForGrant = 8;
-
 /** Minimum delay until the next scheduled re-evaluation, in milliseconds. */
 const minReevaluationDelayMs = 5;
 
@@ -79,16 +54,6 @@
     return { requests: 1, promptTokens: cost.promptTokens, outputTokens: cost.outputTokens };
 }
 
-function addAmounts(left: Amounts, right: Amounts): Amounts {
-    return combineAmounts(left, right, (one, other) => one + other);
-}
-
-function findOversized(quota: CustomerQuota, cost: Amounts): keyof Amounts | undefined {
-    const limits = quota.limits();
-    const rates = getRates(limits);
-    return rateDimensions.find(dimension => cost[dimension] > Math.max(1, rates[dimension] * limits.burstSeconds));
-}
-
 /**
  * Creates admission. A request waits only while it can still be admitted before its deadline and within the maximum
  * wait for limits; otherwise it is refused immediately, with the time after which a retry may succeed.
@@ -106,11 +71,13 @@
     let cancelReevaluation: (() => void) | undefined;
     let reevaluationMs = Infinity;
 
-    function refuse(waiting: WaitingRequest, kind: ErrorKind, retryAfterMs: number | undefined, detail = ""): void {
-        const options = retryAfterMs === undefined ? {} : { retryAfterMs: Math.max(1, Math.ceil(retryAfterMs)) };
-        const text = `customer "${waiting.customer}"${detail === "" ? "" : `: ${detail}`}`;
-        decide(waiting, { kind: "refused", refusal: createRefusal(kind, text, options) });
-    }
+    const rules = createRefusalRules({
+        clock,
+        quotas,
+        queue,
+        served,
+        hasFreeSlot: () => running.size < dependencies.countSlots(),
+    });
 
     function decide(waiting: WaitingRequest, verdict: AdmissionVerdict): void {
         queue.remove(waiting.requestId);
@@ -127,63 +94,6 @@
         quotas.find(customer)?.setWaiting(items.length, largest);
     }
 
-    /** Predicts how long a request behind others waits for the customer's limits, at the quota that is held now. */
-    function predictLimitWait(quota: CustomerQuota, ahead: readonly WaitingRequest[], cost: Amounts) {
-        const total = ahead.reduce((sum, item) => addAmounts(sum, item.cost), cost);
-        return findShortage(quota.rateBuckets, getRates(quota.limits()), total);
-    }
-
-    /** Predicts the wait for upstream capacity from the customer's own queue and its weighted share of throughput. */
-    function predictCapacityWait(waiting: Pick<WaitingRequest, "customer" | "tokens" | "weight">): number {
-        const rate = served.rate().promptTokens;
-        if (running.size < dependencies.countSlots() || rate <= 0) {
-            return 0;
-        }
-        const heads = queue.listHeads().filter(head => head.customer !== waiting.customer);
-        const weights = heads.reduce((sum, head) => sum + head.weight, waiting.weight);
-        const ahead = queue.listByCustomer(waiting.customer).reduce((sum, item) => sum + item.tokens, waiting.tokens);
-        return (ahead / ((rate * waiting.weight) / weights)) * millisecondsPerSecond;
-    }
-
-    /** Returns whether more quota may still be borrowed; the number of requests that wait for that is bounded. */
-    function canBorrowMore(quota: CustomerQuota, waitingCount: number): boolean {
-        const fraction = quota.rateBuckets.fraction();
-        const isWithoutQuota = fraction <= negligibleFraction;
-        return isWithoutQuota || (fraction < quota.neededFraction() && waitingCount < maxWaitingForGrant);
-    }
-
-    function findRefusal(waiting: WaitingRequest, quota: CustomerQuota): Refusal | undefined {
-        let refusal: Refusal | undefined;
-        const probe = {
-            ...waiting,
-            decide: (verdict: AdmissionVerdict) => {
-                refusal = verdict.kind === "refused" ? verdict.refusal : undefined;
-            },
-        };
-        const oversized = findOversized(quota, waiting.cost);
-        if (oversized !== undefined) {
-            refuse(probe, refusalKinds[oversized], undefined, "the request is larger than the burst");
-            return refusal;
-        }
-        const ahead = queue.listByCustomer(waiting.customer);
-        const shortage = predictLimitWait(quota, ahead, waiting.cost);
-        const remainingMs = waiting.waitDeadlineMs - clock.now();
-        const limitWaitMs = Number.isFinite(shortage.waitMs) ? shortage.waitMs : maxLimitWaitMs;
-        if (shortage.dimension !== undefined && shortage.waitMs > remainingMs && !canBorrowMore(quota, ahead.length)) {
-            refuse(probe, refusalKinds[shortage.dimension], limitWaitMs);
-        }
-        else if (ahead.length >= maxQueueLength) {
-            refuse(probe, "queueFull", Math.max(limitWaitMs, permitRetryMs));
-        }
-        else {
-            const capacityMs = predictCapacityWait(waiting);
-            if (clock.now() + capacityMs > waiting.req.deadlineMs) {
-                refuse(probe, "deadlineTooShort", capacityMs);
-            }
-        }
-        return refusal;
-    }
-
     function tryAdmit(waiting: WaitingRequest): boolean {
         const quota = quotas.find(waiting.customer);
         if (quota === undefined) {
@@ -203,33 +113,6 @@
         return true;
     }
 
-    /** Returns whether a request can no longer be admitted in time. */
-    function isExpired(waiting: WaitingRequest): boolean {
-        if (clock.now() >= waiting.req.deadlineMs) {
-            return true;
-        }
-        return clock.now() >= waiting.waitDeadlineMs && isWaitingForLimits(waiting);
-    }
-
-    function refuseExpired(waiting: WaitingRequest): void {
-        const quota = quotas.find(waiting.customer);
-        if (quota === undefined) {
-            refuse(waiting, "unknownCustomer", undefined);
-            return;
-        }
-        const shortage = predictLimitWait(quota, [], waiting.cost);
-        if (shortage.dimension !== undefined) {
-            const limitWaitMs = Number.isFinite(shortage.waitMs) ? shortage.waitMs : maxLimitWaitMs;
-            refuse(waiting, refusalKinds[shortage.dimension], limitWaitMs);
-        }
-        else if (quota.permitPool.countFree() <= 0) {
-            refuse(waiting, "inFlightLimited", permitRetryMs);
-        }
-        else {
-            refuse(waiting, "deadlineTooShort", Math.max(permitRetryMs, predictCapacityWait(waiting)));
-        }
-    }
-
     function shed(): void {
         const maxTokens = dependencies.countSlots() * maxQueuedTokensPerSlot;
         const order = dependencies.preset() === "lectura" ? "recomputeFirst" : "newestFirst";
@@ -238,24 +121,15 @@
             if (victim === undefined) {
                 return;
             }
-            refuse(victim, "overloaded", Math.max(permitRetryMs, predictCapacityWait(victim)));
+            decide(victim, { kind: "refused", refusal: rules.createShedRefusal(victim) });
         }
     }
 
-    function isWaitingForLimits(head: WaitingRequest): boolean {
-        const quota = quotas.find(head.customer);
-        return quota === undefined || predictLimitWait(quota, [], head.cost).dimension !== undefined
-            || quota.permitPool.countFree() <= 0;
-    }
-
     function scheduleReevaluation(): void {
         let nextMs = Infinity;
         for (const head of queue.listHeads()) {
-            const quota = quotas.find(head.customer);
-            const waitMs = quota === undefined ? 0 : predictLimitWait(quota, [], head.cost).waitMs;
-            const delayMs = isWaitingForLimits(head)
-                ? Math.min(waitMs, maxReevaluationDelayMs)
-                : maxReevaluationDelayMs;
+            const waitMs = rules.findLimitWaitMs(head) ?? maxReevaluationDelayMs;
+            const delayMs = Math.min(waitMs, maxReevaluationDelayMs);
             nextMs = Math.min(nextMs, clock.now() + Math.max(minReevaluationDelayMs, delayMs));
         }
         if (nextMs < reevaluationMs) {
@@ -265,6 +139,13 @@
         }
     }
 
+    function refuseExpired(waiting: WaitingRequest): void {
+        const refusal = rules.findExpiry(waiting);
+        if (refusal !== undefined) {
+            decide(waiting, { kind: "refused", refusal });
+        }
+    }
+
     function reevaluate(): void {
         cancelReevaluation?.();
         cancelReevaluation = undefined;
@@ -282,7 +163,7 @@
             waiting.decide({ kind: "admitted" });
         }
         for (const head of queue.listHeads()) {
-            queue.listByCustomer(head.customer).filter(isExpired).forEach(refuseExpired);
+            queue.listByCustomer(head.customer).forEach(refuseExpired);
         }
         scheduleReevaluation();
     }
@@ -308,7 +189,7 @@
         };
         quota.offered.add(cost);
         dependencies.onDemand(customer);
-        const refusal = findRefusal(waiting, quota);
+        const refusal = rules.findRefusal(waiting, quota);
         if (refusal !== undefined) {
             dependencies.onShortage();
             onVerdict({ kind: "refused", refusal });
--- a/src/core/limits/findShortage.ts
+++ b/src/core/limits/findShortage.ts
@@ -7,6 +7,14 @@
 import { rateDimensions } from "./quotaMath.js";
 import type { Amounts } from "./quotaTypes.js";
 
+/** What a customer's buckets lack for a cost. */
+export interface Shortage {
+    /** Milliseconds until the cost is covered. */
+    readonly waitMs: number;
+    /** Dimension with the longest wait; undefined when the cost is covered already. */
+    readonly dimension: keyof Amounts | undefined;
+}
+
 /**
  * Predicts how long the buckets take to cover a cost at the fraction that is held now.
  *
@@ -21,7 +29,7 @@
     buckets: Pick<RateBuckets, "level" | "fraction">,
     rates: Amounts,
     cost: Amounts,
-): { readonly waitMs: number; readonly dimension: keyof Amounts | undefined; } {
+): Shortage {
     const level = buckets.level();
     const fraction = buckets.fraction();
     let waitMs = 0;
