Report failed reads of the store, and how old the reads were before a configuration

The logs could not tell a read that waited on a silent connection from a store that refuses, a follower that has ended, or a version that was taken in part: a failed read left no line until 5.5 s had passed, and the line of a version in force said neither how long nothing had been read nor that items were skipped.

RW5017 names the topic, the cause (timeout, connection, answer, era), the reason and how long the read took; a counter has the cause as its label. RW5003 has the time since the read before (unreadMs) and the number of skipped items. No decision changes.

--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -2,7 +2,7 @@
  * @module
  * Assembles the feeds from the platform's store: the operator's records and the upstreams.
  */
-import type { KeyedRecord } from "../core/ports/recordStore.js";
+import type { KeyedRecord, StoreFailure } from "../core/ports/recordStore.js";
 import type { UpstreamChange, UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import { type FollowedTopic, followTopic, type ReadCause } from "../io/store/followTopic.js";
 import type { InstanceViews } from "./assembleViews.js";
@@ -33,8 +33,8 @@
 function trackReads(
     context: InstanceContext,
     topic: string,
-): { recordRead: () => void; ageMs: () => number; recordFailure: (reason: string) => void; } {
-    const { clock, writeLog } = context;
+): { recordRead: () => void; ageMs: () => number; recordFailure: (failure: StoreFailure, tookMs: number) => void; } {
+    const { clock, metrics, writeLog } = context;
     let lastReadMs = -Infinity;
     let isUnreachable = false;
     const ageMs = () => clock.now() - lastReadMs;
@@ -47,7 +47,9 @@
             }
             lastReadMs = clock.now();
         },
-        recordFailure: reason => {
+        recordFailure: ({ cause, reason }, tookMs) => {
+            metrics.storeReadFailures.inc({ cause });
+            writeLog("storeReadFailed", { topic, cause, reason, tookMs: Math.round(tookMs) });
             if (!isUnreachable && ageMs() > unreachableAfterMs) {
                 isUnreachable = true;
                 writeLog("storeLost", {
@@ -77,8 +79,8 @@
         writeLog("recordRejected", { topic, key: record.key, offset: record.offset, detail });
     }
 
-    /** `isLive`: the record was read as it was appended, so its age is known. */
-    function applyOperatorRecord(record: KeyedRecord, isLive: boolean): void {
+    /** `isLive`: the record was read as it was appended, so its age is known; `unreadMs`: time since the read before. */
+    function applyOperatorRecord(record: KeyedRecord, isLive: boolean, unreadMs: number): void {
         const decoded = ports.decodeOperatorRecord(record);
         if (decoded.isErr) {
             reject(topics.operator, record, decoded.error);
@@ -87,7 +89,10 @@
         const update = decoded.value;
         if (update?.kind === "table") {
             update.rejected.forEach(detail => reject(topics.operator, record, detail));
-            views.applyTable(update.table, "store");
+            views.applyTable(update.table, "store", {
+                skippedItems: update.rejected.length,
+                unreadMs: Number.isFinite(unreadMs) ? Math.round(unreadMs) : undefined,
+            });
         }
         else if (update?.kind === "weights") {
             const { model, version } = update;
@@ -96,9 +101,10 @@
     }
 
     function applyOperatorRecords(records: readonly KeyedRecord[], isLive: boolean): void {
-        const wasUnreachable = operatorReads.ageMs() > unreachableAfterMs;
+        const unreadMs = operatorReads.ageMs();
+        const wasUnreachable = unreadMs > unreachableAfterMs;
         operatorReads.recordRead();
-        records.forEach(record => applyOperatorRecord(record, isLive && !wasUnreachable));
+        records.forEach(record => applyOperatorRecord(record, isLive && !wasUnreachable, unreadMs));
     }
 
     function decodeUpstream(record: KeyedRecord): UpstreamRecord | undefined {
@@ -158,9 +164,9 @@
             onNewest: (records, cause) => updateUpstreams(() => applyUpstreamList(records, cause)),
             onRecords: records =>
                 updateUpstreams(() => views.registry.applyChanges(records.flatMap(toChanges), clock.now())),
-            onFailure: reason => {
+            onFailure: (failure, tookMs) => {
                 views.registry.recordOutage(clock.now());
-                upstreamReads.recordFailure(reason);
+                upstreamReads.recordFailure(failure, tookMs);
             },
             onTruncated: () => writeLog("topicTruncated", { topic: topics.upstreams }),
         }),
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -23,6 +23,14 @@
     readonly ageMs?: number | undefined;
 }
 
+/** How a configuration was read, for the log. */
+export interface TableDetails {
+    /** Number of its items that could not be decoded. */
+    readonly skippedItems: number;
+    /** Milliseconds since the read before; undefined at the first read. */
+    readonly unreadMs: number | undefined;
+}
+
 /** Fraction of the time limit for outdated weights that is assumed to have passed when the target's age is unknown. */
 const unknownAgeFraction = 0.4;
 
@@ -35,7 +43,7 @@
     readonly parts: PartView;
     readonly routes: () => RouteIndex | undefined;
     /** Applies a configuration unless the one in force has the same version or a newer one. */
-    readonly applyTable: (table: RoutingTable, source: string) => void;
+    readonly applyTable: (table: RoutingTable, source: string, details?: TableDetails) => void;
     readonly recordTarget: (named: ReportedWeights, source: string) => void;
     /** Returns the target weights, newest and earlier ones, as reported to peers. */
     readonly describeTargets: () => readonly ReportedWeights[];
@@ -77,13 +85,19 @@
         use: createUpstreamUseTracker(),
         parts,
         routes: () => index,
-        applyTable: (table, source) => {
+        applyTable: (table, source, details) => {
             if (index !== undefined && table.version <= index.table.version) {
                 return;
             }
             index = indexRoutes(table);
             const { version, routes, customers } = table;
-            writeLog("configurationInForce", { version, source, routes: routes.length, customers: customers.length });
+            writeLog("configurationInForce", {
+                version,
+                source,
+                routes: routes.length,
+                customers: customers.length,
+                ...details,
+            });
             notifyChange();
         },
         recordTarget: ({ model, version, ageMs }, source) => {
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -90,6 +90,7 @@
     storeReturned: define("RW5014", "warn", "store came back from an older copy: its topics are read anew"),
     storeEraRejected: define("RW5015", "warn", "answer of the store states no usable era"),
     upstreamsReconciled: define("RW5016", "info", "upstreams reconciled with an older copy of their list"),
+    storeReadFailed: define("RW5017", "info", "read of the store failed"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/core/ports/recordStore.ts
+++ b/src/core/ports/recordStore.ts
@@ -12,9 +12,14 @@
     readonly value: Uint8Array | undefined;
 }
 
+/** Why a call failed. `timeout`: no answer within its time limit; `connection`: the connection could not be opened or
+ * broke; `answer`: a status or body that is no result; `era`: the answer belongs to an older era. */
+export type StoreFailureCause = "timeout" | "connection" | "answer" | "era";
+
 /** A call that failed without a result. */
 export interface StoreFailure {
     readonly kind: "failed";
+    readonly cause: StoreFailureCause;
     readonly reason: string;
 }
 
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -43,6 +43,8 @@
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
     readonly storeReturns: Counter<string>;
+    /** Failed reads of the store's topics by cause. */
+    readonly storeReadFailures: Counter<"cause">;
     /** Claims of the rollout lease by result. */
     readonly leaseClaims: Counter<"result">;
     /** Time until a request's answer was complete, by kind of request. */
@@ -132,6 +134,7 @@
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
+        storeReadFailures: counter("store_read_failures_total", "Failed reads of the store's topics.", ["cause"]),
         leaseClaims: counter("lease_claims_total", "Claims of the rollout lease.", ["result"]),
         requestSeconds: histogram("request_seconds", "Time until a request's answer was complete.", ["kind"]),
         placementSeconds: histogram("place_seconds", "Time that requests waited for placement."),
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -2,7 +2,7 @@
  * @module
  * Follows a keyed topic: reads the newest record of each key first, then every record as it is appended.
  */
-import type { KeyedRecord, RecordStore } from "../../core/ports/recordStore.js";
+import type { KeyedRecord, RecordStore, StoreFailure } from "../../core/ports/recordStore.js";
 import type { Clock } from "../../core/time/clock.js";
 
 /** Timing of the reads of newer records. */
@@ -28,7 +28,8 @@
     readonly onNewest: (records: readonly KeyedRecord[], cause: ReadCause) => void;
     /** Receives records in order; an empty list means that there are no newer ones. */
     readonly onRecords: (records: readonly KeyedRecord[]) => void;
-    readonly onFailure: (reason: string) => void;
+    /** Receives failed reads, and the milliseconds since each of them began. */
+    readonly onFailure: (failure: StoreFailure, tookMs: number) => void;
     /** Called when records were deleted before they were read; the topic is then read anew. */
     readonly onTruncated: () => void;
 }
@@ -63,15 +64,16 @@
         return new Promise(resolve => clock.after(delayMs, resolve));
     }
 
-    async function fail(reason: string): Promise<void> {
-        options.onFailure(reason);
+    async function recordFailure(failure: StoreFailure, startedMs: number): Promise<void> {
+        options.onFailure(failure, clock.now() - startedMs);
         await pause(retryDelayMs * (1 + options.random()));
     }
 
     async function readNewest(): Promise<void> {
+        const startedMs = clock.now();
         const read = await store.readNewest(topic);
         if (read.kind === "failed") {
-            await fail(read.reason);
+            await recordFailure(read, startedMs);
             return;
         }
         position = { era: read.era, offset: read.end };
@@ -85,9 +87,10 @@
 
     async function readNext({ era, offset }: Position): Promise<void> {
         const timing = options.timing();
+        const startedMs = clock.now();
         const read = await store.readKeyed(topic, offset, timing.waitMs);
         if (read.kind === "failed") {
-            await fail(read.reason);
+            await recordFailure(read, startedMs);
             return;
         }
         if (read.era !== era) {
