Reproduce a confirmed configuration that is not in force in time

Instances with the real feeds and views follow a model of the store on a virtual clock: connections go silent, are reset or cut; the store refuses, hangs, is slow or comes back from an older copy. At each step the version of every instance that has been without trouble for 3 s is compared with what was confirmed 2 s before. Bounds are the platform's.

No decision changes.

--- /dev/null
+++ b/features/configurationFreshness.feature
@@ -0,0 +1,10 @@
+Feature: A confirmed configuration is in force on every instance that is in touch with the store
+
+    @known-red
+    Scenario: A version confirmed while connections to the store went silent is in force once the instances are in touch again
+        When all connections of 3 instances to the store go silent right after a version, and another one is confirmed then
+        Then each instance that is in touch has every version that was confirmed 2000 ms before
+
+    @known-red
+    Scenario: Versions are in force in time beside random troubles of the store and of the connections to it
+        Then over 150 random histories with seed 29, each instance in touch has every version confirmed 2000 ms before and never goes back
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -130,6 +130,30 @@
     tenants: [{ name: "clinic", api_keys: ["key-clinic"], isolated: true }],
 };
 
+/** Creates the settings of an instance that listens nowhere. */
+export function createSettings(instance: string): RouterSettings {
+    return {
+        instance,
+        failureDomain: "domain",
+        host: "127.0.0.1",
+        callerAddress: "127.0.0.1:0",
+        readinessAddress: "127.0.0.1:0",
+        directoryAddress: "127.0.0.1:0",
+        peerAddress: "127.0.0.1:0",
+        heartbeatPort: 0,
+        metricsAddress: "127.0.0.1:0",
+        contacts: [],
+        graceMs: 900,
+        drainMs: 1_000,
+        leaseSeparationMs: 3_000,
+        weightsLimitMs: 8_000,
+        retryRatio: 0.2,
+        retrySlack: 50,
+        retryWindowMs: 10_000,
+        maxEntryTtlMs: 5_000,
+    };
+}
+
 /** Starts one more instance, which stops at the end of the scenario. */
 export async function startInstance(
     world: SiteWorld,
@@ -139,10 +163,10 @@
     const [caller, ready, directory, peer, heartbeat, metrics] = await Promise.all(
         Array.from({ length: 6 }, findFreePort),
     );
+    const index = fixture.instances.length + 1;
     const settings: RouterSettings = {
-        instance: `entry-${fixture.instances.length + 1}`,
-        failureDomain: `domain-${fixture.instances.length + 1}`,
-        host: "127.0.0.1",
+        ...createSettings(`entry-${index}`),
+        failureDomain: `domain-${index}`,
         callerAddress: `127.0.0.1:${caller}`,
         readinessAddress: `127.0.0.1:${ready}`,
         directoryAddress: `127.0.0.1:${directory}`,
@@ -150,14 +174,6 @@
         heartbeatPort: heartbeat!,
         metricsAddress: `127.0.0.1:${metrics}`,
         contacts,
-        graceMs: 900,
-        drainMs: 1_000,
-        leaseSeparationMs: 3_000,
-        weightsLimitMs: 8_000,
-        retryRatio: 0.2,
-        retrySlack: 50,
-        retryWindowMs: 10_000,
-        maxEntryTtlMs: 5_000,
     };
     const storeEra = createStoreEra();
     const store = createStoreClient(fixture.store.address, storeEra.accept);
--- /dev/null
+++ b/features/support/storeHistories.ts
@@ -0,0 +1,404 @@
+/**
+ * @module
+ * Histories of instances that follow the operator's topic on a virtual clock: connections to the store go silent, are
+ * reset or cut, and the store is away, slow, or comes back from an older copy, while versions are confirmed.
+ */
+import fc from "fast-check";
+import { setImmediate } from "node:timers/promises";
+import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createCodec } from "../../platform/createCodec.js";
+import { createEngineOrders } from "../../platform/createEngineOrders.js";
+import { createPorts } from "../../platform/createPorts.js";
+import { topics } from "../../platform/wireNames.js";
+import { assembleFeeds } from "../../src/assemble/assembleFeeds.js";
+import { assembleViews, type InstanceViews } from "../../src/assemble/assembleViews.js";
+import type { RouterSettings } from "../../src/assemble/routerPorts.js";
+import { storeAnswerTimeoutMs } from "../../src/core/constants.js";
+import type { KeyedRecord, ReadResult, RecordStore, StoreFailure } from "../../src/core/ports/recordStore.js";
+import { createStoreEra, type StoreEra } from "../../src/core/store/createStoreEra.js";
+import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
+import { configuration, createSettings } from "./platformFixture.js";
+
+/** A trouble of the connections of some instances: for good (`silence`, `reset`) or for a time (`cut`). */
+export interface ConnectionTrouble {
+    readonly kind: "silence" | "reset" | "cut";
+    readonly atMs: number;
+    readonly durationMs: number;
+    readonly instances: readonly number[];
+}
+
+/** A trouble of the store. `hang`: it answers nothing, and the connections of that time stay silent afterwards.
+ * `return`: it is away, then comes back without the newest records, which the operator writes again. */
+export interface StoreTrouble {
+    readonly kind: "refuse" | "hang" | "slow" | "return";
+    readonly atMs: number;
+    readonly durationMs: number;
+}
+
+/** What happens in a history. Times are milliseconds on the virtual clock. */
+export interface StoreHistory {
+    readonly instances: number;
+    readonly connectionTroubles: readonly ConnectionTrouble[];
+    readonly storeTroubles: readonly StoreTrouble[];
+    /** Times at which the operator writes a new version; it is confirmed once the store is there. */
+    readonly publishedMs: readonly number[];
+    readonly seed: number;
+}
+
+/** Bounds that the platform states, in milliseconds. */
+export interface FreshnessBounds {
+    /** Time without trouble after which an instance counts as in touch. */
+    readonly stableMs: number;
+    /** Time from the confirmation of a version until it is in force. */
+    readonly inForceMs: number;
+}
+
+/** An instance that handles requests by a version that it should no longer use, or that has gone back to one. */
+export interface FreshnessViolation {
+    readonly instance: number;
+    readonly atMs: number;
+    readonly version: number;
+    readonly required: number;
+}
+
+/** What a history has shown. */
+export interface HistoryResult {
+    readonly violations: readonly FreshnessViolation[];
+    /** Calls to the store, by all instances. */
+    readonly storeCalls: number;
+}
+
+interface Connection {
+    isSilent: boolean;
+    /** Fails the calls in progress. */
+    readonly pending: Set<() => void>;
+}
+
+interface Waiter {
+    readonly instance: number;
+    readonly wake: () => void;
+}
+
+interface Instance {
+    readonly views: InstanceViews;
+    readonly connections: Map<string, Connection>;
+    readonly era: StoreEra;
+}
+
+/** Step of the virtual clock, in milliseconds. */
+const stepMs = 20;
+
+/** Time until an answer of an untroubled store, in milliseconds. */
+const latencyMs = 5;
+
+/** Extra time of a slow store, in milliseconds. */
+const slownessMs = 700;
+
+/** Time after a cut until retransmitted bytes arrive, in milliseconds. */
+const retransmissionMs = 200;
+
+/** Time after a return from a copy until the operator has written the lost records again, in milliseconds. */
+const rewriteMs = 500;
+
+/** Records that a return from a copy loses. */
+const lostRecords = 2;
+
+/** Time after the last event until the end of a history, in milliseconds. */
+const tailMs = 8_000;
+
+function isDuring(trouble: { readonly atMs: number; readonly durationMs: number; }, nowMs: number): boolean {
+    return nowMs >= trouble.atMs && nowMs < trouble.atMs + trouble.durationMs;
+}
+
+/** The store with the connections to it, as far as instances can tell. */
+class ModelStore {
+    readonly instances: Instance[] = [];
+    readonly confirmedMs = new Map<number, number>();
+    calls = 0;
+    private readonly records: KeyedRecord[] = [];
+    private readonly waiters = new Set<Waiter>();
+    private era = 1;
+    private nextVersion = 1;
+
+    constructor(private readonly clock: VirtualClock, private readonly history: StoreHistory) {}
+
+    start(): void {
+        const { clock, history } = this;
+        history.publishedMs.forEach(atMs => clock.after(atMs, () => this.publish()));
+        history.storeTroubles.filter(({ kind }) => kind === "hang" || kind === "return")
+            .forEach(trouble => clock.after(trouble.atMs, () => this.breakAll(trouble)));
+        history.connectionTroubles.filter(({ kind }) => kind !== "cut")
+            .forEach(trouble => clock.after(trouble.atMs, () => this.breakConnections(trouble)));
+    }
+
+    publish(): void {
+        const away = this.findAway();
+        if (away !== undefined) {
+            this.clock.after(away.atMs + away.durationMs - this.clock.now() + latencyMs, () => this.publish());
+            return;
+        }
+        const version = this.nextVersion;
+        this.nextVersion += 1;
+        this.append(version);
+        this.confirmedMs.set(version, this.clock.now());
+    }
+
+    /** Creates the port of one instance. */
+    connect(instance: number): RecordStore {
+        const fail = (): Promise<StoreFailure> =>
+            Promise.resolve({ kind: "failed", cause: "answer", reason: "not used here" });
+        return {
+            readNewest: topic =>
+                this.call(instance, `newest ${topic}`, 0, () => ({
+                    kind: "newest",
+                    era: this.era,
+                    records: topic === topics.operator ? this.records.slice(-1) : [],
+                    end: topic === topics.operator ? this.records.length : 0,
+                })),
+            readKeyed: (topic, from, waitMs) =>
+                this.call(
+                    instance,
+                    `read ${topic}`,
+                    waitMs,
+                    () => this.read(topic, from),
+                    topic === topics.operator
+                        && from === this.records.length,
+                ),
+            readPlain: fail,
+            appendAt: fail,
+            putKeyed: fail,
+            close: () => undefined,
+        };
+    }
+
+    isTroubled(instance: number, nowMs: number, stableMs: number): boolean {
+        const isRecent = (trouble: { readonly atMs: number; readonly durationMs: number; }) =>
+            nowMs >= trouble.atMs && nowMs < trouble.atMs + trouble.durationMs + stableMs;
+        return this.history.storeTroubles.some(isRecent)
+            || this.history.connectionTroubles.some(trouble =>
+                trouble.instances.includes(instance) && isRecent(trouble)
+            );
+    }
+
+    private append(version: number): void {
+        const value = Buffer.from(JSON.stringify({ ...configuration, version }));
+        this.records.push({ offset: this.records.length, key: "config", value });
+        const waiting = [...this.waiters];
+        this.waiters.clear();
+        waiting.forEach(waiter => waiter.wake());
+    }
+
+    private read(topic: string, from: number): ReadResult<KeyedRecord> {
+        const records = topic === topics.operator ? this.records : [];
+        if (from > records.length) {
+            return { kind: "truncated", era: this.era, first: 0 };
+        }
+        const end = records.length;
+        return { kind: "records", era: this.era, records: records.slice(from), next: end, end };
+    }
+
+    private findAway(): StoreTrouble | undefined {
+        const nowMs = this.clock.now();
+        return this.history.storeTroubles.find(trouble => trouble.kind !== "slow" && isDuring(trouble, nowMs));
+    }
+
+    private findCut(instance: number): ConnectionTrouble | undefined {
+        const nowMs = this.clock.now();
+        return this.history.connectionTroubles.find(trouble =>
+            trouble.kind === "cut" && trouble.instances.includes(instance) && isDuring(trouble, nowMs)
+        );
+    }
+
+    private breakConnections({ kind, instances }: ConnectionTrouble): void {
+        instances.map(index => this.instances[index]!).forEach(({ connections }) => {
+            for (const connection of connections.values()) {
+                connection.isSilent = true;
+                if (kind === "reset") {
+                    connection.pending.forEach(fail => fail());
+                }
+            }
+            if (kind === "reset") {
+                connections.clear();
+            }
+        });
+    }
+
+    private breakAll(trouble: StoreTrouble): void {
+        const all = this.history.instances;
+        const instances = Array.from({ length: all }, (_, index) => index);
+        this.breakConnections({ ...trouble, kind: trouble.kind === "hang" ? "silence" : "reset", instances });
+        if (trouble.kind === "return") {
+            this.clock.after(trouble.durationMs, () => this.returnFromCopy());
+        }
+    }
+
+    private returnFromCopy(): void {
+        const newest = this.nextVersion - 1;
+        this.records.splice(Math.max(0, this.records.length - lostRecords));
+        this.era += 1;
+        this.clock.after(rewriteMs, () => {
+            if (newest > 0) {
+                this.append(newest);
+            }
+        });
+    }
+
+    private open(instance: number, key: string): Connection {
+        const { connections } = this.instances[instance]!;
+        const existing = connections.get(key);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const opened: Connection = { isSilent: false, pending: new Set() };
+        connections.set(key, opened);
+        return opened;
+    }
+
+    /** Performs a call as the store's client does: a call without an answer ends its connection. */
+    private call<T extends { readonly kind: string; readonly era: number; }>(
+        instance: number,
+        key: string,
+        waitMs: number,
+        answer: () => T | StoreFailure,
+        isWaiting = false,
+    ): Promise<T | StoreFailure> {
+        this.calls += 1;
+        const { clock } = this;
+        const { connections, era } = this.instances[instance]!;
+        const connection = this.open(instance, key);
+        return new Promise(resolve => {
+            let isSettled = false;
+            const settle = (result: T | StoreFailure) => {
+                if (!isSettled) {
+                    isSettled = true;
+                    cancelTimeout();
+                    connection.pending.delete(fail);
+                    resolve(result);
+                }
+            };
+            const fail = () => {
+                if (connections.get(key) === connection) {
+                    connections.delete(key);
+                }
+                settle({ kind: "failed", cause: "timeout", reason: "no answer" });
+            };
+            const cancelTimeout = clock.after(waitMs + storeAnswerTimeoutMs, fail);
+            connection.pending.add(fail);
+
+            const deliver = () => {
+                const cut = this.findCut(instance);
+                if (cut !== undefined) {
+                    clock.after(cut.atMs + cut.durationMs - clock.now() + retransmissionMs, deliver);
+                    return;
+                }
+                if (connection.isSilent || this.findAway()?.kind === "hang") {
+                    connection.isSilent = true;
+                    return;
+                }
+                const result = this.findAway() === undefined
+                    ? answer()
+                    : { kind: "failed", cause: "answer", reason: "away" } as const;
+                const judged = "era" in result ? era.accept(result.era) : undefined;
+                settle(judged?.isErr === true ? { kind: "failed", cause: "era", reason: judged.error } : result);
+            };
+            const respond = () => {
+                const isSlow = this.history.storeTroubles.some(one =>
+                    one.kind === "slow" && isDuring(one, clock.now())
+                );
+                clock.after(latencyMs + (isSlow ? slownessMs : 0), deliver);
+            };
+            if (isWaiting && waitMs > 0 && this.findAway() === undefined) {
+                let hasResponded = false;
+                const wake = () => {
+                    if (!hasResponded) {
+                        hasResponded = true;
+                        respond();
+                    }
+                };
+                this.waiters.add({ instance, wake });
+                clock.after(waitMs, wake);
+                return;
+            }
+            respond();
+        });
+    }
+}
+
+function startInstance(store: ModelStore, clock: VirtualClock, index: number): Instance {
+    const era = createStoreEra();
+    const ports = createPorts(store.connect(index), era, createCodec(), createEngineOrders());
+    const settings: RouterSettings = createSettings(`entry-${index}`);
+    const context = {
+        settings,
+        ports,
+        clock,
+        random: clock.random,
+        writeLog: () => undefined,
+        metrics: createRouterMetrics(),
+        listDropped: () => new Map<string, number>(),
+    };
+    const views = assembleViews(context);
+    const instance: Instance = { views, connections: new Map(), era };
+    store.instances.push(instance);
+    assembleFeeds(context, views);
+    return instance;
+}
+
+/** Plays a history and checks, at each step, the version in force on each instance that is in touch. */
+export async function playStoreHistory(history: StoreHistory, bounds: FreshnessBounds): Promise<HistoryResult> {
+    const clock = createVirtualClock(history.seed);
+    const store = new ModelStore(clock, history);
+    store.publish();
+    store.start();
+    const instances = Array.from({ length: history.instances }, (_, index) => startInstance(store, clock, index));
+    const highest = instances.map(() => 0);
+    const violations: FreshnessViolation[] = [];
+    const eventTimes = [...history.publishedMs, ...history.connectionTroubles, ...history.storeTroubles]
+        .map(event => typeof event === "number" ? event : event.atMs + event.durationMs);
+    const endMs = Math.max(0, ...eventTimes) + tailMs;
+
+    function check(instance: number): void {
+        const atMs = clock.now();
+        const version = instances[instance]!.views.routes()?.table.version ?? 0;
+        const due = [...store.confirmedMs].filter(([, confirmedMs]) => confirmedMs + bounds.inForceMs < atMs);
+        const isInTouch = atMs >= bounds.stableMs && !store.isTroubled(instance, atMs, bounds.stableMs);
+        const required = Math.max(highest[instance]!, ...(isInTouch ? due.map(([confirmed]) => confirmed) : []));
+        highest[instance] = Math.max(highest[instance]!, version);
+        if (version < required) {
+            violations.push({ instance, atMs, version, required });
+        }
+    }
+
+    while (clock.now() < endMs) {
+        clock.runUntil(clock.now() + stepMs);
+        await setImmediate();
+        instances.forEach((_, index) => check(index));
+    }
+    return { violations, storeCalls: store.calls };
+}
+
+const maxTimeMs = 12_000;
+
+/** Random histories of three instances. */
+export const storeHistoryArbitrary: fc.Arbitrary<StoreHistory> = fc.record({
+    instances: fc.constant(3),
+    connectionTroubles: fc.array(
+        fc.record({
+            kind: fc.constantFrom<ConnectionTrouble["kind"]>("silence", "silence", "reset", "cut"),
+            atMs: fc.integer({ min: 500, max: maxTimeMs }),
+            durationMs: fc.integer({ min: 0, max: 4_000 }),
+            instances: fc.constantFrom<readonly number[]>([0, 1, 2], [0, 1, 2], [0], [1, 2]),
+        }).map(trouble => trouble.kind === "cut" ? trouble : { ...trouble, durationMs: 0 }),
+        { maxLength: 4 },
+    ),
+    storeTroubles: fc.array(
+        fc.record({
+            kind: fc.constantFrom<StoreTrouble["kind"]>("refuse", "hang", "slow", "return"),
+            atMs: fc.integer({ min: 500, max: maxTimeMs }),
+            durationMs: fc.integer({ min: 100, max: 3_000 }),
+        }),
+        { maxLength: 2 },
+    ),
+    publishedMs: fc.array(fc.integer({ min: 300, max: maxTimeMs }), { minLength: 1, maxLength: 8 }),
+    seed: fc.integer({ min: 1, max: 1_000_000 }),
+});
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -20,3 +20,6 @@
 
 /** Milliseconds in one second. */
 export const millisecondsPerSecond = 1_000;
+
+/** Time without an answer after which a call to the store has failed, in milliseconds; a long poll's wait comes on top. */
+export const storeAnswerTimeoutMs = 1_000;
