Do not wait at an offset of an older copy after a read of the store has failed

Cause: after a failed read the follower waited again at the offset that it knew. If the topic had lost records and grown to just that offset, the store held the read back for the full wait, though the offset belonged to an era that was over; only the answer told so.

The first read after a failure now asks the store not to wait, so that a newer record, a missing offset or another era shows at once. It costs one call after a failure.

--- a/features/configurationFreshness.feature
+++ b/features/configurationFreshness.feature
@@ -4,6 +4,9 @@
         When all connections of 3 instances to the store go silent right after a version, and another one is confirmed then
         Then each instance that is in touch has every version that was confirmed 2000 ms before
 
-    @known-red
+    Scenario: A read does not wait at an offset of an older copy after its connection was lost
+        When 3 instances lose their connections while the store comes back from a copy that has grown to their offset
+        Then each instance that is in touch has every version that was confirmed 2000 ms before
+
     Scenario: Versions are in force in time beside random troubles of the store and of the connections to it
         Then over 150 random histories with seed 29, each instance in touch has every version confirmed 2000 ms before and never goes back
--- a/features/steps/configurationFreshnessSteps.ts
+++ b/features/steps/configurationFreshnessSteps.ts
@@ -19,6 +19,10 @@
 
 const histories = new WeakMap<SiteWorld, StoreHistory>();
 
+function listAll(instances: number): readonly number[] {
+    return Array.from({ length: instances }, (_, index) => index);
+}
+
 function describeFirst({ violations }: HistoryResult): string {
     return `${violations.length} violations, the first one: ${JSON.stringify(violations[0])}`;
 }
@@ -26,10 +30,9 @@
 When(
     "all connections of {int} instances to the store go silent right after a version, and another one is confirmed then",
     function(this: SiteWorld, instances: number) {
-        const all = Array.from({ length: instances }, (_, index) => index);
         histories.set(this, {
             instances,
-            connectionTroubles: [{ kind: "silence", atMs: 5_100, durationMs: 0, instances: all }],
+            connectionTroubles: [{ kind: "silence", atMs: 5_100, durationMs: 0, instances: listAll(instances) }],
             storeTroubles: [],
             publishedMs: [5_000, 5_300],
             seed: 1,
@@ -37,6 +40,19 @@
     },
 );
 
+When(
+    "{int} instances lose their connections while the store comes back from a copy that has grown to their offset",
+    function(this: SiteWorld, instances: number) {
+        histories.set(this, {
+            instances,
+            connectionTroubles: [{ kind: "silence", atMs: 501, durationMs: 0, instances: listAll(instances) }],
+            storeTroubles: [{ kind: "return", atMs: 500, durationMs: 100 }],
+            publishedMs: [456, 461],
+            seed: 1,
+        });
+    },
+);
+
 Then(
     "each instance that is in touch has every version that was confirmed {int} ms before",
     async function(this: SiteWorld, inForceMs: number) {
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -57,12 +57,14 @@
     let isStopped = false;
     let position: Position | undefined;
     let cause: ReadCause = "start";
+    let hasFailed = false;
 
     function pause(delayMs: number): Promise<void> {
         return new Promise(resolve => clock.after(delayMs, resolve));
     }
 
     async function recordFailure(failure: StoreFailure, startedMs: number): Promise<void> {
+        hasFailed = true;
         options.onFailure(failure, clock.now() - startedMs);
         await pause(readRetryDelayMs * (1 + options.random()));
     }
@@ -86,11 +88,13 @@
     async function readNext({ era, offset }: Position): Promise<void> {
         const timing = options.timing();
         const startedMs = clock.now();
-        const read = await store.readKeyed(topic, offset, timing.waitMs);
+        // After a failure the offset may belong to an era that is over: the store is to say so at once.
+        const read = await store.readKeyed(topic, offset, hasFailed ? 0 : timing.waitMs);
         if (read.kind === "failed") {
             await recordFailure(read, startedMs);
             return;
         }
+        hasFailed = false;
         if (read.era !== era) {
             readAnew("returned");
             return;
