Let an exception end neither a feed nor a periodic duty on an instance that goes on

Cause: an instance on the platform logs an uncaught exception and goes on. A follower of a topic or of a holder's events, and repeatEvery (heartbeats, the check for a peer with newer state, the pause detector), ended for good when what they call threw; a listener that threw kept the other listeners of a change from it; and an effect whose handler threw left its request without an answer and counted as active.

No trigger was found: the decoders catch their errors, and headers that HTTP rejects are refused by the client first.

repeatStep repeats an asynchronous step and reports what it throws; the topic is then read anew, so that no record is left out. repeatEvery schedules the next run in any case. runSteps reports what a handler throws, and ends once.

--- a/features/steps/partFeedSteps.ts
+++ b/features/steps/partFeedSteps.ts
@@ -93,6 +93,7 @@
         onEvents: events => events.forEach(event => fixture.known.add(event.part)),
         onReset: () => fixture.known.clear(),
         onListed: () => undefined,
+        onError: error => assert.fail(String(error)),
         onReachable: () => undefined,
     });
     await run(fixture);
--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -2,6 +2,7 @@
  * @module
  * Assembles the feeds from the platform's store: the operator's records and the upstreams.
  */
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import type { KeyedRecord, StoreFailure } from "../core/ports/recordStore.js";
 import type { UpstreamChange, UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import { computeLongPollMs } from "../core/store/computeLongPollMs.js";
@@ -149,6 +150,7 @@
             onNewest: records => applyOperatorRecords(records, false),
             onRecords: records => applyOperatorRecords(records, true),
             onFailure: operatorReads.recordFailure,
+            onError: error => logInternalFailure(writeLog, error),
             onTruncated: () => writeLog("topicTruncated", { topic: topics.operator }),
         }),
         followTopic({
@@ -164,6 +166,7 @@
                 views.registry.recordOutage(clock.now());
                 upstreamReads.recordFailure(failure, tookMs);
             },
+            onError: error => logInternalFailure(writeLog, error),
             onTruncated: () => writeLog("topicTruncated", { topic: topics.upstreams }),
         }),
     ];
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -8,6 +8,7 @@
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
 import type { PeerState } from "../core/fleet/peerState.js";
 import type { Prefill } from "../core/fleet/prefillReport.js";
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
 import { type LeaseClaim, unknownEra } from "../core/weights/createRolloutLease.js";
 import { fetchPeerState } from "../io/fleet/fetchPeerState.js";
@@ -210,7 +211,7 @@
             isFetching = true;
             fetchFromPeer().finally(() => {
                 isFetching = false;
-            }).catch((error: unknown) => writeLog("internalFailure", { detail: String(error) }));
+            }).catch((error: unknown) => logInternalFailure(writeLog, error));
         }
     }
 
--- a/src/assemble/assembleParts.ts
+++ b/src/assemble/assembleParts.ts
@@ -2,6 +2,7 @@
  * @module
  * Assembles the feeds of prompt part events from engines and from prompt cache stores.
  */
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { isFeedReader } from "../core/placement/isFeedReader.js";
 import { followPartEvents, type PartHolder } from "../io/parts/followPartEvents.js";
 import type { Fleet } from "./assembleFleet.js";
@@ -80,6 +81,7 @@
                 onEvents: events => views.parts.applyEvents(holder.id, events),
                 onReset: () => views.parts.removeHolder(holder.id),
                 onListed: parts => context.writeLog("partsListed", { holder: holder.id, parts }),
+                onError: error => logInternalFailure(context.writeLog, error),
                 onReachable: isReachable => {
                     feed.isReachable = isReachable;
                 },
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -4,6 +4,7 @@
  */
 import type { RequestListener } from "node:http";
 import { millisecondsPerSecond } from "../core/constants.js";
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createPlacer } from "../core/placement/createPlacer.js";
 import type { AnswerEnd } from "../core/proxy/answerEnd.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
@@ -87,7 +88,7 @@
                 views.weights.recordLoaded(engine.id, model, state.version);
                 views.notifyChange();
             }
-        }).catch((error: unknown) => writeLog("internalFailure", { detail: String(error) }))
+        }).catch((error: unknown) => logInternalFailure(writeLog, error))
             .finally(() => clock.after(weightsReadIntervalMs, () => recentlyRead.delete(engine.id)));
     }
 
--- a/src/assemble/assembleRequests.ts
+++ b/src/assemble/assembleRequests.ts
@@ -11,6 +11,7 @@
 import { runSteps } from "../core/effects/runSteps.js";
 import type { Refusal } from "../core/errors/createRefusal.js";
 import type { WriteLog } from "../core/logEvents/logEventTable.js";
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { routeToVersion } from "../core/orders/routeToVersion.js";
 import { chooseWeightsVersion } from "../core/orders/weightsVersions.js";
 import type { ModelRequestDependencies, ModelRequestReport } from "../core/request/modelRequestTypes.js";
@@ -140,7 +141,7 @@
 
     function failInternally(requestId: string, res: ServerResponse, error: unknown): void {
         metrics.inProgress.dec();
-        writeLog("internalFailure", { requestId, detail: error instanceof Error ? error.stack : String(error) });
+        logInternalFailure(writeLog, error, { requestId });
         res.destroy();
     }
 
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import polka from "polka";
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
 import { peerStatePath } from "../io/fleet/fetchPeerState.js";
 import type { Fleet } from "./assembleFleet.js";
@@ -130,7 +131,7 @@
             res.writeHead(200, { "content-type": context.metrics.registry.contentType });
             res.end(text);
         }).catch((error: unknown) => {
-            writeLog("internalFailure", { detail: String(error) });
+            logInternalFailure(writeLog, error);
             res.destroy();
         });
     });
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -2,6 +2,7 @@
  * @module
  * Assembles the views of an instance: configuration, upstreams, weights, health, prompt parts and use.
  */
+import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createHealthView, type HealthView } from "../core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../core/placement/createPartView.js";
 import { createUpstreamUseTracker, type UpstreamUseTracker } from "../core/placement/createUpstreamUseTracker.js";
@@ -65,7 +66,18 @@
     const parts = createPartView();
     const listeners: (() => void)[] = [];
     let index: RouteIndex | undefined;
-    const notifyChange = () => listeners.forEach(action => action());
+
+    /** A listener that throws keeps neither the others nor the source of the change from going on. */
+    function notifyChange(): void {
+        for (const action of listeners) {
+            try {
+                action();
+            }
+            catch (error) {
+                logInternalFailure(writeLog, error);
+            }
+        }
+    }
 
     function onRegistryEvent(event: RegistryEvent): void {
         const { id, service, address, isDraining } = event.record;
--- a/src/core/effects/runSteps.ts
+++ b/src/core/effects/runSteps.ts
@@ -4,7 +4,7 @@
  */
 import type { Effect, EffectResults } from "./effectTypes.js";
 
-/** Handlers of a set of effects, by kind; each calls `resume` exactly once, synchronously or later. */
+/** Handlers of a set of effects, by kind; each calls `resume` exactly once, synchronously or later, or throws. */
 export type HandlersByKind<E extends { readonly kind: string; }, Results extends Record<E["kind"], unknown>> = {
     readonly [K in E["kind"]]: (
         effect: Extract<E, { readonly kind: K; }>,
@@ -16,12 +16,12 @@
 export type EffectHandlers = HandlersByKind<Effect, EffectResults>;
 
 /**
- * Runs steps to completion.
+ * Runs steps to completion. Exactly one of `onDone` and `onError` is called.
  *
  * @param steps - The generator.
  * @param handlers - Handlers that perform the effects.
  * @param onDone - Receives the steps' return value.
- * @param onError - Receives what the steps threw.
+ * @param onError - Receives what the steps or a handler threw.
  * @example
  * runSteps(serveModelRequest(req, dependencies), handlers, () => undefined, logFailure);
  */
@@ -31,22 +31,43 @@
     onDone: (result: R) => void,
     onError: (err: unknown) => void,
 ): void {
+    let isOver = false;
+
+    function fail(err: unknown): void {
+        if (!isOver) {
+            isOver = true;
+            onError(err);
+        }
+    }
+
+    function handle(effect: E): void {
+        const handler = handlers[effect.kind as E["kind"]] as (effect: E, resume: (result: unknown) => void) => void;
+        try {
+            handler(effect, resume);
+        }
+        catch (err) {
+            fail(err);
+        }
+    }
+
     function resume(result: unknown): void {
+        if (isOver) {
+            return;
+        }
         let step: IteratorResult<E, R>;
         try {
             step = steps.next(result);
         }
         catch (err) {
-            onError(err);
+            fail(err);
             return;
         }
         if (step.done === true) {
+            isOver = true;
             onDone(step.value);
             return;
         }
-        const kind = step.value.kind as E["kind"];
-        const handler = handlers[kind] as (effect: E, resume: (result: unknown) => void) => void;
-        handler(step.value, resume);
+        handle(step.value);
     }
     resume(undefined);
 }
--- a/src/core/logEvents/index.ts
+++ b/src/core/logEvents/index.ts
@@ -3,3 +3,4 @@
  * Numbered log events.
  */
 export * from "./logEventTable.js";
+export * from "./logInternalFailure.js";
--- a/src/core/time/repeatEvery.ts
+++ b/src/core/time/repeatEvery.ts
@@ -5,7 +5,8 @@
 import type { CancelTimer, Clock } from "./clock.js";
 
 /**
- * Repeats an action; the first run is one interval from now, and each interval starts when the previous run ends.
+ * Repeats an action; the first run is one interval from now, and each interval starts when the previous run ends. An
+ * action that throws is repeated nevertheless; what it threw reaches the timer's caller.
  *
  * @param clock - The clock.
  * @param intervalMs - Milliseconds between two runs.
@@ -20,9 +21,13 @@
 
     function schedule(): void {
         cancelTimer = clock.after(intervalMs, () => {
-            action();
-            if (!isStopped) {
-                schedule();
+            try {
+                action();
+            }
+            finally {
+                if (!isStopped) {
+                    schedule();
+                }
             }
         });
     }
--- a/src/io/http/createCallerServer.ts
+++ b/src/io/http/createCallerServer.ts
@@ -12,6 +12,7 @@
 import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
 import type { ErrorKind } from "../../core/errors/errorTable.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
+import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
 import type { MembershipView } from "../../core/membership/memberTypes.js";
 import { isNonIdempotent } from "../../core/request/isNonIdempotent.js";
 import { parseModelBody } from "../../core/request/parseModelBody.js";
@@ -111,7 +112,7 @@
     }
 
     function failInternally(res: ServerResponse, error: unknown, requestId: string): void {
-        dependencies.writeLog("internalFailure", { requestId, detail: String(error) });
+        logInternalFailure(dependencies.writeLog, error, { requestId });
         refuse(res, createRefusal("internalError", ""), requestId, "");
     }
 
--- a/src/io/parts/followPartEvents.ts
+++ b/src/io/parts/followPartEvents.ts
@@ -4,6 +4,7 @@
  */
 import type { PartEvent } from "../../core/placement/createPartView.js";
 import type { Clock } from "../../core/time/clock.js";
+import { repeatStep } from "../_lib/repeatStep.js";
 
 /** A holder of cached prompt parts: an engine, or a cache store. */
 export interface PartHolder {
@@ -52,6 +53,8 @@
     readonly onReset: () => void;
     /** Called with the number of parts after all were listed. */
     readonly onListed: (parts: number) => void;
+    /** Receives what a receiver of events threw; the holder is followed further. */
+    readonly onError: (error: unknown) => void;
     /** Called with whether the holder answers. */
     readonly onReachable: (isReachable: boolean) => void;
 }
@@ -133,12 +136,7 @@
         await pause(result.kind === "events" ? batchDelayMs : idleDelayMs);
     }
 
-    async function follow(): Promise<void> {
-        while (!isStopped) {
-            await step();
-        }
-    }
-    void follow();
+    void repeatStep(step, { clock, isStopped: () => isStopped, onError: options.onError });
     return () => {
         isStopped = true;
     };
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -7,6 +7,7 @@
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
+import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
@@ -179,10 +180,7 @@
             error => {
                 done();
                 releaseUpstream();
-                deps.writeLog("internalFailure", {
-                    requestId: req.id,
-                    detail: error instanceof Error ? error.stack : String(error),
-                });
+                logInternalFailure(deps.writeLog, error, { requestId: req.id });
                 caller.abort();
             },
         );
@@ -227,7 +225,7 @@
     return {
         handle: (req, res) => {
             accept(req, res).catch((error: unknown) => {
-                deps.writeLog("internalFailure", { detail: error instanceof Error ? error.stack : String(error) });
+                logInternalFailure(deps.writeLog, error);
                 res.destroy();
             });
         },
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -5,6 +5,7 @@
 import type { KeyedRecord, RecordStore, StoreFailure } from "../../core/ports/recordStore.js";
 import { readRetryDelayMs } from "../../core/store/computeLongPollMs.js";
 import type { Clock } from "../../core/time/clock.js";
+import { repeatStep } from "../_lib/repeatStep.js";
 
 /** Timing of the reads of newer records. */
 export interface PollTiming {
@@ -31,6 +32,8 @@
     readonly onRecords: (records: readonly KeyedRecord[]) => void;
     /** Receives failed reads, and the milliseconds since each of them began. */
     readonly onFailure: (failure: StoreFailure, tookMs: number) => void;
+    /** Receives what a receiver of records threw; the topic is then read anew, so that no record is left out. */
+    readonly onError: (error: unknown) => void;
     /** Called when records were deleted before they were read; the topic is then read anew. */
     readonly onTruncated: () => void;
 }
@@ -109,13 +112,14 @@
         await pause(timing.intervalMs);
     }
 
-    async function follow(): Promise<void> {
-        while (!isStopped) {
-            await (position === undefined ? readNewest() : readNext(position));
-        }
-    }
-
-    void follow();
+    void repeatStep(() => position === undefined ? readNewest() : readNext(position), {
+        clock,
+        isStopped: () => isStopped,
+        onError: error => {
+            readAnew("start");
+            options.onError(error);
+        },
+    });
     return {
         stop: () => {
             isStopped = true;
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -3,6 +3,7 @@
  * Updates all engines to the target weights while this instance holds the rollout lease.
  */
 import { runSteps } from "../../core/effects/runSteps.js";
+import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
 import type { UpstreamUseTracker } from "../../core/placement/createUpstreamUseTracker.js";
 import type { UpstreamRegistry } from "../../core/registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../../core/registry/upstreamRecord.js";
@@ -160,7 +161,7 @@
 
     function load(engine: UpstreamRecord, target: TargetWeights): void {
         const fail = (error: unknown) => {
-            deps.writeLog("internalFailure", { detail: error instanceof Error ? error.stack : String(error) });
+            logInternalFailure(deps.writeLog, error);
             endLoad(engine, target, "rejected");
         };
         clock.after(reportLeadMs, () => {
@@ -227,7 +228,7 @@
         }
         isChecking = true;
         check().catch((error: unknown) => {
-            deps.writeLog("internalFailure", { detail: error instanceof Error ? error.stack : String(error) });
+            logInternalFailure(deps.writeLog, error);
         }).finally(() => {
             isChecking = false;
         });
