Cut off upstreams that send a head or an event without end, and bound what answers hold

An event is limited to 256 KB, informational heads to 16, and all answers in progress together to 32 MB, beyond which the one that holds most is ended.

--- /dev/null
+++ b/features/endlessAnswers.feature
@@ -0,0 +1,30 @@
+Feature: An upstream that sends bytes without end is cut off
+
+    Scenario Outline: A send whose answer never ends is lost, and its connection is closed
+        Given an upstream that sends <bytes> without end
+        When a caller's <kind> request is sent to it
+        Then the send is lost before its deadline
+        And the upstream counts as failing
+        And it has sent at most 48 MB when its connection is closed
+        And nothing of the answer is held
+
+        Examples:
+            | bytes                        | kind             |
+            | one line of a head           | non-idempotent   |
+            | lines of a head              | non-idempotent   |
+            | informational heads          | non-idempotent   |
+            | bytes that are no answer     | non-idempotent   |
+            | a body without a length      | non-idempotent   |
+            | a chunked body               | non-idempotent   |
+            | an event                     | stream           |
+            | an event                     | resumable stream |
+            | an event in lines            | resumable stream |
+
+    Scenario: When the answers in progress hold too much together, the largest one is ended
+        Given a memory of 1000 bytes for answers in progress
+        When answers hold 300, 500 and 100 bytes, and the smallest one grows to 250
+        Then only the answer of 500 bytes is ended
+        And 550 bytes are held
+
+    Scenario: An event is searched once, whatever its length and the sizes of its chunks
+        Then over 500 random streams with seed 31 the splitter finds the same events as a search of the whole stream
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -12,17 +12,15 @@
 import { createCodec } from "../../platform/createCodec.js";
 import { createHealthView } from "../../src/core/placement/createHealthView.js";
 import type { AnswerEnd } from "../../src/core/proxy/answerEnd.js";
+import { createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
 import type { RequestKind } from "../../src/core/routes/routingTable.js";
 import type { Clock } from "../../src/core/time/clock.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
-import {
-    connectTimeoutMs,
-    createUpstreamSender,
-    type SendToUpstream,
-} from "../../src/io/proxy/createUpstreamSender.js";
+import { connectTimeoutMs, createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
+import type { SendToUpstream } from "../../src/io/proxy/upstreamSenderTypes.js";
 import { connectionEndings, flushMs } from "../support/connectionEndings.js";
 import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -136,6 +134,7 @@
         codec: createCodec(),
         connections: pool,
         health: createHealthView(),
+        answerMemory: createAnswerMemory(32 << 20),
         onAnswerHead: () => undefined,
         onAnswerEnd: (...[, , end]) => ends.push(end),
         onForeignAnswer: () => undefined,
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -7,6 +7,7 @@
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createPlacer } from "../core/placement/createPlacer.js";
 import type { AnswerEnd } from "../core/proxy/answerEnd.js";
+import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
 import type { SendEffect } from "../core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
@@ -23,6 +24,9 @@
 /** Minimum interval between two reads of the weights of one engine, in milliseconds. */
 const weightsReadIntervalMs = 400;
 
+/** Memory for answers that are collected or wait for the end of an event, in bytes, of all requests together. */
+const maxAnswerMemoryBytes = 32 * 1024 * 1024;
+
 /** The proxy. */
 export interface Proxy {
     readonly handle: RequestListener;
@@ -131,6 +135,7 @@
 
     const send = createUpstreamSender({
         clock,
+        answerMemory: createAnswerMemory(maxAnswerMemoryBytes),
         codec: ports.codec,
         connections,
         health: views.health,
--- a/src/core/stream/createEventSplitter.ts
+++ b/src/core/stream/createEventSplitter.ts
@@ -11,6 +11,8 @@
     readonly hasEvents: () => boolean;
     /** Id of the last complete event that has one; undefined when no event had an id. */
     readonly lastId: () => string | undefined;
+    /** Number of bytes that are held until their event is complete. */
+    readonly pendingBytes: () => number;
     /** Number of bytes of an unfinished event at the end; 0 when only comments and line ends follow the last event. */
     readonly unfinishedBytes: () => number;
 }
@@ -23,18 +25,22 @@
 /** Lines of an event stream end with CRLF, LF or CR. */
 const lineEnd = /\r\n|\n|\r/;
 
+/** Bytes before a chunk that decide whether its first byte ends a blank line. */
+const lookbehindBytes = 2;
+
 function isLineEnd(byte: number | undefined): boolean {
     return byte === lineFeed || byte === carriageReturn;
 }
 
-/** Finds the index after the last blank line; 0 when there is none. */
-function findEventsEnd(bytes: Uint8Array): number {
-    for (let index = bytes.length - 1; index > 0; index -= 1) {
-        if (!isLineEnd(bytes[index])) {
+/** Finds the index in `chunk` after the last blank line that ends in it; 0 when there is none. */
+function findEventsEnd(before: Uint8Array, chunk: Uint8Array): number {
+    const byteAt = (index: number) => index < 0 ? before[before.length + index] : chunk[index];
+    for (let index = chunk.length - 1; index >= 0; index -= 1) {
+        if (!isLineEnd(chunk[index])) {
             continue;
         }
-        const isCrlf = bytes[index] === lineFeed && bytes[index - 1] === carriageReturn;
-        const previous = isCrlf ? bytes[index - 2] : bytes[index - 1];
+        const isCrlf = chunk[index] === lineFeed && byteAt(index - 1) === carriageReturn;
+        const previous = isCrlf ? byteAt(index - 2) : byteAt(index - 1);
         if (isLineEnd(previous)) {
             return index + 1;
         }
@@ -51,18 +57,27 @@
     return line?.slice(idField.length).trim();
 }
 
-function concatenate(left: Uint8Array, right: Uint8Array): Uint8Array {
-    if (left.length === 0) {
-        return right;
+function concatenate(chunks: readonly Uint8Array[]): Uint8Array {
+    const [only] = chunks;
+    if (chunks.length === 1 && only !== undefined) {
+        return only;
+    }
+    const joined = new Uint8Array(chunks.reduce((sum, chunk) => sum + chunk.length, 0));
+    let length = 0;
+    for (const chunk of chunks) {
+        joined.set(chunk, length);
+        length += chunk.length;
     }
-    const joined = new Uint8Array(left.length + right.length);
-    joined.set(left, 0);
-    joined.set(right, left.length);
     return joined;
 }
 
+/** Returns the last bytes of a sequence. */
+function takeLast(left: Uint8Array, right: Uint8Array, count: number): Uint8Array {
+    return right.length >= count ? right.subarray(-count) : concatenate([left, right]).subarray(-count);
+}
+
 /**
- * Creates a splitter at the start of a stream.
+ * Creates a splitter at the start of a stream. Each byte is searched once, whatever the length of its event.
  *
  * @returns The splitter.
  * @example
@@ -70,7 +85,10 @@
  */
 export function createEventSplitter(): EventSplitter {
     const decoder = new TextDecoder();
-    let pending: Uint8Array = new Uint8Array(0);
+    /** Chunks of the incomplete event, and their last bytes. */
+    let pending: Uint8Array[] = [];
+    let pendingBytes = 0;
+    let lookbehind: Uint8Array = new Uint8Array(0);
     let hasEvents = false;
     let lastId: string | undefined;
 
@@ -78,22 +96,41 @@
         return decoder.decode(bytes).split(lineEnd);
     }
 
+    function hold(bytes: Uint8Array): void {
+        lookbehind = takeLast(lookbehind, bytes, lookbehindBytes);
+        pending.push(bytes);
+        pendingBytes += bytes.length;
+    }
+
+    function release(): readonly Uint8Array[] {
+        const released = pending;
+        pending = [];
+        pendingBytes = 0;
+        lookbehind = new Uint8Array(0);
+        return released;
+    }
+
+    function takeEvents(chunk: Uint8Array, end: number): Uint8Array {
+        const complete = concatenate([...release(), chunk.subarray(0, end)]);
+        hold(chunk.subarray(end));
+        const lines = readLines(complete);
+        hasEvents ||= hasField(lines);
+        lastId = findLastId(lines) ?? lastId;
+        return complete;
+    }
+
     return {
         push: chunk => {
-            const bytes = concatenate(pending, chunk);
-            const end = findEventsEnd(bytes);
-            pending = bytes.subarray(end);
-            if (end === 0) {
-                return undefined;
+            const end = findEventsEnd(lookbehind, chunk);
+            if (end > 0) {
+                return takeEvents(chunk, end);
             }
-            const complete = bytes.subarray(0, end);
-            const lines = readLines(complete);
-            hasEvents ||= hasField(lines);
-            lastId = findLastId(lines) ?? lastId;
-            return complete;
+            hold(chunk);
+            return undefined;
         },
         hasEvents: () => hasEvents,
         lastId: () => lastId,
-        unfinishedBytes: () => (hasField(readLines(pending)) ? pending.length : 0),
+        pendingBytes: () => pendingBytes,
+        unfinishedBytes: () => (hasField(readLines(concatenate(pending))) ? pendingBytes : 0),
     };
 }
--- a/src/io/proxy/createAnswerCollection.ts
+++ b/src/io/proxy/createAnswerCollection.ts
@@ -8,6 +8,7 @@
 export interface AnswerCollection {
     /** Adds a chunk; returns false when the answer exceeds the size limit. */
     readonly write: (chunk: Buffer) => boolean;
+    readonly heldBytes: () => number;
     /** Returns the answer with the chunks so far as its body. */
     readonly toAnswer: (status: number, headers: readonly HeaderPair[]) => UpstreamAnswer;
 }
@@ -29,6 +30,7 @@
             length += chunk.length;
             return length <= maxAnswerBytes;
         },
+        heldBytes: () => length,
         toAnswer: (status, headers) => ({ status, headers, body: Buffer.concat(chunks) }),
     };
 }
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -19,9 +19,9 @@
 import { readBody } from "../http/readBody.js";
 import { type CheckedHead, checkRequestHead } from "./checkRequestHead.js";
 import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
-import type { SendToUpstream } from "./createUpstreamSender.js";
 import { describeSend, describeSendEnd } from "./describeSend.js";
 import type { ProxyCodec } from "./proxyCodec.js";
+import type { SendToUpstream } from "./upstreamSenderTypes.js";
 
 /** Dependencies of the service. */
 export interface ProxyServiceDependencies {
--- a/src/io/proxy/createStreamDelivery.ts
+++ b/src/io/proxy/createStreamDelivery.ts
@@ -10,7 +10,10 @@
 
 /** Forwards one upstream's part of a stream. */
 export interface StreamDelivery {
-    readonly write: (chunk: Buffer) => void;
+    /** Forwards a chunk; returns false when it belongs to an event that exceeds the size limit. */
+    readonly write: (chunk: Buffer) => boolean;
+    /** Bytes of the incomplete event. */
+    readonly heldBytes: () => number;
     /** Ends the caller's stream as complete. */
     readonly end: () => void;
     /** How far the upstream's events have arrived. */
@@ -30,6 +33,9 @@
     readonly resume: () => void;
 }
 
+/** Largest event, in bytes. */
+const maxEventBytes = 256 * 1024;
+
 /**
  * Creates a delivery that has forwarded nothing yet.
  *
@@ -51,11 +57,16 @@
     return {
         write: chunk => {
             const completeEvents = splitter.push(chunk);
+            if (splitter.pendingBytes() > maxEventBytes) {
+                return false;
+            }
             const bytes = options.isResumable ? completeEvents : chunk;
             if (bytes !== undefined) {
                 forward(bytes);
             }
+            return true;
         },
+        heldBytes: splitter.pendingBytes,
         end: () => {
             caller.startStream(head);
             caller.endStream();
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -4,48 +4,20 @@
  * collected completely.
  */
 import type { Dispatcher } from "undici";
-import type { HealthView } from "../../core/placement/createHealthView.js";
 import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
+import type { AnswerHolding } from "../../core/proxy/createAnswerMemory.js";
 import { findIncompleteReason } from "../../core/proxy/findIncompleteReason.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type { ProxyRequest, RejectionReason, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
-import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import type { CancelTimer } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
 import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
 import { createAnswerCollection } from "./createAnswerCollection.js";
 import type { CallerExchange } from "./createCallerExchange.js";
-import type { ConnectionPool, PooledConnection } from "./createConnectionPool.js";
+import type { PooledConnection } from "./createConnectionPool.js";
 import { createStreamDelivery, type StreamDelivery } from "./createStreamDelivery.js";
-import type { AnswerHead, ProxyCodec } from "./proxyCodec.js";
-
-/** Dependencies of the sender. */
-export interface UpstreamSenderDependencies {
-    readonly clock: Clock;
-    readonly codec: ProxyCodec;
-    readonly connections: ConnectionPool;
-    readonly health: HealthView;
-    /** Receives the head of each answer. */
-    readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
-    /** Receives the time from a send to the head of its answer, in milliseconds. */
-    readonly onHeadTime: (tookMs: number) => void;
-    /** Receives how an answer ended, and why it is incomplete if it is. */
-    readonly onAnswerEnd: (
-        req: ProxyRequest,
-        effect: SendEffect,
-        end: AnswerEnd,
-        incompleteReason: string | undefined,
-    ) => void;
-    /** Receives answers that belong to another request or to none. */
-    readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
-}
-
-/** Sends a request; `onOutcome` is called exactly once. */
-export type SendToUpstream = (
-    req: ProxyRequest,
-    effect: SendEffect,
-    caller: CallerExchange,
-    onOutcome: (outcome: SendOutcome) => void,
-) => void;
+import type { AnswerHead } from "./proxyCodec.js";
+import type { SendToUpstream, UpstreamSenderDependencies } from "./upstreamSenderTypes.js";
 
 /** Connect timeout. It is short because TCP retransmits a lost SYN only after seconds. */
 export const connectTimeoutMs = 400;
@@ -59,6 +31,9 @@
 /** Interval at which a send checks whether its upstream has become unresponsive. */
 const unresponsivePollIntervalMs = 200;
 
+/** Informational heads before an answer. */
+const maxInformationalHeads = 16;
+
 const firstSuccess = 200;
 const firstRedirect = 300;
 
@@ -69,6 +44,8 @@
     private head: AnswerHead | undefined;
     private stream: StreamDelivery | undefined;
     private readonly collection = createAnswerCollection();
+    private readonly holding: AnswerHolding;
+    private informationalHeads = 0;
     private isFinished = false;
     private readonly cancels: CancelTimer[] = [];
     private controller: Dispatcher.DispatchController | undefined;
@@ -80,7 +57,9 @@
         private readonly caller: CallerExchange,
         private readonly connection: PooledConnection,
         private readonly onOutcome: (outcome: SendOutcome) => void,
-    ) {}
+    ) {
+        this.holding = deps.answerMemory.open(() => this.finishLost("the answers in progress hold too much memory"));
+    }
 
     start(): void {
         const { clock, health, codec } = this.deps;
@@ -119,10 +98,14 @@
         status: number,
         headers: Readonly<Record<string, string | string[] | undefined>>,
     ): void {
-        if (this.isFinished || status < firstSuccess) {
+        if (this.isFinished) {
             return;
         }
         this.controller = controller;
+        if (status < firstSuccess) {
+            this.recordInformationalHead();
+            return;
+        }
         const head = this.deps.codec.readAnswer(status, toHeaderPairs(headers), this.upstreamId());
         if (!this.isOwnAnswer(head)) {
             this.deps.onForeignAnswer(this.req, this.effect, head.requestId);
@@ -152,12 +135,14 @@
             return;
         }
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
-        if (this.stream !== undefined) {
-            this.stream.write(chunk);
-            return;
+        const delivery = this.stream ?? this.collection;
+        if (delivery.write(chunk)) {
+            this.holding.set(delivery.heldBytes());
         }
-        if (!this.collection.write(chunk)) {
-            this.finishLost("the answer exceeds the size limit");
+        else {
+            this.finishLost(
+                this.stream === undefined ? "the answer is too large" : "an event of the stream is too large",
+            );
         }
     }
 
@@ -202,6 +187,14 @@
         this.finishLost(err.message);
     }
 
+    /** Undici takes informational heads without end. */
+    private recordInformationalHead(): void {
+        this.informationalHeads += 1;
+        if (this.informationalHeads > maxInformationalHeads) {
+            this.finishLost("too many informational heads");
+        }
+    }
+
     private upstreamId(): string {
         return this.effect.placement.upstream.id;
     }
@@ -270,6 +263,7 @@
         }
         this.isFinished = true;
         this.cancels.forEach(cancel => cancel());
+        this.holding.close();
         this.deps.health.recordEnded(this.upstreamId(), this.req.id);
         const isComplete = outcome.kind === "answered" || outcome.kind === "finished" || outcome.kind === "rejected";
         const isReusable = isComplete && outcome.kind !== "rejected" && this.head !== undefined
--- /dev/null
+++ b/src/io/proxy/upstreamSenderTypes.ts
@@ -0,0 +1,44 @@
+/**
+ * @module
+ * Interface of the sender of requests to upstreams.
+ */
+import type { HealthView } from "../../core/placement/createHealthView.js";
+import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
+import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import type { SendEffect } from "../../core/proxy/proxyEffects.js";
+import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
+import type { Clock } from "../../core/time/clock.js";
+import type { CallerExchange } from "./createCallerExchange.js";
+import type { ConnectionPool } from "./createConnectionPool.js";
+import type { AnswerHead, ProxyCodec } from "./proxyCodec.js";
+
+/** Dependencies of the sender. */
+export interface UpstreamSenderDependencies {
+    readonly clock: Clock;
+    readonly codec: ProxyCodec;
+    readonly connections: ConnectionPool;
+    readonly health: HealthView;
+    /** Memory that answers in progress hold. */
+    readonly answerMemory: AnswerMemory;
+    /** Receives the head of each answer. */
+    readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
+    /** Receives the time from a send to the head of its answer, in milliseconds. */
+    readonly onHeadTime: (tookMs: number) => void;
+    /** Receives how an answer ended, and why it is incomplete if it is. */
+    readonly onAnswerEnd: (
+        req: ProxyRequest,
+        effect: SendEffect,
+        end: AnswerEnd,
+        incompleteReason: string | undefined,
+    ) => void;
+    /** Receives answers that belong to another request or to none. */
+    readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
+}
+
+/** Sends a request; `onOutcome` is called exactly once. */
+export type SendToUpstream = (
+    req: ProxyRequest,
+    effect: SendEffect,
+    caller: CallerExchange,
+    onOutcome: (outcome: SendOutcome) => void,
+) => void;
