--- a/features/endlessAnswers.feature
+++ b/features/endlessAnswers.feature
@@ -28,3 +28,17 @@
 
     Scenario: An event is searched once, whatever its length and the sizes of its chunks
         Then over 500 random streams with seed 31 the splitter finds the same events as a search of the whole stream
+
+    Scenario Outline: A read of <what> fails at its limit when the answer never ends
+        Given a server that answers every call with a body without end
+        When <what> is read from it
+        Then the read has failed, and not for lack of time
+        And it has sent at most 48 MB when its connection is closed
+
+        Examples:
+            | what                    |
+            | a topic of the store    |
+            | the parts of a holder   |
+            | the state of an engine  |
+            | the state of a peer     |
+            | JSON of an outside call |
--- a/src/io/fleet/fetchPeerState.ts
+++ b/src/io/fleet/fetchPeerState.ts
@@ -4,6 +4,7 @@
  */
 import { request } from "undici";
 import { parsePeerState, type PeerState } from "../../core/fleet/peerState.js";
+import { readLimitedBody } from "../_lib/readLimitedBody.js";
 
 /** URL path of the state. */
 export const peerStatePath = "/peer/state";
@@ -11,6 +12,9 @@
 /** Time limit of the call, in milliseconds. */
 const requestTimeoutMs = 800;
 
+/** Largest state, in bytes. */
+const maxStateBytes = 4 * 1024 * 1024;
+
 /**
  * Fetches a peer's state over a new connection, so that an unresponsive one cannot delay it.
  *
@@ -24,7 +28,9 @@
             signal: AbortSignal.timeout(requestTimeoutMs),
             reset: true,
         });
-        return res.statusCode === 200 ? parsePeerState(await res.body.text()) : undefined;
+        return res.statusCode === 200
+            ? parsePeerState((await readLimitedBody(res.body, maxStateBytes)).toString())
+            : undefined;
     }
     catch {
         // The caller retries with this peer or another one, and logs which state it applied and from which peer.
--- a/src/io/platform/callJson.ts
+++ b/src/io/platform/callJson.ts
@@ -7,6 +7,10 @@
 import type { z } from "zod";
 import type { PortFailure } from "../../core/ports/portFailure.js";
 import { classifyCallError } from "../_lib/classifyCallError.js";
+import { readLimitedBody } from "../_lib/readLimitedBody.js";
+
+/** Largest answer, in bytes. */
+const maxAnswerBytes = 32 * 1024 * 1024;
 
 /** One JSON call. */
 export interface JsonCall<T> {
@@ -56,7 +60,11 @@
                 options.body = JSON.stringify(one.body);
             }
             const res = await request(one.url, options);
-            return parseAnswer(res.statusCode, await res.body.text(), one.schema);
+            return parseAnswer(
+                res.statusCode,
+                (await readLimitedBody(res.body, maxAnswerBytes)).toString(),
+                one.schema,
+            );
         }
         catch (error) {
             return err(classifyCallError(error));
