--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -85,9 +85,9 @@
         }
         const update = decoded.value;
         if (update?.kind === "table") {
-            update.rejected.forEach(detail => reject(topics.operator, record, detail));
+            update.problems.forEach(detail => reject(topics.operator, record, detail));
             views.applyTable(update.table, "store", {
-                skippedItems: update.rejected.length,
+                problems: update.problems.length,
                 unreadMs: Number.isFinite(unreadMs) ? Math.round(unreadMs) : undefined,
             });
         }
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -26,8 +26,8 @@
 
 /** How a configuration was read, for the log. */
 export interface TableDetails {
-    /** Number of its items that could not be decoded. */
-    readonly skippedItems: number;
+    /** Number of its items and fields that could not be decoded. */
+    readonly problems: number;
     /** Milliseconds since the read before; undefined at the first read. */
     readonly unreadMs: number | undefined;
 }
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -49,7 +49,7 @@
 
 /** An update from the operator. */
 export type OperatorUpdate =
-    | { readonly kind: "table"; readonly table: RoutingTable; readonly rejected: readonly string[]; }
+    | { readonly kind: "table"; readonly table: RoutingTable; readonly problems: readonly string[]; }
     | { readonly kind: "weights"; readonly model: string; readonly version: number; };
 
 /** Names of topics in the store. */
