Assemble hints and orders of the own interface apart

Behaviour is as before: the lease is wanted under the same conditions, an instance that stops contends no more. The reads of a topic get a type of their own.

--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -25,11 +25,16 @@
 /** Time without an answer after which the store is considered unreachable, in milliseconds. */
 const unreachableAfterMs = 5_500;
 
+/** The reads of one topic. */
+interface ReadTracker {
+    readonly recordRead: () => void;
+    /** Milliseconds since the last read; infinite before the first. */
+    readonly ageMs: () => number;
+    readonly recordFailure: (failure: StoreFailure, tookMs: number) => void;
+}
+
 /** Tracks the age of the last read of a topic, and logs when reads fail for too long and when they succeed again. */
-function trackReads(
-    context: InstanceContext,
-    topic: string,
-): { recordRead: () => void; ageMs: () => number; recordFailure: (failure: StoreFailure, tookMs: number) => void; } {
+function trackReads(context: InstanceContext, topic: string): ReadTracker {
     const { clock, metrics, writeLog } = context;
     let lastReadMs = -Infinity;
     let isUnreachable = false;
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -2,20 +2,15 @@
  * @module
  * Composition root of the daemon: constructs its components and connects them.
  */
-import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { assembleHints } from "./assemble/assembleHints.js";
 import { assembleLimits } from "./assemble/assembleLimits.js";
+import { assembleOrders } from "./assemble/assembleOrders.js";
 import { assembleRequests } from "./assemble/assembleRequests.js";
 import { memoizeByVersion } from "./core/_lib/memoizeByVersion.js";
 import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { reuseEqualLists } from "./core/_lib/reuseEqualLists.js";
-import { applyHintDigest } from "./core/cache/applyHintDigest.js";
-import { createCacheView } from "./core/cache/createCacheView.js";
-import { createEventBackoff } from "./core/cache/createEventBackoff.js";
-import { createHintDigest } from "./core/cache/createHintDigest.js";
-import { createHintExchange } from "./core/cache/createHintExchange.js";
-import { findHintPeers } from "./core/cache/findHintPeers.js";
 import { type Catalogue, findEntry, listEntries } from "./core/catalogue/catalogue.js";
 import type { Upstream } from "./core/catalogue/catalogueEntry.js";
 import { catalogueToSnapshot } from "./core/catalogue/snapshot.js";
@@ -23,20 +18,15 @@
 import type { RestartStatePart, RestartStateProvider } from "./core/lifecycle/restartState.js";
 import { createMembership, type Membership } from "./core/membership/createMembership.js";
 import type { PeerAttachment } from "./core/membership/peerAttachment.js";
-import { rankMembers } from "./core/membership/rankMembers.js";
-import { hasUnfinishedWork } from "./core/orders/hasUnfinishedWork.js";
 import { createRetryBudget } from "./core/request/createRetryBudget.js";
 import { createStreamReaders } from "./core/request/createStreamReaders.js";
 import { createCostRouter } from "./core/routing/createCostRouter.js";
 import { createFrequencySketch } from "./core/routing/createFrequencySketch.js";
-import { createLoadView } from "./core/routing/createLoadView.js";
 import { routingPresets } from "./core/routing/routingPresets.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createDrainTracker } from "./core/upstreams/createDrainTracker.js";
 import { createReportBuffer } from "./core/why/createReportBuffer.js";
-import { pollEngines } from "./io/cache/pollEngines.js";
-import { shareHints } from "./io/cache/shareHints.js";
-import { type CatalogueFollower, followCatalogue } from "./io/catalogue/followCatalogue.js";
+import { followCatalogue } from "./io/catalogue/followCatalogue.js";
 import { maintainSnapshots } from "./io/catalogue/maintainSnapshots.js";
 import { createLogClaims } from "./io/claims/createLogClaims.js";
 import { createSystemClock } from "./io/clock/createSystemClock.js";
@@ -47,9 +37,6 @@
 import { createLogger } from "./io/logging/createLogger.js";
 import { createMetrics } from "./io/metrics/createMetrics.js";
 import { createOperatorService } from "./io/operator/createOperatorService.js";
-import { createWeightStoreView } from "./io/orders/createWeightStoreView.js";
-import { maintainLease } from "./io/orders/maintainLease.js";
-import { runOrders } from "./io/orders/runOrders.js";
 import { createPeerClients } from "./io/peers/createPeerClient.js";
 import { createPeerServer } from "./io/peers/createPeerServer.js";
 import { createPeerTransport } from "./io/peers/createPeerTransport.js";
@@ -82,21 +69,9 @@
 /** Time for the last messages to peers before the process stops, in milliseconds. */
 const finalGossipMs = 100;
 
-/** Number of instances that contend for the lease under which orders are sent. */
-const leaseContenders = 3;
-
 /** Maximum number of ended requests that `reedwardctl why` can explain. */
 const maxReports = 2_000;
 
-/** Maximum size of the digest of hints for a restarted peer, in bytes. */
-const hintDigestBytes = 1 << 17;
-
-/** Maximum size of a payload of hints for one peer, in bytes. */
-const hintPayloadBytes = 1 << 12;
-
-/** Maximum number of peers that receive hints about this instance's sends. */
-const maxHintPeers = 32;
-
 /** Counters in one row of the count-min sketch that finds frequent prefixes. */
 const sketchWidth = 4_096;
 
@@ -106,9 +81,6 @@
 /** Maximum age of the membership view that routing uses, in milliseconds. */
 const maxViewAgeMs = 1_000;
 
-/** Time for which an engine is polled after its last request, in milliseconds. */
-const pollWindowMs = 60_000;
-
 /** Maximum size of a buffered response, in bytes. */
 const maxAnswerBytes = 32 << 20;
 
@@ -184,14 +156,6 @@
         random: Math.random,
         silenceTimeoutMs: settings.silenceTimeoutMs,
     };
-    const cacheView = createCacheView({
-        maxBytes: settings.hintMemoryBytes,
-        sampleEvery: 1,
-        onInvalidate: (_, reason) => metrics.invalidatedHints.inc({ reason }),
-    });
-    const loadView = createLoadView();
-    const hintExchange = createHintExchange({ maxBytes: hintPayloadBytes, maxPeers: maxHintPeers });
-    const lastUsedMs = new Map<string, number>();
     const reports = createReportBuffer(maxReports);
     let callerAddress = settings.advertise ?? settings.listen;
     let peerAddress = settings.peerAdvertise ?? settings.peerListen;
@@ -199,7 +163,6 @@
     let follower: ReturnType<typeof followCatalogue> | undefined;
     let stopSnapshots: () => void = () => undefined;
     let stopOrders: () => void = () => undefined;
-    let stopHints: () => void = () => undefined;
     let engineWatch: EngineWatch | undefined;
     let resolveDrained: () => void = () => undefined;
     let fleet: Membership | undefined;
@@ -229,12 +192,19 @@
         peers,
     });
 
+    const hints = assembleHints({
+        settings,
+        clock,
+        metrics,
+        catalogue,
+        membership,
+        recentMembership,
+        engines,
+        peers,
+    });
+
     /** State that a restarted instance copies from a peer. */
-    const restartSlots: readonly RestartStateProvider[] = [{
-        name: "hints",
-        collect: () => createHintDigest(cacheView, clock.now(), hintDigestBytes),
-        apply: payload => applyHintDigest(cacheView, payload, clock.now()),
-    }, limits.restartState];
+    const restartSlots: readonly RestartStateProvider[] = [hints.restartState, limits.restartState];
 
     const listByRole = {
         engine: memoizeByVersion(catalogue, id => listUpstreams(catalogue(), "engine", id)),
@@ -246,7 +216,6 @@
     }
 
     const listCandidates = reuseEqualLists(model => listServing(model, "engine"));
-    const findPeers = memoizeByVersion(recentMembership, customer => findHintPeers(recentMembership(), customer));
     const readSpread = memoizeByVersion(recentMembership, () => {
         const { members } = recentMembership();
         const failureDomains = new Set(members.map(member => member.failureDomain)).size;
@@ -254,19 +223,12 @@
     });
     const router = createCostRouter({
         listCandidates,
-        cache: cacheView,
-        load: loadView,
+        cache: hints.cacheView,
+        load: hints.loadView,
         frequencies: createFrequencySketch({ width: sketchWidth, decayMs: sketchDecayMs }),
         preset: () => routingPresets[findEntry(catalogue(), "policy", "policy")?.preset ?? "lectura"],
         readSpread: () => readSpread(""),
-        onPlaced: (req, upstream, blocks) => {
-            lastUsedMs.set(upstream, clock.now());
-            const incarnation = cacheView.findIncarnation(upstream);
-            if (incarnation !== undefined) {
-                const peersOfCustomer = findPeers(req.scope.customer);
-                hintExchange.enqueue(peersOfCustomer, { upstream, incarnation, blocks, atMs: clock.now() });
-            }
-        },
+        onPlaced: hints.recordPlaced,
         now: clock.now,
         random: Math.random,
     });
@@ -282,7 +244,7 @@
         reports,
         exchange: exchangeDependencies,
         router,
-        loadView,
+        loadView: hints.loadView,
         retrying: { readers, ...retrying },
         listServices: service => listServing(service, "service"),
     });
@@ -338,7 +300,7 @@
             probe: req => fleet!.handleProbe(req),
             relay: req => new Promise(resolve => fleet!.handleRelay(req, resolve)),
             listMembers: () => membership().members,
-            applyHints: payload => applyHintDigest(cacheView, payload, clock.now()),
+            applyHints: hints.applyPayload,
             limits: limits.service,
             exchange: () => ({
                 catalogue: isCatalogueLoaded() ? catalogueToSnapshot(catalogue()) : undefined,
@@ -374,94 +336,6 @@
         },
     );
 
-    /** Only a few instances contend for the lease, so that not all of them read the log while orders are pending. */
-    function isContender(): boolean {
-        return !isStopping
-            && rankMembers(membership().members, "orders").slice(0, leaseContenders).includes(settings.instance);
-    }
-
-    function startOrders(loaded: CatalogueFollower): void {
-        if (log === undefined) {
-            return;
-        }
-        const lease = maintainLease({
-            log,
-            clock,
-            random: Math.random,
-            createSession: randomUUID,
-            writeLog,
-            instance: settings.instance,
-            isWanted: () => fleet !== undefined && hasUnfinishedWork(loaded.current()) && isContender(),
-        });
-        const readVersions = settings.weightStoreUrl === undefined
-            ? undefined
-            : createWeightVersionReader(settings.weightStoreUrl, json.call);
-        const stopRunning = runOrders({
-            log,
-            clock,
-            engines,
-            lease,
-            instance: settings.instance,
-            catalogue: loaded.current,
-            countOrder: (action, result) => metrics.orders.inc({ action, result }),
-            hasWeights: createWeightStoreView(readVersions, clock).has,
-            writeLog,
-        });
-        stopOrders = () => {
-            stopRunning();
-            lease.stop();
-        };
-    }
-
-    /** Lists recently used engines, and drops the state of engines that are unused or gone from the catalogue. */
-    function listUsed(): readonly Upstream[] {
-        const used: Upstream[] = [];
-        for (const [id, atMs] of lastUsedMs) {
-            const upstream = findEntry(catalogue(), "upstream", id);
-            if (upstream === undefined) {
-                cacheView.remove(id);
-                loadView.remove(id);
-            }
-            if (upstream === undefined || clock.now() - atMs > pollWindowMs) {
-                lastUsedMs.delete(id);
-                continue;
-            }
-            used.push(upstream);
-        }
-        return used;
-    }
-
-    function startHints(): void {
-        const stopPolling = pollEngines({
-            clock,
-            engines,
-            listUsed,
-            cache: cacheView,
-            backoff: createEventBackoff(),
-            onLoad: (upstream, load) => {
-                cacheView.recordIncarnation(upstream.id, load.incarnation);
-                cacheView.recordWeightsVersion(upstream.id, load.weightsVersion);
-                loadView.recordReport(upstream, load, clock.now());
-            },
-            eventBytesPerSecond: settings.eventBytesPerSecond,
-        });
-        const stopSharing = shareHints({
-            clock,
-            exchange: hintExchange,
-            send: async (instance, payload) => {
-                const peer = membership().members.find(member => member.instance === instance);
-                if (peer !== undefined) {
-                    await peers.connect(peer.peerAddress).peer.noteHints.mutate({ payload });
-                }
-            },
-            onSent: bytes => metrics.hintBytesSent.inc(bytes),
-        });
-        stopHints = () => {
-            stopPolling();
-            stopSharing();
-        };
-    }
-
     async function start(): Promise<void> {
         pauseDetector.start();
         claims.start();
@@ -478,6 +352,19 @@
         });
         const loaded = follower;
         if (log !== undefined) {
+            stopOrders = assembleOrders({
+                instance: settings.instance,
+                log,
+                clock,
+                writeLog,
+                metrics,
+                engines,
+                follower,
+                membership: () => isStopping ? undefined : fleet?.view(),
+                readVersions: settings.weightStoreUrl === undefined
+                    ? undefined
+                    : createWeightVersionReader(settings.weightStoreUrl, json.call),
+            });
             stopSnapshots = maintainSnapshots({
                 log,
                 clock,
@@ -488,14 +375,13 @@
                 retentionMs: settings.logRetentionMs,
             });
         }
-        startOrders(loaded);
         limits.start();
         const boundPeer = await listen(peerServer, settings.peerListen);
         peerAddress = settings.peerAdvertise ?? boundPeer;
         const boundCaller = await listen(callerServer, settings.listen);
         callerAddress = settings.advertise ?? boundCaller;
         joinFleet(follower.adopt);
-        startHints();
+        hints.start();
         writeLog("started", { callerAddress, peerAddress });
     }
 
@@ -573,7 +459,7 @@
         pauseDetector.stop();
         stopSnapshots();
         stopOrders();
-        stopHints();
+        hints.stop();
         for (const server of [callerServer, peerServer]) {
             server.close();
             server.closeAllConnections();
