Check that the store's client drops a connection that has gone silent

The model of the store takes it that a read without an answer fails at its time limit and that the next one uses a new connection. A scenario over loopback shows it for the real client, behind a proxy whose open connections go silent for good.

--- a/features/configurationFreshness.feature
+++ b/features/configurationFreshness.feature
@@ -8,5 +8,11 @@
         When 3 instances lose their connections while the store comes back from a copy that has grown to their offset
         Then each instance that is in touch has every version that was confirmed 2000 ms before
 
+    Scenario: A read on a connection that has gone silent fails at its time limit, and the next one uses a new connection
+        Given a client of the store that waits for the next record behind a network element
+        When its open connections go silent and a record is appended
+        Then the read fails for lack of an answer
+        And the next read returns the record on a new connection
+
     Scenario: Versions are in force in time beside random troubles of the store and of the connections to it
         Then over 150 random histories with seed 29, each instance in touch has every version confirmed 2000 ms before and never goes back
--- a/features/steps/configurationFreshnessSteps.ts
+++ b/features/steps/configurationFreshnessSteps.ts
@@ -2,9 +2,14 @@
  * @module
  * Steps that check which version of the configuration is in force on instances beside troubles of the store.
  */
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import { type FakeStore, startFakeStore } from "../../fakes/startFakeStore.js";
+import { type SilencingProxy, startSilencingProxy } from "../../fakes/startSilencingProxy.js";
+import { createStoreClient } from "../../platform/createStoreClient.js";
+import type { KeyedRecord, ReadResult, RecordStore } from "../../src/core/ports/recordStore.js";
+import { createStoreEra } from "../../src/core/store/createStoreEra.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import {
     type FreshnessBounds,
@@ -77,3 +82,45 @@
     { timeout: 120_000 },
     (runs: number, seed: number, inForceMs: number) => checkHistories(runs, seed, { stableMs, inForceMs }),
 );
+
+interface ClientFixture {
+    readonly store: FakeStore;
+    readonly proxy: SilencingProxy;
+    readonly client: RecordStore;
+    /** The read that waits. */
+    readonly waiting: Promise<ReadResult<KeyedRecord>>;
+}
+
+const clients = new WeakMap<SiteWorld, ClientFixture>();
+
+const topic = "keyed.op";
+
+Given("a client of the store that waits for the next record behind a network element", async function(this: SiteWorld) {
+    const store = await startFakeStore();
+    const proxy = await startSilencingProxy(store.address);
+    const client = createStoreClient(proxy.address, createStoreEra().accept);
+    this.cleanups.push(() => Promise.resolve(client.close()), () => proxy.stop(), () => store.stop());
+    // The connection is open once it has carried a read.
+    await client.readKeyed(topic, 0, 0);
+    clients.set(this, { store, proxy, client, waiting: client.readKeyed(topic, 0, 200) });
+});
+
+When("its open connections go silent and a record is appended", function(this: SiteWorld) {
+    const { proxy, store } = clients.get(this)!;
+    proxy.silenceOpen();
+    store.put(topic, "config", {});
+});
+
+Then("the read fails for lack of an answer", async function(this: SiteWorld) {
+    const read = await clients.get(this)!.waiting;
+    assert.ok(read.kind === "failed");
+    assert.equal(read.cause, "timeout");
+});
+
+Then("the next read returns the record on a new connection", async function(this: SiteWorld) {
+    const { client, proxy } = clients.get(this)!;
+    const read = await client.readKeyed(topic, 0, 0);
+    assert.ok(read.kind === "records");
+    assert.deepEqual(read.records.map(record => record.key), ["config"]);
+    assert.equal(proxy.countConnections(), 2);
+});
