--- a/src/core/stream/createEventSplitter.ts
+++ b/src/core/stream/createEventSplitter.ts
@@ -25,23 +25,34 @@
 /** Lines of an event stream end with CRLF, LF or CR. */
 const lineEnd = /\r\n|\n|\r/;
 
-/** Bytes before a chunk that decide whether its first byte ends a blank line. */
-const lookbehindBytes = 2;
-
 function isLineEnd(byte: number | undefined): boolean {
     return byte === lineFeed || byte === carriageReturn;
 }
 
+/** The last two bytes before a chunk; undefined where the stream or its next event begins. */
+interface Lookbehind {
+    readonly last: number | undefined;
+    readonly secondLast: number | undefined;
+}
+
+const noLookbehind: Lookbehind = { last: undefined, secondLast: undefined };
+
+/** Returns a byte of the chunk, or one before it at a negative index. */
+function byteAt(before: Lookbehind, chunk: Uint8Array, index: number): number | undefined {
+    if (index >= 0) {
+        return chunk[index];
+    }
+    return index === -1 ? before.last : before.secondLast;
+}
+
 /** Finds the index in `chunk` after the last blank line that ends in it; 0 when there is none. */
-function findEventsEnd(before: Uint8Array, chunk: Uint8Array): number {
-    const byteAt = (index: number) => index < 0 ? before[before.length + index] : chunk[index];
+function findEventsEnd(before: Lookbehind, chunk: Uint8Array): number {
     for (let index = chunk.length - 1; index >= 0; index -= 1) {
         if (!isLineEnd(chunk[index])) {
             continue;
         }
-        const isCrlf = chunk[index] === lineFeed && byteAt(index - 1) === carriageReturn;
-        const previous = isCrlf ? byteAt(index - 2) : byteAt(index - 1);
-        if (isLineEnd(previous)) {
+        const isCrlf = chunk[index] === lineFeed && byteAt(before, chunk, index - 1) === carriageReturn;
+        if (isLineEnd(byteAt(before, chunk, isCrlf ? index - 2 : index - 1))) {
             return index + 1;
         }
     }
@@ -71,11 +82,6 @@
     return joined;
 }
 
-/** Returns the last bytes of a sequence. */
-function takeLast(left: Uint8Array, right: Uint8Array, count: number): Uint8Array {
-    return right.length >= count ? right.subarray(-count) : concatenate([left, right]).subarray(-count);
-}
-
 /**
  * Creates a splitter at the start of a stream. Each byte is searched once, whatever the length of its event.
  *
@@ -88,7 +94,7 @@
     /** Chunks of the incomplete event, and their last bytes. */
     let pending: Uint8Array[] = [];
     let pendingBytes = 0;
-    let lookbehind: Uint8Array = new Uint8Array(0);
+    let lookbehind = noLookbehind;
     let hasEvents = false;
     let lastId: string | undefined;
 
@@ -97,22 +103,32 @@
     }
 
     function hold(bytes: Uint8Array): void {
-        lookbehind = takeLast(lookbehind, bytes, lookbehindBytes);
-        pending.push(bytes);
-        pendingBytes += bytes.length;
+        const last = bytes.at(-1);
+        if (last !== undefined) {
+            lookbehind = { last, secondLast: bytes.at(-2) ?? lookbehind.last };
+            pending.push(bytes);
+            pendingBytes += bytes.length;
+        }
     }
 
+    /** Returns the chunks of the incomplete event, and begins the next event. */
     function release(): readonly Uint8Array[] {
         const released = pending;
         pending = [];
         pendingBytes = 0;
-        lookbehind = new Uint8Array(0);
+        lookbehind = noLookbehind;
         return released;
     }
 
+    function completeWith(bytes: Uint8Array): Uint8Array {
+        return pendingBytes === 0 ? bytes : concatenate([...release(), bytes]);
+    }
+
     function takeEvents(chunk: Uint8Array, end: number): Uint8Array {
-        const complete = concatenate([...release(), chunk.subarray(0, end)]);
-        hold(chunk.subarray(end));
+        const complete = completeWith(end === chunk.length ? chunk : chunk.subarray(0, end));
+        if (end < chunk.length) {
+            hold(chunk.subarray(end));
+        }
         const lines = readLines(complete);
         hasEvents ||= hasField(lines);
         lastId = findLastId(lines) ?? lastId;
