Split the calls of the store's model, and check that it detects a wait that is too long

The model's call was one function of 60 lines; beginning an exchange, holding an answer back, responding and delivering are separate now. The check is also run on instances that take the stable window for 9 s, and has to fail there.

--- a/features/configurationFreshness.feature
+++ b/features/configurationFreshness.feature
@@ -16,3 +16,4 @@
 
     Scenario: Versions are in force in time beside random troubles of the store and of the connections to it
         Then over 150 random histories with seed 29, each instance in touch has every version confirmed 2000 ms before and never goes back
+        And the same check detects instances that take the stable window for 9000 ms
--- a/features/steps/configurationFreshnessSteps.ts
+++ b/features/steps/configurationFreshnessSteps.ts
@@ -66,6 +66,17 @@
     },
 );
 
+Then(
+    "the same check detects instances that take the stable window for {int} ms",
+    { timeout: 120_000 },
+    async (statedStableMs: number) => {
+        await assert.rejects(
+            checkHistories(150, 29, { stableMs, inForceMs: 2_000, statedStableMs }),
+            /Property failed/,
+        );
+    },
+);
+
 async function checkHistories(runs: number, seed: number, bounds: FreshnessBounds): Promise<void> {
     await fc.assert(
         fc.asyncProperty(storeHistoryArbitrary, async history => {
--- a/features/support/storeHistories.ts
+++ b/features/support/storeHistories.ts
@@ -14,7 +14,13 @@
 import { assembleViews, type InstanceViews } from "../../src/assemble/assembleViews.js";
 import type { RouterSettings } from "../../src/assemble/routerPorts.js";
 import { storeAnswerTimeoutMs } from "../../src/core/constants.js";
-import type { KeyedRecord, ReadResult, RecordStore, StoreFailure } from "../../src/core/ports/recordStore.js";
+import type {
+    KeyedRecord,
+    NewestResult,
+    ReadResult,
+    RecordStore,
+    StoreFailure,
+} from "../../src/core/ports/recordStore.js";
 import { createStoreEra, type StoreEra } from "../../src/core/store/createStoreEra.js";
 import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
 import { configuration, createSettings } from "./platformFixture.js";
@@ -47,6 +53,8 @@
 
 /** Bounds that the platform states, in milliseconds. */
 export interface FreshnessBounds {
+    /** Stable window as the instances know it; another one than `stableMs` is a fault that the check has to detect. */
+    readonly statedStableMs?: number;
     /** Time without trouble after which an instance counts as in touch. */
     readonly stableMs: number;
     /** Time from the confirmation of a version until it is in force. */
@@ -68,15 +76,23 @@
     readonly operatorReads: number;
 }
 
+type NewestRecords = Exclude<NewestResult, StoreFailure>;
+
 interface Connection {
     isSilent: boolean;
     /** Fails the calls in progress. */
     readonly pending: Set<() => void>;
 }
 
-interface Waiter {
+/** A call in progress. */
+interface Exchange<T> {
     readonly instance: number;
-    readonly wake: () => void;
+    readonly connection: Connection;
+    readonly settle: (result: T | StoreFailure) => void;
+}
+
+interface EraStated {
+    readonly era: number;
 }
 
 interface Instance {
@@ -116,7 +132,8 @@
     readonly confirmedMs = new Map<number, number>();
     operatorReads = 0;
     private readonly records: KeyedRecord[] = [];
-    private readonly waiters = new Set<Waiter>();
+    /** Answers that are held back until there is a record. */
+    private readonly heldBack = new Set<() => void>();
     private era = 1;
     private nextVersion = 1;
 
@@ -149,21 +166,16 @@
             Promise.resolve({ kind: "failed", cause: "answer", reason: "not used here" });
         return {
             readNewest: topic =>
-                this.call(instance, `newest ${topic}`, 0, () => ({
+                this.call(instance, `newest ${topic}`, 0, (): NewestRecords => ({
                     kind: "newest",
                     era: this.era,
                     records: topic === topics.operator ? this.records.slice(-1) : [],
                     end: topic === topics.operator ? this.records.length : 0,
                 })),
-            readKeyed: (topic, from, waitMs) =>
-                this.call(
-                    instance,
-                    `read ${topic}`,
-                    waitMs,
-                    () => this.read(topic, from),
-                    topic === topics.operator
-                        && from === this.records.length,
-                ),
+            readKeyed: (topic, from, waitMs) => {
+                const isAtEnd = topic === topics.operator && from === this.records.length;
+                return this.call(instance, `read ${topic}`, waitMs, () => this.read(topic, from), isAtEnd);
+            },
             readPlain: fail,
             appendAt: fail,
             putKeyed: fail,
@@ -183,12 +195,12 @@
     private append(version: number): void {
         const value = Buffer.from(JSON.stringify({ ...configuration, version }));
         this.records.push({ offset: this.records.length, key: "config", value });
-        const waiting = [...this.waiters];
-        this.waiters.clear();
-        waiting.forEach(waiter => waiter.wake());
+        const held = [...this.heldBack];
+        this.heldBack.clear();
+        held.forEach(wake => wake());
     }
 
-    private read(topic: string, from: number): ReadResult<KeyedRecord> {
+    private read(topic: string, from: number): Exclude<ReadResult<KeyedRecord>, StoreFailure> {
         const records = topic === topics.operator ? this.records : [];
         if (from > records.length) {
             return { kind: "truncated", era: this.era, first: 0 };
@@ -224,8 +236,7 @@
     }
 
     private breakAll(trouble: StoreTrouble): void {
-        const all = this.history.instances;
-        const instances = Array.from({ length: all }, (_, index) => index);
+        const instances = this.instances.map((_, index) => index);
         this.breakConnections({ ...trouble, kind: trouble.kind === "hang" ? "silence" : "reset", instances });
         if (trouble.kind === "return") {
             this.clock.after(trouble.durationMs, () => this.returnFromCopy());
@@ -249,80 +260,97 @@
         return opened;
     }
 
-    /** Performs a call as the store's client does: a call without an answer ends its connection. */
-    private call<T extends { readonly kind: string; readonly era: number; }>(
+    /** Performs a call as the store's client does; `isHeld` holds the answer back until there is a record. */
+    private call<T extends EraStated>(
         instance: number,
         key: string,
         waitMs: number,
-        answer: () => T | StoreFailure,
-        isWaiting = false,
+        answer: () => T,
+        isHeld = false,
     ): Promise<T | StoreFailure> {
         this.operatorReads += key.endsWith(topics.operator) ? 1 : 0;
-        const { clock } = this;
-        const { connections, era } = this.instances[instance]!;
-        const connection = this.open(instance, key);
         return new Promise(resolve => {
-            let isSettled = false;
-            const settle = (result: T | StoreFailure) => {
-                if (!isSettled) {
-                    isSettled = true;
-                    cancelTimeout();
-                    connection.pending.delete(fail);
-                    resolve(result);
-                }
-            };
-            const fail = () => {
-                if (connections.get(key) === connection) {
-                    connections.delete(key);
-                }
-                settle({ kind: "failed", cause: "timeout", reason: "no answer" });
-            };
-            const cancelTimeout = clock.after(waitMs + storeAnswerTimeoutMs, fail);
-            connection.pending.add(fail);
-
-            const deliver = () => {
-                const cut = this.findCut(instance);
-                if (cut !== undefined) {
-                    clock.after(cut.atMs + cut.durationMs - clock.now() + retransmissionMs, deliver);
-                    return;
-                }
-                if (connection.isSilent || this.findAway()?.kind === "hang") {
-                    connection.isSilent = true;
-                    return;
-                }
-                const result = this.findAway() === undefined
-                    ? answer()
-                    : { kind: "failed", cause: "answer", reason: "away" } as const;
-                const judged = "era" in result ? era.accept(result.era) : undefined;
-                settle(judged?.isErr === true ? { kind: "failed", cause: "era", reason: judged.error } : result);
-            };
-            const respond = () => {
-                const isSlow = this.history.storeTroubles.some(one =>
-                    one.kind === "slow" && isDuring(one, clock.now())
-                );
-                clock.after(latencyMs + (isSlow ? slownessMs : 0), deliver);
-            };
-            if (isWaiting && waitMs > 0 && this.findAway() === undefined) {
-                let hasResponded = false;
-                const wake = () => {
-                    if (!hasResponded) {
-                        hasResponded = true;
-                        respond();
-                    }
-                };
-                this.waiters.add({ instance, wake });
-                clock.after(waitMs, wake);
-                return;
+            const exchange = this.beginExchange(instance, key, waitMs + storeAnswerTimeoutMs, resolve);
+            if (isHeld && waitMs > 0 && this.findAway() === undefined) {
+                this.holdBack(waitMs, () => this.respond(exchange, answer));
+            }
+            else {
+                this.respond(exchange, answer);
             }
-            respond();
         });
     }
+
+    /** Sends a call; one without an answer in time ends its connection. */
+    private beginExchange<T>(
+        instance: number,
+        key: string,
+        timeoutMs: number,
+        resolve: (result: T | StoreFailure) => void,
+    ): Exchange<T> {
+        const { connections } = this.instances[instance]!;
+        const connection = this.open(instance, key);
+        const settle = (result: T | StoreFailure) => {
+            cancelTimeout();
+            connection.pending.delete(fail);
+            // A promise keeps its first result.
+            resolve(result);
+        };
+        const fail = () => {
+            if (connections.get(key) === connection) {
+                connections.delete(key);
+            }
+            settle({ kind: "failed", cause: "timeout", reason: "no answer" });
+        };
+        const cancelTimeout = this.clock.after(timeoutMs, fail);
+        connection.pending.add(fail);
+        return { instance, connection, settle };
+    }
+
+    private holdBack(waitMs: number, respond: () => void): void {
+        let hasResponded = false;
+        const wake = () => {
+            if (!hasResponded) {
+                hasResponded = true;
+                respond();
+            }
+        };
+        this.heldBack.add(wake);
+        this.clock.after(waitMs, wake);
+    }
+
+    private respond<T extends EraStated>(exchange: Exchange<T>, answer: () => T): void {
+        const { clock } = this;
+        const isSlow = this.history.storeTroubles.some(one => one.kind === "slow" && isDuring(one, clock.now()));
+        clock.after(latencyMs + (isSlow ? slownessMs : 0), () => this.deliver(exchange, answer));
+    }
+
+    private deliver<T extends EraStated>(exchange: Exchange<T>, answer: () => T): void {
+        const { instance, connection, settle } = exchange;
+        const cut = this.findCut(instance);
+        if (cut !== undefined) {
+            const restMs = cut.atMs + cut.durationMs - this.clock.now();
+            this.clock.after(restMs + retransmissionMs, () => this.deliver(exchange, answer));
+            return;
+        }
+        const away = this.findAway();
+        connection.isSilent ||= away?.kind === "hang";
+        if (connection.isSilent) {
+            return;
+        }
+        if (away !== undefined) {
+            settle({ kind: "failed", cause: "answer", reason: "away" });
+            return;
+        }
+        const result = answer();
+        const judged = this.instances[instance]!.era.accept(result.era);
+        settle(judged.isErr ? { kind: "failed", cause: "era", reason: judged.error } : result);
+    }
 }
 
-function startInstance(store: ModelStore, clock: VirtualClock, index: number): Instance {
+function startInstance(store: ModelStore, clock: VirtualClock, index: number, reconnectLimitMs: number): Instance {
     const era = createStoreEra();
     const ports = createPorts(store.connect(index), era, createCodec(), createEngineOrders());
-    const settings: RouterSettings = createSettings(`entry-${index}`);
+    const settings: RouterSettings = { ...createSettings(`entry-${index}`), reconnectLimitMs };
     const context = {
         settings,
         ports,
@@ -345,7 +373,11 @@
     const store = new ModelStore(clock, history);
     store.publish();
     store.start();
-    const instances = Array.from({ length: history.instances }, (_, index) => startInstance(store, clock, index));
+    const statedStableMs = bounds.statedStableMs ?? bounds.stableMs;
+    const instances = Array.from(
+        { length: history.instances },
+        (_, index) => startInstance(store, clock, index, statedStableMs),
+    );
     const highest = instances.map(() => 0);
     const violations: FreshnessViolation[] = [];
     const eventTimes = [...history.publishedMs, ...history.connectionTroubles, ...history.storeTroubles]
