--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -6,7 +6,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { createEngineOrders } from "../../platform/createEngineOrders.js";
@@ -18,7 +18,7 @@
 import { createStoreEra } from "../../src/core/store/createStoreEra.js";
 import { createEventSplitter } from "../../src/core/stream/createEventSplitter.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
-import { fetchPeerState } from "../../src/io/fleet/fetchPeerState.js";
+import { createPeerStateReader } from "../../src/io/fleet/createPeerStateReader.js";
 import { createCallJson } from "../../src/io/platform/callJson.js";
 import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
@@ -308,7 +308,7 @@
         return state === undefined ? "no state" : undefined;
     }],
     ["the state of a peer", async (address: string) => {
-        const state = await fetchPeerState(address, 0);
+        const state = await createPeerStateReader().read(address, { tableVersion: 0, upstreamsDigest: "" });
         return state === undefined ? "no state" : undefined;
     }],
     ["JSON of an outside call", async (address: string) => {
--- a/src/core/catalogue/catalogueEntry.ts
+++ b/src/core/catalogue/catalogueEntry.ts
@@ -2,7 +2,7 @@
  * @module
  * The catalogue's entries and changes, with the schemas that validate them in log records.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { identifier } from "./identifier.js";
 
 const hostAndPort = z.string().regex(
--- a/src/core/catalogue/identifier.ts
+++ b/src/core/catalogue/identifier.ts
@@ -2,7 +2,7 @@
  * @module
  * Format of the ids in the catalogue.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of an id. */
 export const identifier = z.string().regex(
--- a/src/core/catalogue/orderRecord.ts
+++ b/src/core/catalogue/orderRecord.ts
@@ -3,7 +3,7 @@
  * Records of operators' orders and of their progress. They are part of the catalogue's stream, so that every instance
  * knows which weights each upstream serves and no order outlives its record.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { identifier } from "./identifier.js";
 
 const id = z.string().min(8).max(64);
--- a/src/core/catalogue/parseRecord.ts
+++ b/src/core/catalogue/parseRecord.ts
@@ -3,7 +3,7 @@
  * Parses and validates records of the catalogue's stream.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { type CatalogueChange, catalogueChangeSchema } from "./catalogueEntry.js";
 import { orderProgressSchema, orderSchema } from "./orderRecord.js";
 
--- a/src/core/catalogue/snapshot.ts
+++ b/src/core/catalogue/snapshot.ts
@@ -2,7 +2,7 @@
  * @module
  * Snapshot of the catalogue as sent between processes and stored in the log.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Catalogue, HeldEntry } from "./catalogue.js";
 import { catalogueEntrySchema } from "./catalogueEntry.js";
 import type { ChangeVerdict } from "./foldVerdict.js";
--- a/src/core/catalogue/snapshotParts.ts
+++ b/src/core/catalogue/snapshotParts.ts
@@ -3,7 +3,7 @@
  * Splits a snapshot into log records of limited size, and joins them.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 import { type CatalogueSnapshot, catalogueSnapshotSchema } from "./snapshot.js";
 
--- a/src/core/claims/claimRecord.ts
+++ b/src/core/claims/claimRecord.ts
@@ -2,7 +2,7 @@
  * @module
  * Records of the log stream "claims".
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 
 const common = {
--- a/src/core/fleet/parseFleetMessage.ts
+++ b/src/core/fleet/parseFleetMessage.ts
@@ -2,7 +2,7 @@
  * @module
  * Parses the messages that instances send each other as datagrams.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 import { type Heartbeat, heartbeatSchema } from "./heartbeat.js";
 import { type PrefillReport, prefillReportSchema } from "./prefillReport.js";
--- a/src/core/fleet/prefillReport.ts
+++ b/src/core/fleet/prefillReport.ts
@@ -3,7 +3,7 @@
  * Reports in which instances tell each other at once which prompt parts an engine is about to prefill. Events of engines
  * tell it only after the prefill; until then others would have the same parts prefilled by another engine.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const prefillSchema = z.object({
     engine: z.string(),
--- a/src/core/limits/borrowCodec.ts
+++ b/src/core/limits/borrowCodec.ts
@@ -2,7 +2,7 @@
  * @module
  * Wire format of borrow messages: JSON arrays without field names, fractions as integers in ten-thousandths.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 import type { BorrowRequest, BorrowResponse } from "./quotaTypes.js";
 
--- a/src/core/limits/foldShardRecord.ts
+++ b/src/core/limits/foldShardRecord.ts
@@ -3,7 +3,7 @@
  * The shard ledger: a deterministic fold of the records in the log's share stream. A quota shard is one of a fixed
  * number of equal shards of a customer's limits, held under a lease; the log order alone decides who holds it.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 
 /** Maximum number of standbys in a record: with two, one of them may shut down at the same time as the holder. */
--- a/src/core/limits/shardSnapshot.ts
+++ b/src/core/limits/shardSnapshot.ts
@@ -2,7 +2,7 @@
  * @module
  * Encoding of the shard ledger, as a restarted instance reads it from a peer and as checkpoints contain it.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 import { maxStandbys, type ShardLedger } from "./foldShardRecord.js";
 
--- a/src/core/request/parseModelBody.ts
+++ b/src/core/request/parseModelBody.ts
@@ -3,7 +3,7 @@
  * Validates the body of a model request.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 
 const contentPart = z.looseObject({ type: z.string(), text: z.string().optional() });
--- a/src/core/request/readOutputTokens.ts
+++ b/src/core/request/readOutputTokens.ts
@@ -2,7 +2,7 @@
  * @module
  * Reads the number of generated tokens from the usage field of a buffered answer.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 
 const usageSchema = z.object({ usage: z.object({ completion_tokens: z.number().int().min(0) }) });
--- a/src/core/weights/leaseRecord.ts
+++ b/src/core/weights/leaseRecord.ts
@@ -2,7 +2,7 @@
  * @module
  * Records of the rollout lease's topic: who claims the lease, and the era of the store in which the claim was made.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 
 /** What a record says. */
--- a/src/core/why/parseLogLine.ts
+++ b/src/core/why/parseLogLine.ts
@@ -3,7 +3,7 @@
  * Parses one line of an instance's log.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 
 const lineSchema = z.looseObject({
     time: z.iso.datetime(),
--- a/src/io/limits/limitsRouter.ts
+++ b/src/io/limits/limitsRouter.ts
@@ -2,7 +2,7 @@
  * @module
  * The calls between instances that lend quota, hand shards over and report use.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { ShardOwner } from "../../core/limits/createShardHoldings.js";
 import type { ShardHandover, ShardTransfer, StandbyClock } from "../../core/limits/createShardStandby.js";
 import type { QuotaUse } from "../../core/limits/quotaTypes.js";
--- a/src/io/operator/operatorRouter.ts
+++ b/src/io/operator/operatorRouter.ts
@@ -2,7 +2,7 @@
  * @module
  * The tRPC router for reedwardctl. Every call carries the operator secret.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { ChangeVerdict } from "../../core/catalogue/foldVerdict.js";
 import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { Member } from "../../core/membership/memberTypes.js";
--- a/src/io/peers/peerRouter.ts
+++ b/src/io/peers/peerRouter.ts
@@ -2,7 +2,7 @@
  * @module
  * The tRPC router of an instance: procedures for peers, limits and operators.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { maxHintPayloadBytes } from "../../core/cache/createHintExchange.js";
 import type { CatalogueSnapshot } from "../../core/catalogue/snapshot.js";
 import type { RestartStatePart } from "../../core/lifecycle/restartState.js";
--- a/src/io/platform/createLogClient.ts
+++ b/src/io/platform/createLogClient.ts
@@ -2,7 +2,7 @@
  * @module
  * Adapter of the platform's append-only log.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { LogPort } from "../../core/ports/logPort.js";
 import type { CallJson } from "./callJson.js";
 
--- a/src/io/platform/createPlatformClients.ts
+++ b/src/io/platform/createPlatformClients.ts
@@ -2,7 +2,7 @@
  * @module
  * Adapters of the platform's instance list, weight store and KV store.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { CountStoredBlocks, ReadInstances, ReadWeightVersions } from "../../core/ports/platformPort.js";
 import type { CallJson } from "./callJson.js";
 
--- a/src/io/upstream/createEngineClient.ts
+++ b/src/io/upstream/createEngineClient.ts
@@ -3,7 +3,7 @@
  * Client of a model engine's control endpoints: load, cache events, state, orders, KV transfers and cancellation.
  */
 import { ok } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import type { EnginePort } from "../../core/ports/enginePort.js";
 import type { CallJson } from "../platform/callJson.js";
 
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -4,7 +4,7 @@
  */
 import type { Readable } from "node:stream";
 import { type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../../core/_lib/parseJson.js";
 import type { AnswerHead, UpstreamCall } from "../../core/effects/effectTypes.js";
 import type { EngineLoad } from "../../core/ports/enginePort.js";
--- a/src/settings/settingsTable.ts
+++ b/src/settings/settingsTable.ts
@@ -2,7 +2,7 @@
  * @module
  * Every setting of the daemon: flag, environment variable, check and description.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const hostAndPort = z.string().regex(
     /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
