Relay ages in place of descriptions in heartbeats, and bound their bytes for any fleet

Cause: a heartbeat described 16 other instances in 3.9 KB and went to 14 instances each 0.3 s: 187 KB/s and 47 messages a second to parse, which was most of an idle instance's processor time (120 of 287 ms in 7.7 s with 194 peers) and nearly all its bytes.

Change: a heartbeat says in 5 bytes each when the live instances were last seen, and describes only those that changed lately. Who meets an unknown id asks the sender for the description. In a fleet of up to 15 it still goes to all each 0.3 s; above, to four, at an interval that keeps 13 KB/s. An age is rounded up and grows with each relay, so that no relay keeps a failed instance alive; a late relay of an earlier state no longer replaces a newer one.

--- a/src/core/fleet/createFleetView.ts
+++ b/src/core/fleet/createFleetView.ts
@@ -1,9 +1,14 @@
 /**
  * @module
- * The fleet as one instance sees it. Each instance sends heartbeats to a bounded number of others and relays when it
- * last saw a bounded sample of further ones, so that the cost of an instance does not grow with the fleet.
+ * The fleet as one instance sees it. Each instance sends heartbeats to a bounded number of others. They relay when each
+ * instance was last seen, and describe the few instances that changed lately, so that the bytes of an instance do not
+ * grow with the fleet.
  */
+import { decodeMemberAges } from "./decodeMemberAges.js";
+import { deriveDescriptionId } from "./deriveDescriptionId.js";
+import { encodeMemberAges } from "./encodeMemberAges.js";
 import type { FleetInstance, Heartbeat } from "./heartbeat.js";
+import { maxDirectPeers, planHeartbeats } from "./planHeartbeats.js";
 
 /** An instance, and when it was last seen, directly or through others, in milliseconds on the local clock. */
 export interface FleetMember {
@@ -19,36 +24,53 @@
     readonly listLive: (nowMs: number) => readonly FleetMember[];
     /** Addresses to which the next heartbeat is sent. */
     readonly chooseTargets: (nowMs: number) => readonly string[];
-    /** Instances to relay with the next heartbeat. */
+    /** Instances to describe in the next heartbeat; each call counts as one heartbeat. */
     readonly chooseKnown: (nowMs: number) => Heartbeat["known"];
+    /** Ids of descriptions that a heartbeat mentions and that are unknown here. */
+    readonly listUnknown: (heartbeat: Heartbeat) => readonly number[];
+    /** Describes the instances with the given ids that are live. */
+    readonly describeInstances: (ids: readonly number[], nowMs: number) => Heartbeat["known"];
+    /** When live instances were last seen, for the next heartbeat. */
+    readonly describeAges: (nowMs: number) => string;
     /** Adds addresses from settings or the platform's store, which may be out of date. */
     readonly addContacts: (heartbeatAddresses: readonly string[]) => void;
     /** Upper bound on the instances that ran at once within the last minute, this one included. */
     readonly countInstances: (nowMs: number) => number;
+    /** Time until the next heartbeat, in milliseconds. */
+    readonly nextIntervalMs: () => number;
+    /** Whether each heartbeat reaches all other instances directly. */
+    readonly isDirect: () => boolean;
+    /** Number of other instances that are known or may run at a known address. */
+    readonly countAddresses: () => number;
 }
 
 /** Options of {@link createFleetView}. */
 export interface FleetViewOptions {
-    readonly self: string;
-    readonly selfHeartbeatAddress: string;
+    readonly self: Pick<FleetInstance, "name" | "startedAtMs" | "heartbeatAddress">;
     /** Returns a number from 0 (included) to 1 (excluded). */
     readonly random: () => number;
 }
 
-/** Interval of heartbeats, in milliseconds. */
-export const heartbeatIntervalMs = 300;
+/** A member, and in how many further heartbeats it is described. */
+interface MemberState {
+    readonly instance: FleetInstance;
+    readonly descriptionId: number;
+    lastSeenMs: number;
+    remainingDescriptions: number;
+}
 
-/** Instances to which each heartbeat is sent. */
-const fanOut = 14;
+/** Instances that are described in each heartbeat at most, and in an answer to a peer that asks for descriptions. */
+const maxDescribed = 4;
+const maxAnswered = 32;
 
-/** Instances that are relayed with each heartbeat. */
-const relayedCount = 16;
+/** Heartbeats in which an instance is described after it was learned of or its state changed. */
+const descriptions = 2;
 
-/** Time without heartbeats after which an instance counts as failed: four lost in a row, in milliseconds. */
-const directTimeoutMs = 1_300;
+/** States in the order in which an incarnation goes through them; a relay of an earlier one is late. */
+const states: readonly FleetInstance["state"][] = ["starting", "serving", "leaving"];
 
-/** The same where the last sign of an instance is relayed by others, in milliseconds. */
-const relayedTimeoutMs = 2_500;
+/** Time that a relay may have taken at least, in milliseconds: on no way does an instance look younger than it is. */
+const relayDelayMs = 30;
 
 /** Time for which a failed instance still gets heartbeats, so that it learns of others, in milliseconds. */
 const retentionMs = 60_000;
@@ -56,11 +78,14 @@
 /** Probability that a contact which has not answered yet is sent a heartbeat. */
 const contactProbability = 0.5;
 
+/** The same while enough other instances are known: most contacts are out of date then. */
+const rareContactProbability = 0.05;
+
 function supersedes(next: FleetInstance, known: FleetInstance): boolean {
     if (next.startedAtMs !== known.startedAtMs) {
         return next.startedAtMs > known.startedAtMs;
     }
-    return known.state !== "leaving" || next.state === "leaving";
+    return states.indexOf(next.state) >= states.indexOf(known.state);
 }
 
 /**
@@ -69,31 +94,65 @@
  * @param options - This instance, and a source of random numbers.
  * @returns The view.
  * @example
- * createFleetView({ self: "entry-1", selfHeartbeatAddress: "10.0.0.1:7340", random }).listLive(clock.now()); // []
+ * createFleetView({ self, random }).listLive(clock.now()); // []
  */
 export function createFleetView(options: FleetViewOptions): FleetView {
-    const members = new Map<string, FleetMember>();
+    const members = new Map<string, MemberState>();
+    /** Members by the ids of their descriptions, earlier states of the same incarnation included. */
+    const byDescription = new Map<number, MemberState>();
     const contacts = new Set<string>();
+    const { self } = options;
+    const ownDescriptions = new Set(states.map(state => deriveDescriptionId({ ...self, state })));
+
+    const plan = () => planHeartbeats(members.size);
+
+    function forget({ instance }: MemberState): void {
+        members.delete(instance.name);
+        states.forEach(state => byDescription.delete(deriveDescriptionId({ ...instance, state })));
+    }
+
+    /** Peers that have not heard of the newest state yet still mention an earlier one. */
+    function replaceMember(instance: FleetInstance, lastSeenMs: number): void {
+        const descriptionId = deriveDescriptionId(instance);
+        const member: MemberState = { instance, descriptionId, lastSeenMs, remainingDescriptions: descriptions };
+        members.set(instance.name, member);
+        states.slice(0, states.indexOf(instance.state) + 1)
+            .forEach(state => byDescription.set(deriveDescriptionId({ ...instance, state }), member));
+    }
 
     function recordInstance(instance: FleetInstance, seenMs: number): boolean {
-        if (instance.name === options.self) {
+        if (instance.name === self.name) {
             return false;
         }
         const known = members.get(instance.name);
         // A clock that was set back gives a new incarnation an earlier start: accept it once the old one has timed out.
-        const isTimedOut = known !== undefined && seenMs - known.lastSeenMs > directTimeoutMs;
+        const isTimedOut = known !== undefined && seenMs - known.lastSeenMs > plan().timeoutMs;
         if (known !== undefined && !isTimedOut && !supersedes(instance, known.instance)) {
             return false;
         }
-        const isSameIncarnation = known?.instance.startedAtMs === instance.startedAtMs;
-        const latestMs = isSameIncarnation ? Math.max(seenMs, known.lastSeenMs) : seenMs;
-        members.set(instance.name, { instance, lastSeenMs: latestMs });
         contacts.delete(instance.heartbeatAddress);
+        if (known?.instance.startedAtMs !== instance.startedAtMs) {
+            if (known !== undefined) {
+                forget(known);
+            }
+            replaceMember(instance, seenMs);
+        }
+        else if (known.instance.state !== instance.state) {
+            replaceMember(instance, Math.max(seenMs, known.lastSeenMs));
+        }
+        else {
+            known.lastSeenMs = Math.max(seenMs, known.lastSeenMs);
+        }
         return true;
     }
 
-    function timeoutMs(): number {
-        return members.size <= fanOut ? directTimeoutMs : relayedTimeoutMs;
+    function recordAges(text: string, nowMs: number): void {
+        for (const { id, ageMs } of decodeMemberAges(text)) {
+            const member = byDescription.get(id);
+            if (member !== undefined) {
+                member.lastSeenMs = Math.max(member.lastSeenMs, nowMs - ageMs - relayDelayMs);
+            }
+        }
     }
 
     function sampleItems<T>(items: readonly T[], count: number): readonly T[] {
@@ -104,45 +163,78 @@
         return samples.toSorted((left, right) => left.order - right.order).slice(0, count).map(sample => sample.item);
     }
 
-    function listRecent(nowMs: number): readonly FleetMember[] {
-        for (const [name, member] of members) {
+    function listRecent(nowMs: number): readonly MemberState[] {
+        for (const member of members.values()) {
             if (nowMs - member.lastSeenMs > retentionMs) {
-                members.delete(name);
+                forget(member);
             }
         }
         return [...members.values()];
     }
 
     function chooseTargets(nowMs: number): readonly string[] {
+        const { fanOut } = plan();
         const addresses = listRecent(nowMs).map(member => member.instance.heartbeatAddress);
-        const contacted = [...contacts].filter(() => options.random() < contactProbability);
+        const probability = addresses.length > maxDirectPeers ? rareContactProbability : contactProbability;
+        const contacted = [...contacts].filter(() => options.random() < probability);
         return [...sampleItems(addresses, fanOut), ...sampleItems(contacted, fanOut)];
     }
 
-    function listLive(nowMs: number): readonly FleetMember[] {
-        return [...members.values()].filter(member => nowMs - member.lastSeenMs < timeoutMs());
+    function listLive(nowMs: number): readonly MemberState[] {
+        const { timeoutMs } = plan();
+        return [...members.values()].filter(member => nowMs - member.lastSeenMs < timeoutMs);
+    }
+
+    function describe({ instance, lastSeenMs }: MemberState, nowMs: number): Heartbeat["known"][number] {
+        return { instance, ageMs: Math.max(0, Math.round(nowMs - lastSeenMs)) };
+    }
+
+    /** Chooses the instances that changed lately; peers ask for the others that are unknown to them. */
+    function chooseKnown(nowMs: number): Heartbeat["known"] {
+        const changed = sampleItems(
+            listLive(nowMs).filter(member => member.remainingDescriptions > 0),
+            maxDescribed,
+        );
+        changed.forEach(member => {
+            member.remainingDescriptions -= 1;
+        });
+        return changed.map(member => describe(member, nowMs));
     }
 
     return {
         applyHeartbeat: (heartbeat, nowMs) => {
             for (const { instance, ageMs } of heartbeat.known) {
-                recordInstance(instance, nowMs - ageMs);
+                recordInstance(instance, nowMs - ageMs - relayDelayMs);
             }
+            recordAges(heartbeat.ages, nowMs);
             return recordInstance(heartbeat.from, nowMs);
         },
         listLive,
         chooseTargets,
-        chooseKnown: nowMs =>
-            sampleItems(listLive(nowMs), relayedCount)
-                .map(member => ({
-                    instance: member.instance,
-                    ageMs: Math.max(0, Math.round(nowMs - member.lastSeenMs)),
+        chooseKnown,
+        listUnknown: heartbeat =>
+            decodeMemberAges(heartbeat.ages).map(one => one.id).filter(id =>
+                !byDescription.has(id) && !ownDescriptions.has(id)
+            ).slice(0, maxAnswered),
+        describeInstances: (ids, nowMs) => {
+            const asked = new Set(ids.slice(0, maxAnswered).map(id => byDescription.get(id)));
+            return listLive(nowMs).filter(member => asked.has(member)).map(member => describe(member, nowMs));
+        },
+        describeAges: nowMs =>
+            encodeMemberAges(
+                listLive(nowMs).map(({ descriptionId, lastSeenMs }) => ({
+                    id: descriptionId,
+                    ageMs: nowMs - lastSeenMs,
                 })),
+            ),
         addContacts: addresses => {
             const known = new Set([...members.values()].map(member => member.instance.heartbeatAddress));
-            addresses.filter(address => address !== options.selfHeartbeatAddress && !known.has(address))
+            addresses.filter(address => address !== self.heartbeatAddress && !known.has(address))
                 .forEach(address => contacts.add(address));
         },
         countInstances: nowMs => listRecent(nowMs).length + 1,
+        nextIntervalMs: () => plan().intervalMs,
+        isDirect: () => members.size <= maxDirectPeers,
+        countAddresses: () => members.size + contacts.size,
     };
 }
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -2,7 +2,7 @@
  * @module
  * Heartbeats: the messages in which instances report that they run, and their view of the fleet.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const instanceSchema = z.object({
     name: z.string().min(1).max(128),
@@ -35,6 +35,12 @@
     unreadTokens: z.number(),
 }).readonly();
 
+/** Longest text of ages: entries of some thousand instances. */
+const maxAgesLength = 32_768;
+
+/** Most ids in a heartbeat that asks for descriptions. */
+const maxWanted = 64;
+
 const loadedSchema = z.object({
     engine: z.string(),
     model: z.string(),
@@ -62,7 +68,14 @@
     leaseOffset: z.number().int().optional(),
     /** Era of the store in which the sender claimed it; builds before the store had eras leave it out. */
     leaseEra: z.number().int().min(0).optional(),
+    /** Instances that changed lately. */
     known: z.array(knownInstanceSchema).readonly(),
+    /** When live instances were last seen, as `encodeMemberAges` writes it; older builds leave it out. */
+    ages: z.string().max(maxAgesLength).default(""),
+    /** Ids of instances that the receiver is asked to describe; sent to one instance. */
+    wanted: z.array(z.number().int()).max(maxWanted).readonly().optional(),
+    /** Whether this is the answer to a heartbeat that asked for descriptions. */
+    isAnswer: z.boolean().optional(),
 }).readonly();
 
 /** One heartbeat. */
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -3,7 +3,7 @@
  * State that an instance sends to a peer that cannot read the platform's store: the configuration, the upstreams and
  * the target weights, with their versions and age.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 
 const routeSchema = z.object({
@@ -70,9 +70,14 @@
 const peerStateSchema = z.object({
     /** Omitted when the requesting instance has this version or a newer one. */
     table: tableSchema.optional(),
-    upstreams: z.array(upstreamSchema),
+    /** Omitted when the requesting instance has the same list. */
+    upstreams: z.array(upstreamSchema).optional(),
     /** Milliseconds since the sender last read the list of upstreams. */
-    upstreamsAgeMs: z.number(),
+    upstreamsAgeMs: z.number().min(0),
+    /** Milliseconds since the operator's records were read. */
+    operatorAgeMs: z.number().min(0),
+    /** Era of the store in which they were read. */
+    storeEra: z.number().int().min(0),
     /** Target weights of each model. */
     named: z.array(z.object({ model: z.string(), version: z.number(), ageMs: z.number().min(0).optional() })),
 }).readonly();
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -7,14 +7,14 @@
 import { type FleetMessage, parseFleetMessage } from "../../core/fleet/parseFleetMessage.js";
 import type { PrefillReport } from "../../core/fleet/prefillReport.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
-import { repeatEvery } from "../../core/time/repeatEvery.js";
 
 /** Options of {@link startHeartbeats}. */
 export interface StartHeartbeatsOptions {
     readonly clock: Clock;
     readonly host: string;
     readonly port: number;
-    readonly intervalMs: number;
+    /** Time until the next heartbeat, in milliseconds. */
+    readonly nextIntervalMs: () => number;
     /** Returns the heartbeat to send. */
     readonly compose: () => Heartbeat;
     readonly chooseTargets: () => readonly string[];
@@ -29,6 +29,8 @@
     readonly sendNow: () => void;
     /** Returns the bytes sent to all peers together. */
     readonly sendPrefillReport: (report: PrefillReport) => number;
+    /** Sends a heartbeat to one "ip:port" in addition to the regular ones. */
+    readonly sendTo: (address: string, heartbeat: Heartbeat) => void;
     readonly stop: () => void;
 }
 
@@ -43,12 +45,12 @@
  */
 export function startHeartbeats(options: StartHeartbeatsOptions): Heartbeats {
     const socket = createSocket("udp4");
-    let stopSending: CancelTimer = () => undefined;
+    let cancelNext: CancelTimer = () => undefined;
     let isStopped = false;
 
-    function send(content: FleetMessage): number {
+    /** Returns the bytes of all messages together. */
+    function sendTo(targets: readonly string[], content: FleetMessage): number {
         const message = Buffer.from(JSON.stringify(content));
-        const targets = options.chooseTargets();
         for (const target of targets) {
             const [host, port] = target.split(":");
             // A datagram that cannot be sent counts as lost; receivers tolerate some loss.
@@ -57,13 +59,23 @@
         return message.length * targets.length;
     }
 
-    function sendAll(): void {
-        send(options.compose());
+    function sendHeartbeat(): void {
+        sendTo(options.chooseTargets(), options.compose());
+    }
+
+    /** An error in one heartbeat does not end them. */
+    function sendRepeatedly(): void {
+        try {
+            sendHeartbeat();
+        }
+        finally {
+            cancelNext = options.clock.after(options.nextIntervalMs(), sendRepeatedly);
+        }
     }
 
     function sendNow(): void {
         if (!isStopped) {
-            sendAll();
+            sendHeartbeat();
         }
     }
 
@@ -84,16 +96,20 @@
     socket.on("error", err => options.onMalformed(err.message));
     socket.bind(options.port, options.host, () => {
         if (!isStopped) {
-            sendAll();
-            stopSending = repeatEvery(options.clock, options.intervalMs, sendAll);
+            sendRepeatedly();
         }
     });
     return {
         sendNow,
-        sendPrefillReport: report => (isStopped ? 0 : send(report)),
+        sendPrefillReport: report => (isStopped ? 0 : sendTo(options.chooseTargets(), report)),
+        sendTo: (address, heartbeat) => {
+            if (!isStopped) {
+                sendTo([address], heartbeat);
+            }
+        },
         stop: () => {
             isStopped = true;
-            stopSending();
+            cancelNext();
             socket.close();
         },
     };
