Let a few instances read the store for all, and divide part feeds only when the fleet changes

Beside that each instance ranked all instances for each engine twice a second, with a timer each, and connected to all engines at the start, before it knew a peer.

Change: above 15 instances a few readers in different failure domains read (4, or one for each 24 instances); the others copy the state of a reader over a connection that stays open, and an answer is empty when nothing changed. An instance whose copy is older than 0.6 of the shortest time limit reads the store itself; a reader that the store does not serve rests for a moment while a copy is newer; retries of the others grow to 0.8 s. The age of a copy counts from the request, so a delayed answer never looks new; a pause of either process voids the ages; what was read in an era that is over is not taken. Part feeds are divided each 0.5 s, by names that are ranked only when they changed, and begin once the heartbeats of the others had time to arrive.

--- a/features/configurationFreshness.feature
+++ b/features/configurationFreshness.feature
@@ -17,3 +17,14 @@
     Scenario: Versions are in force in time beside random troubles of the store and of the connections to it
         Then over 150 random histories with seed 29, each instance in touch has every version confirmed 2000 ms before and never goes back
         And the same check detects instances that take the stable window for 9000 ms
+
+    Scenario: Instances that copy the state of a reader have it in time, whatever happens to the readers
+        Then over 40 random histories of a fleet with seed 32, each instance in touch has every version confirmed 2000 ms before and never goes back
+
+    Scenario: While all readers are cut off from the store, the others read it themselves
+        When all readers of a fleet of 16 are cut off from the store, and a version is confirmed then
+        Then each instance that is in touch has every version that was confirmed 2000 ms before
+        And the same check detects instances that rely on readers whatever the age of their state
+
+    Scenario: A few instances read the store for all
+        Then 24 instances read the operator's records under 0.3 times a second each
--- a/features/steps/configurationFreshnessSteps.ts
+++ b/features/steps/configurationFreshnessSteps.ts
@@ -12,8 +12,10 @@
 import { createStoreEra } from "../../src/core/store/createStoreEra.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import {
+    fleetHistoryArbitrary,
     type FreshnessBounds,
     type HistoryResult,
+    listReaders,
     playStoreHistory,
     type StoreHistory,
     storeHistoryArbitrary,
@@ -77,9 +79,14 @@
     },
 );
 
-async function checkHistories(runs: number, seed: number, bounds: FreshnessBounds): Promise<void> {
+async function checkHistories(
+    runs: number,
+    seed: number,
+    bounds: FreshnessBounds,
+    arbitrary: fc.Arbitrary<StoreHistory> = storeHistoryArbitrary,
+): Promise<void> {
     await fc.assert(
-        fc.asyncProperty(storeHistoryArbitrary, async history => {
+        fc.asyncProperty(arbitrary, async history => {
             const result = await playStoreHistory(history, bounds);
             assert.equal(result.violations.length, 0, describeFirst(result));
         }),
@@ -94,6 +101,57 @@
     (runs: number, seed: number, inForceMs: number) => checkHistories(runs, seed, { stableMs, inForceMs }),
 );
 
+Then(
+    "over {int} random histories of a fleet with seed {int}, each instance in touch has every version confirmed {int} ms "
+        + "before and never goes back",
+    { timeout: 120_000 },
+    (runs: number, seed: number, inForceMs: number) =>
+        checkHistories(runs, seed, { stableMs, inForceMs }, fleetHistoryArbitrary),
+);
+
+When(
+    "all readers of a fleet of {int} are cut off from the store, and a version is confirmed then",
+    function(this: SiteWorld, instances: number) {
+        const readers = listReaders(instances);
+        assert.ok(readers.length < instances / 2);
+        histories.set(this, {
+            instances,
+            connectionTroubles: [{ kind: "cut", atMs: 5_000, durationMs: 6_000, instances: readers }],
+            storeTroubles: [],
+            peerTroubles: [],
+            publishedMs: [5_100, 8_000],
+            seed: 1,
+        });
+    },
+);
+
+Then("the same check detects instances that rely on readers whatever the age of their state", async function(
+    this: SiteWorld,
+) {
+    const { violations } = await playStoreHistory(histories.get(this)!, {
+        stableMs,
+        inForceMs: 2_000,
+        alterPlan: plan => ({ ...plan, maxAgeMs: plan.isReader ? plan.maxAgeMs : Infinity }),
+    });
+    assert.ok(violations.length > 0);
+});
+
+Then(
+    "{int} instances read the operator's records under {float} times a second each",
+    async (instances: number, limit: number) => {
+        const { operatorReads, endMs } = await playStoreHistory({
+            instances,
+            connectionTroubles: [],
+            storeTroubles: [],
+            peerTroubles: [],
+            publishedMs: [20_000],
+            seed: 1,
+        }, { stableMs, inForceMs: 2_000 });
+        const rate = operatorReads * 1_000 / endMs / instances;
+        assert.ok(rate < limit, `${rate} reads a second`);
+    },
+);
+
 interface ClientFixture {
     readonly store: FakeStore;
     readonly proxy: SilencingProxy;
--- a/features/steps/failureContainmentSteps.ts
+++ b/features/steps/failureContainmentSteps.ts
@@ -86,6 +86,8 @@
         clock: fixture.clock,
         random: fixture.clock.random,
         topic: "topic",
+        isNeeded: () => true,
+        maxRetryDelayMs: () => 0,
         timing: () => ({ waitMs: 0, intervalMs: 100 }),
         onNewest: receive,
         onRecords: records => {
@@ -127,7 +129,6 @@
         },
         list: () => Promise.reject(new Error("not listed")),
         clock: fixture.clock,
-        isReader: () => true,
         onEvents: events => {
             if (fixture.errors.length === 0) {
                 throw new Error("a receiver's exception");
--- a/features/steps/partFeedSteps.ts
+++ b/features/steps/partFeedSteps.ts
@@ -89,7 +89,6 @@
         read: (_, since) => Promise.resolve(readEvents(fixture, since)),
         list: () => Promise.resolve(listAll(fixture)),
         clock: fixture.clock,
-        isReader: () => true,
         onEvents: events => events.forEach(event => fixture.known.add(event.part)),
         onReset: () => fixture.known.clear(),
         onListed: () => undefined,
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -145,6 +145,7 @@
         contacts: [],
         graceMs: 900,
         drainMs: 1_000,
+        configMs: 1_000,
         reconnectLimitMs: 3_000,
         leaseSeparationMs: 3_000,
         weightsLimitMs: 8_000,
--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -5,7 +5,7 @@
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import type { KeyedRecord, StoreFailure } from "../core/ports/recordStore.js";
 import type { UpstreamChange, UpstreamRecord } from "../core/registry/upstreamRecord.js";
-import { computeLongPollMs } from "../core/store/computeLongPollMs.js";
+import type { StoreReadPlan } from "../core/store/planStoreReads.js";
 import { type FollowedTopic, followTopic, type ReadCause } from "../io/store/followTopic.js";
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
@@ -16,11 +16,28 @@
     readonly upstreamsAgeMs: () => number;
     /** Milliseconds since the operator's topic was last read. */
     readonly operatorAgeMs: () => number;
+    /** Forgets how new the data is, after a pause of the process. */
+    readonly forgetAges: () => void;
     readonly stop: () => void;
 }
 
-/** Interval between two reads of the upstreams, as a fraction of the time within which draining must take effect. */
-const upstreamReadFraction = 0.4;
+/** When the instance has to read the store. */
+export interface ReadNeeds {
+    readonly plan: () => StoreReadPlan;
+    /** Milliseconds since the operator's records were read, by this instance or by the peer that it copied. */
+    readonly operatorAgeMs: () => number;
+    /** The same of the list of upstreams. */
+    readonly upstreamsAgeMs: () => number;
+}
+
+/** Instances that read no more than they must do so at ages that differ by up to this fraction. */
+const staggerFraction = 0.15;
+
+/** Longest delay after failed reads of an instance that is no reader, in milliseconds: there may be hundreds of them. */
+const maxFollowerRetryMs = 800;
+
+/** Time without reads after one that failed, while peers have newer state, in milliseconds; doubled by a random jitter. */
+const backoffMs = 500;
 
 /** Time without an answer after which the store is considered unreachable, in milliseconds. */
 const unreachableAfterMs = 5_500;
@@ -28,6 +45,7 @@
 /** The reads of one topic. */
 interface ReadTracker {
     readonly recordRead: () => void;
+    readonly forgetAge: () => void;
     /** Milliseconds since the last read; infinite before the first. */
     readonly ageMs: () => number;
     readonly recordFailure: (failure: StoreFailure, tookMs: number) => void;
@@ -41,6 +59,9 @@
     const ageMs = () => clock.now() - lastReadMs;
     return {
         ageMs,
+        forgetAge: () => {
+            lastReadMs = -Infinity;
+        },
         recordRead: () => {
             if (isUnreachable) {
                 isUnreachable = false;
@@ -63,20 +84,53 @@
     };
 }
 
+/** Decides when a topic is read. */
+interface ReadNeed {
+    readonly isNeeded: () => boolean;
+    readonly recordFailure: ReadTracker["recordFailure"];
+}
+
+/** A reader that the store does not serve leaves it alone for a while when the copy of a peer is newer. */
+function createReadNeed(
+    { clock, random }: InstanceContext,
+    reads: ReadTracker,
+    plan: () => StoreReadPlan,
+    ageMs: () => number,
+): ReadNeed {
+    const stagger = 1 + random() * staggerFraction;
+    let backoffUntilMs = -Infinity;
+    return {
+        isNeeded: () => {
+            const { isReader, maxAgeMs } = plan();
+            return ageMs() > maxAgeMs * stagger || (isReader && clock.now() >= backoffUntilMs);
+        },
+        recordFailure: (failure, tookMs) => {
+            if (ageMs() < reads.ageMs()) {
+                backoffUntilMs = clock.now() + backoffMs * (1 + random());
+            }
+            reads.recordFailure(failure, tookMs);
+        },
+    };
+}
+
 /**
  * Starts the feeds.
  *
  * @param context - The instance.
  * @param views - The views that are updated.
+ * @param needs - When the store has to be read.
  * @returns The feeds.
  */
-export function assembleFeeds(context: InstanceContext, views: InstanceViews): Feeds {
-    const { ports, clock, settings, random, writeLog } = context;
+export function assembleFeeds(context: InstanceContext, views: InstanceViews, needs: ReadNeeds): Feeds {
+    const { ports, clock, random, writeLog } = context;
     const { store, topics } = ports;
-    const operatorWaitMs = computeLongPollMs(settings.reconnectLimitMs);
     const operatorReads = trackReads(context, topics.operator);
     const upstreamReads = trackReads(context, topics.upstreams);
 
+    const maxRetryDelayMs = () => (needs.plan().isReader ? 0 : maxFollowerRetryMs);
+    const operatorNeed = createReadNeed(context, operatorReads, needs.plan, needs.operatorAgeMs);
+    const upstreamsNeed = createReadNeed(context, upstreamReads, needs.plan, needs.upstreamsAgeMs);
+
     function reject(topic: string, record: KeyedRecord, detail: string): void {
         writeLog("recordRejected", { topic, key: record.key, offset: record.offset, detail });
     }
@@ -151,10 +205,12 @@
             clock,
             random,
             topic: topics.operator,
-            timing: () => ({ waitMs: operatorWaitMs, intervalMs: 0 }),
+            timing: () => ({ waitMs: needs.plan().operatorWaitMs, intervalMs: 0 }),
+            isNeeded: operatorNeed.isNeeded,
+            maxRetryDelayMs,
             onNewest: records => applyOperatorRecords(records, false),
             onRecords: records => applyOperatorRecords(records, true),
-            onFailure: operatorReads.recordFailure,
+            onFailure: operatorNeed.recordFailure,
             onError: error => logInternalFailure(writeLog, error),
             onTruncated: () => writeLog("topicTruncated", { topic: topics.operator }),
         }),
@@ -163,13 +219,15 @@
             clock,
             random,
             topic: topics.upstreams,
-            timing: () => ({ waitMs: 0, intervalMs: settings.drainMs * upstreamReadFraction }),
+            timing: () => ({ waitMs: 0, intervalMs: needs.plan().upstreamsIntervalMs }),
+            isNeeded: upstreamsNeed.isNeeded,
+            maxRetryDelayMs,
             onNewest: (records, cause) => updateUpstreams(() => applyUpstreamList(records, cause)),
             onRecords: records =>
                 updateUpstreams(() => views.registry.applyChanges(records.flatMap(toChanges), clock.now())),
             onFailure: (failure, tookMs) => {
                 views.registry.recordOutage(clock.now());
-                upstreamReads.recordFailure(failure, tookMs);
+                upstreamsNeed.recordFailure(failure, tookMs);
             },
             onError: error => logInternalFailure(writeLog, error),
             onTruncated: () => writeLog("topicTruncated", { topic: topics.upstreams }),
@@ -178,6 +236,10 @@
     return {
         upstreamsAgeMs: upstreamReads.ageMs,
         operatorAgeMs: operatorReads.ageMs,
+        forgetAges: () => {
+            operatorReads.forgetAge();
+            upstreamReads.forgetAge();
+        },
         stop: () => followed.forEach(one => one.stop()),
     };
 }
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -1,19 +1,19 @@
 /**
  * @module
- * Assembles the instance's part in the fleet: discovery, heartbeats, and the state that it fetches from a peer when it
- * cannot read the store itself.
+ * Assembles the instance's part in the fleet: discovery and heartbeats.
  */
-import { createFleetView, type FleetMember, heartbeatIntervalMs } from "../core/fleet/createFleetView.js";
+import { createFleetView, type FleetMember } from "../core/fleet/createFleetView.js";
 import { createPrefillReporter } from "../core/fleet/createPrefillReporter.js";
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
-import type { PeerState } from "../core/fleet/peerState.js";
+import { maxDirectPeers } from "../core/fleet/planHeartbeats.js";
 import type { Prefill } from "../core/fleet/prefillReport.js";
-import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
+import type { StoreReadPlan } from "../core/store/planStoreReads.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
 import { type LeaseClaim, unknownEra } from "../core/weights/createRolloutLease.js";
-import { fetchPeerState } from "../io/fleet/fetchPeerState.js";
+import { createPeerStateReader } from "../io/fleet/createPeerStateReader.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { Feeds } from "./assembleFeeds.js";
+import { assemblePeerState, type PeerStates } from "./assemblePeerState.js";
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -21,15 +21,23 @@
 export interface Fleet {
     readonly listLive: () => readonly FleetMember[];
     readonly countInstances: () => number;
+    /** Whether each heartbeat of an instance reaches all others directly. */
+    readonly isDirect: () => boolean;
+    /** Whether the fleet is small, or heartbeats of the others have had time to arrive. */
+    readonly isSettled: () => boolean;
     readonly self: () => FleetInstance;
     /** Sends heartbeats without waiting for the next interval. */
     readonly sendNow: () => void;
     /** Reports to peers that an engine is about to prefill shared parts. */
     readonly reportPrefill: (prefill: Prefill) => void;
-    /** Returns this instance's state for a peer that has configuration `knownVersion`. */
-    readonly describeState: (knownVersion: number) => PeerState;
-    /** Milliseconds since the list of upstreams was read, by this instance or by the peer that it was fetched from. */
+    /** Returns this instance's state for a peer; what the peer has already is left out. */
+    readonly describeState: PeerStates["describe"];
+    /** Milliseconds since the list of upstreams was read, by this instance or by the peer that it was copied from. */
     readonly upstreamsAgeMs: () => number;
+    /** The same of the operator's records. */
+    readonly operatorAgeMs: () => number;
+    /** Forgets how new the copies are, after a pause of the process. */
+    readonly forgetAges: () => void;
     readonly stop: () => void;
 }
 
@@ -39,13 +47,16 @@
     readonly listLoading: () => readonly string[];
     readonly heldLease: () => LeaseClaim | undefined;
     readonly recordLease: (claim: LeaseClaim) => void;
+    readonly plan: () => StoreReadPlan;
+    /** Detects a pause of the process. */
+    readonly checkPause: () => void;
 }
 
-/** Age of the list of upstreams beyond which a peer's list is fetched, in milliseconds. */
-const staleMs = 1_200;
+/** Time after the start within which the heartbeats of the others arrive, in milliseconds. */
+const settlingMs = 1_000;
 
-/** Interval of the check whether a peer has newer state, in milliseconds. */
-const pollIntervalMs = 300;
+/** Interval at which members that left are noticed, in milliseconds. */
+const updateIntervalMs = 300;
 
 /** Interval between reads of the instances' topic after the start, in milliseconds. */
 const discoveryIntervalMs = 1_000;
@@ -74,14 +85,19 @@
     const { settings, clock, random, writeLog, ports } = context;
     const heartbeatAddress = `${settings.host}:${settings.heartbeatPort}`;
     const startedAtMs = clock.wallNow();
-    const view = createFleetView({ self: settings.instance, selfHeartbeatAddress: heartbeatAddress, random });
+    const view = createFleetView({ self: { name: settings.instance, startedAtMs, heartbeatAddress }, random });
     const loggedStates = new Map<string, string>();
-    const peerVersions = new Map<string, { readonly tableVersion: number; readonly storeAgeMs: number; }>();
-    let fetchedAsOfMs = -Infinity;
-    let isFetching = false;
     /** Whether this instance's heartbeat address lies in the store. */
     let isRegistered = false;
     view.addContacts(settings.contacts);
+    const stateReader = createPeerStateReader();
+    const peerStates = assemblePeerState(context, views, {
+        feeds,
+        plan: sources.plan,
+        listLive: () => view.listLive(clock.now()),
+        read: stateReader.read,
+        checkPause: sources.checkPause,
+    });
 
     function self(): FleetInstance {
         return {
@@ -95,7 +111,11 @@
         };
     }
 
-    const upstreamsAgeMs = () => Math.min(feeds.upstreamsAgeMs(), clock.now() - fetchedAsOfMs);
+    const startedMs = clock.now();
+    /** Whether the addresses of the others were read from the store. */
+    let isDiscovered = false;
+    const isSettled = () =>
+        clock.now() - startedMs > settlingMs || (isDiscovered && view.countAddresses() <= maxDirectPeers);
     const tableVersion = () => views.routes()?.table.version ?? 0;
 
     function listLoaded(): Heartbeat["loaded"] {
@@ -111,24 +131,52 @@
         return {
             from: self(),
             tableVersion: tableVersion(),
-            storeAgeMs: Math.min(maxAgeMs, Math.round(feeds.upstreamsAgeMs())),
+            storeAgeMs: Math.min(maxAgeMs, Math.round(peerStates.upstreamsAgeMs())),
             named: views.describeTargets(),
-            uses: views.use.listOwn(),
+            // A report that reaches a few of many peers is out of date before the next one arrives.
+            uses: view.isDirect() ? views.use.listOwn() : [],
             loading: sources.listLoading(),
             loaded: sources.listLoading().length > 0 ? listLoaded() : [],
             leaseOffset: lease?.offset,
             leaseEra: lease?.era,
             known: view.chooseKnown(clock.now()),
+            ages: view.describeAges(clock.now()),
         };
     }
 
+    function applyUses(peer: string, uses: Heartbeat["uses"]): void {
+        if (view.isDirect()) {
+            views.use.updatePeer(peer, uses);
+        }
+        else {
+            views.use.removePeer(peer);
+        }
+    }
+
+    /** Answers a peer that asks for descriptions, and asks one that mentions instances which are unknown here. */
+    function exchangeDescriptions(heartbeat: Heartbeat): void {
+        const address = heartbeat.from.heartbeatAddress;
+        if (heartbeat.wanted !== undefined) {
+            const known = view.describeInstances(heartbeat.wanted, clock.now());
+            heartbeats.sendTo(address, { ...compose(), known, ages: "", isAnswer: true });
+        }
+        else if (heartbeat.isAnswer !== true) {
+            const wanted = view.listUnknown(heartbeat);
+            if (wanted.length > 0) {
+                heartbeats.sendTo(address, { ...compose(), known: [], ages: "", wanted });
+            }
+        }
+    }
+
     function applyHeartbeat(heartbeat: Heartbeat): void {
-        if (!view.applyHeartbeat(heartbeat, clock.now())) {
+        const isNewest = view.applyHeartbeat(heartbeat, clock.now());
+        exchangeDescriptions(heartbeat);
+        if (!isNewest) {
             return;
         }
         const { from } = heartbeat;
-        peerVersions.set(from.name, { tableVersion: heartbeat.tableVersion, storeAgeMs: heartbeat.storeAgeMs });
-        views.use.updatePeer(from.name, heartbeat.uses);
+        peerStates.recordPeer(heartbeat);
+        applyUses(from.name, heartbeat.uses);
         views.weights.setLoading(from.name, heartbeat.loading);
         heartbeat.named.forEach(named => views.recordTarget(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.recordLoaded(engine, model, version));
@@ -152,7 +200,7 @@
         for (const name of loggedStates.keys()) {
             if (!liveNames.has(name)) {
                 loggedStates.delete(name);
-                peerVersions.delete(name);
+                peerStates.removePeer(name);
                 views.use.removePeer(name);
                 views.weights.setLoading(name, []);
                 writeLog("memberChanged", { member: name, state: "gone" });
@@ -160,66 +208,11 @@
         }
     }
 
-    function needsPeerState(): boolean {
-        return tableVersion() === 0 || upstreamsAgeMs() > staleMs
-            || [...peerVersions.values()].some(peer => peer.tableVersion > tableVersion());
-    }
-
-    /** Returns the live peer with the newest configuration and, among equals, the most recent list of upstreams. */
-    function chooseStateSource(): FleetMember | undefined {
-        const findVersions = (member: FleetMember) => peerVersions.get(member.instance.name);
-        return view.listLive(clock.now()).filter(member => findVersions(member) !== undefined).toSorted(
-            (left, right) => {
-                const [one, other] = [findVersions(left)!, findVersions(right)!];
-                return other.tableVersion - one.tableVersion || one.storeAgeMs - other.storeAgeMs;
-            },
-        )[0];
-    }
-
-    async function fetchFromPeer(): Promise<void> {
-        const peer = chooseStateSource();
-        if (peer === undefined) {
-            return;
-        }
-        const requestedMs = clock.now();
-        const state = await fetchPeerState(peer.instance.peerAddress, tableVersion());
-        if (state === undefined) {
-            return;
-        }
-        const source = peer.instance.name;
-        if (state.table !== undefined) {
-            views.applyTable(state.table as Parameters<typeof views.applyTable>[0], source);
-        }
-        state.named.forEach(named => views.recordTarget(named, source));
-        const asOfMs = requestedMs - state.upstreamsAgeMs;
-        if (clock.now() - asOfMs < upstreamsAgeMs()) {
-            fetchedAsOfMs = asOfMs;
-            views.registry.applyPeerList(state.upstreams, clock.now());
-            views.notifyChange();
-        }
-        writeLog("peerStateTaken", {
-            peer: source,
-            tableVersion: tableVersion(),
-            upstreams: state.upstreams.length,
-            upstreamsAgeMs: Math.round(state.upstreamsAgeMs),
-        });
-    }
-
-    function poll(): void {
-        updateMembers();
-        if (needsPeerState() && !isFetching) {
-            isFetching = true;
-            fetchFromPeer().finally(() => {
-                isFetching = false;
-            }).catch((error: unknown) => logInternalFailure(writeLog, error));
-        }
-    }
-
     const heartbeats = startHeartbeats({
         clock,
         host: settings.host,
         port: settings.heartbeatPort,
-        intervalMs: heartbeatIntervalMs,
+        nextIntervalMs: view.nextIntervalMs,
         compose,
         chooseTargets: () => view.chooseTargets(clock.now()),
         onHeartbeat: applyHeartbeat,
@@ -233,7 +226,7 @@
     const prefillReporter = createPrefillReporter(clock, heartbeats.sendPrefillReport);
 
     let isStopped = false;
-    const stopPolling = repeatEvery(clock, pollIntervalMs, poll);
+    const stopUpdating = repeatEvery(clock, updateIntervalMs, updateMembers);
 
     /** Registers this instance's heartbeat address in the store and reads the addresses of the others. */
     async function discoverPeers(attempt: number): Promise<void> {
@@ -244,13 +237,15 @@
         }
         const read = await ports.store.readNewest(ports.topics.instances);
         if (read.kind === "newest") {
+            isDiscovered = true;
             view.addContacts(
                 read.records.flatMap(
                     record => (record.value === undefined ? [] : [Buffer.from(record.value).toString()]),
                 ),
             );
         }
-        if (attempt + 1 < discoveryReads && !isStopped) {
+        const isAlone = view.listLive(clock.now()).length === 0;
+        if (attempt + 1 < discoveryReads && !isStopped && (isAlone || !isRegistered || !isDiscovered)) {
             clock.after(discoveryIntervalMs, () => void discoverPeers(attempt + 1));
         }
     }
@@ -269,17 +264,22 @@
         countInstances: () => view.countInstances(clock.now()),
         self,
         sendNow: heartbeats.sendNow,
-        reportPrefill: prefillReporter.add,
-        describeState: knownVersion => ({
-            table: tableVersion() > knownVersion ? views.routes()?.table as PeerState["table"] : undefined,
-            upstreams: views.registry.list() as PeerState["upstreams"],
-            upstreamsAgeMs: Math.min(maxAgeMs, upstreamsAgeMs()),
-            named: [...views.describeTargets()],
-        }),
-        upstreamsAgeMs,
+        reportPrefill: prefill => {
+            if (view.isDirect()) {
+                prefillReporter.add(prefill);
+            }
+        },
+        isDirect: view.isDirect,
+        isSettled,
+        describeState: peerStates.describe,
+        upstreamsAgeMs: peerStates.upstreamsAgeMs,
+        operatorAgeMs: peerStates.operatorAgeMs,
+        forgetAges: peerStates.forgetAges,
         stop: () => {
             isStopped = true;
-            stopPolling();
+            stopUpdating();
+            peerStates.stop();
+            stateReader.close();
             prefillReporter.stop();
             heartbeats.stop();
         },
--- a/src/assemble/assembleParts.ts
+++ b/src/assemble/assembleParts.ts
@@ -3,7 +3,8 @@
  * Assembles the feeds of prompt part events from engines and from prompt cache stores.
  */
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
-import { isFeedReader } from "../core/placement/isFeedReader.js";
+import { createFeedAssignment } from "../core/placement/createFeedAssignment.js";
+import { repeatEvery } from "../core/time/repeatEvery.js";
 import { followPartEvents, type PartHolder } from "../io/parts/followPartEvents.js";
 import type { Fleet } from "./assembleFleet.js";
 import type { InstanceViews } from "./assembleViews.js";
@@ -20,11 +21,14 @@
 export interface PartFeeds {
     /** Returns the cache stores that answered their last read. */
     readonly listStores: () => readonly CacheStore[];
-    /** Starts the feeds of new holders and stops the feeds of removed ones. */
+    /** Starts the feeds that this instance is to read now, and stops the others. */
     readonly refresh: () => void;
     readonly stop: () => void;
 }
 
+/** Interval at which the feeds are divided anew, in milliseconds. */
+const refreshIntervalMs = 500;
+
 /** A holder and its running feed. */
 interface HolderFeed {
     readonly holder: PartHolder;
@@ -47,6 +51,7 @@
 export function assembleParts(context: InstanceContext, views: InstanceViews, fleet: Fleet): PartFeeds {
     const { ports, clock, settings } = context;
     const feeds = new Map<string, HolderFeed>();
+    const assignment = createFeedAssignment(settings.instance);
 
     function listHolders(): readonly PartHolder[] {
         const services = views.routes()?.table.services ?? [];
@@ -74,10 +79,6 @@
                 read: ports.readPartEvents,
                 list: ports.listParts,
                 clock,
-                isReader: () => {
-                    const others = fleet.listLive().map(member => member.instance.name);
-                    return isFeedReader(holder.id, settings.instance, others, holder.maxReaders);
-                },
                 onEvents: events => views.parts.applyEvents(holder.id, events),
                 onReset: () => views.parts.removeHolder(holder.id),
                 onListed: parts => context.writeLog("partsListed", { holder: holder.id, parts }),
@@ -90,17 +91,30 @@
         feeds.set(holder.id, feed);
     }
 
+    /** Ends a feed; what was read of its holder stays known. */
+    function unfollow(feed: HolderFeed): void {
+        feed.stop();
+        feeds.delete(feed.holder.id);
+    }
+
     function refresh(): void {
+        assignment.setOthers(fleet.listLive().map(member => member.instance.name));
         const holders = new Map(listHolders().map(holder => [holder.id, holder]));
-        for (const [id, feed] of feeds) {
-            const holder = holders.get(id);
+        for (const feed of feeds.values()) {
+            const holder = holders.get(feed.holder.id);
             if (holder === undefined || !isSameHolder(holder, feed.holder)) {
-                feed.stop();
-                feeds.delete(id);
-                views.parts.removeHolder(id);
+                unfollow(feed);
+                views.parts.removeHolder(feed.holder.id);
+            }
+            else if (!assignment.isReader(holder)) {
+                unfollow(feed);
             }
         }
-        [...holders.values()].filter(holder => !feeds.has(holder.id)).forEach(follow);
+        if (fleet.isSettled()) {
+            [...holders.values()].filter(holder => !feeds.has(holder.id) && assignment.isReader(holder)).forEach(
+                follow,
+            );
+        }
     }
 
     function listStores(): readonly CacheStore[] {
@@ -112,9 +126,13 @@
         );
     }
 
+    const stopRefreshing = repeatEvery(clock, refreshIntervalMs, refresh);
     return {
         listStores,
         refresh,
-        stop: () => feeds.forEach(feed => feed.stop()),
+        stop: () => {
+            stopRefreshing();
+            feeds.forEach(feed => feed.stop());
+        },
     };
 }
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -8,7 +8,7 @@
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
-import { peerStatePath } from "../io/fleet/fetchPeerState.js";
+import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import type { Fleet } from "./assembleFleet.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -118,8 +118,9 @@
         listen(
             createListener({
                 [peerStatePath]: (url, res) => {
-                    const knownVersion = Number(url.searchParams.get("known") ?? 0);
-                    sendJson(res, 200, JSON.stringify(sources.fleet.describeState(knownVersion)));
+                    const tableVersion = Number(url.searchParams.get("known") ?? 0);
+                    const upstreamsDigest = url.searchParams.get("upstreams") ?? "";
+                    sendJson(res, 200, JSON.stringify(sources.fleet.describeState({ tableVersion, upstreamsDigest })));
                 },
             }),
             settings.peerAddress,
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -32,6 +32,8 @@
     readonly graceMs: number;
     /** Time after which a draining upstream must get no new requests. */
     readonly drainMs: number;
+    /** Time after which a confirmed configuration must be in force. */
+    readonly configMs: number;
     /** Time after the loss of open connections within which the instance must be up to date with the store again. */
     readonly reconnectLimitMs: number;
     /** Minimum time between the orders of two holders of the rollout lease. */
--- a/src/core/_lib/parseJson.ts
+++ b/src/core/_lib/parseJson.ts
@@ -2,7 +2,7 @@
  * @module
  * Parses JSON text that comes from outside the process.
  */
-import type { z } from "zod";
+import type * as z from "zod";
 
 /**
  * Parses JSON text against a schema.
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -91,6 +91,7 @@
     storeEraRejected: define("RW5015", "warn", "answer of the store states no usable era"),
     upstreamsReconciled: define("RW5016", "info", "upstreams reconciled with an older copy of their list"),
     storeReadFailed: define("RW5017", "info", "read of the store failed"),
+    peerStateFailed: define("RW5018", "info", "peer did not answer with its state"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -5,6 +5,7 @@
 export * from "./choosePlacement.js";
 export * from "./choosePreferredEngine.js";
 export * from "./createChoiceLister.js";
+export * from "./createFeedAssignment.js";
 export * from "./createHealthView.js";
 export * from "./createOptionReader.js";
 export * from "./createPartView.js";
--- a/src/core/registry/createUpstreamRegistry.ts
+++ b/src/core/registry/createUpstreamRegistry.ts
@@ -2,6 +2,7 @@
  * @module
  * Registry of the upstreams known to this instance; it keeps its records during outages of their source.
  */
+import { hashText } from "../_lib/hashText.js";
 import type { UpstreamChange, UpstreamRecord } from "./upstreamRecord.js";
 
 /** A change of one upstream. */
@@ -14,6 +15,8 @@
     readonly list: () => readonly UpstreamRecord[];
     readonly listService: (service: string) => readonly UpstreamRecord[];
     readonly find: (id: string) => UpstreamRecord | undefined;
+    /** Hash of all records, the same on instances that have the same ones. */
+    readonly digest: () => string;
     /** Applies changes that were read from the source at `nowMs`. */
     readonly applyChanges: (changes: readonly UpstreamChange[], nowMs: number) => void;
     /** Applies the complete list, as read from the source at `nowMs`; upstreams that are not in it are removed. */
@@ -50,6 +53,11 @@
     return JSON.stringify(left) === JSON.stringify(right);
 }
 
+function hashRecords(records: readonly UpstreamRecord[]): string {
+    const texts = records.map(record => JSON.stringify(record)).toSorted();
+    return hashText(texts.join("\n")).toString(16);
+}
+
 function findEventKind(known: UpstreamRecord | undefined, record: UpstreamRecord): "added" | "changed" | "restarted" {
     if (known === undefined) {
         return "added";
@@ -74,6 +82,7 @@
     const removals = new Map<string, Removal>();
     let outageSinceMs: number | undefined;
     let graceUntilMs = -Infinity;
+    let cachedDigest: string | undefined;
     let byService: ReadonlyMap<string, readonly UpstreamRecord[]> | undefined;
 
     function put(record: UpstreamRecord): void {
@@ -84,6 +93,7 @@
         }
         records.set(record.id, record);
         byService = undefined;
+        cachedDigest = undefined;
         onEvent({ kind: findEventKind(known, record), record });
     }
 
@@ -105,6 +115,7 @@
             rememberRemoval(record, nowMs);
             records.delete(id);
             byService = undefined;
+            cachedDigest = undefined;
             onEvent({ kind: "removed", record });
         }
     }
@@ -177,6 +188,10 @@
             return byService.get(service) ?? [];
         },
         find: id => records.get(id),
+        digest: () => {
+            cachedDigest ??= hashRecords([...records.values()]);
+            return cachedDigest;
+        },
         applyChanges: (changes, nowMs) => {
             recordRecovery(nowMs);
             for (const change of changes) {
--- a/src/core/store/index.ts
+++ b/src/core/store/index.ts
@@ -4,3 +4,4 @@
  */
 export * from "./computeLongPollMs.js";
 export * from "./createStoreEra.js";
+export * from "./planStoreReads.js";
--- a/src/io/fleet/createPeerStateReader.ts
+++ b/src/io/fleet/createPeerStateReader.ts
@@ -1,39 +1,82 @@
 /**
  * @module
- * Requests the state of a peer.
+ * Reads the state of peers.
  */
-import { request } from "undici";
+import { Client } from "undici";
 import { parsePeerState, type PeerState } from "../../core/fleet/peerState.js";
 import { readLimitedBody } from "../_lib/readLimitedBody.js";
 
 /** URL path of the state. */
 export const peerStatePath = "/peer/state";
 
-/** Time limit of the call, in milliseconds. */
-const requestTimeoutMs = 800;
+/** What the reading instance has already; the peer leaves it out. */
+export interface KnownState {
+    readonly tableVersion: number;
+    /** Hash of the list of upstreams. */
+    readonly upstreamsDigest: string;
+}
+
+/** Reads the states of peers. */
+export interface PeerStateReader {
+    /** Reads the state of the peer at an "ip:port"; undefined when it did not answer with a valid one in time. */
+    readonly read: (address: string, known: KnownState) => Promise<PeerState | undefined>;
+    readonly close: () => void;
+}
+
+/** Time limit of a read, in milliseconds. */
+const requestTimeoutMs = 500;
 
 /** Largest state, in bytes. */
 const maxStateBytes = 4 * 1024 * 1024;
 
+/** A peer and the connection to it. */
+interface PeerConnection {
+    readonly address: string;
+    readonly client: Client;
+}
+
 /**
- * Fetches a peer's state over a new connection, so that an unresponsive one cannot delay it.
+ * Creates a reader without a connection. It keeps the connection to the peer that it read last: an instance reads the
+ * same peer again and again.
  *
- * @param address - The peer's "ip:port".
- * @param knownVersion - Version of the configuration that this instance has; the peer omits it if it is not newer.
- * @returns The state, or undefined when the peer did not answer with a valid one.
+ * @returns The reader.
  */
-export async function fetchPeerState(address: string, knownVersion: number): Promise<PeerState | undefined> {
-    try {
-        const res = await request(`http://${address}${peerStatePath}?known=${knownVersion}`, {
-            signal: AbortSignal.timeout(requestTimeoutMs),
-            reset: true,
-        });
-        return res.statusCode === 200
-            ? parsePeerState((await readLimitedBody(res.body, maxStateBytes)).toString())
-            : undefined;
+export function createPeerStateReader(): PeerStateReader {
+    let connection: PeerConnection | undefined;
+
+    function disconnect(): void {
+        // Destroying a client a second time rejects; the connection is already closed then.
+        connection?.client.destroy().catch(() => undefined);
+        connection = undefined;
     }
-    catch {
-        // The caller retries with this peer or another one, and logs which state it applied and from which peer.
-        return undefined;
+
+    function connect(address: string): Client {
+        if (connection?.address === address) {
+            return connection.client;
+        }
+        disconnect();
+        const client = new Client(`http://${address}`, { connect: { timeout: requestTimeoutMs }, pipelining: 1 });
+        connection = { address, client };
+        return client;
     }
+
+    async function read(address: string, known: KnownState): Promise<PeerState | undefined> {
+        const path = `${peerStatePath}?known=${known.tableVersion}&upstreams=${known.upstreamsDigest}`;
+        try {
+            const res = await connect(address).request({
+                method: "GET",
+                path,
+                signal: AbortSignal.timeout(requestTimeoutMs),
+            });
+            const body = await readLimitedBody(res.body, maxStateBytes);
+            return res.statusCode === 200 ? parsePeerState(body.toString()) : undefined;
+        }
+        catch {
+            // On this connection a late answer would be taken for that to the next read. The caller logs the failure.
+            disconnect();
+            return undefined;
+        }
+    }
+
+    return { read, close: disconnect };
 }
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -45,6 +45,8 @@
     readonly storeReturns: Counter<string>;
     /** Failed reads of the store's topics by cause. */
     readonly storeReadFailures: Counter<"cause">;
+    /** Reads of a peer's state by result. */
+    readonly peerCopies: Counter<"result">;
     /** Claims of the rollout lease by result. */
     readonly leaseClaims: Counter<"result">;
     /** Time until a request's answer was complete, by kind of request. */
@@ -133,6 +135,7 @@
         answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
+        peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
         storeReadFailures: counter("store_read_failures_total", "Failed reads of the store's topics.", ["cause"]),
         leaseClaims: counter("lease_claims_total", "Claims of the rollout lease.", ["result"]),
--- a/src/io/parts/followPartEvents.ts
+++ b/src/io/parts/followPartEvents.ts
@@ -46,8 +46,6 @@
     readonly read: ReadPartEvents;
     readonly list: ListParts;
     readonly clock: Clock;
-    /** Whether this instance is one of those that read the holder. */
-    readonly isReader: () => boolean;
     readonly onEvents: (events: readonly PartEvent[]) => void;
     /** Called when the holder has restarted or events were missed: its parts are unknown. */
     readonly onReset: () => void;
@@ -68,8 +66,8 @@
 /** Minimum time between two lists of one holder, in milliseconds; a list holds up the holder's work. */
 const minListIntervalMs = 3_000;
 
-/** Delay after a failed read or while another instance reads, in milliseconds. */
-const idleDelayMs = 500;
+/** Delay after a failed read, in milliseconds. */
+const retryDelayMs = 500;
 
 /**
  * Starts to follow a holder.
@@ -117,10 +115,6 @@
     }
 
     async function step(): Promise<void> {
-        if (!options.isReader()) {
-            await pause(idleDelayMs);
-            return;
-        }
         const result = await options.read(holder, since, waitMs);
         if (isStopped) {
             return;
@@ -133,7 +127,7 @@
             listAfterMs = clock.now() + minListIntervalMs;
             await listAll();
         }
-        await pause(result.kind === "events" ? batchDelayMs : idleDelayMs);
+        await pause(result.kind === "events" ? batchDelayMs : retryDelayMs);
     }
 
     void repeatStep(step, { clock, isStopped: () => isStopped, onError: options.onError });
--- a/src/io/platform/callJson.ts
+++ b/src/io/platform/callJson.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from "true-myth/result";
 import { Agent, type Dispatcher, request } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { PortFailure } from "../../core/ports/portFailure.js";
 import { classifyCallError } from "../_lib/classifyCallError.js";
 import { readLimitedBody } from "../_lib/readLimitedBody.js";
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -26,6 +26,10 @@
     readonly random: () => number;
     readonly topic: string;
     readonly timing: () => PollTiming;
+    /** Whether the topic has to be read now; while it does not, nothing is read. */
+    readonly isNeeded: () => boolean;
+    /** Longest delay after reads that failed in a row, in milliseconds; a random jitter of up to the same is added. */
+    readonly maxRetryDelayMs: () => number;
     /** Receives the newest record of each key; they replace all that was read before. */
     readonly onNewest: (records: readonly KeyedRecord[], cause: ReadCause) => void;
     /** Receives records in order; an empty list means that there are no newer ones. */
@@ -43,6 +47,9 @@
     readonly stop: () => void;
 }
 
+/** Interval of the check whether the topic has to be read, in milliseconds. */
+const needCheckMs = 100;
+
 /** Where the next read begins; offsets of different eras are not comparable. */
 interface Position {
     readonly era: number;
@@ -60,16 +67,23 @@
     let isStopped = false;
     let position: Position | undefined;
     let cause: ReadCause = "start";
-    let hasFailed = false;
+    /** Era of the last read. */
+    let lastEra: number | undefined;
+    /** Reads that failed in a row. */
+    let failures = 0;
 
     function pause(delayMs: number): Promise<void> {
         return new Promise(resolve => clock.after(delayMs, resolve));
     }
 
     async function recordFailure(failure: StoreFailure, startedMs: number): Promise<void> {
-        hasFailed = true;
+        const delayMs = Math.max(
+            readRetryDelayMs,
+            Math.min(readRetryDelayMs * 2 ** failures, options.maxRetryDelayMs()),
+        );
+        failures += 1;
         options.onFailure(failure, clock.now() - startedMs);
-        await pause(readRetryDelayMs * (1 + options.random()));
+        await pause(delayMs * (1 + options.random()));
     }
 
     async function readNewest(): Promise<void> {
@@ -79,8 +93,11 @@
             await recordFailure(read, startedMs);
             return;
         }
+        const isOtherEra = lastEra !== undefined && lastEra !== read.era;
         position = { era: read.era, offset: read.end };
-        options.onNewest(read.records, cause);
+        lastEra = read.era;
+        failures = 0;
+        options.onNewest(read.records, isOtherEra ? "returned" : cause);
     }
 
     function readAnew(newCause: ReadCause): void {
@@ -92,12 +109,12 @@
         const timing = options.timing();
         const startedMs = clock.now();
         // After a failure the offset may belong to an era that is over: the store is to say so at once.
-        const read = await store.readKeyed(topic, offset, hasFailed ? 0 : timing.waitMs);
+        const read = await store.readKeyed(topic, offset, failures > 0 ? 0 : timing.waitMs);
         if (read.kind === "failed") {
             await recordFailure(read, startedMs);
             return;
         }
-        hasFailed = false;
+        failures = 0;
         if (read.era !== era) {
             readAnew("returned");
             return;
@@ -112,7 +129,22 @@
         await pause(timing.intervalMs);
     }
 
-    void repeatStep(() => position === undefined ? readNewest() : readNext(position), {
+    /** After a time without reads the newest records are less than all that were appended since. */
+    async function rest(): Promise<void> {
+        if (position !== undefined) {
+            readAnew("truncated");
+        }
+        await pause(needCheckMs);
+    }
+
+    function step(): Promise<void> {
+        if (!options.isNeeded()) {
+            return rest();
+        }
+        return position === undefined ? readNewest() : readNext(position);
+    }
+
+    void repeatStep(step, {
         clock,
         isStopped: () => isStopped,
         onError: error => {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -10,7 +10,9 @@
 import { assembleViews } from "./assemble/assembleViews.js";
 import type { InstanceContext } from "./assemble/routerPorts.js";
 import { watchStoreEra } from "./assemble/watchStoreEra.js";
+import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { millisecondsPerSecond } from "./core/constants.js";
+import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { runRollout } from "./io/weights/runRollout.js";
@@ -41,6 +43,9 @@
 /** Time before the end of the grace period at which the instance stops in any case, in milliseconds. */
 const graceMarginMs = 500;
 
+/** Lifetime of the plan of reads of the store, in milliseconds. */
+const planLifetimeMs = 250;
+
 const drainPollIntervalMs = 100;
 
 /**
@@ -53,7 +58,17 @@
     const { settings, ports, clock, writeLog, metrics } = context;
     let isLeaving = false;
     const views = assembleViews(context);
-    const feeds = assembleFeeds(context, views);
+    let joinedFleet: Fleet | undefined = undefined;
+    const plan = memoizeFor(planLifetimeMs, clock.now, () => {
+        const self = { name: settings.instance, failureDomain: settings.failureDomain };
+        const others = joinedFleet?.listLive().map(member => member.instance) ?? [];
+        return planStoreReads(self, others, settings);
+    });
+    const feeds = assembleFeeds(context, views, {
+        plan,
+        operatorAgeMs: () => joinedFleet?.operatorAgeMs() ?? Infinity,
+        upstreamsAgeMs: () => joinedFleet?.upstreamsAgeMs() ?? Infinity,
+    });
     const lease = createRolloutLease({ instance: settings.instance, separationMs: settings.leaseSeparationMs });
     watchStoreEra(context, lease);
     const hasState = () => views.routes() !== undefined && Number.isFinite(fleet.upstreamsAgeMs());
@@ -68,12 +83,17 @@
         listLoading: () => rollout.listLoading(),
         heldLease: () => lease.heldClaim(clock.now()),
         recordLease: claim => lease.recordReportedClaim(claim, clock.now()),
+        plan,
+        checkPause: () => pauses.check(),
     });
+    joinedFleet = fleet;
 
     const partFeeds = assembleParts(context, views, fleet);
     const proxy = assembleProxy(context, views, fleet, partFeeds, () => isLeaving);
     const pauses = createPauseDetector(clock, pausedMs => {
         writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
+        feeds.forgetAges();
+        fleet.forgetAges();
         rollout.relinquishLease();
         proxy.discardIdleConnections();
     }, { thresholdMs: pauseThresholdMs });
@@ -91,7 +111,7 @@
         listLive: fleet.listLive,
         isLeaving: () => isLeaving,
         checkPause: () => pauses.check(),
-        isStoreFresh: () => feeds.upstreamsAgeMs() < freshStoreMs,
+        isStoreFresh: () => fleet.upstreamsAgeMs() < Math.max(freshStoreMs, plan().maxAgeMs),
         notifyPeers: fleet.sendNow,
         onChange: views.notifyChange,
         writeLog,
@@ -106,7 +126,7 @@
         tableVersion: () => views.routes()?.table.version ?? 0,
         storeEra: ports.storeEra.current,
         upstreamsAgeSeconds: () => fleet.upstreamsAgeMs() / millisecondsPerSecond,
-        operatorAgeSeconds: () => feeds.operatorAgeMs() / millisecondsPerSecond,
+        operatorAgeSeconds: () => fleet.operatorAgeMs() / millisecondsPerSecond,
         connectionsOpened: proxy.countOpened,
         logLinesDropped: context.listDropped,
     });
