Spread the shared prompts of a large fleet over all engines by hashing

Cause: an engine is preferred for the first shared part that is cached nowhere. That is right for a few instances that hear of each other's requests at once. Hundreds that hear little know of no cached part, so all requests of one first part went to one engine, and ties went to the first engine of the list. On the virtual clock, 195 instances that place one prompt each (4 first parts, 2,467 second ones) put 63 of 195 on one of 82 engines of 12 slots.

Change: in a fleet where a heartbeat does not reach all, the preferred engine follows from everything that a prompt shares, and the list of upstreams begins at a place that depends on the request. The test plays that load: 12 at most on one engine.

--- a/bench/placement/runPlacement.ts
+++ b/bench/placement/runPlacement.ts
@@ -120,6 +120,7 @@
         health: createHealthView(),
         findService: () => service,
         outdatedLimitMs: 6_400,
+        isFleetDirect: () => true,
         listStores: () => [],
     });
     let next = 0;
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -147,3 +147,13 @@
 
     Scenario: Choosing the sources of all engines at once gives the sources that each would choose by itself
         Then over 500 random sets of holders with seed 7 every engine has the same source
+
+    Scenario: Instances of a large fleet do not all choose the same engines
+        Given 195 instances of a large fleet with 82 idle engines
+        When each of them places a prompt that begins with one of 4 parts and goes on with one of 2467
+        Then no engine gets more than 12 of them
+
+    Scenario: Instances of a large fleet place the same shared prompt on the same engine
+        Given 24 instances of a large fleet with 82 idle engines
+        When each of them in turn places a prompt with the same shared parts
+        Then all of these prompts are placed at one engine
--- a/features/steps/placementFleetSteps.ts
+++ b/features/steps/placementFleetSteps.ts
@@ -27,6 +27,47 @@
     return { placers, areTold, placedAt: [] };
 }
 
+/** Instances of a fleet in which reports of what the others place come too late. */
+Given(
+    "{int} instances of a large fleet with {int} idle engines",
+    function(this: SiteWorld, count: number, engineCount: number) {
+        const clock = createVirtualClock(1);
+        const engines = Array.from({ length: engineCount }, (_, index) => `u-${index + 1}`);
+        const placers = Array.from({ length: count }, () => createPlacerFixture(clock, engines, false));
+        fleets.set(this, { placers, areTold: false, placedAt: [] });
+    },
+);
+
+When(
+    "each of them places a prompt that begins with one of {int} parts and goes on with one of {int}",
+    function(this: SiteWorld, firstParts: number, secondParts: number) {
+        const fleet = fleets.get(this)!;
+        for (const [index, { placer, clock }] of fleet.placers.entries()) {
+            const second = Math.floor(clock.random() * secondParts);
+            const parts = [
+                { id: `style-${second % firstParts}`, tokens: 2_520 },
+                { id: `case-${second}`, tokens: 3_780 },
+                { id: `own-${index}`, tokens: 2_890 },
+            ];
+            const prompt = createPrompt({ parts, promptTokens: 9_190 });
+            const req = createProxyRequest("stream", { id: `r-${index}`, prompt });
+            placer.place(req, { kind: "place", excluded: [] }, result => {
+                assert.ok(result.kind === "placed");
+                fleet.placedAt.push(result.placement.upstream.id);
+            });
+        }
+    },
+);
+
+Then("no engine gets more than {int} of them", function(this: SiteWorld, limit: number) {
+    const { placedAt, placers } = fleets.get(this)!;
+    assert.equal(placedAt.length, placers.length);
+    const counts = new Map<string, number>();
+    placedAt.forEach(id => counts.set(id, (counts.get(id) ?? 0) + 1));
+    const most = Math.max(...counts.values());
+    assert.ok(most <= limit, `one engine gets ${most}`);
+});
+
 const sharedTokens = 3_000;
 
 /** Performs an action of an instance; peers that are told learn at once of the prefills that it reports. */
--- a/features/support/placerFixtures.ts
+++ b/features/support/placerFixtures.ts
@@ -42,7 +42,11 @@
 }
 
 /** Creates a placer for idle engines. */
-export function createPlacerFixture(clock: VirtualClock, engines: readonly string[]): PlacerFixture {
+export function createPlacerFixture(
+    clock: VirtualClock,
+    engines: readonly string[],
+    isFleetDirect = true,
+): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
         if (event.kind === "restarted" || event.kind === "removed") {
@@ -64,6 +68,7 @@
         health,
         findService: indexRoutes(createTable()).findService,
         outdatedLimitMs: 6_400,
+        isFleetDirect: () => isFleetDirect,
         listStores: () => [],
     });
     registry.applyList(engines.map(id => createEngineRecord(id)), 0);
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -70,6 +70,7 @@
     const placer = createPlacer({
         clock,
         onPrefill: fleet.reportPrefill,
+        isFleetDirect: fleet.isDirect,
         failureDomain: settings.failureDomain,
         registry: views.registry,
         weights: views.weights,
--- a/src/core/placement/createChoiceLister.ts
+++ b/src/core/placement/createChoiceLister.ts
@@ -2,6 +2,7 @@
  * @module
  * Lists the upstreams that may run a request: those that serve, are not ejected, and have weights that are recent enough.
  */
+import { hashText } from "../_lib/hashText.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
@@ -19,11 +20,19 @@
     readonly weights: WeightsView;
     /** Time after which no request may begin on weights that are older than the target version, in milliseconds. */
     readonly outdatedLimitMs: number;
+    /** Whether each instance hears from all others at short intervals what they place. */
+    readonly isFleetDirect: () => boolean;
 }
 
 /** Lists the upstreams that may run a request, other than the excluded ones. */
 export type ListChoices = (req: ProxyRequest, excluded: readonly string[]) => readonly Choice[];
 
+/** Begins a list at an item that depends on the request: instances that see equal upstreams choose different ones. */
+function rotateList<T>(list: readonly T[], requestId: string): readonly T[] {
+    const start = list.length === 0 ? 0 : Number(hashText(requestId) % BigInt(list.length));
+    return [...list.slice(start), ...list.slice(0, start)];
+}
+
 /** Time for which an answer made on outdated weights is worth as much as one made on the target version. */
 const outdatedGraceMs = 1_400;
 
@@ -60,7 +69,8 @@
             && !health.isMisdirected(record.id)
         );
         const healthy = serving.filter(record => !health.isEjected(record.id, nowMs));
-        return (healthy.length > 0 ? healthy : serving)
+        const usable = healthy.length > 0 ? healthy : serving;
+        return (deps.isFleetDirect() ? usable : rotateList(usable, req.id))
             .map(record => describeChoice(record, req.prompt))
             .filter(choice => choice !== undefined);
     };
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -6,6 +6,7 @@
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
 import { sumTokens } from "./_lib/countPromptTokens.js";
+import { chooseHomeEngine } from "./chooseHomeEngine.js";
 import { choosePreferredEngine, type PreferredEngine } from "./choosePreferredEngine.js";
 import type { HealthView } from "./createHealthView.js";
 import { deriveSharedKey, type PartView } from "./createPartView.js";
@@ -34,6 +35,8 @@
     readonly parts: PartView;
     readonly health: HealthView;
     readonly weights: WeightsView;
+    /** Whether each instance hears from all others at short intervals what they place. */
+    readonly isFleetDirect: () => boolean;
     /** Lists the cache stores that answer. */
     readonly listStores: () => readonly ReachableStore[];
 }
@@ -56,7 +59,8 @@
     readonly uses: ReadonlyMap<string, UpstreamUse>;
     /** Chooses among the engines and stores from which parts can be fetched. */
     readonly chooseSource: ChooseSource;
-    /** Preferred engine for the first shared part that is not cached anywhere; undefined when all are cached. */
+    /** Engine that all instances prefer: for the first shared part that is not cached anywhere, or in a large fleet for
+     * the shared prompt. */
     readonly preferred: PreferredEngine | undefined;
 }
 
@@ -132,7 +136,9 @@
             mostHeldTokens,
             uses,
             chooseSource: createSourceChooser(holders.filter(holder => holder.heldTokens > 0)),
-            preferred: choosePreferredEngine(prompt, salt, mostHeldTokens, ids),
+            preferred: deps.isFleetDirect()
+                ? choosePreferredEngine(prompt, salt, mostHeldTokens, ids)
+                : chooseHomeEngine(prompt, salt, ids),
         };
     }
 
