--- a/features/configurationFreshness.feature
+++ b/features/configurationFreshness.feature
@@ -14,6 +14,11 @@
         Then the read fails for lack of an answer
         And the next read returns the record on a new connection
 
+    Scenario: A read of all keys does not rely on a connection that has been idle
+        Given a client of the store that has read all keys behind a network element
+        When its open connections go silent and a record is appended
+        Then a read of all keys returns the record on a new connection
+
     Scenario: Versions are in force in time beside random troubles of the store and of the connections to it
         Then over 150 random histories with seed 29, each instance in touch has every version confirmed 2000 ms before and never goes back
         And the same check detects instances that take the stable window for 9000 ms
--- a/features/steps/configurationFreshnessSteps.ts
+++ b/features/steps/configurationFreshnessSteps.ts
@@ -157,21 +157,39 @@
     readonly proxy: SilencingProxy;
     readonly client: RecordStore;
     /** The read that waits. */
-    readonly waiting: Promise<ReadResult<KeyedRecord>>;
+    readonly waiting: Promise<ReadResult<KeyedRecord>> | undefined;
 }
 
 const clients = new WeakMap<SiteWorld, ClientFixture>();
 
 const topic = "keyed.op";
 
-Given("a client of the store that waits for the next record behind a network element", async function(this: SiteWorld) {
+async function connectBehindProxy(world: SiteWorld): Promise<Pick<ClientFixture, "store" | "proxy" | "client">> {
     const store = await startFakeStore();
     const proxy = await startSilencingProxy(store.address);
     const client = createStoreClient(proxy.address, createStoreEra().accept);
-    this.cleanups.push(() => Promise.resolve(client.close()), () => proxy.stop(), () => store.stop());
+    world.cleanups.push(() => Promise.resolve(client.close()), () => proxy.stop(), () => store.stop());
+    return { store, proxy, client };
+}
+
+Given("a client of the store that waits for the next record behind a network element", async function(this: SiteWorld) {
+    const connected = await connectBehindProxy(this);
+    const { client } = connected;
     // The connection is open once it has carried a read.
     await client.readKeyed(topic, 0, 0);
-    clients.set(this, { store, proxy, client, waiting: client.readKeyed(topic, 0, 200) });
+    clients.set(this, { ...connected, waiting: client.readKeyed(topic, 0, 200) });
+});
+
+Given("a client of the store that has read all keys behind a network element", async function(this: SiteWorld) {
+    const connected = await connectBehindProxy(this);
+    await connected.client.readNewest(topic);
+    clients.set(this, { ...connected, waiting: undefined });
+});
+
+Then("a read of all keys returns the record on a new connection", async function(this: SiteWorld) {
+    const read = await clients.get(this)!.client.readNewest(topic);
+    assert.ok(read.kind === "newest", JSON.stringify(read));
+    assert.deepEqual(read.records.map(record => record.key), ["config"]);
 });
 
 When("its open connections go silent and a record is appended", function(this: SiteWorld) {
@@ -182,7 +200,7 @@
 
 Then("the read fails for lack of an answer", async function(this: SiteWorld) {
     const read = await clients.get(this)!.waiting;
-    assert.ok(read.kind === "failed");
+    assert.ok(read?.kind === "failed");
     assert.equal(read.cause, "timeout");
 });
 
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -18,6 +18,8 @@
     readonly upstreamsAgeSeconds: () => number;
     /** Seconds since the operator's topic was read. */
     readonly operatorAgeSeconds: () => number;
+    /** Whether the instance reads the store for itself and others, not only when copies are too old. */
+    readonly isStoreReader: () => boolean;
     readonly connectionsOpened: () => number;
     readonly logLinesDropped: () => ReadonlyMap<string, number>;
 }
@@ -114,6 +116,7 @@
         "Age of the last read of the operator's topic; -1 before the first.",
         from => from.operatorAgeSeconds(),
     );
+    gauge("store_reader", "1 when the instance reads the store all the time.", from => Number(from.isStoreReader()));
     gauge("connections_opened", "Connections opened to upstreams since the start.", from => from.connectionsOpened());
     new Gauge({
         name: "reedward_router_log_lines_left_out",
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -127,6 +127,7 @@
         storeEra: ports.storeEra.current,
         upstreamsAgeSeconds: () => fleet.upstreamsAgeMs() / millisecondsPerSecond,
         operatorAgeSeconds: () => fleet.operatorAgeMs() / millisecondsPerSecond,
+        isStoreReader: () => plan().isReader,
         connectionsOpened: proxy.countOpened,
         logLinesDropped: context.listDropped,
     });
