Tell all instances of a large fleet at once which engines load, and let such reports end

Cause: in a large fleet an instance hears the one that orders loads directly about every half minute, so nearly nobody knew which engines load (23 of 82 at a time), and those that had heard it took them for loading until the next time. Requests that reach a loading engine are rejected.

Change: the instance that orders loads sends a compact report to all others when the set changes, the first change at once and further ones within 100 ms together; late and earlier ones are told apart by incarnation and sequence. Any report of loading engines ends after 1.5 s unless it is repeated, so a lost one or a sender that has ended keeps no engine out of use. Answers to peers that ask for descriptions no longer use up those of the next heartbeat.

--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -49,7 +49,6 @@
 /** Upper bound of each wait, in milliseconds; only a failing test reaches it. */
 const timeoutMs = 20_000;
 
-/** Time after its start in which an instance reads the addresses of the others, in milliseconds. */
 /** Returns the fixture of a scenario. */
 export function getFixture(world: SiteWorld): PlatformFixture {
     const fixture = fixtures.get(world);
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -3,6 +3,8 @@
  * Assembles the instance's part in the fleet: discovery and heartbeats.
  */
 import { createFleetView, type FleetMember } from "../core/fleet/createFleetView.js";
+import { createLoadingReporter } from "../core/fleet/createLoadingReporter.js";
+import { createLoadingView } from "../core/fleet/createLoadingView.js";
 import { createPrefillReporter } from "../core/fleet/createPrefillReporter.js";
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
 import { maxDirectPeers } from "../core/fleet/planHeartbeats.js";
@@ -28,6 +30,8 @@
     readonly self: () => FleetInstance;
     /** Sends heartbeats without waiting for the next interval. */
     readonly sendNow: () => void;
+    /** Reports to peers which engines load, and the lease under which they do. */
+    readonly reportLoading: () => void;
     /** Reports to peers that an engine is about to prefill shared parts. */
     readonly reportPrefill: (prefill: Prefill) => void;
     /** Returns this instance's state for a peer; what the peer has already is left out. */
@@ -89,6 +93,7 @@
     const loggedStates = new Map<string, string>();
     /** Whether this instance's heartbeat address lies in the store. */
     let isRegistered = false;
+    const loadingView = createLoadingView(views.weights.setLoading);
     view.addContacts(settings.contacts);
     const stateReader = createPeerStateReader();
     const peerStates = assemblePeerState(context, views, {
@@ -126,7 +131,8 @@
         );
     }
 
-    function compose(): Heartbeat {
+    /** Composes a heartbeat that tells nothing of other instances. */
+    function composeOwn(): Heartbeat {
         const lease = sources.heldLease();
         return {
             from: self(),
@@ -139,11 +145,16 @@
             loaded: sources.listLoading().length > 0 ? listLoaded() : [],
             leaseOffset: lease?.offset,
             leaseEra: lease?.era,
-            known: view.chooseKnown(clock.now()),
-            ages: view.describeAges(clock.now()),
+            known: [],
+            ages: "",
         };
     }
 
+    function compose(): Heartbeat {
+        const nowMs = clock.now();
+        return { ...composeOwn(), known: view.chooseKnown(nowMs), ages: view.describeAges(nowMs) };
+    }
+
     function applyUses(peer: string, uses: Heartbeat["uses"]): void {
         if (view.isDirect()) {
             views.use.updatePeer(peer, uses);
@@ -158,12 +169,12 @@
         const address = heartbeat.from.heartbeatAddress;
         if (heartbeat.wanted !== undefined) {
             const known = view.describeInstances(heartbeat.wanted, clock.now());
-            heartbeats.sendTo(address, { ...compose(), known, ages: "", isAnswer: true });
+            heartbeats.sendTo(address, { ...composeOwn(), known, isAnswer: true });
         }
         else if (heartbeat.isAnswer !== true) {
             const wanted = view.listUnknown(heartbeat);
             if (wanted.length > 0) {
-                heartbeats.sendTo(address, { ...compose(), known: [], ages: "", wanted });
+                heartbeats.sendTo(address, { ...composeOwn(), wanted });
             }
         }
     }
@@ -177,7 +188,7 @@
         const { from } = heartbeat;
         peerStates.recordPeer(heartbeat);
         applyUses(from.name, heartbeat.uses);
-        views.weights.setLoading(from.name, heartbeat.loading);
+        loadingView.applyHeartbeat(from.name, heartbeat.loading, clock.now());
         heartbeat.named.forEach(named => views.recordTarget(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.recordLoaded(engine, model, version));
         if (heartbeat.leaseOffset !== undefined) {
@@ -188,6 +199,7 @@
 
     /** Logs members that joined, changed or left, and removes the reports of those that left. */
     function updateMembers(): void {
+        loadingView.removeExpired(clock.now());
         const live = view.listLive(clock.now());
         const liveNames = new Set(live.map(member => member.instance.name));
         for (const { instance } of live) {
@@ -202,7 +214,7 @@
                 loggedStates.delete(name);
                 peerStates.removePeer(name);
                 views.use.removePeer(name);
-                views.weights.setLoading(name, []);
+                loadingView.applyHeartbeat(name, [], clock.now());
                 writeLog("memberChanged", { member: name, state: "gone" });
             }
         }
@@ -220,8 +232,13 @@
             prefills.filter(({ engine }) => views.registry.find(engine) !== undefined)
                 .forEach(({ engine, salt, parts }) => views.parts.recordSent(parts, salt, engine, clock.now()));
         },
+        onLoadingReport: report => loadingView.applyReport(report, clock.now()),
         onMalformed: detail => writeLog("recordRejected", { topic: "heartbeat", detail }),
     });
+    const loadingReporter = createLoadingReporter(clock, (loading, sequence) => {
+        const addresses = view.listLive(clock.now()).map(member => member.instance.heartbeatAddress);
+        heartbeats.sendLoadingReport(addresses, { loadingBy: settings.instance, sequence, startedAtMs, loading });
+    });
 
     const prefillReporter = createPrefillReporter(clock, heartbeats.sendPrefillReport);
 
@@ -264,6 +281,12 @@
         countInstances: () => view.countInstances(clock.now()),
         self,
         sendNow: heartbeats.sendNow,
+        reportLoading: () => {
+            heartbeats.sendNow();
+            if (!view.isDirect()) {
+                loadingReporter.report(sources.listLoading());
+            }
+        },
         reportPrefill: prefill => {
             if (view.isDirect()) {
                 prefillReporter.add(prefill);
@@ -281,6 +304,7 @@
             peerStates.stop();
             stateReader.close();
             prefillReporter.stop();
+            loadingReporter.stop();
             heartbeats.stop();
         },
     };
--- a/src/core/fleet/parseFleetMessage.ts
+++ b/src/core/fleet/parseFleetMessage.ts
@@ -5,18 +5,19 @@
 import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
 import { type Heartbeat, heartbeatSchema } from "./heartbeat.js";
+import { type LoadingReport, loadingReportSchema } from "./loadingReport.js";
 import { type PrefillReport, prefillReportSchema } from "./prefillReport.js";
 
 /** A message of a peer. */
-export type FleetMessage = Heartbeat | PrefillReport;
+export type FleetMessage = Heartbeat | PrefillReport | LoadingReport;
 
-const messageSchema = z.union([prefillReportSchema, heartbeatSchema]);
+const messageSchema = z.union([prefillReportSchema, loadingReportSchema, heartbeatSchema]);
 
 /**
  * Parses a message.
  *
  * @param text - The message.
- * @returns The heartbeat or the report; undefined when it is malformed.
+ * @returns The heartbeat or report; undefined when it is malformed.
  * @example
  * parseFleetMessage("{}"); // undefined
  */
--- a/src/core/weights/createWeightsView.ts
+++ b/src/core/weights/createWeightsView.ts
@@ -84,7 +84,12 @@
         },
         findVersion,
         setLoading: (source, engines) => {
-            loading.set(source, new Set(engines));
+            if (engines.length > 0) {
+                loading.set(source, new Set(engines));
+            }
+            else {
+                loading.delete(source);
+            }
         },
         isLoading: engine => [...loading.values()].some(engines => engines.has(engine)),
     };
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -1,9 +1,10 @@
 /**
  * @module
- * Sends and receives heartbeats, and reports of prefills, as datagrams.
+ * Sends and receives heartbeats, and reports of prefills and of loading engines, as datagrams.
  */
 import { createSocket } from "node:dgram";
 import type { Heartbeat } from "../../core/fleet/heartbeat.js";
+import type { LoadingReport } from "../../core/fleet/loadingReport.js";
 import { type FleetMessage, parseFleetMessage } from "../../core/fleet/parseFleetMessage.js";
 import type { PrefillReport } from "../../core/fleet/prefillReport.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
@@ -20,6 +21,7 @@
     readonly chooseTargets: () => readonly string[];
     readonly onHeartbeat: (heartbeat: Heartbeat) => void;
     readonly onPrefillReport: (report: PrefillReport) => void;
+    readonly onLoadingReport: (report: LoadingReport) => void;
     readonly onMalformed: (detail: string) => void;
 }
 
@@ -29,6 +31,8 @@
     readonly sendNow: () => void;
     /** Returns the bytes sent to all peers together. */
     readonly sendPrefillReport: (report: PrefillReport) => number;
+    /** Sends a report to all the given "ip:port"s. */
+    readonly sendLoadingReport: (addresses: readonly string[], report: LoadingReport) => void;
     /** Sends a heartbeat to one "ip:port" in addition to the regular ones. */
     readonly sendTo: (address: string, heartbeat: Heartbeat) => void;
     readonly stop: () => void;
@@ -87,6 +91,9 @@
         else if ("prefills" in message) {
             options.onPrefillReport(message);
         }
+        else if ("loadingBy" in message) {
+            options.onLoadingReport(message);
+        }
         else {
             options.onHeartbeat(message);
         }
@@ -102,6 +109,11 @@
     return {
         sendNow,
         sendPrefillReport: report => (isStopped ? 0 : sendTo(options.chooseTargets(), report)),
+        sendLoadingReport: (addresses, report) => {
+            if (!isStopped) {
+                sendTo(addresses, report);
+            }
+        },
         sendTo: (address, heartbeat) => {
             if (!isStopped) {
                 sendTo([address], heartbeat);
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -112,7 +112,7 @@
         isLeaving: () => isLeaving,
         checkPause: () => pauses.check(),
         isStoreFresh: () => fleet.upstreamsAgeMs() < Math.max(freshStoreMs, plan().maxAgeMs),
-        notifyPeers: fleet.sendNow,
+        notifyPeers: fleet.reportLoading,
         onChange: views.notifyChange,
         writeLog,
         onOrder: answer => metrics.orders.inc({ answer }),
