Keep serving on what was known before a pause

Cause: a pause of the process voids the ages of what was read, so that no copy passes for newer than it is. The instance then counted as starting until the next read, although it goes on with what it knows; beside an outage of the store that lasts.

Change: an instance that had its state once stays ready. Wording of four comments.

--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -30,13 +30,13 @@
     readonly upstreamsAgeMs: () => number;
 }
 
-/** Instances that read no more than they must do so at ages that differ by up to this fraction. */
+/** The ages at which instances that are no readers read the store differ by up to this fraction. */
 const staggerFraction = 0.15;
 
 /** Longest delay after failed reads of an instance that is no reader, in milliseconds: there may be hundreds of them. */
 const maxFollowerRetryMs = 800;
 
-/** Time without reads after one that failed, while peers have newer state, in milliseconds; doubled by a random jitter. */
+/** Time without reads after one that failed while a peer's copy is newer, in milliseconds; a jitter of the same is added. */
 const backoffMs = 500;
 
 /** Time without an answer after which the store is considered unreachable, in milliseconds. */
@@ -84,7 +84,7 @@
     };
 }
 
-/** Decides when a topic is read. */
+/** Whether a topic has to be read now. */
 interface ReadNeed {
     readonly isNeeded: () => boolean;
     readonly recordFailure: ReadTracker["recordFailure"];
--- a/src/core/store/planStoreReads.ts
+++ b/src/core/store/planStoreReads.ts
@@ -63,7 +63,7 @@
 /** Age at which a state is copied, as a fraction of the shortest time limit. */
 const copyAgeFraction = 0.2;
 
-/** Age at which an instance that is no reader reads itself, or a reader copies from a peer; the same fraction. */
+/** Age at which an instance that is no reader reads the store, or a reader copies from a peer; the same fraction. */
 const maxAgeFraction = 0.6;
 
 /** Ranks the instances; those that are first in their failure domain precede all that are second there, and so on. */
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -58,6 +58,7 @@
     const { settings, ports, clock, writeLog, metrics } = context;
     let isLeaving = false;
     const views = assembleViews(context);
+    /** Undefined until the fleet is joined: the feeds begin before. */
     let joinedFleet: Fleet | undefined = undefined;
     const plan = memoizeFor(planLifetimeMs, clock.now, () => {
         const self = { name: settings.instance, failureDomain: settings.failureDomain };
@@ -71,7 +72,12 @@
     });
     const lease = createRolloutLease({ instance: settings.instance, separationMs: settings.leaseSeparationMs });
     watchStoreEra(context, lease);
-    const hasState = () => views.routes() !== undefined && Number.isFinite(fleet.upstreamsAgeMs());
+    let hasHadState = false;
+    /** What was known once stays in use, however old it is, for example after a pause during an outage of the store. */
+    function hasState(): boolean {
+        hasHadState ||= views.routes() !== undefined && Number.isFinite(fleet.upstreamsAgeMs());
+        return hasHadState;
+    }
 
     const fleet: Fleet = assembleFleet(context, views, feeds, {
         state: () => {
