Do not take a copy for new that was under way during a pause of the process

Cause: the age of a copy counts from its request. A clock that does not count a suspension makes an answer that was waiting meanwhile look newer than it is; the ages were voided, and the answer then set them again. Found in reading the change.

Change: an answer to a request from before the ages were voided is dropped; the next check copies anew. The scenario fails on the code before (both count as known).

--- a/features/configurationFreshness.feature
+++ b/features/configurationFreshness.feature
@@ -33,3 +33,10 @@
 
     Scenario: A few instances read the store for all
         Then 24 instances read the operator's records under 0.3 times a second each
+
+    Scenario: A copy that was under way during a pause of the process is not taken for new
+        Given an instance that copies the state of a peer while its process is paused
+        When the answer arrives after the pause
+        Then neither the configuration nor the upstreams count as known
+        When the next copy arrives without a pause
+        Then both count as read 140 ms ago, of which the request took 100 ms
--- a/src/assemble/assemblePeerState.ts
+++ b/src/assemble/assemblePeerState.ts
@@ -81,6 +81,8 @@
     let operatorAsOfMs = -Infinity;
     let isCopying = false;
     let copiedMs = -Infinity;
+    /** Number of times that the ages were forgotten. */
+    let forgotten = 0;
 
     const upstreamsAgeMs = () => Math.min(feeds.upstreamsAgeMs(), clock.now() - upstreamsAsOfMs);
     const operatorAgeMs = () => Math.min(feeds.operatorAgeMs(), clock.now() - operatorAsOfMs);
@@ -153,8 +155,13 @@
         const known: KnownState = { tableVersion: tableVersion(), upstreamsDigest: views.registry.digest() };
         deps.checkPause();
         const requestedMs = clock.now();
+        const forgottenBefore = forgotten;
         const state = await deps.read(peerAddress, known);
         deps.checkPause();
+        // The clock may not have counted a pause in between, and the answer would look newer than it is.
+        if (forgotten !== forgottenBefore) {
+            return;
+        }
         metrics.peerCopies.inc({ result: state === undefined ? "failed" : "copied" });
         if (state === undefined) {
             passedOverUntilMs.set(name, clock.now() + passOverMs);
@@ -216,6 +223,7 @@
             passedOverUntilMs.delete(name);
         },
         forgetAges: () => {
+            forgotten += 1;
             upstreamsAsOfMs = -Infinity;
             operatorAsOfMs = -Infinity;
         },
