Report which requests and prompt parts an ended engine implicates

Cause: the logs did not tell the hypotheses of the incident apart. No line named the parts of a prompt, and the end of an engine left no line of its own.

Change: RW5019 with the shared parts of the requests whose answers had not begun, a counter, and the parts in RW3007 of a lost send. An engine counts as ended only when its connections end and its address then refuses one: an answer that is lost on an engine that goes on implicates nothing.

--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -153,6 +153,8 @@
             onAnswerHead: () => undefined,
             onAnswerEnd: () => undefined,
             onForeignAnswer: () => undefined,
+            onEvent: () => undefined,
+            onConnectionEnd: () => undefined,
             onHeadTime: () => undefined,
         });
         const req = createProxyRequest(
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -138,6 +138,8 @@
         onAnswerHead: () => undefined,
         onAnswerEnd: (...[, , end]) => ends.push(end),
         onForeignAnswer: () => undefined,
+        onEvent: () => undefined,
+        onConnectionEnd: () => undefined,
         onHeadTime: () => undefined,
     });
     fixtures.set(world, {
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -16,6 +16,7 @@
 import { createProxyService } from "../io/proxy/createProxyService.js";
 import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
 import type { AnswerHead } from "../io/proxy/proxyCodec.js";
+import { assembleEndTracking } from "./assembleEndTracking.js";
 import type { Fleet } from "./assembleFleet.js";
 import type { PartFeeds } from "./assembleParts.js";
 import type { InstanceViews } from "./assembleViews.js";
@@ -134,6 +135,7 @@
         });
     }
 
+    const endTracking = assembleEndTracking(context, { onEnd: () => undefined, onSettled: () => undefined });
     const send = createUpstreamSender({
         clock,
         answerMemory: createAnswerMemory(maxAnswerMemoryBytes),
@@ -143,6 +145,8 @@
         onAnswerHead: recordAnswerHead,
         onHeadTime: tookMs => metrics.headSeconds.observe(tookMs / millisecondsPerSecond),
         onAnswerEnd: recordAnswerEnd,
+        onEvent: endTracking.recordEvent,
+        onConnectionEnd: (req, { placement }) => endTracking.recordConnectionEnd(req, placement.upstream),
         onForeignAnswer: (req, effect, answeredId) =>
             writeLog("foreignAnswer", { requestId: req.id, upstream: effect.placement.upstream.id, answeredId }),
     });
@@ -176,7 +180,11 @@
             metrics.requestSeconds.observe({ kind: end.kind }, end.tookMs / millisecondsPerSecond);
             writeLog("requestServed", { ...end });
         },
-        onSend: outcome => metrics.sends.inc({ outcome }),
+        onSendBegin: (req, { upstream }) => endTracking.recordBegin(req, upstream),
+        onSend: (req, outcome) => {
+            metrics.sends.inc({ outcome: outcome.kind });
+            endTracking.recordOutcome(req, outcome);
+        },
         onPlaced: waitedMs => metrics.placementSeconds.observe(waitedMs / millisecondsPerSecond),
         onRefusal: kind => metrics.refusals.inc({ kind }),
     });
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -92,6 +92,7 @@
     upstreamsReconciled: define("RW5016", "info", "upstreams reconciled with an older copy of their list"),
     storeReadFailed: define("RW5017", "info", "read of the store failed"),
     peerStateFailed: define("RW5018", "info", "peer did not answer with its state"),
+    upstreamEnded: define("RW5019", "warn", "an upstream's process ended under requests"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -41,6 +41,8 @@
     readonly answerEnds: Counter<"framing" | "connection" | "complete">;
     /** Changes of upstreams by kind. */
     readonly upstreamChanges: Counter<"change">;
+    /** Ends of upstreams' processes under requests of this instance. */
+    readonly upstreamEnds: Counter<string>;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
@@ -137,6 +139,7 @@
         sends: counter("sends_total", "Sends to upstreams.", ["outcome"]),
         answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
+        upstreamEnds: counter("upstream_ends_total", "Ends of upstreams' processes under requests."),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -11,7 +11,7 @@
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
-import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
+import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
 import type { Route } from "../../core/routes/routingTable.js";
@@ -37,8 +37,10 @@
     /** Whether connections are being closed, so that each answer announces it. */
     readonly isClosing: () => boolean;
     readonly onRetry: (reason: ProxyRetryReason) => void;
+    /** Receives each send that begins. */
+    readonly onSendBegin: (req: ProxyRequest, placement: Placement) => void;
     /** Receives the outcome of each send. */
-    readonly onSend: (outcome: SendOutcome["kind"]) => void;
+    readonly onSend: (req: ProxyRequest, outcome: SendOutcome) => void;
     /** Receives the time that a request waited for its placement, in milliseconds. */
     readonly onPlaced: (waitedMs: number) => void;
     readonly onRefusal: (kind: ErrorKind) => void;
@@ -143,9 +145,10 @@
                 send: (effect, resume) => {
                     const { placement } = effect;
                     deps.writeLog("requestSent", describeSend(req, placement, deps.clock.now()));
+                    deps.onSendBegin(req, placement);
                     deps.send(req, effect, caller, outcome => {
                         releaseUpstream();
-                        deps.onSend(outcome.kind);
+                        deps.onSend(req, outcome);
                         if (outcome.kind !== "answered" && outcome.kind !== "finished") {
                             deps.writeLog("sendEnded", describeSendEnd(req, placement, outcome));
                         }
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -138,6 +138,9 @@
         const delivery = this.stream ?? this.collection;
         if (delivery.write(chunk)) {
             this.holding.set(delivery.heldBytes());
+            if (this.stream?.eventStreamEnd().hasEvents === true) {
+                this.deps.onEvent(this.req);
+            }
         }
         else {
             this.finishLost(
@@ -253,6 +256,9 @@
     }
 
     private finishLost(detail: string): void {
+        if (!this.isFinished && this.connection.state() !== "open") {
+            this.deps.onConnectionEnd(this.req, this.effect);
+        }
         this.deps.health.recordFailure(this.upstreamId(), this.deps.clock.now());
         this.finish({ kind: "lost", detail, delivered: this.delivered() });
     }
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -2,6 +2,7 @@
  * @module
  * Log fields of a send; fields that do not apply are omitted.
  */
+import { listSharedParts } from "../../core/placement/_lib/listSharedParts.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 
 type LogFields = Readonly<Record<string, unknown>>;
@@ -38,5 +39,8 @@
         detail: "detail" in outcome ? outcome.detail : undefined,
         status: outcome.kind === "rejected" ? outcome.status : undefined,
         reason: outcome.kind === "rejected" ? outcome.reason : undefined,
+        parts: outcome.kind === "lost" && req.prompt !== undefined
+            ? listSharedParts(req.prompt).map(part => part.id)
+            : undefined,
     };
 }
--- a/src/io/proxy/upstreamSenderTypes.ts
+++ b/src/io/proxy/upstreamSenderTypes.ts
@@ -31,6 +31,10 @@
         end: AnswerEnd,
         incompleteReason: string | undefined,
     ) => void;
+    /** Receives each event, or part of one, of a stream. */
+    readonly onEvent: (req: ProxyRequest) => void;
+    /** Receives requests whose connection ended before their answer was complete. */
+    readonly onConnectionEnd: (req: ProxyRequest, effect: SendEffect) => void;
     /** Receives answers that belong to another request or to none. */
     readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
 }
