Reproduce requests that end engine after engine

Cause: not mended here. The users' record shows requests with one part in their prompts that go on to be sent after five engines have ended under them.

Change: a stand-in in bench/quarantine. The bounds are those of the rule: three sends later than 3 s after the fifth end, and half of the usual share of sound requests from 6 s after it. Beside it histories in which engines end, answers are lost and connections are reset for other reasons: no part may be held back.

--- /dev/null
+++ b/bench/quarantine/createRouterModel.ts
@@ -0,0 +1,200 @@
+/**
+ * @module
+ * An instance of the router before modelled engines: the placer, the retry decisions and what is known of engines.
+ */
+import type { VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createPlacerFixture } from "../../features/support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../../features/support/proxyFixtures.js";
+import { runSteps } from "../../src/core/effects/runSteps.js";
+import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
+import type { ProxyEffect, ProxyEffectResults, SendEffect } from "../../src/core/proxy/proxyEffects.js";
+import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
+import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
+import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
+import { createPausableClock } from "../support/createPausableClock.js";
+import type { EngineFleetModel } from "./createEngineFleetModel.js";
+
+/** A request of a caller at an instance. */
+export interface RouterCall {
+    readonly id: string;
+    readonly parts: readonly string[];
+    readonly onBegin: () => void;
+    readonly onEnd: (isAnswered: boolean) => void;
+}
+
+/** An instance. */
+export interface RouterModel {
+    readonly name: string;
+    readonly serve: (call: RouterCall) => void;
+    readonly applyChange: (record: UpstreamRecord, isStarted: boolean) => void;
+    readonly freezeFor: (durationMs: number) => void;
+    /** Ends the process; nothing that it has begun has an effect any more. */
+    readonly stop: () => void;
+}
+
+/** Options of {@link createRouterModel}. */
+export interface RouterModelOptions {
+    readonly name: string;
+    readonly engines: EngineFleetModel;
+    readonly countInstances: () => number;
+    /** Called when a request has reached an engine. */
+    readonly onArrival: (instance: string, parts: readonly string[]) => void;
+}
+
+/** Time on the way to an engine or back, in milliseconds. */
+const minTransitMs = 0.5;
+const maxTransitMs = 3;
+
+const partTokens = 400;
+const callerTimeoutMs = 4_000;
+
+/** Time of the way from an instance or an engine to another one, in milliseconds. */
+export function drawTransitMs(random: () => number): number {
+    return minTransitMs + random() * (maxTransitMs - minTransitMs);
+}
+
+/** Creates an instance that knows the engines that run. */
+export function createRouterModel(clock: VirtualClock, options: RouterModelOptions): RouterModel {
+    const { name, engines } = options;
+    const ownClock = { ...clock, ...createPausableClock(clock) };
+    const fixture = createPlacerFixture(ownClock, []);
+    const { placer, registry, health } = fixture;
+    registry.applyList(engines.list(), clock.now());
+    const retryBudget = createFleetRetryBudget({
+        ratio: 0.2,
+        slack: 54,
+        windowMs: 10_000,
+        countInstances: options.countInstances,
+    });
+    let isStopped = false;
+
+    function createRequest({ id, parts }: RouterCall): ProxyRequest {
+        const all = [...parts, `own-${id}`].map(part => ({ id: part, tokens: partTokens }));
+        const prompt = createPrompt({ parts: all, promptTokens: all.length * partTokens });
+        const times = { arrivedMs: clock.now(), deadlineMs: clock.now() + callerTimeoutMs };
+        return createProxyRequest("stream", { id, prompt, ...times }, true);
+    }
+
+    /** Runs an action of this process after the way back. */
+    function respond(action: () => void): void {
+        clock.after(drawTransitMs(clock.random), () => ownClock.after(0, () => (isStopped ? undefined : action())));
+    }
+
+    function send(
+        req: ProxyRequest,
+        effect: SendEffect,
+        call: RouterCall,
+        resume: (outcome: SendOutcome) => void,
+    ): void {
+        const { upstream } = effect.placement;
+        let isEnded = false;
+        health.recordSent(upstream.id, req.id, clock.now());
+
+        function finish(outcome: SendOutcome): void {
+            if (isEnded) {
+                return;
+            }
+            isEnded = true;
+            cancelDeadline();
+            health.recordEnded(upstream.id, req.id);
+            placer.end(req);
+            resume(outcome);
+        }
+
+        function fail(outcome: SendOutcome): void {
+            health.recordFailure(upstream.id, clock.now());
+            finish(outcome);
+        }
+        const cancelDeadline = ownClock.after(
+            req.deadlineMs - clock.now(),
+            () => finish({ kind: "expired", delivered: undefined }),
+        );
+
+        function arrive(): void {
+            if (isStopped) {
+                return;
+            }
+            const result = engines.arrive(upstream, {
+                parts: call.parts,
+                promptTokens: req.prompt?.promptTokens ?? 0,
+                onBegin: () => {
+                    call.onBegin();
+                    respond(() => health.recordReceived(upstream.id, clock.now()));
+                },
+                onAnswer: () =>
+                    respond(() => {
+                        health.recordSuccess(upstream.id);
+                        finish({ kind: "finished" });
+                    }),
+                onConnectionEnd: () =>
+                    respond(() => fail({ kind: "lost", detail: "other side closed", delivered: undefined })),
+            });
+            if (result === "accepted") {
+                options.onArrival(name, call.parts);
+            }
+            else if (result === "refused") {
+                respond(() => fail({ kind: "notSent", detail: "refused" }));
+            }
+            else {
+                if (result === "replaced") {
+                    respond(() => health.recordMisdirected(upstream.id));
+                }
+                const reason = result;
+                respond(() => fail({ kind: "rejected", status: 503, reason, retryAfterMs: undefined }));
+            }
+        }
+        clock.after(drawTransitMs(clock.random), arrive);
+    }
+
+    function run(call: RouterCall): void {
+        const req = createRequest(call);
+        retryBudget.recordRequest(req.service, clock.now());
+        let isAnswered = false;
+        const steps = serveProxyRequest(req, {
+            tryAcquireRetry: service => retryBudget.tryAcquire(service, clock.now()),
+            onRetry: () => undefined,
+        });
+        runSteps<void, ProxyEffect, ProxyEffectResults>(
+            steps,
+            {
+                place: (effect, resume) => {
+                    placer.place(req, effect, resume);
+                },
+                send: (effect, resume) =>
+                    send(req, effect, call, outcome => {
+                        isAnswered ||= outcome.kind === "finished";
+                        resume(outcome);
+                    }),
+                answer: (_, resume) => resume(undefined),
+                refuse: (_, resume) => resume(undefined),
+                cut: (_, resume) => resume(undefined),
+            },
+            () => call.onEnd(isAnswered),
+            error => {
+                throw error;
+            },
+        );
+    }
+
+    return {
+        name,
+        serve: call => {
+            ownClock.after(0, () => (isStopped ? call.onEnd(false) : run(call)));
+        },
+        applyChange: (record, isStarted) => {
+            ownClock.after(0, () => {
+                if (isStarted) {
+                    registry.applyChanges([{ kind: "put", record }], clock.now());
+                }
+                else if (registry.find(record.id)?.startedAtMs === record.startedAtMs) {
+                    registry.applyChanges([{ kind: "removed", id: record.id }], clock.now());
+                }
+                placer.dispatch();
+            });
+        },
+        freezeFor: ownClock.pauseFor,
+        stop: () => {
+            isStopped = true;
+        },
+    };
+}
--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,13 @@
+Feature: Prompts that end engines
+    Engines end when they begin to write an answer on a part of a prompt, at several instances, beside restarts, pauses
+    and lost messages, on a virtual clock; in other histories they end for other reasons.
+
+    @known-red
+    Scenario: Requests with a part that ends engines are held back in time
+        When 30 histories of parts that end engines are played from seed 1
+        Then no history breaks a promise about parts that end engines
+
+    Scenario: No sound part is held back when engines end for other reasons
+        When 30 histories of engines that end for other reasons are played from seed 1
+        Then no history breaks a promise about parts that end engines
+        And at least 200 engines have ended
