Ask about a suspected part again only after another engine has ended

What would have happened: a suspicion that could not be decided was judged anew every 0.4 s, with an inquiry to all instances each time, for as long as its ends are remembered (15 minutes), although nothing can change without another end.

Cause: a judgement was only put off for 250 ms.

Change: a part is due again when a later end than the judged one is known; only an inquiry that too few instances answered is repeated after a moment.

Conclusion: messages are sent only after an end.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -15,3 +15,8 @@
         When 30 histories of engines that end for other reasons are played from seed 1
         Then no history breaks a promise about parts that end engines
         And at least 200 engines have ended
+
+    Scenario: Nothing is asked again about a suspected part while no further engine ends
+        Given an instance in charge with another one that has answered nothing
+        When two engines end under different requests with one part, and nothing else happens for 20 s
+        Then the other one was asked at most 2 times
--- a/src/core/quarantine/createPartGuard.ts
+++ b/src/core/quarantine/createPartGuard.ts
@@ -86,7 +86,10 @@
 /** Minimum time between two messages that bring one instance up to date, in milliseconds. */
 const minUpdateIntervalMs = 400;
 
-/** Time after an insufficient judgement until the next one of the same part, in milliseconds. */
+/** Parts whose last judgement is remembered. */
+const maxJudgedParts = 1_024;
+
+/** Time until an inquiry that too few instances have answered is repeated, in milliseconds. */
 const postponementMs = 250;
 
 /**
@@ -104,6 +107,8 @@
     const quarantine = createQuarantine();
     const updatedMs = new Map<string, number>();
     const postponedUntilMs = new Map<string, number>();
+    /** Last end of an engine that was judged, by part. */
+    const judgedEndMs = new Map<string, number>();
 
     const listInstances = () => [self, ...deps.listOthers()];
 
@@ -133,11 +138,12 @@
         deps.onChange(change);
     }
 
-    /** Lists the suspicions that are worth judging and were not judged a moment ago. */
+    /** Lists the suspicions that are worth judging; one that was judged is due again after another end only. */
     function listDue(): readonly Suspicion[] {
         const nowMs = clock.now();
         return evidence.listSuspicions(nowMs, quarantine.findSinceMs).filter(one =>
             isWorthJudging(one) && nowMs >= (postponedUntilMs.get(one.part) ?? -Infinity)
+            && one.lastEndMs > (judgedEndMs.get(one.part) ?? -Infinity)
         );
     }
 
@@ -177,7 +183,7 @@
                 break;
             case "answered":
             case "insufficient":
-                postpone(part);
+                recordJudged(suspicion);
                 break;
         }
         if (change === "contain" || change === "hold") {
@@ -186,6 +192,16 @@
         deps.onChange({ part, change, suspicion });
     }
 
+    function recordJudged({ part, lastEndMs }: Suspicion): void {
+        judgedEndMs.delete(part);
+        judgedEndMs.set(part, lastEndMs);
+        const oldest = judgedEndMs.keys().next().value;
+        if (judgedEndMs.size > maxJudgedParts && oldest !== undefined) {
+            judgedEndMs.delete(oldest);
+        }
+    }
+
+    /** Puts off the judgement of a part about which too few instances have answered. */
     function postpone(part: string): void {
         const nowMs = clock.now();
         postponedUntilMs.forEach((untilMs, one) => (untilMs < nowMs ? postponedUntilMs.delete(one) : undefined));
