Hold a part after one conclusive probe when five engines have ended under it

Cause: while engines end for other reasons two or three conclusive probes were asked for, also where the evidence was five engines already.

Change: from five engines on, one conclusive probe is enough.

--- a/src/core/quarantine/createQuarantine.ts
+++ b/src/core/quarantine/createQuarantine.ts
@@ -76,6 +76,9 @@
     { maxOtherEnds: Infinity, holdingScore: 12 },
 ];
 
+/** Engines under which a part is held after one conclusive probe, whatever else ends. */
+const minCertainEngines = 5;
+
 /** Engines that an entry names. */
 const maxNamedEngines = 8;
 
@@ -186,7 +189,8 @@
             }
             const engines = [...known.engines, engine];
             const probeScore = known.probeScore + (isConclusive ? conclusiveWeight : inconclusiveWeight);
-            const limit = probeLimits.find(one => otherEnds <= one.maxOtherEnds)?.holdingScore ?? Infinity;
+            const isCertain = known.engines.length >= minCertainEngines;
+            const limit = probeLimits.find(one => isCertain || otherEnds <= one.maxOtherEnds)?.holdingScore ?? Infinity;
             if (treatment === "expired" || probeScore >= limit) {
                 hold(part, engines, nowMs);
                 return true;
