Log and count the rate limits that upstreams state in their answers

An upstream's stated limit left no trace, so the logs could not tell whether it was not read, kept by each instance alone, or broken by repeats. The adapter decodes the header once; src/core/signals keeps it with its source and the times of the answer; RW5021 and RW5022 report changes and malformed values, RW3006 the limit known at a send. Placement does not read it yet: no behaviour changes.

--- a/features/steps/callerAnswerSteps.ts
+++ b/features/steps/callerAnswerSteps.ts
@@ -32,6 +32,7 @@
     rejection: undefined,
     retryAfterMs: undefined,
     load: undefined,
+    signals: { stated: [], malformed: [] },
     weightsVersion: undefined,
     closesConnection: false,
     framing: "chunked",
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -104,7 +104,8 @@
             .finally(() => clock.after(weightsReadIntervalMs, () => recentlyRead.delete(engine.id)));
     }
 
-    function recordAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead): void {
+    function recordAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead, sentMs: number): void {
+        views.signals.recordAnswer(effect.placement.upstream, head, sentMs);
         if (!head.isNotRun) {
             placer.recordAnswerStart(req, effect.placement);
         }
@@ -178,6 +179,7 @@
         send,
         retryBudget,
         routes: views.routes,
+        findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
         isClosing,
         onRetry: reason => metrics.retries.inc({ reason }),
         onEnd: end => {
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -14,6 +14,7 @@
 import { indexRoutes, type RouteIndex } from "../core/routes/indexRoutes.js";
 import type { RoutingTable } from "../core/routes/routingTable.js";
 import { createWeightsView, type WeightsView } from "../core/weights/createWeightsView.js";
+import { assembleSignals, type InstanceSignals } from "./assembleSignals.js";
 import type { InstanceContext } from "./routerPorts.js";
 
 /** Target weights as reported between instances. */
@@ -42,6 +43,7 @@
     readonly health: HealthView;
     readonly use: UpstreamUseTracker;
     readonly parts: PartView;
+    readonly signals: InstanceSignals;
     readonly routes: () => RouteIndex | undefined;
     /** Applies a configuration unless the one in force has the same version or a newer one. */
     readonly applyTable: (table: RoutingTable, source: string, details?: TableDetails) => void;
@@ -84,18 +86,21 @@
         if (event.kind === "restarted" || event.kind === "removed") {
             parts.removeHolder(id);
             health.remove(id);
+            signals.view.remove(id);
         }
         metrics.upstreamChanges.inc({ change: event.kind });
         writeLog("upstreamChanged", { change: event.kind, upstream: id, service, address, isDraining });
     }
 
     const registry = createUpstreamRegistry(onRegistryEvent);
+    const signals = assembleSignals(context, registry);
     return {
         registry,
         weights,
         health,
         use: createUpstreamUseTracker(),
         parts,
+        signals,
         routes: () => index,
         applyTable: (table, source, details) => {
             if (index !== undefined && table.version <= index.table.version) {
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -94,6 +94,12 @@
     peerStateFailed: define("RW5018", "info", "peer did not answer with its state"),
     upstreamEnded: define("RW5019", "warn", "an upstream's process ended under requests"),
     quarantineChanged: define("RW5020", "warn", "a prompt part was judged, or its quarantine changed"),
+    upstreamSignalChanged: define(
+        "RW5021",
+        "info",
+        "an upstream stated in an answer which requests it wants, or no longer did",
+    ),
+    upstreamSignalMalformed: define("RW5022", "warn", "statement of an upstream ignored: malformed"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- /dev/null
+++ b/src/core/signals/index.ts
@@ -0,0 +1,8 @@
+/**
+ * @module
+ * What upstreams state in their answers about the requests that they want.
+ */
+export * from "./createSignalView.js";
+export * from "./rateLimitObservation.js";
+export * from "./signalReport.js";
+export * from "./upstreamSignal.js";
--- /dev/null
+++ b/src/core/signals/upstreamSignal.ts
@@ -0,0 +1,24 @@
+/**
+ * @module
+ * What upstreams state in their answers about the requests that they want.
+ */
+
+/** One statement of an upstream. */
+export type UpstreamSignal =
+    /** The requests per second that it takes from all instances together, for as long as its answers state it. */
+    { readonly kind: "rateLimit"; readonly requestsPerSecond: number; };
+
+/** Kind of a signal. */
+export type SignalKind = UpstreamSignal["kind"];
+
+/** A statement that could not be decoded. */
+export interface MalformedSignal {
+    readonly kind: SignalKind;
+    readonly text: string;
+}
+
+/** The signals of one answer. */
+export interface AnswerSignals {
+    readonly stated: readonly UpstreamSignal[];
+    readonly malformed: readonly MalformedSignal[];
+}
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -22,6 +22,8 @@
     readonly isStoreReader: () => boolean;
     /** Prompt parts that are held back or contained. */
     readonly quarantinedParts: () => number;
+    /** Upstreams that state a rate limit. */
+    readonly limitedUpstreams: () => number;
     readonly connectionsOpened: () => number;
     readonly logLinesDropped: () => ReadonlyMap<string, number>;
 }
@@ -47,6 +49,8 @@
     readonly upstreamEnds: Counter<string>;
     /** Judgements and other changes of the quarantine of prompt parts. */
     readonly quarantineChanges: Counter<"change">;
+    /** Changes of what upstreams state in their answers about the requests that they want, by signal. */
+    readonly signalChanges: Counter<"signal" | "change">;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
@@ -124,6 +128,7 @@
     );
     gauge("store_reader", "1 when the instance reads the store all the time.", from => Number(from.isStoreReader()));
     gauge("quarantined_parts", "Prompt parts that are held back or contained.", from => from.quarantinedParts());
+    gauge("limited_upstreams", "Upstreams that state a rate limit.", from => from.limitedUpstreams());
     gauge("connections_opened", "Connections opened to upstreams since the start.", from => from.connectionsOpened());
     new Gauge({
         name: "reedward_router_log_lines_left_out",
@@ -146,6 +151,7 @@
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         upstreamEnds: counter("upstream_ends_total", "Ends of upstreams' processes under requests."),
         quarantineChanges: counter("quarantine_changes_total", "Changes of the quarantine.", ["change"]),
+        signalChanges: counter("signal_changes_total", "Changes of upstreams' signals.", ["signal", "change"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -34,6 +34,8 @@
     readonly retryBudget: FleetRetryBudget;
     /** The configuration in force; undefined while there is none. */
     readonly routes: () => RouteIndex | undefined;
+    /** Rate limit of an upstream that has stated one, in requests per second. */
+    readonly findRateLimit: (upstream: string) => number | undefined;
     /** Whether connections are being closed, so that each answer announces it. */
     readonly isClosing: () => boolean;
     readonly onRetry: (reason: ProxyRetryReason) => void;
@@ -144,7 +146,8 @@
                 },
                 send: (effect, resume) => {
                     const { placement } = effect;
-                    deps.writeLog("requestSent", describeSend(req, placement, deps.clock.now()));
+                    const rateLimit = deps.findRateLimit(placement.upstream.id);
+                    deps.writeLog("requestSent", { ...describeSend(req, placement, deps.clock.now()), rateLimit });
                     deps.onSendBegin(req, placement);
                     deps.send(req, effect, caller, outcome => {
                         releaseUpstream();
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -117,7 +117,7 @@
             this.connection.expectEnd();
         }
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
-        this.deps.onAnswerHead(this.req, this.effect, head);
+        this.deps.onAnswerHead(this.req, this.effect, head, this.sentMs);
         this.deps.onHeadTime(this.deps.clock.now() - this.sentMs);
         if (this.req.route.kind === "stream" && head.isEventStream && status < firstRedirect) {
             this.stream = createStreamDelivery({
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -8,6 +8,7 @@
 import type { Prompt } from "../../core/placement/placementTypes.js";
 import type { AnswerFraming } from "../../core/proxy/answerEnd.js";
 import type { HeaderPair, Placement, ProxyRequest, RejectionReason } from "../../core/proxy/proxyTypes.js";
+import type { AnswerSignals } from "../../core/signals/upstreamSignal.js";
 
 /** The decoded head of a caller's request. */
 export interface RequestHead {
@@ -44,6 +45,8 @@
     readonly rejection: RejectionReason | undefined;
     readonly retryAfterMs: number | undefined;
     readonly load: ReportedLoad | undefined;
+    /** What the upstream states about the requests that it wants. */
+    readonly signals: AnswerSignals;
     /** Version of the weights that generated the answer. */
     readonly weightsVersion: number | undefined;
     /** Whether the upstream closes the connection after this answer. */
--- a/src/io/proxy/upstreamSenderTypes.ts
+++ b/src/io/proxy/upstreamSenderTypes.ts
@@ -20,8 +20,8 @@
     readonly health: HealthView;
     /** Memory that answers in progress hold. */
     readonly answerMemory: AnswerMemory;
-    /** Receives the head of each answer. */
-    readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
+    /** Receives the head of each answer, and when its request was sent. */
+    readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead, sentMs: number) => void;
     /** Receives the time from a send to the head of its answer, in milliseconds. */
     readonly onHeadTime: (tookMs: number) => void;
     /** Receives how an answer ended, and why it is incomplete if it is. */
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -142,6 +142,7 @@
         operatorAgeSeconds: () => fleet.operatorAgeMs() / millisecondsPerSecond,
         isStoreReader: () => plan().isReader,
         quarantinedParts: () => quarantine.guard.list().filter(entry => entry.state !== "lifted").length,
+        limitedUpstreams: () => views.signals.view.countLimited(clock.now()),
         connectionsOpened: proxy.countOpened,
         logLinesDropped: context.listDropped,
     });
