--- a/bench/quarantine/createEngineFleetModel.ts
+++ b/bench/quarantine/createEngineFleetModel.ts
@@ -3,8 +3,8 @@
  * Engines that prefill one prompt after the other, and end when they begin to write an answer on a harmful part.
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
-import { createRecord } from "../../features/support/proxyFixtures.js";
 import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
+import { createRecord } from "../support/proxyFixtures.js";
 
 /** A request at an engine. */
 export interface EngineCall {
--- a/bench/quarantine/createRouterModel.ts
+++ b/bench/quarantine/createRouterModel.ts
@@ -3,8 +3,6 @@
  * An instance of the router before modelled engines: the placer, the retry decisions and what is known of engines.
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
-import { createPlacerFixture } from "../../features/support/placerFixtures.js";
-import { createPrompt, createProxyRequest } from "../../features/support/proxyFixtures.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
 import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
 import type { ProxyEffect, ProxyEffectResults, SendEffect } from "../../src/core/proxy/proxyEffects.js";
@@ -16,6 +14,9 @@
 import type { QuarantineMessage } from "../../src/core/quarantine/quarantineMessage.js";
 import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
 import { createPausableClock } from "../support/createPausableClock.js";
+import { drawTransitMs } from "../support/drawTransitMs.js";
+import { createPlacerFixture } from "../support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
 import type { EngineFleetModel } from "./createEngineFleetModel.js";
 
 /** A request of a caller at an instance. */
@@ -54,18 +55,9 @@
     readonly onArrival: (instance: string, parts: readonly string[]) => void;
 }
 
-/** Time on the way to an engine or back, in milliseconds. */
-const minTransitMs = 0.5;
-const maxTransitMs = 3;
-
 const partTokens = 400;
 const callerTimeoutMs = 4_000;
 
-/** Time of the way from an instance or an engine to another one, in milliseconds. */
-export function drawTransitMs(random: () => number): number {
-    return minTransitMs + random() * (maxTransitMs - minTransitMs);
-}
-
 /** Creates an instance that knows the engines that run. */
 export function createRouterModel(clock: VirtualClock, options: RouterModelOptions): RouterModel {
     const { name, engines } = options;
--- a/bench/quarantine/playHistory.ts
+++ b/bench/quarantine/playHistory.ts
@@ -4,9 +4,10 @@
  */
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import { heartbeatIntervalMs } from "../../src/core/fleet/planHeartbeats.js";
+import { drawTransitMs } from "../support/drawTransitMs.js";
 import { createEngineFleetModel, type EngineFleetModel } from "./createEngineFleetModel.js";
 import { createPromptSource, type PromptSource } from "./createPromptSource.js";
-import { createRouterModel, drawTransitMs, type RouterModel } from "./createRouterModel.js";
+import { createRouterModel, type RouterModel } from "./createRouterModel.js";
 import {
     type CallerAttempt,
     type Disturbance,
--- /dev/null
+++ b/bench/rateLimits/createLimitInstance.ts
@@ -0,0 +1,195 @@
+/**
+ * @module
+ * An instance of the router before modelled upstreams: the placer, the retry decisions and what is known of limits.
+ */
+import type { VirtualClock } from "../../fakes/createVirtualClock.js";
+import { runSteps } from "../../src/core/effects/runSteps.js";
+import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
+import type { ProxyEffect, ProxyEffectResults, SendEffect } from "../../src/core/proxy/proxyEffects.js";
+import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
+import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
+import { createPausableClock } from "../support/createPausableClock.js";
+import { drawTransitMs } from "../support/drawTransitMs.js";
+import { createPlacerFixture } from "../support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
+import type { FleetNetwork } from "./createFleetNetwork.js";
+import type { LimitedUpstreams, UpstreamHead } from "./createLimitedUpstreams.js";
+
+/** A request of a caller at an instance. */
+export interface InstanceCall {
+    readonly id: string;
+    /** Prompt part that the request shares with others. */
+    readonly sharedPart: string;
+    readonly onEnd: (result: "answered" | "refused" | "failed", retryAfterMs: number | undefined) => void;
+}
+
+/** An instance. */
+export interface LimitInstance {
+    readonly name: string;
+    readonly serve: (call: InstanceCall) => void;
+    readonly freezeFor: (durationMs: number) => void;
+    /** Cuts the instance from the upstreams, or ends that. */
+    readonly setCut: (isCut: boolean) => void;
+    /** Ends the process; nothing that it has begun has an effect any more. */
+    readonly stop: () => void;
+}
+
+/** Options of {@link createLimitInstance}. */
+export interface LimitInstanceOptions {
+    readonly name: string;
+    readonly upstreams: LimitedUpstreams;
+    readonly network: FleetNetwork;
+    readonly countInstances: () => number;
+    /** Called when a request has reached an upstream. */
+    readonly onArrival: (instance: string, upstream: string) => void;
+    /** Called when the head of an answer has reached the instance. */
+    readonly onHead: (instance: string, upstream: string, head: UpstreamHead) => void;
+}
+
+const partTokens = 300;
+const callerTimeoutMs = 4_000;
+const connectTimeoutMs = 400;
+
+/** Creates an instance that knows all upstreams. */
+export function createLimitInstance(clock: VirtualClock, options: LimitInstanceOptions): LimitInstance {
+    const { name, upstreams } = options;
+    const ownClock = { ...clock, ...createPausableClock(clock) };
+    const { registry, health, placer } = createPlacerFixture(ownClock, []);
+    registry.applyList(upstreams.records, clock.now());
+    const retryBudget = createFleetRetryBudget({
+        ratio: 0.2,
+        slack: 54,
+        windowMs: 10_000,
+        countInstances: options.countInstances,
+    });
+    let isStopped = false;
+    let isCut = false;
+    const member = options.network.join({
+        name,
+        clock: ownClock,
+        receive: () => undefined,
+        digest: () => undefined,
+        compareDigest: () => undefined,
+    });
+
+    function createRequest({ id, sharedPart }: InstanceCall): ProxyRequest {
+        const parts = ["style", sharedPart, `own-${id}`].map(part => ({ id: part, tokens: partTokens }));
+        const prompt = createPrompt({ parts, promptTokens: parts.length * partTokens });
+        const times = { arrivedMs: clock.now(), deadlineMs: clock.now() + callerTimeoutMs };
+        return createProxyRequest("stream", { id, prompt, ...times }, true);
+    }
+
+    /** Runs an action of this process after the way back. */
+    function respond(action: () => void): void {
+        clock.after(drawTransitMs(clock.random), () => ownClock.after(0, () => (isStopped ? undefined : action())));
+    }
+
+    function send(req: ProxyRequest, { placement }: SendEffect, resume: (outcome: SendOutcome) => void): void {
+        const { upstream } = placement;
+        let isEnded = false;
+        health.recordSent(upstream.id, req.id, clock.now());
+
+        function finish(outcome: SendOutcome): void {
+            if (isEnded) {
+                return;
+            }
+            isEnded = true;
+            cancelDeadline();
+            health.recordEnded(upstream.id, req.id);
+            placer.end(req);
+            resume(outcome);
+        }
+
+        function fail(outcome: SendOutcome): void {
+            health.recordFailure(upstream.id, clock.now());
+            finish(outcome);
+        }
+        const cancelDeadline = ownClock.after(
+            req.deadlineMs - clock.now(),
+            () => finish({ kind: "expired", delivered: undefined }),
+        );
+
+        function receiveHead(head: UpstreamHead): void {
+            options.onHead(name, upstream.id, head);
+            health.recordReceived(upstream.id, clock.now());
+            placer.recordAnswerStart(req, placement);
+        }
+
+        function arrive(): void {
+            if (isStopped) {
+                return;
+            }
+            options.onArrival(name, upstream.id);
+            const isAccepted = upstreams.arrive(upstream.id, {
+                onHead: head => respond(() => receiveHead(head)),
+                onEnd: () =>
+                    respond(() => {
+                        health.recordSuccess(upstream.id);
+                        finish({ kind: "finished" });
+                    }),
+            });
+            if (!isAccepted) {
+                const rejected = { kind: "rejected", status: 503, reason: "busy", retryAfterMs: undefined } as const;
+                respond(() => fail(rejected));
+            }
+        }
+        if (isCut) {
+            ownClock.after(connectTimeoutMs, () => fail({ kind: "notSent", detail: "no connection" }));
+        }
+        else {
+            clock.after(drawTransitMs(clock.random), arrive);
+        }
+    }
+
+    function run(call: InstanceCall): void {
+        const req = createRequest(call);
+        retryBudget.recordRequest(req.service, clock.now());
+        const steps = serveProxyRequest(req, {
+            tryAcquireRetry: service => retryBudget.tryAcquire(service, clock.now()),
+            onRetry: () => undefined,
+        });
+        let result: "answered" | "refused" | "failed" = "failed";
+        let retryAfterMs: number | undefined;
+        runSteps<void, ProxyEffect, ProxyEffectResults>(
+            steps,
+            {
+                place: (effect, resume) => {
+                    placer.place(req, effect, resume);
+                },
+                send: (effect, resume) =>
+                    send(req, effect, outcome => {
+                        result = outcome.kind === "finished" ? "answered" : result;
+                        resume(outcome);
+                    }),
+                answer: (_, resume) => resume(undefined),
+                refuse: ({ refusal }, resume) => {
+                    result = "refused";
+                    retryAfterMs = refusal.retryAfterMs;
+                    resume(undefined);
+                },
+                cut: (_, resume) => resume(undefined),
+            },
+            () => call.onEnd(result, retryAfterMs),
+            error => {
+                throw error;
+            },
+        );
+    }
+
+    return {
+        name,
+        serve: call => {
+            ownClock.after(0, () => (isStopped ? undefined : run(call)));
+        },
+        freezeFor: durationMs => {
+            ownClock.pauseFor(durationMs);
+        },
+        setCut: next => {
+            isCut = next;
+        },
+        stop: () => {
+            isStopped = true;
+            member.leave();
+        },
+    };
+}
--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import * as z from "zod";
+import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
 import { type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { createEngineOrders } from "../../platform/createEngineOrders.js";
@@ -23,7 +24,6 @@
 import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
 import { createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
-import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface EndlessFixture {
--- a/features/steps/engineEndSteps.ts
+++ b/features/steps/engineEndSteps.ts
@@ -6,10 +6,10 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { createServer, type Server } from "node:net";
+import { createEngineRecord } from "../../bench/support/placerFixtures.js";
 import { createEndTracker, type EndTracker, type TrackedSend } from "../../src/core/quarantine/createEndTracker.js";
 import type { EngineEnd } from "../../src/core/quarantine/engineEnd.js";
 import { checkListening } from "../../src/io/upstream/checkListening.js";
-import { createEngineRecord } from "../support/placerFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface EndFixture {
--- a/features/steps/failureContainmentSteps.ts
+++ b/features/steps/failureContainmentSteps.ts
@@ -5,6 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { setImmediate } from "node:timers/promises";
+import { createTable } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { createEngineOrders } from "../../platform/createEngineOrders.js";
@@ -19,7 +20,6 @@
 import { followPartEvents } from "../../src/io/parts/followPartEvents.js";
 import { followTopic } from "../../src/io/store/followTopic.js";
 import { createSettings } from "../support/platformFixture.js";
-import { createTable } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface Fixture {
--- a/features/steps/placementFleetSteps.ts
+++ b/features/steps/placementFleetSteps.ts
@@ -4,11 +4,11 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createPlacerFixture, type PlacerFixture } from "../../bench/support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import { choosePlacement } from "../../src/core/placement/choosePlacement.js";
 import { createUpstreamUseTracker } from "../../src/core/placement/createUpstreamUseTracker.js";
-import { createPlacerFixture, type PlacerFixture } from "../support/placerFixtures.js";
-import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 /** Instances that place prompts with shared parts. */
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -4,17 +4,17 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createVirtualClock } from "../../fakes/createVirtualClock.js";
-import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
-import type { Placement, ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import {
     createEngineRecord,
     createPlacerFixture,
     engineMemoryTokens,
     firstSalt,
     type PlacerFixture,
-} from "../support/placerFixtures.js";
-import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
+} from "../../bench/support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
+import type { Placement, ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface PlacementFixture extends PlacerFixture {
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -5,6 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
 import { decodeOperatorRecord } from "../../platform/decodeOperatorRecord.js";
@@ -18,7 +19,6 @@
 import type { ProxyEffect, SendEffect } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
 import { isRetryable, serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
-import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 type OutcomeName =
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -4,6 +4,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
 import {
     type ScriptedRequest,
     type ScriptedUpstream,
@@ -22,7 +23,6 @@
 import { connectTimeoutMs, createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
 import type { SendToUpstream } from "../../src/io/proxy/upstreamSenderTypes.js";
 import { connectionEndings, flushMs } from "../support/connectionEndings.js";
-import { createPlainPlacement, createProxyRequest, createRecord } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface Caller extends CallerExchange {
--- a/features/steps/registrySteps.ts
+++ b/features/steps/registrySteps.ts
@@ -4,6 +4,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createRecord, createRoute, createTable } from "../../bench/support/proxyFixtures.js";
 import { decodeUpstreamRecord } from "../../platform/decodeUpstreamRecord.js";
 import { assembleViews } from "../../src/assemble/assembleViews.js";
 import type { InstanceContext } from "../../src/assemble/routerPorts.js";
@@ -14,7 +15,6 @@
 } from "../../src/core/registry/createUpstreamRegistry.js";
 import { indexRoutes, type RouteIndex } from "../../src/core/routes/indexRoutes.js";
 import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
-import { createRecord, createRoute, createTable } from "../support/proxyFixtures.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface RegistryFixture {
--- a/src/core/fleet/createFleetView.ts
+++ b/src/core/fleet/createFleetView.ts
@@ -38,6 +38,8 @@
     readonly countInstances: (nowMs: number) => number;
     /** Time until the next heartbeat, in milliseconds. */
     readonly nextIntervalMs: () => number;
+    /** Time without a sign after which an instance counts as failed, in milliseconds. */
+    readonly timeoutMs: () => number;
     /** Whether each heartbeat reaches all other instances directly. */
     readonly isDirect: () => boolean;
     /** Number of other instances that are known or may run at a known address. */
@@ -234,6 +236,7 @@
         },
         countInstances: nowMs => listRecent(nowMs).length + 1,
         nextIntervalMs: () => plan().intervalMs,
+        timeoutMs: () => plan().timeoutMs,
         isDirect: () => members.size <= maxDirectPeers,
         countAddresses: () => members.size + contacts.size,
     };
