Keep to the rate limits that upstreams state, over all instances together

Callers saw nothing; upstreams in need got several times what they had asked for.

Each limited upstream has one owner among the instances (rendezvous hashing; it acts only after it has ranked first for longer than views of the fleet differ and the term of a permit). Its token bucket counts for the fleet: placement sends nothing to a limited upstream without a permit, asks the owners of the cheapest ones, and uses others meanwhile. A permit is used within 1.3 s of its ask, so an upstream gets at most L (4 + 0.25 + 1.3) + 1 and what is on the way in any 4 s, where 6 L + 5 are allowed. Fixed shares of n instances would give 4 L + n. Of answers that cross, the lower limit counts; after the end the rate doubles each second for 4 s. Where all upstreams are limited, what gets no permit in time is refused at once.

--- a/bench/placement/runPlacement.ts
+++ b/bench/placement/runPlacement.ts
@@ -14,6 +14,7 @@
 import type { Service } from "../../src/core/routes/routingTable.js";
 import { createWeightsView } from "../../src/core/weights/createWeightsView.js";
 import { measureCpuMicroseconds } from "../_lib/measureCost.js";
+import { noRateLimits } from "../support/noRateLimits.js";
 
 const engineCounts = [13, 98, 3_700] as const;
 const instanceCounts = [7, 90, 380] as const;
@@ -112,6 +113,7 @@
     const placer = createPlacer({
         clock: createVirtualClock(1),
         onPrefill: () => undefined,
+        limits: noRateLimits,
         failureDomain: "domain-0",
         registry,
         weights: createWeightsView(),
--- a/bench/rateLimits/createFleetNetwork.ts
+++ b/bench/rateLimits/createFleetNetwork.ts
@@ -33,6 +33,9 @@
     /** Digest that heartbeats carry. */
     readonly digest: () => string | undefined;
     readonly compareDigest: (from: string, digest: string | undefined) => void;
+    /** Use of upstreams that heartbeats report in a small fleet. */
+    readonly listUses: () => Heartbeat["uses"];
+    readonly applyUses: (from: string, uses: Heartbeat["uses"]) => void;
 }
 
 /** The network. */
@@ -101,10 +104,10 @@
                 tableVersion: 1,
                 storeAgeMs: 0,
                 named: [],
-                uses: [],
+                uses: view.isDirect() ? member.listUses() : [],
                 loading: [],
                 loaded: [],
-                quarantine: member.digest(),
+                signals: member.digest(),
                 known: view.chooseKnown(clock.now()),
                 ages: view.describeAges(clock.now()),
             };
@@ -135,7 +138,8 @@
                     transmit(name, from, { ...composeHeartbeat(), wanted }, true);
                 }
             }
-            member.compareDigest(from, heartbeat.quarantine);
+            member.compareDigest(from, heartbeat.signals);
+            member.applyUses(from, heartbeat.uses);
         }
 
         const deliver: Delivery = (from, content, isHeartbeat) =>
--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -4,6 +4,7 @@
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
 import type { Prefill } from "../../src/core/fleet/prefillReport.js";
+import type { UpstreamRateLimits } from "../../src/core/permits/createUpstreamPermits.js";
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
 import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
@@ -15,6 +16,7 @@
 import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
 import { indexRoutes } from "../../src/core/routes/indexRoutes.js";
 import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
+import { noRateLimits } from "./noRateLimits.js";
 import { createRecord, createTable } from "./proxyFixtures.js";
 
 /** A placer and the views on which it decides. */
@@ -46,6 +48,7 @@
     clock: VirtualClock,
     engines: readonly string[],
     isFleetDirect = true,
+    limits: UpstreamRateLimits = noRateLimits,
 ): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
@@ -59,6 +62,7 @@
     const prefills: Prefill[] = [];
     const placer = createPlacer({
         clock,
+        limits,
         onPrefill: prefill => prefills.push(prefill),
         failureDomain: "north",
         registry,
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -7,10 +7,10 @@
 import { createLoadingView } from "../core/fleet/createLoadingView.js";
 import { createPrefillReporter } from "../core/fleet/createPrefillReporter.js";
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
+import type { PeerMessage } from "../core/fleet/parseFleetMessage.js";
 import { maxDirectPeers } from "../core/fleet/planHeartbeats.js";
 import type { Prefill } from "../core/fleet/prefillReport.js";
 import type { PartGuard } from "../core/quarantine/createPartGuard.js";
-import type { QuarantineMessage } from "../core/quarantine/quarantineMessage.js";
 import type { StoreReadPlan } from "../core/store/planStoreReads.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
 import { type LeaseClaim, unknownEra } from "../core/weights/createRolloutLease.js";
@@ -18,7 +18,9 @@
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { Feeds } from "./assembleFeeds.js";
 import { assemblePeerState, type PeerStates } from "./assemblePeerState.js";
+import type { InstancePermits } from "./assemblePermits.js";
 import type { InstanceViews } from "./assembleViews.js";
+import { createPeerMessenger } from "./createPeerMessenger.js";
 import { discoverPeers } from "./discoverPeers.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -37,8 +39,10 @@
     readonly reportLoading: () => void;
     /** Reports to peers that an engine is about to prefill shared parts. */
     readonly reportPrefill: (prefill: Prefill) => void;
-    /** Sends a message about the quarantine to instances by name. */
-    readonly sendQuarantine: (names: readonly string[], message: QuarantineMessage) => void;
+    /** Sends a message to instances by name. */
+    readonly sendMessage: (names: readonly string[], message: PeerMessage) => void;
+    /** Time without a sign after which an instance counts as failed, in milliseconds. */
+    readonly timeoutMs: () => number;
     /** Returns this instance's state for a peer; what the peer has already is left out. */
     readonly describeState: PeerStates["describe"];
     /** Milliseconds since the list of upstreams was read, by this instance or by the peer that it was copied from. */
@@ -60,6 +64,7 @@
     /** Detects a pause of the process. */
     readonly checkPause: () => void;
     readonly quarantine: Pick<PartGuard, "digest" | "compareDigest" | "receive">;
+    readonly permits: Pick<InstancePermits, "digest" | "compareDigest" | "receive" | "updateCandidates">;
 }
 
 /** Time after the start within which the heartbeats of the others arrive, in milliseconds. */
@@ -147,6 +152,7 @@
             leaseOffset: lease?.offset,
             leaseEra: lease?.era,
             quarantine: sources.quarantine.digest(),
+            signals: sources.permits.digest(),
             known: [],
             ages: "",
         };
@@ -189,6 +195,7 @@
         }
         const { from } = heartbeat;
         sources.quarantine.compareDigest(from.name, heartbeat.quarantine);
+        sources.permits.compareDigest(from.name, heartbeat.signals);
         peerStates.recordPeer(heartbeat);
         applyUses(from.name, heartbeat.uses);
         loadingView.applyHeartbeat(from.name, heartbeat.loading, clock.now());
@@ -203,6 +210,7 @@
     /** Logs members that joined, changed or left, and removes the reports of those that left. */
     function updateMembers(): void {
         loadingView.removeExpired(clock.now());
+        sources.permits.updateCandidates();
         const live = view.listLive(clock.now());
         const liveNames = new Set(live.map(member => member.instance.name));
         for (const { instance } of live) {
@@ -223,27 +231,6 @@
         }
     }
 
-    /** Messages about the quarantine count only from addresses at which live instances send heartbeats. */
-    function receiveQuarantine(message: QuarantineMessage, address: string): void {
-        const sender = view.listLive(clock.now()).find(member => member.instance.heartbeatAddress === address);
-        if (sender === undefined) {
-            writeLog("recordRejected", {
-                topic: "quarantine",
-                detail: `message of ${address}, which is no live instance`,
-            });
-            return;
-        }
-        sources.quarantine.receive(sender.instance.name, message);
-    }
-
-    function sendQuarantine(names: readonly string[], message: QuarantineMessage): void {
-        const receivers = new Set(names);
-        const addresses = view.listLive(clock.now())
-            .filter(member => receivers.has(member.instance.name))
-            .map(member => member.instance.heartbeatAddress);
-        heartbeats.sendReport(addresses, message);
-    }
-
     const heartbeats = startHeartbeats({
         clock,
         host: settings.host,
@@ -256,10 +243,16 @@
             prefills.filter(({ engine }) => views.registry.find(engine) !== undefined)
                 .forEach(({ engine, salt, parts }) => views.parts.recordSent(parts, salt, engine, clock.now()));
         },
-        onQuarantineMessage: receiveQuarantine,
+        onPeerMessage: (message, address) => messenger.receive(message, address),
         onLoadingReport: report => loadingView.applyReport(report, clock.now()),
         onMalformed: detail => writeLog("recordRejected", { topic: "heartbeat", detail }),
     });
+    const messenger = createPeerMessenger({
+        listLive: () => view.listLive(clock.now()),
+        transmit: heartbeats.sendReport,
+        receivers: { quarantine: sources.quarantine.receive, permits: sources.permits.receive },
+        writeLog,
+    });
     const loadingReporter = createLoadingReporter(clock, (loading, sequence) => {
         const addresses = view.listLive(clock.now()).map(member => member.instance.heartbeatAddress);
         heartbeats.sendReport(addresses, { loadingBy: settings.instance, sequence, startedAtMs, loading });
@@ -285,7 +278,8 @@
                 prefillReporter.add(prefill);
             }
         },
-        sendQuarantine,
+        sendMessage: messenger.send,
+        timeoutMs: view.timeoutMs,
         isDirect: view.isDirect,
         isSettled,
         describeState: peerStates.describe,
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -19,6 +19,7 @@
 import type { AnswerHead } from "../io/proxy/proxyCodec.js";
 import type { Fleet } from "./assembleFleet.js";
 import type { PartFeeds } from "./assembleParts.js";
+import type { InstancePermits } from "./assemblePermits.js";
 import type { InstanceQuarantine } from "./assembleQuarantine.js";
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
@@ -45,6 +46,14 @@
     readonly close: () => void;
 }
 
+/** What keeps requests from being sent now. */
+export interface PlacementGuards {
+    /** Says which prompts may not be sent, and observes sends. */
+    readonly quarantine: InstanceQuarantine;
+    /** Says which upstreams take no further request now. */
+    readonly permits: Pick<InstancePermits, "limits" | "onChange">;
+}
+
 /** Fraction of the time limit for outdated weights that is used: instances learn of new target weights late. */
 const weightsLimitFraction = 0.8;
 
@@ -55,7 +64,7 @@
  * @param views - The views on which requests are placed.
  * @param fleet - The other instances.
  * @param partFeeds - Provides the reachable prompt cache stores.
- * @param quarantine - Says which prompts may not be sent, and observes sends.
+ * @param guards - Say what may not be sent now.
  * @param isClosing - Whether answers close the callers' connections.
  * @returns The proxy.
  */
@@ -64,7 +73,7 @@
     views: InstanceViews,
     fleet: Fleet,
     partFeeds: PartFeeds,
-    quarantine: InstanceQuarantine,
+    { quarantine, permits }: PlacementGuards,
     isClosing: () => boolean,
 ): Proxy {
     const { settings, ports, clock, random, writeLog, metrics } = context;
@@ -75,6 +84,7 @@
     const freePlacer = createPlacer({
         clock,
         onPrefill: fleet.reportPrefill,
+        limits: permits.limits,
         isFleetDirect: fleet.isDirect,
         failureDomain: settings.failureDomain,
         registry: views.registry,
@@ -87,7 +97,8 @@
         listStores: partFeeds.listStores,
     });
     const placer = createGuardedPlacer(freePlacer, guard, clock);
-    quarantine.onChange(placer.recheck);
+    quarantine.onChange(placer.recheckGuard);
+    permits.onChange(placer.recheck);
 
     /** Reads the weights of an engine that rejected a request because of its version; one read per engine at a time. */
     function refreshWeights(engine: UpstreamRecord, model: string): void {
--- a/src/assemble/assembleSignals.ts
+++ b/src/assemble/assembleSignals.ts
@@ -14,6 +14,8 @@
     readonly view: SignalView;
     /** Records the head of an answer; `sentMs` is when its request was sent. */
     readonly recordAnswer: (upstream: UpstreamRecord, head: AnswerHead, sentMs: number) => void;
+    /** Calls `action` after each change of what an upstream states. */
+    readonly onChange: (action: (change: SignalChange) => void) => void;
 }
 
 /** Minimum time between two log lines about malformed signals of one upstream, in milliseconds. */
@@ -28,12 +30,15 @@
  */
 export function assembleSignals(context: InstanceContext, registry: Pick<UpstreamRegistry, "find">): InstanceSignals {
     const { clock, settings, writeLog, metrics } = context;
+    const listeners: ((change: SignalChange) => void)[] = [];
     const malformedLoggedMs = new Map<string, number>();
 
-    function recordChange({ upstream, kind, requestsPerSecond, source }: SignalChange): void {
+    function recordChange(changed: SignalChange): void {
+        const { upstream, kind, requestsPerSecond, source } = changed;
         const change = requestsPerSecond === undefined ? "ended" : "stated";
         metrics.signalChanges.inc({ signal: kind, change });
         writeLog("upstreamSignalChanged", { upstream, signal: kind, change, requestsPerSecond, source });
+        listeners.forEach(action => action(changed));
     }
 
     function recordMalformed(upstream: string, { kind, text }: MalformedSignal): void {
@@ -53,6 +58,9 @@
     });
     return {
         view,
+        onChange: action => {
+            listeners.push(action);
+        },
         recordAnswer: (upstream, head, sentMs) => {
             // An answer of another process says nothing about this one.
             if (head.rejection === "replaced") {
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -38,7 +38,7 @@
 /** Longest text of ages: entries of some thousand instances. */
 const maxAgesLength = 32_768;
 
-/** Longest digest of a quarantine: a hash of 64 bits. */
+/** Longest digest of a quarantine or of signals: a hash of 64 bits. */
 const maxDigestLength = 16;
 
 /** Most ids in a heartbeat that asks for descriptions. */
@@ -73,6 +73,8 @@
     leaseEra: z.number().int().min(0).optional(),
     /** Digest of the sender's quarantine of prompt parts; left out while it is empty. */
     quarantine: z.string().max(maxDigestLength).optional(),
+    /** Digest of what the sender knows of upstreams' signals; left out while that is nothing. */
+    signals: z.string().max(maxDigestLength).optional(),
     /** Instances that changed lately. */
     known: z.array(knownInstanceSchema).readonly(),
     /** When live instances were last seen, as `encodeMemberAges` writes it; older builds leave it out. */
--- a/src/core/fleet/parseFleetMessage.ts
+++ b/src/core/fleet/parseFleetMessage.ts
@@ -4,18 +4,25 @@
  */
 import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
+import { type PermitMessage, permitMessageSchema } from "../permits/permitMessage.js";
 import { type QuarantineMessage, quarantineMessageSchema } from "../quarantine/quarantineMessage.js";
+import { type SignalMessage, signalMessageSchema } from "../signals/signalReport.js";
 import { type Heartbeat, heartbeatSchema } from "./heartbeat.js";
 import { type LoadingReport, loadingReportSchema } from "./loadingReport.js";
 import { type PrefillReport, prefillReportSchema } from "./prefillReport.js";
 
 /** A message of a peer. */
-export type FleetMessage = Heartbeat | PrefillReport | LoadingReport | QuarantineMessage;
+export type FleetMessage = Heartbeat | PrefillReport | LoadingReport | PeerMessage;
+
+/** A message that is handled by the subject that sent it, beside heartbeats and reports about engines. */
+export type PeerMessage = QuarantineMessage | SignalMessage | PermitMessage;
 
 const messageSchema = z.union([
     prefillReportSchema,
     loadingReportSchema,
     quarantineMessageSchema,
+    signalMessageSchema,
+    permitMessageSchema,
     heartbeatSchema,
 ]);
 
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -65,3 +65,18 @@
     }
     return best;
 }
+
+/**
+ * Ranks the candidates with free capacity by cost.
+ *
+ * @param candidates - Upstreams that may run the request.
+ * @returns The candidates, the one that {@link choosePlacement} chooses first.
+ * @example
+ * rankPlacements([{ ...idle, prefillTokens: 900 }, { ...idle, prefillTokens: 100 }])[0]?.prefillTokens; // 100
+ */
+export function rankPlacements(candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
+    return candidates.filter(hasFreeCapacity)
+        .map(candidate => ({ candidate, cost: estimateCost(candidate) }))
+        .toSorted((left, right) => left.cost - right.cost)
+        .map(one => one.candidate);
+}
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -18,6 +18,11 @@
     readonly tryPlace: () => Placement | undefined;
     /** Describes the load for a refusal. */
     readonly describeLoad: () => string;
+    /**
+     * Predicts the time until the request gets a permit of a rate-limited upstream after `ahead` others; undefined when it does
+     * not need one or nothing is known.
+     */
+    readonly predictPermitMs: (ahead: number) => number | undefined;
     readonly onResult: (result: PlaceResult) => void;
 }
 
@@ -28,6 +33,8 @@
     /** Places waiting requests of a service. */
     readonly dispatch: (service: string) => void;
     readonly dispatchAll: () => void;
+    /** Places waiting requests, and refuses those of whom a change has shown that they wait in vain. */
+    readonly recheck: () => void;
     readonly countWaiting: () => number;
 }
 
@@ -40,15 +47,19 @@
 /** Minimum delay after which a refused caller may find free capacity. */
 const minRetryAfterMs = 500;
 
-/** Maximum delay that is asked of a refused caller. */
+/** Maximum delay that is asked of a refused caller; the same where rate limits of upstreams tell the wait. */
 const maxRetryAfterMs = 2_000;
+const maxPermitRetryAfterMs = 10_000;
+
+/** Multiple of its expected wait for a permit that a request must have: permits come to one instance at irregular times. */
+const permitWaitMargin = 2;
 
 function sizeOf({ prompt }: ProxyRequest): number {
     return prompt === undefined ? 1 : countOwnTokens(prompt) + countSharedTokens(prompt);
 }
 
-function chooseRetryAfterMs(predictedMs: number): number {
-    return Math.max(minRetryAfterMs, Math.min(maxRetryAfterMs, Math.round(predictedMs)));
+function chooseRetryAfterMs(predictedMs: number, maxMs: number): number {
+    return Math.max(minRetryAfterMs, Math.min(maxMs, Math.round(predictedMs)));
 }
 
 function describeWait(predictedMs: number): string {
@@ -67,6 +78,8 @@
  */
 export function createPlacementQueues(clock: Clock): PlacementQueues {
     const queues = new Map<string, WaitQueue>();
+    /** Checks of the requests that wait, whether they wait in vain. */
+    const checks = new Set<() => void>();
 
     function queueOf(service: string): WaitQueue {
         const queue = queues.get(service) ?? createWaitQueue();
@@ -74,7 +87,9 @@
         return queue;
     }
 
-    function wait({ req, tryPlace, describeLoad, onResult }: PlacementWait): CancelTimer {
+    const dispatchAll = () => queues.forEach(queue => queue.dispatch(clock.now()));
+
+    function wait({ req, tryPlace, describeLoad, predictPermitMs, onResult }: PlacementWait): CancelTimer {
         const queue = queueOf(req.service);
         const { latencyDeadlineMs, disconnectMs } = computeCallerDeadlines(req);
         const lastStartMs = latencyDeadlineMs - minServiceMs;
@@ -84,6 +99,7 @@
 
         function end(): void {
             timers.forEach(cancel => cancel());
+            checks.delete(refuseIfHopeless);
             queue.remove(req.id);
         }
 
@@ -96,9 +112,15 @@
         /** Refuses the request when the observed progress of the queue does not reach it in time. */
         function refuseIfHopeless(): void {
             const nowMs = clock.now();
+            const permitMs = predictPermitMs(queue.countAhead(req.id, nowMs));
+            if (permitMs !== undefined && nowMs + permitMs * permitWaitMargin > limitMs) {
+                const retryAfterMs = chooseRetryAfterMs(permitMs, maxPermitRetryAfterMs);
+                refuse(retryAfterMs, `rate limits of all upstreams; ${describeWait(permitMs)}`);
+                return;
+            }
             const predictedMs = queue.predictWaitMs(req.id, nowMs);
             if (predictedMs !== undefined && nowMs + predictedMs > limitMs) {
-                refuse(chooseRetryAfterMs(predictedMs), describeWait(predictedMs));
+                refuse(chooseRetryAfterMs(predictedMs, maxRetryAfterMs), describeWait(predictedMs));
             }
         }
 
@@ -114,6 +136,7 @@
                     return false;
                 }
                 timers.forEach(cancel => cancel());
+                checks.delete(refuseIfHopeless);
                 onResult({ kind: "placed", placement });
                 return true;
             },
@@ -124,6 +147,7 @@
         if (lastStartMs > clock.now()) {
             timers.push(clock.after(lastStartMs - clock.now() + 1, refuseIfHopeless));
         }
+        checks.add(refuseIfHopeless);
         refuseIfHopeless();
         return end;
     }
@@ -131,7 +155,11 @@
     return {
         wait,
         dispatch: service => queues.get(service)?.dispatch(clock.now()),
-        dispatchAll: () => queues.forEach(queue => queue.dispatch(clock.now())),
+        dispatchAll,
+        recheck: () => {
+            dispatchAll();
+            [...checks].forEach(check => check());
+        },
         countWaiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.size(), 0),
     };
 }
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -4,6 +4,7 @@
  */
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { Prefill } from "../fleet/prefillReport.js";
+import type { UpstreamRateLimits } from "../permits/createUpstreamPermits.js";
 import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
@@ -11,7 +12,7 @@
 import { describeLoad } from "./_lib/describeLoad.js";
 import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
-import { choosePlacement } from "./choosePlacement.js";
+import { chooseLimitedPlacement } from "./chooseLimitedPlacement.js";
 import { type ChoiceListerDependencies, createChoiceLister } from "./createChoiceLister.js";
 import { createOptionReader, type OptionReaderDependencies } from "./createOptionReader.js";
 import { createPlacementQueues } from "./createPlacementQueues.js";
@@ -27,6 +28,7 @@
     readonly clock: Clock;
     /** Called when an engine is about to prefill shared parts that neither it nor another one has cached. */
     readonly onPrefill: (prefill: Prefill) => void;
+    readonly limits: UpstreamRateLimits;
 }
 
 /** Placer of requests. */
@@ -39,6 +41,8 @@
     readonly end: (req: ProxyRequest) => void;
     /** Tries to place the waiting requests, after any change of the upstreams or their use. */
     readonly dispatch: () => void;
+    /** The same after a change of permits, which may also show that a request waits in vain. */
+    readonly recheck: () => void;
     readonly countWaiting: () => number;
 }
 
@@ -105,7 +109,7 @@
     /** Places the request on one of the choices; undefined when none has free capacity. */
     function tryPlace(req: ProxyRequest, choices: readonly Choice[]): Placement | undefined {
         const options = readOptions(req, choices);
-        const chosen = choosePlacement(options.map(option => option.candidate));
+        const chosen = chooseLimitedPlacement(options.map(option => option.candidate), deps.limits);
         const option = options.find(one => one.candidate === chosen);
         if (option === undefined) {
             return undefined;
@@ -162,6 +166,8 @@
             req,
             tryPlace: () => tryPlace(req, listChoices(req, excluded)),
             describeLoad: () => describeServiceLoad(req, excluded),
+            predictPermitMs: ahead =>
+                deps.limits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), ahead),
             onResult,
         });
     }
@@ -179,6 +185,7 @@
             queues.dispatch(req.service);
         },
         dispatch: queues.dispatchAll,
+        recheck: queues.recheck,
         countWaiting: queues.countWaiting,
     };
 }
--- a/src/core/placement/createWaitQueue.ts
+++ b/src/core/placement/createWaitQueue.ts
@@ -27,6 +27,8 @@
     readonly dispatch: (nowMs: number) => void;
     /** Predicts how long a waiting request will still wait, at least; undefined when too little was observed. */
     readonly predictWaitMs: (id: string, nowMs: number) => number | undefined;
+    /** Number of requests that are placed before a waiting one. */
+    readonly countAhead: (id: string, nowMs: number) => number;
     readonly size: () => number;
 }
 
@@ -138,6 +140,7 @@
         remove,
         dispatch,
         predictWaitMs,
+        countAhead: (id, nowMs) => Math.max(0, order(nowMs).findIndex(one => one.id === id)),
         size: () => waiting.length,
     };
 }
--- a/src/core/quarantine/createGuardedPlacer.ts
+++ b/src/core/quarantine/createGuardedPlacer.ts
@@ -15,7 +15,7 @@
 /** A placer that asks the guard. */
 export interface GuardedPlacer extends Placer {
     /** Applies changes of the quarantine to the requests that wait. */
-    readonly recheck: () => void;
+    readonly recheckGuard: () => void;
 }
 
 interface PendingPlacement {
@@ -169,6 +169,6 @@
             };
         },
         countWaiting: () => placer.countWaiting() + [...pending].filter(one => one.isParked).length,
-        recheck,
+        recheckGuard: recheck,
     };
 }
--- /dev/null
+++ b/src/core/signals/createSignalExchange.ts
@@ -0,0 +1,100 @@
+/**
+ * @module
+ * Tells the other instances what upstreams have stated to this one: changes at once, and everything to an instance whose
+ * heartbeat shows that it knows something else.
+ */
+import type { Clock } from "../time/clock.js";
+import { maxReportedSignals, type SignalMessage, type SignalReport } from "./signalReport.js";
+
+/** Exchanges what upstreams have stated. */
+export interface SignalExchange {
+    /** Reports what is known of an upstream, soon and together with other changes. */
+    readonly report: (upstream: string) => void;
+    /** Compares what the sender of a heartbeat knows, and brings it up to date. */
+    readonly compareDigest: (from: string, digest: string | undefined) => void;
+}
+
+/** Dependencies of {@link createSignalExchange}. */
+export interface SignalExchangeDependencies {
+    readonly clock: Clock;
+    /** Random number from 0 (included) to 1 (excluded). */
+    readonly random: () => number;
+    /** Instances that are told of a change of an upstream at once. */
+    readonly listReceivers: (upstream: string) => readonly string[];
+    /** Whether the fleet is so small that all instances hear from each other directly. */
+    readonly isFleetDirect: () => boolean;
+    readonly digest: () => string | undefined;
+    readonly listReports: () => readonly SignalReport[];
+    readonly send: (names: readonly string[], message: SignalMessage) => void;
+}
+
+/** Minimum time between two messages that bring one instance up to date, in milliseconds. */
+const minUpdateIntervalMs = 400;
+
+/** Minimum time between two such messages to any instance, and their most reports, in a large fleet. */
+const minRelayedIntervalMs = 1_000;
+const maxRelayedReports = 10;
+
+/**
+ * Creates an exchange.
+ *
+ * @param deps - What is known, and the other instances.
+ * @returns The exchange.
+ * @example
+ * createSignalExchange(deps).report("engine-1");
+ */
+export function createSignalExchange(deps: SignalExchangeDependencies): SignalExchange {
+    const { clock } = deps;
+    const changed = new Set<string>();
+    const updatedMs = new Map<string, number>();
+    let lastUpdateMs = -Infinity;
+
+    function flush(): void {
+        const upstreams = new Set(changed);
+        changed.clear();
+        const byReceiver = new Map<string, SignalReport[]>();
+        for (const report of deps.listReports().filter(one => upstreams.has(one.upstream))) {
+            for (const name of deps.listReceivers(report.upstream)) {
+                byReceiver.set(name, [...byReceiver.get(name) ?? [], report]);
+            }
+        }
+        byReceiver.forEach((reports, name) => deps.send([name], { signals: reports.slice(0, maxReportedSignals) }));
+    }
+
+    /** Chooses reports at random where one message cannot hold all: further ones bring the rest. */
+    function chooseReports(limit: number): readonly SignalReport[] {
+        const reports = deps.listReports();
+        if (reports.length <= limit) {
+            return reports;
+        }
+        const ordered = reports.map(report => ({ report, order: deps.random() }));
+        return ordered.toSorted((left, right) => left.order - right.order).slice(0, limit).map(one => one.report);
+    }
+
+    function isDue(name: string, isDirect: boolean): boolean {
+        const nowMs = clock.now();
+        return nowMs - (updatedMs.get(name) ?? -Infinity) > minUpdateIntervalMs
+            && (isDirect || nowMs - lastUpdateMs > minRelayedIntervalMs);
+    }
+
+    return {
+        report: upstream => {
+            if (changed.size === 0) {
+                clock.after(0, flush);
+            }
+            changed.add(upstream);
+        },
+        compareDigest: (from, digest) => {
+            const isDirect = deps.isFleetDirect();
+            if (digest === deps.digest() || !isDue(from, isDirect)) {
+                return;
+            }
+            const signals = chooseReports(isDirect ? maxReportedSignals : maxRelayedReports);
+            if (signals.length > 0) {
+                updatedMs.set(from, clock.now());
+                lastUpdateMs = clock.now();
+                deps.send([from], { signals });
+            }
+        },
+    };
+}
--- a/src/core/signals/index.ts
+++ b/src/core/signals/index.ts
@@ -2,6 +2,7 @@
  * @module
  * What upstreams state in their answers about the requests that they want.
  */
+export * from "./createSignalExchange.js";
 export * from "./createSignalView.js";
 export * from "./rateLimitObservation.js";
 export * from "./signalReport.js";
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -1,13 +1,12 @@
 /**
  * @module
- * Sends and receives heartbeats, reports of prefills and of loading engines, and messages about the quarantine, as datagrams.
+ * Sends and receives heartbeats, reports of prefills and of loading engines, and other messages of instances, as datagrams.
  */
 import { createSocket } from "node:dgram";
 import type { Heartbeat } from "../../core/fleet/heartbeat.js";
 import type { LoadingReport } from "../../core/fleet/loadingReport.js";
-import { type FleetMessage, parseFleetMessage } from "../../core/fleet/parseFleetMessage.js";
+import { type FleetMessage, parseFleetMessage, type PeerMessage } from "../../core/fleet/parseFleetMessage.js";
 import type { PrefillReport } from "../../core/fleet/prefillReport.js";
-import type { QuarantineMessage } from "../../core/quarantine/quarantineMessage.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 
 /** Options of {@link startHeartbeats}. */
@@ -23,8 +22,8 @@
     readonly onHeartbeat: (heartbeat: Heartbeat) => void;
     readonly onPrefillReport: (report: PrefillReport) => void;
     readonly onLoadingReport: (report: LoadingReport) => void;
-    /** Receives a message about the quarantine with the "ip:port" of its sender. */
-    readonly onQuarantineMessage: (message: QuarantineMessage, address: string) => void;
+    /** Receives any other message with the "ip:port" of its sender. */
+    readonly onPeerMessage: (message: PeerMessage, address: string) => void;
     readonly onMalformed: (detail: string) => void;
 }
 
@@ -35,7 +34,7 @@
     /** Returns the bytes sent to all peers together. */
     readonly sendPrefillReport: (report: PrefillReport) => number;
     /** Sends a report to all the given "ip:port"s. */
-    readonly sendReport: (addresses: readonly string[], report: LoadingReport | QuarantineMessage) => void;
+    readonly sendReport: (addresses: readonly string[], report: LoadingReport | PeerMessage) => void;
     /** Sends a heartbeat to one "ip:port" in addition to the regular ones. */
     readonly sendTo: (address: string, heartbeat: Heartbeat) => void;
     readonly stop: () => void;
@@ -101,7 +100,7 @@
             options.onHeartbeat(message);
         }
         else {
-            options.onQuarantineMessage(message, address);
+            options.onPeerMessage(message, address);
         }
     }
 
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -51,6 +51,8 @@
     readonly quarantineChanges: Counter<"change">;
     /** Changes of what upstreams state in their answers about the requests that they want, by signal. */
     readonly signalChanges: Counter<"signal" | "change">;
+    /** Permits for requests to rate-limited upstreams that this instance has issued. */
+    readonly permits: Counter<string>;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
@@ -152,6 +154,7 @@
         upstreamEnds: counter("upstream_ends_total", "Ends of upstreams' processes under requests."),
         quarantineChanges: counter("quarantine_changes_total", "Changes of the quarantine.", ["change"]),
         signalChanges: counter("signal_changes_total", "Changes of upstreams' signals.", ["signal", "change"]),
+        permits: counter("permits_issued_total", "Permits issued for requests to rate-limited upstreams."),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -5,6 +5,7 @@
 import { assembleFeeds } from "./assemble/assembleFeeds.js";
 import { assembleFleet, type Fleet } from "./assemble/assembleFleet.js";
 import { assembleParts } from "./assemble/assembleParts.js";
+import { assemblePermits } from "./assemble/assemblePermits.js";
 import { assembleProxy } from "./assemble/assembleProxy.js";
 import { assembleQuarantine } from "./assemble/assembleQuarantine.js";
 import { assembleServers } from "./assemble/assembleServers.js";
@@ -82,7 +83,14 @@
 
     const quarantine = assembleQuarantine(context, {
         listOthers: () => joinedFleet?.listLive().map(member => member.instance.name) ?? [],
-        send: (names, message) => joinedFleet?.sendQuarantine(names, message),
+        send: (names, message) => joinedFleet?.sendMessage(names, message),
+    });
+    const permits = assemblePermits(context, views, {
+        listLive: () => joinedFleet?.listLive() ?? [],
+        isDirect: () => joinedFleet?.isDirect() ?? true,
+        viewTimeoutMs: () => joinedFleet?.timeoutMs() ?? 0,
+        send: (names, message) => joinedFleet?.sendMessage(names, message),
+        isServing: () => joinedFleet?.self().state === "serving",
     });
     const fleet: Fleet = assembleFleet(context, views, feeds, {
         state: () => {
@@ -97,11 +105,12 @@
         plan,
         checkPause: () => pauses.check(),
         quarantine: quarantine.guard,
+        permits,
     });
     joinedFleet = fleet;
 
     const partFeeds = assembleParts(context, views, fleet);
-    const proxy = assembleProxy(context, views, fleet, partFeeds, quarantine, () => isLeaving);
+    const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, () => isLeaving);
     const pauses = createPauseDetector(clock, pausedMs => {
         writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
         feeds.forgetAges();
@@ -109,6 +118,7 @@
         rollout.relinquishLease();
         proxy.discardIdleConnections();
         quarantine.clear();
+        permits.clear();
     }, { thresholdMs: pauseThresholdMs });
 
     const rollout = runRollout({
