--- a/fakes/startFakeServer.ts
+++ b/fakes/startFakeServer.ts
@@ -17,6 +17,8 @@
 export interface FakeServer {
     readonly address: string;
     readonly id: string;
+    /** Sets headers that its answers have in addition. */
+    readonly setAnswerHeaders: (headers: Readonly<Record<string, string>>) => void;
     /** Headers of the requests that it ran. */
     readonly runs: readonly Readonly<Record<string, string | string[] | undefined>>[];
     /** Orders that it accepted, in order. */
@@ -35,6 +37,7 @@
     const orders: FakeServerOrder[] = [];
     let version = 1;
     let lastFencingNumber = -1;
+    let answerHeaders: Readonly<Record<string, string>> = {};
 
     function sendJson(res: ServerResponse, status: number, body: unknown): void {
         res.writeHead(status, { "content-type": "application/json" });
@@ -78,7 +81,8 @@
             return;
         }
         runs.push(req.headers);
-        const head = { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": `seal-${id}` };
+        const own = { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": `seal-${id}` };
+        const head = { ...own, ...answerHeaders };
         if (req.headers["model"] === undefined) {
             res.writeHead(200, head);
             res.end(`answer of ${id}`);
@@ -117,6 +121,9 @@
             resolve({
                 address,
                 id,
+                setAnswerHeaders: headers => {
+                    answerHeaders = headers;
+                },
                 runs,
                 orders,
                 version: () => version,
