--- a/bench/rateLimits/runProcesses.ts
+++ b/bench/rateLimits/runProcesses.ts
@@ -128,9 +128,10 @@
 }
 
 function countMost(atMs: readonly number[]): number {
-    return Math.max(0, ...atMs.map((fromMs, index) =>
-        atMs.slice(index).filter(one => one <= fromMs + windowMs).length
-    ));
+    return Math.max(
+        0,
+        ...atMs.map((fromMs, index) => atMs.slice(index).filter(one => one <= fromMs + windowMs).length),
+    );
 }
 
 async function publish(store: FakeStore, engines: readonly FakeServer[]): Promise<void> {
@@ -140,7 +141,9 @@
 }
 
 async function main(): Promise<void> {
-    const [instanceText = "8", secondText = "20", rateText = "40", limitText = "2.3,0.8,-,-,-,-"] = process.argv.slice(2);
+    const [instanceText = "8", secondText = "20", rateText = "40", limitText = "2.3,0.8,-,-,-,-"] = process.argv.slice(
+        2,
+    );
     const [instances, seconds, requestsPerSecond] = [Number(instanceText), Number(secondText), Number(rateText)];
     const limits = limitText.split(",");
     const folder = mkdtempSync(join(tmpdir(), "reedward-limits-"));
@@ -164,9 +167,11 @@
             );
         }
         const index = Math.floor(Math.random() * instances);
-        sends.push(call(index, id).then(status => {
-            statuses.set(status, (statuses.get(status) ?? 0) + 1);
-        }));
+        sends.push(
+            call(index, id).then(status => {
+                statuses.set(status, (statuses.get(status) ?? 0) + 1);
+            }),
+        );
         await delay(-Math.log(1 - Math.random()) * millisecondsPerSecond / requestsPerSecond);
     }
     await Promise.all(sends);
@@ -177,7 +182,9 @@
         const allowed = limits[index] === "-" ? "any" : (1.5 * 4 * limit + 5).toFixed(1);
         const perSecond = counted.length * millisecondsPerSecond / (performance.now() - fromMs);
         console.log(
-            `${engine.id}: limit ${limits[index]}, ${perSecond.toFixed(2)} requests/s, ${countMost(counted)} in 4 s at most, `
+            `${engine.id}: limit ${limits[index]}, ${perSecond.toFixed(2)} requests/s, ${
+                countMost(counted)
+            } in 4 s at most, `
                 + `allowed ${allowed}`,
         );
     });
--- a/fakes/startFakeServer.ts
+++ b/fakes/startFakeServer.ts
@@ -19,6 +19,9 @@
     readonly id: string;
     /** Sets headers that its answers have in addition. */
     readonly setAnswerHeaders: (headers: Readonly<Record<string, string>>) => void;
+    /** Rejects all further requests with 503 and these headers. */
+    readonly setRejectionHeaders: (headers: Readonly<Record<string, string>>) => void;
+    readonly countRejections: () => number;
     /** Headers of the requests that it ran. */
     readonly runs: readonly Readonly<Record<string, string | string[] | undefined>>[];
     /** Orders that it accepted, in order. */
@@ -38,6 +41,8 @@
     let version = 1;
     let lastFencingNumber = -1;
     let answerHeaders: Readonly<Record<string, string>> = {};
+    let rejectionHeaders: Readonly<Record<string, string>> | undefined;
+    let rejections = 0;
 
     function sendJson(res: ServerResponse, status: number, body: unknown): void {
         res.writeHead(status, { "content-type": "application/json" });
@@ -80,6 +85,18 @@
             res.end();
             return;
         }
+        if (rejectionHeaders !== undefined) {
+            rejections += 1;
+            const { "attempt-id": attempt = "" } = req.headers;
+            res.writeHead(503, {
+                "attempt-id": attempt,
+                "not-executed": "1",
+                "content-length": "0",
+                ...rejectionHeaders,
+            });
+            res.end();
+            return;
+        }
         runs.push(req.headers);
         const own = { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": `seal-${id}` };
         const head = { ...own, ...answerHeaders };
@@ -124,6 +141,10 @@
                 setAnswerHeaders: headers => {
                     answerHeaders = headers;
                 },
+                setRejectionHeaders: headers => {
+                    rejectionHeaders = headers;
+                },
+                countRejections: () => rejections,
                 runs,
                 orders,
                 version: () => version,
