Send nothing to upstreams that state that they leave, or that reject requests with Retry-After

A statement that an upstream leaves goes to all instances over the path of rate limits; Retry-After concerns the instance that was rejected only.

--- a/bench/placement/runPlacement.ts
+++ b/bench/placement/runPlacement.ts
@@ -114,6 +114,7 @@
         clock: createVirtualClock(1),
         onPrefill: () => undefined,
         limits: noRateLimits,
+        signals: { findClosure: () => undefined },
         failureDomain: "domain-0",
         registry,
         weights: createWeightsView(),
--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -63,6 +63,7 @@
     const placer = createPlacer({
         clock,
         limits,
+        signals: { findClosure: () => undefined },
         onPrefill: prefill => prefills.push(prefill),
         failureDomain: "north",
         registry,
--- a/features/upstreamSignals.feature
+++ b/features/upstreamSignals.feature
@@ -5,7 +5,6 @@
         Background:
             Given a store with a configuration, two engines, a plain server and two instances on them
 
-        @known-red
         Scenario: No further request is sent to an upstream that has stated that it leaves, by any instance
             Given the plain server states "server-leaving: 1" in its answers
             When 2 plain calls are sent through the first instance
@@ -15,7 +14,6 @@
             And 1 plain call is sent through the second instance
             Then the plain server has got 1 request
 
-        @known-red
         Scenario: An upstream that rejects a request with Retry-After gets none from the same instance until then
             Given the plain server rejects requests with "retry-after: 60"
             When 3 plain calls are sent through the first instance
--- a/src/assemble/assemblePermits.ts
+++ b/src/assemble/assemblePermits.ts
@@ -89,9 +89,11 @@
         listReports: () => view.listReports(clock.now()),
         send: peers.send,
     });
-    views.signals.onChange(({ upstream, source }) => {
-        permits.drop(upstream);
-        if (source === settings.instance) {
+    views.signals.onChange(({ upstream, kind, source }) => {
+        if (kind === "rateLimit") {
+            permits.drop(upstream);
+        }
+        if (source === settings.instance && kind !== "retryAfter") {
             exchange.report(upstream);
         }
         notifyChange();
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -85,6 +85,7 @@
         clock,
         onPrefill: fleet.reportPrefill,
         limits: permits.limits,
+        signals: views.signals.view,
         isFleetDirect: fleet.isDirect,
         failureDomain: settings.failureDomain,
         registry: views.registry,
--- a/src/assemble/assembleSignals.ts
+++ b/src/assemble/assembleSignals.ts
@@ -34,10 +34,9 @@
     const malformedLoggedMs = new Map<string, number>();
 
     function recordChange(changed: SignalChange): void {
-        const { upstream, kind, requestsPerSecond, source } = changed;
-        const change = requestsPerSecond === undefined ? "ended" : "stated";
-        metrics.signalChanges.inc({ signal: kind, change });
-        writeLog("upstreamSignalChanged", { upstream, signal: kind, change, requestsPerSecond, source });
+        const { kind: signal, ...details } = changed;
+        metrics.signalChanges.inc({ signal, change: changed.change });
+        writeLog("upstreamSignalChanged", { signal, ...details });
         listeners.forEach(action => action(changed));
     }
 
--- a/src/core/placement/createChoiceLister.ts
+++ b/src/core/placement/createChoiceLister.ts
@@ -6,6 +6,7 @@
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
+import type { SignalView } from "../signals/createSignalView.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
 import type { Choice } from "./_lib/placementOptions.js";
 import type { HealthView } from "./createHealthView.js";
@@ -18,6 +19,8 @@
     readonly registry: UpstreamRegistry;
     readonly health: HealthView;
     readonly weights: WeightsView;
+    /** What upstreams have stated in their answers. */
+    readonly signals: Pick<SignalView, "findClosure">;
     /** Time after which no request may begin on weights that are older than the target version, in milliseconds. */
     readonly outdatedLimitMs: number;
     /** Whether each instance hears from all others at short intervals what they place. */
@@ -45,7 +48,7 @@
  * createChoiceLister(deps)(req, ["engine-1"]).map(choice => choice.record.id); // ["engine-2"]
  */
 export function createChoiceLister(deps: ChoiceListerDependencies): ListChoices {
-    const { registry, health, weights } = deps;
+    const { registry, health, weights, signals } = deps;
 
     function describeChoice(record: UpstreamRecord, prompt: Prompt | undefined): Choice | undefined {
         if (prompt === undefined) {
@@ -66,7 +69,7 @@
         const nowMs = deps.now();
         const serving = registry.listService(req.service).filter(record =>
             !record.isDraining && !excluded.includes(record.id) && !weights.isLoading(record.id)
-            && !health.isMisdirected(record.id)
+            && !health.isMisdirected(record.id) && signals.findClosure(record.id, nowMs) === undefined
         );
         const healthy = serving.filter(record => !health.isEjected(record.id, nowMs));
         const usable = healthy.length > 0 ? healthy : serving;
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -52,8 +52,9 @@
 /** Minimum of shared tokens to prefill that is reported to peers. */
 const minReportedTokens = 512;
 
-/** Delay after which an upstream may be available again. */
+/** Delay after which an upstream may be available again, and the longest one that a caller is told, in milliseconds. */
 const retryAfterMs = 500;
+const maxRetryAfterMs = 10_000;
 
 /**
  * Creates a placer without waiting requests.
@@ -131,13 +132,21 @@
         });
     }
 
+    /** Time until an upstream that wants no request now may take some again, in milliseconds. */
+    function findReopeningMs(service: string): number {
+        const waitsMs = deps.registry.listService(service).filter(record => !record.isDraining)
+            .map(record => (deps.signals.findClosure(record.id, now())?.untilMs ?? now() + retryAfterMs) - now());
+        return Math.min(maxRetryAfterMs, Math.max(retryAfterMs, Math.min(...waitsMs)));
+    }
+
     /** Returns why no upstream can run the request, however long it waits; undefined when one can. */
     function findObstacle(req: ProxyRequest, choices: readonly Choice[]): Refusal | undefined {
         if (req.deadlineMs - now() < minSendMs) {
             return createRefusal("deadlineTooShort", "remaining time is too short for an answer");
         }
         if (choices.length === 0) {
-            return createRefusal("noUpstream", `no upstream available for service ${req.service}`, { retryAfterMs });
+            const details = { retryAfterMs: findReopeningMs(req.service) };
+            return createRefusal("noUpstream", `no upstream available for service ${req.service}`, details);
         }
         const memoryTokens = deps.findService(req.service)?.engine?.memoryTokens ?? Infinity;
         const promptTokens = req.prompt?.promptTokens ?? 0;
--- a/src/core/signals/createSignalExchange.ts
+++ b/src/core/signals/createSignalExchange.ts
@@ -49,11 +49,14 @@
     const updatedMs = new Map<string, number>();
     let lastUpdateMs = -Infinity;
 
+    /** A time for which an upstream wants no request of this instance does not concern the others. */
+    const listShared = () => deps.listReports().filter(report => report.kind !== "retryAfter");
+
     function flush(): void {
         const upstreams = new Set(changed);
         changed.clear();
         const byReceiver = new Map<string, SignalReport[]>();
-        for (const report of deps.listReports().filter(one => upstreams.has(one.upstream))) {
+        for (const report of listShared().filter(one => upstreams.has(one.upstream))) {
             for (const name of deps.listReceivers(report.upstream)) {
                 byReceiver.set(name, [...byReceiver.get(name) ?? [], report]);
             }
@@ -63,7 +66,7 @@
 
     /** Chooses reports at random where one message cannot hold all: further ones bring the rest. */
     function chooseReports(limit: number): readonly SignalReport[] {
-        const reports = deps.listReports();
+        const reports = listShared();
         if (reports.length <= limit) {
             return reports;
         }
--- a/src/core/signals/createSignalView.ts
+++ b/src/core/signals/createSignalView.ts
@@ -1,10 +1,11 @@
 /**
  * @module
- * What upstreams have stated in their answers, to this instance or to its peers, until it ends.
+ * What upstreams have stated in their answers, to this instance or to its peers, until it ends. Placement, reports to peers and
+ * the operator's list read it here.
  */
 import { hashText } from "../_lib/hashText.js";
-import { mergeRateLimits, type RateLimitObservation } from "./rateLimitObservation.js";
-import { maxReportedAgeMs, type SignalReport } from "./signalReport.js";
+import { computeRate, isForgettable, observeRateLimit, type RateLimitState } from "./rateLimitState.js";
+import { type SignalReport, toReportedAgeMs } from "./signalReport.js";
 import type { AnswerSignals, SignalKind } from "./upstreamSignal.js";
 
 /** An upstream's process. */
@@ -28,12 +29,22 @@
 export interface SignalChange {
     readonly upstream: string;
     readonly kind: SignalKind;
-    /** Undefined when the signal has ended. */
-    readonly requestsPerSecond: number | undefined;
+    readonly change: "stated" | "ended";
+    /** The limit; undefined when it has ended, and for other kinds. */
+    readonly requestsPerSecond?: number | undefined;
+    /** Time for which the upstream wants no request, in milliseconds. */
+    readonly delayMs?: number;
     /** Name of the instance that received the answer. */
     readonly source: string;
 }
 
+/** Why an upstream wants no request at all. */
+export interface Closure {
+    readonly kind: "leaving" | "retryAfter";
+    /** When it ends; infinite for an upstream that leaves. */
+    readonly untilMs: number;
+}
+
 /** What is known of upstreams from their answers. */
 export interface SignalView {
     /** Records an answer that this instance received. */
@@ -42,11 +53,13 @@
     readonly applyReports: (reports: readonly SignalReport[], nowMs: number) => void;
     /** Requests per second that an upstream takes from all instances together; undefined when it states no limit. */
     readonly findRateLimit: (upstream: string, nowMs: number) => number | undefined;
+    /** Why an upstream wants no request of this instance now; undefined when it wants some. */
+    readonly findClosure: (upstream: string, nowMs: number) => Closure | undefined;
     /** Number of upstreams whose rate is limited. */
     readonly countLimited: (nowMs: number) => number;
     /** Lists what is known, also what ended lately. */
     readonly listReports: (nowMs: number) => readonly SignalReport[];
-    /** Hash of what is in force; undefined when that is nothing. */
+    /** Hash of what is in force and concerns all instances; undefined when that is nothing. */
     readonly digest: () => string | undefined;
     readonly remove: (upstream: string) => void;
 }
@@ -60,56 +73,26 @@
     readonly onChange: (change: SignalChange) => void;
 }
 
-/** Recovery after the end of a limit. */
-interface Recovery {
-    readonly sinceMs: number;
-    readonly requestsPerSecond: number;
+/** From which answer something is known. */
+interface Origin {
+    readonly sentMs: number;
+    readonly receivedMs: number;
+    readonly source: string;
 }
 
-interface RateLimitState {
+interface UpstreamState {
     readonly startedAtMs: number;
-    readonly observation: RateLimitObservation;
-    readonly recovery: Recovery | undefined;
+    rateLimit: RateLimitState | undefined;
+    leaving: Origin | undefined;
+    retryAfter: Origin & { readonly untilMs: number; } | undefined;
 }
 
-/**
- * Lowest rate that is used, in requests per second: only the answer to a request can tell that a limit of zero, or one close
- * to it, has ended.
- */
-const minRequestsPerSecond = 1 / 30;
-
-/** Time after the end of a limit in which the rate rises, so that not all instances return at once, in milliseconds. */
-const recoveryMs = 4_000;
-
-/** Lowest rate from which it rises, in requests per second, and the time in which it doubles, in milliseconds. */
-const minRecoveryRate = 1;
-const recoveryDoublingMs = 1_000;
-
-/** Time for which the end of a limit is remembered, in milliseconds: peers may still report the limit. */
-const endMemoryMs = 60_000;
-
 /**
  * Error of times that peers report, in milliseconds: the report's way is not known. A report that a limit has ended must not look
  * newer than it is.
  */
 const reportDelayMs = 100;
 
-/** Returns the rate that is in force; undefined when the upstream takes any. */
-function computeRate({ observation, recovery }: RateLimitState, nowMs: number): number | undefined {
-    if (observation.requestsPerSecond !== undefined) {
-        return Math.max(observation.requestsPerSecond, minRequestsPerSecond);
-    }
-    if (recovery === undefined || nowMs - recovery.sinceMs >= recoveryMs) {
-        return undefined;
-    }
-    const doublings = (nowMs - recovery.sinceMs) / recoveryDoublingMs;
-    return Math.max(recovery.requestsPerSecond, minRecoveryRate) * 2 ** doublings;
-}
-
-function toAgeMs(atMs: number, nowMs: number): number {
-    return Math.min(maxReportedAgeMs, Math.max(0, Math.round(nowMs - atMs)));
-}
-
 /**
  * Creates a view in which no upstream has stated anything.
  *
@@ -119,90 +102,175 @@
  * createSignalView(options).findRateLimit("engine-1", clock.now()); // undefined
  */
 export function createSignalView(options: SignalViewOptions): SignalView {
-    const states = new Map<string, RateLimitState>();
+    const states = new Map<string, UpstreamState>();
     let cachedDigest: string | undefined;
 
-    function findState(upstream: UpstreamProcess): RateLimitState | undefined {
-        const state = states.get(upstream.id);
-        return state?.startedAtMs === upstream.startedAtMs ? state : undefined;
+    function stateOf({ id, startedAtMs }: UpstreamProcess): UpstreamState {
+        const known = states.get(id);
+        if (known?.startedAtMs === startedAtMs) {
+            return known;
+        }
+        const state = { startedAtMs, rateLimit: undefined, leaving: undefined, retryAfter: undefined };
+        states.set(id, state);
+        return state;
     }
 
-    function observe(upstream: UpstreamProcess, next: RateLimitObservation, nowMs: number): void {
-        const known = findState(upstream);
-        if (known === undefined && next.requestsPerSecond === undefined) {
+    function announce(change: SignalChange): void {
+        cachedDigest = undefined;
+        options.onChange(change);
+    }
+
+    function observeLimit(
+        upstream: UpstreamProcess,
+        requestsPerSecond: number | undefined,
+        origin: Origin,
+        nowMs: number,
+    ): void {
+        if (requestsPerSecond === undefined && states.get(upstream.id)?.rateLimit === undefined) {
             return;
         }
-        const observation = known === undefined ? next : mergeRateLimits(known.observation, next);
-        const before = known?.observation.requestsPerSecond;
-        const { requestsPerSecond, source } = observation;
-        const isUnchanged = known !== undefined && before === requestsPerSecond;
-        const recovery = before === undefined ? known?.recovery : { sinceMs: nowMs, requestsPerSecond: before };
-        states.set(upstream.id, {
-            startedAtMs: upstream.startedAtMs,
-            observation,
-            recovery: requestsPerSecond === undefined ? recovery : undefined,
-        });
-        if (!isUnchanged) {
-            cachedDigest = undefined;
-            options.onChange({ upstream: upstream.id, kind: "rateLimit", requestsPerSecond, source });
+        const state = stateOf(upstream);
+        const before = state.rateLimit?.observation.requestsPerSecond;
+        state.rateLimit = observeRateLimit(state.rateLimit, { requestsPerSecond, ...origin }, nowMs);
+        const after = state.rateLimit?.observation;
+        if (after !== undefined && after.requestsPerSecond !== before) {
+            announce({
+                upstream: upstream.id,
+                kind: "rateLimit",
+                change: after.requestsPerSecond === undefined ? "ended" : "stated",
+                requestsPerSecond: after.requestsPerSecond,
+                source: after.source,
+            });
+        }
+    }
+
+    /** An upstream that leaves goes on to do so, whatever its later answers state. */
+    function observeLeaving(upstream: UpstreamProcess, origin: Origin): void {
+        const state = stateOf(upstream);
+        if (state.leaving === undefined) {
+            state.leaving = origin;
+            announce({ upstream: upstream.id, kind: "leaving", change: "stated", source: origin.source });
+        }
+    }
+
+    function observeRetryAfter(upstream: UpstreamProcess, delayMs: number, origin: Origin): void {
+        const state = stateOf(upstream);
+        const untilMs = Math.max(origin.receivedMs + delayMs, state.retryAfter?.untilMs ?? -Infinity);
+        state.retryAfter = { ...origin, untilMs };
+        announce({ upstream: upstream.id, kind: "retryAfter", change: "stated", delayMs, source: origin.source });
+    }
+
+    function recordAnswer({ upstream, signals, isRun, sentMs, receivedMs }: ObservedAnswer): void {
+        const origin = { sentMs, receivedMs, source: options.self };
+        for (const signal of signals.stated) {
+            switch (signal.kind) {
+                case "rateLimit":
+                    observeLimit(upstream, signal.requestsPerSecond, origin, receivedMs);
+                    break;
+                case "leaving":
+                    observeLeaving(upstream, origin);
+                    break;
+                case "retryAfter":
+                    observeRetryAfter(upstream, signal.delayMs, origin);
+                    break;
+            }
+        }
+        const statesLimit = [...signals.stated, ...signals.malformed].some(one => one.kind === "rateLimit");
+        // A rejection may come from another part of the upstream, so it does not end a limit.
+        if (isRun && !statesLimit) {
+            observeLimit(upstream, undefined, origin, receivedMs);
         }
     }
 
     function applyReport(report: SignalReport, nowMs: number): void {
-        const { upstream: id, startedAtMs, requestsPerSecond, source } = report;
+        const { upstream: id, startedAtMs, source } = report;
         if (options.findStartMs(id) !== startedAtMs) {
             return;
         }
-        const delayMs = requestsPerSecond === undefined ? reportDelayMs : 0;
-        const sentMs = nowMs - report.sentAgeMs - delayMs;
-        const receivedMs = nowMs - report.receivedAgeMs;
-        observe({ id, startedAtMs }, { requestsPerSecond, sentMs, receivedMs, source }, nowMs);
+        const origin = { sentMs: nowMs - report.sentAgeMs, receivedMs: nowMs - report.receivedAgeMs, source };
+        if (report.kind === "leaving") {
+            observeLeaving({ id, startedAtMs }, origin);
+        }
+        else if (report.kind === "rateLimit") {
+            const { requestsPerSecond } = report;
+            const sentMs = origin.sentMs - (requestsPerSecond === undefined ? reportDelayMs : 0);
+            observeLimit({ id, startedAtMs }, requestsPerSecond, { ...origin, sentMs }, nowMs);
+        }
     }
 
-    function removeForgotten(nowMs: number): void {
-        for (const [upstream, { recovery }] of states) {
-            if (recovery !== undefined && nowMs - recovery.sinceMs > endMemoryMs) {
-                states.delete(upstream);
+    /** Forgets what has ended. */
+    function removeEnded(nowMs: number): void {
+        for (const [id, state] of states) {
+            if (state.rateLimit !== undefined && isForgettable(state.rateLimit, nowMs)) {
+                state.rateLimit = undefined;
+            }
+            if (state.retryAfter !== undefined && state.retryAfter.untilMs <= nowMs) {
+                state.retryAfter = undefined;
+            }
+            if (state.rateLimit === undefined && state.leaving === undefined && state.retryAfter === undefined) {
+                states.delete(id);
             }
         }
     }
 
-    function listReports(nowMs: number): readonly SignalReport[] {
-        removeForgotten(nowMs);
-        return [...states].map(([upstream, { startedAtMs, observation }]) => ({
+    function describe(upstream: string, state: UpstreamState, nowMs: number): readonly SignalReport[] {
+        const { startedAtMs, rateLimit, leaving, retryAfter } = state;
+        const toOrigin = ({ sentMs, receivedMs, source }: Origin) => ({
             upstream,
             startedAtMs,
-            kind: "rateLimit",
-            requestsPerSecond: observation.requestsPerSecond,
-            sentAgeMs: toAgeMs(observation.sentMs, nowMs),
-            receivedAgeMs: toAgeMs(observation.receivedMs, nowMs),
-            source: observation.source,
-        }));
+            sentAgeMs: toReportedAgeMs(sentMs, nowMs),
+            receivedAgeMs: toReportedAgeMs(receivedMs, nowMs),
+            source,
+        });
+        const limit = rateLimit?.observation;
+        const reports: (SignalReport | undefined)[] = [
+            limit && { ...toOrigin(limit), kind: "rateLimit", requestsPerSecond: limit.requestsPerSecond },
+            leaving && { ...toOrigin(leaving), kind: "leaving" },
+            retryAfter && {
+                ...toOrigin(retryAfter),
+                kind: "retryAfter",
+                remainingMs: toReportedAgeMs(nowMs, retryAfter.untilMs),
+            },
+        ];
+        return reports.filter(report => report !== undefined);
     }
 
     function computeDigest(): string {
-        const inForce = [...states].filter(([, state]) => state.observation.requestsPerSecond !== undefined);
-        const texts = inForce.map(([upstream, { observation }]) => `${upstream} ${observation.requestsPerSecond}`);
+        const texts = [...states].flatMap(([upstream, { rateLimit, leaving }]) => {
+            const limit = rateLimit?.observation.requestsPerSecond;
+            return [
+                ...(limit === undefined ? [] : [`${upstream} ${limit}`]),
+                ...(leaving === undefined ? [] : [`${upstream} leaving`]),
+            ];
+        });
         return texts.length === 0 ? "" : hashText(texts.toSorted().join("\n")).toString(16);
     }
 
+    function findClosure(upstream: string, nowMs: number): Closure | undefined {
+        const { leaving, retryAfter } = states.get(upstream) ?? {};
+        if (leaving !== undefined) {
+            return { kind: "leaving", untilMs: Infinity };
+        }
+        return retryAfter !== undefined && nowMs < retryAfter.untilMs
+            ? { kind: "retryAfter", untilMs: retryAfter.untilMs }
+            : undefined;
+    }
+
+    function findRateLimit(upstream: string, nowMs: number): number | undefined {
+        const rateLimit = states.get(upstream)?.rateLimit;
+        return rateLimit === undefined ? undefined : computeRate(rateLimit, nowMs);
+    }
+
     return {
-        recordAnswer: ({ upstream, signals, isRun, sentMs, receivedMs }) => {
-            const limit = signals.stated.find(one => one.kind === "rateLimit");
-            const isMalformed = signals.malformed.some(one => one.kind === "rateLimit");
-            // A rejection may come from another part of the upstream, so it does not end a limit.
-            if (limit !== undefined || (isRun && !isMalformed)) {
-                const { requestsPerSecond } = limit ?? { requestsPerSecond: undefined };
-                observe(upstream, { requestsPerSecond, sentMs, receivedMs, source: options.self }, receivedMs);
-            }
-        },
+        recordAnswer,
         applyReports: (reports, nowMs) => reports.forEach(report => applyReport(report, nowMs)),
-        findRateLimit: (upstream, nowMs) => {
-            const state = states.get(upstream);
-            return state === undefined ? undefined : computeRate(state, nowMs);
+        findRateLimit,
+        findClosure,
+        countLimited: nowMs => [...states.keys()].filter(id => findRateLimit(id, nowMs) !== undefined).length,
+        listReports: nowMs => {
+            removeEnded(nowMs);
+            return [...states].flatMap(([upstream, state]) => describe(upstream, state, nowMs));
         },
-        countLimited: nowMs => [...states.values()].filter(state => computeRate(state, nowMs) !== undefined).length,
-        listReports,
         digest: () => {
             cachedDigest ??= computeDigest();
             return cachedDigest === "" ? undefined : cachedDigest;
--- a/src/core/signals/index.ts
+++ b/src/core/signals/index.ts
@@ -4,6 +4,6 @@
  */
 export * from "./createSignalExchange.js";
 export * from "./createSignalView.js";
-export * from "./rateLimitObservation.js";
+export * from "./rateLimitState.js";
 export * from "./signalReport.js";
 export * from "./upstreamSignal.js";
--- a/src/core/signals/upstreamSignal.ts
+++ b/src/core/signals/upstreamSignal.ts
@@ -6,7 +6,11 @@
 /** One statement of an upstream. */
 export type UpstreamSignal =
     /** The requests per second that it takes from all instances together, for as long as its answers state it. */
-    { readonly kind: "rateLimit"; readonly requestsPerSecond: number; };
+    | { readonly kind: "rateLimit"; readonly requestsPerSecond: number; }
+    /** It is about to end and wants no further request of any instance. */
+    | { readonly kind: "leaving"; }
+    /** It has rejected a request and wants none of the same instance for a time. */
+    | { readonly kind: "retryAfter"; readonly delayMs: number; };
 
 /** Kind of a signal. */
 export type SignalKind = UpstreamSignal["kind"];
