--- a/bench/rateLimits/createFleetNetwork.ts
+++ b/bench/rateLimits/createFleetNetwork.ts
@@ -41,7 +41,8 @@
 /** The network. */
 export interface FleetNetwork {
     readonly join: (options: MemberOptions) => NetworkMember;
-    readonly setCut: (name: string, isCut: boolean) => void;
+    /** Sets the fraction of an instance's messages that are lost beside the usual loss; 1 cuts it off. */
+    readonly setLoss: (name: string, share: number) => void;
     readonly countMessages: () => number;
     readonly countBytes: () => number;
 }
@@ -79,12 +80,13 @@
 export function createFleetNetwork(clock: VirtualClock, options: FleetNetworkOptions): FleetNetwork {
     const { random } = clock;
     const deliveries = new Map<string, Delivery>();
-    const cuts = new Set<string>();
+    const losses = new Map<string, number>();
     let messages = 0;
     let bytes = 0;
 
     function transmit(from: string, to: string, content: Heartbeat | PeerMessage, isHeartbeat: boolean): void {
-        if (cuts.has(from) || cuts.has(to) || random() < options.messageLoss) {
+        const shares = [options.messageLoss, losses.get(from) ?? 0, losses.get(to) ?? 0];
+        if (shares.some(share => random() < share)) {
             return;
         }
         const lateMs = random() < options.lateMessages ? random() * maxLateMs : 0;
@@ -181,13 +183,8 @@
 
     return {
         join,
-        setCut: (name, isCut) => {
-            if (isCut) {
-                cuts.add(name);
-            }
-            else {
-                cuts.delete(name);
-            }
+        setLoss: (name, share) => {
+            losses.set(name, share);
         },
         countMessages: () => messages,
         countBytes: () => bytes,
--- a/bench/rateLimits/drawRateLimitPlan.ts
+++ b/bench/rateLimits/drawRateLimitPlan.ts
@@ -28,7 +28,7 @@
         lateMessages: isCalm ? 0 : choose([0, 0.02, 0.1]),
         restarts: isCalm ? 0 : choose([0, 1, 2]),
         freezes: isCalm ? 0 : choose([0, 1, 2]),
-        cuts: isCalm ? 0 : choose([0, 0, 1]),
+        cuts: isCalm ? 0 : choose([0, 1, 2]),
     };
 }
 
--- a/bench/rateLimits/playRateLimitHistory.ts
+++ b/bench/rateLimits/playRateLimitHistory.ts
@@ -21,6 +21,9 @@
 const freezeDurationsMs = [300, 4_000] as const;
 const cutDurationsMs = [500, 6_000] as const;
 
+/** Messages that are lost when an instance is cut or its links are harmed. */
+const lossShares = [0.3, 0.6, 1] as const;
+
 /** Prompt parts that requests share. */
 const sharedParts = 40;
 
@@ -122,12 +125,12 @@
         const index = drawIndex();
         const name = names[index]!;
         const durationMs = between(cutDurationsMs);
-        const fromUpstreams = random() < 0.5;
-        network.setCut(name, true);
-        instances[index]?.setCut(fromUpstreams);
+        const loss = lossShares[Math.floor(random() * lossShares.length)]!;
+        network.setLoss(name, loss);
+        instances[index]?.setCut(loss === 1 && random() < 0.5);
         disturbances.push({ instance: name, fromMs: clock.now(), toMs: clock.now() + durationMs });
         clock.after(durationMs, () => {
-            network.setCut(name, false);
+            network.setLoss(name, 0);
             instances[index]?.setCut(false);
         });
     }
--- a/bench/rateLimits/rateLimitTypes.ts
+++ b/bench/rateLimits/rateLimitTypes.ts
@@ -38,7 +38,7 @@
     readonly lateMessages: number;
     readonly restarts: number;
     readonly freezes: number;
-    /** Times at which an instance is cut from others, or from others and upstreams. */
+    /** How often an instance is cut from others, or from others and upstreams, or its messages are lost in part. */
     readonly cuts: number;
 }
 
--- a/features/steps/upstreamSignalSteps.ts
+++ b/features/steps/upstreamSignalSteps.ts
@@ -8,6 +8,8 @@
 import type { HeaderPair } from "../../src/core/proxy/proxyTypes.js";
 import { createSignalView, type SignalView } from "../../src/core/signals/createSignalView.js";
 import type { AnswerSignals } from "../../src/core/signals/upstreamSignal.js";
+import { signals } from "../../src/ctl/commands/signals.js";
+import type { Invocation } from "../../src/ctl/commandTypes.js";
 import { call, getFixture, plainCall, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -151,3 +153,12 @@
     const { view, lastMs } = getView(this);
     assert.equal(view.findRateLimit(upstream.id, lastMs), 1 / seconds);
 });
+
+Then(
+    "reedwardctl lists a rate limit of {float} at the first instance, told to {string}",
+    async function(this: SiteWorld, limit: number, source: string) {
+        const address = getFixture(this).instances[0]!.settings.peerAddress;
+        const result = await signals({ address } as Invocation);
+        assert.match(result.lines.join("\n"), new RegExp(`i-3 +${limit}/s +.* +${source} +entry-[12]`));
+    },
+);
--- a/features/upstreamSignals.feature
+++ b/features/upstreamSignals.feature
@@ -84,3 +84,13 @@
         Scenario: A limit of zero still lets a request through now and then, which can tell its end
             Given an upstream stated 0 in an answer to a request of 0 ms that arrived at 100 ms
             Then a request every 30 s is allowed
+
+    Rule: Operators
+
+        Background:
+            Given a store with a configuration, two engines, a plain server and two instances on them
+
+        Scenario: reedwardctl lists what upstreams have stated
+            Given the plain server states "server-limit: 0.5" in its answers
+            When 1 plain call is sent through the first instance
+            Then reedwardctl lists a rate limit of 0.5 at the first instance, told to "entry-1"
--- a/src/assemble/assemblePermits.ts
+++ b/src/assemble/assemblePermits.ts
@@ -7,6 +7,7 @@
 import type { PermitMessage } from "../core/permits/permitMessage.js";
 import { createSignalExchange } from "../core/signals/createSignalExchange.js";
 import type { SignalMessage } from "../core/signals/signalReport.js";
+import type { ListedSignal } from "../io/peers/readSignals.js";
 import type { InstanceViews } from "./assembleViews.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -30,8 +31,8 @@
     readonly compareDigest: (from: string, digest: string | undefined) => void;
     /** Takes note of the instances that may issue permits; called often. */
     readonly updateCandidates: () => void;
-    /** The instance that issues permits of an upstream. */
-    readonly findOwner: (upstream: string) => string | undefined;
+    /** Lists what upstreams have stated, for operators. */
+    readonly listSignals: () => readonly ListedSignal[];
     /** Calls `action` when requests that wait may find a permit. */
     readonly onChange: (action: () => void) => void;
     /** Forgets permits, after a pause of the process. */
@@ -98,6 +99,17 @@
         }
         notifyChange();
     });
+    function listSignals(): readonly ListedSignal[] {
+        return view.listReports(clock.now()).map(report => {
+            const isLimit = report.kind === "rateLimit";
+            return {
+                report,
+                ratePerSecond: isLimit ? view.findRateLimit(report.upstream, clock.now()) : undefined,
+                owner: isLimit ? permits.findOwner(report.upstream) : undefined,
+            };
+        });
+    }
+
     return {
         limits: permits,
         receive: (from, message) => {
@@ -111,7 +123,7 @@
         digest: view.digest,
         compareDigest: exchange.compareDigest,
         updateCandidates: permits.updateCandidates,
-        findOwner: permits.findOwner,
+        listSignals,
         onChange: action => {
             listeners.push(action);
         },
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -11,6 +11,7 @@
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
+import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
 import type { Fleet } from "./assembleFleet.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -21,6 +22,7 @@
     readonly isReady: () => boolean;
     readonly handle: RequestListener;
     readonly quarantine: Pick<PartGuard, "list" | "lift">;
+    readonly listSignals: () => readonly ListedSignal[];
 }
 
 /** The servers. */
@@ -135,6 +137,7 @@
                     const upstreamsDigest = url.searchParams.get("upstreams") ?? "";
                     sendJson(res, 200, JSON.stringify(sources.fleet.describeState({ tableVersion, upstreamsDigest })));
                 },
+                [signalsPath]: (_, res) => sendJson(res, 200, JSON.stringify(sources.listSignals())),
                 [quarantinePath]: (_, res) => sendJson(res, 200, JSON.stringify(sources.quarantine.list())),
             }, { [quarantinePath]: liftPart }),
             settings.peerAddress,
--- a/src/core/why/describeLogLine.ts
+++ b/src/core/why/describeLogLine.ts
@@ -22,7 +22,10 @@
 }
 
 function describeSent(fields: Fields): string {
-    const head = `sent to ${text(fields, "upstream")} ${text(fields, "afterMs")} ms after it arrived`;
+    const limit = fields["rateLimit"] === undefined
+        ? ""
+        : `, by a permit of its limit of ${text(fields, "rateLimit")} requests a second`;
+    const head = `sent to ${text(fields, "upstream")} ${text(fields, "afterMs")} ms after it arrived${limit}`;
     if (fields["promptTokens"] === undefined) {
         return head;
     }
@@ -72,6 +75,20 @@
     } and ${unfinished}: it ${judgement}`;
 }
 
+function describeSignal(fields: Fields): string {
+    const subject = `${text(fields, "upstream")} (told to ${text(fields, "source")})`;
+    switch (fields["signal"]) {
+        case "rateLimit":
+            return fields["change"] === "ended"
+                ? `${subject} no longer states a rate limit`
+                : `${subject} takes ${text(fields, "requestsPerSecond")} requests a second from all instances together`;
+        case "leaving":
+            return `${subject} leaves and gets no further request`;
+        default:
+            return `${subject} wants no request for ${text(fields, "delayMs")} ms`;
+    }
+}
+
 const sentences: Readonly<Partial<Record<LogEventName, (fields: Fields) => string>>> = {
     requestSent: describeSent,
     sendEnded: fields => outcomes.get(fields["outcome"])?.(fields) ?? `a send ended: ${text(fields, "outcome")}`,
@@ -85,6 +102,7 @@
     upstreamChanged: fields =>
         `${text(fields, "upstream")} at ${text(fields, "address")}: ${text(fields, "change")}`
         + (fields["isDraining"] === true ? ", it is draining" : ""),
+    upstreamSignalChanged: describeSignal,
     orderSent: fields => `${text(fields, "engine")} was ordered to load weights version ${text(fields, "version")}`,
     orderFailed: fields => `the order to ${text(fields, "engine")} failed: ${text(fields, "answer")}`,
     loadEnded: fields => `loading of weights at ${text(fields, "engine")} ended: ${text(fields, "end")}`,
--- a/src/ctl/commands/index.ts
+++ b/src/ctl/commands/index.ts
@@ -9,6 +9,7 @@
 import { order } from "./order.js";
 import { orders } from "./orders.js";
 import { quarantine } from "./quarantine.js";
+import { signals } from "./signals.js";
 import { status } from "./status.js";
 import { upstreams } from "./upstreams.js";
 import { validate } from "./validate.js";
@@ -29,5 +30,6 @@
     ["orders", define("", "List orders, loads and rollouts.", orders)],
     ["drain", define("UPSTREAM", "Take an upstream out of routing.", drain)],
     ["quarantine", define("", "List prompt parts that are held back since engines ended under them.", quarantine)],
+    ["signals", define("", "List what upstreams have stated about the requests that they want.", signals)],
     ["why", define("REQUEST_ID", "Tell why a request went where it went.", why)],
 ]);
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -163,6 +163,7 @@
         isReady: () => !isLeaving && hasState(),
         handle: proxy.handle,
         quarantine: quarantine.guard,
+        listSignals: permits.listSignals,
     });
     views.onChange(partFeeds.refresh);
     views.onChange(servers.applyLimits);
