Let asks end that no permit will reach, and let waiting requests go first for permits

The owner keeps an ask only if its turn comes within the ask's lifetime, and tells the wait; newly arrived requests no longer take a permit before those that wait. Asks are bounded by 30 a second, 6 in a fleet whose heartbeats fill its bandwidth. Permits of upstreams that are gone are forgotten.

Slopes of asks, memory and messages; scenarios on owners and holders of permits.

--- a/bench/rateLimits/createLimitInstance.ts
+++ b/bench/rateLimits/createLimitInstance.ts
@@ -83,6 +83,7 @@
         viewTimeoutMs: () => member.timeoutMs(),
         isFleetDirect: () => member.isDirect(),
         findRate,
+        isKnown: upstream => registry.find(upstream) !== undefined,
         send: (to, message) => member.send([to], message),
         onGranted: () => undefined,
         onChange: () => (isStopped ? undefined : placer.recheck()),
@@ -97,6 +98,7 @@
                 : [owner].filter(one => one !== name);
         },
         isFleetDirect: () => member.isDirect(),
+        countOthers: () => member.listOthers().length,
         digest: signals.digest,
         listReports: () => signals.listReports(clock.now()),
         send: (names, message) => member.send(names, message),
@@ -125,7 +127,7 @@
         listUses: use.listOwn,
         applyUses: use.updatePeer,
     });
-    repeatEvery(ownClock, candidateIntervalMs, permits.updateCandidates);
+    repeatEvery(ownClock, candidateIntervalMs, permits.update);
 
     function receivePeer(from: string, message: PeerMessage): void {
         if ("signals" in message) {
--- a/bench/slopes/slopeCases.ts
+++ b/bench/slopes/slopeCases.ts
@@ -6,6 +6,7 @@
 import { claimCases } from "./cases/claimCases.js";
 import { limitCases } from "./cases/limitCases.js";
 import { membershipCases } from "./cases/membershipCases.js";
+import { permitCases } from "./cases/permitCases.js";
 import { requestCases } from "./cases/requestCases.js";
 import type { SlopeCase } from "./slopeCase.js";
 
@@ -16,4 +17,5 @@
     ...claimCases,
     ...membershipCases,
     ...limitCases,
+    ...permitCases,
 ];
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -64,7 +64,7 @@
     /** Detects a pause of the process. */
     readonly checkPause: () => void;
     readonly quarantine: Pick<PartGuard, "digest" | "compareDigest" | "receive">;
-    readonly permits: Pick<InstancePermits, "digest" | "compareDigest" | "receive" | "updateCandidates">;
+    readonly permits: Pick<InstancePermits, "digest" | "compareDigest" | "receive" | "update">;
 }
 
 /** Time after the start within which the heartbeats of the others arrive, in milliseconds. */
@@ -210,7 +210,7 @@
     /** Logs members that joined, changed or left, and removes the reports of those that left. */
     function updateMembers(): void {
         loadingView.removeExpired(clock.now());
-        sources.permits.updateCandidates();
+        sources.permits.update();
         const live = view.listLive(clock.now());
         const liveNames = new Set(live.map(member => member.instance.name));
         for (const { instance } of live) {
--- a/src/assemble/assemblePermits.ts
+++ b/src/assemble/assemblePermits.ts
@@ -29,8 +29,8 @@
     readonly receive: (from: string, message: SignalMessage | PermitMessage) => void;
     readonly digest: () => string | undefined;
     readonly compareDigest: (from: string, digest: string | undefined) => void;
-    /** Takes note of the instances that may issue permits; called often. */
-    readonly updateCandidates: () => void;
+    /** Takes note of the instances that may issue permits, and of upstreams that are gone; called often. */
+    readonly update: () => void;
     /** Lists what upstreams have stated, for operators. */
     readonly listSignals: () => readonly ListedSignal[];
     /** Calls `action` when requests that wait may find a permit. */
@@ -68,6 +68,7 @@
         viewTimeoutMs: peers.viewTimeoutMs,
         isFleetDirect: peers.isDirect,
         findRate: upstream => view.findRateLimit(upstream, clock.now()),
+        isKnown: upstream => views.registry.find(upstream) !== undefined,
         send: (to, message) => peers.send([to], message),
         onGranted: count => metrics.permits.inc(count),
         onChange: notifyChange,
@@ -86,6 +87,7 @@
         random,
         listReceivers,
         isFleetDirect: peers.isDirect,
+        countOthers: () => peers.listLive().length,
         digest: view.digest,
         listReports: () => view.listReports(clock.now()),
         send: peers.send,
@@ -122,7 +124,7 @@
         },
         digest: view.digest,
         compareDigest: exchange.compareDigest,
-        updateCandidates: permits.updateCandidates,
+        update: permits.update,
         listSignals,
         onChange: action => {
             listeners.push(action);
--- a/src/assemble/assembleSignals.ts
+++ b/src/assemble/assembleSignals.ts
@@ -21,6 +21,9 @@
 /** Minimum time between two log lines about malformed signals of one upstream, in milliseconds. */
 const malformedLogIntervalMs = 10_000;
 
+/** Upstreams whose last such log line is remembered. */
+const maxMalformedUpstreams = 1_024;
+
 /**
  * Assembles the signals.
  *
@@ -46,6 +49,10 @@
         if (nowMs - (malformedLoggedMs.get(upstream) ?? -Infinity) > malformedLogIntervalMs) {
             malformedLoggedMs.delete(upstream);
             malformedLoggedMs.set(upstream, nowMs);
+            const oldest = malformedLoggedMs.keys().next().value;
+            if (malformedLoggedMs.size > maxMalformedUpstreams && oldest !== undefined) {
+                malformedLoggedMs.delete(oldest);
+            }
             writeLog("upstreamSignalMalformed", { upstream, signal: kind, text });
         }
     }
--- a/src/core/permits/createPermitHolder.ts
+++ b/src/core/permits/createPermitHolder.ts
@@ -26,6 +26,8 @@
     readonly receiveGrant: (from: string, sequence: number, items: readonly PermitGrantItem[]) => void;
     /** Forgets the permits of one upstream, whose limit is lower now. */
     readonly drop: (upstream: string) => void;
+    /** Forgets upstreams that are gone. */
+    readonly removeUnknown: (isKnown: (upstream: string) => boolean) => void;
     /** Forgets everything, after a pause of the process. */
     readonly clear: () => void;
 }
@@ -258,7 +260,10 @@
         const untilMs = open.sentMs + permitTermMs;
         state.hint = { atMs: nowMs, waitMs: item.waitMs, askers: item.askers };
         if (item.permits === 0) {
-            state.ask = { ...open, untilMs: open.sentMs + askLifetimeMs };
+            // The owner keeps an ask that it can grant within its lifetime; else the next one is due when that is so.
+            const isKept = item.waitMs <= askLifetimeMs;
+            const againMs = Math.max(askTimeoutMs, Math.min(askLifetimeMs, item.waitMs - askLifetimeMs));
+            state.ask = { ...open, untilMs: open.sentMs + (isKept ? askLifetimeMs : againMs) };
         }
         else {
             state.ask = undefined;
@@ -296,6 +301,8 @@
         drop: upstream => {
             states.delete(upstream);
         },
+        removeUnknown: isKnown =>
+            [...states.keys()].filter(upstream => !isKnown(upstream)).forEach(upstream => states.delete(upstream)),
         clear: () => states.clear(),
     };
 }
--- a/src/core/permits/createPermitIssuer.ts
+++ b/src/core/permits/createPermitIssuer.ts
@@ -13,6 +13,8 @@
     readonly receiveAsk: (from: string, sequence: number, items: readonly PermitAmount[]) => void;
     /** Takes back permits that were not used. */
     readonly receiveReturn: (from: string, items: readonly PermitAmount[]) => void;
+    /** Forgets upstreams that are gone. */
+    readonly removeUnknown: (isKnown: (upstream: string) => boolean) => void;
     /** Forgets everything, after a pause of the process. */
     readonly clear: () => void;
 }
@@ -165,11 +167,20 @@
         state.pending.set(from, { sequence, permits, untilMs: nowMs + askLifetimeMs });
         serve(upstream);
         if (state.pending.has(from)) {
-            const ahead = [...state.pending.keys()].indexOf(from);
-            deps.sendGrant(from, sequence, [describeGrant(upstream, state, 0, ahead)]);
+            answerPending(from, sequence, upstream, state);
         }
     }
 
+    /** Tells an instance how long it must wait; an ask that would end before its turn is not kept. */
+    function answerPending(from: string, sequence: number, upstream: string, state: UpstreamState): void {
+        const ahead = [...state.pending.keys()].indexOf(from);
+        const answer = describeGrant(upstream, state, 0, ahead);
+        if (answer.waitMs > askLifetimeMs) {
+            state.pending.delete(from);
+        }
+        deps.sendGrant(from, sequence, [answer]);
+    }
+
     function returnItem(from: string, { upstream, permits }: PermitAmount): void {
         const state = states.get(upstream);
         const rate = findIssuedRate(upstream);
@@ -187,6 +198,7 @@
     return {
         receiveAsk: (from, sequence, items) => items.forEach(item => receiveItem(from, sequence, item)),
         receiveReturn: (from, items) => items.forEach(item => returnItem(from, item)),
+        removeUnknown: isKnown => [...states.keys()].filter(upstream => !isKnown(upstream)).forEach(drop),
         clear: () => [...states.keys()].forEach(drop),
     };
 }
--- a/src/core/permits/createUpstreamPermits.ts
+++ b/src/core/permits/createUpstreamPermits.ts
@@ -26,8 +26,8 @@
 /** Permits of this instance, and those that it issues. */
 export interface UpstreamPermits extends UpstreamRateLimits {
     readonly receive: (from: string, message: PermitMessage) => void;
-    /** Takes note of the instances that may issue permits; called often. */
-    readonly updateCandidates: () => void;
+    /** Takes note of the instances that may issue permits, and of upstreams that are gone; called often. */
+    readonly update: () => void;
     readonly findOwner: (upstream: string) => string | undefined;
     /** Applies a lower limit to permits that are held. */
     readonly drop: (upstream: string) => void;
@@ -46,6 +46,8 @@
     /** Whether the fleet is so small that all instances hear from each other directly. */
     readonly isFleetDirect: () => boolean;
     readonly findRate: (upstream: string) => number | undefined;
+    /** Whether an upstream is in the list. */
+    readonly isKnown: (upstream: string) => boolean;
     readonly send: (to: string, message: PermitMessage) => void;
     readonly onGranted: (permits: number) => void;
     /** Called when requests that wait may find a permit. */
@@ -53,8 +55,8 @@
 }
 
 /** Upstreams that an instance asks for in a second at most, in a small fleet, and in one whose heartbeats fill its bandwidth. */
-const maxDirectAsksPerSecond = 60;
-const maxAsksPerSecond = 12;
+const maxDirectAsksPerSecond = 30;
+const maxAsksPerSecond = 6;
 
 /**
  * Creates the permits of an instance.
@@ -160,7 +162,11 @@
                     break;
             }
         },
-        updateCandidates: ownership.update,
+        update: () => {
+            ownership.update();
+            holder.removeUnknown(deps.isKnown);
+            issuer.removeUnknown(deps.isKnown);
+        },
         findOwner: ownership.findOwner,
         drop: holder.drop,
         clear: () => {
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -35,6 +35,8 @@
     readonly dispatchAll: () => void;
     /** Places waiting requests, and refuses those of whom a change has shown that they wait in vain. */
     readonly recheck: () => void;
+    /** Whether requests of a service wait. */
+    readonly isWaiting: (service: string) => boolean;
     readonly countWaiting: () => number;
 }
 
@@ -160,6 +162,7 @@
             dispatchAll();
             [...checks].forEach(check => check());
         },
+        isWaiting: service => (queues.get(service)?.size() ?? 0) > 0,
         countWaiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.size(), 0),
     };
 }
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -166,12 +166,15 @@
             onResult({ kind: "refused", refusal: obstacle });
             return () => undefined;
         }
-        const placement = tryPlace(req, choices);
+        // A permit may have accrued since the requests that wait have tried; they go first.
+        const goesLast = queues.isWaiting(req.service)
+            && choices.some(choice => deps.limits.isLimited(choice.record.id));
+        const placement = goesLast ? undefined : tryPlace(req, choices);
         if (placement !== undefined) {
             onResult({ kind: "placed", placement });
             return () => undefined;
         }
-        return queues.wait({
+        const cancel = queues.wait({
             req,
             tryPlace: () => tryPlace(req, listChoices(req, excluded)),
             describeLoad: () => describeServiceLoad(req, excluded),
@@ -179,6 +182,10 @@
                 deps.limits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), ahead),
             onResult,
         });
+        if (goesLast) {
+            queues.dispatch(req.service);
+        }
+        return cancel;
     }
 
     return {
--- a/src/core/signals/createSignalExchange.ts
+++ b/src/core/signals/createSignalExchange.ts
@@ -23,17 +23,25 @@
     readonly listReceivers: (upstream: string) => readonly string[];
     /** Whether the fleet is so small that all instances hear from each other directly. */
     readonly isFleetDirect: () => boolean;
+    /** Number of other instances. */
+    readonly countOthers: () => number;
     readonly digest: () => string | undefined;
     readonly listReports: () => readonly SignalReport[];
     readonly send: (names: readonly string[], message: SignalMessage) => void;
 }
 
 /** Minimum time between two messages that bring one instance up to date, in milliseconds. */
-const minUpdateIntervalMs = 400;
+const minUpdateIntervalMs = 1_000;
+
+/** Time after a change in which reports of it are still on their way, in milliseconds. */
+const settlingMs = 500;
+
+/** Number of instances that bring another one up to date at once. */
+const helpers = 3;
 
 /** Minimum time between two such messages to any instance, and their most reports, in a large fleet. */
-const minRelayedIntervalMs = 1_000;
-const maxRelayedReports = 10;
+const minRelayedIntervalMs = 2_000;
+const maxRelayedReports = 5;
 
 /**
  * Creates an exchange.
@@ -48,6 +56,8 @@
     const changed = new Set<string>();
     const updatedMs = new Map<string, number>();
     let lastUpdateMs = -Infinity;
+    let lastDigest: string | undefined;
+    let lastChangeMs = -Infinity;
 
     /** A time for which an upstream wants no request of this instance does not concern the others. */
     const listShared = () => deps.listReports().filter(report => report.kind !== "retryAfter");
@@ -80,6 +90,16 @@
             && (isDirect || nowMs - lastUpdateMs > minRelayedIntervalMs);
     }
 
+    /** Whether what this instance knows has not changed for a while. */
+    function isSettled(): boolean {
+        const digest = deps.digest();
+        if (digest !== lastDigest) {
+            lastDigest = digest;
+            lastChangeMs = clock.now();
+        }
+        return clock.now() - lastChangeMs > settlingMs;
+    }
+
     return {
         report: upstream => {
             if (changed.size === 0) {
@@ -89,7 +109,10 @@
         },
         compareDigest: (from, digest) => {
             const isDirect = deps.isFleetDirect();
-            if (digest === deps.digest() || !isDue(from, isDirect)) {
+            if (!isSettled() || digest === deps.digest() || !isDue(from, isDirect)) {
+                return;
+            }
+            if (deps.random() * deps.countOthers() > helpers) {
                 return;
             }
             const signals = chooseReports(isDirect ? maxReportedSignals : maxRelayedReports);
