--- a/bench/quarantine/createRouterModel.ts
+++ b/bench/quarantine/createRouterModel.ts
@@ -4,6 +4,7 @@
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
+import type { ReportedUse } from "../../src/core/placement/createUpstreamUseTracker.js";
 import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
 import type { ProxyEffect, ProxyEffectResults, SendEffect } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
@@ -27,16 +28,23 @@
     readonly onEnd: (isAnswered: boolean) => void;
 }
 
+/** What an instance's heartbeat carries. */
+export interface RouterHeartbeat {
+    readonly digest: string | undefined;
+    readonly uses: readonly ReportedUse[];
+}
+
 /** An instance. */
 export interface RouterModel {
     readonly name: string;
     readonly serve: (call: RouterCall) => void;
     readonly applyChange: (record: UpstreamRecord, isStarted: boolean) => void;
     readonly receive: (from: string, message: QuarantineMessage) => void;
-    /** Digest that heartbeats carry. */
-    readonly digest: () => string | undefined;
-    readonly compareDigest: (from: string, digest: string | undefined) => void;
+    /** What heartbeats carry: the digest of the quarantine, and the use of engines. */
+    readonly describe: () => RouterHeartbeat;
+    readonly applyHeartbeat: (from: string, heartbeat: RouterHeartbeat) => void;
     readonly freezeFor: (durationMs: number) => void;
+    readonly isFrozen: () => boolean;
     /** Ends the process; nothing that it has begun has an effect any more. */
     readonly stop: () => void;
 }
@@ -63,7 +71,7 @@
     const { name, engines } = options;
     const ownClock = { ...clock, ...createPausableClock(clock) };
     const fixture = createPlacerFixture(ownClock, []);
-    const { registry, health } = fixture;
+    const { registry, health, use } = fixture;
     const guard = createPartGuard({
         clock: ownClock,
         self: name,
@@ -253,15 +261,21 @@
         receive: (from, message) => {
             ownClock.after(0, () => (isStopped ? undefined : guard.receive(from, message)));
         },
-        digest: guard.digest,
-        compareDigest: (from, digest) => {
-            ownClock.after(0, () => (isStopped ? undefined : guard.compareDigest(from, digest)));
+        describe: () => ({ digest: guard.digest(), uses: use.listOwn() }),
+        applyHeartbeat: (from, { digest, uses }) => {
+            ownClock.after(0, () => {
+                if (!isStopped) {
+                    guard.compareDigest(from, digest);
+                    use.updatePeer(from, uses);
+                }
+            });
         },
         freezeFor: durationMs => {
             ownClock.pauseFor(durationMs);
             ownClock.after(0, guard.clear);
             ownClock.after(0, tracker.clear);
         },
+        isFrozen: ownClock.isPaused,
         stop: () => {
             isStopped = true;
         },
--- a/bench/quarantine/playHistory.ts
+++ b/bench/quarantine/playHistory.ts
@@ -3,7 +3,7 @@
  * Plays one history: callers at several instances before engines that end.
  */
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
-import { heartbeatIntervalMs } from "../../src/core/fleet/planHeartbeats.js";
+import { heartbeatIntervalMs, planHeartbeats } from "../../src/core/fleet/planHeartbeats.js";
 import { drawTransitMs } from "../support/drawTransitMs.js";
 import { createEngineFleetModel, type EngineFleetModel } from "./createEngineFleetModel.js";
 import { createPromptSource, type PromptSource } from "./createPromptSource.js";
@@ -27,6 +27,9 @@
 const restartDelaysMs = [200, 1_000] as const;
 const freezeDurationsMs = [600, 3_000] as const;
 
+/** Time after which an instance without heartbeats does not count as live, in milliseconds. */
+const heartbeatTimeoutMs = planHeartbeats(0).timeoutMs;
+
 /** Delay after which a caller tries again, in milliseconds. */
 const callerRetryMs = 100;
 
@@ -44,6 +47,7 @@
     const changes: RecordedChange[] = [];
     const harmfulIds = new Set(plan.harmfulParts.map(part => part.id));
     const prompts = createPromptSource(clock);
+    const heartbeatMs = new Map<string, number>();
     let lostAnswers = 0;
     let requests = 0;
 
@@ -62,12 +66,19 @@
         },
     });
 
+    /** Whether heartbeats of an instance have arrived lately. */
+    function isLive({ name }: RouterModel): boolean {
+        return clock.now() - (heartbeatMs.get(name) ?? 0) < heartbeatTimeoutMs;
+    }
+
     function createRouter(name: string): RouterModel {
+        heartbeatMs.set(name, clock.now());
         return createRouterModel(clock, {
             name,
             engines,
             countInstances: () => plan.instances,
-            listOthers: () => routers.flatMap(one => (one === undefined || one.name === name ? [] : [one.name])),
+            listOthers: () =>
+                routers.flatMap(one => (one === undefined || one.name === name || !isLive(one) ? [] : [one.name])),
             send: (from, names, message) => {
                 for (const to of names) {
                     if (random() >= plan.messageLoss) {
@@ -90,10 +101,16 @@
 
     function sendHeartbeats(): void {
         for (const router of routers) {
-            const digest = router?.digest();
+            const heartbeat = router?.isFrozen() === false ? router.describe() : undefined;
+            if (router !== undefined && heartbeat !== undefined) {
+                heartbeatMs.set(router.name, clock.now());
+            }
             for (const other of routers) {
-                if (router !== undefined && other !== undefined && other !== router && random() >= plan.messageLoss) {
-                    clock.after(drawTransitMs(random), () => other.compareDigest(router.name, digest));
+                if (router === undefined || heartbeat === undefined || other === undefined || other === router) {
+                    continue;
+                }
+                if (random() >= plan.messageLoss) {
+                    clock.after(drawTransitMs(random), () => other.applyHeartbeat(router.name, heartbeat));
                 }
             }
         }
--- a/bench/support/createPausableClock.ts
+++ b/bench/support/createPausableClock.ts
@@ -8,6 +8,7 @@
 /** The clock of one process. */
 export interface PausableClock extends Clock {
     readonly pauseFor: (durationMs: number) => void;
+    readonly isPaused: () => boolean;
     /** Wraps an outgoing call, so that its response is deferred while the process is paused. */
     readonly deferResponses: <A extends readonly unknown[], T>(
         call: (...args: A) => Promise<T>,
@@ -42,6 +43,7 @@
         pauseFor: durationMs => {
             resumeMs = Math.max(resumeMs, clock.now() + durationMs);
         },
+        isPaused: () => clock.now() < resumeMs,
         deferResponses: call => async (...args) => {
             const answer = await call(...args);
             await waitUntilResumed();
