--- a/src/core/quarantine/createQuarantine.ts
+++ b/src/core/quarantine/createQuarantine.ts
@@ -76,8 +76,9 @@
     { maxOtherEnds: Infinity, holdingScore: 12 },
 ];
 
-/** Engines under which a part is held after one conclusive probe, whatever else ends. */
+/** Engines under which a part is held after one conclusive probe or three others, whatever else ends. */
 const minCertainEngines = 5;
+const certainHoldingScore = 3;
 
 /** Engines that an entry names. */
 const maxNamedEngines = 8;
@@ -190,7 +191,9 @@
             const engines = [...known.engines, engine];
             const probeScore = known.probeScore + (isConclusive ? conclusiveWeight : inconclusiveWeight);
             const isCertain = known.engines.length >= minCertainEngines;
-            const limit = probeLimits.find(one => isCertain || otherEnds <= one.maxOtherEnds)?.holdingScore ?? Infinity;
+            const limit = isCertain
+                ? certainHoldingScore
+                : probeLimits.find(one => otherEnds <= one.maxOtherEnds)?.holdingScore ?? Infinity;
             if (treatment === "expired" || probeScore >= limit) {
                 hold(part, engines, nowMs);
                 return true;
