Stand-ins share how requests are served and instances are disturbed; nothing is predicted for permits while no upstream is limited

A queue under ordinary overload does not count the requests ahead for a prediction that needs no permit; a further Retry-After within the first one is not logged again.

--- a/bench/quarantine/createRouterModel.ts
+++ b/bench/quarantine/createRouterModel.ts
@@ -3,12 +3,10 @@
  * An instance of the router before modelled engines: the placer, the retry decisions and what is known of engines.
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
-import { runSteps } from "../../src/core/effects/runSteps.js";
 import type { ReportedUse } from "../../src/core/placement/createUpstreamUseTracker.js";
 import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
-import type { ProxyEffect, ProxyEffectResults, SendEffect } from "../../src/core/proxy/proxyEffects.js";
+import type { SendEffect } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
-import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
 import { createEndTracker } from "../../src/core/quarantine/createEndTracker.js";
 import { createGuardedPlacer } from "../../src/core/quarantine/createGuardedPlacer.js";
 import { createPartGuard, type QuarantineChange } from "../../src/core/quarantine/createPartGuard.js";
@@ -18,6 +16,7 @@
 import { drawTransitMs } from "../support/drawTransitMs.js";
 import { createPlacerFixture } from "../support/placerFixtures.js";
 import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
+import { serveOnModel } from "../support/serveOnModel.js";
 import type { EngineFleetModel } from "./createEngineFleetModel.js";
 
 /** A request of a caller at an instance. */
@@ -214,32 +213,13 @@
 
     function run(call: RouterCall): void {
         const req = createRequest(call);
-        retryBudget.recordRequest(req.service, clock.now());
-        let isAnswered = false;
-        const steps = serveProxyRequest(req, {
-            tryAcquireRetry: service => retryBudget.tryAcquire(service, clock.now()),
-            onRetry: () => undefined,
+        serveOnModel(req, {
+            now: clock.now,
+            placer,
+            retryBudget,
+            send: (effect, resume) => send(req, effect, call, resume),
+            onEnd: call.onEnd,
         });
-        runSteps<void, ProxyEffect, ProxyEffectResults>(
-            steps,
-            {
-                place: (effect, resume) => {
-                    placer.place(req, effect, resume);
-                },
-                send: (effect, resume) =>
-                    send(req, effect, call, outcome => {
-                        isAnswered ||= outcome.kind === "finished";
-                        resume(outcome);
-                    }),
-                answer: (_, resume) => resume(undefined),
-                refuse: (_, resume) => resume(undefined),
-                cut: (_, resume) => resume(undefined),
-            },
-            () => call.onEnd(isAnswered),
-            error => {
-                throw error;
-            },
-        );
     }
 
     return {
--- a/bench/quarantine/playHistory.ts
+++ b/bench/quarantine/playHistory.ts
@@ -4,13 +4,13 @@
  */
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import { heartbeatIntervalMs, planHeartbeats } from "../../src/core/fleet/planHeartbeats.js";
+import { createModelFleet } from "../support/createModelFleet.js";
 import { drawTransitMs } from "../support/drawTransitMs.js";
 import { createEngineFleetModel, type EngineFleetModel } from "./createEngineFleetModel.js";
 import { createPromptSource, type PromptSource } from "./createPromptSource.js";
 import { createRouterModel, type RouterModel } from "./createRouterModel.js";
 import {
     type CallerAttempt,
-    type Disturbance,
     type EngineArrival,
     type HarmfulEnd,
     type HistoryPlan,
@@ -43,7 +43,6 @@
     const arrivals: EngineArrival[] = [];
     const ends: HarmfulEnd[] = [];
     const attempts: CallerAttempt[] = [];
-    const disturbances: Disturbance[] = [];
     const changes: RecordedChange[] = [];
     const harmfulIds = new Set(plan.harmfulParts.map(part => part.id));
     const prompts = createPromptSource(clock);
@@ -91,11 +90,9 @@
         });
     }
 
-    /** Undefined while an instance is being restarted. */
-    const routers: (RouterModel | undefined)[] = Array.from(
-        { length: plan.instances },
-        (_, index) => createRouter(`entry-${index}`),
-    );
+    const names = Array.from({ length: plan.instances }, (_, index) => `entry-${index}`);
+    const fleet = createModelFleet(clock, { names, create: createRouter, restartDelaysMs, freezeDurationsMs });
+    const routers: readonly (RouterModel | undefined)[] = fleet.instances;
 
     const findRouter = (name: string) => routers.find(router => router?.name === name);
 
@@ -167,44 +164,24 @@
         clock.after(-Math.log(1 - random()) * meanMs, arriveNext);
     }
 
-    function drawIndex(): number {
-        return Math.floor(random() * routers.length);
-    }
-
-    function restart(): void {
-        const index = drawIndex();
-        const router = routers[index];
-        if (router === undefined) {
-            return;
-        }
-        router.stop();
-        routers[index] = undefined;
-        const downMs = between(restartDelaysMs);
-        disturbances.push({ instance: router.name, fromMs: clock.now(), toMs: clock.now() + downMs });
-        clock.after(downMs, () => {
-            routers[index] = createRouter(router.name);
-        });
-    }
-
-    function freeze(): void {
-        const router = routers[drawIndex()];
-        if (router !== undefined) {
-            const durationMs = between(freezeDurationsMs);
-            router.freezeFor(durationMs);
-            disturbances.push({ instance: router.name, fromMs: clock.now(), toMs: clock.now() + durationMs });
-        }
-    }
-
     const drawTroubleMs = () => between([historyTimes.troubleMs, historyTimes.troubleEndMs]);
-    Array.from({ length: plan.restarts }, () => clock.after(drawTroubleMs(), restart));
-    Array.from({ length: plan.freezes }, () => clock.after(drawTroubleMs(), freeze));
+    Array.from({ length: plan.restarts }, () => clock.after(drawTroubleMs(), fleet.restart));
+    Array.from({ length: plan.freezes }, () => clock.after(drawTroubleMs(), fleet.freeze));
     scheduleTrouble(plan, clock, engines, prompts, share => {
         lostAnswers = share;
     });
     sendHeartbeats();
     arriveNext();
     clock.runUntil(historyTimes.endMs);
-    return { plan, arrivals, ends, attempts, disturbances, changes, endedEngines: engines.countEnds() };
+    return {
+        plan,
+        arrivals,
+        ends,
+        attempts,
+        disturbances: fleet.disturbances,
+        changes,
+        endedEngines: engines.countEnds(),
+    };
 }
 
 /** Schedules ends of engines, and of connections, that have nothing to do with prompts. */
--- a/bench/quarantine/quarantineTypes.ts
+++ b/bench/quarantine/quarantineTypes.ts
@@ -3,6 +3,7 @@
  * Parameters and results of histories in which engines end under requests.
  */
 import type { QuarantineChange } from "../../src/core/quarantine/createPartGuard.js";
+import type { Disturbance } from "../support/createModelFleet.js";
 
 /** Where in its prompt a harmful part stands. */
 export type PartPosition = "first" | "middle" | "lastShared";
@@ -68,13 +69,6 @@
     hasBegun: boolean;
 }
 
-/** A time in which an instance was not in touch. */
-export interface Disturbance {
-    readonly instance: string;
-    readonly fromMs: number;
-    readonly toMs: number;
-}
-
 /** A change of an instance's quarantine, or a judgement. */
 export interface RecordedChange extends QuarantineChange {
     readonly atMs: number;
--- a/bench/rateLimits/createLimitInstance.ts
+++ b/bench/rateLimits/createLimitInstance.ts
@@ -3,14 +3,12 @@
  * An instance of the router before modelled upstreams: the placer, the retry decisions and what is known of limits.
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
-import { runSteps } from "../../src/core/effects/runSteps.js";
 import { maxDirectPeers } from "../../src/core/fleet/planHeartbeats.js";
 import { createUpstreamPermits } from "../../src/core/permits/createUpstreamPermits.js";
 import type { PermitMessage } from "../../src/core/permits/permitMessage.js";
 import { createFleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
-import type { ProxyEffect, ProxyEffectResults, SendEffect } from "../../src/core/proxy/proxyEffects.js";
+import type { SendEffect } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
-import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
 import { createSignalExchange } from "../../src/core/signals/createSignalExchange.js";
 import { createSignalView } from "../../src/core/signals/createSignalView.js";
 import type { SignalMessage } from "../../src/core/signals/signalReport.js";
@@ -19,6 +17,7 @@
 import { drawTransitMs } from "../support/drawTransitMs.js";
 import { createPlacerFixture } from "../support/placerFixtures.js";
 import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
+import { serveOnModel } from "../support/serveOnModel.js";
 import type { FleetNetwork, PeerMessage } from "./createFleetNetwork.js";
 import type { LimitedUpstreams, UpstreamHead } from "./createLimitedUpstreams.js";
 
@@ -214,37 +213,16 @@
 
     function run(call: InstanceCall): void {
         const req = createRequest(call);
-        retryBudget.recordRequest(req.service, clock.now());
-        const steps = serveProxyRequest(req, {
-            tryAcquireRetry: service => retryBudget.tryAcquire(service, clock.now()),
-            onRetry: () => undefined,
-        });
-        let result: "answered" | "refused" | "failed" = "failed";
-        let retryAfterMs: number | undefined;
-        runSteps<void, ProxyEffect, ProxyEffectResults>(
-            steps,
-            {
-                place: (effect, resume) => {
-                    placer.place(req, effect, resume);
-                },
-                send: (effect, resume) =>
-                    send(req, effect, outcome => {
-                        result = outcome.kind === "finished" ? "answered" : result;
-                        resume(outcome);
-                    }),
-                answer: (_, resume) => resume(undefined),
-                refuse: ({ refusal }, resume) => {
-                    result = "refused";
-                    retryAfterMs = refusal.retryAfterMs;
-                    resume(undefined);
-                },
-                cut: (_, resume) => resume(undefined),
-            },
-            () => call.onEnd(result, retryAfterMs),
-            error => {
-                throw error;
+        serveOnModel(req, {
+            now: clock.now,
+            placer,
+            retryBudget,
+            send: (effect, resume) => send(req, effect, resume),
+            onEnd: (isAnswered, refusal) => {
+                const unanswered = refusal === undefined ? "failed" : "refused";
+                call.onEnd(isAnswered ? "answered" : unanswered, refusal?.retryAfterMs);
             },
-        );
+        });
     }
 
     return {
--- a/bench/rateLimits/playRateLimitHistory.ts
+++ b/bench/rateLimits/playRateLimitHistory.ts
@@ -3,6 +3,7 @@
  * Plays one history: callers at several instances before upstreams that state rate limits.
  */
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { createModelFleet } from "../support/createModelFleet.js";
 import { createFleetNetwork } from "./createFleetNetwork.js";
 import { createLimitedUpstreams, upstreamId, upstreamRequestsPerSecond } from "./createLimitedUpstreams.js";
 import { createLimitInstance, type LimitInstance } from "./createLimitInstance.js";
@@ -11,7 +12,6 @@
     type Arrival,
     type CallerRequest,
     type DeliveredHead,
-    type Disturbance,
     type HistoryPlan,
     historyTimes,
     type RateLimitHistory,
@@ -47,7 +47,6 @@
     const between = ([from, to]: readonly [number, number]) => from + random() * (to - from);
     const arrivals: Arrival[] = [];
     const heads: DeliveredHead[] = [];
-    const disturbances: Disturbance[] = [];
     const requests: CallerRequest[] = [];
     const limited = Array.from({ length: countLimited(plan) }, (_, index) => upstreamId(index));
     const phases = new Map(limited.map(id => [id, drawPhases(plan, random)]));
@@ -66,9 +65,8 @@
         });
     }
 
-    /** Undefined while an instance is being restarted. */
-    const instances: (LimitInstance | undefined)[] = names.map(createInstance);
-    const drawIndex = () => Math.floor(random() * instances.length);
+    const fleet = createModelFleet(clock, { names, create: createInstance, restartDelaysMs, freezeDurationsMs });
+    const { instances, drawIndex } = fleet;
 
     function call(): void {
         const instance = instances[drawIndex()];
@@ -97,30 +95,6 @@
         clock.after(-Math.log(1 - random()) * millisecondsPerSecond / requestsPerSecond, arriveNext);
     }
 
-    function restart(): void {
-        const index = drawIndex();
-        const instance = instances[index];
-        if (instance === undefined) {
-            return;
-        }
-        instance.stop();
-        instances[index] = undefined;
-        const downMs = between(restartDelaysMs);
-        disturbances.push({ instance: instance.name, fromMs: clock.now(), toMs: clock.now() + downMs });
-        clock.after(downMs, () => {
-            instances[index] = createInstance(instance.name);
-        });
-    }
-
-    function freeze(): void {
-        const instance = instances[drawIndex()];
-        if (instance !== undefined) {
-            const durationMs = between(freezeDurationsMs);
-            instance.freezeFor(durationMs);
-            disturbances.push({ instance: instance.name, fromMs: clock.now(), toMs: clock.now() + durationMs });
-        }
-    }
-
     function cut(): void {
         const index = drawIndex();
         const name = names[index]!;
@@ -128,7 +102,7 @@
         const loss = lossShares[Math.floor(random() * lossShares.length)]!;
         network.setLoss(name, loss);
         instances[index]?.setCut(loss === 1 && random() < 0.5);
-        disturbances.push({ instance: name, fromMs: clock.now(), toMs: clock.now() + durationMs });
+        fleet.record({ instance: name, fromMs: clock.now(), toMs: clock.now() + durationMs });
         clock.after(durationMs, () => {
             network.setLoss(name, 0);
             instances[index]?.setCut(false);
@@ -138,8 +112,8 @@
     const { trafficMs, endMs } = historyTimes;
     const schedule = (times: number, action: () => void) =>
         Array.from({ length: times }, () => clock.after(between([trafficMs, endMs]), action));
-    schedule(plan.restarts, restart);
-    schedule(plan.freezes, freeze);
+    schedule(plan.restarts, fleet.restart);
+    schedule(plan.freezes, fleet.freeze);
     schedule(plan.cuts, cut);
     clock.after(trafficMs, arriveNext);
     clock.runUntil(endMs);
@@ -148,7 +122,7 @@
         phases,
         arrivals,
         heads,
-        disturbances,
+        disturbances: fleet.disturbances,
         requests,
         messages: network.countMessages(),
         messageBytes: network.countBytes(),
--- a/bench/rateLimits/rateLimitTypes.ts
+++ b/bench/rateLimits/rateLimitTypes.ts
@@ -3,6 +3,8 @@
  * Plans and records of histories of upstreams that state rate limits.
  */
 
+import type { Disturbance } from "../support/createModelFleet.js";
+
 /** Times of each history, in milliseconds. */
 export const historyTimes = {
     /** Callers begin; the instances have heard of each other. */
@@ -64,13 +66,6 @@
     readonly requestsPerSecond: number | undefined;
 }
 
-/** A span in which an instance was restarted, paused or cut. */
-export interface Disturbance {
-    readonly instance: string;
-    readonly fromMs: number;
-    readonly toMs: number;
-}
-
 /** How a request of a caller ended. */
 export interface CallerRequest {
     readonly atMs: number;
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -19,10 +19,10 @@
     /** Describes the load for a refusal. */
     readonly describeLoad: () => string;
     /**
-     * Predicts the time until the request gets a permit of a rate-limited upstream after `ahead` others; undefined when it does
-     * not need one or nothing is known.
+     * Predicts the time until the request gets a permit of a rate-limited upstream after the requests that go before it; undefined
+     * when it does not need one or nothing is known.
      */
-    readonly predictPermitMs: (ahead: number) => number | undefined;
+    readonly predictPermitMs: (countAhead: () => number) => number | undefined;
     readonly onResult: (result: PlaceResult) => void;
 }
 
@@ -114,7 +114,7 @@
         /** Refuses the request when the observed progress of the queue does not reach it in time. */
         function refuseIfHopeless(): void {
             const nowMs = clock.now();
-            const permitMs = predictPermitMs(queue.countAhead(req.id, nowMs));
+            const permitMs = predictPermitMs(() => queue.countAhead(req.id, nowMs));
             if (permitMs !== undefined && nowMs + permitMs * permitWaitMargin > limitMs) {
                 const retryAfterMs = chooseRetryAfterMs(permitMs, maxPermitRetryAfterMs);
                 refuse(retryAfterMs, `rate limits of all upstreams; ${describeWait(permitMs)}`);
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -132,6 +132,18 @@
         });
     }
 
+    /** Time until the request gets a permit; undefined when it does not need one or nothing is known. */
+    function predictPermitMs(
+        req: ProxyRequest,
+        excluded: readonly string[],
+        countAhead: () => number,
+    ): number | undefined {
+        const isLimited = deps.registry.listService(req.service).some(record => deps.limits.isLimited(record.id));
+        return isLimited
+            ? deps.limits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), countAhead())
+            : undefined;
+    }
+
     /** Time until an upstream that wants no request now may take some again, in milliseconds. */
     function findReopeningMs(service: string): number {
         const waitsMs = deps.registry.listService(service).filter(record => !record.isDraining)
@@ -178,8 +190,7 @@
             req,
             tryPlace: () => tryPlace(req, listChoices(req, excluded)),
             describeLoad: () => describeServiceLoad(req, excluded),
-            predictPermitMs: ahead =>
-                deps.limits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), ahead),
+            predictPermitMs: countAhead => predictPermitMs(req, excluded, countAhead),
             onResult,
         });
         if (goesLast) {
--- a/src/core/signals/createSignalView.ts
+++ b/src/core/signals/createSignalView.ts
@@ -155,9 +155,11 @@
 
     function observeRetryAfter(upstream: UpstreamProcess, delayMs: number, origin: Origin): void {
         const state = stateOf(upstream);
-        const untilMs = Math.max(origin.receivedMs + delayMs, state.retryAfter?.untilMs ?? -Infinity);
-        state.retryAfter = { ...origin, untilMs };
-        announce({ upstream: upstream.id, kind: "retryAfter", change: "stated", delayMs, source: origin.source });
+        const beforeMs = state.retryAfter?.untilMs ?? -Infinity;
+        state.retryAfter = { ...origin, untilMs: Math.max(origin.receivedMs + delayMs, beforeMs) };
+        if (beforeMs <= origin.receivedMs) {
+            announce({ upstream: upstream.id, kind: "retryAfter", change: "stated", delayMs, source: origin.source });
+        }
     }
 
     function recordAnswer({ upstream, signals, isRun, sentMs, receivedMs }: ObservedAnswer): void {
