Tell callers to come back after half a second when no upstream says when it takes requests again

Since callers of a service without any upstream, or whose upstreams leave, were told to come back after 10 s: the least of no times is infinite. The delay follows from Retry-After only if all upstreams of the service stated one.

--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -15,6 +15,7 @@
 import { createUpstreamRegistry, type UpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
 import { indexRoutes } from "../../src/core/routes/indexRoutes.js";
+import type { SignalView } from "../../src/core/signals/createSignalView.js";
 import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
 import { noRateLimits } from "./noRateLimits.js";
 import { createRecord, createTable } from "./proxyFixtures.js";
@@ -49,6 +50,7 @@
     engines: readonly string[],
     isFleetDirect = true,
     limits: UpstreamRateLimits = noRateLimits,
+    signals: Pick<SignalView, "findClosure"> = { findClosure: () => undefined },
 ): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
@@ -63,7 +65,7 @@
     const placer = createPlacer({
         clock,
         limits,
-        signals: { findClosure: () => undefined },
+        signals,
         onPrefill: prefill => prefills.push(prefill),
         failureDomain: "north",
         registry,
--- a/features/steps/upstreamSignalSteps.ts
+++ b/features/steps/upstreamSignalSteps.ts
@@ -4,9 +4,14 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { noRateLimits } from "../../bench/support/noRateLimits.js";
+import { createPlacerFixture, type PlacerFixture } from "../../bench/support/placerFixtures.js";
+import { createProxyRequest } from "../../bench/support/proxyFixtures.js";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import { createCodec } from "../../platform/createCodec.js";
+import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
 import type { HeaderPair } from "../../src/core/proxy/proxyTypes.js";
-import { createSignalView, type SignalView } from "../../src/core/signals/createSignalView.js";
+import { type Closure, createSignalView, type SignalView } from "../../src/core/signals/createSignalView.js";
 import type { AnswerSignals } from "../../src/core/signals/upstreamSignal.js";
 import { signals } from "../../src/ctl/commands/signals.js";
 import type { Invocation } from "../../src/ctl/commandTypes.js";
@@ -18,6 +23,8 @@
     lastMs: number;
 }
 
+const placers = new WeakMap<SiteWorld, PlacerFixture>();
+const results = new WeakMap<SiteWorld, PlaceResult>();
 const views = new WeakMap<SiteWorld, SignalFixture>();
 const decoded = new WeakMap<SiteWorld, AnswerSignals>();
 
@@ -162,3 +169,40 @@
         assert.match(result.lines.join("\n"), new RegExp(`i-3 +${limit}/s +.* +${source} +entry-[12]`));
     },
 );
+
+const closures: ReadonlyMap<string, readonly Closure[]> = new Map([
+    ["none", []],
+    ["leaving", [{ kind: "leaving", untilMs: Infinity }]],
+    ["pausing for 3000 ms", [{ kind: "retryAfter", untilMs: 3_000 }]],
+    ["pausing for 3000 ms, leaving", [
+        { kind: "retryAfter", untilMs: 3_000 },
+        { kind: "leaving", untilMs: Infinity },
+    ]],
+    ["pausing for 3000 ms and for 900 ms", [
+        { kind: "retryAfter", untilMs: 3_000 },
+        { kind: "retryAfter", untilMs: 900 },
+    ]],
+    ["pausing for 90000 ms", [{ kind: "retryAfter", untilMs: 90_000 }]],
+]);
+
+Given(/^a placer whose upstreams are (.*)$/, function(this: SiteWorld, text: string) {
+    const list = closures.get(text);
+    assert.ok(list !== undefined, text);
+    const ids = list.map((_, index) => `e-${index + 1}`);
+    const signalsView = { findClosure: (id: string) => list[ids.indexOf(id)] };
+    placers.set(this, createPlacerFixture(createVirtualClock(1), ids, true, noRateLimits, signalsView));
+});
+
+When("a request is placed", function(this: SiteWorld) {
+    const { placer } = placers.get(this)!;
+    placer.place(createProxyRequest("idempotent"), { kind: "place", excluded: [] }, result => {
+        results.set(this, result);
+    });
+});
+
+Then("it is refused at once, to come back after {int} ms", function(this: SiteWorld, delayMs: number) {
+    const result = results.get(this);
+    assert.equal(result?.kind, "refused");
+    assert.equal(result.refusal.kind, "noUpstream");
+    assert.equal(result.refusal.retryAfterMs, delayMs);
+});
--- a/features/upstreamSignals.feature
+++ b/features/upstreamSignals.feature
@@ -94,3 +94,19 @@
             Given the plain server states "server-limit: 0.5" in its answers
             When 1 plain call is sent through the first instance
             Then reedwardctl lists a rate limit of 0.5 at the first instance, told to "entry-1"
+
+    Rule: What refused callers are told
+
+        Scenario Outline: When to come back while no upstream takes a request
+            Given a placer whose upstreams are <upstreams>
+            When a request is placed
+            Then it is refused at once, to come back after <delay> ms
+
+            Examples:
+                | upstreams                             | delay |
+                | none                                  | 500   |
+                | leaving                               | 500   |
+                | pausing for 3000 ms                   | 3000  |
+                | pausing for 3000 ms, leaving          | 500   |
+                | pausing for 3000 ms and for 900 ms    | 900   |
+                | pausing for 90000 ms                  | 10000 |
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -144,11 +144,13 @@
             : undefined;
     }
 
-    /** Time until an upstream that wants no request now may take some again, in milliseconds. */
+    /** Time until an upstream that wants no request now may take some again, in milliseconds, if all of them said so. */
     function findReopeningMs(service: string): number {
-        const waitsMs = deps.registry.listService(service).filter(record => !record.isDraining)
-            .map(record => (deps.signals.findClosure(record.id, now())?.untilMs ?? now() + retryAfterMs) - now());
-        return Math.min(maxRetryAfterMs, Math.max(retryAfterMs, Math.min(...waitsMs)));
+        const closures = deps.registry.listService(service).filter(record => !record.isDraining)
+            .map(record => deps.signals.findClosure(record.id, now()));
+        const untilMs = closures.map(closure => (closure?.kind === "retryAfter" ? closure.untilMs : -Infinity));
+        const waitMs = untilMs.length === 0 ? 0 : Math.min(...untilMs) - now();
+        return Math.min(maxRetryAfterMs, Math.max(retryAfterMs, waitMs));
     }
 
     /** Returns why no upstream can run the request, however long it waits; undefined when one can. */
