Check for a pause before messages of instances count; placement reads rate limits under that name

A process that thaws handles the datagrams that arrived meanwhile before its periodic check: as the owner of an upstream it could issue permits on an ownership that others have taken over. Messages now wait for the check, as reads of peers' state do. The placer's dependency is called rateLimits, since limits are those of customers and of the configuration elsewhere.

--- a/bench/placement/runPlacement.ts
+++ b/bench/placement/runPlacement.ts
@@ -113,7 +113,7 @@
     const placer = createPlacer({
         clock: createVirtualClock(1),
         onPrefill: () => undefined,
-        limits: noRateLimits,
+        rateLimits: noRateLimits,
         signals: { findClosure: () => undefined },
         failureDomain: "domain-0",
         registry,
--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -64,7 +64,7 @@
     const prefills: Prefill[] = [];
     const placer = createPlacer({
         clock,
-        limits,
+        rateLimits: limits,
         signals,
         onPrefill: prefill => prefills.push(prefill),
         failureDomain: "north",
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -243,7 +243,11 @@
             prefills.filter(({ engine }) => views.registry.find(engine) !== undefined)
                 .forEach(({ engine, salt, parts }) => views.parts.recordSent(parts, salt, engine, clock.now()));
         },
-        onPeerMessage: (message, address) => messenger.receive(message, address),
+        onPeerMessage: (message, address) => {
+            // After a pause nothing may be issued on what was known before it.
+            sources.checkPause();
+            messenger.receive(message, address);
+        },
         onLoadingReport: report => loadingView.applyReport(report, clock.now()),
         onMalformed: detail => writeLog("recordRejected", { topic: "heartbeat", detail }),
     });
--- a/src/assemble/assemblePermits.ts
+++ b/src/assemble/assemblePermits.ts
@@ -24,7 +24,7 @@
 
 /** Permits of this instance, and what it tells others of upstreams. */
 export interface InstancePermits {
-    readonly limits: UpstreamRateLimits;
+    readonly rateLimits: UpstreamRateLimits;
     /** Applies a message of another live instance. */
     readonly receive: (from: string, message: SignalMessage | PermitMessage) => void;
     readonly digest: () => string | undefined;
@@ -113,7 +113,7 @@
     }
 
     return {
-        limits: permits,
+        rateLimits: permits,
         receive: (from, message) => {
             if ("signals" in message) {
                 view.applyReports(message.signals, clock.now());
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -51,7 +51,7 @@
     /** Says which prompts may not be sent, and observes sends. */
     readonly quarantine: InstanceQuarantine;
     /** Says which upstreams take no further request now. */
-    readonly permits: Pick<InstancePermits, "limits" | "onChange">;
+    readonly permits: Pick<InstancePermits, "rateLimits" | "onChange">;
 }
 
 /** Fraction of the time limit for outdated weights that is used: instances learn of new target weights late. */
@@ -84,7 +84,7 @@
     const freePlacer = createPlacer({
         clock,
         onPrefill: fleet.reportPrefill,
-        limits: permits.limits,
+        rateLimits: permits.rateLimits,
         signals: views.signals.view,
         isFleetDirect: fleet.isDirect,
         failureDomain: settings.failureDomain,
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -28,7 +28,7 @@
     readonly clock: Clock;
     /** Called when an engine is about to prefill shared parts that neither it nor another one has cached. */
     readonly onPrefill: (prefill: Prefill) => void;
-    readonly limits: UpstreamRateLimits;
+    readonly rateLimits: UpstreamRateLimits;
 }
 
 /** Placer of requests. */
@@ -110,7 +110,7 @@
     /** Places the request on one of the choices; undefined when none has free capacity. */
     function tryPlace(req: ProxyRequest, choices: readonly Choice[]): Placement | undefined {
         const options = readOptions(req, choices);
-        const chosen = chooseLimitedPlacement(options.map(option => option.candidate), deps.limits);
+        const chosen = chooseLimitedPlacement(options.map(option => option.candidate), deps.rateLimits);
         const option = options.find(one => one.candidate === chosen);
         if (option === undefined) {
             return undefined;
@@ -138,9 +138,9 @@
         excluded: readonly string[],
         countAhead: () => number,
     ): number | undefined {
-        const isLimited = deps.registry.listService(req.service).some(record => deps.limits.isLimited(record.id));
+        const isLimited = deps.registry.listService(req.service).some(record => deps.rateLimits.isLimited(record.id));
         return isLimited
-            ? deps.limits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), countAhead())
+            ? deps.rateLimits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), countAhead())
             : undefined;
     }
 
@@ -182,7 +182,7 @@
         }
         // A permit may have accrued since the requests that wait have tried; they go first.
         const goesLast = queues.isWaiting(req.service)
-            && choices.some(choice => deps.limits.isLimited(choice.record.id));
+            && choices.some(choice => deps.rateLimits.isLimited(choice.record.id));
         const placement = goesLast ? undefined : tryPlace(req, choices);
         if (placement !== undefined) {
             onResult({ kind: "placed", placement });
