--- a/features/permits.feature
+++ b/features/permits.feature
@@ -24,6 +24,11 @@
         Given a holder whose owner answers an ask after 100 ms
         Then it can send 1 request within 1300 ms of its ask
 
+    Scenario: A grant in the last moment of an ask still arrives
+        Given an owner and an instance, 20 ms apart, and an upstream that the owner limits to 1 request a second
+        When the instance asks 790 ms before the owner has the next permit
+        Then the instance has the permit
+
     Scenario: A permit that nothing uses goes back to its owner
         Given a holder whose owner answers an ask after 100 ms
         When nothing is sent for 1200 ms
--- a/features/steps/permitSteps.ts
+++ b/features/steps/permitSteps.ts
@@ -33,6 +33,16 @@
 const fixtures = new WeakMap<SiteWorld, PermitFixture>();
 const holders = new WeakMap<SiteWorld, HolderFixture>();
 
+interface PermitPair {
+    readonly clock: VirtualClock;
+    /** Time from one to the other, in milliseconds. */
+    readonly wayMs: number;
+    readonly owner: UpstreamPermits;
+    readonly asker: UpstreamPermits;
+}
+
+const pairs = new WeakMap<SiteWorld, PermitPair>();
+
 const upstream = "e-1";
 const viewTimeoutMs = 1_300;
 
@@ -234,3 +244,45 @@
 Then("it has sent no message about permits", function(this: SiteWorld) {
     assert.equal(getFixture(this).sent.length, 0);
 });
+
+Given(
+    "an owner and an instance, {int} ms apart, and an upstream that the owner limits to {int} request a second",
+    function(this: SiteWorld, wayMs: number, requestsPerSecond: number) {
+        const clock = createVirtualClock(1);
+        const members = new Map<string, UpstreamPermits>();
+        const create = (self: string) =>
+            createUpstreamPermits({
+                clock,
+                self,
+                listCandidates: () => ["owner"],
+                viewTimeoutMs: () => viewTimeoutMs,
+                isFleetDirect: () => true,
+                findRate: () => requestsPerSecond,
+                isKnown: () => true,
+                send: (to, message) => clock.after(wayMs, () => members.get(to)?.receive(self, message)),
+                onGranted: () => undefined,
+                onChange: () => undefined,
+            });
+        ["owner", "entry-1"].forEach(name => members.set(name, create(name)));
+        members.get("owner")?.update();
+        pairs.set(this, { clock, wayMs, owner: members.get("owner")!, asker: members.get("entry-1")! });
+    },
+);
+
+When("the instance asks {int} ms before the owner has the next permit", function(this: SiteWorld, beforeMs: number) {
+    const { clock, wayMs, owner, asker } = pairs.get(this)!;
+    // The bucket holds 1.25 permits; after the second one is taken 0.01 is left, and the next one takes 990 ms.
+    const [firstMs, secondMs] = [10 * holdOffMs, 10 * holdOffMs + 760];
+    const nextMs = secondMs + 990;
+    for (const takenMs of [firstMs, secondMs]) {
+        clock.runUntil(takenMs);
+        assert.equal(owner.take(upstream, true), "taken");
+    }
+    clock.runUntil(nextMs - beforeMs - wayMs);
+    assert.equal(asker.take(upstream, true), "asked");
+    clock.runUntil(nextMs + 2 * wayMs);
+});
+
+Then("the instance has the permit", function(this: SiteWorld) {
+    assert.equal(pairs.get(this)!.asker.take(upstream, false), "taken");
+});
--- a/src/core/permits/createPermitHolder.ts
+++ b/src/core/permits/createPermitHolder.ts
@@ -260,10 +260,11 @@
         const untilMs = open.sentMs + permitTermMs;
         state.hint = { atMs: nowMs, waitMs: item.waitMs, askers: item.askers };
         if (item.permits === 0) {
-            // The owner keeps an ask that it can grant within its lifetime; else the next one is due when that is so.
+            // The owner keeps an ask that it can grant within its lifetime, and its grant needs time to arrive; else the next ask is
+            // due when that is so.
             const isKept = item.waitMs <= askLifetimeMs;
             const againMs = Math.max(askTimeoutMs, Math.min(askLifetimeMs, item.waitMs - askLifetimeMs));
-            state.ask = { ...open, untilMs: open.sentMs + (isKept ? askLifetimeMs : againMs) };
+            state.ask = { ...open, untilMs: open.sentMs + (isKept ? askLifetimeMs + askTimeoutMs : againMs) };
         }
         else {
             state.ask = undefined;
