--- /dev/null
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -0,0 +1,163 @@
+/**
+ * @module
+ * An address at which processes of an instance are started, signalled and watched, one after the other or overlapping.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { connect } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import {
+    describePlatformSettings,
+    graceSeconds,
+    type InstancePlace,
+    portOffsets,
+} from "../../support/platformSettings.js";
+import type { LifeRecord } from "./stopTypes.js";
+
+/** The address and its processes. */
+export interface InstanceProcess {
+    readonly callerAddress: string;
+    readonly directoryAddress: string;
+    readonly lives: readonly LifeRecord[];
+    /** Connections that were refused although the instance reported to be ready. */
+    readonly refusedWhileReady: readonly string[];
+    /** Starts a process, also while an earlier one still runs. */
+    readonly start: () => void;
+    /** Sends a signal to the process that was started last, if it runs. */
+    readonly signal: (name: "SIGTERM" | "SIGHUP") => void;
+    readonly isReady: () => Promise<boolean>;
+    /** Id of the process that was started last; undefined before the first. */
+    readonly pid: () => number | undefined;
+    /** Resolves when the process that was started last has ended. */
+    readonly ended: () => Promise<void>;
+    /** Stops watching and kills what runs. */
+    readonly stop: () => Promise<void>;
+}
+
+interface Life {
+    readonly child: ChildProcess;
+    readonly record: LifeRecord;
+    readonly ended: Promise<void>;
+}
+
+const watchIntervalMs = 100;
+const readinessTimeoutMs = 1_000;
+const millisecondsPerSecond = 1_000;
+
+function canConnect(address: string): Promise<boolean> {
+    const [host, port] = address.split(":");
+    return new Promise(resolve => {
+        const socket = connect(Number(port), host);
+        socket.on("connect", () => {
+            socket.destroy();
+            resolve(true);
+        });
+        socket.on("error", () => resolve(false));
+    });
+}
+
+/**
+ * Prepares an address; no process is started yet.
+ *
+ * @param place - The instance's settings.
+ * @param settingsPath - File for the settings.
+ * @param command - Arguments of Node.js that run the program.
+ * @returns The address.
+ */
+export function createInstanceProcess(
+    place: InstancePlace,
+    settingsPath: string,
+    command: readonly string[],
+): InstanceProcess {
+    writeFileSync(settingsPath, JSON.stringify(describePlatformSettings(place)));
+    const addressOf = (offset: number) => `${place.ip}:${place.firstPort + offset}`;
+    const callerAddress = addressOf(portOffsets.caller);
+    const lives: Life[] = [];
+    const refusedWhileReady: string[] = [];
+    let isStopped = false;
+
+    function start(): void {
+        const env = { PATH: process.env["PATH"], HOME: process.env["HOME"], REEDWARD_NODE_FILE: settingsPath };
+        const child = spawn(process.execPath, command, { env, stdio: ["ignore", "ignore", "inherit"] });
+        const record: LifeRecord = {
+            address: callerAddress,
+            startedMs: performance.now(),
+            readyMs: undefined,
+            termMs: undefined,
+            endedMs: undefined,
+            end: undefined,
+        };
+        const ended = new Promise<void>(resolve => {
+            child.on("exit", (code, signal) => {
+                record.endedMs = performance.now();
+                record.end = typeof signal === "string" ? `signal ${signal}` : `code ${code}`;
+                resolve();
+            });
+        });
+        lives.push({ child, record, ended });
+    }
+
+    function signal(name: "SIGTERM" | "SIGHUP"): void {
+        const last = lives.at(-1);
+        if (last === undefined || last.record.endedMs !== undefined) {
+            return;
+        }
+        last.child.kill(name);
+        if (name === "SIGTERM" && last.record.termMs === undefined) {
+            last.record.termMs = performance.now();
+            setTimeout(() => {
+                if (last.record.endedMs === undefined) {
+                    last.child.kill("SIGKILL");
+                }
+            }, graceSeconds * millisecondsPerSecond).unref();
+        }
+    }
+
+    async function isReady(): Promise<boolean> {
+        try {
+            const url = `http://${addressOf(portOffsets.readiness)}/reedward/readiness`;
+            const res = await request(url, { reset: true, headersTimeout: readinessTimeoutMs });
+            await res.body.dump();
+            return res.statusCode === 200;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    async function watch(): Promise<void> {
+        while (!isStopped) {
+            const life = lives.at(-1);
+            if (await isReady()) {
+                if (life !== undefined && life.record.termMs === undefined) {
+                    life.record.readyMs ??= performance.now();
+                }
+                if (!await canConnect(callerAddress) && await isReady()) {
+                    refusedWhileReady.push(callerAddress);
+                }
+            }
+            await delay(watchIntervalMs);
+        }
+    }
+    void watch();
+
+    return {
+        callerAddress,
+        directoryAddress: addressOf(portOffsets.directory),
+        get lives() {
+            return lives.map(life => life.record);
+        },
+        refusedWhileReady,
+        start,
+        signal,
+        isReady,
+        pid: () => lives.at(-1)?.child.pid,
+        ended: () => lives.at(-1)?.ended ?? Promise.resolve(),
+        stop: async () => {
+            isStopped = true;
+            lives.filter(life => life.record.endedMs === undefined).forEach(life => life.child.kill("SIGKILL"));
+            await Promise.all(lives.map(life => life.ended));
+        },
+    };
+}
--- /dev/null
+++ b/bench/faults/platform/stopTypes.ts
@@ -0,0 +1,75 @@
+/**
+ * @module
+ * What is recorded while real processes of an instance are stopped. Times are milliseconds on the recording process's clock.
+ */
+
+/** How a request may be repeated and answered. */
+export type CallKind = "idempotent" | "nonIdempotent" | "stream";
+
+/** One attempt of a caller. */
+export interface AttemptRecord {
+    readonly id: string;
+    readonly request: string;
+    readonly kind: CallKind;
+    /** "ip:port" of the instance. */
+    readonly address: string;
+    readonly isChunked: boolean;
+    /** When the last byte of the request was written; undefined when it was not. */
+    readonly sentMs: number | undefined;
+    readonly endMs: number;
+    /** Status of the answer; 0 without one. */
+    readonly status: number;
+    readonly isComplete: boolean;
+    readonly error: string | undefined;
+}
+
+/** One request of a caller, with its attempts in order. */
+export interface RequestRecord {
+    readonly id: string;
+    readonly kind: CallKind;
+    /** Time that its run takes, in milliseconds. */
+    readonly workMs: number;
+    readonly beganMs: number;
+    readonly endMs: number;
+    readonly attempts: readonly AttemptRecord[];
+}
+
+/** One run of an attempt at an upstream. */
+export interface RunRecord {
+    readonly attempt: string;
+    readonly upstream: string;
+    readonly version: number;
+    readonly beganMs: number;
+    /** Undefined while it runs. */
+    endMs: number | undefined;
+    /** Whether the upstream has answered completely. */
+    isComplete: boolean;
+}
+
+/** One life of an instance's process. */
+export interface LifeRecord {
+    readonly address: string;
+    readonly startedMs: number;
+    readyMs: number | undefined;
+    /** When it was told to stop; undefined when it was not. */
+    termMs: number | undefined;
+    endedMs: number | undefined;
+    /** How the process ended, for example "code 0" or "signal SIGHUP". */
+    end: string | undefined;
+}
+
+/** A version of the weights that the operator named. */
+export interface VersionRecord {
+    readonly version: number;
+    readonly namedMs: number;
+}
+
+/** Everything that was recorded. */
+export interface StopHistory {
+    readonly requests: readonly RequestRecord[];
+    readonly runs: readonly RunRecord[];
+    readonly lives: readonly LifeRecord[];
+    readonly versions: readonly VersionRecord[];
+    /** Connections that were refused by an instance while it reported to be ready. */
+    readonly refusedWhileReady: readonly string[];
+}
--- a/bench/rateLimits/runProcesses.ts
+++ b/bench/rateLimits/runProcesses.ts
@@ -12,6 +12,7 @@
 import { request } from "undici";
 import { type FakeServer, startFakeServer } from "../../fakes/startFakeServer.js";
 import { type FakeStore, startFakeStore } from "../../fakes/startFakeStore.js";
+import { describePlatformSettings } from "../support/platformSettings.js";
 
 /** Times of a run, in milliseconds. */
 const warmUpMs = 4_000;
@@ -51,34 +52,14 @@
 const addressOf = (index: number) => `127.0.1.${index + 1}`;
 
 function describeSettings(index: number, instances: number, storeAddress: string): unknown {
-    const ip = addressOf(index);
-    return {
-        node_name: `entry-${index}`,
-        ip,
-        zone: "north",
-        region: "region",
-        listen: {
-            front: `${ip}:${firstPort}`,
-            ready: `${ip}:${firstPort + 1}`,
-            control: `${ip}:${firstPort + 2}`,
-            directory: `${ip}:${firstPort + 3}`,
-        },
-        port_range: [firstPort + 4, firstPort + 9],
-        seeds: Array.from({ length: Math.min(3, instances) }, (_, seed) => `${addressOf(seed)}:${firstPort + 2}`),
-        bounds: {
-            drain_ms: 2_000,
-            stable_window_ms: stableWindowMs,
-            grace_s: 8,
-            config_ms: 2_000,
-            lease_ms: 3_000,
-            version_ms: 8_000,
-            retry_ratio: 0.2,
-            retry_slack: 56,
-            budget_window_s: 10,
-            ttl_max_s: 5,
-        },
-        platform: { address: storeAddress },
-    };
+    return describePlatformSettings({
+        name: `entry-${index}`,
+        failureDomain: "north",
+        ip: addressOf(index),
+        firstPort,
+        seeds: Array.from({ length: Math.min(3, instances) }, (_, seed) => addressOf(seed)),
+        storeAddress,
+    });
 }
 
 function startInstance(index: number, instances: number, storeAddress: string, folder: string): ChildProcess {
