Receive signals before the rest of the program is loaded

Callers saw: instances that were gone, without a planned stop. Change: the entry point receives signals and only then loads the rest, which is a module of its own in the bundle. What remains: the start of Node.js itself, in which no code of ours runs.

--- a/scripts/bundleDeploy.mjs
+++ b/scripts/bundleDeploy.mjs
@@ -1,5 +1,6 @@
-// Bundles the platform's entry point into one file, so that a restarting instance loads one module instead of 300. Libraries
-// of which it uses a small part are replaced by that part: loading is the largest cost of a start.
+// Bundles the platform's entry point, so that a restarting instance loads two modules instead of 300: a small one that
+// receives signals, and the rest. Libraries of which it uses a small part are replaced by that part: loading is the largest
+// cost of a start.
 import { resolve } from "node:path";
 import { build } from "esbuild";
 
@@ -14,8 +15,11 @@
 };
 
 await build({
-    entryPoints: ["platform/main.ts"],
-    outfile: "target/reedward.mjs",
+    entryPoints: { reedward: "platform/main.ts" },
+    outdir: "target",
+    outExtension: { ".js": ".mjs" },
+    splitting: true,
+    chunkNames: "[name]",
     bundle: true,
     platform: "node",
     target: "node20",
