Be ready only once every listener listens

Callers saw: connections refused for as long as a restarted instance lived. While one of its ports was still in use, for example by the process before it, the error of the listener was logged as an internal failure, the instance reported to be ready, was listed as an entry, and never listened. A heartbeat socket that is not bound sends nothing: it would take another port. The metrics port is opened again too, but nothing waits for it: callers come first. Log event RW1009 names the address; RW1001 is written when all listen.

--- /dev/null
+++ b/features/instanceProcess.feature
@@ -0,0 +1,28 @@
+Feature: The process of an instance starts whatever meets it meanwhile
+
+    # Guards against an instance that reports to be ready and never listens, because its address was still in use.
+    Scenario Outline: An instance is ready only once every listener listens
+        Given a platform, and a process that holds the <listener> address of an instance
+        When the instance is started
+        Then it is neither ready nor on its entry list
+        When the address is free again
+        Then it is ready, on its entry list, and answers a caller
+
+        Examples:
+            | listener  |
+            | caller    |
+            | readiness |
+            | peer      |
+            | directory |
+            | heartbeat |
+
+    # Guards against signals that end a process which still loads.
+    Scenario: A change of settings that is announced while the program is loaded does not end it
+        Given a platform
+        When the instance is started and gets SIGHUP as soon as it receives signals
+        Then it is ready, on its entry list, and answers a caller
+
+    Scenario: An order to stop that comes while the program is loaded ends it at once
+        Given a platform
+        When the instance is started and gets SIGTERM as soon as it receives signals
+        Then it ends with code 0
--- /dev/null
+++ b/features/steps/instanceProcessSteps.ts
@@ -0,0 +1,174 @@
+/**
+ * @module
+ * Steps on one real process of an instance: addresses that are in use, and signals while it starts.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { portOffsets } from "../../bench/support/platformSettings.js";
+import { startFakeServer } from "../../fakes/startFakeServer.js";
+import { startFakeStore } from "../../fakes/startFakeStore.js";
+import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface ProcessFixture {
+    readonly instance: InstanceProcess;
+    release: () => Promise<void>;
+}
+
+const fixtures = new WeakMap<SiteWorld, ProcessFixture>();
+const firstPort = 25_000;
+
+/** Time in which a process that could become ready does so, in milliseconds. */
+const startMs = 1_500;
+
+const pollMs = 2;
+
+/** Bit of SIGHUP in the masks of signals of a process. */
+const hangupBit = 1n;
+
+function getFixture(world: SiteWorld): ProcessFixture {
+    const fixture = fixtures.get(world);
+    assert.ok(fixture !== undefined);
+    return fixture;
+}
+
+function holdStream(port: number, host: string): Promise<() => Promise<void>> {
+    const server = createServer(socket => socket.destroy());
+    return new Promise(resolve => {
+        server.listen(port, host, () => resolve(() => new Promise(closed => server.close(() => closed()))));
+    });
+}
+
+function holdDatagrams(port: number, host: string): Promise<() => Promise<void>> {
+    const socket = createSocket("udp4");
+    return new Promise(resolve => {
+        socket.bind(port, host, () => resolve(() => new Promise(closed => socket.close(() => closed()))));
+    });
+}
+
+async function createPlatform(world: SiteWorld, listener: keyof typeof portOffsets | undefined): Promise<void> {
+    const store = await startFakeStore();
+    const servers = [await startFakeServer("i-1", "adapt"), await startFakeServer("i-2", "portal")];
+    store.put("keyed.op", "config", configuration);
+    servers.forEach(server => store.put("keyed.servers", server.id, server.entry()));
+    // An address of this test process alone, so that runs beside each other do not meet.
+    const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.9`;
+    const folder = mkdtempSync(join(tmpdir(), "reedward-process-"));
+    const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
+    const instance = createInstanceProcess(place, join(folder, "settings.json"), ["dist/platform/main.js"]);
+    const port = listener === undefined ? 0 : firstPort + portOffsets[listener];
+    const hold = listener === "heartbeat" ? holdDatagrams : holdStream;
+    const release = listener === undefined ? () => Promise.resolve() : await hold(port, ip);
+    const fixture: ProcessFixture = { instance, release };
+    fixtures.set(world, fixture);
+    world.cleanups.push(
+        () => instance.stop(),
+        () => fixture.release(),
+        () => store.stop(),
+        ...servers.map(server => () => server.stop()),
+        () => Promise.resolve(rmSync(folder, { recursive: true, force: true })),
+    );
+}
+
+Given("a platform", function(this: SiteWorld) {
+    return createPlatform(this, undefined);
+});
+
+Given(
+    "a platform, and a process that holds the {word} address of an instance",
+    function(this: SiteWorld, listener: string) {
+        return createPlatform(this, listener as keyof typeof portOffsets);
+    },
+);
+
+When("the instance is started", function(this: SiteWorld) {
+    getFixture(this).instance.start();
+});
+
+async function listEntries(instance: InstanceProcess): Promise<readonly string[]> {
+    try {
+        const url = `http://${instance.directoryAddress}/reedward/resolve?name=letters.example&zone=north`;
+        const res = await request(url, { reset: true });
+        const body = await res.body.json() as { readonly addrs?: readonly string[]; };
+        return body.addrs ?? [];
+    }
+    catch {
+        return [];
+    }
+}
+
+async function callOnce(instance: InstanceProcess): Promise<number> {
+    try {
+        const res = await request(`http://${instance.callerAddress}${plainCall.path}`, {
+            method: "POST",
+            headers: { ...streamHeaders, ...plainCall.headers },
+            body: "letter",
+            reset: true,
+        });
+        await res.body.dump();
+        return res.statusCode;
+    }
+    catch {
+        return 0;
+    }
+}
+
+Then("it is neither ready nor on its entry list", async function(this: SiteWorld) {
+    const { instance } = getFixture(this);
+    const untilMs = performance.now() + startMs;
+    while (performance.now() < untilMs) {
+        assert.equal(await instance.isReady(), false);
+        assert.deepEqual(await listEntries(instance), []);
+        await delay(50);
+    }
+});
+
+When("the address is free again", async function(this: SiteWorld) {
+    const fixture = getFixture(this);
+    await fixture.release();
+    fixture.release = () => Promise.resolve();
+});
+
+Then("it is ready, on its entry list, and answers a caller", async function(this: SiteWorld) {
+    const { instance } = getFixture(this);
+    await waitUntil("the instance is ready", () => instance.isReady());
+    assert.deepEqual(await listEntries(instance), [instance.callerAddress]);
+    assert.equal(await callOnce(instance), 200);
+    assert.equal(instance.lives.length, 1);
+    assert.equal(instance.lives[0]?.end, undefined);
+});
+
+function receivesHangup(pid: number): boolean {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const mask = BigInt(`0x${/^SigCgt:\s*([0-9a-f]+)/m.exec(status)?.[1] ?? "0"}`);
+    return (mask & hangupBit) !== 0n;
+}
+
+When(
+    /^the instance is started and gets (SIGHUP|SIGTERM) as soon as it receives signals$/,
+    async function(this: SiteWorld, name: string) {
+        const { instance } = getFixture(this);
+        instance.start();
+        const pid = instance.pid();
+        assert.ok(pid !== undefined);
+        while (!receivesHangup(pid)) {
+            await delay(pollMs);
+        }
+        assert.equal(await callOnce(instance), 0, "the instance receives signals only after it has begun to serve");
+        instance.signal(name as "SIGHUP" | "SIGTERM");
+    },
+);
+
+Then("it ends with code 0", async function(this: SiteWorld) {
+    const { instance } = getFixture(this);
+    await instance.ended();
+    assert.equal(instance.lives[0]?.end, "code 0");
+});
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -16,6 +16,7 @@
 import { type LeaseClaim, unknownEra } from "../core/weights/createRolloutLease.js";
 import { createPeerStateReader } from "../io/fleet/createPeerStateReader.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
+import type { ListenerGroup } from "../io/http/createListenerGroup.js";
 import type { Feeds } from "./assembleFeeds.js";
 import { assemblePeerState, type PeerStates } from "./assemblePeerState.js";
 import type { InstancePermits } from "./assemblePermits.js";
@@ -61,6 +62,7 @@
     readonly heldLease: () => LeaseClaim | undefined;
     readonly recordLease: (claim: LeaseClaim) => void;
     readonly plan: () => StoreReadPlan;
+    readonly listeners: Pick<ListenerGroup, "add">;
     /** Detects a pause of the process. */
     readonly checkPause: () => void;
     readonly quarantine: Pick<PartGuard, "digest" | "compareDigest" | "receive">;
@@ -235,6 +237,7 @@
         clock,
         host: settings.host,
         port: settings.heartbeatPort,
+        listeners: sources.listeners,
         nextIntervalMs: view.nextIntervalMs,
         compose,
         chooseTargets: () => view.chooseTargets(clock.now()),
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -10,6 +10,7 @@
 import type { PartGuard } from "../core/quarantine/createPartGuard.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
+import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
 import type { Fleet } from "./assembleFleet.js";
@@ -18,6 +19,8 @@
 /** What the servers need in addition to the instance's context. */
 export interface ServerSources {
     readonly fleet: Fleet;
+    /** The listeners that have to listen before the instance is ready. */
+    readonly listeners: ListenerGroup;
     readonly routes: () => RouteIndex | undefined;
     readonly isReady: () => boolean;
     readonly handle: RequestListener;
@@ -45,10 +48,13 @@
 /** Time beyond the configured idle timeout for which a connection stays open, as a request may be on its way, in ms. */
 const idleSlackMs = 500;
 
-function listen(listener: RequestListener, address: string): Server {
+/** Listens on "ip:port", again after each failure. */
+function listen(server: Server, address: string, listeners: ListenerGroup): Server {
     const [host, port] = address.split(":");
-    const server = createServer(listener);
-    server.listen(Number(port), host);
+    const listener = listeners.add(address, () => server.listen(Number(port), host));
+    server.on("listening", listener.recordOpened);
+    server.on("error", listener.recordFailed);
+    listener.open();
     return server;
 }
 
@@ -79,6 +85,7 @@
  */
 export function assembleServers(context: InstanceContext, sources: ServerSources): Servers {
     const { settings, ports, writeLog } = context;
+    const { listeners } = sources;
 
     function listEntries(failureDomain: string | undefined): readonly string[] {
         const own = sources.isReady() ? [sources.fleet.self()] : [];
@@ -101,7 +108,6 @@
         sendJson(res, isLifted ? 200 : 404, JSON.stringify({ isLifted }));
     }
 
-    const [callerHost, callerPort] = settings.callerAddress.split(":");
     const callerServer = createServer(
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
         sources.handle,
@@ -120,18 +126,23 @@
             : "400 Bad Request";
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     });
-    callerServer.listen(Number(callerPort), callerHost);
+    listen(callerServer, settings.callerAddress, listeners);
 
     const others = [
         listen(
-            createListener({
+            createServer(createListener({
                 [ports.readinessPath]: (_, res) => sendJson(res, sources.isReady() ? 200 : 503, "{}"),
-            }),
+            })),
             settings.readinessAddress,
+            listeners,
         ),
-        listen(createListener({ [ports.entriesPath]: answerEntries }), settings.directoryAddress),
         listen(
-            createListener({
+            createServer(createListener({ [ports.entriesPath]: answerEntries })),
+            settings.directoryAddress,
+            listeners,
+        ),
+        listen(
+            createServer(createListener({
                 [peerStatePath]: (url, res) => {
                     const tableVersion = Number(url.searchParams.get("known") ?? 0);
                     const upstreamsDigest = url.searchParams.get("upstreams") ?? "";
@@ -139,8 +150,9 @@
                 },
                 [signalsPath]: (_, res) => sendJson(res, 200, JSON.stringify(sources.listSignals())),
                 [quarantinePath]: (_, res) => sendJson(res, 200, JSON.stringify(sources.quarantine.list())),
-            }, { [quarantinePath]: liftPart }),
+            }, { [quarantinePath]: liftPart })),
             settings.peerAddress,
+            listeners,
         ),
     ];
 
@@ -153,11 +165,13 @@
             res.destroy();
         });
     });
-    const [metricsHost, metricsPort] = settings.metricsAddress.split(":");
-    // Requests are served even when the metrics port is already in use.
-    metricsServer.on("error", error => writeLog("internalFailure", { detail: `metrics: ${error.message}` }));
-    metricsServer.listen(Number(metricsPort), metricsHost);
-    others.push(metricsServer);
+    // Callers are served although the metrics port is in use: it is opened again, and nothing waits for it.
+    const metricsListeners = createListenerGroup({
+        clock: context.clock,
+        onFailed: (address, err) => writeLog("listenFailed", { address, detail: err.message }),
+        onListening: () => undefined,
+    });
+    others.push(listen(metricsServer, settings.metricsAddress, metricsListeners));
 
     return {
         closeIdle: () => callerServer.closeIdleConnections(),
@@ -169,6 +183,8 @@
             }
         },
         close: () => {
+            listeners.stop();
+            metricsListeners.stop();
             callerServer.close();
             others.forEach(server => server.close());
         },
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -27,6 +27,7 @@
     draining: define("RW1006", "info", "draining: no new requests, finishing those in progress"),
     stopWouldCut: define("RW1007", "warn", "requests in progress will be aborted at the stop's time limit"),
     stopCut: define("RW1008", "error", "requests aborted at the stop's time limit"),
+    listenFailed: define("RW1009", "warn", "address cannot be listened on yet: tried again until it is free"),
     catalogueAdvanced: define("RW2001", "info", "catalogue change accepted"),
     catalogueConflict: define("RW2002", "warn", "catalogue change rejected: based on an older revision"),
     catalogueMalformed: define("RW2003", "error", "catalogue record rejected: malformed"),
--- a/src/io/fleet/startHeartbeats.ts
+++ b/src/io/fleet/startHeartbeats.ts
@@ -8,12 +8,15 @@
 import { type FleetMessage, parseFleetMessage, type PeerMessage } from "../../core/fleet/parseFleetMessage.js";
 import type { PrefillReport } from "../../core/fleet/prefillReport.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import type { ListenerGroup } from "../http/createListenerGroup.js";
 
 /** Options of {@link startHeartbeats}. */
 export interface StartHeartbeatsOptions {
     readonly clock: Clock;
     readonly host: string;
     readonly port: number;
+    /** Receives the socket as one of the instance's listeners. */
+    readonly listeners: Pick<ListenerGroup, "add">;
     /** Time until the next heartbeat, in milliseconds. */
     readonly nextIntervalMs: () => number;
     /** Returns the heartbeat to send. */
@@ -52,10 +55,15 @@
 export function startHeartbeats(options: StartHeartbeatsOptions): Heartbeats {
     const socket = createSocket("udp4");
     let cancelNext: CancelTimer = () => undefined;
+    let isBound = false;
     let isStopped = false;
 
     /** Returns the bytes of all messages together. */
     function sendTo(targets: readonly string[], content: FleetMessage): number {
+        if (!isBound || isStopped) {
+            // An unbound socket would take a port of its own with its first datagram.
+            return 0;
+        }
         const message = Buffer.from(JSON.stringify(content));
         for (const target of targets) {
             const [host, port] = target.split(":");
@@ -105,24 +113,29 @@
     }
 
     socket.on("message", (message, sender) => receive(message.toString(), `${sender.address}:${sender.port}`));
-    socket.on("error", err => options.onMalformed(err.message));
-    socket.bind(options.port, options.host, () => {
-        if (!isStopped) {
-            sendRepeatedly();
+    const listener = options.listeners.add(
+        `${options.host}:${options.port}/udp`,
+        () => socket.bind(options.port, options.host),
+    );
+    socket.on("error", err => {
+        if (isBound) {
+            options.onMalformed(err.message);
+            return;
         }
+        listener.recordFailed(err);
     });
+    socket.on("listening", () => {
+        isBound = true;
+        listener.recordOpened();
+        sendRepeatedly();
+    });
+    listener.open();
     return {
         sendNow,
-        sendPrefillReport: report => (isStopped ? 0 : sendTo(options.chooseTargets(), report)),
-        sendReport: (addresses, report) => {
-            if (!isStopped) {
-                sendTo(addresses, report);
-            }
-        },
+        sendPrefillReport: report => sendTo(options.chooseTargets(), report),
+        sendReport: sendTo,
         sendTo: (address, heartbeat) => {
-            if (!isStopped) {
-                sendTo([address], heartbeat);
-            }
+            sendTo([address], heartbeat);
         },
         stop: () => {
             isStopped = true;
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -17,6 +17,7 @@
 import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
+import { createListenerGroup } from "./io/http/createListenerGroup.js";
 import { runRollout } from "./io/weights/runRollout.js";
 
 export type { RouterPorts, RouterSettings } from "./assemble/routerPorts.js";
@@ -60,6 +61,14 @@
     const { settings, ports, clock, writeLog, metrics } = context;
     let isLeaving = false;
     const views = assembleViews(context);
+    const listeners = createListenerGroup({
+        clock,
+        onFailed: (address, err) => writeLog("listenFailed", { address, detail: err.message }),
+        onListening: () => {
+            const { failureDomain, callerAddress } = settings;
+            writeLog("started", { failureDomain, callerAddress });
+        },
+    });
     /** Undefined until the fleet is joined: the feeds begin before. */
     let joinedFleet: Fleet | undefined = undefined;
     const plan = memoizeFor(planLifetimeMs, clock.now, () => {
@@ -81,6 +90,10 @@
         return hasHadState;
     }
 
+    function isReady(): boolean {
+        return !isLeaving && listeners.areListening() && hasState();
+    }
+
     const quarantine = assembleQuarantine(context, {
         listOthers: () => joinedFleet?.listLive().map(member => member.instance.name) ?? [],
         send: (names, message) => joinedFleet?.sendMessage(names, message),
@@ -97,8 +110,9 @@
             if (isLeaving) {
                 return "leaving";
             }
-            return hasState() ? "serving" : "starting";
+            return isReady() ? "serving" : "starting";
         },
+        listeners,
         listLoading: () => rollout.listLoading(),
         heldLease: () => lease.heldClaim(clock.now()),
         recordLease: claim => lease.recordReportedClaim(claim, clock.now()),
@@ -160,7 +174,8 @@
     const servers = assembleServers(context, {
         fleet,
         routes: views.routes,
-        isReady: () => !isLeaving && hasState(),
+        listeners,
+        isReady,
         handle: proxy.handle,
         quarantine: quarantine.guard,
         listSignals: permits.listSignals,
@@ -170,7 +185,6 @@
     views.onChange(proxy.dispatch);
     views.onChange(() => rollout.wake());
     pauses.start();
-    writeLog("started", { failureDomain: settings.failureDomain, callerAddress: settings.callerAddress });
 
     async function drain(): Promise<void> {
         const sinceMs = clock.now();
