Take while leaving only what can be finished, and end only when it is written out

Cause: a leaving instance took every request until it closed everything at grace - 0.5 s; it counted a request from the end of its body to res.end(), so that uploads and answers that were not written out did not keep it; and it destroyed idle connections and exited in one turn, which resets a connection with unread bytes. Change: the stop is one design, pure in src/core/shutdown: phases (leaving, refusing, closing, ended), what is still taken, what is refused, when the process may end. A request is taken if its deadline lies before the end, or if what requests of its route took on this instance (time to the first byte, and time per output token of its length) fits into the time left; of an unknown route, in the first third of the grace period. Others get 503 'stopping' with Retry-After: 0.1 s when another instance serves, else the time until this one is back. Waiting requests that become hopeless are refused then. At the end every request in progress gets its answer: not run (503), unknown (502), and only a begun stream is cut. What is received or not written out counts as in progress; connections are half closed and read until the caller closes. A holder of the rollout lease goes on with its orders while it leaves. Ruled out: a longer margin at the end (the streams in question last longer than any margin).

--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -14,7 +14,11 @@
 import { createGuardedPlacer } from "../core/quarantine/createGuardedPlacer.js";
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
-import { createProxyService } from "../io/proxy/createProxyService.js";
+import {
+    createProxyService,
+    type ProxyService,
+    type ProxyServiceDependencies,
+} from "../io/proxy/createProxyService.js";
 import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
 import type { AnswerHead } from "../io/proxy/proxyCodec.js";
 import type { Fleet } from "./assembleFleet.js";
@@ -31,9 +35,8 @@
 const maxAnswerMemoryBytes = 32 * 1024 * 1024;
 
 /** The proxy. */
-export interface Proxy {
+export interface Proxy extends Omit<ProxyService, "handle"> {
     readonly handle: RequestListener;
-    readonly countActive: () => number;
     /** Number of requests that wait for placement. */
     readonly countWaiting: () => number;
     /** Number of connections opened to upstreams so far. */
@@ -65,7 +68,7 @@
  * @param fleet - The other instances.
  * @param partFeeds - Provides the reachable prompt cache stores.
  * @param guards - Say what may not be sent now.
- * @param isClosing - Whether answers close the callers' connections.
+ * @param stop - The instance's stop, and how long requests take.
  * @returns The proxy.
  */
 export function assembleProxy(
@@ -74,7 +77,7 @@
     fleet: Fleet,
     partFeeds: PartFeeds,
     { quarantine, permits }: PlacementGuards,
-    isClosing: () => boolean,
+    stop: Pick<ProxyServiceDependencies, "shutdown" | "durations">,
 ): Proxy {
     const { settings, ports, clock, random, writeLog, metrics } = context;
     const connections = createConnectionPool(clock);
@@ -192,7 +195,7 @@
         retryBudget,
         routes: views.routes,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
-        isClosing,
+        ...stop,
         onRetry: reason => metrics.retries.inc({ reason }),
         onEnd: end => {
             metrics.requests.inc({ kind: end.kind, result: end.result });
@@ -208,8 +211,7 @@
         onRefusal: kind => metrics.refusals.inc({ kind }),
     });
     return {
-        handle: service.handle,
-        countActive: service.countActive,
+        ...service,
         countWaiting: placer.countWaiting,
         countOpened: connections.countOpened,
         dispatch: placer.dispatch,
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -2,8 +2,8 @@
  * @module
  * Assembles the HTTP servers: callers' requests, readiness, the list of entries, state for peers, and metrics.
  */
-import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
 import polka from "polka";
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
@@ -30,9 +30,12 @@
 
 /** The servers. */
 export interface Servers {
-    readonly closeIdle: () => void;
     /** Applies the limits of the configuration in force to connections of callers. */
     readonly applyLimits: () => void;
+    /** Number of open connections of callers. */
+    readonly countConnections: () => number;
+    /** Accepts no connections of callers, and closes the open ones once what was written has reached them. */
+    readonly closeCallers: () => void;
     readonly close: () => void;
 }
 
@@ -86,6 +89,17 @@
 export function assembleServers(context: InstanceContext, sources: ServerSources): Servers {
     const { settings, ports, writeLog } = context;
     const { listeners } = sources;
+    const callerConnections = new Set<Socket>();
+    let isClosed = false;
+
+    /** A request that crosses the close of its connection is not served: its answer could not be written. */
+    function handle(req: IncomingMessage, res: ServerResponse): void {
+        if (isClosed) {
+            req.socket.destroy();
+            return;
+        }
+        sources.handle(req, res);
+    }
 
     function listEntries(failureDomain: string | undefined): readonly string[] {
         const own = sources.isReady() ? [sources.fleet.self()] : [];
@@ -110,8 +124,12 @@
 
     const callerServer = createServer(
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
-        sources.handle,
+        handle,
     );
+    callerServer.on("connection", (socket: Socket) => {
+        callerConnections.add(socket);
+        socket.once("close", () => callerConnections.delete(socket));
+    });
     callerServer.on("clientError", (error: Error & { code?: string; }, socket: Socket) => {
         writeLog("clientError", { detail: error.code ?? error.message });
         if (!socket.writable || socket.destroyed) {
@@ -174,7 +192,6 @@
     others.push(listen(metricsServer, settings.metricsAddress, metricsListeners));
 
     return {
-        closeIdle: () => callerServer.closeIdleConnections(),
         applyLimits: () => {
             const limits = sources.routes()?.table.limits;
             if (limits !== undefined) {
@@ -182,10 +199,18 @@
                 callerServer.headersTimeout = limits.headerTimeoutMs;
             }
         },
-        close: () => {
+        countConnections: () => callerConnections.size,
+        closeCallers: () => {
+            isClosed = true;
             listeners.stop();
             metricsListeners.stop();
-            callerServer.close();
+            // The HTTP server's own close destroys idle connections, and a connection that is destroyed with unread bytes
+            // is reset, which can discard an answer that the caller has not read yet.
+            NetServer.prototype.close.call(callerServer);
+            callerConnections.forEach(socket => socket.end());
+        },
+        close: () => {
+            callerConnections.forEach(socket => socket.destroy());
             others.forEach(server => server.close());
         },
     };
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -71,6 +71,7 @@
  * - `rejected`: the upstream reported that it did not run the request.
  * - `lost`: the request may have run; its answer did not arrive completely.
  * - `expired`: the deadline passed after the request was sent.
+ * - `stopped`: the instance stopped after the request was sent and before its answer was complete.
  * - `callerGone`: the caller disconnected. */
 export type SendOutcome =
     | { readonly kind: "finished"; }
@@ -84,6 +85,7 @@
     }
     | { readonly kind: "lost"; readonly detail: string; readonly delivered: StreamProgress | undefined; }
     | { readonly kind: "expired"; readonly delivered: StreamProgress | undefined; }
+    | { readonly kind: "stopped"; readonly delivered: StreamProgress | undefined; }
     | { readonly kind: "callerGone"; };
 
 /** How much of a stream the caller has received. */
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -105,6 +105,9 @@
     if (outcome.kind === "expired") {
         return createRefusal("deadlineExceeded", "the upstream did not answer in time");
     }
+    if (outcome.kind === "stopped") {
+        return createRefusal("outcomeUnknown", "the instance stopped before the answer was complete");
+    }
     if (history.possibleRuns > 0) {
         return createRefusal("outcomeUnknown", joinDetails(outcome.kind === "lost" ? outcome.detail : "", obstacle));
     }
@@ -119,7 +122,7 @@
 }
 
 function recordSend(history: SendHistory, upstream: string, outcome: SendOutcome): SendHistory {
-    const delivered = outcome.kind === "lost" || outcome.kind === "expired" ? outcome.delivered : undefined;
+    const delivered = "delivered" in outcome ? outcome.delivered : undefined;
     return {
         excluded: [...history.excluded, upstream],
         possibleRuns: history.possibleRuns + (mayHaveRun(outcome) ? 1 : 0),
--- /dev/null
+++ b/src/core/shutdown/createShutdown.ts
@@ -0,0 +1,171 @@
+/**
+ * @module
+ * Decides how an instance stops: which requests it still takes, which it refuses at once, and when its connections and then
+ * the process end.
+ *
+ * A leaving instance takes a request only if its answer is written out before the process ends: because the caller's
+ * deadline comes first, or because requests of its route have taken less than the time that is left. The others are
+ * refused as not run, so that their callers find another instance while they have time.
+ */
+import { createRefusal, type Refusal } from "../errors/createRefusal.js";
+import type { ProxyRequest } from "../proxy/proxyTypes.js";
+import type { RouteDurations } from "./createRouteDurations.js";
+
+/**
+ * A phase of an instance's life.
+ *
+ * - `serving`: it was not told to stop.
+ * - `leaving`: it takes what it can finish.
+ * - `refusing`: it takes nothing more and finishes what it has taken.
+ * - `closing`: it takes no connections, and closes those of callers.
+ * - `ended`: the process may end.
+ */
+export type ShutdownPhase = "serving" | "leaving" | "refusing" | "closing" | "ended";
+
+/** What an instance still has to do. */
+export interface ShutdownLoad {
+    /** Requests that are received, in progress, or whose answers are not written out. */
+    readonly requests: number;
+    /** Open connections of callers. */
+    readonly connections: number;
+    /** Whether it does work for the fleet that another instance would have to begin anew. */
+    readonly hasDuties: boolean;
+}
+
+/** The stop of an instance. Times are milliseconds on its clock. */
+export interface Shutdown {
+    /** Begins the stop. Calling it again has no effect: the grace period counts from the first order. */
+    readonly begin: (nowMs: number) => void;
+    readonly phase: () => ShutdownPhase;
+    readonly isLeaving: () => boolean;
+    /** Returns why a request may not be taken or sent now; undefined when it may be. */
+    readonly findRefusal: (req: ProxyRequest, nowMs: number) => Refusal | undefined;
+    /** Returns the refusal of requests that the instance has no time left for. */
+    readonly createRefusal: (nowMs: number) => Refusal;
+    /** Moves to the next phase when it is due, and returns the phase. */
+    readonly advance: (nowMs: number, load: ShutdownLoad) => ShutdownPhase;
+}
+
+/** Dependencies of {@link createShutdown}. */
+export interface ShutdownOptions {
+    /** Time from the order to stop until the process is killed, in milliseconds. */
+    readonly graceMs: number;
+    readonly durations: Pick<RouteDurations, "predictMs">;
+    /** Whether callers may know the address of this instance. */
+    readonly mayBeListed: () => boolean;
+    /** Whether another instance takes requests, as far as known. */
+    readonly hasServingPeer: () => boolean;
+}
+
+/**
+ * Minimum time for which a leaving instance still accepts requests, in milliseconds: callers use a list of entries for
+ * up to three times its time to live.
+ */
+const minLeavingMs = 3_600;
+
+/** Time before the end of the grace period at which answers must be complete, in milliseconds. */
+const answerMarginMs = 500;
+
+/** Time before the end of the grace period at which callers' connections are closed, in milliseconds. */
+const closeMarginMs = 250;
+
+/** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
+const endMarginMs = 100;
+
+/** Share of the grace period in which requests of a route are taken of which no request has ended yet. */
+const unknownRouteShare = 1 / 3;
+
+/** Minimum time in which requests are refused, in milliseconds: the network still holds some that were sent before. */
+const minRefusingMs = 60;
+
+/** Time in which callers close their side of a closed connection, in milliseconds. */
+const closingMs = 150;
+
+/** Retry-after time when another instance takes the request, in milliseconds. */
+const otherInstanceMs = 100;
+
+/** Time from the end of a process until its successor takes requests, in milliseconds. */
+const restartMs = 1_500;
+
+const followingPhase = { leaving: "refusing", refusing: "closing", closing: "ended" } as const;
+
+/**
+ * Creates the stop of an instance that was not told to stop.
+ *
+ * @param options - The grace period and what the decisions depend on.
+ * @returns The stop.
+ * @example
+ * shutdown.begin(clock.now());
+ * shutdown.findRefusal(req, clock.now())?.kind; // "stopping" when there is too little time for the request
+ */
+export function createShutdown(options: ShutdownOptions): Shutdown {
+    const { graceMs } = options;
+    let phase: ShutdownPhase = "serving";
+    let phaseSinceMs = 0;
+    let leavingSinceMs = 0;
+    let minUntilMs = 0;
+
+    const answersDueMs = () => leavingSinceMs + graceMs - answerMarginMs;
+
+    function enter(next: ShutdownPhase, nowMs: number): void {
+        phase = next;
+        phaseSinceMs = nowMs;
+    }
+
+    function refuse(nowMs: number): Refusal {
+        const retryAfterMs = options.hasServingPeer()
+            ? otherInstanceMs
+            : Math.max(0, answersDueMs() - nowMs) + restartMs;
+        return createRefusal("stopping", "there is too little time left for the request", { retryAfterMs });
+    }
+
+    function canFinish(req: ProxyRequest, nowMs: number): boolean {
+        if (phase === "serving" || req.deadlineMs <= answersDueMs()) {
+            return true;
+        }
+        const predictedMs = options.durations.predictMs(req.route.name, req.prompt?.outputTokens ?? 0, nowMs);
+        return predictedMs === undefined
+            ? nowMs - leavingSinceMs <= graceMs * unknownRouteShare
+            : nowMs + predictedMs <= answersDueMs();
+    }
+
+    function isDone(nowMs: number, load: ShutdownLoad): boolean {
+        const elapsedMs = nowMs - phaseSinceMs;
+        switch (phase) {
+            case "leaving":
+                return nowMs >= answersDueMs()
+                    || (load.requests === 0 && !load.hasDuties && nowMs >= minUntilMs);
+            case "refusing":
+                return nowMs >= leavingSinceMs + graceMs - closeMarginMs
+                    || (load.requests === 0 && elapsedMs >= minRefusingMs);
+            case "closing":
+                return load.connections === 0 || elapsedMs >= closingMs
+                    || nowMs >= leavingSinceMs + graceMs - endMarginMs;
+            default:
+                return false;
+        }
+    }
+
+    return {
+        begin: nowMs => {
+            if (phase === "serving") {
+                leavingSinceMs = nowMs;
+                minUntilMs = options.mayBeListed() ? nowMs + minLeavingMs : nowMs;
+                enter("leaving", nowMs);
+            }
+        },
+        phase: () => phase,
+        isLeaving: () => phase !== "serving",
+        findRefusal: (req, nowMs) => {
+            const isAccepting = phase === "serving" || phase === "leaving";
+            return isAccepting && canFinish(req, nowMs) ? undefined : refuse(nowMs);
+        },
+        createRefusal: refuse,
+        advance: (nowMs, load) => {
+            if (phase !== "serving" && phase !== "ended" && isDone(nowMs, load)) {
+                enter(followingPhase[phase], nowMs);
+            }
+            return phase;
+        },
+    };
+}
--- a/src/io/http/readBody.ts
+++ b/src/io/http/readBody.ts
@@ -11,6 +11,8 @@
 export interface ReadBodyOptions {
     readonly maxBytes: number;
     readonly timeoutMs: number;
+    /** Receives a function that ends the reading with a refusal; it has no effect once the body is complete. */
+    readonly onBegin?: (stop: (refusal: Refusal) => void) => void;
 }
 
 /**
@@ -19,7 +21,7 @@
  * @param req - The caller's request.
  * @param clock - Measures the time limit.
  * @param options - Limits of size and time.
- * @returns The bytes, or a `bodyTooLarge`, `slowSender` or `malformedRequest` refusal.
+ * @returns The bytes, or a `bodyTooLarge`, `slowSender` or `malformedRequest` refusal, or the one of the stop.
  */
 export function readBody(
     req: IncomingMessage,
@@ -49,6 +51,7 @@
             chunks.push(chunk);
         }
 
+        options.onBegin?.(refusal => finish(err(refusal)));
         req.on("data", onChunk);
         req.on("end", () => finish(ok(Buffer.concat(chunks))));
         req.on("error", () => finish(err(createRefusal("malformedRequest", "connection closed within the body"))));
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -3,6 +3,7 @@
  * The caller's side of one request: writes the answer and detects a disconnect.
  */
 import type { ServerResponse } from "node:http";
+import { createActionSet } from "../../core/_lib/createActionSet.js";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import type { UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
@@ -33,6 +34,8 @@
     readonly requestId: string;
     /** Whether the connection is closed after the answer. */
     readonly isClosing: () => boolean;
+    /** Called when the head of the upstream's answer is written. */
+    readonly onStart?: () => void;
 }
 
 /**
@@ -43,14 +46,14 @@
  * @returns The exchange.
  */
 export function createCallerExchange(res: ServerResponse, options: CallerExchangeOptions): CallerExchange {
-    const actions = new Set<() => void>();
+    const disconnectActions = createActionSet();
     let isDisconnected = false;
     res.on("close", () => {
         if (!res.writableFinished) {
             isDisconnected = true;
-            [...actions].forEach(action => action());
+            disconnectActions.run();
         }
-        actions.clear();
+        disconnectActions.clear();
     });
     res.on("error", () => {
         isDisconnected = true;
@@ -61,14 +64,12 @@
             res.shouldKeepAlive = false;
         }
         res.writeHead(status, headers.flat());
+        options.onStart?.();
     }
 
     return {
         isDisconnected: () => isDisconnected,
-        onDisconnect: action => {
-            actions.add(action);
-            return () => actions.delete(action);
-        },
+        onDisconnect: disconnectActions.add,
         hasStarted: () => res.headersSent,
         startStream: head => {
             if (!res.headersSent && !isDisconnected) {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -3,6 +3,7 @@
  * Handles callers' requests: validates them against the configuration, reads their bodies and runs their steps.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { createActionSet } from "../../core/_lib/createActionSet.js";
 import { runSteps } from "../../core/effects/runSteps.js";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
@@ -10,12 +11,14 @@
 import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
-import type { ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
+import type { PlaceResult, ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
 import type { Route } from "../../core/routes/routingTable.js";
-import type { Clock } from "../../core/time/clock.js";
+import type { RouteDurations } from "../../core/shutdown/createRouteDurations.js";
+import type { Shutdown } from "../../core/shutdown/createShutdown.js";
+import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { readBody } from "../http/readBody.js";
 import { type CheckedHead, checkRequestHead } from "./checkRequestHead.js";
 import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
@@ -36,8 +39,9 @@
     readonly routes: () => RouteIndex | undefined;
     /** Rate limit of an upstream that has stated one, in requests per second. */
     readonly findRateLimit: (upstream: string) => number | undefined;
-    /** Whether connections are being closed, so that each answer announces it. */
-    readonly isClosing: () => boolean;
+    /** Says which requests are still taken, and whether answers announce that their connection closes. */
+    readonly shutdown: Pick<Shutdown, "isLeaving" | "findRefusal" | "createRefusal">;
+    readonly durations: Pick<RouteDurations, "begin">;
     readonly onRetry: (reason: ProxyRetryReason) => void;
     /** Receives each send that begins. */
     readonly onSendBegin: (req: ProxyRequest, placement: Placement) => void;
@@ -62,8 +66,12 @@
 /** The service. */
 export interface ProxyService {
     readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
-    /** Returns the number of requests in progress. */
+    /** Returns the number of requests that are received, in progress, or whose answers are not written out. */
     readonly countActive: () => number;
+    /** Refuses the requests that wait for an upstream and can no longer be finished before the instance stops. */
+    readonly refuseLate: () => void;
+    /** Gives every request in progress its final answer, because the instance stops. */
+    readonly stopRequests: () => void;
 }
 
 /** Timeout for receiving a body when the route's timeout is longer. */
@@ -76,7 +84,11 @@
  * @returns The service.
  */
 export function createProxyService(deps: ProxyServiceDependencies): ProxyService {
-    let active = 0;
+    /** Responses that are not written out. */
+    const active = new Set<ServerResponse>();
+    const stopActions = createActionSet();
+    /** Ends the wait of each request that waits for an upstream. */
+    const waiting = new Map<ProxyRequest, (refusal: Refusal) => void>();
 
     function toRequest(checked: CheckedHead, body: Buffer, arrivedMs: number): ProxyRequest {
         const { head, route, customer } = checked;
@@ -104,10 +116,6 @@
     }
 
     function serve(req: ProxyRequest, caller: CallerExchange): void {
-        active += 1;
-        const done = () => {
-            active -= 1;
-        };
         let isPlaced = false;
         const releaseUpstream = () => {
             if (isPlaced) {
@@ -131,17 +139,26 @@
                         resume({ kind: "callerGone" });
                         return;
                     }
+                    const refusal = deps.shutdown.findRefusal(req, deps.clock.now());
+                    if (refusal !== undefined) {
+                        resume({ kind: "refused", refusal });
+                        return;
+                    }
+                    const requestedMs = deps.clock.now();
                     let cancelPlacement: () => void = () => undefined;
-                    const cancelOnDisconnect = caller.onDisconnect(() => {
+                    const endWait = (result: PlaceResult) => {
                         cancelPlacement();
-                        resume({ kind: "callerGone" });
-                    });
-                    const requestedMs = deps.clock.now();
-                    cancelPlacement = deps.placer.place(req, effect, result => {
                         cancelOnDisconnect();
+                        waiting.delete(req);
+                        resume(result);
+                    };
+                    const cancelOnDisconnect = caller.onDisconnect(() => endWait({ kind: "callerGone" }));
+                    waiting.set(req, late => endWait({ kind: "refused", refusal: late }));
+                    cancelPlacement = deps.placer.place(req, effect, result => {
                         isPlaced = result.kind === "placed";
                         deps.onPlaced(deps.clock.now() - requestedMs);
-                        resume(result);
+                        cancelPlacement = () => undefined;
+                        endWait(result);
                     });
                 },
                 send: (effect, resume) => {
@@ -149,7 +166,9 @@
                     const rateLimit = deps.findRateLimit(placement.upstream.id);
                     deps.writeLog("requestSent", { ...describeSend(req, placement, deps.clock.now()), rateLimit });
                     deps.onSendBegin(req, placement);
-                    deps.send(req, effect, caller, outcome => {
+                    const cancelStop = stopActions.add(() => stopSend());
+                    const stopSend = deps.send(req, effect, caller, outcome => {
+                        cancelStop();
                         releaseUpstream();
                         deps.onSend(req, outcome);
                         if (outcome.kind !== "answered" && outcome.kind !== "finished") {
@@ -182,9 +201,9 @@
                     resume(undefined);
                 },
             },
-            done,
+            () => undefined,
             error => {
-                done();
+                waiting.delete(req);
                 releaseUpstream();
                 logInternalFailure(deps.writeLog, error, { requestId: req.id });
                 caller.abort();
@@ -199,7 +218,8 @@
         const tableVersion = deps.routes()?.table.version;
         deps.writeLog("requestRefused", { requestId, kind, status, outcome, detail, tableVersion, target: req.url });
         const mustClose = status === 400 || status === 413 || status === 431;
-        const caller = createCallerExchange(res, { requestId, isClosing: () => mustClose || deps.isClosing() });
+        const isClosing = () => mustClose || deps.shutdown.isLeaving();
+        const caller = createCallerExchange(res, { requestId, isClosing });
         caller.refuse(refusal);
         req.resume();
     }
@@ -219,22 +239,55 @@
             return;
         }
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
-        const body = await readBody(req, deps.clock, { maxBytes: checked.value.maxBodyBytes, timeoutMs });
+        let cancelStop: CancelTimer = () => undefined;
+        const body = await readBody(req, deps.clock, {
+            maxBytes: checked.value.maxBodyBytes,
+            timeoutMs,
+            onBegin: stop => {
+                cancelStop = stopActions.add(() => stop(deps.shutdown.createRefusal(deps.clock.now())));
+            },
+        });
+        cancelStop();
         if (body.isErr) {
             refuseHead(res, req, requestId, body.error);
             return;
         }
-        const options = { requestId, isClosing: deps.isClosing };
-        serve(toRequest(checked.value, body.value, arrivedMs), createCallerExchange(res, options));
+        const proxied = toRequest(checked.value, body.value, arrivedMs);
+        const outputTokens = proxied.prompt?.outputTokens ?? 0;
+        const timing = deps.durations.begin(proxied.route.name, outputTokens, deps.clock.now());
+        res.once("close", () => timing.end(deps.clock.now(), res.writableFinished));
+        serve(
+            proxied,
+            createCallerExchange(res, {
+                requestId,
+                isClosing: deps.shutdown.isLeaving,
+                onStart: () => timing.start(deps.clock.now()),
+            }),
+        );
     }
 
     return {
         handle: (req, res) => {
+            active.add(res);
+            res.once("close", () => active.delete(res));
             accept(req, res).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
                 res.destroy();
             });
         },
-        countActive: () => active,
+        countActive: () => active.size,
+        refuseLate: () => {
+            for (const [req, refuse] of waiting) {
+                const refusal = deps.shutdown.findRefusal(req, deps.clock.now());
+                if (refusal !== undefined) {
+                    refuse(refusal);
+                }
+            }
+        },
+        stopRequests: () => {
+            const refusal = deps.shutdown.createRefusal(deps.clock.now());
+            [...waiting.values()].forEach(refuse => refuse(refusal));
+            stopActions.run();
+        },
     };
 }
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -88,6 +88,14 @@
         }, this);
     }
 
+    stop(): void {
+        if (!this.isWritten) {
+            this.finish({ kind: "notSent", detail: "the instance stops" });
+            return;
+        }
+        this.finish({ kind: "stopped", delivered: this.delivered() });
+    }
+
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.isWritten = true;
         this.controller = controller;
@@ -297,6 +305,8 @@
     return (req, effect, caller, onOutcome) => {
         const idleMs = effect.needsFreshConnection ? maxFreshIdleMs : maxRetryableIdleMs;
         const connection = deps.connections.acquire(effect.placement.upstream.address, idleMs);
-        new Send(deps, req, effect, caller, connection, onOutcome).start();
+        const send = new Send(deps, req, effect, caller, connection, onOutcome);
+        send.start();
+        return () => send.stop();
     };
 }
--- a/src/io/proxy/upstreamSenderTypes.ts
+++ b/src/io/proxy/upstreamSenderTypes.ts
@@ -39,10 +39,13 @@
     readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
 }
 
-/** Sends a request; `onOutcome` is called exactly once. */
+/**
+ * Sends a request; `onOutcome` is called exactly once. Returns a function that ends the send because the instance stops;
+ * it has no effect after the outcome.
+ */
 export type SendToUpstream = (
     req: ProxyRequest,
     effect: SendEffect,
     caller: CallerExchange,
     onOutcome: (outcome: SendOutcome) => void,
-) => void;
+) => () => void;
--- /dev/null
+++ b/src/io/shutdown/runShutdown.ts
@@ -0,0 +1,49 @@
+/**
+ * @module
+ * Stops an instance: performs what each phase of its stop asks for.
+ */
+import type { Shutdown, ShutdownLoad } from "../../core/shutdown/createShutdown.js";
+import type { Clock } from "../../core/time/clock.js";
+
+/** Dependencies of {@link runShutdown}. */
+export interface RunShutdownOptions {
+    readonly clock: Clock;
+    readonly shutdown: Shutdown;
+    readonly readLoad: () => ShutdownLoad;
+    /** Refuses the waiting requests that can no longer be finished. */
+    readonly refuseLate: () => void;
+    /** Gives every request in progress its final answer. */
+    readonly stopRequests: () => void;
+    /** Stops accepting connections of callers, and closes the open ones. */
+    readonly closeCallers: () => void;
+}
+
+/** Interval at which the phase is checked, in milliseconds. */
+const pollIntervalMs = 40;
+
+/**
+ * Waits until a stop that has begun is over.
+ *
+ * @param options - The stop, and the parts of the instance that it ends.
+ * @returns A promise that resolves when the process may end.
+ */
+export async function runShutdown(options: RunShutdownOptions): Promise<void> {
+    const { clock, shutdown } = options;
+    for (;;) {
+        const before = shutdown.phase();
+        const phase = shutdown.advance(clock.now(), options.readLoad());
+        if (phase === "ended") {
+            return;
+        }
+        if (phase === "leaving") {
+            options.refuseLate();
+        }
+        if (phase === "refusing" && before !== phase) {
+            options.stopRequests();
+        }
+        if (phase === "closing" && before !== phase) {
+            options.closeCallers();
+        }
+        await new Promise<void>(resolve => clock.after(pollIntervalMs, resolve));
+    }
+}
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -58,6 +58,8 @@
 export interface Rollout {
     /** Engines that load on this instance's order. */
     readonly listLoading: () => readonly string[];
+    /** Whether this instance sends the orders that a rollout needs. */
+    readonly isOrdering: () => boolean;
     /** Checks for outdated engines now. */
     readonly wake: () => void;
     /** Gives up the lease, so that no order relies on state from before a pause of the process. */
@@ -212,7 +214,9 @@
 
     async function check(): Promise<void> {
         const work = listWork();
-        if (work.length === 0 || deps.isLeaving() || !deps.isStoreFresh()) {
+        // A leaving holder goes on: another instance has to wait until the lease is free.
+        const mayOrder = !deps.isLeaving() || lease.fence(clock.now()) !== undefined;
+        if (work.length === 0 || !mayOrder || !deps.isStoreFresh()) {
             workSinceMs = undefined;
             return;
         }
@@ -237,6 +241,7 @@
     const stopChecking = repeatEvery(clock, checkIntervalMs, wake);
     return {
         listLoading: () => [...loading.keys()],
+        isOrdering: () => workSinceMs !== undefined && lease.fence(clock.now()) !== undefined,
         wake,
         relinquishLease: () => lease.relinquish(),
         stop: () => {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -14,10 +14,13 @@
 import { watchStoreEra } from "./assemble/watchStoreEra.js";
 import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { millisecondsPerSecond } from "./core/constants.js";
+import { createRouteDurations } from "./core/shutdown/createRouteDurations.js";
+import { createShutdown } from "./core/shutdown/createShutdown.js";
 import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { createListenerGroup } from "./io/http/createListenerGroup.js";
+import { runShutdown } from "./io/shutdown/runShutdown.js";
 import { runRollout } from "./io/weights/runRollout.js";
 
 export type { RouterPorts, RouterSettings } from "./assemble/routerPorts.js";
@@ -37,20 +40,9 @@
 /** Maximum age of the list of upstreams at which the store is considered reachable for a rollout, in milliseconds. */
 const freshStoreMs = 1_500;
 
-/**
- * Minimum time for which a leaving instance still accepts requests, in milliseconds: callers use a list of entries for
- * up to three times its time to live.
- */
-const minDrainMs = 3_600;
-
-/** Time before the end of the grace period at which the instance stops in any case, in milliseconds. */
-const graceMarginMs = 500;
-
 /** Lifetime of the plan of reads of the store, in milliseconds. */
 const planLifetimeMs = 250;
 
-const drainPollIntervalMs = 100;
-
 /**
  * Starts an instance.
  *
@@ -59,8 +51,13 @@
  */
 export function wireRouter(context: InstanceContext): Router {
     const { settings, ports, clock, writeLog, metrics } = context;
-    let isLeaving = false;
-    const views = assembleViews(context);
+    const durations = createRouteDurations();
+    const shutdown = createShutdown({
+        graceMs: settings.graceMs,
+        durations,
+        mayBeListed: () => hasHadState,
+        hasServingPeer: () => joinedFleet?.listLive().some(member => member.instance.state === "serving") ?? false,
+    });
     const listeners = createListenerGroup({
         clock,
         onFailed: (address, err) => writeLog("listenFailed", { address, detail: err.message }),
@@ -69,6 +66,7 @@
             writeLog("started", { failureDomain, callerAddress });
         },
     });
+    const views = assembleViews(context);
     /** Undefined until the fleet is joined: the feeds begin before. */
     let joinedFleet: Fleet | undefined = undefined;
     const plan = memoizeFor(planLifetimeMs, clock.now, () => {
@@ -91,7 +89,7 @@
     }
 
     function isReady(): boolean {
-        return !isLeaving && listeners.areListening() && hasState();
+        return !shutdown.isLeaving() && listeners.areListening() && hasState();
     }
 
     const quarantine = assembleQuarantine(context, {
@@ -107,7 +105,7 @@
     });
     const fleet: Fleet = assembleFleet(context, views, feeds, {
         state: () => {
-            if (isLeaving) {
+            if (shutdown.isLeaving()) {
                 return "leaving";
             }
             return isReady() ? "serving" : "starting";
@@ -124,7 +122,7 @@
     joinedFleet = fleet;
 
     const partFeeds = assembleParts(context, views, fleet);
-    const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, () => isLeaving);
+    const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, { shutdown, durations });
     const pauses = createPauseDetector(clock, pausedMs => {
         writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
         feeds.forgetAges();
@@ -146,7 +144,7 @@
         use: views.use,
         engines: ports.engines,
         listLive: fleet.listLive,
-        isLeaving: () => isLeaving,
+        isLeaving: shutdown.isLeaving,
         checkPause: () => pauses.check(),
         isStoreFresh: () => fleet.upstreamsAgeMs() < Math.max(freshStoreMs, plan().maxAgeMs),
         notifyPeers: fleet.reportLoading,
@@ -187,19 +185,21 @@
     pauses.start();
 
     async function drain(): Promise<void> {
-        const sinceMs = clock.now();
-        isLeaving = true;
+        shutdown.begin(clock.now());
         writeLog("leaving", { active: proxy.countActive() });
         fleet.sendNow();
-        for (;;) {
-            await new Promise<void>(resolve => clock.after(drainPollIntervalMs, resolve));
-            const elapsedMs = clock.now() - sinceMs;
-            const isIdle = proxy.countActive() === 0 && elapsedMs > minDrainMs;
-            if (isIdle || elapsedMs > settings.graceMs - graceMarginMs) {
-                break;
-            }
-        }
-        servers.closeIdle();
+        await runShutdown({
+            clock,
+            shutdown,
+            readLoad: () => ({
+                requests: proxy.countActive(),
+                connections: servers.countConnections(),
+                hasDuties: rollout.isOrdering(),
+            }),
+            refuseLate: proxy.refuseLate,
+            stopRequests: proxy.stopRequests,
+            closeCallers: servers.closeCallers,
+        });
         servers.close();
         feeds.stop();
         partFeeds.stop();
