Use no address that is none, and answer callers when a send throws

Cause: decoders took any d.d.d.d:ddddd for an address. Opening a connection to it throws; the exception left the send before its outcome was known, and the service destroyed the caller's connection. A datagram to port 99999 throws in the loop over all targets. Ruled out: memory or nesting as the cause; 100,000 levels in every field of every record and message make no decoder throw.

--- a/fakes/startFakeStore.ts
+++ b/fakes/startFakeStore.ts
@@ -11,6 +11,8 @@
     readonly address: string;
     /** Appends a keyed record, as the operator and the upstreams do. */
     readonly put: (topic: string, key: string, value: unknown) => void;
+    /** Puts a record whose value is a text as another writer may have written it; without a key, appends it. */
+    readonly putText: (topic: string, key: string | undefined, text: string) => void;
     /** Appends a tombstone: a keyed record without a value. */
     readonly remove: (topic: string, key: string) => void;
     /** While true, connections are closed without a response. */
@@ -171,6 +173,10 @@
                 put: (topic, key, value) => {
                     append(topic, createKeyedRecord(key, Buffer.from(JSON.stringify(value))));
                 },
+                putText: (topic, key, text) => {
+                    const value = Buffer.from(text);
+                    append(topic, key === undefined ? value : createKeyedRecord(key, value));
+                },
                 remove: (topic, key) => {
                     append(topic, createKeyedRecord(key, Buffer.alloc(0)));
                 },
--- a/src/assemble/discoverPeers.ts
+++ b/src/assemble/discoverPeers.ts
@@ -2,6 +2,7 @@
  * @module
  * Discovery of the other instances: each registers its heartbeat address in the store and reads those of the others.
  */
+import { isAddress } from "../core/addresses/isAddress.js";
 import type { InstanceContext } from "./routerPorts.js";
 
 /** Discovery in progress. */
@@ -23,6 +24,9 @@
 /** Interval between reads of the instances' topic after the start, in milliseconds. */
 const intervalMs = 1_000;
 
+/** Maximum length of a malformed address in the log. */
+const maxLoggedLength = 80;
+
 /** Number of reads of the instances' topic after the start. */
 const maxReads = 4;
 
@@ -34,7 +38,7 @@
  * @returns The discovery.
  */
 export function discoverPeers(context: InstanceContext, options: PeerDiscoveryOptions): PeerDiscovery {
-    const { settings, clock, random, ports } = context;
+    const { settings, clock, random, ports, writeLog } = context;
     const { topics, store } = ports;
     let isRegistered = false;
     let isDone = false;
@@ -50,7 +54,11 @@
         if (read.kind === "newest") {
             isDone = true;
             const values = read.records.flatMap(record => (record.value === undefined ? [] : [record.value]));
-            options.addContacts(values.map(value => Buffer.from(value).toString()));
+            const addresses = values.map(value => Buffer.from(value).toString());
+            addresses.filter(address => !isAddress(address)).forEach(address => {
+                writeLog("recordRejected", { topic: topics.instances, detail: address.slice(0, maxLoggedLength) });
+            });
+            options.addContacts(addresses.filter(isAddress));
         }
         const needsMore = options.isAlone() || !isRegistered || !isDone;
         if (attempt + 1 < maxReads && !isStopped && needsMore) {
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -3,6 +3,7 @@
  * Heartbeats: the messages in which instances report that they run, and their view of the fleet.
  */
 import * as z from "zod";
+import { addressSchema } from "../addresses/addressSchema.js";
 
 const instanceSchema = z.object({
     name: z.string().min(1).max(128),
@@ -10,11 +11,11 @@
     startedAtMs: z.number().int(),
     failureDomain: z.string().max(128),
     /** Address for callers, as "ip:port". */
-    callerAddress: z.string().max(64),
+    callerAddress: addressSchema,
     /** Address for requests of peers, as "ip:port". */
-    peerAddress: z.string().max(64),
+    peerAddress: addressSchema,
     /** Address for heartbeats, as "ip:port". */
-    heartbeatAddress: z.string().max(64),
+    heartbeatAddress: addressSchema,
     state: z.enum(["starting", "serving", "leaving"]),
 }).readonly();
 
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -5,6 +5,7 @@
  */
 import * as z from "zod";
 import { parseJson } from "../_lib/parseJson.js";
+import { addressSchema } from "../addresses/addressSchema.js";
 
 const routeSchema = z.object({
     name: z.string(),
@@ -30,7 +31,7 @@
         models: z.array(z.string()),
         maxReaders: z.number(),
     }).optional(),
-    cacheStore: z.object({ address: z.string(), failureDomain: z.string(), maxReaders: z.number() }).optional(),
+    cacheStore: z.object({ address: addressSchema, failureDomain: z.string(), maxReaders: z.number() }).optional(),
 });
 
 const tableSchema = z.object({
@@ -58,7 +59,7 @@
 const upstreamSchema = z.object({
     id: z.string(),
     service: z.string(),
-    address: z.string(),
+    address: addressSchema,
     failureDomain: z.string(),
     isDraining: z.boolean(),
     slots: z.number(),
--- a/src/core/routes/chooseService.ts
+++ b/src/core/routes/chooseService.ts
@@ -14,13 +14,18 @@
  * chooseService([{ service: "adapt", weight: 90 }, { service: "adapt-next", weight: 10 }], 0.95); // "adapt-next"
  */
 export function chooseService(shares: readonly ServiceShare[], sample: number): string | undefined {
-    const total = shares.reduce((sum, share) => sum + share.weight, 0);
-    let remaining = sample * total;
-    for (const share of shares) {
-        if (remaining < share.weight) {
+    // Dividing by the largest first keeps the sum of any weights finite.
+    const largest = Math.max(0, ...shares.map(share => share.weight));
+    if (largest === 0) {
+        return undefined;
+    }
+    const weights = shares.map(share => share.weight / largest);
+    let remaining = sample * weights.reduce((sum, weight) => sum + weight, 0);
+    for (const [index, share] of shares.entries()) {
+        if (remaining < weights[index]!) {
             return share.service;
         }
-        remaining -= share.weight;
+        remaining -= weights[index]!;
     }
     return undefined;
 }
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createActionSet } from "../../core/_lib/createActionSet.js";
 import { runSteps } from "../../core/effects/runSteps.js";
-import type { Refusal } from "../../core/errors/createRefusal.js";
+import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
 import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
@@ -206,11 +206,20 @@
                 waiting.delete(req);
                 releaseUpstream();
                 logInternalFailure(deps.writeLog, error, { requestId: req.id });
-                caller.abort();
+                failInternally(caller);
             },
         );
     }
 
+    /** A connection that closes without an answer would leave its caller without a reason. */
+    function failInternally(caller: CallerExchange): void {
+        if (caller.hasStarted()) {
+            caller.abort();
+            return;
+        }
+        caller.refuse(createRefusal("internalError", ""));
+    }
+
     function refuseHead(res: ServerResponse, req: IncomingMessage, requestId: string, refusal: Refusal): void {
         const { kind, detail } = refusal;
         const { status, outcome } = errorTable[kind];
@@ -272,7 +281,7 @@
             res.once("close", () => active.delete(res));
             accept(req, res).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
-                res.destroy();
+                failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }));
             });
         },
         countActive: () => active.size,
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -78,14 +78,18 @@
         if (effect.needsFreshConnection === false) {
             this.cancels.push(repeatEvery(clock, unresponsivePollIntervalMs, () => this.checkResponsive()));
         }
-        this.connection.client.dispatch({
-            path: req.target,
-            method: req.method as Dispatcher.HttpMethod,
-            headers: pairs.flat(),
-            body: req.body === undefined
-                ? undefined
-                : Buffer.from(req.body.buffer, req.body.byteOffset, req.body.length),
-        }, this);
+        const { body } = req;
+        try {
+            this.connection.client.dispatch({
+                path: req.target,
+                method: req.method as Dispatcher.HttpMethod,
+                headers: pairs.flat(),
+                body: body === undefined ? undefined : Buffer.from(body.buffer, body.byteOffset, body.length),
+            }, this);
+        }
+        catch (error) {
+            this.onResponseError(undefined, error instanceof Error ? error : new Error(String(error)));
+        }
     }
 
     stop(): void {
@@ -183,7 +187,7 @@
         this.finish({ kind: "answered", answer: this.collection.toAnswer(head.status, head.headers) });
     }
 
-    onResponseError(_: Dispatcher.DispatchController, err: Error): void {
+    onResponseError(_: Dispatcher.DispatchController | undefined, err: Error): void {
         if (this.isFinished) {
             return;
         }
@@ -304,8 +308,17 @@
 export function createUpstreamSender(deps: UpstreamSenderDependencies): SendToUpstream {
     return (req, effect, caller, onOutcome) => {
         const idleMs = effect.needsFreshConnection ? maxFreshIdleMs : maxRetryableIdleMs;
-        const connection = deps.connections.acquire(effect.placement.upstream.address, idleMs);
-        const send = new Send(deps, req, effect, caller, connection, onOutcome);
+        const { upstream } = effect.placement;
+        let send: Send;
+        try {
+            const connection = deps.connections.acquire(upstream.address, idleMs);
+            send = new Send(deps, req, effect, caller, connection, onOutcome);
+        }
+        catch (error) {
+            deps.health.recordFailure(upstream.id, deps.clock.now());
+            onOutcome({ kind: "notSent", detail: String(error) });
+            return () => undefined;
+        }
         send.start();
         return () => send.stop();
     };
