End connections on which bytes arrive that become no part of an answer

Cause: the HTTP client passes these bytes over without a limit and reports none of them, so that no limit of ours saw them. Change: the connection counts what arrives. More of it ends the connection, and the send is lost: the upstream counts as failing.

--- a/features/endlessAnswers.feature
+++ b/features/endlessAnswers.feature
@@ -13,6 +13,11 @@
             | one line of a head           | non-idempotent   |
             | lines of a head              | non-idempotent   |
             | informational heads          | non-idempotent   |
+            | a status line                | non-idempotent   |
+            | a status line                | stream           |
+            | a chunk's extension          | non-idempotent   |
+            | a chunk's extension          | stream           |
+            | trailers                     | non-idempotent   |
             | bytes that are no answer     | non-idempotent   |
             | a body without a length      | non-idempotent   |
             | a chunked body               | non-idempotent   |
@@ -42,3 +47,18 @@
             | the state of an engine  |
             | the state of a peer     |
             | JSON of an outside call |
+
+    Scenario Outline: A read of <what> fails before its time limit when <bytes> never ends
+        Given an upstream that sends <bytes> without end
+        When <what> is read from it
+        Then the read has failed, and not for lack of time
+        And it has sent at most 48 MB when its connection is closed
+
+        Examples:
+            | what                   | bytes               |
+            | a topic of the store   | a status line       |
+            | a topic of the store   | a chunk's extension |
+            | the parts of a holder  | a status line       |
+            | the parts of a holder  | a chunk's extension |
+            | the state of an engine | a status line       |
+            | the state of a peer    | a status line       |
--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -62,6 +62,9 @@
 const endlessBytes: Readonly<Record<string, EndlessBytes>> = {
     "one line of a head": { first: `${head}X-Filler: `, repeated: filler },
     "lines of a head": { first: head, repeated: "X-Filler: a\r\n".repeat(1_000) },
+    "a status line": { first: "HTTP/1.1 200 ", repeated: filler },
+    "a chunk's extension": { first: `${head}Transfer-Encoding: chunked\r\n\r\n5;a=`, repeated: filler },
+    trailers: { first: `${head}Transfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: `, repeated: filler },
     "informational heads": { first: "", repeated: "HTTP/1.1 103 Early Hints\r\nX-Filler: a\r\n\r\n".repeat(100) },
     "bytes that are no answer": { first: "}{ not http", repeated: filler },
     "a body without a length": { first: `${head}Connection: close\r\n\r\n`, repeated: filler },
--- a/src/io/_lib/createWatchedConnector.ts
+++ b/src/io/_lib/createWatchedConnector.ts
@@ -1,7 +1,7 @@
 /**
  * @module
- * Opens connections for one undici client and watches how they end. undici treats any end of a connection, a reset too,
- * as the end of an answer without length.
+ * Opens connections for one undici client, watches how they end, and bounds what arrives on them. undici treats any end of a
+ * connection, a reset too, as the end of an answer without length, and reads a status line or a chunk extension without end.
  */
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
@@ -14,6 +14,12 @@
     readonly state: () => ConnectionState;
     /** Marks the current answer as ending with the connection, so that the end is checked for a reset. */
     readonly expectEnd: () => void;
+    /**
+     * Lets at most so many bytes arrive until the next call; more of them end the connection with an error.
+     *
+     * @param bytes - The bytes, which may begin in a connection that is not open yet.
+     */
+    readonly allowBytes: (bytes: number) => void;
 }
 
 /**
@@ -35,8 +41,16 @@
     const open = buildConnector({ timeout: connectTimeoutMs, allowHalfOpen: true });
     let state: ConnectionState = "open";
     let isEndExpected = false;
+    let current: Socket | undefined;
+    let allowedBytes = Infinity;
 
     function watch(socket: Socket): void {
+        current = socket;
+        socket.on("readable", () => {
+            if (socket.bytesRead > allowedBytes) {
+                socket.destroy(new Error("more bytes arrived than an answer may have"));
+            }
+        });
         state = "open";
         isEndExpected = false;
         socket.on("error", () => {
@@ -63,5 +77,8 @@
         expectEnd: () => {
             isEndExpected = true;
         },
+        allowBytes: bytes => {
+            allowedBytes = (current === undefined || current.destroyed ? 0 : current.bytesRead) + bytes;
+        },
     };
 }
--- a/src/io/_lib/requestOnce.ts
+++ b/src/io/_lib/requestOnce.ts
@@ -3,6 +3,13 @@
  * Sends one HTTP request over a connection of its own.
  */
 import { Client, type Dispatcher } from "undici";
+import { createWatchedConnector } from "./createWatchedConnector.js";
+
+/** Connect timeout, in milliseconds; the signal of a call usually ends it earlier. */
+const connectTimeoutMs = 10_000;
+
+/** Most bytes of an answer with its head and framing. */
+const maxAnswerBytes = 8 * 1024 * 1024;
 
 /** Options of {@link requestOnce}. */
 export interface RequestOnceOptions {
@@ -27,7 +34,9 @@
     path: string,
     options: RequestOnceOptions,
 ): Promise<Dispatcher.ResponseData> {
-    const client = new Client(`http://${address}`, { pipelining: 1 });
+    const connector = createWatchedConnector(connectTimeoutMs);
+    connector.allowBytes(maxAnswerBytes);
+    const client = new Client(`http://${address}`, { connect: connector.connect, pipelining: 1 });
     const { method = "GET", ...others } = options;
     const answer = client.request({ path, method, ...others, reset: true });
     client.close().catch(() => undefined);
--- a/src/io/fleet/createPeerStateReader.ts
+++ b/src/io/fleet/createPeerStateReader.ts
@@ -4,6 +4,7 @@
  */
 import { Client } from "undici";
 import { parsePeerState, type PeerState } from "../../core/fleet/peerState.js";
+import { createWatchedConnector, type WatchedConnector } from "../_lib/createWatchedConnector.js";
 import { readLimitedBody } from "../_lib/readLimitedBody.js";
 
 /** URL path of the state. */
@@ -33,6 +34,13 @@
 interface PeerConnection {
     readonly address: string;
     readonly client: Client;
+    readonly connector: WatchedConnector;
+}
+
+/** Bounds the bytes of the next answer, with its head and framing, and returns the client that reads it. */
+function allowAnswer({ client, connector }: PeerConnection): Client {
+    connector.allowBytes(2 * maxStateBytes);
+    return client;
 }
 
 /**
@@ -52,12 +60,13 @@
 
     function connect(address: string): Client {
         if (connection?.address === address) {
-            return connection.client;
+            return allowAnswer(connection);
         }
         disconnect();
-        const client = new Client(`http://${address}`, { connect: { timeout: requestTimeoutMs }, pipelining: 1 });
-        connection = { address, client };
-        return client;
+        const connector = createWatchedConnector(requestTimeoutMs);
+        const client = new Client(`http://${address}`, { connect: connector.connect, pipelining: 1 });
+        connection = { address, client, connector };
+        return allowAnswer(connection);
     }
 
     async function read(address: string, known: KnownState): Promise<PeerState | undefined> {
--- a/src/io/proxy/createConnectionPool.ts
+++ b/src/io/proxy/createConnectionPool.ts
@@ -4,21 +4,16 @@
  * request that must not run twice needs a connection that the upstream cannot have closed unnoticed.
  */
 import { Client } from "undici";
-import type { ConnectionState } from "../../core/proxy/answerEnd.js";
 import type { Clock } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
-import { createWatchedConnector } from "../_lib/createWatchedConnector.js";
+import { createWatchedConnector, type WatchedConnector } from "../_lib/createWatchedConnector.js";
 
 /** A connection of the pool. */
-export interface PooledConnection {
+export interface PooledConnection extends Omit<WatchedConnector, "connect"> {
     readonly client: Client;
     readonly address: string;
     /** Whether an earlier request was sent on it. */
     readonly isReused: boolean;
-    /** State of the connection. undici treats a reset as the end of an answer without length. */
-    readonly state: () => ConnectionState;
-    /** Marks the current answer as ending with the connection, so that the end is checked for a reset. */
-    readonly expectEnd: () => void;
 }
 
 /** The connection pool. */
@@ -79,6 +74,7 @@
             isReused: false,
             state: connector.state,
             expectEnd: connector.expectEnd,
+            allowBytes: connector.allowBytes,
         };
     }
 
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -34,6 +34,9 @@
 /** Informational heads before an answer. */
 const maxInformationalHeads = 16;
 
+/** Bytes that may arrive without becoming part of an answer: more than any head, or a chunk's extension, may have. */
+const maxUnparsedBytes = 256 * 1024;
+
 const firstSuccess = 200;
 const firstRedirect = 300;
 
@@ -79,6 +82,7 @@
             this.cancels.push(repeatEvery(clock, unresponsivePollIntervalMs, () => this.checkResponsive()));
         }
         const { body } = req;
+        this.connection.allowBytes(maxUnparsedBytes);
         try {
             this.connection.client.dispatch({
                 path: req.target,
@@ -114,6 +118,7 @@
             return;
         }
         this.controller = controller;
+        this.connection.allowBytes(maxUnparsedBytes);
         if (status < firstSuccess) {
             this.recordInformationalHead();
             return;
@@ -146,6 +151,7 @@
         if (this.isFinished) {
             return;
         }
+        this.connection.allowBytes(maxUnparsedBytes);
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
         const delivery = this.stream ?? this.collection;
         if (delivery.write(chunk)) {
