Bound what request bodies and unwritten answers hold, and return it in time

Cause: nothing bounded the bodies of requests, and each was joined in a second copy; an answer was counted only until it was handed to its connection; and what was no longer held came back late, since the engine collects by its own heap. Answers count until they are written out (0.16 of the memory in all); only those that are still collected are ended for room. After 16 MB were returned, memory is collected (--expose-gc in the deploy file).

--- /dev/null
+++ b/features/memory.feature
@@ -0,0 +1,29 @@
+Feature: What requests and answers hold stays within the memory of the process
+
+    Scenario: Request bodies beyond the budget are refused, and returned memory is used again
+        Given a budget of 1000 bytes for request bodies
+        When bodies hold 400 and 500 bytes
+        Then a body of 200 bytes finds no room
+        When the body of 400 bytes is returned
+        Then a body of 200 bytes finds room
+
+    Scenario: Memory is collected when enough of it was returned
+        Then 100 answers of 1 MB that are no longer held are collected 6 times
+
+    Scenario: An answer that is not written out makes room for no other one
+        Given a memory of 1000 bytes for answers, of which one that is not written out holds 700
+        When an answer that is collected grows to 400 bytes
+        Then only the answer that is collected is ended
+
+    # Guards against uploads that take a process over its memory.
+    Scenario: Uploads beyond the memory are refused at once, and the others are answered
+        Given a platform with a process of an instance
+        When 40 callers upload 4 MB each at once
+        Then every upload is answered, some with 200 and some refused as "memoryFull"
+        And the process has held at most 200 MB
+
+    # Guards against memory that grows from flood to flood.
+    Scenario: Answers without end, again and again, leave a process within its memory
+        Given a platform with a process of an instance, whose upstreams send bodies without end
+        When 8 times 24 requests are sent at once
+        Then the process has held at most 200 MB
--- a/features/steps/failureContainmentSteps.ts
+++ b/features/steps/failureContainmentSteps.ts
@@ -185,6 +185,7 @@
         },
         metrics: createRouterMetrics(),
         listDropped: () => new Map(),
+        collectGarbage: () => undefined,
     });
     views.onChange(() => {
         throw new Error("a listener's exception");
--- /dev/null
+++ b/features/steps/memorySteps.ts
@@ -0,0 +1,234 @@
+/**
+ * @module
+ * Steps on the memory that requests and answers hold, in the decisions and in a real process.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { startFakeStore } from "../../fakes/startFakeStore.js";
+import { createGarbageMeter } from "../../src/core/memory/createGarbageMeter.js";
+import {
+    createMemoryBudget,
+    type MemoryBudget,
+    type MemoryReservation,
+} from "../../src/core/memory/createMemoryBudget.js";
+import { type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
+import { configuration, waitUntil } from "../support/platformFixture.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface MemoryFixture {
+    budget: MemoryBudget | undefined;
+    readonly reservations: Map<number, MemoryReservation>;
+    answers: AnswerMemory | undefined;
+    readonly ended: string[];
+    instance: InstanceProcess | undefined;
+    statuses: readonly string[];
+}
+
+const fixtures = new WeakMap<SiteWorld, MemoryFixture>();
+const bytesPerMegabyte = 1_048_576;
+const firstPort = 26_000;
+
+/** Arguments with which the deploy file runs the program, on the modules of the build. */
+const command = ["--single-threaded", "--max-old-space-size=120", "--expose-gc", "dist/platform/main.js"];
+
+function getFixture(world: SiteWorld): MemoryFixture {
+    const fixture = fixtures.get(world) ?? {
+        budget: undefined,
+        reservations: new Map<number, MemoryReservation>(),
+        answers: undefined,
+        ended: [],
+        instance: undefined,
+        statuses: [],
+    };
+    fixtures.set(world, fixture);
+    return fixture;
+}
+
+Given("a budget of {int} bytes for request bodies", function(this: SiteWorld, maxBytes: number) {
+    getFixture(this).budget = createMemoryBudget({ maxBytes, onReleased: () => undefined });
+});
+
+function tryHold(fixture: MemoryFixture, bytes: number): boolean {
+    const reservation = fixture.budget!.open();
+    fixture.reservations.set(bytes, reservation);
+    return reservation.tryGrow(bytes);
+}
+
+When("bodies hold {int} and {int} bytes", function(this: SiteWorld, first: number, second: number) {
+    assert.ok(tryHold(getFixture(this), first));
+    assert.ok(tryHold(getFixture(this), second));
+});
+
+When("the body of {int} bytes is returned", function(this: SiteWorld, bytes: number) {
+    getFixture(this).reservations.get(bytes)!.release();
+});
+
+Then(/^a body of (\d+) bytes finds (no )?room$/, function(this: SiteWorld, bytes: string, no: string | undefined) {
+    assert.equal(tryHold(getFixture(this), Number(bytes)), typeof no !== "string");
+});
+
+Then(
+    "{int} answers of {int} MB that are no longer held are collected {int} times",
+    (answers: number, megabytes: number, times: number) => {
+        let collected = 0;
+        const garbage = createGarbageMeter(() => {
+            collected += 1;
+        });
+        const memory = createAnswerMemory(Infinity, garbage.record);
+        for (let index = 0; index < answers; index += 1) {
+            memory.hold(megabytes * bytesPerMegabyte).close();
+        }
+        assert.equal(collected, times);
+    },
+);
+
+Given(
+    "a memory of {int} bytes for answers, of which one that is not written out holds {int}",
+    function(this: SiteWorld, maxBytes: number, bytes: number) {
+        const fixture = getFixture(this);
+        fixture.answers = createAnswerMemory(maxBytes);
+        fixture.answers.hold(bytes);
+    },
+);
+
+When("an answer that is collected grows to {int} bytes", function(this: SiteWorld, bytes: number) {
+    const { answers, ended } = getFixture(this);
+    const holding = answers!.open(() => {
+        ended.push("collected");
+        holding.close();
+    });
+    holding.set(bytes);
+});
+
+Then("only the answer that is collected is ended", function(this: SiteWorld) {
+    const { answers, ended } = getFixture(this);
+    assert.deepEqual(ended, ["collected"]);
+    assert.equal(answers!.totalBytes(), 700);
+});
+
+const listen: RequestListener = (req, res) => {
+    req.resume();
+    req.on("end", () => {
+        res.writeHead(200, { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": "s" });
+        res.end("ok");
+    });
+};
+
+/** Answers with bytes until the connection is closed. */
+const flood: RequestListener = (req, res) => {
+    const block = Buffer.alloc(65_536, "a");
+    req.resume();
+    res.writeHead(200, { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": "s" });
+    const writeMore = () => {
+        while (!res.destroyed && res.write(block)) {
+            // Goes on until the write buffer is full.
+        }
+    };
+    res.on("drain", writeMore);
+    writeMore();
+};
+
+async function startProcess(world: SiteWorld, listener: RequestListener): Promise<void> {
+    const store = await startFakeStore();
+    const server = createServer(listener);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const largeBodies = { ...configuration, limits: { ...configuration.limits, max_body_bytes: 4 * bytesPerMegabyte } };
+    store.put("keyed.op", "config", largeBodies);
+    ["i-1", "i-2"].forEach(id =>
+        store.put("keyed.servers", id, {
+            service: "portal",
+            address: `127.0.0.1:${port}`,
+            zone: "north",
+            slots: 64,
+            state: "ready",
+            seq_no: 0,
+            born: 1,
+        })
+    );
+    const folder = mkdtempSync(join(tmpdir(), "reedward-memory-"));
+    const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.8`;
+    const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
+    const instance = createInstanceProcess(place, join(folder, "settings.json"), command);
+    world.cleanups.push(
+        () => instance.stop(),
+        () => store.stop(),
+        () => {
+            server.closeAllConnections();
+            server.close();
+            rmSync(folder, { recursive: true, force: true });
+            return Promise.resolve();
+        },
+    );
+    instance.start();
+    await waitUntil("the instance is ready", () => instance.isReady());
+    getFixture(world).instance = instance;
+}
+
+Given("a platform with a process of an instance", function(this: SiteWorld) {
+    return startProcess(this, listen);
+});
+
+Given("a platform with a process of an instance, whose upstreams send bodies without end", function(this: SiteWorld) {
+    return startProcess(this, flood);
+});
+
+async function post(instance: InstanceProcess, id: string, body: string | Buffer): Promise<string> {
+    try {
+        const res = await request(`http://${instance.callerAddress}/documents/${id}`, {
+            method: "POST",
+            headers: { host: "letters.example", "attempt-id": id, authorization: "Bearer key-clinic" },
+            body,
+            reset: true,
+        });
+        const text = await res.body.text();
+        const { error } = res.statusCode === 503
+            ? JSON.parse(text) as { error: { code: string; }; }
+            : { error: undefined };
+        return error === undefined ? String(res.statusCode) : `${res.statusCode} ${error.code}`;
+    }
+    catch (error) {
+        return `closed: ${String(error)}`;
+    }
+}
+
+When("{int} callers upload {int} MB each at once", async function(this: SiteWorld, callers: number, megabytes: number) {
+    const fixture = getFixture(this);
+    const body = Buffer.alloc(megabytes * 1_000_000, "b");
+    fixture.statuses = await Promise.all(
+        Array.from({ length: callers }, (_, index) => post(fixture.instance!, `u-${index}`, body)),
+    );
+});
+
+Then(
+    "every upload is answered, some with {int} and some refused as {string}",
+    function(this: SiteWorld, status: number, kind: string) {
+        const { statuses } = getFixture(this);
+        const expected = [String(status), `503 ${kind}`];
+        assert.deepEqual(new Set(statuses), new Set(expected), statuses.join(", "));
+    },
+);
+
+When("{int} times {int} requests are sent at once", async function(this: SiteWorld, times: number, requests: number) {
+    const fixture = getFixture(this);
+    for (let round = 0; round < times; round += 1) {
+        await Promise.all(
+            Array.from({ length: requests }, (_, index) => post(fixture.instance!, `f-${round}-${index}`, "letter")),
+        );
+    }
+});
+
+Then("the process has held at most {int} MB", function(this: SiteWorld, megabytes: number) {
+    const { instance } = getFixture(this);
+    assert.equal(instance!.lives.at(-1)?.end, undefined);
+    const status = readFileSync(`/proc/${instance!.pid()}/status`, "utf8");
+    const peakMegabytes = Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / 1_024;
+    assert.ok(peakMegabytes <= megabytes, `${Math.round(peakMegabytes)} MB`);
+});
--- a/features/steps/peerStateSteps.ts
+++ b/features/steps/peerStateSteps.ts
@@ -58,6 +58,7 @@
         writeLog: () => undefined,
         metrics: createRouterMetrics(),
         listDropped: () => new Map<string, number>(),
+        collectGarbage: () => undefined,
     };
     const states = assemblePeerState(context, assembleViews(context), {
         feeds: {
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -142,6 +142,7 @@
         heartbeatPort: 0,
         metricsAddress: "127.0.0.1:0",
         contacts: [],
+        memoryBytes: 200 * 1_048_576,
         graceMs: 900,
         drainMs: 1_000,
         configMs: 1_000,
@@ -188,6 +189,7 @@
         },
         metrics: createRouterMetrics(),
         listDropped: () => new Map(),
+        collectGarbage: () => undefined,
     });
     fixture.instances.push({ settings, router });
     world.cleanups.unshift(async () => {
--- a/features/support/storeHistories.ts
+++ b/features/support/storeHistories.ts
@@ -448,6 +448,7 @@
         writeLog: () => undefined,
         metrics: createRouterMetrics(),
         listDropped: () => new Map<string, number>(),
+        collectGarbage: () => undefined,
     };
     const views = assembleViews(context);
     const member = createMember(index);
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -5,6 +5,8 @@
 import type { RequestListener } from "node:http";
 import { millisecondsPerSecond } from "../core/constants.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
+import { createGarbageMeter } from "../core/memory/createGarbageMeter.js";
+import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
 import { createPlacer } from "../core/placement/createPlacer.js";
 import type { AnswerEnd } from "../core/proxy/answerEnd.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
@@ -31,8 +33,11 @@
 /** Minimum interval between two reads of the weights of one engine, in milliseconds. */
 const weightsReadIntervalMs = 400;
 
-/** Memory for answers that are collected or wait for the end of an event, in bytes, of all requests together. */
-const maxAnswerMemoryBytes = 32 * 1024 * 1024;
+/** Share of the process's memory for answers that are collected, not written out, or wait for the end of an event. */
+const answerMemoryShare = 0.16;
+
+/** Share of the process's memory for the bodies of requests. */
+const bodyMemoryShare = 0.32;
 
 /** The proxy. */
 export interface Proxy extends Omit<ProxyService, "handle"> {
@@ -157,9 +162,15 @@
         });
     }
 
+    const garbage = createGarbageMeter(context.collectGarbage);
+    const answerMemory = createAnswerMemory(settings.memoryBytes * answerMemoryShare, garbage.record);
+    const bodyMemory = createMemoryBudget({
+        maxBytes: settings.memoryBytes * bodyMemoryShare,
+        onReleased: garbage.record,
+    });
     const send = createUpstreamSender({
         clock,
-        answerMemory: createAnswerMemory(maxAnswerMemoryBytes),
+        answerMemory,
         codec: ports.codec,
         connections,
         health: views.health,
@@ -196,6 +207,8 @@
         routes: views.routes,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
         ...stop,
+        bodyMemory,
+        answerMemory,
         onRetry: reason => metrics.retries.inc({ reason }),
         onEnd: end => {
             metrics.requests.inc({ kind: end.kind, result: end.result });
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -28,6 +28,8 @@
     readonly metricsAddress: string;
     /** Heartbeat addresses of some instances; they may be out of date. */
     readonly contacts: readonly string[];
+    /** Memory beyond which the platform ends the process, in bytes. */
+    readonly memoryBytes: number;
     /** Maximum time from the stop signal to the end of the process. */
     readonly graceMs: number;
     /** Time after which a draining upstream must get no new requests. */
@@ -99,4 +101,6 @@
     readonly metrics: RouterMetrics;
     /** Number of dropped log lines since the start, by event. */
     readonly listDropped: () => ReadonlyMap<string, number>;
+    /** Returns memory that is no longer held to the system. */
+    readonly collectGarbage: () => void;
 }
--- a/src/core/errors/errorTable.ts
+++ b/src/core/errors/errorTable.ts
@@ -56,6 +56,7 @@
     promptQuarantined: define(503, "notRun", "doNotRetry", "A part of the prompt ends engines and is held back."),
     noCatalogue: define(503, "notRun", "retryOtherEntry", "This instance has no catalogue yet."),
     claimUnavailable: define(503, "notRun", "retrySameKey", "The claim for this key could not be recorded."),
+    memoryFull: define(503, "notRun", "retryOtherEntry", "The request bodies in progress hold too much memory."),
     stopping: define(503, "notRun", "retryOtherEntry", "This instance is shutting down."),
     upstreamNotReached: define(503, "notRun", "retryLater", "No upstream accepted the request."),
     deadlineBeforeSend: define(504, "notRun", "retrySameKey", "The deadline passed before the request was sent."),
--- /dev/null
+++ b/src/core/memory/createGarbageMeter.ts
@@ -0,0 +1,35 @@
+/**
+ * @module
+ * Decides when memory that bodies and answers no longer hold is collected. The engine collects by the size of its own heap
+ * and learns late of bytes outside it, while the platform counts all of them.
+ */
+
+/** Counts released bytes. */
+export interface GarbageMeter {
+    /** Records that bytes are no longer held; collects when that has become too many. */
+    readonly record: (bytes: number) => void;
+}
+
+/** Released bytes after which memory is collected. */
+const collectAfterBytes = 16 * 1024 * 1024;
+
+/**
+ * Creates a meter at 0.
+ *
+ * @param collect - Collects what is no longer held.
+ * @returns The meter.
+ * @example
+ * createGarbageMeter(() => globalThis.gc?.()).record(body.length);
+ */
+export function createGarbageMeter(collect: () => void): GarbageMeter {
+    let releasedBytes = 0;
+    return {
+        record: bytes => {
+            releasedBytes += bytes;
+            if (releasedBytes >= collectAfterBytes) {
+                releasedBytes = 0;
+                collect();
+            }
+        },
+    };
+}
--- a/src/core/proxy/createAnswerMemory.ts
+++ b/src/core/proxy/createAnswerMemory.ts
@@ -17,29 +17,36 @@
      * it has to close the holding.
      */
     readonly open: (evict: () => void) => AnswerHolding;
+    /** Holds a complete answer until it is written out; it is not evicted, and makes room for no other one. */
+    readonly hold: (bytes: number) => AnswerHolding;
     readonly totalBytes: () => number;
 }
 
 interface Holding {
     bytes: number;
-    readonly evict: () => void;
+    /** Undefined for an answer that is not evicted. */
+    readonly evict: (() => void) | undefined;
 }
 
 /**
  * Creates a memory that holds nothing.
  *
  * @param maxBytes - Limit of all answers together, in bytes.
+ * @param onReleased - Called with the bytes of each answer that is no longer held.
  * @returns The memory.
  * @example
  * const holding = createAnswerMemory(32 << 20).open(() => send.abort());
  * holding.set(chunk.length);
  */
-export function createAnswerMemory(maxBytes: number): AnswerMemory {
+export function createAnswerMemory(
+    maxBytes: number,
+    onReleased: (bytes: number) => void = () => undefined,
+): AnswerMemory {
     const holdings = new Set<Holding>();
     let totalBytes = 0;
 
     function findLargest(): Holding | undefined {
-        return [...holdings].reduce<Holding | undefined>(
+        return [...holdings].filter(one => one.evict !== undefined).reduce<Holding | undefined>(
             (largest, one) => largest === undefined || one.bytes > largest.bytes ? one : largest,
             undefined,
         );
@@ -48,6 +55,7 @@
     function close(holding: Holding): void {
         if (holdings.delete(holding)) {
             totalBytes -= holding.bytes;
+            onReleased(holding.bytes);
         }
     }
 
@@ -59,15 +67,22 @@
         holding.bytes = bytes;
         if (totalBytes > maxBytes) {
             const largest = findLargest();
-            largest?.evict();
+            largest?.evict?.();
         }
     }
 
+    function open(evict: (() => void) | undefined): AnswerHolding {
+        const holding: Holding = { bytes: 0, evict };
+        holdings.add(holding);
+        return { set: bytes => set(holding, bytes), close: () => close(holding) };
+    }
+
     return {
-        open: evict => {
-            const holding: Holding = { bytes: 0, evict };
-            holdings.add(holding);
-            return { set: bytes => set(holding, bytes), close: () => close(holding) };
+        open,
+        hold: bytes => {
+            const holding = open(undefined);
+            holding.set(bytes);
+            return holding;
         },
         totalBytes: () => totalBytes,
     };
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from "node:http";
 import { createActionSet } from "../../core/_lib/createActionSet.js";
 import type { Refusal } from "../../core/errors/createRefusal.js";
+import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import type { UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import type { AnswerHead } from "./proxyCodec.js";
@@ -34,6 +35,8 @@
     readonly requestId: string;
     /** Whether the connection is closed after the answer. */
     readonly isClosing: () => boolean;
+    /** Records that a complete answer is held until it is written out. */
+    readonly holdAnswer?: AnswerMemory["hold"];
     /** Called when the head of the upstream's answer is written. */
     readonly onStart?: () => void;
 }
@@ -85,6 +88,8 @@
         },
         answer: answer => {
             writeHead(answer.status, [...answer.headers, ["content-length", String(answer.body.length)]]);
+            const holding = options.holdAnswer?.(answer.body.length);
+            res.once("close", () => holding?.close());
             res.end(answer.body);
         },
         refuse: refusal => {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -9,7 +9,9 @@
 import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
+import type { MemoryBudget } from "../../core/memory/createMemoryBudget.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
+import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
 import type { PlaceResult, ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
@@ -42,6 +44,10 @@
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
     readonly shutdown: Pick<Shutdown, "isLeaving" | "findRefusal" | "createRefusal">;
     readonly durations: Pick<RouteDurations, "begin">;
+    /** Memory for the bodies of requests. */
+    readonly bodyMemory: Pick<MemoryBudget, "open">;
+    /** Memory for answers that are not written out. */
+    readonly answerMemory: Pick<AnswerMemory, "hold">;
     readonly onRetry: (reason: ProxyRetryReason) => void;
     /** Receives each send that begins. */
     readonly onSendBegin: (req: ProxyRequest, placement: Placement) => void;
@@ -248,10 +254,13 @@
             return;
         }
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
+        const reservation = deps.bodyMemory.open();
+        res.once("close", reservation.release);
         let cancelStop: CancelTimer = () => undefined;
         const body = await readBody(req, deps.clock, {
             maxBytes: checked.value.maxBodyBytes,
             timeoutMs,
+            reservation,
             onBegin: stop => {
                 cancelStop = stopActions.add(() => stop(deps.shutdown.createRefusal(deps.clock.now())));
             },
@@ -270,6 +279,7 @@
             createCallerExchange(res, {
                 requestId,
                 isClosing: deps.shutdown.isLeaving,
+                holdAnswer: deps.answerMemory.hold,
                 onStart: () => timing.start(deps.clock.now()),
             }),
         );
