--- a/bench/faults/platform/createInstanceProcess.ts
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -3,7 +3,7 @@
  * An address at which processes of an instance are started, signalled and watched, one after the other or overlapping.
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { openSync, writeFileSync } from "node:fs";
 import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
@@ -63,23 +63,26 @@
  * @param place - The instance's settings.
  * @param settingsPath - File for the settings.
  * @param command - Arguments of Node.js that run the program.
+ * @param logPath - File to which the processes append their logs, if they are kept.
  * @returns The address.
  */
 export function createInstanceProcess(
     place: InstancePlace,
     settingsPath: string,
     command: readonly string[],
+    logPath?: string,
 ): InstanceProcess {
     writeFileSync(settingsPath, JSON.stringify(describePlatformSettings(place)));
     const addressOf = (offset: number) => `${place.ip}:${place.firstPort + offset}`;
     const callerAddress = addressOf(portOffsets.caller);
     const lives: Life[] = [];
     const refusedWhileReady: string[] = [];
+    const log = logPath === undefined ? "ignore" : openSync(logPath, "a");
     let isStopped = false;
 
     function start(): void {
         const env = { PATH: process.env["PATH"], HOME: process.env["HOME"], REEDWARD_NODE_FILE: settingsPath };
-        const child = spawn(process.execPath, command, { env, stdio: ["ignore", "ignore", "inherit"] });
+        const child = spawn(process.execPath, command, { env, stdio: ["ignore", log, "inherit"] });
         const record: LifeRecord = {
             address: callerAddress,
             startedMs: performance.now(),
--- a/bench/faults/platform/playStops.ts
+++ b/bench/faults/platform/playStops.ts
@@ -43,6 +43,8 @@
     readonly program: string;
     /** Processes that do nothing but use the processor. */
     readonly busyProcesses: number;
+    /** Folder that exists, for the logs of the instances; undefined if they are not kept. */
+    readonly logFolder?: string | undefined;
 }
 
 interface Fleet {
@@ -239,7 +241,8 @@
             seeds: ips.slice(0, 3),
             storeAddress: store.address,
         };
-        return createInstanceProcess(place, join(folder, `entry-${index}.json`), [options.program]);
+        const logPath = options.logFolder === undefined ? undefined : join(options.logFolder, `entry-${index}.log`);
+        return createInstanceProcess(place, join(folder, `entry-${index}.json`), [options.program], logPath);
     });
     const busyProcesses = Array.from({ length: options.busyProcesses }, startBusyProcess);
     try {
--- a/bench/faults/platform/runStops.ts
+++ b/bench/faults/platform/runStops.ts
@@ -2,7 +2,7 @@
  * @module
  * Stops and restarts real processes of instances on loopback while callers use them:
  * `node dist/bench/faults/platform/runStops.js --plan turn|together|alone|mixed --seed N --instances N --gap MS --seconds N
- * [--program PATH] [--busy N]`. The last line is one JSON object; the exit code is 1 when a promise was broken.
+ * [--program PATH] [--busy N] [--logs FOLDER]`. The last line is one JSON object; the exit code is 1 when a promise was broken.
  */
 import { parseArgs } from "node:util";
 import { playStops, type StopPlan, stopPlans } from "./playStops.js";
@@ -18,6 +18,7 @@
         seconds: { type: "string", default: "30" },
         program: { type: "string", default: "dist/platform/main.js" },
         busy: { type: "string", default: "0" },
+        logs: { type: "string" },
     },
 });
 if (!(stopPlans as readonly string[]).includes(values.plan)) {
@@ -32,6 +33,7 @@
     seconds: Number(values.seconds),
     program: values.program,
     busyProcesses: Number(values.busy),
+    logFolder: values.logs,
 });
 violations.slice(0, maxPrintedViolations).forEach(violation => process.stdout.write(`${violation}\n`));
 process.stdout.write(`${JSON.stringify({ ...values, violations: violations.length, ...counts })}\n`);
