Let new instances take over the rollout lease on what peers know, and leaving ones where all leave

Callers saw: requests that begin on old weights long after newer ones were named (VERSION; the users saw one case). While instances restart in series the instance that is preferred is always one that waits. Change: heartbeats carry what the sender knows of the lease's topic while no claim can be missing: era, end, age of the last claim. An instance that is uncertain only because it is new relies on it. Ruled out: slow loads (570 ms each in the stand-in, no order was sent for 16 s). The lease histories with such heartbeats hold, and find an instance that tells what is uncertain (planted). The soak's SIGHUP waits until a process has a handler: before that only Node.js runs (seen once: ended after 25 ms).

--- a/bench/faults/platform/createInstanceProcess.ts
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -3,7 +3,7 @@
  * An address at which processes of an instance are started, signalled and watched, one after the other or overlapping.
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { openSync, writeFileSync } from "node:fs";
+import { openSync, readFileSync, writeFileSync } from "node:fs";
 import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
@@ -24,7 +24,10 @@
     readonly refusedWhileReady: readonly string[];
     /** Starts a process, also while an earlier one still runs. */
     readonly start: () => void;
-    /** Sends a signal to the process that was started last, if it runs. */
+    /**
+     * Sends a signal to the process that was started last, if it runs. SIGHUP waits until the process receives signals:
+     * before, Node.js itself starts, and nothing that the process does could keep it.
+     */
     readonly signal: (name: "SIGTERM" | "SIGHUP") => void;
     readonly isReady: () => Promise<boolean>;
     /** Id of the process that was started last; undefined before the first. */
@@ -42,9 +45,26 @@
 }
 
 const watchIntervalMs = 100;
+const signalPollMs = 5;
 const readinessTimeoutMs = 1_000;
 const millisecondsPerSecond = 1_000;
 
+/** Bit of SIGHUP in the masks of signals of a process. */
+const hangupBit = 1n;
+
+/** Returns whether a process has a handler for SIGHUP. */
+export function receivesHangup(pid: number): boolean {
+    try {
+        const status = readFileSync(`/proc/${pid}/status`, "utf8");
+        const mask = BigInt(`0x${/^SigCgt:\s*([0-9a-f]+)/m.exec(status)?.[1] ?? "0"}`);
+        return (mask & hangupBit) !== 0n;
+    }
+    catch {
+        // The process has ended.
+        return false;
+    }
+}
+
 function canConnect(address: string): Promise<boolean> {
     const [host, port] = address.split(":");
     return new Promise(resolve => {
@@ -106,8 +126,12 @@
         if (last === undefined || last.record.endedMs !== undefined) {
             return;
         }
+        if (name === "SIGHUP") {
+            void signalOnceReceived(last);
+            return;
+        }
         last.child.kill(name);
-        if (name === "SIGTERM" && last.record.termMs === undefined) {
+        if (last.record.termMs === undefined) {
             last.record.termMs = performance.now();
             setTimeout(() => {
                 if (last.record.endedMs === undefined) {
@@ -117,6 +141,16 @@
         }
     }
 
+    async function signalOnceReceived({ child, record }: Life): Promise<void> {
+        while (record.endedMs === undefined) {
+            if (child.pid !== undefined && receivesHangup(child.pid)) {
+                child.kill("SIGHUP");
+                return;
+            }
+            await delay(signalPollMs);
+        }
+    }
+
     async function isReady(): Promise<boolean> {
         try {
             const url = `http://${addressOf(portOffsets.readiness)}/reedward/readiness`;
--- a/bench/faults/platform/playStops.ts
+++ b/bench/faults/platform/playStops.ts
@@ -64,7 +64,7 @@
 const pollMs = 100;
 const millisecondsPerSecond = 1_000;
 
-/** Time from the start of a process until it can receive signals, in milliseconds: Node.js itself has to start. */
+/** Time from the start of a process at which signals meet it while it loads, in milliseconds. */
 const receivesSignalsMs = 150;
 
 function describeRoute(name: string, pathPrefix: string, kind: string, service: string): unknown {
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -6,10 +6,15 @@
         And the same check detects a lease without separation
         And the same check detects a lease that stays valid across a pause of its holder
 
+    # Guards against weights that nobody loads because each new instance waits as after a return of the store.
+    Scenario: A new instance takes over the lease as soon as a peer has told it that no claim is missing
+        Then an instance that starts beside one that knows the topic holds the lease at once
+
     Scenario: No two instances hold the lease across a return of the store from an older copy, and it is free again
         Then over 2000 random histories with seed 13 and returns of the store, no two holders' orders are too close
         And the same check detects a lease that does not see returns
         And the same check detects a lease that trusts claims from before a return
+        And the same check detects an instance that tells peers of claims which may be missing
         And after each of 500 such histories with seed 17 the lease is held again within 10000 ms
 
     Scenario: A claim that was sent before a return of the store and appended after it does not count
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -65,3 +65,4 @@
         Examples:
             | plan  | instances | seed |
             | turn  | 4         | 1    |
+            | mixed | 3         | 2    |
--- a/features/steps/instanceProcessSteps.ts
+++ b/features/steps/instanceProcessSteps.ts
@@ -5,13 +5,17 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import {
+    createInstanceProcess,
+    type InstanceProcess,
+    receivesHangup,
+} from "../../bench/faults/platform/createInstanceProcess.js";
 import { portOffsets } from "../../bench/support/platformSettings.js";
 import { startFakeServer } from "../../fakes/startFakeServer.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
@@ -31,9 +35,6 @@
 
 const pollMs = 2;
 
-/** Bit of SIGHUP in the masks of signals of a process. */
-const hangupBit = 1n;
-
 function getFixture(world: SiteWorld): ProcessFixture {
     const fixture = fixtures.get(world);
     assert.ok(fixture !== undefined);
@@ -146,12 +147,6 @@
     assert.equal(instance.lives[0]?.end, undefined);
 });
 
-function receivesHangup(pid: number): boolean {
-    const status = readFileSync(`/proc/${pid}/status`, "utf8");
-    const mask = BigInt(`0x${/^SigCgt:\s*([0-9a-f]+)/m.exec(status)?.[1] ?? "0"}`);
-    return (mask & hangupBit) !== 0n;
-}
-
 When(
     /^the instance is started and gets (SIGHUP|SIGTERM) as soon as it receives signals$/,
     async function(this: SiteWorld, name: string) {
--- a/features/steps/leaseStoreSteps.ts
+++ b/features/steps/leaseStoreSteps.ts
@@ -77,6 +77,7 @@
         leaseTopic: "lease",
         lease,
         listLive: () => [],
+        isLeaving: () => false,
         checkPause: () => undefined,
         notifyPeers: () => undefined,
         writeLog: () => undefined,
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { leaseValidMs } from "../../src/core/weights/createRolloutLease.js";
+import { createRolloutLease, leaseValidMs } from "../../src/core/weights/createRolloutLease.js";
 import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
 import { type LoadEffect, type LoadEnd, loadWeights, type OrderAnswer } from "../../src/core/weights/loadWeights.js";
 import { planLoads } from "../../src/core/weights/planLoads.js";
@@ -37,6 +37,7 @@
     ignoresPauses: false,
     ignoresReturns: false,
     trustsOldClaims: false,
+    tellsUncertain: false,
 };
 
 Then(
@@ -76,6 +77,20 @@
     assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, trustsOldClaims: true }));
 });
 
+Then("the same check detects an instance that tells peers of claims which may be missing", function() {
+    assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, tellsUncertain: true }));
+});
+
+Then("an instance that starts beside one that knows the topic holds the lease at once", function() {
+    const [old, fresh] = ["a", "b"].map(instance => createRolloutLease({ instance, separationMs }));
+    old!.recordEra(1, 0);
+    const nowMs = 60_000;
+    fresh!.recordEra(1, nowMs);
+    assert.equal(fresh!.isFree(nowMs + 1_000), false);
+    fresh!.recordKnowledge(old!.describeKnowledge(nowMs)!, nowMs + 1_000);
+    assert.equal(fresh!.isFree(nowMs + 1_000), true);
+});
+
 /** Time between the turns of a calm phase, in milliseconds. */
 const calmTurnMs = 50;
 
--- a/features/support/leaseHistories.ts
+++ b/features/support/leaseHistories.ts
@@ -28,6 +28,8 @@
     readonly ignoresReturns: boolean;
     /** Whether instances take every claim that is left after a return for one that was made since. */
     readonly trustsOldClaims: boolean;
+    /** Whether instances tell peers what they know of the topic although claims may be missing from it. */
+    readonly tellsUncertain: boolean;
 }
 
 /** One step of a history. */
@@ -112,6 +114,20 @@
         lease.recordEnd(topic.length, nowMs);
     }
 
+    /** Every second turn, an instance receives the heartbeat of the next one. */
+    function hear(instance: Instance, durationMs: number): void {
+        const peer = instances[(instances.indexOf(instance) + 1) % instances.length]!;
+        if (durationMs % 2 === 0 && !instance.isPartitioned && !peer.isPartitioned) {
+            const { lease } = peer;
+            const knowledge = faults.tellsUncertain
+                ? { era: lease.era(), end: lease.end(), ageMs: 60_000 }
+                : lease.describeKnowledge(clockOf(peer));
+            if (knowledge !== undefined) {
+                instance.lease.recordKnowledge(knowledge, clockOf(instance));
+            }
+        }
+    }
+
     function claimLease(instance: Instance, action: Turn[1]): void {
         const { lease, name } = instance;
         const claim = { instance: name, era: lease.era() };
@@ -124,11 +140,12 @@
         }
     }
 
-    function act(instance: Instance, action: Turn[1]): void {
+    function act(instance: Instance, action: Turn[1], durationMs: number): void {
         const { lease, name } = instance;
         const nowMs = clockOf(instance);
         if (!instance.isPartitioned) {
             readTopic(instance);
+            hear(instance, durationMs);
             if (lease.fence(nowMs) === undefined && lease.isFree(nowMs)) {
                 claimLease(instance, action);
             }
@@ -165,7 +182,7 @@
         trueMs += durationMs;
         runLateAppends();
         if (action !== "pause" && action !== "return") {
-            act(instance, action);
+            act(instance, action, durationMs);
         }
     }
     return orders;
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -13,7 +13,7 @@
 import type { PartGuard } from "../core/quarantine/createPartGuard.js";
 import type { StoreReadPlan } from "../core/store/planStoreReads.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
-import { type LeaseClaim, unknownEra } from "../core/weights/createRolloutLease.js";
+import { type LeaseClaim, type LeaseKnowledge, unknownEra } from "../core/weights/createRolloutLease.js";
 import { createPeerStateReader } from "../io/fleet/createPeerStateReader.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { ListenerGroup } from "../io/http/createListenerGroup.js";
@@ -61,6 +61,8 @@
     readonly listLoading: () => readonly string[];
     readonly heldLease: () => LeaseClaim | undefined;
     readonly recordLease: (claim: LeaseClaim) => void;
+    readonly describeLeaseKnowledge: () => LeaseKnowledge | undefined;
+    readonly recordLeaseKnowledge: (knowledge: LeaseKnowledge) => void;
     readonly plan: () => StoreReadPlan;
     readonly listeners: Pick<ListenerGroup, "add">;
     /** Detects a pause of the process. */
@@ -153,6 +155,7 @@
             loaded: sources.listLoading().length > 0 ? listLoaded() : [],
             leaseOffset: lease?.offset,
             leaseEra: lease?.era,
+            leaseSeen: sources.describeLeaseKnowledge(),
             quarantine: sources.quarantine.digest(),
             signals: sources.permits.digest(),
             known: [],
@@ -207,6 +210,9 @@
             const era = heartbeat.leaseEra ?? unknownEra;
             sources.recordLease({ instance: from.name, era, offset: heartbeat.leaseOffset });
         }
+        if (heartbeat.leaseSeen !== undefined) {
+            sources.recordLeaseKnowledge(heartbeat.leaseSeen);
+        }
     }
 
     /** Logs members that joined, changed or left, and removes the reports of those that left. */
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -72,6 +72,12 @@
     leaseOffset: z.number().int().optional(),
     /** Era of the store in which the sender claimed it; builds before the store had eras leave it out. */
     leaseEra: z.number().int().min(0).optional(),
+    /** What the sender knows of the lease's topic; left out while claims may be missing from it, and by older builds. */
+    leaseSeen: z.object({
+        era: z.number().int().min(0),
+        end: z.number().int().min(0),
+        ageMs: z.number().min(0),
+    }).readonly().optional(),
     /** Digest of the sender's quarantine of prompt parts; left out while it is empty. */
     quarantine: z.string().max(maxDigestLength).optional(),
     /** Digest of what the sender knows of upstreams' signals; left out while that is nothing. */
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -18,12 +18,28 @@
     readonly offset: number;
 }
 
+/**
+ * What an instance knows of the topic while no claim can be missing from it: an instance that has just started can rely on it,
+ * which would otherwise wait as long as after a return of the store.
+ */
+export interface LeaseKnowledge {
+    readonly era: number;
+    /** Offset at which the topic ended. */
+    readonly end: number;
+    /** Milliseconds for which the last claim before it has been known. */
+    readonly ageMs: number;
+}
+
 /** The lease as known to this instance. Times are milliseconds on its clock. */
 export interface RolloutLease {
     /** Records a record of the topic, read in the current era. */
     readonly recordClaim: (claim: LeaseClaim, nowMs: number) => void;
     /** Records a claim that its holder reports to its peers. */
     readonly recordReportedClaim: (claim: LeaseClaim, nowMs: number) => void;
+    /** Returns what peers may rely on; undefined while claims may be missing. */
+    readonly describeKnowledge: (nowMs: number) => LeaseKnowledge | undefined;
+    /** Records what a peer knows. */
+    readonly recordKnowledge: (knowledge: LeaseKnowledge, nowMs: number) => void;
     /** Records that the topic has no records before an offset. */
     readonly recordFirst: (first: number, nowMs: number) => void;
     /** Records that the topic ends at an offset, without knowing the record before it. */
@@ -87,6 +103,8 @@
     let own: { readonly claim: LeaseClaim; readonly sentMs: number; } | undefined;
     /** Since when claims may be missing from the topic; undefined once a claim shows that none is. */
     let uncertainSinceMs: number | undefined;
+    /** Whether claims may be missing only because this instance has not known the era for long. */
+    let isNewcomer = false;
 
     const currentEra = () => era ?? unknownEra;
 
@@ -96,12 +114,15 @@
         own = undefined;
         learnedMs = nowMs;
         uncertainSinceMs = nowMs;
+        isNewcomer = false;
     }
 
     function recordEra(newEra: number, nowMs: number): void {
         if (era === undefined || newEra > era) {
+            const isFirst = era === undefined;
             era = newEra;
             reset(nowMs);
+            isNewcomer = isFirst;
         }
     }
 
@@ -153,6 +174,21 @@
                 recordClaim(claim, nowMs);
             }
         },
+        describeKnowledge: nowMs =>
+            mayHaveLostClaims(nowMs) ? undefined : {
+                era: currentEra(),
+                end,
+                ageMs: Math.min(takeoverDelayMs, nowMs - learnedMs),
+            },
+        recordKnowledge: (knowledge, nowMs) => {
+            if (knowledge.era !== currentEra() || (uncertainSinceMs !== undefined && !isNewcomer)) {
+                return;
+            }
+            uncertainSinceMs = undefined;
+            if (knowledge.end === end) {
+                learnedMs = Math.min(learnedMs, nowMs - knowledge.ageMs);
+            }
+        },
         recordFirst: (first, nowMs) => {
             if (mayHaveLostClaims(nowMs)) {
                 // Records that are deleted already are older than the return, from which the takeover delay counts.
--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -18,6 +18,7 @@
     readonly leaseTopic: string;
     readonly lease: RolloutLease;
     readonly listLive: () => readonly FleetMember[];
+    readonly isLeaving: () => boolean;
     /** Detects a pause of the process; called before steps that must not rely on state from before a pause. */
     readonly checkPause: () => void;
     /** Sends a heartbeat to peers at once. */
@@ -53,8 +54,9 @@
 
     /** The last holder is preferred; without it the instance with the lowest name, and after a delay any other. */
     function isPreferred(nowMs: number): boolean {
+        const ownState = deps.isLeaving() ? "leaving" : "serving";
         const live = deps.listLive().map(member => member.instance)
-            .filter(instance => instance.state === "serving");
+            .filter(instance => instance.state === ownState);
         const holder = lease.holder();
         if (holder === deps.instance) {
             return true;
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -214,8 +214,9 @@
 
     async function check(): Promise<void> {
         const work = listWork();
-        // A leaving holder goes on: another instance has to wait until the lease is free.
-        const mayOrder = !deps.isLeaving() || lease.fence(clock.now()) !== undefined;
+        // A leaving holder goes on: another instance has to wait until the lease is free. Where all leave, one of them orders.
+        const hasServing = deps.listLive().some(member => member.instance.state === "serving");
+        const mayOrder = !deps.isLeaving() || lease.fence(clock.now()) !== undefined || !hasServing;
         if (work.length === 0 || !mayOrder || !deps.isStoreFresh()) {
             workSinceMs = undefined;
             return;
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -113,6 +113,8 @@
         listeners,
         listLoading: () => rollout.listLoading(),
         heldLease: () => lease.heldClaim(clock.now()),
+        describeLeaseKnowledge: () => lease.describeKnowledge(clock.now()),
+        recordLeaseKnowledge: knowledge => lease.recordKnowledge(knowledge, clock.now()),
         recordLease: claim => lease.recordReportedClaim(claim, clock.now()),
         plan,
         checkPause: () => pauses.check(),
