Keep the quarantine in the store, so that it outlasts all processes

Cause: the quarantine lived in the processes alone; new ones began without it and need five engines for a verdict.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -20,3 +20,11 @@
         Given an instance in charge with another one that has answered nothing
         When two engines end under different requests with one part, and nothing else happens for 20 s
         Then the other one was asked at most 2 times
+
+    # Guards against harmful prompt parts that reach upstreams again once all processes were killed.
+    Scenario: The quarantine outlasts the end of all instances
+        Given an instance that keeps its quarantine in a store, and whose part "style" is held
+        When all instances end, and a new one starts on the store
+        Then the new instance holds the part "style"
+        When the part is lifted, and another new instance starts on the store
+        Then it holds no part
--- a/src/assemble/assembleQuarantine.ts
+++ b/src/assemble/assembleQuarantine.ts
@@ -4,6 +4,7 @@
  */
 import { createPartGuard, type PartGuard, type QuarantineChange } from "../core/quarantine/createPartGuard.js";
 import type { QuarantineMessage } from "../core/quarantine/quarantineMessage.js";
+import { keepQuarantine } from "../io/quarantine/keepQuarantine.js";
 import { assembleEndTracking, type SendObserver } from "./assembleEndTracking.js";
 import type { InstanceContext } from "./routerPorts.js";
 
@@ -11,6 +12,8 @@
 export interface QuarantinePeers {
     readonly listOthers: () => readonly string[];
     readonly send: (names: readonly string[], message: QuarantineMessage) => void;
+    /** Whether this instance reads the store for the others. */
+    readonly isReader: () => boolean;
 }
 
 /** The guard with the observation of sends. */
@@ -21,6 +24,7 @@
     readonly onChange: (action: () => void) => void;
     /** Forgets what is in progress, after a pause of the process. */
     readonly clear: () => void;
+    readonly stop: () => void;
 }
 
 /**
@@ -31,7 +35,7 @@
  * @returns The guard and the observer of sends.
  */
 export function assembleQuarantine(context: InstanceContext, peers: QuarantinePeers): InstanceQuarantine {
-    const { clock, settings, writeLog, metrics } = context;
+    const { clock, settings, ports, writeLog, metrics } = context;
     const listeners: (() => void)[] = [];
 
     function recordChange({ part, change, suspicion }: QuarantineChange): void {
@@ -54,6 +58,15 @@
         listOthers: peers.listOthers,
         send: peers.send,
         onChange: recordChange,
+        keep: record => kept.keep(record),
+    });
+    const kept = keepQuarantine({
+        clock,
+        store: ports.store,
+        topic: ports.topics.quarantine,
+        isReader: peers.isReader,
+        restore: guard.restore,
+        writeLog,
     });
     const tracking = assembleEndTracking(context, { onEnd: guard.recordEnd, onSettled: guard.recordAnswer });
     return {
@@ -74,5 +87,6 @@
             tracking.clear();
             guard.clear();
         },
+        stop: kept.stop,
     };
 }
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -64,6 +64,8 @@
     readonly instances: string;
     /** Claims of the rollout lease. */
     readonly lease: string;
+    /** Topic with keys: prompt parts that end engines. */
+    readonly quarantine: string;
 }
 
 /** Query parameters of a request for the list of entries. */
--- a/src/core/quarantine/createPartGuard.ts
+++ b/src/core/quarantine/createPartGuard.ts
@@ -54,6 +54,8 @@
     readonly compareDigest: (from: string, digest: string | undefined) => void;
     readonly digest: () => string | undefined;
     readonly list: () => readonly QuarantineRecord[];
+    /** Takes entries that were kept for longer than any process. */
+    readonly restore: (records: readonly QuarantineRecord[]) => void;
     /** Lifts the entry of a part on all instances; returns false when there is none. */
     readonly lift: (part: string) => boolean;
     /** Forgets inquiries and probes, after a pause of the process. */
@@ -69,6 +71,8 @@
     readonly send: (names: readonly string[], message: QuarantineMessage) => void;
     /** Called after each change of the quarantine. */
     readonly onChange: (change: QuarantineChange) => void;
+    /** Keeps an entry that this instance has changed. */
+    readonly keep?: ((record: QuarantineRecord) => void) | undefined;
 }
 
 /** Delay after which a message is sent again, in milliseconds; datagrams may be lost. */
@@ -133,8 +137,17 @@
         return { quarantine: { kind: "entries", entries: quarantine.list(clock.now()) } };
     }
 
-    function announce(change: QuarantineChange): void {
+    /** Tells the others of an entry that this instance has changed, and has it kept. */
+    function spread(part: string): void {
         sendTwice(deps.listOthers(), describeEntries());
+        const record = quarantine.list(clock.now()).find(entry => entry.part === part);
+        if (record !== undefined) {
+            deps.keep?.(record);
+        }
+    }
+
+    function announce(change: QuarantineChange): void {
+        spread(change.part);
         deps.onChange(change);
     }
 
@@ -187,7 +200,7 @@
                 break;
         }
         if (change === "contain" || change === "hold") {
-            sendTwice(deps.listOthers(), describeEntries());
+            spread(part);
         }
         deps.onChange({ part, change, suspicion });
     }
@@ -373,6 +386,7 @@
         },
         digest: quarantine.digest,
         list: () => quarantine.list(clock.now()),
+        restore: applyEntries,
         lift,
         clear: () => {
             inquiries.clear();
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -95,6 +95,7 @@
     const quarantine = assembleQuarantine(context, {
         listOthers: () => joinedFleet?.listLive().map(member => member.instance.name) ?? [],
         send: (names, message) => joinedFleet?.sendMessage(names, message),
+        isReader: () => plan().isReader,
     });
     const permits = assemblePermits(context, views, {
         listLive: () => joinedFleet?.listLive() ?? [],
@@ -204,6 +205,7 @@
         });
         servers.close();
         feeds.stop();
+        quarantine.stop();
         partFeeds.stop();
         rollout.stop();
         fleet.stop();
