Count requests out that were sent behind another one on a connection that closes

Found on reading the diff: a request that is pipelined behind an unanswered one gets no end from Node.js when their connection closes. Since the stop and the memory of bodies count by it, such a request kept its memory and counted as in progress for ever. Change: a response is over when it closes or its connection does (src/io/proxy/_lib/onResponseOver.ts). Evidence: features/platformPath.feature, 'Requests behind another one on a connection that closes are over': fails without the change, passes.

--- a/features/platformPath.feature
+++ b/features/platformPath.feature
@@ -61,6 +61,11 @@
         When a caller streams a request through the third instance
         Then it gets both events and the engine's seal
 
+    # Guards against requests that count for ever because Node.js reports no end of them.
+    Scenario: Requests behind another one on a connection that closes are over
+        When a caller sends 3 requests at once on one connection, and closes it
+        Then the first instance has no request in progress
+
     Scenario: A draining instance leaves the entry list at once and still serves requests that arrive
         When the first instance starts to drain
         Then the second instance lists only itself
--- a/features/steps/platformPathSteps.ts
+++ b/features/steps/platformPathSteps.ts
@@ -235,6 +235,36 @@
     await waitUntil("the third instance has loaded its peer's state", () => isReady(instance));
 });
 
+When(
+    "a caller sends {int} requests at once on one connection, and closes it",
+    async function(this: SiteWorld, count: number) {
+        const [host, port] = getFixture(this).instances[0]!.settings.callerAddress.split(":");
+        const head = [
+            "POST /documents/1 HTTP/1.1",
+            "Host: letters.example",
+            "Authorization: Bearer key-clinic",
+            "Content-Length: 6",
+        ];
+        const texts = Array.from(
+            { length: count },
+            (_, index) => [...head, `Attempt-Id: p-${index}`, "", "letter"].join("\r\n"),
+        );
+        await new Promise<void>(resolve => {
+            const socket = connect(Number(port), host, () => socket.write(texts.join(""), () => socket.destroy()));
+            socket.on("close", () => resolve());
+        });
+    },
+);
+
+Then("the first instance has no request in progress", async function(this: SiteWorld) {
+    const { metricsAddress } = getFixture(this).instances[0]!.settings;
+    const readActive = async () => {
+        const res = await request(`http://${metricsAddress}/metrics`, { reset: true });
+        return /^reedward_router_active_requests (\d+)/m.exec(await res.body.text())?.[1];
+    };
+    await waitUntil("requests that came last are counted out", async () => await readActive() === "0");
+});
+
 When("the first instance starts to drain", function(this: SiteWorld) {
     void getFixture(this).instances[0]!.router.drain();
 });
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -8,6 +8,7 @@
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import type { UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
+import { onResponseOver } from "./_lib/onResponseOver.js";
 import type { AnswerHead } from "./proxyCodec.js";
 import { writePlainRefusal } from "./writePlainRefusal.js";
 
@@ -51,7 +52,7 @@
 export function createCallerExchange(res: ServerResponse, options: CallerExchangeOptions): CallerExchange {
     const disconnectActions = createActionSet();
     let isDisconnected = false;
-    res.on("close", () => {
+    onResponseOver(res, () => {
         if (!res.writableFinished) {
             isDisconnected = true;
             disconnectActions.run();
@@ -89,7 +90,7 @@
         answer: answer => {
             writeHead(answer.status, [...answer.headers, ["content-length", String(answer.body.length)]]);
             const holding = options.holdAnswer?.(answer.body.length);
-            res.once("close", () => holding?.close());
+            onResponseOver(res, () => holding?.close());
             res.end(answer.body);
         },
         refuse: refusal => {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -3,7 +3,7 @@
  * Handles callers' requests: validates them against the configuration, reads their bodies and runs their steps.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { createActionSet } from "../../core/_lib/createActionSet.js";
+import { type ActionSet, createActionSet } from "../../core/_lib/createActionSet.js";
 import { runSteps } from "../../core/effects/runSteps.js";
 import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
 import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
@@ -22,6 +22,7 @@
 import type { Shutdown } from "../../core/shutdown/createShutdown.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { readBody } from "../http/readBody.js";
+import { onResponseOver } from "./_lib/onResponseOver.js";
 import { type CheckedHead, checkRequestHead } from "./checkRequestHead.js";
 import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
 import { describeSend, describeSendEnd } from "./describeSend.js";
@@ -239,7 +240,8 @@
         req.resume();
     }
 
-    async function accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    /** `overActions` run once the response is over. */
+    async function accept(req: IncomingMessage, res: ServerResponse, overActions: ActionSet): Promise<void> {
         const arrivedMs = deps.clock.now();
         const read = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders);
         const requestId = read.map(head => head.id).unwrapOr("");
@@ -255,7 +257,7 @@
         }
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
         const reservation = deps.bodyMemory.open();
-        res.once("close", reservation.release);
+        overActions.add(reservation.release);
         let cancelStop: CancelTimer = () => undefined;
         const body = await readBody(req, deps.clock, {
             maxBytes: checked.value.maxBodyBytes,
@@ -273,7 +275,7 @@
         const proxied = toRequest(checked.value, body.value, arrivedMs);
         const outputTokens = proxied.prompt?.outputTokens ?? 0;
         const timing = deps.durations.begin(proxied.route.name, outputTokens, deps.clock.now());
-        res.once("close", () => timing.end(deps.clock.now(), res.writableFinished));
+        overActions.add(() => timing.end(deps.clock.now(), res.writableFinished));
         serve(
             proxied,
             createCallerExchange(res, {
@@ -287,9 +289,11 @@
 
     return {
         handle: (req, res) => {
+            const overActions = createActionSet();
             active.add(res);
-            res.once("close", () => active.delete(res));
-            accept(req, res).catch((error: unknown) => {
+            overActions.add(() => active.delete(res));
+            onResponseOver(res, overActions.run);
+            accept(req, res, overActions).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
                 failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }));
             });
