Put a doc comment back above the option that it describes

Found on reading the change: the comment of onBegin stood above reservation, which had been put between them. Comments alone change; formatter, linter and compiler are clean, no test was run for it.

--- a/src/io/http/readBody.ts
+++ b/src/io/http/readBody.ts
@@ -12,9 +12,9 @@
 export interface ReadBodyOptions {
     readonly maxBytes: number;
     readonly timeoutMs: number;
-    /** Receives a function that ends the reading with a refusal; it has no effect once the body is complete. */
     /** Memory that the body holds, and goes on to hold after it was read; unbounded when it is left out. */
     readonly reservation?: Pick<MemoryReservation, "tryGrow">;
+    /** Receives a function that ends the reading with a refusal; it has no effect once the body is complete. */
     readonly onBegin?: (stop: (refusal: Refusal) => void) => void;
 }
 
