--- a/bench/quarantine/quarantineTypes.ts
+++ b/bench/quarantine/quarantineTypes.ts
@@ -2,7 +2,7 @@
  * @module
  * Parameters and results of histories in which engines end under requests.
  */
-import type { QuarantineChange } from "../../src/core/quarantine/createPartGuard.js";
+import type { QuarantineChange } from "../../src/core/quarantine/partGuardTypes.js";
 import type { Disturbance } from "../support/createModelFleet.js";
 
 /** Where in its prompt a harmful part stands. */
--- a/features/steps/partGuardSteps.ts
+++ b/features/steps/partGuardSteps.ts
@@ -5,7 +5,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
-import { createPartGuard, type PartGuard } from "../../src/core/quarantine/createPartGuard.js";
+import { createPartGuard } from "../../src/core/quarantine/createPartGuard.js";
+import type { PartGuard } from "../../src/core/quarantine/partGuardTypes.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface GuardFixture {
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -10,7 +10,7 @@
 import type { PeerMessage } from "../core/fleet/parseFleetMessage.js";
 import { maxDirectPeers } from "../core/fleet/planHeartbeats.js";
 import type { Prefill } from "../core/fleet/prefillReport.js";
-import type { PartGuard } from "../core/quarantine/createPartGuard.js";
+import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { StoreReadPlan } from "../core/store/planStoreReads.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
 import { type LeaseClaim, type LeaseKnowledge, unknownEra } from "../core/weights/createRolloutLease.js";
--- a/src/assemble/assembleQuarantine.ts
+++ b/src/assemble/assembleQuarantine.ts
@@ -2,7 +2,8 @@
  * @module
  * Assembles the guard that keeps prompts which end engines from ending more of them.
  */
-import { createPartGuard, type PartGuard, type QuarantineChange } from "../core/quarantine/createPartGuard.js";
+import { createPartGuard } from "../core/quarantine/createPartGuard.js";
+import type { PartGuard, QuarantineChange } from "../core/quarantine/partGuardTypes.js";
 import type { QuarantineMessage } from "../core/quarantine/quarantineMessage.js";
 import { keepQuarantine } from "../io/quarantine/keepQuarantine.js";
 import { assembleEndTracking, type SendObserver } from "./assembleEndTracking.js";
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -7,7 +7,7 @@
 import polka from "polka";
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
-import type { PartGuard } from "../core/quarantine/createPartGuard.js";
+import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
--- a/src/core/quarantine/createGuardedPlacer.ts
+++ b/src/core/quarantine/createGuardedPlacer.ts
@@ -10,7 +10,7 @@
 import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
-import type { PartGuard } from "./createPartGuard.js";
+import type { PartGuard } from "./partGuardTypes.js";
 
 /** A placer that asks the guard. */
 export interface GuardedPlacer extends Placer {
--- a/src/core/quarantine/createPartGuard.ts
+++ b/src/core/quarantine/createPartGuard.ts
@@ -3,14 +3,16 @@
  * Keeps prompts that end engines from ending more of them. Each instance reports the ends that it sees to a few instances in
  * charge; these ask all others about a suspected part and tell everybody their verdict.
  */
-import type { Clock } from "../time/clock.js";
+import { createDueSuspicions } from "./createDueSuspicions.js";
 import { createInquiries } from "./createInquiries.js";
+import { createPartAdmission } from "./createPartAdmission.js";
 import { createPartEvidence, type Suspicion } from "./createPartEvidence.js";
 import { createPartHistory, type PartTestimony } from "./createPartHistory.js";
 import { createProbes, type FailedProbe } from "./createProbes.js";
 import { createQuarantine } from "./createQuarantine.js";
 import type { EngineEnd } from "./engineEnd.js";
-import { isWorthJudging, judgePart, type PartVerdict } from "./judgePart.js";
+import { judgePart } from "./judgePart.js";
+import type { PartGuard, PartGuardDependencies, QuarantineChange } from "./partGuardTypes.js";
 import {
     type InquiredPart,
     maxReportedRequests,
@@ -20,61 +22,6 @@
 } from "./quarantineMessage.js";
 import { rankJudges } from "./rankJudges.js";
 
-/** Whether a request may be sent.
- *
- * - `free`: nothing is known against its prompt.
- * - `probe`: it may be sent as the one request that shows whether a part ends engines.
- * - `wait`: another request is to show that first.
- * - `held`: it is to be refused because of a part. */
-export type Admission =
-    | { readonly kind: "free" | "probe" | "wait"; }
-    | { readonly kind: "held"; readonly part: string; };
-
-/** A verdict, or another change of the quarantine, for logs. */
-export interface QuarantineChange {
-    readonly part: string;
-    readonly change: PartVerdict | QuarantineRecord["state"] | "granted";
-    /** The evidence, where this instance has judged. */
-    readonly suspicion?: Suspicion | undefined;
-}
-
-/** The guard of an instance. */
-export interface PartGuard {
-    readonly admit: (requestId: string, parts: readonly string[]) => Admission;
-    /** Records that a request is sent as a probe. */
-    readonly beginProbe: (requestId: string, parts: readonly string[]) => void;
-    /** Records that a send of a request has ended; it is not sent again as a probe. */
-    readonly endProbe: (requestId: string) => void;
-    /** Records that a prompt was answered; `sentMs` is when the request was sent. */
-    readonly recordAnswer: (parts: readonly string[], sentMs: number) => void;
-    /** Records the end of an engine under this instance's requests. */
-    readonly recordEnd: (end: EngineEnd) => void;
-    readonly receive: (from: string, message: QuarantineMessage) => void;
-    /** Compares the quarantine with that of another instance, which gets the entries if they differ. */
-    readonly compareDigest: (from: string, digest: string | undefined) => void;
-    readonly digest: () => string | undefined;
-    readonly list: () => readonly QuarantineRecord[];
-    /** Takes entries that were kept for longer than any process. */
-    readonly restore: (records: readonly QuarantineRecord[]) => void;
-    /** Lifts the entry of a part on all instances; returns false when there is none. */
-    readonly lift: (part: string) => boolean;
-    /** Forgets inquiries and probes, after a pause of the process. */
-    readonly clear: () => void;
-}
-
-/** Dependencies of {@link createPartGuard}. */
-export interface PartGuardDependencies {
-    readonly clock: Clock;
-    readonly self: string;
-    /** Names of the other live instances. */
-    readonly listOthers: () => readonly string[];
-    readonly send: (names: readonly string[], message: QuarantineMessage) => void;
-    /** Called after each change of the quarantine. */
-    readonly onChange: (change: QuarantineChange) => void;
-    /** Keeps an entry that this instance has changed. */
-    readonly keep?: ((record: QuarantineRecord) => void) | undefined;
-}
-
 /** Delay after which a message is sent again, in milliseconds; datagrams may be lost. */
 const repeatDelayMs = 150;
 
@@ -90,12 +37,6 @@
 /** Minimum time between two messages that bring one instance up to date, in milliseconds. */
 const minUpdateIntervalMs = 400;
 
-/** Parts whose last judgement is remembered. */
-const maxJudgedParts = 1_024;
-
-/** Time until an inquiry that too few instances have answered is repeated, in milliseconds. */
-const postponementMs = 250;
-
 /**
  * Creates a guard without entries.
  *
@@ -110,9 +51,6 @@
     const history = createPartHistory();
     const quarantine = createQuarantine();
     const updatedMs = new Map<string, number>();
-    const postponedUntilMs = new Map<string, number>();
-    /** Last end of an engine that was judged, by part. */
-    const judgedEndMs = new Map<string, number>();
 
     const listInstances = () => [self, ...deps.listOthers()];
 
@@ -133,6 +71,8 @@
         sendGrant: (to, part) => deps.send([to], { quarantine: { kind: "probeGrant", part } }),
     });
 
+    const { admit, isProbed } = createPartAdmission({ clock, quarantine, probes });
+
     function describeEntries(): QuarantineMessage {
         return { quarantine: { kind: "entries", entries: quarantine.list(clock.now()) } };
     }
@@ -151,18 +91,15 @@
         deps.onChange(change);
     }
 
-    /** Lists the suspicions that are worth judging; one that was judged is due again after another end only. */
-    function listDue(): readonly Suspicion[] {
-        const nowMs = clock.now();
-        return evidence.listSuspicions(nowMs, quarantine.findSinceMs).filter(one =>
-            isWorthJudging(one) && nowMs >= (postponedUntilMs.get(one.part) ?? -Infinity)
-            && one.lastEndMs > (judgedEndMs.get(one.part) ?? -Infinity)
-        );
-    }
+    const due = createDueSuspicions({
+        clock,
+        listSuspicions: nowMs => evidence.listSuspicions(nowMs, quarantine.findSinceMs),
+        onDue: () => considerNext(),
+    });
 
     const inquiries = createInquiries({
         clock,
-        listDue,
+        listDue: due.list,
         ask: (inquiry, suspicions) => {
             const nowMs = clock.now();
             const parts = suspicions.map(({ part, firstEndMs, lastEndMs }) => ({
@@ -173,11 +110,11 @@
             deps.send(deps.listOthers(), { quarantine: { kind: "inquiry", inquiry, parts } });
         },
         countOthers: () => deps.listOthers().length,
-        onSilence: suspicions => suspicions.forEach(one => postpone(one.part)),
+        onSilence: suspicions => suspicions.forEach(one => due.postpone(one.part)),
         onTestimonies: (asked, testimonies) => {
             testimonies.forEach(({ answeredMs }) => evidence.recordAnswered(asked.part, answeredMs ?? -Infinity));
             // Parts that were judged before it may have explained its ends.
-            const present = listDue().find(one => one.part === asked.part);
+            const present = due.list().find(one => one.part === asked.part);
             if (present !== undefined) {
                 judge(present, testimonies);
             }
@@ -196,7 +133,7 @@
                 break;
             case "answered":
             case "insufficient":
-                recordJudged(suspicion);
+                due.recordJudged(suspicion);
                 break;
         }
         if (change === "contain" || change === "hold") {
@@ -205,27 +142,10 @@
         deps.onChange({ part, change, suspicion });
     }
 
-    function recordJudged({ part, lastEndMs }: Suspicion): void {
-        judgedEndMs.delete(part);
-        judgedEndMs.set(part, lastEndMs);
-        const oldest = judgedEndMs.keys().next().value;
-        if (judgedEndMs.size > maxJudgedParts && oldest !== undefined) {
-            judgedEndMs.delete(oldest);
-        }
-    }
-
-    /** Puts off the judgement of a part about which too few instances have answered. */
-    function postpone(part: string): void {
-        const nowMs = clock.now();
-        postponedUntilMs.forEach((untilMs, one) => (untilMs < nowMs ? postponedUntilMs.delete(one) : undefined));
-        postponedUntilMs.set(part, nowMs + postponementMs);
-        clock.after(postponementMs, considerNext);
-    }
-
     /** Begins an inquiry if there is something to judge and this instance is in charge. */
     function considerNext(): void {
         const rank = rankJudges("ends", listInstances()).indexOf(self);
-        if (rank !== -1 && listDue().length > 0) {
+        if (rank !== -1 && due.list().length > 0) {
             inquiries.begin(rank * rankDelayMs);
         }
     }
@@ -268,35 +188,6 @@
         deps.onChange({ part, change: "granted" });
     }
 
-    function isProbed(part: string): boolean {
-        const treatment = quarantine.findTreatment(part, clock.now());
-        return treatment === "contained" || treatment === "expired";
-    }
-
-    function admitPart(part: string, requestId: string): Admission {
-        switch (quarantine.findTreatment(part, clock.now())) {
-            case "free":
-                return { kind: "free" };
-            case "contained":
-                return { kind: probes.mayBegin(part, requestId) ? "probe" : "wait" };
-            case "held":
-                return { kind: "held", part };
-            case "expired":
-                return probes.mayBegin(part, requestId) ? { kind: "probe" } : { kind: "held", part };
-        }
-    }
-
-    function admit(requestId: string, parts: readonly string[]): Admission {
-        if (quarantine.isEmpty()) {
-            return { kind: "free" };
-        }
-        const admissions = parts.map(part => admitPart(part, requestId));
-        const strictest = (["held", "wait", "probe"] as const)
-            .map(kind => admissions.find(one => one.kind === kind))
-            .find(one => one !== undefined);
-        return strictest ?? { kind: "free" };
-    }
-
     function applyEntries(records: readonly QuarantineRecord[]): void {
         for (const part of quarantine.merge(records, clock.now())) {
             const state = records.find(record => record.part === part)?.state ?? "lifted";
