--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -21,6 +21,7 @@
 import { assemblePeerState, type PeerStates } from "./assemblePeerState.js";
 import type { InstancePermits } from "./assemblePermits.js";
 import type { InstanceViews } from "./assembleViews.js";
+import { createHeartbeatComposer } from "./createHeartbeatComposer.js";
 import { createPeerMessenger } from "./createPeerMessenger.js";
 import { discoverPeers } from "./discoverPeers.js";
 import type { InstanceContext } from "./routerPorts.js";
@@ -77,9 +78,6 @@
 /** Interval at which members that left are noticed, in milliseconds. */
 const updateIntervalMs = 300;
 
-/** Maximum age that is reported, in milliseconds: the age when the store was never read is infinite. */
-const maxAgeMs = 3_600_000;
-
 /**
  * Joins the fleet.
  *
@@ -131,42 +129,15 @@
     });
     const isSettled = () =>
         clock.now() - startedMs > settlingMs || (discovery.isDone() && view.countAddresses() <= maxDirectPeers);
-    const tableVersion = () => views.routes()?.table.version ?? 0;
-
-    function listLoaded(): Heartbeat["loaded"] {
-        return views.weights.listTargets().flatMap(({ model, version }) =>
-            views.registry.list()
-                .filter(record => views.weights.findVersion(record, model) === version)
-                .map(record => ({ engine: record.id, model, version }))
-        );
-    }
-
-    /** Composes a heartbeat that tells nothing of other instances. */
-    function composeOwn(): Heartbeat {
-        const lease = sources.heldLease();
-        return {
-            from: self(),
-            tableVersion: tableVersion(),
-            storeAgeMs: Math.min(maxAgeMs, Math.round(peerStates.upstreamsAgeMs())),
-            named: views.describeTargets(),
-            // A report that reaches a few of many peers is out of date before the next one arrives.
-            uses: view.isDirect() ? views.use.listOwn() : [],
-            loading: sources.listLoading(),
-            loaded: sources.listLoading().length > 0 ? listLoaded() : [],
-            leaseOffset: lease?.offset,
-            leaseEra: lease?.era,
-            leaseSeen: sources.describeLeaseKnowledge(),
-            quarantine: sources.quarantine.digest(),
-            signals: sources.permits.digest(),
-            known: [],
-            ages: "",
-        };
-    }
 
-    function compose(): Heartbeat {
-        const nowMs = clock.now();
-        return { ...composeOwn(), known: view.chooseKnown(nowMs), ages: view.describeAges(nowMs) };
-    }
+    const { composeOwn, compose } = createHeartbeatComposer({
+        clock,
+        view,
+        views,
+        sources,
+        self,
+        upstreamsAgeMs: peerStates.upstreamsAgeMs,
+    });
 
     function applyUses(peer: string, uses: Heartbeat["uses"]): void {
         if (view.isDirect()) {
--- a/src/assemble/assemblePermits.ts
+++ b/src/assemble/assemblePermits.ts
@@ -3,6 +3,7 @@
  * Assembles the permits for upstreams that state rate limits, and the exchange of what upstreams state with other instances.
  */
 import type { FleetMember } from "../core/fleet/createFleetView.js";
+import { listServing } from "../core/fleet/listServing.js";
 import { createUpstreamPermits, type UpstreamRateLimits } from "../core/permits/createUpstreamPermits.js";
 import type { PermitMessage } from "../core/permits/permitMessage.js";
 import { createSignalExchange } from "../core/signals/createSignalExchange.js";
@@ -54,8 +55,7 @@
     const listOthers = () => peers.listLive().map(member => member.instance.name);
 
     function listCandidates(): readonly string[] {
-        const serving = peers.listLive().filter(member => member.instance.state === "serving");
-        const others = serving.map(member => member.instance.name);
+        const others = listServing(peers.listLive()).map(instance => instance.name);
         return peers.isServing() ? [settings.instance, ...others] : others;
     }
 
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -6,6 +6,7 @@
 import { Server as NetServer, type Socket } from "node:net";
 import polka from "polka";
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
+import { listServing } from "../core/fleet/listServing.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
@@ -103,8 +104,7 @@
 
     function listEntries(failureDomain: string | undefined): readonly string[] {
         const own = sources.isReady() ? [sources.fleet.self()] : [];
-        const others = sources.fleet.listLive().map(member => member.instance).filter(one => one.state === "serving");
-        return chooseEntries([...own, ...others], failureDomain);
+        return chooseEntries([...own, ...listServing(sources.fleet.listLive())], failureDomain);
     }
 
     function answerEntries(url: URL, res: ServerResponse): void {
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -3,6 +3,7 @@
  * Updates all engines to the target weights while this instance holds the rollout lease.
  */
 import { runSteps } from "../../core/effects/runSteps.js";
+import { listServing } from "../../core/fleet/listServing.js";
 import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
 import type { UpstreamUseTracker } from "../../core/placement/createUpstreamUseTracker.js";
 import type { UpstreamRegistry } from "../../core/registry/createUpstreamRegistry.js";
@@ -215,7 +216,7 @@
     async function check(): Promise<void> {
         const work = listWork();
         // A leaving holder goes on: another instance has to wait until the lease is free. Where all leave, one of them orders.
-        const hasServing = deps.listLive().some(member => member.instance.state === "serving");
+        const hasServing = listServing(deps.listLive()).length > 0;
         const mayOrder = !deps.isLeaving() || lease.fence(clock.now()) !== undefined || !hasServing;
         if (work.length === 0 || !mayOrder || !deps.isStoreFresh()) {
             workSinceMs = undefined;
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -14,6 +14,7 @@
 import { watchStoreEra } from "./assemble/watchStoreEra.js";
 import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { millisecondsPerSecond } from "./core/constants.js";
+import { listServing } from "./core/fleet/listServing.js";
 import { createRouteDurations } from "./core/shutdown/createRouteDurations.js";
 import { createShutdown } from "./core/shutdown/createShutdown.js";
 import { planStoreReads } from "./core/store/planStoreReads.js";
@@ -56,7 +57,7 @@
         graceMs: settings.graceMs,
         durations,
         mayBeListed: () => hasHadState,
-        hasServingPeer: () => joinedFleet?.listLive().some(member => member.instance.state === "serving") ?? false,
+        hasServingPeer: () => listServing(joinedFleet?.listLive() ?? []).length > 0,
     });
     const listeners = createListenerGroup({
         clock,
