Run the callers and upstreams of the soak of stops in processes of their own

Callers and upstreams now run in forked workers, one of each for 8 instances, that exchange typed messages with the run; all read the machine's monotonic clock. The run reports the longest hold-up of any of its event loops (maxLagMs), so that overload can be told from a fault. The plan of the stops, the configuration, the calls and the random numbers have files of their own.

Deployments are a table of shapes: instances, failure domains, bounds, kinds of requests with deadline and timeout, upstreams and their slots, callers.

--- a/bench/faults/platform/createInstanceProcess.ts
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -8,11 +8,14 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import {
+    defaultBounds,
     describePlatformSettings,
     graceSeconds,
+    type InstanceBounds,
     type InstancePlace,
     portOffsets,
 } from "../../support/platformSettings.js";
+import { readSharedClock } from "./readSharedClock.js";
 import type { LifeRecord } from "./stopTypes.js";
 
 /** The address and its processes. */
@@ -44,7 +47,7 @@
     readonly ended: Promise<void>;
 }
 
-const watchIntervalMs = 100;
+const defaultWatchIntervalMs = 100;
 const signalPollMs = 5;
 const readinessTimeoutMs = 1_000;
 const millisecondsPerSecond = 1_000;
@@ -77,22 +80,32 @@
     });
 }
 
+/** What {@link createInstanceProcess} may be told beside the place and the program. */
+export interface InstanceProcessOptions {
+    /** File to which the processes append their logs; undefined if they are not kept. */
+    readonly logPath?: string | undefined;
+    readonly bounds?: InstanceBounds;
+    /** Time between two questions whether the instance is ready, in milliseconds. */
+    readonly watchIntervalMs?: number;
+}
+
 /**
  * Prepares an address; no process is started yet.
  *
  * @param place - The instance's settings.
  * @param settingsPath - File for the settings.
  * @param command - Arguments of Node.js that run the program.
- * @param logPath - File to which the processes append their logs, if they are kept.
+ * @param options - Logs, bounds, and how often it is watched.
  * @returns The address.
  */
 export function createInstanceProcess(
     place: InstancePlace,
     settingsPath: string,
     command: readonly string[],
-    logPath?: string,
+    options: InstanceProcessOptions = {},
 ): InstanceProcess {
-    writeFileSync(settingsPath, JSON.stringify(describePlatformSettings(place)));
+    const { logPath, bounds = defaultBounds, watchIntervalMs = defaultWatchIntervalMs } = options;
+    writeFileSync(settingsPath, JSON.stringify(describePlatformSettings(place, bounds)));
     const addressOf = (offset: number) => `${place.ip}:${place.firstPort + offset}`;
     const callerAddress = addressOf(portOffsets.caller);
     const lives: Life[] = [];
@@ -105,15 +118,16 @@
         const child = spawn(process.execPath, command, { env, stdio: ["ignore", log, "inherit"] });
         const record: LifeRecord = {
             address: callerAddress,
-            startedMs: performance.now(),
+            startedMs: readSharedClock(),
             readyMs: undefined,
             termMs: undefined,
+            hangupsMs: [],
             endedMs: undefined,
             end: undefined,
         };
         const ended = new Promise<void>(resolve => {
             child.on("exit", (code, signal) => {
-                record.endedMs = performance.now();
+                record.endedMs = readSharedClock();
                 record.end = typeof signal === "string" ? `signal ${signal}` : `code ${code}`;
                 resolve();
             });
@@ -132,7 +146,7 @@
         }
         last.child.kill(name);
         if (last.record.termMs === undefined) {
-            last.record.termMs = performance.now();
+            last.record.termMs = readSharedClock();
             setTimeout(() => {
                 if (last.record.endedMs === undefined) {
                     last.child.kill("SIGKILL");
@@ -145,6 +159,7 @@
         while (record.endedMs === undefined) {
             if (child.pid !== undefined && receivesHangup(child.pid)) {
                 child.kill("SIGHUP");
+                record.hangupsMs.push(readSharedClock());
                 return;
             }
             await delay(signalPollMs);
@@ -168,7 +183,7 @@
             const life = lives.at(-1);
             if (await isReady()) {
                 if (life !== undefined && life.record.termMs === undefined) {
-                    life.record.readyMs ??= performance.now();
+                    life.record.readyMs ??= readSharedClock();
                 }
                 if (!await canConnect(callerAddress) && await isReady()) {
                     refusedWhileReady.push(callerAddress);
--- /dev/null
+++ b/bench/faults/platform/serveWorker.ts
@@ -0,0 +1,39 @@
+/**
+ * @module
+ * The side of a worker process: starts its part when the run tells it to, and reports what it recorded.
+ */
+import { watchEventLoop } from "./watchEventLoop.js";
+import type { WorkerOrder, WorkerReport } from "./workerMessages.js";
+
+/** A worker's part of a run. */
+export interface WorkerPart<Started, Recorded> {
+    readonly started: Started;
+    /** Ends the part and returns what it recorded. */
+    readonly stop: () => Promise<Recorded>;
+}
+
+/** Serves the run that forked this process. The process ends after its report, or when the run has ended. */
+export function serveWorker<Options, Started, Recorded>(
+    startPart: (options: Options) => Promise<WorkerPart<Started, Recorded>>,
+): void {
+    const readMaxLagMs = watchEventLoop();
+    let part: WorkerPart<Started, Recorded> | undefined;
+
+    function report(message: WorkerReport<Started, Recorded>, sent: () => void = () => {}): void {
+        process.send?.(message, sent);
+    }
+
+    async function obey(order: WorkerOrder<Options>): Promise<void> {
+        if (order.type === "start") {
+            part = await startPart(order.options);
+            report({ type: "started", started: part.started });
+        }
+        else if (part !== undefined) {
+            const recorded = await part.stop();
+            report({ type: "stopped", recorded, maxLagMs: readMaxLagMs() }, () => process.exit(0));
+        }
+    }
+
+    process.on("message", (order: WorkerOrder<Options>) => void obey(order));
+    process.on("disconnect", () => process.exit(1));
+}
--- /dev/null
+++ b/bench/faults/platform/startDeployment.ts
@@ -0,0 +1,118 @@
+/**
+ * @module
+ * Starts what instances need beside themselves: the store in this process, upstreams and callers in processes of their own.
+ */
+import { type FakeStore, startFakeStore } from "../../../fakes/startFakeStore.js";
+import { callerHost, callerKey, describeConfiguration, serviceNames } from "./describeConfiguration.js";
+import { forkWorker, type Worker } from "./forkWorker.js";
+import type { CallerWorkerOptions } from "./runCallerWorker.js";
+import type { StartedUpstream, UpstreamWorkerOptions } from "./runUpstreamWorker.js";
+import type { TimedUpstreamOptions } from "./startTimedUpstream.js";
+import type { StopShape } from "./stopShapes.js";
+import type { RequestRecord, RunRecord } from "./stopTypes.js";
+
+/** A worker that runs callers. */
+export type CallerWorker = Worker<undefined, readonly RequestRecord[]>;
+
+/** A worker that runs upstreams. */
+export type UpstreamWorker = Worker<readonly StartedUpstream[], readonly RunRecord[]>;
+
+/** Instances whose callers or upstreams one process bears. */
+const instancesPerWorker = 8;
+
+/** Seeds of workers are apart by this. */
+const workerSeedStep = 1_000;
+
+type UpstreamOptions = Omit<TimedUpstreamOptions, "random">;
+
+/** How many processes the callers have, and how many the upstreams. */
+function countWorkers(shape: StopShape): number {
+    return Math.ceil(shape.instances / instancesPerWorker);
+}
+
+/** The names of a deployment's failure domains. */
+export function nameFailureDomains(shape: StopShape): readonly string[] {
+    return shape.failureDomains.map((_, index) => `domain-${index}`);
+}
+
+/** The name of the failure domain of each instance, in order. */
+export function placeInstances(shape: StopShape): readonly string[] {
+    const names = nameFailureDomains(shape);
+    const places = shape.failureDomains.flatMap((count, index) => Array.from({ length: count }, () => names[index]!));
+    return Array.from({ length: shape.instances }, (_, index) => places[index] ?? names.at(-1)!);
+}
+
+function listUpstreams(shape: StopShape): readonly UpstreamOptions[] {
+    const domains = nameFailureDomains(shape);
+    return (["engines", "servers"] as const).flatMap(part =>
+        Array.from({ length: shape[part].count }, (_, index) => ({
+            id: `${serviceNames[part]}-${index + 1}`,
+            service: serviceNames[part],
+            failureDomain: domains[index % domains.length]!,
+            slots: shape[part].slots,
+            isEngine: part === "engines",
+            brokenRunShare: shape.brokenRunShare,
+        }))
+    );
+}
+
+/** Starts the upstreams of a deployment. */
+export function startUpstreams(shape: StopShape, seed: number): Promise<readonly UpstreamWorker[]> {
+    const upstreams = listUpstreams(shape);
+    const workers = countWorkers(shape);
+    return Promise.all(
+        Array.from(
+            { length: workers },
+            (_, worker) =>
+                forkWorker<UpstreamWorkerOptions, readonly StartedUpstream[], readonly RunRecord[]>(
+                    "./runUpstreamWorker.js",
+                    {
+                        upstreams: upstreams.filter((_, index) => index % workers === worker),
+                        seed: seed + (worker + 1) * workerSeedStep,
+                    },
+                ),
+        ),
+    );
+}
+
+/** Starts the callers of a deployment. */
+export function startCallers(
+    shape: StopShape,
+    seed: number,
+    directories: readonly string[],
+): Promise<readonly CallerWorker[]> {
+    const workers = countWorkers(shape);
+    const perWorker = Math.ceil(shape.callersPerInstance * shape.instances / workers);
+    return Promise.all(
+        Array.from(
+            { length: workers },
+            (_, worker) =>
+                forkWorker<CallerWorkerOptions, undefined, readonly RequestRecord[]>("./runCallerWorker.js", {
+                    directories,
+                    firstCaller: worker * perWorker,
+                    callers: perWorker,
+                    calls: shape.calls,
+                    pauseMs: shape.pauseMs,
+                    failureDomains: nameFailureDomains(shape),
+                    host: callerHost,
+                    key: callerKey,
+                    seed: seed + 1 + worker * workerSeedStep,
+                }),
+        ),
+    );
+}
+
+/** Starts a store that holds the configuration and the upstreams. */
+export async function startStore(
+    shape: StopShape,
+    upstreams: readonly UpstreamWorker[],
+    statesEra: boolean,
+): Promise<FakeStore> {
+    const store = await startFakeStore();
+    if (!statesEra) {
+        store.setStatedEra(undefined);
+    }
+    store.put("keyed.op", "config", describeConfiguration(shape));
+    upstreams.flatMap(worker => worker.started).forEach(one => store.put("keyed.servers", one.id, one.entry));
+    return store;
+}
--- a/bench/faults/platform/startTimedUpstream.ts
+++ b/bench/faults/platform/startTimedUpstream.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { readSharedClock } from "./readSharedClock.js";
 import type { RunRecord } from "./stopTypes.js";
 
 /** The running upstream. */
@@ -11,10 +12,24 @@
     readonly id: string;
     readonly runs: readonly RunRecord[];
     /** Its record in the store. */
-    readonly entry: () => unknown;
+    readonly entry: unknown;
     readonly stop: () => void;
 }
 
+/** What an upstream is. */
+export interface TimedUpstreamOptions {
+    readonly id: string;
+    readonly service: string;
+    readonly failureDomain: string;
+    /** Requests that it runs at once. */
+    readonly slots: number;
+    /** Engines serve the model, other upstreams do not. */
+    readonly isEngine: boolean;
+    /** Share of its runs that it breaks off midway. */
+    readonly brokenRunShare: number;
+    readonly random: () => number;
+}
+
 /** Header with the time that a run takes, in milliseconds. */
 export const workHeader = "x-work-ms";
 
@@ -24,15 +39,14 @@
 /** Interval of the events of a stream, in milliseconds. */
 export const eventIntervalMs = 50;
 
-const slots = 64;
-
 /** Time for which an engine loads weights, in milliseconds. */
 const loadMs = 570;
 
 const eventPollMs = 200;
 
-/** Starts an upstream of a service on an address; engines serve the model, other services do not. */
-export function startTimedUpstream(id: string, service: string, isEngine: boolean): Promise<TimedUpstream> {
+/** Starts an upstream on loopback. */
+export function startTimedUpstream(options: TimedUpstreamOptions): Promise<TimedUpstream> {
+    const { id, service, isEngine, slots } = options;
     const runs: RunRecord[] = [];
     let version = 1;
     let orders = 0;
@@ -98,17 +112,24 @@
             attempt,
             upstream: id,
             version: isEngine ? version : 0,
-            beganMs: performance.now(),
+            beganMs: readSharedClock(),
             endMs: undefined,
             isComplete: false,
+            isBrokenOff: false,
         };
         runs.push(record);
         res.on("close", () => {
-            record.endMs = performance.now();
+            record.endMs = readSharedClock();
             record.isComplete = res.writableFinished;
         });
         const head = { "attempt-id": attempt, "server-seal": `seal-${id}`, "instance-id": id };
         const workMs = Number(req.headers[workHeader] ?? 0);
+        if (options.random() < options.brokenRunShare) {
+            setTimeout(() => {
+                record.isBrokenOff = !res.writableFinished && !res.destroyed;
+                res.destroy();
+            }, workMs / 2);
+        }
         if (isEngine) {
             stream(res, head, workMs);
             return;
@@ -151,10 +172,10 @@
             resolve({
                 id,
                 runs,
-                entry: () => ({
+                entry: {
                     service,
                     address,
-                    zone: "north",
+                    zone: options.failureDomain,
                     version: "v1",
                     slots,
                     state: "ready",
@@ -162,7 +183,7 @@
                     models: isEngine ? [{ name: servedModel, version, adapters: [] }] : [],
                     seq_no: orders,
                     born: 1,
-                }),
+                },
                 stop: () => {
                     server.closeAllConnections();
                     server.close();
--- /dev/null
+++ b/bench/faults/platform/stopShapes.ts
@@ -0,0 +1,173 @@
+/**
+ * @module
+ * Deployments whose stops are played: how many instances and upstreams there are, what callers ask for, and the bounds.
+ */
+import { defaultBounds, grownBounds, type InstanceBounds } from "../../support/platformSettings.js";
+import type { CallKind } from "./stopTypes.js";
+
+/** A kind of request of a deployment, which has a route of its own. */
+export interface CallShape {
+    readonly name: string;
+    readonly kind: CallKind;
+    /** Relative frequency. */
+    readonly weight: number;
+    /** Shortest and longest time of a run, in milliseconds; short ones are more frequent. */
+    readonly minWorkMs: number;
+    readonly maxWorkMs: number;
+    /** Time after which callers give up, in milliseconds. */
+    readonly deadlineMs: number;
+    /** The route's timeout, in milliseconds. */
+    readonly timeoutMs: number;
+    readonly targetLatencyMs: number;
+    /** How many runs the route allows a request. */
+    readonly attempts: number;
+}
+
+/** Upstreams of one service. */
+export interface UpstreamShape {
+    readonly count: number;
+    /** Requests that each runs at once. */
+    readonly slots: number;
+}
+
+/** A deployment. */
+export interface StopShape {
+    readonly instances: number;
+    /** Instances of each failure domain, in the order of the instances; the last one takes those that are left. */
+    readonly failureDomains: readonly number[];
+    readonly bounds: InstanceBounds;
+    readonly calls: readonly CallShape[];
+    readonly engines: UpstreamShape;
+    readonly servers: UpstreamShape;
+    readonly callersPerInstance: number;
+    /** Mean pause of a caller between two requests, in milliseconds. */
+    readonly pauseMs: number;
+    /** Share of the runs that their upstream breaks off. */
+    readonly brokenRunShare: number;
+}
+
+const stream = { kind: "stream", weight: 1, targetLatencyMs: 400, attempts: 2 } as const;
+const plain = { weight: 1, targetLatencyMs: 400, attempts: 2 } as const;
+
+const evenCalls: readonly CallShape[] = [
+    {
+        ...plain,
+        name: "glossary",
+        kind: "idempotent",
+        minWorkMs: 10,
+        maxWorkMs: 500,
+        deadlineMs: 3_000,
+        timeoutMs: 4_000,
+    },
+    {
+        ...plain,
+        name: "documents",
+        kind: "nonIdempotent",
+        minWorkMs: 10,
+        maxWorkMs: 500,
+        deadlineMs: 3_000,
+        timeoutMs: 4_000,
+    },
+    { ...stream, name: "adapt", minWorkMs: 50, maxWorkMs: 2_500, deadlineMs: 12_000, timeoutMs: 15_000 },
+];
+
+const small: StopShape = {
+    instances: 4,
+    failureDomains: [2, 2],
+    bounds: defaultBounds,
+    calls: evenCalls,
+    engines: { count: 3, slots: 64 },
+    servers: { count: 2, slots: 64 },
+    callersPerInstance: 12,
+    pauseMs: 60,
+    brokenRunShare: 0,
+};
+
+/** Short checks and longer texts in streams, beside quick requests that must not run twice. */
+function mixCalls(plainDeadlineMs: number, plainWorkMs: number, checkMs: number, textMs: number): readonly CallShape[] {
+    const quick = {
+        ...plain,
+        targetLatencyMs: Math.min(400, plainDeadlineMs / 5),
+        minWorkMs: plainWorkMs / 2,
+        maxWorkMs: plainWorkMs * 2,
+        deadlineMs: plainDeadlineMs,
+        timeoutMs: plainDeadlineMs,
+    };
+    return [
+        { ...stream, name: "check", weight: 4, minWorkMs: 50, maxWorkMs: 400, deadlineMs: checkMs, timeoutMs: checkMs },
+        {
+            ...stream,
+            name: "adapt",
+            weight: 4,
+            minWorkMs: 200,
+            maxWorkMs: 4_000,
+            deadlineMs: textMs,
+            timeoutMs: textMs,
+        },
+        { ...quick, name: "documents", kind: "nonIdempotent", weight: 2 },
+        { ...quick, name: "glossary", kind: "idempotent", weight: 1 },
+    ];
+}
+
+const grown: StopShape = {
+    instances: 24,
+    failureDomains: [23, 1],
+    bounds: grownBounds,
+    calls: mixCalls(1_046, 21, 5_126, 15_122),
+    engines: { count: 26, slots: 12 },
+    servers: { count: 4, slots: 6 },
+    callersPerInstance: 6,
+    pauseMs: 400,
+    brokenRunShare: 0,
+};
+
+/** Every deployment by its name. */
+export const stopShapes: Readonly<Record<string, StopShape>> = {
+    small,
+    /** Streams that take up to the grace period. */
+    longStreams: {
+        ...small,
+        calls: evenCalls.map(call => call.kind === "stream" ? { ...call, maxWorkMs: 7_000 } : call),
+    },
+    /** Many engines with few slots, short deadlines of plain requests. */
+    shortDeadlines: {
+        ...small,
+        instances: 7,
+        failureDomains: [2, 2, 2, 1],
+        calls: mixCalls(600, 21, 4_000, 12_000),
+        engines: { count: 13, slots: 48 },
+        servers: { count: 4, slots: 6 },
+        callersPerInstance: 8,
+        pauseMs: 200,
+    },
+    /** Few engines with many slots, slower plain requests. */
+    wideEngines: {
+        ...small,
+        instances: 8,
+        failureDomains: [2, 2, 2, 2],
+        calls: mixCalls(3_000, 86, 5_000, 15_000),
+        engines: { count: 6, slots: 128 },
+        servers: { count: 4, slots: 6 },
+        callersPerInstance: 8,
+        pauseMs: 200,
+    },
+    /** Upstreams that break off a part of their runs. */
+    brokenRuns: { ...small, brokenRunShare: 0.03 },
+    grown,
+    grownMore: {
+        ...grown,
+        instances: 60,
+        failureDomains: [23, 13, 12, 12],
+        engines: { count: 48, slots: 12 },
+        callersPerInstance: 4,
+        pauseMs: 800,
+    },
+    grownMost: {
+        ...grown,
+        instances: 120,
+        failureDomains: [30, 30, 30, 30],
+        engines: { count: 60, slots: 12 },
+        callersPerInstance: 2,
+        pauseMs: 1_000,
+    },
+};
--- a/bench/faults/platform/stopTypes.ts
+++ b/bench/faults/platform/stopTypes.ts
@@ -1,6 +1,7 @@
 /**
  * @module
- * What is recorded while real processes of an instance are stopped. Times are milliseconds on the recording process's clock.
+ * What is recorded while real processes of an instance are stopped. Times are milliseconds of the machine's monotonic
+ * clock, which all processes read alike.
  */
 
 /** How a request may be repeated and answered. */
@@ -16,10 +17,16 @@
     readonly isChunked: boolean;
     /** When the last byte of the request was written; undefined when it was not. */
     readonly sentMs: number | undefined;
+    /** When the caller's deadline passes. */
+    readonly deadlineMs: number;
+    /** When the route's timeout is reached at the earliest. */
+    readonly timeoutMs: number;
     readonly endMs: number;
     /** Status of the answer; 0 without one. */
     readonly status: number;
     readonly isComplete: boolean;
+    /** Whether it ended as a complete answer although a part of it was missing. */
+    readonly isTruncated: boolean;
     readonly error: string | undefined;
 }
 
@@ -44,6 +51,8 @@
     endMs: number | undefined;
     /** Whether the upstream has answered completely. */
     isComplete: boolean;
+    /** Whether the upstream itself has broken it off. */
+    isBrokenOff: boolean;
 }
 
 /** One life of an instance's process. */
@@ -53,6 +62,8 @@
     readyMs: number | undefined;
     /** When it was told to stop; undefined when it was not. */
     termMs: number | undefined;
+    /** When it was told to read its settings again. */
+    readonly hangupsMs: number[];
     endedMs: number | undefined;
     /** How the process ended, for example "code 0" or "signal SIGHUP". */
     end: string | undefined;
--- a/features/steps/shutdownSteps.ts
+++ b/features/steps/shutdownSteps.ts
@@ -4,7 +4,9 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { playStops, type StopPlan } from "../../bench/faults/platform/playStops.js";
+import type { StopPlan } from "../../bench/faults/platform/playPlan.js";
+import { playStops } from "../../bench/faults/platform/playStops.js";
+import { stopShapes } from "../../bench/faults/platform/stopShapes.js";
 import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
 import { createRouteDurations } from "../../src/core/shutdown/createRouteDurations.js";
 import { createShutdown, type ShutdownLoad, type ShutdownPhase } from "../../src/core/shutdown/createShutdown.js";
@@ -185,8 +187,9 @@
     async function(this: SiteWorld, plan: string, count: number, seed: number) {
         const { violations } = await playStops({
             plan: plan as StopPlan,
+            shape: { ...stopShapes["small"]!, instances: count },
             seed,
-            instances: count,
+            statesEra: true,
             gapMs: 200,
             seconds: mixedSeconds,
             program: "dist/platform/main.js",
