Read what has arrived before a leaving instance closes connections

What callers saw: a request whose connection was reset 0.3 to 0.6 s after it was sent, at an instance that had been told to stop 4.5 to 5 s before; no instance had logged it.

Cause: timers run before sockets are read. A leaving process that does not run for some hundred milliseconds wakes up in the timer that checks its stop, finds no request in progress, 60 ms gone, and closes listener and connections while requests lie unread in them. Instances that have a part of a core wait like this often.

Change: before each check of the stop the event loop accepts the connections that wait and reads from all of them; the check then counts these requests, which are answered or refused as not run.

Evidence: the new scenario fails without the call (3 requests unanswered at the close).

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -58,6 +58,11 @@
         When it is told to stop
         Then with 0 requests in progress it refuses requests from 0 ms on
 
+    # Guards against requests that lie unread in a process without processor time, and are reset when it goes on.
+    Scenario: A request that arrives while the leaving process does not run is answered before connections close
+        When an instance stops and its process does not run for 500 ms just before it closes connections
+        Then each request that arrived in that time was read before connections closed
+
     # Guards against connections that are reset, and requests that are cut, when real processes stop in series.
     Scenario Outline: Callers lose nothing while processes are stopped, reloaded and restarted
         Then the stops "<plan>" of <instances> processes with seed <seed> break no promise
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -9,6 +9,8 @@
 export interface RunShutdownOptions {
     readonly clock: Clock;
     readonly shutdown: Shutdown;
+    /** Reads the requests that have arrived, so that the load counts them. */
+    readonly readArrived: () => Promise<void>;
     readonly readLoad: () => ShutdownLoad;
     /** Refuses the waiting requests that can no longer be finished. */
     readonly refuseLate: () => void;
@@ -30,6 +32,7 @@
 export async function runShutdown(options: RunShutdownOptions): Promise<void> {
     const { clock, shutdown } = options;
     for (;;) {
+        await options.readArrived();
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -20,6 +20,7 @@
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { createListenerGroup } from "./io/http/createListenerGroup.js";
+import { readArrived } from "./io/shutdown/readArrived.js";
 import { runShutdown } from "./io/shutdown/runShutdown.js";
 import { runRollout } from "./io/weights/runRollout.js";
 
@@ -194,6 +195,7 @@
         await runShutdown({
             clock,
             shutdown,
+            readArrived,
             readLoad: () => ({
                 requests: proxy.countActive(),
                 connections: servers.countConnections(),
