End a process although nobody reads its log

What callers saw: nothing of their requests; the process stayed until the platform killed it at the end of its grace period, so its addresses were free 4 s later, and the last lines of its log were lost in every stop. Cause: the log is written by one thread of the pool. When the pipe is full that write never returns, and an exit waits for the threads of the pool (seen in /proc: the thread in sock_alloc_send_pskb, the main thread waiting for it).

--- a/features/instanceProcess.feature
+++ b/features/instanceProcess.feature
@@ -26,3 +26,11 @@
         Given a platform
         When the instance is started and gets SIGTERM as soon as it receives signals
         Then it ends with code 0
+
+    # Guards against an exit that waits for a stalled reader of the log until the platform kills the process.
+    Scenario: An instance whose log nobody reads ends when it is told to stop
+        Given a platform whose log of an instance nobody reads
+        When the instance is started
+        Then it is ready, on its entry list, and answers a caller
+        When its process is told to stop
+        Then it has ended before it would be killed
--- a/features/steps/instanceProcessSteps.ts
+++ b/features/steps/instanceProcessSteps.ts
@@ -4,8 +4,9 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
 import { createSocket } from "node:dgram";
-import { mkdtempSync, rmSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -16,9 +17,10 @@
     type InstanceProcess,
     receivesHangup,
 } from "../../bench/faults/platform/createInstanceProcess.js";
-import { portOffsets } from "../../bench/support/platformSettings.js";
+import { graceSeconds, portOffsets } from "../../bench/support/platformSettings.js";
 import { startFakeServer } from "../../fakes/startFakeServer.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
+import { millisecondsPerSecond } from "../../src/core/constants.js";
 import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -35,6 +37,11 @@
 
 const pollMs = 2;
 
+/** Size of the writes that fill a pipe: the smallest that a pipe takes as a whole, in bytes. */
+const pipeBlockBytes = 4_096;
+
+const command = ["dist/platform/main.js"];
+
 function getFixture(world: SiteWorld): ProcessFixture {
     const fixture = fixtures.get(world);
     assert.ok(fixture !== undefined);
@@ -55,7 +62,32 @@
     });
 }
 
-async function createPlatform(world: SiteWorld, listener: keyof typeof portOffsets | undefined): Promise<void> {
+/** Creates a pipe that is full, with nobody who reads it. */
+function createFullPipe(world: SiteWorld): string {
+    const folder = mkdtempSync(join(tmpdir(), "reedward-log-"));
+    const path = join(folder, "pipe");
+    assert.equal(spawnSync("mkfifo", [path]).status, 0);
+    const descriptor = openSync(path, constants.O_RDWR | constants.O_NONBLOCK);
+    world.cleanups.push(() => {
+        closeSync(descriptor);
+        rmSync(folder, { recursive: true });
+    });
+    try {
+        for (;;) {
+            writeSync(descriptor, Buffer.alloc(pipeBlockBytes));
+        }
+    }
+    catch (error) {
+        assert.equal((error as NodeJS.ErrnoException).code, "EAGAIN");
+    }
+    return path;
+}
+
+async function createPlatform(
+    world: SiteWorld,
+    listener: keyof typeof portOffsets | undefined,
+    logPath?: string,
+): Promise<void> {
     const store = await startFakeStore();
     const servers = [await startFakeServer("i-1", "adapt"), await startFakeServer("i-2", "portal")];
     store.put("keyed.op", "config", configuration);
@@ -64,7 +96,7 @@
     const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.9`;
     const folder = mkdtempSync(join(tmpdir(), "reedward-process-"));
     const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
-    const instance = createInstanceProcess(place, join(folder, "settings.json"), ["dist/platform/main.js"]);
+    const instance = createInstanceProcess(place, join(folder, "settings.json"), command, logPath);
     const port = listener === undefined ? 0 : firstPort + portOffsets[listener];
     const hold = listener === "heartbeat" ? holdDatagrams : holdStream;
     const release = listener === undefined ? () => Promise.resolve() : await hold(port, ip);
@@ -83,6 +115,10 @@
     return createPlatform(this, undefined);
 });
 
+Given("a platform whose log of an instance nobody reads", function(this: SiteWorld) {
+    return createPlatform(this, undefined, createFullPipe(this));
+});
+
 Given(
     "a platform, and a process that holds the {word} address of an instance",
     function(this: SiteWorld, listener: string) {
@@ -167,3 +203,14 @@
     await instance.ended();
     assert.equal(instance.lives[0]?.end, "code 0");
 });
+
+When("its process is told to stop", function(this: SiteWorld) {
+    getFixture(this).instance.signal("SIGTERM");
+});
+
+Then("it has ended before it would be killed", async function(this: SiteWorld) {
+    const { instance } = getFixture(this);
+    await instance.ended();
+    const { termMs, endedMs } = instance.lives[0]!;
+    assert.ok(endedMs! - termMs! < graceSeconds * millisecondsPerSecond);
+});
--- a/features/steps/loggingSteps.ts
+++ b/features/steps/loggingSteps.ts
@@ -117,7 +117,7 @@
     function(this: SiteWorld, count: number, delayS: number) {
         const clock = createVirtualClock(1);
         const lines: string[] = [];
-        const writer: LineWriter = { write: line => lines.push(line) > 0, queuedBytes: () => 0 };
+        const writer = { write: (line: string) => lines.push(line) > 0 };
         const logger = createBoundedLogger({ instance: "entry-1", clock, writer, linesPerSecond: 40, burst: 400 });
         for (let line = 0; line < count; line += 1) {
             logger.writeLog("requestServed", { requestId: `r-${line}` });
--- a/src/io/logging/createBoundedLogger.ts
+++ b/src/io/logging/createBoundedLogger.ts
@@ -11,7 +11,7 @@
 export interface BoundedLoggerOptions {
     readonly instance: string;
     readonly clock: Clock;
-    readonly writer: LineWriter;
+    readonly writer: Pick<LineWriter, "write">;
     /** Sustained rate: lines of one event per second. */
     readonly linesPerSecond: number;
     /** Lines of one event that may be written at once. */
--- a/src/io/logging/createLineWriter.ts
+++ b/src/io/logging/createLineWriter.ts
@@ -9,6 +9,13 @@
     /** Queues a line; false when the queue is full and the line was dropped. */
     readonly write: (line: string) => boolean;
     readonly queuedBytes: () => number;
+    /**
+     * Writes what is queued.
+     *
+     * @param timeoutMs - Time for it, in milliseconds.
+     * @returns Whether everything was written; false when the reader has stalled.
+     */
+    readonly finish: (timeoutMs: number) => Promise<boolean>;
 }
 
 /** Options of {@link createLineWriter}. */
@@ -28,6 +35,8 @@
     let queued: string[] = [];
     let queuedLength = 0;
     let isWriting = false;
+    /** Called when nothing is left to write. */
+    let onIdle: () => void = () => undefined;
 
     function writeRemaining(bytes: Buffer, from: number): void {
         // Only one write at a time occupies the thread pool, so a full pipe blocks that write and nothing else.
@@ -44,7 +53,11 @@
     }
 
     function flush(): void {
-        if (isWriting || queued.length === 0) {
+        if (isWriting) {
+            return;
+        }
+        if (queued.length === 0) {
+            onIdle();
             return;
         }
         isWriting = true;
@@ -65,5 +78,14 @@
             return true;
         },
         queuedBytes: () => queuedLength,
+        finish: timeoutMs =>
+            new Promise(resolve => {
+                const timer = setTimeout(() => resolve(false), timeoutMs);
+                onIdle = () => {
+                    clearTimeout(timer);
+                    resolve(true);
+                };
+                flush();
+            }),
     };
 }
