Receive signals sooner: a CommonJS entry point in the deploy bundle

What callers saw: an instance that gets SIGHUP while Node.js itself starts ends, as no handler is installed yet. Cause: Node.js runs an ES module as entry point only after its module loader is set up. Change: the entry point is bundled as CommonJS (target/reedward.cjs) and imports the rest of the program as before. A series of SIGHUPs that began within 50 ms ended the process before. What is left is the start of Node.js itself.

--- a/scripts/bundleDeploy.mjs
+++ b/scripts/bundleDeploy.mjs
@@ -14,21 +14,38 @@
         })),
 };
 
-await build({
-    entryPoints: { reedward: "platform/main.ts" },
+/** Leaves the module that starts the instance out of the entry point's bundle. */
+const laterModule = {
+    name: "laterModule",
+    setup: bundler =>
+        bundler.onResolve({ filter: /\/startInstance\.js$/ }, () => ({ path: "./startInstance.mjs", external: true })),
+};
+
+const options = {
     outdir: "target",
-    outExtension: { ".js": ".mjs" },
-    splitting: true,
-    chunkNames: "[name]",
     bundle: true,
     platform: "node",
     target: "node20",
-    format: "esm",
     // Names stay readable in stack traces.
     minifyWhitespace: true,
     minifySyntax: true,
+    logLevel: "warning",
+};
+
+// Node.js runs a CommonJS entry point sooner than an ES module, so signals are received sooner.
+await build({
+    ...options,
+    entryPoints: { reedward: "platform/main.ts" },
+    outExtension: { ".js": ".cjs" },
+    plugins: [laterModule],
+    format: "cjs",
+});
+await build({
+    ...options,
+    entryPoints: { startInstance: "platform/startInstance.ts" },
+    outExtension: { ".js": ".mjs" },
     plugins: [usedParts],
+    format: "esm",
     // CommonJS dependencies load Node.js built-in modules with `require`, which ES modules do not define.
     banner: { js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);" },
-    logLevel: "warning",
 });
