Bound the cached prompt parts of all holders together

What callers saw: the instance ended ("heap out of memory") when engines reported many cached parts. Cause: parts were bounded for each holder (20,000) and not for all of them: 98 engines may fill the heap of 120 MB several times. Change: 100,000 parts together, the same share for each holder; what a holder reported last stays known. Evidence: the new scenario of features/memory.feature fails without the change (800,000 parts known).

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -27,3 +27,8 @@
         Given a platform with a process of an instance, whose upstreams send bodies without end
         When 8 times 24 requests are sent at once
         Then the process has held at most 200 MB
+
+    # Guards against lists of cached prompt parts that take a process over its memory.
+    Scenario: The parts that many holders report are bounded together, and the newest of each are kept
+        When 40 holders report 20000 cached parts each
+        Then 100000 of these parts are known, the newest 2500 of each holder
--- a/features/steps/memorySteps.ts
+++ b/features/steps/memorySteps.ts
@@ -18,6 +18,7 @@
     type MemoryBudget,
     type MemoryReservation,
 } from "../../src/core/memory/createMemoryBudget.js";
+import { createPartView } from "../../src/core/placement/createPartView.js";
 import { type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import { configuration, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -29,6 +30,8 @@
     readonly ended: string[];
     instance: InstanceProcess | undefined;
     statuses: readonly string[];
+    /** Numbers of the parts that are known of each holder. */
+    knownParts: readonly (readonly number[])[];
 }
 
 const fixtures = new WeakMap<SiteWorld, MemoryFixture>();
@@ -46,6 +49,7 @@
         ended: [],
         instance: undefined,
         statuses: [],
+        knownParts: [],
     };
     fixtures.set(world, fixture);
     return fixture;
@@ -232,3 +236,28 @@
     const peakMegabytes = Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / 1_024;
     assert.ok(peakMegabytes <= megabytes, `${Math.round(peakMegabytes)} MB`);
 });
+
+When("{int} holders report {int} cached parts each", function(this: SiteWorld, holders: number, parts: number) {
+    const view = createPartView();
+    const numbers = Array.from({ length: parts }, (_, index) => index);
+    const names = Array.from({ length: holders }, (_, index) => `h-${index}`);
+    const partOf = (number: number) => ({ id: `part-${number}`, tokens: 16 });
+    names.forEach(name =>
+        view.applyEvents(name, numbers.map(number => ({ salt: "s", part: partOf(number).id, tokens: 16 })))
+    );
+    const isKnown = (name: string, number: number) => {
+        const parts = [partOf(number), { id: "own", tokens: 16 }];
+        return view.countCachedTokens({ model: "m", parts, promptTokens: 32, outputTokens: 1 }, "s", name, 0).cached
+            > 0;
+    };
+    getFixture(this).knownParts = names.map(name => numbers.filter(number => isKnown(name, number)));
+});
+
+Then(
+    "{int} of these parts are known, the newest {int} of each holder",
+    function(this: SiteWorld, total: number, newest: number) {
+        const { knownParts } = getFixture(this);
+        assert.equal(knownParts.flat().length, total);
+        knownParts.forEach(numbers => assert.equal(numbers[0], numbers.at(-1)! - newest + 1));
+    },
+);
--- a/src/core/placement/createPartView.ts
+++ b/src/core/placement/createPartView.ts
@@ -41,6 +41,9 @@
 /** Maximum number of parts tracked for one holder; the least recently reported ones are evicted. */
 const maxParts = 20_000;
 
+/** Maximum number of parts tracked for all holders together: each takes some 300 bytes of a process's memory. */
+const maxTotalParts = 100_000;
+
 interface Holder {
     /** Tokens by salt and part. */
     readonly tokens: Map<string, number>;
@@ -80,10 +83,10 @@
     return keyOf(salt, prompt.parts.slice(0, count).map(part => part.id).join("/"));
 }
 
-/** Deletes the oldest entries beyond the maximum number of parts. */
-function limitSize(entries: Map<string, number>): void {
+/** Deletes the oldest entries beyond a number of parts. */
+function limitSize(entries: Map<string, number>, maxEntries: number): void {
     for (const key of entries.keys()) {
-        if (entries.size <= maxParts) {
+        if (entries.size <= maxEntries) {
             return;
         }
         entries.delete(key);
@@ -109,11 +112,20 @@
         }
         const holder: Holder = { tokens: new Map(), sentMs: new Map() };
         holders.set(id, holder);
+        holders.forEach(limitHolder);
         return holder;
     }
 
+    /** Each holder has the same share of all parts. */
+    function limitHolder(holder: Holder): void {
+        const maxEntries = Math.min(maxParts, Math.floor(maxTotalParts / holders.size));
+        limitSize(holder.tokens, maxEntries);
+        limitSize(holder.sentMs, maxEntries);
+    }
+
     function applyEvents(id: string, events: readonly PartEvent[]): void {
-        const { tokens } = holderOf(id);
+        const holder = holderOf(id);
+        const { tokens } = holder;
         for (const event of events) {
             const key = keyOf(event.salt, event.part);
             tokens.delete(key);
@@ -121,7 +133,7 @@
                 tokens.set(key, event.tokens);
             }
         }
-        limitSize(tokens);
+        limitHolder(holder);
     }
 
     function isExpected(holder: Holder, key: string, nowMs: number): boolean {
@@ -152,13 +164,14 @@
     }
 
     function recordSent(shared: readonly PromptPart[], salt: string, engine: string, nowMs: number): void {
-        const { sentMs } = holderOf(engine);
+        const holder = holderOf(engine);
+        const { sentMs } = holder;
         for (const part of shared) {
             const key = keyOf(salt, part.id);
             sentMs.delete(key);
             sentMs.set(key, nowMs);
         }
-        limitSize(sentMs);
+        limitHolder(holder);
     }
 
     function recordPrefilled(prompt: Prompt, salt: string, engine: string): void {
