Count weights as outdated from the oldest report of their target

What callers saw: in a fleet whose rollout stood still, requests of an instance that had been paused began on old weights 8.0 to 9.8 s after newer ones were named, 5 to 6 s after the pause.

Cause: heartbeats that waited in the paused process were read first after it, and their ages count from the sending, so a version that was named seconds ago looked a few milliseconds old (in the logs: RW5006 with ageMs 6 to 43, 1.3 s and more after the naming). An observed age was never replaced, also not by the older one that each later heartbeat stated.

Change: of several observations the oldest counts, since a report can only wait. Versions are named in order, so one is at least as old as any later one.

The scenario fails on the code before (4000 !== 2500).

Conclusion: an instance that was paused keeps the limit as soon as it hears a peer again.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -58,3 +58,13 @@
         Then version 1 is outdated since 1000 ms
         And the newest is not outdated
         And an age that a peer observed replaces an assumed one
+
+    # Guards against reports that waited in a paused process and made old weights look usable for longer.
+    Scenario: Of several observations of a target version the oldest counts
+        Given target versions set at 1000 ms, 4000 ms and 7000 ms
+        When a peer reports that version 3 was set at 2500 ms
+        Then version 2 is outdated since 2500 ms
+        When a peer reports that version 3 was set at 3500 ms
+        Then version 2 is outdated since 2500 ms
+        When a peer reports that version 4 was set at 2000 ms
+        Then version 2 is outdated since 2000 ms
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -207,6 +207,13 @@
     },
 );
 
+When(
+    "a peer reports that version {int} was set at {int} ms",
+    function(this: SiteWorld, version: number, sinceMs: number) {
+        views.get(this)?.recordTarget({ model: "easy-read", version, sinceMs, isObserved: true });
+    },
+);
+
 Then("version {int} is outdated since {int} ms", function(this: SiteWorld, version: number, sinceMs: number) {
     assert.equal(views.get(this)?.outdatedSinceMs("easy-read", version), sinceMs);
 });
--- a/src/core/weights/createWeightsView.ts
+++ b/src/core/weights/createWeightsView.ts
@@ -16,7 +16,10 @@
 
 /** A view of the weights. */
 export interface WeightsView {
-    /** Records a target version. Returns whether it is newer than all known ones. */
+    /**
+     * Records a target version. Returns whether it is newer than all known ones. Of several observations the oldest counts: a
+     * report may have waited on the way, so it can only make a version look newer than it is.
+     */
     readonly recordTarget: (target: TargetWeights) => boolean;
     /** Newest target of a model. */
     readonly findTarget: (model: string) => TargetWeights | undefined;
@@ -24,7 +27,7 @@
     readonly listTargets: () => readonly TargetWeights[];
     /** The latest target versions of each model, in ascending order. */
     readonly listHistory: () => readonly TargetWeights[];
-    /** When the first version after `version` became the target; undefined while `version` is the newest. */
+    /** When a version after `version` first became the target; undefined while `version` is the newest. */
     readonly outdatedSinceMs: (model: string, version: number) => number | undefined;
     /** Records a version that an engine was observed to have. */
     readonly recordLoaded: (engine: string, model: string, version: number) => void;
@@ -38,6 +41,14 @@
 /** Target versions kept for each model. */
 const maxHistory = 6;
 
+/** Combines two reports of one target; undefined when the later one adds nothing. */
+function mergeTargets(known: TargetWeights, target: TargetWeights): TargetWeights | undefined {
+    if (known.isObserved === target.isObserved) {
+        return target.sinceMs < known.sinceMs ? target : undefined;
+    }
+    return target.isObserved ? target : undefined;
+}
+
 /**
  * Creates an empty view.
  *
@@ -62,13 +73,21 @@
     function recordTarget(target: TargetWeights): boolean {
         const versions = history.get(target.model) ?? [];
         const known = versions.find(one => one.version === target.version);
-        if (known !== undefined && (known.isObserved || !target.isObserved)) {
+        const merged = known === undefined ? target : mergeTargets(known, target);
+        if (merged === undefined) {
             return false;
         }
         const others = versions.filter(one => one.version !== target.version);
-        const all = [...others, target].toSorted((left, right) => left.version - right.version);
+        const all = [...others, merged].toSorted((left, right) => left.version - right.version);
         history.set(target.model, all.slice(-maxHistory));
-        return known === undefined && all.at(-1) === target;
+        return known === undefined && all.at(-1) === merged;
+    }
+
+    /** Versions are named in order, so a version is as old as any later one that was observed. */
+    function outdatedSinceMs(model: string, version: number): number | undefined {
+        const newer = (history.get(model) ?? []).filter(one => one.version > version);
+        const times = newer.filter((one, index) => index === 0 || one.isObserved).map(one => one.sinceMs);
+        return times.length === 0 ? undefined : Math.min(...times);
     }
 
     const findTarget = (model: string) => history.get(model)?.at(-1);
@@ -77,7 +96,7 @@
         findTarget,
         listTargets: () => [...history.keys()].map(findTarget).filter(target => target !== undefined),
         listHistory: () => [...history.values()].flat(),
-        outdatedSinceMs: (model, version) => history.get(model)?.find(one => one.version > version)?.sinceMs,
+        outdatedSinceMs,
         recordLoaded: (engine, model, version) => {
             const key = observedKey(engine, model);
             observedVersions.set(key, Math.max(version, observedVersions.get(key) ?? version));
