Take from an answer to an instance's own call only what it says

What callers saw: nothing yet.

Cause: each client decided for itself when an answer was whole. Answers without a length were not checked for a reset, an order took the status whatever became of the body, and no client asked whether the answer fits its call.

--- a/src/io/_lib/requestOnce.ts
+++ b/src/io/_lib/requestOnce.ts
@@ -2,22 +2,18 @@
  * @module
  * Sends one HTTP request over a connection of its own.
  */
-import { Client, type Dispatcher } from "undici";
-import { createWatchedConnector } from "./createWatchedConnector.js";
+import { type CallAnswer, type CallRequest, createCallClient } from "./createCallClient.js";
 
 /** Connect timeout, in milliseconds; the signal of a call usually ends it earlier. */
 const connectTimeoutMs = 10_000;
 
-/** Most bytes of an answer with its head and framing. */
-const maxAnswerBytes = 8 * 1024 * 1024;
+/** Largest body of an answer, in bytes, unless the call has its own limit. */
+const defaultMaxBodyBytes = 4 * 1024 * 1024;
 
 /** Options of {@link requestOnce}. */
-export interface RequestOnceOptions {
-    readonly method?: Dispatcher.HttpMethod;
-    readonly headers?: Readonly<Record<string, string>>;
-    readonly body?: string;
-    /** Aborts the request and the answer's body. */
-    readonly signal: AbortSignal;
+export interface RequestOnceOptions extends Omit<CallRequest, "path"> {
+    /** Largest body of an answer, in bytes. */
+    readonly maxBodyBytes?: number;
 }
 
 /**
@@ -26,19 +22,17 @@
  *
  * @param address - "ip:port" of the server.
  * @param path - Path and query.
- * @param options - Method (GET unless given), headers, body and the signal that aborts the request.
- * @returns The answer; its body has to be read or discarded.
+ * @param options - Method (GET unless given), headers, body, limit and the signal that aborts the request.
+ * @returns The complete answer.
+ * @throws Error when there is none.
  */
-export async function requestOnce(
-    address: string,
-    path: string,
-    options: RequestOnceOptions,
-): Promise<Dispatcher.ResponseData> {
-    const connector = createWatchedConnector(connectTimeoutMs);
-    connector.allowBytes(maxAnswerBytes);
-    const client = new Client(`http://${address}`, { connect: connector.connect, pipelining: 1 });
-    const { method = "GET", ...others } = options;
-    const answer = client.request({ path, method, ...others, reset: true });
-    client.close().catch(() => undefined);
-    return answer;
+export async function requestOnce(address: string, path: string, options: RequestOnceOptions): Promise<CallAnswer> {
+    const { maxBodyBytes = defaultMaxBodyBytes, ...req } = options;
+    const client = createCallClient(address, { connectTimeoutMs, maxBodyBytes, isSingleUse: true });
+    try {
+        return await client.call({ path, ...req });
+    }
+    finally {
+        client.close();
+    }
 }
--- a/src/io/fleet/createPeerStateReader.ts
+++ b/src/io/fleet/createPeerStateReader.ts
@@ -2,10 +2,8 @@
  * @module
  * Reads the state of peers.
  */
-import { Client } from "undici";
 import { parsePeerState, type PeerState } from "../../core/fleet/peerState.js";
-import { createWatchedConnector, type WatchedConnector } from "../_lib/createWatchedConnector.js";
-import { readLimitedBody } from "../_lib/readLimitedBody.js";
+import { type CallClient, createCallClient } from "../_lib/createCallClient.js";
 
 /** URL path of the state. */
 export const peerStatePath = "/peer/state";
@@ -33,14 +31,7 @@
 /** A peer and the connection to it. */
 interface PeerConnection {
     readonly address: string;
-    readonly client: Client;
-    readonly connector: WatchedConnector;
-}
-
-/** Bounds the bytes of the next answer, with its head and framing, and returns the client that reads it. */
-function allowAnswer({ client, connector }: PeerConnection): Client {
-    connector.allowBytes(2 * maxStateBytes);
-    return client;
+    readonly client: CallClient;
 }
 
 /**
@@ -53,39 +44,40 @@
     let connection: PeerConnection | undefined;
 
     function disconnect(): void {
-        // Destroying a client a second time rejects; the connection is already closed then.
-        connection?.client.destroy().catch(() => undefined);
+        connection?.client.close();
         connection = undefined;
     }
 
-    function connect(address: string): Client {
+    function connect(address: string): CallClient {
         if (connection?.address === address) {
-            return allowAnswer(connection);
+            return connection.client;
         }
         disconnect();
-        const connector = createWatchedConnector(requestTimeoutMs);
-        const client = new Client(`http://${address}`, { connect: connector.connect, pipelining: 1 });
-        connection = { address, client, connector };
-        return allowAnswer(connection);
+        const client = createCallClient(address, { connectTimeoutMs: requestTimeoutMs, maxBodyBytes: maxStateBytes });
+        connection = { address, client };
+        return client;
     }
 
-    async function read(address: string, known: KnownState): Promise<PeerState | undefined> {
-        const path = `${peerStatePath}?known=${known.tableVersion}&upstreams=${known.upstreamsDigest}`;
+    /** The caller logs a failure. */
+    async function readState(address: string, path: string): Promise<PeerState | undefined> {
         try {
-            const res = await connect(address).request({
-                method: "GET",
-                path,
-                signal: AbortSignal.timeout(requestTimeoutMs),
-            });
-            const body = await readLimitedBody(res.body, maxStateBytes);
-            return res.statusCode === 200 ? parsePeerState(body.toString()) : undefined;
+            const res = await connect(address).call({ path, signal: AbortSignal.timeout(requestTimeoutMs) });
+            return res.status === 200 ? parsePeerState(res.body.toString()) : undefined;
         }
         catch {
-            // On this connection a late answer would be taken for that to the next read. The caller logs the failure.
-            disconnect();
             return undefined;
         }
     }
 
+    async function read(address: string, known: KnownState): Promise<PeerState | undefined> {
+        const path = `${peerStatePath}?known=${known.tableVersion}&upstreams=${known.upstreamsDigest}`;
+        const state = await readState(address, path);
+        if (state === undefined) {
+            // On this connection a late answer would be taken for that to the next read.
+            disconnect();
+        }
+        return state;
+    }
+
     return { read, close: disconnect };
 }
--- a/src/io/peers/readQuarantine.ts
+++ b/src/io/peers/readQuarantine.ts
@@ -21,9 +21,9 @@
  */
 export async function readQuarantine(address: string): Promise<readonly QuarantineRecord[]> {
     const answer = await requestOnce(address, quarantinePath, { signal: AbortSignal.timeout(timeoutMs) });
-    const records = parseJson(z.array(quarantineRecordSchema), await answer.body.text());
+    const records = parseJson(z.array(quarantineRecordSchema), answer.body.toString());
     if (records === undefined) {
-        throw new Error(`${address} answered ${answer.statusCode} without a list of quarantined parts`);
+        throw new Error(`${address} answered ${answer.status} without a list of quarantined parts`);
     }
     return records;
 }
@@ -39,6 +39,5 @@
 export async function liftQuarantine(address: string, part: string): Promise<boolean> {
     const path = `${quarantinePath}?part=${encodeURIComponent(part)}`;
     const answer = await requestOnce(address, path, { method: "DELETE", signal: AbortSignal.timeout(timeoutMs) });
-    await answer.body.dump();
-    return answer.statusCode === 200;
+    return answer.status === 200;
 }
--- a/src/io/peers/readSignals.ts
+++ b/src/io/peers/readSignals.ts
@@ -32,9 +32,9 @@
  */
 export async function readSignals(address: string): Promise<readonly ListedSignal[]> {
     const answer = await requestOnce(address, signalsPath, { signal: AbortSignal.timeout(timeoutMs) });
-    const signals = parseJson(z.array(listedSignalSchema), await answer.body.text());
+    const signals = parseJson(z.array(listedSignalSchema), answer.body.toString());
     if (signals === undefined) {
-        throw new Error(`${address} answered ${answer.statusCode} without a list of signals`);
+        throw new Error(`${address} answered ${answer.status} without a list of signals`);
     }
     return signals;
 }
