Read an engine's version from its state, not from the answer to an order

What callers saw: nothing yet. An engine that answers an order with 200 though it lacks the version (a faulty server's extra bytes are enough) was recorded as having it. The record never falls, so the engine got no further order for that version, and requests were sent there for weights that it doesn't have.

Cause: "alreadyHolds" ended a load as "loaded" by itself.

Change: after it, the state is polled as after any other answer that leaves the outcome open.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -42,6 +42,7 @@
             | carries the unanswered order out late           | loaded      | 2      |
             | does not answer                                 | unreachable | 0      |
             | has seen a higher fence                         | fenced      | 1      |
+            | says that the order holds, though it does not   | loaded      | 2      |
 
     Scenario: The oldest weights are replaced first, a fifth of the engines at a time
         Then of 13 engines the 3 with the oldest weights receive orders
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -135,6 +135,7 @@
     "carries the unanswered order out late": { answers: ["unanswered", "conflict"], effectiveOrder: 2 },
     "does not answer": { isReachable: false, answers: [] },
     "has seen a higher fence": { answers: ["fenced"] },
+    "says that the order holds, though it does not": { answers: ["alreadyHolds", "accepted"], effectiveOrder: 2 },
 };
 
 function playLoad(script: EngineScript): LoadRun {
--- a/src/core/weights/loadWeights.ts
+++ b/src/core/weights/loadWeights.ts
@@ -51,19 +51,11 @@
 /** Polls after which a load times out; it may be started again. */
 const maxPolls = 90;
 
-/** Answers after which the engine's state is polled again. */
-const pendingAnswers: ReadonlySet<OrderAnswer> = new Set(["accepted", "conflict", "unanswered"]);
+/** Answers after which the engine's state is polled again: only the state shows which version it has. */
+const pendingAnswers: ReadonlySet<OrderAnswer> = new Set(["accepted", "alreadyHolds", "conflict", "unanswered"]);
 
 function toLoadEnd(answer: OrderAnswer): LoadEnd {
-    switch (answer) {
-        case "alreadyHolds":
-            return "loaded";
-        case "fenced":
-        case "unheld":
-            return answer;
-        default:
-            return "rejected";
-    }
+    return answer === "fenced" || answer === "unheld" ? answer : "rejected";
 }
 
 /**
