Let a holder of prompt parts use the room that others leave

With the same share for each of 98 engines and a cache store, the store would have kept 1,010 parts where it may hold thousands: its parts would have been prefilled again. All together are still bounded by 100,000; the limit of each follows by max-min fairness. The new scenario of features/memory.feature fails on the code before and passes now. The join of the soak's options and the scenario on logs is mended here too (a type error).

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -32,3 +32,8 @@
     Scenario: The parts that many holders report are bounded together, and the newest of each are kept
         When 40 holders report 20000 cached parts each
         Then 100000 of these parts are known, the newest 2500 of each holder
+
+    # Guards against a cache store whose parts are forgotten because there are many engines with few.
+    Scenario: A holder with many parts may use the room that others leave
+        When 98 holders report 300 cached parts each, and one more reports 20000
+        Then all of these parts are known
--- a/features/steps/instanceProcessSteps.ts
+++ b/features/steps/instanceProcessSteps.ts
@@ -96,7 +96,7 @@
     const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.9`;
     const folder = mkdtempSync(join(tmpdir(), "reedward-process-"));
     const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
-    const instance = createInstanceProcess(place, join(folder, "settings.json"), command, logPath);
+    const instance = createInstanceProcess(place, join(folder, "settings.json"), command, { logPath });
     const port = listener === undefined ? 0 : firstPort + portOffsets[listener];
     const hold = listener === "heartbeat" ? holdDatagrams : holdStream;
     const release = listener === undefined ? () => Promise.resolve() : await hold(port, ip);
--- a/features/steps/memorySteps.ts
+++ b/features/steps/memorySteps.ts
@@ -32,6 +32,7 @@
     statuses: readonly string[];
     /** Numbers of the parts that are known of each holder. */
     knownParts: readonly (readonly number[])[];
+    reportedParts: readonly number[];
 }
 
 const fixtures = new WeakMap<SiteWorld, MemoryFixture>();
@@ -50,6 +51,7 @@
         instance: undefined,
         statuses: [],
         knownParts: [],
+        reportedParts: [],
     };
     fixtures.set(world, fixture);
     return fixture;
@@ -237,12 +239,16 @@
     assert.ok(peakMegabytes <= megabytes, `${Math.round(peakMegabytes)} MB`);
 });
 
-When("{int} holders report {int} cached parts each", function(this: SiteWorld, holders: number, parts: number) {
+const partOf = (number: number) => ({ id: `part-${number}`, tokens: 16 });
+
+/** Returns the numbers of the parts of each holder that are known after all holders have reported theirs in turn. */
+function reportParts(partsByHolder: readonly number[]): readonly (readonly number[])[] {
     const view = createPartView();
-    const numbers = Array.from({ length: parts }, (_, index) => index);
-    const names = Array.from({ length: holders }, (_, index) => `h-${index}`);
-    const partOf = (number: number) => ({ id: `part-${number}`, tokens: 16 });
-    names.forEach(name =>
+    const holders = partsByHolder.map((parts, index) => ({
+        name: `h-${index}`,
+        numbers: Array.from({ length: parts }, (_, number) => number),
+    }));
+    holders.forEach(({ name, numbers }) =>
         view.applyEvents(name, numbers.map(number => ({ salt: "s", part: partOf(number).id, tokens: 16 })))
     );
     const isKnown = (name: string, number: number) => {
@@ -250,7 +256,26 @@
         return view.countCachedTokens({ model: "m", parts, promptTokens: 32, outputTokens: 1 }, "s", name, 0).cached
             > 0;
     };
-    getFixture(this).knownParts = names.map(name => numbers.filter(number => isKnown(name, number)));
+    return holders.map(({ name, numbers }) => numbers.filter(number => isKnown(name, number)));
+}
+
+When("{int} holders report {int} cached parts each", function(this: SiteWorld, holders: number, parts: number) {
+    getFixture(this).knownParts = reportParts(Array.from({ length: holders }, () => parts));
+});
+
+When(
+    "{int} holders report {int} cached parts each, and one more reports {int}",
+    function(this: SiteWorld, holders: number, parts: number, more: number) {
+        const fixture = getFixture(this);
+        const reported = [...Array.from({ length: holders }, () => parts), more];
+        fixture.knownParts = reportParts(reported);
+        fixture.reportedParts = reported;
+    },
+);
+
+Then("all of these parts are known", function(this: SiteWorld) {
+    const { knownParts, reportedParts } = getFixture(this);
+    assert.deepEqual(knownParts.map(numbers => numbers.length), reportedParts);
 });
 
 Then(
--- a/src/core/placement/createPartView.ts
+++ b/src/core/placement/createPartView.ts
@@ -3,6 +3,7 @@
  * Tracks which prompt parts are cached by engines and cache stores: from the events that they publish, which arrive
  * late and with gaps, and from this instance's own sends, whose events have not arrived yet.
  */
+import { computeFairLimit } from "../_lib/computeFairLimit.js";
 import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Prompt, PromptPart } from "./placementTypes.js";
 
@@ -41,7 +42,7 @@
 /** Maximum number of parts tracked for one holder; the least recently reported ones are evicted. */
 const maxParts = 20_000;
 
-/** Maximum number of parts tracked for all holders together: each takes some 300 bytes of a process's memory. */
+/** Maximum number of parts tracked for all holders together; holders with few parts keep them. */
 const maxTotalParts = 100_000;
 
 interface Holder {
@@ -104,6 +105,7 @@
  */
 export function createPartView(): PartView {
     const holders = new Map<string, Holder>();
+    const totals = { tokens: 0, sentMs: 0 };
 
     function holderOf(id: string): Holder {
         const known = holders.get(id);
@@ -112,20 +114,25 @@
         }
         const holder: Holder = { tokens: new Map(), sentMs: new Map() };
         holders.set(id, holder);
-        holders.forEach(limitHolder);
         return holder;
     }
 
-    /** Each holder has the same share of all parts. */
-    function limitHolder(holder: Holder): void {
-        const maxEntries = Math.min(maxParts, Math.floor(maxTotalParts / holders.size));
-        limitSize(holder.tokens, maxEntries);
-        limitSize(holder.sentMs, maxEntries);
+    /** Limits a holder that has grown, and then all, so that holders with few parts keep them. */
+    function limitParts(kind: keyof Holder, grown: Map<string, number>, sizeBefore: number): void {
+        limitSize(grown, maxParts);
+        totals[kind] += grown.size - sizeBefore;
+        if (totals[kind] <= maxTotalParts) {
+            return;
+        }
+        const all = [...holders.values()].map(holder => holder[kind]);
+        const maxEntries = computeFairLimit(all.map(entries => entries.size), maxTotalParts);
+        all.forEach(entries => limitSize(entries, maxEntries));
+        totals[kind] = all.reduce((sum, entries) => sum + entries.size, 0);
     }
 
     function applyEvents(id: string, events: readonly PartEvent[]): void {
-        const holder = holderOf(id);
-        const { tokens } = holder;
+        const { tokens } = holderOf(id);
+        const sizeBefore = tokens.size;
         for (const event of events) {
             const key = keyOf(event.salt, event.part);
             tokens.delete(key);
@@ -133,7 +140,7 @@
                 tokens.set(key, event.tokens);
             }
         }
-        limitHolder(holder);
+        limitParts("tokens", tokens, sizeBefore);
     }
 
     function isExpected(holder: Holder, key: string, nowMs: number): boolean {
@@ -164,14 +171,14 @@
     }
 
     function recordSent(shared: readonly PromptPart[], salt: string, engine: string, nowMs: number): void {
-        const holder = holderOf(engine);
-        const { sentMs } = holder;
+        const { sentMs } = holderOf(engine);
+        const sizeBefore = sentMs.size;
         for (const part of shared) {
             const key = keyOf(salt, part.id);
             sentMs.delete(key);
             sentMs.set(key, nowMs);
         }
-        limitHolder(holder);
+        limitParts("sentMs", sentMs, sizeBefore);
     }
 
     function recordPrefilled(prompt: Prompt, salt: string, engine: string): void {
@@ -182,6 +189,9 @@
     return {
         applyEvents,
         removeHolder: id => {
+            const holder = holders.get(id);
+            totals.tokens -= holder?.tokens.size ?? 0;
+            totals.sentMs -= holder?.sentMs.size ?? 0;
             holders.delete(id);
         },
         countCachedTokens,
