Excuse in the check of stops only what the record of an attempt shows

The excuses are now deadline, timeout, a last run that its upstream broke off, and the end of the grace period for requests sent within 3 s of the order to stop.

Stricter than before: the last one holds only if the cut itself lies in the last sixth of the grace period and an upstream worked on the request until the cut (before, a run that ended in that time sufficed, however early the cut was). A stream that looks complete without its last event is ORDER, which nothing excuses; it counted as a cut. Every loss is printed with its trace, and the counts say how many were excused and why, and whether losses were sent late in a stop, early, or met an instance that was not told to stop.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -2,8 +2,10 @@
  * @module
  * Checks a history of stops against what callers are promised.
  */
-import { graceSeconds, type InstanceBounds } from "../../support/platformSettings.js";
-import type { AttemptRecord, LifeRecord, RunRecord, StopHistory } from "./stopTypes.js";
+import type { InstanceBounds } from "../../support/platformSettings.js";
+import { describeLoss } from "./describeLoss.js";
+import { findLosses, type Loss } from "./findLosses.js";
+import type { LifeRecord, RunRecord, StopHistory } from "./stopTypes.js";
 
 /** What was found. */
 export interface StopFindings {
@@ -11,65 +13,18 @@
     readonly counts: Readonly<Record<string, number>>;
 }
 
-const millisecondsPerSecond = 1_000;
-const graceMs = graceSeconds * millisecondsPerSecond;
-
-/** Time after the grace period in which an end still belongs to the stop, in milliseconds. */
-const afterGraceMs = 1_000;
-
-/** Time after its last byte from which on a request that was read must be answered, in milliseconds. */
-const lossSlackMs = 200;
-
-/** Requests that were sent by then may be cut late in the grace period if their upstream still works on them. */
-const excusedSendMs = 3_000;
-
-/** Start of the part of the grace period in which they may be. */
-const excusedEndMs = graceMs * 5 / 6;
-
 /** Time within which a started instance is ready, in milliseconds. */
 const maxStartMs = 10_000;
 
 /** Time beyond the work itself after which a request counts as late, in milliseconds. */
 const lateMs = 500;
 
-/** Time in which an instance learns of a signal, on this machine, in milliseconds. */
-const signalSlackMs = 50;
-
 const promiseStatuses = [408, 421, 429, 503];
 
-/** The life that took an attempt and was told to stop around it. */
-function findStoppedLife(attempt: AttemptRecord, lives: readonly LifeRecord[]): LifeRecord | undefined {
-    return lives.find(life =>
-        life.address === attempt.address && life.termMs !== undefined
-        && attempt.endMs > life.termMs - signalSlackMs
-        && attempt.endMs < life.termMs + graceMs + afterGraceMs
-    );
-}
-
-function describe(name: string, attempt: AttemptRecord, life: LifeRecord | undefined): string {
-    const sinceMs = (atMs: number | undefined) =>
-        atMs === undefined || life?.termMs === undefined ? "?" : String(Math.round(atMs - life.termMs));
-    return `${name} ${attempt.id} ${attempt.kind}${attempt.isChunked ? " in chunks" : ""} at ${attempt.address}: sent ${
-        sinceMs(attempt.sentMs)
-    } ms and cut ${sinceMs(attempt.endMs)} ms after the order to stop, status ${attempt.status} ${attempt.error ?? ""}`;
-}
-
-function findLost(history: StopHistory, runs: ReadonlyMap<string, readonly RunRecord[]>): readonly string[] {
-    return history.requests.flatMap(request => request.attempts).flatMap(attempt => {
-        if (attempt.isComplete || attempt.sentMs === undefined || attempt.error === "ECONNREFUSED") {
-            return [];
-        }
-        const run = runs.get(attempt.id)?.[0];
-        const life = findStoppedLife(attempt, history.lives);
-        const wasTaken = run !== undefined || attempt.endMs - attempt.sentMs > lossSlackMs;
-        if (!wasTaken) {
-            return [];
-        }
-        const termMs = life?.termMs;
-        const isExcused = termMs !== undefined && run !== undefined
-            && (run.endMs ?? Infinity) > termMs + excusedEndMs && attempt.sentMs <= termMs + excusedSendMs;
-        return isExcused ? [] : [describe("LOST", attempt, life)];
-    });
+function findTruncated(history: StopHistory): readonly string[] {
+    return history.requests.flatMap(request => request.attempts)
+        .filter(attempt => attempt.isTruncated)
+        .map(attempt => `ORDER ${attempt.id} at ${attempt.address} ended as complete before its last event`);
 }
 
 function findRunTwice(history: StopHistory, runs: ReadonlyMap<string, readonly RunRecord[]>): readonly string[] {
@@ -161,6 +116,28 @@
     return { ...counts, lives: history.lives.length };
 }
 
+/** Failures of instances by their status: 502 says that it is not known whether the request has run. */
+function countFailures(history: StopHistory): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const attempt of history.requests.flatMap(request => request.attempts)) {
+        if (attempt.isComplete && attempt.status >= 400) {
+            const name = `status${attempt.status}`;
+            counts[name] = (counts[name] ?? 0) + 1;
+        }
+    }
+    return counts;
+}
+
+function countLosses(losses: readonly Loss[]): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = { lostLate: 0, lostEarly: 0, lostElsewhere: 0 };
+    const momentNames = { late: "lostLate", early: "lostEarly", elsewhere: "lostElsewhere" } as const;
+    for (const { excuse, moment } of losses) {
+        const name = excuse === undefined ? momentNames[moment] : `excused:${excuse}`;
+        counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+}
+
 /**
  * Checks a history.
  *
@@ -173,11 +150,13 @@
     for (const run of history.runs) {
         runs.set(run.attempt, [...(runs.get(run.attempt) ?? []), run]);
     }
+    const losses = findLosses(history, runs);
     const violations = [
-        ...findLost(history, runs),
+        ...losses.filter(loss => loss.excuse === undefined).map(loss => describeLoss(loss, history.lives)),
+        ...findTruncated(history),
         ...findRunTwice(history, runs),
         ...findFaults(history),
         ...findOldVersions(history, bounds),
     ];
-    return { violations, counts: countOutcomes(history) };
+    return { violations, counts: { ...countOutcomes(history), ...countFailures(history), ...countLosses(losses) } };
 }
--- /dev/null
+++ b/bench/faults/platform/describeLoss.ts
@@ -0,0 +1,49 @@
+/**
+ * @module
+ * The trace of a loss, on a line: who, when, and what its instance, its upstream and the other instances did around it.
+ */
+import type { Loss } from "./findLosses.js";
+import type { LifeRecord } from "./stopTypes.js";
+
+/** Order to stop that another instance got last before a loss. */
+function findLastStop(loss: Loss, lives: readonly LifeRecord[]): LifeRecord | undefined {
+    const { address, endMs } = loss.attempt;
+    return lives
+        .filter(life => life.address !== address && (life.termMs ?? Infinity) < endMs)
+        .sort((one, other) => other.termMs! - one.termMs!)[0];
+}
+
+/**
+ * Describes a loss.
+ *
+ * @param loss - The loss.
+ * @param lives - All lives of the run.
+ * @returns One line. Times are milliseconds after the order to stop of its instance; without one, after the attempt was sent.
+ */
+export function describeLoss(loss: Loss, lives: readonly LifeRecord[]): string {
+    const { attempt, runs, life } = loss;
+    const zeroMs = life?.termMs ?? attempt.sentMs ?? attempt.endMs;
+    const since = (atMs: number | undefined) => atMs === undefined ? "?" : String(Math.round(atMs - zeroMs));
+    const form = `${attempt.kind}${attempt.isChunked ? " in chunks" : ""}`;
+    const ends = life === undefined
+        ? "its instance was not told to stop"
+        : `its instance was told to stop at 0 and ended at ${since(life.endedMs)}`;
+    const reloads = lives
+        .filter(one => one.address === attempt.address)
+        .flatMap(one => one.hangupsMs)
+        .map(since);
+    const other = findLastStop(loss, lives);
+    const described = runs.map(run =>
+        `${run.upstream} from ${since(run.beganMs)} to ${since(run.endMs)}${run.isComplete ? " complete" : ""}`
+    );
+    return [
+        `LOST ${attempt.id} ${form} at ${attempt.address}, ${loss.moment}: sent ${since(attempt.sentMs)}, cut ${
+            since(attempt.endMs)
+        }, status ${attempt.status} ${attempt.error ?? "no error"}`,
+        ends,
+        `deadline ${since(attempt.deadlineMs)}, timeout ${since(attempt.timeoutMs)}`,
+        `runs: ${described.length === 0 ? "none" : described.join(", ")}`,
+        `reloads: ${reloads.length === 0 ? "none" : reloads.join(", ")}`,
+        `last order to another: ${other === undefined ? "none" : `${other.address} at ${since(other.termMs)}`}`,
+    ].join("; ");
+}
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -26,3 +26,44 @@
             | a change was in force only after 5 s        | configuration in force, never reverts |
             | a change was never in force on one daemon   | configuration in force, never reverts |
             | a daemon went back to an older revision     | configuration in force, never reverts |
+
+    Scenario: A clean history of stops
+        Given a clean history of stops
+        Then the stops break no promise
+
+    Scenario Outline: The check of stops finds that <event>
+        When in the history of stops <event>
+        Then the stops break only the promise "<promise>"
+
+        Examples:
+            | event                                                                 | promise |
+            | a stream sent early was cut before the last sixth of the grace period | LOST    |
+            | a stream sent late was cut at the end of the grace period             | LOST    |
+            | a stream sent early was cut at the end, its upstream had finished     | LOST    |
+            | a stream sent early was cut at the end, its upstream was left before  | LOST    |
+            | a stream sent early was cut at the end and had never run              | LOST    |
+            | a stream was cut at an instance that was not told to stop             | LOST    |
+            | a stream was cut just before its deadline                             | LOST    |
+            | an earlier run was broken off and the last one cut                    | LOST    |
+            | a request was reset unread 300 ms after its last byte                 | LOST    |
+            | a stream looked complete without its last event                       | ORDER   |
+
+    # Guards against requests that reached their deadline and were counted as lost.
+    Scenario Outline: The check of stops excuses that <event>
+        When in the history of stops <event>
+        Then the stops break no promise
+
+        Examples:
+            | event                                                            |
+            | a stream sent early was cut at the end while its upstream worked |
+            | a stream was cut at its deadline                                 |
+            | a stream was cut at its route's timeout                          |
+            | a stream was cut since its upstream broke off                    |
+            | a request was reset unread 150 ms after its last byte            |
+            | a request was refused at the door                                |
+            | a request was not sent completely                                |
+
+    Scenario: A loss comes with its trace
+        When in the history of stops a stream sent early was cut before the last sixth of the grace period
+        Then the stops break only the promise "LOST"
+        And its trace names the attempt, its times and its run
--- /dev/null
+++ b/features/steps/stopCheckSteps.ts
@@ -0,0 +1,149 @@
+/**
+ * @module
+ * Steps that plant one event in the history of a series of stops and ask what the checker makes of it.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { checkStops } from "../../bench/faults/platform/checkStops.js";
+import type { AttemptRecord, LifeRecord, RunRecord, StopHistory } from "../../bench/faults/platform/stopTypes.js";
+import { defaultBounds } from "../../bench/support/platformSettings.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+const histories = new WeakMap<SiteWorld, StopHistory>();
+
+/** When the instance is told to stop. */
+const termMs = 50_000;
+
+const address = "127.0.0.2:23000";
+const otherAddress = "127.0.0.3:23000";
+
+const life: LifeRecord = {
+    address,
+    startedMs: 0,
+    readyMs: 1_000,
+    termMs,
+    hangupsMs: [],
+    endedMs: termMs + 7_900,
+    end: "code 0",
+};
+const otherLife: LifeRecord = { ...life, address: otherAddress, termMs: undefined, endedMs: undefined, end: undefined };
+
+/** A stream of 6 s that was sent 1 s after the order to stop and answered. */
+const answered: AttemptRecord = {
+    id: "c1.1.0",
+    request: "c1.1",
+    kind: "stream",
+    address,
+    isChunked: false,
+    sentMs: termMs + 1_000,
+    deadlineMs: termMs + 13_000,
+    timeoutMs: termMs + 16_000,
+    endMs: termMs + 7_000,
+    status: 200,
+    isComplete: true,
+    isTruncated: false,
+    error: undefined,
+};
+const run: RunRecord = {
+    attempt: answered.id,
+    upstream: "adapt-1",
+    version: 1,
+    beganMs: termMs + 1_010,
+    endMs: termMs + 7_000,
+    isComplete: true,
+    isBrokenOff: false,
+};
+const cutRun: RunRecord = { ...run, isComplete: false };
+const cut: AttemptRecord = { ...answered, isComplete: false, error: "ECONNRESET" };
+
+function createHistory(attempt: AttemptRecord, runs: readonly RunRecord[]): StopHistory {
+    const { kind, endMs, request: id } = attempt;
+    const beganMs = attempt.sentMs ?? endMs;
+    return {
+        requests: [{ id, kind, workMs: 6_000, beganMs, endMs, attempts: [attempt] }],
+        runs,
+        lives: [life, otherLife],
+        versions: [{ version: 1, namedMs: 0 }],
+        refusedWhileReady: [],
+    };
+}
+
+function cutAt(afterMs: number, change: Partial<AttemptRecord> = {}, runChange: Partial<RunRecord> = {}): StopHistory {
+    const endMs = termMs + afterMs;
+    return createHistory({ ...cut, endMs, ...change }, [{ ...cutRun, endMs, ...runChange }]);
+}
+
+function cutUnrun(afterSentMs: number, change: Partial<AttemptRecord> = {}): StopHistory {
+    const sentMs = change.sentMs ?? cut.sentMs!;
+    return createHistory({ ...cut, status: 0, endMs: sentMs + afterSentMs, ...change }, []);
+}
+
+const plantedHistories: Readonly<Record<string, StopHistory>> = {
+    "a stream sent early was cut before the last sixth of the grace period": cutAt(6_000),
+    "a stream sent late was cut at the end of the grace period": cutAt(7_500, { sentMs: termMs + 3_100 }),
+    "a stream sent early was cut at the end, its upstream had finished": cutAt(7_500, {}, {
+        endMs: termMs + 7_000,
+        isComplete: true,
+    }),
+    "a stream sent early was cut at the end, its upstream was left before": cutAt(7_500, {}, { endMs: termMs + 6_900 }),
+    "a stream sent early was cut at the end and had never run": cutUnrun(6_500),
+    "a stream was cut at an instance that was not told to stop": cutAt(7_500, { address: otherAddress }),
+    "a stream was cut just before its deadline": cutAt(6_000, { deadlineMs: termMs + 6_050 }),
+    "an earlier run was broken off and the last one cut": createHistory({
+        ...cut,
+        kind: "idempotent",
+        endMs: termMs + 6_000,
+    }, [
+        { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
+        { ...cutRun, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
+    ]),
+    "a request was reset unread 300 ms after its last byte": cutUnrun(300),
+    "a stream looked complete without its last event": createHistory({ ...cut, isTruncated: true, error: undefined }, [
+        run,
+    ]),
+    "a stream sent early was cut at the end while its upstream worked": cutAt(7_500),
+    "a stream was cut at its deadline": cutAt(6_000, { deadlineMs: termMs + 6_000 }),
+    "a stream was cut at its route's timeout": cutAt(6_000, { timeoutMs: termMs + 6_000 }),
+    "a stream was cut since its upstream broke off": cutAt(6_000, {}, { isBrokenOff: true }),
+    "a request was reset unread 150 ms after its last byte": cutUnrun(150),
+    "a request was refused at the door": cutUnrun(300, { error: "ECONNREFUSED" }),
+    "a request was not sent completely": createHistory({ ...cut, sentMs: undefined, status: 0 }, []),
+};
+
+Given("a clean history of stops", function(this: SiteWorld) {
+    histories.set(this, createHistory(answered, [run]));
+});
+
+When(/^in the history of stops (.+)$/, function(this: SiteWorld, event: string) {
+    const history = plantedHistories[event];
+    assert.ok(history !== undefined, `no history in which "${event}"`);
+    histories.set(this, history);
+});
+
+function listViolations(world: SiteWorld): readonly string[] {
+    return checkStops(histories.get(world)!, defaultBounds).violations;
+}
+
+Then("the stops break no promise", function(this: SiteWorld) {
+    assert.deepEqual(listViolations(this), []);
+});
+
+Then("the stops break only the promise {string}", function(this: SiteWorld, promise: string) {
+    assert.deepEqual(listViolations(this).map(violation => violation.split(" ")[0]), [promise]);
+});
+
+Then(
+    "its trace names the attempt, its times and its run",
+    function(this: SiteWorld) {
+        const [trace] = listViolations(this);
+        const parts = [
+            "c1.1.0",
+            "sent 1000",
+            "cut 6000",
+            "ended at 7900",
+            "deadline 13000",
+            "adapt-1 from 1010 to 6000",
+        ];
+        parts.forEach(part => assert.ok(trace?.includes(part), `"${part}" in ${trace}`));
+    },
+);
