Keep descriptors and memory from callers' connections

What callers saw: with as many connections as a process may have, others were closed unanswered, requests that had been taken could not be sent (no descriptor for a connection to an upstream), and beyond the memory the platform ends the process. Cause: nothing bounded the connections of callers. Change: at most half of the descriptors that the settings state (after those for files, store and peers), and a quarter of the memory at 24 KB each: 1,800 at 4,100 descriptors and 200 MB. From three quarters of that on, each new connection closes the one that has been idle longest; beyond it new connections are closed before anything is read (RW3013). The scenario on a process of 700 descriptors fails without the bound (429 open).

--- /dev/null
+++ b/features/callerConnections.feature
@@ -0,0 +1,25 @@
+Feature: Connections of callers leave descriptors and memory for everything else
+
+    Scenario Outline: The number of connections of callers follows from what the platform allows a process
+        Then a process with <descriptors> descriptors and <memory> MB keeps at most <connections> connections
+
+        Examples:
+            | descriptors | memory | connections |
+            | 4100        | 200    | 1800        |
+            | 4200        | 350    | 1850        |
+            | 8192        | 602    | 3846        |
+            | 8192        | 178    | 1898        |
+            | 100         | 200    | 1           |
+
+    # Guards against callers' idle connections that take the last descriptors, so that no upstream can be reached.
+    Scenario: Callers that keep connections take no descriptors from the requests of others
+        Given a process of an instance that is allowed 700 descriptors
+        When 400 callers send a request one after the other and keep their connections
+        Then each of them was answered with 200
+        And the process has at most 200 descriptors open
+
+    Scenario: Of the idle connections the one that is idle longest is closed, and none with a request
+        Given at most 8 connections of callers, of which 6 are open
+        When connections 2, 1 and 3 have each had a request, and connection 4 has one in progress
+        And 3 more are opened
+        Then connections 2, 1 and 3 are being closed
--- /dev/null
+++ b/features/steps/callerConnectionSteps.ts
@@ -0,0 +1,150 @@
+/**
+ * @module
+ * Steps on the number of connections that callers keep open.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { Agent, request } from "node:http";
+import { Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { startFakeServer } from "../../fakes/startFakeServer.js";
+import { startFakeStore } from "../../fakes/startFakeStore.js";
+import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
+import { type CallerConnections, createCallerConnections } from "../../src/io/http/createCallerConnections.js";
+import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface ConnectionFixture {
+    readonly connections: CallerConnections;
+    readonly sockets: readonly Socket[];
+}
+
+interface ProcessFixture {
+    readonly instance: InstanceProcess;
+    readonly statuses: number[];
+}
+
+const fixtures = new WeakMap<SiteWorld, ConnectionFixture>();
+const processes = new WeakMap<SiteWorld, ProcessFixture>();
+const bytesPerMegabyte = 1_048_576;
+const firstPort = 27_000;
+
+Then(
+    "a process with {int} descriptors and {int} MB keeps at most {int} connections",
+    (maxDescriptors: number, megabytes: number, connections: number) => {
+        const memoryBytes = megabytes * bytesPerMegabyte;
+        assert.equal(limitCallerConnections({ maxDescriptors, memoryBytes }), connections);
+    },
+);
+
+function addSockets(connections: CallerConnections, count: number): readonly Socket[] {
+    const sockets = Array.from({ length: count }, () => new Socket());
+    sockets.forEach(connections.add);
+    return sockets;
+}
+
+Given(
+    "at most {int} connections of callers, of which {int} are open",
+    function(this: SiteWorld, maxConnections: number, open: number) {
+        const connections = createCallerConnections(maxConnections);
+        fixtures.set(this, { connections, sockets: addSockets(connections, open) });
+    },
+);
+
+When(
+    "connections {int}, {int} and {int} have each had a request, and connection {int} has one in progress",
+    function(this: SiteWorld, first: number, second: number, third: number, busy: number) {
+        const { connections, sockets } = fixtures.get(this)!;
+        [first, second, third].forEach(number => {
+            connections.beginRequest(sockets[number - 1]!);
+            connections.endRequest(sockets[number - 1]!);
+        });
+        connections.beginRequest(sockets[busy - 1]!);
+    },
+);
+
+When("{int} more are opened", function(this: SiteWorld, count: number) {
+    addSockets(fixtures.get(this)!.connections, count);
+});
+
+Then(
+    "connections {int}, {int} and {int} are being closed",
+    function(this: SiteWorld, first: number, second: number, third: number) {
+        const { connections, sockets } = fixtures.get(this)!;
+        const closing = sockets.flatMap((socket, index) => socket.writableEnded ? [index + 1] : []);
+        assert.deepEqual(closing, [first, second, third].sort());
+        assert.equal(connections.beginRequest(sockets[first - 1]!), false);
+    },
+);
+
+Given(
+    "a process of an instance that is allowed {int} descriptors",
+    async function(this: SiteWorld, maxDescriptors: number) {
+        const store = await startFakeStore();
+        const server = await startFakeServer("i-1", "portal");
+        store.put("keyed.op", "config", configuration);
+        store.put("keyed.servers", server.id, server.entry());
+        const folder = mkdtempSync(join(tmpdir(), "reedward-connections-"));
+        const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.7`;
+        const place = {
+            name: "entry-1",
+            failureDomain: "north",
+            ip,
+            firstPort,
+            seeds: [],
+            storeAddress: store.address,
+        };
+        const settingsPath = join(folder, "settings.json");
+        const instance = createInstanceProcess(place, settingsPath, ["dist/platform/main.js"]);
+        const settings = JSON.parse(readFileSync(settingsPath, "utf8")) as object;
+        writeFileSync(settingsPath, JSON.stringify({ ...settings, limits: { max_fds: maxDescriptors } }));
+        this.cleanups.push(
+            () => instance.stop(),
+            () => store.stop(),
+            () => server.stop(),
+            () => Promise.resolve(rmSync(folder, { recursive: true, force: true })),
+        );
+        instance.start();
+        await waitUntil("the instance is ready", () => instance.isReady());
+        processes.set(this, { instance, statuses: [] });
+    },
+);
+
+function callOnce(address: string, agent: Agent, id: string): Promise<number> {
+    const [host, port] = address.split(":");
+    const { host: name, authorization } = streamHeaders;
+    const headers = { host: name, authorization, "attempt-id": id };
+    return new Promise((resolve, reject) => {
+        const req = request({ host, port, agent, method: "POST", path: plainCall.path, headers }, res => {
+            res.resume();
+            res.on("end", () => resolve(res.statusCode ?? 0));
+        });
+        req.on("error", reject);
+        req.end("letter");
+    });
+}
+
+When(
+    "{int} callers send a request one after the other and keep their connections",
+    async function(this: SiteWorld, callers: number) {
+        const { instance, statuses } = processes.get(this)!;
+        for (let count = 0; count < callers; count += 1) {
+            const agent = new Agent({ keepAlive: true });
+            this.cleanups.push(() => Promise.resolve(agent.destroy()));
+            statuses.push(await callOnce(instance.callerAddress, agent, `call-${count}`));
+        }
+    },
+);
+
+Then("each of them was answered with {int}", function(this: SiteWorld, status: number) {
+    assert.deepEqual(new Set(processes.get(this)!.statuses), new Set([status]));
+});
+
+Then("the process has at most {int} descriptors open", function(this: SiteWorld, descriptors: number) {
+    const { instance } = processes.get(this)!;
+    const open = readdirSync(`/proc/${instance.pid()}/fd`).length;
+    assert.ok(open <= descriptors, `${open} descriptors`);
+});
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -143,6 +143,7 @@
         metricsAddress: "127.0.0.1:0",
         contacts: [],
         memoryBytes: 200 * 1_048_576,
+        maxDescriptors: 4_100,
         graceMs: 900,
         drainMs: 1_000,
         configMs: 1_000,
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -7,9 +7,11 @@
 import polka from "polka";
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
+import { limitCallerConnections } from "../core/proxy/limitCallerConnections.js";
 import type { PartGuard } from "../core/quarantine/createPartGuard.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
+import { createCallerConnections } from "../io/http/createCallerConnections.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
@@ -89,15 +91,23 @@
 export function assembleServers(context: InstanceContext, sources: ServerSources): Servers {
     const { settings, ports, writeLog } = context;
     const { listeners } = sources;
-    const callerConnections = new Set<Socket>();
+    const maxConnections = limitCallerConnections(settings);
+    const connections = createCallerConnections(maxConnections);
     let isClosed = false;
 
     /** A request that crosses the close of its connection is not served: its answer could not be written. */
     function handle(req: IncomingMessage, res: ServerResponse): void {
+        const { socket } = req;
         if (isClosed) {
-            req.socket.destroy();
+            socket.destroy();
             return;
         }
+        if (!connections.beginRequest(socket)) {
+            socket.destroySoon();
+            return;
+        }
+        // A response whose connection closes first need not end: the connection is forgotten then.
+        res.once("close", () => connections.endRequest(socket));
         sources.handle(req, res);
     }
 
@@ -126,10 +136,9 @@
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
         handle,
     );
-    callerServer.on("connection", (socket: Socket) => {
-        callerConnections.add(socket);
-        socket.once("close", () => callerConnections.delete(socket));
-    });
+    callerServer.maxConnections = maxConnections;
+    callerServer.on("connection", connections.add);
+    callerServer.on("drop", () => writeLog("connectionRefused", { maxConnections }));
     callerServer.on("clientError", (error: Error & { code?: string; }, socket: Socket) => {
         writeLog("clientError", { detail: error.code ?? error.message });
         if (!socket.writable || socket.destroyed) {
@@ -199,7 +208,7 @@
                 callerServer.headersTimeout = limits.headerTimeoutMs;
             }
         },
-        countConnections: () => callerConnections.size,
+        countConnections: connections.count,
         closeCallers: () => {
             isClosed = true;
             listeners.stop();
@@ -207,10 +216,10 @@
             // The HTTP server's own close destroys idle connections, and a connection that is destroyed with unread bytes
             // is reset, which can discard an answer that the caller has not read yet.
             NetServer.prototype.close.call(callerServer);
-            callerConnections.forEach(socket => socket.end());
+            connections.end();
         },
         close: () => {
-            callerConnections.forEach(socket => socket.destroy());
+            connections.destroy();
             others.forEach(server => server.close());
         },
     };
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -30,6 +30,8 @@
     readonly contacts: readonly string[];
     /** Memory beyond which the platform ends the process, in bytes. */
     readonly memoryBytes: number;
+    /** Descriptors that the platform allows the process, of which it reserves some for files. */
+    readonly maxDescriptors: number;
     /** Maximum time from the stop signal to the end of the process. */
     readonly graceMs: number;
     /** Time after which a draining upstream must get no new requests. */
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -60,6 +60,7 @@
     foreignAnswer: define("RW3010", "warn", "upstream answer discarded: it belongs to another request"),
     clientError: define("RW3011", "info", "connection of a caller closed: not a valid request"),
     answerEndJudged: define("RW3012", "info", "answer ended with its connection or within an event"),
+    connectionRefused: define("RW3013", "warn", "connection of a caller closed: as many as allowed are open"),
     peerRejected: define("RW4001", "warn", "peer call rejected: wrong secret"),
     memberChanged: define("RW4002", "info", "a member of the fleet changed its state"),
     seatsHandedOver: define(
