Answer without a length where an answer has none

Callers of a request that was answered 204, or asked for by HEAD, got "Content-Length: 0" with it: 204 and 304 must not have a length, and that of HEAD stated another one than the upstream's.

Cause: whole answers always got the length of the collected body.

Change: no length is written for 204, 304 and HEAD.

--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -6,7 +6,7 @@
 import { createActionSet } from "../../core/_lib/createActionSet.js";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
-import type { UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
+import type { HeaderPair, UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { onResponseOver } from "./_lib/onResponseOver.js";
 import type { AnswerHead } from "./proxyCodec.js";
@@ -42,6 +42,9 @@
     readonly onStart?: () => void;
 }
 
+/** Statuses of answers that have neither a body nor a length. */
+const lengthlessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /**
  * Creates the exchange of one request.
  *
@@ -88,7 +91,9 @@
             res.end();
         },
         answer: answer => {
-            writeHead(answer.status, [...answer.headers, ["content-length", String(answer.body.length)]]);
+            const length: HeaderPair = ["content-length", String(answer.body.length)];
+            const hasLength = res.req.method !== "HEAD" && !lengthlessStatuses.has(answer.status);
+            writeHead(answer.status, hasLength ? [...answer.headers, length] : answer.headers);
             const holding = options.holdAnswer?.(answer.body.length);
             onResponseOver(res, () => holding?.close());
             res.end(answer.body);
