Decide in one place what an upstream's answer is worth to a request

What callers saw, by the scenarios of features/answerJudgement.feature on the code before this (85 scenarios, 33 failed for these reasons; two more failed for mistakes of the new steps, mended since): - A refusal (503, 429, 421, 400 with "not executed") that an upstream writes once more without an id on a kept connection, ahead of the answer there, counted as "not run" of the next request. That had run: it was sent to a second upstream too (TWICE; with one attempt allowed, too often), or with none left answered 503 (REFUSED). - A stream that had begun and broke off, after which the next upstream answered 204, 200 without type and body, an event stream of length 0 or without events, or comments alone: it ended as complete (ORDER). - The next upstream began at the first event again, repeated the last one, or gave events without ids, with ids that are no numbers, untyped HTML, an encoded body or one without a seal: all of that was joined to the events that the caller had (ORDER, MIXED). - First answers: a success without the seal, with an encoded body, with two ids; a success that states "not executed" too (answered 503 as not run); 503 and 429 that don't state "not executed" were passed on for requests that must not run twice, as a promise.

Cause: the questions whether an answer belongs to the request, whether it is believed, and whether it can be delivered to this caller were spread over three conditions of the sender, and none asked what the caller already had. A refusal without an id was believed since connections are not used again after a refusal; that holds for one connection, not for an upstream.

Change: judgeAnswerHead and judgeAnswerEnd (src/core/proxy, no I/O) decide. An answer is the request's own by its id alone; everything else is "unknown", and RW3010 says which status it had and whether it stated "not run". After a part, only a sealed, unencoded success that may hold events continues, and createEventSequence lets events through whose ids are greater than the last one delivered (decimal, of any length). Ids that are no numbers cannot be shown to increase, so they do not go on. A type that is not stated is allowed there, as for first answers: the ids decide, and a page or document has none. Every other answer is a lost send: the next upstream while the route and the budget allow, else the stream is aborted. The steps of a request can no longer deliver a whole answer after a part.

An event stream without events after a part: neither its framing, Token-Count (a maximum), the weights' version nor the content of events tells whether the caller has the last event. Ended, a stream that lacks its end looks complete and its caller never asks again; aborted, a caller that has all of it asks once more with Last-Event-Id and gets the empty stream as the whole of that answer. The cost of the second is one more request at one of the places where a stream can break; so it is aborted.

The fake server's 421 echoes the id too; without it two scenarios (platformPath, oddRecords) showed the fake's 421 as unknown.

Evidence: answerJudgement 85 of 85 after the change, among them 782 heads cut at each byte (closed, reset, reset at once), which passed before too; proxySends, callerAnswers, proxyRequest, upstreamSignals, logging pass.

Not traced: one of four runs of oddRecords with that fake, beside a load of about 25 on 8 cores, had 6 of 60 calls that were refused four times as not run (503). The code before this passed 3 of 3 beside less load.

--- a/fakes/startFakeServer.ts
+++ b/fakes/startFakeServer.ts
@@ -78,16 +78,15 @@
     }
 
     function run(req: IncomingMessage, res: ServerResponse): void {
-        const expected = req.headers["expect-instance"];
+        const { "expect-instance": expected, "attempt-id": attempt = "" } = req.headers;
         const expectedVersion = req.headers["expect-version"];
         if (expected !== id || (expectedVersion !== undefined && Number(expectedVersion) !== version)) {
-            res.writeHead(421, { "instance-id": id, "content-length": "0" });
+            res.writeHead(421, { "attempt-id": attempt, "instance-id": id, "content-length": "0" });
             res.end();
             return;
         }
         if (rejectionHeaders !== undefined) {
             rejections += 1;
-            const { "attempt-id": attempt = "" } = req.headers;
             res.writeHead(503, {
                 "attempt-id": attempt,
                 "not-executed": "1",
@@ -98,7 +97,7 @@
             return;
         }
         runs.push(req.headers);
-        const own = { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": `seal-${id}` };
+        const own = { "attempt-id": attempt, "server-seal": `seal-${id}` };
         const head = { ...own, ...answerHeaders };
         if (req.headers["model"] === undefined) {
             res.writeHead(200, head);
--- a/features/proxySends.feature
+++ b/features/proxySends.feature
@@ -19,7 +19,9 @@
             | an answer without an id                           | waits          | nonIdempotent | lost     |
             | bytes that are no answer                          | closes         | nonIdempotent | lost     |
             | a rejection before it ran                         | waits          | nonIdempotent | rejected |
+            | a rejection without an id                         | waits          | nonIdempotent | lost     |
             | a rejection of another instance                   | waits          | nonIdempotent | rejected |
+            | a rejection of another instance without an id     | waits          | nonIdempotent | lost     |
             | a failure with its seal                           | waits          | nonIdempotent | answered |
 
     Scenario Outline: How an answer ended is reported with its framing and the state of its connection
--- a/features/steps/callerAnswerSteps.ts
+++ b/features/steps/callerAnswerSteps.ts
@@ -36,7 +36,10 @@
     weightsVersion: undefined,
     closesConnection: false,
     framing: "chunked",
-    isEventStream: true,
+    isSealed: true,
+    isEncoded: false,
+    bodyType: "eventStream",
+    bodyLength: undefined,
     headers: [["content-type", "text/event-stream"]],
 } as const;
 
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -71,7 +71,10 @@
     "an answer without an id": `HTTP/1.1 200 OK\r\n${seal}Content-Length: 4\r\n\r\nbody`,
     "bytes that are no answer": "}{ not http\r\n\r\n",
     "a rejection before it ran": `HTTP/1.1 503 Busy\r\n${id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
-    "a rejection of another instance": "HTTP/1.1 421 Misdirected\r\nInstance-Id: u-2\r\nContent-Length: 0\r\n\r\n",
+    "a rejection without an id": "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "a rejection of another instance": `HTTP/1.1 421 Misdirected\r\n${id}Instance-Id: u-2\r\nContent-Length: 0\r\n\r\n`,
+    "a rejection of another instance without an id":
+        "HTTP/1.1 421 Misdirected\r\nInstance-Id: u-2\r\nContent-Length: 0\r\n\r\n",
     "a failure with its seal": `HTTP/1.1 500 Failed\r\n${id}${seal}Content-Length: 4\r\n\r\nbody`,
     "one event and a half": `HTTP/1.1 200 OK\r\n${id}${seal}Content-Type: text/event-stream\r\n`
         + "Transfer-Encoding: chunked\r\n\r\n14\r\nid: 7\ndata: a\n\nid: 8\r\n",
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -179,8 +179,10 @@
         onAnswerEnd: recordAnswerEnd,
         onEvent: sends.recordEvent,
         onConnectionEnd: (req, { placement }) => sends.recordConnectionEnd(req, placement.upstream),
-        onForeignAnswer: (req, effect, answeredId) =>
-            writeLog("foreignAnswer", { requestId: req.id, upstream: effect.placement.upstream.id, answeredId }),
+        onForeignAnswer: (req, effect, { requestId: answeredId, status, isNotRun }) => {
+            const upstream = effect.placement.upstream.id;
+            writeLog("foreignAnswer", { requestId: req.id, upstream, answeredId, status, isNotRun });
+        },
     });
     const baseBudget = createFleetRetryBudget({
         ratio: settings.retryRatio,
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -134,6 +134,13 @@
     };
 }
 
+/** No answer can be delivered as a whole to a caller that has received a part of a stream. */
+function takeOutcome(history: SendHistory, outcome: SendOutcome): SendOutcome {
+    return history.hasStarted && outcome.kind === "answered"
+        ? { kind: "lost", detail: `the upstream answered ${outcome.answer.status}`, delivered: undefined }
+        : outcome;
+}
+
 function* finish(history: SendHistory, outcome: SendOutcome, obstacle?: string): ProxySteps<void> {
     if (outcome.kind === "answered") {
         yield* performProxy({ kind: "answer", answer: outcome.answer });
@@ -190,6 +197,7 @@
         const needsFreshConnection = !isRetryable(req) || history.sends > 0;
         const { lastEventId } = history;
         last = yield* performProxy({ kind: "send", placement, needsFreshConnection, lastEventId });
+        last = takeOutcome(history, last);
         history = recordSend(history, placement.upstream.id, last);
         if (last.kind === "finished" || last.kind === "callerGone") {
             return;
--- a/src/io/proxy/createAnswerCollection.ts
+++ b/src/io/proxy/createAnswerCollection.ts
@@ -6,8 +6,8 @@
 
 /** An answer that is being collected. */
 export interface AnswerCollection {
-    /** Adds a chunk; returns false when the answer exceeds the size limit. */
-    readonly write: (chunk: Buffer) => boolean;
+    /** Adds a chunk; returns why the answer cannot be taken, or undefined. */
+    readonly write: (chunk: Buffer) => string | undefined;
     readonly heldBytes: () => number;
     /** Returns the answer with the chunks so far as its body. */
     readonly toAnswer: (status: number, headers: readonly HeaderPair[]) => UpstreamAnswer;
@@ -28,7 +28,7 @@
         write: chunk => {
             chunks.push(chunk);
             length += chunk.length;
-            return length <= maxAnswerBytes;
+            return length <= maxAnswerBytes ? undefined : "the answer is too large";
         },
         heldBytes: () => length,
         toAnswer: (status, headers) => ({ status, headers, body: Buffer.concat(chunks) }),
--- a/src/io/proxy/createStreamDelivery.ts
+++ b/src/io/proxy/createStreamDelivery.ts
@@ -4,14 +4,15 @@
  */
 import type { EventStreamEnd } from "../../core/proxy/answerEnd.js";
 import type { StreamProgress } from "../../core/proxy/proxyTypes.js";
+import type { EventSequence } from "../../core/stream/createEventSequence.js";
 import { createEventSplitter } from "../../core/stream/createEventSplitter.js";
 import type { CallerExchange } from "./createCallerExchange.js";
 import type { AnswerHead } from "./proxyCodec.js";
 
 /** Forwards one upstream's part of a stream. */
 export interface StreamDelivery {
-    /** Forwards a chunk; returns false when it belongs to an event that exceeds the size limit. */
-    readonly write: (chunk: Buffer) => boolean;
+    /** Forwards a chunk; returns why it cannot be forwarded, or undefined. */
+    readonly write: (chunk: Buffer) => string | undefined;
     /** Bytes of the incomplete event. */
     readonly heldBytes: () => number;
     /** Ends the caller's stream as complete. */
@@ -28,6 +29,8 @@
     readonly head: AnswerHead;
     /** Whether the stream can be resumed at another upstream; if so, only complete events are forwarded. */
     readonly isResumable: boolean;
+    /** Checks the events of a stream of which the caller has a part; undefined when these are the caller's first. */
+    readonly sequence: EventSequence | undefined;
     /** Pauses reading from the upstream while the caller's write buffer is full. */
     readonly pause: () => void;
     readonly resume: () => void;
@@ -43,11 +46,13 @@
  * @returns The delivery.
  */
 export function createStreamDelivery(options: StreamDeliveryOptions): StreamDelivery {
-    const { caller, head } = options;
+    const { caller, head, sequence } = options;
     const splitter = createEventSplitter();
+    let progress: StreamProgress = { hasEvents: false, lastEventId: undefined };
 
     function forward(bytes: Uint8Array): void {
         caller.startStream(head);
+        progress = { hasEvents: splitter.hasEvents(), lastEventId: splitter.lastId() };
         if (!caller.writeChunk(bytes)) {
             options.pause();
             caller.onDrained(options.resume);
@@ -58,13 +63,16 @@
         write: chunk => {
             const completeEvents = splitter.push(chunk);
             if (splitter.pendingBytes() > maxEventBytes) {
-                return false;
+                return "an event of the stream is too large";
+            }
+            if (completeEvents !== undefined && sequence?.accept(completeEvents) === false) {
+                return "the events do not go on after the last one that the caller has";
             }
             const bytes = options.isResumable ? completeEvents : chunk;
             if (bytes !== undefined) {
                 forward(bytes);
             }
-            return true;
+            return undefined;
         },
         heldBytes: splitter.pendingBytes,
         end: () => {
@@ -76,7 +84,6 @@
             lastEventId: splitter.lastId(),
             unfinishedBytes: splitter.unfinishedBytes(),
         }),
-        progress: () =>
-            caller.hasStarted() ? { hasEvents: splitter.hasEvents(), lastEventId: splitter.lastId() } : undefined,
+        progress: () => (caller.hasStarted() ? progress : undefined),
     };
 }
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -6,9 +6,12 @@
 import type { Dispatcher } from "undici";
 import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
 import type { AnswerHolding } from "../../core/proxy/createAnswerMemory.js";
-import { findIncompleteReason } from "../../core/proxy/findIncompleteReason.js";
+import { judgeAnswerEnd } from "../../core/proxy/judgeAnswerEnd.js";
+import { type AnswerUse, judgeAnswerHead } from "../../core/proxy/judgeAnswerHead.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type { ProxyRequest, RejectionReason, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
+import { isRetryable } from "../../core/proxy/serveProxyRequest.js";
+import { createEventSequence } from "../../core/stream/createEventSequence.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
 import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
@@ -38,13 +41,14 @@
 const maxUnparsedBytes = 256 * 1024;
 
 const firstSuccess = 200;
-const firstRedirect = 300;
 
 /** One send in progress. */
 class Send implements Dispatcher.DispatchHandler {
     private isWritten = false;
     private sentMs = 0;
     private head: AnswerHead | undefined;
+    /** What the answer is worth by its head; undefined until that has arrived. */
+    private use: AnswerUse | undefined;
     private stream: StreamDelivery | undefined;
     private readonly collection = createAnswerCollection();
     private readonly holding: AnswerHolding;
@@ -124,23 +128,28 @@
             return;
         }
         const head = this.deps.codec.readAnswer(status, toHeaderPairs(headers), this.upstreamId());
-        if (!this.isOwnAnswer(head)) {
-            this.deps.onForeignAnswer(this.req, this.effect, head.requestId);
-            this.finishLost("the answer has the id of another request or none");
+        const use = this.judgeHead(head);
+        if (use.kind === "foreign") {
+            this.deps.onForeignAnswer(this.req, this.effect, head);
+        }
+        if (use.kind === "foreign" || use.kind === "unusable") {
+            this.finishLost(use.detail);
             return;
         }
         this.head = head;
+        this.use = use;
         if (head.framing === "connectionClose") {
             this.connection.expectEnd();
         }
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
         this.deps.onAnswerHead(this.req, this.effect, head, this.sentMs);
         this.deps.onHeadTime(this.deps.clock.now() - this.sentMs);
-        if (this.req.route.kind === "stream" && head.isEventStream && status < firstRedirect) {
+        if (use.kind === "stream" || use.kind === "continuation") {
             this.stream = createStreamDelivery({
                 caller: this.caller,
                 head,
                 isResumable: this.req.route.isResumable,
+                sequence: use.kind === "continuation" ? createEventSequence(this.effect.lastEventId) : undefined,
                 pause: () => controller.pause(),
                 resume: () => controller.resume(),
             });
@@ -154,26 +163,24 @@
         this.connection.allowBytes(maxUnparsedBytes);
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
         const delivery = this.stream ?? this.collection;
-        if (delivery.write(chunk)) {
-            this.holding.set(delivery.heldBytes());
-            if (this.stream?.eventStreamEnd().hasEvents === true) {
-                this.deps.onEvent(this.req);
-            }
+        const failure = delivery.write(chunk);
+        if (failure !== undefined) {
+            this.finishLost(failure);
+            return;
         }
-        else {
-            this.finishLost(
-                this.stream === undefined ? "the answer is too large" : "an event of the stream is too large",
-            );
+        this.holding.set(delivery.heldBytes());
+        if (this.stream?.eventStreamEnd().hasEvents === true) {
+            this.deps.onEvent(this.req);
         }
     }
 
     onResponseEnd(): void {
-        const { head } = this;
-        if (this.isFinished || head === undefined) {
+        const { head, use } = this;
+        if (this.isFinished || head === undefined || use === undefined) {
             return;
         }
         const end = this.describeEnd(head);
-        const incompleteReason = findIncompleteReason(end);
+        const incompleteReason = judgeAnswerEnd(use, end);
         this.deps.onAnswerEnd(this.req, this.effect, end, incompleteReason);
         if (incompleteReason !== undefined) {
             this.finishLost(incompleteReason);
@@ -183,10 +190,10 @@
             this.endStream(this.stream);
             return;
         }
-        if (head.rejection !== undefined) {
-            this.recordRejection(head.rejection);
-            const { status, rejection: reason, retryAfterMs } = head;
-            this.finish({ kind: "rejected", status, reason, retryAfterMs });
+        if (use.kind === "rejection") {
+            this.recordRejection(use.reason);
+            const { status, retryAfterMs } = head;
+            this.finish({ kind: "rejected", status, reason: use.reason, retryAfterMs });
             return;
         }
         this.deps.health.recordSuccess(this.upstreamId());
@@ -220,12 +227,15 @@
         return this.effect.placement.upstream.id;
     }
 
-    /**
-     * Returns whether the answer belongs to this request. A rejection without an id is accepted: connections are not
-     * reused after a rejection, so that no duplicate of an earlier one can arrive here.
-     */
-    private isOwnAnswer(head: AnswerHead): boolean {
-        return head.requestId === undefined ? head.isNotRun : head.requestId === this.req.id;
+    private judgeHead(head: AnswerHead): AnswerUse {
+        const { id, method, route } = this.req;
+        return judgeAnswerHead(head, {
+            id,
+            method,
+            isStream: route.kind === "stream",
+            isRetryable: isRetryable(this.req),
+            hasStarted: this.caller.hasStarted(),
+        });
     }
 
     private recordRejection(reason: RejectionReason): void {
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -6,8 +6,8 @@
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import type { Prompt } from "../../core/placement/placementTypes.js";
-import type { AnswerFraming } from "../../core/proxy/answerEnd.js";
-import type { HeaderPair, Placement, ProxyRequest, RejectionReason } from "../../core/proxy/proxyTypes.js";
+import type { StatedAnswer } from "../../core/proxy/judgeAnswerHead.js";
+import type { HeaderPair, Placement, ProxyRequest } from "../../core/proxy/proxyTypes.js";
 import type { AnswerSignals } from "../../core/signals/upstreamSignal.js";
 
 /** The decoded head of a caller's request. */
@@ -35,14 +35,9 @@
 }
 
 /** The decoded head of an upstream's answer. */
-export interface AnswerHead {
-    readonly status: number;
-    /** Id of the request that is answered; undefined when the answer has no id. */
-    readonly requestId: string | undefined;
+export interface AnswerHead extends StatedAnswer {
     /** Whether the upstream reported that it did not and will not run the request. */
     readonly isNotRun: boolean;
-    /** Why it was not run; undefined when it was. */
-    readonly rejection: RejectionReason | undefined;
     readonly retryAfterMs: number | undefined;
     readonly load: ReportedLoad | undefined;
     /** What the upstream states about the requests that it wants. */
@@ -51,10 +46,6 @@
     readonly weightsVersion: number | undefined;
     /** Whether the upstream closes the connection after this answer. */
     readonly closesConnection: boolean;
-    /** What marks the end of the answer. */
-    readonly framing: AnswerFraming;
-    /** Whether the body is an event stream; also true for an answer that does not state its type. */
-    readonly isEventStream: boolean;
     /** Headers to forward to the caller. */
     readonly headers: readonly HeaderPair[];
 }
--- a/src/io/proxy/upstreamSenderTypes.ts
+++ b/src/io/proxy/upstreamSenderTypes.ts
@@ -35,8 +35,8 @@
     readonly onEvent: (req: ProxyRequest) => void;
     /** Receives requests whose connection ended before their answer was complete. */
     readonly onConnectionEnd: (req: ProxyRequest, effect: SendEffect) => void;
-    /** Receives answers that belong to another request or to none. */
-    readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, answeredId: string | undefined) => void;
+    /** Receives the heads of answers that belong to another request or to none. */
+    readonly onForeignAnswer: (req: ProxyRequest, effect: SendEffect, head: AnswerHead) => void;
 }
 
 /**
