--- a/features/answerJudgement.feature
+++ b/features/answerJudgement.feature
@@ -130,3 +130,7 @@
             | a refusal | closes         | request that must not run twice |
             | a refusal | resets-at-once | stream that cannot be resumed   |
             | a refusal | closes         | request that may be repeated    |
+
+    Scenario: Random events go through after a part only while their ids increase
+        Then 1000 random continuations with seed 47 go through only while their ids increase
+        And the same check detects a sequence that accepts the last event once more
