Give a send up for silence only when another send can replace it

What callers saw: with 24 instances 45 and 53 idempotent requests answered 502 "the upstream became unresponsive; its route allows at most 1 runs" 0.25 to 1.5 s after they were sent, with a deadline of 4 s, while all upstreams paused for some hundred milliseconds. Nothing could be gained by it.

Cause: the sender gave a send up for its upstream's silence, and only then was it decided whether the request may be sent again.

Change: the send effect says whether this send could be replaced, asked at the moment of giving it up: the request may run twice, its sends and its route's attempts allow another one, the retry budget has one left, and an upstream that is not ejected can run it. Otherwise the send goes on until its deadline.

Evidence: features/silentUpstreams.feature. Without the check 5 of its 6 scenarios fail (one run allowed with all or one upstream silent, the budget used up, one upstream left: answered 502; all silent: sent twice); 6 pass with it. The scenario in which another send helps passes before and after.

--- a/bench/support/serveOnModel.ts
+++ b/bench/support/serveOnModel.ts
@@ -28,6 +28,8 @@
     let refused: Refusal | undefined;
     const steps = serveProxyRequest(req, {
         tryAcquireRetry: service => retryBudget.tryAcquire(service, now()),
+        hasRetry: service => retryBudget.hasRetry(service, now()),
+        hasAlternative: placer.hasAlternative,
         onRetry: () => undefined,
     });
     runSteps<void, ProxyEffect, ProxyEffectResults>(
--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -166,7 +166,13 @@
             kind === "resumable stream",
         );
         const placement = createPlainPlacement(createRecord({ address: fixture.upstream.address }));
-        const effect = { kind: "send", placement, needsFreshConnection: true, lastEventId: undefined } as const;
+        const effect = {
+            kind: "send",
+            placement,
+            needsFreshConnection: true,
+            lastEventId: undefined,
+            mayBeReplaced: () => true,
+        } as const;
         fixture.outcome = await new Promise<SendOutcome>(resolve => {
             send(req, effect, createIndifferentCaller(), resolve);
         });
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -93,7 +93,12 @@
     let end: string | undefined;
     let detail = "";
     let placements = 0;
-    const steps = serveProxyRequest(req, { tryAcquireRetry: () => given.hasBudget, onRetry: () => undefined });
+    const steps = serveProxyRequest(req, {
+        tryAcquireRetry: () => given.hasBudget,
+        hasRetry: () => given.hasBudget,
+        hasAlternative: () => true,
+        onRetry: () => undefined,
+    });
     let turn = steps.next();
     while (turn.done !== true) {
         const effect = turn.value;
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -161,7 +161,13 @@
     const placement = createPlainPlacement(createRecord({ address: fixture.upstream.address }));
     const due = { ...req, deadlineMs: fixture.clock.now() + 3_000 };
     return new Promise(resolve => {
-        const effect = { kind: "send", placement, needsFreshConnection, lastEventId: undefined } as const;
+        const effect = {
+            kind: "send",
+            placement,
+            needsFreshConnection,
+            lastEventId: undefined,
+            mayBeReplaced: () => true,
+        } as const;
         fixture.send(due, effect, fixture.caller, outcome => {
             fixture.outcomes.push(outcome);
             resolve(outcome);
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -35,6 +35,8 @@
 export interface Placer {
     /** Places a request now or later; `onResult` is called once. Returns a function that cancels the placement. */
     readonly place: (req: ProxyRequest, effect: PlaceEffect, onResult: (result: PlaceResult) => void) => CancelTimer;
+    /** Whether an upstream that is not ejected may run the request, other than the excluded ones. */
+    readonly hasAlternative: (req: ProxyRequest, excluded: readonly string[]) => boolean;
     /** Records that the answer to the placed request has begun. */
     readonly recordAnswerStart: (req: ProxyRequest, placement: Placement) => void;
     /** Records that the placed request has ended on its upstream. */
@@ -203,6 +205,8 @@
 
     return {
         place,
+        hasAlternative: (req, excluded) =>
+            listChoices(req, excluded).some(choice => !deps.health.isEjected(choice.record.id, now())),
         recordAnswerStart: (req, { upstream, cacheSalt }) => {
             deps.use.recordAnswerStart(req.id);
             if (req.prompt !== undefined && cacheSalt !== undefined) {
--- a/src/core/proxy/createFleetRetryBudget.ts
+++ b/src/core/proxy/createFleetRetryBudget.ts
@@ -8,6 +8,8 @@
 export interface FleetRetryBudget {
     /** Counts a caller's request for the service. */
     readonly recordRequest: (service: string, nowMs: number) => void;
+    /** Returns whether a retry is left of this instance's share. */
+    readonly hasRetry: (service: string, nowMs: number) => boolean;
     /** Acquires one retry; returns false when this instance's share for the window is used up. */
     readonly tryAcquire: (service: string, nowMs: number) => boolean;
 }
@@ -48,20 +50,29 @@
     const requests = new Map<string, number[]>();
     const retries = new Map<string, number[]>();
 
+    /** Lists when retries were acquired within the window. */
+    function listUsed(service: string, nowMs: number): number[] {
+        return keepRecent(retries.get(service) ?? [], nowMs - options.windowMs);
+    }
+
+    function isAllowed(service: string, used: readonly number[], nowMs: number): boolean {
+        const earned = keepRecent(requests.get(service) ?? [], nowMs - options.windowMs).length * options.ratio;
+        const slack = options.slack / Math.max(1, options.countInstances());
+        return used.length + 1 <= (earned + slack) * usableFraction;
+    }
+
     return {
         recordRequest: (service, nowMs) => {
             const times = requests.get(service) ?? [];
             times.push(nowMs);
             requests.set(service, times.length % 64 === 0 ? keepRecent(times, nowMs - options.windowMs) : times);
         },
+        hasRetry: (service, nowMs) => isAllowed(service, listUsed(service, nowMs), nowMs),
         tryAcquire: (service, nowMs) => {
-            const sinceMs = nowMs - options.windowMs;
-            const earned = keepRecent(requests.get(service) ?? [], sinceMs).length * options.ratio;
-            const slack = options.slack / Math.max(1, options.countInstances());
-            const used = keepRecent(retries.get(service) ?? [], sinceMs);
-            const isAllowed = used.length + 1 <= (earned + slack) * usableFraction;
-            retries.set(service, isAllowed ? [...used, nowMs] : used);
-            return isAllowed;
+            const used = listUsed(service, nowMs);
+            const isAcquired = isAllowed(service, used, nowMs);
+            retries.set(service, isAcquired ? [...used, nowMs] : used);
+            return isAcquired;
         },
     };
 }
--- a/src/core/proxy/proxyEffects.ts
+++ b/src/core/proxy/proxyEffects.ts
@@ -26,6 +26,8 @@
     readonly needsFreshConnection: boolean;
     /** Id of the last event that the caller has received; the upstream resumes after it. */
     readonly lastEventId: string | undefined;
+    /** Whether the request could be sent again if this send were lost now. */
+    readonly mayBeReplaced: () => boolean;
 }
 
 /** Delivers a complete answer; returns nothing. */
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -14,6 +14,10 @@
 export interface ServeProxyDependencies {
     /** Acquires one retry from the retry budget; returns false when it is used up. */
     readonly tryAcquireRetry: (service: string) => boolean;
+    /** Whether the retry budget has a retry left. */
+    readonly hasRetry: (service: string) => boolean;
+    /** Whether an upstream that works can run the request, other than the excluded ones. */
+    readonly hasAlternative: (req: ProxyRequest, excluded: readonly string[]) => boolean;
     readonly onRetry: (reason: ProxyRetryReason) => void;
 }
 
@@ -76,6 +80,16 @@
     }
 }
 
+/** Returns which limit the sends so far have reached; undefined when there may be another one. */
+function findReachedLimit(req: ProxyRequest, history: SendHistory): string | undefined {
+    if (history.sends >= maxSends) {
+        return `the request was already sent ${history.sends} times`;
+    }
+    return history.possibleRuns >= req.route.attempts
+        ? `its route allows at most ${req.route.attempts} runs`
+        : undefined;
+}
+
 /** Returns why a request may not be retried; undefined when it may be. */
 function findRetryObstacle(
     req: ProxyRequest,
@@ -83,11 +97,9 @@
     reason: ProxyRetryReason,
     deps: ServeProxyDependencies,
 ): string | undefined {
-    if (history.sends >= maxSends) {
-        return `the request was already sent ${history.sends} times`;
-    }
-    if (history.possibleRuns >= req.route.attempts) {
-        return `its route allows at most ${req.route.attempts} runs`;
+    const limit = findReachedLimit(req, history);
+    if (limit !== undefined) {
+        return limit;
     }
     // A send that reached no upstream adds no load there, so its retry is not charged to the budget.
     return reason === "notSent" || deps.tryAcquireRetry(req.service)
@@ -134,6 +146,18 @@
     };
 }
 
+/** Returns whether the request could be sent again if a send to the upstream were lost. */
+function mayReplaceSend(
+    req: ProxyRequest,
+    history: SendHistory,
+    upstream: string,
+    deps: ServeProxyDependencies,
+): boolean {
+    const afterLoss = recordSend(history, upstream, { kind: "lost", detail: "", delivered: undefined });
+    return isRetryable(req) && findReachedLimit(req, afterLoss) === undefined && deps.hasRetry(req.service)
+        && deps.hasAlternative(req, afterLoss.excluded);
+}
+
 function* finish(history: SendHistory, outcome: SendOutcome, obstacle?: string): ProxySteps<void> {
     if (outcome.kind === "answered") {
         yield* performProxy({ kind: "answer", answer: outcome.answer });
@@ -188,8 +212,10 @@
         }
         const { placement } = placed;
         const needsFreshConnection = !isRetryable(req) || history.sends > 0;
-        const { lastEventId } = history;
-        last = yield* performProxy({ kind: "send", placement, needsFreshConnection, lastEventId });
+        const before = history;
+        const { lastEventId } = before;
+        const mayBeReplaced = () => mayReplaceSend(req, before, placement.upstream.id, deps);
+        last = yield* performProxy({ kind: "send", placement, needsFreshConnection, lastEventId, mayBeReplaced });
         history = recordSend(history, placement.upstream.id, last);
         if (last.kind === "finished" || last.kind === "callerGone") {
             return;
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -133,6 +133,8 @@
         deps.retryBudget.recordRequest(req.service, deps.clock.now());
         const steps = serveProxyRequest(req, {
             tryAcquireRetry: service => deps.retryBudget.tryAcquire(service, deps.clock.now()),
+            hasRetry: service => deps.retryBudget.hasRetry(service, deps.clock.now()),
+            hasAlternative: deps.placer.hasAlternative,
             onRetry: reason => {
                 deps.onRetry(reason);
                 deps.writeLog("requestRepeated", { requestId: req.id, reason });
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -254,9 +254,10 @@
         }
     }
 
-    /** Ends the send of a retryable request when its upstream becomes unresponsive, so that it can be retried. */
+    /** Ends the send when its upstream becomes unresponsive and another send can replace it. */
     private checkResponsive(): void {
-        if (this.head === undefined && this.deps.health.isUnresponsive(this.upstreamId(), this.deps.clock.now())) {
+        const isUnresponsive = this.deps.health.isUnresponsive(this.upstreamId(), this.deps.clock.now());
+        if (this.head === undefined && isUnresponsive && this.effect.mayBeReplaced()) {
             this.finishLost("the upstream became unresponsive");
         }
     }
