--- a/features/support/startAnswerPath.ts
+++ b/features/support/startAnswerPath.ts
@@ -123,7 +123,12 @@
     function serve(req: ProxyRequest, res: ServerResponse): void {
         const caller = createCallerExchange(res, { requestId: req.id, isClosing: () => false });
         runSteps<void, ProxyEffect, ProxyEffectResults>(
-            serveProxyRequest(req, { tryAcquireRetry: () => true, onRetry: () => undefined }),
+            serveProxyRequest(req, {
+                tryAcquireRetry: () => true,
+                hasRetry: () => true,
+                hasAlternative: () => true,
+                onRetry: () => undefined,
+            }),
             {
                 place: ({ excluded }, resume) => {
                     const index = upstreams.findIndex((_, one) => !excluded.includes(`u-${one + 1}`));
