Read what has arrived before a request is sent on

Cause: the class of the losses at stops: a decision on what was known before the last turn of the event loop. A process that is behind reads a request, places and sends it in one turn, and reads the end of its caller's side, which lies behind it, in the next.

Change: two turns of the event loop pass before a request is placed; one whose caller has ended its side by then is dropped.

Evidence: the new scenario of features/platformPath.feature fails without the change (5 of 5 requests are sent).

--- a/features/platformPath.feature
+++ b/features/platformPath.feature
@@ -70,3 +70,9 @@
         When the first instance starts to drain
         Then the second instance lists only itself
         And the first instance still serves and closes the connection
+
+    # Guards against requests that are sent on after their callers have left.
+    Scenario: Requests whose callers have left before they are read are not sent on
+        When 5 callers send a plain call to the first instance and leave at once
+        And a caller sends a plain call through the first instance
+        Then no request of the callers that left is sent to an upstream
--- a/features/steps/platformPathSteps.ts
+++ b/features/steps/platformPathSteps.ts
@@ -283,3 +283,28 @@
     assert.equal(answer.status, 200);
     assert.equal(answer.headers["connection"], "close");
 });
+
+const leftPrefix = "left-";
+
+When(
+    "{int} callers send a plain call to the first instance and leave at once",
+    async function(this: SiteWorld, callers: number) {
+        const [host, port] = getFixture(this).instances[0]!.settings.callerAddress.split(":");
+        const sockets = Array.from({ length: callers }, () => connect(Number(port), host));
+        await Promise.all(sockets.map(socket => new Promise(resolve => socket.once("connect", resolve))));
+        sockets.forEach((socket, index) => {
+            socket.write(
+                `POST /documents/1 HTTP/1.1\r\nhost: letters.example\r\nattempt-id: ${leftPrefix}${index}\r\n`
+                    + "authorization: Bearer key-clinic\r\ntime-budget: 4000\r\ncontent-length: 6\r\n\r\nletter",
+            );
+            socket.destroy();
+        });
+    },
+);
+
+Then("no request of the callers that left is sent to an upstream", function(this: SiteWorld) {
+    const sent = getFixture(this).logged.filter(({ event, fields }) =>
+        event === "requestSent" && String(fields["requestId"]).startsWith(leftPrefix)
+    );
+    assert.deepEqual(sent, []);
+});
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -15,6 +15,7 @@
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
 import { createGuardedPlacer } from "../core/quarantine/createGuardedPlacer.js";
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
+import { readArrived } from "../io/_lib/readArrived.js";
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
     createProxyService,
@@ -209,6 +210,7 @@
         routes: views.routes,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
         ...stop,
+        readArrived,
         bodyMemory,
         answerMemory,
         onRetry: reason => metrics.retries.inc({ reason }),
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -45,6 +45,8 @@
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
     readonly shutdown: Pick<Shutdown, "isLeaving" | "findRefusal" | "createRefusal">;
     readonly durations: Pick<RouteDurations, "begin">;
+    /** Reads what has arrived on all connections, so that callers that have left are known. */
+    readonly readArrived: () => Promise<void>;
     /** Memory for the bodies of requests. */
     readonly bodyMemory: Pick<MemoryBudget, "open">;
     /** Memory for answers that are not written out. */
@@ -260,6 +262,10 @@
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
         const reservation = deps.bodyMemory.open();
         overActions.add(reservation.release);
+        let isOver = false as boolean;
+        overActions.add(() => {
+            isOver = true;
+        });
         let cancelStop: CancelTimer = () => undefined;
         const body = await readBody(req, deps.clock, {
             maxBytes: checked.value.maxBodyBytes,
@@ -274,6 +280,11 @@
             refuseHead(res, req, requestId, body.error);
             return;
         }
+        await deps.readArrived();
+        // The end of the caller's side is known some turns of the event loop before the response is over.
+        if (isOver || req.socket.readableEnded) {
+            return;
+        }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
         const outputTokens = proxied.prompt?.outputTokens ?? 0;
         const timing = deps.durations.begin(proxied.route.name, outputTokens, deps.clock.now());
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -20,8 +20,8 @@
 import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
+import { readArrived } from "./io/_lib/readArrived.js";
 import { createListenerGroup } from "./io/http/createListenerGroup.js";
-import { readArrived } from "./io/shutdown/readArrived.js";
 import { runShutdown } from "./io/shutdown/runShutdown.js";
 import { runRollout } from "./io/weights/runRollout.js";
 
