Accept every connection that waits before a leaving instance closes

Cause: the event loop accepts one connection of a listener in a turn, so that two turns left the others of the backlog unread.

Change: turns are taken until two in a row have accepted nothing, 1,024 at most.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -63,6 +63,12 @@
         When an instance stops and its process does not run for 500 ms just before it closes connections
         Then each request that arrived in that time was read before connections closed
 
+    # Guards against connections that wait unaccepted in a process without processor time, and are reset when it goes on.
+    Scenario: Requests on many new connections are read although the process did not run when they came
+        Given a listener whose process does not run while 40 callers connect and send a request
+        When what has arrived is read
+        Then the requests of 40 callers were received
+
     # Guards against connections that are reset, and requests that are cut, when real processes stop in series.
     Scenario Outline: Callers lose nothing while processes are stopped, reloaded and restarted
         Then the stops "<plan>" of <instances> processes with seed <seed> break no promise
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -34,6 +34,8 @@
     readonly applyLimits: () => void;
     /** Number of open connections of callers. */
     readonly countConnections: () => number;
+    /** Number of callers' connections that were accepted so far. */
+    readonly countAccepted: () => number;
     /** Accepts no connections of callers, and closes the open ones once what was written has reached them. */
     readonly closeCallers: () => void;
     readonly close: () => void;
@@ -90,6 +92,7 @@
     const { settings, ports, writeLog } = context;
     const { listeners } = sources;
     const callerConnections = new Set<Socket>();
+    let accepted = 0;
     let isClosed = false;
 
     /** A request that crosses the close of its connection is not served: its answer could not be written. */
@@ -127,6 +130,7 @@
         handle,
     );
     callerServer.on("connection", (socket: Socket) => {
+        accepted += 1;
         callerConnections.add(socket);
         socket.once("close", () => callerConnections.delete(socket));
     });
@@ -200,6 +204,7 @@
             }
         },
         countConnections: () => callerConnections.size,
+        countAccepted: () => accepted,
         closeCallers: () => {
             isClosed = true;
             listeners.stop();
--- a/src/io/shutdown/readArrived.ts
+++ b/src/io/shutdown/readArrived.ts
@@ -3,17 +3,26 @@
  * Reads what has arrived on the process's connections before a decision that depends on it.
  */
 
-/** Turns of the event loop: the first accepts the connections that wait, the second reads from them. */
-const readTurns = 2;
+/** Turns of the event loop after the last new connection: in the first its bytes are read, in the second nothing is left. */
+const quietTurns = 2;
+
+/** Maximum number of turns: callers that connect again and again hold up no stop. */
+const maxTurns = 1_024;
 
 /**
  * Lets the event loop accept the connections that wait and read what has arrived on all of them. Timers run before connections
- * are read: without this, a process that did not run for a while would decide on what it knew before.
+ * are read: without this, a process that did not run for a while would decide on what it knew before. Each turn accepts one
+ * connection of a listener.
  *
+ * @param countAccepted - Returns the number of connections that were accepted so far.
  * @returns A promise that resolves when it is read.
  */
-export async function readArrived(): Promise<void> {
-    for (let turn = 0; turn < readTurns; turn += 1) {
+export async function readArrived(countAccepted: () => number): Promise<void> {
+    let accepted = countAccepted();
+    let quiet = 0;
+    for (let turn = 0; turn < maxTurns && quiet < quietTurns; turn += 1) {
         await new Promise<void>(resolve => setImmediate(resolve));
+        quiet = countAccepted() === accepted ? quiet + 1 : 0;
+        accepted = countAccepted();
     }
 }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -195,7 +195,7 @@
         await runShutdown({
             clock,
             shutdown,
-            readArrived,
+            readArrived: () => readArrived(servers.countAccepted),
             readLoad: () => ({
                 requests: proxy.countActive(),
                 connections: servers.countConnections(),
