Keep a worker of the soak until the run has read its report

Workers now end when the run ends them or disconnects, and a run gives up on a worker only when the channel has closed, which comes after every message.

--- a/bench/faults/platform/forkWorker.ts
+++ b/bench/faults/platform/forkWorker.ts
@@ -21,17 +21,17 @@
     type: Type,
 ): Promise<ReportOf<Report, Type>> {
     return new Promise((resolve, reject) => {
-        const onExit = () => reject(new Error(`a worker ended before it was ${type}`));
+        const onDisconnect = () => reject(new Error(`a worker ended before it was ${type}`));
         const onMessage = (message: unknown) => {
             const report = message as Report;
             if (report.type === type) {
                 child.off("message", onMessage);
-                child.off("exit", onExit);
+                child.off("disconnect", onDisconnect);
                 resolve(report as ReportOf<Report, Type>);
             }
         };
         child.on("message", onMessage);
-        child.on("exit", onExit);
+        child.on("disconnect", onDisconnect);
     });
 }
 
--- a/bench/faults/platform/serveWorker.ts
+++ b/bench/faults/platform/serveWorker.ts
@@ -12,15 +12,15 @@
     readonly stop: () => Promise<Recorded>;
 }
 
-/** Serves the run that forked this process. The process ends after its report, or when the run has ended. */
+/** Serves the run that forked this process, which ends when the run disconnects. */
 export function serveWorker<Options, Started, Recorded>(
     startPart: (options: Options) => Promise<WorkerPart<Started, Recorded>>,
 ): void {
     const readMaxLagMs = watchEventLoop();
     let part: WorkerPart<Started, Recorded> | undefined;
 
-    function report(message: WorkerReport<Started, Recorded>, sent: () => void = () => {}): void {
-        process.send?.(message, sent);
+    function report(message: WorkerReport<Started, Recorded>): void {
+        process.send?.(message);
     }
 
     async function obey(order: WorkerOrder<Options>): Promise<void> {
@@ -30,10 +30,10 @@
         }
         else if (part !== undefined) {
             const recorded = await part.stop();
-            report({ type: "stopped", recorded, maxLagMs: readMaxLagMs() }, () => process.exit(0));
+            report({ type: "stopped", recorded, maxLagMs: readMaxLagMs() });
         }
     }
 
     process.on("message", (order: WorkerOrder<Options>) => void obey(order));
-    process.on("disconnect", () => process.exit(1));
+    process.on("disconnect", () => process.exit(0));
 }
