--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -37,6 +37,8 @@
     readonly applyLimits: () => void;
     /** Number of open connections of callers. */
     readonly countConnections: () => number;
+    /** Number of callers' connections that were accepted so far. */
+    readonly countAccepted: () => number;
     /** Accepts no connections of callers, and closes the open ones once what was written has reached them. */
     readonly closeCallers: () => void;
     readonly close: () => void;
@@ -94,6 +96,7 @@
     const { listeners } = sources;
     const maxConnections = limitCallerConnections(settings);
     const connections = createCallerConnections(maxConnections);
+    let accepted = 0;
     let isClosed = false;
 
     /** A request that crosses the close of its connection is not served: its answer could not be written. */
@@ -137,7 +140,10 @@
         handle,
     );
     callerServer.maxConnections = maxConnections;
-    callerServer.on("connection", connections.add);
+    callerServer.on("connection", (socket: Socket) => {
+        accepted += 1;
+        connections.add(socket);
+    });
     callerServer.on("drop", () => writeLog("connectionRefused", { maxConnections }));
     callerServer.on("clientError", (error: Error & { code?: string; }, socket: Socket) => {
         writeLog("clientError", { detail: error.code ?? error.message });
@@ -209,6 +215,7 @@
             }
         },
         countConnections: connections.count,
+        countAccepted: () => accepted,
         closeCallers: () => {
             isClosed = true;
             listeners.stop();
