Wait for a settings file that is being written

What callers saw: nothing; the instance ended with code 2 and was started again. Cause: the start read the settings file once, and a file that was missing or only partly written at that moment ended the process.

--- a/features/instanceProcess.feature
+++ b/features/instanceProcess.feature
@@ -34,3 +34,16 @@
         Then it is ready, on its entry list, and answers a caller
         When its process is told to stop
         Then it has ended before it would be killed
+
+    # Guards against an instance that ends because it meets a settings file that is being written.
+    Scenario Outline: An instance waits for a settings file that is <state>
+        Given a platform, and a settings file that is <state>
+        When the instance is started
+        And the settings file is completed after it receives signals
+        Then it is ready, on its entry list, and answers a caller
+
+        Examples:
+            | state          |
+            | missing        |
+            | empty          |
+            | partly written |
--- a/features/steps/instanceProcessSteps.ts
+++ b/features/steps/instanceProcessSteps.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
 import { createSocket } from "node:dgram";
-import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -26,6 +26,9 @@
 
 interface ProcessFixture {
     readonly instance: InstanceProcess;
+    readonly settingsPath: string;
+    /** Text of the complete settings file. */
+    readonly settingsText: string;
     release: () => Promise<void>;
 }
 
@@ -37,6 +40,9 @@
 
 const pollMs = 2;
 
+/** Time for which a process meets its incomplete settings file, in milliseconds. */
+const settingsDelayMs = 1_500;
+
 /** Size of the writes that fill a pipe: the smallest that a pipe takes as a whole, in bytes. */
 const pipeBlockBytes = 4_096;
 
@@ -96,11 +102,13 @@
     const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.9`;
     const folder = mkdtempSync(join(tmpdir(), "reedward-process-"));
     const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
-    const instance = createInstanceProcess(place, join(folder, "settings.json"), command, logPath);
+    const settingsPath = join(folder, "settings.json");
+    const instance = createInstanceProcess(place, settingsPath, command, logPath);
+    const settingsText = readFileSync(settingsPath, "utf8");
     const port = listener === undefined ? 0 : firstPort + portOffsets[listener];
     const hold = listener === "heartbeat" ? holdDatagrams : holdStream;
     const release = listener === undefined ? () => Promise.resolve() : await hold(port, ip);
-    const fixture: ProcessFixture = { instance, release };
+    const fixture: ProcessFixture = { instance, settingsPath, settingsText, release };
     fixtures.set(world, fixture);
     world.cleanups.push(
         () => instance.stop(),
@@ -168,6 +176,26 @@
     }
 });
 
+Given(/^a platform, and a settings file that is (missing|empty|partly written)$/, async function(
+    this: SiteWorld,
+    state: string,
+) {
+    await createPlatform(this, undefined);
+    const { settingsPath, settingsText } = getFixture(this);
+    if (state === "missing") {
+        rmSync(settingsPath);
+        return;
+    }
+    writeFileSync(settingsPath, state === "empty" ? "" : settingsText.slice(0, settingsText.length / 2));
+});
+
+When("the settings file is completed after it receives signals", async function(this: SiteWorld) {
+    const { instance, settingsPath, settingsText } = getFixture(this);
+    await waitUntil("the process receives signals", () => Promise.resolve(receivesHangup(instance.pid()!)));
+    await delay(settingsDelayMs);
+    writeFileSync(settingsPath, settingsText);
+});
+
 When("the address is free again", async function(this: SiteWorld) {
     const fixture = getFixture(this);
     await fixture.release();
