Start with settings that leave out what has a default

What callers saw: an instance that ends with code 2 at each start, on a deployment whose settings file has no value for a bound of a part that is not in force there, or an empty list of seeds, limit or region. None of the known sites' files is like that. Cause: every bound had to be there, and fields with a default could be left out but not be empty. Wrong values are still refused.

--- a/features/proxyRequest.feature
+++ b/features/proxyRequest.feature
@@ -54,5 +54,11 @@
     Scenario: A settings file that cannot be read is reported as a problem
         Then reading the settings from a missing file reports why
 
+    # Guards against an instance that does not start because a settings file leaves fields out.
+    Scenario: A settings file without values for what has a default is valid, and one with wrong values is not
+        Then settings are valid with "seeds, region, beat_interval_ms, limits, bounds" left out, or empty
+        And settings are valid with any of their bounds and limits left out, or empty
+        And settings whose bound "grace_s" is a text are not valid
+
     Scenario: Decoders do not throw on arbitrary input
         Then 2000 random inputs with seed 3 make no decoder throw
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -5,6 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import { describePlatformSettings } from "../../bench/support/platformSettings.js";
 import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
@@ -283,3 +284,51 @@
     assert.ok(read.isErr);
     assert.match(read.error.join(" "), /ENOENT/);
 });
+
+type SettingsObject = Readonly<Record<string, unknown>>;
+
+function describeSettings(): SettingsObject {
+    const settings = describePlatformSettings({
+        name: "entry-1",
+        failureDomain: "north",
+        ip: "10.0.0.1",
+        firstPort: 7_340,
+        seeds: ["10.0.0.2"],
+        storeAddress: "10.0.0.9:8784",
+    });
+    return { ...settings as SettingsObject, limits: { memory_mb: 200, max_fds: 4_100 } };
+}
+
+/** Asserts that settings are valid without each of the fields, and with an empty one. */
+function assertOptional(names: readonly string[], replace: (name: string, value: unknown) => SettingsObject): void {
+    // JSON has no undefined: such a field is left out.
+    const emptyValue: unknown = JSON.parse("null");
+    for (const name of names) {
+        for (const value of [undefined, emptyValue]) {
+            const decoded = decodeSettings(JSON.stringify(replace(name, value)));
+            assert.ok(decoded.isOk, `${name}: ${String(value)}`);
+        }
+    }
+}
+
+Then("settings are valid with {string} left out, or empty", (names: string) => {
+    const settings = describeSettings();
+    assertOptional(names.split(", "), (name, value) => ({ ...settings, [name]: value }));
+});
+
+Then("settings are valid with any of their bounds and limits left out, or empty", () => {
+    const settings = describeSettings();
+    for (const section of ["bounds", "limits"]) {
+        const fields = settings[section] as SettingsObject;
+        assertOptional(
+            Object.keys(fields),
+            (name, value) => ({ ...settings, [section]: { ...fields, [name]: value } }),
+        );
+    }
+});
+
+Then("settings whose bound {string} is a text are not valid", (name: string) => {
+    const settings = describeSettings();
+    const bounds = { ...settings["bounds"] as SettingsObject, [name]: "8" };
+    assert.ok(decodeSettings(JSON.stringify({ ...settings, bounds })).isErr);
+});
