Keep the limit for old weights after a start or a pause of the process

What callers saw: after all instances had been killed and started anew, requests began on old weights up to 10 s after newer ones were named, 3.1 to 4.8 s after the start of their instance, when it counts as in touch.

Cause: an instance that reads a target whose age nobody knows assumed 0.4 of the limit, counted from when it learned of it. So it went on to use old weights for 3.2 s (4 s where the limit is 10 s) after that, in each life anew, and its start itself took 0.7 to 3.9 s. A target that was read as the first step after a pause, or after failed reads of up to 5.5 s, even counted as just named.

Change: such a target is assumed to be as old as to keep the limit in time: old weights are used for 0.6 of the stable window, counted from the start of the process, or from the end of the pause or the gap. What was read after either has an unknown age. The age that a peer observed still replaces the assumption.

Conclusion: engines that nobody can load serve nothing some seconds earlier after a restart of all; what begins on them then counts as begun on the wrong version.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -68,3 +68,22 @@
         Then version 2 is outdated since 2500 ms
         When a peer reports that version 4 was set at 2000 ms
         Then version 2 is outdated since 2000 ms
+
+    # Guards against requests that begin on old weights after all instances were started anew.
+    Scenario Outline: An instance that has just started uses older weights for a part of the time until it counts as in touch
+        Given an instance that follows the operator's records
+        When it learns <learned> ms after its start of a version whose age nobody knows
+        Then it places no request on older weights later than 2000 ms after its start
+
+        Examples:
+            | learned |
+            | 300     |
+            | 900     |
+            | 2500    |
+            | 3200    |
+
+    # Guards against a version that counts as new because it was read right after a pause of the process.
+    Scenario: A version that was named in a pause of the process has an unknown age
+        Given an instance that follows the operator's records
+        When a version that was named in a pause of 4000 ms is read as the first step after it
+        Then it places no request on older weights later than 2000 ms after its pause
--- a/features/steps/failureContainmentSteps.ts
+++ b/features/steps/failureContainmentSteps.ts
@@ -177,6 +177,7 @@
         settings: createSettings("entry-1"),
         ports: createPorts(store, era, createCodec(), createEngineOrders()),
         clock: fixture.clock,
+        startedMs: fixture.clock.now(),
         random: fixture.clock.random,
         writeLog: event => {
             if (event === "internalFailure") {
--- a/features/steps/peerStateSteps.ts
+++ b/features/steps/peerStateSteps.ts
@@ -6,18 +6,12 @@
 import assert from "node:assert/strict";
 import { setImmediate } from "node:timers/promises";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
-import { createCodec } from "../../platform/createCodec.js";
-import { createEngineOrders } from "../../platform/createEngineOrders.js";
-import { createPorts } from "../../platform/createPorts.js";
-import { createStoreClient } from "../../platform/createStoreClient.js";
 import { assemblePeerState, type PeerStates } from "../../src/assemble/assemblePeerState.js";
 import { assembleViews } from "../../src/assemble/assembleViews.js";
 import type { FleetMember } from "../../src/core/fleet/createFleetView.js";
 import type { PeerState } from "../../src/core/fleet/peerState.js";
-import { createStoreEra } from "../../src/core/store/createStoreEra.js";
 import { planStoreReads } from "../../src/core/store/planStoreReads.js";
-import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
-import { createSettings } from "../support/platformFixture.js";
+import { createInstanceContext } from "../support/createInstanceContext.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface CopyFixture {
@@ -47,19 +41,7 @@
 
 function createFixture(): CopyFixture {
     const clock = createVirtualClock(1);
-    const settings = createSettings("entry-1");
-    const storeEra = createStoreEra();
-    const store = createStoreClient("127.0.0.1:1", storeEra.accept);
-    const context = {
-        settings,
-        ports: createPorts(store, storeEra, createCodec(), createEngineOrders()),
-        clock,
-        random: clock.random,
-        writeLog: () => undefined,
-        metrics: createRouterMetrics(),
-        listDropped: () => new Map<string, number>(),
-        collectGarbage: () => undefined,
-    };
+    const context = createInstanceContext(clock);
     const states = assemblePeerState(context, assembleViews(context), {
         feeds: {
             upstreamsAgeMs: () => Infinity,
@@ -68,7 +50,7 @@
             stop: () => undefined,
         },
         plan: () => ({
-            ...planStoreReads({ name: "entry-1", failureDomain: "domain" }, [], settings),
+            ...planStoreReads({ name: "entry-1", failureDomain: "domain" }, [], context.settings),
             readers: [peer.instance.name],
         }),
         listLive: () => [peer],
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -179,10 +179,12 @@
     };
     const storeEra = createStoreEra();
     const store = createStoreClient(fixture.store.address, storeEra.accept);
+    const clock = createSystemClock();
     const router = wireRouter({
         settings,
         ports: createPorts(store, storeEra, createCodec(), createEngineOrders()),
-        clock: createSystemClock(),
+        clock,
+        startedMs: clock.now(),
         random: Math.random,
         writeLog: (event, fields) => {
             fixture.logged.push({ event, fields: fields ?? {} });
--- a/features/support/storeHistories.ts
+++ b/features/support/storeHistories.ts
@@ -444,6 +444,7 @@
         settings,
         ports,
         clock,
+        startedMs: clock.now(),
         random: clock.random,
         writeLog: () => undefined,
         metrics: createRouterMetrics(),
@@ -467,6 +468,7 @@
         plan,
         operatorAgeMs: () => instance.peerStates?.operatorAgeMs() ?? Infinity,
         upstreamsAgeMs: () => instance.peerStates?.upstreamsAgeMs() ?? Infinity,
+        checkPause: () => undefined,
     });
     instance.peerStates = assemblePeerState(context, views, {
         feeds,
--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -28,6 +28,8 @@
     readonly operatorAgeMs: () => number;
     /** The same of the list of upstreams. */
     readonly upstreamsAgeMs: () => number;
+    /** Detects a pause of the process, in which a record may have waited for any time. */
+    readonly checkPause: () => void;
 }
 
 /** The ages at which instances that are no readers read the store differ by up to this fraction. */
@@ -42,6 +44,9 @@
 /** Time without an answer after which the store is considered unreachable, in milliseconds. */
 const unreachableAfterMs = 5_500;
 
+/** Time beyond the wait of a long poll after which a record may have been appended while nothing was read, in milliseconds. */
+const maxAnswerDelayMs = 1_000;
+
 /** The reads of one topic. */
 interface ReadTracker {
     readonly recordRead: () => void;
@@ -126,6 +131,8 @@
     const { store, topics } = ports;
     const operatorReads = trackReads(context, topics.operator);
     const upstreamReads = trackReads(context, topics.upstreams);
+    /** Whether the operator's records were read before. */
+    let hasRead = false;
 
     const maxRetryDelayMs = () => (needs.plan().isReader ? 0 : maxFollowerRetryMs);
     const operatorNeed = createReadNeed(context, operatorReads, needs.plan, needs.operatorAgeMs);
@@ -135,8 +142,8 @@
         writeLog("recordRejected", { topic, key: record.key, offset: record.offset, detail });
     }
 
-    /** `isLive`: the record was read as it was appended, so its age is known; `unreadMs`: time since the read before. */
-    function applyOperatorRecord(record: KeyedRecord, isLive: boolean, unreadMs: number): void {
+    /** `isAgeKnown`: the record was read as it was appended; `unreadMs`: time since the read before. */
+    function applyOperatorRecord(record: KeyedRecord, isAgeKnown: boolean, unreadMs: number): void {
         const decoded = ports.decodeOperatorRecord(record);
         if (decoded.isErr) {
             reject(topics.operator, record, decoded.error);
@@ -152,15 +159,22 @@
         }
         else if (update?.kind === "weights") {
             const { model, version } = update;
-            views.recordTarget({ model, version, ageMs: isLive ? 0 : undefined }, "store");
+            views.recordTarget({ model, version, ageMs: isAgeKnown ? 0 : undefined }, "store");
         }
     }
 
     function applyOperatorRecords(records: readonly KeyedRecord[], isLive: boolean): void {
         const unreadMs = operatorReads.ageMs();
-        const wasUnreachable = unreadMs > unreachableAfterMs;
         operatorReads.recordRead();
-        records.forEach(record => applyOperatorRecord(record, isLive && !wasUnreachable, unreadMs));
+        needs.checkPause();
+        const wasPaused = !Number.isFinite(operatorReads.ageMs());
+        const hasGap = wasPaused || unreadMs > needs.plan().operatorWaitMs + maxAnswerDelayMs;
+        if (hasGap && hasRead) {
+            views.recordGap();
+        }
+        hasRead = true;
+        const isAgeKnown = isLive && !hasGap;
+        records.forEach(record => applyOperatorRecord(record, isAgeKnown, unreadMs));
     }
 
     function decodeUpstream(record: KeyedRecord): UpstreamRecord | undefined {
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -15,6 +15,7 @@
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
 import { createGuardedPlacer } from "../core/quarantine/createGuardedPlacer.js";
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
+import { computeOutdatedLimitMs } from "../core/weights/computeOutdatedLimitMs.js";
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
     createProxyService,
@@ -62,9 +63,6 @@
     readonly permits: Pick<InstancePermits, "rateLimits" | "onChange">;
 }
 
-/** Fraction of the time limit for outdated weights that is used: instances learn of new target weights late. */
-const weightsLimitFraction = 0.8;
-
 /**
  * Assembles the proxy.
  *
@@ -102,7 +100,7 @@
         parts: views.parts,
         health: views.health,
         findService: name => views.routes()?.findService(name),
-        outdatedLimitMs: settings.weightsLimitMs * weightsLimitFraction,
+        outdatedLimitMs: computeOutdatedLimitMs(settings.weightsLimitMs),
         listStores: partFeeds.listStores,
     });
     const placer = createGuardedPlacer(freePlacer, guard, clock);
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -13,6 +13,7 @@
 } from "../core/registry/createUpstreamRegistry.js";
 import { indexRoutes, type RouteIndex } from "../core/routes/indexRoutes.js";
 import type { RoutingTable } from "../core/routes/routingTable.js";
+import { assumeTargetTime } from "../core/weights/assumeTargetTime.js";
 import { createWeightsView, type WeightsView } from "../core/weights/createWeightsView.js";
 import { assembleSignals, type InstanceSignals } from "./assembleSignals.js";
 import type { InstanceContext } from "./routerPorts.js";
@@ -33,9 +34,6 @@
     readonly unreadMs: number | undefined;
 }
 
-/** Fraction of the time limit for outdated weights that is assumed to have passed when the target's age is unknown. */
-const unknownAgeFraction = 0.4;
-
 /** The views. */
 export interface InstanceViews {
     readonly registry: UpstreamRegistry;
@@ -48,6 +46,8 @@
     /** Applies a configuration unless the one in force has the same version or a newer one. */
     readonly applyTable: (table: RoutingTable, source: string, details?: TableDetails) => void;
     readonly recordTarget: (named: ReportedWeights, source: string) => void;
+    /** Records that targets may have been set unnoticed until now. */
+    readonly recordGap: () => void;
     /** Returns the target weights, newest and earlier ones, as reported to peers. */
     readonly describeTargets: () => readonly ReportedWeights[];
     /** Calls `action` after each change that may let waiting requests be placed. */
@@ -68,6 +68,13 @@
     const parts = createPartView();
     const listeners: (() => void)[] = [];
     let index: RouteIndex | undefined;
+    /** Until when targets may have been set unnoticed. */
+    let blindUntilMs = context.startedMs;
+
+    function assumeTime(): number {
+        const { weightsLimitMs, reconnectLimitMs: stableWindowMs } = settings;
+        return assumeTargetTime({ blindUntilMs, stableWindowMs, weightsLimitMs });
+    }
 
     /** A listener that throws keeps neither the others nor the source of the change from going on. */
     function notifyChange(): void {
@@ -119,12 +126,15 @@
         },
         recordTarget: ({ model, version, ageMs }, source) => {
             const isObserved = ageMs !== undefined;
-            const sinceMs = clock.now() - (ageMs ?? settings.weightsLimitMs * unknownAgeFraction);
+            const sinceMs = isObserved ? clock.now() - ageMs : assumeTime();
             if (weights.recordTarget({ model, version, sinceMs, isObserved })) {
                 writeLog("weightsNamed", { model, version, source, ageMs });
                 notifyChange();
             }
         },
+        recordGap: () => {
+            blindUntilMs = clock.now();
+        },
         describeTargets: () =>
             weights.listHistory().map(({ model, version, sinceMs, isObserved }) => ({
                 model,
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -97,6 +97,8 @@
     readonly settings: RouterSettings;
     readonly ports: RouterPorts;
     readonly clock: Clock;
+    /** When the process started, on its clock in milliseconds; before the instance is assembled. */
+    readonly startedMs: number;
     /** Random number from 0 (included) to 1 (excluded). */
     readonly random: () => number;
     readonly writeLog: WriteLog;
--- a/src/core/weights/index.ts
+++ b/src/core/weights/index.ts
@@ -2,6 +2,8 @@
  * @module
  * Weights of models and their rollout.
  */
+export * from "./assumeTargetTime.js";
+export * from "./computeOutdatedLimitMs.js";
 export * from "./createRolloutLease.js";
 export * from "./createWeightsView.js";
 export * from "./leaseRecord.js";
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -78,6 +78,7 @@
         plan,
         operatorAgeMs: () => joinedFleet?.operatorAgeMs() ?? Infinity,
         upstreamsAgeMs: () => joinedFleet?.upstreamsAgeMs() ?? Infinity,
+        checkPause: () => pauses.check(),
     });
     const lease = createRolloutLease({ instance: settings.instance, separationMs: settings.leaseSeparationMs });
     watchStoreEra(context, lease);
