Send no orders while the process before holds the addresses

Cause: a process that is started while another one on the same addresses still runs takes part in the rollout under the same name. Each takes the other's claim for its own, so none waits for the separation.

Change: an instance sends orders only once it listens on all its addresses, which the process before gives up after its last order.

The scenario fails without the check.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -87,3 +87,12 @@
         Given an instance that follows the operator's records
         When a version that was named in a pause of 4000 ms is read as the first step after it
         Then it places no request on older weights later than 2000 ms after its pause
+
+    # Guards against two processes on the same addresses that order engines under one name.
+    Scenario: A process sends no orders while the process before it holds its addresses
+        Given an instance with an engine to load, whose addresses the process before it still holds
+        When it has run for 3000 ms
+        Then it has sent no order
+        When it listens on its addresses
+        And it has run for 1000 ms
+        Then it has sent an order
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -48,6 +48,8 @@
     readonly use: UpstreamUseTracker;
     readonly engines: EngineOrders;
     readonly isLeaving: () => boolean;
+    /** Whether the instance has its addresses: a process before it on the same ones may still send orders. */
+    readonly isListening: () => boolean;
     /** Whether the store was read recently. */
     readonly isStoreFresh: () => boolean;
     readonly onChange: () => void;
@@ -212,12 +214,18 @@
         engines.filter(engine => chosen.includes(engine.id)).forEach(engine => load(engine, target));
     }
 
+    /** A leaving holder goes on: another instance has to wait until the lease is free. Where all leave, one of them orders. */
+    function mayOrder(): boolean {
+        if (!deps.isListening() || !deps.isStoreFresh()) {
+            return false;
+        }
+        const hasServing = deps.listLive().some(member => member.instance.state === "serving");
+        return !deps.isLeaving() || lease.fence(clock.now()) !== undefined || !hasServing;
+    }
+
     async function check(): Promise<void> {
         const work = listWork();
-        // A leaving holder goes on: another instance has to wait until the lease is free. Where all leave, one of them orders.
-        const hasServing = deps.listLive().some(member => member.instance.state === "serving");
-        const mayOrder = !deps.isLeaving() || lease.fence(clock.now()) !== undefined || !hasServing;
-        if (work.length === 0 || !mayOrder || !deps.isStoreFresh()) {
+        if (work.length === 0 || !mayOrder()) {
             workSinceMs = undefined;
             return;
         }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -149,6 +149,7 @@
         engines: ports.engines,
         listLive: fleet.listLive,
         isLeaving: shutdown.isLeaving,
+        isListening: listeners.areListening,
         checkPause: () => pauses.check(),
         isStoreFresh: () => fleet.upstreamsAgeMs() < Math.max(freshStoreMs, plan().maxAgeMs),
         notifyPeers: fleet.reportLoading,
