Play the histories of the rollout lease with up to 90 instances

The histories had three instances. They now take any number: turns are shorter and pauses as long, so that each instance has its turn and the store returns as often in a large fleet as in a small one. The same check still finds a lease that stays valid across a pause of its holder at each size. Histories of three instances are as before.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -17,6 +17,16 @@
         And the same check detects an instance that tells peers of claims which may be missing
         And after each of 500 such histories with seed 17 the lease is held again within 10000 ms
 
+    Scenario Outline: Orders of two holders keep their distance in a fleet of any size
+        Then over <histories> random histories of <instances> instances with seed 47 no two holders' orders are too close
+        And with <instances> instances the same check detects a lease that stays valid across a pause of its holder
+
+        Examples:
+            | instances | histories |
+            | 7         | 200       |
+            | 24        | 60        |
+            | 90        | 20        |
+
     Scenario: A claim that was sent before a return of the store and appended after it does not count
         Given an instance alone that knows era 1 of the store
         When it claims the lease while the store comes back from an older copy
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -22,10 +22,23 @@
 
 const separationMs = 3_000;
 
-function checkHistories(numRuns: number, seed: number, hasReturns: boolean, faults: InjectedFaults): boolean {
-    const turns = fc.array(createTurnArbitrary(hasReturns), { minLength: 30, maxLength: 120 });
+/** Turns of a history for each instance. */
+const minTurns = 10;
+const maxTurns = 40;
+
+function checkHistories(
+    numRuns: number,
+    seed: number,
+    hasReturns: boolean,
+    faults: InjectedFaults,
+    instances = 3,
+): boolean {
+    const turns = fc.array(createTurnArbitrary(hasReturns, instances), {
+        minLength: minTurns * instances,
+        maxLength: maxTurns * instances,
+    });
     const property = fc.property(turns, history => {
-        const orders = playLeaseHistory(history, faults);
+        const orders = playLeaseHistory(history, faults, instances);
         return findClose(orders, separationMs) === undefined && findSharedFence(orders) === undefined
             && findFallingFence(orders) === undefined;
     });
@@ -69,6 +82,20 @@
     },
 );
 
+Then(
+    "over {int} random histories of {int} instances with seed {int} no two holders' orders are too close",
+    function(numRuns: number, instances: number, seed: number) {
+        assert.ok(checkHistories(numRuns, seed, true, noFaults, instances));
+    },
+);
+
+Then(
+    "with {int} instances the same check detects a lease that stays valid across a pause of its holder",
+    function(instances: number) {
+        assert.ok(!checkHistories(300, 7, true, { ...noFaults, ignoresPauses: true }, instances));
+    },
+);
+
 Then("the same check detects a lease that does not see returns", function() {
     assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, ignoresReturns: true }));
 });
--- a/features/support/leaseHistories.ts
+++ b/features/support/leaseHistories.ts
@@ -64,29 +64,46 @@
 const commonActions = ["act", "act", "act", "act", "pause", "partition", "heal", "loseAnswer"] as const;
 const rareActions = ["appendLate", "restart", "return"] as const;
 
+/** Instances of a small fleet. */
+const smallFleet = 3;
+
+/** Length of a turn in a small fleet, in milliseconds. */
+const minTurnMs = 5;
+const maxTurnMs = 400;
+
+/** A pause lasts as long as this many turns of a small fleet: it may outlast the time after which another instance takes over. */
+const pauseTurns = 20;
+
+const sizeOf = (instanceCount: number) => instanceCount / smallFleet;
+
 /** Random turns without or with returns of the store. */
-export function createTurnArbitrary(hasReturns: boolean): fc.Arbitrary<Turn> {
+export function createTurnArbitrary(hasReturns: boolean, instanceCount = smallFleet): fc.Arbitrary<Turn> {
+    const size = sizeOf(instanceCount);
+    const common = Array.from({ length: Math.ceil(size) }, () => commonActions).flat();
     return fc.tuple(
-        fc.integer({ min: 0, max: 2 }),
-        fc.constantFrom<Turn[1]>(...commonActions, ...(hasReturns ? rareActions : [])),
-        fc.integer({ min: 5, max: 400 }),
+        fc.integer({ min: 0, max: instanceCount - 1 }),
+        fc.constantFrom<Turn[1]>(...common, ...(hasReturns ? rareActions : [])),
+        // Each instance has its turn, and the store returns, as often in a large fleet as in a small one.
+        fc.integer({ min: Math.ceil(minTurnMs / size), max: Math.ceil(maxTurnMs / size) }),
     );
 }
 
 /** Plays a history and returns its orders in the order of sending. */
-export function playLeaseHistory(turns: readonly Turn[], faults: InjectedFaults): readonly SeenOrder[] {
+export function playLeaseHistory(
+    turns: readonly Turn[],
+    faults: InjectedFaults,
+    instanceCount = smallFleet,
+): readonly SeenOrder[] {
     const topic: Claim[] = [];
     const orders: SeenOrder[] = [];
     let lateAppends: readonly LateAppend[] = [];
     let storeEra = 1;
     let trueMs = 0;
     const createLease = (name: string) => createRolloutLease({ instance: name, separationMs: faults.separationMs });
-    const instances = ["a", "b", "c"].map((name): Instance => ({
-        name,
-        lease: createLease(name),
-        pausedMs: 0,
-        isPartitioned: false,
-    }));
+    const instances = Array.from({ length: instanceCount }, (_, index): Instance => {
+        const name = `entry-${index}`;
+        return { name, lease: createLease(name), pausedMs: 0, isPartitioned: false };
+    });
     const clockOf = (instance: Instance) => trueMs - instance.pausedMs;
 
     function append(claim: Claim, end: number): boolean {
@@ -175,8 +192,7 @@
 
     for (const [index, action, turnMs] of turns) {
         const instance = instances[index]!;
-        // A pause may outlast the time after which another instance takes over.
-        const durationMs = action === "pause" ? turnMs * 20 : turnMs;
+        const durationMs = action === "pause" ? turnMs * pauseTurns * sizeOf(instanceCount) : turnMs;
         disturb(instance, action, durationMs);
         instance.isPartitioned = action === "partition" || (instance.isPartitioned && action !== "heal");
         trueMs += durationMs;
