--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -17,6 +17,16 @@
         And the same check detects an instance that tells peers of claims which may be missing
         And after each of 500 such histories with seed 17 the lease is held again within 10000 ms
 
+    Scenario Outline: Orders of two holders keep their distance in a fleet of any size
+        Then over <histories> random histories of <instances> instances with seed 47 no two holders' orders are too close
+        And with <instances> instances the same check detects a lease that stays valid across a pause of its holder
+
+        Examples:
+            | instances | histories |
+            | 7         | 200       |
+            | 24        | 60        |
+            | 90        | 20        |
+
     Scenario: A claim that was sent before a return of the store and appended after it does not count
         Given an instance alone that knows era 1 of the store
         When it claims the lease while the store comes back from an older copy
@@ -69,3 +79,31 @@
         Then version 2 is outdated since 2500 ms
         When a peer reports that version 4 was set at 2000 ms
         Then version 2 is outdated since 2000 ms
+
+    # Guards against requests that begin on old weights after all instances were started anew.
+    Scenario Outline: An instance that has just started uses older weights for a part of the time until it counts as in touch
+        Given an instance that follows the operator's records
+        When it learns <learned> ms after its start of a version whose age nobody knows
+        Then it places no request on older weights later than 2000 ms after its start
+
+        Examples:
+            | learned |
+            | 300     |
+            | 900     |
+            | 2500    |
+            | 3200    |
+
+    # Guards against a version that counts as new because it was read right after a pause of the process.
+    Scenario: A version that was named in a pause of the process has an unknown age
+        Given an instance that follows the operator's records
+        When a version that was named in a pause of 4000 ms is read as the first step after it
+        Then it places no request on older weights later than 2000 ms after its pause
+
+    # Guards against two processes on the same addresses that order engines under one name.
+    Scenario: A process sends no orders while the process before it holds its addresses
+        Given an instance with an engine to load, whose addresses the process before it still holds
+        When it has run for 3000 ms
+        Then it has sent no order
+        When it listens on its addresses
+        And it has run for 1000 ms
+        Then it has sent an order
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -80,6 +80,7 @@
         plan,
         operatorAgeMs: () => joinedFleet?.operatorAgeMs() ?? Infinity,
         upstreamsAgeMs: () => joinedFleet?.upstreamsAgeMs() ?? Infinity,
+        checkPause: () => pauses.check(),
     });
     const lease = createRolloutLease({ instance: settings.instance, separationMs: settings.leaseSeparationMs });
     watchStoreEra(context, lease);
@@ -150,6 +151,7 @@
         engines: ports.engines,
         listLive: fleet.listLive,
         isLeaving: shutdown.isLeaving,
+        isListening: listeners.areListening,
         checkPause: () => pauses.check(),
         isStoreFresh: () => fleet.upstreamsAgeMs() < Math.max(freshStoreMs, plan().maxAgeMs),
         notifyPeers: fleet.reportLoading,
