Play the answers of all forms without a time limit

The scenarios of answerJudgement ran on the system clock: on a busy machine a connect timeout or an idle time could give other outcomes. They run on a virtual clock that stands still now, so that no limit is reached.

--- a/features/support/startAnswerPath.ts
+++ b/features/support/startAnswerPath.ts
@@ -10,6 +10,7 @@
     createRecord,
     createRoute,
 } from "../../bench/support/proxyFixtures.js";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import {
     type ScriptedRequest,
     type ScriptedUpstream,
@@ -24,7 +25,6 @@
 import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
 import type { RequestKind } from "../../src/core/routes/routingTable.js";
-import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { createCallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
 import { createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
@@ -95,12 +95,12 @@
     });
 }
 
-/** Starts the path; the first upstream is used first, the next ones for retries. */
+/** Starts the path; the first upstream is used first, the next ones for retries. No time limit is reached. */
 export async function startAnswerPath(
     scripts: readonly ((req: ScriptedRequest) => void)[],
 ): Promise<AnswerPath> {
     const upstreams = await Promise.all(scripts.map(script => startScriptedUpstream(script)));
-    const clock = createSystemClock();
+    const clock = createVirtualClock(1);
     const connections = createConnectionPool(clock);
     const calls = new Map<string, AnswerPathCall>();
     let discarded = 0;
