Take an upstream's answer in a module of its own

createUpstreamSender held the connection's events, the judgement, the delivery of streams and the collection of whole answers. No change of behaviour.

--- a/src/core/proxy/judgeAnswerEnd.ts
+++ b/src/core/proxy/judgeAnswerEnd.ts
@@ -4,7 +4,7 @@
  */
 import type { AnswerEnd } from "./answerEnd.js";
 import { findIncompleteReason } from "./findIncompleteReason.js";
-import type { AnswerUse } from "./judgeAnswerHead.js";
+import type { TakenAnswerUse } from "./judgeAnswerHead.js";
 
 /**
  * Judges the end of an answer. A continuation without events does not show whether the caller has the whole stream, so it
@@ -16,7 +16,7 @@
  * @example
  * judgeAnswerEnd({ kind: "continuation" }, { framing: "chunked", connection: "open", eventStream });
  */
-export function judgeAnswerEnd(use: AnswerUse, end: AnswerEnd): string | undefined {
+export function judgeAnswerEnd(use: TakenAnswerUse, end: AnswerEnd): string | undefined {
     const hasNoEvents = end.eventStream?.hasEvents !== true;
     return findIncompleteReason(end)
         ?? (use.kind === "continuation" && hasNoEvents
--- a/src/core/proxy/judgeAnswerHead.ts
+++ b/src/core/proxy/judgeAnswerHead.ts
@@ -53,6 +53,9 @@
     | { readonly kind: "stream"; }
     | { readonly kind: "continuation"; };
 
+/** What an answer is worth that is neither foreign nor unusable. */
+export type TakenAnswerUse = Exclude<AnswerUse, { readonly kind: "foreign" | "unusable"; }>;
+
 const firstSuccess = 200;
 const firstRedirect = 300;
 const firstFailure = 400;
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -1,24 +1,19 @@
 /**
  * @module
- * Sends one request to one upstream and processes its answer: a stream is forwarded as it arrives, any other answer is
- * collected completely.
+ * Sends one request to one upstream and reports the outcome of its answer.
  */
 import type { Dispatcher } from "undici";
-import type { AnswerEnd } from "../../core/proxy/answerEnd.js";
 import type { AnswerHolding } from "../../core/proxy/createAnswerMemory.js";
-import { judgeAnswerEnd } from "../../core/proxy/judgeAnswerEnd.js";
 import { type AnswerUse, judgeAnswerHead } from "../../core/proxy/judgeAnswerHead.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type { ProxyRequest, RejectionReason, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
 import { isRetryable } from "../../core/proxy/serveProxyRequest.js";
-import { createEventSequence } from "../../core/stream/createEventSequence.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
 import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
-import { createAnswerCollection } from "./createAnswerCollection.js";
+import { type AnswerIntake, createAnswerIntake } from "./createAnswerIntake.js";
 import type { CallerExchange } from "./createCallerExchange.js";
 import type { PooledConnection } from "./createConnectionPool.js";
-import { createStreamDelivery, type StreamDelivery } from "./createStreamDelivery.js";
 import type { AnswerHead } from "./proxyCodec.js";
 import type { SendToUpstream, UpstreamSenderDependencies } from "./upstreamSenderTypes.js";
 
@@ -47,10 +42,7 @@
     private isWritten = false;
     private sentMs = 0;
     private head: AnswerHead | undefined;
-    /** What the answer is worth by its head; undefined until that has arrived. */
-    private use: AnswerUse | undefined;
-    private stream: StreamDelivery | undefined;
-    private readonly collection = createAnswerCollection();
+    private answer: AnswerIntake | undefined;
     private readonly holding: AnswerHolding;
     private informationalHeads = 0;
     private isFinished = false;
@@ -137,67 +129,61 @@
             return;
         }
         this.head = head;
-        this.use = use;
         if (head.framing === "connectionClose") {
             this.connection.expectEnd();
         }
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
         this.deps.onAnswerHead(this.req, this.effect, head, this.sentMs);
         this.deps.onHeadTime(this.deps.clock.now() - this.sentMs);
-        if (use.kind === "stream" || use.kind === "continuation") {
-            this.stream = createStreamDelivery({
-                caller: this.caller,
-                head,
-                isResumable: this.req.route.isResumable,
-                sequence: use.kind === "continuation" ? createEventSequence(this.effect.lastEventId) : undefined,
-                pause: () => controller.pause(),
-                resume: () => controller.resume(),
-            });
-        }
+        this.answer = createAnswerIntake({
+            head,
+            use,
+            caller: this.caller,
+            isResumable: this.req.route.isResumable,
+            lastEventId: this.effect.lastEventId,
+            pause: () => controller.pause(),
+            resume: () => controller.resume(),
+        });
     }
 
     onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
-        if (this.isFinished) {
+        const { answer } = this;
+        if (this.isFinished || answer === undefined) {
             return;
         }
         this.connection.allowBytes(maxUnparsedBytes);
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
-        const delivery = this.stream ?? this.collection;
-        const failure = delivery.write(chunk);
+        const failure = answer.write(chunk);
         if (failure !== undefined) {
             this.finishLost(failure);
             return;
         }
-        this.holding.set(delivery.heldBytes());
-        if (this.stream?.eventStreamEnd().hasEvents === true) {
+        this.holding.set(answer.heldBytes());
+        if (answer.hasEvents()) {
             this.deps.onEvent(this.req);
         }
     }
 
     onResponseEnd(): void {
-        const { head, use } = this;
-        if (this.isFinished || head === undefined || use === undefined) {
+        const { answer } = this;
+        if (this.isFinished || answer === undefined) {
             return;
         }
-        const end = this.describeEnd(head);
-        const incompleteReason = judgeAnswerEnd(use, end);
+        const end = answer.describeEnd(this.connection.state());
+        const incompleteReason = answer.findIncompleteReason(end);
         this.deps.onAnswerEnd(this.req, this.effect, end, incompleteReason);
         if (incompleteReason !== undefined) {
             this.finishLost(incompleteReason);
             return;
         }
-        if (this.stream !== undefined) {
-            this.endStream(this.stream);
-            return;
+        const outcome = answer.complete();
+        if (outcome.kind === "rejected") {
+            this.recordRejection(outcome.reason);
         }
-        if (use.kind === "rejection") {
-            this.recordRejection(use.reason);
-            const { status, retryAfterMs } = head;
-            this.finish({ kind: "rejected", status, reason: use.reason, retryAfterMs });
-            return;
+        else {
+            this.deps.health.recordSuccess(this.upstreamId());
         }
-        this.deps.health.recordSuccess(this.upstreamId());
-        this.finish({ kind: "answered", answer: this.collection.toAnswer(head.status, head.headers) });
+        this.finish(outcome);
     }
 
     onResponseError(_: Dispatcher.DispatchController | undefined, err: Error): void {
@@ -209,8 +195,13 @@
             this.finish({ kind: "notSent", detail: err.message });
             return;
         }
-        if (this.head !== undefined) {
-            this.deps.onAnswerEnd(this.req, this.effect, this.describeEnd(this.head), err.message);
+        if (this.answer !== undefined) {
+            this.deps.onAnswerEnd(
+                this.req,
+                this.effect,
+                this.answer.describeEnd(this.connection.state()),
+                err.message,
+            );
         }
         this.finishLost(err.message);
     }
@@ -246,17 +237,6 @@
         this.deps.health.recordFailure(this.upstreamId(), this.deps.clock.now());
     }
 
-    private describeEnd(head: AnswerHead): AnswerEnd {
-        const eventStream = this.stream?.eventStreamEnd();
-        return { framing: head.framing, connection: this.connection.state(), eventStream };
-    }
-
-    private endStream(stream: StreamDelivery): void {
-        this.deps.health.recordSuccess(this.upstreamId());
-        stream.end();
-        this.finish({ kind: "finished" });
-    }
-
     private checkConnected(): void {
         if (!this.isFinished && !this.isWritten) {
             this.deps.health.recordFailure(this.upstreamId(), this.deps.clock.now());
@@ -272,7 +252,7 @@
     }
 
     private delivered(): StreamProgress | undefined {
-        return this.stream?.progress();
+        return this.answer?.progress();
     }
 
     private expire(): void {
