Check that no whole answer follows on a stream that has begun

The steps of a request yielded an answer (200 or 500) for a stream of which the caller had a part; only the HTTP server's refusal to write a second head kept it from the caller, and its connection was destroyed as after an internal error.

--- a/features/proxyRequest.feature
+++ b/features/proxyRequest.feature
@@ -22,6 +22,8 @@
             | resumable stream | begun begun         | 2     | cut                |
             | resumable stream | begunWithoutIds finished | 1 | cut               |
             | resumable stream | begun busy finished | 3     | finished           |
+            | resumable stream | begun answered      | 2     | cut                |
+            | resumable stream | begun failed        | 2     | cut                |
             | nonIdempotent    | busy busy busy busy busy busy | 5 | upstreamNotReached |
 
     Scenario: A stream resumes after the last event that the caller has received
--- a/features/steps/proxyRequestSteps.ts
+++ b/features/steps/proxyRequestSteps.ts
@@ -173,6 +173,9 @@
     if (hasBegun && row !== undefined) {
         return "a stream that has begun is refused instead of aborted";
     }
+    if (hasBegun && run.end.startsWith("answer")) {
+        return "a whole answer follows on a stream that has begun";
+    }
     return undefined;
 }
 
