Count a reset as late only if its caller could see when it came

An attempt now records the earliest time at which it may have ended, the tick of its process before the last one (some 20 ms before the end when nothing is held up), and the 200 ms count to that time. Both are in the trace. No other rule uses it: a request that has run is judged as before.

--- a/bench/faults/platform/describeLoss.ts
+++ b/bench/faults/platform/describeLoss.ts
@@ -39,7 +39,7 @@
     return [
         `LOST ${attempt.id} ${form} at ${attempt.address}, ${loss.moment}: sent ${since(attempt.sentMs)}, cut ${
             since(attempt.endMs)
-        }, status ${attempt.status} ${attempt.error ?? "no error"}`,
+        } (${since(attempt.earliestEndMs)} at the earliest), status ${attempt.status} ${attempt.error ?? "no error"}`,
         ends,
         `deadline ${since(attempt.deadlineMs)}, timeout ${since(attempt.timeoutMs)}`,
         `runs: ${described.length === 0 ? "none" : described.join(", ")}`,
--- a/bench/faults/platform/findLosses.ts
+++ b/bench/faults/platform/findLosses.ts
@@ -69,7 +69,7 @@
 function wasRead(attempt: AttemptRecord, runs: readonly RunRecord[]): boolean {
     return !attempt.isComplete && !attempt.isTruncated
         && attempt.sentMs !== undefined && attempt.error !== "ECONNREFUSED"
-        && (runs.length > 0 || attempt.endMs - attempt.sentMs > lossSlackMs);
+        && (runs.length > 0 || attempt.earliestEndMs - attempt.sentMs > lossSlackMs);
 }
 
 /** Whether an upstream was at work on the attempt until it was cut. */
--- a/bench/faults/platform/startStopCallers.ts
+++ b/bench/faults/platform/startStopCallers.ts
@@ -10,6 +10,7 @@
 import { readSharedClock } from "./readSharedClock.js";
 import type { CallShape } from "./stopShapes.js";
 import type { AttemptRecord, RequestRecord } from "./stopTypes.js";
+import { watchTurns } from "./watchTurns.js";
 
 /** Options of {@link startStopCallers}. */
 export interface StopCallersOptions {
@@ -68,6 +69,7 @@
 /** Starts the callers. */
 export function startStopCallers(options: StopCallersOptions): StopCallers {
     const requests: RequestRecord[] = [];
+    const readEarliestMs = watchTurns();
     let isStopped = false;
 
     async function fetchEntries(
@@ -124,6 +126,7 @@
                     deadlineMs: startedMs + leftMs,
                     timeoutMs: startedMs + timeoutMs,
                     endMs: readSharedClock(),
+                    earliestEndMs: readEarliestMs(),
                     status,
                     isComplete: isComplete && isWhole,
                     isTruncated: isComplete && !isWhole,
--- a/bench/faults/platform/stopTypes.ts
+++ b/bench/faults/platform/stopTypes.ts
@@ -22,6 +22,8 @@
     /** When the route's timeout is reached at the earliest. */
     readonly timeoutMs: number;
     readonly endMs: number;
+    /** Earliest time at which it may have ended: the caller's process was possibly held up until it saw the end. */
+    readonly earliestEndMs: number;
     /** Status of the answer; 0 without one. */
     readonly status: number;
     readonly isComplete: boolean;
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -60,6 +60,7 @@
             | a stream was cut at its route's timeout                          |
             | a stream was cut since its upstream broke off                    |
             | a request was reset unread 150 ms after its last byte            |
+            | a request was reset unread, which its caller saw 400 ms late     |
             | a request was refused at the door                                |
             | a request was not sent completely                                |
 
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -39,6 +39,7 @@
     deadlineMs: termMs + 13_000,
     timeoutMs: termMs + 16_000,
     endMs: termMs + 7_000,
+    earliestEndMs: termMs + 6_990,
     status: 200,
     isComplete: true,
     isTruncated: false,
@@ -75,7 +76,13 @@
 
 function cutUnrun(afterSentMs: number, change: Partial<AttemptRecord> = {}): StopHistory {
     const sentMs = change.sentMs ?? cut.sentMs!;
-    return createHistory({ ...cut, status: 0, endMs: sentMs + afterSentMs, ...change }, []);
+    return createHistory({
+        ...cut,
+        status: 0,
+        endMs: sentMs + afterSentMs,
+        earliestEndMs: sentMs + afterSentMs,
+        ...change,
+    }, []);
 }
 
 const plantedHistories: Readonly<Record<string, StopHistory>> = {
@@ -106,6 +113,9 @@
     "a stream was cut at its route's timeout": cutAt(6_000, { timeoutMs: termMs + 6_000 }),
     "a stream was cut since its upstream broke off": cutAt(6_000, {}, { isBrokenOff: true }),
     "a request was reset unread 150 ms after its last byte": cutUnrun(150),
+    "a request was reset unread, which its caller saw 400 ms late": cutUnrun(550, {
+        earliestEndMs: cut.sentMs! + 150,
+    }),
     "a request was refused at the door": cutUnrun(300, { error: "ECONNREFUSED" }),
     "a request was not sent completely": createHistory({ ...cut, sentMs: undefined, status: 0 }, []),
 };
