--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -208,7 +208,7 @@
         routes: views.routes,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
         ...stop,
-        readArrived: () => readArrived(clock),
+        readArrived: () => readArrived(),
         bodyMemory,
         answerMemory,
         onRetry: reason => metrics.retries.inc({ reason }),
--- a/src/io/_lib/readArrived.ts
+++ b/src/io/_lib/readArrived.ts
@@ -2,28 +2,28 @@
  * @module
  * Reads what has arrived on the process's connections before a decision that depends on it.
  */
-import type { Clock } from "../../core/time/clock.js";
 
 /** Turns of the event loop after the last new connection: in the first its bytes are read, in the second nothing is left. */
 const quietTurns = 2;
 
-/** Maximum time for this, in milliseconds: callers that connect again and again hold up no stop. */
-const maxReadMs = 100;
+/**
+ * Maximum number of turns, as many as connections may wait at a listener. It is no time, since a process may stand still within
+ * each turn; callers that connect again and again hold up no stop.
+ */
+const maxTurns = 512;
 
 /**
  * Lets the event loop accept the connections that wait and read what has arrived on all of them. Timers run before connections
  * are read: without this, a process that did not run for a while would decide on what it knew before. Each turn accepts one
  * connection of a listener.
  *
- * @param clock - Limits the time.
  * @param countAccepted - Returns the number of connections that were accepted so far; left out where new ones do not matter.
  * @returns A promise that resolves when it is read.
  */
-export async function readArrived(clock: Pick<Clock, "now">, countAccepted: () => number = () => 0): Promise<void> {
+export async function readArrived(countAccepted: () => number = () => 0): Promise<void> {
     let accepted = countAccepted();
     let quiet = 0;
-    const untilMs = clock.now() + maxReadMs;
-    while (quiet < quietTurns && clock.now() < untilMs) {
+    for (let turn = 0; turn < maxTurns && quiet < quietTurns; turn += 1) {
         await new Promise<void>(resolve => setImmediate(resolve));
         quiet = countAccepted() === accepted ? quiet + 1 : 0;
         accepted = countAccepted();
