Name the attempts of a soak of which it is not known whether they were read in time

The check left attempts out that never ran and whose callers may have seen the end late; they are counted as excused:seenLate now, so that a run with such attempts is not taken for one without losses.

--- a/bench/faults/platform/findLosses.ts
+++ b/bench/faults/platform/findLosses.ts
@@ -13,8 +13,10 @@
  * - `brokenRun`: its upstream broke off the run.
  * - `lateInGrace`: it was sent early in the stop of its instance and cut at the end of the grace period, while its upstream
  *   was still at work.
+ * - `seenLate`: it never ran, and its connection may have ended before it counts as read: its caller's process was held up. A
+ *   run with such attempts does not show that nothing was lost.
  */
-export type LossExcuse = "deadline" | "timeout" | "brokenRun" | "lateInGrace";
+export type LossExcuse = "deadline" | "timeout" | "brokenRun" | "lateInGrace" | "seenLate";
 
 /** Where in the stops of the run an unexcused loss lies. */
 export type LossMoment = "late" | "early" | "elsewhere";
@@ -69,7 +71,7 @@
 function wasRead(attempt: AttemptRecord, runs: readonly RunRecord[]): boolean {
     return !attempt.isComplete && !attempt.isTruncated
         && attempt.sentMs !== undefined && attempt.error !== "ECONNREFUSED"
-        && (runs.length > 0 || attempt.earliestEndMs - attempt.sentMs > lossSlackMs);
+        && (runs.length > 0 || attempt.endMs - attempt.sentMs > lossSlackMs);
 }
 
 /** Whether an upstream was at work on the attempt until it was cut. */
@@ -84,6 +86,9 @@
     runs: readonly RunRecord[],
     termMs: number | undefined,
 ): LossExcuse | undefined {
+    if (runs.length === 0 && attempt.earliestEndMs - (attempt.sentMs ?? 0) <= lossSlackMs) {
+        return "seenLate";
+    }
     if (attempt.endMs >= attempt.deadlineMs - timerSlackMs) {
         return "deadline";
     }
