--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -119,7 +119,8 @@
         target: TargetWeights,
         { expectedOrders, runningRequests }: Extract<LoadEffect, { readonly kind: "order"; }>,
     ): Promise<OrderAnswer> {
-        if (!await maintainLease()) {
+        // Once this instance has released its addresses, a successor may order under the same name.
+        if (!await maintainLease() || isStopped) {
             return "unheld";
         }
         deps.checkPause();
