Treat a caller that has ended its side as gone before each send

The first send asked for it since; a request that waited for a place, or is retried, was still sent in the turn in which its caller's end lay unread or the response was not yet over.

--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -14,6 +14,7 @@
 
 /** The caller's side of a request. */
 export interface CallerExchange {
+    /** Whether the caller has ended its side; its response is over only some turns of the event loop later. */
     readonly isDisconnected: () => boolean;
     /** Calls `action` when the caller disconnects before its answer is complete; returns the cancellation. */
     readonly onDisconnect: (action: () => void) => CancelTimer;
@@ -75,7 +76,7 @@
     }
 
     return {
-        isDisconnected: () => isDisconnected,
+        isDisconnected: () => isDisconnected || res.req.socket.readableEnded,
         onDisconnect: disconnectActions.add,
         hasStarted: () => res.headersSent,
         startStream: head => {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -173,6 +173,11 @@
                     });
                 },
                 send: (effect, resume) => {
+                    if (caller.isDisconnected()) {
+                        releaseUpstream();
+                        resume({ kind: "callerGone" });
+                        return;
+                    }
                     const { placement } = effect;
                     const rateLimit = deps.findRateLimit(placement.upstream.id);
                     deps.writeLog("requestSent", { ...describeSend(req, placement, deps.clock.now()), rateLimit });
