Keep the use of upstreams by request, not by id

What callers saw: 503 "no upstream had free capacity" for as long as the instance ran, though nothing was in progress, after a caller had used an id for two requests at once.

Cause: the tracker kept requests by id; the second one of an id replaced the first, and only one of the two was ever taken off.

The new scenario of features/placement.feature fails without the change (1 request left of 2).

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -52,6 +52,12 @@
         When a placed request ends
         Then the waiting request is placed
 
+    # Guards against capacity that stays taken for good when a caller uses an id for two requests at once.
+    Scenario: Requests that have the same id free the capacity that each of them took
+        Given idle engines "u-1"
+        When 2 requests with the same id are placed, and both end
+        Then nothing of "u-1" is in use
+
     Scenario: A waiting request is refused at once when it cannot be placed in time
         Given idle engines "u-1"
         When requests are placed until one waits
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -266,3 +266,15 @@
     ];
     assert.ok(lastQueued < before);
 });
+
+When("{int} requests with the same id are placed, and both end", function(this: SiteWorld, count: number) {
+    const fixture = getFixture(this);
+    for (let index = 0; index < count; index += 1) {
+        assert.equal(placeNext(fixture, { id: "same" })?.kind, "placed");
+    }
+    fixture.requests.forEach(({ req }) => fixture.placer.end(req));
+});
+
+Then("nothing of {string} is in use", function(this: SiteWorld, upstream: string) {
+    assert.deepEqual(getFixture(this).use.read(upstream), { requests: 0, memoryTokens: 0, unreadTokens: 0 });
+});
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -118,7 +118,7 @@
             return undefined;
         }
         const placement = toPlacement(option);
-        deps.use.begin(req.id, toPlacedRequest(option), now());
+        deps.use.begin(req, toPlacedRequest(option), now());
         if (option.model !== undefined) {
             recordPrefill(option.model, placement);
         }
@@ -208,13 +208,13 @@
         hasAlternative: (req, excluded) =>
             listChoices(req, excluded).some(choice => !deps.health.isEjected(choice.record.id, now())),
         recordAnswerStart: (req, { upstream, cacheSalt }) => {
-            deps.use.recordAnswerStart(req.id);
+            deps.use.recordAnswerStart(req);
             if (req.prompt !== undefined && cacheSalt !== undefined) {
                 deps.parts.recordPrefilled(req.prompt, cacheSalt, upstream.id);
             }
         },
         end: req => {
-            deps.use.end(req.id);
+            deps.use.end(req);
             queues.dispatch(req.service);
         },
         dispatch: queues.dispatchAll,
--- a/src/core/placement/createUpstreamUseTracker.ts
+++ b/src/core/placement/createUpstreamUseTracker.ts
@@ -4,6 +4,9 @@
  */
 import type { UnreportedUse, UpstreamUse } from "./placementTypes.js";
 
+/** What tells requests in progress apart, such as the request itself: a caller may use an id for two at once. */
+export type RequestKey = object | string;
+
 /** A request of this instance at an upstream. */
 export interface PlacedRequest {
     readonly upstream: string;
@@ -24,10 +27,10 @@
 
 /** Tracker of the use of upstreams. */
 export interface UpstreamUseTracker {
-    readonly begin: (requestId: string, placed: PlacedRequest, nowMs: number) => void;
+    readonly begin: (key: RequestKey, placed: PlacedRequest, nowMs: number) => void;
     /** Records that the answer has begun: the prompt has been prefilled. */
-    readonly recordAnswerStart: (requestId: string) => void;
-    readonly end: (requestId: string) => void;
+    readonly recordAnswerStart: (key: RequestKey) => void;
+    readonly end: (key: RequestKey) => void;
     /** Use by this instance and its peers. */
     readonly read: (upstream: string) => UpstreamUse;
     /**
@@ -91,7 +94,7 @@
  * use.read("e-1").memoryTokens; // 69
  */
 export function createUpstreamUseTracker(): UpstreamUseTracker {
-    const requests = new Map<string, PlacedRequest & { isPrefilled: boolean; }>();
+    const requests = new Map<RequestKey, PlacedRequest & { isPrefilled: boolean; }>();
     const own = new Map<string, OwnState>();
     const peers = new Map<string, ReadonlyMap<string, UpstreamUse>>();
 
@@ -105,8 +108,8 @@
         return state;
     }
 
-    function begin(requestId: string, placed: PlacedRequest, nowMs: number): void {
-        requests.set(requestId, { ...placed, isPrefilled: false });
+    function begin(key: RequestKey, placed: PlacedRequest, nowMs: number): void {
+        requests.set(key, { ...placed, isPrefilled: false });
         const state = stateOf(placed.upstream);
         state.recent = [...listRecent(state, nowMs), {
             atMs: nowMs,
@@ -132,8 +135,8 @@
         };
     }
 
-    function recordAnswerStart(requestId: string): void {
-        const placed = requests.get(requestId);
+    function recordAnswerStart(key: RequestKey): void {
+        const placed = requests.get(key);
         if (placed !== undefined && !placed.isPrefilled) {
             placed.isPrefilled = true;
             stateOf(placed.upstream).unreadTokens -= placed.unreadTokens;
@@ -150,13 +153,13 @@
         }
     }
 
-    function end(requestId: string): void {
-        const placed = requests.get(requestId);
+    function end(key: RequestKey): void {
+        const placed = requests.get(key);
         if (placed === undefined) {
             return;
         }
-        recordAnswerStart(requestId);
-        requests.delete(requestId);
+        recordAnswerStart(key);
+        requests.delete(key);
         const state = stateOf(placed.upstream);
         state.requests -= 1;
         state.ownTokens -= placed.ownTokens;
