--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -76,4 +76,8 @@
         Examples:
             | plan  | instances | seed |
             | turn  | 4         | 1    |
+
+        @known-red
+        Examples:
+            | plan  | instances | seed |
             | mixed | 3         | 2    |
