State the statuses that promise "not run" once in the soak of stops

They stood in the callers and in the check. The product's own set stays apart: the check must not follow it. faultChecks and shutdown (without the known failure) pass.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -5,7 +5,7 @@
 import type { InstanceBounds } from "../../support/platformSettings.js";
 import { describeLoss } from "./describeLoss.js";
 import { findLosses, type Loss } from "./findLosses.js";
-import type { LifeRecord, RunRecord, StopHistory } from "./stopTypes.js";
+import { type LifeRecord, promiseStatuses, type RunRecord, type StopHistory } from "./stopTypes.js";
 
 /** What was found. */
 export interface StopFindings {
@@ -19,8 +19,6 @@
 /** Time beyond the work itself after which a request counts as late, in milliseconds. */
 const lateMs = 500;
 
-const promiseStatuses = [408, 421, 429, 503];
-
 function findTruncated(history: StopHistory): readonly string[] {
     return history.requests.flatMap(request => request.attempts)
         .filter(attempt => attempt.isTruncated)
--- a/bench/faults/platform/startStopCallers.ts
+++ b/bench/faults/platform/startStopCallers.ts
@@ -9,7 +9,7 @@
 import { type Call, describeHeaders, drawCall } from "./drawCall.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { CallShape } from "./stopShapes.js";
-import type { AttemptRecord, RequestRecord } from "./stopTypes.js";
+import { type AttemptRecord, promiseStatuses, type RequestRecord } from "./stopTypes.js";
 import { watchTurns } from "./watchTurns.js";
 
 /** Options of {@link startStopCallers}. */
@@ -48,9 +48,6 @@
 const partPauseMs = 120;
 const bodyText = "x".repeat(600);
 
-/** Statuses that promise that the request was not run. */
-const promiseStatuses = [408, 421, 429, 503];
-
 async function writeBody(req: ClientRequest, call: Call): Promise<void> {
     if (call.hasTwoParts) {
         req.write(bodyText.slice(0, bodyText.length / 2));
--- a/bench/faults/platform/stopTypes.ts
+++ b/bench/faults/platform/stopTypes.ts
@@ -7,6 +7,9 @@
 /** How a request may be repeated and answered. */
 export type CallKind = "idempotent" | "nonIdempotent" | "stream";
 
+/** Statuses that promise that a request was not run. */
+export const promiseStatuses: readonly number[] = [408, 421, 429, 503];
+
 /** One attempt of a caller. */
 export interface AttemptRecord {
     readonly id: string;
