Ask the caller's exchange alone whether its caller has left

accept kept a flag of its own beside the exchange's answer to the same question, behind a cast. The exchange is created before what has arrived is read, and asked after it.

--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -267,10 +267,6 @@
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
         const reservation = deps.bodyMemory.open();
         overActions.add(reservation.release);
-        let isOver = false as boolean;
-        overActions.add(() => {
-            isOver = true;
-        });
         let cancelStop: CancelTimer = () => undefined;
         const body = await readBody(req, deps.clock, {
             maxBytes: checked.value.maxBodyBytes,
@@ -285,24 +281,21 @@
             refuseHead(res, req, requestId, body.error);
             return;
         }
+        const caller = createCallerExchange(res, {
+            requestId,
+            isClosing: deps.shutdown.isLeaving,
+            holdAnswer: deps.answerMemory.hold,
+            onStart: () => timing.start(deps.clock.now()),
+        });
         await deps.readArrived();
-        // The end of the caller's side is known some turns of the event loop before the response is over.
-        if (isOver || req.socket.readableEnded) {
+        if (caller.isDisconnected()) {
             return;
         }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
         const outputTokens = proxied.prompt?.outputTokens ?? 0;
         const timing = deps.durations.begin(proxied.route.name, outputTokens, deps.clock.now());
         overActions.add(() => timing.end(deps.clock.now(), res.writableFinished));
-        serve(
-            proxied,
-            createCallerExchange(res, {
-                requestId,
-                isClosing: deps.shutdown.isLeaving,
-                holdAnswer: deps.answerMemory.hold,
-                onStart: () => timing.start(deps.clock.now()),
-            }),
-        );
+        serve(proxied, caller);
     }
 
     return {
