State the sender's fixture of steps once

Cause: four files of steps built the same sender of requests with the same empty receivers, two the same caller that takes everything. Change: features/support/createSenderFixture.ts holds both; the steps name only what they observe. No assertion has changed.

--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -9,7 +9,6 @@
 import * as z from "zod";
 import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
 import { type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
-import { createCodec } from "../../platform/createCodec.js";
 import { createEngineOrders } from "../../platform/createEngineOrders.js";
 import { createPartReader } from "../../platform/createPartReader.js";
 import { createStoreClient } from "../../platform/createStoreClient.js";
@@ -21,9 +20,8 @@
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { createPeerStateReader } from "../../src/io/fleet/createPeerStateReader.js";
 import { createCallJson } from "../../src/io/platform/callJson.js";
-import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
-import { createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
+import { createIndifferentCaller, createSenderFixture } from "../support/createSenderFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface EndlessFixture {
@@ -111,24 +109,6 @@
     await startEndless(this, bytes);
 });
 
-function createIndifferentCaller(): CallerExchange {
-    let hasStarted = false;
-    return {
-        isDisconnected: () => false,
-        onDisconnect: () => () => undefined,
-        hasStarted: () => hasStarted,
-        startStream: () => {
-            hasStarted = true;
-        },
-        writeChunk: () => true,
-        onDrained: () => undefined,
-        endStream: () => undefined,
-        answer: () => undefined,
-        refuse: () => undefined,
-        abort: () => undefined,
-    };
-}
-
 /** Time until a request's deadline, in milliseconds. */
 const deadlineMs = 4_000;
 
@@ -142,9 +122,8 @@
             pool.close();
             return Promise.resolve();
         });
-        const send = createUpstreamSender({
+        const send = createSenderFixture({
             clock,
-            codec: createCodec(),
             connections: pool,
             health: {
                 ...createHealthView(),
@@ -153,12 +132,6 @@
                 },
             },
             answerMemory: fixture.memory,
-            onAnswerHead: () => undefined,
-            onAnswerEnd: () => undefined,
-            onForeignAnswer: () => undefined,
-            onEvent: () => undefined,
-            onConnectionEnd: () => undefined,
-            onHeadTime: () => undefined,
         });
         const req = createProxyRequest(
             kind === "non-idempotent" ? "nonIdempotent" : "stream",
--- a/features/steps/proxySendSteps.ts
+++ b/features/steps/proxySendSteps.ts
@@ -10,19 +10,17 @@
     type ScriptedUpstream,
     startScriptedUpstream,
 } from "../../fakes/startScriptedUpstream.js";
-import { createCodec } from "../../platform/createCodec.js";
-import { createHealthView } from "../../src/core/placement/createHealthView.js";
 import type { AnswerEnd } from "../../src/core/proxy/answerEnd.js";
-import { createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
 import type { RequestKind } from "../../src/core/routes/routingTable.js";
 import type { Clock } from "../../src/core/time/clock.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
-import { connectTimeoutMs, createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
+import { connectTimeoutMs } from "../../src/io/proxy/createUpstreamSender.js";
 import type { SendToUpstream } from "../../src/io/proxy/upstreamSenderTypes.js";
 import { connectionEndings, flushMs } from "../support/connectionEndings.js";
+import { createSenderFixture } from "../support/createSenderFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface Caller extends CallerExchange {
@@ -132,18 +130,10 @@
     const upstream = await startScriptedUpstream(answer);
     const pool = createConnectionPool(clock);
     const ends: AnswerEnd[] = [];
-    const send = createUpstreamSender({
+    const send = createSenderFixture({
         clock,
-        codec: createCodec(),
         connections: pool,
-        health: createHealthView(),
-        answerMemory: createAnswerMemory(32 << 20),
-        onAnswerHead: () => undefined,
         onAnswerEnd: (...[, , end]) => ends.push(end),
-        onForeignAnswer: () => undefined,
-        onEvent: () => undefined,
-        onConnectionEnd: () => undefined,
-        onHeadTime: () => undefined,
     });
     fixtures.set(world, {
         upstream,
--- a/features/steps/silentUpstreamSteps.ts
+++ b/features/steps/silentUpstreamSteps.ts
@@ -9,16 +9,13 @@
 import { createProxyRequest, createRecord, createRoute } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import { startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
-import { createCodec } from "../../platform/createCodec.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
-import { createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
-import type { CallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
-import { createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
 import type { SendToUpstream } from "../../src/io/proxy/upstreamSenderTypes.js";
+import { createIndifferentCaller, createSenderFixture } from "../support/createSenderFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface SilenceFixture {
@@ -81,41 +78,21 @@
     },
 );
 
-const indifferentCaller: CallerExchange = {
-    isDisconnected: () => false,
-    onDisconnect: () => () => undefined,
-    hasStarted: () => false,
-    startStream: () => undefined,
-    writeChunk: () => true,
-    onDrained: () => undefined,
-    endStream: () => undefined,
-    answer: () => undefined,
-    refuse: () => undefined,
-    abort: () => undefined,
-};
-
 function createSender(world: SiteWorld, { placing }: SilenceFixture): SendToUpstream {
     const { clock, health } = placing;
     const pool = createConnectionPool(clock);
     world.cleanups.unshift(() => pool.close());
-    return createUpstreamSender({
+    return createSenderFixture({
         clock,
-        codec: createCodec(),
         connections: pool,
         health,
-        answerMemory: createAnswerMemory(1 << 20),
-        onAnswerHead: () => undefined,
-        onAnswerEnd: () => undefined,
-        onForeignAnswer: () => undefined,
-        onEvent: () => undefined,
-        onConnectionEnd: () => undefined,
-        onHeadTime: () => undefined,
     });
 }
 
 /** Serves the request until it has ended. */
 function serve(fixture: SilenceFixture, req: ProxyRequest, send: SendToUpstream): Promise<void> {
     const { placer } = fixture.placing;
+    const caller = createIndifferentCaller();
     const steps = serveProxyRequest(req, {
         tryAcquireRetry: () => fixture.hasBudget,
         hasRetry: () => fixture.hasBudget,
@@ -135,7 +112,7 @@
                 },
                 send: (effect, resume) => {
                     fixture.sends += 1;
-                    send(req, effect, indifferentCaller, outcome => {
+                    send(req, effect, caller, outcome => {
                         placer.end(req);
                         resume(outcome);
                     });
--- a/features/support/startAnswerPath.ts
+++ b/features/support/startAnswerPath.ts
@@ -16,18 +16,15 @@
     type ScriptedUpstream,
     startScriptedUpstream,
 } from "../../fakes/startScriptedUpstream.js";
-import { createCodec } from "../../platform/createCodec.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
 import { createRefusal } from "../../src/core/errors/createRefusal.js";
-import { createHealthView } from "../../src/core/placement/createHealthView.js";
-import { createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { ProxyEffect, ProxyEffectResults } from "../../src/core/proxy/proxyEffects.js";
 import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import { serveProxyRequest } from "../../src/core/proxy/serveProxyRequest.js";
 import type { RequestKind } from "../../src/core/routes/routingTable.js";
 import { createCallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
-import { createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
+import { createSenderFixture } from "./createSenderFixture.js";
 
 /** A request of the caller. */
 export interface AnswerPathCall {
@@ -104,20 +101,12 @@
     const connections = createConnectionPool(clock);
     const calls = new Map<string, AnswerPathCall>();
     let discarded = 0;
-    const send = createUpstreamSender({
+    const send = createSenderFixture({
         clock,
         connections,
-        codec: createCodec(),
-        health: createHealthView(),
-        answerMemory: createAnswerMemory(32 << 20),
-        onAnswerHead: () => undefined,
-        onAnswerEnd: () => undefined,
         onForeignAnswer: () => {
             discarded += 1;
         },
-        onEvent: () => undefined,
-        onConnectionEnd: () => undefined,
-        onHeadTime: () => undefined,
     });
 
     function serve(req: ProxyRequest, res: ServerResponse): void {
