--- a/features/support/storeHistories.ts
+++ b/features/support/storeHistories.ts
@@ -28,7 +28,7 @@
 import { createStoreEra, type StoreEra } from "../../src/core/store/createStoreEra.js";
 import { planStoreReads, type StoreReadPlan } from "../../src/core/store/planStoreReads.js";
 import type { PeerStateReader } from "../../src/io/fleet/createPeerStateReader.js";
-import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
+import { createInstanceContext } from "./createInstanceContext.js";
 import { configuration, createSettings } from "./platformFixture.js";
 
 /** A trouble of the connections of some instances: for good (`silence`, `reset`) or for a time (`cut`). */
@@ -440,17 +440,7 @@
         drainMs: limitMs,
         configMs: limitMs,
     };
-    const context = {
-        settings,
-        ports,
-        clock,
-        startedMs: clock.now(),
-        random: clock.random,
-        writeLog: () => undefined,
-        metrics: createRouterMetrics(),
-        listDropped: () => new Map<string, number>(),
-        collectGarbage: () => undefined,
-    };
+    const context = { ...createInstanceContext(clock), settings, ports };
     const views = assembleViews(context);
     const member = createMember(index);
     const instance: Instance = { views, connections: new Map(), era, member, peerStates: undefined };
