Take the runs of an attempt in the order in which they began

Cause: the check of stops took the runs of an attempt upstream by upstream, so that an earlier run that its upstream broke off could stand last and excuse a cut of the last run, or the other way round.

Change: runs are ordered by their beginning before anything is concluded from them.

Figures: features/faultChecks.feature with the new row failed before (no violation found where one LOST is expected) and passes now.

Conclusion: a broken run excuses an attempt only if it was the last one.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -145,7 +145,7 @@
  */
 export function checkStops(history: StopHistory, bounds: InstanceBounds): StopFindings {
     const runs = new Map<string, RunRecord[]>();
-    for (const run of history.runs) {
+    for (const run of history.runs.toSorted((one, other) => one.beganMs - other.beganMs)) {
         runs.set(run.attempt, [...(runs.get(run.attempt) ?? []), run]);
     }
     const losses = findLosses(history, runs);
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -45,6 +45,7 @@
             | a stream was cut at an instance that was not told to stop             | LOST    |
             | a stream was cut just before its deadline                             | LOST    |
             | an earlier run was broken off and the last one cut                    | LOST    |
+            | a run was cut after one that was broken off and is listed later       | LOST    |
             | a request was reset unread 300 ms after its last byte                 | LOST    |
             | a stream looked complete without its last event                       | ORDER   |
 
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -104,6 +104,14 @@
         { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
         { ...cutRun, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
     ]),
+    "a run was cut after one that was broken off and is listed later": createHistory({
+        ...cut,
+        kind: "idempotent",
+        endMs: termMs + 6_000,
+    }, [
+        { ...cutRun, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
+        { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
+    ]),
     "a request was reset unread 300 ms after its last byte": cutUnrun(300),
     "a stream looked complete without its last event": createHistory({ ...cut, isTruncated: true, error: undefined }, [
         run,
