Reproduce streams that a leaving instance takes late and cuts

What callers saw: streams that were sent later than 3 s after the SIGTERM are cut 7.5 s after it, before their deadline, when engines write nothing for some seconds meanwhile. The soak of stops could not show it: its engines never stood still, and callers that heard `Connection: close` went elsewhere.

Change: a shape of 7 instances of 200 MB and 0.675 of a core with 18 engines and a store that states no era, whose every second caller stays at its entry until it refuses connections; engines that stand still, restart, reject or break off, new weights and new configurations after each order to an instance (`--troubles`). A run states how each attempt ended; the numbers add up to the attempts. The processor's share is a duty cycle of signals, and memory above the limit is a violation. A stream that may be resumed may run again at another upstream, and breaks TWICE if the upstream before is at work on it 400 ms later; no shape had such streams before.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -4,13 +4,17 @@
  */
 import type { InstanceBounds } from "../../support/platformSettings.js";
 import { describeLoss } from "./describeLoss.js";
-import { findLosses, type Loss } from "./findLosses.js";
-import { type LifeRecord, promiseStatuses, type RunRecord, type StopHistory } from "./stopTypes.js";
+import { findLosses, type Loss, type LossExcuse } from "./findLosses.js";
+import { type AttemptRecord, type LifeRecord, promiseStatuses, type RunRecord, type StopHistory } from "./stopTypes.js";
 
 /** What was found. */
 export interface StopFindings {
     readonly violations: readonly string[];
     readonly counts: Readonly<Record<string, number>>;
+    /** Attempts by how they ended; the numbers add up to all attempts. */
+    readonly ends: Readonly<Record<string, number>>;
+    /** Ids of the attempts that were lost. */
+    readonly lostIds: readonly string[];
 }
 
 /** Time within which a started instance is ready, in milliseconds. */
@@ -19,21 +23,45 @@
 /** Time beyond the work itself after which a request counts as late, in milliseconds. */
 const lateMs = 500;
 
+/** Time for which two runs of a stream may overlap, in milliseconds. */
+const overlapMs = 400;
+
+/** How an attempt ended, as its caller saw it; the others are the excuses of a loss. */
+type AttemptEnd = "answered" | "promised" | "failed" | "truncated" | "unsent" | "doorRefused" | "unread" | "lost";
+
 function findTruncated(history: StopHistory): readonly string[] {
     return history.requests.flatMap(request => request.attempts)
         .filter(attempt => attempt.isTruncated)
         .map(attempt => `ORDER ${attempt.id} at ${attempt.address} ended as complete before its last event`);
 }
 
+/** Describes a run that was still at work some time after the next one had begun; undefined if there is none. */
+function describeOverlap(runs: readonly RunRecord[]): string | undefined {
+    const index = runs.findIndex((run, at) => at > 0 && (runs[at - 1]!.endMs ?? Infinity) > run.beganMs + overlapMs);
+    if (index < 0) {
+        return undefined;
+    }
+    const [before, after] = [runs[index - 1]!, runs[index]!];
+    const overlap = (before.endMs ?? Infinity) - after.beganMs;
+    return `${after.upstream} ${Math.round(overlap)} ms before ${before.upstream} had ended, ${
+        Math.round(after.beganMs - before.beganMs)
+    } ms after it began`;
+}
+
 function findRunTwice(history: StopHistory, runs: ReadonlyMap<string, readonly RunRecord[]>): readonly string[] {
     return history.requests.flatMap(request => request.attempts).flatMap(attempt => {
         const count = runs.get(attempt.id)?.length ?? 0;
         const isPromise = attempt.isComplete && promiseStatuses.includes(attempt.status);
         const found: string[] = [];
-        if (attempt.kind !== "idempotent" && count > 1) {
+        const mayRunAgain = attempt.kind === "idempotent" || attempt.canResume;
+        const overlap = attempt.canResume ? describeOverlap(runs.get(attempt.id) ?? []) : undefined;
+        if (overlap !== undefined) {
+            found.push(`TWICE ${attempt.id} went on at ${overlap}`);
+        }
+        if (!mayRunAgain && count > 1) {
             found.push(`TWICE ${attempt.id} ran ${count} times`);
         }
-        if (attempt.kind !== "idempotent" && isPromise && count > 0) {
+        if (!mayRunAgain && isPromise && count > 0) {
             found.push(`REFUSED ${attempt.id} was answered ${attempt.status} and ran`);
         }
         return found;
@@ -62,6 +90,21 @@
     return [...ends, ...starts, ...refused];
 }
 
+function findMemory(history: StopHistory, memoryKb: number): readonly string[] {
+    return history.lives
+        .filter(life => (life.peakMemoryKb ?? 0) > memoryKb)
+        .map(life => `MEMORY ${life.address} held ${life.peakMemoryKb} kB, ${memoryKb} kB are allowed`);
+}
+
+/** The most that any process used, and what its limits did to it. */
+function countUse(history: StopHistory): Readonly<Record<string, number>> {
+    return {
+        peakMemoryKb: Math.max(0, ...history.lives.map(life => life.peakMemoryKb ?? 0)),
+        maxPauseMs: Math.round(Math.max(0, ...history.lives.map(life => life.longestPauseMs))),
+        troubles: history.troubles.length,
+    };
+}
+
 /** Whether an instance has run undisturbed for the stable window. */
 function isInTouch(
     address: string,
@@ -126,12 +169,39 @@
     return counts;
 }
 
+function findEnd(attempt: AttemptRecord, loss: Loss | undefined): AttemptEnd | `excused:${LossExcuse}` {
+    if (attempt.isComplete) {
+        const isAnswered = attempt.status < 400;
+        return isAnswered ? "answered" : promiseStatuses.includes(attempt.status) ? "promised" : "failed";
+    }
+    if (attempt.isTruncated) {
+        return "truncated";
+    }
+    if (loss !== undefined) {
+        return loss.excuse === undefined ? "lost" : `excused:${loss.excuse}`;
+    }
+    if (attempt.error === "ECONNREFUSED") {
+        return "doorRefused";
+    }
+    return attempt.sentMs === undefined ? "unsent" : "unread";
+}
+
+/** Ends of all attempts by their form; each attempt is counted once. */
+function countEnds(history: StopHistory, losses: readonly Loss[]): Readonly<Record<string, number>> {
+    const lossOf = new Map(losses.map(loss => [loss.attempt, loss]));
+    const counts: Record<string, number> = {};
+    for (const attempt of history.requests.flatMap(request => request.attempts)) {
+        const end = findEnd(attempt, lossOf.get(attempt));
+        counts[end] = (counts[end] ?? 0) + 1;
+    }
+    return counts;
+}
+
 function countLosses(losses: readonly Loss[]): Readonly<Record<string, number>> {
     const counts: Record<string, number> = { lostLate: 0, lostEarly: 0, lostElsewhere: 0 };
     const momentNames = { late: "lostLate", early: "lostEarly", elsewhere: "lostElsewhere" } as const;
-    for (const { excuse, moment } of losses) {
-        const name = excuse === undefined ? momentNames[moment] : `excused:${excuse}`;
-        counts[name] = (counts[name] ?? 0) + 1;
+    for (const { moment } of losses.filter(loss => loss.excuse === undefined)) {
+        counts[momentNames[moment]] = (counts[momentNames[moment]] ?? 0) + 1;
     }
     return counts;
 }
@@ -141,20 +211,27 @@
  *
  * @param history - What was recorded.
  * @param bounds - The bounds of the instances.
+ * @param memoryKb - Memory that a process may hold, in kilobytes.
  * @returns The violations, and how the requests ended.
  */
-export function checkStops(history: StopHistory, bounds: InstanceBounds): StopFindings {
+export function checkStops(history: StopHistory, bounds: InstanceBounds, memoryKb = Infinity): StopFindings {
     const runs = new Map<string, RunRecord[]>();
     for (const run of history.runs.toSorted((one, other) => one.beganMs - other.beganMs)) {
         runs.set(run.attempt, [...(runs.get(run.attempt) ?? []), run]);
     }
     const losses = findLosses(history, runs);
     const violations = [
-        ...losses.filter(loss => loss.excuse === undefined).map(loss => describeLoss(loss, history.lives)),
+        ...losses.filter(loss => loss.excuse === undefined).map(loss => describeLoss(loss, history)),
         ...findTruncated(history),
         ...findRunTwice(history, runs),
         ...findFaults(history),
+        ...findMemory(history, memoryKb),
         ...findOldVersions(history, bounds),
     ];
-    return { violations, counts: { ...countOutcomes(history), ...countFailures(history), ...countLosses(losses) } };
+    return {
+        violations,
+        counts: { ...countOutcomes(history), ...countFailures(history), ...countLosses(losses), ...countUse(history) },
+        ends: countEnds(history, losses),
+        lostIds: losses.filter(loss => loss.excuse === undefined).map(loss => loss.attempt.id),
+    };
 }
--- a/bench/faults/platform/createInstanceProcess.ts
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -15,6 +15,7 @@
     type InstancePlace,
     portOffsets,
 } from "../../support/platformSettings.js";
+import { limitProcessor, type ProcessorLimit } from "./limitProcessor.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { LifeRecord } from "./stopTypes.js";
 
@@ -55,6 +56,18 @@
 /** Bit of SIGHUP in the masks of signals of a process. */
 const hangupBit = 1n;
 
+/** Returns the most memory that a process has held, in kilobytes; undefined when it has ended. */
+function readPeakMemoryKb(pid: number): number | undefined {
+    try {
+        const stated = /^VmHWM:\s*(\d+) kB/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1];
+        return stated === undefined ? undefined : Number(stated);
+    }
+    catch {
+        // The process has ended.
+        return undefined;
+    }
+}
+
 /** Returns whether a process has a handler for SIGHUP. */
 export function receivesHangup(pid: number): boolean {
     try {
@@ -87,6 +100,10 @@
     readonly bounds?: InstanceBounds;
     /** Time between two questions whether the instance is ready, in milliseconds. */
     readonly watchIntervalMs?: number;
+    /** Undefined if its processes may run all the time. */
+    readonly processorLimit?: ProcessorLimit | undefined;
+    /** Called when a process has been told to stop or to read its settings again. */
+    readonly onOrder?: () => void;
 }
 
 /**
@@ -104,7 +121,8 @@
     command: readonly string[],
     options: InstanceProcessOptions = {},
 ): InstanceProcess {
-    const { logPath, bounds = defaultBounds, watchIntervalMs = defaultWatchIntervalMs } = options;
+    const { logPath, bounds = defaultBounds, watchIntervalMs = defaultWatchIntervalMs, processorLimit, onOrder } =
+        options;
     writeFileSync(settingsPath, JSON.stringify(describePlatformSettings(place, bounds)));
     const addressOf = (offset: number) => `${place.ip}:${place.firstPort + offset}`;
     const callerAddress = addressOf(portOffsets.caller);
@@ -124,7 +142,14 @@
             hangupsMs: [],
             endedMs: undefined,
             end: undefined,
+            peakMemoryKb: undefined,
+            longestPauseMs: 0,
         };
+        if (processorLimit !== undefined) {
+            limitProcessor(child, processorLimit, pausedMs => {
+                record.longestPauseMs = Math.max(record.longestPauseMs, pausedMs);
+            });
+        }
         const ended = new Promise<void>(resolve => {
             child.on("exit", (code, signal) => {
                 record.endedMs = readSharedClock();
@@ -147,6 +172,7 @@
         last.child.kill(name);
         if (last.record.termMs === undefined) {
             last.record.termMs = readSharedClock();
+            onOrder?.();
             setTimeout(() => {
                 if (last.record.endedMs === undefined) {
                     last.child.kill("SIGKILL");
@@ -160,6 +186,7 @@
             if (child.pid !== undefined && receivesHangup(child.pid)) {
                 child.kill("SIGHUP");
                 record.hangupsMs.push(readSharedClock());
+                onOrder?.();
                 return;
             }
             await delay(signalPollMs);
@@ -178,9 +205,16 @@
         }
     }
 
+    function updatePeakMemory({ child, record }: Life): void {
+        if (record.endedMs === undefined && child.pid !== undefined) {
+            record.peakMemoryKb = readPeakMemoryKb(child.pid) ?? record.peakMemoryKb;
+        }
+    }
+
     async function watch(): Promise<void> {
         while (!isStopped) {
             const life = lives.at(-1);
+            lives.forEach(updatePeakMemory);
             if (await isReady()) {
                 if (life !== undefined && life.record.termMs === undefined) {
                     life.record.readyMs ??= readSharedClock();
--- a/bench/faults/platform/describeConfiguration.ts
+++ b/bench/faults/platform/describeConfiguration.ts
@@ -26,33 +26,42 @@
     string
 >;
 
-function describeRoute(call: CallShape): unknown {
+/** By how much each version of the configuration raises the timeouts, in milliseconds. */
+const timeoutStepMs = 100;
+
+function describeRoute(call: CallShape, version: number): unknown {
     return {
         name: call.name,
         host: callerHost,
         path_prefix: `/${call.name}/`,
         kind: wireKinds[call.kind],
-        timeout_ms: call.timeoutMs,
+        timeout_ms: call.timeoutMs + (version - 1) * timeoutStepMs,
         target_latency_ms: call.targetLatencyMs,
         gap_aim_ms: eventGapMs,
         service: call.kind === "stream" ? serviceNames.engines : serviceNames.servers,
         attempts: call.attempts,
+        can_resume: call.canResume ?? false,
         priority: 0,
     };
 }
 
+function addRoutes(shape: StopShape, version: number): readonly CallShape[] {
+    return Array.from({ length: version - 1 }, (_, index) => ({ ...shape.calls[0]!, name: `added-${index + 1}` }));
+}
+
 /**
  * Describes the operator's configuration.
  *
  * @param shape - The deployment.
+ * @param version - Its version, from 1 on. Each one beyond the first raises the timeouts and adds a route that nobody uses.
  * @returns The record for the store, before it is encoded.
  */
-export function describeConfiguration(shape: StopShape): unknown {
+export function describeConfiguration(shape: StopShape, version: number): unknown {
     const { engines, servers } = shape;
     const service = { health_path: "/health", max_conns: maxConnections };
     return {
-        version: 1,
-        routes: shape.calls.map(describeRoute),
+        version,
+        routes: [...shape.calls, ...addRoutes(shape, version)].map(call => describeRoute(call, version)),
         services: [
             {
                 ...service,
--- a/bench/faults/platform/describeLoss.ts
+++ b/bench/faults/platform/describeLoss.ts
@@ -3,7 +3,10 @@
  * The trace of a loss, on a line: who, when, and what its instance, its upstream and the other instances did around it.
  */
 import type { Loss } from "./findLosses.js";
-import type { LifeRecord } from "./stopTypes.js";
+import type { LifeRecord, StopHistory } from "./stopTypes.js";
+
+/** Time before a loss in which troubles are stated, in milliseconds. */
+const troubleWindowMs = 8_000;
 
 /** Order to stop that another instance got last before a loss. */
 function findLastStop(loss: Loss, lives: readonly LifeRecord[]): LifeRecord | undefined {
@@ -17,10 +20,10 @@
  * Describes a loss.
  *
  * @param loss - The loss.
- * @param lives - All lives of the run.
+ * @param history - What was recorded in the run.
  * @returns One line. Times are milliseconds after the order to stop of its instance; without one, after the attempt was sent.
  */
-export function describeLoss(loss: Loss, lives: readonly LifeRecord[]): string {
+export function describeLoss(loss: Loss, { lives, troubles }: Pick<StopHistory, "lives" | "troubles">): string {
     const { attempt, runs, life } = loss;
     const zeroMs = life?.termMs ?? attempt.sentMs ?? attempt.endMs;
     const since = (atMs: number | undefined) => atMs === undefined ? "?" : String(Math.round(atMs - zeroMs));
@@ -36,6 +39,11 @@
     const described = runs.map(run =>
         `${run.upstream} from ${since(run.beganMs)} to ${since(run.endMs)}${run.isComplete ? " complete" : ""}`
     );
+    const met = troubles
+        .filter(trouble => trouble.beganMs < attempt.endMs && trouble.endMs > attempt.endMs - troubleWindowMs)
+        .map(trouble =>
+            `${trouble.kind} of ${trouble.engines} from ${since(trouble.beganMs)} to ${since(trouble.endMs)}`
+        );
     return [
         `LOST ${attempt.id} ${form} at ${attempt.address}, ${loss.moment}: sent ${since(attempt.sentMs)}, cut ${
             since(attempt.endMs)
@@ -45,5 +53,6 @@
         `runs: ${described.length === 0 ? "none" : described.join(", ")}`,
         `reloads: ${reloads.length === 0 ? "none" : reloads.join(", ")}`,
         `last order to another: ${other === undefined ? "none" : `${other.address} at ${since(other.termMs)}`}`,
+        `troubles: ${met.length === 0 ? "none" : met.join(", ")}`,
     ].join("; ");
 }
--- a/bench/faults/platform/forkWorker.ts
+++ b/bench/faults/platform/forkWorker.ts
@@ -4,11 +4,15 @@
  */
 import { type ChildProcess, fork } from "node:child_process";
 import { fileURLToPath } from "node:url";
-import type { WorkerOrder, WorkerReport } from "./workerMessages.js";
+import type { EngineTrouble } from "./troubleTypes.js";
+import type { ReplacedUpstream, WorkerOrder, WorkerReport } from "./workerMessages.js";
 
 /** A worker process that has started its part. */
 export interface Worker<Started, Recorded> {
     readonly started: Started;
+    readonly disturb: (trouble: EngineTrouble) => void;
+    /** Calls a function for each upstream that comes back under a new id. */
+    readonly onReplaced: (listener: (upstream: ReplacedUpstream) => void) => void;
     /** Ends the part and resolves to what the worker recorded. */
     readonly stop: () => Promise<{ readonly recorded: Recorded; readonly maxLagMs: number; }>;
     readonly kill: () => void;
@@ -55,6 +59,15 @@
     const { started } = await starting;
     return {
         started,
+        disturb: trouble => order({ type: "disturb", trouble }),
+        onReplaced: listener => {
+            child.on("message", message => {
+                const report = message as Report;
+                if (report.type === "replaced") {
+                    listener(report.upstream);
+                }
+            });
+        },
         stop: async () => {
             const stopping = waitFor<Report, "stopped">(child, "stopped");
             order({ type: "stop" });
--- a/bench/faults/platform/playStops.ts
+++ b/bench/faults/platform/playStops.ts
@@ -10,9 +10,12 @@
 import { checkStops, type StopFindings } from "./checkStops.js";
 import { createInstanceProcess, type InstanceProcess } from "./createInstanceProcess.js";
 import { createRandom } from "./createRandom.js";
+import { createTroubles, type TroubleOptions } from "./createTroubles.js";
+import { describeConfiguration } from "./describeConfiguration.js";
+import { processorPeriodMs } from "./limitProcessor.js";
 import { type PlanOptions, playPlan } from "./playPlan.js";
 import { readSharedClock } from "./readSharedClock.js";
-import { placeInstances, startCallers, startStore, startUpstreams } from "./startDeployment.js";
+import { nameEngines, placeInstances, startCallers, startStore, startUpstreams } from "./startDeployment.js";
 import { servedModel } from "./startTimedUpstream.js";
 import type { StopShape } from "./stopShapes.js";
 import type { VersionRecord } from "./stopTypes.js";
@@ -28,6 +31,7 @@
     readonly busyProcesses: number;
     /** Whether the store's answers state its era. */
     readonly statesEra: boolean;
+    readonly troubles: TroubleOptions;
     /** Folder that exists, for the logs of the instances; undefined if they are not kept. */
     readonly logFolder?: string | undefined;
 }
@@ -39,6 +43,9 @@
 const firstPort = 23_000;
 const seedInstances = 3;
 
+/** Seeds of the orders and of the troubles are apart by this. */
+const troubleSeedOffset = 500_000;
+
 /** Processes that are started at once at the beginning. */
 const startedAtOnce = 12;
 
@@ -71,6 +78,7 @@
     options: PlayStopsOptions,
     folder: string,
     storeAddress: string,
+    onOrder: () => void,
 ): readonly InstanceProcess[] {
     const { shape, program, logFolder } = options;
     // The network differs from run to run, so that runs beside each other do not meet.
@@ -87,7 +95,11 @@
             seeds: ips.slice(0, seedInstances),
             storeAddress,
         };
-        return createInstanceProcess(place, join(folder, `${name}.json`), [program], {
+        const command = [...shape.limits?.nodeArguments ?? [], program];
+        const share = shape.limits?.processorShare ?? 1;
+        return createInstanceProcess(place, join(folder, `${name}.json`), command, {
+            onOrder,
+            processorLimit: share < 1 ? { share, phaseMs: index * processorPeriodMs / shape.instances } : undefined,
             bounds: shape.bounds,
             logPath: logFolder === undefined ? undefined : join(logFolder, `${name}.log`),
             watchIntervalMs: Math.max(minWatchIntervalMs, shape.instances * watchMsPerInstance),
@@ -103,7 +115,24 @@
     const upstreams = await startUpstreams(shape, seed);
     const store = await startStore(shape, upstreams, options.statesEra);
     const versions: VersionRecord[] = [{ version: 1, namedMs: readSharedClock() }];
-    const instances = createInstances(options, folder, store.address);
+    const random = createRandom(seed);
+    const nameVersion = () => {
+        const version = versions.length + 1;
+        store.put("keyed.op", `version/${servedModel}`, { model: servedModel, version });
+        versions.push({ version, namedMs: readSharedClock() });
+    };
+    let configurationVersion = 1;
+    const troubles = createTroubles(options.troubles, {
+        engines: nameEngines(shape),
+        random: createRandom(seed + troubleSeedOffset),
+        disturb: trouble => upstreams.forEach(worker => worker.disturb(trouble)),
+        nameVersion,
+        reconfigure: () => {
+            configurationVersion += 1;
+            store.put("keyed.op", "config", describeConfiguration(shape, configurationVersion));
+        },
+    });
+    const instances = createInstances(options, folder, store.address, troubles.follow);
     const busyProcesses = Array.from({ length: options.busyProcesses }, startBusyProcess);
     const killed: { readonly kill: () => void; }[] = [...upstreams];
     try {
@@ -111,30 +140,28 @@
         const callers = await startCallers(shape, seed, instances.map(instance => instance.directoryAddress));
         killed.push(...callers);
         await delay(warmUpMs);
-        await playPlan({
-            instances,
-            random: createRandom(seed),
-            nameVersion: () => {
-                const version = versions.length + 1;
-                store.put("keyed.op", `version/${servedModel}`, { model: servedModel, version });
-                versions.push({ version, namedMs: readSharedClock() });
-            },
-        }, options);
+        await playPlan({ instances, random, nameVersion }, options);
         await waitReady(instances);
         await delay(settleMs);
         const requests = await Promise.all(callers.map(worker => worker.stop()));
         const runs = await Promise.all(upstreams.map(worker => worker.stop()));
-        const { violations, counts } = checkStops({
-            requests: requests.flatMap(worker => worker.recorded),
-            runs: runs.flatMap(worker => worker.recorded),
-            lives: instances.flatMap(instance => instance.lives),
-            versions,
-            refusedWhileReady: instances.flatMap(instance => instance.refusedWhileReady),
-        }, shape.bounds);
+        const findings = checkStops(
+            {
+                requests: requests.flatMap(worker => worker.recorded),
+                runs: runs.flatMap(worker => worker.recorded),
+                lives: instances.flatMap(instance => instance.lives),
+                versions,
+                refusedWhileReady: instances.flatMap(instance => instance.refusedWhileReady),
+                troubles: troubles.records,
+            },
+            shape.bounds,
+            shape.limits?.memoryKb,
+        );
         const maxLagMs = Math.max(readMaxLagMs(), ...[...requests, ...runs].map(worker => worker.maxLagMs));
-        return { violations, counts: { ...counts, maxLagMs } };
+        return { ...findings, counts: { ...findings.counts, maxLagMs } };
     }
     finally {
+        troubles.stop();
         busyProcesses.forEach(child => child.kill("SIGKILL"));
         await Promise.all(instances.map(instance => instance.stop()));
         killed.forEach(worker => worker.kill());
--- a/bench/faults/platform/runStops.ts
+++ b/bench/faults/platform/runStops.ts
@@ -2,13 +2,17 @@
  * @module
  * Stops and restarts real processes of instances on loopback while callers use them:
  * `node dist/bench/faults/platform/runStops.js --plan turn|together|alone|mixed --shape NAME --seed N --instances N --gap MS
- * --seconds N [--era stated|none] [--program PATH] [--busy N] [--logs FOLDER]`. The last line is one JSON object; the exit code is
+ * --seconds N [--era stated|none] [--callers N] [--processor-share SHARE] [--troubles KIND,KIND [--trouble-after MS] [--trouble-lasts MS]
+ * [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]`. Each order to stop or reload is followed by one of the
+ * troubles. With a folder for logs, the lines that name a lost attempt follow the violations. The last line is one JSON object; the exit code is
  * 1 when a promise was broken.
  */
 import { parseArgs } from "node:util";
+import { findLogLines } from "./findLogLines.js";
 import { type StopPlan, stopPlans } from "./playPlan.js";
 import { playStops } from "./playStops.js";
 import { stopShapes } from "./stopShapes.js";
+import { type TroubleKind, troubleKinds } from "./troubleTypes.js";
 
 const { values } = parseArgs({
     options: {
@@ -18,7 +22,13 @@
         instances: { type: "string" },
         gap: { type: "string", default: "500" },
         seconds: { type: "string", default: "30" },
-        era: { type: "string", default: "stated" },
+        era: { type: "string" },
+        "processor-share": { type: "string" },
+        callers: { type: "string" },
+        troubles: { type: "string", default: "" },
+        "trouble-after": { type: "string" },
+        "trouble-lasts": { type: "string" },
+        "trouble-share": { type: "string" },
         program: { type: "string", default: "dist/platform/main.js" },
         busy: { type: "string", default: "0" },
         logs: { type: "string" },
@@ -34,22 +44,39 @@
 if (!(stopPlans as readonly string[]).includes(values.plan)) {
     fail(`unknown plan; plans: ${stopPlans.join(", ")}`);
 }
-if (!["stated", "none"].includes(values.era)) {
+if (values.era !== undefined && !["stated", "none"].includes(values.era)) {
     fail("unknown era; eras: stated, none");
 }
 const shape = stopShapes[values.shape] ?? fail(`unknown shape; shapes: ${Object.keys(stopShapes).join(", ")}`);
 const instances = values.instances === undefined ? shape.instances : Number(values.instances);
-const { violations, counts } = await playStops({
+const troubles = values.troubles.split(",").filter(kind => kind !== "");
+if (!troubles.every(kind => (troubleKinds as readonly string[]).includes(kind))) {
+    fail(`unknown trouble; troubles: ${troubleKinds.join(", ")}`);
+}
+const toNumber = (text: string | undefined) => text === undefined ? undefined : Number(text);
+const processorShare = toNumber(values["processor-share"]);
+const unlimited = { nodeArguments: [], memoryKb: Infinity, processorShare: 1 };
+const limits = { ...unlimited, ...shape.limits, ...(processorShare === undefined ? {} : { processorShare }) };
+const { violations, counts, ends, lostIds } = await playStops({
     plan: values.plan as StopPlan,
-    shape: { ...shape, instances },
+    shape: { ...shape, instances, limits, callersPerInstance: toNumber(values.callers) ?? shape.callersPerInstance },
     seed: Number(values.seed),
     gapMs: Number(values.gap),
     seconds: Number(values.seconds),
-    statesEra: values.era === "stated",
+    statesEra: values.era === undefined ? shape.statesEra ?? true : values.era === "stated",
+    troubles: {
+        kinds: troubles as TroubleKind[],
+        afterMs: toNumber(values["trouble-after"]),
+        lastsMs: toNumber(values["trouble-lasts"]),
+        share: toNumber(values["trouble-share"]),
+    },
     program: values.program,
     busyProcesses: Number(values.busy),
     logFolder: values.logs,
 });
 violations.slice(0, Number(values["max-printed"])).forEach(violation => process.stdout.write(`${violation}\n`));
-process.stdout.write(`${JSON.stringify({ ...values, instances, violations: violations.length, ...counts })}\n`);
+if (values.logs !== undefined) {
+    findLogLines(values.logs, lostIds).forEach(line => process.stdout.write(`${line}\n`));
+}
+process.stdout.write(`${JSON.stringify({ ...values, instances, violations: violations.length, ...counts, ends })}\n`);
 process.exit(violations.length > 0 ? 1 : 0);
--- a/bench/faults/platform/runUpstreamWorker.ts
+++ b/bench/faults/platform/runUpstreamWorker.ts
@@ -9,7 +9,7 @@
 
 /** What the worker is started with. */
 export interface UpstreamWorkerOptions {
-    readonly upstreams: readonly Omit<TimedUpstreamOptions, "random">[];
+    readonly upstreams: readonly Omit<TimedUpstreamOptions, "random" | "reportReplaced">[];
     readonly seed: number;
 }
 
@@ -19,14 +19,23 @@
     readonly entry: unknown;
 }
 
-serveWorker<UpstreamWorkerOptions, readonly StartedUpstream[], readonly RunRecord[]>(async options => {
-    const random = createRandom(options.seed);
-    const upstreams = await Promise.all(options.upstreams.map(one => startTimedUpstream({ ...one, random })));
-    return {
-        started: upstreams.map(upstream => ({ id: upstream.id, entry: upstream.entry })),
-        stop: () => {
-            upstreams.forEach(upstream => upstream.stop());
-            return Promise.resolve(upstreams.flatMap(upstream => upstream.runs));
-        },
-    };
-});
+serveWorker<UpstreamWorkerOptions, readonly StartedUpstream[], readonly RunRecord[]>(
+    async (options, reportReplaced) => {
+        const random = createRandom(options.seed);
+        const upstreams = await Promise.all(
+            options.upstreams.map(one => startTimedUpstream({ ...one, random, reportReplaced })),
+        );
+        return {
+            started: upstreams.map(upstream => ({ id: upstream.name, entry: upstream.entry })),
+            disturb: trouble => {
+                upstreams.filter(upstream => trouble.engines.includes(upstream.name)).forEach(upstream =>
+                    upstream.disturb(trouble)
+                );
+            },
+            stop: () => {
+                upstreams.forEach(upstream => upstream.stop());
+                return Promise.resolve(upstreams.flatMap(upstream => upstream.runs));
+            },
+        };
+    },
+);
--- a/bench/faults/platform/startDeployment.ts
+++ b/bench/faults/platform/startDeployment.ts
@@ -23,7 +23,7 @@
 /** Seeds of workers are apart by this. */
 const workerSeedStep = 1_000;
 
-type UpstreamOptions = Omit<TimedUpstreamOptions, "random">;
+type UpstreamOptions = Omit<TimedUpstreamOptions, "random" | "reportReplaced">;
 
 /** How many processes the callers have, and how many the upstreams. */
 function countWorkers(shape: StopShape): number {
@@ -42,6 +42,11 @@
     return Array.from({ length: shape.instances }, (_, index) => places[index] ?? names.at(-1)!);
 }
 
+/** The names of a deployment's engines. */
+export function nameEngines(shape: StopShape): readonly string[] {
+    return Array.from({ length: shape.engines.count }, (_, index) => `${serviceNames.engines}-${index + 1}`);
+}
+
 function listUpstreams(shape: StopShape): readonly UpstreamOptions[] {
     const domains = nameFailureDomains(shape);
     return (["engines", "servers"] as const).flatMap(part =>
@@ -94,6 +99,7 @@
                     calls: shape.calls,
                     pauseMs: shape.pauseMs,
                     failureDomains: nameFailureDomains(shape),
+                    keepsEntries: shape.keepsEntries ?? false,
                     host: callerHost,
                     key: callerKey,
                     seed: seed + 1 + worker * workerSeedStep,
@@ -112,7 +118,13 @@
     if (!statesEra) {
         store.setStatedEra(undefined);
     }
-    store.put("keyed.op", "config", describeConfiguration(shape));
+    store.put("keyed.op", "config", describeConfiguration(shape, 1));
     upstreams.flatMap(worker => worker.started).forEach(one => store.put("keyed.servers", one.id, one.entry));
+    upstreams.forEach(worker =>
+        worker.onReplaced(({ formerId, id, entry }) => {
+            store.remove("keyed.servers", formerId);
+            store.put("keyed.servers", id, entry);
+        })
+    );
     return store;
 }
--- a/bench/faults/platform/startStopCallers.ts
+++ b/bench/faults/platform/startStopCallers.ts
@@ -23,6 +23,8 @@
     readonly pauseMs: number;
     /** Failure domains that callers are in, by turns. */
     readonly failureDomains: readonly string[];
+    /** Whether every second caller stays at an entry until it refuses connections, whatever it answers. */
+    readonly keepsEntries: boolean;
     readonly host: string;
     readonly key: string;
     readonly random: () => number;
@@ -35,8 +37,11 @@
     readonly stop: () => Promise<void>;
 }
 
-/** How a caller uses a list of entries: for its time to live, three times as long, or until an entry fails. */
-type ListHabit = "timely" | "slow" | "sticky";
+/**
+ * How a caller uses a list of entries: for its time to live, three times as long, until an entry fails, or until its current
+ * entry refuses connections.
+ */
+type ListHabit = "timely" | "slow" | "sticky" | "kept";
 
 const retryPauseMs = 100;
 const maxAttempts = 3;
@@ -117,6 +122,7 @@
                     id,
                     request: requestId,
                     kind,
+                    canResume: call.shape.canResume ?? false,
                     address,
                     isChunked: call.isChunked,
                     sentMs,
@@ -165,7 +171,8 @@
     }
 
     async function runCaller(index: number): Promise<void> {
-        const habit = (["timely", "timely", "slow", "sticky"] as const satisfies ListHabit[])[index % 4]!;
+        const otherHabit = (["timely", "timely", "slow", "sticky"] as const satisfies ListHabit[])[index % 4]!;
+        const habit = options.keepsEntries && index % 2 === 1 ? "kept" : otherHabit;
         const agents = new Map<string, Agent>();
         const failedUntilMs = new Map<string, number>();
         let entries: readonly string[] = [];
@@ -174,7 +181,7 @@
 
         async function chooseEntry(): Promise<string | undefined> {
             const isUsable = (address: string) => readSharedClock() > (failedUntilMs.get(address) ?? -Infinity);
-            if (habit === "sticky" && current !== undefined && isUsable(current)) {
+            if ((habit === "sticky" || habit === "kept") && current !== undefined && isUsable(current)) {
                 return current;
             }
             if (readSharedClock() > validUntilMs) {
@@ -219,7 +226,7 @@
                     leftMs,
                 );
                 attempts.push(record);
-                if (record.status === 0) {
+                if (habit === "kept" ? record.error === "ECONNREFUSED" : record.status === 0) {
                     failedUntilMs.set(address, readSharedClock() + failedEntryMs);
                 }
                 if (!mayRepeat(call, record)) {
--- a/bench/faults/platform/stopShapes.ts
+++ b/bench/faults/platform/stopShapes.ts
@@ -21,6 +21,8 @@
     readonly targetLatencyMs: number;
     /** How many runs the route allows a request. */
     readonly attempts: number;
+    /** Whether another upstream may go on with a stream that broke off. */
+    readonly canResume?: boolean;
 }
 
 /** Upstreams of one service. */
@@ -30,6 +32,15 @@
     readonly slots: number;
 }
 
+/** What each instance's process may use. */
+export interface InstanceLimits {
+    /** Arguments of Node.js. */
+    readonly nodeArguments: readonly string[];
+    readonly memoryKb: number;
+    /** Share of a core. */
+    readonly processorShare: number;
+}
+
 /** A deployment. */
 export interface StopShape {
     readonly instances: number;
@@ -44,6 +55,11 @@
     readonly pauseMs: number;
     /** Share of the runs that their upstream breaks off. */
     readonly brokenRunShare: number;
+    /** Whether every second caller stays at an entry until it refuses connections, whatever it answers. */
+    readonly keepsEntries?: boolean;
+    /** Whether the store's answers state its era; true if undefined. */
+    readonly statesEra?: boolean;
+    readonly limits?: InstanceLimits;
 }
 
 const stream = { kind: "stream", weight: 1, targetLatencyMs: 400, attempts: 2 } as const;
@@ -121,6 +137,60 @@
     brokenRunShare: 0,
 };
 
+/** Streams most of which take 50 to 1,250 ms, beside quick requests, at instances of little memory and processor time. */
+const limitedInstances: StopShape = {
+    instances: 7,
+    failureDomains: [2, 2, 2, 1],
+    bounds: defaultBounds,
+    calls: [
+        {
+            ...stream,
+            name: "check",
+            weight: 32.7,
+            minWorkMs: 50,
+            maxWorkMs: 1_250,
+            deadlineMs: 5_000,
+            timeoutMs: 5_000,
+            targetLatencyMs: 600,
+            canResume: true,
+        },
+        {
+            ...stream,
+            name: "answer",
+            weight: 73.1,
+            minWorkMs: 50,
+            maxWorkMs: 1_250,
+            deadlineMs: 15_000,
+            timeoutMs: 15_000,
+            targetLatencyMs: 600,
+            attempts: 1,
+        },
+        ...([["submit", "nonIdempotent", 26.5], ["read", "idempotent", 10.6]] as const).map(([name, kind, weight]) => ({
+            ...plain,
+            name,
+            kind,
+            weight,
+            minWorkMs: 5,
+            maxWorkMs: 110,
+            deadlineMs: 1_000,
+            timeoutMs: 1_000,
+            targetLatencyMs: 100,
+        })),
+    ],
+    engines: { count: 18, slots: 48 },
+    servers: { count: 4, slots: 6 },
+    callersPerInstance: 14,
+    pauseMs: 300,
+    brokenRunShare: 0,
+    keepsEntries: true,
+    statesEra: false,
+    limits: {
+        nodeArguments: ["--single-threaded", "--max-old-space-size=120", "--expose-gc"],
+        memoryKb: 200 * 1_024,
+        processorShare: 0.675,
+    },
+};
+
 /** Every deployment by its name. */
 export const stopShapes: Readonly<Record<string, StopShape>> = {
     small,
@@ -153,6 +223,7 @@
     },
     /** Upstreams that break off a part of their runs. */
     brokenRuns: { ...small, brokenRunShare: 0.03 },
+    limitedInstances,
     grown,
     grownMore: {
         ...grown,
--- a/bench/faults/platform/stopTypes.ts
+++ b/bench/faults/platform/stopTypes.ts
@@ -3,6 +3,7 @@
  * What is recorded while real processes of an instance are stopped. Times are milliseconds of the machine's monotonic
  * clock, which all processes read alike.
  */
+import type { TroubleRecord } from "./troubleTypes.js";
 
 /** How a request may be repeated and answered. */
 export type CallKind = "idempotent" | "nonIdempotent" | "stream";
@@ -15,6 +16,8 @@
     readonly id: string;
     readonly request: string;
     readonly kind: CallKind;
+    /** Whether another upstream may go on with it. */
+    readonly canResume: boolean;
     /** "ip:port" of the instance. */
     readonly address: string;
     readonly isChunked: boolean;
@@ -72,6 +75,10 @@
     endedMs: number | undefined;
     /** How the process ended, for example "code 0" or "signal SIGHUP". */
     end: string | undefined;
+    /** Most memory that it held, in kilobytes; undefined when it was not read. */
+    peakMemoryKb: number | undefined;
+    /** Longest time for which the limit of its processor time kept it from running, in milliseconds. */
+    longestPauseMs: number;
 }
 
 /** A version of the weights that the operator named. */
@@ -88,4 +95,5 @@
     readonly versions: readonly VersionRecord[];
     /** Connections that were refused by an instance while it reported to be ready. */
     readonly refusedWhileReady: readonly string[];
+    readonly troubles: readonly TroubleRecord[];
 }
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -47,6 +47,8 @@
             | an earlier run was broken off and the last one cut                    | LOST    |
             | a run was cut after one that was broken off and is listed later       | LOST    |
             | a request was reset unread 300 ms after its last byte                 | LOST    |
+            | a stream went on while the upstream before was at work                | TWICE   |
+            | a process held more memory than it may                                | MEMORY  |
             | a stream looked complete without its last event                       | ORDER   |
 
     # Guards against requests that reached their deadline and were counted as lost.
@@ -64,6 +66,7 @@
             | a request was reset unread, which its caller saw 400 ms late     |
             | a request was refused at the door                                |
             | a request was not sent completely                                |
+            | a stream went on when its upstream before had broken off         |
 
     Scenario: A loss comes with its trace
         When in the history of stops a stream sent early was cut before the last sixth of the grace period
--- a/features/steps/shutdownSteps.ts
+++ b/features/steps/shutdownSteps.ts
@@ -181,19 +181,40 @@
 /** Time of a series of stops at random, in seconds. */
 const mixedSeconds = 15;
 
+const stopOptions = {
+    statesEra: true,
+    troubles: { kinds: [] },
+    gapMs: 200,
+    seconds: mixedSeconds,
+    program: "dist/platform/main.js",
+    busyProcesses: 0,
+} as const;
+
 Then(
     "the stops {string} of {int} processes with seed {int} break no promise",
     { timeout: 120_000 },
     async function(this: SiteWorld, plan: string, count: number, seed: number) {
         const { violations } = await playStops({
+            ...stopOptions,
             plan: plan as StopPlan,
             shape: { ...stopShapes["small"]!, instances: count },
             seed,
-            statesEra: true,
-            gapMs: 200,
-            seconds: mixedSeconds,
-            program: "dist/platform/main.js",
-            busyProcesses: 0,
+        });
+        assert.deepEqual(violations, []);
+    },
+);
+
+Then(
+    "the stop of one of {int} processes whose engines stand still meanwhile breaks no promise with seed {int}",
+    { timeout: 120_000 },
+    async function(this: SiteWorld, count: number, seed: number) {
+        const { violations } = await playStops({
+            ...stopOptions,
+            plan: "alone",
+            shape: { ...stopShapes["limitedInstances"]!, instances: count, callersPerInstance: 40 },
+            seed,
+            statesEra: false,
+            troubles: { kinds: ["still"], afterMs: 4_500, lastsMs: 3_000, share: 1 },
         });
         assert.deepEqual(violations, []);
     },
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -14,6 +14,9 @@
 /** When the instance is told to stop. */
 const termMs = 50_000;
 
+/** Memory that a process may hold, in kilobytes. */
+const memoryKb = 204_800;
+
 const address = "127.0.0.2:23000";
 const otherAddress = "127.0.0.3:23000";
 
@@ -25,6 +28,8 @@
     hangupsMs: [],
     endedMs: termMs + 7_900,
     end: "code 0",
+    peakMemoryKb: undefined,
+    longestPauseMs: 0,
 };
 const otherLife: LifeRecord = { ...life, address: otherAddress, termMs: undefined, endedMs: undefined, end: undefined };
 
@@ -33,6 +38,7 @@
     id: "c1.1.0",
     request: "c1.1",
     kind: "stream",
+    canResume: false,
     address,
     isChunked: false,
     sentMs: termMs + 1_000,
@@ -66,6 +72,7 @@
         lives: [life, otherLife],
         versions: [{ version: 1, namedMs: 0 }],
         refusedWhileReady: [],
+        troubles: [],
     };
 }
 
@@ -125,6 +132,18 @@
         earliestEndMs: cut.sentMs! + 150,
     }),
     "a request was refused at the door": cutUnrun(300, { error: "ECONNREFUSED" }),
+    "a stream went on when its upstream before had broken off": createHistory({ ...answered, canResume: true }, [
+        { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
+        { ...run, beganMs: termMs + 2_300 },
+    ]),
+    "a stream went on while the upstream before was at work": createHistory({ ...answered, canResume: true }, [
+        { ...cutRun, endMs: termMs + 2_000 },
+        { ...run, beganMs: termMs + 1_500 },
+    ]),
+    "a process held more memory than it may": {
+        ...createHistory(answered, [run]),
+        lives: [{ ...life, peakMemoryKb: memoryKb + 1 }],
+    },
     "a request was not sent completely": createHistory({ ...cut, sentMs: undefined, status: 0 }, []),
 };
 
@@ -139,7 +158,7 @@
 });
 
 function listViolations(world: SiteWorld): readonly string[] {
-    return checkStops(histories.get(world)!, defaultBounds).violations;
+    return checkStops(histories.get(world)!, defaultBounds, memoryKb).violations;
 }
 
 Then("the stops break no promise", function(this: SiteWorld) {
