Take while leaving only what the deadline lets the instance promise

Cause: a leaving instance took requests whose deadline comes after its end when requests of the route had taken less than the time that was left (the longest of the last 64, times 1.5, and 250 ms). When engines then wrote nothing for a while, the streams were cut 7.5 s after the order, before their deadline. The same estimate refused streams that had begun and broke off at their engine, so that they could only be cut. Change: one decision in src/core/shutdown. A request that has surely not run is taken, waits and is sent only if its deadline or its route's timeout comes before the end of the answers, or within the time in which callers can't know of the stop (2.6 s, at most a third of the grace period). One that may have run is placed again as long as the instance finishes requests. Durations of earlier requests are no longer kept. The outline before it expected the estimate itself and is replaced; the new rows allow less. Conclusion: what is taken late ends by its own deadline at the latest.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -1,59 +1,76 @@
 Feature: An instance that is told to stop loses no request
 
-    # Guards against streams that a leaving instance takes late and cuts at the end of its grace period.
-    Scenario Outline: A leaving instance takes what it can finish, and refuses the rest at once
-        Given an instance with a grace period of 8000 ms whose requests of a route took <took> ms
+    # Guards against streams that a leaving instance takes because earlier ones were short, and cuts before their deadline.
+    Scenario Outline: A leaving instance takes what it can promise, and refuses the rest at once
+        Given an instance with a grace period of 8000 ms
         When it is told to stop
         Then a request with a deadline of <deadline> ms that arrives <after> ms later is <result>
 
         Examples:
-            | took    | deadline | after | result  |
-            | 1000    | 12000    | 3000  | taken   |
-            | 1000    | 12000    | 5700  | taken   |
-            | 1000    | 12000    | 5800  | refused |
-            | 4000    | 12000    | 1200  | taken   |
-            | 4000    | 12000    | 1300  | refused |
-            | 4000    | 1000     | 6400  | taken   |
-            | unknown | 12000    | 2600  | taken   |
-            | unknown | 12000    | 2700  | refused |
-            | unknown | 3000     | 4400  | taken   |
-
-    Scenario: What a route's requests may take grows with the length of the answer
-        Given an instance with a grace period of 8000 ms whose streams of 10 tokens took 1000 ms
+            | deadline | after | result  |
+            | 12000    | 2600  | taken   |
+            | 12000    | 2700  | refused |
+            | 5000     | 2500  | taken   |
+            | 5000     | 2700  | refused |
+            | 4000     | 3500  | taken   |
+            | 4000     | 3501  | refused |
+            | 3000     | 4400  | taken   |
+            | 1000     | 6400  | taken   |
+            | 1000     | 6600  | refused |
+
+    # Guards against requests that wait at a leaving instance until they can only be cut.
+    Scenario Outline: A request that was taken before the order waits only while it can be promised
+        Given an instance with a grace period of 8000 ms
         When it is told to stop
-        Then a stream of 40 tokens that arrives 1000 ms later is taken
-        And a stream of 40 tokens that arrives 2000 ms later is refused
+        Then a request with a deadline of <deadline> ms that came 1000 ms before waits after <after> ms: <result>
+
+        Examples:
+            | deadline | after | result |
+            | 15000    | 2600  | yes    |
+            | 15000    | 2700  | no     |
+            | 8000     | 7400  | yes    |
+
+    # Guards against streams whose upstream broke off and whose leaving instance closes them although they could go on.
+    Scenario Outline: What may have run is placed again as long as the instance finishes requests
+        Given an instance with a grace period of 8000 ms
+        When it is told to stop
+        Then a request with a deadline of 15000 ms that may have run is placed again after <after> ms: <result>
+
+        Examples:
+            | after | result |
+            | 2700  | yes    |
+            | 7400  | yes    |
 
     # Guards against a successor that is asked to come back while no instance is there.
     Scenario: A refused caller is told when an instance takes its request
-        Given an instance with a grace period of 8000 ms whose requests of a route took 4000 ms
+        Given an instance with a grace period of 8000 ms
         When it is told to stop
-        Then a request that is refused 2500 ms later is sent to another instance after 100 ms
+        Then a request that is refused 2700 ms later is sent to another instance after 100 ms
         When no other instance serves
-        Then a request that is refused 2500 ms later is to come back after 6500 ms
+        Then a request that is refused 2700 ms later is to come back after 6300 ms
 
     # Guards against answers that are cut because the process ends before they are written out.
     Scenario: The process ends when the last answer is written out, or just before it would be killed
-        Given an instance with a grace period of 8000 ms whose requests of a route took 100 ms
+        Given an instance with a grace period of 8000 ms
         When it is told to stop
         Then with 0 requests in progress it refuses requests from 3600 ms on
         And with 1 request in progress it refuses requests from 7500 ms on
         And with 1 request in progress and its connection open it closes connections from 7760 ms on and ends at 7920 ms
 
     Scenario: A second order to stop changes nothing
-        Given an instance with a grace period of 8000 ms whose requests of a route took 100 ms
+        Given an instance with a grace period of 8000 ms
         When it is told to stop
         And it is told to stop once more 3000 ms later
         Then with 1 request in progress it refuses requests from 7500 ms on
 
     # Guards against a rollout that stands still because its holder left within it.
     Scenario: An instance that sends orders goes on until its rollout is done
-        Given an instance with a grace period of 8000 ms whose requests of a route took 100 ms
+        Given an instance with a grace period of 8000 ms
         When it is told to stop while it sends the orders of a rollout
         Then with 0 requests in progress it refuses requests from 7500 ms on
 
     Scenario: An instance that callers can't know ends at once
-        Given an instance with a grace period of 8000 ms whose requests of a route took 100 ms
+        Given an instance with a grace period of 8000 ms
         And it has never been ready
         When it is told to stop
         Then with 0 requests in progress it refuses requests from 0 ms on
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -5,7 +5,6 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createRouteDurations } from "../../src/core/shutdown/createRouteDurations.js";
 import { createShutdown } from "../../src/core/shutdown/createShutdown.js";
 import { runShutdown } from "../../src/io/shutdown/runShutdown.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -34,7 +33,6 @@
         let unansweredAtClose = 0;
         const shutdown = createShutdown({
             graceMs,
-            durations: createRouteDurations(),
             mayBeListed: () => true,
             hasServingPeer: () => true,
         });
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -72,7 +72,7 @@
  * @param fleet - The other instances.
  * @param partFeeds - Provides the reachable prompt cache stores.
  * @param guards - Say what may not be sent now.
- * @param stop - The instance's stop, and how long requests take.
+ * @param shutdown - The instance's stop.
  * @returns The proxy.
  */
 export function assembleProxy(
@@ -81,7 +81,7 @@
     fleet: Fleet,
     partFeeds: PartFeeds,
     { quarantine, permits }: PlacementGuards,
-    stop: Pick<ProxyServiceDependencies, "shutdown" | "durations">,
+    shutdown: ProxyServiceDependencies["shutdown"],
 ): Proxy {
     const { settings, ports, clock, random, writeLog, metrics } = context;
     const connections = createConnectionPool(clock);
@@ -207,7 +207,7 @@
         retryBudget,
         routes: views.routes,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
-        ...stop,
+        shutdown,
         readArrived: () => readArrived(),
         bodyMemory,
         answerMemory,
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -5,7 +5,7 @@
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { Prefill } from "../fleet/prefillReport.js";
 import type { UpstreamRateLimits } from "../permits/createUpstreamPermits.js";
-import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
+import type { PlacementQuery, PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import { countOwnTokens, countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
@@ -34,7 +34,7 @@
 /** Placer of requests. */
 export interface Placer {
     /** Places a request now or later; `onResult` is called once. Returns a function that cancels the placement. */
-    readonly place: (req: ProxyRequest, effect: PlaceEffect, onResult: (result: PlaceResult) => void) => CancelTimer;
+    readonly place: (req: ProxyRequest, effect: PlacementQuery, onResult: (result: PlaceResult) => void) => CancelTimer;
     /** Whether an upstream that is not ejected may run the request, other than the excluded ones. */
     readonly hasAlternative: (req: ProxyRequest, excluded: readonly string[]) => boolean;
     /** Records that the answer to the placed request has begun. */
@@ -173,7 +173,7 @@
 
     function place(
         req: ProxyRequest,
-        { excluded }: PlaceEffect,
+        { excluded }: PlacementQuery,
         onResult: (result: PlaceResult) => void,
     ): CancelTimer {
         const choices = listChoices(req, excluded);
--- a/src/core/proxy/proxyEffects.ts
+++ b/src/core/proxy/proxyEffects.ts
@@ -16,8 +16,13 @@
     readonly kind: "place";
     /** Ids of upstreams that were tried before. */
     readonly excluded: readonly string[];
+    /** Whether one of them may have run the request, so that its caller can't be told "not run". */
+    readonly mayHaveRun: boolean;
 }
 
+/** What a choice of an upstream depends on, beside the request. */
+export type PlacementQuery = Omit<PlaceEffect, "mayHaveRun">;
+
 /** Sends the request; returns a {@link SendOutcome}. */
 export interface SendEffect {
     readonly kind: "send";
@@ -69,7 +74,7 @@
  * @param effect - The effect.
  * @returns Steps that return the effect's result.
  * @example
- * const placed = yield* performProxy({ kind: "place", excluded: [] });
+ * const placed = yield* performProxy({ kind: "place", excluded: [], mayHaveRun: false });
  */
 export function* performProxy<E extends ProxyEffect>(effect: E): ProxySteps<ProxyEffectResults[E["kind"]]> {
     return (yield effect) as ProxyEffectResults[E["kind"]];
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -58,10 +58,15 @@
 }
 
 /** Returns whether the upstream may have run the request. */
-function mayHaveRun(outcome: SendOutcome): boolean {
+function isPossibleRun(outcome: SendOutcome): boolean {
     return outcome.kind !== "notSent" && outcome.kind !== "rejected";
 }
 
+/** Returns whether any upstream may have run the request; what was delivered of a stream is part of a run. */
+function mayHaveRun(history: SendHistory): boolean {
+    return history.possibleRuns > 0 || history.hasStarted;
+}
+
 function findRetryReason(
     req: ProxyRequest,
     history: SendHistory,
@@ -137,7 +142,7 @@
     const delivered = "delivered" in outcome ? outcome.delivered : undefined;
     return {
         excluded: [...history.excluded, upstream],
-        possibleRuns: history.possibleRuns + (mayHaveRun(outcome) ? 1 : 0),
+        possibleRuns: history.possibleRuns + (isPossibleRun(outcome) ? 1 : 0),
         sends: history.sends + 1,
         hasStarted: history.hasStarted || delivered !== undefined,
         lastEventId: delivered?.lastEventId ?? history.lastEventId,
@@ -182,7 +187,7 @@
  * run.
  */
 function* finishUnplaced(history: SendHistory, refusal: Refusal, last: SendOutcome | undefined): ProxySteps<void> {
-    if (last !== undefined && (history.possibleRuns > 0 || history.hasStarted)) {
+    if (last !== undefined && mayHaveRun(history)) {
         yield* finish(history, last);
         return;
     }
@@ -209,7 +214,11 @@
     };
     let last: SendOutcome | undefined;
     for (;;) {
-        const placed = yield* performProxy({ kind: "place", excluded: history.excluded });
+        const placed = yield* performProxy({
+            kind: "place",
+            excluded: history.excluded,
+            mayHaveRun: mayHaveRun(history),
+        });
         if (placed.kind === "callerGone") {
             return;
         }
--- a/src/core/quarantine/createGuardedPlacer.ts
+++ b/src/core/quarantine/createGuardedPlacer.ts
@@ -7,7 +7,7 @@
 import { listSharedParts } from "../placement/_lib/listSharedParts.js";
 import type { Placer } from "../placement/createPlacer.js";
 import { computeCallerDeadlines } from "../proxy/computeCallerDeadlines.js";
-import type { PlaceEffect, PlaceResult } from "../proxy/proxyEffects.js";
+import type { PlacementQuery, PlaceResult } from "../proxy/proxyEffects.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import type { PartGuard } from "./partGuardTypes.js";
@@ -20,7 +20,7 @@
 
 interface PendingPlacement {
     readonly req: ProxyRequest;
-    readonly effect: PlaceEffect;
+    readonly effect: PlacementQuery;
     readonly parts: readonly string[];
     readonly onResult: (result: PlaceResult) => void;
     isParked: boolean;
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -3,19 +3,20 @@
  * Decides how an instance stops: which requests it still takes, which it refuses at once, and when its connections and then
  * the process end.
  *
- * A leaving instance takes a request only if its answer is written out before the process ends: because the caller's
- * deadline comes first, or because requests of its route have taken less than the time that is left. The others are
- * refused as not run, so that their callers find another instance while they have time.
+ * What a leaving instance takes, it owes until the caller's deadline or the route's timeout. It takes a request only if that
+ * comes before the process ends, however quickly earlier requests were answered; only at the beginning of its stop, while
+ * callers don't know of it, it takes any. The others are refused as not run, so that their callers find another instance while
+ * they have time. The same holds for requests that wait and for those that no upstream has run. A request that may have run is
+ * owed already: it is sent again as long as the instance finishes requests.
  */
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
-import type { RouteDurations } from "./createRouteDurations.js";
 
 /**
  * A phase of an instance's life.
  *
  * - `serving`: it was not told to stop.
- * - `leaving`: it takes what it can finish.
+ * - `leaving`: it takes what it can promise.
  * - `refusing`: it takes nothing more and finishes what it has taken.
  * - `closing`: it takes no connections, and closes those of callers.
  * - `ended`: the process may end.
@@ -38,8 +39,11 @@
     readonly begin: (nowMs: number) => void;
     readonly phase: () => ShutdownPhase;
     readonly isLeaving: () => boolean;
-    /** Returns why a request may not be taken or sent now; undefined when it may be. */
-    readonly findRefusal: (req: ProxyRequest, nowMs: number) => Refusal | undefined;
+    /**
+     * Returns why a request may not be taken, wait or be sent now; undefined when it may. `mayHaveRun`: whether an upstream may
+     * have run it, so that its caller can't be told "not run".
+     */
+    readonly findRefusal: (req: ProxyRequest, mayHaveRun: boolean, nowMs: number) => Refusal | undefined;
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
     /** Moves to the next phase when it is due, and returns the phase. */
@@ -50,7 +54,6 @@
 export interface ShutdownOptions {
     /** Time from the order to stop until the process is killed, in milliseconds. */
     readonly graceMs: number;
-    readonly durations: Pick<RouteDurations, "predictMs">;
     /** Whether callers may know the address of this instance. */
     readonly mayBeListed: () => boolean;
     /** Whether another instance takes requests, as far as known. */
@@ -72,8 +75,14 @@
 /** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
 const endMarginMs = 100;
 
-/** Share of the grace period in which requests of a route are taken of which no request has ended yet. */
-const unknownRouteShare = 1 / 3;
+/**
+ * Time after the order to stop in which requests are taken that may last longer than the grace period, in milliseconds: their
+ * callers could not know of the stop.
+ */
+const maxUnknowingMs = 2_600;
+
+/** The same time as a share of the grace period, when that is short. */
+const unknowingShare = 1 / 3;
 
 /** Minimum time in which requests are refused, in milliseconds: the network still holds some that were sent before. */
 const minRefusingMs = 60;
@@ -96,10 +105,11 @@
  * @returns The stop.
  * @example
  * shutdown.begin(clock.now());
- * shutdown.findRefusal(req, clock.now())?.kind; // "stopping" when there is too little time for the request
+ * shutdown.findRefusal(req, false, clock.now())?.kind; // "stopping" when there is too little time for the request
  */
 export function createShutdown(options: ShutdownOptions): Shutdown {
     const { graceMs } = options;
+    const unknowingMs = Math.min(maxUnknowingMs, graceMs * unknowingShare);
     let phase: ShutdownPhase = "serving";
     let phaseSinceMs = 0;
     let leavingSinceMs = 0;
@@ -119,14 +129,15 @@
         return createRefusal("stopping", "there is too little time left for the request", { retryAfterMs });
     }
 
-    function canFinish(req: ProxyRequest, nowMs: number): boolean {
-        if (phase === "serving" || req.deadlineMs <= answersDueMs()) {
-            return true;
+    function isOwed(req: ProxyRequest, mayHaveRun: boolean, nowMs: number): boolean {
+        switch (phase) {
+            case "serving":
+                return true;
+            case "leaving":
+                return mayHaveRun || req.deadlineMs <= answersDueMs() || nowMs - leavingSinceMs <= unknowingMs;
+            default:
+                return false;
         }
-        const predictedMs = options.durations.predictMs(req.route.name, req.prompt?.outputTokens ?? 0, nowMs);
-        return predictedMs === undefined
-            ? nowMs - leavingSinceMs <= graceMs * unknownRouteShare
-            : nowMs + predictedMs <= answersDueMs();
     }
 
     function isDone(nowMs: number, load: ShutdownLoad): boolean {
@@ -156,10 +167,7 @@
         },
         phase: () => phase,
         isLeaving: () => phase !== "serving",
-        findRefusal: (req, nowMs) => {
-            const isAccepting = phase === "serving" || phase === "leaving";
-            return isAccepting && canFinish(req, nowMs) ? undefined : refuse(nowMs);
-        },
+        findRefusal: (req, mayHaveRun, nowMs) => isOwed(req, mayHaveRun, nowMs) ? undefined : refuse(nowMs),
         createRefusal: refuse,
         advance: (nowMs, load) => {
             if (phase !== "serving" && phase !== "ended" && isDone(nowMs, load)) {
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -39,8 +39,6 @@
     readonly isClosing: () => boolean;
     /** Records that a complete answer is held until it is written out. */
     readonly holdAnswer?: AnswerMemory["hold"];
-    /** Called when the head of the upstream's answer is written. */
-    readonly onStart?: () => void;
 }
 
 /** Statuses of answers that have neither a body nor a length. */
@@ -72,7 +70,6 @@
             res.shouldKeepAlive = false;
         }
         res.writeHead(status, headers.flat());
-        options.onStart?.();
     }
 
     return {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -18,7 +18,6 @@
 import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
 import type { Route } from "../../core/routes/routingTable.js";
-import type { RouteDurations } from "../../core/shutdown/createRouteDurations.js";
 import type { Shutdown } from "../../core/shutdown/createShutdown.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { readBody } from "../http/readBody.js";
@@ -44,7 +43,6 @@
     readonly findRateLimit: (upstream: string) => number | undefined;
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
     readonly shutdown: Pick<Shutdown, "isLeaving" | "findRefusal" | "createRefusal">;
-    readonly durations: Pick<RouteDurations, "begin">;
     /** Reads what has arrived on all connections, so that callers that have left are known. */
     readonly readArrived: () => Promise<void>;
     /** Memory for the bodies of requests. */
@@ -83,6 +81,13 @@
     readonly stopRequests: () => void;
 }
 
+/** A request that waits for an upstream. */
+interface WaitingRequest {
+    readonly mayHaveRun: boolean;
+    /** Ends the wait. */
+    readonly refuse: (refusal: Refusal) => void;
+}
+
 /** Timeout for receiving a body when the route's timeout is longer. */
 const maxBodyTimeoutMs = 30_000;
 
@@ -96,8 +101,7 @@
     /** Responses that are not written out. */
     const active = new Set<ServerResponse>();
     const stopActions = createActionSet();
-    /** Ends the wait of each request that waits for an upstream. */
-    const waiting = new Map<ProxyRequest, (refusal: Refusal) => void>();
+    const waiting = new Map<ProxyRequest, WaitingRequest>();
 
     function toRequest(checked: CheckedHead, body: Buffer, arrivedMs: number): ProxyRequest {
         const { head, route, customer } = checked;
@@ -150,7 +154,8 @@
                         resume({ kind: "callerGone" });
                         return;
                     }
-                    const refusal = deps.shutdown.findRefusal(req, deps.clock.now());
+                    const { mayHaveRun } = effect;
+                    const refusal = deps.shutdown.findRefusal(req, mayHaveRun, deps.clock.now());
                     if (refusal !== undefined) {
                         resume({ kind: "refused", refusal });
                         return;
@@ -164,7 +169,7 @@
                         resume(result);
                     };
                     const cancelOnDisconnect = caller.onDisconnect(() => endWait({ kind: "callerGone" }));
-                    waiting.set(req, late => endWait({ kind: "refused", refusal: late }));
+                    waiting.set(req, { mayHaveRun, refuse: late => endWait({ kind: "refused", refusal: late }) });
                     cancelPlacement = deps.placer.place(req, effect, result => {
                         isPlaced = result.kind === "placed";
                         deps.onPlaced(deps.clock.now() - requestedMs);
@@ -285,16 +290,12 @@
             requestId,
             isClosing: deps.shutdown.isLeaving,
             holdAnswer: deps.answerMemory.hold,
-            onStart: () => timing.start(deps.clock.now()),
         });
         await deps.readArrived();
         if (caller.isDisconnected()) {
             return;
         }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
-        const outputTokens = proxied.prompt?.outputTokens ?? 0;
-        const timing = deps.durations.begin(proxied.route.name, outputTokens, deps.clock.now());
-        overActions.add(() => timing.end(deps.clock.now(), res.writableFinished));
         serve(proxied, caller);
     }
 
@@ -311,8 +312,8 @@
         },
         countActive: () => active.size,
         refuseLate: () => {
-            for (const [req, refuse] of waiting) {
-                const refusal = deps.shutdown.findRefusal(req, deps.clock.now());
+            for (const [req, { mayHaveRun, refuse }] of waiting) {
+                const refusal = deps.shutdown.findRefusal(req, mayHaveRun, deps.clock.now());
                 if (refusal !== undefined) {
                     refuse(refusal);
                 }
@@ -320,7 +321,7 @@
         },
         stopRequests: () => {
             const refusal = deps.shutdown.createRefusal(deps.clock.now());
-            [...waiting.values()].forEach(refuse => refuse(refusal));
+            [...waiting.values()].forEach(request => request.refuse(refusal));
             stopActions.run();
         },
     };
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -15,7 +15,6 @@
 import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { millisecondsPerSecond } from "./core/constants.js";
 import { listServing } from "./core/fleet/listServing.js";
-import { createRouteDurations } from "./core/shutdown/createRouteDurations.js";
 import { createShutdown } from "./core/shutdown/createShutdown.js";
 import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
@@ -53,10 +52,8 @@
  */
 export function wireRouter(context: InstanceContext): Router {
     const { settings, ports, clock, writeLog, metrics } = context;
-    const durations = createRouteDurations();
     const shutdown = createShutdown({
         graceMs: settings.graceMs,
-        durations,
         mayBeListed: () => hasHadState,
         hasServingPeer: () => listServing(joinedFleet?.listLive() ?? []).length > 0,
     });
@@ -128,7 +125,7 @@
     joinedFleet = fleet;
 
     const partFeeds = assembleParts(context, views, fleet);
-    const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, { shutdown, durations });
+    const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, shutdown);
     const pauses = createPauseDetector(clock, pausedMs => {
         writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
         feeds.forgetAges();
