Check what a leaving instance does with requests that it is still receiving

Change: three rows with the second half of a body after the order to stop: late with a deadline after the end (refused as not run), late with one before it (answered), and never (refused as not run at the end of the answers). Evidence: npx cucumber-js features/stoppingProxy.feature passes three times, 19 rows.

--- a/features/steps/stoppingProxySteps.ts
+++ b/features/steps/stoppingProxySteps.ts
@@ -90,7 +90,7 @@
     const caller = play.proxy.call({ kind: kind as RequestKind, deadlineMs: shortDeadlineMs });
     answer(await receiveNext(play));
     play.answered += 1;
-    await waitUntil(() => caller.isOver, "the caller has the answer");
+    await waitUntil(() => caller.isOver && play.proxy.countActive() === 0, "the request is over");
     assert.deepEqual([caller.status, caller.isComplete], [statuses.answered, true]);
 });
 
@@ -127,6 +127,15 @@
     },
 );
 
+Given(
+    "a {string} request with a deadline of {int} ms of whose body half has arrived",
+    async function(this: SiteWorld, kind: string, deadlineMs: number) {
+        const play = getPlay(this);
+        play.caller = play.proxy.call({ kind: kind as RequestKind, deadlineMs, isHalf: true });
+        await waitUntil(() => play.proxy.countActive() > 0, "the request is received");
+    },
+);
+
 When("the proxy is told to stop", function(this: SiteWorld) {
     getPlay(this).proxy.beginStop();
 });
@@ -162,6 +171,12 @@
     req.socket.write(`${head}not-executed: 1\r\ncontent-length: 0\r\n\r\n`);
 });
 
+When("{int} ms later the rest of its body arrives", async function(this: SiteWorld, afterMs: number) {
+    const { proxy, caller } = getPlay(this);
+    await proxy.advanceTo(afterMs);
+    caller?.sendRest();
+});
+
 When("the end of the answers passes", async function(this: SiteWorld) {
     await getPlay(this).proxy.advanceTo(answersOverMs);
 });
--- a/features/stoppingProxy.feature
+++ b/features/stoppingProxy.feature
@@ -87,3 +87,24 @@
             | deadline | result                                 |
             | 15000    | the caller is told that it has not run |
             | 7000     | an upstream answers it                 |
+
+    # Guards against requests that are taken by when they began to arrive and not by when they could be sent.
+    Scenario Outline: A request that is still being received at the order to stop is decided on when its body is complete
+        Given a proxy with a grace period of 8000 ms and 2 upstreams of 1 slot
+        And a "nonIdempotent" request that its upstream answers at once
+        And a "nonIdempotent" request with a deadline of <deadline> ms of whose body half has arrived
+        When the proxy is told to stop
+        And 3000 ms later the rest of its body arrives
+        Then <result>
+
+        Examples:
+            | deadline | result                                 |
+            | 12000    | the caller is told that it has not run |
+            | 7000     | an upstream answers it                 |
+
+    Scenario: A request whose body is not complete at the end of the answers is refused as not run
+        Given a proxy with a grace period of 8000 ms and 1 upstream of 1 slot
+        And a "nonIdempotent" request with a deadline of 12000 ms of whose body half has arrived
+        When the proxy is told to stop
+        And the end of the answers passes
+        Then the caller is told that it has not run
--- a/features/support/startStoppingProxy.ts
+++ b/features/support/startStoppingProxy.ts
@@ -28,6 +28,8 @@
 export interface StoppingProxyCall {
     readonly kind: RequestKind;
     readonly deadlineMs: number;
+    /** Whether the second half of the body is sent only by {@link CallerRecord.sendRest}. */
+    readonly isHalf?: boolean;
 }
 
 /** What a caller has received; undefined fields until then. */
@@ -38,6 +40,8 @@
     isOver: boolean;
     /** Whether the answer ended as its framing says. */
     isComplete: boolean;
+    /** Sends the second half of the body. */
+    readonly sendRest: () => void;
 }
 
 /** The running proxy. */
@@ -46,6 +50,8 @@
     readonly call: (call: StoppingProxyCall) => CallerRecord;
     /** The requests that upstreams have received, in order. */
     readonly received: readonly ScriptedRequest[];
+    /** Number of requests that are received, in progress, or whose answers are not written out. */
+    readonly countActive: () => number;
     /** Number of requests that wait for an upstream. */
     readonly countWaiting: () => number;
     /** Gives the order to stop. */
@@ -100,11 +106,19 @@
     return indexRoutes(createTable({ routes, customers: [] }));
 }
 
-function sendCall(port: number, id: string, { kind, deadlineMs }: StoppingProxyCall): CallerRecord {
-    const record: CallerRecord = { status: undefined, body: "", isOver: false, isComplete: false };
+function sendCall(port: number, id: string, { kind, deadlineMs, isHalf = false }: StoppingProxyCall): CallerRecord {
+    const half = body.length / 2;
     const headers = { host, "attempt-id": id, "time-budget": String(deadlineMs), "content-length": body.length };
     const options = { port, host: "127.0.0.1", method: "POST", path: `/${kind}/${id}`, agent: false, headers };
-    const req = request(options, res => {
+    const req = request(options);
+    const record: CallerRecord = {
+        status: undefined,
+        body: "",
+        isOver: false,
+        isComplete: false,
+        sendRest: () => req.end(body.slice(half)),
+    };
+    req.on("response", res => {
         record.status = res.statusCode;
         res.setEncoding("utf8");
         res.on("data", text => {
@@ -119,7 +133,10 @@
     req.on("error", () => {
         record.isOver = true;
     });
-    req.end(body);
+    req.write(body.slice(0, half));
+    if (!isHalf) {
+        record.sendRest();
+    }
     return record;
 }
 
@@ -190,6 +207,7 @@
             return sendCall((server.address() as AddressInfo).port, `attempt-${calls}`, call);
         },
         received,
+        countActive: service.countActive,
         countWaiting: placer.countWaiting,
         beginStop: () => {
             orderedMs = clock.now();
