--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -100,6 +100,5 @@
             | mixed | 3         | 2    |
 
     # Guards against streams that a leaving instance takes late, and cuts since their engines stood still meanwhile.
-    @known-red
     Scenario: Streams are answered although engines stand still while their instance stops
         Then the stop of one of 3 processes whose engines stand still meanwhile breaks no promise with seed 5002
