Count the end of each request that was read, and say whether its answer was written out

Cause: a request whose caller left before its first send, while it waited, at an upstream or in its answer ended without RW3009 and was in no metric; neither was one whose head or body was refused, nor one in progress when the process ended. "answered" was said when the answer was handed over, although its connection could close before it was written. Change: one report a request, closed when its response is over: its final answer, or `callerGone`, or `stopped` if the instance closed the connection, and `isWritten`. requests_total counts every request that was read (kind `unknown` without a route, label `written`); RW3009 names each one for which a route was found, RW3002 the others. A body whose caller has left is no longer reported as refused. What is in progress when the process ends is reported then. Conclusion: ends can be compared with requests. Half-closed callers still count as gone: a close and a half close arrive alike, and a request whose caller has closed may not be sent.

--- /dev/null
+++ b/features/requestEnds.feature
@@ -0,0 +1,21 @@
+Feature: Each request that an instance reads has an end that is counted
+
+    Background:
+        Given an instance before an upstream that holds back its answers to some requests
+
+    # Guards against requests whose connection ends and of which neither a line nor a metric tells.
+    Scenario Outline: A request ends once, whatever its caller does
+        When the caller of an instance <does>
+        Then the requests that the instance read ended as "<ends>"
+
+        Examples:
+            | does                                                       | ends                             |
+            | reads its answer                                           | answered written                 |
+            | sends a request to an unknown path                         | unknownRoute written             |
+            | closes its connection with the last byte of its request    | callerGone                       |
+            | closes its connection while an upstream has its request    | callerGone                       |
+            | closes its connection within its body                      | callerGone                       |
+            | sends two requests at once and closes its connection       | callerGone, callerGone           |
+            | resets its connection before it has read a long answer     | answered                         |
+            | has a request at an upstream when the instance stops       | outcomeUnknown written           |
+            | has sent half of its body when the instance stops          | stopping written                 |
--- /dev/null
+++ b/features/steps/requestEndSteps.ts
@@ -0,0 +1,174 @@
+/**
+ * @module
+ * Steps on the ends of requests, over real sockets: what callers do, and what an instance tells of it.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { startFakeServer } from "../../fakes/startFakeServer.js";
+import { startFakeStore } from "../../fakes/startFakeStore.js";
+import {
+    configuration,
+    fixtures,
+    getFixture,
+    isReady,
+    type PlatformFixture,
+    startInstance,
+    streamHeaders,
+    waitUntil,
+} from "../support/platformFixture.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+const bodyText = "letter";
+const longAnswerBytes = 8 * 1_048_576;
+
+/** Requests that an upstream has, by scenario. */
+const arrivedRequests = new WeakMap<SiteWorld, { count: number; }>();
+
+function createHoldingUpstream(arrived: { count: number; }): Server {
+    return createServer((req, res) => {
+        req.resume();
+        arrived.count += 1;
+        if (req.url === "/documents/held") {
+            return;
+        }
+        res.writeHead(200, { "attempt-id": req.headers["attempt-id"], "server-seal": "seal" });
+        res.end(req.url === "/documents/long" ? Buffer.alloc(longAnswerBytes) : "short");
+    });
+}
+
+Given(
+    "an instance before an upstream that holds back its answers to some requests",
+    async function(this: SiteWorld) {
+        const store = await startFakeStore();
+        const plain = await startFakeServer("i-3", "portal");
+        const arrived = { count: 0 };
+        const upstream = createHoldingUpstream(arrived).listen(0, "127.0.0.1");
+        await once(upstream, "listening");
+        this.cleanups.push(() => store.stop(), () => plain.stop(), () => {
+            upstream.closeAllConnections();
+            upstream.close();
+        });
+        const fixture: PlatformFixture = {
+            store,
+            engines: [],
+            plain,
+            instances: [],
+            logged: [],
+            answer: undefined,
+        };
+        const address = `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
+        store.put("keyed.op", "config", configuration);
+        store.put("keyed.servers", plain.id, { ...plain.entry() as object, address });
+        await startInstance(this, fixture);
+        fixtures.set(this, fixture);
+        arrivedRequests.set(this, arrived);
+        await waitUntil("the instance is ready", () => isReady(fixture.instances[0]!));
+    },
+);
+
+function formatRequest(path: string, id: string): string {
+    const { host, authorization } = streamHeaders;
+    const head = [
+        `POST ${path} HTTP/1.1`,
+        `host: ${host}`,
+        `authorization: ${authorization}`,
+        `attempt-id: ${id}`,
+        `content-length: ${bodyText.length}`,
+    ];
+    return `${head.join("\r\n")}\r\n\r\n${bodyText}`;
+}
+
+async function openConnection(world: SiteWorld): Promise<Socket> {
+    const [host, port] = getFixture(world).instances[0]!.settings.callerAddress.split(":");
+    const socket = connect(Number(port), host);
+    world.cleanups.push(() => void socket.destroy());
+    socket.on("error", () => undefined);
+    await once(socket, "connect");
+    return socket;
+}
+
+async function waitForUpstream(world: SiteWorld): Promise<void> {
+    await waitUntil("an upstream has the request", () => arrivedRequests.get(world)!.count > 0);
+}
+
+type Act = (socket: Socket, world: SiteWorld) => Promise<void> | void;
+
+async function readWhole(socket: Socket, path: string): Promise<void> {
+    socket.write(formatRequest(path, "attempt-1"));
+    await once(socket, "data");
+}
+
+/** What a caller does. */
+const acts: ReadonlyMap<string, Act> = new Map<string, Act>([
+    ["reads its answer", socket => readWhole(socket, "/documents/1")],
+    ["sends a request to an unknown path", socket => readWhole(socket, "/unknown")],
+    ["closes its connection with the last byte of its request", socket => {
+        socket.end(formatRequest("/documents/held", "attempt-1"));
+    }],
+    ["closes its connection while an upstream has its request", async (socket, world) => {
+        socket.write(formatRequest("/documents/held", "attempt-1"));
+        await waitForUpstream(world);
+        socket.end();
+    }],
+    ["closes its connection within its body", socket => {
+        socket.end(formatRequest("/documents/held", "attempt-1").slice(0, -1));
+    }],
+    ["sends two requests at once and closes its connection", async (socket, world) => {
+        const texts = ["attempt-1", "attempt-2"].map(id => formatRequest("/documents/held", id));
+        socket.write(texts.join(""));
+        await waitForUpstream(world);
+        socket.end();
+    }],
+    ["resets its connection before it has read a long answer", async socket => {
+        await readWhole(socket, "/documents/long");
+        socket.pause();
+        socket.resetAndDestroy();
+    }],
+    ["has a request at an upstream when the instance stops", async (socket, world) => {
+        socket.write(formatRequest("/documents/held", "attempt-1"));
+        await waitForUpstream(world);
+        void getFixture(world).instances[0]!.router.drain();
+    }],
+    ["has sent half of its body when the instance stops", (socket, world) => {
+        socket.write(formatRequest("/documents/held", "attempt-1").slice(0, -1));
+        socket.resume();
+        void getFixture(world).instances[0]!.router.drain();
+    }],
+]);
+
+When(
+    /^the caller of an instance ((?:reads|sends|closes|resets|has) .*)$/,
+    async function(this: SiteWorld, name: string) {
+        const act = acts.get(name);
+        assert.ok(act !== undefined, name);
+        await act(await openConnection(this), this);
+    },
+);
+
+/** Reads the ends that the metrics count, each as its result, and whether the answer was written out. */
+async function readEnds(world: SiteWorld): Promise<readonly string[]> {
+    const text = await getFixture(world).instances[0]!.metrics.registry.metrics();
+    const lines = text.matchAll(
+        /^reedward_router_requests_total\{.*result="(\w+)"(?:,written="(\w+)")?\} (\d+)$/gm,
+    );
+    return [...lines].flatMap(([, result = "", written, count]) =>
+        Array.from({ length: Number(count) }, () => written === "true" ? `${result} written` : result)
+    );
+}
+
+Then("the requests that the instance read ended as {string}", async function(this: SiteWorld, ends: string) {
+    const expected = ends.split(", ");
+    let found: readonly string[] = [];
+    await waitUntil(`${ends} is counted`, async () => {
+        found = await readEnds(this);
+        return found.length >= expected.length;
+    });
+    assert.deepEqual(found, expected);
+    const ids = getFixture(this).logged
+        .filter(line => line.event === "requestServed" || line.event === "requestRefused")
+        .map(line => line.fields["requestId"]);
+    assert.equal(new Set(ids).size, expected.length, "a line with the id of each request");
+});
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -16,7 +16,7 @@
 import type { LogEventName } from "../../src/core/logEvents/logEventTable.js";
 import { createStoreEra } from "../../src/core/store/createStoreEra.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
-import { createRouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
+import { createRouterMetrics, type RouterMetrics } from "../../src/io/metrics/createRouterMetrics.js";
 import { type Router, wireRouter } from "../../src/wireRouter.js";
 import type { SiteWorld } from "./siteWorld.js";
 
@@ -24,6 +24,7 @@
 export interface RunningInstance {
     readonly settings: RouterSettings;
     readonly router: Router;
+    readonly metrics: RouterMetrics;
 }
 
 /** An answer that a caller received. */
@@ -163,7 +164,7 @@
     fixture: PlatformFixture,
     contacts = fixture.instances.slice(0, 1).map(one => `127.0.0.1:${one.settings.heartbeatPort}`),
 ): Promise<void> {
-    const [caller, ready, directory, peer, heartbeat, metrics] = await Promise.all(
+    const [caller, ready, directory, peer, heartbeat, metricsPort] = await Promise.all(
         Array.from({ length: 6 }, findFreePort),
     );
     const index = fixture.instances.length + 1;
@@ -175,12 +176,13 @@
         directoryAddress: `127.0.0.1:${directory}`,
         peerAddress: `127.0.0.1:${peer}`,
         heartbeatPort: heartbeat!,
-        metricsAddress: `127.0.0.1:${metrics}`,
+        metricsAddress: `127.0.0.1:${metricsPort}`,
         contacts,
     };
     const storeEra = createStoreEra();
     const store = createStoreClient(fixture.store.address, storeEra.accept);
     const clock = createSystemClock();
+    const metrics = createRouterMetrics();
     const router = wireRouter({
         settings,
         ports: createPorts(store, storeEra, createCodec(), createEngineOrders()),
@@ -190,11 +192,11 @@
         writeLog: (event, fields) => {
             fixture.logged.push({ event, fields: fields ?? {} });
         },
-        metrics: createRouterMetrics(),
+        metrics,
         listDropped: () => new Map(),
         collectGarbage: () => undefined,
     });
-    fixture.instances.push({ settings, router });
+    fixture.instances.push({ settings, router, metrics });
     world.cleanups.unshift(async () => {
         await router.drain();
         store.close();
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -42,7 +42,7 @@
 const bodyMemoryShare = 0.32;
 
 /** The proxy. */
-export interface Proxy extends Omit<ProxyService, "handle"> {
+export interface Proxy extends Omit<ProxyService, "handle" | "reportUnfinished"> {
     readonly handle: RequestListener;
     /** Number of requests that wait for placement. */
     readonly countWaiting: () => number;
@@ -52,7 +52,7 @@
     readonly dispatch: () => void;
     /** Closes all idle connections to upstreams, for example after a pause of the process. */
     readonly discardIdleConnections: () => void;
-    /** Closes idle connections to upstreams and stops the periodic sweep. */
+    /** Reports unfinished requests, closes idle connections to upstreams and stops the periodic sweep. */
     readonly close: () => void;
 }
 
@@ -213,9 +213,12 @@
         answerMemory,
         onRetry: reason => metrics.retries.inc({ reason }),
         onEnd: end => {
-            metrics.requests.inc({ kind: end.kind, result: end.result });
-            metrics.requestSeconds.observe({ kind: end.kind }, end.tookMs / millisecondsPerSecond);
-            writeLog("requestServed", { ...end });
+            const { kind, result, isWritten, tookMs } = end;
+            metrics.requests.inc({ kind: kind ?? "unknown", result, written: String(isWritten) });
+            if (kind !== undefined) {
+                metrics.requestSeconds.observe({ kind }, tookMs / millisecondsPerSecond);
+                writeLog("requestServed", { ...end });
+            }
         },
         onSendBegin: (req, { upstream }) => sends.recordBegin(req, upstream),
         onSend: (req, outcome) => {
@@ -231,6 +234,9 @@
         countOpened: connections.countOpened,
         dispatch: placer.dispatch,
         discardIdleConnections: connections.discardIdle,
-        close: connections.close,
+        close: () => {
+            service.reportUnfinished();
+            connections.close();
+        },
     };
 }
--- a/src/core/why/describeLogLine.ts
+++ b/src/core/why/describeLogLine.ts
@@ -64,7 +64,9 @@
 }
 
 function describeServed(fields: Fields): string {
-    return `ended as "${text(fields, "result")}" after ${text(fields, "tookMs")} ms; route ${text(fields, "route")}`;
+    const unwritten = fields["isWritten"] === false ? "; its connection closed before an answer was written out" : "";
+    return `ended as "${text(fields, "result")}" after ${text(fields, "tookMs")} ms; route ${text(fields, "route")}`
+        + unwritten;
 }
 
 function describeAnswerEnd(fields: Fields): string {
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -31,8 +31,11 @@
 /** The metrics; gauges are collected on demand. */
 export interface RouterMetrics {
     readonly registry: Registry;
-    /** Requests that ended, by kind of request and result ("answered", "cut" or an error kind). */
-    readonly requests: Counter<"kind" | "result">;
+    /**
+     * Requests that were read and ended, by kind of request ("unknown" without a route), result ("answered", "cut", an error
+     * kind, "callerGone" or "stopped") and whether the answer was written out.
+     */
+    readonly requests: Counter<"kind" | "result" | "written">;
     /** Refusals by error kind; also those before a route was found. */
     readonly refusals: Counter<"kind">;
     /** Retries by reason. */
@@ -144,7 +147,7 @@
 
     return {
         registry,
-        requests: counter("requests_total", "Requests that ended.", ["kind", "result"]),
+        requests: counter("requests_total", "Requests that ended.", ["kind", "result", "written"]),
         refusals: counter("refusals_total", "Refusals by error kind.", ["kind"]),
         retries: counter("repeats_total", "Retries by reason.", ["reason"]),
         retryDenials: counter("repeat_denials_total", "Retries that the retry budget did not allow."),
--- a/src/io/proxy/_lib/onResponseOver.ts
+++ b/src/io/proxy/_lib/onResponseOver.ts
@@ -9,16 +9,21 @@
  * to a request that was sent behind another one on the same connection, if that closes before the first was answered.
  *
  * @param res - The response.
- * @param action - Called once.
+ * @param action - Called once, with whether the response was written out: `writableFinished` is true also when its
+ * connection was destroyed with bytes left to write.
  */
-export function onResponseOver(res: ServerResponse, action: () => void): void {
+export function onResponseOver(res: ServerResponse, action: (isWritten: boolean) => void): void {
     const { socket } = res.req;
     let isOver = false;
+    let isWritten = false;
+    res.once("finish", () => {
+        isWritten = !socket.destroyed;
+    });
     function end(): void {
         if (!isOver) {
             isOver = true;
             socket.off("close", end);
-            action();
+            action(isWritten);
         }
     }
     res.once("close", end);
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -56,8 +56,8 @@
 export function createCallerExchange(res: ServerResponse, options: CallerExchangeOptions): CallerExchange {
     const disconnectActions = createActionSet();
     let isDisconnected = false;
-    onResponseOver(res, () => {
-        if (!res.writableFinished) {
+    onResponseOver(res, isWritten => {
+        if (!isWritten) {
             isDisconnected = true;
             disconnectActions.run();
         }
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -12,12 +12,12 @@
 import type { MemoryBudget } from "../../core/memory/createMemoryBudget.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import { createEndReport, type EndReport, type RequestEnd } from "../../core/proxy/createEndReport.js";
 import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
 import type { PlaceResult, ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
-import type { Route } from "../../core/routes/routingTable.js";
 import type { RouteDurations } from "../../core/shutdown/createRouteDurations.js";
 import type { Shutdown } from "../../core/shutdown/createShutdown.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
@@ -59,19 +59,10 @@
     /** Receives the time that a request waited for its placement, in milliseconds. */
     readonly onPlaced: (waitedMs: number) => void;
     readonly onRefusal: (kind: ErrorKind) => void;
-    /** Receives the end of each request. */
+    /** Receives the end of each request that was read, also of one that was not answered. */
     readonly onEnd: (end: RequestEnd) => void;
 }
 
-/** How a request ended. */
-export interface RequestEnd {
-    readonly requestId: string;
-    readonly route: string;
-    readonly kind: Route["kind"];
-    readonly result: string;
-    readonly tookMs: number;
-}
-
 /** The service. */
 export interface ProxyService {
     readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
@@ -81,6 +72,8 @@
     readonly refuseLate: () => void;
     /** Gives every request in progress its final answer, because the instance stops. */
     readonly stopRequests: () => void;
+    /** Reports the requests in progress as ended, because the process ends. */
+    readonly reportUnfinished: () => void;
 }
 
 /** Timeout for receiving a body when the route's timeout is longer. */
@@ -94,7 +87,8 @@
  */
 export function createProxyService(deps: ProxyServiceDependencies): ProxyService {
     /** Responses that are not written out. */
-    const active = new Set<ServerResponse>();
+    const active = new Map<ServerResponse, EndReport>();
+    let isStopped = false;
     const stopActions = createActionSet();
     /** Ends the wait of each request that waits for an upstream. */
     const waiting = new Map<ProxyRequest, (refusal: Refusal) => void>();
@@ -118,13 +112,11 @@
         };
     }
 
-    function reportEnd(req: ProxyRequest, result: string): void {
-        const tookMs = Math.round(deps.clock.now() - req.arrivedMs);
-        const { name: route, kind } = req.route;
-        deps.onEnd({ requestId: req.id, route, kind, result, tookMs });
+    function closeReport(report: EndReport, isWritten: boolean): void {
+        report.close(isWritten, isStopped ? "stopped" : "callerGone", deps.clock.now());
     }
 
-    function serve(req: ProxyRequest, caller: CallerExchange): void {
+    function serve(req: ProxyRequest, caller: CallerExchange, report: EndReport): void {
         let isPlaced = false;
         const releaseUpstream = () => {
             if (isPlaced) {
@@ -191,14 +183,14 @@
                             deps.writeLog("sendEnded", describeSendEnd(req, placement, outcome));
                         }
                         if (outcome.kind === "finished") {
-                            reportEnd(req, "answered");
+                            report.decide("answered", deps.clock.now());
                         }
                         resume(outcome);
                     });
                 },
                 answer: (effect, resume) => {
                     caller.answer(effect.answer);
-                    reportEnd(req, "answered");
+                    report.decide("answered", deps.clock.now());
                     resume(undefined);
                 },
                 refuse: (effect, resume) => {
@@ -207,13 +199,13 @@
                     deps.onRefusal(kind);
                     deps.writeLog("requestRefused", { requestId: req.id, kind, status, outcome, detail, retryAfterMs });
                     caller.refuse(effect.refusal);
-                    reportEnd(req, kind);
+                    report.decide(kind, deps.clock.now());
                     resume(undefined);
                 },
                 cut: (effect, resume) => {
                     deps.writeLog("streamCut", { requestId: req.id, detail: effect.detail });
                     caller.abort();
-                    reportEnd(req, "cut");
+                    report.decide("cut", deps.clock.now());
                     resume(undefined);
                 },
             },
@@ -222,13 +214,14 @@
                 waiting.delete(req);
                 releaseUpstream();
                 logInternalFailure(deps.writeLog, error, { requestId: req.id });
-                failInternally(caller);
+                failInternally(caller, report);
             },
         );
     }
 
     /** A connection that closes without an answer would leave its caller without a reason. */
-    function failInternally(caller: CallerExchange): void {
+    function failInternally(caller: CallerExchange, report: EndReport): void {
+        report.decide("internalError", deps.clock.now());
         if (caller.hasStarted()) {
             caller.abort();
             return;
@@ -236,8 +229,11 @@
         caller.refuse(createRefusal("internalError", ""));
     }
 
-    function refuseHead(res: ServerResponse, req: IncomingMessage, requestId: string, refusal: Refusal): void {
+    /** Refuses a request that was not read completely, or not accepted. */
+    function refuseHead(res: ServerResponse, requestId: string, refusal: Refusal, report: EndReport): void {
+        const { req } = res;
         const { kind, detail } = refusal;
+        report.decide(kind, deps.clock.now());
         const { status, outcome } = errorTable[kind];
         deps.onRefusal(kind);
         const tableVersion = deps.routes()?.table.version;
@@ -250,7 +246,8 @@
     }
 
     /** `overActions` run once the response is over. */
-    async function accept(req: IncomingMessage, res: ServerResponse, overActions: ActionSet): Promise<void> {
+    async function accept(res: ServerResponse, overActions: ActionSet, report: EndReport): Promise<void> {
+        const { req } = res;
         const arrivedMs = deps.clock.now();
         const read = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders);
         const requestId = read.map(head => head.id).unwrapOr("");
@@ -260,10 +257,17 @@
             arrivedMs,
             random: deps.random,
         });
+        report.identify(requestId, checked.isOk ? checked.value.route : undefined);
         if (checked.isErr) {
-            refuseHead(res, req, requestId, checked.error);
+            refuseHead(res, requestId, checked.error, report);
             return;
         }
+        const caller = createCallerExchange(res, {
+            requestId,
+            isClosing: deps.shutdown.isLeaving,
+            holdAnswer: deps.answerMemory.hold,
+            onStart: () => timing.start(deps.clock.now()),
+        });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
         const reservation = deps.bodyMemory.open();
         overActions.add(reservation.release);
@@ -277,16 +281,13 @@
             },
         });
         cancelStop();
+        if (body.isErr && caller.isDisconnected()) {
+            return;
+        }
         if (body.isErr) {
-            refuseHead(res, req, requestId, body.error);
+            refuseHead(res, requestId, body.error, report);
             return;
         }
-        const caller = createCallerExchange(res, {
-            requestId,
-            isClosing: deps.shutdown.isLeaving,
-            holdAnswer: deps.answerMemory.hold,
-            onStart: () => timing.start(deps.clock.now()),
-        });
         await deps.readArrived();
         if (caller.isDisconnected()) {
             return;
@@ -295,18 +296,22 @@
         const outputTokens = proxied.prompt?.outputTokens ?? 0;
         const timing = deps.durations.begin(proxied.route.name, outputTokens, deps.clock.now());
         overActions.add(() => timing.end(deps.clock.now(), res.writableFinished));
-        serve(proxied, caller);
+        serve(proxied, caller, report);
     }
 
     return {
-        handle: (req, res) => {
+        handle: (_, res) => {
             const overActions = createActionSet();
-            active.add(res);
-            overActions.add(() => active.delete(res));
-            onResponseOver(res, overActions.run);
-            accept(req, res, overActions).catch((error: unknown) => {
+            const report = createEndReport(deps.clock.now(), deps.onEnd);
+            active.set(res, report);
+            onResponseOver(res, isWritten => {
+                active.delete(res);
+                closeReport(report, isWritten);
+                overActions.run();
+            });
+            accept(res, overActions, report).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
-                failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }));
+                failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }), report);
             });
         },
         countActive: () => active.size,
@@ -322,6 +327,8 @@
             const refusal = deps.shutdown.createRefusal(deps.clock.now());
             [...waiting.values()].forEach(refuse => refuse(refusal));
             stopActions.run();
+            isStopped = true;
         },
+        reportUnfinished: () => active.forEach(report => closeReport(report, false)),
     };
 }
