Tell at each phase of a stop how much time is left and what is open, and name requests that cross a close

Cause: RW1005 and RW1003 stated neither the time that is left nor what was in progress, and nothing told of the phases between; the line of a send did not say that its instance was leaving. A request on a connection that was being closed was dropped without a line or a count. Change: `progress` of the stop (core); RW1005, RW1010 (new) and RW1003 state phase, time since the order, time left, requests and connections; RW3006 of a leaving instance has `leavingMs`, `leftMs` and `dueMs`; RW3014 (new) and the result `discarded` of requests_total for a request that crosses the close of its connection. Conclusion: a stop can be read from its lines; no decision has changed.

--- a/features/requestEnds.feature
+++ b/features/requestEnds.feature
@@ -19,3 +19,11 @@
             | resets its connection before it has read a long answer     | answered                         |
             | has a request at an upstream when the instance stops       | outcomeUnknown written           |
             | has sent half of its body when the instance stops          | stopping written                 |
+
+    # Guards against stops of which nobody can tell what was in progress, and when.
+    Scenario: A stop tells at each of its phases how much time is left and what is open
+        When the caller of an instance has a request at an upstream when the instance stops
+        Then the instance tells of the phases "leaving 1, refusing 1, closing 0, ended 0" with the time that is left
+
+    Scenario: A request that is sent while the instance leaves says so
+        Then the line of a request that is sent 1200 ms after the order to stop of 8000 ms says how long the instance has
--- a/features/steps/requestEndSteps.ts
+++ b/features/steps/requestEndSteps.ts
@@ -7,8 +7,10 @@
 import { once } from "node:events";
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
+import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
 import { startFakeServer } from "../../fakes/startFakeServer.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
+import { describeSend } from "../../src/io/proxy/describeSend.js";
 import {
     configuration,
     fixtures,
@@ -172,3 +174,30 @@
         .map(line => line.fields["requestId"]);
     assert.equal(new Set(ids).size, expected.length, "a line with the id of each request");
 });
+
+Then(
+    "the instance tells of the phases {string} with the time that is left",
+    async function(this: SiteWorld, phases: string) {
+        const { instances, logged } = getFixture(this);
+        await instances[0]!.router.drain();
+        const lines = logged.filter(line => ["leaving", "stopAdvanced", "stopped"].includes(line.event));
+        const told = lines.map(({ fields }) => `${String(fields["phase"])} ${String(fields["active"])}`);
+        assert.equal(told.join(", "), phases);
+        const { graceMs } = instances[0]!.settings;
+        for (const { fields } of lines) {
+            assert.equal(Number(fields["sinceMs"]) + Number(fields["leftMs"]), graceMs);
+            assert.equal(typeof fields["connections"], "number");
+        }
+    },
+);
+
+Then(
+    "the line of a request that is sent {int} ms after the order to stop of {int} ms says how long the instance has",
+    (sinceMs: number, graceMs: number) => {
+        const req = createProxyRequest("stream", { arrivedMs: 0, deadlineMs: 5_000 });
+        const stop = { phase: "leaving", sinceMs, leftMs: graceMs - sinceMs } as const;
+        const { leavingMs, leftMs, dueMs } = describeSend(req, createPlainPlacement(createRecord()), 0, stop);
+        assert.deepEqual({ leavingMs, leftMs, dueMs }, { leavingMs: sinceMs, leftMs: graceMs - sinceMs, dueMs: 5_000 });
+        assert.equal(describeSend(req, createPlainPlacement(createRecord()), 0, undefined)["leavingMs"], undefined);
+    },
+);
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -99,15 +99,24 @@
     let accepted = 0;
     let isClosed = false;
 
+    function recordDiscarded(req: IncomingMessage): void {
+        const requestId = ports.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders)
+            .map(head => head.id).unwrapOr("");
+        context.metrics.requests.inc({ kind: "unknown", result: "discarded", written: "false" });
+        writeLog("requestDiscarded", { requestId, isStopping: isClosed });
+    }
+
     /** A request that crosses the close of its connection is not served: its answer could not be written. */
     function handle(req: IncomingMessage, res: ServerResponse): void {
         const { socket } = req;
-        if (isClosed) {
-            socket.destroy();
-            return;
-        }
-        if (!connections.beginRequest(socket)) {
-            socket.destroySoon();
+        if (isClosed || !connections.beginRequest(socket)) {
+            recordDiscarded(req);
+            if (isClosed) {
+                socket.destroy();
+            }
+            else {
+                socket.destroySoon();
+            }
             return;
         }
         // A response whose connection closes first need not end: the connection is forgotten then.
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -28,6 +28,7 @@
     stopWouldCut: define("RW1007", "warn", "requests in progress will be aborted at the stop's time limit"),
     stopCut: define("RW1008", "error", "requests aborted at the stop's time limit"),
     listenFailed: define("RW1009", "warn", "address cannot be listened on yet: tried again until it is free"),
+    stopAdvanced: define("RW1010", "info", "next phase of the stop"),
     catalogueAdvanced: define("RW2001", "info", "catalogue change accepted"),
     catalogueConflict: define("RW2002", "warn", "catalogue change rejected: based on an older revision"),
     catalogueMalformed: define("RW2003", "error", "catalogue record rejected: malformed"),
@@ -61,6 +62,7 @@
     clientError: define("RW3011", "info", "connection of a caller closed: not a valid request"),
     answerEndJudged: define("RW3012", "info", "answer ended with its connection or within an event"),
     connectionRefused: define("RW3013", "warn", "connection of a caller closed: as many as allowed are open"),
+    requestDiscarded: define("RW3014", "info", "request discarded: its connection was being closed"),
     peerRejected: define("RW4001", "warn", "peer call rejected: wrong secret"),
     memberChanged: define("RW4002", "info", "a member of the fleet changed its state"),
     seatsHandedOver: define(
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -32,12 +32,23 @@
     readonly hasDuties: boolean;
 }
 
+/** How far the stop of an instance has come. */
+export interface StopProgress {
+    readonly phase: ShutdownPhase;
+    /** Time since the order to stop, in milliseconds. */
+    readonly sinceMs: number;
+    /** Time until the process is killed, in milliseconds. */
+    readonly leftMs: number;
+}
+
 /** The stop of an instance. Times are milliseconds on its clock. */
 export interface Shutdown {
     /** Begins the stop. Calling it again has no effect: the grace period counts from the first order. */
     readonly begin: (nowMs: number) => void;
     readonly phase: () => ShutdownPhase;
     readonly isLeaving: () => boolean;
+    /** Undefined while the instance was not told to stop. */
+    readonly progress: (nowMs: number) => StopProgress | undefined;
     /** Returns why a request may not be taken or sent now; undefined when it may be. */
     readonly findRefusal: (req: ProxyRequest, nowMs: number) => Refusal | undefined;
     /** Returns the refusal of requests that the instance has no time left for. */
@@ -156,6 +167,10 @@
         },
         phase: () => phase,
         isLeaving: () => phase !== "serving",
+        progress: nowMs => {
+            const sinceMs = Math.round(nowMs - leavingSinceMs);
+            return phase === "serving" ? undefined : { phase, sinceMs, leftMs: graceMs - sinceMs };
+        },
         findRefusal: (req, nowMs) => {
             const isAccepting = phase === "serving" || phase === "leaving";
             return isAccepting && canFinish(req, nowMs) ? undefined : refuse(nowMs);
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -43,7 +43,7 @@
     /** Rate limit of an upstream that has stated one, in requests per second. */
     readonly findRateLimit: (upstream: string) => number | undefined;
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
-    readonly shutdown: Pick<Shutdown, "isLeaving" | "findRefusal" | "createRefusal">;
+    readonly shutdown: Pick<Shutdown, "isLeaving" | "progress" | "findRefusal" | "createRefusal">;
     readonly durations: Pick<RouteDurations, "begin">;
     /** Reads what has arrived on all connections, so that callers that have left are known. */
     readonly readArrived: () => Promise<void>;
@@ -172,7 +172,9 @@
                     }
                     const { placement } = effect;
                     const rateLimit = deps.findRateLimit(placement.upstream.id);
-                    deps.writeLog("requestSent", { ...describeSend(req, placement, deps.clock.now()), rateLimit });
+                    const nowMs = deps.clock.now();
+                    const stop = deps.shutdown.progress(nowMs);
+                    deps.writeLog("requestSent", { ...describeSend(req, placement, nowMs, stop), rateLimit });
                     deps.onSendBegin(req, placement);
                     const cancelStop = stopActions.add(() => stopSend());
                     const stopSend = deps.send(req, effect, caller, outcome => {
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -4,6 +4,7 @@
  */
 import { listSharedParts } from "../../core/placement/_lib/listSharedParts.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
+import type { StopProgress } from "../../core/shutdown/createShutdown.js";
 
 type LogFields = Readonly<Record<string, unknown>>;
 
@@ -13,11 +14,20 @@
  * @param req - The request.
  * @param placement - Where it is sent.
  * @param nowMs - The instance's clock, in milliseconds.
+ * @param stop - How far the instance's stop has come, if it was told to stop.
  * @returns The fields of the log line.
  */
-export function describeSend(req: ProxyRequest, placement: Placement, nowMs: number): LogFields {
+export function describeSend(
+    req: ProxyRequest,
+    placement: Placement,
+    nowMs: number,
+    stop: StopProgress | undefined,
+): LogFields {
     const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
-    const basis = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
+    const sent = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
+    const basis = stop === undefined
+        ? sent
+        : { ...sent, leavingMs: stop.sinceMs, leftMs: stop.leftMs, dueMs: Math.round(req.deadlineMs - nowMs) };
     return req.prompt === undefined
         ? basis
         : { ...basis, weightsVersion, promptTokens: req.prompt.promptTokens, heldTokens, fetchedTokens, cacheSource };
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -191,9 +191,15 @@
     views.onChange(() => rollout.wake());
     pauses.start();
 
+    /** How far the stop has come, and what is open. */
+    function describeStop(): Readonly<Record<string, unknown>> {
+        const connections = servers.countConnections();
+        return { ...shutdown.progress(clock.now()), active: proxy.countActive(), connections };
+    }
+
     async function drain(): Promise<void> {
         shutdown.begin(clock.now());
-        writeLog("leaving", { active: proxy.countActive() });
+        writeLog("leaving", describeStop());
         fleet.sendNow();
         await runShutdown({
             clock,
@@ -205,9 +211,16 @@
                 hasDuties: rollout.isOrdering(),
             }),
             refuseLate: proxy.refuseLate,
-            stopRequests: proxy.stopRequests,
-            closeCallers: servers.closeCallers,
+            stopRequests: () => {
+                writeLog("stopAdvanced", describeStop());
+                proxy.stopRequests();
+            },
+            closeCallers: () => {
+                writeLog("stopAdvanced", describeStop());
+                servers.closeCallers();
+            },
         });
+        const lastState = describeStop();
         servers.close();
         feeds.stop();
         quarantine.stop();
@@ -216,7 +229,7 @@
         fleet.stop();
         pauses.stop();
         proxy.close();
-        writeLog("stopped", { active: proxy.countActive() });
+        writeLog("stopped", lastState);
     }
     let drained: Promise<void> | undefined;
     return {
