--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -33,12 +33,23 @@
     readonly hasDuties: boolean;
 }
 
+/** How far the stop of an instance has come. */
+export interface StopProgress {
+    readonly phase: ShutdownPhase;
+    /** Time since the order to stop, in milliseconds. */
+    readonly sinceMs: number;
+    /** Time until the process is killed, in milliseconds. */
+    readonly leftMs: number;
+}
+
 /** The stop of an instance. Times are milliseconds on its clock. */
 export interface Shutdown {
     /** Begins the stop. Calling it again has no effect: the grace period counts from the first order. */
     readonly begin: (nowMs: number) => void;
     readonly phase: () => ShutdownPhase;
     readonly isLeaving: () => boolean;
+    /** Undefined while the instance was not told to stop. */
+    readonly progress: (nowMs: number) => StopProgress | undefined;
     /**
      * Returns why a request may not be taken, wait or be sent now; undefined when it may. `mayHaveRun`: whether an upstream may
      * have run it, so that its caller can't be told "not run".
@@ -167,6 +178,10 @@
         },
         phase: () => phase,
         isLeaving: () => phase !== "serving",
+        progress: nowMs => {
+            const sinceMs = Math.round(nowMs - leavingSinceMs);
+            return phase === "serving" ? undefined : { phase, sinceMs, leftMs: graceMs - sinceMs };
+        },
         findRefusal: (req, mayHaveRun, nowMs) => isOwed(req, mayHaveRun, nowMs) ? undefined : refuse(nowMs),
         createRefusal: refuse,
         advance: (nowMs, load) => {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -12,12 +12,12 @@
 import type { MemoryBudget } from "../../core/memory/createMemoryBudget.js";
 import type { Placer } from "../../core/placement/createPlacer.js";
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import { createEndReport, type EndReport, type RequestEnd } from "../../core/proxy/createEndReport.js";
 import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
 import type { PlaceResult, ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
-import type { Route } from "../../core/routes/routingTable.js";
 import type { Shutdown } from "../../core/shutdown/createShutdown.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { readBody } from "../http/readBody.js";
@@ -42,7 +42,7 @@
     /** Rate limit of an upstream that has stated one, in requests per second. */
     readonly findRateLimit: (upstream: string) => number | undefined;
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
-    readonly shutdown: Pick<Shutdown, "isLeaving" | "findRefusal" | "createRefusal">;
+    readonly shutdown: Pick<Shutdown, "isLeaving" | "progress" | "findRefusal" | "createRefusal">;
     /** Reads what has arrived on all connections, so that callers that have left are known. */
     readonly readArrived: () => Promise<void>;
     /** Memory for the bodies of requests. */
@@ -57,19 +57,10 @@
     /** Receives the time that a request waited for its placement, in milliseconds. */
     readonly onPlaced: (waitedMs: number) => void;
     readonly onRefusal: (kind: ErrorKind) => void;
-    /** Receives the end of each request. */
+    /** Receives the end of each request that was read, also of one that was not answered. */
     readonly onEnd: (end: RequestEnd) => void;
 }
 
-/** How a request ended. */
-export interface RequestEnd {
-    readonly requestId: string;
-    readonly route: string;
-    readonly kind: Route["kind"];
-    readonly result: string;
-    readonly tookMs: number;
-}
-
 /** The service. */
 export interface ProxyService {
     readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
@@ -79,6 +70,8 @@
     readonly refuseLate: () => void;
     /** Gives every request in progress its final answer, because the instance stops. */
     readonly stopRequests: () => void;
+    /** Reports the requests in progress as ended, because the process ends. */
+    readonly reportUnfinished: () => void;
 }
 
 /** A request that waits for an upstream. */
@@ -99,7 +92,8 @@
  */
 export function createProxyService(deps: ProxyServiceDependencies): ProxyService {
     /** Responses that are not written out. */
-    const active = new Set<ServerResponse>();
+    const active = new Map<ServerResponse, EndReport>();
+    let isStopped = false;
     const stopActions = createActionSet();
     const waiting = new Map<ProxyRequest, WaitingRequest>();
 
@@ -122,13 +116,11 @@
         };
     }
 
-    function reportEnd(req: ProxyRequest, result: string): void {
-        const tookMs = Math.round(deps.clock.now() - req.arrivedMs);
-        const { name: route, kind } = req.route;
-        deps.onEnd({ requestId: req.id, route, kind, result, tookMs });
+    function closeReport(report: EndReport, isWritten: boolean): void {
+        report.close(isWritten, isStopped ? "stopped" : "callerGone", deps.clock.now());
     }
 
-    function serve(req: ProxyRequest, caller: CallerExchange): void {
+    function serve(req: ProxyRequest, caller: CallerExchange, report: EndReport): void {
         let isPlaced = false;
         const releaseUpstream = () => {
             if (isPlaced) {
@@ -185,7 +177,9 @@
                     }
                     const { placement } = effect;
                     const rateLimit = deps.findRateLimit(placement.upstream.id);
-                    deps.writeLog("requestSent", { ...describeSend(req, placement, deps.clock.now()), rateLimit });
+                    const nowMs = deps.clock.now();
+                    const stop = deps.shutdown.progress(nowMs);
+                    deps.writeLog("requestSent", { ...describeSend(req, placement, nowMs, stop), rateLimit });
                     deps.onSendBegin(req, placement);
                     const cancelStop = stopActions.add(() => stopSend());
                     const stopSend = deps.send(req, effect, caller, outcome => {
@@ -196,14 +190,14 @@
                             deps.writeLog("sendEnded", describeSendEnd(req, placement, outcome));
                         }
                         if (outcome.kind === "finished") {
-                            reportEnd(req, "answered");
+                            report.decide("answered", deps.clock.now());
                         }
                         resume(outcome);
                     });
                 },
                 answer: (effect, resume) => {
                     caller.answer(effect.answer);
-                    reportEnd(req, "answered");
+                    report.decide("answered", deps.clock.now());
                     resume(undefined);
                 },
                 refuse: (effect, resume) => {
@@ -212,13 +206,13 @@
                     deps.onRefusal(kind);
                     deps.writeLog("requestRefused", { requestId: req.id, kind, status, outcome, detail, retryAfterMs });
                     caller.refuse(effect.refusal);
-                    reportEnd(req, kind);
+                    report.decide(kind, deps.clock.now());
                     resume(undefined);
                 },
                 cut: (effect, resume) => {
                     deps.writeLog("streamCut", { requestId: req.id, detail: effect.detail });
                     caller.abort();
-                    reportEnd(req, "cut");
+                    report.decide("cut", deps.clock.now());
                     resume(undefined);
                 },
             },
@@ -227,13 +221,14 @@
                 waiting.delete(req);
                 releaseUpstream();
                 logInternalFailure(deps.writeLog, error, { requestId: req.id });
-                failInternally(caller);
+                failInternally(caller, report);
             },
         );
     }
 
     /** A connection that closes without an answer would leave its caller without a reason. */
-    function failInternally(caller: CallerExchange): void {
+    function failInternally(caller: CallerExchange, report: EndReport): void {
+        report.decide("internalError", deps.clock.now());
         if (caller.hasStarted()) {
             caller.abort();
             return;
@@ -241,8 +236,11 @@
         caller.refuse(createRefusal("internalError", ""));
     }
 
-    function refuseHead(res: ServerResponse, req: IncomingMessage, requestId: string, refusal: Refusal): void {
+    /** Refuses a request that was not read completely, or not accepted. */
+    function refuseHead(res: ServerResponse, requestId: string, refusal: Refusal, report: EndReport): void {
+        const { req } = res;
         const { kind, detail } = refusal;
+        report.decide(kind, deps.clock.now());
         const { status, outcome } = errorTable[kind];
         deps.onRefusal(kind);
         const tableVersion = deps.routes()?.table.version;
@@ -255,7 +253,8 @@
     }
 
     /** `overActions` run once the response is over. */
-    async function accept(req: IncomingMessage, res: ServerResponse, overActions: ActionSet): Promise<void> {
+    async function accept(res: ServerResponse, overActions: ActionSet, report: EndReport): Promise<void> {
+        const { req } = res;
         const arrivedMs = deps.clock.now();
         const read = deps.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders);
         const requestId = read.map(head => head.id).unwrapOr("");
@@ -265,10 +264,16 @@
             arrivedMs,
             random: deps.random,
         });
+        report.identify(requestId, checked.isOk ? checked.value.route : undefined);
         if (checked.isErr) {
-            refuseHead(res, req, requestId, checked.error);
+            refuseHead(res, requestId, checked.error, report);
             return;
         }
+        const caller = createCallerExchange(res, {
+            requestId,
+            isClosing: deps.shutdown.isLeaving,
+            holdAnswer: deps.answerMemory.hold,
+        });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
         const reservation = deps.bodyMemory.open();
         overActions.add(reservation.release);
@@ -282,32 +287,34 @@
             },
         });
         cancelStop();
+        if (body.isErr && caller.isDisconnected()) {
+            return;
+        }
         if (body.isErr) {
-            refuseHead(res, req, requestId, body.error);
+            refuseHead(res, requestId, body.error, report);
             return;
         }
-        const caller = createCallerExchange(res, {
-            requestId,
-            isClosing: deps.shutdown.isLeaving,
-            holdAnswer: deps.answerMemory.hold,
-        });
         await deps.readArrived();
         if (caller.isDisconnected()) {
             return;
         }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
-        serve(proxied, caller);
+        serve(proxied, caller, report);
     }
 
     return {
-        handle: (req, res) => {
+        handle: (_, res) => {
             const overActions = createActionSet();
-            active.add(res);
-            overActions.add(() => active.delete(res));
-            onResponseOver(res, overActions.run);
-            accept(req, res, overActions).catch((error: unknown) => {
+            const report = createEndReport(deps.clock.now(), deps.onEnd);
+            active.set(res, report);
+            onResponseOver(res, isWritten => {
+                active.delete(res);
+                closeReport(report, isWritten);
+                overActions.run();
+            });
+            accept(res, overActions, report).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
-                failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }));
+                failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }), report);
             });
         },
         countActive: () => active.size,
@@ -323,6 +330,8 @@
             const refusal = deps.shutdown.createRefusal(deps.clock.now());
             [...waiting.values()].forEach(request => request.refuse(refusal));
             stopActions.run();
+            isStopped = true;
         },
+        reportUnfinished: () => active.forEach(report => closeReport(report, false)),
     };
 }
