End a stop in time although callers connect again and again

Cause: before each check of its phase a leaving instance read new connections for up to 512 turns, whatever the time. A process with 30 or 25 % of its processor time needed 1.1 to 2.8 s for one such check, was killed at the end of its grace period, and callers of requests that it had read saw a reset. Between the ends of a stop it waited 40 ms each, also when all were due. Change: reading ends once the next phase is due, after two turns that read what lies on open connections; the wait between two checks ends when the next phase is due, and an end that is overdue follows at once: answers, then closes, then the end.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -69,6 +69,16 @@
         When what has arrived is read
         Then the requests of 40 callers were received
 
+    # Guards against a stop that goes on reading new connections until its process is killed with requests in progress.
+    Scenario: Callers that connect again and again hold up no end of a stop
+        When an instance with a request in progress stops while callers connect in each turn of 20 ms
+        Then it answers, closes its connections and ends in this order before it would be killed
+
+    # Guards against a late process that waits between the ends of its stop until it is killed.
+    Scenario: A process that does not run until just before its kill does the ends of its stop at once
+        When an instance with a request in progress stops and its process does not run from 7300 to 7960 ms
+        Then it answers, closes its connections and ends in this order before it would be killed
+
     # Guards against connections that are reset, and requests that are cut, when real processes stop in series.
     Scenario Outline: Callers lose nothing while processes are stopped, reloaded and restarted
         Then the stops "<plan>" of <instances> processes with seed <seed> break no promise
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import { createRouteDurations } from "../../src/core/shutdown/createRouteDurations.js";
 import { createShutdown } from "../../src/core/shutdown/createShutdown.js";
+import { readArrived } from "../../src/io/_lib/readArrived.js";
 import { runShutdown } from "../../src/io/shutdown/runShutdown.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -76,3 +77,86 @@
 Then("each request that arrived in that time was read before connections closed", function(this: SiteWorld) {
     assert.deepEqual(outcomes.get(this), { read: arrivingRequests, unansweredAtClose: 0 });
 });
+
+/** An end of a stop and when it was done, in milliseconds from the order. */
+interface StopEnd {
+    readonly name: string;
+    readonly atMs: number;
+}
+
+const stopEnds = new WeakMap<SiteWorld, readonly StopEnd[]>();
+
+interface LateProcess {
+    /** Adds the time that passes until a timer runs that was due at `dueMs`. */
+    readonly holdUp: (dueMs: number) => number;
+    /** Time of each turn of the event loop in which connections are read, in milliseconds. */
+    readonly turnMs: number;
+    /** Connections that are accepted in each turn. */
+    readonly connectionsPerTurn: number;
+}
+
+/** Stops an instance whose only request never ends by itself. */
+async function playEnds(late: LateProcess): Promise<readonly StopEnd[]> {
+    const ends: StopEnd[] = [];
+    let nowMs = 0;
+    let accepted = 0;
+    let inProgress = 1;
+    const shutdown = createShutdown({
+        graceMs,
+        durations: createRouteDurations(),
+        mayBeListed: () => true,
+        hasServingPeer: () => true,
+    });
+    shutdown.begin(nowMs);
+    await runShutdown({
+        clock: {
+            now: () => nowMs,
+            wallNow: () => nowMs,
+            after: (delayMs, action) => {
+                nowMs = late.holdUp(nowMs + delayMs);
+                action();
+                return () => undefined;
+            },
+        },
+        shutdown,
+        readArrived: isDue =>
+            readArrived(() => {
+                nowMs += late.turnMs;
+                accepted += late.connectionsPerTurn;
+                return accepted;
+            }, isDue),
+        readLoad: () => ({ requests: inProgress, connections: 1, hasDuties: false }),
+        refuseLate: () => undefined,
+        stopRequests: () => {
+            inProgress = 0;
+            ends.push({ name: "answers", atMs: nowMs });
+        },
+        closeCallers: () => ends.push({ name: "closes", atMs: nowMs }),
+    });
+    return [...ends, { name: "end", atMs: nowMs }];
+}
+
+When(
+    "an instance with a request in progress stops while callers connect in each turn of {int} ms",
+    async function(this: SiteWorld, turnMs: number) {
+        // Time passes twice a turn: the number of connections is read twice.
+        stopEnds.set(this, await playEnds({ holdUp: dueMs => dueMs, turnMs: turnMs / 2, connectionsPerTurn: 1 }));
+    },
+);
+
+When(
+    "an instance with a request in progress stops and its process does not run from {int} to {int} ms",
+    async function(this: SiteWorld, fromMs: number, toMs: number) {
+        const holdUp = (dueMs: number) => dueMs >= fromMs && dueMs < toMs ? toMs : dueMs;
+        stopEnds.set(this, await playEnds({ holdUp, turnMs: 0, connectionsPerTurn: 0 }));
+    },
+);
+
+Then(
+    "it answers, closes its connections and ends in this order before it would be killed",
+    function(this: SiteWorld) {
+        const ends = stopEnds.get(this)!;
+        assert.deepEqual(ends.map(end => end.name), ["answers", "closes", "end"]);
+        assert.ok(ends.every(end => end.atMs < graceMs), JSON.stringify(ends));
+    },
+);
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -42,6 +42,8 @@
     readonly findRefusal: (req: ProxyRequest, nowMs: number) => Refusal | undefined;
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
+    /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
+    readonly nextDueMs: () => number;
     /** Moves to the next phase when it is due, and returns the phase. */
     readonly advance: (nowMs: number, load: ShutdownLoad) => ShutdownPhase;
 }
@@ -129,18 +131,28 @@
             : nowMs + predictedMs <= answersDueMs();
     }
 
+    function nextDueMs(): number {
+        switch (phase) {
+            case "leaving":
+                return answersDueMs();
+            case "refusing":
+                return leavingSinceMs + graceMs - closeMarginMs;
+            case "closing":
+                return leavingSinceMs + graceMs - endMarginMs;
+            default:
+                return Infinity;
+        }
+    }
+
     function isDone(nowMs: number, load: ShutdownLoad): boolean {
         const elapsedMs = nowMs - phaseSinceMs;
         switch (phase) {
             case "leaving":
-                return nowMs >= answersDueMs()
-                    || (load.requests === 0 && !load.hasDuties && nowMs >= minUntilMs);
+                return load.requests === 0 && !load.hasDuties && nowMs >= minUntilMs;
             case "refusing":
-                return nowMs >= leavingSinceMs + graceMs - closeMarginMs
-                    || (load.requests === 0 && elapsedMs >= minRefusingMs);
+                return load.requests === 0 && elapsedMs >= minRefusingMs;
             case "closing":
-                return load.connections === 0 || elapsedMs >= closingMs
-                    || nowMs >= leavingSinceMs + graceMs - endMarginMs;
+                return load.connections === 0 || elapsedMs >= closingMs;
             default:
                 return false;
         }
@@ -161,8 +173,9 @@
             return isAccepting && canFinish(req, nowMs) ? undefined : refuse(nowMs);
         },
         createRefusal: refuse,
+        nextDueMs,
         advance: (nowMs, load) => {
-            if (phase !== "serving" && phase !== "ended" && isDone(nowMs, load)) {
+            if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs() || isDone(nowMs, load))) {
                 enter(followingPhase[phase], nowMs);
             }
             return phase;
--- a/src/io/_lib/readArrived.ts
+++ b/src/io/_lib/readArrived.ts
@@ -6,24 +6,29 @@
 /** Turns of the event loop after the last new connection: in the first its bytes are read, in the second nothing is left. */
 const quietTurns = 2;
 
-/**
- * Maximum number of turns, as many as connections may wait at a listener. It is no time, since a process may stand still within
- * each turn; callers that connect again and again hold up no stop.
- */
+/** Maximum number of turns, as many as connections may wait at a listener. */
 const maxTurns = 512;
 
 /**
  * Lets the event loop accept the connections that wait and read what has arrived on all of them. Timers run before connections
  * are read: without this, a process that did not run for a while would decide on what it knew before. Each turn accepts one
- * connection of a listener.
+ * connection of a listener. Callers may connect again and again, so that reading ends early when the decision is due; what had
+ * arrived on open connections is read even then.
  *
  * @param countAccepted - Returns the number of connections that were accepted so far; left out where new ones do not matter.
+ * @param isDue - Returns whether the decision can wait no longer.
  * @returns A promise that resolves when it is read.
  */
-export async function readArrived(countAccepted: () => number = () => 0): Promise<void> {
+export async function readArrived(
+    countAccepted: () => number = () => 0,
+    isDue: () => boolean = () => false,
+): Promise<void> {
     let accepted = countAccepted();
     let quiet = 0;
     for (let turn = 0; turn < maxTurns && quiet < quietTurns; turn += 1) {
+        if (turn >= quietTurns && isDue()) {
+            return;
+        }
         await new Promise<void>(resolve => setImmediate(resolve));
         quiet = countAccepted() === accepted ? quiet + 1 : 0;
         accepted = countAccepted();
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -9,8 +9,8 @@
 export interface RunShutdownOptions {
     readonly clock: Clock;
     readonly shutdown: Shutdown;
-    /** Reads the requests that have arrived, so that the load counts them. */
-    readonly readArrived: () => Promise<void>;
+    /** Reads the requests that have arrived, so that the load counts them; ends soon once the next phase is due. */
+    readonly readArrived: (isDue: () => boolean) => Promise<void>;
     readonly readLoad: () => ShutdownLoad;
     /** Refuses the waiting requests that can no longer be finished. */
     readonly refuseLate: () => void;
@@ -20,7 +20,7 @@
     readonly closeCallers: () => void;
 }
 
-/** Interval at which the phase is checked, in milliseconds. */
+/** Longest time between two checks of the phase, in milliseconds. */
 const pollIntervalMs = 40;
 
 /**
@@ -32,7 +32,7 @@
 export async function runShutdown(options: RunShutdownOptions): Promise<void> {
     const { clock, shutdown } = options;
     for (;;) {
-        await options.readArrived();
+        await options.readArrived(() => clock.now() >= shutdown.nextDueMs());
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
@@ -47,6 +47,7 @@
         if (phase === "closing" && before !== phase) {
             options.closeCallers();
         }
-        await new Promise<void>(resolve => clock.after(pollIntervalMs, resolve));
+        const waitMs = Math.max(0, Math.min(pollIntervalMs, shutdown.nextDueMs() - clock.now()));
+        await new Promise<void>(resolve => clock.after(waitMs, resolve));
     }
 }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -198,7 +198,7 @@
         await runShutdown({
             clock,
             shutdown,
-            readArrived: () => readArrived(servers.countAccepted),
+            readArrived: isDue => readArrived(servers.countAccepted, isDue),
             readLoad: () => ({
                 requests: proxy.countActive(),
                 connections: servers.countConnections(),
