Give the last log lines and the exit a share of the end of a stop

Cause: the connections of a stop that lasts to its end are given up 100 ms before the end of the grace period, but the process stopped waiting for its log 300 ms before it: it gave the line "stopped" about a millisecond, then took its log for stalled and ended itself by SIGKILL, with lines unwritten. A timer also runs before the end of a write is seen: a process that did not run until the time was over took lines that were written for unwritten. Change: one schedule of the ends of a stop (src/core/shutdown/scheduleStopEnds): answers, connections, last log lines, exit, each with a share of time; the first three as before, the log until 50 ms before the end and for 100 ms at least. The end of a write is looked for once more after the timer. Conclusion: the process ends itself by a signal only when a write stands still.

--- a/features/logging.feature
+++ b/features/logging.feature
@@ -11,3 +11,8 @@
     Scenario: The rate of lines of one event is limited, and the next line reports how many were dropped
         When 500 lines of one event are written at once and one more after 10 s
         Then 400 lines are written and the last one reports that 100 were dropped
+
+    # Guards against a process that takes its last lines for unwritten, and kills itself, because it did not run for a while.
+    Scenario: Lines that were written while the process did not run count as written
+        When the last lines of a log are written while the process does not run until their time is over
+        Then they count as written
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -39,6 +39,7 @@
         Then with 0 requests in progress it refuses requests from 3600 ms on
         And with 1 request in progress it refuses requests from 7500 ms on
         And with 1 request in progress and its connection open it closes connections from 7760 ms on and ends at 7920 ms
+        And the last lines of its log have until 7950 ms
 
     Scenario: A second order to stop changes nothing
         Given an instance with a grace period of 8000 ms whose requests of a route took 100 ms
--- a/features/steps/loggingSteps.ts
+++ b/features/steps/loggingSteps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, read, rmSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, read, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
@@ -24,6 +24,7 @@
 const maxQueued = 65_536;
 const stalledLogs = new WeakMap<SiteWorld, StalledLog>();
 const written = new WeakMap<SiteWorld, readonly string[]>();
+const finished = new WeakMap<SiteWorld, boolean>();
 
 function findStalledLog(world: SiteWorld): StalledLog {
     const stalled = stalledLogs.get(world);
@@ -136,3 +137,33 @@
         assert.equal((JSON.parse(lines.at(-1)!) as { leftOut?: number; }).leftOut, dropped);
     },
 );
+
+/** Stops this thread for a time in milliseconds. */
+function standStill(durationMs: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, durationMs);
+}
+
+When(
+    "the last lines of a log are written while the process does not run until their time is over",
+    async function(this: SiteWorld) {
+        const folder = mkdtempSync(join(tmpdir(), "reedward-log-"));
+        const path = join(folder, "log");
+        const descriptor = openSync(path, "w");
+        this.cleanups.push(() => {
+            closeSync(descriptor);
+            rmSync(folder, { recursive: true });
+        });
+        const writer = createLineWriter({ descriptor, maxQueued });
+        writer.write("last");
+        const isFinished = writer.finish(1);
+        while (readFileSync(path, "utf8") !== "last\n") {
+            standStill(1);
+        }
+        standStill(20);
+        finished.set(this, await isFinished);
+    },
+);
+
+Then("they count as written", function(this: SiteWorld) {
+    assert.equal(finished.get(this), true);
+});
--- a/features/steps/shutdownSteps.ts
+++ b/features/steps/shutdownSteps.ts
@@ -178,6 +178,10 @@
     },
 );
 
+Then("the last lines of its log have until {int} ms", function(this: SiteWorld, dueMs: number) {
+    assert.equal(getInstance(this).shutdown.ends().exitDueMs - stopMs, dueMs);
+});
+
 /** Time of a series of stops at random, in seconds. */
 const mixedSeconds = 15;
 
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -10,6 +10,7 @@
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import type { RouteDurations } from "./createRouteDurations.js";
+import { scheduleStopEnds, type StopEnds } from "./scheduleStopEnds.js";
 
 /**
  * A phase of an instance's life.
@@ -42,6 +43,8 @@
     readonly findRefusal: (req: ProxyRequest, nowMs: number) => Refusal | undefined;
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
+    /** When the stop comes to its ends at the latest. */
+    readonly ends: () => StopEnds;
     /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
     readonly nextDueMs: () => number;
     /** Moves to the next phase when it is due, and returns the phase. */
@@ -65,15 +68,6 @@
  */
 const minLeavingMs = 3_600;
 
-/** Time before the end of the grace period at which answers must be complete, in milliseconds. */
-const answerMarginMs = 500;
-
-/** Time before the end of the grace period at which callers' connections are closed, in milliseconds. */
-const closeMarginMs = 250;
-
-/** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
-const endMarginMs = 100;
-
 /** Share of the grace period in which requests of a route are taken of which no request has ended yet. */
 const unknownRouteShare = 1 / 3;
 
@@ -107,7 +101,8 @@
     let leavingSinceMs = 0;
     let minUntilMs = 0;
 
-    const answersDueMs = () => leavingSinceMs + graceMs - answerMarginMs;
+    const ends = () => scheduleStopEnds(leavingSinceMs, graceMs);
+    const answersDueMs = () => ends().answersDueMs;
 
     function enter(next: ShutdownPhase, nowMs: number): void {
         phase = next;
@@ -136,9 +131,9 @@
             case "leaving":
                 return answersDueMs();
             case "refusing":
-                return leavingSinceMs + graceMs - closeMarginMs;
+                return ends().closeDueMs;
             case "closing":
-                return leavingSinceMs + graceMs - endMarginMs;
+                return ends().endDueMs;
             default:
                 return Infinity;
         }
@@ -173,6 +168,7 @@
             return isAccepting && canFinish(req, nowMs) ? undefined : refuse(nowMs);
         },
         createRefusal: refuse,
+        ends,
         nextDueMs,
         advance: (nowMs, load) => {
             if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs() || isDone(nowMs, load))) {
--- a/src/io/logging/createLineWriter.ts
+++ b/src/io/logging/createLineWriter.ts
@@ -80,7 +80,8 @@
         queuedBytes: () => queuedLength,
         finish: timeoutMs =>
             new Promise(resolve => {
-                const timer = setTimeout(() => resolve(false), timeoutMs);
+                // A timer runs before the end of a write is seen, however long ago that was.
+                const timer = setTimeout(() => setImmediate(() => resolve(false)), timeoutMs);
                 onIdle = () => {
                     clearTimeout(timer);
                     resolve(true);
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -31,9 +31,10 @@
 export interface Router {
     /**
      * Leaves the fleet, serves the requests that still arrive, and stops when none is left or the grace period is
-     * nearly over. Further calls return the first call's promise.
+     * nearly over. Further calls return the first call's promise, which resolves to the time on the clock at which the process
+     * has to exit, in milliseconds.
      */
-    readonly drain: () => Promise<void>;
+    readonly drain: () => Promise<number>;
 }
 
 /** Clock jump beyond which the process is considered paused, in milliseconds. */
@@ -191,7 +192,7 @@
     views.onChange(() => rollout.wake());
     pauses.start();
 
-    async function drain(): Promise<void> {
+    async function drain(): Promise<number> {
         shutdown.begin(clock.now());
         writeLog("leaving", { active: proxy.countActive() });
         fleet.sendNow();
@@ -217,8 +218,9 @@
         pauses.stop();
         proxy.close();
         writeLog("stopped", { active: proxy.countActive() });
+        return shutdown.ends().exitDueMs;
     }
-    let drained: Promise<void> | undefined;
+    let drained: Promise<number> | undefined;
     return {
         drain: () => {
             drained ??= drain();
