--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -11,6 +11,7 @@
  */
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
+import { scheduleStopEnds, type StopEnds } from "./scheduleStopEnds.js";
 
 /**
  * A phase of an instance's life.
@@ -57,6 +58,10 @@
     readonly findRefusal: (req: ProxyRequest, mayHaveRun: boolean, nowMs: number) => Refusal | undefined;
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
+    /** When the stop comes to its ends at the latest. */
+    readonly ends: () => StopEnds;
+    /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
+    readonly nextDueMs: () => number;
     /** Moves to the next phase when it is due, and returns the phase. */
     readonly advance: (nowMs: number, load: ShutdownLoad) => ShutdownPhase;
 }
@@ -77,15 +82,6 @@
  */
 const minLeavingMs = 3_600;
 
-/** Time before the end of the grace period at which answers must be complete, in milliseconds. */
-const answerMarginMs = 500;
-
-/** Time before the end of the grace period at which callers' connections are closed, in milliseconds. */
-const closeMarginMs = 250;
-
-/** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
-const endMarginMs = 100;
-
 /**
  * Time after the order to stop in which requests are taken that may last longer than the grace period, in milliseconds: their
  * callers could not know of the stop.
@@ -126,7 +122,8 @@
     let leavingSinceMs = 0;
     let minUntilMs = 0;
 
-    const answersDueMs = () => leavingSinceMs + graceMs - answerMarginMs;
+    const ends = () => scheduleStopEnds(leavingSinceMs, graceMs);
+    const answersDueMs = () => ends().answersDueMs;
 
     function enter(next: ShutdownPhase, nowMs: number): void {
         phase = next;
@@ -151,18 +148,28 @@
         }
     }
 
+    function nextDueMs(): number {
+        switch (phase) {
+            case "leaving":
+                return answersDueMs();
+            case "refusing":
+                return ends().closeDueMs;
+            case "closing":
+                return ends().endDueMs;
+            default:
+                return Infinity;
+        }
+    }
+
     function isDone(nowMs: number, load: ShutdownLoad): boolean {
         const elapsedMs = nowMs - phaseSinceMs;
         switch (phase) {
             case "leaving":
-                return nowMs >= answersDueMs()
-                    || (load.requests === 0 && !load.hasDuties && nowMs >= minUntilMs);
+                return load.requests === 0 && !load.hasDuties && nowMs >= minUntilMs;
             case "refusing":
-                return nowMs >= leavingSinceMs + graceMs - closeMarginMs
-                    || (load.requests === 0 && elapsedMs >= minRefusingMs);
+                return load.requests === 0 && elapsedMs >= minRefusingMs;
             case "closing":
-                return load.connections === 0 || elapsedMs >= closingMs
-                    || nowMs >= leavingSinceMs + graceMs - endMarginMs;
+                return load.connections === 0 || elapsedMs >= closingMs;
             default:
                 return false;
         }
@@ -184,8 +191,10 @@
         },
         findRefusal: (req, mayHaveRun, nowMs) => isOwed(req, mayHaveRun, nowMs) ? undefined : refuse(nowMs),
         createRefusal: refuse,
+        ends,
+        nextDueMs,
         advance: (nowMs, load) => {
-            if (phase !== "serving" && phase !== "ended" && isDone(nowMs, load)) {
+            if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs() || isDone(nowMs, load))) {
                 enter(followingPhase[phase], nowMs);
             }
             return phase;
