Begin the ends of a stop earlier in a process that is late

Cause: a process that is short of processor time sees the order to stop 0.1 to 0.4 s late, counts its grace period from then, and does each end of the stop late by as much again: it was killed with requests in progress, and callers saw a reset. Change: an instance measures how late it does what is due, by the checks that it makes anyway (each 250 ms while it serves, each phase check while it leaves; the longest of the last 3 to 6 s). The order counts as seen late by that much, and each of the four ends gets its share of time and that delay. Answers are due in the last sixth of the grace period at the earliest; a process that is not late keeps its times. New requests are taken by the earlier time; those that were promised by a later one keep it.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -80,6 +80,40 @@
         When an instance with a request in progress stops and its process does not run from 7300 to 7960 ms
         Then it answers, closes its connections and ends in this order before it would be killed
 
+    # Guards against a late process that is killed with requests in progress because it comes to the ends of its stop too late.
+    Scenario Outline: A process that does late what is due begins the ends of its stop earlier
+        Given an instance with a grace period of 8000 ms that saw the order to stop <order> ms late at most
+        When it does late what is due, by <lag> ms
+        Then its answers are due after <answers> ms, closes after <closes> ms, and its exit after <exit> ms
+
+        Examples:
+            | order | lag  | answers | closes | exit |
+            | 0     | 0    | 7500    | 7750   | 7950 |
+            | 0     | 100  | 7100    | 7450   | 7850 |
+            | 200   | 0    | 7300    | 7550   | 7750 |
+            | 200   | 100  | 6900    | 7250   | 7650 |
+            | 0     | 2000 | 6667    | 7020   | 7678 |
+            | 2000  | 2000 | 6667    | 6799   | 7046 |
+
+    # Guards against a late process that is still at the ends of its stop when it is killed.
+    Scenario: A process that does everything 350 ms late comes to the end of its stop before it would be killed
+        When an instance with a request in progress stops and its process does everything 350 ms late
+        Then it answers, closes its connections and ends in this order before it would be killed
+
+    # Guards against promised requests that are cut before their deadline because the process became late after it took them.
+    Scenario: A process that becomes late while it leaves keeps what it promised before
+        Given an instance with a grace period of 8000 ms that saw the order to stop 0 ms late at most
+        Then a request with a deadline of 6000 ms that arrives 1300 ms later is taken
+        When it does late what is due, by 100 ms
+        Then a request with a deadline of 6000 ms that arrives 1300 ms later is refused
+        And it ends its answers 7300 ms after the order
+
+    # Guards against a process that counts its grace period from an order that it saw late.
+    Scenario: The delay of a process is the longest of the last seconds
+        Given a process that did late what was due, by 300 ms at 1000 ms and by 20 ms at 2000 ms
+        Then its delay is 300 ms at 3900 ms
+        And its delay is 0 ms at 12000 ms
+
     # Guards against connections that are reset, and requests that are cut, when real processes stop in series.
     Scenario Outline: Callers lose nothing while processes are stopped, reloaded and restarted
         Then the stops "<plan>" of <instances> processes with seed <seed> break no promise
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import { createRouteDurations } from "../../src/core/shutdown/createRouteDurations.js";
 import { createShutdown } from "../../src/core/shutdown/createShutdown.js";
+import { createLagMeter } from "../../src/core/time/createLagMeter.js";
 import { readArrived } from "../../src/io/_lib/readArrived.js";
 import { runShutdown } from "../../src/io/shutdown/runShutdown.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -101,9 +102,11 @@
     let nowMs = 0;
     let accepted = 0;
     let inProgress = 1;
+    const lag = createLagMeter();
     const shutdown = createShutdown({
         graceMs,
         durations: createRouteDurations(),
+        readLagMs: lag.longestMs,
         mayBeListed: () => true,
         hasServingPeer: () => true,
     });
@@ -119,6 +122,7 @@
             },
         },
         shutdown,
+        recordLag: lateMs => lag.record(lateMs, nowMs),
         readArrived: isDue =>
             readArrived(() => {
                 nowMs += late.turnMs;
@@ -152,6 +156,16 @@
     },
 );
 
+When(
+    "an instance with a request in progress stops and its process does everything {int} ms late",
+    async function(this: SiteWorld, lateMs: number) {
+        stopEnds.set(
+            this,
+            await playEnds({ holdUp: dueMs => dueMs + lateMs, turnMs: 0, connectionsPerTurn: 0 }),
+        );
+    },
+);
+
 Then(
     "it answers, closes its connections and ends in this order before it would be killed",
     function(this: SiteWorld) {
--- a/features/steps/shutdownSteps.ts
+++ b/features/steps/shutdownSteps.ts
@@ -10,6 +10,7 @@
 import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
 import { createRouteDurations } from "../../src/core/shutdown/createRouteDurations.js";
 import { createShutdown, type ShutdownLoad, type ShutdownPhase } from "../../src/core/shutdown/createShutdown.js";
+import { createLagMeter, type LagMeter } from "../../src/core/time/createLagMeter.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface StoppingInstance {
@@ -17,9 +18,11 @@
     hasServingPeer: boolean;
     mayBeListed: boolean;
     hasDuties: boolean;
+    lagMs: number;
 }
 
 const instances = new WeakMap<SiteWorld, StoppingInstance>();
+const meters = new WeakMap<SiteWorld, LagMeter>();
 
 /** Time of the order to stop, in milliseconds. */
 const stopMs = 60_000;
@@ -44,12 +47,14 @@
         shutdown: createShutdown({
             graceMs,
             durations,
+            readLagMs: () => instance.lagMs,
             mayBeListed: () => instance.mayBeListed,
             hasServingPeer: () => instance.hasServingPeer,
         }),
         hasServingPeer: true,
         mayBeListed: true,
         hasDuties: false,
+        lagMs: 0,
     };
     instances.set(world, instance);
 }
@@ -68,6 +73,48 @@
     },
 );
 
+Given(
+    "an instance with a grace period of {int} ms that saw the order to stop {int} ms late at most",
+    function(this: SiteWorld, graceMs: number, orderLagMs: number) {
+        createInstance(this, graceMs, "10000", 0);
+        const instance = getInstance(this);
+        instance.lagMs = orderLagMs;
+        instance.shutdown.begin(stopMs);
+        instance.lagMs = 0;
+    },
+);
+
+When("it does late what is due, by {int} ms", function(this: SiteWorld, lagMs: number) {
+    getInstance(this).lagMs = lagMs;
+});
+
+Then(
+    "its answers are due after {int} ms, closes after {int} ms, and its exit after {int} ms",
+    function(this: SiteWorld, answersMs: number, closesMs: number, exitMs: number) {
+        const { answersDueMs, closeDueMs, exitDueMs } = getInstance(this).shutdown.ends(stopMs);
+        const roundedMs = [answersDueMs, closeDueMs, exitDueMs].map(dueMs => Math.round(dueMs - stopMs));
+        assert.deepEqual(roundedMs, [answersMs, closesMs, exitMs]);
+    },
+);
+
+Then("it ends its answers {int} ms after the order", function(this: SiteWorld, dueMs: number) {
+    assert.equal(getInstance(this).shutdown.nextDueMs(stopMs) - stopMs, dueMs);
+});
+
+Given(
+    "a process that did late what was due, by {int} ms at {int} ms and by {int} ms at {int} ms",
+    function(this: SiteWorld, firstLagMs: number, firstMs: number, secondLagMs: number, secondMs: number) {
+        const meter = createLagMeter();
+        meter.record(firstLagMs, firstMs);
+        meter.record(secondLagMs, secondMs);
+        meters.set(this, meter);
+    },
+);
+
+Then("its delay is {int} ms at {int} ms", function(this: SiteWorld, lagMs: number, atMs: number) {
+    assert.equal(meters.get(this)?.longestMs(atMs), lagMs);
+});
+
 Given("it has never been ready", function(this: SiteWorld) {
     getInstance(this).mayBeListed = false;
 });
@@ -179,7 +226,7 @@
 );
 
 Then("the last lines of its log have until {int} ms", function(this: SiteWorld, dueMs: number) {
-    assert.equal(getInstance(this).shutdown.ends().exitDueMs - stopMs, dueMs);
+    assert.equal(getInstance(this).shutdown.ends(stopMs).exitDueMs - stopMs, dueMs);
 });
 
 /** Time of a series of stops at random, in seconds. */
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -44,9 +44,9 @@
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
     /** When the stop comes to its ends at the latest. */
-    readonly ends: () => StopEnds;
+    readonly ends: (nowMs: number) => StopEnds;
     /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
-    readonly nextDueMs: () => number;
+    readonly nextDueMs: (nowMs: number) => number;
     /** Moves to the next phase when it is due, and returns the phase. */
     readonly advance: (nowMs: number, load: ShutdownLoad) => ShutdownPhase;
 }
@@ -56,6 +56,8 @@
     /** Time from the order to stop until the process is killed, in milliseconds. */
     readonly graceMs: number;
     readonly durations: Pick<RouteDurations, "predictMs">;
+    /** By how much the process does late what is due, in milliseconds; left out where it is never late. */
+    readonly readLagMs?: (nowMs: number) => number;
     /** Whether callers may know the address of this instance. */
     readonly mayBeListed: () => boolean;
     /** Whether another instance takes requests, as far as known. */
@@ -95,14 +97,18 @@
  * shutdown.findRefusal(req, clock.now())?.kind; // "stopping" when there is too little time for the request
  */
 export function createShutdown(options: ShutdownOptions): Shutdown {
-    const { graceMs } = options;
+    const { graceMs, readLagMs = () => 0 } = options;
     let phase: ShutdownPhase = "serving";
     let phaseSinceMs = 0;
     let leavingSinceMs = 0;
     let minUntilMs = 0;
+    let orderLagMs = 0;
+    /** Latest deadline of a request that was taken because it comes before answers are due. */
+    let promisedUntilMs = 0;
 
-    const ends = () => scheduleStopEnds(leavingSinceMs, graceMs);
-    const answersDueMs = () => ends().answersDueMs;
+    const schedule = (lagMs: number) => scheduleStopEnds({ seenMs: leavingSinceMs, orderLagMs, graceMs, lagMs });
+    const ends = (nowMs: number) => schedule(readLagMs(nowMs));
+    const answersDueMs = (nowMs: number) => ends(nowMs).answersDueMs;
 
     function enter(next: ShutdownPhase, nowMs: number): void {
         phase = next;
@@ -112,28 +118,37 @@
     function refuse(nowMs: number): Refusal {
         const retryAfterMs = options.hasServingPeer()
             ? otherInstanceMs
-            : Math.max(0, answersDueMs() - nowMs) + restartMs;
+            : Math.max(0, answersDueMs(nowMs) - nowMs) + restartMs;
         return createRefusal("stopping", "there is too little time left for the request", { retryAfterMs });
     }
 
     function canFinish(req: ProxyRequest, nowMs: number): boolean {
-        if (phase === "serving" || req.deadlineMs <= answersDueMs()) {
+        if (phase === "serving") {
+            return true;
+        }
+        if (req.deadlineMs <= answersDueMs(nowMs)) {
+            promisedUntilMs = Math.max(promisedUntilMs, req.deadlineMs);
             return true;
         }
         const predictedMs = options.durations.predictMs(req.route.name, req.prompt?.outputTokens ?? 0, nowMs);
         return predictedMs === undefined
             ? nowMs - leavingSinceMs <= graceMs * unknownRouteShare
-            : nowMs + predictedMs <= answersDueMs();
+            : nowMs + predictedMs <= answersDueMs(nowMs);
+    }
+
+    /** A process that becomes late while it leaves keeps what it promised before, as long as a prompt one would. */
+    function answersEndMs(nowMs: number): number {
+        return Math.max(answersDueMs(nowMs), Math.min(promisedUntilMs, schedule(0).answersDueMs));
     }
 
-    function nextDueMs(): number {
+    function nextDueMs(nowMs: number): number {
         switch (phase) {
             case "leaving":
-                return answersDueMs();
+                return answersEndMs(nowMs);
             case "refusing":
-                return ends().closeDueMs;
+                return ends(nowMs).closeDueMs;
             case "closing":
-                return ends().endDueMs;
+                return ends(nowMs).endDueMs;
             default:
                 return Infinity;
         }
@@ -157,6 +172,7 @@
         begin: nowMs => {
             if (phase === "serving") {
                 leavingSinceMs = nowMs;
+                orderLagMs = readLagMs(nowMs);
                 minUntilMs = options.mayBeListed() ? nowMs + minLeavingMs : nowMs;
                 enter("leaving", nowMs);
             }
@@ -171,7 +187,7 @@
         ends,
         nextDueMs,
         advance: (nowMs, load) => {
-            if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs() || isDone(nowMs, load))) {
+            if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs(nowMs) || isDone(nowMs, load))) {
                 enter(followingPhase[phase], nowMs);
             }
             return phase;
--- a/src/core/time/createPauseDetector.ts
+++ b/src/core/time/createPauseDetector.ts
@@ -26,6 +26,8 @@
 export interface PauseDetectorOptions {
     /** A jump beyond the interval that counts as a pause, in milliseconds. */
     readonly thresholdMs?: number;
+    /** Receives by how much each periodic check was late, in milliseconds. */
+    readonly onChecked?: (lateMs: number) => void;
 }
 
 /**
@@ -61,7 +63,12 @@
 
     return {
         start: () => {
-            stopChecks = repeatEvery(clock, checkIntervalMs, check);
+            let dueMs = clock.now() + checkIntervalMs;
+            stopChecks = repeatEvery(clock, checkIntervalMs, () => {
+                options.onChecked?.(clock.now() - dueMs);
+                dueMs = clock.now() + checkIntervalMs;
+                check();
+            });
         },
         check,
         stop: () => stopChecks(),
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -9,6 +9,8 @@
 export interface RunShutdownOptions {
     readonly clock: Clock;
     readonly shutdown: Shutdown;
+    /** Receives by how much a check of the phase was late, in milliseconds. */
+    readonly recordLag?: (lateMs: number) => void;
     /** Reads the requests that have arrived, so that the load counts them; ends soon once the next phase is due. */
     readonly readArrived: (isDue: () => boolean) => Promise<void>;
     readonly readLoad: () => ShutdownLoad;
@@ -32,7 +34,7 @@
 export async function runShutdown(options: RunShutdownOptions): Promise<void> {
     const { clock, shutdown } = options;
     for (;;) {
-        await options.readArrived(() => clock.now() >= shutdown.nextDueMs());
+        await options.readArrived(() => clock.now() >= shutdown.nextDueMs(clock.now()));
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
@@ -47,7 +49,9 @@
         if (phase === "closing" && before !== phase) {
             options.closeCallers();
         }
-        const waitMs = Math.max(0, Math.min(pollIntervalMs, shutdown.nextDueMs() - clock.now()));
+        const nowMs = clock.now();
+        const waitMs = Math.max(0, Math.min(pollIntervalMs, shutdown.nextDueMs(nowMs) - nowMs));
         await new Promise<void>(resolve => clock.after(waitMs, resolve));
+        options.recordLag?.(clock.now() - nowMs - waitMs);
     }
 }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -18,6 +18,7 @@
 import { createRouteDurations } from "./core/shutdown/createRouteDurations.js";
 import { createShutdown } from "./core/shutdown/createShutdown.js";
 import { planStoreReads } from "./core/store/planStoreReads.js";
+import { createLagMeter } from "./core/time/createLagMeter.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { readArrived } from "./io/_lib/readArrived.js";
@@ -55,9 +56,12 @@
 export function wireRouter(context: InstanceContext): Router {
     const { settings, ports, clock, writeLog, metrics } = context;
     const durations = createRouteDurations();
+    const lag = createLagMeter();
+    const recordLag = (lateMs: number) => lag.record(lateMs, clock.now());
     const shutdown = createShutdown({
         graceMs: settings.graceMs,
         durations,
+        readLagMs: lag.longestMs,
         mayBeListed: () => hasHadState,
         hasServingPeer: () => listServing(joinedFleet?.listLive() ?? []).length > 0,
     });
@@ -138,7 +142,7 @@
         proxy.discardIdleConnections();
         quarantine.clear();
         permits.clear();
-    }, { thresholdMs: pauseThresholdMs });
+    }, { thresholdMs: pauseThresholdMs, onChecked: recordLag });
 
     const rollout = runRollout({
         clock,
@@ -199,6 +203,7 @@
         await runShutdown({
             clock,
             shutdown,
+            recordLag,
             readArrived: isDue => readArrived(servers.countAccepted, isDue),
             readLoad: () => ({
                 requests: proxy.countActive(),
@@ -218,7 +223,7 @@
         pauses.stop();
         proxy.close();
         writeLog("stopped", { active: proxy.countActive() });
-        return shutdown.ends().exitDueMs;
+        return shutdown.ends(clock.now()).exitDueMs;
     }
     let drained: Promise<number> | undefined;
     return {
