--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -59,9 +59,9 @@
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
     /** When the stop comes to its ends at the latest. */
-    readonly ends: () => StopEnds;
+    readonly ends: (nowMs: number) => StopEnds;
     /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
-    readonly nextDueMs: () => number;
+    readonly nextDueMs: (nowMs: number) => number;
     /** Moves to the next phase when it is due, and returns the phase. */
     readonly advance: (nowMs: number, load: ShutdownLoad) => ShutdownPhase;
 }
@@ -70,6 +70,8 @@
 export interface ShutdownOptions {
     /** Time from the order to stop until the process is killed, in milliseconds. */
     readonly graceMs: number;
+    /** By how much the process does late what is due, in milliseconds; left out where it is never late. */
+    readonly readLagMs?: (nowMs: number) => number;
     /** Whether callers may know the address of this instance. */
     readonly mayBeListed: () => boolean;
     /** Whether another instance takes requests, as far as known. */
@@ -115,15 +117,19 @@
  * shutdown.findRefusal(req, false, clock.now())?.kind; // "stopping" when there is too little time for the request
  */
 export function createShutdown(options: ShutdownOptions): Shutdown {
-    const { graceMs } = options;
+    const { graceMs, readLagMs = () => 0 } = options;
     const unknowingMs = Math.min(maxUnknowingMs, graceMs * unknowingShare);
     let phase: ShutdownPhase = "serving";
     let phaseSinceMs = 0;
     let leavingSinceMs = 0;
     let minUntilMs = 0;
+    let orderLagMs = 0;
+    /** Latest deadline of a request that was taken because it comes before answers are due. */
+    let promisedUntilMs = 0;
 
-    const ends = () => scheduleStopEnds(leavingSinceMs, graceMs);
-    const answersDueMs = () => ends().answersDueMs;
+    const schedule = (lagMs: number) => scheduleStopEnds({ seenMs: leavingSinceMs, orderLagMs, graceMs, lagMs });
+    const ends = (nowMs: number) => schedule(readLagMs(nowMs));
+    const answersDueMs = (nowMs: number) => ends(nowMs).answersDueMs;
 
     function enter(next: ShutdownPhase, nowMs: number): void {
         phase = next;
@@ -133,29 +139,34 @@
     function refuse(nowMs: number): Refusal {
         const retryAfterMs = options.hasServingPeer()
             ? otherInstanceMs
-            : Math.max(0, answersDueMs() - nowMs) + restartMs;
+            : Math.max(0, answersDueMs(nowMs) - nowMs) + restartMs;
         return createRefusal("stopping", "there is too little time left for the request", { retryAfterMs });
     }
 
     function isOwed(req: ProxyRequest, mayHaveRun: boolean, nowMs: number): boolean {
-        switch (phase) {
-            case "serving":
-                return true;
-            case "leaving":
-                return mayHaveRun || req.deadlineMs <= answersDueMs() || nowMs - leavingSinceMs <= unknowingMs;
-            default:
-                return false;
+        if (phase !== "leaving") {
+            return phase === "serving";
         }
+        if (req.deadlineMs <= answersDueMs(nowMs)) {
+            promisedUntilMs = Math.max(promisedUntilMs, req.deadlineMs);
+            return true;
+        }
+        return mayHaveRun || nowMs - leavingSinceMs <= unknowingMs;
+    }
+
+    /** A process that becomes late while it leaves keeps what it promised before, as long as a prompt one would. */
+    function answersEndMs(nowMs: number): number {
+        return Math.max(answersDueMs(nowMs), Math.min(promisedUntilMs, schedule(0).answersDueMs));
     }
 
-    function nextDueMs(): number {
+    function nextDueMs(nowMs: number): number {
         switch (phase) {
             case "leaving":
-                return answersDueMs();
+                return answersEndMs(nowMs);
             case "refusing":
-                return ends().closeDueMs;
+                return ends(nowMs).closeDueMs;
             case "closing":
-                return ends().endDueMs;
+                return ends(nowMs).endDueMs;
             default:
                 return Infinity;
         }
@@ -179,6 +190,7 @@
         begin: nowMs => {
             if (phase === "serving") {
                 leavingSinceMs = nowMs;
+                orderLagMs = readLagMs(nowMs);
                 minUntilMs = options.mayBeListed() ? nowMs + minLeavingMs : nowMs;
                 enter("leaving", nowMs);
             }
@@ -194,7 +206,7 @@
         ends,
         nextDueMs,
         advance: (nowMs, load) => {
-            if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs() || isDone(nowMs, load))) {
+            if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs(nowMs) || isDone(nowMs, load))) {
                 enter(followingPhase[phase], nowMs);
             }
             return phase;
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -17,6 +17,7 @@
 import { listServing } from "./core/fleet/listServing.js";
 import { createShutdown } from "./core/shutdown/createShutdown.js";
 import { planStoreReads } from "./core/store/planStoreReads.js";
+import { createLagMeter } from "./core/time/createLagMeter.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { readArrived } from "./io/_lib/readArrived.js";
@@ -53,8 +54,11 @@
  */
 export function wireRouter(context: InstanceContext): Router {
     const { settings, ports, clock, writeLog, metrics } = context;
+    const lag = createLagMeter();
+    const recordLag = (lateMs: number) => lag.record(lateMs, clock.now());
     const shutdown = createShutdown({
         graceMs: settings.graceMs,
+        readLagMs: lag.longestMs,
         mayBeListed: () => hasHadState,
         hasServingPeer: () => listServing(joinedFleet?.listLive() ?? []).length > 0,
     });
@@ -135,7 +139,7 @@
         proxy.discardIdleConnections();
         quarantine.clear();
         permits.clear();
-    }, { thresholdMs: pauseThresholdMs });
+    }, { thresholdMs: pauseThresholdMs, onChecked: recordLag });
 
     const rollout = runRollout({
         clock,
@@ -202,6 +206,7 @@
         await runShutdown({
             clock,
             shutdown,
+            recordLag,
             readArrived: isDue => readArrived(servers.countAccepted, isDue),
             readLoad: () => ({
                 requests: proxy.countActive(),
@@ -228,7 +233,7 @@
         pauses.stop();
         proxy.close();
         writeLog("stopped", lastState);
-        return shutdown.ends().exitDueMs;
+        return shutdown.ends(clock.now()).exitDueMs;
     }
     let drained: Promise<number> | undefined;
     return {
