State the logs of every broken promise in the soak, and what held up a process that was killed

Only lost attempts came with the lines of the logs.

Change: the violation states the longest pause of the process; the lines of the logs are printed for each attempt that a violation names.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -13,8 +13,6 @@
     readonly counts: Readonly<Record<string, number>>;
     /** Attempts by how they ended; the numbers add up to all attempts. */
     readonly ends: Readonly<Record<string, number>>;
-    /** Ids of the attempts that were lost. */
-    readonly lostIds: readonly string[];
 }
 
 /** Time within which a started instance is ready, in milliseconds. */
@@ -77,7 +75,10 @@
             return [`FAULT ${life.address} ended by itself after ${Math.round(lasted)} ms: ${life.end}`];
         }
         if (wasStopped && life.end !== "code 0" && life.readyMs !== undefined) {
-            return [`FAULT ${life.address} did not stop in time: ${life.end}`];
+            const pause = life.longestPauseMs > 0
+                ? `, kept from running for up to ${Math.round(life.longestPauseMs)} ms`
+                : "";
+            return [`FAULT ${life.address} did not stop in time: ${life.end}${pause}`];
         }
         return [];
     });
@@ -232,6 +233,5 @@
         violations,
         counts: { ...countOutcomes(history), ...countFailures(history), ...countLosses(losses), ...countUse(history) },
         ends: countEnds(history, losses),
-        lostIds: losses.filter(loss => loss.excuse === undefined).map(loss => loss.attempt.id),
     };
 }
--- a/bench/faults/platform/runStops.ts
+++ b/bench/faults/platform/runStops.ts
@@ -2,10 +2,10 @@
  * @module
  * Stops and restarts real processes of instances on loopback while callers use them:
  * `node dist/bench/faults/platform/runStops.js --plan turn|together|alone|mixed --shape NAME --seed N --instances N --gap MS
- * --seconds N [--era stated|none] [--callers N] [--processor-share SHARE] [--troubles KIND,KIND [--trouble-after MS] [--trouble-lasts MS]
- * [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]`. Each order to stop or reload is followed by one of the
- * troubles. With a folder for logs, the lines that name a lost attempt follow the violations. The last line is one JSON object; the exit code is
- * 1 when a promise was broken.
+ * --seconds N [--era stated|none] [--callers N] [--processor-share SHARE] [--troubles KIND,KIND [--trouble-after MS]
+ * [--trouble-lasts MS] [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]`. Callers are counted for each
+ * instance. Each order to stop or reload is followed by one of the troubles. With a folder for logs, the lines that name their
+ * attempts follow the violations. The last line is one JSON object; the exit code is 1 when a promise was broken.
  */
 import { parseArgs } from "node:util";
 import { findLogLines } from "./findLogLines.js";
@@ -57,7 +57,7 @@
 const processorShare = toNumber(values["processor-share"]);
 const unlimited = { nodeArguments: [], memoryKb: Infinity, processorShare: 1 };
 const limits = { ...unlimited, ...shape.limits, ...(processorShare === undefined ? {} : { processorShare }) };
-const { violations, counts, ends, lostIds } = await playStops({
+const { violations, counts, ends } = await playStops({
     plan: values.plan as StopPlan,
     shape: { ...shape, instances, limits, callersPerInstance: toNumber(values.callers) ?? shape.callersPerInstance },
     seed: Number(values.seed),
@@ -76,7 +76,9 @@
 });
 violations.slice(0, Number(values["max-printed"])).forEach(violation => process.stdout.write(`${violation}\n`));
 if (values.logs !== undefined) {
-    findLogLines(values.logs, lostIds).forEach(line => process.stdout.write(`${line}\n`));
+    findLogLines(values.logs, violations.map(violation => violation.split(" ")[1]!)).forEach(line =>
+        process.stdout.write(`${line}\n`)
+    );
 }
 process.stdout.write(`${JSON.stringify({ ...values, instances, violations: violations.length, ...counts, ends })}\n`);
 process.exit(violations.length > 0 ? 1 : 0);
