Count the time of callers that can't know of a stop from the order, not from when it was seen

Change: the time counts from the order as the measured delay of the process places it. Figures: the new scenario fails on the code before (12,000 ms at 2.4 s was taken with an order seen 0.3 s late) and passes now. Conclusion: what is taken without a promise was sent within the first 2.6 s.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -125,6 +125,12 @@
         Then a request with a deadline of 3000 ms that arrives 4300 ms later is refused
         And it ends its answers 7300 ms after the order
 
+    # Guards against requests that a late process takes without a promise longer than callers can be unaware of its stop.
+    Scenario: A process that saw the order to stop late counts the time of unaware callers from the order
+        Given an instance with a grace period of 8000 ms that saw the order to stop 300 ms late at most
+        Then a request with a deadline of 12000 ms that arrives 2200 ms later is taken
+        And a request with a deadline of 12000 ms that arrives 2400 ms later is refused
+
     # Guards against a process that counts its grace period from an order that it saw late.
     Scenario: The delay of a process is the longest of the last seconds
         Given a process that did late what was due, by 300 ms at 1000 ms and by 20 ms at 2000 ms
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -151,7 +151,7 @@
             promisedUntilMs = Math.max(promisedUntilMs, req.deadlineMs);
             return true;
         }
-        return mayHaveRun || nowMs - leavingSinceMs <= unknowingMs;
+        return mayHaveRun || nowMs - leavingSinceMs + orderLagMs <= unknowingMs;
     }
 
     /** A process that becomes late while it leaves keeps what it promised before, as long as a prompt one would. */
