Read on connections that are being closed until their callers have closed them too

Cause: a connection was destroyed as soon as its last answer was written to the system, or when a request crossed its close. Bytes that arrive afterwards, or lie unread, reset it, and what the caller has not read yet is discarded: a caller of a leaving instance that sent another request while it read a long answer got 160 to 195 KB of 1,000. Change: such a connection is ended and read for up to 2 s more, or until its caller has closed it. A request that arrives there is read, counted as discarded and not passed on, as before. A request that arrives after the process has ended still resets its connection.

--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -13,6 +13,7 @@
 import { startFakeServer } from "../../fakes/startFakeServer.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
+import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { type CallerConnections, createCallerConnections } from "../../src/io/http/createCallerConnections.js";
 import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -49,7 +50,7 @@
 Given(
     "at most {int} connections of callers, of which {int} are open",
     function(this: SiteWorld, maxConnections: number, open: number) {
-        const connections = createCallerConnections(maxConnections);
+        const connections = createCallerConnections(maxConnections, createSystemClock());
         fixtures.set(this, { connections, sockets: addSockets(connections, open) });
     },
 );
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -95,7 +95,7 @@
     const { settings, ports, writeLog } = context;
     const { listeners } = sources;
     const maxConnections = limitCallerConnections(settings);
-    const connections = createCallerConnections(maxConnections);
+    const connections = createCallerConnections(maxConnections, context.clock);
     let accepted = 0;
     let isClosed = false;
 
@@ -111,12 +111,8 @@
         const { socket } = req;
         if (isClosed || !connections.beginRequest(socket)) {
             recordDiscarded(req);
-            if (isClosed) {
-                socket.destroy();
-            }
-            else {
-                socket.destroySoon();
-            }
+            req.resume();
+            connections.close(socket);
             return;
         }
         // A response whose connection closes first need not end: the connection is forgotten then.
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -3,6 +3,7 @@
  * The open connections of callers. When there are nearly as many as allowed, those that have been idle longest are closed.
  */
 import type { Socket } from "node:net";
+import type { Clock } from "../../core/time/clock.js";
 
 /** The connections. */
 export interface CallerConnections {
@@ -17,6 +18,8 @@
     readonly beginRequest: (socket: Socket) => boolean;
     /** Records that a request is over. */
     readonly endRequest: (socket: Socket) => void;
+    /** Closes a connection once what was written has reached the caller, and reads on until the caller has closed it too. */
+    readonly close: (socket: Socket) => void;
     /** Closes all connections once what was written has reached the callers. */
     readonly end: () => void;
     /** Closes all connections at once. */
@@ -26,21 +29,38 @@
 /** Share of the maximum at which idle connections are closed. */
 const crowdedShare = 0.75;
 
+/**
+ * Time for which a connection that is being closed is still read, in milliseconds. Bytes that arrive on a connection that is not
+ * read any more reset it, which can discard an answer that the caller has not read yet.
+ */
+const lingerMs = 2_000;
+
 /**
  * Creates a set without connections.
  *
  * @param maxConnections - Number of connections beyond which the server accepts none.
+ * @param clock - Ends connections that their callers do not close.
  * @returns The set.
  * @example
- * const connections = createCallerConnections(1_800);
+ * const connections = createCallerConnections(1_800, clock);
  * server.on("connection", connections.add);
  */
-export function createCallerConnections(maxConnections: number): CallerConnections {
+export function createCallerConnections(maxConnections: number, clock: Pick<Clock, "after">): CallerConnections {
     const crowdedCount = Math.floor(maxConnections * crowdedShare);
     /** Open connections, with their requests in progress. */
     const requests = new Map<Socket, number>();
     /** Connections that had a request and have none in progress, the longest idle first. */
     const idle = new Set<Socket>();
+    const closing = new WeakSet<Socket>();
+
+    function close(socket: Socket): void {
+        if (closing.has(socket)) {
+            return;
+        }
+        closing.add(socket);
+        socket.end();
+        socket.once("close", clock.after(lingerMs, () => socket.destroy()));
+    }
 
     function closeLongestIdle(): void {
         const [socket] = idle;
@@ -54,6 +74,8 @@
         count: () => requests.size,
         add: socket => {
             requests.set(socket, 0);
+            // Node.js calls it after the last answer of a connection.
+            socket.destroySoon = () => close(socket);
             socket.once("close", () => {
                 requests.delete(socket);
                 idle.delete(socket);
@@ -77,6 +99,7 @@
                 idle.add(socket);
             }
         },
+        close,
         end: () => [...requests.keys()].forEach(socket => socket.end()),
         destroy: () => [...requests.keys()].forEach(socket => socket.destroy()),
     };
