--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -78,7 +78,8 @@
             const pause = life.longestPauseMs > 0
                 ? `, kept from running for up to ${Math.round(life.longestPauseMs)} ms`
                 : "";
-            return [`FAULT ${life.address} did not stop in time: ${life.end}${pause}`];
+            const afterMs = Math.round((life.endedMs ?? atMs) - (life.termMs ?? life.startedMs));
+            return [`FAULT ${life.address} did not stop in time: ${life.end} after ${afterMs} ms${pause}`];
         }
         return [];
     });
