Keep promised requests of a late process, and release them when they end

Cause: found by review. And a request that waited with a promise was refused once the process became late. Change: the stop keeps the promised requests themselves until they end; a promised one stays taken.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -124,6 +124,9 @@
         When it does late what is due, by 100 ms
         Then a request with a deadline of 3000 ms that arrives 4300 ms later is refused
         And it ends its answers 7300 ms after the order
+        And the request that was taken first still is
+        When the request that was taken first has ended
+        Then it ends its answers 7100 ms after the order
 
     # Guards against requests that a late process takes without a promise longer than callers can be unaware of its stop.
     Scenario: A process that saw the order to stop late counts the time of unaware callers from the order
--- a/features/steps/shutdownSteps.ts
+++ b/features/steps/shutdownSteps.ts
@@ -8,6 +8,7 @@
 import { playStops } from "../../bench/faults/platform/playStops.js";
 import { stopShapes } from "../../bench/faults/platform/stopShapes.js";
 import { createProxyRequest } from "../../bench/support/proxyFixtures.js";
+import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
 import { createShutdown, type ShutdownLoad, type ShutdownPhase } from "../../src/core/shutdown/createShutdown.js";
 import { createLagMeter, type LagMeter } from "../../src/core/time/createLagMeter.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -18,6 +19,8 @@
     mayBeListed: boolean;
     hasDuties: boolean;
     lagMs: number;
+    /** Requests that the instance was asked about, in order. */
+    readonly asked: ProxyRequest[];
 }
 
 const instances = new WeakMap<SiteWorld, StoppingInstance>();
@@ -28,6 +31,9 @@
 
 const pollMs = 40;
 
+/** Time after the order from which on requests are refused that have no promise, in milliseconds. */
+const minRefusedMs = 2_700;
+
 function getInstance(world: SiteWorld): StoppingInstance {
     const instance = instances.get(world);
     assert.ok(instance !== undefined);
@@ -46,6 +52,7 @@
         mayBeListed: true,
         hasDuties: false,
         lagMs: 0,
+        asked: [],
     };
     instances.set(world, instance);
     return instance;
@@ -127,12 +134,28 @@
     readonly mayHaveRun: boolean;
 }
 
-function findRefusalKind(world: SiteWorld, asked: AskedRequest): string | undefined {
+function createAsked(asked: AskedRequest): ProxyRequest {
     const arrivedMs = stopMs + asked.arrivedAfterMs;
-    const req = createProxyRequest("stream", { arrivedMs, deadlineMs: arrivedMs + asked.deadlineMs });
-    return getInstance(world).shutdown.findRefusal(req, asked.mayHaveRun, stopMs + asked.askedAfterMs)?.kind;
+    return createProxyRequest("stream", { arrivedMs, deadlineMs: arrivedMs + asked.deadlineMs });
+}
+
+function findRefusalKind(world: SiteWorld, asked: AskedRequest): string | undefined {
+    const instance = getInstance(world);
+    const req = createAsked(asked);
+    instance.asked.push(req);
+    return instance.shutdown.findRefusal(req, asked.mayHaveRun, stopMs + asked.askedAfterMs)?.kind;
 }
 
+Then("the request that was taken first still is", function(this: SiteWorld) {
+    const { shutdown, asked } = getInstance(this);
+    assert.equal(shutdown.findRefusal(asked[0]!, false, stopMs + minRefusedMs), undefined);
+});
+
+When("the request that was taken first has ended", function(this: SiteWorld) {
+    const { shutdown, asked } = getInstance(this);
+    shutdown.release(asked[0]!);
+});
+
 Then(
     "a request with a deadline of {int} ms that arrives {int} ms later is {word}",
     function(this: SiteWorld, deadlineMs: number, afterMs: number, result: string) {
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -56,6 +56,8 @@
      * have run it, so that its caller can't be told "not run".
      */
     readonly findRefusal: (req: ProxyRequest, mayHaveRun: boolean, nowMs: number) => Refusal | undefined;
+    /** Records that a request has ended: what it was promised holds up the stop no longer. */
+    readonly release: (req: ProxyRequest) => void;
     /** Returns the refusal of requests that the instance has no time left for. */
     readonly createRefusal: (nowMs: number) => Refusal;
     /** When the stop comes to its ends at the latest. */
@@ -88,10 +90,10 @@
  * Time after the order to stop in which requests are taken that may last longer than the grace period, in milliseconds: their
  * callers could not know of the stop.
  */
-const maxUnknowingMs = 2_600;
+const maxUnawareMs = 2_600;
 
 /** The same time as a share of the grace period, when that is short. */
-const unknowingShare = 1 / 3;
+const unawareShare = 1 / 3;
 
 /** Minimum time in which requests are refused, in milliseconds: the network still holds some that were sent before. */
 const minRefusingMs = 60;
@@ -118,14 +120,14 @@
  */
 export function createShutdown(options: ShutdownOptions): Shutdown {
     const { graceMs, readLagMs = () => 0 } = options;
-    const unknowingMs = Math.min(maxUnknowingMs, graceMs * unknowingShare);
+    const unawareMs = Math.min(maxUnawareMs, graceMs * unawareShare);
     let phase: ShutdownPhase = "serving";
     let phaseSinceMs = 0;
     let leavingSinceMs = 0;
     let minUntilMs = 0;
     let orderLagMs = 0;
-    /** Latest deadline of a request that was taken because it comes before answers are due. */
-    let promisedUntilMs = 0;
+    /** Requests in progress that were taken because their deadline comes before answers are due. */
+    const promised = new Set<ProxyRequest>();
 
     const schedule = (lagMs: number) => scheduleStopEnds({ seenMs: leavingSinceMs, orderLagMs, graceMs, lagMs });
     const ends = (nowMs: number) => schedule(readLagMs(nowMs));
@@ -143,19 +145,19 @@
         return createRefusal("stopping", "there is too little time left for the request", { retryAfterMs });
     }
 
-    function isOwed(req: ProxyRequest, mayHaveRun: boolean, nowMs: number): boolean {
+    function mayTake(req: ProxyRequest, mayHaveRun: boolean, nowMs: number): boolean {
         if (phase !== "leaving") {
             return phase === "serving";
         }
         if (req.deadlineMs <= answersDueMs(nowMs)) {
-            promisedUntilMs = Math.max(promisedUntilMs, req.deadlineMs);
-            return true;
+            promised.add(req);
         }
-        return mayHaveRun || nowMs - leavingSinceMs + orderLagMs <= unknowingMs;
+        return mayHaveRun || promised.has(req) || nowMs - leavingSinceMs + orderLagMs <= unawareMs;
     }
 
     /** A process that becomes late while it leaves keeps what it promised before, as long as a prompt one would. */
     function answersEndMs(nowMs: number): number {
+        const promisedUntilMs = Math.max(0, ...[...promised].map(req => req.deadlineMs));
         return Math.max(answersDueMs(nowMs), Math.min(promisedUntilMs, schedule(0).answersDueMs));
     }
 
@@ -201,7 +203,10 @@
             const sinceMs = Math.round(nowMs - leavingSinceMs);
             return phase === "serving" ? undefined : { phase, sinceMs, leftMs: graceMs - sinceMs };
         },
-        findRefusal: (req, mayHaveRun, nowMs) => isOwed(req, mayHaveRun, nowMs) ? undefined : refuse(nowMs),
+        findRefusal: (req, mayHaveRun, nowMs) => mayTake(req, mayHaveRun, nowMs) ? undefined : refuse(nowMs),
+        release: req => {
+            promised.delete(req);
+        },
         createRefusal: refuse,
         ends,
         nextDueMs,
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -42,7 +42,7 @@
     /** Rate limit of an upstream that has stated one, in requests per second. */
     readonly findRateLimit: (upstream: string) => number | undefined;
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
-    readonly shutdown: Pick<Shutdown, "isLeaving" | "progress" | "findRefusal" | "createRefusal">;
+    readonly shutdown: Pick<Shutdown, "isLeaving" | "progress" | "findRefusal" | "release" | "createRefusal">;
     /** Reads what has arrived on all connections, so that callers that have left are known. */
     readonly readArrived: () => Promise<void>;
     /** Memory for the bodies of requests. */
@@ -299,6 +299,7 @@
             return;
         }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
+        overActions.add(() => deps.shutdown.release(proxied));
         serve(proxied, caller, report);
     }
 
