Answer what was read behind another request before the connection of a leaving instance closes

A request that was read behind another on its connection was sent on, and lost when the answer to the first one closed the connection. Change: an answer of a leaving instance closes its connection only if no other request was read behind it; what arrives behind an announced close is not sent on.

--- a/features/steps/stoppingProxySteps.ts
+++ b/features/steps/stoppingProxySteps.ts
@@ -17,6 +17,9 @@
     answered: number;
 }
 
+/** What the connections with two requests have received. */
+const connections = new WeakMap<SiteWorld, () => string>();
+
 const plays = new WeakMap<SiteWorld, Play>();
 
 const statuses = { answered: 200, notRun: 503, unknown: 502 } as const;
@@ -222,3 +225,33 @@
         assert.equal(caller.body, "id: 1\ndata: word 1\n\nid: 2\ndata: word 2\n\n");
     },
 );
+
+Given(
+    "two {string} requests with a deadline of {int} ms on one connection that upstreams have received",
+    async function(this: SiteWorld, kind: string, deadlineMs: number) {
+        const { proxy } = getPlay(this);
+        const call = { kind: kind as RequestKind, deadlineMs };
+        connections.set(this, proxy.callPipelined([call, call]));
+        await waitUntil(() => proxy.received.length === 2, "both requests are at upstreams");
+    },
+);
+
+When("the upstreams answer both", async function(this: SiteWorld) {
+    const { proxy } = getPlay(this);
+    const [first, second] = proxy.received.toSorted((one, other) => one.text.localeCompare(other.text));
+    answer(first!);
+    await waitUntil(() => connections.get(this)!().includes("ok"), "the first answer has arrived");
+    answer(second!);
+    await waitUntil(() => proxy.countActive() === 0, "both requests have ended");
+});
+
+Then(
+    "the connection has two answers, of which only the last one announces that it closes",
+    async function(this: SiteWorld) {
+        const readText = connections.get(this)!;
+        await waitUntil(() => readText().split("HTTP/1.1 200 OK").length === 3, "both answers have arrived");
+        const [, firstAnswer, lastAnswer] = readText().split("HTTP/1.1 200 OK");
+        assert.doesNotMatch(firstAnswer!, /connection: close/i);
+        assert.match(lastAnswer!, /connection: close/i);
+    },
+);
--- a/features/stoppingProxy.feature
+++ b/features/stoppingProxy.feature
@@ -108,3 +108,11 @@
         When the proxy is told to stop
         And the end of the answers passes
         Then the caller is told that it has not run
+
+    # Guards against requests that are lost because the answer to the one before on their connection closes it.
+    Scenario: A request that was read behind another on its connection is answered although the instance leaves
+        Given a proxy with a grace period of 8000 ms and 2 upstreams of 1 slot
+        And two "nonIdempotent" requests with a deadline of 6000 ms on one connection that upstreams have received
+        When the proxy is told to stop
+        And the upstreams answer both
+        Then the connection has two answers, of which only the last one announces that it closes
--- a/features/support/startStoppingProxy.ts
+++ b/features/support/startStoppingProxy.ts
@@ -3,7 +3,7 @@
  * The proxy of an instance over loopback with upstreams whose answers a scenario writes; its stop runs on a virtual clock.
  */
 import { createServer, request, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { advanceClock } from "../../bench/support/advanceClock.js";
 import { createPlacerFixture } from "../../bench/support/placerFixtures.js";
@@ -21,8 +21,8 @@
 import { createShutdown } from "../../src/core/shutdown/createShutdown.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
 import { createProxyService } from "../../src/io/proxy/createProxyService.js";
-import { createUpstreamSender } from "../../src/io/proxy/createUpstreamSender.js";
 import { runShutdown } from "../../src/io/shutdown/runShutdown.js";
+import { createSenderFixture } from "./createSenderFixture.js";
 
 /** What a caller sends. */
 export interface StoppingProxyCall {
@@ -48,6 +48,8 @@
 export interface StoppingProxy {
     /** Sends a request. */
     readonly call: (call: StoppingProxyCall) => CallerRecord;
+    /** Sends requests on one connection, and returns what the connection received so far. */
+    readonly callPipelined: (calls: readonly StoppingProxyCall[]) => () => string;
     /** The requests that upstreams have received, in order. */
     readonly received: readonly ScriptedRequest[];
     /** Number of requests that are received, in progress, or whose answers are not written out. */
@@ -140,6 +142,22 @@
     return record;
 }
 
+/** Sends requests on one connection, each behind the one before, and returns what the connection received so far. */
+function sendPipelined(port: number, calls: readonly StoppingProxyCall[]): () => string {
+    const socket = connect(port, "127.0.0.1");
+    let text = "";
+    socket.setEncoding("utf8");
+    socket.on("data", chunk => {
+        text += String(chunk);
+    });
+    socket.on("error", () => undefined);
+    calls.forEach(({ kind, deadlineMs }, index) => {
+        const head = `POST /${kind}/1 HTTP/1.1\r\nhost: ${host}\r\nattempt-id: pipelined-${index}\r\n`;
+        socket.write(`${head}time-budget: ${deadlineMs}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    });
+    return () => text;
+}
+
 /** Starts the proxy; upstreams answer only what a scenario writes. */
 export async function startStoppingProxy(options: StoppingProxyOptions): Promise<StoppingProxy> {
     const received: ScriptedRequest[] = [];
@@ -160,19 +178,7 @@
         mayBeListed: () => true,
         hasServingPeer: () => true,
     });
-    const send = createUpstreamSender({
-        clock,
-        connections,
-        codec,
-        health,
-        answerMemory,
-        onAnswerHead: () => undefined,
-        onAnswerEnd: () => undefined,
-        onForeignAnswer: () => undefined,
-        onEvent: () => undefined,
-        onConnectionEnd: () => undefined,
-        onHeadTime: () => undefined,
-    });
+    const send = createSenderFixture({ clock, connections, health, answerMemory });
     const routes = createRoutes();
     const service = createProxyService({
         clock,
@@ -206,6 +212,7 @@
             calls += 1;
             return sendCall((server.address() as AddressInfo).port, `attempt-${calls}`, call);
         },
+        callPipelined: pipelined => sendPipelined((server.address() as AddressInfo).port, pipelined),
         received,
         countActive: service.countActive,
         countWaiting: placer.countWaiting,
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -116,6 +116,21 @@
         };
     }
 
+    /** Returns the responses to requests that were read behind or before this one on its connection, in their order. */
+    function listOnConnection(res: ServerResponse): readonly ServerResponse[] {
+        return [...active.keys()].filter(one => one.req.socket === res.req.socket);
+    }
+
+    /** A connection stays open while a request waits behind this one: its answer is written later. */
+    function mustCloseAfter(res: ServerResponse): boolean {
+        return deps.shutdown.isLeaving() && listOnConnection(res).at(-1) === res;
+    }
+
+    /** Whether an answer before this one on the connection has announced that the connection closes. */
+    function isBehindClose(res: ServerResponse): boolean {
+        return listOnConnection(res).some(one => one !== res && one.headersSent && !one.shouldKeepAlive);
+    }
+
     function closeReport(report: EndReport, isWritten: boolean): void {
         report.close(isWritten, isStopped ? "stopped" : "callerGone", deps.clock.now());
     }
@@ -246,7 +261,7 @@
         const tableVersion = deps.routes()?.table.version;
         deps.writeLog("requestRefused", { requestId, kind, status, outcome, detail, tableVersion, target: req.url });
         const mustClose = status === 400 || status === 413 || status === 431;
-        const isClosing = () => mustClose || deps.shutdown.isLeaving();
+        const isClosing = () => mustClose || mustCloseAfter(res);
         const caller = createCallerExchange(res, { requestId, isClosing });
         caller.refuse(refusal);
         req.resume();
@@ -271,7 +286,7 @@
         }
         const caller = createCallerExchange(res, {
             requestId,
-            isClosing: deps.shutdown.isLeaving,
+            isClosing: () => mustCloseAfter(res),
             holdAnswer: deps.answerMemory.hold,
         });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
@@ -313,6 +328,11 @@
                 closeReport(report, isWritten);
                 overActions.run();
             });
+            if (deps.shutdown.isLeaving() && isBehindClose(res)) {
+                report.decide("stopped", deps.clock.now());
+                res.req.resume();
+                return;
+            }
             accept(res, overActions, report).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
                 failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }), report);
