Judge the last sixth of the grace period by the upstream's record

And a cut before the last sixth that was seen within it needed only a run that ended shortly before it.

Change: the run must reach the earliest time at which the cut may have been, and the last sixth itself. The first is wider by the time for which the caller was held up, the second is narrower. Planted histories state the earliest end of their attempts.

--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -42,6 +42,7 @@
             | a stream sent early was cut at the end, its upstream had finished     | LOST    |
             | a stream sent early was cut at the end, its upstream was left before  | LOST    |
             | a stream sent early was cut at the end and had never run              | LOST    |
+            | a stream sent early was cut before the last sixth, which its caller saw within it | LOST |
             | a stream was cut at an instance that was not told to stop             | LOST    |
             | a stream was cut just before its deadline                             | LOST    |
             | an earlier run was broken off and the last one cut                    | LOST    |
@@ -57,8 +58,9 @@
         Then the stops break no promise
 
         Examples:
-            | event                                                            |
-            | a stream sent early was cut at the end while its upstream worked |
+            | event                                                                   |
+            | a stream sent early was cut at the end while its upstream worked        |
+            | a stream sent early was cut at the end, which its caller saw 80 ms late |
             | a stream was cut at its deadline                                 |
             | a stream was cut at its route's timeout                          |
             | a stream was cut since its upstream broke off                    |
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -78,7 +78,7 @@
 
 function cutAt(afterMs: number, change: Partial<AttemptRecord> = {}, runChange: Partial<RunRecord> = {}): StopHistory {
     const endMs = termMs + afterMs;
-    return createHistory({ ...cut, endMs, ...change }, [{ ...cutRun, endMs, ...runChange }]);
+    return createHistory({ ...cut, endMs, earliestEndMs: endMs, ...change }, [{ ...cutRun, endMs, ...runChange }]);
 }
 
 function cutUnrun(afterSentMs: number, change: Partial<AttemptRecord> = {}): StopHistory {
@@ -124,6 +124,12 @@
         run,
     ]),
     "a stream sent early was cut at the end while its upstream worked": cutAt(7_500),
+    "a stream sent early was cut at the end, which its caller saw 80 ms late": cutAt(7_580, {
+        earliestEndMs: termMs + 7_490,
+    }, { endMs: termMs + 7_500 }),
+    "a stream sent early was cut before the last sixth, which its caller saw within it": cutAt(6_800, {
+        earliestEndMs: termMs + 6_590,
+    }, { endMs: termMs + 6_600 }),
     "a stream was cut at its deadline": cutAt(6_000, { deadlineMs: termMs + 6_000 }),
     "a stream was cut at its route's timeout": cutAt(6_000, { timeoutMs: termMs + 6_000 }),
     "a stream was cut since its upstream broke off": cutAt(6_000, {}, { isBrokenOff: true }),
