Answer a request before its connection closes for what was sent behind it

Cause: bytes that are no request, or a head that took too long, behind a request in progress were answered at once with 400, 431 or 408 and the end of the connection. The caller took that for the answer to the request, which had been passed on and ran. Change: while the last request was read completely and is in progress, the connection closes after its answer instead. A caller that has closed its side counts as gone, as before.

--- a/features/requestEnds.feature
+++ b/features/requestEnds.feature
@@ -16,10 +16,17 @@
             | closes its connection while an upstream has its request    | callerGone                       |
             | closes its connection within its body                      | callerGone                       |
             | sends two requests at once and closes its connection       | callerGone, callerGone           |
+            | closes its connection within a second request              | callerGone                       |
             | resets its connection before it has read a long answer     | answered                         |
             | has a request at an upstream when the instance stops       | outcomeUnknown written           |
             | has sent half of its body when the instance stops          | stopping written                 |
 
+    # Guards against a request that has run and whose caller gets the refusal of what it sent behind it.
+    Scenario: What is no request does not spoil the answer to the request before it
+        When the caller of an instance sends a request, and bytes that are no request behind it
+        Then its connection has one answer, of status 200
+        And the requests that the instance read ended as "answered written"
+
     # Guards against stops of which nobody can tell what was in progress, and when.
     Scenario: A stop tells at each of its phases how much time is left and what is open
         When the caller of an instance has a request at an upstream when the instance stops
--- a/features/steps/requestEndSteps.ts
+++ b/features/steps/requestEndSteps.ts
@@ -26,18 +26,31 @@
 const bodyText = "letter";
 const longAnswerBytes = 8 * 1_048_576;
 
-/** Requests that an upstream has, by scenario. */
-const arrivedRequests = new WeakMap<SiteWorld, { count: number; }>();
+/** What an upstream has received. */
+interface ArrivedRequests {
+    count: number;
+    /** Answer the requests that are held back. */
+    readonly releases: (() => void)[];
+}
+
+const arrivedRequests = new WeakMap<SiteWorld, ArrivedRequests>();
 
-function createHoldingUpstream(arrived: { count: number; }): Server {
+/** What callers have received, by scenario. */
+const receivedTexts = new WeakMap<SiteWorld, string>();
+
+function createHoldingUpstream(arrived: ArrivedRequests): Server {
     return createServer((req, res) => {
         req.resume();
         arrived.count += 1;
+        const answer = () => {
+            res.writeHead(200, { "attempt-id": req.headers["attempt-id"], "server-seal": "seal" });
+            res.end(req.url === "/documents/long" ? Buffer.alloc(longAnswerBytes) : "short");
+        };
         if (req.url === "/documents/held") {
+            arrived.releases.push(answer);
             return;
         }
-        res.writeHead(200, { "attempt-id": req.headers["attempt-id"], "server-seal": "seal" });
-        res.end(req.url === "/documents/long" ? Buffer.alloc(longAnswerBytes) : "short");
+        answer();
     });
 }
 
@@ -46,7 +59,7 @@
     async function(this: SiteWorld) {
         const store = await startFakeStore();
         const plain = await startFakeServer("i-3", "portal");
-        const arrived = { count: 0 };
+        const arrived: ArrivedRequests = { count: 0, releases: [] };
         const upstream = createHoldingUpstream(arrived).listen(0, "127.0.0.1");
         await once(upstream, "listening");
         this.cleanups.push(() => store.stop(), () => plain.stop(), () => {
@@ -124,11 +137,31 @@
         await waitForUpstream(world);
         socket.end();
     }],
+    ["closes its connection within a second request", async (socket, world) => {
+        socket.write(formatRequest("/documents/held", "attempt-1"));
+        await waitForUpstream(world);
+        socket.end("POST /documents/held HTTP/1.1\r\nhost");
+    }],
     ["resets its connection before it has read a long answer", async socket => {
         await readWhole(socket, "/documents/long");
         socket.pause();
         socket.resetAndDestroy();
     }],
+    ["sends a request, and bytes that are no request behind it", async (socket, world) => {
+        let text = "";
+        const closed = once(socket, "close");
+        socket.on("data", (chunk: Buffer) => {
+            text += chunk.toString();
+        });
+        socket.write(formatRequest("/documents/held", "attempt-1"));
+        await waitForUpstream(world);
+        socket.write("no request\r\n\r\n");
+        const { logged } = getFixture(world);
+        await waitUntil("the bytes are read", () => logged.some(line => line.event === "clientError"));
+        arrivedRequests.get(world)!.releases.forEach(release => release());
+        await closed;
+        receivedTexts.set(world, text);
+    }],
     ["has a request at an upstream when the instance stops", async (socket, world) => {
         socket.write(formatRequest("/documents/held", "attempt-1"));
         await waitForUpstream(world);
@@ -150,6 +183,11 @@
     },
 );
 
+Then("its connection has one answer, of status {int}", function(this: SiteWorld, status: number) {
+    const statuses = [...receivedTexts.get(this)!.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, found]) => Number(found));
+    assert.deepEqual(statuses, [status]);
+});
+
 /** Reads the ends that the metrics count, each as its result, and whether the answer was written out. */
 async function readEnds(world: SiteWorld): Promise<readonly string[]> {
     const text = await getFixture(world).instances[0]!.metrics.registry.metrics();
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -96,6 +96,8 @@
     const { listeners } = sources;
     const maxConnections = limitCallerConnections(settings);
     const connections = createCallerConnections(maxConnections, context.clock);
+    /** The last request of each connection. */
+    const lastRequests = new WeakMap<Socket, IncomingMessage>();
     let accepted = 0;
     let isClosed = false;
 
@@ -115,6 +117,7 @@
             connections.close(socket);
             return;
         }
+        lastRequests.set(socket, req);
         // A response whose connection closes first need not end: the connection is forgotten then.
         res.once("close", () => connections.endRequest(socket));
         sources.handle(req, res);
@@ -155,6 +158,11 @@
         if (!socket.writable || socket.destroyed) {
             return;
         }
+        // The caller would take this answer for the one to the request before.
+        const isAfterRequest = !socket.readableEnded && lastRequests.get(socket)?.complete === true;
+        if (isAfterRequest && connections.closeAfterRequests(socket)) {
+            return;
+        }
         const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
         const isTimeout = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
         const status = isTooLarge
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -16,6 +16,12 @@
      * @returns Whether it can still be answered: false on a connection that is being closed.
      */
     readonly beginRequest: (socket: Socket) => boolean;
+    /**
+     * Closes a connection on which something other than a request arrived, once the requests in progress are over.
+     *
+     * @returns Whether there are any.
+     */
+    readonly closeAfterRequests: (socket: Socket) => boolean;
     /** Records that a request is over. */
     readonly endRequest: (socket: Socket) => void;
     /** Closes a connection once what was written has reached the caller, and reads on until the caller has closed it too. */
@@ -52,6 +58,8 @@
     /** Connections that had a request and have none in progress, the longest idle first. */
     const idle = new Set<Socket>();
     const closing = new WeakSet<Socket>();
+    /** Connections that are closed when their requests are over. */
+    const last = new WeakSet<Socket>();
 
     function close(socket: Socket): void {
         if (closing.has(socket)) {
@@ -89,12 +97,22 @@
             requests.set(socket, (requests.get(socket) ?? 0) + 1);
             return !socket.writableEnded;
         },
+        closeAfterRequests: socket => {
+            const hasRequests = (requests.get(socket) ?? 0) > 0;
+            if (hasRequests) {
+                last.add(socket);
+            }
+            return hasRequests;
+        },
         endRequest: socket => {
             const known = requests.get(socket);
             if (known === undefined) {
                 return;
             }
             requests.set(socket, known - 1);
+            if (known === 1 && last.has(socket)) {
+                close(socket);
+            }
             if (known === 1) {
                 idle.add(socket);
             }
