Say in plain terms what a leaving instance takes, and name the connections that close when they are idle

Cause: comments spoke of owing, and a set of connections was called last. Conclusion: no behaviour has changed.

--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -3,11 +3,11 @@
  * Decides how an instance stops: which requests it still takes, which it refuses at once, and when its connections and then
  * the process end.
  *
- * What a leaving instance takes, it owes until the caller's deadline or the route's timeout. It takes a request only if that
- * comes before the process ends, however quickly earlier requests were answered; only at the beginning of its stop, while
- * callers don't know of it, it takes any. The others are refused as not run, so that their callers find another instance while
- * they have time. The same holds for requests that wait and for those that no upstream has run. A request that may have run is
- * owed already: it is sent again as long as the instance finishes requests.
+ * A request that is taken has to be answered until the caller's deadline or the route's timeout. A leaving instance takes one
+ * only if that comes before the process ends, however quickly earlier requests were answered; only at the beginning of its
+ * stop, while callers don't know of it, it takes any. The others are refused as not run, so that their callers find another
+ * instance while they have time. The same holds for requests that wait and for those that no upstream has run. A request that
+ * may have run can't be refused as not run any more: it is sent again as long as the instance finishes requests.
  */
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
@@ -145,6 +145,7 @@
         return createRefusal("stopping", "there is too little time left for the request", { retryAfterMs });
     }
 
+    /** A deadline that comes before answers are due is a promise, which holds until the request ends. */
     function mayTake(req: ProxyRequest, mayHaveRun: boolean, nowMs: number): boolean {
         if (phase !== "leaving") {
             return phase === "serving";
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -59,7 +59,7 @@
     const idle = new Set<Socket>();
     const closing = new WeakSet<Socket>();
     /** Connections that are closed when their requests are over. */
-    const last = new WeakSet<Socket>();
+    const closedWhenIdle = new WeakSet<Socket>();
 
     function close(socket: Socket): void {
         if (closing.has(socket)) {
@@ -100,7 +100,7 @@
         closeAfterRequests: socket => {
             const hasRequests = (requests.get(socket) ?? 0) > 0;
             if (hasRequests) {
-                last.add(socket);
+                closedWhenIdle.add(socket);
             }
             return hasRequests;
         },
@@ -110,7 +110,7 @@
                 return;
             }
             requests.set(socket, known - 1);
-            if (known === 1 && last.has(socket)) {
+            if (known === 1 && closedWhenIdle.has(socket)) {
                 close(socket);
             }
             if (known === 1) {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -116,12 +116,12 @@
         };
     }
 
-    /** Returns the responses to requests that were read behind or before this one on its connection, in their order. */
+    /** Returns the responses on the connection of this one that are not written out, in the order of their requests. */
     function listOnConnection(res: ServerResponse): readonly ServerResponse[] {
         return [...active.keys()].filter(one => one.req.socket === res.req.socket);
     }
 
-    /** A connection stays open while a request waits behind this one: its answer is written later. */
+    /** The connections of a leaving instance close after the last request that was read on them. */
     function mustCloseAfter(res: ServerResponse): boolean {
         return deps.shutdown.isLeaving() && listOnConnection(res).at(-1) === res;
     }
