Place a lone instance of steps in one function

Cause: the steps of late readers built the place of a process anew, as those of callers' connections did. Change: features/support/placeLoneInstance.ts serves both; addresses and ports are as they were. memorySteps and instanceProcessSteps still build their own. Conclusion: no assertion has changed.

--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -15,6 +15,7 @@
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { type CallerConnections, createCallerConnections } from "../../src/io/http/createCallerConnections.js";
+import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -89,15 +90,7 @@
         store.put("keyed.op", "config", configuration);
         store.put("keyed.servers", server.id, server.entry());
         const folder = mkdtempSync(join(tmpdir(), "reedward-connections-"));
-        const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.7`;
-        const place = {
-            name: "entry-1",
-            failureDomain: "north",
-            ip,
-            firstPort,
-            seeds: [],
-            storeAddress: store.address,
-        };
+        const place = placeLoneInstance({ lastOctet: 7, firstPort, storeAddress: store.address });
         const settingsPath = join(folder, "settings.json");
         const instance = createInstanceProcess(place, settingsPath, ["dist/platform/main.js"]);
         const settings = JSON.parse(readFileSync(settingsPath, "utf8")) as object;
--- a/features/steps/lateReaderSteps.ts
+++ b/features/steps/lateReaderSteps.ts
@@ -13,6 +13,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
+import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, streamHeaders, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -49,15 +50,7 @@
         store.put("keyed.op", "config", configuration);
         store.put("keyed.servers", "i-1", upstream);
         const folder = mkdtempSync(join(tmpdir(), "reedward-readers-"));
-        const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.9`;
-        const place = {
-            name: "entry-1",
-            failureDomain: "north",
-            ip,
-            firstPort,
-            seeds: [],
-            storeAddress: store.address,
-        };
+        const place = placeLoneInstance({ lastOctet: 9, firstPort, storeAddress: store.address });
         const instance = createInstanceProcess(place, join(folder, "settings.json"), ["dist/platform/main.js"]);
         this.cleanups.push(
             () => instance.stop(),
