End a process whose log nobody reads as any other, with code 0

Cause: lines were written by the thread pool. A write to a full pipe holds its thread, process.exit joins the threads, and endProcess sent SIGKILL to its own process instead of waiting. Class: whether a process ends, and how, depended on somebody who reads. Change: a pipe is opened once more without waiting and is written by the event loop, a socket too; the thread pool writes regular files and, without waiting, devices. The own open matters: waiting is a property that all holders share, and a process of Node.js that ends sets it back. Lines lost after they were queued (closed reader, full disk) are counted, and a new reader of a named pipe gets the next lines. The step's reader of the stalled log now has a descriptor of its own, since the writer's no longer waits; its assertions are the same. Open: a socket cannot be opened again, so a holder that makes it wait could hold up a write; a terminal that cannot be opened again likewise.

--- a/features/instanceProcess.feature
+++ b/features/instanceProcess.feature
@@ -27,13 +27,22 @@
         When the instance is started and gets SIGTERM as soon as it receives signals
         Then it ends with code 0
 
-    # Guards against an exit that waits for a stalled reader of the log until the platform kills the process.
-    Scenario: An instance whose log nobody reads ends when it is told to stop
-        Given a platform whose log of an instance nobody reads
+    # Guards against an exit that waits for the reader of the log, and against a process that kills itself instead.
+    Scenario Outline: An instance whose log <state> ends by itself when it is told to stop
+        Given a platform whose log of an instance <state>
         When the instance is started
         Then it is ready, on its entry list, and answers a caller
-        When its process is told to stop
+        When it refuses 3000 requests
+        And its process is told to stop
         Then it has ended before it would be killed
+        And it ends with code 0
+
+        Examples:
+            | state                       |
+            | nobody reads                |
+            | is full from the start      |
+            | has been closed by a reader |
+            | goes to a full device       |
 
     # Guards against an instance that ends because it meets a settings file that is being written.
     Scenario Outline: An instance waits for a settings file that is <state>
--- a/features/logging.feature
+++ b/features/logging.feature
@@ -16,3 +16,11 @@
     Scenario: Lines that were written while the process did not run count as written
         When the last lines of a log are written while the process does not run until their time is over
         Then they count as written
+
+    # Guards against a log that stays silent after its reader was replaced, and against lost lines that nobody counts.
+    Scenario: Lines that the reader's end lost are counted, and a new reader gets the next ones
+        Given a log whose reader has closed its end
+        When 100 lines are written to it
+        Then all 100 lines are counted as dropped
+        When a new reader opens the log and one more line is written
+        Then it gets one line, which reports that 100 were dropped
--- a/features/steps/instanceProcessSteps.ts
+++ b/features/steps/instanceProcessSteps.ts
@@ -43,6 +43,8 @@
 /** Time for which a process meets its incomplete settings file, in milliseconds. */
 const settingsDelayMs = 1_500;
 
+const requestsAtOnce = 50;
+
 /** Size of the writes that fill a pipe: the smallest that a pipe takes as a whole, in bytes. */
 const pipeBlockBytes = 4_096;
 
@@ -68,25 +70,25 @@
     });
 }
 
-/** Creates a pipe that is full, with nobody who reads it. */
-function createFullPipe(world: SiteWorld): string {
+/** Creates a pipe whose reader does not read. */
+function createUnreadPipe(world: SiteWorld): { readonly path: string; readonly reader: number; } {
     const folder = mkdtempSync(join(tmpdir(), "reedward-log-"));
     const path = join(folder, "pipe");
     assert.equal(spawnSync("mkfifo", [path]).status, 0);
-    const descriptor = openSync(path, constants.O_RDWR | constants.O_NONBLOCK);
-    world.cleanups.push(() => {
-        closeSync(descriptor);
-        rmSync(folder, { recursive: true });
-    });
+    const reader = openSync(path, constants.O_RDWR | constants.O_NONBLOCK);
+    world.cleanups.push(() => rmSync(folder, { recursive: true }));
+    return { path, reader };
+}
+
+function fillPipe(writer: number): void {
     try {
         for (;;) {
-            writeSync(descriptor, Buffer.alloc(pipeBlockBytes));
+            writeSync(writer, Buffer.alloc(pipeBlockBytes));
         }
     }
     catch (error) {
         assert.equal((error as NodeJS.ErrnoException).code, "EAGAIN");
     }
-    return path;
 }
 
 async function createPlatform(
@@ -123,10 +125,26 @@
     return createPlatform(this, undefined);
 });
 
-Given("a platform whose log of an instance nobody reads", function(this: SiteWorld) {
-    return createPlatform(this, undefined, createFullPipe(this));
+Given("a platform whose log of an instance goes to a full device", function(this: SiteWorld) {
+    return createPlatform(this, undefined, "/dev/full");
 });
 
+Given(
+    /^a platform whose log of an instance (nobody reads|is full from the start|has been closed by a reader)$/,
+    async function(this: SiteWorld, state: string) {
+        const { path, reader } = createUnreadPipe(this);
+        if (state === "is full from the start") {
+            fillPipe(reader);
+        }
+        await createPlatform(this, undefined, path);
+        if (state === "has been closed by a reader") {
+            closeSync(reader);
+            return;
+        }
+        this.cleanups.push(() => closeSync(reader));
+    },
+);
+
 Given(
     "a platform, and a process that holds the {word} address of an instance",
     function(this: SiteWorld, listener: string) {
@@ -150,9 +168,9 @@
     }
 }
 
-async function callOnce(instance: InstanceProcess): Promise<number> {
+async function callOnce(instance: InstanceProcess, path = plainCall.path): Promise<number> {
     try {
-        const res = await request(`http://${instance.callerAddress}${plainCall.path}`, {
+        const res = await request(`http://${instance.callerAddress}${path}`, {
             method: "POST",
             headers: { ...streamHeaders, ...plainCall.headers },
             body: "letter",
@@ -232,6 +250,14 @@
     assert.equal(instance.lives[0]?.end, "code 0");
 });
 
+When("it refuses {int} requests", async function(this: SiteWorld, count: number) {
+    const { instance } = getFixture(this);
+    for (let done = 0; done < count; done += requestsAtOnce) {
+        const calls = Array.from({ length: requestsAtOnce }, () => callOnce(instance, "/unknown"));
+        assert.deepEqual(new Set(await Promise.all(calls)), new Set([404]));
+    }
+});
+
 When("its process is told to stop", function(this: SiteWorld) {
     getFixture(this).instance.signal("SIGTERM");
 });
--- a/features/steps/loggingSteps.ts
+++ b/features/steps/loggingSteps.ts
@@ -14,6 +14,7 @@
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface StalledLog {
+    readonly path: string;
     readonly descriptor: number;
     readonly writer: LineWriter;
     readonly logger: BoundedLogger;
@@ -22,6 +23,10 @@
 }
 
 const maxQueued = 65_536;
+
+/** Bound of the wait until nothing is left to write, in milliseconds. */
+const finishMs = 5_000;
+
 const stalledLogs = new WeakMap<SiteWorld, StalledLog>();
 const written = new WeakMap<SiteWorld, readonly string[]>();
 const finished = new WeakMap<SiteWorld, boolean>();
@@ -34,20 +39,53 @@
 
 const nextTurn = () => new Promise<void>(resolve => setImmediate(resolve));
 
-Given("a log whose reader has stalled", function(this: SiteWorld) {
+function openLog(world: SiteWorld): StalledLog {
     const folder = mkdtempSync(join(tmpdir(), "reedward-log-"));
     const path = join(folder, "pipe");
     assert.equal(spawnSync("mkfifo", [path]).status, 0);
     // Opened for reading and writing, so that neither end blocks in open; nothing is read until a step reads.
     const descriptor = openSync(path, constants.O_RDWR);
-    this.cleanups.push(() => {
-        closeSync(descriptor);
+    const writerDescriptor = openSync(path, constants.O_WRONLY);
+    world.cleanups.push(() => {
+        closeSync(writerDescriptor);
         rmSync(folder, { recursive: true });
     });
-    const writer = createLineWriter({ descriptor, maxQueued });
+    const writer = createLineWriter({ descriptor: writerDescriptor, maxQueued });
     const clock = createVirtualClock(1);
     const logger = createBoundedLogger({ instance: "entry-1", clock, writer, linesPerSecond: 1e6, burst: 1e6 });
-    stalledLogs.set(this, { descriptor, writer, logger, turns: 0, text: "" });
+    const log = { path, descriptor, writer, logger, turns: 0, text: "" };
+    stalledLogs.set(world, log);
+    return log;
+}
+
+Given("a log whose reader has stalled", function(this: SiteWorld) {
+    const { descriptor } = openLog(this);
+    this.cleanups.push(() => closeSync(descriptor));
+});
+
+Given("a log whose reader has closed its end", function(this: SiteWorld) {
+    closeSync(openLog(this).descriptor);
+});
+
+Then("all {int} lines are counted as dropped", async function(this: SiteWorld, count: number) {
+    const { logger, writer } = findStalledLog(this);
+    assert.ok(await writer.finish(finishMs));
+    assert.equal(logger.listDropped().get("requestServed"), count);
+});
+
+When("a new reader opens the log and one more line is written", async function(this: SiteWorld) {
+    const stalled = findStalledLog(this);
+    const descriptor = openSync(stalled.path, constants.O_RDWR);
+    this.cleanups.push(() => closeSync(descriptor));
+    stalled.logger.writeLog("requestServed", { requestId: "last" });
+    stalled.text = await readSome(descriptor);
+});
+
+Then("it gets one line, which reports that {int} were dropped", function(this: SiteWorld, dropped: number) {
+    const lines = findStalledLog(this).text.trimEnd().split("\n").map(line =>
+        JSON.parse(line) as { requestId: string; leftOut?: number; }
+    );
+    assert.deepEqual(lines.map(line => [line.requestId, line.leftOut]), [["last", dropped]]);
 });
 
 When("{int} lines are written to it", async function(this: SiteWorld, count: number) {
--- a/src/io/logging/createBoundedLogger.ts
+++ b/src/io/logging/createBoundedLogger.ts
@@ -60,8 +60,8 @@
         bucket.filledMs = nowMs;
     }
 
-    function drop(name: LogEventName, bucket: Bucket): void {
-        bucket.dropped += 1;
+    function drop(name: LogEventName, bucket: Bucket, reported = 0): void {
+        bucket.dropped += 1 + reported;
         totals.set(name, (totals.get(name) ?? 0) + 1);
     }
 
@@ -89,7 +89,8 @@
             drop(name, bucket);
             return;
         }
-        if (!writer.write(format(name, fields, bucket.dropped))) {
+        const { dropped } = bucket;
+        if (!writer.write(format(name, fields, dropped), () => drop(name, bucket, dropped))) {
             drop(name, bucket);
             return;
         }
--- a/src/io/logging/createLineWriter.ts
+++ b/src/io/logging/createLineWriter.ts
@@ -1,30 +1,40 @@
 /**
  * @module
- * Writes lines to a file descriptor without blocking the event loop: when the reader stalls, lines are dropped.
+ * Writes lines to a file descriptor without ever waiting for its reader: when the reader stalls, lines are dropped.
  */
-import { write } from "node:fs";
+import { openOutput } from "./_lib/openOutput.js";
 
 /** The writer. */
 export interface LineWriter {
-    /** Queues a line; false when the queue is full and the line was dropped. */
-    readonly write: (line: string) => boolean;
+    /**
+     * Queues a line; false when the queue is full and the line was dropped.
+     *
+     * @param onLost - Called when a queued line could not be written.
+     */
+    readonly write: (line: string, onLost?: () => void) => boolean;
     readonly queuedBytes: () => number;
     /**
      * Writes what is queued.
      *
      * @param timeoutMs - Time for it, in milliseconds.
-     * @returns Whether everything was written; false when the reader has stalled.
+     * @returns Whether nothing is left to write; false when the reader has stalled.
      */
     readonly finish: (timeoutMs: number) => Promise<boolean>;
 }
 
 /** Options of {@link createLineWriter}. */
 export interface LineWriterOptions {
+    /** A regular file, a pipe, a socket or a device. */
     readonly descriptor: number;
     /** Maximum number of queued characters. */
     readonly maxQueued: number;
 }
 
+interface QueuedLine {
+    readonly text: string;
+    readonly onLost: () => void;
+}
+
 /**
  * Creates a writer.
  *
@@ -32,26 +42,13 @@
  * @returns The writer.
  */
 export function createLineWriter(options: LineWriterOptions): LineWriter {
-    let queued: string[] = [];
+    const writeBytes = openOutput(options.descriptor);
+    let queued: QueuedLine[] = [];
     let queuedLength = 0;
     let isWriting = false;
     /** Called when nothing is left to write. */
     let onIdle: () => void = () => undefined;
 
-    function writeRemaining(bytes: Buffer, from: number): void {
-        // Only one write at a time occupies the thread pool, so a full pipe blocks that write and nothing else.
-        write(options.descriptor, bytes, from, bytes.length - from, undefined, (err, written) => {
-            // A write error means that the reader has closed the pipe; the lines are lost.
-            const next = err instanceof Error ? bytes.length : from + written;
-            if (next < bytes.length) {
-                writeRemaining(bytes, next);
-                return;
-            }
-            isWriting = false;
-            flush();
-        });
-    }
-
     function flush(): void {
         if (isWriting) {
             return;
@@ -61,18 +58,24 @@
             return;
         }
         isWriting = true;
-        const bytes = Buffer.from(queued.join(""));
+        const lines = queued;
         queued = [];
         queuedLength = 0;
-        writeRemaining(bytes, 0);
+        writeBytes(Buffer.from(lines.map(line => line.text).join("")), isWritten => {
+            isWriting = false;
+            if (!isWritten) {
+                lines.forEach(line => line.onLost());
+            }
+            flush();
+        });
     }
 
     return {
-        write: line => {
+        write: (line, onLost = () => undefined) => {
             if (queuedLength + line.length > options.maxQueued) {
                 return false;
             }
-            queued.push(`${line}\n`);
+            queued.push({ text: `${line}\n`, onLost });
             queuedLength += line.length + 1;
             setImmediate(flush);
             return true;
