Soak: a run begins with its first event, and engines keep requests waiting

It noted the begin of a run when the request arrived, and engines answered 503 at once where they would have kept it waiting.

What has not begun is dropped when its connection closes, and gets 503 when an order is accepted. VERSION counts begins, TWICE and REFUSED count runs that began; LOST counts what arrived, as before.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -5,7 +5,8 @@
 import type { InstanceBounds } from "../../support/platformSettings.js";
 import { describeLoss } from "./describeLoss.js";
 import { findLosses, type Loss, type LossExcuse } from "./findLosses.js";
-import { type AttemptRecord, type LifeRecord, promiseStatuses, type RunRecord, type StopHistory } from "./stopTypes.js";
+import { findOldVersions } from "./findOldVersions.js";
+import { type AttemptRecord, promiseStatuses, type RunRecord, type StopHistory } from "./stopTypes.js";
 
 /** What was found. */
 export interface StopFindings {
@@ -33,8 +34,18 @@
         .map(attempt => `ORDER ${attempt.id} at ${attempt.address} ended as complete before its last event`);
 }
 
+/** A run that has begun. */
+type BegunRun = RunRecord & { readonly beganMs: number; };
+
+/** Lists the runs that have begun, in that order. */
+function listBegun(runs: readonly RunRecord[] = []): readonly BegunRun[] {
+    return runs
+        .filter((run): run is BegunRun => run.beganMs !== undefined)
+        .toSorted((one, other) => one.beganMs - other.beganMs);
+}
+
 /** Describes a run that was still at work some time after the next one had begun; undefined if there is none. */
-function describeOverlap(runs: readonly RunRecord[]): string | undefined {
+function describeOverlap(runs: readonly BegunRun[]): string | undefined {
     const index = runs.findIndex((run, at) => at > 0 && (runs[at - 1]!.endMs ?? Infinity) > run.beganMs + overlapMs);
     if (index < 0) {
         return undefined;
@@ -48,11 +59,12 @@
 
 function findRunTwice(history: StopHistory, runs: ReadonlyMap<string, readonly RunRecord[]>): readonly string[] {
     return history.requests.flatMap(request => request.attempts).flatMap(attempt => {
-        const count = runs.get(attempt.id)?.length ?? 0;
+        const begun = listBegun(runs.get(attempt.id));
+        const count = begun.length;
         const isPromise = attempt.isComplete && promiseStatuses.includes(attempt.status);
         const found: string[] = [];
         const mayRunAgain = attempt.kind === "idempotent" || attempt.canResume;
-        const overlap = attempt.canResume ? describeOverlap(runs.get(attempt.id) ?? []) : undefined;
+        const overlap = attempt.canResume ? describeOverlap(begun) : undefined;
         if (overlap !== undefined) {
             found.push(`TWICE ${attempt.id} went on at ${overlap}`);
         }
@@ -107,35 +119,6 @@
     };
 }
 
-/** Whether an instance has run undisturbed for the stable window. */
-function isInTouch(
-    address: string,
-    atMs: number,
-    lives: readonly LifeRecord[],
-    { stableWindowMs }: InstanceBounds,
-): boolean {
-    const own = lives.filter(life => life.address === address && life.startedMs < atMs);
-    return own.every(life =>
-        life.startedMs < atMs - stableWindowMs && (life.termMs ?? Infinity) > atMs
-        || (life.endedMs ?? Infinity) < atMs - stableWindowMs
-    );
-}
-
-function findOldVersions(history: StopHistory, bounds: InstanceBounds): readonly string[] {
-    const addresses = new Map(
-        history.requests.flatMap(request => request.attempts).map(attempt => [attempt.id, attempt.address]),
-    );
-    return history.runs.filter(run => run.version > 0).flatMap(run => {
-        const due = history.versions.filter(one => run.beganMs > one.namedMs + bounds.versionLimitMs).at(-1);
-        const address = addresses.get(run.attempt) ?? "";
-        return due !== undefined && run.version < due.version && isInTouch(address, run.beganMs, history.lives, bounds)
-            ? [`VERSION ${run.attempt} began on ${run.version}, ${due.version} was named ${
-                Math.round(run.beganMs - due.namedMs)
-            } ms before`]
-            : [];
-    });
-}
-
 function countOutcomes(history: StopHistory): Readonly<Record<string, number>> {
     const counts = { requests: 0, inTime: 0, late: 0, refused: 0, failed: 0, unsent: 0, refusedAttempts: 0, cut: 0 };
     for (const request of history.requests) {
@@ -218,7 +201,7 @@
  */
 export function checkStops(history: StopHistory, bounds: InstanceBounds, memoryKb = Infinity): StopFindings {
     const runs = new Map<string, RunRecord[]>();
-    for (const run of history.runs.toSorted((one, other) => one.beganMs - other.beganMs)) {
+    for (const run of history.runs.toSorted((one, other) => one.arrivedMs - other.arrivedMs)) {
         runs.set(run.attempt, [...(runs.get(run.attempt) ?? []), run]);
     }
     const losses = findLosses(history, runs);
--- a/bench/faults/platform/describeLoss.ts
+++ b/bench/faults/platform/describeLoss.ts
@@ -37,7 +37,9 @@
         .map(since);
     const other = findLastStop(loss, lives);
     const described = runs.map(run =>
-        `${run.upstream} from ${since(run.beganMs)} to ${since(run.endMs)}${run.isComplete ? " complete" : ""}`
+        `${run.upstream} from ${since(run.beganMs ?? run.arrivedMs)} to ${since(run.endMs)}${
+            run.isComplete ? " complete" : run.beganMs === undefined ? " not begun" : ""
+        }`
     );
     const met = troubles
         .filter(trouble => trouble.beganMs < attempt.endMs && trouble.endMs > attempt.endMs - troubleWindowMs)
--- a/bench/faults/platform/drawCall.ts
+++ b/bench/faults/platform/drawCall.ts
@@ -2,7 +2,8 @@
  * @module
  * What a caller sends.
  */
-import { eventIntervalMs, servedModel, workHeader } from "./startTimedUpstream.js";
+import { eventIntervalMs, workHeader } from "./createTimedRuns.js";
+import { servedModel } from "./startTimedUpstream.js";
 import type { CallShape } from "./stopShapes.js";
 
 /** One request of a caller. */
--- a/bench/faults/platform/findLosses.ts
+++ b/bench/faults/platform/findLosses.ts
@@ -78,7 +78,7 @@
 function wasAtWork(attempt: AttemptRecord, runs: readonly RunRecord[], atMs: number): boolean {
     const earliestCutMs = Math.min(attempt.endMs, attempt.earliestEndMs) - closeSlackMs;
     return runs.some(run =>
-        run.beganMs < attempt.endMs && !run.isComplete && (run.endMs ?? Infinity) > Math.max(earliestCutMs, atMs)
+        run.arrivedMs < attempt.endMs && !run.isComplete && (run.endMs ?? Infinity) > Math.max(earliestCutMs, atMs)
     );
 }
 
@@ -116,7 +116,7 @@
  * Finds the losses of a history.
  *
  * @param history - What was recorded.
- * @param runs - The runs of each attempt, in the order in which they began.
+ * @param runs - The runs of each attempt, in the order in which they arrived.
  * @returns The losses, excused ones too.
  */
 export function findLosses(
--- a/bench/faults/platform/playPlan.ts
+++ b/bench/faults/platform/playPlan.ts
@@ -14,18 +14,19 @@
  * - `alone`: one of them.
  * - `mixed`: at random, overlapping, with reloads, also of processes that start, restarts on addresses that are still in use,
  *   and new versions of the weights.
+ * - `load`: not at all; a version of the weights is named.
  */
-export type StopPlan = "turn" | "together" | "alone" | "mixed";
+export type StopPlan = "turn" | "together" | "alone" | "mixed" | "load";
 
 /** Every plan. */
-export const stopPlans: readonly StopPlan[] = ["turn", "together", "alone", "mixed"];
+export const stopPlans: readonly StopPlan[] = ["turn", "together", "alone", "mixed", "load"];
 
 /** How a plan is played. */
 export interface PlanOptions {
     readonly plan: StopPlan;
     /** Pause between two orders to stop, in milliseconds. */
     readonly gapMs: number;
-    /** Length of the series in the plan `mixed`, in seconds. */
+    /** Length of the series in the plans `mixed` and `load`, in seconds. */
     readonly seconds: number;
 }
 
@@ -133,6 +134,10 @@
         case "alone":
             await stopAndRestart(instances[0]!);
             return;
+        case "load":
+            fleet.nameVersion();
+            await delay(options.seconds * millisecondsPerSecond);
+            return;
         default:
             await playMixed(fleet, options);
     }
--- a/bench/faults/platform/runUpstreamWorker.ts
+++ b/bench/faults/platform/runUpstreamWorker.ts
@@ -34,7 +34,7 @@
             },
             stop: () => {
                 upstreams.forEach(upstream => upstream.stop());
-                return Promise.resolve(upstreams.flatMap(upstream => upstream.runs));
+                return Promise.resolve(upstreams.flatMap(upstream => upstream.listRuns()));
             },
         };
     },
--- a/bench/faults/platform/startDeployment.ts
+++ b/bench/faults/platform/startDeployment.ts
@@ -57,6 +57,8 @@
             slots: shape[part].slots,
             isEngine: part === "engines",
             brokenRunShare: shape.brokenRunShare,
+            firstEvent: shape[part].firstEvent,
+            rejectsOrders: shape[part].rejectsOrders ?? false,
         }))
     );
 }
--- a/bench/faults/platform/startTimedUpstream.ts
+++ b/bench/faults/platform/startTimedUpstream.ts
@@ -2,8 +2,9 @@
  * @module
  * Upstream whose runs take as long as the caller asks for: a plain answer after that time, or a stream that lasts as long.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { createTimedRuns, type DrawnTime, eventIntervalMs } from "./createTimedRuns.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { RunRecord } from "./stopTypes.js";
 import type { EngineTrouble } from "./troubleTypes.js";
@@ -13,18 +14,13 @@
 export interface TimedUpstream {
     /** Id of its first incarnation. */
     readonly name: string;
-    readonly runs: readonly RunRecord[];
+    readonly listRuns: () => readonly RunRecord[];
     /** Its record in the store. */
     readonly entry: unknown;
     readonly disturb: (trouble: EngineTrouble) => void;
     readonly stop: () => void;
 }
 
-interface Run {
-    readonly record: RunRecord;
-    readonly res: ServerResponse;
-}
-
 /** What an upstream is. */
 export interface TimedUpstreamOptions {
     readonly id: string;
@@ -36,19 +32,23 @@
     readonly isEngine: boolean;
     /** Share of its runs that it breaks off midway. */
     readonly brokenRunShare: number;
+    /** Time from the begin of work to the first event of a stream; undefined if it is short. */
+    readonly firstEvent: DrawnTime | undefined;
+    /** Whether it rejects all orders, so that it keeps its weights. */
+    readonly rejectsOrders: boolean;
     readonly random: () => number;
     /** Called when it has come back under a new id. */
     readonly reportReplaced: (upstream: ReplacedUpstream) => void;
 }
 
-/** Header with the time that a run takes, in milliseconds. */
-export const workHeader = "x-work-ms";
-
 /** Model that the engines serve. */
 export const servedModel = "easy-read";
 
-/** Interval of the events of a stream, in milliseconds. */
-export const eventIntervalMs = 50;
+/** Time to the first event of an engine that is not slow. */
+const promptFirstEvent: DrawnTime = { minMs: eventIntervalMs, maxMs: eventIntervalMs };
+
+/** Time to the first event of an engine that has the trouble `slow`. */
+const slowFirstEvent: DrawnTime = { minMs: 2_000, maxMs: 4_000 };
 
 /** Time for which an engine loads weights, in milliseconds. */
 const loadMs = 570;
@@ -66,7 +66,6 @@
 /** Starts an upstream on loopback. */
 export function startTimedUpstream(options: TimedUpstreamOptions): Promise<TimedUpstream> {
     const { id: name, service, isEngine, slots } = options;
-    const runs: RunRecord[] = [];
     let version = 1;
     let orders = 0;
     let lastFence = -1;
@@ -77,7 +76,8 @@
     let stillUntilMs = -Infinity;
     let rejectsUntilMs = -Infinity;
     let breaksUntilMs = -Infinity;
-    const running = new Set<Run>();
+    let slowUntilMs = -Infinity;
+    let rejectsOrdersUntilMs = options.rejectsOrders ? Infinity : -Infinity;
 
     /** Acts as soon as it does not stand still. */
     function whenAwake(act: () => void): void {
@@ -89,22 +89,29 @@
         setTimeout(() => whenAwake(act), waitMs).unref();
     }
 
-    function breakOff({ record, res }: Run): void {
-        record.isBrokenOff ||= !res.writableFinished && !res.destroyed;
-        res.destroy();
-    }
+    const runs = createTimedRuns({
+        isEngine,
+        slots,
+        random: options.random,
+        readState: () => {
+            const nowMs = readSharedClock();
+            return {
+                id,
+                version: isEngine ? version : 0,
+                rejectsRuns: isLoading || nowMs < rejectsUntilMs,
+                brokenShare: nowMs < breaksUntilMs ? troubledBrokenShare : options.brokenRunShare,
+                firstEvent: nowMs < slowUntilMs ? slowFirstEvent : options.firstEvent ?? promptFirstEvent,
+            };
+        },
+        whenAwake,
+        isStill: () => readSharedClock() < stillUntilMs,
+    });
 
     function sendJson(res: ServerResponse, status: number, body: unknown): void {
         res.writeHead(status, { "content-type": "application/json" });
         res.end(JSON.stringify(body));
     }
 
-    function reject(req: IncomingMessage, res: ServerResponse, status: number): void {
-        const attempt = req.headers["attempt-id"] ?? "";
-        res.writeHead(status, { "instance-id": id, "attempt-id": attempt, "not-executed": "1", "content-length": "0" });
-        res.end();
-    }
-
     function applyOrder(res: ServerResponse, text: string): void {
         const order = JSON.parse(text) as { version: number; fence: number; expect?: number; };
         if (order.fence < lastFence) {
@@ -112,12 +119,14 @@
             return;
         }
         lastFence = order.fence;
-        if (isLoading || (order.expect !== undefined && order.expect !== orders)) {
+        const isRejected = isLoading || readSharedClock() < rejectsOrdersUntilMs;
+        if (isRejected || (order.expect !== undefined && order.expect !== orders)) {
             sendJson(res, 409, {});
             return;
         }
         orders += 1;
         isLoading = true;
+        runs.rejectWaiting();
         setTimeout(() => {
             version = order.version;
             isLoading = false;
@@ -125,71 +134,6 @@
         sendJson(res, 202, {});
     }
 
-    function stream(res: ServerResponse, head: Record<string, string>, workMs: number, resumedAfter: number): void {
-        if (res.destroyed) {
-            return;
-        }
-        res.writeHead(200, { ...head, "content-type": "text/event-stream", "weight-versions": String(version) });
-        const events = Math.max(1, Math.round(workMs / eventIntervalMs));
-        let sent = Math.min(resumedAfter, events - 1);
-        const timer = setInterval(() => {
-            if (readSharedClock() < stillUntilMs) {
-                return;
-            }
-            sent += 1;
-            res.write(`id: ${sent}\ndata: word ${sent} of ${events}\n\n`);
-            if (sent === events) {
-                clearInterval(timer);
-                res.end();
-            }
-        }, eventIntervalMs);
-        res.on("close", () => clearInterval(timer));
-    }
-
-    function run(req: IncomingMessage, res: ServerResponse, bodyBytes: number): void {
-        const expectedVersion = req.headers["expect-version"];
-        const isOther = req.headers["expect-instance"] !== id
-            || (expectedVersion !== undefined && Number(expectedVersion) !== version);
-        if (isOther || isLoading || readSharedClock() < rejectsUntilMs) {
-            whenAwake(() => reject(req, res, isOther ? 421 : 503));
-            return;
-        }
-        const attempt = String(req.headers["attempt-id"]);
-        const record: RunRecord = {
-            attempt,
-            upstream: id,
-            version: isEngine ? version : 0,
-            beganMs: readSharedClock(),
-            endMs: undefined,
-            isComplete: false,
-            isBrokenOff: false,
-        };
-        runs.push(record);
-        const current = { record, res };
-        running.add(current);
-        res.on("close", () => {
-            running.delete(current);
-            record.endMs = readSharedClock();
-            record.isComplete = res.writableFinished;
-        });
-        const head = { "attempt-id": attempt, "server-seal": `seal-${id}`, "instance-id": id };
-        const workMs = Number(req.headers[workHeader] ?? 0);
-        const brokenShare = readSharedClock() < breaksUntilMs ? troubledBrokenShare : options.brokenRunShare;
-        if (options.random() < brokenShare) {
-            setTimeout(() => breakOff(current), workMs / 2);
-        }
-        if (isEngine) {
-            const resumedAfter = Number(req.headers["last-event-id"] ?? 0);
-            whenAwake(() => stream(res, head, workMs, resumedAfter));
-            return;
-        }
-        const timer = setTimeout(() => {
-            res.writeHead(200, head);
-            res.end(`${attempt} ${bodyBytes}`);
-        }, workMs);
-        res.on("close", () => clearTimeout(timer));
-    }
-
     const server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => {
         const chunks: Buffer[] = [];
         req.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -198,7 +142,8 @@
             switch (new URL(req.url ?? "", "http://server").pathname) {
                 case "/reedward/report": {
                     const served = isEngine ? [{ name: servedModel, version, adapters: [] }] : [];
-                    const use = { waiting: 0, running: 0, kv_used: 0, kv_total: 100_000, handles: 0 };
+                    const counts = { waiting: runs.countWaiting(), running: runs.countWorking() };
+                    const use = { ...counts, kv_used: 0, kv_total: 100_000, handles: 0 };
                     whenAwake(() =>
                         sendJson(res, 200, {
                             stage: "combined",
@@ -219,7 +164,7 @@
                     return;
                 }
                 default:
-                    run(req, res, body.length);
+                    runs.take(req, res, body.length);
             }
         });
     });
@@ -247,7 +192,7 @@
 
     /** Drops all connections, and comes back as an engine that nobody has ordered yet. */
     function restart({ lastsMs, keepsAddress }: EngineTrouble): void {
-        running.forEach(breakOff);
+        runs.breakOff(1);
         server.closeAllConnections();
         server.close(() => {
             setTimeout(() => {
@@ -273,7 +218,13 @@
                 return;
             case "break":
                 breaksUntilMs = Math.max(breaksUntilMs, untilMs);
-                [...running].filter(() => options.random() < troubledBrokenShare).forEach(breakOff);
+                runs.breakOff(troubledBrokenShare);
+                return;
+            case "slow":
+                slowUntilMs = Math.max(slowUntilMs, untilMs);
+                return;
+            case "rejectOrders":
+                rejectsOrdersUntilMs = Math.max(rejectsOrdersUntilMs, untilMs);
                 return;
             default:
                 if (server.listening) {
@@ -286,7 +237,7 @@
         listen(() => {
             resolve({
                 name,
-                runs,
+                listRuns: runs.listRecords,
                 entry: describeEntry(),
                 disturb,
                 stop: () => {
--- a/bench/faults/platform/stopShapes.ts
+++ b/bench/faults/platform/stopShapes.ts
@@ -3,6 +3,7 @@
  * Deployments whose stops are played: how many instances and upstreams there are, what callers ask for, and the bounds.
  */
 import { defaultBounds, grownBounds, type InstanceBounds } from "../../support/platformSettings.js";
+import type { DrawnTime } from "./createTimedRuns.js";
 import type { CallKind } from "./stopTypes.js";
 
 /** A kind of request of a deployment, which has a route of its own. */
@@ -30,6 +31,10 @@
     readonly count: number;
     /** Requests that each runs at once. */
     readonly slots: number;
+    /** Time from the begin of work to the first event of a stream; undefined if it is short. */
+    readonly firstEvent?: DrawnTime;
+    /** Whether they reject all orders, so that they keep their weights. */
+    readonly rejectsOrders?: boolean;
 }
 
 /** What each instance's process may use. */
@@ -224,6 +229,13 @@
     /** Upstreams that break off a part of their runs. */
     brokenRuns: { ...small, brokenRunShare: 0.03 },
     limitedInstances,
+    /** Engines that keep their weights and whose first events come late. */
+    keptWeights: {
+        ...small,
+        instances: 3,
+        failureDomains: [1, 1, 1],
+        engines: { count: 4, slots: 64, firstEvent: { minMs: 2_500, maxMs: 3_000 }, rejectsOrders: true },
+    },
     grown,
     grownMore: {
         ...grown,
--- a/bench/faults/platform/stopTypes.ts
+++ b/bench/faults/platform/stopTypes.ts
@@ -49,13 +49,16 @@
     readonly attempts: readonly AttemptRecord[];
 }
 
-/** One run of an attempt at an upstream. */
+/** An attempt that an upstream took, and its run. */
 export interface RunRecord {
     readonly attempt: string;
     readonly upstream: string;
-    readonly version: number;
-    readonly beganMs: number;
-    /** Undefined while it runs. */
+    /** Version of the weights on which the run began. */
+    version: number;
+    readonly arrivedMs: number;
+    /** When its run began: with the first event of a stream. Undefined if it has not run. */
+    beganMs: number | undefined;
+    /** Undefined while the upstream has it. */
     endMs: number | undefined;
     /** Whether the upstream has answered completely. */
     isComplete: boolean;
--- a/bench/faults/platform/troubleTypes.ts
+++ b/bench/faults/platform/troubleTypes.ts
@@ -10,13 +10,24 @@
  * - `restart`: engines drop all connections and come back under a new id, at the same address or another one.
  * - `reject`: engines answer requests for runs with 503 and state that they did not run them.
  * - `break`: engines break off a part of their runs.
+ * - `slow`: the first events of engines come late.
+ * - `rejectOrders`: engines reject orders, so that they keep their weights.
  * - `load`: the operator names the next version of the weights.
  * - `reconfigure`: the operator changes timeouts and adds a route.
  */
-export type TroubleKind = "still" | "restart" | "reject" | "break" | "load" | "reconfigure";
+export type TroubleKind = "still" | "restart" | "reject" | "break" | "slow" | "rejectOrders" | "load" | "reconfigure";
 
 /** Every trouble. */
-export const troubleKinds: readonly TroubleKind[] = ["still", "restart", "reject", "break", "load", "reconfigure"];
+export const troubleKinds: readonly TroubleKind[] = [
+    "still",
+    "restart",
+    "reject",
+    "break",
+    "slow",
+    "rejectOrders",
+    "load",
+    "reconfigure",
+];
 
 /** A trouble that engines themselves have. */
 export interface EngineTrouble {
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -51,6 +51,7 @@
             | a stream went on while the upstream before was at work                | TWICE   |
             | a process held more memory than it may                                | MEMORY  |
             | a stream looked complete without its last event                       | ORDER   |
+            | a stream arrived in time and began on old weights after the limit     | VERSION |
 
     # Guards against requests that reached their deadline and were counted as lost.
     Scenario Outline: The check of stops excuses that <event>
@@ -69,6 +70,8 @@
             | a request was refused at the door                                |
             | a request was not sent completely                                |
             | a stream went on when its upstream before had broken off         |
+            | a stream that waited on old weights was withdrawn before it began |
+            | a stream waited at an upstream and ran at another                 |
 
     Scenario: A loss comes with its trace
         When in the history of stops a stream sent early was cut before the last sixth of the grace period
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -55,6 +55,7 @@
     attempt: answered.id,
     upstream: "adapt-1",
     version: 1,
+    arrivedMs: termMs + 1_010,
     beganMs: termMs + 1_010,
     endMs: termMs + 7_000,
     isComplete: true,
@@ -92,6 +93,18 @@
     }, []);
 }
 
+/** A version is named 4 s after the start, and a stream that is sent 6 s later on the one before begins after the limit of 8 s. */
+function createLateBegin(change: Partial<RunRecord>): StopHistory {
+    const namedMs = 4_000;
+    const arrivedMs = namedMs + 6_000;
+    const late = { ...run, arrivedMs, beganMs: namedMs + defaultBounds.versionLimitMs + 1, endMs: namedMs + 12_000 };
+    const attempt = { ...answered, sentMs: arrivedMs, endMs: namedMs + 12_000 };
+    return {
+        ...createHistory(attempt, [{ ...late, ...change }]),
+        versions: [{ version: 1, namedMs: 0 }, { version: 2, namedMs }],
+    };
+}
+
 const plantedHistories: Readonly<Record<string, StopHistory>> = {
     "a stream sent early was cut before the last sixth of the grace period": cutAt(6_000),
     "a stream sent late was cut at the end of the grace period": cutAt(7_500, { sentMs: termMs + 3_100 }),
@@ -109,14 +122,14 @@
         endMs: termMs + 6_000,
     }, [
         { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
-        { ...cutRun, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
+        { ...cutRun, arrivedMs: termMs + 2_100, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
     ]),
     "a run was cut after one that was broken off and is listed later": createHistory({
         ...cut,
         kind: "idempotent",
         endMs: termMs + 6_000,
     }, [
-        { ...cutRun, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
+        { ...cutRun, arrivedMs: termMs + 2_100, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
         { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
     ]),
     "a request was reset unread 300 ms after its last byte": cutUnrun(300),
@@ -140,16 +153,22 @@
     "a request was refused at the door": cutUnrun(300, { error: "ECONNREFUSED" }),
     "a stream went on when its upstream before had broken off": createHistory({ ...answered, canResume: true }, [
         { ...cutRun, endMs: termMs + 2_000, isBrokenOff: true },
-        { ...run, beganMs: termMs + 2_300 },
+        { ...run, arrivedMs: termMs + 2_300, beganMs: termMs + 2_300 },
     ]),
     "a stream went on while the upstream before was at work": createHistory({ ...answered, canResume: true }, [
         { ...cutRun, endMs: termMs + 2_000 },
-        { ...run, beganMs: termMs + 1_500 },
+        { ...run, arrivedMs: termMs + 1_500, beganMs: termMs + 1_500 },
     ]),
     "a process held more memory than it may": {
         ...createHistory(answered, [run]),
         lives: [{ ...life, peakMemoryKb: memoryKb + 1 }],
     },
+    "a stream arrived in time and began on old weights after the limit": createLateBegin({}),
+    "a stream that waited on old weights was withdrawn before it began": createLateBegin({ beganMs: undefined }),
+    "a stream waited at an upstream and ran at another": createHistory(answered, [
+        { ...run, beganMs: undefined, isComplete: false, endMs: termMs + 1_500 },
+        { ...run, arrivedMs: termMs + 1_510, beganMs: termMs + 1_520 },
+    ]),
     "a request was not sent completely": createHistory({ ...cut, sentMs: undefined, status: 0 }, []),
 };
 
