Soak of stops: large bodies, changing limits, and series of changes without stops

The soak had bodies of 600 bytes, answers of some bytes, limits that never changed, no memory and descriptors stated in the settings files, and no run without stops.

New: the shapes largeBodies (8 instances in 4 failure domains, 200 MB, 0.675 of a core, bodies up to 400 kB in up to 6 parts, plain answers up to 500 kB, each configuration changes limits and moves the plain routes between two services) and fewDescriptors (540 of them); the plans reloads, configurations and changes. Existing shapes draw the same numbers as before.

Losses are counted at any time, also beside SIGHUP and configurations; findLosses.ts needed no change.

--- a/bench/faults/platform/drawCall.ts
+++ b/bench/faults/platform/drawCall.ts
@@ -2,8 +2,8 @@
  * @module
  * What a caller sends.
  */
-import { eventIntervalMs, servedModel, workHeader } from "./startTimedUpstream.js";
-import type { CallShape } from "./stopShapes.js";
+import { answerBytesHeader, eventIntervalMs, servedModel, workHeader } from "./startTimedUpstream.js";
+import type { CallShape, SizeRange } from "./stopShapes.js";
 
 /** One request of a caller. */
 export interface Call {
@@ -13,12 +13,29 @@
     /** Events of the stream that answers it. */
     readonly events: number;
     readonly isChunked: boolean;
-    /** Whether its body is sent in two parts. */
-    readonly hasTwoParts: boolean;
+    /** Number of parts in which its body is sent. */
+    readonly parts: number;
+    readonly bodyBytes: number;
+    /** Size of its plain answer; undefined where the upstream decides. */
+    readonly answerBytes: number | undefined;
 }
 
 const chunkedShare = 0.4;
 const twoPartsShare = 0.2;
+const defaultBodyBytes = 600;
+
+/** Most parts of a body whose size is drawn. */
+const maxParts = 6;
+
+function drawSize({ min, max }: SizeRange, random: () => number): number {
+    return Math.round(min + random() ** 2 * (max - min));
+}
+
+function drawParts({ bodyBytes }: CallShape, random: () => number): Pick<Call, "parts" | "bodyBytes"> {
+    return bodyBytes === undefined
+        ? { parts: random() < twoPartsShare ? 2 : 1, bodyBytes: defaultBodyBytes }
+        : { parts: 1 + Math.floor(random() * maxParts), bodyBytes: drawSize(bodyBytes, random) };
+}
 
 /** Draws a request of one of the kinds. */
 export function drawCall(shapes: readonly CallShape[], random: () => number): Call {
@@ -34,7 +51,8 @@
         workMs,
         events: Math.max(1, Math.round(workMs / eventIntervalMs)),
         isChunked: random() < chunkedShare,
-        hasTwoParts: random() < twoPartsShare,
+        ...drawParts(shape, random),
+        answerBytes: shape.answerBytes === undefined ? undefined : drawSize(shape.answerBytes, random),
     };
 }
 
@@ -45,7 +63,6 @@
     readonly key: string;
     /** Time until the deadline, in milliseconds. */
     readonly leftMs: number;
-    readonly bodyBytes: number;
 }
 
 /** Describes the headers of an attempt. */
@@ -56,7 +73,8 @@
         authorization: `Bearer ${head.key}`,
         "time-budget": String(Math.round(head.leftMs)),
         [workHeader]: String(call.workMs),
-        ...(call.isChunked ? { "transfer-encoding": "chunked" } : { "content-length": String(head.bodyBytes) }),
+        ...(call.answerBytes === undefined ? {} : { [answerBytesHeader]: String(call.answerBytes) }),
+        ...(call.isChunked ? { "transfer-encoding": "chunked" } : { "content-length": String(call.bodyBytes) }),
         ...(call.shape.kind === "stream"
             ? {
                 model: servedModel,
--- a/bench/faults/platform/playPlan.ts
+++ b/bench/faults/platform/playPlan.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as delay } from "node:timers/promises";
 import type { InstanceProcess } from "./createInstanceProcess.js";
+import { playChanges } from "./playChanges.js";
 import { readSharedClock } from "./readSharedClock.js";
 
 /**
@@ -14,18 +15,29 @@
  * - `alone`: one of them.
  * - `mixed`: at random, overlapping, with reloads, also of processes that start, restarts on addresses that are still in use,
  *   and new versions of the weights.
+ * - `reloads`: none; instances are told to read their settings again.
+ * - `configurations`: none; the operator writes one configuration after the other.
+ * - `changes`: none; both of these.
  */
-export type StopPlan = "turn" | "together" | "alone" | "mixed";
+export type StopPlan = "turn" | "together" | "alone" | "mixed" | "reloads" | "configurations" | "changes";
 
 /** Every plan. */
-export const stopPlans: readonly StopPlan[] = ["turn", "together", "alone", "mixed"];
+export const stopPlans: readonly StopPlan[] = [
+    "turn",
+    "together",
+    "alone",
+    "mixed",
+    "reloads",
+    "configurations",
+    "changes",
+];
 
 /** How a plan is played. */
 export interface PlanOptions {
     readonly plan: StopPlan;
-    /** Pause between two orders to stop, in milliseconds. */
+    /** Pause between two orders or changes, in milliseconds. */
     readonly gapMs: number;
-    /** Length of the series in the plan `mixed`, in seconds. */
+    /** Length of the series in the plan `mixed` and in those without stops, in seconds. */
     readonly seconds: number;
 }
 
@@ -35,6 +47,8 @@
     readonly random: () => number;
     /** Names the next version of the weights. */
     readonly nameVersion: () => void;
+    /** Writes the next configuration. */
+    readonly reconfigure: () => void;
 }
 
 const restartDelayMs = 500;
@@ -133,6 +147,15 @@
         case "alone":
             await stopAndRestart(instances[0]!);
             return;
+        case "reloads":
+        case "configurations":
+        case "changes":
+            await playChanges(fleet, {
+                ...options,
+                reloads: options.plan !== "configurations",
+                configurations: options.plan !== "reloads",
+            });
+            return;
         default:
             await playMixed(fleet, options);
     }
--- a/bench/faults/platform/playStops.ts
+++ b/bench/faults/platform/playStops.ts
@@ -94,6 +94,7 @@
             firstPort,
             seeds: ips.slice(0, seedInstances),
             storeAddress,
+            ...(shape.settings === undefined ? {} : { limits: shape.settings }),
         };
         const command = [...shape.limits?.nodeArguments ?? [], program];
         const share = shape.limits?.processorShare ?? 1;
@@ -122,15 +123,16 @@
         versions.push({ version, namedMs: readSharedClock() });
     };
     let configurationVersion = 1;
+    const reconfigure = () => {
+        configurationVersion += 1;
+        store.put("keyed.op", "config", describeConfiguration(shape, configurationVersion));
+    };
     const troubles = createTroubles(options.troubles, {
         engines: nameEngines(shape),
         random: createRandom(seed + troubleSeedOffset),
         disturb: trouble => upstreams.forEach(worker => worker.disturb(trouble)),
         nameVersion,
-        reconfigure: () => {
-            configurationVersion += 1;
-            store.put("keyed.op", "config", describeConfiguration(shape, configurationVersion));
-        },
+        reconfigure,
     });
     const instances = createInstances(options, folder, store.address, troubles.follow);
     const busyProcesses = Array.from({ length: options.busyProcesses }, startBusyProcess);
@@ -140,7 +142,7 @@
         const callers = await startCallers(shape, seed, instances.map(instance => instance.directoryAddress));
         killed.push(...callers);
         await delay(warmUpMs);
-        await playPlan({ instances, random, nameVersion }, options);
+        await playPlan({ instances, random, nameVersion, reconfigure }, options);
         await waitReady(instances);
         await delay(settleMs);
         const requests = await Promise.all(callers.map(worker => worker.stop()));
--- a/bench/faults/platform/runStops.ts
+++ b/bench/faults/platform/runStops.ts
@@ -1,7 +1,7 @@
 /**
  * @module
  * Stops and restarts real processes of instances on loopback while callers use them:
- * `node dist/bench/faults/platform/runStops.js --plan turn|together|alone|mixed --shape NAME --seed N --instances N --gap MS
+ * `node dist/bench/faults/platform/runStops.js --plan turn|together|alone|mixed|reloads|configurations|changes --shape NAME --seed N --instances N --gap MS
  * --seconds N [--era stated|none] [--callers N] [--processor-share SHARE] [--troubles KIND,KIND [--trouble-after MS]
  * [--trouble-lasts MS] [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]`. Callers are counted for each
  * instance. Each order to stop or reload is followed by one of the troubles. With a folder for logs, the lines that name their
--- a/bench/faults/platform/startDeployment.ts
+++ b/bench/faults/platform/startDeployment.ts
@@ -49,16 +49,18 @@
 
 function listUpstreams(shape: StopShape): readonly UpstreamOptions[] {
     const domains = nameFailureDomains(shape);
-    return (["engines", "servers"] as const).flatMap(part =>
-        Array.from({ length: shape[part].count }, (_, index) => ({
+    const parts = ["engines", "servers", ...(shape.changesLimits === true ? ["otherServers"] as const : [])] as const;
+    return parts.flatMap(part => {
+        const { count, slots } = part === "engines" ? shape.engines : shape.servers;
+        return Array.from({ length: count }, (_, index) => ({
             id: `${serviceNames[part]}-${index + 1}`,
             service: serviceNames[part],
             failureDomain: domains[index % domains.length]!,
-            slots: shape[part].slots,
+            slots,
             isEngine: part === "engines",
             brokenRunShare: shape.brokenRunShare,
-        }))
-    );
+        }));
+    });
 }
 
 /** Starts the upstreams of a deployment. */
--- a/bench/faults/platform/startStopCallers.ts
+++ b/bench/faults/platform/startStopCallers.ts
@@ -1,7 +1,7 @@
 /**
  * @module
  * Callers that ask the instances for entries, keep connections open, and send requests of all kinds, with bodies of a stated
- * length or in chunks, some of which arrive in two parts.
+ * length or in chunks, some of which arrive in several parts.
  */
 import { Agent, type ClientRequest, request as httpRequest } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
@@ -51,16 +51,15 @@
 const slowFactor = 3;
 const millisecondsPerSecond = 1_000;
 const partPauseMs = 120;
-const bodyText = "x".repeat(600);
 
 async function writeBody(req: ClientRequest, call: Call): Promise<void> {
-    if (call.hasTwoParts) {
-        req.write(bodyText.slice(0, bodyText.length / 2));
+    const body = Buffer.alloc(call.bodyBytes, "x");
+    const partBytes = Math.ceil(body.length / call.parts);
+    for (let sentBytes = partBytes; sentBytes < body.length; sentBytes += partBytes) {
+        req.write(body.subarray(sentBytes - partBytes, sentBytes));
         await delay(partPauseMs);
-        req.end(bodyText.slice(bodyText.length / 2));
-        return;
     }
-    req.end(bodyText);
+    req.end(body.subarray(partBytes * (call.parts - 1)));
 }
 
 interface Answer {
@@ -138,7 +137,7 @@
                 resolve({ record, retryAfterMs });
             };
             const { host: hostHeader, key } = options;
-            const headers = describeHeaders(call, { id, host: hostHeader, key, leftMs, bodyBytes: bodyText.length });
+            const headers = describeHeaders(call, { id, host: hostHeader, key, leftMs });
             const path = `/${name}/${id}`;
             const req = httpRequest({ host, port, path, method: "POST", headers, agent }, res => {
                 status = res.statusCode ?? 0;
--- a/bench/faults/platform/startTimedUpstream.ts
+++ b/bench/faults/platform/startTimedUpstream.ts
@@ -44,6 +44,9 @@
 /** Header with the time that a run takes, in milliseconds. */
 export const workHeader = "x-work-ms";
 
+/** Header with the size of a plain answer, in bytes; it may be left out. */
+export const answerBytesHeader = "x-answer-bytes";
+
 /** Model that the engines serve. */
 export const servedModel = "easy-read";
 
@@ -185,7 +188,7 @@
         }
         const timer = setTimeout(() => {
             res.writeHead(200, head);
-            res.end(`${attempt} ${bodyBytes}`);
+            res.end(`${attempt} ${bodyBytes}`.padEnd(Number(req.headers[answerBytesHeader] ?? 0)));
         }, workMs);
         res.on("close", () => clearTimeout(timer));
     }
--- a/bench/faults/platform/stopShapes.ts
+++ b/bench/faults/platform/stopShapes.ts
@@ -2,7 +2,12 @@
  * @module
  * Deployments whose stops are played: how many instances and upstreams there are, what callers ask for, and the bounds.
  */
-import { defaultBounds, grownBounds, type InstanceBounds } from "../../support/platformSettings.js";
+import {
+    defaultBounds,
+    grownBounds,
+    type InstanceBounds,
+    type ProcessSettings,
+} from "../../support/platformSettings.js";
 import type { CallKind } from "./stopTypes.js";
 
 /** A kind of request of a deployment, which has a route of its own. */
@@ -23,6 +28,16 @@
     readonly attempts: number;
     /** Whether another upstream may go on with a stream that broke off. */
     readonly canResume?: boolean;
+    /** Sizes of its bodies, which arrive in several parts; if left out, they are small. */
+    readonly bodyBytes?: SizeRange;
+    /** Sizes of its plain answers; if left out, they are small. */
+    readonly answerBytes?: SizeRange;
+}
+
+/** Sizes from the smallest to the largest, in bytes; small ones are more frequent. */
+export interface SizeRange {
+    readonly min: number;
+    readonly max: number;
 }
 
 /** Upstreams of one service. */
@@ -60,6 +75,10 @@
     /** Whether the store's answers state its era; true if undefined. */
     readonly statesEra?: boolean;
     readonly limits?: InstanceLimits;
+    /** What the settings file allows each process; the program's default values if undefined. */
+    readonly settings?: ProcessSettings;
+    /** Whether each configuration changes the limits and moves the plain routes to the other one of two services. */
+    readonly changesLimits?: boolean;
 }
 
 const stream = { kind: "stream", weight: 1, targetLatencyMs: 400, attempts: 2 } as const;
@@ -137,6 +156,13 @@
     brokenRunShare: 0,
 };
 
+/** Little memory and processor time. */
+const scarceLimits: InstanceLimits = {
+    nodeArguments: ["--single-threaded", "--max-old-space-size=120", "--expose-gc"],
+    memoryKb: 200 * 1_024,
+    processorShare: 0.675,
+};
+
 /** Streams most of which take 50 to 1,250 ms, beside quick requests, at instances of little memory and processor time. */
 const limitedInstances: StopShape = {
     instances: 7,
@@ -184,11 +210,38 @@
     brokenRunShare: 0,
     keepsEntries: true,
     statesEra: false,
-    limits: {
-        nodeArguments: ["--single-threaded", "--max-old-space-size=120", "--expose-gc"],
-        memoryKb: 200 * 1_024,
-        processorShare: 0.675,
-    },
+    limits: scarceLimits,
+};
+
+/** Few engines with many slots, slower plain requests. */
+const wideEngines: StopShape = {
+    ...small,
+    instances: 8,
+    failureDomains: [2, 2, 2, 2],
+    calls: mixCalls(3_000, 86, 5_000, 15_000),
+    engines: { count: 6, slots: 128 },
+    servers: { count: 4, slots: 6 },
+    callersPerInstance: 8,
+    pauseMs: 200,
+};
+
+/** Weights of the calls of {@link mixCalls} where texts are most frequent, in their order. */
+const textWeights = [28, 44, 18, 7] as const;
+
+/** The same at instances of little memory and processor time, with large uploads and answers, and limits that change. */
+const largeBodies: StopShape = {
+    ...wideEngines,
+    calls: wideEngines.calls.map((call, index) => ({
+        ...call,
+        weight: textWeights[index]!,
+        bodyBytes: { min: 600, max: 400_000 },
+        answerBytes: { min: 800, max: 500_000 },
+    })),
+    keepsEntries: true,
+    statesEra: false,
+    limits: scarceLimits,
+    settings: { memoryMb: 200, maxDescriptors: 4_100 },
+    changesLimits: true,
 };
 
 /** Every deployment by its name. */
@@ -210,16 +263,12 @@
         callersPerInstance: 8,
         pauseMs: 200,
     },
-    /** Few engines with many slots, slower plain requests. */
-    wideEngines: {
-        ...small,
-        instances: 8,
-        failureDomains: [2, 2, 2, 2],
-        calls: mixCalls(3_000, 86, 5_000, 15_000),
-        engines: { count: 6, slots: 128 },
-        servers: { count: 4, slots: 6 },
-        callersPerInstance: 8,
-        pauseMs: 200,
+    wideEngines,
+    largeBodies,
+    /** The same with so few descriptors that idle connections of callers are closed. */
+    fewDescriptors: {
+        ...largeBodies,
+        settings: { memoryMb: 200, maxDescriptors: 540 },
     },
     /** Upstreams that break off a part of their runs. */
     brokenRuns: { ...small, brokenRunShare: 0.03 },
--- a/bench/support/platformSettings.ts
+++ b/bench/support/platformSettings.ts
@@ -13,6 +13,14 @@
     /** Addresses of some instances. */
     readonly seeds: readonly string[];
     readonly storeAddress: string;
+    /** What the platform says to allow the process; the program's default values if left out. */
+    readonly limits?: ProcessSettings;
+}
+
+/** What a settings file says to allow a process. */
+export interface ProcessSettings {
+    readonly memoryMb: number;
+    readonly maxDescriptors: number;
 }
 
 /** Ports of an instance, as offsets from its first one. */
@@ -89,5 +97,8 @@
             ttl_max_s: 5,
         },
         platform: { address: place.storeAddress },
+        ...(place.limits === undefined
+            ? {}
+            : { limits: { memory_mb: place.limits.memoryMb, max_fds: place.limits.maxDescriptors } }),
     };
 }
