--- a/bench/faults/platform/createTimedRuns.ts
+++ b/bench/faults/platform/createTimedRuns.ts
@@ -61,6 +61,9 @@
 /** Header with the time that a run takes, in milliseconds. */
 export const workHeader = "x-work-ms";
 
+/** Header with the size of a plain answer, in bytes; it may be left out. */
+export const answerBytesHeader = "x-answer-bytes";
+
 /** Interval of the events of a stream, in milliseconds. */
 export const eventIntervalMs = 50;
 
@@ -171,7 +174,7 @@
         recordBegin(run);
         const timer = setTimeout(() => {
             res.writeHead(200, describeHead(run));
-            res.end(`${run.record.attempt} ${bodyBytes}`);
+            res.end(`${run.record.attempt} ${bodyBytes}`.padEnd(Number(req.headers[answerBytesHeader] ?? 0)));
         }, workMs);
         res.on("close", () => clearTimeout(timer));
     }
--- a/bench/faults/platform/playPlan.ts
+++ b/bench/faults/platform/playPlan.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as delay } from "node:timers/promises";
 import type { InstanceProcess } from "./createInstanceProcess.js";
+import { playChanges } from "./playChanges.js";
 import { readSharedClock } from "./readSharedClock.js";
 
 /**
@@ -15,18 +16,30 @@
  * - `mixed`: at random, overlapping, with reloads, also of processes that start, restarts on addresses that are still in use,
  *   and new versions of the weights.
  * - `load`: not at all; a version of the weights is named.
+ * - `reloads`: not at all; instances are told to read their settings again.
+ * - `configurations`: not at all; the operator writes one configuration after the other.
+ * - `changes`: not at all; both of these.
  */
-export type StopPlan = "turn" | "together" | "alone" | "mixed" | "load";
+export type StopPlan = "turn" | "together" | "alone" | "mixed" | "load" | "reloads" | "configurations" | "changes";
 
 /** Every plan. */
-export const stopPlans: readonly StopPlan[] = ["turn", "together", "alone", "mixed", "load"];
+export const stopPlans: readonly StopPlan[] = [
+    "turn",
+    "together",
+    "alone",
+    "mixed",
+    "load",
+    "reloads",
+    "configurations",
+    "changes",
+];
 
 /** How a plan is played. */
 export interface PlanOptions {
     readonly plan: StopPlan;
-    /** Pause between two orders to stop, in milliseconds. */
+    /** Pause between two orders or changes, in milliseconds. */
     readonly gapMs: number;
-    /** Length of the series in the plans `mixed` and `load`, in seconds. */
+    /** Length of the series in the plan `mixed` and in those without stops, in seconds. */
     readonly seconds: number;
 }
 
@@ -36,6 +49,8 @@
     readonly random: () => number;
     /** Names the next version of the weights. */
     readonly nameVersion: () => void;
+    /** Writes the next configuration. */
+    readonly reconfigure: () => void;
 }
 
 const restartDelayMs = 500;
@@ -138,6 +153,15 @@
             fleet.nameVersion();
             await delay(options.seconds * millisecondsPerSecond);
             return;
+        case "reloads":
+        case "configurations":
+        case "changes":
+            await playChanges(fleet, {
+                ...options,
+                reloads: options.plan !== "configurations",
+                configurations: options.plan !== "reloads",
+            });
+            return;
         default:
             await playMixed(fleet, options);
     }
