Log why the order lease is awaited

A record of the users shows 5 s in which no order went out while newer weights were named; who waited for which claim, and for how long, left no line. RW2107 states the reason (another instance is preferred, or the lease is claimed), the last known holder, and the time until the lease is free. One line for each reason and holder while the same work waits.

Evidence: features/rollout.feature and features/logging.feature pass; no behaviour changes.

--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -49,6 +49,7 @@
     orderFailed: define("RW2104", "warn", "order not answered by an engine"),
     orderEnded: define("RW2105", "info", "operator's order ended"),
     rolloutDone: define("RW2106", "info", "rollout of a weights version done"),
+    leaseAwaited: define("RW2107", "info", "order lease awaited while engines have outdated weights"),
     requestEnded: define("RW3001", "debug", "request ended"),
     requestRefused: define("RW3002", "info", "request refused"),
     answerMismatched: define("RW3003", "warn", "upstream answer discarded: wrong correlation id"),
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -60,6 +60,8 @@
     readonly mayHaveLostClaims: (nowMs: number) => boolean;
     /** Whether the last holder's orders can no longer have an effect. */
     readonly isFree: (nowMs: number) => boolean;
+    /** Milliseconds until the lease is free, as far as known; 0 when it is. */
+    readonly freeInMs: (nowMs: number) => number;
     /** The claim under which this instance may send orders; undefined when it does not hold the lease. */
     readonly heldClaim: (nowMs: number) => LeaseClaim | undefined;
     /** Fencing number while orders may be sent; undefined when the lease is not held. */
@@ -164,6 +166,12 @@
         return uncertainSinceMs !== undefined && nowMs - uncertainSinceMs < takeoverDelayMs;
     }
 
+    function freeInMs(nowMs: number): number {
+        const uncertainMs = mayHaveLostClaims(nowMs) ? uncertainSinceMs! + takeoverDelayMs - nowMs : 0;
+        const isOthers = end > 0 && holder !== options.instance;
+        return Math.max(0, uncertainMs, isOthers ? learnedMs + takeoverDelayMs - nowMs : 0);
+    }
+
     return {
         recordClaim,
         recordReportedClaim: (claim, nowMs) => {
@@ -214,9 +222,8 @@
         end: () => end,
         holder: () => holder,
         mayHaveLostClaims,
-        isFree: nowMs =>
-            !mayHaveLostClaims(nowMs)
-            && (end === 0 || holder === options.instance || nowMs - learnedMs >= takeoverDelayMs),
+        isFree: nowMs => freeInMs(nowMs) === 0,
+        freeInMs,
         heldClaim,
         fence: nowMs => {
             const claim = heldClaim(nowMs);
--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -51,6 +51,8 @@
     let renewal: Promise<boolean> | undefined;
     /** Era in which the claims were last read. */
     let readEra: number | undefined;
+    /** Work and reason of the last line that said why the lease is awaited. */
+    let loggedWait: string | undefined;
 
     /** The last holder is preferred; without it the instance with the lowest name, and after a delay any other. */
     function isPreferred(nowMs: number): boolean {
@@ -129,11 +131,27 @@
         await readClaims();
     }
 
+    /** Writes one line for each reason while the same work waits. */
+    function logWait(reason: "preferred" | "claimed", nowMs: number): void {
+        const workSinceMs = deps.workSinceMs();
+        const wait = `${workSinceMs} ${lease.holder()} ${reason}`;
+        if (workSinceMs !== undefined && wait !== loggedWait) {
+            loggedWait = wait;
+            const freeInMs = Math.round(lease.freeInMs(nowMs));
+            const waitedMs = Math.round(nowMs - workSinceMs);
+            deps.writeLog("leaseAwaited", { reason, holder: lease.holder(), end: lease.end(), freeInMs, waitedMs });
+        }
+    }
+
     /** The store is read only when, according to the peers' reports, no instance can hold the lease. */
     async function mayClaim(nowMs: number): Promise<boolean> {
         if (!isPreferred(nowMs)) {
+            logWait("preferred", nowMs);
             return false;
         }
+        if (!lease.isFree(nowMs)) {
+            logWait("claimed", nowMs);
+        }
         // A claim of the current era shows that no claim was lost.
         if (lease.mayHaveLostClaims(nowMs) && readEra !== lease.era()) {
             await readClaims();
