--- a/scripts/bundleDeploy.mjs
+++ b/scripts/bundleDeploy.mjs
@@ -1,6 +1,6 @@
 // Bundles the platform's entry point, so that a restarting instance loads two modules instead of 300: a small one that
 // receives signals, and the rest. Libraries of which it uses a small part are replaced by that part: loading is the largest
-// cost of a start.
+// cost of a start. The argument is the folder of the bundle; without one it is that of the deploy file.
 import { resolve } from "node:path";
 import { build } from "esbuild";
 
@@ -22,7 +22,7 @@
 };
 
 const options = {
-    outdir: "target",
+    outdir: process.argv[2] ?? "target",
     bundle: true,
     platform: "node",
     target: "node20",
