--- a/features/instanceProcess.feature
+++ b/features/instanceProcess.feature
@@ -56,3 +56,17 @@
             | missing        |
             | empty          |
             | partly written |
+
+    # Guards against an instance that ends because its settings come late.
+    Scenario: An instance whose settings file stays missing for long says so and serves once it is there
+        Given a platform, and a settings file that is missing
+        When the instance is started
+        And the settings file is completed after its log says RW1011
+        Then it is ready, on its entry list, and answers a caller
+
+    # Guards against an instance that ends because its program is being replaced while it starts.
+    Scenario: An instance whose program cannot be loaded for a while serves once it can
+        Given a platform, and a program of which a part is missing
+        When the instance is started
+        And the part is put back after it receives signals
+        Then it is ready, on its entry list, and answers a caller
--- a/features/steps/instanceProcessSteps.ts
+++ b/features/steps/instanceProcessSteps.ts
@@ -6,7 +6,17 @@
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
 import { createSocket } from "node:dgram";
-import { closeSync, constants, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync } from "node:fs";
+import {
+    closeSync,
+    constants,
+    copyFileSync,
+    mkdtempSync,
+    openSync,
+    readFileSync,
+    rmSync,
+    writeFileSync,
+    writeSync,
+} from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -17,6 +27,7 @@
     type InstanceProcess,
     receivesHangup,
 } from "../../bench/faults/platform/createInstanceProcess.js";
+import { readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
 import { graceSeconds, portOffsets } from "../../bench/support/platformSettings.js";
 import { startFakeServer } from "../../fakes/startFakeServer.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
@@ -29,6 +40,8 @@
     readonly settingsPath: string;
     /** Text of the complete settings file. */
     readonly settingsText: string;
+    /** Path of the log; undefined if it is not kept. */
+    readonly logPath: string | undefined;
     release: () => Promise<void>;
 }
 
@@ -48,7 +61,12 @@
 /** Size of the writes that fill a pipe: the smallest that a pipe takes as a whole, in bytes. */
 const pipeBlockBytes = 4_096;
 
-const command = ["dist/platform/main.js"];
+const deployFolder = "dist/deploy";
+
+const entryPoint = "reedward.cjs";
+
+/** The module of the bundle that the entry point loads. */
+const loadedModule = "startInstance.mjs";
 
 function getFixture(world: SiteWorld): ProcessFixture {
     const fixture = fixtures.get(world);
@@ -95,6 +113,7 @@
     world: SiteWorld,
     listener: keyof typeof portOffsets | undefined,
     logPath?: string,
+    programFolder = deployFolder,
 ): Promise<void> {
     const store = await startFakeStore();
     const servers = [await startFakeServer("i-1", "adapt"), await startFakeServer("i-2", "portal")];
@@ -105,12 +124,13 @@
     const folder = mkdtempSync(join(tmpdir(), "reedward-process-"));
     const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
     const settingsPath = join(folder, "settings.json");
+    const command = [...readDeployArguments(), join(programFolder, entryPoint)];
     const instance = createInstanceProcess(place, settingsPath, command, { logPath });
     const settingsText = readFileSync(settingsPath, "utf8");
     const port = listener === undefined ? 0 : firstPort + portOffsets[listener];
     const hold = listener === "heartbeat" ? holdDatagrams : holdStream;
     const release = listener === undefined ? () => Promise.resolve() : await hold(port, ip);
-    const fixture: ProcessFixture = { instance, settingsPath, settingsText, release };
+    const fixture: ProcessFixture = { instance, settingsPath, settingsText, logPath, release };
     fixtures.set(world, fixture);
     world.cleanups.push(
         () => instance.stop(),
@@ -194,11 +214,33 @@
     }
 });
 
+function createFolder(world: SiteWorld): string {
+    const folder = mkdtempSync(join(tmpdir(), "reedward-process-"));
+    world.cleanups.push(() => Promise.resolve(rmSync(folder, { recursive: true, force: true })));
+    return folder;
+}
+
+const programFolders = new WeakMap<SiteWorld, string>();
+
+Given("a platform, and a program of which a part is missing", function(this: SiteWorld) {
+    const folder = createFolder(this);
+    programFolders.set(this, folder);
+    copyFileSync(join(deployFolder, entryPoint), join(folder, entryPoint));
+    return createPlatform(this, undefined, undefined, folder);
+});
+
+When("the part is put back after it receives signals", async function(this: SiteWorld) {
+    const { instance } = getFixture(this);
+    await waitUntil("the process receives signals", () => Promise.resolve(receivesHangup(instance.pid()!)));
+    await delay(settingsDelayMs);
+    copyFileSync(join(deployFolder, loadedModule), join(programFolders.get(this)!, loadedModule));
+});
+
 Given(/^a platform, and a settings file that is (missing|empty|partly written)$/, async function(
     this: SiteWorld,
     state: string,
 ) {
-    await createPlatform(this, undefined);
+    await createPlatform(this, undefined, join(createFolder(this), "log"));
     const { settingsPath, settingsText } = getFixture(this);
     if (state === "missing") {
         rmSync(settingsPath);
@@ -214,6 +256,15 @@
     writeFileSync(settingsPath, settingsText);
 });
 
+When("the settings file is completed after its log says {word}", async function(this: SiteWorld, code: string) {
+    const { logPath, settingsPath, settingsText } = getFixture(this);
+    await waitUntil(
+        "the log says so",
+        () => Promise.resolve(readFileSync(logPath!, "utf8").includes(`"code":"${code}"`)),
+    );
+    writeFileSync(settingsPath, settingsText);
+});
+
 When("the address is free again", async function(this: SiteWorld) {
     const fixture = getFixture(this);
     await fixture.release();
