Withdraw sends that have not begun before the limit of outdated weights

Cause: the promise is about the begin of a run, its first token, and was kept at the send: from 6.4 s on no engine with outdated weights was listed. What had been sent before waited at its engine as long as it took, also when a version was named, or told to be older than assumed, only after the send.

Design: an instance keeps track of the sends whose runs have not begun (no complete event; a head alone is no begin). At 0.9 of the limit after the naming it closes their connections, upon which an engine drops a waiting request. One timer serves all sends; it is set again after each change of a target or of its time, and what has arrived is read before a withdrawal. A request that may be repeated is placed again, never on outdated weights by then; the caller of any other gets outcomeUnknown, since nobody knows whether its engine began just then. The engine has not failed: its health isn't charged. A send that is placed before the moment and would begin after it is not sent. RW3015 and a counter tell of each withdrawal. The listing limit stays and makes them rare.

Evidence. features/outdatedWeights.feature on the code before: 7 of 8 scenarios fail, "the engine still has the request"; now 8 pass. Neighbouring features (406 scenarios, with the changes of logging that follow): passed.

--- /dev/null
+++ b/features/outdatedWeights.feature
@@ -0,0 +1,49 @@
+Feature: No run begins on outdated weights after the limit, however late its first event
+
+    Background:
+        Given an instance that serves callers, and an engine with version 1 that keeps requests waiting
+
+    # Guards against runs that begin after the limit since only their sends kept it.
+    Scenario Outline: A send that has not begun is withdrawn before the limit
+        When version 2 is named <named> ms after the start of the instance
+        And a caller sends a <request> <sent> ms after its start
+        And the engine answers <answer>
+        Then the engine's connection is closed within <limit> ms of the start
+        And the caller gets status 502
+
+        Examples:
+            | request                          | named | sent  | answer  | limit |
+            | stream                           | 5000  | 11000 | nothing | 13000 |
+            | stream                           | 5000  | 11000 | a head  | 13000 |
+            | stream                           | 5000  | 4000  | nothing | 13000 |
+            | stream that may be resumed       | 5000  | 11000 | nothing | 13000 |
+
+    # Guards against runs on old weights that wait at their engine when the instance counts as in touch again.
+    Scenario: A version of unknown age binds what an instance has sent right after its start
+        When a caller sends a stream 1000 ms after its start
+        And it learns 1200 ms after its start of version 2 without its age
+        Then the engine's connection is closed within 3000 ms of the start
+        And the caller gets status 502
+
+    Scenario: A version that was named earlier than assumed binds what was sent before
+        When version 2 is named 4000 ms after the start of the instance
+        And a caller sends a stream 5000 ms after its start
+        And a peer tells 5100 ms after its start that version 2 was named 7900 ms before
+        Then the engine's connection is closed within 5200 ms of the start
+        And the caller gets status 502
+
+    Scenario: A withdrawn stream that may be resumed goes on at an engine with the target weights
+        When version 2 is named 5000 ms after the start of the instance
+        And a caller sends a stream that may be resumed 11000 ms after its start
+        And the engine answers a head
+        And an engine with version 2 joins
+        Then the engine's connection is closed within 13000 ms of the start
+        And the caller gets the whole stream of the other engine
+
+    Scenario: A run that has begun in time goes on
+        When version 2 is named 5000 ms after the start of the instance
+        And a caller sends a stream 11000 ms after its start
+        And the engine answers an event
+        Then the engine's connection is open 13000 ms after the start
+        When the engine ends the stream
+        Then the caller gets the whole stream of the engine
--- /dev/null
+++ b/features/steps/outdatedWeightsSteps.ts
@@ -0,0 +1,117 @@
+/**
+ * @module
+ * Steps on runs that begin late on weights that are outdated, on a virtual clock.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { SiteWorld } from "../support/siteWorld.js";
+import { type OutdatedPath, startOutdatedPath, streamBytes } from "../support/startOutdatedPath.js";
+
+const paths = new WeakMap<SiteWorld, OutdatedPath>();
+
+function getPath(world: SiteWorld): OutdatedPath {
+    const path = paths.get(world);
+    assert.ok(path !== undefined);
+    return path;
+}
+
+interface ScheduledStep {
+    readonly atMs: number;
+    readonly act: (path: OutdatedPath) => Promise<void> | void;
+}
+
+/** What happens, in the order of its times; it is played when a step depends on it. */
+const schedules = new WeakMap<SiteWorld, ScheduledStep[]>();
+
+function schedule(world: SiteWorld, atMs: number, act: ScheduledStep["act"]): void {
+    schedules.get(world)?.push({ atMs, act });
+}
+
+async function play(world: SiteWorld): Promise<OutdatedPath> {
+    const path = getPath(world);
+    const steps = schedules.get(world) ?? [];
+    for (const { atMs, act } of steps.toSorted((one, other) => one.atMs - other.atMs)) {
+        await path.advanceTo(atMs);
+        await act(path);
+    }
+    schedules.set(world, []);
+    return path;
+}
+
+Given(
+    "an instance that serves callers, and an engine with version 1 that keeps requests waiting",
+    async function(this: SiteWorld) {
+        const path = await startOutdatedPath();
+        paths.set(this, path);
+        schedules.set(this, []);
+        this.cleanups.push(path.stop);
+    },
+);
+
+When("version 2 is named {int} ms after the start of the instance", function(this: SiteWorld, atMs: number) {
+    schedule(this, atMs, path => path.nameVersion(0));
+});
+
+When("it learns {int} ms after its start of version 2 without its age", function(this: SiteWorld, atMs: number) {
+    schedule(this, atMs, path => path.nameVersion(undefined));
+});
+
+When(
+    "a peer tells {int} ms after its start that version 2 was named {int} ms before",
+    function(this: SiteWorld, atMs: number, ageMs: number) {
+        schedule(this, atMs, path => path.nameVersion(ageMs));
+    },
+);
+
+When(
+    /^a caller sends a stream( that may be resumed)? (\d+) ms after its start$/,
+    function(this: SiteWorld, resumed: string | undefined, atMs: string) {
+        schedule(this, Number(atMs), path => path.send(Boolean(resumed)));
+    },
+);
+
+const engineAnswers: Readonly<Record<string, string>> = {
+    nothing: "",
+    "a head": streamBytes.head,
+    "an event": streamBytes.head + streamBytes.event,
+};
+
+When(/^the engine answers (nothing|a head|an event)$/, async function(this: SiteWorld, answer: string) {
+    const path = await play(this);
+    await path.write(engineAnswers[answer]!);
+});
+
+When("an engine with version 2 joins", async function(this: SiteWorld) {
+    await getPath(this).addCurrentEngine();
+});
+
+When("the engine ends the stream", async function(this: SiteWorld) {
+    await getPath(this).write(streamBytes.end);
+});
+
+Then(
+    "the engine's connection is closed within {int} ms of the start",
+    async function(this: SiteWorld, boundMs: number) {
+        const path = await play(this);
+        await path.advanceTo(boundMs);
+        assert.ok(await path.waitClosed(), "the engine still has the request");
+    },
+);
+
+Then("the engine's connection is open {int} ms after the start", async function(this: SiteWorld, atMs: number) {
+    const path = await play(this);
+    await path.advanceTo(atMs);
+    assert.equal(await path.waitClosed(), false);
+});
+
+Then("the caller gets status {int}", async function(this: SiteWorld, status: number) {
+    assert.equal((await getPath(this).readAnswer()).status, status);
+});
+
+Then(
+    /^the caller gets the whole stream of the (other )?engine$/,
+    async function(this: SiteWorld, other: string | undefined) {
+        const text = `id: 1\ndata: ${Boolean(other) ? "two" : "one"}\n\n`;
+        assert.deepEqual(await getPath(this).readAnswer(), { status: 200, text });
+    },
+);
--- a/features/support/createSenderFixture.ts
+++ b/features/support/createSenderFixture.ts
@@ -22,6 +22,8 @@
         codec: createCodec(),
         health: createHealthView(),
         answerMemory: createAnswerMemory(answerBytes),
+        unbegun: { mayBegin: () => true, track: () => () => undefined },
+        onWithdrawn: () => undefined,
         onAnswerHead: () => undefined,
         onAnswerEnd: () => undefined,
         onForeignAnswer: () => undefined,
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -12,10 +12,12 @@
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
 import type { SendEffect } from "../core/proxy/proxyEffects.js";
-import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
+import type { Placement, ProxyRequest } from "../core/proxy/proxyTypes.js";
 import { createGuardedPlacer } from "../core/quarantine/createGuardedPlacer.js";
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
+import { computeBeginLimitMs } from "../core/weights/computeBeginLimitMs.js";
 import { computeOutdatedLimitMs } from "../core/weights/computeOutdatedLimitMs.js";
+import { createUnbegunSends } from "../core/weights/createUnbegunSends.js";
 import { readArrived } from "../io/_lib/readArrived.js";
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
@@ -167,8 +169,44 @@
         maxBytes: settings.memoryBytes * bodyMemoryShare,
         onReleased: garbage.record,
     });
+    const beginLimitMs = computeBeginLimitMs(settings.weightsLimitMs);
+    const unbegun = createUnbegunSends({
+        clock,
+        findDueMs: ({ model, version }) => {
+            const sinceMs = views.weights.outdatedSinceMs(model, version);
+            return sinceMs === undefined ? undefined : sinceMs + beginLimitMs;
+        },
+        readArrived: () => readArrived(),
+    });
+    views.onTargets(unbegun.recheck);
+
+    /** Describes for how long weights have been outdated; undefined while they are the newest. */
+    function describeOutdated(
+        { prompt }: ProxyRequest,
+        { weightsVersion }: Placement,
+    ): Readonly<Record<string, unknown>> {
+        const outdated = prompt === undefined || weightsVersion === undefined
+            ? undefined
+            : views.weights.findOutdated(prompt.model, weightsVersion);
+        return outdated === undefined
+            ? {}
+            : { outdatedMs: Math.round(clock.now() - outdated.sinceMs), isAgeObserved: outdated.isObserved };
+    }
+
     const send = createUpstreamSender({
         clock,
+        unbegun,
+        onWithdrawn: (req, { placement }, { waitedMs, hasHead }) => {
+            metrics.withdrawnSends.inc();
+            writeLog("sendWithdrawn", {
+                requestId: req.id,
+                upstream: placement.upstream.id,
+                weightsVersion: placement.weightsVersion,
+                ...describeOutdated(req, placement),
+                waitedMs: Math.round(waitedMs),
+                hasHead,
+            });
+        },
         answerMemory,
         codec: ports.codec,
         connections,
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -53,6 +53,8 @@
     /** Calls `action` after each change that may let waiting requests be placed. */
     readonly onChange: (action: () => void) => void;
     readonly notifyChange: () => void;
+    /** Calls `action` after each change of target weights or of the time from which they count. */
+    readonly onTargets: (action: () => void) => void;
 }
 
 /**
@@ -63,7 +65,8 @@
  */
 export function assembleViews(context: InstanceContext): InstanceViews {
     const { clock, settings, writeLog, metrics } = context;
-    const weights = createWeightsView();
+    const targetListeners: (() => void)[] = [];
+    const weights = createWeightsView(() => targetListeners.forEach(action => action()));
     const health = createHealthView();
     const parts = createPartView();
     const listeners: (() => void)[] = [];
@@ -145,5 +148,8 @@
             listeners.push(action);
         },
         notifyChange,
+        onTargets: action => {
+            targetListeners.push(action);
+        },
     };
 }
--- a/src/core/weights/createWeightsView.ts
+++ b/src/core/weights/createWeightsView.ts
@@ -14,6 +14,9 @@
     readonly isObserved: boolean;
 }
 
+/** Since when weights are outdated. */
+export type OutdatedSince = Pick<TargetWeights, "sinceMs" | "isObserved">;
+
 /** A view of the weights. */
 export interface WeightsView {
     /**
@@ -29,6 +32,8 @@
     readonly listHistory: () => readonly TargetWeights[];
     /** When a version after `version` first became the target; undefined while `version` is the newest. */
     readonly outdatedSinceMs: (model: string, version: number) => number | undefined;
+    /** The same, and whether that time was observed. */
+    readonly findOutdated: (model: string, version: number) => OutdatedSince | undefined;
     /** Records a version that an engine was observed to have. */
     readonly recordLoaded: (engine: string, model: string, version: number) => void;
     /** Returns the version that an engine was last known to have; undefined when it does not have the model. */
@@ -52,12 +57,13 @@
 /**
  * Creates an empty view.
  *
+ * @param onTargets - Called after each change of a target or of its time.
  * @returns The view.
  * @example
  * const weights = createWeightsView();
  * weights.recordTarget({ model: "adapt", version: 3, sinceMs: clock.now(), isObserved: true });
  */
-export function createWeightsView(): WeightsView {
+export function createWeightsView(onTargets: () => void = () => undefined): WeightsView {
     /** Target versions of each model, in ascending order. */
     const history = new Map<string, readonly TargetWeights[]>();
     const observedVersions = new Map<string, number>();
@@ -80,14 +86,16 @@
         const others = versions.filter(one => one.version !== target.version);
         const all = [...others, merged].toSorted((left, right) => left.version - right.version);
         history.set(target.model, all.slice(-maxHistory));
+        onTargets();
         return known === undefined && all.at(-1) === merged;
     }
 
     /** Versions are named in order, so a version is as old as any later one that was observed. */
-    function outdatedSinceMs(model: string, version: number): number | undefined {
+    function findOutdated(model: string, version: number): OutdatedSince | undefined {
         const newer = (history.get(model) ?? []).filter(one => one.version > version);
-        const times = newer.filter((one, index) => index === 0 || one.isObserved).map(one => one.sinceMs);
-        return times.length === 0 ? undefined : Math.min(...times);
+        return newer
+            .filter((one, index) => index === 0 || one.isObserved)
+            .toSorted((one, other) => one.sinceMs - other.sinceMs)[0];
     }
 
     const findTarget = (model: string) => history.get(model)?.at(-1);
@@ -96,7 +104,8 @@
         findTarget,
         listTargets: () => [...history.keys()].map(findTarget).filter(target => target !== undefined),
         listHistory: () => [...history.values()].flat(),
-        outdatedSinceMs,
+        outdatedSinceMs: (model, version) => findOutdated(model, version)?.sinceMs,
+        findOutdated,
         recordLoaded: (engine, model, version) => {
             const key = observedKey(engine, model);
             observedVersions.set(key, Math.max(version, observedVersions.get(key) ?? version));
--- a/src/core/weights/index.ts
+++ b/src/core/weights/index.ts
@@ -3,8 +3,10 @@
  * Weights of models and their rollout.
  */
 export * from "./assumeTargetTime.js";
+export * from "./computeBeginLimitMs.js";
 export * from "./computeOutdatedLimitMs.js";
 export * from "./createRolloutLease.js";
+export * from "./createUnbegunSends.js";
 export * from "./createWeightsView.js";
 export * from "./leaseRecord.js";
 export * from "./loadWeights.js";
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -44,6 +44,8 @@
     readonly retryDenials: Counter<string>;
     /** Sends to upstreams by outcome. */
     readonly sends: Counter<"outcome">;
+    /** Sends that were withdrawn since their runs had not begun before the limit of outdated weights. */
+    readonly withdrawnSends: Counter<string>;
     /** Ends of upstreams' answers by framing, state of the connection, and whether the answer counts as complete. */
     readonly answerEnds: Counter<"framing" | "connection" | "complete">;
     /** Changes of upstreams by kind. */
@@ -152,6 +154,7 @@
         retries: counter("repeats_total", "Retries by reason.", ["reason"]),
         retryDenials: counter("repeat_denials_total", "Retries that the retry budget did not allow."),
         sends: counter("sends_total", "Sends to upstreams.", ["outcome"]),
+        withdrawnSends: counter("withdrawn_sends_total", "Sends withdrawn from outdated weights before they began."),
         answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         upstreamEnds: counter("upstream_ends_total", "Ends of upstreams' processes under requests."),
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -10,6 +10,7 @@
 import { isRetryable } from "../../core/proxy/serveProxyRequest.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
+import type { SentWeights } from "../../core/weights/createUnbegunSends.js";
 import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
 import { type AnswerIntake, createAnswerIntake } from "./createAnswerIntake.js";
 import type { CallerExchange } from "./createCallerExchange.js";
@@ -37,6 +38,14 @@
 
 const firstSuccess = 200;
 
+const outdatedDetail = "the weights of the engine are outdated, and the run has not begun in time";
+
+/** Weights for which a request is sent; undefined for a plain service. */
+function findSentWeights({ prompt }: ProxyRequest, { placement }: SendEffect): SentWeights | undefined {
+    const { weightsVersion: version } = placement;
+    return prompt === undefined || version === undefined ? undefined : { model: prompt.model, version };
+}
+
 /** One send in progress. */
 class Send implements Dispatcher.DispatchHandler {
     private isWritten = false;
@@ -46,6 +55,8 @@
     private readonly holding: AnswerHolding;
     private informationalHeads = 0;
     private isFinished = false;
+    /** Records that the run has begun, or that the send has ended. */
+    private endTracking: () => void = () => undefined;
     private readonly cancels: CancelTimer[] = [];
     private controller: Dispatcher.DispatchController | undefined;
 
@@ -69,6 +80,10 @@
         const { placement, lastEventId } = effect;
         const pairs = codec.writeHeaders({ req, placement, budgetMs, lastEventId });
         health.recordSent(this.upstreamId(), req.id, nowMs);
+        const weights = findSentWeights(req, effect);
+        if (weights !== undefined) {
+            this.endTracking = this.deps.unbegun.track(weights, () => this.withdraw());
+        }
         this.cancels.push(this.caller.onDisconnect(() => this.finish({ kind: "callerGone" })));
         this.cancels.push(clock.after(req.deadlineMs - nowMs, () => this.expire()));
         if (!this.connection.isReused) {
@@ -129,6 +144,9 @@
             return;
         }
         this.head = head;
+        if (use.kind !== "stream" && use.kind !== "continuation") {
+            this.endTracking();
+        }
         if (head.framing === "connectionClose") {
             this.connection.expectEnd();
         }
@@ -160,6 +178,7 @@
         }
         this.holding.set(answer.heldBytes());
         if (answer.hasEvents()) {
+            this.endTracking();
             this.deps.onEvent(this.req);
         }
     }
@@ -264,6 +283,17 @@
         this.finish({ kind: "expired", delivered: this.delivered() });
     }
 
+    /** Gives up a send whose run has not begun. Its upstream, which drops it with its connection, has not failed. */
+    private withdraw(): void {
+        const waitedMs = this.deps.clock.now() - this.sentMs;
+        this.deps.onWithdrawn(this.req, this.effect, { waitedMs, hasHead: this.head !== undefined });
+        this.finish(
+            this.isWritten
+                ? { kind: "lost", detail: outdatedDetail, delivered: this.delivered() }
+                : { kind: "notSent", detail: outdatedDetail },
+        );
+    }
+
     private finishLost(detail: string): void {
         if (!this.isFinished && this.connection.state() !== "open") {
             this.deps.onConnectionEnd(this.req, this.effect);
@@ -277,6 +307,7 @@
             return;
         }
         this.isFinished = true;
+        this.endTracking();
         this.cancels.forEach(cancel => cancel());
         this.holding.close();
         this.deps.health.recordEnded(this.upstreamId(), this.req.id);
@@ -306,6 +337,11 @@
     return (req, effect, caller, onOutcome) => {
         const idleMs = effect.needsFreshConnection ? maxFreshIdleMs : maxRetryableIdleMs;
         const { upstream } = effect.placement;
+        const weights = findSentWeights(req, effect);
+        if (weights !== undefined && !deps.unbegun.mayBegin(weights)) {
+            onOutcome({ kind: "notSent", detail: outdatedDetail });
+            return () => undefined;
+        }
         let send: Send;
         try {
             const connection = deps.connections.acquire(upstream.address, idleMs);
--- a/src/io/proxy/upstreamSenderTypes.ts
+++ b/src/io/proxy/upstreamSenderTypes.ts
@@ -8,10 +8,19 @@
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import type { Clock } from "../../core/time/clock.js";
+import type { UnbegunSends } from "../../core/weights/createUnbegunSends.js";
 import type { CallerExchange } from "./createCallerExchange.js";
 import type { ConnectionPool } from "./createConnectionPool.js";
 import type { AnswerHead, ProxyCodec } from "./proxyCodec.js";
 
+/** A send that was withdrawn. */
+export interface Withdrawal {
+    /** Time since it was sent, in milliseconds. */
+    readonly waitedMs: number;
+    /** Whether its upstream has answered with a head. */
+    readonly hasHead: boolean;
+}
+
 /** Dependencies of the sender. */
 export interface UpstreamSenderDependencies {
     readonly clock: Clock;
@@ -20,6 +29,10 @@
     readonly health: HealthView;
     /** Memory that answers in progress hold. */
     readonly answerMemory: AnswerMemory;
+    /** Sends whose runs have not begun. */
+    readonly unbegun: Pick<UnbegunSends, "mayBegin" | "track">;
+    /** Receives each send that is withdrawn since its run has not begun in time. */
+    readonly onWithdrawn: (req: ProxyRequest, effect: SendEffect, withdrawal: Withdrawal) => void;
     /** Receives the head of each answer, and when its request was sent. */
     readonly onAnswerHead: (req: ProxyRequest, effect: SendEffect, head: AnswerHead, sentMs: number) => void;
     /** Receives the time from a send to the head of its answer, in milliseconds. */
