--- a/features/outdatedWeights.feature
+++ b/features/outdatedWeights.feature
@@ -47,3 +47,18 @@
         Then the engine's connection is open 13000 ms after the start
         When the engine ends the stream
         Then the caller gets the whole stream of the engine
+        And the line of the request's end states when its stream started
+
+    Scenario: The lines of a send tell for how long its weights have been outdated
+        When version 2 is named 5000 ms after the start of the instance
+        And a caller sends a stream 11000 ms after its start
+        Then the engine's connection is closed within 13000 ms of the start
+        And the line of the send states that its weights had been outdated for 6000 ms, as observed
+        And a line states that the send was withdrawn at 7200 ms with no head, and why
+        And the caller gets status 502
+
+    Scenario: The line of a send tells that the age of a version is assumed
+        When it learns 900 ms after its start of version 2 without its age
+        And a caller sends a stream 1000 ms after its start
+        Then the engine's connection is closed within 3000 ms of the start
+        And the line of the send states that its weights had been outdated for 5600 ms, as assumed
--- a/features/steps/outdatedWeightsSteps.ts
+++ b/features/steps/outdatedWeightsSteps.ts
@@ -4,6 +4,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { LogEventName } from "../../src/core/logEvents/logEventTable.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import { type OutdatedPath, startOutdatedPath, streamBytes } from "../support/startOutdatedPath.js";
 
@@ -115,3 +116,35 @@
         assert.deepEqual(await getPath(this).readAnswer(), { status: 200, text });
     },
 );
+
+function findFields(world: SiteWorld, event: LogEventName): Readonly<Record<string, unknown>> {
+    const line = getPath(world).logged.find(one => one.event === event);
+    assert.ok(line !== undefined, `no line ${event}`);
+    return line.fields;
+}
+
+Then(
+    /^the line of the send states that its weights had been outdated for (\d+) ms, as (observed|assumed)$/,
+    function(this: SiteWorld, outdatedMs: string, source: string) {
+        const { outdatedMs: stated, isAgeObserved } = findFields(this, "requestSent");
+        assert.deepEqual({ stated, isAgeObserved }, {
+            stated: Number(outdatedMs),
+            isAgeObserved: source === "observed",
+        });
+    },
+);
+
+Then(
+    "a line states that the send was withdrawn at {int} ms with no head, and why",
+    function(this: SiteWorld, outdatedMs: number) {
+        const { outdatedMs: stated, hasHead } = findFields(this, "sendWithdrawn");
+        assert.ok(Number(stated) >= outdatedMs && Number(stated) < outdatedMs + 100, String(stated));
+        assert.equal(hasHead, false);
+        assert.match(String(findFields(this, "sendEnded")["detail"]), /outdated/);
+    },
+);
+
+Then("the line of the request's end states when its stream started", function(this: SiteWorld) {
+    const { streamStartMs, tookMs } = findFields(this, "requestServed");
+    assert.ok(Number(streamStartMs) >= 0 && Number(tookMs) - Number(streamStartMs) > 1_000);
+});
--- a/features/support/startOutdatedPath.ts
+++ b/features/support/startOutdatedPath.ts
@@ -14,6 +14,8 @@
 import { assembleProxy } from "../../src/assemble/assembleProxy.js";
 import { assembleQuarantine } from "../../src/assemble/assembleQuarantine.js";
 import { assembleViews } from "../../src/assemble/assembleViews.js";
+import type { InstanceContext } from "../../src/assemble/routerPorts.js";
+import type { LogEventName } from "../../src/core/logEvents/logEventTable.js";
 import type { RecordStore, StoreFailure } from "../../src/core/ports/recordStore.js";
 import type { UpstreamRecord } from "../../src/core/registry/upstreamRecord.js";
 import { createShutdown } from "../../src/core/shutdown/createShutdown.js";
@@ -26,8 +28,15 @@
     readonly text: string;
 }
 
+/** A line of the instance's log. */
+export interface LoggedLine {
+    readonly event: LogEventName;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
 /** The running path; times are milliseconds after the start of the instance. */
 export interface OutdatedPath {
+    readonly logged: readonly LoggedLine[];
     readonly advanceTo: (atMs: number) => Promise<void>;
     /** Tells the instance of version 2; `ageMs` is undefined if nobody knows its age. */
     readonly nameVersion: (ageMs: number | undefined) => void;
@@ -87,7 +96,13 @@
 export async function startOutdatedPath(): Promise<OutdatedPath> {
     const clock = createVirtualClock(1);
     const startedMs = clock.now();
-    const context = createInstanceContext(clock, unusedStore);
+    const logged: LoggedLine[] = [];
+    const context: InstanceContext = {
+        ...createInstanceContext(clock, unusedStore),
+        writeLog: (event, fields) => {
+            logged.push({ event, fields: fields ?? {} });
+        },
+    };
     const views = assembleViews(context);
     const quarantine = assembleQuarantine(context, {
         listOthers: () => [],
@@ -136,6 +151,7 @@
     }
 
     return {
+        logged,
         advanceTo: atMs => advanceClock(clock, startedMs + atMs),
         nameVersion: ageMs => views.recordTarget({ model, version: 2, ageMs }, "store"),
         send: async isResumable => {
--- a/features/support/startStoppingProxy.ts
+++ b/features/support/startStoppingProxy.ts
@@ -189,6 +189,7 @@
         send,
         retryBudget: { recordRequest: () => undefined, tryAcquire: () => true, hasRetry: () => true },
         routes: () => routes,
+        describeOutdated: () => ({}),
         findRateLimit: () => undefined,
         shutdown,
         readArrived: () => Promise.resolve(),
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -22,6 +22,7 @@
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
     createProxyService,
+    type OutdatedWeights,
     type ProxyService,
     type ProxyServiceDependencies,
 } from "../io/proxy/createProxyService.js";
@@ -181,10 +182,7 @@
     views.onTargets(unbegun.recheck);
 
     /** Describes for how long weights have been outdated; undefined while they are the newest. */
-    function describeOutdated(
-        { prompt }: ProxyRequest,
-        { weightsVersion }: Placement,
-    ): Readonly<Record<string, unknown>> {
+    function describeOutdated({ prompt }: ProxyRequest, { weightsVersion }: Placement): Partial<OutdatedWeights> {
         const outdated = prompt === undefined || weightsVersion === undefined
             ? undefined
             : views.weights.findOutdated(prompt.model, weightsVersion);
@@ -244,6 +242,7 @@
         send,
         retryBudget,
         routes: views.routes,
+        describeOutdated,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
         shutdown,
         readArrived: () => readArrived(),
--- a/src/core/proxy/createEndReport.ts
+++ b/src/core/proxy/createEndReport.ts
@@ -25,12 +25,16 @@
     readonly isWritten: boolean;
     /** Time from its arrival to its final answer, or to the close of its connection, in milliseconds. */
     readonly tookMs: number;
+    /** Time from its arrival to the first part of the stream that answers it, in milliseconds; undefined without one. */
+    readonly streamStartMs: number | undefined;
 }
 
 /** Collects what is known of a request until it is over. */
 export interface EndReport {
     /** Records which request it is. */
     readonly identify: (requestId: string, route: Pick<Route, "name" | "kind"> | undefined) => void;
+    /** Records that the stream that answers it starts. */
+    readonly recordStreamStart: (nowMs: number) => void;
     /** Records its final answer; further calls have no effect. */
     readonly decide: (result: RequestResult, nowMs: number) => void;
     /** Reports its end: with `undecided` as its result if it has no final answer. Further calls have no effect. */
@@ -53,12 +57,16 @@
     let requestId = "";
     let route: Pick<Route, "name" | "kind"> | undefined;
     let decided: { readonly result: RequestResult; readonly atMs: number; } | undefined;
+    let streamStartMs: number | undefined;
     let isClosed = false;
     return {
         identify: (id, found) => {
             requestId = id;
             route = found;
         },
+        recordStreamStart: nowMs => {
+            streamStartMs = Math.round(nowMs - arrivedMs);
+        },
         decide: (result, nowMs) => {
             decided ??= { result, atMs: nowMs };
         },
@@ -75,6 +83,7 @@
                 result,
                 isWritten,
                 tookMs: Math.round(atMs - arrivedMs),
+                streamStartMs,
             });
         },
     };
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -37,6 +37,8 @@
     readonly requestId: string;
     /** Whether the connection is closed after the answer. */
     readonly isClosing: () => boolean;
+    /** Called with the first part of a stream. */
+    readonly onStreamStart?: () => void;
     /** Records that a complete answer is held until it is written out. */
     readonly holdAnswer?: AnswerMemory["hold"];
 }
@@ -78,6 +80,7 @@
         hasStarted: () => res.headersSent,
         startStream: head => {
             if (!res.headersSent && !isDisconnected) {
+                options.onStreamStart?.();
                 writeHead(head.status, head.headers);
             }
         },
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -28,6 +28,13 @@
 import type { ProxyCodec } from "./proxyCodec.js";
 import type { SendToUpstream } from "./upstreamSenderTypes.js";
 
+/** For how long weights have been outdated. */
+export interface OutdatedWeights {
+    readonly outdatedMs: number;
+    /** Whether that age was observed; else it is an assumption. */
+    readonly isAgeObserved: boolean;
+}
+
 /** Dependencies of the service. */
 export interface ProxyServiceDependencies {
     readonly clock: Clock;
@@ -39,6 +46,8 @@
     readonly retryBudget: FleetRetryBudget;
     /** The configuration in force; undefined while there is none. */
     readonly routes: () => RouteIndex | undefined;
+    /** Describes outdated weights for which a request is sent; nothing while they are the newest. */
+    readonly describeOutdated: (req: ProxyRequest, placement: Placement) => Partial<OutdatedWeights>;
     /** Rate limit of an upstream that has stated one, in requests per second. */
     readonly findRateLimit: (upstream: string) => number | undefined;
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
@@ -194,7 +203,11 @@
                     const rateLimit = deps.findRateLimit(placement.upstream.id);
                     const nowMs = deps.clock.now();
                     const stop = deps.shutdown.progress(nowMs);
-                    deps.writeLog("requestSent", { ...describeSend(req, placement, nowMs, stop), rateLimit });
+                    deps.writeLog("requestSent", {
+                        ...describeSend(req, placement, nowMs, stop),
+                        ...deps.describeOutdated(req, placement),
+                        rateLimit,
+                    });
                     deps.onSendBegin(req, placement);
                     const cancelStop = stopActions.add(() => stopSend());
                     const stopSend = deps.send(req, effect, caller, outcome => {
@@ -287,6 +300,7 @@
         const caller = createCallerExchange(res, {
             requestId,
             isClosing: () => mustCloseAfter(res),
+            onStreamStart: () => report.recordStreamStart(deps.clock.now()),
             holdAnswer: deps.answerMemory.hold,
         });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
