Derive the assumed age of a version from the begin of runs, not from their sends

What callers saw: nothing on the deployments that run; with a longer limit for outdated weights, runs that begin on them after their instance counts as in touch again.

Cause: an instance that has started, paused or been without the store assumes an age that lets it place requests on older weights for 0.6 of its stable window. The time from there to the begin of a run was not part of the sum: 0.1 of the limit, which is the time from the last placement to the withdrawal. With a window of 3 s and a limit of 20 s runs began for 3.8 s.

The assumed age is now such that the last run begins 0.85 of the window after the start, pause or gap; placement ends before that (1.75 of 3 s with a limit of 8 s, 2.4 of 4 s with 10 s; it was 1.8 and 2.4). Evidence: the new scenario outline fails before ("runs begin for 3800 ms"); features/outdatedWeights.feature and rollout.feature: 40 scenarios pass. What waits at an engine at that moment is withdrawn, also what was sent before a pause or a time without the store: scenarios of the same feature.

--- a/features/outdatedWeights.feature
+++ b/features/outdatedWeights.feature
@@ -25,6 +25,23 @@
         Then the engine's connection is closed within 3000 ms of the start
         And the caller gets status 502
 
+    Scenario: A version of unknown age binds what an instance has sent before a pause or a time without the store
+        When a caller sends a stream 1000 ms after its start
+        And its process or its reads of the store go on 10000 ms after its start
+        And it learns 10500 ms after its start of version 2 without its age
+        Then the engine's connection is closed within 13000 ms of the start
+        And the caller gets status 502
+
+    # Guards against limits that are long beside the window, in which an assumed age let runs begin beyond it.
+    Scenario Outline: An assumed age leaves a part of the window whatever the limits are
+        Then runs on weights of unknown age begin and are placed within a window of <window> ms, with a limit of <limit> ms
+
+        Examples:
+            | window | limit |
+            | 3000   | 8000  |
+            | 4000   | 10000 |
+            | 3000   | 20000 |
+
     Scenario: A version that was named earlier than assumed binds what was sent before
         When version 2 is named 4000 ms after the start of the instance
         And a caller sends a stream 5000 ms after its start
@@ -61,4 +78,4 @@
         When it learns 900 ms after its start of version 2 without its age
         And a caller sends a stream 1000 ms after its start
         Then the engine's connection is closed within 3000 ms of the start
-        And the line of the send states that its weights had been outdated for 5600 ms, as assumed
+        And the line of the send states that its weights had been outdated for 5650 ms, as assumed
--- a/features/steps/outdatedWeightsSteps.ts
+++ b/features/steps/outdatedWeightsSteps.ts
@@ -5,6 +5,9 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { LogEventName } from "../../src/core/logEvents/logEventTable.js";
+import { assumeTargetTime } from "../../src/core/weights/assumeTargetTime.js";
+import { computeBeginLimitMs } from "../../src/core/weights/computeBeginLimitMs.js";
+import { computeOutdatedLimitMs } from "../../src/core/weights/computeOutdatedLimitMs.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import { type OutdatedPath, startOutdatedPath, streamBytes } from "../support/startOutdatedPath.js";
 
@@ -57,6 +60,10 @@
     schedule(this, atMs, path => path.nameVersion(undefined));
 });
 
+When("its process or its reads of the store go on {int} ms after its start", function(this: SiteWorld, atMs: number) {
+    schedule(this, atMs, path => path.endGap());
+});
+
 When(
     "a peer tells {int} ms after its start that version 2 was named {int} ms before",
     function(this: SiteWorld, atMs: number, ageMs: number) {
@@ -117,6 +124,16 @@
     },
 );
 
+Then(
+    "runs on weights of unknown age begin and are placed within a window of {int} ms, with a limit of {int} ms",
+    function(stableWindowMs: number, weightsLimitMs: number) {
+        const sinceMs = assumeTargetTime({ blindUntilMs: 0, stableWindowMs, weightsLimitMs });
+        const lastBeginMs = sinceMs + computeBeginLimitMs(weightsLimitMs);
+        assert.ok(lastBeginMs < stableWindowMs, `runs begin for ${lastBeginMs} ms`);
+        assert.ok(sinceMs + computeOutdatedLimitMs(weightsLimitMs) < lastBeginMs);
+    },
+);
+
 function findFields(world: SiteWorld, event: LogEventName): Readonly<Record<string, unknown>> {
     const line = getPath(world).logged.find(one => one.event === event);
     assert.ok(line !== undefined, `no line ${event}`);
--- a/features/support/startOutdatedPath.ts
+++ b/features/support/startOutdatedPath.ts
@@ -40,6 +40,8 @@
     readonly advanceTo: (atMs: number) => Promise<void>;
     /** Tells the instance of version 2; `ageMs` is undefined if nobody knows its age. */
     readonly nameVersion: (ageMs: number | undefined) => void;
+    /** Tells the instance that versions may have been named unnoticed until now. */
+    readonly endGap: () => void;
     /** Sends the caller's stream, and waits until the engine has it. */
     readonly send: (isResumable: boolean) => Promise<void>;
     /** Writes bytes of the engine's answer, and waits until the instance has read them. */
@@ -154,6 +156,7 @@
         logged,
         advanceTo: atMs => advanceClock(clock, startedMs + atMs),
         nameVersion: ageMs => views.recordTarget({ model, version: 2, ageMs }, "store"),
+        endGap: views.recordGap,
         send: async isResumable => {
             const times = { kind: "stream", timeoutMs: 20_000, isResumable } as const;
             views.applyTable(createTable({ routes: [createRoute(times)] }), "store");
--- a/src/core/weights/assumeTargetTime.ts
+++ b/src/core/weights/assumeTargetTime.ts
@@ -2,9 +2,9 @@
  * @module
  * The time from which a target counts that this instance read without knowing when it was set: after its start, a pause of
  * its process, or a time without the store. The target may be of any age. The instance has to keep the limit for outdated
- * weights as soon as it has been undisturbed for the platform's window, so older weights are used for a part of that window.
+ * weights as soon as it has been undisturbed for the platform's window, so runs on older weights begin in a part of that window.
  */
-import { computeOutdatedLimitMs } from "./computeOutdatedLimitMs.js";
+import { computeBeginLimitMs } from "./computeBeginLimitMs.js";
 
 /** What is known when such a target is read. */
 export interface UnknownAgeInputs {
@@ -16,8 +16,8 @@
     readonly weightsLimitMs: number;
 }
 
-/** Part of the window in which outdated weights are used; the rest is for requests that wait at their engine. */
-const usedWindowFraction = 0.6;
+/** Part of the window in which runs on outdated weights may begin. */
+const usedWindowFraction = 0.85;
 
 /**
  * Assumes when a target of unknown age was set.
@@ -25,9 +25,9 @@
  * @param inputs - Times of the instance and the limits.
  * @returns A local time in milliseconds.
  * @example
- * assumeTargetTime({ blindUntilMs: 0, stableWindowMs: 3_000, weightsLimitMs: 8_000 }); // -4_600
+ * assumeTargetTime({ blindUntilMs: 0, stableWindowMs: 3_000, weightsLimitMs: 8_000 }); // -4_650
  */
 export function assumeTargetTime(inputs: UnknownAgeInputs): number {
     const { blindUntilMs, stableWindowMs, weightsLimitMs } = inputs;
-    return blindUntilMs + stableWindowMs * usedWindowFraction - computeOutdatedLimitMs(weightsLimitMs);
+    return blindUntilMs + stableWindowMs * usedWindowFraction - computeBeginLimitMs(weightsLimitMs);
 }
