Answer requests that are read while a stop closes connections

What callers saw: at the end of a stop, a reset without an answer of requests that were sent 250 to 610 ms before, most of them with large bodies or on new connections; also refusals that were decided and never written.

Cause: closing was one moment for all connections. When it was due, the write sides of all of them were ended, also of those with a request in progress: a request whose body was just complete was refused a moment later, on a connection that could take no answer. A process that came late to that moment had read for two turns of the event loop, in which it accepts two connections; what else waited was reset with the listener. The class: an end that is due is carried out on what has not been read yet.

Fix: a stop closes connections without requests, and the others after their last answer; a request that arrives on one of those is refused in the protocol. Before, it accepts and reads what waits for up to half of the time that is there for closing, at least 30 ms. Closing goes on while answers are due, within its bound as before. It works since every connection that was accepted before the listener closed can still take an answer; only what arrives on an idle connection in the moment of its close is not answered, and was not read.

Why 30 ms: a process that wakes up when all ends are overdue has no share left, and accepts a connection in a fraction of a millisecond. The bound of the exit is unchanged.

--- a/features/callerConnections.feature
+++ b/features/callerConnections.feature
@@ -23,3 +23,11 @@
         When connections 2, 1 and 3 have each had a request, and connection 4 has one in progress
         And 3 more are opened
         Then connections 2, 1 and 3 are being closed
+
+    # Guards against requests that have their refusal when their connection is already closed to it.
+    Scenario: When a stop closes all connections, one with a request in progress closes only after its answer
+        Given at most 8 connections of callers, of which 4 are open
+        When connections 2, 1 and 3 have each had a request, and connection 4 has one in progress
+        And all of them are to be closed
+        Then connections 2, 1 and 3 are being closed
+        And connection 4 closes once its request is over
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -92,6 +92,11 @@
         When an instance with a request in progress stops while callers connect in each turn of 20 ms
         Then it answers, closes its connections and ends in this order before it would be killed
 
+    # Guards against connections that wait unaccepted in a process that runs again only when it has to close them.
+    Scenario: Connections that wait when a process comes late to the end of its stop are accepted before it closes them
+        When an instance stops and its process does not run from 7300 to 7755 ms, in which 40 callers connect
+        Then 40 connections are accepted before it closes them
+
     # Guards against a late process that waits between the ends of its stop until it is killed.
     Scenario: A process that does not run until just before its kill does the ends of its stop at once
         When an instance with a request in progress stops and its process does not run from 7300 to 7960 ms
--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -82,6 +82,18 @@
     },
 );
 
+When("all of them are to be closed", function(this: SiteWorld) {
+    fixtures.get(this)!.connections.end();
+});
+
+Then("connection {int} closes once its request is over", function(this: SiteWorld, number: number) {
+    const { connections, sockets } = fixtures.get(this)!;
+    const socket = sockets[number - 1]!;
+    assert.equal(socket.writableEnded, false);
+    connections.endRequest(socket);
+    assert.equal(socket.writableEnded, true);
+});
+
 Given(
     "a process of an instance that is allowed {int} descriptors",
     async function(this: SiteWorld, maxDescriptors: number) {
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -92,6 +92,10 @@
     readonly turnMs: number;
     /** Connections that are accepted in each turn. */
     readonly connectionsPerTurn: number;
+    /** Counts the accepted connections in place of these. */
+    readonly countAccepted?: () => number;
+    /** Called when connections are closed. */
+    readonly onClose?: () => void;
 }
 
 /** Stops an instance whose only request never ends by itself. */
@@ -124,7 +128,7 @@
             readArrived(() => {
                 nowMs += late.turnMs;
                 accepted += late.connectionsPerTurn;
-                return accepted;
+                return late.countAccepted?.() ?? accepted;
             }, isDue),
         readLoad: () => ({ requests: inProgress, connections: 1, hasDuties: false }),
         refuseLate: () => undefined,
@@ -132,7 +136,10 @@
             inProgress = 0;
             ends.push({ name: "answers", atMs: nowMs });
         },
-        closeCallers: () => ends.push({ name: "closes", atMs: nowMs }),
+        closeCallers: () => {
+            ends.push({ name: "closes", atMs: nowMs });
+            late.onClose?.();
+        },
     });
     return [...ends, { name: "end", atMs: nowMs }];
 }
@@ -171,3 +178,39 @@
         assert.ok(ends.every(end => end.atMs < graceMs), JSON.stringify(ends));
     },
 );
+
+const acceptedAtClose = new WeakMap<SiteWorld, number>();
+
+When(
+    "an instance stops and its process does not run from {int} to {int} ms, in which {int} callers connect",
+    async function(this: SiteWorld, fromMs: number, toMs: number, callers: number) {
+        let waiting = 0;
+        let accepted = 0;
+        const acceptNext = () => {
+            if (waiting > 0) {
+                waiting -= 1;
+                accepted += 1;
+                setImmediate(acceptNext);
+            }
+        };
+        const holdUp = (dueMs: number) => {
+            if (dueMs < fromMs || dueMs >= toMs) {
+                return dueMs;
+            }
+            waiting = callers;
+            setImmediate(acceptNext);
+            return toMs;
+        };
+        await playEnds({
+            holdUp,
+            turnMs: 0,
+            connectionsPerTurn: 0,
+            countAccepted: () => accepted,
+            onClose: () => acceptedAtClose.set(this, accepted),
+        });
+    },
+);
+
+Then("{int} connections are accepted before it closes them", function(this: SiteWorld, connections: number) {
+    assert.equal(acceptedAtClose.get(this), connections);
+});
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -39,7 +39,7 @@
     readonly countConnections: () => number;
     /** Number of callers' connections that were accepted so far. */
     readonly countAccepted: () => number;
-    /** Accepts no connections of callers, and closes the open ones once what was written has reached them. */
+    /** Accepts no connections of callers, and closes the open ones once their requests in progress are answered. */
     readonly closeCallers: () => void;
     readonly close: () => void;
 }
@@ -111,7 +111,7 @@
     /** A request that crosses the close of its connection is not served: its answer could not be written. */
     function handle(req: IncomingMessage, res: ServerResponse): void {
         const { socket } = req;
-        if (isClosed || !connections.beginRequest(socket)) {
+        if (!connections.beginRequest(socket)) {
             recordDiscarded(req);
             req.resume();
             connections.close(socket);
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -19,7 +19,7 @@
  * - `serving`: it was not told to stop.
  * - `leaving`: it takes what it can promise.
  * - `refusing`: it takes nothing more and finishes what it has taken.
- * - `closing`: it takes no connections, and closes those of callers.
+ * - `closing`: it takes no connections, and closes those of callers once they are answered.
  * - `ended`: the process may end.
  */
 export type ShutdownPhase = "serving" | "leaving" | "refusing" | "closing" | "ended";
@@ -183,7 +183,7 @@
             case "refusing":
                 return load.requests === 0 && elapsedMs >= minRefusingMs;
             case "closing":
-                return load.connections === 0 || elapsedMs >= closingMs;
+                return load.connections === 0 || (load.requests === 0 && elapsedMs >= closingMs);
             default:
                 return false;
         }
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -26,7 +26,7 @@
     readonly endRequest: (socket: Socket) => void;
     /** Closes a connection once what was written has reached the caller, and reads on until the caller has closed it too. */
     readonly close: (socket: Socket) => void;
-    /** Closes all connections once what was written has reached the callers. */
+    /** Closes all connections: at once those without requests in progress, the others after their last answer. */
     readonly end: () => void;
     /** Closes all connections at once. */
     readonly destroy: () => void;
@@ -118,7 +118,16 @@
             }
         },
         close,
-        end: () => [...requests.keys()].forEach(socket => socket.end()),
+        end: () => {
+            for (const [socket, inProgress] of requests) {
+                if (inProgress > 0) {
+                    closedWhenIdle.add(socket);
+                }
+                else {
+                    socket.end();
+                }
+            }
+        },
         destroy: () => [...requests.keys()].forEach(socket => socket.destroy()),
     };
 }
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -22,6 +22,12 @@
     readonly closeCallers: () => void;
 }
 
+/** Share of the time for closing in which the connections that wait are accepted before the open ones are closed. */
+const lastReadShare = 0.5;
+
+/** Shortest such time, in milliseconds, for a process that comes when all is due: a connection takes it a fraction of one. */
+const minLastReadMs = 30;
+
 /** Longest time between two checks of the phase, in milliseconds. */
 const pollIntervalMs = 40;
 
@@ -47,6 +53,11 @@
             options.stopRequests();
         }
         if (phase === "closing" && before !== phase) {
+            // A process that comes late to this phase has read only a few of the connections that wait.
+            const sinceMs = clock.now();
+            const shareMs = (shutdown.nextDueMs(sinceMs) - sinceMs) * lastReadShare;
+            const untilMs = sinceMs + Math.max(minLastReadMs, shareMs);
+            await options.readArrived(() => clock.now() >= untilMs);
             options.closeCallers();
         }
         const nowMs = clock.now();
