Close a crowded instance's idle connections only once what has arrived on them is read

What callers saw: a reset of a request that had been sent 378 ms before, at an instance that was told neither to stop nor to reload.

Cause: with three quarters of the connections open, each new one closes the one that has been idle longest. A connection counted as idle until its next request was parsed; in a process short of time that is hundreds of milliseconds after the request has arrived. The request was then read and discarded.

The new scenario failed: the connection was closed.

Fix: the instance reads what has arrived, and then closes the one that is idle longest, if there are still too many.

--- a/features/callerConnections.feature
+++ b/features/callerConnections.feature
@@ -24,6 +24,13 @@
         And 3 more are opened
         Then connections 2, 1 and 3 are being closed
 
+    # Guards against requests that are discarded because their connection counts as idle until they are read.
+    Scenario: Of the idle connections none is closed on which a request has arrived
+        Given at most 8 connections of callers, of which 6 are open
+        When connections 2, 1 and 3 have each had a request, and connection 4 has one in progress
+        And 3 more are opened while a request that has arrived on connection 2 is not read yet
+        Then connection 2 stays open
+
     # Guards against requests that have their refusal when their connection is already closed to it.
     Scenario: When a stop closes all connections, one with a request in progress closes only after its answer
         Given at most 8 connections of callers, of which 4 are open
--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -33,6 +33,7 @@
 const processes = new WeakMap<SiteWorld, ProcessFixture>();
 const bytesPerMegabyte = 1_048_576;
 const firstPort = 27_000;
+const settleTurns = 10;
 
 Then(
     "a process with {int} descriptors and {int} MB keeps at most {int} connections",
@@ -68,8 +69,30 @@
     },
 );
 
-When("{int} more are opened", function(this: SiteWorld, count: number) {
+/** Lets what follows new connections happen. */
+async function settle(): Promise<void> {
+    for (let turn = 0; turn < settleTurns; turn += 1) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+When("{int} more are opened", async function(this: SiteWorld, count: number) {
     addSockets(fixtures.get(this)!.connections, count);
+    await settle();
+});
+
+When(
+    "{int} more are opened while a request that has arrived on connection {int} is not read yet",
+    async function(this: SiteWorld, count: number, number: number) {
+        const { connections, sockets } = fixtures.get(this)!;
+        addSockets(connections, count);
+        setImmediate(() => connections.beginRequest(sockets[number - 1]!));
+        await settle();
+    },
+);
+
+Then("connection {int} stays open", function(this: SiteWorld, number: number) {
+    assert.equal(fixtures.get(this)!.sockets[number - 1]!.writableEnded, false);
 });
 
 Then(
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -4,6 +4,7 @@
  */
 import type { Socket } from "node:net";
 import type { Clock } from "../../core/time/clock.js";
+import { readArrived } from "../_lib/readArrived.js";
 
 /** The connections. */
 export interface CallerConnections {
@@ -70,9 +71,11 @@
         socket.once("close", clock.after(lingerMs, () => socket.destroy()));
     }
 
-    function closeLongestIdle(): void {
+    /** A connection is idle only if no request that has arrived on it is unread. */
+    async function closeLongestIdle(): Promise<void> {
+        await readArrived();
         const [socket] = idle;
-        if (socket !== undefined) {
+        if (socket !== undefined && requests.size > crowdedCount) {
             idle.delete(socket);
             socket.end();
         }
@@ -89,7 +92,7 @@
                 idle.delete(socket);
             });
             if (requests.size > crowdedCount) {
-                closeLongestIdle();
+                void closeLongestIdle();
             }
         },
         beginRequest: socket => {
