--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -33,6 +33,7 @@
 const processes = new WeakMap<SiteWorld, ProcessFixture>();
 const bytesPerMegabyte = 1_048_576;
 const firstPort = 27_000;
+const settleTurns = 10;
 
 Then(
     "a process with {int} descriptors and {int} MB keeps at most {int} connections",
@@ -68,8 +69,30 @@
     },
 );
 
-When("{int} more are opened", function(this: SiteWorld, count: number) {
+/** Lets what follows new connections happen. */
+async function settle(): Promise<void> {
+    for (let turn = 0; turn < settleTurns; turn += 1) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+When("{int} more are opened", async function(this: SiteWorld, count: number) {
     addSockets(fixtures.get(this)!.connections, count);
+    await settle();
+});
+
+When(
+    "{int} more are opened while a request that has arrived on connection {int} is not read yet",
+    async function(this: SiteWorld, count: number, number: number) {
+        const { connections, sockets } = fixtures.get(this)!;
+        addSockets(connections, count);
+        setImmediate(() => connections.beginRequest(sockets[number - 1]!));
+        await settle();
+    },
+);
+
+Then("connection {int} stays open", function(this: SiteWorld, number: number) {
+    assert.equal(fixtures.get(this)!.sockets[number - 1]!.writableEnded, false);
 });
 
 Then(
@@ -82,6 +105,18 @@
     },
 );
 
+When("all of them are to be closed", function(this: SiteWorld) {
+    fixtures.get(this)!.connections.end();
+});
+
+Then("connection {int} closes once its request is over", function(this: SiteWorld, number: number) {
+    const { connections, sockets } = fixtures.get(this)!;
+    const socket = sockets[number - 1]!;
+    assert.equal(socket.writableEnded, false);
+    connections.endRequest(socket);
+    assert.equal(socket.writableEnded, true);
+});
+
 Given(
     "a process of an instance that is allowed {int} descriptors",
     async function(this: SiteWorld, maxDescriptors: number) {
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -4,6 +4,7 @@
  */
 import type { Socket } from "node:net";
 import type { Clock } from "../../core/time/clock.js";
+import { readArrived } from "../_lib/readArrived.js";
 
 /** The connections. */
 export interface CallerConnections {
@@ -26,7 +27,7 @@
     readonly endRequest: (socket: Socket) => void;
     /** Closes a connection once what was written has reached the caller, and reads on until the caller has closed it too. */
     readonly close: (socket: Socket) => void;
-    /** Closes all connections once what was written has reached the callers. */
+    /** Closes all connections: at once those without requests in progress, the others after their last answer. */
     readonly end: () => void;
     /** Closes all connections at once. */
     readonly destroy: () => void;
@@ -70,9 +71,11 @@
         socket.once("close", clock.after(lingerMs, () => socket.destroy()));
     }
 
-    function closeLongestIdle(): void {
+    /** A connection is idle only if no request that has arrived on it is unread. */
+    async function closeLongestIdle(): Promise<void> {
+        await readArrived();
         const [socket] = idle;
-        if (socket !== undefined) {
+        if (socket !== undefined && requests.size > crowdedCount) {
             idle.delete(socket);
             socket.end();
         }
@@ -89,7 +92,7 @@
                 idle.delete(socket);
             });
             if (requests.size > crowdedCount) {
-                closeLongestIdle();
+                void closeLongestIdle();
             }
         },
         beginRequest: socket => {
@@ -118,7 +121,16 @@
             }
         },
         close,
-        end: () => [...requests.keys()].forEach(socket => socket.end()),
+        end: () => {
+            for (const [socket, inProgress] of requests) {
+                if (inProgress > 0) {
+                    closedWhenIdle.add(socket);
+                }
+                else {
+                    socket.end();
+                }
+            }
+        },
         destroy: () => [...requests.keys()].forEach(socket => socket.destroy()),
     };
 }
