Play the users' program in tests and soaks, with logs that nobody reads

Cause: the soak and the steps that start processes played dist/platform/main.js without the deploy file's arguments and with logs that were written to a file or discarded. Change: runStops, features/shutdown.feature, memory, lateReaders and callerConnections start the bundle of the build with the arguments of deploy/system.toml. The logs of a soak's processes are in turn a file, a full pipe that nobody reads, and a pipe that is read each 4 s (--log-readers).

--- a/bench/faults/platform/createInstanceProcess.ts
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -3,7 +3,7 @@
  * An address at which processes of an instance are started, signalled and watched, one after the other or overlapping.
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { openSync, readFileSync, writeFileSync } from "node:fs";
+import { closeSync, openSync, readFileSync, writeFileSync } from "node:fs";
 import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
@@ -15,6 +15,7 @@
     type InstancePlace,
     portOffsets,
 } from "../../support/platformSettings.js";
+import type { LogPipes, LogReader } from "./createLogPipes.js";
 import { limitProcessor, type ProcessorLimit } from "./limitProcessor.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { LifeRecord } from "./stopTypes.js";
@@ -97,6 +98,8 @@
 export interface InstanceProcessOptions {
     /** File to which the processes append their logs; undefined if they are not kept. */
     readonly logPath?: string | undefined;
+    /** Logs that are not read at once, and the choice among them for each process, counted from 0; closed with the address. */
+    readonly logPipes?: { readonly pipes: LogPipes; readonly chooseReader: (life: number) => LogReader; } | undefined;
     readonly bounds?: InstanceBounds;
     /** Time between two questions whether the instance is ready, in milliseconds. */
     readonly watchIntervalMs?: number;
@@ -121,19 +124,30 @@
     command: readonly string[],
     options: InstanceProcessOptions = {},
 ): InstanceProcess {
-    const { logPath, bounds = defaultBounds, watchIntervalMs = defaultWatchIntervalMs, processorLimit, onOrder } =
-        options;
+    const { logPath, logPipes, bounds = defaultBounds, watchIntervalMs = defaultWatchIntervalMs } = options;
+    const { processorLimit, onOrder } = options;
     writeFileSync(settingsPath, JSON.stringify(describePlatformSettings(place, bounds)));
     const addressOf = (offset: number) => `${place.ip}:${place.firstPort + offset}`;
     const callerAddress = addressOf(portOffsets.caller);
     const lives: Life[] = [];
     const refusedWhileReady: string[] = [];
-    const log = logPath === undefined ? "ignore" : openSync(logPath, "a");
     let isStopped = false;
 
+    function openLog(): number | "ignore" {
+        const reader = logPipes?.chooseReader(lives.length) ?? "file";
+        if (logPipes !== undefined && reader !== "file") {
+            return logPipes.pipes.openLog(reader);
+        }
+        return logPath === undefined ? "ignore" : openSync(logPath, "a");
+    }
+
     function start(): void {
+        const log = openLog();
         const env = { PATH: process.env["PATH"], HOME: process.env["HOME"], REEDWARD_NODE_FILE: settingsPath };
         const child = spawn(process.execPath, command, { env, stdio: ["ignore", log, "inherit"] });
+        if (log !== "ignore") {
+            closeSync(log);
+        }
         const record: LifeRecord = {
             address: callerAddress,
             startedMs: readSharedClock(),
@@ -244,6 +258,7 @@
             isStopped = true;
             lives.filter(life => life.record.endedMs === undefined).forEach(life => life.child.kill("SIGKILL"));
             await Promise.all(lives.map(life => life.ended));
+            logPipes?.pipes.close();
         },
     };
 }
--- a/bench/faults/platform/playStops.ts
+++ b/bench/faults/platform/playStops.ts
@@ -9,11 +9,13 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { checkStops, type StopFindings } from "./checkStops.js";
 import { createInstanceProcess, type InstanceProcess } from "./createInstanceProcess.js";
+import { createLogPipes, type LogReader } from "./createLogPipes.js";
 import { createRandom } from "./createRandom.js";
 import { createTroubles, type TroubleOptions } from "./createTroubles.js";
 import { describeConfiguration } from "./describeConfiguration.js";
 import { processorPeriodMs } from "./limitProcessor.js";
 import { type PlanOptions, playPlan } from "./playPlan.js";
+import { readDeployArguments } from "./readDeployArguments.js";
 import { readSharedClock } from "./readSharedClock.js";
 import { nameEngines, placeInstances, startCallers, startStore, startUpstreams } from "./startDeployment.js";
 import { servedModel } from "./startTimedUpstream.js";
@@ -34,6 +36,8 @@
     readonly troubles: TroubleOptions;
     /** Folder that exists, for the logs of the instances; undefined if they are not kept. */
     readonly logFolder?: string | undefined;
+    /** Who reads the logs, in turn from process to process. */
+    readonly logReaders: readonly LogReader[];
 }
 
 const warmUpMs = 4_000;
@@ -80,7 +84,7 @@
     storeAddress: string,
     onOrder: () => void,
 ): readonly InstanceProcess[] {
-    const { shape, program, logFolder } = options;
+    const { shape, program, logFolder, logReaders, seed } = options;
     // The network differs from run to run, so that runs beside each other do not meet.
     const network = `127.${20 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
     const ips = Array.from({ length: shape.instances }, (_, index) => `${network}.${10 + index}`);
@@ -95,13 +99,18 @@
             seeds: ips.slice(0, seedInstances),
             storeAddress,
         };
-        const command = [...shape.limits?.nodeArguments ?? [], program];
+        const command = [...shape.limits?.nodeArguments ?? readDeployArguments(), program];
+        const logPath = logFolder === undefined ? undefined : join(logFolder, `${name}.log`);
         const share = shape.limits?.processorShare ?? 1;
         return createInstanceProcess(place, join(folder, `${name}.json`), command, {
             onOrder,
             processorLimit: share < 1 ? { share, phaseMs: index * processorPeriodMs / shape.instances } : undefined,
             bounds: shape.bounds,
-            logPath: logFolder === undefined ? undefined : join(logFolder, `${name}.log`),
+            logPath,
+            logPipes: {
+                pipes: createLogPipes(folder, name, logPath),
+                chooseReader: life => logReaders[(seed + index + life) % logReaders.length]!,
+            },
             watchIntervalMs: Math.max(minWatchIntervalMs, shape.instances * watchMsPerInstance),
         });
     });
--- a/bench/faults/platform/runStops.ts
+++ b/bench/faults/platform/runStops.ts
@@ -3,14 +3,18 @@
  * Stops and restarts real processes of instances on loopback while callers use them:
  * `node dist/bench/faults/platform/runStops.js --plan turn|together|alone|mixed --shape NAME --seed N --instances N --gap MS
  * --seconds N [--era stated|none] [--callers N] [--processor-share SHARE] [--troubles KIND,KIND [--trouble-after MS]
- * [--trouble-lasts MS] [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]`. Callers are counted for each
+ * [--trouble-lasts MS] [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]
+ * [--log-readers file,nobody,late]`. The program is the bundle of the build, unless another one is named, and the processes'
+ * logs have these readers in turn. Callers are counted for each
  * instance. Each order to stop or reload is followed by one of the troubles. With a folder for logs, the lines that name their
  * attempts follow the violations. The last line is one JSON object; the exit code is 1 when a promise was broken.
  */
 import { parseArgs } from "node:util";
+import { type LogReader, logReaders } from "./createLogPipes.js";
 import { findLogLines } from "./findLogLines.js";
 import { type StopPlan, stopPlans } from "./playPlan.js";
 import { playStops } from "./playStops.js";
+import { bundledProgram, readDeployArguments } from "./readDeployArguments.js";
 import { stopShapes } from "./stopShapes.js";
 import { type TroubleKind, troubleKinds } from "./troubleTypes.js";
 
@@ -29,9 +33,10 @@
         "trouble-after": { type: "string" },
         "trouble-lasts": { type: "string" },
         "trouble-share": { type: "string" },
-        program: { type: "string", default: "dist/platform/main.js" },
+        program: { type: "string", default: bundledProgram },
         busy: { type: "string", default: "0" },
         logs: { type: "string" },
+        "log-readers": { type: "string", default: logReaders.join(",") },
         "max-printed": { type: "string", default: "12" },
     },
 });
@@ -53,9 +58,13 @@
 if (!troubles.every(kind => (troubleKinds as readonly string[]).includes(kind))) {
     fail(`unknown trouble; troubles: ${troubleKinds.join(", ")}`);
 }
+const chosenReaders = values["log-readers"].split(",");
+if (!chosenReaders.every(reader => (logReaders as readonly string[]).includes(reader))) {
+    fail(`unknown reader of logs; readers: ${logReaders.join(", ")}`);
+}
 const toNumber = (text: string | undefined) => text === undefined ? undefined : Number(text);
 const processorShare = toNumber(values["processor-share"]);
-const unlimited = { nodeArguments: [], memoryKb: Infinity, processorShare: 1 };
+const unlimited = { nodeArguments: readDeployArguments(), memoryKb: Infinity, processorShare: 1 };
 const limits = { ...unlimited, ...shape.limits, ...(processorShare === undefined ? {} : { processorShare }) };
 const { violations, counts, ends } = await playStops({
     plan: values.plan as StopPlan,
@@ -73,6 +82,7 @@
     program: values.program,
     busyProcesses: Number(values.busy),
     logFolder: values.logs,
+    logReaders: chosenReaders as LogReader[],
 });
 violations.slice(0, Number(values["max-printed"])).forEach(violation => process.stdout.write(`${violation}\n`));
 if (values.logs !== undefined) {
--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -10,6 +10,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
 import { startFakeServer } from "../../fakes/startFakeServer.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
@@ -92,7 +93,7 @@
         const folder = mkdtempSync(join(tmpdir(), "reedward-connections-"));
         const place = placeLoneInstance({ lastOctet: 7, firstPort, storeAddress: store.address });
         const settingsPath = join(folder, "settings.json");
-        const instance = createInstanceProcess(place, settingsPath, ["dist/platform/main.js"]);
+        const instance = createInstanceProcess(place, settingsPath, [...readDeployArguments(), bundledProgram]);
         const settings = JSON.parse(readFileSync(settingsPath, "utf8")) as object;
         writeFileSync(settingsPath, JSON.stringify({ ...settings, limits: { max_fds: maxDescriptors } }));
         this.cleanups.push(
--- a/features/steps/lateReaderSteps.ts
+++ b/features/steps/lateReaderSteps.ts
@@ -12,6 +12,7 @@
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, streamHeaders, waitUntil } from "../support/platformFixture.js";
@@ -51,7 +52,10 @@
         store.put("keyed.servers", "i-1", upstream);
         const folder = mkdtempSync(join(tmpdir(), "reedward-readers-"));
         const place = placeLoneInstance({ lastOctet: 9, firstPort, storeAddress: store.address });
-        const instance = createInstanceProcess(place, join(folder, "settings.json"), ["dist/platform/main.js"]);
+        const instance = createInstanceProcess(place, join(folder, "settings.json"), [
+            ...readDeployArguments(),
+            bundledProgram,
+        ]);
         this.cleanups.push(
             () => instance.stop(),
             () => store.stop(),
--- a/features/steps/memorySteps.ts
+++ b/features/steps/memorySteps.ts
@@ -11,6 +11,7 @@
 import { join } from "node:path";
 import { request } from "undici";
 import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { createGarbageMeter } from "../../src/core/memory/createGarbageMeter.js";
 import {
@@ -39,8 +40,8 @@
 const bytesPerMegabyte = 1_048_576;
 const firstPort = 26_000;
 
-/** Arguments with which the deploy file runs the program, on the modules of the build. */
-const command = ["--single-threaded", "--max-old-space-size=120", "--expose-gc", "dist/platform/main.js"];
+/** The program as the deploy file runs it. */
+const command = [...readDeployArguments(), bundledProgram];
 
 function getFixture(world: SiteWorld): MemoryFixture {
     const fixture = fixtures.get(world) ?? {
--- a/features/steps/shutdownSteps.ts
+++ b/features/steps/shutdownSteps.ts
@@ -4,8 +4,10 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { logReaders } from "../../bench/faults/platform/createLogPipes.js";
 import type { StopPlan } from "../../bench/faults/platform/playPlan.js";
 import { playStops } from "../../bench/faults/platform/playStops.js";
+import { bundledProgram } from "../../bench/faults/platform/readDeployArguments.js";
 import { stopShapes } from "../../bench/faults/platform/stopShapes.js";
 import { createProxyRequest } from "../../bench/support/proxyFixtures.js";
 import type { ProxyRequest } from "../../src/core/proxy/proxyTypes.js";
@@ -258,7 +260,8 @@
     troubles: { kinds: [] },
     gapMs: 200,
     seconds: mixedSeconds,
-    program: "dist/platform/main.js",
+    program: bundledProgram,
+    logReaders,
     busyProcesses: 0,
 } as const;
 
