Take over the order lease sooner from a holder that was killed

What callers saw: requests began on old weights after the limit.

Cause: (1) a claim was waited out for 1.5 s of validity besides the 0.5 s of an order and the 3 s between holders, although it is renewed each 0.75 s. (2) Where no holder lived at the naming, others waited 1.5 s for the preferred instance, which claims within some hundred ms where it can. (3) A holder that is killed between its append and the answer leaves a claim that nobody has heard of. Others read it only when the former claim had been waited out, and waited once more from there: the same wait twice.

Fix: a claim is valid for 1 s and renewed at the same interval as before; the preferred instance is waited for during 0.6 s; where a renewal is missing while there is work, the claims are read once, so that the wait counts from there. The distance between orders of two holders is as before: validity + arrival + 3 s, and its random histories are unchanged.

Evidence: new scenario, 7 instances, 13 engines, loads of 570 ms, the holder killed each 250 ms from 1.5 s before a naming to 8 s after it, with and without a restart (76 plays). A holder's append that takes more than 0.85 s (1.35 s before) leaves no time for orders.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -107,3 +107,16 @@
         When it listens on its addresses
         And it has run for 1000 ms
         Then it has sent an order
+
+    # Guards against weights that engines lack for long since the holder of the lease is killed.
+    Scenario: Engines have new weights in time whenever the holder of the lease is killed
+        Given 7 instances and 13 engines that load weights in 570 ms, seed 1
+        When the holder is killed once, each 250 ms of a rollout
+        Then in each play the engines have each version within 11000 ms
+        And in each play orders of two holders are 3000 ms apart and fences rise
+
+    Scenario: Rollouts without disturbance cost no more calls than orders and renewals need
+        Given 7 instances and 13 engines that load weights in 570 ms, seed 3
+        When versions are named and no instance is killed
+        Then in each play the engines have each version within 8000 ms
+        And each engine has received one order a version, and the store at most 18 calls
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -42,7 +42,7 @@
         return findClose(orders, separationMs) === undefined && findSharedFence(orders) === undefined
             && findFallingFence(orders) === undefined;
     });
-    return !fc.check(property, { numRuns, seed }).failed;
+    return !fc.check(property, { numRuns, seed, endOnFailure: true }).failed;
 }
 
 const noFaults: InjectedFaults = {
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -60,6 +60,8 @@
     readonly mayHaveLostClaims: (nowMs: number) => boolean;
     /** Whether the last holder's orders can no longer have an effect. */
     readonly isFree: (nowMs: number) => boolean;
+    /** Whether the last claim that is known allows no more orders: its holder has ended, or has claimed again unheard. */
+    readonly hasLapsed: (nowMs: number) => boolean;
     /** Milliseconds until the lease is free, as far as known; 0 when it is. */
     readonly freeInMs: (nowMs: number) => number;
     /** The claim under which this instance may send orders; undefined when it does not hold the lease. */
@@ -83,7 +85,7 @@
 export const unknownEra = 0;
 
 /** Time for which a record allows orders, in milliseconds, counted from before it was sent. */
-export const leaseValidMs = 1_500;
+export const leaseValidMs = 1_000;
 
 /** Time in which a sent order may still arrive, in milliseconds; after it the connection is closed. */
 export const orderArrivalMs = 500;
@@ -223,6 +225,7 @@
         holder: () => holder,
         mayHaveLostClaims,
         isFree: nowMs => freeInMs(nowMs) === 0,
+        hasLapsed: nowMs => nowMs - learnedMs >= leaseValidMs,
         freeInMs,
         heldClaim,
         fence: nowMs => {
--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -31,10 +31,10 @@
 }
 
 /** Share of the lease's validity that is left when it is renewed. */
-const renewShare = 0.5;
+const renewShare = 0.25;
 
 /** Time for which other instances wait for the preferred one before they acquire the lease, in milliseconds. */
-const takeoverDelayMs = 1_500;
+const takeoverDelayMs = 600;
 
 /** Time between the attempts of two such instances, in milliseconds. */
 const takeoverSpacingMs = 100;
@@ -51,6 +51,8 @@
     let renewal: Promise<boolean> | undefined;
     /** Era in which the claims were last read. */
     let readEra: number | undefined;
+    /** End of the topic after a read since a renewal was missing. */
+    let searchedEnd: number | undefined;
     /** Work and reason of the last line that said why the lease is awaited. */
     let loggedWait: string | undefined;
 
@@ -110,6 +112,17 @@
         return last === "read";
     }
 
+    /**
+     * A holder may end before its peers have heard of its last claim. They read once when a renewal is missing, since the time
+     * until the lease is free counts from when a claim is known.
+     */
+    async function searchLastClaim(nowMs: number): Promise<void> {
+        if (lease.hasLapsed(nowMs) && searchedEnd !== lease.end()) {
+            await readClaims();
+            searchedEnd = lease.end();
+        }
+    }
+
     async function claim(): Promise<void> {
         const sentMs = clock.now();
         const era = lease.era();
@@ -151,6 +164,7 @@
         }
         if (!lease.isFree(nowMs)) {
             logWait("claimed", nowMs);
+            await searchLastClaim(nowMs);
         }
         // A claim of the current era shows that no claim was lost.
         if (lease.mayHaveLostClaims(nowMs) && readEra !== lease.era()) {
