Load more engines at once where a rollout is late

What callers saw: requests began on old weights after the limit, as a rollout that began late went on with a fifth of the engines at a time: 13 engines take five rounds, 4 s, whatever is left.

Cause: the number that loads at once was a fixed share, which knew neither the limits nor how long loads take.

Fix: planLoads gets the time for which each engine's weights are still used, the time until it has to have the newest ones, and the observed duration of loads. It stays with a fifth while that is enough; up to a half load at once where the current weights would run out before; as many as it takes where the limit for all engines (version_all_ms, now read from the settings) would be passed. An engine whose weights are no longer used serves nothing anyway, so there is less to spare.

Weighed: all engines at once as soon as old weights are not used any more. Also tried: no haste for engines that can't be in time anyway: a successor that is killed, too, then leaves too many.

Tests of planLoads state the time that is left now; their bounds are unchanged.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -115,6 +115,23 @@
         Then in each play the engines have each version within 11000 ms
         And in each play orders of two holders are 3000 ms apart and fences rise
 
+    Scenario Outline: Engines have new weights in time although the successor of a killed holder is killed, too
+        Given 7 instances and 13 engines that load weights in 570 ms, seed 2
+        When the holder is killed each 500 ms of a rollout, and its successor <delay> ms after its claim
+        Then in each play the engines have each version within 11000 ms
+        And in each play orders of two holders are 3000 ms apart and fences rise
+
+        Examples:
+            | delay |
+            | 60    |
+            | 700   |
+
+        # The successor is killed before its first order.
+        @known-red
+        Examples:
+            | delay |
+            | 1     |
+
     Scenario: Rollouts without disturbance cost no more calls than orders and renewals need
         Given 7 instances and 13 engines that load weights in 570 ms, seed 3
         When versions are named and no instance is killed
--- a/features/steps/rolloutHolderSteps.ts
+++ b/features/steps/rolloutHolderSteps.ts
@@ -9,6 +9,7 @@
 import { createUpstreamUseTracker } from "../../src/core/placement/createUpstreamUseTracker.js";
 import type { RecordStore, StoreFailure } from "../../src/core/ports/recordStore.js";
 import { createUpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
+import { computeOutdatedLimitMs } from "../../src/core/weights/computeOutdatedLimitMs.js";
 import { createRolloutLease, unknownEra } from "../../src/core/weights/createRolloutLease.js";
 import { createWeightsView } from "../../src/core/weights/createWeightsView.js";
 import { runRollout } from "../../src/io/weights/runRollout.js";
@@ -24,6 +25,8 @@
 const fixtures = new WeakMap<SiteWorld, HolderFixture>();
 const model = "easy-read";
 const failure: StoreFailure = { kind: "failed", cause: "connection", reason: "not used" };
+const weightsLimitMs = 8_000;
+const allLoadedLimitMs = 11_000;
 const stepMs = 20;
 
 /** A lease topic without records. */
@@ -79,6 +82,8 @@
             },
             listLive: () => [],
             isLeaving: () => false,
+            outdatedLimitMs: computeOutdatedLimitMs(weightsLimitMs),
+            allLoadedLimitMs,
             isListening: () => fixture.isListening,
             checkPause: () => undefined,
             isStoreFresh: () => true,
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -203,6 +203,11 @@
     assert.deepEqual(loads.get(this), { end, orders });
 });
 
+/** Time in which a fifth of the engines at a time can load. */
+const usableMs = 6_000;
+const dueInMs = 8_400;
+const loadPlanOptions = { loadMs: 800 };
+
 function createEngines(count: number, loadingCount: number) {
     return Array.from({ length: count }, (_, index) => ({
         id: `e-${index}`,
@@ -210,16 +215,18 @@
         version: index < 3 ? 1 : 2,
         isLoading: index >= count - loadingCount,
         requests: count - index,
+        usableMs,
+        dueInMs,
     }));
 }
 
 Then("of {int} engines the {int} with the oldest weights receive orders", function(count: number, ordered: number) {
     const expected = ["e-0", "e-1", "e-2"].slice(0, ordered);
-    assert.deepEqual(planLoads(createEngines(count, 0)).toSorted(), expected);
+    assert.deepEqual(planLoads(createEngines(count, 0), loadPlanOptions).toSorted(), expected);
 });
 
 Then("no engine receives an order while {int} are loading", function(loadingCount: number) {
-    assert.deepEqual(planLoads(createEngines(13, loadingCount)), []);
+    assert.deepEqual(planLoads(createEngines(13, loadingCount), loadPlanOptions), []);
 });
 
 const views = new WeakMap<SiteWorld, WeightsView>();
--- a/features/steps/rolloutLoadSteps.ts
+++ b/features/steps/rolloutLoadSteps.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
+import { computeOutdatedLimitMs } from "../../src/core/weights/computeOutdatedLimitMs.js";
 import {
     type LoadEffect,
     type LoadEffectResults,
@@ -35,6 +36,9 @@
 
 const rollouts = new WeakMap<SiteWorld, RolloutFixture>();
 const targetVersion = 2;
+const weightsLimitMs = 8_000;
+const allLoadedLimitMs = 11_000;
+const expectedLoadMs = 1_000;
 const checkIntervalMs = 100;
 const longestRunMs = 60_000;
 
@@ -82,8 +86,10 @@
         isLoading,
         isOutdated: version < targetVersion,
         requests: 1,
+        usableMs: version < targetVersion ? computeOutdatedLimitMs(weightsLimitMs) - clock.now() : Infinity,
+        dueInMs: version < targetVersion ? allLoadedLimitMs - clock.now() : Infinity,
     }));
-    const chosen = planLoads(candidates);
+    const chosen = planLoads(candidates, { loadMs: expectedLoadMs });
     engines.filter(engine => chosen.includes(engine.id)).forEach(engine => load(rollout, engine));
     rollout.mostLoading = Math.max(rollout.mostLoading, engines.filter(engine => engine.isLoading).length);
     clock.after(checkIntervalMs, () => check(rollout));
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -151,6 +151,7 @@
         reconnectLimitMs: 3_000,
         leaseSeparationMs: 3_000,
         weightsLimitMs: 8_000,
+        allWeightsLimitMs: 11_000,
         retryRatio: 0.2,
         retrySlack: 50,
         retryWindowMs: 10_000,
--- a/features/support/playRolloutFleet.ts
+++ b/features/support/playRolloutFleet.ts
@@ -9,6 +9,7 @@
 import type { RecordStore, StoreFailure } from "../../src/core/ports/recordStore.js";
 import { createUpstreamRegistry, type UpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
 import type { Clock } from "../../src/core/time/clock.js";
+import { computeOutdatedLimitMs } from "../../src/core/weights/computeOutdatedLimitMs.js";
 import { createRolloutLease, type RolloutLease } from "../../src/core/weights/createRolloutLease.js";
 import { createWeightsView, type WeightsView } from "../../src/core/weights/createWeightsView.js";
 import { decodeLeaseRecord } from "../../src/core/weights/leaseRecord.js";
@@ -58,6 +59,8 @@
 const model = "easy-read";
 const era = 1;
 const separationMs = 3_000;
+const weightsLimitMs = 8_000;
+const allLoadedLimitMs = 11_000;
 const stepMs = 10;
 const heartbeatIntervalMs = 300;
 const memberTimeoutMs = 1_300;
@@ -254,6 +257,8 @@
         },
         listLive: () => listLive(fleet, process),
         isLeaving: () => false,
+        outdatedLimitMs: computeOutdatedLimitMs(weightsLimitMs),
+        allLoadedLimitMs,
         isListening: () => true,
         checkPause: () => undefined,
         isStoreFresh: () => true,
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -44,6 +44,8 @@
     readonly leaseSeparationMs: number;
     /** Time after which no request may start on weights older than the target. */
     readonly weightsLimitMs: number;
+    /** Time after which all engines have to have weights at least as new as a target, in milliseconds. */
+    readonly allWeightsLimitMs: number;
     /** Retries allowed per request, over the fleet. */
     readonly retryRatio: number;
     /** Retries allowed in a window in addition to the ratio, over the fleet. */
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -20,7 +20,7 @@
     type OrderAnswer,
     type RunningRequests,
 } from "../../core/weights/loadWeights.js";
-import { planLoads } from "../../core/weights/planLoads.js";
+import { type LoadCandidate, planLoads } from "../../core/weights/planLoads.js";
 import { maintainRolloutLease, type RolloutLeaseDependencies } from "./maintainRolloutLease.js";
 
 /** An order to load weights. */
@@ -49,6 +49,10 @@
     readonly use: UpstreamUseTracker;
     readonly engines: EngineOrders;
     readonly isLeaving: () => boolean;
+    /** Time for which requests are sent to engines after their weights became outdated, in milliseconds. */
+    readonly outdatedLimitMs: number;
+    /** Time after which all engines have to have newer weights, in milliseconds. */
+    readonly allLoadedLimitMs: number;
     /** Whether the instance has its addresses: a process before it on the same ones may still send orders. */
     readonly isListening: () => boolean;
     /** Whether the store was read recently. */
@@ -76,6 +80,15 @@
 /** Delay before an engine that failed to load is retried, in milliseconds. */
 const failedLoadDelayMs = 600;
 
+/** Fraction of the limit for all engines that is used: some loads fail, and instances learn of targets late. */
+const limitFraction = 0.8;
+
+/** Time that a load takes until one was observed, in milliseconds. */
+const initialLoadMs = 1_000;
+
+/** Weight of the last load in the time that loads are expected to take. */
+const lastLoadWeight = 0.3;
+
 /** Time between the report to peers of which engines load and the order, in milliseconds. */
 const reportLeadMs = 15;
 
@@ -90,7 +103,9 @@
  */
 export function runRollout(deps: RolloutDependencies): Rollout {
     const { clock, lease, weights } = deps;
-    const loading = new Map<string, string>();
+    /** When the load of each engine began, in milliseconds. */
+    const loading = new Map<string, number>();
+    let loadMs = initialLoadMs;
     const retryAtMs = new Map<string, number>();
     let isStopped = false;
     let isChecking = false;
@@ -152,9 +167,11 @@
     }
 
     function endLoad(engine: UpstreamRecord, target: TargetWeights, end: LoadEnd): void {
+        const startedMs = loading.get(engine.id);
         loading.delete(engine.id);
         deps.writeLog("loadEnded", { engine: engine.id, model: target.model, version: target.version, end });
         if (end === "loaded") {
+            loadMs += (clock.now() - (startedMs ?? clock.now()) - loadMs) * lastLoadWeight;
             weights.recordLoaded(engine.id, target.model, target.version);
         }
         else {
@@ -198,19 +215,24 @@
     function startLoads(target: TargetWeights): void {
         const nowMs = clock.now();
         const engines = listEngines(target.model);
-        const candidates = engines.map(engine => ({
-            id: engine.id,
-            isOutdated: (weights.findVersion(engine, target.model) ?? 0) < target.version
-                && nowMs >= (retryAtMs.get(engine.id) ?? 0),
-            version: weights.findVersion(engine, target.model) ?? 0,
-            isLoading: loading.has(engine.id),
-            requests: deps.use.read(engine.id).requests,
-        }));
-        const chosen = planLoads(candidates);
+        const candidates = engines.map((engine): LoadCandidate => {
+            const version = weights.findVersion(engine, target.model) ?? 0;
+            const sinceMs = weights.outdatedSinceMs(target.model, version) ?? Infinity;
+            return {
+                id: engine.id,
+                isOutdated: version < target.version && nowMs >= (retryAtMs.get(engine.id) ?? 0),
+                version,
+                isLoading: loading.has(engine.id),
+                requests: deps.use.read(engine.id).requests,
+                usableMs: sinceMs + deps.outdatedLimitMs - nowMs,
+                dueInMs: sinceMs + deps.allLoadedLimitMs * limitFraction - nowMs,
+            };
+        });
+        const chosen = planLoads(candidates, { loadMs });
         if (chosen.length === 0) {
             return;
         }
-        chosen.forEach(id => loading.set(id, target.model));
+        chosen.forEach(id => loading.set(id, nowMs));
         weights.setLoading(deps.instance, [...loading.keys()]);
         deps.notifyPeers();
         engines.filter(engine => chosen.includes(engine.id)).forEach(engine => load(engine, target));
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -19,6 +19,7 @@
 import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createLagMeter } from "./core/time/createLagMeter.js";
 import { createPauseDetector } from "./core/time/createPauseDetector.js";
+import { computeOutdatedLimitMs } from "./core/weights/computeOutdatedLimitMs.js";
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { readArrived } from "./io/_lib/readArrived.js";
 import { createListenerGroup } from "./io/http/createListenerGroup.js";
@@ -153,6 +154,8 @@
         engines: ports.engines,
         listLive: fleet.listLive,
         isLeaving: shutdown.isLeaving,
+        outdatedLimitMs: computeOutdatedLimitMs(settings.weightsLimitMs),
+        allLoadedLimitMs: settings.allWeightsLimitMs,
         isListening: listeners.areListening,
         checkPause: () => pauses.check(),
         isStoreFresh: () => fleet.upstreamsAgeMs() < Math.max(freshStoreMs, plan().maxAgeMs),
