Take the order lease as a leaving instance only with time to use it

Cause: where no instance serves, a leaving one orders, however little time it has. One that was told to stop before it served ends as soon as it has no requests, which is at once.

Fix: the stop states for how long the instance can still take up work: nothing once it ends with its last request. Without a holder it claims only if that is at least as long as others then have to wait (validity + arrival + separation). A leaving holder goes on as before.

Evidence: new scenario of three rows.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -137,3 +137,15 @@
         When versions are named and no instance is killed
         Then in each play the engines have each version within 8000 ms
         And each engine has received one order a version, and the store at most 18 calls
+
+    # Guards against a claim by an instance that ends at once, which keeps its successor from ordering.
+    Scenario Outline: A leaving instance takes the lease only if it has as much time as others then have to wait
+        Given a lone instance with an engine to load that was told to stop <stopped> ms ago and had <state>
+        When it has run for 500 ms
+        Then it has sent <orders>
+
+        Examples:
+            | stopped | state      | orders   |
+            | 0       | served     | an order |
+            | 0       | not served | no order |
+            | 3500    | served     | no order |
--- a/features/steps/rolloutHolderSteps.ts
+++ b/features/steps/rolloutHolderSteps.ts
@@ -9,6 +9,7 @@
 import { createUpstreamUseTracker } from "../../src/core/placement/createUpstreamUseTracker.js";
 import type { RecordStore, StoreFailure } from "../../src/core/ports/recordStore.js";
 import { createUpstreamRegistry } from "../../src/core/registry/createUpstreamRegistry.js";
+import { createShutdown, type Shutdown } from "../../src/core/shutdown/createShutdown.js";
 import { computeOutdatedLimitMs } from "../../src/core/weights/computeOutdatedLimitMs.js";
 import { createRolloutLease, unknownEra } from "../../src/core/weights/createRolloutLease.js";
 import { createWeightsView } from "../../src/core/weights/createWeightsView.js";
@@ -27,6 +28,7 @@
 const failure: StoreFailure = { kind: "failed", cause: "connection", reason: "not used" };
 const weightsLimitMs = 8_000;
 const allLoadedLimitMs = 11_000;
+const graceMs = 8_000;
 const stepMs = 20;
 
 /** A lease topic without records. */
@@ -45,55 +47,75 @@
     };
 }
 
+/** Starts an instance with an engine that has older weights. */
+function startInstance(world: SiteWorld, clock: VirtualClock, shutdown: Shutdown, isListening: boolean): void {
+    const fixture: HolderFixture = { clock, ordered: [], isListening };
+    const registry = createUpstreamRegistry(() => undefined);
+    registry.applyList([{
+        id: "engine-1",
+        service: "adapt",
+        address: "127.0.0.1:1",
+        failureDomain: "domain",
+        isDraining: false,
+        slots: 1,
+        startedAtMs: 1,
+        weights: [{ model, version: 1 }],
+        acceptedOrders: 0,
+    }], clock.now());
+    const weights = createWeightsView();
+    weights.recordTarget({ model, version: 2, sinceMs: clock.now(), isObserved: true });
+    runRollout({
+        clock,
+        instance: "entry-1",
+        store: createEmptyTopic(),
+        leaseTopic: "lease",
+        lease: createRolloutLease({ instance: "entry-1", separationMs: 3_000 }),
+        registry,
+        weights,
+        use: createUpstreamUseTracker(),
+        engines: {
+            readState: () => Promise.resolve({ version: 1, isBusy: false, acceptedOrders: 0 }),
+            order: ({ engine }) => {
+                fixture.ordered.push(engine.id);
+                return Promise.resolve("accepted");
+            },
+        },
+        listLive: () => [],
+        isLeaving: shutdown.isLeaving,
+        dutyTimeMs: () => shutdown.dutyTimeMs(clock.now()),
+        outdatedLimitMs: computeOutdatedLimitMs(weightsLimitMs),
+        allLoadedLimitMs,
+        isListening: () => fixture.isListening,
+        checkPause: () => undefined,
+        isStoreFresh: () => true,
+        notifyPeers: () => undefined,
+        onChange: () => undefined,
+        writeLog: () => undefined,
+        onOrder: () => undefined,
+        onClaim: () => undefined,
+    });
+    fixtures.set(world, fixture);
+}
+
+function createStop(mayBeListed: boolean): Shutdown {
+    return createShutdown({ graceMs, mayBeListed: () => mayBeListed, hasServingPeer: () => false });
+}
+
 Given(
     "an instance with an engine to load, whose addresses the process before it still holds",
     function(this: SiteWorld) {
+        startInstance(this, createVirtualClock(1), createStop(true), false);
+    },
+);
+
+Given(
+    "a lone instance with an engine to load that was told to stop {int} ms ago and had {}",
+    function(this: SiteWorld, stoppedMs: number, state: string) {
         const clock = createVirtualClock(1);
-        const fixture: HolderFixture = { clock, ordered: [], isListening: false };
-        const registry = createUpstreamRegistry(() => undefined);
-        registry.applyList([{
-            id: "engine-1",
-            service: "adapt",
-            address: "127.0.0.1:1",
-            failureDomain: "domain",
-            isDraining: false,
-            slots: 1,
-            startedAtMs: 1,
-            weights: [{ model, version: 1 }],
-            acceptedOrders: 0,
-        }], clock.now());
-        const weights = createWeightsView();
-        weights.recordTarget({ model, version: 2, sinceMs: clock.now(), isObserved: true });
-        runRollout({
-            clock,
-            instance: "entry-1",
-            store: createEmptyTopic(),
-            leaseTopic: "lease",
-            lease: createRolloutLease({ instance: "entry-1", separationMs: 3_000 }),
-            registry,
-            weights,
-            use: createUpstreamUseTracker(),
-            engines: {
-                readState: () => Promise.resolve({ version: 1, isBusy: false, acceptedOrders: 0 }),
-                order: ({ engine }) => {
-                    fixture.ordered.push(engine.id);
-                    return Promise.resolve("accepted");
-                },
-            },
-            listLive: () => [],
-            isLeaving: () => false,
-            outdatedLimitMs: computeOutdatedLimitMs(weightsLimitMs),
-            allLoadedLimitMs,
-            isListening: () => fixture.isListening,
-            checkPause: () => undefined,
-            isStoreFresh: () => true,
-            notifyPeers: () => undefined,
-            onChange: () => undefined,
-            writeLog: () => undefined,
-            onOrder: () => undefined,
-            onClaim: () => undefined,
-        });
-        fixtures.set(this, fixture);
+        const shutdown = createStop(state === "served");
+        shutdown.begin(clock.now());
+        clock.runUntil(stoppedMs);
+        startInstance(this, clock, shutdown, true);
     },
 );
 
--- a/features/support/playRolloutFleet.ts
+++ b/features/support/playRolloutFleet.ts
@@ -257,6 +257,7 @@
         },
         listLive: () => listLive(fleet, process),
         isLeaving: () => false,
+        dutyTimeMs: () => Infinity,
         outdatedLimitMs: computeOutdatedLimitMs(weightsLimitMs),
         allLoadedLimitMs,
         isListening: () => true,
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -62,6 +62,11 @@
     readonly createRefusal: (nowMs: number) => Refusal;
     /** When the stop comes to its ends at the latest. */
     readonly ends: (nowMs: number) => StopEnds;
+    /**
+     * Time for which the instance can still take up work for the fleet, in milliseconds; infinite while it was not told to stop, 0 once
+     * it ends as soon as it has finished what it has taken.
+     */
+    readonly dutyTimeMs: (nowMs: number) => number;
     /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
     readonly nextDueMs: (nowMs: number) => number;
     /** Moves to the next phase when it is due, and returns the phase. */
@@ -210,6 +215,13 @@
         },
         createRefusal: refuse,
         ends,
+        dutyTimeMs: nowMs => {
+            if (phase === "serving") {
+                return Infinity;
+            }
+            const endsWithRequests = phase !== "leaving" || nowMs >= minUntilMs;
+            return endsWithRequests ? 0 : Math.max(0, answersDueMs(nowMs) - nowMs);
+        },
         nextDueMs,
         advance: (nowMs, load) => {
             if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs(nowMs) || isDone(nowMs, load))) {
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -68,6 +68,8 @@
     readonly heldClaim: (nowMs: number) => LeaseClaim | undefined;
     /** Fencing number while orders may be sent; undefined when the lease is not held. */
     readonly fence: (nowMs: number) => number | undefined;
+    /** Time from a claim until another instance may claim, in milliseconds. */
+    readonly takeoverDelayMs: number;
     /** Milliseconds for which this instance still holds the lease. */
     readonly remainingMs: (nowMs: number) => number;
     /** Stops orders under the current fencing number, as after a pause or when an engine refused it. */
@@ -232,6 +234,7 @@
             const claim = heldClaim(nowMs);
             return claim === undefined ? undefined : toFencingNumber(claim.era, claim.offset);
         },
+        takeoverDelayMs,
         remainingMs,
         relinquish: () => {
             own = undefined;
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -49,6 +49,8 @@
     readonly use: UpstreamUseTracker;
     readonly engines: EngineOrders;
     readonly isLeaving: () => boolean;
+    /** Time for which this instance can still take up work for the fleet, in milliseconds. */
+    readonly dutyTimeMs: () => number;
     /** Time for which requests are sent to engines after their weights became outdated, in milliseconds. */
     readonly outdatedLimitMs: number;
     /** Time after which all engines have to have newer weights, in milliseconds. */
@@ -238,13 +240,18 @@
         engines.filter(engine => chosen.includes(engine.id)).forEach(engine => load(engine, target));
     }
 
-    /** A leaving holder goes on: another instance has to wait until the lease is free. Where all leave, one of them orders. */
+    /**
+     * A leaving holder goes on: another instance has to wait until the lease is free. Where all leave, one of them orders that has
+     * at least as much time as those that start then have to wait.
+     */
     function mayOrder(): boolean {
         if (!deps.isListening() || !deps.isStoreFresh()) {
             return false;
         }
-        const hasServing = listServing(deps.listLive()).length > 0;
-        return !deps.isLeaving() || lease.fence(clock.now()) !== undefined || !hasServing;
+        if (!deps.isLeaving() || lease.fence(clock.now()) !== undefined) {
+            return true;
+        }
+        return listServing(deps.listLive()).length === 0 && deps.dutyTimeMs() >= lease.takeoverDelayMs;
     }
 
     async function check(): Promise<void> {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -154,6 +154,7 @@
         engines: ports.engines,
         listLive: fleet.listLive,
         isLeaving: shutdown.isLeaving,
+        dutyTimeMs: () => shutdown.dutyTimeMs(clock.now()),
         outdatedLimitMs: computeOutdatedLimitMs(settings.weightsLimitMs),
         allLoadedLimitMs: settings.allWeightsLimitMs,
         isListening: listeners.areListening,
