Keep the times of all target versions that decide how old weights are

Cause: the view kept the last six targets of each model. When a tenth version was named within 14 s, the times of 2 to 4 were forgotten, and version 1 counted as outdated only since the fifth: engines on it were listed again. Ruled out: late reads (both instances that sent them had been told versions 2 and 4 with their ages by 16:49:03.1), waiting engines (the runs began 50 ms after they arrived), assumed ages.

Now all targets of the 30 s before the newest stay, the last one before these, six at least and 32 at most.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -70,6 +70,13 @@
         And the newest is not outdated
         And an age that a peer observed replaces an assumed one
 
+    # Guards against a series of versions in which the first ones are forgotten, so that old weights look newer than they are.
+    Scenario: Weights are outdated since the first newer version, however many follow it
+        Given 10 target versions set at intervals of 500 ms from 1000 ms on
+        Then version 1 is outdated since 1000 ms
+        When 10 target versions are set at intervals of 60000 ms from 100000 ms on
+        Then 6 target versions are kept
+
     # Guards against reports that waited in a paused process and made old weights look usable for longer.
     Scenario: Of several observations of a target version the oldest counts
         Given target versions set at 1000 ms, 4000 ms and 7000 ms
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -235,6 +235,34 @@
     },
 );
 
+function recordSeries(view: WeightsView, count: number, intervalMs: number, firstMs: number): void {
+    const newest = view.findTarget("easy-read")?.version ?? 1;
+    for (let index = 0; index < count; index += 1) {
+        const sinceMs = firstMs + index * intervalMs;
+        view.recordTarget({ model: "easy-read", version: newest + 1 + index, sinceMs, isObserved: true });
+    }
+}
+
+Given(
+    "{int} target versions set at intervals of {int} ms from {int} ms on",
+    function(this: SiteWorld, count: number, intervalMs: number, firstMs: number) {
+        const view = createWeightsView();
+        recordSeries(view, count, intervalMs, firstMs);
+        views.set(this, view);
+    },
+);
+
+When(
+    "{int} target versions are set at intervals of {int} ms from {int} ms on",
+    function(this: SiteWorld, count: number, intervalMs: number, firstMs: number) {
+        recordSeries(views.get(this)!, count, intervalMs, firstMs);
+    },
+);
+
+Then("{int} target versions are kept", function(this: SiteWorld, count: number) {
+    assert.equal(views.get(this)?.listHistory().length, count);
+});
+
 When(
     "a peer reports that version {int} was set at {int} ms",
     function(this: SiteWorld, version: number, sinceMs: number) {
--- a/src/core/weights/createWeightsView.ts
+++ b/src/core/weights/createWeightsView.ts
@@ -43,8 +43,23 @@
     readonly isLoading: (engine: string) => boolean;
 }
 
-/** Target versions kept for each model. */
-const maxHistory = 6;
+/** Target versions kept for each model, however old they are. */
+const minHistory = 6;
+
+/** Target versions kept for each model at most. */
+const maxHistory = 32;
+
+/** Time before the newest target from which on all targets are kept, in milliseconds; beyond all limits for outdated weights. */
+const historyMs = 30_000;
+
+/** Forgets the targets that no longer decide for how long any version has been outdated. */
+function trimHistory(versions: readonly TargetWeights[]): readonly TargetWeights[] {
+    const newestMs = Math.max(...versions.map(one => one.sinceMs));
+    const recent = versions.findIndex(one => one.sinceMs > newestMs - historyMs);
+    // The last one before that time makes the versions before it as outdated as they are.
+    const first = Math.min(recent - 1, versions.length - minHistory);
+    return versions.slice(Math.max(0, first, versions.length - maxHistory));
+}
 
 /** Combines two reports of one target; undefined when the later one adds nothing. */
 function mergeTargets(known: TargetWeights, target: TargetWeights): TargetWeights | undefined {
@@ -85,7 +100,7 @@
         }
         const others = versions.filter(one => one.version !== target.version);
         const all = [...others, merged].toSorted((left, right) => left.version - right.version);
-        history.set(target.model, all.slice(-maxHistory));
+        history.set(target.model, trimHistory(all));
         onTargets();
         return known === undefined && all.at(-1) === merged;
     }
