Apply a raised idle timeout to connections that are already idle

What callers saw: a connection that had been idle for 3 s was closed although the configuration in force allowed 15 s; the request that crossed the close had no answer.

Cause: Node.js starts a connection's idle timer at the end of an answer, with the timeout of that moment, and destroys the connection when it fires, before it reads what has arrived. A configuration that raised the timeout held only for connections that became idle later, while callers count by the newest one.

Fix: when the timer fires, the instance reads what has arrived, and closes a connection that is still idle and older than the configuration in force allows; another one's timer goes on. The close is an orderly one, as elsewhere.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -12,6 +12,7 @@
 import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
+import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
 import { createCallerConnections } from "../io/http/createCallerConnections.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
@@ -172,6 +173,10 @@
             : "400 Bad Request";
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     });
+    closeExpiredConnections(callerServer, connections, {
+        clock: context.clock,
+        maxIdleMs: () => callerServer.keepAliveTimeout,
+    });
     listen(callerServer, settings.callerAddress, listeners);
 
     const others = [
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -9,6 +9,8 @@
 /** The connections. */
 export interface CallerConnections {
     readonly count: () => number;
+    /** When a connection became idle, in milliseconds on the clock; undefined if it has a request or had none yet. */
+    readonly idleSinceMs: (socket: Socket) => number | undefined;
     /** Adds a connection that was accepted, and forgets it when it has closed. */
     readonly add: (socket: Socket) => void;
     /**
@@ -46,18 +48,21 @@
  * Creates a set without connections.
  *
  * @param maxConnections - Number of connections beyond which the server accepts none.
- * @param clock - Ends connections that their callers do not close.
+ * @param clock - Dates idle connections, and ends those that their callers do not close.
  * @returns The set.
  * @example
  * const connections = createCallerConnections(1_800, clock);
  * server.on("connection", connections.add);
  */
-export function createCallerConnections(maxConnections: number, clock: Pick<Clock, "after">): CallerConnections {
+export function createCallerConnections(
+    maxConnections: number,
+    clock: Pick<Clock, "now" | "after">,
+): CallerConnections {
     const crowdedCount = Math.floor(maxConnections * crowdedShare);
     /** Open connections, with their requests in progress. */
     const requests = new Map<Socket, number>();
-    /** Connections that had a request and have none in progress, the longest idle first. */
-    const idle = new Set<Socket>();
+    /** Connections that had a request and have none in progress, with the time since when; the longest idle first. */
+    const idle = new Map<Socket, number>();
     const closing = new WeakSet<Socket>();
     /** Connections that are closed when their requests are over. */
     const closedWhenIdle = new WeakSet<Socket>();
@@ -74,7 +79,7 @@
     /** A connection is idle only if no request that has arrived on it is unread. */
     async function closeLongestIdle(): Promise<void> {
         await readArrived();
-        const [socket] = idle;
+        const [socket] = idle.keys();
         if (socket !== undefined && requests.size > crowdedCount) {
             idle.delete(socket);
             socket.end();
@@ -83,6 +88,7 @@
 
     return {
         count: () => requests.size,
+        idleSinceMs: socket => idle.get(socket),
         add: socket => {
             requests.set(socket, 0);
             // Node.js calls it after the last answer of a connection.
@@ -117,7 +123,7 @@
                 close(socket);
             }
             if (known === 1) {
-                idle.add(socket);
+                idle.set(socket, clock.now());
             }
         },
         close,
