Hold all uploads of the memory scenario at once

Cause: the scenario says "at once", but its upstreams answered each upload as soon as it was complete, and an answered upload gives its memory back. 67 MB hold 16 of the uploads; where a busy machine lets callers start one after the other, there are never more at a time, and nothing has to be refused. The fault is in the test, not in the code.

Instead, the upstreams answer nothing until an upload was refused: the bodies that were taken are held together, so that the process must refuse, and its memory is checked with them. That is stricter than before: the refusal no longer depends on how the callers are scheduled. The route's timeout is 15 s in this scenario, as the time of 160 MB on a busy machine is not what it checks.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -17,7 +17,7 @@
 
     # Guards against uploads that take a process over its memory.
     Scenario: Uploads beyond the memory are refused at once, and the others are answered
-        Given a platform with a process of an instance
+        Given a platform with a process of an instance, whose upstreams answer once an upload is refused
         When 40 callers upload 4 MB each at once
         Then every upload is answered, some with 200 and some refused as "memoryFull"
         And the process has held at most 200 MB
--- a/features/steps/memorySteps.ts
+++ b/features/steps/memorySteps.ts
@@ -30,6 +30,8 @@
     readonly ended: string[];
     instance: InstanceProcess | undefined;
     statuses: readonly string[];
+    /** Lets upstreams answer. */
+    onRefused: () => void;
     /** Numbers of the parts that are known of each holder. */
     knownParts: readonly (readonly number[])[];
     reportedParts: readonly number[];
@@ -39,6 +41,9 @@
 const bytesPerMegabyte = 1_048_576;
 const firstPort = 26_000;
 
+/** Time that uploads may take on a busy machine, in milliseconds. */
+const routeTimeoutMs = 15_000;
+
 /** Arguments with which the deploy file runs the program, on the modules of the build. */
 const command = ["--single-threaded", "--max-old-space-size=120", "--expose-gc", "dist/platform/main.js"];
 
@@ -50,6 +55,7 @@
         ended: [],
         instance: undefined,
         statuses: [],
+        onRefused: () => undefined,
         knownParts: [],
         reportedParts: [],
     };
@@ -119,13 +125,18 @@
     assert.equal(answers!.totalBytes(), 700);
 });
 
-const listen: RequestListener = (req, res) => {
-    req.resume();
-    req.on("end", () => {
-        res.writeHead(200, { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": "s" });
-        res.end("ok");
-    });
-};
+/** Answers no request before `isReleased` resolves, so that the bodies of all requests until then are held at once. */
+function createHoldingListener(isReleased: Promise<void>): RequestListener {
+    return (req, res) => {
+        req.resume();
+        req.on("end", () => {
+            void isReleased.then(() => {
+                res.writeHead(200, { "attempt-id": req.headers["attempt-id"] ?? "", "server-seal": "s" });
+                res.end("ok");
+            });
+        });
+    };
+}
 
 /** Answers with bytes until the connection is closed. */
 const flood: RequestListener = (req, res) => {
@@ -141,12 +152,20 @@
     writeMore();
 };
 
-async function startProcess(world: SiteWorld, listener: RequestListener): Promise<void> {
+async function startProcess(
+    world: SiteWorld,
+    listener: RequestListener,
+    routes: readonly unknown[] = configuration.routes,
+): Promise<void> {
     const store = await startFakeStore();
     const server = createServer(listener);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
-    const largeBodies = { ...configuration, limits: { ...configuration.limits, max_body_bytes: 4 * bytesPerMegabyte } };
+    const largeBodies = {
+        ...configuration,
+        routes,
+        limits: { ...configuration.limits, max_body_bytes: 4 * bytesPerMegabyte },
+    };
     store.put("keyed.op", "config", largeBodies);
     ["i-1", "i-2"].forEach(id =>
         store.put("keyed.servers", id, {
@@ -178,9 +197,16 @@
     getFixture(world).instance = instance;
 }
 
-Given("a platform with a process of an instance", function(this: SiteWorld) {
-    return startProcess(this, listen);
-});
+Given(
+    "a platform with a process of an instance, whose upstreams answer once an upload is refused",
+    function(this: SiteWorld) {
+        const isRefused = new Promise<void>(resolve => {
+            getFixture(this).onRefused = resolve;
+        });
+        const routes = configuration.routes.map(route => ({ ...route, timeout_ms: routeTimeoutMs }));
+        return startProcess(this, createHoldingListener(isRefused), routes);
+    },
+);
 
 Given("a platform with a process of an instance, whose upstreams send bodies without end", function(this: SiteWorld) {
     return startProcess(this, flood);
@@ -209,7 +235,13 @@
     const fixture = getFixture(this);
     const body = Buffer.alloc(megabytes * 1_000_000, "b");
     fixture.statuses = await Promise.all(
-        Array.from({ length: callers }, (_, index) => post(fixture.instance!, `u-${index}`, body)),
+        Array.from({ length: callers }, async (_, index) => {
+            const status = await post(fixture.instance!, `u-${index}`, body);
+            if (status !== "200") {
+                fixture.onRefused();
+            }
+            return status;
+        }),
     );
 });
 
