Take a version of unknown age for no older than the read before it, and none for observed that was read late

Cause: a version without an age counted from the start of the process, although the operator's records had been read meanwhile; so did one that a peer reports which has just started. The reverse: a record read by the poll after a failed one counted as named at that moment. Class: an age that is assumed where a bound is known. Change: what was not there at the last complete read, by this instance or by the peer that it copied, was named after it. A record counts as observed only if the poll that brought it waited at the store. The rows of 'just started' and 'learns of a version whose age nobody knows' had an instance that had read the records at its start, which bounds the age; they now have one that cannot read them yet, with the same bounds.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -89,7 +89,7 @@
 
     # Guards against requests that begin on old weights after all instances were started anew.
     Scenario Outline: An instance that has just started uses older weights for a part of the time until it counts as in touch
-        Given an instance that follows the operator's records
+        Given an instance that cannot read the operator's records yet
         When it learns <learned> ms after its start of a version whose age nobody knows
         Then it places no request on older weights later than 2000 ms after its start
 
@@ -106,6 +106,24 @@
         When a version that was named in a pause of 4000 ms is read as the first step after it
         Then it places no request on older weights later than 2000 ms after its pause
 
+    # Guards against a version that counts as old as the process, since its record was not received as it was appended.
+    Scenario Outline: A version that is read after <event> is no older than the read before
+        Given an instance that follows the operator's records
+        When it has followed them for 60000 ms, and a version is named and read after <event>
+        Then it takes the version for named between 0 and <older> ms before it was
+
+        Examples:
+            | event                             | older |
+            | a failed read                     | 1000  |
+            | a deletion of the records         | 1000  |
+            | a time in which it read nothing   | 2000  |
+
+    # Guards against a version that counts as old as the process, since a peer that has just started does not know its age.
+    Scenario: A version of unknown age that a peer reports is no older than the last read
+        Given an instance that follows the operator's records
+        When it has followed them for 60000 ms, and a peer reports a version whose age it does not know
+        Then it takes the version for named between 0 and 1000 ms before it was
+
     # Guards against two processes on the same addresses that order engines under one name.
     Scenario: A process sends no orders while the process before it holds its addresses
         Given an instance with an engine to load, whose addresses the process before it still holds
--- a/features/steps/rolloutAgeSteps.ts
+++ b/features/steps/rolloutAgeSteps.ts
@@ -21,6 +21,11 @@
     readonly limitMs: number;
     /** Answers the long poll of the operator's records. */
     answerPoll: (result: ReadResult<KeyedRecord>) => void;
+    /** Newest records of the operator in the store. */
+    newest: readonly KeyedRecord[];
+    /** Milliseconds since the operator's records were read by a peer. */
+    peerAgeMs: number;
+    namedMs: number;
     resumedMs: number;
     isPauseUndetected: boolean;
 }
@@ -49,11 +54,16 @@
     return sinceMs + limitMs;
 }
 
-Given("an instance that follows the operator's records", async function(this: SiteWorld) {
+async function startFollowing(world: SiteWorld, hasStore: boolean): Promise<void> {
     const clock = createVirtualClock(1);
     const startedMs = clock.now();
     const store: RecordStore = {
-        readNewest: () => Promise.resolve({ kind: "newest", era: 0, records: [], end: 0 }),
+        readNewest: topic =>
+            Promise.resolve(
+                hasStore
+                    ? { kind: "newest", era: 0, records: topic.includes("op") ? fixture.newest : [], end: 0 }
+                    : failure,
+            ),
         readKeyed: topic =>
             new Promise(resolve => {
                 if (topic.includes("op")) {
@@ -73,12 +83,15 @@
         views: assembleViews(context),
         limitMs: computeOutdatedLimitMs(settings.weightsLimitMs),
         answerPoll: () => assert.fail("no long poll"),
+        newest: [],
+        peerAgeMs: Infinity,
+        namedMs: 0,
         resumedMs: 0,
         isPauseUndetected: false,
     };
     const feeds = assembleFeeds(context, fixture.views, {
         plan: () => planStoreReads({ name: settings.instance, failureDomain: settings.failureDomain }, [], settings),
-        operatorAgeMs: () => Infinity,
+        operatorAgeMs: () => fixture.peerAgeMs,
         upstreamsAgeMs: () => Infinity,
         checkPause: () => {
             if (fixture.isPauseUndetected) {
@@ -87,10 +100,99 @@
             }
         },
     });
-    fixtures.set(this, fixture);
+    fixtures.set(world, fixture);
     await advance(fixture, 0);
+}
+
+Given("an instance that follows the operator's records", function(this: SiteWorld) {
+    return startFollowing(this, true);
+});
+
+Given("an instance that cannot read the operator's records yet", function(this: SiteWorld) {
+    return startFollowing(this, false);
 });
 
+const nothingNew: ReadResult<KeyedRecord> = { kind: "records", era: 0, records: [], end: 0, next: 0 };
+const pollMs = 1_000;
+const stepMs = 50;
+
+/** Lets each step of a read follow the one before. */
+async function advanceInSteps(fixture: AgeFixture, durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+        await advance(fixture, stepMs);
+    }
+}
+
+/** Answers long polls, none of which has news. */
+async function followFor(fixture: AgeFixture, durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += pollMs) {
+        await advance(fixture, pollMs);
+        fixture.answerPoll(nothingNew);
+        await advance(fixture, 0);
+    }
+}
+
+const versionRecord: KeyedRecord = {
+    key: `version/${model}`,
+    value: Buffer.from(JSON.stringify({ model, version: 2 })),
+    offset: 0,
+};
+
+/** Names a version while nothing is read, and lets it be read in the way that the event brings about. */
+const readAfter: ReadonlyMap<string, (fixture: AgeFixture) => Promise<void>> = new Map([
+    ["a failed read", async (fixture: AgeFixture) => {
+        fixture.answerPoll(failure);
+        await advance(fixture, 500);
+        fixture.answerPoll({ kind: "records", era: 0, records: [versionRecord], end: 1, next: 1 });
+        await advance(fixture, 0);
+    }],
+    ["a deletion of the records", async fixture => {
+        fixture.newest = [versionRecord];
+        fixture.answerPoll({ kind: "truncated", era: 0, first: 1 });
+        await advance(fixture, 100);
+    }],
+    ["a time in which it read nothing", async fixture => {
+        fixture.newest = [versionRecord];
+        fixture.peerAgeMs = 0;
+        fixture.answerPoll(failure);
+        await advanceInSteps(fixture, 1_500);
+        fixture.peerAgeMs = Infinity;
+        await advanceInSteps(fixture, 500);
+    }],
+]);
+
+When(
+    "it has followed them for {int} ms, and a version is named and read after {}",
+    async function(this: SiteWorld, followedMs: number, event: string) {
+        const fixture = getFixture(this);
+        await followFor(fixture, followedMs);
+        await advance(fixture, pollMs / 2);
+        fixture.namedMs = fixture.clock.now();
+        await readAfter.get(event)?.(fixture);
+    },
+);
+
+When(
+    "it has followed them for {int} ms, and a peer reports a version whose age it does not know",
+    async function(this: SiteWorld, followedMs: number) {
+        const fixture = getFixture(this);
+        await followFor(fixture, followedMs);
+        await advance(fixture, pollMs / 2);
+        fixture.namedMs = fixture.clock.now();
+        fixture.views.recordTarget({ model, version: 2 }, "entry-2");
+    },
+);
+
+Then(
+    "it takes the version for named between 0 and {int} ms before it was",
+    function(this: SiteWorld, olderMs: number) {
+        const { views, namedMs } = getFixture(this);
+        const sinceMs = views.weights.outdatedSinceMs(model, 1);
+        assert.ok(sinceMs !== undefined);
+        assert.ok(sinceMs <= namedMs && sinceMs >= namedMs - olderMs, `taken for ${namedMs - sinceMs} ms older`);
+    },
+);
+
 When(
     "a version that was named in a pause of {int} ms is read as the first step after it",
     async function(this: SiteWorld, pauseMs: number) {
--- a/src/assemble/assembleFeeds.ts
+++ b/src/assemble/assembleFeeds.ts
@@ -163,7 +163,8 @@
         }
     }
 
-    function applyOperatorRecords(records: readonly KeyedRecord[], isLive: boolean): void {
+    /** `isPrompt`: each record was received as it was appended. */
+    function applyOperatorRecords(records: readonly KeyedRecord[], isPrompt: boolean): void {
         const unreadMs = operatorReads.ageMs();
         operatorReads.recordRead();
         needs.checkPause();
@@ -173,8 +174,11 @@
             views.recordGap();
         }
         hasRead = true;
-        const isAgeKnown = isLive && !hasGap;
+        const isAgeKnown = isPrompt && !hasGap;
         records.forEach(record => applyOperatorRecord(record, isAgeKnown, unreadMs));
+        if (!wasPaused) {
+            views.recordTargetsKnown(clock.now());
+        }
     }
 
     function decodeUpstream(record: KeyedRecord): UpstreamRecord | undefined {
@@ -223,7 +227,7 @@
             isNeeded: operatorNeed.isNeeded,
             maxRetryDelayMs,
             onNewest: records => applyOperatorRecords(records, false),
-            onRecords: records => applyOperatorRecords(records, true),
+            onRecords: applyOperatorRecords,
             onFailure: operatorNeed.recordFailure,
             onError: error => logInternalFailure(writeLog, error),
             onTruncated: () => writeLog("topicTruncated", { topic: topics.operator }),
@@ -253,6 +257,7 @@
         forgetAges: () => {
             operatorReads.forgetAge();
             upstreamReads.forgetAge();
+            views.forgetTargetsKnown();
         },
         stop: () => followed.forEach(one => one.stop()),
     };
--- a/src/assemble/assemblePeerState.ts
+++ b/src/assemble/assemblePeerState.ts
@@ -143,6 +143,7 @@
             return;
         }
         operatorAsOfMs = Math.max(operatorAsOfMs, requestedMs - state.operatorAgeMs);
+        views.recordTargetsKnown(operatorAsOfMs);
         applyUpstreams(state.upstreams, requestedMs - state.upstreamsAgeMs);
     }
 
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -48,6 +48,10 @@
     readonly recordTarget: (named: ReportedWeights, source: string) => void;
     /** Records that targets may have been set unnoticed until now. */
     readonly recordGap: () => void;
+    /** Records that all targets are known that were set until a time on the clock, in milliseconds. */
+    readonly recordTargetsKnown: (untilMs: number) => void;
+    /** Forgets until when targets are known, after a pause that the clock did not count. */
+    readonly forgetTargetsKnown: () => void;
     /** Returns the target weights, newest and earlier ones, as reported to peers. */
     readonly describeTargets: () => readonly ReportedWeights[];
     /** Calls `action` after each change that may let waiting requests be placed. */
@@ -73,10 +77,13 @@
     let index: RouteIndex | undefined;
     /** Until when targets may have been set unnoticed. */
     let blindUntilMs = context.startedMs;
+    /** Until when all targets that were set are known. */
+    let knownUntilMs = -Infinity;
 
+    /** A target that was not there when the targets were last read is no older than that read. */
     function assumeTime(): number {
         const { weightsLimitMs, reconnectLimitMs: stableWindowMs } = settings;
-        return assumeTargetTime({ blindUntilMs, stableWindowMs, weightsLimitMs });
+        return Math.max(knownUntilMs, assumeTargetTime({ blindUntilMs, stableWindowMs, weightsLimitMs }));
     }
 
     /** A listener that throws keeps neither the others nor the source of the change from going on. */
@@ -138,6 +145,12 @@
         recordGap: () => {
             blindUntilMs = clock.now();
         },
+        recordTargetsKnown: untilMs => {
+            knownUntilMs = Math.max(knownUntilMs, untilMs);
+        },
+        forgetTargetsKnown: () => {
+            knownUntilMs = -Infinity;
+        },
         describeTargets: () =>
             weights.listHistory().map(({ model, version, sinceMs, isObserved }) => ({
                 model,
--- a/src/io/store/followTopic.ts
+++ b/src/io/store/followTopic.ts
@@ -32,8 +32,11 @@
     readonly maxRetryDelayMs: () => number;
     /** Receives the newest record of each key; they replace all that was read before. */
     readonly onNewest: (records: readonly KeyedRecord[], cause: ReadCause) => void;
-    /** Receives records in order; an empty list means that there are no newer ones. */
-    readonly onRecords: (records: readonly KeyedRecord[]) => void;
+    /**
+     * Receives records in order; an empty list means that there are no newer ones. `isPrompt`: the read before did not fail, so
+     * the records were received as they were appended.
+     */
+    readonly onRecords: (records: readonly KeyedRecord[], isPrompt: boolean) => void;
     /** Receives failed reads, and the milliseconds since each of them began. */
     readonly onFailure: (failure: StoreFailure, tookMs: number) => void;
     /** Receives what a receiver of records threw; the topic is then read anew, so that no record is left out. */
@@ -108,8 +111,9 @@
     async function readNext({ era, offset }: Position): Promise<void> {
         const timing = options.timing();
         const startedMs = clock.now();
+        const isPrompt = failures === 0;
         // After a failure the offset may belong to an era that is over: the store is to say so at once.
-        const read = await store.readKeyed(topic, offset, failures > 0 ? 0 : timing.waitMs);
+        const read = await store.readKeyed(topic, offset, isPrompt ? timing.waitMs : 0);
         if (read.kind === "failed") {
             await recordFailure(read, startedMs);
             return;
@@ -125,7 +129,7 @@
             return;
         }
         position = { era, offset: read.next };
-        options.onRecords(read.records);
+        options.onRecords(read.records, isPrompt);
         await pause(timing.intervalMs);
     }
 
