Withdraw nothing at an instance that leaves

Cause: withdrawals did not ask what the instance owes at the moment. While it leaves, its callers' answers come first; the limit of weights binds an instance only while it is undisturbed. Now nothing is due while it leaves; listing on outdated weights ends as before.

--- a/features/outdatedWeights.feature
+++ b/features/outdatedWeights.feature
@@ -66,6 +66,16 @@
         Then the caller gets the whole stream of the engine
         And the line of the request's end states when its stream started
 
+    # Guards against streams that a leaving instance cuts.
+    Scenario: An instance that leaves withdraws nothing
+        When version 2 is named 5000 ms after the start of the instance
+        And a caller sends a stream 11000 ms after its start
+        And the instance is told to stop 11500 ms after its start
+        Then the engine's connection is open 13000 ms after the start
+        When the engine answers an event
+        And the engine ends the stream
+        Then the caller gets the whole stream of the engine
+
     # Guards against requests that may run only once and lose their answer at an engine that is known to begin late.
     Scenario Outline: Engines that begin late get no request on outdated weights that can't be placed again
         When a caller sends a stream 1000 ms after its start
--- a/features/steps/outdatedWeightsSteps.ts
+++ b/features/steps/outdatedWeightsSteps.ts
@@ -94,6 +94,10 @@
     schedule(this, atMs, path => path.write(head + event + end));
 });
 
+When("the instance is told to stop {int} ms after its start", function(this: SiteWorld, atMs: number) {
+    schedule(this, atMs, path => path.beginStop());
+});
+
 When("an engine with version 2 joins", async function(this: SiteWorld) {
     await getPath(this).addCurrentEngine();
 });
--- a/features/support/startOutdatedPath.ts
+++ b/features/support/startOutdatedPath.ts
@@ -42,6 +42,7 @@
     readonly nameVersion: (ageMs: number | undefined) => void;
     /** Tells the instance that versions may have been named unnoticed until now. */
     readonly endGap: () => void;
+    readonly beginStop: () => void;
     /** Sends the caller's stream, and waits until the engine has it. */
     readonly send: (isResumable: boolean) => Promise<void>;
     /** Number of requests that the engine has got, after a bounded wait for more than a number. */
@@ -160,6 +161,7 @@
         advanceTo: atMs => advanceClock(clock, startedMs + atMs),
         nameVersion: ageMs => views.recordTarget({ model, version: 2, ageMs }, "store"),
         endGap: views.recordGap,
+        beginStop: () => shutdown.begin(clock.now()),
         send: async isResumable => {
             tableVersion += 1;
             const times = { kind: "stream", timeoutMs: 20_000, isResumable } as const;
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -179,7 +179,8 @@
         clock,
         findDueMs: ({ model, version }) => {
             const sinceMs = views.weights.outdatedSinceMs(model, version);
-            return sinceMs === undefined ? undefined : sinceMs + beginLimitMs;
+            // While it leaves, an instance owes its callers their answers before the limit of weights.
+            return sinceMs === undefined || shutdown.isLeaving() ? undefined : sinceMs + beginLimitMs;
         },
         readArrived: () => readArrived(),
     });
