--- a/features/callerConnections.feature
+++ b/features/callerConnections.feature
@@ -31,6 +31,15 @@
         And 3 more are opened while a request that has arrived on connection 2 is not read yet
         Then connection 2 stays open
 
+    # Guards against requests that are reset with their connection because its timer runs before it is read.
+    Scenario: An idle connection whose timeout passes is closed only if no request has arrived on it
+        Given at most 8 connections of callers, of which 6 are open
+        When connections 2, 1 and 3 have each had a request, and connection 4 has one in progress
+        And the idle timeout of connection 2 passes while a request that has arrived on it is not read yet
+        And the idle timeout of connection 1 passes
+        Then connection 2 stays open
+        And connection 1 is being closed
+
     # Guards against requests that have their refusal when their connection is already closed to it.
     Scenario: When a stop closes all connections, one with a request in progress closes only after its answer
         Given at most 8 connections of callers, of which 4 are open
--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { Agent, request } from "node:http";
+import { Agent, createServer, request } from "node:http";
 import { Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -14,6 +14,7 @@
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
+import { closeExpiredConnections } from "../../src/io/http/closeExpiredConnections.js";
 import { type CallerConnections, createCallerConnections } from "../../src/io/http/createCallerConnections.js";
 import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
@@ -91,6 +92,28 @@
     },
 );
 
+/** Lets the idle timeout of a connection pass, with a timer that runs before anything is read. */
+function passTimeout({ connections, sockets }: ConnectionFixture, number: number): void {
+    const server = createServer();
+    closeExpiredConnections(server, connections, { clock: createSystemClock(), maxIdleMs: () => 0 });
+    server.emit("timeout", sockets[number - 1]!);
+}
+
+When(
+    "the idle timeout of connection {int} passes while a request that has arrived on it is not read yet",
+    async function(this: SiteWorld, number: number) {
+        const fixture = fixtures.get(this)!;
+        passTimeout(fixture, number);
+        setImmediate(() => fixture.connections.beginRequest(fixture.sockets[number - 1]!));
+        await settle();
+    },
+);
+
+When("the idle timeout of connection {int} passes", async function(this: SiteWorld, number: number) {
+    passTimeout(fixtures.get(this)!, number);
+    await settle();
+});
+
 Then("connection {int} stays open", function(this: SiteWorld, number: number) {
     assert.equal(fixtures.get(this)!.sockets[number - 1]!.writableEnded, false);
 });
@@ -109,6 +132,10 @@
     fixtures.get(this)!.connections.end();
 });
 
+Then("connection {int} is being closed", function(this: SiteWorld, number: number) {
+    assert.equal(fixtures.get(this)!.sockets[number - 1]!.writableEnded, true);
+});
+
 Then("connection {int} closes once its request is over", function(this: SiteWorld, number: number) {
     const { connections, sockets } = fixtures.get(this)!;
     const socket = sockets[number - 1]!;
