Read on before a stop closes connections only where connections wait and there is time

Before it closes connections, a stop read on for two turns of the event loop even if nothing waited, and for 30 ms even if all was overdue. A process that is starved of processor time takes 100 ms and more for a turn, which it then lacks before its kill.

Now: no reading if nothing waits; if all is overdue, the 30 ms count from the reading before, so that a process with slow turns goes on to its end as it did before. The scenario of 40 connections that wait passes as before.

--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -60,7 +60,7 @@
                 inProgress += arrived;
                 read += arrived;
                 arrived = 0;
-                return Promise.resolve();
+                return Promise.resolve(true);
             },
             readLoad: () => ({ requests: inProgress, connections: 0, hasDuties: false }),
             refuseLate: () => undefined,
--- a/features/support/startStoppingProxy.ts
+++ b/features/support/startStoppingProxy.ts
@@ -191,7 +191,7 @@
         routes: () => routes,
         findRateLimit: () => undefined,
         shutdown,
-        readArrived: () => Promise.resolve(),
+        readArrived: () => Promise.resolve(true),
         bodyMemory: { open: () => ({ tryGrow: () => true, release: () => undefined }) },
         answerMemory,
         onRetry: () => undefined,
@@ -222,7 +222,7 @@
             void runShutdown({
                 clock,
                 shutdown,
-                readArrived: () => Promise.resolve(),
+                readArrived: () => Promise.resolve(true),
                 readLoad: () => ({ requests: service.countActive(), connections: 0, hasDuties: false }),
                 refuseLate: service.refuseLate,
                 stopRequests: service.stopRequests,
--- a/src/io/_lib/readArrived.ts
+++ b/src/io/_lib/readArrived.ts
@@ -17,20 +17,21 @@
  *
  * @param countAccepted - Returns the number of connections that were accepted so far; left out where new ones do not matter.
  * @param isDue - Returns whether the decision can wait no longer.
- * @returns A promise that resolves when it is read.
+ * @returns A promise that resolves when it is read, to whether no connection is left that waits.
  */
 export async function readArrived(
     countAccepted: () => number = () => 0,
     isDue: () => boolean = () => false,
-): Promise<void> {
+): Promise<boolean> {
     let accepted = countAccepted();
     let quiet = 0;
     for (let turn = 0; turn < maxTurns && quiet < quietTurns; turn += 1) {
         if (turn >= quietTurns && isDue()) {
-            return;
+            return false;
         }
         await new Promise<void>(resolve => setImmediate(resolve));
         quiet = countAccepted() === accepted ? quiet + 1 : 0;
         accepted = countAccepted();
     }
+    return quiet === quietTurns;
 }
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -44,7 +44,7 @@
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
     readonly shutdown: Pick<Shutdown, "isLeaving" | "progress" | "findRefusal" | "release" | "createRefusal">;
     /** Reads what has arrived on all connections, so that callers that have left are known. */
-    readonly readArrived: () => Promise<void>;
+    readonly readArrived: () => Promise<unknown>;
     /** Memory for the bodies of requests. */
     readonly bodyMemory: Pick<MemoryBudget, "open">;
     /** Memory for answers that are not written out. */
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -11,8 +11,11 @@
     readonly shutdown: Shutdown;
     /** Receives by how much a check of the phase was late, in milliseconds. */
     readonly recordLag?: (lateMs: number) => void;
-    /** Reads the requests that have arrived, so that the load counts them; ends soon once the next phase is due. */
-    readonly readArrived: (isDue: () => boolean) => Promise<void>;
+    /**
+     * Reads the requests that have arrived, so that the load counts them; ends soon once the next phase is due. Resolves to
+     * whether no connection is left that waits.
+     */
+    readonly readArrived: (isDue: () => boolean) => Promise<boolean>;
     readonly readLoad: () => ShutdownLoad;
     /** Refuses the waiting requests that can no longer be finished. */
     readonly refuseLate: () => void;
@@ -39,8 +42,23 @@
  */
 export async function runShutdown(options: RunShutdownOptions): Promise<void> {
     const { clock, shutdown } = options;
+
+    /**
+     * Accepts the connections that wait: a process that comes late to this phase has read only a few of them. One that has taken
+     * long for these, and for which all is due, has no time for more. `sinceMs`: when it began to read.
+     */
+    async function readWaiting(sinceMs: number): Promise<void> {
+        const nowMs = clock.now();
+        const shareMs = (shutdown.nextDueMs(nowMs) - nowMs) * lastReadShare;
+        const untilMs = Math.max(sinceMs + minLastReadMs, nowMs + shareMs);
+        if (nowMs < untilMs) {
+            await options.readArrived(() => clock.now() >= untilMs);
+        }
+    }
+
     for (;;) {
-        await options.readArrived(() => clock.now() >= shutdown.nextDueMs(clock.now()));
+        const sinceMs = clock.now();
+        const isAllRead = await options.readArrived(() => clock.now() >= shutdown.nextDueMs(clock.now()));
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
@@ -53,11 +71,9 @@
             options.stopRequests();
         }
         if (phase === "closing" && before !== phase) {
-            // A process that comes late to this phase has read only a few of the connections that wait.
-            const sinceMs = clock.now();
-            const shareMs = (shutdown.nextDueMs(sinceMs) - sinceMs) * lastReadShare;
-            const untilMs = sinceMs + Math.max(minLastReadMs, shareMs);
-            await options.readArrived(() => clock.now() >= untilMs);
+            if (!isAllRead) {
+                await readWaiting(sinceMs);
+            }
             options.closeCallers();
         }
         const nowMs = clock.now();
