Tell peers when a holder of the order lease ends as planned

What callers saw: after a rolling restart nobody ordered for up to 5 s (docs/incidents, restarts while weights change; left open there).

Cause: an instance that ends as planned leaves a claim that may still allow orders as far as its peers know; they wait its validity out.

Fix: when it closes its callers' connections, a leaving holder ends its orders for good and reports that in heartbeats, with the time since then (leaseReleased; older builds leave it out and ignore it). Peers count from there: an order's arrival and the distance between two holders. A release of a claim that is not the last one, or of another era, has no effect.

Evidence: new scenario: 3500 ms after the release, 4500 ms after the claim of a holder that has not released; there was no such report before. Not shown: the gain over real processes.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -10,11 +10,16 @@
     Scenario: A new instance takes over the lease as soon as a peer has told it that no claim is missing
         Then an instance that starts beside one that knows the topic holds the lease at once
 
+    # Guards against claims of instances that ended as planned, which others waited out as if they still might order.
+    Scenario: A holder that ends as planned is not waited for beyond its last orders
+        Then another instance may claim 3500 ms after a holder has ended its orders, and 4500 ms after the claim of one that has not
+
     Scenario: No two instances hold the lease across a return of the store from an older copy, and it is free again
         Then over 2000 random histories with seed 13 and returns of the store, no two holders' orders are too close
         And the same check detects a lease that does not see returns
         And the same check detects a lease that trusts claims from before a return
         And the same check detects an instance that tells peers of claims which may be missing
+        And the same check detects an instance that reports the end of its orders too early
         And after each of 500 such histories with seed 17 the lease is held again within 10000 ms
 
     Scenario Outline: Orders of two holders keep their distance in a fleet of any size
--- a/features/steps/rolloutLeaseSteps.ts
+++ b/features/steps/rolloutLeaseSteps.ts
@@ -51,6 +51,7 @@
     ignoresReturns: false,
     trustsOldClaims: false,
     tellsUncertain: false,
+    backdatesReleases: false,
 };
 
 Then(
@@ -108,6 +109,27 @@
     assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, tellsUncertain: true }));
 });
 
+Then("the same check detects an instance that reports the end of its orders too early", function() {
+    assert.ok(!checkHistories(2_000, 7, true, { ...noFaults, backdatesReleases: true }));
+});
+
+Then(
+    "another instance may claim {int} ms after a holder has ended its orders, and {int} ms after the claim of one that has not",
+    function(afterReleaseMs: number, afterClaimMs: number) {
+        const [holder, other] = ["a", "b"].map(instance => createRolloutLease({ instance, separationMs }));
+        [holder!, other!].forEach(lease => lease.recordEra(1, 0));
+        const claimedMs = 60_000;
+        const endedMs = claimedMs + 100;
+        holder!.recordOwnClaim({ era: 1, offset: 0 }, claimedMs);
+        other!.recordClaim({ instance: "a", era: 1, offset: 0 }, claimedMs);
+        assert.equal(other!.freeInMs(endedMs), afterClaimMs - 100);
+        holder!.release(endedMs);
+        assert.equal(holder!.fence(endedMs), undefined);
+        other!.recordRelease(holder!.describeRelease(endedMs)!, endedMs);
+        assert.equal(other!.freeInMs(endedMs), afterReleaseMs);
+    },
+);
+
 Then("an instance that starts beside one that knows the topic holds the lease at once", function() {
     const [old, fresh] = ["a", "b"].map(instance => createRolloutLease({ instance, separationMs }));
     old!.recordEra(1, 0);
--- a/features/support/leaseHistories.ts
+++ b/features/support/leaseHistories.ts
@@ -7,6 +7,7 @@
 import {
     createRolloutLease,
     type LeaseClaim,
+    type LeaseRelease,
     orderArrivalMs,
     type RolloutLease,
 } from "../../src/core/weights/createRolloutLease.js";
@@ -30,12 +31,14 @@
     readonly trustsOldClaims: boolean;
     /** Whether instances tell peers what they know of the topic although claims may be missing from it. */
     readonly tellsUncertain: boolean;
+    /** Whether an instance tells peers that it ended its orders before it did. */
+    readonly backdatesReleases: boolean;
 }
 
 /** One step of a history. */
 export type Turn = readonly [
     instance: number,
-    action: "act" | "pause" | "partition" | "heal" | "loseAnswer" | "appendLate" | "restart" | "return",
+    action: "act" | "pause" | "partition" | "heal" | "loseAnswer" | "appendLate" | "release" | "restart" | "return",
     durationMs: number,
 ];
 
@@ -47,6 +50,9 @@
     /** Time that the instance's own clock does not count, in milliseconds. */
     pausedMs: number;
     isPartitioned: boolean;
+    /** What it reported at its end, and its own time then. */
+    released: LeaseRelease | undefined;
+    releasedMs: number;
 }
 
 interface LateAppend {
@@ -58,11 +64,14 @@
 /** Time after which an append without an answer is still carried out, in milliseconds. */
 const appendDelayMs = 2_000;
 
+/** Time by which a faulty instance reports the end of its orders too early, in milliseconds. */
+const backdatedMs = 3_000;
+
 /** Records that a return from a copy loses at most. */
 const maxLostRecords = 4;
 
 const commonActions = ["act", "act", "act", "act", "pause", "partition", "heal", "loseAnswer"] as const;
-const rareActions = ["appendLate", "restart", "return"] as const;
+const rareActions = ["appendLate", "release", "restart", "return"] as const;
 
 /** Instances of a small fleet. */
 const smallFleet = 3;
@@ -102,7 +111,14 @@
     const createLease = (name: string) => createRolloutLease({ instance: name, separationMs: faults.separationMs });
     const instances = Array.from({ length: instanceCount }, (_, index): Instance => {
         const name = `entry-${index}`;
-        return { name, lease: createLease(name), pausedMs: 0, isPartitioned: false };
+        return {
+            name,
+            lease: createLease(name),
+            pausedMs: 0,
+            isPartitioned: false,
+            released: undefined,
+            releasedMs: 0,
+        };
     });
     const clockOf = (instance: Instance) => trueMs - instance.pausedMs;
 
@@ -142,6 +158,10 @@
             if (knowledge !== undefined) {
                 instance.lease.recordKnowledge(knowledge, clockOf(instance));
             }
+            if (peer.released !== undefined) {
+                const ageMs = clockOf(peer) - peer.releasedMs;
+                instance.lease.recordRelease({ ...peer.released, ageMs }, clockOf(instance));
+            }
         }
     }
 
@@ -173,6 +193,13 @@
         }
     }
 
+    function release(instance: Instance): void {
+        const nowMs = clockOf(instance);
+        instance.lease.release(nowMs);
+        instance.released = instance.lease.describeRelease(nowMs);
+        instance.releasedMs = nowMs - (faults.backdatesReleases ? backdatedMs : 0);
+    }
+
     function disturb(instance: Instance, action: Turn[1], durationMs: number): void {
         if (action === "pause") {
             // The steady clock does not count a suspension; the wall clock reveals it at the next check.
@@ -181,7 +208,10 @@
                 instance.lease.relinquish();
             }
         }
-        if (action === "restart") {
+        if (action === "release") {
+            release(instance);
+        }
+        if (action === "restart" || action === "release") {
             instance.lease = createLease(instance.name);
         }
         if (action === "return") {
@@ -197,7 +227,7 @@
         instance.isPartitioned = action === "partition" || (instance.isPartitioned && action !== "heal");
         trueMs += durationMs;
         runLateAppends();
-        if (action !== "pause" && action !== "return") {
+        if (action !== "pause" && action !== "return" && action !== "release") {
             act(instance, action, durationMs);
         }
     }
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -13,7 +13,12 @@
 import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { StoreReadPlan } from "../core/store/planStoreReads.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
-import { type LeaseClaim, type LeaseKnowledge, unknownEra } from "../core/weights/createRolloutLease.js";
+import {
+    type LeaseClaim,
+    type LeaseKnowledge,
+    type LeaseRelease,
+    unknownEra,
+} from "../core/weights/createRolloutLease.js";
 import { createPeerStateReader } from "../io/fleet/createPeerStateReader.js";
 import { startHeartbeats } from "../io/fleet/startHeartbeats.js";
 import type { ListenerGroup } from "../io/http/createListenerGroup.js";
@@ -64,6 +69,8 @@
     readonly recordLease: (claim: LeaseClaim) => void;
     readonly describeLeaseKnowledge: () => LeaseKnowledge | undefined;
     readonly recordLeaseKnowledge: (knowledge: LeaseKnowledge) => void;
+    readonly describeLeaseRelease: () => LeaseRelease | undefined;
+    readonly recordLeaseRelease: (release: LeaseRelease) => void;
     readonly plan: () => StoreReadPlan;
     readonly listeners: Pick<ListenerGroup, "add">;
     /** Detects a pause of the process. */
@@ -181,6 +188,11 @@
             const era = heartbeat.leaseEra ?? unknownEra;
             sources.recordLease({ instance: from.name, era, offset: heartbeat.leaseOffset });
         }
+        if (heartbeat.leaseReleased !== undefined) {
+            const { era, offset } = heartbeat.leaseReleased;
+            sources.recordLease({ instance: from.name, era, offset });
+            sources.recordLeaseRelease(heartbeat.leaseReleased);
+        }
         if (heartbeat.leaseSeen !== undefined) {
             sources.recordLeaseKnowledge(heartbeat.leaseSeen);
         }
--- a/src/assemble/createHeartbeatComposer.ts
+++ b/src/assemble/createHeartbeatComposer.ts
@@ -61,6 +61,7 @@
             leaseOffset: lease?.offset,
             leaseEra: lease?.era,
             leaseSeen: sources.describeLeaseKnowledge(),
+            leaseReleased: sources.describeLeaseRelease(),
             quarantine: sources.quarantine.digest(),
             signals: sources.permits.digest(),
             known: [],
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -78,6 +78,12 @@
         end: z.number().int().min(0),
         ageMs: z.number().min(0),
     }).readonly().optional(),
+    /** A claim of the rollout lease under which the sender gives no more orders; left out by older builds. */
+    leaseReleased: z.object({
+        era: z.number().int().min(0),
+        offset: z.number().int().min(0),
+        ageMs: z.number().min(0),
+    }).readonly().optional(),
     /** Digest of the sender's quarantine of prompt parts; left out while it is empty. */
     quarantine: z.string().max(maxDigestLength).optional(),
     /** Digest of what the sender knows of upstreams' signals; left out while that is nothing. */
--- a/src/core/weights/createRolloutLease.ts
+++ b/src/core/weights/createRolloutLease.ts
@@ -30,6 +30,14 @@
     readonly ageMs: number;
 }
 
+/** A claim under which its holder sends no more orders. */
+export interface LeaseRelease {
+    readonly era: number;
+    readonly offset: number;
+    /** Milliseconds since its holder stopped to send orders. */
+    readonly ageMs: number;
+}
+
 /** The lease as known to this instance. Times are milliseconds on its clock. */
 export interface RolloutLease {
     /** Records a record of the topic, read in the current era. */
@@ -72,6 +80,12 @@
     readonly takeoverDelayMs: number;
     /** Milliseconds for which this instance still holds the lease. */
     readonly remainingMs: (nowMs: number) => number;
+    /** Ends the orders of this instance for good; does nothing where it is not the last holder. */
+    readonly release: (nowMs: number) => void;
+    /** The claim that was released; undefined before. */
+    readonly describeRelease: (nowMs: number) => LeaseRelease | undefined;
+    /** Records a release that a holder reports: its claim's validity need not be waited out. */
+    readonly recordRelease: (release: LeaseRelease, nowMs: number) => void;
     /** Stops orders under the current fencing number, as after a pause or when an engine refused it. */
     readonly relinquish: () => void;
 }
@@ -107,6 +121,7 @@
     let end = 0;
     let learnedMs = -Infinity;
     let own: { readonly claim: LeaseClaim; readonly sentMs: number; } | undefined;
+    let released: { readonly claim: LeaseClaim; readonly sinceMs: number; } | undefined;
     /** Since when claims may be missing from the topic; undefined once a claim shows that none is. */
     let uncertainSinceMs: number | undefined;
     /** Whether claims may be missing only because this instance has not known the era for long. */
@@ -236,6 +251,23 @@
         },
         takeoverDelayMs,
         remainingMs,
+        release: nowMs => {
+            if (own !== undefined && own.claim.offset === end - 1) {
+                released = { claim: own.claim, sinceMs: nowMs };
+            }
+            own = undefined;
+        },
+        describeRelease: nowMs =>
+            released && {
+                era: released.claim.era,
+                offset: released.claim.offset,
+                ageMs: nowMs - released.sinceMs,
+            },
+        recordRelease: ({ era: releasedEra, offset, ageMs }, nowMs) => {
+            if (releasedEra === currentEra() && offset === end - 1) {
+                learnedMs = Math.min(learnedMs, nowMs - ageMs - leaseValidMs);
+            }
+        },
         relinquish: () => {
             own = undefined;
         },
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -137,7 +137,7 @@
         { expectedOrders, runningRequests }: Extract<LoadEffect, { readonly kind: "order"; }>,
     ): Promise<OrderAnswer> {
         // Once this instance has released its addresses, a successor may order under the same name.
-        if (!await maintainLease() || isStopped) {
+        if (isStopped || !await maintainLease() || isStopped) {
             return "unheld";
         }
         deps.checkPause();
@@ -285,8 +285,15 @@
         wake,
         relinquishLease: () => lease.relinquish(),
         stop: () => {
+            if (isStopped) {
+                return;
+            }
             isStopped = true;
             stopChecking();
+            lease.release(clock.now());
+            if (lease.describeRelease(clock.now()) !== undefined) {
+                deps.notifyPeers();
+            }
         },
     };
 }
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -122,6 +122,8 @@
         heldLease: () => lease.heldClaim(clock.now()),
         describeLeaseKnowledge: () => lease.describeKnowledge(clock.now()),
         recordLeaseKnowledge: knowledge => lease.recordKnowledge(knowledge, clock.now()),
+        describeLeaseRelease: () => lease.describeRelease(clock.now()),
+        recordLeaseRelease: release => lease.recordRelease(release, clock.now()),
         recordLease: claim => lease.recordReportedClaim(claim, clock.now()),
         plan,
         checkPause: () => pauses.check(),
@@ -224,6 +226,8 @@
             },
             closeCallers: () => {
                 writeLog("stopAdvanced", describeStop());
+                // Peers hear of the end of its orders while heartbeats are still sent.
+                rollout.stop();
                 servers.closeCallers();
             },
         });
