--- a/src/core/weights/createUnbegunSends.ts
+++ b/src/core/weights/createUnbegunSends.ts
@@ -30,7 +30,7 @@
     /** Local time in milliseconds at which runs on the weights must have begun; undefined while these are the newest. */
     readonly findDueMs: (weights: SentWeights) => number | undefined;
     /** Reads what has arrived: a run may have begun of which the instance has not read yet. */
-    readonly readArrived: () => Promise<void>;
+    readonly readArrived: () => Promise<unknown>;
 }
 
 /** Sends for the same weights. */
