Count in the soak whatever an upstream was sent and did not reject as run

Cause: since runs begin with their first event, TWICE and REFUSED of the soak counted begun runs alone, fewer than before: an upstream may work on a request before its first event. Change: VERSION counts begins; TWICE, REFUSED and the overlap count what arrived, as before. The planted history of a stream that waited at one upstream and ran at another is excused only if it can go on; one that may run once is a row of TWICE.

--- a/bench/faults/platform/checkStops.ts
+++ b/bench/faults/platform/checkStops.ts
@@ -34,37 +34,28 @@
         .map(attempt => `ORDER ${attempt.id} at ${attempt.address} ended as complete before its last event`);
 }
 
-/** A run that has begun. */
-type BegunRun = RunRecord & { readonly beganMs: number; };
-
-/** Lists the runs that have begun, in that order. */
-function listBegun(runs: readonly RunRecord[] = []): readonly BegunRun[] {
-    return runs
-        .filter((run): run is BegunRun => run.beganMs !== undefined)
-        .toSorted((one, other) => one.beganMs - other.beganMs);
-}
-
-/** Describes a run that was still at work some time after the next one had begun; undefined if there is none. */
-function describeOverlap(runs: readonly BegunRun[]): string | undefined {
-    const index = runs.findIndex((run, at) => at > 0 && (runs[at - 1]!.endMs ?? Infinity) > run.beganMs + overlapMs);
+/** Describes a run that an upstream still had some time after the next one had arrived; undefined if there is none. */
+function describeOverlap(runs: readonly RunRecord[]): string | undefined {
+    const index = runs.findIndex((run, at) => at > 0 && (runs[at - 1]!.endMs ?? Infinity) > run.arrivedMs + overlapMs);
     if (index < 0) {
         return undefined;
     }
     const [before, after] = [runs[index - 1]!, runs[index]!];
-    const overlap = (before.endMs ?? Infinity) - after.beganMs;
+    const overlap = (before.endMs ?? Infinity) - after.arrivedMs;
     return `${after.upstream} ${Math.round(overlap)} ms before ${before.upstream} had ended, ${
-        Math.round(after.beganMs - before.beganMs)
-    } ms after it began`;
+        Math.round(after.arrivedMs - before.arrivedMs)
+    } ms after it arrived`;
 }
 
+/** An upstream may work on what has arrived before its run begins, so whatever was not rejected counts as run. */
 function findRunTwice(history: StopHistory, runs: ReadonlyMap<string, readonly RunRecord[]>): readonly string[] {
     return history.requests.flatMap(request => request.attempts).flatMap(attempt => {
-        const begun = listBegun(runs.get(attempt.id));
-        const count = begun.length;
+        const arrived = runs.get(attempt.id) ?? [];
+        const count = arrived.length;
         const isPromise = attempt.isComplete && promiseStatuses.includes(attempt.status);
         const found: string[] = [];
         const mayRunAgain = attempt.kind === "idempotent" || attempt.canResume;
-        const overlap = attempt.canResume ? describeOverlap(begun) : undefined;
+        const overlap = attempt.canResume ? describeOverlap(arrived) : undefined;
         if (overlap !== undefined) {
             found.push(`TWICE ${attempt.id} went on at ${overlap}`);
         }
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -49,6 +49,7 @@
             | a run was cut after one that was broken off and is listed later       | LOST    |
             | a request was reset unread 300 ms after its last byte                 | LOST    |
             | a stream went on while the upstream before was at work                | TWICE   |
+            | a stream that may run once waited at an upstream and ran at another   | TWICE   |
             | a process held more memory than it may                                | MEMORY  |
             | a stream looked complete without its last event                       | ORDER   |
             | a stream arrived in time and began on old weights after the limit     | VERSION |
@@ -70,8 +71,8 @@
             | a request was refused at the door                                |
             | a request was not sent completely                                |
             | a stream went on when its upstream before had broken off         |
-            | a stream that waited on old weights was withdrawn before it began |
-            | a stream waited at an upstream and ran at another                 |
+            | a stream that waited on old weights was withdrawn before it began   |
+            | a stream that can go on waited at an upstream and ran at another |
 
     Scenario: A loss comes with its trace
         When in the history of stops a stream sent early was cut before the last sixth of the grace period
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -105,6 +105,11 @@
     };
 }
 
+const waitedAndRan: readonly RunRecord[] = [
+    { ...run, beganMs: undefined, isComplete: false, endMs: termMs + 1_500 },
+    { ...run, arrivedMs: termMs + 1_510, beganMs: termMs + 1_520 },
+];
+
 const plantedHistories: Readonly<Record<string, StopHistory>> = {
     "a stream sent early was cut before the last sixth of the grace period": cutAt(6_000),
     "a stream sent late was cut at the end of the grace period": cutAt(7_500, { sentMs: termMs + 3_100 }),
@@ -165,10 +170,11 @@
     },
     "a stream arrived in time and began on old weights after the limit": createLateBegin({}),
     "a stream that waited on old weights was withdrawn before it began": createLateBegin({ beganMs: undefined }),
-    "a stream waited at an upstream and ran at another": createHistory(answered, [
-        { ...run, beganMs: undefined, isComplete: false, endMs: termMs + 1_500 },
-        { ...run, arrivedMs: termMs + 1_510, beganMs: termMs + 1_520 },
-    ]),
+    "a stream that can go on waited at an upstream and ran at another": createHistory(
+        { ...answered, canResume: true },
+        waitedAndRan,
+    ),
+    "a stream that may run once waited at an upstream and ran at another": createHistory(answered, waitedAndRan),
     "a request was not sent completely": createHistory({ ...cut, sentMs: undefined, status: 0 }, []),
 };
 
