Look for the last claim again where reading it failed

Cause: one failed read of the lease's topic counted as the search for a killed holder's last claim, so that it was waited out twice again.

--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -118,8 +118,9 @@
      */
     async function searchLastClaim(nowMs: number): Promise<void> {
         if (lease.hasLapsed(nowMs) && searchedEnd !== lease.end()) {
-            await readClaims();
-            searchedEnd = lease.end();
+            if (await readClaims()) {
+                searchedEnd = lease.end();
+            }
         }
     }
 
