--- a/src/core/weights/createUnbegunSends.ts
+++ b/src/core/weights/createUnbegunSends.ts
@@ -76,8 +76,14 @@
         timerMs = Infinity;
         const due = [...groups].filter(([, { weights }]) => !mayBegin(weights));
         due.forEach(([key]) => groups.delete(key));
-        due.flatMap(([, { withdrawals }]) => [...withdrawals]).forEach(withdraw => withdraw());
-        recheck();
+        try {
+            for (const withdraw of due.flatMap(([, { withdrawals }]) => [...withdrawals])) {
+                withdraw();
+            }
+        }
+        finally {
+            recheck();
+        }
     }
 
     function openGroup(key: string, weights: SentWeights): SendGroup {
