Take the time of a load from orders that engines accepted

Cause: the time of a load counted from its choice, also when its order had no answer and was carried out seconds later. Loads then seemed to take seconds, so that a rollout counted as late and up to half of the engines loaded at once. Change: only a load whose order was accepted counts, from its acceptance.

--- a/src/core/weights/planLoads.ts
+++ b/src/core/weights/planLoads.ts
@@ -20,7 +20,7 @@
 
 /** Options of {@link planLoads}. */
 export interface LoadPlanOptions {
-    /** Time that a load takes, in milliseconds. */
+    /** Time that a load takes from its acceptance, in milliseconds. */
     readonly loadMs: number;
 }
 
--- a/src/io/weights/runRollout.ts
+++ b/src/io/weights/runRollout.ts
@@ -105,8 +105,9 @@
  */
 export function runRollout(deps: RolloutDependencies): Rollout {
     const { clock, lease, weights } = deps;
-    /** When the load of each engine began, in milliseconds. */
-    const loading = new Map<string, number>();
+    const loading = new Set<string>();
+    /** When engines accepted their orders, in milliseconds: any other order may have been carried out late. */
+    const acceptedMs = new Map<string, number>();
     let loadMs = initialLoadMs;
     const retryAtMs = new Map<string, number>();
     let isStopped = false;
@@ -159,7 +160,11 @@
             timeoutMs: orderArrivalMs,
         });
         deps.onOrder(answer);
-        if (answer !== "accepted") {
+        if (answer === "accepted") {
+            acceptedMs.set(engine.id, nowMs);
+        }
+        else {
+            acceptedMs.delete(engine.id);
             deps.writeLog("orderFailed", { engine: engine.id, version, fence, answer });
         }
         if (answer === "fenced") {
@@ -169,17 +174,18 @@
     }
 
     function endLoad(engine: UpstreamRecord, target: TargetWeights, end: LoadEnd): void {
-        const startedMs = loading.get(engine.id);
+        const beganMs = acceptedMs.get(engine.id);
+        acceptedMs.delete(engine.id);
         loading.delete(engine.id);
         deps.writeLog("loadEnded", { engine: engine.id, model: target.model, version: target.version, end });
         if (end === "loaded") {
-            loadMs += (clock.now() - (startedMs ?? clock.now()) - loadMs) * lastLoadWeight;
+            loadMs += beganMs === undefined ? 0 : (clock.now() - beganMs - loadMs) * lastLoadWeight;
             weights.recordLoaded(engine.id, target.model, target.version);
         }
         else {
             retryAtMs.set(engine.id, clock.now() + failedLoadDelayMs);
         }
-        weights.setLoading(deps.instance, [...loading.keys()]);
+        weights.setLoading(deps.instance, [...loading]);
         deps.notifyPeers();
         deps.onChange();
     }
@@ -234,8 +240,8 @@
         if (chosen.length === 0) {
             return;
         }
-        chosen.forEach(id => loading.set(id, nowMs));
-        weights.setLoading(deps.instance, [...loading.keys()]);
+        chosen.forEach(id => loading.add(id));
+        weights.setLoading(deps.instance, [...loading]);
         deps.notifyPeers();
         engines.filter(engine => chosen.includes(engine.id)).forEach(engine => load(engine, target));
     }
@@ -280,7 +286,7 @@
 
     const stopChecking = repeatEvery(clock, checkIntervalMs, wake);
     return {
-        listLoading: () => [...loading.keys()],
+        listLoading: () => [...loading],
         isOrdering: () => workSinceMs !== undefined && lease.fence(clock.now()) !== undefined,
         wake,
         relinquishLease: () => lease.relinquish(),
