--- a/bench/faults/platform/createInstanceProcess.ts
+++ b/bench/faults/platform/createInstanceProcess.ts
@@ -131,6 +131,8 @@
     const callerAddress = addressOf(portOffsets.caller);
     const lives: Life[] = [];
     const refusedWhileReady: string[] = [];
+    // Opened before its reader may leave: without a reader, opening a pipe waits for one.
+    const fileLog = logPath === undefined ? "ignore" : openSync(logPath, "a");
     let isStopped = false;
 
     function openLog(): number | "ignore" {
@@ -138,14 +140,14 @@
         if (logPipes !== undefined && reader !== "file") {
             return logPipes.pipes.openLog(reader);
         }
-        return logPath === undefined ? "ignore" : openSync(logPath, "a");
+        return fileLog;
     }
 
     function start(): void {
         const log = openLog();
         const env = { PATH: process.env["PATH"], HOME: process.env["HOME"], REEDWARD_NODE_FILE: settingsPath };
         const child = spawn(process.execPath, command, { env, stdio: ["ignore", log, "inherit"] });
-        if (log !== "ignore") {
+        if (log !== "ignore" && log !== fileLog) {
             closeSync(log);
         }
         const record: LifeRecord = {
