Report a heap that is nearly full, and what answers and bodies hold

A line (RW1012) now names the use of the heap, what answers and bodies hold and how many requests are in progress, once each time three quarters of the limit are passed; the check goes with the one for pauses, each 250 ms. Gauges state the same. A heap that fills while the held bytes stay small is one of objects.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -37,3 +37,7 @@
     Scenario: A holder with many parts may use the room that others leave
         When 98 holders report 300 cached parts each, and one more reports 20000
         Then all of these parts are known
+
+    Scenario: A heap is reported once each time it becomes nearly full
+        When the use of a heap of 100 MB is 40, 76, 90, 70, 80, 50 and 77 MB
+        Then it is reported at 76 and 77 MB
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -53,6 +53,8 @@
     readonly countWaiting: () => number;
     /** Number of connections opened to upstreams so far. */
     readonly countOpened: () => number;
+    /** Memory that answers and the bodies of requests hold, in bytes. */
+    readonly heldMemory: () => { readonly answerBytes: number; readonly bodyBytes: number; };
     /** Places waiting requests. */
     readonly dispatch: () => void;
     /** Closes all idle connections to upstreams, for example after a pause of the process. */
@@ -279,6 +281,7 @@
         ...service,
         countWaiting: placer.countWaiting,
         countOpened: connections.countOpened,
+        heldMemory: () => ({ answerBytes: answerMemory.totalBytes(), bodyBytes: bodyMemory.usedBytes() }),
         dispatch: placer.dispatch,
         discardIdleConnections: connections.discardIdle,
         close: () => {
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -30,6 +30,7 @@
     listenFailed: define("RW1009", "warn", "address cannot be listened on yet: tried again until it is free"),
     stopAdvanced: define("RW1010", "info", "next phase of the stop"),
     settingsUnusable: define("RW1011", "error", "settings cannot be used: read again until they can"),
+    heapNearlyFull: define("RW1012", "warn", "heap of objects nearly full"),
     catalogueAdvanced: define("RW2001", "info", "catalogue change accepted"),
     catalogueConflict: define("RW2002", "warn", "catalogue change rejected: based on an older revision"),
     catalogueMalformed: define("RW2003", "error", "catalogue record rejected: malformed"),
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -4,6 +4,7 @@
  * grow with customers, models or upstreams.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { HeapUse } from "../../core/memory/createHeapWatch.js";
 
 /** Sources of the gauges, read when metrics are collected. */
 export interface RouterGauges {
@@ -25,6 +26,11 @@
     /** Upstreams that state a rate limit. */
     readonly limitedUpstreams: () => number;
     readonly connectionsOpened: () => number;
+    /** Memory that answers of upstreams hold, in bytes. */
+    readonly heldAnswerBytes: () => number;
+    /** Memory that bodies of requests hold, in bytes. */
+    readonly heldBodyBytes: () => number;
+    readonly heapUse: () => HeapUse;
     readonly logLinesDropped: () => ReadonlyMap<string, number>;
 }
 
@@ -137,6 +143,10 @@
     gauge("quarantined_parts", "Prompt parts that are held back or contained.", from => from.quarantinedParts());
     gauge("limited_upstreams", "Upstreams that state a rate limit.", from => from.limitedUpstreams());
     gauge("connections_opened", "Connections opened to upstreams since the start.", from => from.connectionsOpened());
+    gauge("held_answer_bytes", "Memory that answers of upstreams hold.", from => from.heldAnswerBytes());
+    gauge("held_body_bytes", "Memory that bodies of requests hold.", from => from.heldBodyBytes());
+    gauge("heap_used_bytes", "Use of the heap of objects.", from => from.heapUse().usedBytes);
+    gauge("heap_limit_bytes", "Size of the heap at which the process ends.", from => from.heapUse().limitBytes);
     new Gauge({
         name: "reedward_router_log_lines_left_out",
         help: "Log lines dropped since the start, by event.",
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -15,6 +15,7 @@
 import { memoizeFor } from "./core/_lib/memoizeFor.js";
 import { millisecondsPerSecond } from "./core/constants.js";
 import { listServing } from "./core/fleet/listServing.js";
+import { createHeapWatch } from "./core/memory/createHeapWatch.js";
 import { createShutdown } from "./core/shutdown/createShutdown.js";
 import { planStoreReads } from "./core/store/planStoreReads.js";
 import { createLagMeter } from "./core/time/createLagMeter.js";
@@ -23,6 +24,7 @@
 import { createRolloutLease } from "./core/weights/createRolloutLease.js";
 import { readArrived } from "./io/_lib/readArrived.js";
 import { createListenerGroup } from "./io/http/createListenerGroup.js";
+import { readHeap } from "./io/process/readHeap.js";
 import { runShutdown } from "./io/shutdown/runShutdown.js";
 import { runRollout } from "./io/weights/runRollout.js";
 
@@ -134,6 +136,10 @@
 
     const partFeeds = assembleParts(context, views, fleet);
     const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, shutdown);
+    const heap = createHeapWatch(readHeap, use => {
+        const { answerBytes, bodyBytes } = proxy.heldMemory();
+        writeLog("heapNearlyFull", { ...use, answerBytes, bodyBytes, active: proxy.countActive() });
+    });
     const pauses = createPauseDetector(clock, pausedMs => {
         writeLog("processPaused", { pausedMs: Math.round(pausedMs) });
         feeds.forgetAges();
@@ -142,7 +148,13 @@
         proxy.discardIdleConnections();
         quarantine.clear();
         permits.clear();
-    }, { thresholdMs: pauseThresholdMs, onChecked: recordLag });
+    }, {
+        thresholdMs: pauseThresholdMs,
+        onChecked: lateMs => {
+            recordLag(lateMs);
+            heap.check();
+        },
+    });
 
     const rollout = runRollout({
         clock,
@@ -181,6 +193,9 @@
         quarantinedParts: () => quarantine.guard.list().filter(entry => entry.state !== "lifted").length,
         limitedUpstreams: () => views.signals.view.countLimited(clock.now()),
         connectionsOpened: proxy.countOpened,
+        heldAnswerBytes: () => proxy.heldMemory().answerBytes,
+        heldBodyBytes: () => proxy.heldMemory().bodyBytes,
+        heapUse: readHeap,
         logLinesDropped: context.listDropped,
     });
 
