--- a/features/steps/memorySteps.ts
+++ b/features/steps/memorySteps.ts
@@ -4,14 +4,11 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import { createServer, type RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { request } from "undici";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
+import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { createGarbageMeter } from "../../src/core/memory/createGarbageMeter.js";
 import {
@@ -21,8 +18,9 @@
 } from "../../src/core/memory/createMemoryBudget.js";
 import { createPartView } from "../../src/core/placement/createPartView.js";
 import { type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
-import { configuration, waitUntil } from "../support/platformFixture.js";
+import { configuration } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { loneProcesses, startLoneProcess } from "../support/startLoneProcess.js";
 
 interface MemoryFixture {
     budget: MemoryBudget | undefined;
@@ -45,9 +43,6 @@
 /** Time that uploads may take on a busy machine, in milliseconds. */
 const routeTimeoutMs = 15_000;
 
-/** The program as the deploy file runs it. */
-const command = [...readDeployArguments(), bundledProgram];
-
 function getFixture(world: SiteWorld): MemoryFixture {
     const fixture = fixtures.get(world) ?? {
         budget: undefined,
@@ -179,22 +174,14 @@
             born: 1,
         })
     );
-    const folder = mkdtempSync(join(tmpdir(), "reedward-memory-"));
-    const ip = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.8`;
-    const place = { name: "entry-1", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
-    const instance = createInstanceProcess(place, join(folder, "settings.json"), command);
+    const instance = await startLoneProcess(world, { lastOctet: 8, firstPort, storeAddress: store.address });
     world.cleanups.push(
-        () => instance.stop(),
         () => store.stop(),
         () => {
             server.closeAllConnections();
             server.close();
-            rmSync(folder, { recursive: true, force: true });
-            return Promise.resolve();
         },
     );
-    instance.start();
-    await waitUntil("the instance is ready", () => instance.isReady());
     getFixture(world).instance = instance;
 }
 
@@ -265,9 +252,9 @@
 });
 
 Then("the process has held at most {int} MB", function(this: SiteWorld, megabytes: number) {
-    const { instance } = getFixture(this);
-    assert.equal(instance!.lives.at(-1)?.end, undefined);
-    const status = readFileSync(`/proc/${instance!.pid()}/status`, "utf8");
+    const instance = loneProcesses.get(this)!;
+    assert.equal(instance.lives.at(-1)?.end, undefined);
+    const status = readFileSync(`/proc/${instance.pid()}/status`, "utf8");
     const peakMegabytes = Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / 1_024;
     assert.ok(peakMegabytes <= megabytes, `${Math.round(peakMegabytes)} MB`);
 });
