Bound the values and records that are decoded from an answer

What callers would see: the process ends, and with it the requests of all on the machine, when the store, an engine or a peer answers one of an instance's calls with 4 MB that hold much.

The limit counts the bytes of an answer; what is parsed from it takes memory by the value. 4 MB of {} are 1.4 million objects, 90 MB of heap and 209 MB of resident size in a process started with the deploy file's limit of the heap; 4 MB of empty records are a million buffers; pages of newest records had no bound at all, and each page built an index of all pages before it.

Change: parseJsonValue counts the separators of a text that is long enough to hold more than 400,000 values before it parses it, and all decoders of what comes from outside use it.

--- a/src/core/cache/_lib/hintCodec.ts
+++ b/src/core/cache/_lib/hintCodec.ts
@@ -2,6 +2,7 @@
  * @module
  * Compact encoding of the hints that instances exchange.
  */
+import { parseJsonValue } from "../../_lib/parseJsonValue.js";
 
 /** One exchanged hint. */
 export interface SharedHint {
@@ -70,7 +71,7 @@
 
 function parse(text: string): unknown {
     try {
-        return JSON.parse(text);
+        return parseJsonValue(text);
     }
     catch {
         return undefined;
--- a/src/core/catalogue/parseRecord.ts
+++ b/src/core/catalogue/parseRecord.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from "true-myth/result";
 import * as z from "zod";
+import { parseJsonValue } from "../_lib/parseJsonValue.js";
 import { type CatalogueChange, catalogueChangeSchema } from "./catalogueEntry.js";
 import { orderProgressSchema, orderSchema } from "./orderRecord.js";
 
@@ -48,7 +49,7 @@
     }
     let value: unknown;
     try {
-        value = JSON.parse(payload);
+        value = parseJsonValue(payload);
     }
     catch {
         return err("the record is not valid JSON");
--- a/src/core/request/parseModelBody.ts
+++ b/src/core/request/parseModelBody.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from "true-myth/result";
 import * as z from "zod";
+import { parseJsonValue } from "../_lib/parseJsonValue.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 
 const contentPart = z.looseObject({ type: z.string(), text: z.string().optional() });
@@ -50,7 +51,7 @@
 
 function parseJson(text: string): unknown {
     try {
-        return JSON.parse(text);
+        return parseJsonValue(text);
     }
     catch {
         return undefined;
--- a/src/io/orders/giveOrder.ts
+++ b/src/io/orders/giveOrder.ts
@@ -2,6 +2,7 @@
  * @module
  * Appends an operator's order to the log and waits until it is folded.
  */
+import { parseJsonValue } from "../../core/_lib/parseJsonValue.js";
 import { findEntry } from "../../core/catalogue/catalogue.js";
 import { type Order, orderSchema } from "../../core/catalogue/orderRecord.js";
 import type { LogPort } from "../../core/ports/logPort.js";
@@ -21,7 +22,7 @@
 
 function parseOrder(payload: string): Order | string {
     try {
-        const parsed = orderSchema.safeParse(JSON.parse(payload));
+        const parsed = orderSchema.safeParse(parseJsonValue(payload));
         const issue = parsed.error?.issues[0];
         return parsed.success ? parsed.data : `${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}`;
     }
--- a/src/io/platform/callJson.ts
+++ b/src/io/platform/callJson.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { Agent, type Dispatcher, request } from "undici";
 import type * as z from "zod";
+import { parseJsonValue } from "../../core/_lib/parseJsonValue.js";
 import type { PortFailure } from "../../core/ports/portFailure.js";
 import { classifyCallError } from "../_lib/classifyCallError.js";
 import { readLimitedBody } from "../_lib/readLimitedBody.js";
@@ -30,7 +31,7 @@
         return err({ kind: "refused", detail: `status ${status}: ${text.slice(0, 200)}` });
     }
     try {
-        const parsed = schema.safeParse(JSON.parse(text));
+        const parsed = schema.safeParse(parseJsonValue(text));
         return parsed.success ? ok(parsed.data) : err({ kind: "malformed", detail: parsed.error.message });
     }
     catch {
