Keep the forms of endless answers in one place, and cut them into pieces of drawn sizes

The steps had a table of their own, which sent large blocks only. Forms of heads, bodies, streams and bytes that are no answer now stand in fakes/endlessForms.ts; fakes/sendEndless.ts sends one in chunks and segments whose sizes are a class (one byte, a few, lines, events, hundreds, 16 KB, 64 KB) or mixed, drawn from a seed. Steps on both features use them; two rows have the names of their forms.

--- /dev/null
+++ b/fakes/sendEndless.ts
@@ -0,0 +1,110 @@
+/**
+ * @module
+ * Sends an answer without end, in chunks and segments of drawn sizes.
+ */
+import type { Socket } from "node:net";
+import { cutPieces, type PieceSize } from "./cutPieces.js";
+import type { AnsweredRequest, EndlessForm, EndlessFraming } from "./endlessForms.js";
+
+/** Sizes in which an answer is sent. */
+export interface EndlessCut {
+    /** Of the chunks; of no effect where the form has none. */
+    readonly chunks: PieceSize;
+    /** Of the writes, each of which is a segment where the connection takes it at once. */
+    readonly segments: PieceSize;
+}
+
+/** Bytes that are framed once and sent again and again: for large pieces, for others, and behind extensions. */
+const largeCycleBytes = 65_536;
+const cycleBytes = 16_384;
+const extendedCycleBytes = 48;
+
+const extension = `;${"x".repeat(12_000)}`;
+
+/** Writes in one turn of the event loop. */
+const writesPerTurn = 64;
+
+function frame(pieces: Iterable<string>, framing: EndlessFraming): string {
+    if (framing === "none") {
+        return [...pieces].join("");
+    }
+    const suffix = framing === "extendedChunks" ? extension : "";
+    return Array.from(pieces, piece => `${piece.length.toString(16)}${suffix}\r\n${piece}\r\n`).join("");
+}
+
+/** Returns what a form repeats, as often as the sizes of the chunks need. */
+function createCycle({ repeated, framing }: EndlessForm, chunks: PieceSize): string {
+    if (framing === "extendedChunks") {
+        return repeated.repeat(extendedCycleBytes).slice(0, extendedCycleBytes);
+    }
+    const bytes = chunks === "64 KB" || chunks === "mixed" ? largeCycleBytes : cycleBytes;
+    return repeated.repeat(Math.ceil(bytes / repeated.length));
+}
+
+/** Resolves when a socket has written out what waits, or is closed. */
+function waitForDrain(socket: Socket): Promise<void> {
+    return new Promise(resolve => {
+        const onOver = () => {
+            socket.off("drain", onOver);
+            socket.off("close", onOver);
+            resolve();
+        };
+        socket.on("drain", onOver);
+        socket.on("close", onOver);
+    });
+}
+
+/**
+ * Writes bytes in segments until the connection is closed, or a number of times.
+ *
+ * @param socket - The connection.
+ * @param bytes - What is written again and again, one a character.
+ * @param size - Sizes of the segments.
+ * @param random - Numbers from 0 to 1.
+ * @param times - How often; without end if left out.
+ */
+export async function writeSegments(
+    socket: Socket,
+    bytes: string,
+    size: PieceSize,
+    random: () => number,
+    times = Infinity,
+): Promise<void> {
+    socket.setNoDelay(true);
+    let writes = 0;
+    for (let time = 0; time < times; time += 1) {
+        for (const segment of cutPieces(bytes, size, random)) {
+            if (!socket.writable) {
+                return;
+            }
+            writes += 1;
+            if (!socket.write(segment, "latin1")) {
+                await waitForDrain(socket);
+            }
+            else if (writes % writesPerTurn === 0) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+        }
+    }
+}
+
+/**
+ * Answers without end, until its connection is closed.
+ *
+ * @param socket - The connection.
+ * @param form - What is sent.
+ * @param answered - What its head takes over from the request.
+ * @param cut - In which sizes.
+ * @param random - Numbers from 0 to 1.
+ */
+export async function sendEndless(
+    socket: Socket,
+    form: EndlessForm,
+    answered: AnsweredRequest,
+    cut: EndlessCut,
+    random: () => number,
+): Promise<void> {
+    const cycle = frame(cutPieces(createCycle(form, cut.chunks), cut.chunks, random), form.framing);
+    socket.write(form.createFirst(answered), "latin1");
+    await writeSegments(socket, cycle, cut.segments, random);
+}
--- a/features/endlessAnswers.feature
+++ b/features/endlessAnswers.feature
@@ -19,8 +19,8 @@
             | a chunk's extension          | stream           |
             | trailers                     | non-idempotent   |
             | bytes that are no answer     | non-idempotent   |
-            | a body without a length      | non-idempotent   |
-            | a chunked body               | non-idempotent   |
+            | a body without framing       | non-idempotent   |
+            | a body in chunks             | non-idempotent   |
             | an event                     | stream           |
             | an event                     | resumable stream |
             | an event in lines            | resumable stream |
--- a/features/steps/endlessAnswerSteps.ts
+++ b/features/steps/endlessAnswerSteps.ts
@@ -7,7 +7,10 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import * as z from "zod";
+import { createRandom } from "../../bench/faults/platform/createRandom.js";
 import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
+import { type EndlessForm, findEndlessForm } from "../../fakes/endlessForms.js";
+import { type EndlessCut, sendEndless } from "../../fakes/sendEndless.js";
 import { type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
 import { createEngineOrders } from "../../platform/createEngineOrders.js";
 import { createPartReader } from "../../platform/createPartReader.js";
@@ -45,52 +48,14 @@
 
 const bytesPerMegabyte = 1_000_000;
 
-const head = "HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nServer-Seal: s\r\n";
+/** In which sizes a form is sent. */
+const largePieces: EndlessCut = { chunks: "16 KB", segments: "16 KB" };
 
-const blockBytes = 16_384;
-
-/** What an upstream sends first, and what it repeats until its connection is closed. */
-interface EndlessBytes {
-    readonly first: string;
-    readonly repeated: string;
-}
-
-const filler = "a".repeat(blockBytes);
-
-const endlessBytes: Readonly<Record<string, EndlessBytes>> = {
-    "one line of a head": { first: `${head}X-Filler: `, repeated: filler },
-    "lines of a head": { first: head, repeated: "X-Filler: a\r\n".repeat(1_000) },
-    "a status line": { first: "HTTP/1.1 200 ", repeated: filler },
-    "a chunk's extension": { first: `${head}Transfer-Encoding: chunked\r\n\r\n5;a=`, repeated: filler },
-    trailers: { first: `${head}Transfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: `, repeated: filler },
-    "informational heads": { first: "", repeated: "HTTP/1.1 103 Early Hints\r\nX-Filler: a\r\n\r\n".repeat(100) },
-    "bytes that are no answer": { first: "}{ not http", repeated: filler },
-    "a body without a length": { first: `${head}Connection: close\r\n\r\n`, repeated: filler },
-    "a chunked body": { first: `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: `4000\r\n${filler}\r\n` },
-    "an event": { first: `${head}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: `, repeated: filler },
-    "an event in lines": {
-        first: `${head}Content-Type: text/event-stream\r\n\r\nid: 1\n`,
-        repeated: "data: a\n".repeat(1_000),
-    },
-};
-
-/** Writes until the connection is closed. */
-function flood(socket: Socket, { first, repeated }: EndlessBytes): void {
-    socket.write(first);
-    const writeMore = () => {
-        while (!socket.destroyed && socket.write(repeated)) {
-            // Goes on until the write buffer is full.
-        }
-    };
-    socket.on("drain", writeMore);
-    writeMore();
-}
-
-async function startEndless(world: SiteWorld, bytes: EndlessBytes): Promise<void> {
+async function startEndless(world: SiteWorld, form: EndlessForm, lines = ""): Promise<void> {
     const sockets: Socket[] = [];
     const upstream = await startScriptedUpstream(({ socket }) => {
         sockets.push(socket);
-        flood(socket, bytes);
+        void sendEndless(socket, form, { attempt: "attempt-1", lines }, largePieces, createRandom(1));
     });
     fixtures.set(world, {
         upstream,
@@ -104,9 +69,7 @@
 }
 
 Given(/^an upstream that sends (.+) without end$/, async function(this: SiteWorld, name: string) {
-    const bytes = endlessBytes[name];
-    assert.ok(bytes !== undefined, name);
-    await startEndless(this, bytes);
+    await startEndless(this, findEndlessForm(name));
 });
 
 /** Time until a request's deadline, in milliseconds. */
@@ -265,11 +228,11 @@
     },
 );
 
+/** Lines of a head that each call accepts. */
+const jsonLines = "Store-Era: 1\r\nContent-Type: application/json\r\n";
+
 Given("a server that answers every call with a body without end", async function(this: SiteWorld) {
-    await startEndless(this, {
-        first: "HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Type: application/json\r\n\r\n",
-        repeated: filler,
-    });
+    await startEndless(this, findEndlessForm("a body without framing"), jsonLines);
 });
 
 /** Reason of a failure at a time limit. */
--- a/features/steps/endlessPieceSteps.ts
+++ b/features/steps/endlessPieceSteps.ts
@@ -5,11 +5,14 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { endlessForms } from "../../fakes/endlessForms.js";
+import { createRandom } from "../../bench/faults/platform/createRandom.js";
+import type { PieceSize } from "../../fakes/cutPieces.js";
+import { findEndlessForm } from "../../fakes/endlessForms.js";
+import { sendEndless, writeSegments } from "../../fakes/sendEndless.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { type ScriptedUpstream, startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
 import { configuration } from "../support/platformFixture.js";
@@ -29,8 +32,9 @@
 const metricsPort = 9_464;
 const maxBodyBytes = 4_194_304;
 
-/** Size of the writes to sockets, in bytes. */
-const blockBytes = 65_536;
+/** Chunks of one byte, and requests, that are written at once. */
+const chunksPerBlock = 10_000;
+const requestsPerBlock = 1_000;
 
 const soundAnswer = "sound";
 
@@ -59,33 +63,6 @@
     };
 }
 
-/** Fills blocks with as many copies of a text as they hold. */
-function createBlock(text: string): string {
-    return text.repeat(Math.max(1, Math.floor(blockBytes / text.length)));
-}
-
-/** Resolves when a socket has written out what waits, or is closed. */
-function waitForDrain(socket: Socket): Promise<void> {
-    return new Promise(resolve => {
-        const onOver = () => {
-            socket.off("drain", onOver);
-            socket.off("close", onOver);
-            resolve();
-        };
-        socket.on("drain", onOver);
-        socket.on("close", onOver);
-    });
-}
-
-/** Writes a block again and again until the connection is closed, or a number of times. */
-async function writeBlocks(socket: Socket, block: string, times = Infinity): Promise<void> {
-    for (let written = 0; written < times && !socket.destroyed; written += 1) {
-        if (!socket.write(block)) {
-            await waitForDrain(socket);
-        }
-    }
-}
-
 async function startSound(world: SiteWorld): Promise<string> {
     const server = createServer((req, res) => {
         req.resume();
@@ -102,12 +79,25 @@
     return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+/** What the rows send: a form, and the sizes of its chunks. */
+const sentForms: Readonly<Record<string, { readonly form: string; readonly chunks: PieceSize; }>> = {
+    "a body in large blocks": { form: "a body without framing", chunks: "64 KB" },
+    "events without framing": { form: "events without framing", chunks: "64 KB" },
+    "a body in chunks of one byte": { form: "a body in chunks", chunks: "byte" },
+    "a rejection in chunks of one byte": { form: "a rejection in chunks", chunks: "byte" },
+    "line ends, one a chunk": { form: "line ends in chunks", chunks: "line" },
+    "comments, one a chunk": { form: "comments in chunks", chunks: "line" },
+    "events, one a chunk": { form: "events in chunks", chunks: "event" },
+};
+
 async function startEndless(world: SiteWorld, name: string): Promise<ScriptedUpstream> {
-    const form = endlessForms.find(candidate => candidate.name === name);
-    assert.ok(form !== undefined, name);
+    const sent = sentForms[name];
+    assert.ok(sent !== undefined, name);
+    const form = findEndlessForm(sent.form);
+    const random = createRandom(1);
     const upstream = await startScriptedUpstream(({ text, socket }) => {
-        socket.write(form.createFirst(/^attempt-id: (\S+)/im.exec(text)?.[1] ?? ""));
-        void writeBlocks(socket, createBlock(form.repeated));
+        const attempt = /^attempt-id: (\S+)/im.exec(text)?.[1] ?? "";
+        void sendEndless(socket, form, { attempt }, { chunks: sent.chunks, segments: "64 KB" }, random);
     });
     world.cleanups.push(() => upstream.stop());
     return upstream;
@@ -214,10 +204,8 @@
     const headers = { ...createHeaders(id), "transfer-encoding": "chunked", connection: "close" };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
     socket.write(`POST /sound/${id} HTTP/1.1\r\n${lines.join("")}\r\n`);
-    const one = "1\r\na\r\n";
-    const chunksPerBlock = Math.floor(blockBytes / one.length);
-    await writeBlocks(socket, one.repeat(chunksPerBlock), Math.floor(bytes / chunksPerBlock));
-    socket.write(`${one.repeat(bytes % chunksPerBlock)}0\r\n\r\n`);
+    await writeSegments(socket, "1\r\na\r\n".repeat(chunksPerBlock), "64 KB", createRandom(1), bytes / chunksPerBlock);
+    socket.write("0\r\n\r\n");
     await closed;
     return answer.split("\r\n")[0] ?? String(error);
 }
@@ -234,13 +222,13 @@
 
 When("{int} connections request metrics without end and read nothing", function(this: SiteWorld, connections: number) {
     const [host] = getFixture(this).instance.callerAddress.split(":");
-    const block = createBlock("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+    const block = "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n".repeat(requestsPerBlock);
     for (let index = 0; index < connections; index += 1) {
         const socket = connect(metricsPort, host);
         this.cleanups.unshift(() => void socket.destroy());
         socket.on("error", () => undefined);
         socket.pause();
-        void writeBlocks(socket, block);
+        void writeSegments(socket, block, "64 KB", createRandom(1));
     }
 });
 
