Soak: upstreams and the store answer without end, and callers send in pieces

The trouble `endless` lets an engine or another upstream answer requests for runs, in some cases also its report, its cache events, orders and health, with a drawn form in drawn pieces, and in some cases the store a tenth of its calls.

Checks: an answer that never ends excuses a cut only once its head has reached the caller; before, a refusal is due. A later run of the same request is judged as ever. A plain answer counts as whole only if it names its own attempt and the size of the body, where any answer of status 200 did before. Rows of features/faultChecks.feature hold these.

--- a/bench/faults/platform/createTimedRuns.ts
+++ b/bench/faults/platform/createTimedRuns.ts
@@ -4,6 +4,7 @@
  * event. What has not begun is dropped when its connection closes.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { answerEndless } from "./answerEndless.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { RunRecord } from "./stopTypes.js";
 
@@ -24,6 +25,8 @@
     readonly brokenShare: number;
     /** Time from the begin of work to the first event of a stream. */
     readonly firstEvent: DrawnTime;
+    /** Whether it answers requests for runs without end. */
+    readonly isEndless: boolean;
 }
 
 /** Options of {@link createTimedRuns}. */
@@ -153,9 +156,23 @@
         sendEvent();
     }
 
+    function workWithoutEnd(run: Run): void {
+        const { record, req } = run;
+        recordBegin(run);
+        record.isEndless = true;
+        const form = answerEndless(req, { random, mayBeginComplete: !isEngine });
+        if (form.isRejection) {
+            records.delete(record);
+        }
+    }
+
     function work(run: Run): void {
         const { req, res, bodyBytes } = run;
         working.add(run);
+        if (readState().isEndless) {
+            workWithoutEnd(run);
+            return;
+        }
         const workMs = Number(req.headers[workHeader] ?? 0);
         const { brokenShare, firstEvent } = readState();
         if (random() < brokenShare) {
@@ -209,6 +226,7 @@
             endMs: undefined,
             isComplete: false,
             isBrokenOff: false,
+            isEndless: false,
         };
         const run = { record, req, res, bodyBytes };
         records.add(record);
--- a/bench/faults/platform/createTroubles.ts
+++ b/bench/faults/platform/createTroubles.ts
@@ -21,8 +21,12 @@
 export interface TroubledDeployment {
     /** Names of the engines. */
     readonly engines: readonly string[];
+    /** Names of the engines and of the other upstreams. */
+    readonly upstreams: readonly string[];
     readonly random: () => number;
     readonly disturb: (trouble: EngineTrouble) => void;
+    /** Lets the store answer some calls without end, for a time in milliseconds. */
+    readonly disturbStore: (lastsMs: number) => void;
     readonly nameVersion: () => void;
     readonly reconfigure: () => void;
 }
@@ -41,6 +45,7 @@
 const maxLastsMs = 4_000;
 const partialShare = 0.5;
 const sameAddressShare = 0.5;
+const storeShare = 0.3;
 
 /**
  * Prepares the troubles of a run.
@@ -54,6 +59,15 @@
     const records: TroubleRecord[] = [];
     const timers = new Set<NodeJS.Timeout>();
 
+    /** Draws the upstreams whose answers do not end: one, if no share is chosen. */
+    function drawEndless(): readonly string[] {
+        const { upstreams } = deployment;
+        const { share } = options;
+        return share === undefined
+            ? [upstreams[Math.floor(random() * upstreams.length)]!]
+            : upstreams.filter(() => random() < share);
+    }
+
     function begin(kind: TroubleKind, trouble: Omit<EngineTrouble, "kind">): void {
         const beganMs = readSharedClock();
         const isOperator = kind === "load" || kind === "reconfigure";
@@ -86,9 +100,14 @@
             const share = options.share ?? (random() < partialShare ? partialShare : 1);
             const engines = deployment.engines.filter(() => random() < share);
             const keepsAddress = random() < sameAddressShare;
+            const met = kind === "endless" ? drawEndless() : engines;
+            const meetsStore = kind === "endless" && random() < storeShare;
             const timer = setTimeout(() => {
                 timers.delete(timer);
-                begin(kind, { engines, lastsMs, keepsAddress });
+                begin(kind, { engines: met, lastsMs, keepsAddress });
+                if (meetsStore) {
+                    deployment.disturbStore(lastsMs);
+                }
             }, afterMs);
             timers.add(timer);
         },
--- a/bench/faults/platform/describeLoss.ts
+++ b/bench/faults/platform/describeLoss.ts
@@ -38,7 +38,7 @@
     const other = findLastStop(loss, lives);
     const described = runs.map(run =>
         `${run.upstream} from ${since(run.beganMs ?? run.arrivedMs)} to ${since(run.endMs)}${
-            run.isComplete ? " complete" : run.beganMs === undefined ? " not begun" : ""
+            run.isEndless ? " endless" : run.isComplete ? " complete" : run.beganMs === undefined ? " not begun" : ""
         }`
     );
     const met = troubles
--- a/bench/faults/platform/drawCall.ts
+++ b/bench/faults/platform/drawCall.ts
@@ -2,6 +2,7 @@
  * @module
  * What a caller sends.
  */
+import { drawPieceSize, type PieceSize } from "../../../fakes/cutPieces.js";
 import { answerBytesHeader, eventIntervalMs, workHeader } from "./createTimedRuns.js";
 import { servedModel } from "./startTimedUpstream.js";
 import type { CallShape, SizeRange } from "./stopShapes.js";
@@ -16,6 +17,10 @@
     readonly isChunked: boolean;
     /** Number of parts in which its body is sent. */
     readonly parts: number;
+    /** Sizes of the chunks of its body; undefined if it is not cut further than into parts. */
+    readonly pieces: PieceSize | undefined;
+    /** Time after the head of the answer for which its caller reads nothing, in milliseconds. */
+    readonly unreadMs: number;
     readonly bodyBytes: number;
     /** Size of its plain answer; undefined where the upstream decides. */
     readonly answerBytes: number | undefined;
@@ -25,6 +30,14 @@
 const twoPartsShare = 0.2;
 const defaultBodyBytes = 600;
 
+/** Shares of the callers' requests with bodies in pieces, and with answers that are read late, where callers have these habits. */
+const piecesShare = 0.1;
+const unreadShare = 0.05;
+const maxUnreadMs = 4_000;
+
+/** Largest body in pieces where the shape has none of its own. */
+const piecesBodyBytes: SizeRange = { min: 600, max: 20_000 };
+
 /** Most parts of a body whose size is drawn. */
 const maxParts = 6;
 
@@ -38,8 +51,25 @@
         : { parts: 1 + Math.floor(random() * maxParts), bodyBytes: drawSize(bodyBytes, random) };
 }
 
-/** Draws a request of one of the kinds. */
-export function drawCall(shapes: readonly CallShape[], random: () => number): Call {
+/** Draws whether a request is sent in pieces, and whether its answer is read late. */
+function drawHabits(shape: CallShape, random: () => number): Partial<Call> {
+    const unreadMs = random() < unreadShare ? random() * maxUnreadMs : 0;
+    if (random() >= piecesShare) {
+        return { unreadMs };
+    }
+    const bodyBytes = drawSize(shape.bodyBytes ?? piecesBodyBytes, random);
+    return { unreadMs, pieces: drawPieceSize(random), bodyBytes, isChunked: true };
+}
+
+/**
+ * Draws a request of one of the kinds.
+ *
+ * @param shapes - The kinds.
+ * @param random - Numbers from 0 to 1.
+ * @param hasOddHabits - Whether some requests are sent in pieces and some answers are read late.
+ * @returns The request.
+ */
+export function drawCall(shapes: readonly CallShape[], random: () => number, hasOddHabits: boolean): Call {
     const totalWeight = shapes.reduce((sum, shape) => sum + shape.weight, 0);
     let left = random() * totalWeight;
     const shape = shapes.find(one => {
@@ -53,7 +83,10 @@
         events: Math.max(1, Math.round(workMs / eventIntervalMs)),
         isChunked: random() < chunkedShare,
         ...drawParts(shape, random),
+        pieces: undefined,
+        unreadMs: 0,
         answerBytes: shape.answerBytes === undefined ? undefined : drawSize(shape.answerBytes, random),
+        ...(hasOddHabits ? drawHabits(shape, random) : {}),
     };
 }
 
--- a/bench/faults/platform/findLosses.ts
+++ b/bench/faults/platform/findLosses.ts
@@ -11,12 +11,13 @@
  *
  * - `deadline`, `timeout`: it lasted until its caller's deadline or its route's timeout.
  * - `brokenRun`: its upstream broke off the run.
+ * - `endless`: its upstream's answer never ends, and its caller has got the head. Before the head, a refusal is due.
  * - `lateInGrace`: it was sent early in the stop of its instance and cut at the end of the grace period, while its upstream
  *   was still at work.
  * - `seenLate`: it never ran, and its connection may have ended before it counts as read: its caller's process was held up. A
  *   run with such attempts does not show that nothing was lost.
  */
-export type LossExcuse = "deadline" | "timeout" | "brokenRun" | "lateInGrace" | "seenLate";
+export type LossExcuse = "deadline" | "timeout" | "brokenRun" | "endless" | "lateInGrace" | "seenLate";
 
 /** Where in the stops of the run an unexcused loss lies. */
 export type LossMoment = "late" | "early" | "elsewhere";
@@ -99,6 +100,9 @@
     if (runs.at(-1)?.isBrokenOff === true) {
         return "brokenRun";
     }
+    if (runs.at(-1)?.isEndless === true && attempt.status !== 0) {
+        return "endless";
+    }
     const isLateInGrace = termMs !== undefined && attempt.sentMs !== undefined
         && attempt.sentMs <= termMs + excusedSendMs && attempt.endMs >= termMs + excusedEndMs
         && wasAtWork(attempt, runs, termMs + excusedEndMs);
--- a/bench/faults/platform/playStops.ts
+++ b/bench/faults/platform/playStops.ts
@@ -7,6 +7,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import type { FakeStore } from "../../../fakes/startFakeStore.js";
+import { answerEndless } from "./answerEndless.js";
 import { checkStops, type StopFindings } from "./checkStops.js";
 import { createInstanceProcess, type InstanceProcess } from "./createInstanceProcess.js";
 import { createLogPipes, type LogReader } from "./createLogPipes.js";
@@ -17,7 +19,14 @@
 import { type PlanOptions, playPlan } from "./playPlan.js";
 import { readDeployArguments } from "./readDeployArguments.js";
 import { readSharedClock } from "./readSharedClock.js";
-import { nameEngines, placeInstances, startCallers, startStore, startUpstreams } from "./startDeployment.js";
+import {
+    nameEngines,
+    nameUpstreams,
+    placeInstances,
+    startCallers,
+    startStore,
+    startUpstreams,
+} from "./startDeployment.js";
 import { servedModel } from "./startTimedUpstream.js";
 import type { StopShape } from "./stopShapes.js";
 import type { VersionRecord } from "./stopTypes.js";
@@ -50,6 +59,11 @@
 /** Seeds of the orders and of the troubles are apart by this. */
 const troubleSeedOffset = 500_000;
 
+const storeSeedOffset = 600_000;
+
+/** Share of the store's calls that it answers without end while it has that trouble. */
+const endlessStoreShare = 0.1;
+
 /** Processes that are started at once at the beginning. */
 const startedAtOnce = 12;
 
@@ -74,6 +88,18 @@
     }
 }
 
+/** Lets the store answer some calls without end, for a time in milliseconds. */
+function disturbStore(store: FakeStore, random: () => number, lastsMs: number): void {
+    store.setSubstitute((req, lines) => {
+        if (random() >= endlessStoreShare) {
+            return false;
+        }
+        answerEndless(req, { random, mayBeginComplete: false, lines });
+        return true;
+    });
+    setTimeout(() => store.setSubstitute(undefined), lastsMs).unref();
+}
+
 function startBusyProcess(): ChildProcess {
     return spawn(process.execPath, ["-e", "for (;;) { Math.sqrt(Math.random()); }"], { stdio: "ignore" });
 }
@@ -138,8 +164,10 @@
     };
     const troubles = createTroubles(options.troubles, {
         engines: nameEngines(shape),
+        upstreams: nameUpstreams(shape),
         random: createRandom(seed + troubleSeedOffset),
         disturb: trouble => upstreams.forEach(worker => worker.disturb(trouble)),
+        disturbStore: lastsMs => disturbStore(store, createRandom(seed + storeSeedOffset), lastsMs),
         nameVersion,
         reconfigure,
     });
@@ -148,7 +176,7 @@
     const killed: { readonly kill: () => void; }[] = [...upstreams];
     try {
         await startInBatches(instances);
-        const callers = await startCallers(shape, seed, instances.map(instance => instance.directoryAddress));
+        const callers = await startCallers(shape, seed, instances, options.troubles.kinds.includes("endless"));
         killed.push(...callers);
         await delay(warmUpMs);
         await playPlan({ instances, random, nameVersion, reconfigure }, options);
--- a/bench/faults/platform/runStops.ts
+++ b/bench/faults/platform/runStops.ts
@@ -6,7 +6,9 @@
  * [--trouble-lasts MS] [--trouble-share SHARE]] [--program PATH] [--busy N] [--logs FOLDER]
  * [--log-readers file,nobody,late]`. The program is the bundle of the build, unless another one is named, and the processes'
  * logs have these readers in turn. Callers are counted for each
- * instance. Each order to stop or reload is followed by one of the troubles. With a folder for logs, the lines that name their
+ * instance. Each order to stop or reload is followed by one of the troubles. With the trouble `endless`, some callers upload in
+ * pieces, read late, or send many requests on a connection without waiting for answers; its share is that of all upstreams, and
+ * one is met if it is not chosen. With a folder for logs, the lines that name their
  * attempts follow the violations. The last line is one JSON object; the exit code is 1 when a promise was broken.
  */
 import { parseArgs } from "node:util";
--- a/bench/faults/platform/startDeployment.ts
+++ b/bench/faults/platform/startDeployment.ts
@@ -3,10 +3,12 @@
  * Starts what instances need beside themselves: the store in this process, upstreams and callers in processes of their own.
  */
 import { type FakeStore, startFakeStore } from "../../../fakes/startFakeStore.js";
+import type { InstanceProcess } from "./createInstanceProcess.js";
 import { callerHost, callerKey, describeConfiguration, serviceNames } from "./describeConfiguration.js";
 import { forkWorker, type Worker } from "./forkWorker.js";
 import type { CallerWorkerOptions } from "./runCallerWorker.js";
 import type { StartedUpstream, UpstreamWorkerOptions } from "./runUpstreamWorker.js";
+import type { PipeliningTarget } from "./startPipelining.js";
 import type { TimedUpstreamOptions } from "./startTimedUpstream.js";
 import type { StopShape } from "./stopShapes.js";
 import type { RequestRecord, RunRecord } from "./stopTypes.js";
@@ -23,6 +25,16 @@
 /** Seeds of workers are apart by this. */
 const workerSeedStep = 1_000;
 
+/** Addresses of an instance that callers use. */
+export type CalledInstance = Pick<InstanceProcess, "callerAddress" | "directoryAddress">;
+
+/** Port of each instance's metrics. */
+const metricsPort = 9_464;
+
+function describeTarget({ callerAddress }: CalledInstance): PipeliningTarget {
+    return { caller: callerAddress, metrics: `${callerAddress.split(":")[0]!}:${metricsPort}` };
+}
+
 type UpstreamOptions = Omit<TimedUpstreamOptions, "random" | "reportReplaced">;
 
 /** How many processes the callers have, and how many the upstreams. */
@@ -47,6 +59,11 @@
     return Array.from({ length: shape.engines.count }, (_, index) => `${serviceNames.engines}-${index + 1}`);
 }
 
+/** The names of all upstreams of a deployment. */
+export function nameUpstreams(shape: StopShape): readonly string[] {
+    return listUpstreams(shape).map(upstream => upstream.id);
+}
+
 function listUpstreams(shape: StopShape): readonly UpstreamOptions[] {
     const domains = nameFailureDomains(shape);
     const parts = ["engines", "servers", ...(shape.changesLimits === true ? ["otherServers"] as const : [])] as const;
@@ -84,11 +101,20 @@
     );
 }
 
-/** Starts the callers of a deployment. */
+/**
+ * Starts the callers of a deployment.
+ *
+ * @param shape - The deployment.
+ * @param seed - Seed of the run.
+ * @param instances - The instances.
+ * @param hasOddHabits - Whether some callers send in pieces, read late, or do not wait for answers.
+ * @returns The workers.
+ */
 export function startCallers(
     shape: StopShape,
     seed: number,
-    directories: readonly string[],
+    instances: readonly CalledInstance[],
+    hasOddHabits: boolean,
 ): Promise<readonly CallerWorker[]> {
     const workers = countWorkers(shape);
     const perWorker = Math.ceil(shape.callersPerInstance * shape.instances / workers);
@@ -97,7 +123,9 @@
             { length: workers },
             (_, worker) =>
                 forkWorker<CallerWorkerOptions, undefined, readonly RequestRecord[]>("./runCallerWorker.js", {
-                    directories,
+                    directories: instances.map(instance => instance.directoryAddress),
+                    pipelined: hasOddHabits ? instances.map(describeTarget) : [],
+                    hasOddHabits,
                     firstCaller: worker * perWorker,
                     callers: perWorker,
                     calls: shape.calls,
--- a/bench/faults/platform/startStopCallers.ts
+++ b/bench/faults/platform/startStopCallers.ts
@@ -3,14 +3,16 @@
  * Callers that ask the instances for entries, keep connections open, and send requests of all kinds, with bodies of a stated
  * length or in chunks, some of which arrive in several parts.
  */
-import { Agent, type ClientRequest, request as httpRequest } from "node:http";
+import { Agent, request as httpRequest } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
+import { completeFirstAnswer } from "../../../fakes/endlessForms.js";
 import { type Call, describeHeaders, drawCall } from "./drawCall.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { CallShape } from "./stopShapes.js";
 import { type AttemptRecord, promiseStatuses, type RequestRecord } from "./stopTypes.js";
 import { watchTurns } from "./watchTurns.js";
+import { writeCallBody } from "./writeCallBody.js";
 
 /** Options of {@link startStopCallers}. */
 export interface StopCallersOptions {
@@ -25,6 +27,8 @@
     readonly failureDomains: readonly string[];
     /** Whether every second caller stays at an entry until it refuses connections, whatever it answers. */
     readonly keepsEntries: boolean;
+    /** Whether some requests are sent in pieces and some answers are read late. */
+    readonly hasOddHabits: boolean;
     readonly host: string;
     readonly key: string;
     readonly random: () => number;
@@ -50,16 +54,12 @@
 const maxTtlMs = 5_000;
 const slowFactor = 3;
 const millisecondsPerSecond = 1_000;
-const partPauseMs = 120;
 
-async function writeBody(req: ClientRequest, call: Call): Promise<void> {
-    const body = Buffer.alloc(call.bodyBytes, "x");
-    const partBytes = Math.ceil(body.length / call.parts);
-    for (let sentBytes = partBytes; sentBytes < body.length; sentBytes += partBytes) {
-        req.write(body.subarray(sentBytes - partBytes, sentBytes));
-        await delay(partPauseMs);
-    }
-    req.end(body.subarray(partBytes * (call.parts - 1)));
+/** Whether a text is the answer to an attempt. */
+function isWholeAnswer(id: string, call: Call, text: string): boolean {
+    return call.shape.kind === "stream"
+        ? text.includes(`data: word ${call.events} of`)
+        : text.startsWith(`${id} ${call.bodyBytes}`) || text === completeFirstAnswer;
 }
 
 interface Answer {
@@ -116,7 +116,7 @@
             const startedMs = readSharedClock();
             const { kind, name, timeoutMs } = call.shape;
             const finish = (isComplete: boolean, error: string | undefined) => {
-                const isWhole = status !== 200 || kind !== "stream" || text.includes(`data: word ${call.events} of`);
+                const isWhole = status !== 200 || isWholeAnswer(id, call, text);
                 const record = {
                     id,
                     request: requestId,
@@ -146,6 +146,10 @@
                 res.on("data", (chunk: Buffer) => {
                     text += chunk.toString();
                 });
+                if (call.unreadMs > 0) {
+                    res.pause();
+                    setTimeout(() => res.resume(), call.unreadMs);
+                }
                 res.on("error", (err: NodeJS.ErrnoException) => finish(false, err.code));
                 res.on("end", () => finish(res.complete, undefined));
             });
@@ -157,7 +161,7 @@
                     finish(false, err.code);
                 }
             });
-            void writeBody(req, call);
+            void writeCallBody(req, call, options.random);
         });
     }
 
@@ -202,7 +206,7 @@
         }
 
         async function runRequest(id: string): Promise<void> {
-            const call = drawCall(options.calls, options.random);
+            const call = drawCall(options.calls, options.random, options.hasOddHabits);
             const beganMs = readSharedClock();
             const attempts: AttemptRecord[] = [];
             while (attempts.length < maxAttempts) {
--- a/bench/faults/platform/startTimedUpstream.ts
+++ b/bench/faults/platform/startTimedUpstream.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { answerEndless } from "./answerEndless.js";
 import { createTimedRuns, type DrawnTime, eventIntervalMs } from "./createTimedRuns.js";
 import { readSharedClock } from "./readSharedClock.js";
 import type { RunRecord } from "./stopTypes.js";
@@ -58,9 +59,16 @@
 /** Share of the runs that an engine breaks off while it has the trouble `break`. */
 const troubledBrokenShare = 0.3;
 
+/** Share of the troubles `endless` in which other calls than runs are answered without end, and share of these calls. */
+const endlessToCallsShare = 0.5;
+const endlessCallShare = 0.5;
+
 /** Longest time for which an engine is away that restarts, in milliseconds. */
 const maxRestartMs = 1_500;
 
+/** Paths of calls that are no requests for runs. */
+const callPaths: readonly string[] = ["/reedward/report", "/reedward/order", "/reedward/kv-events", "/health"];
+
 const host = "127.0.0.1";
 
 /** Starts an upstream on loopback. */
@@ -77,6 +85,8 @@
     let rejectsUntilMs = -Infinity;
     let breaksUntilMs = -Infinity;
     let slowUntilMs = -Infinity;
+    let endlessUntilMs = -Infinity;
+    let isEndlessToCalls = false;
     let rejectsOrdersUntilMs = options.rejectsOrders ? Infinity : -Infinity;
 
     /** Acts as soon as it does not stand still. */
@@ -100,6 +110,7 @@
                 version: isEngine ? version : 0,
                 rejectsRuns: isLoading || nowMs < rejectsUntilMs,
                 brokenShare: nowMs < breaksUntilMs ? troubledBrokenShare : options.brokenRunShare,
+                isEndless: nowMs < endlessUntilMs,
                 firstEvent: nowMs < slowUntilMs ? slowFirstEvent : options.firstEvent ?? promptFirstEvent,
             };
         },
@@ -134,12 +145,21 @@
         sendJson(res, 202, {});
     }
 
+    function drawEndlessCall(): boolean {
+        return isEndlessToCalls && readSharedClock() < endlessUntilMs && options.random() < endlessCallShare;
+    }
+
     const server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => {
         const chunks: Buffer[] = [];
         req.on("data", (chunk: Buffer) => chunks.push(chunk));
         req.on("end", () => {
             const body = Buffer.concat(chunks);
-            switch (new URL(req.url ?? "", "http://server").pathname) {
+            const path = new URL(req.url ?? "", "http://server").pathname;
+            if (callPaths.includes(path) && drawEndlessCall()) {
+                answerEndless(req, { random: options.random, mayBeginComplete: true });
+                return;
+            }
+            switch (path) {
                 case "/reedward/report": {
                     const served = isEngine ? [{ name: servedModel, version, adapters: [] }] : [];
                     const counts = { waiting: runs.countWaiting(), running: runs.countWorking() };
@@ -220,6 +240,10 @@
                 breaksUntilMs = Math.max(breaksUntilMs, untilMs);
                 runs.breakOff(troubledBrokenShare);
                 return;
+            case "endless":
+                endlessUntilMs = Math.max(endlessUntilMs, untilMs);
+                isEndlessToCalls = options.random() < endlessToCallsShare;
+                return;
             case "slow":
                 slowUntilMs = Math.max(slowUntilMs, untilMs);
                 return;
--- a/bench/faults/platform/stopTypes.ts
+++ b/bench/faults/platform/stopTypes.ts
@@ -64,6 +64,8 @@
     isComplete: boolean;
     /** Whether the upstream itself has broken it off. */
     isBrokenOff: boolean;
+    /** Whether its answer never ends. */
+    isEndless: boolean;
 }
 
 /** One life of an instance's process. */
--- a/fakes/endlessForms.ts
+++ b/fakes/endlessForms.ts
@@ -31,6 +31,9 @@
 const filler = "a".repeat(blockBytes);
 const statedBytes = 100_000_000_000;
 
+/** Body of the first answer where a complete one comes first. */
+export const completeFirstAnswer = "ok";
+
 const eventStream = "Content-Type: text/event-stream\r\n";
 const chunked = "Transfer-Encoding: chunked\r\n";
 const untilClosed = "Connection: close\r\n";
@@ -115,10 +118,10 @@
     {
         ...createForm(
             "answers one after another",
-            `${startHead({ attempt: "other" }, "Content-Length: 2\r\n")}\r\nok`,
+            `${startHead({ attempt: "other" }, "Content-Length: 2\r\n")}\r\nno`,
             {
                 lines: "Content-Length: 2\r\n",
-                start: "ok",
+                start: completeFirstAnswer,
             },
         ),
         beginsComplete: true,
--- a/fakes/sendEndless.ts
+++ b/fakes/sendEndless.ts
@@ -3,6 +3,7 @@
  * Sends an answer without end, in chunks and segments of drawn sizes.
  */
 import type { Socket } from "node:net";
+import type { Writable } from "node:stream";
 import { cutPieces, type PieceSize } from "./cutPieces.js";
 import type { AnsweredRequest, EndlessForm, EndlessFraming } from "./endlessForms.js";
 
@@ -41,16 +42,16 @@
     return repeated.repeat(Math.ceil(bytes / repeated.length));
 }
 
-/** Resolves when a socket has written out what waits, or is closed. */
-function waitForDrain(socket: Socket): Promise<void> {
+/** Resolves when a stream has written out what waits, or is closed. */
+export function waitForDrain(stream: Writable): Promise<void> {
     return new Promise(resolve => {
         const onOver = () => {
-            socket.off("drain", onOver);
-            socket.off("close", onOver);
+            stream.off("drain", onOver);
+            stream.off("close", onOver);
             resolve();
         };
-        socket.on("drain", onOver);
-        socket.on("close", onOver);
+        stream.on("drain", onOver);
+        stream.on("close", onOver);
     });
 }
 
--- a/fakes/startFakeStore.ts
+++ b/fakes/startFakeStore.ts
@@ -25,9 +25,14 @@
     readonly returnFromCopy: (lostRecords: (topic: string) => number) => void;
     /** Replaces the era that answers state; undefined leaves the header out. */
     readonly setStatedEra: (text: string | undefined) => void;
+    /** Sets what may answer calls in its place, and returns whether it does; undefined if nothing does. */
+    readonly setSubstitute: (answer: StoreSubstitute | undefined) => void;
     readonly stop: () => Promise<void>;
 }
 
+/** Answers a call in place of the store, with the lines of a head that state its era, or returns false. */
+export type StoreSubstitute = (req: IncomingMessage, eraLines: string) => boolean;
+
 interface LongPoll {
     readonly topic: string;
     readonly respond: () => void;
@@ -67,6 +72,7 @@
     let isDown = false;
     let era = 1;
     let statedEra: string | undefined = String(era);
+    let substitute: StoreSubstitute | undefined;
     const findRecords = (topic: string) => {
         const records = topics.get(topic) ?? [];
         topics.set(topic, records);
@@ -148,6 +154,9 @@
             res.destroy();
             return;
         }
+        if (substitute?.(req, statedEra === undefined ? "" : `${eraHeader}: ${statedEra}\r\n`) === true) {
+            return;
+        }
         if (statedEra !== undefined) {
             res.setHeader(eraHeader, statedEra);
         }
@@ -199,6 +208,9 @@
                 setStatedEra: text => {
                     statedEra = text;
                 },
+                setSubstitute: answer => {
+                    substitute = answer;
+                },
                 stop: () =>
                     new Promise(stopped => {
                         server.closeAllConnections();
--- a/features/faultChecks.feature
+++ b/features/faultChecks.feature
@@ -47,6 +47,8 @@
             | a stream was cut just before its deadline                             | LOST    |
             | an earlier run was broken off and the last one cut                    | LOST    |
             | a run was cut after one that was broken off and is listed later       | LOST    |
+            | a request whose answer never ends was cut without a status            | LOST    |
+            | a stream was cut that went on after an answer without end             | LOST    |
             | a request was reset unread 300 ms after its last byte                 | LOST    |
             | a stream went on while the upstream before was at work                | TWICE   |
             | a stream that may run once waited at an upstream and ran at another   | TWICE   |
@@ -66,6 +68,7 @@
             | a stream was cut at its deadline                                 |
             | a stream was cut at its route's timeout                          |
             | a stream was cut since its upstream broke off                    |
+            | a stream whose upstream's answer never ends was cut              |
             | a request was reset unread 150 ms after its last byte            |
             | a request was reset unread, which its caller saw 400 ms late     |
             | a request was refused at the door                                |
--- a/features/steps/stopCheckSteps.ts
+++ b/features/steps/stopCheckSteps.ts
@@ -60,6 +60,7 @@
     endMs: termMs + 7_000,
     isComplete: true,
     isBrokenOff: false,
+    isEndless: false,
 };
 const cutRun: RunRecord = { ...run, isComplete: false };
 const cut: AttemptRecord = { ...answered, isComplete: false, error: "ECONNRESET" };
@@ -151,6 +152,17 @@
     "a stream was cut at its deadline": cutAt(6_000, { deadlineMs: termMs + 6_000 }),
     "a stream was cut at its route's timeout": cutAt(6_000, { timeoutMs: termMs + 6_000 }),
     "a stream was cut since its upstream broke off": cutAt(6_000, {}, { isBrokenOff: true }),
+    "a stream whose upstream's answer never ends was cut": cutAt(6_000, {}, { isEndless: true }),
+    "a request whose answer never ends was cut without a status": cutAt(6_000, { status: 0 }, { isEndless: true }),
+    "a stream was cut that went on after an answer without end": createHistory({
+        ...cut,
+        canResume: true,
+        endMs: termMs + 6_000,
+        earliestEndMs: termMs + 6_000,
+    }, [
+        { ...cutRun, endMs: termMs + 2_000, isEndless: true },
+        { ...cutRun, arrivedMs: termMs + 2_100, beganMs: termMs + 2_100, endMs: termMs + 6_000 },
+    ]),
     "a request was reset unread 150 ms after its last byte": cutUnrun(150),
     "a request was reset unread, which its caller saw 400 ms late": cutUnrun(550, {
         earliestEndMs: cut.sentMs! + 150,
