--- a/features/endlessPieces.feature
+++ b/features/endlessPieces.feature
@@ -39,3 +39,8 @@
         And 8 requests to the sound upstream are sent 8 times, each 500 ms after the former
         Then the process has held at most 200 MB
         And all requests to the sound upstream are answered with its answer
+
+    # Guards against callers that lose requests, and processes that end, when sources without end come in series.
+    @known-red
+    Scenario: Callers lose nothing while upstreams and the store answer without end
+        Then 3 processes break no promise and hold at most 200 MB while answers never end, with seed 1
--- a/features/steps/endlessPieceSteps.ts
+++ b/features/steps/endlessPieceSteps.ts
@@ -9,7 +9,11 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
+import { logReaders } from "../../bench/faults/platform/createLogPipes.js";
 import { createRandom } from "../../bench/faults/platform/createRandom.js";
+import { playStops, type PlayStopsOptions } from "../../bench/faults/platform/playStops.js";
+import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
+import { stopShapes } from "../../bench/faults/platform/stopShapes.js";
 import type { PieceSize } from "../../fakes/cutPieces.js";
 import { findEndlessForm } from "../../fakes/endlessForms.js";
 import { sendEndless, writeSegments } from "../../fakes/sendEndless.js";
@@ -36,6 +40,8 @@
 const chunksPerBlock = 10_000;
 const requestsPerBlock = 1_000;
 
+const kilobytesPerMegabyte = 1_024;
+
 const soundAnswer = "sound";
 
 /** Limits of the routes; what never ends is broken off then at the latest. */
@@ -242,6 +248,33 @@
     },
 );
 
+/** A short series of reloads, each followed by a trouble. */
+const soakOptions: Omit<PlayStopsOptions, "shape" | "seed"> = {
+    plan: "reloads",
+    statesEra: true,
+    troubles: { kinds: ["endless"] },
+    gapMs: 600,
+    seconds: 12,
+    program: bundledProgram,
+    logReaders,
+    busyProcesses: 0,
+};
+
+Then(
+    "{int} processes break no promise and hold at most {int} MB while answers never end, with seed {int}",
+    async function(this: SiteWorld, instances: number, megabytes: number, seed: number) {
+        const limits = {
+            nodeArguments: readDeployArguments(),
+            memoryKb: megabytes * kilobytesPerMegabyte,
+            processorShare: 1,
+        };
+        const shape = { ...stopShapes["limitedInstances"]!, instances, limits };
+        const { violations, counts } = await playStops({ ...soakOptions, shape, seed });
+        assert.ok(counts["troubles"]! > 0);
+        assert.deepEqual(violations, []);
+    },
+);
+
 Then("the endless upstream has received requests", function(this: SiteWorld) {
     assert.ok(getFixture(this).endless!.requests.length > 0);
 });
