Send endless answers in shorter turns

A stand-in held its own event loop up for over a second while it cut long answers into chunks of one byte, so that callers in the soak saw ends late. What is framed once is shorter for short chunks, and a turn is bounded by bytes, too.

--- a/fakes/sendEndless.ts
+++ b/fakes/sendEndless.ts
@@ -15,20 +15,18 @@
     readonly segments: PieceSize;
 }
 
-/** Bytes that are framed once and sent again and again: for large pieces, for others, and behind extensions. */
+/** Bytes that are framed once and sent again and again: for large pieces, for short ones, and behind extensions. */
 const largeCycleBytes = 65_536;
-const cycleBytes = 16_384;
+const cycleBytes = 4_096;
 const extendedCycleBytes = 48;
 
 const extension = `;${"x".repeat(12_000)}`;
 
-/** Writes in one turn of the event loop. */
+/** Writes, and bytes of them, in one turn of the event loop. */
 const writesPerTurn = 64;
+const bytesPerTurn = 262_144;
 
 function frame(pieces: Iterable<string>, framing: EndlessFraming): string {
-    if (framing === "none") {
-        return [...pieces].join("");
-    }
     const suffix = framing === "extendedChunks" ? extension : "";
     return Array.from(pieces, piece => `${piece.length.toString(16)}${suffix}\r\n${piece}\r\n`).join("");
 }
@@ -38,8 +36,9 @@
     if (framing === "extendedChunks") {
         return repeated.repeat(extendedCycleBytes).slice(0, extendedCycleBytes);
     }
-    const bytes = chunks === "64 KB" || chunks === "mixed" ? largeCycleBytes : cycleBytes;
-    return repeated.repeat(Math.ceil(bytes / repeated.length));
+    const isLarge = framing === "none" || ["16 KB", "64 KB", "mixed"].includes(chunks);
+    const bytes = isLarge ? largeCycleBytes : cycleBytes;
+    return repeated.length > bytes ? repeated.slice(0, bytes) : repeated.repeat(Math.ceil(bytes / repeated.length));
 }
 
 /** Resolves when a stream has written out what waits, or is closed. */
@@ -73,16 +72,19 @@
 ): Promise<void> {
     socket.setNoDelay(true);
     let writes = 0;
+    let bytesOfTurn = 0;
     for (let time = 0; time < times; time += 1) {
         for (const segment of cutPieces(bytes, size, random)) {
             if (!socket.writable) {
                 return;
             }
             writes += 1;
+            bytesOfTurn += segment.length;
             if (!socket.write(segment, "latin1")) {
                 await waitForDrain(socket);
             }
-            else if (writes % writesPerTurn === 0) {
+            else if (writes % writesPerTurn === 0 || bytesOfTurn > bytesPerTurn) {
+                bytesOfTurn = 0;
                 await new Promise(resolve => setImmediate(resolve));
             }
         }
@@ -105,7 +107,8 @@
     cut: EndlessCut,
     random: () => number,
 ): Promise<void> {
-    const cycle = frame(cutPieces(createCycle(form, cut.chunks), cut.chunks, random), form.framing);
+    const cycle = createCycle(form, cut.chunks);
+    const bytes = form.framing === "none" ? cycle : frame(cutPieces(cycle, cut.chunks, random), form.framing);
     socket.write(form.createFirst(answered), "latin1");
-    await writeSegments(socket, cycle, cut.segments, random);
+    await writeSegments(socket, bytes, cut.segments, random);
 }
