Refuse connections at a leaving instance before more wait than it can accept

Callers saw: requests that were sent 5.7 to 7.3 s after the order to stop were reset at 7.0 to 8.2 s without having run, where callers stay at an entry until it refuses their connections.

Cause: an instance listened until it closed all connections. Its process accepts one connection in each turn of the event loop; one that is short of time falls behind, and closing the listener resets what waits in the kernel's queue.

Change: once no valid list names the instance (3.6 s) and another instance serves, it stops to listen at the first moment at which no connection waits. Callers are refused by the kernel, know that nothing has run, and go elsewhere. Where no other instance serves it listens to the end as before.

The harnesses of runShutdown have the new callback; their assertions are as they were.

Conclusion: a process that never gets its queue empty from 3.6 s on still resets what waits.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -97,6 +97,16 @@
         When an instance stops and its process does not run from 7300 to 7755 ms, in which 40 callers connect
         Then 40 connections are accepted before it closes them
 
+    # Guards against connections that are reset because callers stay at an instance that can't accept them all in time.
+    Scenario: Callers that stay at a leaving instance are refused before more connections wait than it can accept
+        When an instance stops while callers stay at it and its process is slow from 5000 ms on, and another instance serves
+        Then each connection was accepted, or refused so that its caller goes elsewhere
+
+    # Guards against callers that are refused while no instance would take their requests.
+    Scenario: An instance accepts connections until it closes them while no other instance serves
+        When an instance stops while callers stay at it and its process is slow from 7500 ms on, and no other instance serves
+        Then it accepts connections until it closes them
+
     # Guards against a late process that waits between the ends of its stop until it is killed.
     Scenario: A process that does not run until just before its kill does the ends of its stop at once
         When an instance with a request in progress stops and its process does not run from 7300 to 7960 ms
--- /dev/null
+++ b/features/steps/keptEntrySteps.ts
@@ -0,0 +1,114 @@
+/**
+ * @module
+ * Steps on callers that stay at a leaving instance until it refuses their connections, while its process becomes slow; on a
+ * virtual clock.
+ */
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createShutdown } from "../../src/core/shutdown/createShutdown.js";
+import { readArrived } from "../../src/io/_lib/readArrived.js";
+import { runShutdown } from "../../src/io/shutdown/runShutdown.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+/** How the connections of callers ended. */
+interface ConnectionEnds {
+    accepted: number;
+    /** Refused before the instance closed its connections: their callers know that nothing has run. */
+    refused: number;
+    /** Waited to be accepted when the instance stopped to listen. */
+    reset: number;
+}
+
+const outcomes = new WeakMap<SiteWorld, ConnectionEnds>();
+
+const graceMs = 8_000;
+const callers = 40;
+
+/** Time between two connections of a caller, in milliseconds. */
+const connectMs = 200;
+
+/** Time of a turn of the event loop, which accepts one connection, in milliseconds. */
+const quickTurnMs = 1;
+const slowTurnMs = 20;
+
+/** Stops an instance with a request in progress. */
+async function playStop(hasServingPeer: boolean, slowFromMs: number): Promise<ConnectionEnds> {
+    const ends: ConnectionEnds = { accepted: 0, refused: 0, reset: 0 };
+    const nextConnectMs = Array.from({ length: callers }, (_, caller) => caller * connectMs / callers);
+    let nowMs = 0;
+    let isListening = true;
+    let nextTurn: NodeJS.Immediate | undefined;
+    let waiting = 0;
+    let inProgress = 1;
+
+    function passTime(lastsMs: number): void {
+        nowMs += lastsMs;
+        nextConnectMs.forEach((atMs, caller) => {
+            for (let connectedMs = atMs; connectedMs <= nowMs; connectedMs += connectMs) {
+                waiting += isListening ? 1 : 0;
+                ends.refused += isListening ? 0 : 1;
+                nextConnectMs[caller] = isListening ? connectedMs + connectMs : Infinity;
+            }
+        });
+    }
+    function turn(): void {
+        passTime(nowMs < slowFromMs ? quickTurnMs : slowTurnMs);
+        ends.accepted += Math.min(1, waiting);
+        waiting -= Math.min(1, waiting);
+        nextTurn = setImmediate(turn);
+    }
+    function stopListening(): void {
+        isListening = false;
+        ends.reset += waiting;
+        waiting = 0;
+    }
+    const shutdown = createShutdown({ graceMs, mayBeListed: () => true, hasServingPeer: () => hasServingPeer });
+    shutdown.begin(nowMs);
+    let refusedBeforeClose = 0;
+    await runShutdown({
+        clock: {
+            now: () => nowMs,
+            wallNow: () => nowMs,
+            after: (delayMs, action) => {
+                passTime(delayMs);
+                action();
+                return () => undefined;
+            },
+        },
+        shutdown,
+        readArrived: async isDue => {
+            nextTurn = setImmediate(turn);
+            const isAllRead = await readArrived(() => ends.accepted, isDue);
+            clearImmediate(nextTurn);
+            return isAllRead;
+        },
+        readLoad: () => ({ requests: inProgress, connections: 0, hasDuties: false }),
+        refuseLate: () => undefined,
+        stopRequests: () => {
+            inProgress = 0;
+        },
+        stopListening,
+        closeCallers: () => {
+            refusedBeforeClose = ends.refused;
+            stopListening();
+        },
+    });
+    return { ...ends, refused: refusedBeforeClose };
+}
+
+When(
+    /^an instance stops while callers stay at it and its process is slow from (\d+) ms on, and (another|no other) instance serves$/,
+    async function(this: SiteWorld, slowFromMs: string, others: string) {
+        outcomes.set(this, await playStop(others === "another", Number(slowFromMs)));
+    },
+);
+
+Then("each connection was accepted, or refused so that its caller goes elsewhere", function(this: SiteWorld) {
+    const { accepted, refused, reset } = outcomes.get(this)!;
+    assert.ok(accepted > 0);
+    assert.deepEqual({ refused, reset }, { refused: callers, reset: 0 });
+});
+
+Then("it accepts connections until it closes them", function(this: SiteWorld) {
+    assert.equal(outcomes.get(this)!.refused, 0);
+});
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -65,6 +65,7 @@
             readLoad: () => ({ requests: inProgress, connections: 0, hasDuties: false }),
             refuseLate: () => undefined,
             stopRequests: () => undefined,
+            stopListening: () => undefined,
             closeCallers: () => {
                 unansweredAtClose = arrived + inProgress;
             },
@@ -136,6 +137,7 @@
             inProgress = 0;
             ends.push({ name: "answers", atMs: nowMs });
         },
+        stopListening: () => undefined,
         closeCallers: () => {
             ends.push({ name: "closes", atMs: nowMs });
             late.onClose?.();
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -40,6 +40,8 @@
     readonly countConnections: () => number;
     /** Number of callers' connections that were accepted so far. */
     readonly countAccepted: () => number;
+    /** Accepts no connections of callers; those that wait to be accepted are reset. */
+    readonly stopListening: () => void;
     /** Accepts no connections of callers, and closes the open ones once their requests in progress are answered. */
     readonly closeCallers: () => void;
     readonly close: () => void;
@@ -224,6 +226,13 @@
     });
     others.push(listen(metricsServer, settings.metricsAddress, metricsListeners));
 
+    function stopListening(): void {
+        listeners.stop();
+        // The HTTP server's own close destroys idle connections, and a connection that is destroyed with unread bytes
+        // is reset, which can discard an answer that the caller has not read yet.
+        NetServer.prototype.close.call(callerServer);
+    }
+
     return {
         applyLimits: () => {
             const limits = sources.routes()?.table.limits;
@@ -234,13 +243,11 @@
         },
         countConnections: connections.count,
         countAccepted: () => accepted,
+        stopListening,
         closeCallers: () => {
             isClosed = true;
-            listeners.stop();
             metricsListeners.stop();
-            // The HTTP server's own close destroys idle connections, and a connection that is destroyed with unread bytes
-            // is reset, which can discard an answer that the caller has not read yet.
-            NetServer.prototype.close.call(callerServer);
+            stopListening();
             connections.end();
         },
         close: () => {
--- a/src/core/shutdown/createShutdown.ts
+++ b/src/core/shutdown/createShutdown.ts
@@ -67,6 +67,11 @@
      * it ends as soon as it has finished what it has taken.
      */
     readonly dutyTimeMs: (nowMs: number) => number;
+    /**
+     * Whether the instance need not listen any longer: no list that is valid names it, and another instance takes requests. A
+     * caller whose connection is refused goes there at once, surely without having run.
+     */
+    readonly mayStopListening: (nowMs: number) => boolean;
     /** When the next phase begins at the latest, whatever is still to do; infinite when nothing is due. */
     readonly nextDueMs: (nowMs: number) => number;
     /** Moves to the next phase when it is due, and returns the phase. */
@@ -222,6 +227,7 @@
             const endsWithRequests = phase !== "leaving" || nowMs >= minUntilMs;
             return endsWithRequests ? 0 : Math.max(0, answersDueMs(nowMs) - nowMs);
         },
+        mayStopListening: nowMs => phase !== "serving" && nowMs >= minUntilMs && options.hasServingPeer(),
         nextDueMs,
         advance: (nowMs, load) => {
             if (phase !== "serving" && phase !== "ended" && (nowMs >= nextDueMs(nowMs) || isDone(nowMs, load))) {
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -21,6 +21,8 @@
     readonly refuseLate: () => void;
     /** Gives every request in progress its final answer. */
     readonly stopRequests: () => void;
+    /** Stops accepting connections of callers; those that wait are reset. Called once. */
+    readonly stopListening: () => void;
     /** Stops accepting connections of callers, and closes the open ones. */
     readonly closeCallers: () => void;
 }
@@ -56,9 +58,15 @@
         }
     }
 
+    let isListening = true;
     for (;;) {
         const sinceMs = clock.now();
         const isAllRead = await options.readArrived(() => clock.now() >= shutdown.nextDueMs(clock.now()));
+        // At the end of the stop connections may wait that the process can't accept in time: it takes none from when none waits.
+        if (isListening && isAllRead && shutdown.mayStopListening(clock.now())) {
+            isListening = false;
+            options.stopListening();
+        }
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -239,6 +239,10 @@
                 writeLog("stopAdvanced", describeStop());
                 proxy.stopRequests();
             },
+            stopListening: () => {
+                servers.stopListening();
+                writeLog("stopAdvanced", { ...describeStop(), isListening: false });
+            },
             closeCallers: () => {
                 writeLog("stopAdvanced", describeStop());
                 // Peers hear of the end of its orders while heartbeats are still sent.
