Let a stream that has started wait for weights on which it may go on

Callers saw: streams whose first engine broke off were cut while their instance was not told to stop, since their second and last run was withdrawn at an engine with outdated weights that had not begun it in time.

Cause: a stream that may be resumed counted as one that may be placed again, also for its last run, so that it was sent to outdated weights until shortly before its withdrawal, however late runs begin there. Where no engine had weights that were recent enough it was cut at once, and where it had to wait, its patience counted from its arrival.

Change: the place effect says whether the caller has a part of the stream. Such a stream is sent to outdated weights only as long as runs usually begin in time, as a request that may run only once. It waits until its deadline for capacity, or for weights if an engine of its service may load them; where no engine is left it ends at once as before.

The fixture's second send now waits until it has arrived; its newer engine goes on after the event that the caller has, as engines do.

Conclusion: a stream whose last run is at an engine that stands still unusually long is still withdrawn and cut.

--- a/features/outdatedWeights.feature
+++ b/features/outdatedWeights.feature
@@ -90,6 +90,32 @@
             | 4000  | stream that may be resumed | 2        |
             | 1100  | stream                     | 2        |
 
+    # Guards against streams that are cut because their last run is withdrawn at an engine that is known to begin late.
+    Scenario Outline: A stream that has started goes on at outdated weights only if it begins there in time
+        When a caller sends a stream 1000 ms after its start
+        And the engine begins and ends it <begin> ms after its start
+        And version 2 is named 5000 ms after the start of the instance
+        And a caller sends a stream that may be resumed 9500 ms after its start
+        And the engine answers an event 10000 ms after the start and breaks off 10500 ms after it
+        And another engine with version 1 joins 10200 ms after the start
+        Then the other engine with version 1 has got <requests> request
+
+        Examples:
+            | begin | requests |
+            | 4000  | 0        |
+            | 1100  | 1        |
+
+    Scenario: A stream that has started and finds only outdated weights goes on at an engine with the target weights
+        When a caller sends a stream 1000 ms after its start
+        And the engine begins and ends it 4000 ms after its start
+        And version 2 is named 5000 ms after the start of the instance
+        And a caller sends a stream that may be resumed 9500 ms after its start
+        And the engine answers an event 10000 ms after the start and breaks off 10500 ms after it
+        And another engine with version 1 joins 10200 ms after the start
+        Then the other engine with version 1 has got 0 requests
+        When an engine with version 2 joins
+        Then the caller gets the event of the engine and the rest of the newer one
+
     Scenario: The lines of a send tell for how long its weights have been outdated
         When version 2 is named 5000 ms after the start of the instance
         And a caller sends a stream 11000 ms after its start
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -17,6 +17,38 @@
         When the registry reports that "u-1" is draining
         Then 20 requests are all placed at "u-2"
 
+    # Guards against streams that are cut although an engine is about to have the weights on which they may go on.
+    Scenario Outline: A stream that has started waits for weights on which it may go on, until its deadline
+        Given engines "u-1, u-2" whose weights have been outdated for 7000 ms, beyond the limit
+        When a stream with a deadline of 12000 ms that has started is lost at "u-1" after <after> ms
+        Then the stream waits
+        When "u-2" has loaded the target weights <later> ms later
+        Then the stream goes on at "u-2"
+
+        Examples:
+            | after | later |
+            | 500   | 1000  |
+            | 500   | 11000 |
+            | 9000  | 2500  |
+
+    Scenario: A stream that waits for weights in vain ends with its deadline
+        Given engines "u-1, u-2" whose weights have been outdated for 7000 ms, beyond the limit
+        When a stream with a deadline of 12000 ms that has started is lost at "u-1" after 9000 ms
+        And 2990 ms more pass
+        Then the stream waits
+        When 20 ms more pass
+        Then the stream is refused
+
+    Scenario Outline: A stream does not wait where nothing has to go on, or no engine can
+        Given engines "<engines>" whose weights have been outdated for 7000 ms, beyond the limit
+        When a stream with a deadline of 12000 ms that <started> started is lost at "u-1" after 500 ms
+        Then the stream is refused
+
+        Examples:
+            | engines  | started |
+            | u-1, u-2 | has not |
+            | u-1      | has     |
+
     Scenario: Outdated weights are used while answers on them are worth as much, then avoided, and refused past their limit
         Given idle engines "u-1, u-2"
         And "u-1" reports that it has cached the shared parts
--- a/features/steps/outdatedWeightsSteps.ts
+++ b/features/steps/outdatedWeightsSteps.ts
@@ -102,6 +102,34 @@
     await getPath(this).addCurrentEngine();
 });
 
+/** Counts the requests of the other engine with version 1. */
+const oldEngineCounts = new WeakMap<SiteWorld, () => Promise<number>>();
+
+When("another engine with version 1 joins {int} ms after the start", function(this: SiteWorld, atMs: number) {
+    schedule(this, atMs, async path => {
+        oldEngineCounts.set(this, await path.addOldEngine());
+    });
+});
+
+When(
+    "the engine answers an event {int} ms after the start and breaks off {int} ms after it",
+    function(this: SiteWorld, eventMs: number, breakMs: number) {
+        schedule(this, eventMs, path => path.write(streamBytes.head + streamBytes.event));
+        schedule(this, breakMs, path => path.breakOff());
+    },
+);
+
+Then("the other engine with version 1 has got {int} request(s)", async function(this: SiteWorld, count: number) {
+    await play(this);
+    assert.equal(await oldEngineCounts.get(this)!(), count);
+});
+
+Then("the caller gets the event of the engine and the rest of the newer one", async function(this: SiteWorld) {
+    const { status, text } = await getPath(this).readAnswer();
+    assert.equal(status, 200);
+    assert.match(text, /^id: 1\ndata: one\n\n[^]*data: two\n\n$/);
+});
+
 When("the engine ends the stream", async function(this: SiteWorld) {
     await getPath(this).write(streamBytes.end);
 });
--- a/features/support/startOutdatedPath.ts
+++ b/features/support/startOutdatedPath.ts
@@ -51,6 +51,10 @@
     readonly write: (text: string) => Promise<void>;
     /** Lets an engine join that has version 2 and answers at once. */
     readonly addCurrentEngine: () => Promise<void>;
+    /** Breaks off the engine's answer. */
+    readonly breakOff: () => Promise<void>;
+    /** Lets an engine join that has version 1; returns how many requests it has got, after a bounded wait for one. */
+    readonly addOldEngine: () => Promise<() => Promise<number>>;
     /** Waits for a bounded time until the connection of the engine is closed; returns whether it is. */
     readonly waitClosed: () => Promise<boolean>;
     /** Resolves to the caller's answer. */
@@ -156,6 +160,12 @@
         });
     }
 
+    async function waitArrival(): Promise<void> {
+        for (let turn = 0; turn < arrivalTurns; turn += 1) {
+            await flush();
+        }
+    }
+
     return {
         logged,
         advanceTo: atMs => advanceClock(clock, startedMs + atMs),
@@ -166,9 +176,10 @@
             tableVersion += 1;
             const times = { kind: "stream", timeoutMs: 20_000, isResumable } as const;
             views.applyTable(createTable({ version: tableVersion, routes: [createRoute(times)] }), "store");
+            const { length: before } = engine.requests;
             answer = call();
             answer.catch(() => undefined);
-            await waitUntil(() => engineSocket !== undefined);
+            await waitUntil(() => engine.requests.length > before);
         },
         countRequests: async moreThan => {
             await waitUntil(() => engine.requests.length > moreThan);
@@ -176,19 +187,33 @@
         },
         write: async text => {
             engineSocket?.write(text);
-            for (let turn = 0; turn < arrivalTurns; turn += 1) {
-                await flush();
-            }
+            await waitArrival();
+        },
+        breakOff: async () => {
+            engineSocket?.destroy();
+            await waitArrival();
+        },
+        addOldEngine: async () => {
+            const old = await startScriptedUpstream(() => undefined);
+            stops.push(old.stop);
+            engines.push(createRecord({ id: "engine-3", address: old.address }));
+            views.registry.applyList(engines, clock.now());
+            return async () => {
+                await waitUntil(() => old.requests.length > 0);
+                return old.requests.length;
+            };
         },
         addCurrentEngine: async () => {
             const { head, event, end } = streamBytes;
-            const current = await startScriptedUpstream(({ socket }) => {
-                socket.write(head + event.replace("one", "two") + end);
+            const current = await startScriptedUpstream(({ text, socket }) => {
+                const lastId = Number(/^last-event-id: (\d+)/im.exec(text)?.[1] ?? 0);
+                socket.write(head + event.replace("id: 1", `id: ${lastId + 1}`).replace("one", "two") + end);
             });
             stops.push(current.stop);
             const weights = [{ model, version: 2 }];
             engines.push(createRecord({ id: "engine-2", address: current.address, weights }));
             views.registry.applyList(engines, clock.now());
+            proxy.dispatch();
         },
         waitClosed: () => waitUntil(() => engineSocket?.destroyed === true || engineSocket?.readableEnded === true),
         readAnswer: () => answer,
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -109,8 +109,11 @@
         parts: views.parts,
         health: views.health,
         findService: name => views.routes()?.findService(name),
-        findOutdatedLimitMs: (req, model) =>
-            computeOutdatedLimitMs(settings.weightsLimitMs, isRetryable(req) ? 0 : beginTimes.estimateMs(model)),
+        findOutdatedLimitMs: (req, model, hasStarted) => {
+            // A stream that has started is cut when its send is withdrawn and it may not be placed again.
+            const mayBeWithdrawn = isRetryable(req) && !hasStarted;
+            return computeOutdatedLimitMs(settings.weightsLimitMs, mayBeWithdrawn ? 0 : beginTimes.estimateMs(model));
+        },
         listStores: partFeeds.listStores,
     });
     const placer = createGuardedPlacer(freePlacer, guard, clock);
--- a/src/core/placement/createChoiceLister.ts
+++ b/src/core/placement/createChoiceLister.ts
@@ -20,14 +20,23 @@
     readonly weights: WeightsView;
     /** What upstreams have stated in their answers. */
     readonly signals: Pick<SignalView, "findClosure">;
-    /** Time after which a request is not sent for weights that are older than the target version, in milliseconds. */
-    readonly findOutdatedLimitMs: (req: ProxyRequest, model: string) => number;
+    /**
+     * Time after which a request is not sent for weights that are older than the target version, in milliseconds. `hasStarted`:
+     * whether its caller has a part of the stream.
+     */
+    readonly findOutdatedLimitMs: (req: ProxyRequest, model: string, hasStarted: boolean) => number;
     /** Whether each instance hears from all others at short intervals what they place. */
     readonly isFleetDirect: () => boolean;
 }
 
+/** What is listed for a request. */
+export interface ChoiceQuery {
+    readonly excluded: readonly string[];
+    readonly hasStarted?: boolean;
+}
+
 /** Lists the upstreams that may run a request, other than the excluded ones. */
-export type ListChoices = (req: ProxyRequest, excluded: readonly string[]) => readonly Choice[];
+export type ListChoices = (req: ProxyRequest, query: ChoiceQuery) => readonly Choice[];
 
 /** Begins a list at an item that depends on the request: instances that see equal upstreams choose different ones. */
 function rotateList<T>(list: readonly T[], requestId: string): readonly T[] {
@@ -44,12 +53,12 @@
  * @param deps - The views that it reads.
  * @returns The lister.
  * @example
- * createChoiceLister(deps)(req, ["engine-1"]).map(choice => choice.record.id); // ["engine-2"]
+ * createChoiceLister(deps)(req, { excluded: ["engine-1"] }).map(choice => choice.record.id); // ["engine-2"]
  */
 export function createChoiceLister(deps: ChoiceListerDependencies): ListChoices {
     const { registry, health, weights, signals } = deps;
 
-    function describeChoice(record: UpstreamRecord, req: ProxyRequest): Choice | undefined {
+    function describeChoice(record: UpstreamRecord, req: ProxyRequest, hasStarted: boolean): Choice | undefined {
         const { prompt } = req;
         if (prompt === undefined) {
             return { record, weightsVersion: undefined, isOutdated: false };
@@ -61,13 +70,13 @@
         const sinceMs = weights.outdatedSinceMs(prompt.model, weightsVersion);
         const outdatedMs = sinceMs === undefined ? 0 : deps.now() - sinceMs;
         const isOutdated = outdatedMs > outdatedGraceMs;
-        return isOutdated && outdatedMs > deps.findOutdatedLimitMs(req, prompt.model)
+        return isOutdated && outdatedMs > deps.findOutdatedLimitMs(req, prompt.model, hasStarted)
             ? undefined
             : { record, weightsVersion, isOutdated };
     }
 
     /** Ejected upstreams are listed only when there is no other. */
-    return (req, excluded) => {
+    return (req, { excluded, hasStarted = false }) => {
         const nowMs = deps.now();
         const serving = registry.listService(req.service).filter(record =>
             !record.isDraining && !excluded.includes(record.id) && !weights.isLoading(record.id)
@@ -76,7 +85,7 @@
         const healthy = serving.filter(record => !health.isEjected(record.id, nowMs));
         const usable = healthy.length > 0 ? healthy : serving;
         return (deps.isFleetDirect() ? usable : rotateList(usable, req.id))
-            .map(record => describeChoice(record, req))
+            .map(record => describeChoice(record, req, hasStarted))
             .filter(choice => choice !== undefined);
     };
 }
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -14,6 +14,8 @@
 /** A request that waits for capacity. */
 export interface PlacementWait {
     readonly req: ProxyRequest;
+    /** Whether its caller has a part of the stream: it waits until the deadline, since a refusal cuts it. */
+    readonly hasStarted?: boolean;
     /** Places the request if an upstream has free capacity. */
     readonly tryPlace: () => Placement | undefined;
     /** Describes the load for a refusal. */
@@ -91,12 +93,16 @@
 
     const dispatchAll = () => queues.forEach(queue => queue.dispatch(clock.now()));
 
-    function wait({ req, tryPlace, describeLoad, predictPermitMs, onResult }: PlacementWait): CancelTimer {
+    function wait(waiting: PlacementWait): CancelTimer {
+        const { req, hasStarted = false, tryPlace, describeLoad, predictPermitMs, onResult } = waiting;
         const queue = queueOf(req.service);
-        const { latencyDeadlineMs, disconnectMs } = computeCallerDeadlines(req);
+        const { latencyDeadlineMs, disconnectMs: startDueMs } = computeCallerDeadlines(req);
+        const disconnectMs = hasStarted ? req.deadlineMs : startDueMs;
         const lastStartMs = latencyDeadlineMs - minServiceMs;
         const patienceMs = (disconnectMs - req.arrivedMs) * maxWaitFraction;
-        const limitMs = Math.min(disconnectMs - minServiceMs, req.arrivedMs + patienceMs);
+        const limitMs = hasStarted
+            ? req.deadlineMs
+            : Math.min(disconnectMs - minServiceMs, req.arrivedMs + patienceMs);
         const timers: CancelTimer[] = [];
 
         function end(): void {
@@ -113,6 +119,9 @@
 
         /** Refuses the request when the observed progress of the queue does not reach it in time. */
         function refuseIfHopeless(): void {
+            if (hasStarted) {
+                return;
+            }
             const nowMs = clock.now();
             const permitMs = predictPermitMs(() => queue.countAhead(req.id, nowMs));
             if (permitMs !== undefined && nowMs + permitMs * permitWaitMargin > limitMs) {
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -13,7 +13,7 @@
 import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
 import { chooseLimitedPlacement } from "./chooseLimitedPlacement.js";
-import { type ChoiceListerDependencies, createChoiceLister } from "./createChoiceLister.js";
+import { type ChoiceListerDependencies, type ChoiceQuery, createChoiceLister } from "./createChoiceLister.js";
 import { createOptionReader, type OptionReaderDependencies } from "./createOptionReader.js";
 import { createPlacementQueues } from "./createPlacementQueues.js";
 import { createPromptCacheReader, type PromptCacheReaderDependencies } from "./createPromptCacheReader.js";
@@ -125,24 +125,24 @@
         return placement;
     }
 
-    function describeServiceLoad(req: ProxyRequest, excluded: readonly string[]): string {
+    function describeServiceLoad(req: ProxyRequest, query: ChoiceQuery): string {
         const known = deps.registry.listService(req.service);
         return describeLoad({
             knownCount: known.length,
             loadingCount: known.filter(record => deps.weights.isLoading(record.id)).length,
-            usable: listChoices(req, excluded).map(({ record }) => ({ record, use: deps.use.read(record.id) })),
+            usable: listChoices(req, query).map(({ record }) => ({ record, use: deps.use.read(record.id) })),
         });
     }
 
     /** Time until the request gets a permit; undefined when it does not need one or nothing is known. */
     function predictPermitMs(
         req: ProxyRequest,
-        excluded: readonly string[],
+        query: ChoiceQuery,
         countAhead: () => number,
     ): number | undefined {
         const isLimited = deps.registry.listService(req.service).some(record => deps.rateLimits.isLimited(record.id));
         return isLimited
-            ? deps.rateLimits.predictWaitMs(listChoices(req, excluded).map(choice => choice.record.id), countAhead())
+            ? deps.rateLimits.predictWaitMs(listChoices(req, query).map(choice => choice.record.id), countAhead())
             : undefined;
     }
 
@@ -171,14 +171,20 @@
             : undefined;
     }
 
+    /** A stream that has started is cut unless it is placed: it waits for engines that will have the target weights. */
+    function isWorthWaiting({ service, prompt }: ProxyRequest, { excluded, hasStarted = false }: ChoiceQuery): boolean {
+        return hasStarted && prompt !== undefined
+            && deps.registry.listService(service).some(({ id, isDraining }) => !isDraining && !excluded.includes(id));
+    }
+
     function place(
         req: ProxyRequest,
-        { excluded }: PlacementQuery,
+        query: PlacementQuery,
         onResult: (result: PlaceResult) => void,
     ): CancelTimer {
-        const choices = listChoices(req, excluded);
+        const choices = listChoices(req, query);
         const obstacle = findObstacle(req, choices);
-        if (obstacle !== undefined) {
+        if (obstacle !== undefined && !isWorthWaiting(req, query)) {
             onResult({ kind: "refused", refusal: obstacle });
             return () => undefined;
         }
@@ -192,9 +198,10 @@
         }
         const cancel = queues.wait({
             req,
-            tryPlace: () => tryPlace(req, listChoices(req, excluded)),
-            describeLoad: () => describeServiceLoad(req, excluded),
-            predictPermitMs: countAhead => predictPermitMs(req, excluded, countAhead),
+            hasStarted: query.hasStarted === true,
+            tryPlace: () => tryPlace(req, listChoices(req, query)),
+            describeLoad: () => describeServiceLoad(req, query),
+            predictPermitMs: countAhead => predictPermitMs(req, query, countAhead),
             onResult,
         });
         if (goesLast) {
@@ -206,7 +213,7 @@
     return {
         place,
         hasAlternative: (req, excluded) =>
-            listChoices(req, excluded).some(choice => !deps.health.isEjected(choice.record.id, now())),
+            listChoices(req, { excluded }).some(choice => !deps.health.isEjected(choice.record.id, now())),
         recordAnswerStart: (req, { upstream, cacheSalt }) => {
             deps.use.recordAnswerStart(req);
             if (req.prompt !== undefined && cacheSalt !== undefined) {
--- a/src/core/proxy/proxyEffects.ts
+++ b/src/core/proxy/proxyEffects.ts
@@ -18,6 +18,8 @@
     readonly excluded: readonly string[];
     /** Whether one of them may have run the request, so that its caller can't be told "not run". */
     readonly mayHaveRun: boolean;
+    /** Whether the caller has a part of the stream, which is cut unless the request is placed; left out where it has none. */
+    readonly hasStarted?: boolean;
 }
 
 /** What a choice of an upstream depends on, beside the request. */
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -218,6 +218,7 @@
             kind: "place",
             excluded: history.excluded,
             mayHaveRun: mayHaveRun(history),
+            hasStarted: history.hasStarted,
         });
         if (placed.kind === "callerGone") {
             return;
