Keep answers and unfinished events in blocks

Cause: an answer and an unfinished event were kept as lists of their pieces, bounded by the sum of their lengths. Whether an unfinished event has a field was found out by joining and decoding all of it, after each piece: quadratic.

Change: both are kept in a block buffer; what an answer holds is what its blocks take. The field is looked for in each byte once, and in none after the first of a field. Limits are as before (8 MB, 256 KB).

Random cuts give the same result as one piece.

--- a/src/core/stream/createEventSplitter.ts
+++ b/src/core/stream/createEventSplitter.ts
@@ -2,6 +2,8 @@
  * @module
  * Splits a byte stream after its last complete event, so that another upstream can resume it between two events.
  */
+import { createBlockBuffer } from "../memory/createBlockBuffer.js";
+import { createFieldSearch } from "./_lib/createFieldSearch.js";
 
 /** Splitter of one stream. */
 export interface EventSplitter {
@@ -13,6 +15,8 @@
     readonly lastId: () => string | undefined;
     /** Number of bytes that are held until their event is complete. */
     readonly pendingBytes: () => number;
+    /** Memory that these bytes take, in bytes. */
+    readonly heldBytes: () => number;
     /** Number of bytes of an unfinished event at the end; 0 when only comments and line ends follow the last event. */
     readonly unfinishedBytes: () => number;
 }
@@ -68,20 +72,6 @@
     return line?.slice(idField.length).trim();
 }
 
-function concatenate(chunks: readonly Uint8Array[]): Uint8Array {
-    const [only] = chunks;
-    if (chunks.length === 1 && only !== undefined) {
-        return only;
-    }
-    const joined = new Uint8Array(chunks.reduce((sum, chunk) => sum + chunk.length, 0));
-    let length = 0;
-    for (const chunk of chunks) {
-        joined.set(chunk, length);
-        length += chunk.length;
-    }
-    return joined;
-}
-
 /**
  * Creates a splitter at the start of a stream. Each byte is searched once, whatever the length of its event.
  *
@@ -91,10 +81,10 @@
  */
 export function createEventSplitter(): EventSplitter {
     const decoder = new TextDecoder();
-    /** Chunks of the incomplete event, and their last bytes. */
-    let pending: Uint8Array[] = [];
-    let pendingBytes = 0;
+    /** Bytes of the incomplete event, and the last two of them. */
+    const pending = createBlockBuffer();
     let lookbehind = noLookbehind;
+    const pendingFields = createFieldSearch();
     let hasEvents = false;
     let lastId: string | undefined;
 
@@ -106,22 +96,20 @@
         const last = bytes.at(-1);
         if (last !== undefined) {
             lookbehind = { last, secondLast: bytes.at(-2) ?? lookbehind.last };
-            pending.push(bytes);
-            pendingBytes += bytes.length;
+            pending.append(bytes);
+            pendingFields.search(bytes);
         }
     }
 
-    /** Returns the chunks of the incomplete event, and begins the next event. */
-    function release(): readonly Uint8Array[] {
-        const released = pending;
-        pending = [];
-        pendingBytes = 0;
-        lookbehind = noLookbehind;
-        return released;
-    }
-
+    /** Returns the incomplete event with the bytes that complete it, and begins the next event. */
     function completeWith(bytes: Uint8Array): Uint8Array {
-        return pendingBytes === 0 ? bytes : concatenate([...release(), bytes]);
+        if (pending.length() === 0) {
+            return bytes;
+        }
+        pending.append(bytes);
+        lookbehind = noLookbehind;
+        pendingFields.reset();
+        return pending.take();
     }
 
     function takeEvents(chunk: Uint8Array, end: number): Uint8Array {
@@ -146,7 +134,8 @@
         },
         hasEvents: () => hasEvents,
         lastId: () => lastId,
-        pendingBytes: () => pendingBytes,
-        unfinishedBytes: () => (hasField(readLines(concatenate(pending))) ? pendingBytes : 0),
+        pendingBytes: pending.length,
+        heldBytes: pending.heldBytes,
+        unfinishedBytes: () => (pendingFields.hasField() ? pending.length() : 0),
     };
 }
