Collect answers to calls in blocks

An answer of 4 MB in pieces of one byte would take 4 million objects a call, of up to some hundred engines at once.

Cause: undici's `request` hands pieces to a Readable, which keeps each until 64 KB are waiting; readLimitedBody kept them once more.

Change: calls are dispatched with a handler that appends pieces to a block buffer, pauses the answer when it has had its share of a turn, and aborts it beyond the limit. Kinds of errors, the check of an answer's end and the bytes that a connection may read are as before. Calls of the product's own protocol to the log and to peers use the same.

--- a/src/io/_lib/createCallClient.ts
+++ b/src/io/_lib/createCallClient.ts
@@ -5,8 +5,10 @@
  */
 import { Client, type Dispatcher } from "undici";
 import { checkAnswerEnd } from "./checkAnswerEnd.js";
+import { type CallAnswer, collectAnswer } from "./collectAnswer.js";
 import { createWatchedConnector } from "./createWatchedConnector.js";
-import { readLimitedBody } from "./readLimitedBody.js";
+
+export type { CallAnswer } from "./collectAnswer.js";
 
 /** A call. */
 export interface CallRequest {
@@ -19,13 +21,6 @@
     readonly signal: AbortSignal;
 }
 
-/** A complete answer. */
-export interface CallAnswer {
-    readonly status: number;
-    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-    readonly body: Buffer;
-}
-
 /** A connection that carries one call at a time. */
 export interface CallClient {
     /** Returns the complete answer; throws when there is none. The connection must not be used again after that. */
@@ -57,10 +52,9 @@
     const client = new Client(`http://${address}`, { connect: connector.connect, pipelining: 1 });
     const checked = client.compose(dispatch => (req, handler) => dispatch(req, checkAnswerEnd(handler, connector)));
 
-    async function call({ method = "GET", path, headers = {}, body, signal }: CallRequest): Promise<CallAnswer> {
+    function call({ method = "GET", path, headers = {}, body, signal }: CallRequest): Promise<CallAnswer> {
         connector.allowBytes(2 * maxBodyBytes);
-        const res = await checked.request({ method, path, headers, body, signal, reset });
-        return { status: res.statusCode, headers: res.headers, body: await readLimitedBody(res.body, maxBodyBytes) };
+        return collectAnswer(checked, { method, path, headers, body, reset }, { maxBodyBytes, signal });
     }
 
     return {
--- a/src/io/peers/createPeerClient.ts
+++ b/src/io/peers/createPeerClient.ts
@@ -3,7 +3,8 @@
  * tRPC client of a peer, used by daemons and by reedwardctl.
  */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import { Agent, type Dispatcher, request } from "undici";
+import { Agent, type Dispatcher } from "undici";
+import { collectAnswer } from "../_lib/collectAnswer.js";
 import type { PeerRouter } from "./peerRouter.js";
 
 /** A typed client of one peer. */
@@ -33,19 +34,22 @@
  * @returns The pool.
  */
 export function createPeerClients(secret: string, timeoutMs: number): PeerClients {
-    const agent = new Agent({ connect: { timeout: timeoutMs }, connections: 2, maxResponseSize: maxAnswerBytes });
+    const agent = new Agent({ connect: { timeout: timeoutMs }, connections: 2 });
     const clients = new Map<string, PeerClient>();
 
     /** Sends a call without the headers that a browser's fetch adds: they would double the size of a probe. */
     async function send(url: string, init: CallInit): Promise<{ readonly json: () => Promise<unknown>; }> {
-        const res = await request(url, {
-            dispatcher: agent,
+        const { origin, pathname, search } = new URL(url);
+        const req: Dispatcher.DispatchOptions = {
+            origin,
+            path: `${pathname}${search}`,
             method: (init.method ?? "GET") as Dispatcher.HttpMethod,
             headers: init.headers ?? {},
-            ...(init.body === undefined ? {} : { body: init.body }),
-            signal: AbortSignal.timeout(timeoutMs),
-        });
-        return { json: () => res.body.json() };
+            body: init.body,
+        };
+        const signal = AbortSignal.timeout(timeoutMs);
+        const { body } = await collectAnswer(agent, req, { signal, maxBodyBytes: maxAnswerBytes });
+        return { json: () => Promise.resolve(JSON.parse(body.toString()) as unknown) };
     }
 
     function connect(address: string): PeerClient {
--- a/src/io/platform/callJson.ts
+++ b/src/io/platform/callJson.ts
@@ -3,11 +3,11 @@
  * JSON calls to external systems, with classified failures and validated answers.
  */
 import { err, ok, type Result } from "true-myth/result";
-import { Agent, type Dispatcher, request } from "undici";
+import { Agent, type Dispatcher } from "undici";
 import type * as z from "zod";
 import type { PortFailure } from "../../core/ports/portFailure.js";
 import { classifyCallError } from "../_lib/classifyCallError.js";
-import { readLimitedBody } from "../_lib/readLimitedBody.js";
+import { collectAnswer } from "../_lib/collectAnswer.js";
 
 /** Largest answer, in bytes. */
 const maxAnswerBytes = 32 * 1024 * 1024;
@@ -50,21 +50,18 @@
     const agent = new Agent({ connect: { timeout: connectTimeoutMs } });
     async function call<T>(one: JsonCall<T>): Promise<Result<T, PortFailure>> {
         try {
-            const options: Parameters<typeof request>[1] = {
-                dispatcher: agent,
+            const { origin, pathname, search } = new URL(one.url);
+            const isEmpty = one.body === undefined;
+            const req: Dispatcher.DispatchOptions = {
+                origin,
+                path: `${pathname}${search}`,
                 method: one.method satisfies Dispatcher.HttpMethod,
-                signal: AbortSignal.timeout(one.timeoutMs),
+                headers: isEmpty ? {} : { "content-type": "application/json" },
+                body: isEmpty ? undefined : JSON.stringify(one.body),
             };
-            if (one.body !== undefined) {
-                options.headers = { "content-type": "application/json" };
-                options.body = JSON.stringify(one.body);
-            }
-            const res = await request(one.url, options);
-            return parseAnswer(
-                res.statusCode,
-                (await readLimitedBody(res.body, maxAnswerBytes)).toString(),
-                one.schema,
-            );
+            const signal = AbortSignal.timeout(one.timeoutMs);
+            const res = await collectAnswer(agent, req, { signal, maxBodyBytes: maxAnswerBytes });
+            return parseAnswer(res.status, res.body.toString(), one.schema);
         }
         catch (error) {
             return err(classifyCallError(error));
