Keep bodies and events of the product's own protocol in blocks

Cause: collectBody kept a list of pieces. forwardEvents joined an unfinished event with each piece and scanned it from its beginning: quadratic in its length. A paused body kept up to 64 KB, each byte a piece in the worst case.

Change: both use a block buffer, events are scanned when a blank line has arrived, and a paused body keeps 1 KB.

--- a/src/io/upstream/collectBody.ts
+++ b/src/io/upstream/collectBody.ts
@@ -4,6 +4,7 @@
  */
 import type { Readable } from "node:stream";
 import type { CollectResult, ForwardEnd } from "../../core/effects/effectTypes.js";
+import { createBlockBuffer } from "../../core/memory/createBlockBuffer.js";
 import { classifyBodyError } from "../_lib/classifyCallError.js";
 
 /** A body that is being collected. */
@@ -21,8 +22,7 @@
  * @returns A handle that stops the collection.
  */
 export function collectBody(body: Readable, maxBytes: number, onEnd: (result: CollectResult) => void): BodyCollection {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const buffer = createBlockBuffer({ maxBytes });
     let isOver = false;
 
     function finish(result: CollectResult): void {
@@ -34,13 +34,11 @@
     }
 
     body.on("data", (chunk: Buffer) => {
-        chunks.push(chunk);
-        length += chunk.length;
-        if (length > maxBytes) {
+        if (buffer.append(chunk) !== "appended") {
             finish({ kind: "broken", end: "cut" });
         }
     });
-    body.on("end", () => finish({ kind: "whole", body: Buffer.concat(chunks) }));
+    body.on("end", () => finish({ kind: "whole", body: buffer.take() }));
     body.on("error", (err: Error) => finish({ kind: "broken", end: classifyBodyError(err) }));
     return { stop: end => finish({ kind: "broken", end }) };
 }
--- a/src/io/upstream/createUpstreamClient.ts
+++ b/src/io/upstream/createUpstreamClient.ts
@@ -89,6 +89,9 @@
     };
 }
 
+/** Bytes of a body that are held while its reader is paused, each of them a piece in the worst case. */
+const maxPausedBytes = 1024;
+
 /**
  * Creates the client.
  *
@@ -106,6 +109,7 @@
             method: call.method as Dispatcher.HttpMethod,
             headers: call.headers,
             headersTimeout: call.timeoutMs,
+            highWaterMark: maxPausedBytes,
             ...(call.body === undefined ? {} : { body: call.body }),
             ...(signal === undefined ? {} : { signal }),
         });
--- a/src/io/upstream/forwardEvents.ts
+++ b/src/io/upstream/forwardEvents.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
 import type { ForwardEnd } from "../../core/effects/effectTypes.js";
+import { createBlockBuffer } from "../../core/memory/createBlockBuffer.js";
 import type { EventScanner } from "../../core/stream/createEventScanner.js";
 import type { CancelTimer, Clock } from "../../core/time/clock.js";
 import { classifyBodyError } from "../_lib/classifyCallError.js";
@@ -21,6 +22,14 @@
 /** Largest event, in bytes; a longer one is malformed. */
 const maxEventBytes = 1 << 20;
 
+const lineFeed = 0x0a;
+const blankLine = "\n\n";
+
+/** Returns whether a blank line ends in the chunk, which may begin in the byte before. */
+function hasBlankLine(before: number | undefined, chunk: Buffer): boolean {
+    return (before === lineFeed && chunk[0] === lineFeed) || chunk.includes(blankLine);
+}
+
 /**
  * Forwards events until the stream ends, breaks or is stopped. Bytes of an incomplete event are never sent. A slow
  * caller pauses the upstream's body, so that at most the socket buffers are held in memory; the stream is aborted when
@@ -40,7 +49,9 @@
     clock: Clock,
     onEnd: (end: ForwardEnd) => void,
 ): Forwarding {
-    let remaining: Buffer | undefined;
+    /** Bytes of the incomplete event, and the last of them. */
+    const incomplete = createBlockBuffer();
+    let lastByte: number | undefined;
     let isOver = false;
     let cancelStall: CancelTimer = () => undefined;
     scanner.reopen();
@@ -68,19 +79,42 @@
         cancelStall = clock.after(callerStallMs, () => finish("callerStalled"));
     }
 
-    function onChunk(chunk: Buffer): void {
-        const bytes = remaining === undefined ? chunk : Buffer.concat([remaining, chunk]);
+    /** Returns the incomplete event with the bytes that complete it. */
+    function completeWith(chunk: Uint8Array): Uint8Array {
+        if (incomplete.length() === 0) {
+            return chunk;
+        }
+        incomplete.append(chunk);
+        return incomplete.take();
+    }
+
+    function hold(bytes: Uint8Array): void {
+        incomplete.append(bytes);
+        lastByte = bytes.at(-1) ?? lastByte;
+    }
+
+    function forward(bytes: Uint8Array): void {
         const end = scanner.scan(bytes);
         const start = scanner.undeliveredStart();
-        remaining = end === bytes.length ? undefined : bytes.subarray(end);
-        if (end > start && !res.write(start === 0 && end === bytes.length ? bytes : bytes.subarray(start, end))) {
+        lastByte = undefined;
+        hold(bytes.subarray(end));
+        if (end > start && !res.write(bytes.subarray(start, end))) {
             waitForDrain();
         }
+    }
+
+    function onChunk(chunk: Buffer): void {
+        if (hasBlankLine(lastByte, chunk)) {
+            forward(completeWith(chunk));
+        }
+        else {
+            hold(chunk);
+        }
         const state = scanner.state();
         if (state !== "open") {
             finish(state === "ended" ? "complete" : "outOfOrder");
         }
-        else if (remaining !== undefined && remaining.length > maxEventBytes) {
+        else if (incomplete.length() > maxEventBytes) {
             finish("outOfOrder");
         }
     }
