Read peers' calls into blocks before they are performed

A call of up to 8 MB in chunks of one byte would take 8 million objects.

Cause: tRPC puts each piece of a body into a stream of its own as an object; its limit counts bytes.

Change: a body is read by readBody, and tRPC gets its text. A call that is too long is refused with 413 as before, with the product's own refusal as its body.

--- a/bench/membership/measureCallBytes.ts
+++ b/bench/membership/measureCallBytes.ts
@@ -4,6 +4,7 @@
  */
 import { type AddressInfo, connect, createServer } from "node:net";
 import type { ProbeAnswer, ProbeRequest } from "../../src/core/membership/peerMessages.js";
+import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { createPeerClients } from "../../src/io/peers/createPeerClient.js";
 import { createPeerServer } from "../../src/io/peers/createPeerServer.js";
 import type { CallOverhead } from "./createFleet.js";
@@ -54,6 +55,7 @@
             peerSecret: secret,
             operatorSecret: `${secret}-operator`,
             onRejected: () => undefined,
+            clock: createSystemClock(),
         },
     );
     const serverPort = await listen(peerServer);
--- a/features/pieces.feature
+++ b/features/pieces.feature
@@ -46,3 +46,10 @@
         Given a server of uploads of up to 50000 bytes, which answers with 3000000 bytes
         When a caller sends uploads of 40000, 60000, 1 and 256 chunks of one byte on one connection, and then reads 3000000 bytes of each answer
         Then the outcomes are "40000, bodyTooLarge, 1, 256"
+
+    # Guards against peers' calls that are kept in pieces.
+    Scenario: A peer's call in short pieces takes no object for each
+        Given a server of calls from peers
+        When a peer sends a call behind 200000 spaces, each byte in a chunk of its own
+        Then the heap has grown by at most 1 MB
+        And the call is performed when it is complete
--- /dev/null
+++ b/features/steps/peerPieceSteps.ts
@@ -0,0 +1,99 @@
+/**
+ * @module
+ * Steps with a peer that sends a call in many short pieces.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Server } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
+import { createPeerServer } from "../../src/io/peers/createPeerServer.js";
+import { readHeapBytes } from "../support/readHeapBytes.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+
+interface PeerFixture {
+    readonly server: Server;
+    readonly payloads: string[];
+    /** Number of pieces that the server has read. */
+    pieces: number;
+    socket: Socket | undefined;
+    grownBytes: number;
+}
+
+const fixtures = new WeakMap<SiteWorld, PeerFixture>();
+const secret = "peer-secret";
+const bytesPerMegabyte = 1_048_576;
+
+function getFixture(world: SiteWorld): PeerFixture {
+    const fixture = fixtures.get(world);
+    assert.ok(fixture !== undefined);
+    return fixture;
+}
+
+Given("a server of calls from peers", async function(this: SiteWorld) {
+    const payloads: string[] = [];
+    const service = { applyHints: (payload: string) => payloads.push(payload) };
+    const server = createPeerServer(
+        service as unknown as Parameters<typeof createPeerServer>[0],
+        {} as Parameters<typeof createPeerServer>[1],
+        { peerSecret: secret, operatorSecret: "other", onRejected: () => undefined, clock: createSystemClock() },
+    );
+    const fixture: PeerFixture = { server, payloads, pieces: 0, socket: undefined, grownBytes: 0 };
+    server.on("request", req => {
+        req.on("data", () => {
+            fixture.pieces += 1;
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    fixtures.set(this, fixture);
+    this.cleanups.push(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+});
+
+function cutIntoChunks(text: string): string {
+    return [...text].map(letter => `1\r\n${letter}\r\n`).join("");
+}
+
+async function waitForPieces(fixture: PeerFixture, pieces: number): Promise<void> {
+    while (fixture.pieces < pieces) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+When(
+    "a peer sends a call behind {int} spaces, each byte in a chunk of its own",
+    async function(this: SiteWorld, spaces: number) {
+        const fixture = getFixture(this);
+        const socket = connect((fixture.server.address() as AddressInfo).port, "127.0.0.1");
+        const call = " ".repeat(spaces) + JSON.stringify({ payload: "hints" });
+        const headers = `host: a\r\nauthorization: Bearer ${secret}\r\ncontent-type: application/json\r\n`;
+        socket.write(
+            `POST /peer.noteHints HTTP/1.1\r\n${headers}transfer-encoding: chunked\r\n\r\n${cutIntoChunks(" ")}`,
+        );
+        await waitForPieces(fixture, 1);
+        const before = await readHeapBytes();
+        socket.write(cutIntoChunks(call.slice(1)));
+        await waitForPieces(fixture, call.length);
+        fixture.grownBytes = await readHeapBytes() - before;
+        fixture.socket = socket;
+    },
+);
+
+Then("the heap has grown by at most {int} MB", function(this: SiteWorld, megabytes: number) {
+    const { grownBytes } = getFixture(this);
+    assert.ok(grownBytes <= megabytes * bytesPerMegabyte, `${Math.round(grownBytes / 1_000)} kB`);
+});
+
+Then("the call is performed when it is complete", async function(this: SiteWorld) {
+    const { socket, payloads } = getFixture(this);
+    assert.ok(socket !== undefined);
+    const answered = new Promise<string>((resolve, reject) => {
+        socket.on("error", reject);
+        socket.once("data", bytes => resolve(bytes.toString()));
+    });
+    socket.write("0\r\n\r\n");
+    assert.match(await answered, /^HTTP\/1.1 200 /);
+    assert.deepEqual(payloads, ["hints"]);
+});
--- a/features/steps/pieceSteps.ts
+++ b/features/steps/pieceSteps.ts
@@ -5,9 +5,8 @@
 import { Then } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { openPieceReader, type PieceReader } from "../support/pieceReaders.js";
+import { readHeapBytes } from "../support/readHeapBytes.js";
 
 /** Cuts bytes into pieces. */
 type Cut = (bytes: Buffer) => readonly Buffer[];
@@ -94,20 +93,6 @@
     },
 );
 
-setFlagsFromString("--expose-gc");
-const collectGarbage = runInNewContext("gc") as () => void;
-
-/** Rounds after which nothing is left that a finalizer or a callback of an earlier turn still held. */
-const collections = 3;
-
-async function readHeapBytes(): Promise<number> {
-    for (let round = 0; round < collections; round += 1) {
-        collectGarbage();
-        await new Promise(resolve => setImmediate(resolve));
-    }
-    return process.memoryUsage().heapUsed;
-}
-
 Then(
     "{int} pieces of one byte for {word} {} make the heap grow by at most {int} MB",
     async (count: number, article: string, rest: string, megabytes: number) => {
--- a/src/io/peers/createPeerServer.ts
+++ b/src/io/peers/createPeerServer.ts
@@ -4,7 +4,10 @@
  */
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Clock } from "../../core/time/clock.js";
+import { readBody } from "../http/readBody.js";
+import { writeRefusal } from "../http/writeRefusal.js";
 import type { OperatorService } from "../operator/operatorRouter.js";
 import { createPeerRouter, type PeerService } from "./peerRouter.js";
 import type { PeerContext } from "./trpcBase.js";
@@ -14,11 +17,15 @@
     readonly peerSecret: string;
     readonly operatorSecret: string;
     readonly onRejected: () => void;
+    readonly clock: Clock;
 }
 
 /** Maximum size of a peer call's body. */
 const maxPeerBodyBytes = 8 << 20;
 
+/** Time for a call to arrive, in milliseconds. */
+const callTimeoutMs = 10_000;
+
 function isSameSecret(given: string, expected: string): boolean {
     const digest = (text: string) => createHash("sha256").update(text).digest();
     return timingSafeEqual(digest(given), digest(expected));
@@ -54,11 +61,22 @@
         createContext: ({ req }): PeerContext => ({ caller: findCaller(req) }),
         maxBodySize: maxPeerBodyBytes,
     });
+
+    /** tRPC takes the text of a body that was read, and would itself keep the pieces of one. */
+    async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const body = await readBody(req, options.clock, { maxBytes: maxPeerBodyBytes, timeoutMs: callTimeoutMs });
+        if (body.isErr) {
+            writeRefusal(res, body.error, "");
+            return;
+        }
+        await handler(Object.assign(req, { body: body.value.toString() }), res);
+    }
+
     const server = createServer((req, res) => {
-        void handler(req, res);
+        void answer(req, res);
     });
     server.headersTimeout = 5_000;
-    server.requestTimeout = 10_000;
+    server.requestTimeout = callTimeoutMs;
     server.keepAliveTimeout = 20_000;
     return server;
 }
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -333,6 +333,7 @@
             peerSecret: settings.peerSecret,
             operatorSecret: settings.operatorSecret,
             onRejected: () => writeLog("peerRejected"),
+            clock,
         },
     );
 
