Pause an upstream's connection by its socket, and share turns by pieces

Callers saw: while one read of an upstream's short pieces was handled (thousands of them), nobody else was served; an instance kept megabytes of an answer whose caller read slowly; and a stream without a length whose connection ended or was reset while it was paused had no outcome before its deadline.

Cause: undici's own pause stops its parser in the middle of a read, puts the rest back, and reads again with each resumption, so that its buffer grows by up to 64 KB each time. Its parser also asserts that it is not paused when the connection of an answer without a length ends; the assertion reaches the process as an uncaught failure.

Change: connections are paused where they are opened, before undici: it is handed slices of 4 KB and nothing during a pause, and what has arrived is handed on before a reset.

--- a/src/io/_lib/createWatchedConnector.ts
+++ b/src/io/_lib/createWatchedConnector.ts
@@ -2,6 +2,7 @@
  * @module
  * Opens connections for one undici client, watches how they end, and bounds what arrives on them. undici treats any end of a
  * connection, a reset too, as the end of an answer without length, and reads a status line or a chunk extension without end.
+ * A pause of undici's own reads on with each resumption, and fails when the connection ends meanwhile: connections are paused here.
  */
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
@@ -20,8 +21,15 @@
      * @param bytes - The bytes, which may begin in a connection that is not open yet.
      */
     readonly allowBytes: (bytes: number) => void;
+    /** Pauses the current connection: undici is handed nothing more than the slice that it is parsing. */
+    readonly pause: () => void;
+    /** Ends the pause, in case of one; what has arrived is handed on in the next tick. */
+    readonly resume: () => void;
 }
 
+/** Bytes that undici is handed at once: it hands on each piece in them before it can be paused. */
+const sliceBytes = 4 * 1024;
+
 /**
  * Returns whether a connection whose readable side has ended was reset. When data and a reset arrive together, Node.js
  * reports a normal end; a write then fails immediately, and has no effect on a peer that closed in order.
@@ -43,9 +51,31 @@
     let isEndExpected = false;
     let current: Socket | undefined;
     let allowedBytes = Infinity;
+    let isPaused = false;
+
+    /** Hands on what arrives in slices, and nothing during a pause, so that a paused connection reads no more than its buffer. */
+    function readInSlices(socket: Socket): void {
+        const read = socket.read.bind(socket);
+        const destroy = socket.destroy.bind(socket);
+        let isEnding = false;
+        socket.read = (bytes?: number): unknown => {
+            const slice = bytes ?? (Math.min(sliceBytes, socket.readableLength) || undefined);
+            return read(isPaused && !isEnding ? 0 : slice);
+        };
+        socket.destroy = error => {
+            // What arrived before a reset is handed on: an answer may be complete.
+            if (isPaused && !isEnding && (error as NodeJS.ErrnoException | undefined)?.code === "ECONNRESET") {
+                isEnding = true;
+                socket.emit("readable");
+            }
+            return destroy(error);
+        };
+    }
 
     function watch(socket: Socket): void {
         current = socket;
+        isPaused = false;
+        readInSlices(socket);
         socket.on("readable", () => {
             if (socket.bytesRead > allowedBytes) {
                 socket.destroy(new Error("more bytes arrived than an answer may have"));
@@ -80,5 +110,20 @@
         allowBytes: bytes => {
             allowedBytes = (current === undefined || current.destroyed ? 0 : current.bytesRead) + bytes;
         },
+        pause: () => {
+            isPaused = true;
+        },
+        resume: () => {
+            const socket = current;
+            if (!isPaused || socket === undefined) {
+                return;
+            }
+            isPaused = false;
+            process.nextTick(() => {
+                if (!socket.destroyed) {
+                    socket.emit("readable");
+                }
+            });
+        },
     };
 }
--- a/src/io/proxy/createConnectionPool.ts
+++ b/src/io/proxy/createConnectionPool.ts
@@ -75,6 +75,8 @@
             state: connector.state,
             expectEnd: connector.expectEnd,
             allowBytes: connector.allowBytes,
+            pause: connector.pause,
+            resume: connector.resume,
         };
     }
 
--- a/src/io/proxy/createStreamDelivery.ts
+++ b/src/io/proxy/createStreamDelivery.ts
@@ -31,9 +31,8 @@
     readonly isResumable: boolean;
     /** Checks the events of a stream of which the caller has a part; undefined when these are the caller's first. */
     readonly sequence: EventSequence | undefined;
-    /** Pauses reading from the upstream while the caller's write buffer is full. */
-    readonly pause: () => void;
-    readonly resume: () => void;
+    /** Pauses reading from the upstream while much waits to be written to the caller; returns the function that resumes it. */
+    readonly pause: () => () => void;
 }
 
 /** Largest event, in bytes. */
@@ -48,14 +47,23 @@
 export function createStreamDelivery(options: StreamDeliveryOptions): StreamDelivery {
     const { caller, head, sequence } = options;
     const splitter = createEventSplitter();
+    let isPaused = false;
     let progress: StreamProgress = { hasEvents: false, lastEventId: undefined };
 
+    function pause(): void {
+        isPaused = true;
+        const resume = options.pause();
+        caller.onDrained(() => {
+            isPaused = false;
+            resume();
+        });
+    }
+
     function forward(bytes: Uint8Array): void {
         caller.startStream(head);
         progress = { hasEvents: splitter.hasEvents(), lastEventId: splitter.lastId() };
-        if (!caller.writeChunk(bytes)) {
-            options.pause();
-            caller.onDrained(options.resume);
+        if (!caller.writeChunk(bytes) && !isPaused) {
+            pause();
         }
     }
 
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -3,12 +3,14 @@
  * Sends one request to one upstream and reports the outcome of its answer.
  */
 import type { Dispatcher } from "undici";
+import { createPauseGate } from "../../core/_lib/createPauseGate.js";
 import type { AnswerHolding } from "../../core/proxy/createAnswerMemory.js";
 import { type AnswerUse, judgeAnswerHead } from "../../core/proxy/judgeAnswerHead.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
 import type { ProxyRequest, RejectionReason, SendOutcome, StreamProgress } from "../../core/proxy/proxyTypes.js";
 import { isRetryable } from "../../core/proxy/serveProxyRequest.js";
 import type { CancelTimer } from "../../core/time/clock.js";
+import { createTurnShare } from "../../core/time/createTurnShare.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
 import type { SentWeights } from "../../core/weights/createUnbegunSends.js";
 import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
@@ -60,6 +62,11 @@
     private endTracking: () => void = () => undefined;
     private readonly cancels: CancelTimer[] = [];
     private controller: Dispatcher.DispatchController | undefined;
+    private readonly gate = createPauseGate({
+        pause: () => this.connection.pause(),
+        resume: () => this.resumeAnswer(),
+    });
+    private readonly turn = createTurnShare({ pause: () => this.gate.hold(), defer: setImmediate });
 
     constructor(
         private readonly deps: UpstreamSenderDependencies,
@@ -160,16 +167,16 @@
             caller: this.caller,
             isResumable: this.req.route.isResumable,
             lastEventId: this.effect.lastEventId,
-            pause: () => controller.pause(),
-            resume: () => controller.resume(),
+            pause: () => this.gate.hold(),
         });
     }
 
     onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
         const { answer } = this;
-        if (this.isFinished || answer === undefined) {
+        if (this.isFinished || answer === undefined || chunk.length === 0) {
             return;
         }
+        this.turn.record();
         this.connection.allowBytes(maxUnparsedBytes);
         this.deps.health.recordReceived(this.upstreamId(), this.deps.clock.now());
         const failure = answer.write(chunk);
@@ -226,6 +233,13 @@
         this.finishLost(err.message);
     }
 
+    /** An answer that is over is left alone: its connection may serve another request. */
+    private resumeAnswer(): void {
+        if (!this.isFinished) {
+            this.connection.resume();
+        }
+    }
+
     /** Undici takes informational heads without end. */
     private recordInformationalHead(): void {
         this.informationalHeads += 1;
@@ -317,6 +331,8 @@
         }
         this.isFinished = true;
         this.endTracking();
+        this.turn.close();
+        this.connection.resume();
         this.cancels.forEach(cancel => cancel());
         this.holding.close();
         this.deps.health.recordEnded(this.upstreamId(), this.req.id);
