Write a stream to its caller with one write in progress at a time

Callers saw: requests beside streams of short pieces failed when an instance's heap was full. A piece of a stream was a write of its own, with framing four, and the signal to pause counted bytes alone; what waited was recorded nowhere, so that callers that read nothing had no bound together.

Change: createStreamWriter keeps one write in progress. Pieces that arrive meanwhile are copied into blocks and written as one; the upstream is paused from 16 KB of them. The first piece is written at once. What waits is held in the memory of answers, and the stream that holds most is cut (logged as streamCut) when all together exceed the limit. An aborted stream first hands over what was collected, as before.

--- a/features/steps/callerAnswerSteps.ts
+++ b/features/steps/callerAnswerSteps.ts
@@ -9,6 +9,7 @@
 import { type AddressInfo, connect } from "node:net";
 import { type CallerExchange, createCallerExchange } from "../../src/io/proxy/createCallerExchange.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { streamHead } from "../support/streamHead.js";
 
 interface CallerConnection {
     readonly exchange: CallerExchange;
@@ -25,24 +26,6 @@
     return connection;
 }
 
-const streamHead = {
-    status: 200,
-    requestId: "attempt-1",
-    isNotRun: false,
-    rejection: undefined,
-    retryAfterMs: undefined,
-    load: undefined,
-    signals: { stated: [], malformed: [] },
-    weightsVersion: undefined,
-    closesConnection: false,
-    framing: "chunked",
-    isSealed: true,
-    isEncoded: false,
-    bodyType: "eventStream",
-    bodyLength: undefined,
-    headers: [["content-type", "text/event-stream"]],
-} as const;
-
 Given("a caller of {word} that has received a part of a stream", async function(this: SiteWorld, version: string) {
     const server = createServer().listen(0, "127.0.0.1");
     await once(server, "listening");
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -5,10 +5,11 @@
 import type { ServerResponse } from "node:http";
 import { createActionSet } from "../../core/_lib/createActionSet.js";
 import type { Refusal } from "../../core/errors/createRefusal.js";
-import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import type { AnswerHolding, AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import type { HeaderPair, UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { onResponseOver } from "./_lib/onResponseOver.js";
+import { createStreamWriter, type StreamWriter } from "./createStreamWriter.js";
 import type { AnswerHead } from "./proxyCodec.js";
 import { writePlainRefusal } from "./writePlainRefusal.js";
 
@@ -22,8 +23,9 @@
     readonly hasStarted: () => boolean;
     /** Writes the head of a stream unless it was already written. */
     readonly startStream: (head: AnswerHead) => void;
-    /** Writes a chunk of a stream; returns false when the write buffer is full. */
+    /** Writes a chunk of a stream; returns false when so much waits to be written that the source has to pause. */
     readonly writeChunk: (bytes: Uint8Array) => boolean;
+    /** Calls `action` when there is room again. */
     readonly onDrained: (action: () => void) => void;
     readonly endStream: () => void;
     readonly answer: (answer: UpstreamAnswer) => void;
@@ -41,8 +43,14 @@
     readonly onStreamStart?: () => void;
     /** Records that a complete answer is held until it is written out. */
     readonly holdAnswer?: AnswerMemory["hold"];
+    /** Opens the record of what waits to be written of a stream; `evict` ends it. */
+    readonly holdStream?: AnswerMemory["open"];
+    /** Called when a stream is ended because what waits to be written holds too much memory. */
+    readonly onStreamEvicted?: () => void;
 }
 
+const unrecordedHolding: AnswerHolding = { set: () => undefined, close: () => undefined };
+
 /** Statuses of answers that have neither a body nor a length. */
 const lengthlessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
@@ -56,7 +64,11 @@
 export function createCallerExchange(res: ServerResponse, options: CallerExchangeOptions): CallerExchange {
     const disconnectActions = createActionSet();
     let isDisconnected = false;
+    let isOver = false;
+    let stream: StreamWriter | undefined;
     onResponseOver(res, isWritten => {
+        isOver = true;
+        stream?.discard();
         if (!isWritten) {
             isDisconnected = true;
             disconnectActions.run();
@@ -74,6 +86,32 @@
         res.writeHead(status, headers.flat());
     }
 
+    function evictStream(): void {
+        stream?.discard();
+        options.onStreamEvicted?.();
+        abort();
+    }
+
+    function openStream(): StreamWriter {
+        if (stream === undefined) {
+            stream = createStreamWriter(res, options.holdStream?.(evictStream) ?? unrecordedHolding);
+            if (isOver) {
+                stream.discard();
+            }
+        }
+        return stream;
+    }
+
+    function abort(): void {
+        stream?.flush();
+        stream?.discard();
+        // Without chunks, an HTTP/1.0 caller takes an orderly close for the end of the answer.
+        if (res.headersSent && !res.chunkedEncoding) {
+            res.socket?.resetAndDestroy();
+        }
+        res.destroy();
+    }
+
     return {
         isDisconnected: () => isDisconnected || res.req.socket.readableEnded,
         onDisconnect: disconnectActions.add,
@@ -84,13 +122,9 @@
                 writeHead(head.status, head.headers);
             }
         },
-        writeChunk: bytes => res.write(bytes),
-        onDrained: action => {
-            res.once("drain", action);
-        },
-        endStream: () => {
-            res.end();
-        },
+        writeChunk: bytes => openStream().write(bytes),
+        onDrained: action => openStream().onDrained(action),
+        endStream: () => openStream().end(),
         answer: answer => {
             const length: HeaderPair = ["content-length", String(answer.body.length)];
             const hasLength = res.req.method !== "HEAD" && !lengthlessStatuses.has(answer.status);
@@ -104,12 +138,6 @@
                 writePlainRefusal(res, refusal, options);
             }
         },
-        abort: () => {
-            // Without chunks, an HTTP/1.0 caller takes an orderly close for the end of the answer.
-            if (res.headersSent && !res.chunkedEncoding) {
-                res.socket?.resetAndDestroy();
-            }
-            res.destroy();
-        },
+        abort,
     };
 }
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -57,7 +57,7 @@
     /** Memory for the bodies of requests. */
     readonly bodyMemory: Pick<MemoryBudget, "open">;
     /** Memory for answers that are not written out. */
-    readonly answerMemory: Pick<AnswerMemory, "hold">;
+    readonly answerMemory: Pick<AnswerMemory, "hold" | "open">;
     readonly onRetry: (reason: ProxyRetryReason) => void;
     /** Receives each send that begins. */
     readonly onSendBegin: (req: ProxyRequest, placement: Placement) => void;
@@ -302,6 +302,9 @@
             isClosing: () => mustCloseAfter(res),
             onStreamStart: () => report.recordStreamStart(deps.clock.now()),
             holdAnswer: deps.answerMemory.hold,
+            holdStream: deps.answerMemory.open,
+            onStreamEvicted: () =>
+                deps.writeLog("streamCut", { requestId, detail: "what waits to be written holds too much memory" }),
         });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
         const reservation = deps.bodyMemory.open();
