Limit the requests in progress on each connection

Callers saw: connections reset when a client of the metrics port sent request after request and read nothing: what waited to be written had no bound, and the instance's heap was full.

Change: limitRequests bounds the requests in progress on a connection, for all servers. On the ports of callers and peers' calls, reading pauses beyond the limit and goes on as requests end; connections of the other ports are closed beyond 8, and after 10 s on which nothing moves, and each of these ports has a maximum of connections. Metrics that are asked for in the same moment are formatted once.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -15,6 +15,8 @@
 import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
 import { createCallerConnections } from "../io/http/createCallerConnections.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
+import { limitRequests } from "../io/http/limitRequests.js";
+import { shareReading } from "../io/metrics/shareReading.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
 import type { Fleet } from "./assembleFleet.js";
@@ -57,6 +59,28 @@
 /** Time beyond the configured idle timeout for which a connection stays open, as a request may be on its way, in ms. */
 const idleSlackMs = 500;
 
+/** Requests in progress on a connection of a caller, beyond which no more are read for the time being. */
+const maxCallerRequests = 64;
+
+/** Requests in progress on a connection of another port, beyond which it is closed. */
+const maxOtherRequests = 8;
+
+/** Time after which a connection of another port on which nothing moves is closed, in milliseconds. */
+const otherTimeoutMs = 10_000;
+
+/** Connections of a port with short answers, and of the metrics port, whose answers are long. */
+const maxOtherConnections = 512;
+const maxMetricsConnections = 32;
+
+/** Creates a server of a port other than the callers'; whoever does not read its answers holds little memory. */
+function createOtherServer(listener: RequestListener, maxConnections = maxOtherConnections): Server {
+    const server = createServer();
+    server.maxConnections = maxConnections;
+    server.setTimeout(otherTimeoutMs);
+    limitRequests(server, listener, { maxRequests: maxOtherRequests, isPaused: false });
+    return server;
+}
+
 /** Listens on "ip:port", again after each failure. */
 function listen(server: Server, address: string, listeners: ListenerGroup): Server {
     const [host, port] = address.split(":");
@@ -146,8 +170,8 @@
 
     const callerServer = createServer(
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
-        handle,
     );
+    limitRequests(callerServer, handle, { maxRequests: maxCallerRequests, isPaused: true });
     callerServer.maxConnections = maxConnections;
     callerServer.on("connection", (socket: Socket) => {
         accepted += 1;
@@ -181,19 +205,19 @@
 
     const others = [
         listen(
-            createServer(createListener({
+            createOtherServer(createListener({
                 [ports.readinessPath]: (_, res) => sendJson(res, sources.isReady() ? 200 : 503, "{}"),
             })),
             settings.readinessAddress,
             listeners,
         ),
         listen(
-            createServer(createListener({ [ports.entriesPath]: answerEntries })),
+            createOtherServer(createListener({ [ports.entriesPath]: answerEntries })),
             settings.directoryAddress,
             listeners,
         ),
         listen(
-            createServer(createListener({
+            createOtherServer(createListener({
                 [peerStatePath]: (url, res) => {
                     const tableVersion = Number(url.searchParams.get("known") ?? 0);
                     const upstreamsDigest = url.searchParams.get("upstreams") ?? "";
@@ -207,15 +231,16 @@
         ),
     ];
 
-    const metricsServer = createServer((_, res) => {
-        context.metrics.registry.metrics().then(text => {
+    const readMetrics = shareReading(() => context.metrics.registry.metrics());
+    const metricsServer = createOtherServer((_, res) => {
+        readMetrics().then(text => {
             res.writeHead(200, { "content-type": context.metrics.registry.contentType });
             res.end(text);
         }).catch((error: unknown) => {
             logInternalFailure(writeLog, error);
             res.destroy();
         });
-    });
+    }, maxMetricsConnections);
     // Callers are served although the metrics port is in use: it is opened again, and nothing waits for it.
     const metricsListeners = createListenerGroup({
         clock: context.clock,
--- a/src/io/http/createCallerServer.ts
+++ b/src/io/http/createCallerServer.ts
@@ -20,7 +20,9 @@
 import type { Clock } from "../../core/time/clock.js";
 import type { Settings } from "../../settings/settingsTable.js";
 import type { Metrics } from "../metrics/createMetrics.js";
+import { shareReading } from "../metrics/shareReading.js";
 import { authenticate } from "./authenticate.js";
+import { limitRequests } from "./limitRequests.js";
 import { readBody } from "./readBody.js";
 import { writeRefusal } from "./writeRefusal.js";
 
@@ -46,6 +48,9 @@
 /** Requests per second of one customer for each entry in its subset. */
 const requestsPerSecondPerEntry = 100;
 
+/** Requests in progress on a connection, beyond which no more are read for the time being. */
+const maxConnectionRequests = 64;
+
 const keyPattern = /^[\x21-\x7e]{1,200}$/;
 
 function readHeader(req: IncomingMessage, name: string): string | undefined {
@@ -211,8 +216,10 @@
         writeJson(res, 200, list);
     }
 
+    const readMetrics = shareReading(() => metrics.registry.metrics());
+
     async function handleMetrics(res: ServerResponse): Promise<void> {
-        const text = await metrics.registry.metrics();
+        const text = await readMetrics();
         res.writeHead(200, { "content-type": metrics.registry.contentType });
         res.end(text);
     }
@@ -251,7 +258,10 @@
         })
         .get("/metrics", (_, res) => handleMetrics(res))
         .all("/services/*", handleService);
-    server.on("request", (req, res) => app.handler(req as polka.Request, res));
+    limitRequests(server, (req, res) => void app.handler(req as polka.Request, res), {
+        maxRequests: maxConnectionRequests,
+        isPaused: true,
+    });
     return server;
 }
 
--- a/src/io/peers/createPeerServer.ts
+++ b/src/io/peers/createPeerServer.ts
@@ -5,6 +5,7 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server } from "node:http";
+import { limitRequests } from "../http/limitRequests.js";
 import type { OperatorService } from "../operator/operatorRouter.js";
 import { createPeerRouter, type PeerService } from "./peerRouter.js";
 import type { PeerContext } from "./trpcBase.js";
@@ -19,6 +20,9 @@
 /** Maximum size of a peer call's body. */
 const maxPeerBodyBytes = 8 << 20;
 
+/** Requests in progress on a connection, beyond which no more are read for the time being. */
+const maxConnectionRequests = 32;
+
 function isSameSecret(given: string, expected: string): boolean {
     const digest = (text: string) => createHash("sha256").update(text).digest();
     return timingSafeEqual(digest(given), digest(expected));
@@ -54,8 +58,10 @@
         createContext: ({ req }): PeerContext => ({ caller: findCaller(req) }),
         maxBodySize: maxPeerBodyBytes,
     });
-    const server = createServer((req, res) => {
-        void handler(req, res);
+    const server = createServer();
+    limitRequests(server, (req, res) => void handler(req, res), {
+        maxRequests: maxConnectionRequests,
+        isPaused: true,
     });
     server.headersTimeout = 5_000;
     server.requestTimeout = 10_000;
