--- a/src/io/peers/createPeerServer.ts
+++ b/src/io/peers/createPeerServer.ts
@@ -6,6 +6,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Clock } from "../../core/time/clock.js";
+import { limitRequests } from "../http/limitRequests.js";
 import { readBody } from "../http/readBody.js";
 import { writeRefusal } from "../http/writeRefusal.js";
 import type { OperatorService } from "../operator/operatorRouter.js";
@@ -26,6 +27,9 @@
 /** Time for a call to arrive, in milliseconds. */
 const callTimeoutMs = 10_000;
 
+/** Requests in progress on a connection, beyond which no more are read for the time being. */
+const maxConnectionRequests = 32;
+
 function isSameSecret(given: string, expected: string): boolean {
     const digest = (text: string) => createHash("sha256").update(text).digest();
     return timingSafeEqual(digest(given), digest(expected));
@@ -72,8 +76,10 @@
         await handler(Object.assign(req, { body: body.value.toString() }), res);
     }
 
-    const server = createServer((req, res) => {
-        void answer(req, res);
+    const server = createServer();
+    limitRequests(server, (req, res) => void answer(req, res), {
+        maxRequests: maxConnectionRequests,
+        isPaused: true,
     });
     server.headersTimeout = 5_000;
     server.requestTimeout = callTimeoutMs;
