--- a/bench/faults/platform/playEndless.ts
+++ b/bench/faults/platform/playEndless.ts
@@ -1,9 +1,10 @@
 /**
  * @module
- * Plays one form of endless answers over one process of an instance: an upstream that sends it, and a sound one beside.
+ * Plays one form of endless answers over one process of an instance: an upstream, the store or peers send it, beside a sound
+ * upstream.
  */
 import { mkdtempSync, rmSync } from "node:fs";
-import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer, type IncomingMessage, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -13,14 +14,23 @@
 import type { EndlessForm } from "../../../fakes/endlessForms.js";
 import { type EndlessCut, sendEndless } from "../../../fakes/sendEndless.js";
 import { startFakeStore } from "../../../fakes/startFakeStore.js";
+import { portOffsets } from "../../support/platformSettings.js";
 import { createInstanceProcess, type InstanceProcess } from "./createInstanceProcess.js";
 import { createRandom } from "./createRandom.js";
 import { readDeployArguments } from "./readDeployArguments.js";
 import { readSharedClock } from "./readSharedClock.js";
+import { startStandInPeers } from "./startStandInPeers.js";
+
+/** Who answers without end: an upstream, the store in half of its calls, or stand-ins of peers. */
+export type EndlessSource = "upstream" | "store" | "peers";
+
+/** Every source. */
+export const endlessSources: readonly EndlessSource[] = ["upstream", "store", "peers"];
 
 /** Options of {@link playEndless}. */
 export interface PlayEndlessOptions {
     readonly form: EndlessForm;
+    readonly source: EndlessSource;
     readonly seed: number;
     readonly rounds: number;
     /** First of the ports that the instance uses. */
@@ -38,7 +48,7 @@
     readonly end: string;
     /** Most memory that it held, in megabytes. */
     readonly peakMb: number;
-    /** Requests that reached the upstream that sends without end. */
+    /** Calls that were answered without end. */
     readonly sends: number;
     /** Results of requests, by how often they came: of those to the sound upstream, and of the others. */
     readonly sound: Readonly<Record<string, number>>;
@@ -56,6 +66,11 @@
 const soundTimeoutMs = 10_000;
 const pollMs = 20;
 const startTimeoutMs = 15_000;
+const standIns = 6;
+const endlessStoreShare = 0.5;
+
+/** Pause after a round that waits for no answer without end, in milliseconds. */
+const roundPauseMs = 2_000;
 const kilobytesPerMegabyte = 1_024;
 const maxBodyBytes = 4_194_304;
 
@@ -94,9 +109,12 @@
     },
 };
 
+function addressOf(server: Server): string {
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 function describeUpstream(service: string, server: Server): unknown {
-    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    return { service, address, zone: "north", slots: 64, state: "ready", seq_no: 0, born: 1 };
+    return { service, address: addressOf(server), zone: "north", slots: 64, state: "ready", seq_no: 0, born: 1 };
 }
 
 async function post(instance: InstanceProcess, route: string, id: string): Promise<string> {
@@ -154,28 +172,31 @@
 
 /** Plays a form; what it started has ended when it returns. */
 export async function playEndless(options: PlayEndlessOptions): Promise<EndlessFindings> {
-    const { form, seed, rounds, firstPort } = options;
+    const { form, source, seed, rounds, firstPort } = options;
     const random = createRandom(seed);
     let sends = 0;
-    const servers = [
-        await listen(answerSoundly),
-        await listen(req => {
-            sends += 1;
-            req.resume();
-            const cut = options.cut ?? { chunks: drawPieceSize(random), segments: drawPieceSize(random) };
-            void sendEndless(req.socket, form, { attempt: String(req.headers["attempt-id"]) }, cut, random);
-        }),
-    ];
+    const answer = (req: IncomingMessage, lines = "") => {
+        sends += 1;
+        req.resume();
+        const cut = options.cut ?? { chunks: drawPieceSize(random), segments: drawPieceSize(random) };
+        void sendEndless(req.socket, form, { attempt: String(req.headers["attempt-id"] ?? ""), lines }, cut, random);
+    };
+    const servers = [await listen(answerSoundly), await listen(req => answer(req))];
     const store = await startFakeStore();
     store.put("keyed.op", "config", configuration);
     ["sound", "endless"].forEach((service, index) =>
-        store.put("keyed.servers", `i-${index}`, describeUpstream(service, servers[index]!))
+        store.put(
+            "keyed.servers",
+            `i-${index}`,
+            describeUpstream(service, servers[source === "upstream" ? index : 0]!),
+        )
     );
     const folder = mkdtempSync(join(tmpdir(), "reedward-endless-"));
     const ip = `127.${20 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}.7`;
     const place = { name: "entry-0", failureDomain: "north", ip, firstPort, seeds: [], storeAddress: store.address };
     const command = [...readDeployArguments(), options.program];
     const instance = createInstanceProcess(place, join(folder, "settings.json"), command, { watchIntervalMs: pollMs });
+    let stopPeers: () => void = () => undefined;
     const sound: string[] = [];
     const endless: string[] = [];
     const send = async (results: string[], size: number, routeOf: (index: number) => string) => {
@@ -189,6 +210,22 @@
     try {
         instance.start();
         await waitReady(instance);
+        if (source === "store") {
+            store.setSubstitute((req, lines) => {
+                const isEndless = random() < endlessStoreShare;
+                if (isEndless) {
+                    answer(req, lines);
+                }
+                return isEndless;
+            });
+        }
+        if (source === "peers") {
+            stopPeers = startStandInPeers({
+                count: standIns,
+                peerAddress: addressOf(servers[1]!),
+                instanceAddress: `${ip}:${firstPort + portOffsets.heartbeat}`,
+            });
+        }
         const readPause = watchPauses(instance);
         for (let round = 0; round < rounds; round += 1) {
             await Promise.all([
@@ -196,6 +233,9 @@
                 send(sound, soundRequests, () => "sound"),
             ]);
             await send(sound, soundRequests, () => "sound");
+            if (source !== "upstream") {
+                await delay(roundPauseMs);
+            }
         }
         const longestPauseMs = readPause();
         const life = instance.lives.at(-1)!;
@@ -210,6 +250,7 @@
         };
     }
     finally {
+        stopPeers();
         await instance.stop();
         servers.forEach(server => {
             server.closeAllConnections();
--- a/bench/faults/platform/runEndless.ts
+++ b/bench/faults/platform/runEndless.ts
@@ -1,18 +1,19 @@
 /**
  * @module
  * Plays forms of endless answers over one process each:
- * `node dist/bench/faults/platform/runEndless.js [--form NAME|all] [--seed N] [--rounds N] [--chunks SIZE] [--segments SIZE]
+ * `node dist/bench/faults/platform/runEndless.js [--form NAME|all] [--source upstream|store|peers] [--seed N] [--rounds N] [--chunks SIZE] [--segments SIZE]
  * [--port N] [--program PATH]`. Sizes that are left out are drawn for each answer. Prints one JSON object a form; the exit code
  * is 1 when a process ended, held more than it may, or did not answer a request to the sound upstream.
  */
 import { parseArgs } from "node:util";
 import { type PieceSize, pieceSizes } from "../../../fakes/cutPieces.js";
 import { endlessForms, findEndlessForm } from "../../../fakes/endlessForms.js";
-import { type EndlessFindings, playEndless } from "./playEndless.js";
+import { type EndlessFindings, endlessSources, playEndless } from "./playEndless.js";
 import { bundledProgram } from "./readDeployArguments.js";
 
 const { values } = parseArgs({
     options: {
+        source: { type: "string", default: "upstream" },
         form: { type: "string", default: "all" },
         seed: { type: "string", default: "1" },
         rounds: { type: "string", default: "3" },
@@ -38,6 +39,10 @@
     return end === "lives" && peakMb <= maxMemoryMb && Object.keys(sound).every(result => result === "sound 200");
 }
 
+const source = endlessSources.find(candidate => candidate === values.source);
+if (source === undefined) {
+    throw new Error(`unknown source; sources: ${endlessSources.join(", ")}`);
+}
 const chunks = parseSize(values.chunks);
 const segments = parseSize(values.segments);
 const defaultSize: PieceSize = "mixed";
@@ -48,6 +53,7 @@
 for (const form of values.form === "all" ? endlessForms : [findEndlessForm(values.form)]) {
     const findings = await playEndless({
         form,
+        source,
         seed: Number(values.seed),
         rounds: Number(values.rounds),
         firstPort: Number(values.port),
