--- a/bench/faults/platform/startPipelining.ts
+++ b/bench/faults/platform/startPipelining.ts
@@ -55,7 +55,7 @@
         const target = targets[Math.floor(random() * targets.length)]!;
         const asksForMetrics = random() < metricsShare;
         const prefix = random() < unknownShare ? "/unknown/" : path;
-        const count = Math.ceil(random() * maxRequests);
+        const count = Math.ceil(random() ** 2 * maxRequests);
         const requests = Array.from(
             { length: count },
             () => asksForMetrics ? `GET /metrics HTTP/1.1\r\nhost: ${host}\r\n\r\n` : formatRequest(prefix),
