Take no part of an answer for the whole when its connection is reset under an upload

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: when data and a reset arrive together, Node.js reports a normal end. A write that failed at once told the reset apart; while an upload waits to be written, a further write only joins the queue and cannot fail. So every upload that the system had not taken whole was open to it.

Change: the connector asks the system for the peer's address instead, which a connection that was reset no longer has, whatever waits to be written. Nothing is written to a server that has ended its side any more.

An answer without length that is closed in order stays whole, also under an unfinished upload: a server may end its side and read on.

--- a/src/io/_lib/createWatchedConnector.ts
+++ b/src/io/_lib/createWatchedConnector.ts
@@ -24,11 +24,10 @@
 
 /**
  * Returns whether a connection whose readable side has ended was reset. When data and a reset arrive together, Node.js
- * reports a normal end; a write then fails immediately, and has no effect on a peer that closed in order.
+ * reports a normal end, but the system no longer names the peer. Node.js keeps the name once it was read, so it is read here only.
  */
 function isReset(socket: Socket): boolean {
-    socket.write("\r\n");
-    return Boolean(socket.errored);
+    return socket.remoteAddress === undefined;
 }
 
 /**
