Take no answer whose status is outside 100 to 599

What callers saw: a server in trouble answered with the status 600 or 999, and its caller got that as the answer. Such values are no status (RFC 9110, section 15), as 000 is. Answers with 000, 001 and 099 were refused only since the HTTP client failed at an assertion of its own.

Cause: nothing judged the range of a status. Whatever was not below 200 was a final answer, and whatever was below was an informational head.

Change: src/core/proxy/classifyStatus decides for all. judgeAnswerHead calls a send with such an answer unusable (502, or the stream is cut), the sender counts only 1xx as informational, and checkAnswerEnd ends an instance's own call with an error.

New rows: statuses 000, 001, 099, 0, 20, 599, 600, 999 and 1000, a status line without a reason, HTTP/1.0, 1.2 and 3.0.

--- a/features/answerJudgement.feature
+++ b/features/answerJudgement.feature
@@ -62,6 +62,8 @@
             | resets             | events 3 to 5 without an id of the request         | 0 to 2  | cut   |
             | resets             | events 3 to 5 without a seal                       | 0 to 2  | cut   |
             | resets             | events 3 to 5 with a content encoding              | 0 to 2  | cut   |
+            | resets             | events 3 to 5 with a status of 600                 | 0 to 2  | cut   |
+            | resets             | a status of 000                                    | 0 to 2  | cut   |
 
     Scenario: A stream of which the caller has a part goes on at a third upstream when the second begins again
         Given an upstream whose stream resets after its events 0, 1 and 2
@@ -115,6 +117,30 @@
             | a 429 that states nothing                  | stream that cannot be resumed   | POST   | 502 of our own |
             | a 503 that states nothing                  | request that may be repeated    | POST   | 503 from it   |
             | a refusal with the id                      | request that must not run twice | POST   | 503 of our own |
+            | a status of 000                            | request that must not run twice | POST   | 502 of our own |
+            | a status of 001                            | request that must not run twice | POST   | 502 of our own |
+            | a status of 099                            | request that must not run twice | POST   | 502 of our own |
+            | a status of 0                              | request that must not run twice | POST   | 502 of our own |
+            | a status of 20                             | request that must not run twice | POST   | 502 of our own |
+            | a status of 600                            | request that must not run twice | POST   | 502 of our own |
+            | a status of 999                            | request that must not run twice | POST   | 502 of our own |
+            | a status of 1000                           | request that must not run twice | POST   | 502 of our own |
+            | a status of 000                            | request that may be repeated    | POST   | 502 of our own |
+            | a status of 000                            | stream that cannot be resumed   | POST   | 502 of our own |
+            | a status of 600                            | request that may be repeated    | POST   | 502 of our own |
+            | a status of 600                            | stream that cannot be resumed   | POST   | 502 of our own |
+            | a status of 999                            | request that may be repeated    | POST   | 502 of our own |
+            | a status of 999                            | stream that cannot be resumed   | POST   | 502 of our own |
+            | a status of 000 without a length           | request that must not run twice | POST   | 502 of our own |
+            | a status of 600 without a length           | request that must not run twice | POST   | 502 of our own |
+            | a status of 600 that states that it did not run | request that must not run twice | POST   | 502 of our own |
+            | events 3 to 5 with a status of 600         | stream that cannot be resumed   | POST   | 502 of our own |
+            | a status of 599                            | request that must not run twice | POST   | 599 from it    |
+            | a status line without a reason             | request that must not run twice | POST   | 200 from it    |
+            | events and no reason                       | stream that cannot be resumed   | POST   | 200 from it    |
+            | an answer in HTTP/1.0                      | request that must not run twice | POST   | 200 from it    |
+            | an answer in HTTP/1.2                      | request that must not run twice | POST   | 502 of our own |
+            | an answer in HTTP/3.0                      | request that must not run twice | POST   | 502 of our own |
 
     Scenario Outline: An answer whose head is cut at any byte is neither a success nor a promise
         When the head of <answer> is cut at each byte and its connection <end>, for a <kind>
--- a/features/support/answerForms.ts
+++ b/features/support/answerForms.ts
@@ -59,6 +59,8 @@
 const page = "<html>\n\n<body>busy</body>\n\n</html>\n\n";
 const html = "Content-Type: text/html\r\n";
 
+const oddStatuses = ["000", "001", "099", "0", "20", "599", "600", "999", "1000"];
+
 const forms: Readonly<Record<string, AnswerForm>> = {
     "events 3 to 5": toStream(own + typed, goingOn),
     "events 3 to 5 whose lines end with CRLF": toStream(own + typed, writeEvents(listEvents(3, 5), "\r\n")),
@@ -120,6 +122,16 @@
     "a success without a seal": toSized("200 OK", id, "body"),
     "a success with a content encoding": toSized("200 OK", `${own}Content-Encoding: gzip\r\n`, "body"),
     "a success that states that it did not run": toSized("200 OK", own + refused, "body"),
+    "a status of 600 that states that it did not run": toSized("600 Odd", own + refused, "body"),
+    "events 3 to 5 with a status of 600": toSized("600 Odd", own + typed, goingOn),
+    "a status of 600 without a length": { head: `HTTP/1.1 600 Odd\r\n${own}\r\n`, body: "body", end: "closes" },
+    "a status of 000 without a length": { head: `HTTP/1.1 000 Odd\r\n${own}\r\n`, body: "body", end: "closes" },
+    "a status line without a reason": toSized("200", own, "body"),
+    "events and no reason": toSized("200", own + typed, goingOn),
+    "an answer in HTTP/1.0": { head: `HTTP/1.0 200 OK\r\n${own}${sized("body")}\r\n`, body: "body" },
+    "an answer in HTTP/1.2": { head: `HTTP/1.2 200 OK\r\n${own}${sized("body")}\r\n`, body: "body" },
+    "an answer in HTTP/3.0": { head: `HTTP/3.0 200 OK\r\n${own}${sized("body")}\r\n`, body: "body" },
+    ...Object.fromEntries(oddStatuses.map(status => [`a status of ${status}`, toSized(`${status} Odd`, own, "body")])),
 };
 
 /** Bodies that reach a caller otherwise than as the connection carries them. */
--- a/src/core/proxy/index.ts
+++ b/src/core/proxy/index.ts
@@ -3,6 +3,7 @@
  * Proxying of requests with opaque content: deadlines, retries and effects.
  */
 export * from "./answerEnd.js";
+export * from "./classifyStatus.js";
 export * from "./computeCallerDeadlines.js";
 export * from "./createFleetRetryBudget.js";
 export * from "./deriveCacheSalt.js";
--- a/src/core/proxy/judgeAnswerHead.ts
+++ b/src/core/proxy/judgeAnswerHead.ts
@@ -3,6 +3,7 @@
  * Decides from the head of an upstream's answer what the answer is worth to the request that was sent.
  */
 import type { AnswerFraming } from "./answerEnd.js";
+import { classifyStatus } from "./classifyStatus.js";
 import type { RejectionReason } from "./proxyTypes.js";
 
 /** Type of an answer's body; `unstated`: its head states none. */
@@ -79,8 +80,11 @@
     return !isBodiless && head.bodyType !== "other";
 }
 
-/** Finds why an answer below 400 is not to be believed. */
+/** Finds why an answer is not to be believed. */
 function findContradiction(head: StatedAnswer): string | undefined {
+    if (classifyStatus(head.status) === "invalid") {
+        return `the answer states ${head.status}, which is no status`;
+    }
     if (head.status < firstFailure && head.rejection !== undefined) {
         return `the answer states ${head.status}, and that the request did not run`;
     }
@@ -108,7 +112,7 @@
  * Judges the head of an answer. An answer is the request's own by its id alone: an upstream may write an earlier answer,
  * a rejection too, once more on any connection.
  *
- * @param head - What the head states; its status is 200 or above.
+ * @param head - What the head states; it is no interim answer.
  * @param req - The request that was sent.
  * @returns What the answer is worth.
  * @example
--- a/src/io/_lib/checkAnswerEnd.ts
+++ b/src/io/_lib/checkAnswerEnd.ts
@@ -1,8 +1,9 @@
 /**
  * @module
- * Ends an answer with an error when the end of its connection shows that it is incomplete.
+ * Ends an answer with an error when its status is none, or when the end of its connection shows that it is incomplete.
  */
 import type { Dispatcher } from "undici";
+import { classifyStatus } from "../../core/proxy/classifyStatus.js";
 import { findIncompleteReason } from "../../core/proxy/findIncompleteReason.js";
 import type { WatchedConnector } from "./createWatchedConnector.js";
 import { findAnswerFraming } from "./findAnswerFraming.js";
@@ -22,6 +23,10 @@
     return {
         onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
         onResponseStart: (controller, status, headers, statusText) => {
+            if (classifyStatus(status) === "invalid") {
+                controller.abort(new Error(`the answer states ${status}, which is no status`));
+                return;
+            }
             framing = findAnswerFraming(name => headers[name] !== undefined);
             if (framing === "connectionClose") {
                 connection.expectEnd();
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -3,6 +3,7 @@
  * Sends one request to one upstream and reports the outcome of its answer.
  */
 import type { Dispatcher } from "undici";
+import { classifyStatus } from "../../core/proxy/classifyStatus.js";
 import type { AnswerHolding } from "../../core/proxy/createAnswerMemory.js";
 import { type AnswerUse, judgeAnswerHead } from "../../core/proxy/judgeAnswerHead.js";
 import type { SendEffect } from "../../core/proxy/proxyEffects.js";
@@ -36,8 +37,6 @@
 /** Bytes that may arrive without becoming part of an answer: more than any head, or a chunk's extension, may have. */
 const maxUnparsedBytes = 256 * 1024;
 
-const firstSuccess = 200;
-
 const outdatedDetail = "the weights of the engine are outdated, and the run has not begun in time";
 
 /** Weights for which a request is sent; undefined for a plain service. */
@@ -131,7 +130,7 @@
         }
         this.controller = controller;
         this.connection.allowBytes(maxUnparsedBytes);
-        if (status < firstSuccess) {
+        if (classifyStatus(status) === "interim") {
             this.recordInformationalHead();
             return;
         }
