Stop to listen after one turn in which no connection waited

Cause: the instance stopped to listen only after two turns of its event loop in a row without a new connection, as it waits for their bytes. A process with long turns and a few connections a second has single turns of the kind, and never two.

Change: what has arrived is read turn by turn as before, and each turn in which none waited ends the listening where it may end.

The example of 40 callers is unchanged; that of the last serving instance has its callers stay as before, at a process that is not slow.

Conclusion: a process that falls behind for good before callers' lists have ended still resets what waits.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -98,13 +98,18 @@
         Then 40 connections are accepted before it closes them
 
     # Guards against connections that are reset because callers stay at an instance that can't accept them all in time.
-    Scenario: Callers that stay at a leaving instance are refused before more connections wait than it can accept
-        When an instance stops while callers stay at it and its process is slow from 5000 ms on, and another instance serves
-        Then each connection was accepted, or refused so that its caller goes elsewhere
+    Scenario Outline: Callers that stay at a leaving instance are refused before more connections wait than it can accept
+        When an instance stops while <callers> callers stay at it, and its turns take <turn> ms and from 5000 ms on <slow> ms
+        Then each connection was accepted, or refused so that <callers> callers go elsewhere
+
+        Examples:
+            | callers | turn | slow |
+            | 40      | 1    | 20   |
+            | 8       | 20   | 60   |
 
     # Guards against callers that are refused while no instance would take their requests.
     Scenario: An instance accepts connections until it closes them while no other instance serves
-        When an instance stops while callers stay at it and its process is slow from 7500 ms on, and no other instance serves
+        When the last serving instance stops while 40 callers stay at it
         Then it accepts connections until it closes them
 
     # Guards against a late process that waits between the ends of its stop until it is killed.
--- a/features/steps/keptEntrySteps.ts
+++ b/features/steps/keptEntrySteps.ts
@@ -22,17 +22,21 @@
 const outcomes = new WeakMap<SiteWorld, ConnectionEnds>();
 
 const graceMs = 8_000;
-const callers = 40;
-
 /** Time between two connections of a caller, in milliseconds. */
 const connectMs = 200;
 
-/** Time of a turn of the event loop, which accepts one connection, in milliseconds. */
-const quickTurnMs = 1;
-const slowTurnMs = 20;
+interface KeptEntryPlay {
+    readonly callers: number;
+    readonly hasServingPeer: boolean;
+    /** Time of a turn of the event loop, which accepts one connection, until `slowFromMs` and from then on, in milliseconds. */
+    readonly quickTurnMs: number;
+    readonly slowTurnMs: number;
+    readonly slowFromMs: number;
+}
 
 /** Stops an instance with a request in progress. */
-async function playStop(hasServingPeer: boolean, slowFromMs: number): Promise<ConnectionEnds> {
+async function playStop(play: KeptEntryPlay): Promise<ConnectionEnds> {
+    const { callers, hasServingPeer, quickTurnMs, slowTurnMs, slowFromMs } = play;
     const ends: ConnectionEnds = { accepted: 0, refused: 0, reset: 0 };
     const nextConnectMs = Array.from({ length: callers }, (_, caller) => caller * connectMs / callers);
     let nowMs = 0;
@@ -76,9 +80,9 @@
             },
         },
         shutdown,
-        readArrived: async isDue => {
+        readArrived: async arrival => {
             nextTurn = setImmediate(turn);
-            const isAllRead = await readArrived(() => ends.accepted, isDue);
+            const isAllRead = await readArrived(() => ends.accepted, arrival);
             clearImmediate(nextTurn);
             return isAllRead;
         },
@@ -97,13 +101,21 @@
 }
 
 When(
-    /^an instance stops while callers stay at it and its process is slow from (\d+) ms on, and (another|no other) instance serves$/,
-    async function(this: SiteWorld, slowFromMs: string, others: string) {
-        outcomes.set(this, await playStop(others === "another", Number(slowFromMs)));
+    "an instance stops while {int} callers stay at it, and its turns take {int} ms and from {int} ms on {int} ms",
+    async function(this: SiteWorld, callers: number, quickTurnMs: number, slowFromMs: number, slowTurnMs: number) {
+        outcomes.set(this, await playStop({ callers, hasServingPeer: true, quickTurnMs, slowFromMs, slowTurnMs }));
+    },
+);
+
+When(
+    "the last serving instance stops while {int} callers stay at it",
+    async function(this: SiteWorld, callers: number) {
+        const turns = { quickTurnMs: 1, slowTurnMs: 1, slowFromMs: 0 };
+        outcomes.set(this, await playStop({ callers, hasServingPeer: false, ...turns }));
     },
 );
 
-Then("each connection was accepted, or refused so that its caller goes elsewhere", function(this: SiteWorld) {
+Then("each connection was accepted, or refused so that {int} callers go elsewhere", function(this: SiteWorld, callers) {
     const { accepted, refused, reset } = outcomes.get(this)!;
     assert.ok(accepted > 0);
     assert.deepEqual({ refused, reset }, { refused: callers, reset: 0 });
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -125,12 +125,12 @@
         },
         shutdown,
         recordLag: lateMs => lag.record(lateMs, nowMs),
-        readArrived: isDue =>
+        readArrived: arrival =>
             readArrived(() => {
                 nowMs += late.turnMs;
                 accepted += late.connectionsPerTurn;
                 return late.countAccepted?.() ?? accepted;
-            }, isDue),
+            }, arrival),
         readLoad: () => ({ requests: inProgress, connections: 1, hasDuties: false }),
         refuseLate: () => undefined,
         stopRequests: () => {
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -4,6 +4,7 @@
  */
 import type { Shutdown, ShutdownLoad } from "../../core/shutdown/createShutdown.js";
 import type { Clock } from "../../core/time/clock.js";
+import type { ReadArrivedOptions } from "../_lib/readArrived.js";
 
 /** Dependencies of {@link runShutdown}. */
 export interface RunShutdownOptions {
@@ -15,7 +16,7 @@
      * Reads the requests that have arrived, so that the load counts them; ends soon once the next phase is due. Resolves to
      * whether no connection is left that waits.
      */
-    readonly readArrived: (isDue: () => boolean) => Promise<boolean>;
+    readonly readArrived: (options: ReadArrivedOptions) => Promise<boolean>;
     readonly readLoad: () => ShutdownLoad;
     /** Refuses the waiting requests that can no longer be finished. */
     readonly refuseLate: () => void;
@@ -44,6 +45,7 @@
  */
 export async function runShutdown(options: RunShutdownOptions): Promise<void> {
     const { clock, shutdown } = options;
+    let isListening = true;
 
     /**
      * Accepts the connections that wait: a process that comes late to this phase has read only a few of them. One that has taken
@@ -54,19 +56,22 @@
         const shareMs = (shutdown.nextDueMs(nowMs) - nowMs) * lastReadShare;
         const untilMs = Math.max(sinceMs + minLastReadMs, nowMs + shareMs);
         if (nowMs < untilMs) {
-            await options.readArrived(() => clock.now() >= untilMs);
+            await options.readArrived({ isDue: () => clock.now() >= untilMs });
         }
     }
 
-    let isListening = true;
-    for (;;) {
-        const sinceMs = clock.now();
-        const isAllRead = await options.readArrived(() => clock.now() >= shutdown.nextDueMs(clock.now()));
-        // At the end of the stop connections may wait that the process can't accept in time: it takes none from when none waits.
-        if (isListening && isAllRead && shutdown.mayStopListening(clock.now())) {
+    /** At the end of the stop connections may wait that the process can't accept in time: it takes none from when none waits. */
+    function onNoneWaits(): void {
+        if (isListening && shutdown.mayStopListening(clock.now())) {
             isListening = false;
             options.stopListening();
         }
+    }
+
+    const isDue = () => clock.now() >= shutdown.nextDueMs(clock.now());
+    for (;;) {
+        const sinceMs = clock.now();
+        const isAllRead = await options.readArrived({ isDue, onNoneWaits });
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -228,7 +228,7 @@
             clock,
             shutdown,
             recordLag,
-            readArrived: isDue => readArrived(servers.countAccepted, isDue),
+            readArrived: arrival => readArrived(servers.countAccepted, arrival),
             readLoad: () => ({
                 requests: proxy.countActive(),
                 connections: servers.countConnections(),
