Stop to listen once: not after connections are closed

Cause: the close of connections ends the listening, too, but the stop went on to ask whether it may stop to listen.

Change: it asks no more once connections are closed.

Evidence: features/shutdown.feature, an instance whose connections wait all the time; it was told to stop to listen once more before.

--- a/features/steps/keptEntrySteps.ts
+++ b/features/steps/keptEntrySteps.ts
@@ -17,6 +17,8 @@
     refused: number;
     /** Waited to be accepted when the instance stopped to listen. */
     reset: number;
+    /** How often the instance was told to stop to listen before or after it closed its connections. */
+    stops: number;
 }
 
 const outcomes = new WeakMap<SiteWorld, ConnectionEnds>();
@@ -37,7 +39,7 @@
 /** Stops an instance with a request in progress. */
 async function playStop(play: KeptEntryPlay): Promise<ConnectionEnds> {
     const { callers, hasServingPeer, quickTurnMs, slowTurnMs, slowFromMs } = play;
-    const ends: ConnectionEnds = { accepted: 0, refused: 0, reset: 0 };
+    const ends: ConnectionEnds = { accepted: 0, refused: 0, reset: 0, stops: 0 };
     const nextConnectMs = Array.from({ length: callers }, (_, caller) => caller * connectMs / callers);
     let nowMs = 0;
     let isListening = true;
@@ -91,7 +93,10 @@
         stopRequests: () => {
             inProgress = 0;
         },
-        stopListening,
+        stopListening: () => {
+            ends.stops += 1;
+            stopListening();
+        },
         closeCallers: () => {
             refusedBeforeClose = ends.refused;
             stopListening();
@@ -122,5 +127,6 @@
 });
 
 Then("it accepts connections until it closes them", function(this: SiteWorld) {
-    assert.equal(outcomes.get(this)!.refused, 0);
+    const { refused, stops } = outcomes.get(this)!;
+    assert.deepEqual({ refused, stops }, { refused: 0, stops: 0 });
 });
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -22,7 +22,7 @@
     readonly refuseLate: () => void;
     /** Gives every request in progress its final answer. */
     readonly stopRequests: () => void;
-    /** Stops accepting connections of callers; those that wait are reset. Called once. */
+    /** Stops accepting connections of callers; those that wait are reset. Called once, and not after `closeCallers`. */
     readonly stopListening: () => void;
     /** Stops accepting connections of callers, and closes the open ones. */
     readonly closeCallers: () => void;
@@ -87,6 +87,7 @@
             if (!isAllRead) {
                 await readWaiting(sinceMs);
             }
+            isListening = false;
             options.closeCallers();
         }
         const nowMs = clock.now();
