Add a shape of the soak whose engines work on although a connection closes

The protocol says that most engines drop a request when its connection closes. Engines of the shape keptRuns do not: a run that is not complete goes on, begins if it has not, and frees its slot at its end. Other shapes have the engines they had.

--- a/bench/faults/platform/createTimedRuns.ts
+++ b/bench/faults/platform/createTimedRuns.ts
@@ -1,7 +1,7 @@
 /**
  * @module
  * Runs of one upstream. A request waits until a slot is free, a few more at most, and an engine's run begins with its first
- * event. What has not begun is dropped when its connection closes.
+ * event. What has not begun is dropped when its connection closes, but not by engines that keep closed runs.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readSharedClock } from "./readSharedClock.js";
@@ -29,6 +29,8 @@
 /** Options of {@link createTimedRuns}. */
 export interface TimedRunsOptions {
     readonly isEngine: boolean;
+    /** Whether it works on a request to its end although its connection has closed. */
+    readonly keepsClosedRuns: boolean;
     /** Requests that it works on at once. */
     readonly slots: number;
     readonly random: () => number;
@@ -72,7 +74,7 @@
 
 /** Prepares the runs of an upstream that has none yet. */
 export function createTimedRuns(options: TimedRunsOptions): TimedRuns {
-    const { isEngine, slots, random, readState, whenAwake } = options;
+    const { isEngine, keepsClosedRuns, slots, random, readState, whenAwake } = options;
     const records = new Set<RunRecord>();
     const present = new Set<Run>();
     const working = new Set<Run>();
@@ -93,8 +95,12 @@
         res.end();
     }
 
-    function breakRunOff({ record, res }: Run): void {
+    function breakRunOff(run: Run): void {
+        const { record, res } = run;
         record.isBrokenOff ||= !res.writableFinished && !res.destroyed;
+        if (res.destroyed) {
+            end(run);
+        }
         res.destroy();
     }
 
@@ -121,6 +127,13 @@
         record.beganMs = readSharedClock();
     }
 
+    function end(run: Run): void {
+        if (present.delete(run)) {
+            run.record.endMs = readSharedClock();
+            leave(run);
+        }
+    }
+
     function describeHead({ record }: Run): Record<string, string> {
         return {
             "attempt-id": record.attempt,
@@ -135,21 +148,30 @@
         let sent = Math.min(Number(req.headers["last-event-id"] ?? 0), events - 1);
         const sendEvent = () => {
             sent += 1;
-            res.write(`id: ${sent}\ndata: word ${sent} of ${events}\n\n`);
+            if (!res.destroyed) {
+                res.write(`id: ${sent}\ndata: word ${sent} of ${events}\n\n`);
+            }
             if (sent === events) {
                 clearInterval(timer);
                 res.end();
+                if (res.destroyed) {
+                    end(run);
+                }
             }
         };
         const timer = setInterval(() => {
-            if (!options.isStill()) {
+            if (!present.has(run)) {
+                clearInterval(timer);
+            }
+            else if (!options.isStill()) {
                 sendEvent();
             }
         }, eventIntervalMs);
-        res.on("close", () => clearInterval(timer));
         recordBegin(run);
         const versions = { "weight-versions": String(run.record.version) };
-        res.writeHead(200, { ...describeHead(run), "content-type": "text/event-stream", ...versions });
+        if (!res.destroyed) {
+            res.writeHead(200, { ...describeHead(run), "content-type": "text/event-stream", ...versions });
+        }
         sendEvent();
     }
 
@@ -214,10 +236,10 @@
         records.add(record);
         present.add(run);
         res.on("close", () => {
-            present.delete(run);
-            record.endMs = readSharedClock();
             record.isComplete = res.writableFinished;
-            leave(run);
+            if (!keepsClosedRuns || record.isComplete || record.isBrokenOff) {
+                end(run);
+            }
         });
         whenAwake(() => admit(run));
     }
--- a/bench/faults/platform/startDeployment.ts
+++ b/bench/faults/platform/startDeployment.ts
@@ -51,7 +51,9 @@
     const domains = nameFailureDomains(shape);
     const parts = ["engines", "servers", ...(shape.changesLimits === true ? ["otherServers"] as const : [])] as const;
     return parts.flatMap(part => {
-        const { count, slots, firstEvent, rejectsOrders } = part === "engines" ? shape.engines : shape.servers;
+        const { count, slots, firstEvent, rejectsOrders, keepsClosedRuns } = part === "engines"
+            ? shape.engines
+            : shape.servers;
         return Array.from({ length: count }, (_, index) => ({
             id: `${serviceNames[part]}-${index + 1}`,
             service: serviceNames[part],
@@ -61,6 +63,7 @@
             brokenRunShare: shape.brokenRunShare,
             firstEvent,
             rejectsOrders: rejectsOrders ?? false,
+            keepsClosedRuns: keepsClosedRuns ?? false,
         }));
     });
 }
--- a/bench/faults/platform/startTimedUpstream.ts
+++ b/bench/faults/platform/startTimedUpstream.ts
@@ -36,6 +36,8 @@
     readonly firstEvent: DrawnTime | undefined;
     /** Whether it rejects all orders, so that it keeps its weights. */
     readonly rejectsOrders: boolean;
+    /** Whether it works on a request to its end although its connection has closed. */
+    readonly keepsClosedRuns: boolean;
     readonly random: () => number;
     /** Called when it has come back under a new id. */
     readonly reportReplaced: (upstream: ReplacedUpstream) => void;
@@ -91,6 +93,7 @@
 
     const runs = createTimedRuns({
         isEngine,
+        keepsClosedRuns: options.keepsClosedRuns,
         slots,
         random: options.random,
         readState: () => {
--- a/bench/faults/platform/stopShapes.ts
+++ b/bench/faults/platform/stopShapes.ts
@@ -50,6 +50,8 @@
     readonly firstEvent?: DrawnTime;
     /** Whether they reject all orders, so that they keep their weights. */
     readonly rejectsOrders?: boolean;
+    /** Whether they work on a request to its end although its connection has closed. */
+    readonly keepsClosedRuns?: boolean;
 }
 
 /** What each instance's process may use. */
@@ -278,6 +280,11 @@
     /** Upstreams that break off a part of their runs. */
     brokenRuns: { ...small, brokenRunShare: 0.03 },
     limitedInstances,
+    /** The same with engines that work on a request to its end although its connection has closed. */
+    keptRuns: {
+        ...limitedInstances,
+        engines: { ...limitedInstances.engines, keepsClosedRuns: true },
+    },
     /** Engines that keep their weights and whose first events come late. */
     keptWeights: {
         ...small,
