Count only whole turns as turns in which no connection waited

Cause: an order to stop is read in the middle of a turn. That turn accepts no other connection, so that it counted as one in which none waited although some did.

Change: the first turn ends the listening no more.

Evidence: features/shutdown.feature, 40 connections that wait while the first one is accepted: the listening ended before all of them were accepted, and does so after them now.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -87,6 +87,12 @@
         When what has arrived is read
         Then the requests of 40 callers were received
 
+    # Guards against connections that are reset because a turn that had begun before counts as one in which none waited.
+    Scenario: None waits only after a whole turn without a new connection
+        Given a listener whose process does not run while 40 callers connect and send a request
+        When what has arrived is read from within the turn that accepts the first connection
+        Then no connection waits only once 40 are accepted
+
     # Guards against a stop that goes on reading new connections until its process is killed with requests in progress.
     Scenario: Callers that connect again and again hold up no end of a stop
         When an instance with a request in progress stops while callers connect in each turn of 20 ms
--- a/features/steps/readArrivedSteps.ts
+++ b/features/steps/readArrivedSteps.ts
@@ -13,6 +13,7 @@
 interface ListenerState {
     accepted: number;
     received: number;
+    onAccepted?: (() => void) | undefined;
 }
 
 const listeners = new WeakMap<SiteWorld, ListenerState>();
@@ -48,6 +49,7 @@
         });
         server.on("connection", () => {
             state.accepted += 1;
+            state.onAccepted?.();
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         const { port } = server.address() as AddressInfo;
@@ -64,6 +66,33 @@
     },
 );
 
+const acceptedWhenNoneWaits = new WeakMap<SiteWorld, number>();
+
+When(
+    "what has arrived is read from within the turn that accepts the first connection",
+    async function(this: SiteWorld) {
+        const state = listeners.get(this)!;
+        let finish: () => void = () => undefined;
+        const read = new Promise<void>(resolve => {
+            finish = resolve;
+        });
+        state.onAccepted = () => {
+            state.onAccepted = undefined;
+            const onNoneWaits = () => {
+                if (!acceptedWhenNoneWaits.has(this)) {
+                    acceptedWhenNoneWaits.set(this, state.accepted);
+                }
+            };
+            void readArrived(() => state.accepted, { onNoneWaits }).then(finish);
+        };
+        await read;
+    },
+);
+
+Then("no connection waits only once {int} are accepted", function(this: SiteWorld, connections: number) {
+    assert.equal(acceptedWhenNoneWaits.get(this), connections);
+});
+
 When("what has arrived is read", async function(this: SiteWorld) {
     const state = listeners.get(this)!;
     await readArrived(() => state.accepted);
--- a/src/io/_lib/readArrived.ts
+++ b/src/io/_lib/readArrived.ts
@@ -40,7 +40,8 @@
         await new Promise<void>(resolve => setImmediate(resolve));
         quiet = countAccepted() === accepted ? quiet + 1 : 0;
         accepted = countAccepted();
-        if (quiet > 0) {
+        // The first turn may have begun before: it accepts no other connection then, although some may wait.
+        if (quiet > 0 && turn > 0) {
             onNoneWaits?.();
         }
     }
