Find the weights of a send in one place

createUpstreamSender and assembleProxy each decided for which weights a request is sent. core/weights/findSentWeights decides for both; nothing else changes (proxySends, outdatedWeights and answerJudgement pass).

--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -20,6 +20,7 @@
 import { computeOutdatedLimitMs } from "../core/weights/computeOutdatedLimitMs.js";
 import { createBeginTimes } from "../core/weights/createBeginTimes.js";
 import { createUnbegunSends } from "../core/weights/createUnbegunSends.js";
+import { findSentWeights } from "../core/weights/findSentWeights.js";
 import { readArrived } from "../io/_lib/readArrived.js";
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
@@ -189,10 +190,9 @@
     views.onTargets(unbegun.recheck);
 
     /** Describes for how long weights have been outdated; undefined while they are the newest. */
-    function describeOutdated({ prompt }: ProxyRequest, { weightsVersion }: Placement): Partial<OutdatedWeights> {
-        const outdated = prompt === undefined || weightsVersion === undefined
-            ? undefined
-            : views.weights.findOutdated(prompt.model, weightsVersion);
+    function describeOutdated(req: ProxyRequest, placement: Placement): Partial<OutdatedWeights> {
+        const sent = findSentWeights(req, placement);
+        const outdated = sent === undefined ? undefined : views.weights.findOutdated(sent.model, sent.version);
         return outdated === undefined
             ? {}
             : { outdatedMs: Math.round(clock.now() - outdated.sinceMs), isAgeObserved: outdated.isObserved };
--- a/src/core/weights/index.ts
+++ b/src/core/weights/index.ts
@@ -9,6 +9,7 @@
 export * from "./createRolloutLease.js";
 export * from "./createUnbegunSends.js";
 export * from "./createWeightsView.js";
+export * from "./findSentWeights.js";
 export * from "./leaseRecord.js";
 export * from "./loadWeights.js";
 export * from "./planLoads.js";
--- a/src/io/proxy/createUpstreamSender.ts
+++ b/src/io/proxy/createUpstreamSender.ts
@@ -11,7 +11,7 @@
 import { isRetryable } from "../../core/proxy/serveProxyRequest.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { repeatEvery } from "../../core/time/repeatEvery.js";
-import type { SentWeights } from "../../core/weights/createUnbegunSends.js";
+import { findSentWeights } from "../../core/weights/findSentWeights.js";
 import { toHeaderPairs } from "./_lib/toHeaderPairs.js";
 import { type AnswerIntake, createAnswerIntake } from "./createAnswerIntake.js";
 import type { CallerExchange } from "./createCallerExchange.js";
@@ -39,12 +39,6 @@
 
 const outdatedDetail = "the weights of the engine are outdated, and the run has not begun in time";
 
-/** Weights for which a request is sent; undefined for a plain service. */
-function findSentWeights({ prompt }: ProxyRequest, { placement }: SendEffect): SentWeights | undefined {
-    const { weightsVersion: version } = placement;
-    return prompt === undefined || version === undefined ? undefined : { model: prompt.model, version };
-}
-
 /** One send in progress. */
 class Send implements Dispatcher.DispatchHandler {
     private isWritten = false;
@@ -80,7 +74,7 @@
         const { placement, lastEventId } = effect;
         const pairs = codec.writeHeaders({ req, placement, budgetMs, lastEventId });
         health.recordSent(this.upstreamId(), req.id, nowMs);
-        const weights = findSentWeights(req, effect);
+        const weights = findSentWeights(req, effect.placement);
         if (weights !== undefined) {
             this.endTracking = this.deps.unbegun.track(weights, () => this.withdraw());
         }
@@ -345,7 +339,7 @@
     return (req, effect, caller, onOutcome) => {
         const idleMs = effect.needsFreshConnection ? maxFreshIdleMs : maxRetryableIdleMs;
         const { upstream } = effect.placement;
-        const weights = findSentWeights(req, effect);
+        const weights = findSentWeights(req, effect.placement);
         if (weights !== undefined && !deps.unbegun.mayBegin(weights)) {
             onOutcome({ kind: "notSent", detail: outdatedDetail });
             return () => undefined;
