--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -4,22 +4,17 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { readdirSync } from "node:fs";
 import { Agent, createServer, request } from "node:http";
 import { Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
-import { startFakeServer } from "../../fakes/startFakeServer.js";
-import { startFakeStore } from "../../fakes/startFakeStore.js";
+import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { closeExpiredConnections } from "../../src/io/http/closeExpiredConnections.js";
 import { type CallerConnections, createCallerConnections } from "../../src/io/http/createCallerConnections.js";
-import { placeLoneInstance } from "../support/placeLoneInstance.js";
-import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
+import { plainCall, streamHeaders } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { startLoneInstance } from "../support/startLoneInstance.js";
 
 interface ConnectionFixture {
     readonly connections: CallerConnections;
@@ -148,24 +143,8 @@
 Given(
     "a process of an instance that is allowed {int} descriptors",
     async function(this: SiteWorld, maxDescriptors: number) {
-        const store = await startFakeStore();
-        const server = await startFakeServer("i-1", "portal");
-        store.put("keyed.op", "config", configuration);
-        store.put("keyed.servers", server.id, server.entry());
-        const folder = mkdtempSync(join(tmpdir(), "reedward-connections-"));
-        const place = placeLoneInstance({ lastOctet: 7, firstPort, storeAddress: store.address });
-        const settingsPath = join(folder, "settings.json");
-        const instance = createInstanceProcess(place, settingsPath, [...readDeployArguments(), bundledProgram]);
-        const settings = JSON.parse(readFileSync(settingsPath, "utf8")) as object;
-        writeFileSync(settingsPath, JSON.stringify({ ...settings, limits: { max_fds: maxDescriptors } }));
-        this.cleanups.push(
-            () => instance.stop(),
-            () => store.stop(),
-            () => server.stop(),
-            () => Promise.resolve(rmSync(folder, { recursive: true, force: true })),
-        );
-        instance.start();
-        await waitUntil("the instance is ready", () => instance.isReady());
+        const changedSettings = { limits: { max_fds: maxDescriptors } };
+        const { instance } = await startLoneInstance(this, { lastOctet: 7, firstPort, changedSettings });
         processes.set(this, { instance, statuses: [] });
     },
 );
--- a/features/steps/keptConnectionSteps.ts
+++ b/features/steps/keptConnectionSteps.ts
@@ -4,17 +4,11 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync } from "node:fs";
 import { connect } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { type FakeServer, startFakeServer } from "../../fakes/startFakeServer.js";
-import { type FakeStore, startFakeStore } from "../../fakes/startFakeStore.js";
-import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, plainCall, streamHeaders, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { type LoneInstance, startLoneInstance } from "../support/startLoneInstance.js";
 
 /** A caller with one connection. */
 interface KeptConnection {
@@ -26,10 +20,7 @@
     readonly isOver: () => boolean;
 }
 
-interface Fixture {
-    readonly instance: InstanceProcess;
-    readonly server: FakeServer;
-    readonly store: FakeStore;
+interface Fixture extends LoneInstance {
     readonly caller: KeptConnection;
 }
 
@@ -72,30 +63,19 @@
     await waitUntil("the answers, or the end", () => caller.isOver() || caller.statuses().length === count);
 }
 
-function putConfiguration(store: FakeStore, version: number, idleTimeoutMs: number): void {
-    const limits = { ...configuration.limits, idle_timeout_ms: idleTimeoutMs };
-    store.put("keyed.op", "config", { ...configuration, version, limits });
+function describeConfiguration(version: number, idleTimeoutMs: number): object {
+    return { ...configuration, version, limits: { ...configuration.limits, idle_timeout_ms: idleTimeoutMs } };
 }
 
 Given(
     "a process of an instance whose idle timeout is {int} ms",
     async function(this: SiteWorld, idleTimeoutMs: number) {
-        const store = await startFakeStore();
-        const server = await startFakeServer("i-1", "portal");
-        putConfiguration(store, configuration.version, idleTimeoutMs);
-        store.put("keyed.servers", server.id, server.entry());
-        const folder = mkdtempSync(join(tmpdir(), "reedward-kept-"));
-        const place = placeLoneInstance({ lastOctet: 8, firstPort, storeAddress: store.address });
-        const instance = createInstanceProcess(place, join(folder, "settings.json"), ["dist/platform/main.js"]);
-        this.cleanups.push(
-            () => instance.stop(),
-            () => store.stop(),
-            () => server.stop(),
-            () => Promise.resolve(rmSync(folder, { recursive: true, force: true })),
-        );
-        instance.start();
-        await waitUntil("the instance is ready", () => instance.isReady());
-        fixtures.set(this, { instance, server, store, caller: openConnection(this, instance.callerAddress) });
+        const lone = await startLoneInstance(this, {
+            lastOctet: 8,
+            firstPort,
+            storedConfiguration: describeConfiguration(configuration.version, idleTimeoutMs),
+        });
+        fixtures.set(this, { ...lone, caller: openConnection(this, lone.instance.callerAddress) });
     },
 );
 
@@ -138,7 +118,7 @@
 
 When("the operator raises the idle timeout to {int} ms", async function(this: SiteWorld, idleTimeoutMs: number) {
     const { store, instance } = fixtures.get(this)!;
-    putConfiguration(store, configuration.version + 1, idleTimeoutMs);
+    store.put("keyed.op", "config", describeConfiguration(configuration.version + 1, idleTimeoutMs));
     const other = openConnection(this, instance.callerAddress);
     // Each answer states the idle timeout in force.
     await waitUntil("the configuration is in force", () => {
