Test that an upload that is answered early reaches its upstream as it was sent

An upstream may answer before it has read a long body and read on later (UNASKED). Uploads of 0.2, 2, 3.5 and 32 MB whose answer comes first, with the next request on the same connection behind them: the upstream reads the upload's own bytes and then the request. No fault was found.

--- a/features/earlyAnswers.feature
+++ b/features/earlyAnswers.feature
@@ -50,3 +50,14 @@
             | two events without a length                     | finished |
             | a head without a length                         | answered |
             | a 500 without a length                          | answered |
+
+    Scenario Outline: An upstream that reads an upload on after its answer gets the upload's own bytes (UNASKED)
+        When an upload of <bytes> bytes is answered early, and another request is sent before the upstream reads on
+        Then the upstream has received <bytes> bytes of the upload and then the other request
+
+        Examples:
+            | bytes    |
+            | 200000   |
+            | 2000000  |
+            | 3500000  |
+            | 32000000 |
--- a/features/steps/earlyAnswerSteps.ts
+++ b/features/steps/earlyAnswerSteps.ts
@@ -11,7 +11,7 @@
 import type { RequestKind } from "../../src/core/routes/routingTable.js";
 import { createConnectionPool } from "../../src/io/proxy/createConnectionPool.js";
 import type { SendToUpstream } from "../../src/io/proxy/upstreamSenderTypes.js";
-import { own, typed, writeEvents } from "../support/answerForms.js";
+import { own, sized, typed, writeEvents } from "../support/answerForms.js";
 import { createIndifferentCaller, createSenderFixture } from "../support/createSenderFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import { keptRequestId, startEarlyUpstream } from "../support/startEarlyUpstream.js";
@@ -31,6 +31,7 @@
 }
 
 const fixtures = new WeakMap<SiteWorld, EarlyFixture>();
+const received = new WeakMap<SiteWorld, Buffer>();
 
 const body = "b".repeat(400);
 
@@ -73,13 +74,13 @@
     send: SendToUpstream,
     address: string,
     kind: RequestKind,
-    request: { readonly id: string; readonly bytes: number; },
+    request: { readonly id: string; readonly body: Buffer; },
 ): Promise<SendOutcome> {
-    const { id, bytes } = request;
+    const { id, body: requestBody } = request;
     const req = createProxyRequest(kind, {
         id,
         headers: [["host", "letters.example"], ["attempt-id", id]],
-        body: Buffer.alloc(bytes, "u"),
+        body: requestBody,
     });
     const effect = {
         kind: "send",
@@ -104,15 +105,48 @@
     });
     const send = createSenderFixture({ clock, connections });
     if (isKept) {
-        const first = await sendOnce(send, upstream.address, "nonIdempotent", { id: keptRequestId, bytes: 1 });
+        const first = await sendOnce(send, upstream.address, "nonIdempotent", {
+            id: keptRequestId,
+            body: Buffer.from("u"),
+        });
         assert.equal(first.kind, "answered");
         await new Promise(resolve => setImmediate(resolve));
     }
-    const outcome = await sendOnce(send, upstream.address, kind, { id: "attempt-1", bytes });
+    const outcome = await sendOnce(send, upstream.address, kind, { id: "attempt-1", body: Buffer.alloc(bytes, "u") });
     assert.equal(upstream.countConnections(), 1);
     return outcome;
 }
 
+const lastByte = "|";
+
+When(
+    "an upload of {int} bytes is answered early, and another request is sent before the upstream reads on",
+    async function(this: SiteWorld, bytes: number) {
+        const answer = `HTTP/1.1 200 OK\r\n${own}${sized("body")}\r\nbody`;
+        const upstream = await startEarlyUpstream({ answer, isRead: false, end: () => undefined });
+        const clock = createVirtualClock(1);
+        const connections = createConnectionPool(clock);
+        this.cleanups.push(() => connections.close(), upstream.stop);
+        const send = createSenderFixture({ clock, connections });
+        const first = { id: "attempt-1", body: Buffer.alloc(bytes, "u") };
+        assert.equal((await sendOnce(send, upstream.address, "nonIdempotent", first)).kind, "answered");
+        await new Promise(resolve => setImmediate(resolve));
+        void sendOnce(send, upstream.address, "nonIdempotent", { id: "attempt-2", body: Buffer.from(lastByte) });
+        received.set(this, await upstream.readOn(lastByte));
+    },
+);
+
+Then(
+    "the upstream has received {int} bytes of the upload and then the other request",
+    function(this: SiteWorld, bytes: number) {
+        const whole = received.get(this)!;
+        const bodyStart = whole.indexOf("\r\n\r\n") + "\r\n\r\n".length;
+        const bodyEnd = bodyStart + bytes;
+        assert.ok(whole.subarray(bodyStart, bodyEnd).equals(Buffer.alloc(bytes, "u")));
+        assert.match(whole.subarray(bodyEnd).toString(), /^POST [^]+attempt-id: attempt-2\r\n[^]+\r\n\r\n\|$/i);
+    },
+);
+
 const uploadBytes = [200_000, 2_000_000, 3_500_000, 32_000_000];
 
 When(
--- a/features/support/startEarlyUpstream.ts
+++ b/features/support/startEarlyUpstream.ts
@@ -20,6 +20,8 @@
     readonly address: string;
     /** Number of connections that have carried requests. */
     readonly countConnections: () => number;
+    /** Reads the connection of an answered request on; returns all its bytes once they end with the given ones. */
+    readonly readOn: (last: string) => Promise<Buffer>;
     readonly stop: () => Promise<void>;
 }
 
@@ -39,6 +41,8 @@
 export function startEarlyUpstream({ answer, isRead, end }: EarlyUpstreamOptions): Promise<EarlyUpstream> {
     const sockets = new Set<Socket>();
     const carriers = new Set<Socket>();
+    /** What was read of requests that were answered early. */
+    const received = new Map<Socket, string>();
 
     function answerEarly(socket: Socket): void {
         socket.removeAllListeners("data");
@@ -51,6 +55,21 @@
         socket.write(answer, () => end(socket));
     }
 
+    async function readOn(last: string): Promise<Buffer> {
+        const [socket, head] = [...received][0]!;
+        const chunks: Buffer[] = [Buffer.from(head, "latin1")];
+        await new Promise<void>(resolve => {
+            socket.on("data", (bytes: Buffer) => {
+                chunks.push(bytes);
+                if (bytes.toString("latin1").endsWith(last)) {
+                    resolve();
+                }
+            });
+            socket.resume();
+        });
+        return Buffer.concat(chunks);
+    }
+
     const server = createServer({ allowHalfOpen: true }, socket => {
         sockets.add(socket);
         socket.on("error", () => undefined);
@@ -64,6 +83,7 @@
             }
             carriers.add(socket);
             if (requestId !== keptRequestId) {
+                received.set(socket, text);
                 answerEarly(socket);
             }
             else if (text.length === length) {
@@ -78,6 +98,7 @@
             resolve({
                 address: `127.0.0.1:${port}`,
                 countConnections: () => carriers.size,
+                readOn,
                 stop: () =>
                     new Promise(stopped => {
                         sockets.forEach(socket => socket.destroy());
