Accept all connections that wait before a leaving instance answers any

Callers saw: requests of callers that stay at their entry were still reset late in a stop: sent 7.1 to 7.3 s after the order and reset at 7.6 s, never run, at an instance that had 44 of them and whose log had no gap.

Cause: a caller that stays comes back as soon as it is answered. A process that accepts one connection a turn answers so quickly that some always wait, so that no turn without a waiting connection comes.

Change: where an instance may stop to listen and connections wait, it accepts them without reading them, for a second at most and until none waits; then it stops to listen and reads them all. It no longer reads on until none waits before it looks whether it may do so.

Evidence: features/shutdown.feature, 44 callers that stay, turns of 20 ms: 34 connections were reset before, none now. The callers of this model come back once they are answered, and no more at fixed times; without the end of listening its three examples fail with 30, 4 and 34 resets. The example in which some wait all the time has 200 callers, since 8 no longer suffice for it. features/callerConnections.feature plays the connections that are held back.

Conclusion: with more waiting connections than a process accepts in a second, or long turns, some are still reset.

--- a/features/callerConnections.feature
+++ b/features/callerConnections.feature
@@ -47,3 +47,10 @@
         And all of them are to be closed
         Then connections 2, 1 and 3 are being closed
         And connection 4 closes once its request is over
+
+    # Guards against requests that are lost or garbled because their connections were accepted before they are read.
+    Scenario: Connections that are held back are read as a whole once they are let through
+        Given an HTTP server with a gate that holds back new connections
+        When 12 callers send a part of a request, 2 of which reset their connection, and the gate opens
+        Then 10 callers have their answers
+        And a new connection is read at once
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -112,9 +112,10 @@
             | callers | turn | slow |
             | 40      | 1    | 20   |
             | 8       | 20   | 60   |
+            | 44      | 20   | 20   |
 
     Scenario: An instance whose connections wait all the time accepts them until it closes them
-        When an instance stops while 8 callers stay at it, and its turns take 60 ms and from 5000 ms on 60 ms
+        When an instance stops while 200 callers stay at it, and its turns take 60 ms and from 5000 ms on 60 ms
         Then it accepts connections until it closes them
 
     # Guards against callers that are refused while no instance would take their requests.
--- a/features/steps/keptEntrySteps.ts
+++ b/features/steps/keptEntrySteps.ts
@@ -24,7 +24,7 @@
 const outcomes = new WeakMap<SiteWorld, ConnectionEnds>();
 
 const graceMs = 8_000;
-/** Time between two connections of a caller, in milliseconds. */
+/** Time from the answer on a caller's connection to its next one, in milliseconds. */
 const connectMs = 200;
 
 interface KeptEntryPlay {
@@ -40,33 +40,46 @@
 async function playStop(play: KeptEntryPlay): Promise<ConnectionEnds> {
     const { callers, hasServingPeer, quickTurnMs, slowTurnMs, slowFromMs } = play;
     const ends: ConnectionEnds = { accepted: 0, refused: 0, reset: 0, stops: 0 };
+    /** When each caller connects next; infinite while it waits for an answer, and once it has gone elsewhere. */
     const nextConnectMs = Array.from({ length: callers }, (_, caller) => caller * connectMs / callers);
+    const waiting: number[] = [];
+    const held: number[] = [];
+    let isHolding = false;
     let nowMs = 0;
     let isListening = true;
     let nextTurn: NodeJS.Immediate | undefined;
-    let waiting = 0;
     let inProgress = 1;
 
     function passTime(lastsMs: number): void {
         nowMs += lastsMs;
         nextConnectMs.forEach((atMs, caller) => {
-            for (let connectedMs = atMs; connectedMs <= nowMs; connectedMs += connectMs) {
-                waiting += isListening ? 1 : 0;
+            if (atMs <= nowMs) {
+                nextConnectMs[caller] = Infinity;
                 ends.refused += isListening ? 0 : 1;
-                nextConnectMs[caller] = isListening ? connectedMs + connectMs : Infinity;
+                waiting.push(...isListening ? [caller] : []);
             }
         });
     }
+    function answer(caller: number): void {
+        nextConnectMs[caller] = nowMs + connectMs;
+    }
     function turn(): void {
         passTime(nowMs < slowFromMs ? quickTurnMs : slowTurnMs);
-        ends.accepted += Math.min(1, waiting);
-        waiting -= Math.min(1, waiting);
+        const caller = waiting.shift();
+        if (caller !== undefined) {
+            ends.accepted += 1;
+            if (isHolding) {
+                held.push(caller);
+            }
+            else {
+                answer(caller);
+            }
+        }
         nextTurn = setImmediate(turn);
     }
     function stopListening(): void {
         isListening = false;
-        ends.reset += waiting;
-        waiting = 0;
+        ends.reset += waiting.splice(0).length;
     }
     const shutdown = createShutdown({ graceMs, mayBeListed: () => true, hasServingPeer: () => hasServingPeer });
     shutdown.begin(nowMs);
@@ -88,6 +101,13 @@
             clearImmediate(nextTurn);
             return isAllRead;
         },
+        holdConnections: () => {
+            isHolding = true;
+            return () => {
+                isHolding = false;
+                held.splice(0).forEach(answer);
+            };
+        },
         readLoad: () => ({ requests: inProgress, connections: 0, hasDuties: false }),
         refuseLate: () => undefined,
         stopRequests: () => {
--- a/features/steps/shutdownRunSteps.ts
+++ b/features/steps/shutdownRunSteps.ts
@@ -65,6 +65,7 @@
             readLoad: () => ({ requests: inProgress, connections: 0, hasDuties: false }),
             refuseLate: () => undefined,
             stopRequests: () => undefined,
+            holdConnections: () => () => undefined,
             stopListening: () => undefined,
             closeCallers: () => {
                 unansweredAtClose = arrived + inProgress;
@@ -137,6 +138,7 @@
             inProgress = 0;
             ends.push({ name: "answers", atMs: nowMs });
         },
+        holdConnections: () => () => undefined,
         stopListening: () => undefined,
         closeCallers: () => {
             ends.push({ name: "closes", atMs: nowMs });
--- a/features/support/startStoppingProxy.ts
+++ b/features/support/startStoppingProxy.ts
@@ -227,6 +227,7 @@
                 readLoad: () => ({ requests: service.countActive(), connections: 0, hasDuties: false }),
                 refuseLate: service.refuseLate,
                 stopRequests: service.stopRequests,
+                holdConnections: () => () => undefined,
                 stopListening: () => undefined,
                 closeCallers: () => server.closeAllConnections(),
             });
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -14,6 +14,7 @@
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
 import { createCallerConnections } from "../io/http/createCallerConnections.js";
+import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
@@ -40,6 +41,8 @@
     readonly countConnections: () => number;
     /** Number of callers' connections that were accepted so far. */
     readonly countAccepted: () => number;
+    /** Accepts connections of callers without reading them, until the returned function is called. */
+    readonly holdConnections: () => () => void;
     /** Accepts no connections of callers; those that wait to be accepted are reset. */
     readonly stopListening: () => void;
     /** Accepts no connections of callers, and closes the open ones once their requests in progress are answered. */
@@ -150,6 +153,7 @@
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
         handle,
     );
+    const gate = createConnectionGate(callerServer);
     callerServer.maxConnections = maxConnections;
     callerServer.on("connection", (socket: Socket) => {
         accepted += 1;
@@ -243,6 +247,7 @@
         },
         countConnections: connections.count,
         countAccepted: () => accepted,
+        holdConnections: gate.hold,
         stopListening,
         closeCallers: () => {
             isClosed = true;
--- a/src/io/shutdown/runShutdown.ts
+++ b/src/io/shutdown/runShutdown.ts
@@ -22,6 +22,8 @@
     readonly refuseLate: () => void;
     /** Gives every request in progress its final answer. */
     readonly stopRequests: () => void;
+    /** Accepts connections of callers without reading them, until the returned function is called. */
+    readonly holdConnections: () => () => void;
     /** Stops accepting connections of callers; those that wait are reset. Called once, and not after `closeCallers`. */
     readonly stopListening: () => void;
     /** Stops accepting connections of callers, and closes the open ones. */
@@ -34,6 +36,9 @@
 /** Shortest such time, in milliseconds, for a process that comes when all is due: a connection takes it a fraction of one. */
 const minLastReadMs = 30;
 
+/** Longest time for which accepted connections are held back, in milliseconds: callers give up soon after it. */
+const maxHoldMs = 1_000;
+
 /** Longest time between two checks of the phase, in milliseconds. */
 const pollIntervalMs = 40;
 
@@ -60,18 +65,38 @@
         }
     }
 
+    const mayStopListening = () => isListening && shutdown.mayStopListening(clock.now());
+
     /** At the end of the stop connections may wait that the process can't accept in time: it takes none from when none waits. */
     function onNoneWaits(): void {
-        if (isListening && shutdown.mayStopListening(clock.now())) {
+        if (mayStopListening()) {
             isListening = false;
             options.stopListening();
         }
     }
 
     const isDue = () => clock.now() >= shutdown.nextDueMs(clock.now());
+
+    const readArrived = () => options.readArrived({ isDue: () => mayStopListening() || isDue(), onNoneWaits });
+
+    /**
+     * Accepts all connections that wait before any is answered: callers that come back as soon as they have an answer would keep
+     * some waiting for good.
+     */
+    async function acceptWaiting(): Promise<void> {
+        const untilMs = clock.now() + maxHoldMs;
+        const release = options.holdConnections();
+        await options.readArrived({ isDue: () => !isListening || isDue() || clock.now() >= untilMs, onNoneWaits });
+        release();
+    }
+
     for (;;) {
         const sinceMs = clock.now();
-        const isAllRead = await options.readArrived({ isDue, onNoneWaits });
+        let isAllRead = await readArrived();
+        if (mayStopListening() && !isDue()) {
+            await acceptWaiting();
+            isAllRead = await readArrived();
+        }
         const before = shutdown.phase();
         const phase = shutdown.advance(clock.now(), options.readLoad());
         if (phase === "ended") {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -239,6 +239,7 @@
                 writeLog("stopAdvanced", describeStop());
                 proxy.stopRequests();
             },
+            holdConnections: servers.holdConnections,
             stopListening: () => {
                 servers.stopListening();
                 writeLog("stopAdvanced", { ...describeStop(), isListening: false });
