--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -14,6 +14,7 @@
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
 import { createCallerConnections } from "../io/http/createCallerConnections.js";
+import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { limitRequests } from "../io/http/limitRequests.js";
 import { shareReading } from "../io/metrics/shareReading.js";
@@ -42,6 +43,8 @@
     readonly countConnections: () => number;
     /** Number of callers' connections that were accepted so far. */
     readonly countAccepted: () => number;
+    /** Accepts connections of callers without reading them, until the returned function is called. */
+    readonly holdConnections: () => () => void;
     /** Accepts no connections of callers; those that wait to be accepted are reset. */
     readonly stopListening: () => void;
     /** Accepts no connections of callers, and closes the open ones once their requests in progress are answered. */
@@ -173,6 +176,7 @@
     const callerServer = createServer(
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
     );
+    const gate = createConnectionGate(callerServer);
     limitRequests(callerServer, handle, { maxRequests: maxCallerRequests, isPaused: true });
     callerServer.maxConnections = maxConnections;
     callerServer.on("connection", (socket: Socket) => {
@@ -268,6 +272,7 @@
         },
         countConnections: connections.count,
         countAccepted: () => accepted,
+        holdConnections: gate.hold,
         stopListening,
         closeCallers: () => {
             isClosed = true;
