--- a/features/endlessPieces.feature
+++ b/features/endlessPieces.feature
@@ -21,6 +21,7 @@
             | line ends, one a chunk            |
             | comments, one a chunk             |
             | events, one a chunk               |
+            | one byte behind long extensions   |
 
     # Guards against a heap that one caller fills by an upload within the limits.
     @known-red
--- a/features/steps/endlessPieceSteps.ts
+++ b/features/steps/endlessPieceSteps.ts
@@ -94,6 +94,7 @@
     "line ends, one a chunk": { form: "line ends in chunks", chunks: "line" },
     "comments, one a chunk": { form: "comments in chunks", chunks: "line" },
     "events, one a chunk": { form: "events in chunks", chunks: "event" },
+    "one byte behind long extensions": { form: "a body behind extensions", chunks: "byte" },
 };
 
 async function startEndless(world: SiteWorld, name: string): Promise<ScriptedUpstream> {
