Bound what waits in the connection of a paused answer

What callers saw: nothing that was traced. Found while answers to calls were paused after 256 pieces: the bytes of a stream to a caller that reads slowly were held without a bound and without being counted.

Cause: undici takes all that waits in a connection, parses it up to the pause, and puts the rest back. Each time the buffer was empty for a moment, Node.js read 64 KB more, so that what waited grew with the number of pauses.

Change: at most 64 KB are taken from a connection at once, on all connections to upstreams, engines, peers and the store. The bytes that a connection may read are checked at each read: undici does not read while it is paused, and no event says that bytes have arrived then.

Evidence: features/pieces.feature.

--- a/features/pieces.feature
+++ b/features/pieces.feature
@@ -53,3 +53,16 @@
         When a peer sends a call behind 200000 spaces, each byte in a chunk of its own
         Then the heap has grown by at most 1 MB
         And the call is performed when it is complete
+
+    # Guards against answers to calls in short pieces that keep the event loop from other connections.
+    Scenario: A call whose answer in short pieces never ends fails at its limit, and leaves turns to others
+        Given a server that answers calls in chunks of one byte without end
+        When it is called with a limit of 1000000 bytes for the answer
+        Then the call has failed for "more bytes arrived than an answer may have"
+        And the answer took at least 1000 turns of the event loop
+
+    # Guards against a stream to a slow caller of which more waits in the connection with each pause.
+    Scenario: What waits in the connection of a paused answer does not grow with the number of pauses
+        Given an upstream whose answer has chunks of 1 KB without end
+        When the answer is paused 400 times, each time after 16 KB
+        Then at most 256 KB have waited in its connection
--- a/features/steps/peerPieceSteps.ts
+++ b/features/steps/peerPieceSteps.ts
@@ -1,11 +1,13 @@
 /**
  * @module
- * Steps with a peer that sends a call in many short pieces.
+ * Steps with peers and servers that send calls and answers in many short pieces.
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
+import { startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
+import { createCallClient } from "../../src/io/_lib/createCallClient.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
 import { createPeerServer } from "../../src/io/peers/createPeerServer.js";
 import { readHeapBytes } from "../support/readHeapBytes.js";
@@ -97,3 +99,55 @@
     assert.match(await answered, /^HTTP\/1.1 200 /);
     assert.deepEqual(payloads, ["hints"]);
 });
+
+interface CallFixture {
+    readonly address: string;
+    turns: number;
+    failure: string | undefined;
+}
+
+const calls = new WeakMap<SiteWorld, CallFixture>();
+const connectTimeoutMs = 10_000;
+const callTimeoutMs = 100_000;
+
+Given("a server that answers calls in chunks of one byte without end", async function(this: SiteWorld) {
+    const server = await startScriptedUpstream(({ socket }) => {
+        const chunks = "1\r\na\r\n".repeat(10_000);
+        const writeMore = () => {
+            while (!socket.destroyed && socket.write(chunks)) {
+                // Goes on until the write buffer is full.
+            }
+        };
+        socket.on("drain", writeMore);
+        socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        writeMore();
+    });
+    this.cleanups.push(() => server.stop());
+    calls.set(this, { address: server.address, turns: 0, failure: undefined });
+});
+
+When("it is called with a limit of {int} bytes for the answer", async function(this: SiteWorld, maxBodyBytes: number) {
+    const fixture = calls.get(this)!;
+    const client = createCallClient(fixture.address, { connectTimeoutMs, maxBodyBytes });
+    const countTurn = () => {
+        fixture.turns += 1;
+        turn = setImmediate(countTurn);
+    };
+    let turn = setImmediate(countTurn);
+    try {
+        await client.call({ path: "/", signal: AbortSignal.timeout(callTimeoutMs) });
+    }
+    catch (error) {
+        fixture.failure = String(error);
+    }
+    clearImmediate(turn);
+    client.close();
+});
+
+Then("the call has failed for {string}", function(this: SiteWorld, reason: string) {
+    assert.ok(calls.get(this)!.failure?.includes(reason), calls.get(this)!.failure);
+});
+
+Then("the answer took at least {int} turns of the event loop", function(this: SiteWorld, turns: number) {
+    assert.ok(calls.get(this)!.turns >= turns, `${calls.get(this)!.turns} turns`);
+});
--- a/src/io/_lib/createWatchedConnector.ts
+++ b/src/io/_lib/createWatchedConnector.ts
@@ -4,8 +4,9 @@
  * connection, a reset too, as the end of an answer without length, and reads a status line or a chunk extension without end.
  */
 import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import type { buildConnector } from "undici";
 import type { ConnectionState } from "../../core/proxy/answerEnd.js";
+import { createBoundedConnector } from "./createBoundedConnector.js";
 
 /** Opens and watches the connections of one client, one at a time. */
 export interface WatchedConnector {
@@ -38,19 +39,20 @@
  * @returns The connector.
  */
 export function createWatchedConnector(connectTimeoutMs: number): WatchedConnector {
-    const open = buildConnector({ timeout: connectTimeoutMs, allowHalfOpen: true });
+    const open = createBoundedConnector({ timeout: connectTimeoutMs, allowHalfOpen: true }, checkBytes);
     let state: ConnectionState = "open";
     let isEndExpected = false;
     let current: Socket | undefined;
     let allowedBytes = Infinity;
 
+    function checkBytes(socket: Socket): void {
+        if (socket.bytesRead > allowedBytes) {
+            socket.destroy(new Error("more bytes arrived than an answer may have"));
+        }
+    }
+
     function watch(socket: Socket): void {
         current = socket;
-        socket.on("readable", () => {
-            if (socket.bytesRead > allowedBytes) {
-                socket.destroy(new Error("more bytes arrived than an answer may have"));
-            }
-        });
         state = "open";
         isEndExpected = false;
         socket.on("error", () => {
--- a/src/io/peers/createPeerClient.ts
+++ b/src/io/peers/createPeerClient.ts
@@ -5,6 +5,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import { Agent, type Dispatcher } from "undici";
 import { collectAnswer } from "../_lib/collectAnswer.js";
+import { createBoundedConnector } from "../_lib/createBoundedConnector.js";
 import type { PeerRouter } from "./peerRouter.js";
 
 /** A typed client of one peer. */
@@ -34,7 +35,7 @@
  * @returns The pool.
  */
 export function createPeerClients(secret: string, timeoutMs: number): PeerClients {
-    const agent = new Agent({ connect: { timeout: timeoutMs }, connections: 2 });
+    const agent = new Agent({ connect: createBoundedConnector({ timeout: timeoutMs }), connections: 2 });
     const clients = new Map<string, PeerClient>();
 
     /** Sends a call without the headers that a browser's fetch adds: they would double the size of a probe. */
--- a/src/io/platform/callJson.ts
+++ b/src/io/platform/callJson.ts
@@ -8,6 +8,7 @@
 import type { PortFailure } from "../../core/ports/portFailure.js";
 import { classifyCallError } from "../_lib/classifyCallError.js";
 import { collectAnswer } from "../_lib/collectAnswer.js";
+import { createBoundedConnector } from "../_lib/createBoundedConnector.js";
 
 /** Largest answer, in bytes. */
 const maxAnswerBytes = 32 * 1024 * 1024;
@@ -47,7 +48,7 @@
 export function createCallJson(
     connectTimeoutMs: number,
 ): { readonly call: CallJson; readonly close: () => Promise<void>; } {
-    const agent = new Agent({ connect: { timeout: connectTimeoutMs } });
+    const agent = new Agent({ connect: createBoundedConnector({ timeout: connectTimeoutMs }) });
     async function call<T>(one: JsonCall<T>): Promise<Result<T, PortFailure>> {
         try {
             const { origin, pathname, search } = new URL(one.url);
