--- a/src/io/_lib/createWatchedConnector.ts
+++ b/src/io/_lib/createWatchedConnector.ts
@@ -5,8 +5,9 @@
  * A pause of undici's own reads on with each resumption, and fails when the connection ends meanwhile: connections are paused here.
  */
 import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import type { buildConnector } from "undici";
 import type { ConnectionState } from "../../core/proxy/answerEnd.js";
+import { createBoundedConnector } from "./createBoundedConnector.js";
 
 /** Opens and watches the connections of one client, one at a time. */
 export interface WatchedConnector {
@@ -45,7 +46,7 @@
  * @returns The connector.
  */
 export function createWatchedConnector(connectTimeoutMs: number): WatchedConnector {
-    const open = buildConnector({ timeout: connectTimeoutMs, allowHalfOpen: true });
+    const open = createBoundedConnector({ timeout: connectTimeoutMs, allowHalfOpen: true }, checkBytes);
     let state: ConnectionState = "open";
     let isEndExpected = false;
     let current: Socket | undefined;
@@ -71,15 +72,16 @@
         };
     }
 
+    function checkBytes(socket: Socket): void {
+        if (socket.bytesRead > allowedBytes) {
+            socket.destroy(new Error("more bytes arrived than an answer may have"));
+        }
+    }
+
     function watch(socket: Socket): void {
         current = socket;
         isPaused = false;
         readInSlices(socket);
-        socket.on("readable", () => {
-            if (socket.bytesRead > allowedBytes) {
-                socket.destroy(new Error("more bytes arrived than an answer may have"));
-            }
-        });
         state = "open";
         isEndExpected = false;
         socket.on("error", () => {
