Copy a piece that is written at once only if it keeps much of a read

A lone event is a view of a read that is little larger than itself; a copy of it saves no memory.

Evidence: features/unreadAnswers.feature and features/answerJudgement.feature pass.

--- a/src/io/proxy/createStreamWriter.ts
+++ b/src/io/proxy/createStreamWriter.ts
@@ -29,9 +29,12 @@
 /** Number of collected bytes from which the source has to pause. */
 const maxCollectedBytes = 16 * 1024;
 
-/** Returns bytes that keep no others in memory: a short piece may be a view of a whole read. */
+/** Bytes that a piece may keep in memory beside its own, since it is a view of a read. */
+const maxOtherBytes = 4 * 1024;
+
+/** Returns bytes that keep few others in memory. */
 function detach(bytes: Uint8Array): Uint8Array {
-    return bytes.length < bytes.buffer.byteLength ? new Uint8Array(bytes) : bytes;
+    return bytes.buffer.byteLength - bytes.length > maxOtherBytes ? new Uint8Array(bytes) : bytes;
 }
 
 /**
