End the sends of a scenario with it, so that the tests of turns end

What was seen: features/turns.feature passed, but its process went on; it was ended from outside after 60 s. Cause: the scenario "An answer whose caller takes one piece a turn is read no further than its buffer" leaves a paused send, whose deadline is 600 s away; its timer and its connection keep the process alive. Change: sends are cancelled when their scenario ends. Evidence: before, the scenario alone had not ended after 12 s (the other three ended in under 3 s); now the feature ends in 3.4 s with 5 passed, 0 failed. No check was changed.

--- a/features/steps/turnSteps.ts
+++ b/features/steps/turnSteps.ts
@@ -28,6 +28,7 @@
     readonly send: SendToUpstream;
     readonly sockets: Socket[];
     readonly outcomes: SendOutcome[];
+    readonly cancels: (() => void)[];
     caller: ReadingCaller | undefined;
     maxPiecesInTurn: number;
     maxUnhandledBytes: number;
@@ -68,12 +69,14 @@
         send,
         sockets,
         outcomes: [],
+        cancels: [],
         caller: undefined,
         maxPiecesInTurn: 0,
         maxUnhandledBytes: 0,
     });
     world.cleanups.push(async () => {
         unsubscribe("undici:client:connected", recordSocket);
+        getFixture(world).cancels.forEach(cancel => cancel());
         pool.close();
         await upstream.stop();
     });
@@ -128,7 +131,7 @@
         lastEventId: undefined,
         mayBeReplaced: () => true,
     } as const;
-    fixture.send(req, effect, caller, outcome => fixture.outcomes.push(outcome));
+    fixture.cancels.push(fixture.send(req, effect, caller, outcome => fixture.outcomes.push(outcome)));
 }
 
 /** Looks at the fixture in each turn until the caller has so many pieces. */
