--- a/features/decodedAnswers.feature
+++ b/features/decodedAnswers.feature
@@ -11,6 +11,7 @@
             | [[]]                     | 838860  | none        |
             | ["s","part-00001",1,"m"] | 160000  | none        |
             | ["s","part-00001",1,"m"] | 40000   | taken whole |
+            | "1,2:3[4{\\",5,6,7,8,9" | 160000  | taken whole |
 
     # Guards against a heap that is filled by the many empty records of one read.
     Scenario: A read of a topic takes some of many empty records, and the next read goes on after them
