Let as many requests wait on a connection as are allowed, without a warning

Node.js wrote MaxListenersExceededWarning to the log's stream where a caller had sent more than ten requests on a connection: each response listens for its end. Their number is bounded by the limit of requests in progress on a connection.

--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -91,6 +91,8 @@
         idleSinceMs: socket => idle.get(socket),
         add: socket => {
             requests.set(socket, 0);
+            // Each request that waits on the connection listens for its end; limitRequests bounds them.
+            socket.setMaxListeners(0);
             // Node.js calls it after the last answer of a connection.
             socket.destroySoon = () => close(socket);
             socket.once("close", () => {
