Parse the ports that are not the callers' in slices

Cause: the parser turns one read of 64 KB into some 2,500 requests before the end of the connection has an effect.

Change: these ports hand what arrives to the parser in slices of 1 KB; a connection with more than 8 requests in progress is closed between two slices. On the callers' port a pause has no effect between slices, since the parser ends it with each request, and slices change when an answer that closes a connection takes effect; that port stays as it was.

The row of the callers' port fails, is tagged and listed.

--- a/features/pipelinedRequests.feature
+++ b/features/pipelinedRequests.feature
@@ -12,3 +12,21 @@
         Given a process of an instance whose metrics are read
         When 6 clients that read nothing send requests for metrics for 3 s
         Then the process has answered for its readiness, and has held at most 200 MB
+
+    # Guards against many connections each of which sends thousands of requests in one read.
+    Scenario Outline: Many connections of requests that are not read leave a process within its memory on the port of <port>
+        Given a process of an instance whose metrics are read
+        When 100 clients that read nothing send requests to the port of <port> for 2 s
+        Then the process has answered for its readiness, and has held at most 200 MB
+
+        Examples:
+            | port      |
+            | readiness |
+            | peers     |
+            | entries   |
+
+        # One read of a connection becomes requests before its pause has an effect.
+        @known-red
+        Examples:
+            | port    |
+            | callers |
--- a/features/steps/pipelinedRequestSteps.ts
+++ b/features/steps/pipelinedRequestSteps.ts
@@ -13,6 +13,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
+import { portOffsets } from "../../bench/support/platformSettings.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { limitRequests } from "../../src/io/http/limitRequests.js";
 import { placeLoneInstance } from "../support/placeLoneInstance.js";
@@ -21,7 +22,7 @@
 
 interface MetricsProcess {
     readonly instance: InstanceProcess;
-    readonly metricsAddress: string;
+    readonly host: string;
 }
 
 interface PipelinedRequests {
@@ -33,7 +34,15 @@
 const requestsOf = new WeakMap<SiteWorld, PipelinedRequests>();
 const processes = new WeakMap<SiteWorld, MetricsProcess>();
 const firstPort = 27_340;
-const metricsPort = 9_464;
+
+/** Ports of an instance by their purpose, and paths that they serve. */
+const ports: Readonly<Record<string, { readonly port: number; readonly path: string; }>> = {
+    metrics: { port: 9_464, path: "/metrics" },
+    callers: { port: firstPort + portOffsets.caller, path: "/x" },
+    readiness: { port: firstPort + portOffsets.readiness, path: "/reedward/readiness" },
+    peers: { port: firstPort + portOffsets.peer, path: "/peer/state" },
+    entries: { port: firstPort + portOffsets.directory, path: "/reedward/resolve" },
+};
 
 function getRequests(world: SiteWorld): PipelinedRequests {
     const requests = requestsOf.get(world) ?? { held: [], isReleased: false, socket: undefined };
@@ -57,12 +66,12 @@
     );
     instance.start();
     await waitUntil("the instance is ready", () => instance.isReady());
-    processes.set(this, { instance, metricsAddress: place.ip });
+    processes.set(this, { instance, host: place.ip });
 });
 
 /** Sends requests for as long as the connection takes them. */
-function sendRequests(socket: Socket): void {
-    const requests = "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n".repeat(2_000);
+function sendRequests(socket: Socket, path: string): void {
+    const requests = `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`.repeat(2_000);
     const sendMore = () => {
         while (socket.writable && socket.write(requests)) {
             // Goes on until the write buffer is full.
@@ -72,8 +81,8 @@
     sendMore();
 }
 
-async function openClient(host: string): Promise<Socket> {
-    const socket = connect(metricsPort, host);
+async function openClient(host: string, port: number): Promise<Socket> {
+    const socket = connect(port, host);
     socket.on("error", () => undefined);
     socket.pause();
     await once(socket, "connect");
@@ -81,13 +90,14 @@
 }
 
 When(
-    "{int} clients that read nothing send requests for metrics for {int} s",
-    async function(this: SiteWorld, clients: number, seconds: number) {
-        const { metricsAddress } = processes.get(this)!;
-        const sockets = await Promise.all(Array.from({ length: clients }, () => openClient(metricsAddress)));
+    /^(\d+) clients that read nothing send requests (?:for|to the port of) (metrics|callers|readiness|peers|entries) for (\d+) s$/,
+    async function(this: SiteWorld, clients: string, purpose: string, seconds: string) {
+        const { host } = processes.get(this)!;
+        const { port, path } = ports[purpose]!;
+        const sockets = await Promise.all(Array.from({ length: Number(clients) }, () => openClient(host, port)));
         this.cleanups.unshift(() => sockets.forEach(socket => socket.destroy()));
-        sockets.forEach(sendRequests);
-        await delay(seconds * 1_000);
+        sockets.forEach(socket => sendRequests(socket, path));
+        await delay(Number(seconds) * 1_000);
     },
 );
 
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -17,6 +17,7 @@
 import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { limitRequests } from "../io/http/limitRequests.js";
+import { readInSlices } from "../io/http/readInSlices.js";
 import { shareReading } from "../io/metrics/shareReading.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
@@ -67,6 +68,9 @@
 /** Requests in progress on a connection of a caller, beyond which no more are read for the time being. */
 const maxCallerRequests = 64;
 
+/** Size of the slices in which connections of other ports are parsed, in bytes; their requests are short. */
+const otherSliceBytes = 1_024;
+
 /** Requests in progress on a connection of another port, beyond which it is closed. */
 const maxOtherRequests = 8;
 
@@ -82,6 +86,7 @@
     const server = createServer();
     server.maxConnections = maxConnections;
     server.setTimeout(otherTimeoutMs);
+    readInSlices(server, otherSliceBytes);
     limitRequests(server, listener, { maxRequests: maxOtherRequests, isPaused: false });
     return server;
 }
@@ -177,7 +182,10 @@
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
     );
     const gate = createConnectionGate(callerServer);
-    limitRequests(callerServer, handle, { maxRequests: maxCallerRequests, isPaused: true });
+    limitRequests(callerServer, handle, {
+        maxRequests: maxCallerRequests,
+        isPaused: true,
+    });
     callerServer.maxConnections = maxConnections;
     callerServer.on("connection", (socket: Socket) => {
         accepted += 1;
