--- a/features/endlessPieces.feature
+++ b/features/endlessPieces.feature
@@ -13,7 +13,6 @@
             | a body in large blocks |
             | events without framing |
 
-        @known-red
         Examples:
             | form                              |
             | a body in chunks of one byte      |
@@ -24,7 +23,6 @@
             | one byte behind long extensions   |
 
     # Guards against a heap that one caller fills by an upload within the limits.
-    @known-red
     Scenario: Requests are answered beside an upload in chunks of one byte
         Given a process of an instance before a sound upstream
         When 4 uploads of 3900000 bytes in chunks of one byte are sent in turn, and 8 requests beside and after each
@@ -33,7 +31,6 @@
         And all requests to the sound upstream are answered with its answer
 
     # Guards against a heap that is filled by answers that nobody reads.
-    @known-red
     Scenario: Requests are answered beside readers of metrics that read no answer
         Given a process of an instance before a sound upstream
         When 6 connections request metrics without end and read nothing
@@ -42,6 +39,5 @@
         And all requests to the sound upstream are answered with its answer
 
     # Guards against callers that lose requests, and processes that end, when sources without end come in series.
-    @known-red
     Scenario: Callers lose nothing while upstreams and the store answer without end
         Then 3 processes break no promise and hold at most 200 MB while answers never end, with seed 1
