--- a/features/steps/lateReaderSteps.ts
+++ b/features/steps/lateReaderSteps.ts
@@ -5,18 +5,14 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { mkdtempSync, rmSync } from "node:fs";
 import { createServer } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
+import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
-import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, streamHeaders, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { startLoneProcess } from "../support/startLoneProcess.js";
 
 interface LateReader {
     readonly instance: InstanceProcess;
@@ -50,19 +46,9 @@
         const upstream = { service: "portal", address, zone: "north", slots: 8, state: "ready", seq_no: 0, born: 1 };
         store.put("keyed.op", "config", configuration);
         store.put("keyed.servers", "i-1", upstream);
-        const folder = mkdtempSync(join(tmpdir(), "reedward-readers-"));
-        const place = placeLoneInstance({ lastOctet: 9, firstPort, storeAddress: store.address });
-        const instance = createInstanceProcess(place, join(folder, "settings.json"), [
-            ...readDeployArguments(),
-            bundledProgram,
-        ]);
-        this.cleanups.push(
-            () => instance.stop(),
-            () => store.stop(),
-            () => rmSync(folder, { recursive: true, force: true }),
-        );
-        instance.start();
-        await waitUntil("the instance is ready", () => instance.isReady());
+        const place = { lastOctet: 9, firstPort, storeAddress: store.address };
+        const instance = await startLoneProcess(this, place);
+        this.cleanups.push(() => store.stop());
         readers.set(this, { instance, receivedBytes: () => 0 });
     },
 );
--- a/features/steps/pipelinedRequestSteps.ts
+++ b/features/steps/pipelinedRequestSteps.ts
@@ -5,20 +5,17 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
+import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { portOffsets } from "../../bench/support/platformSettings.js";
 import { startFakeStore } from "../../fakes/startFakeStore.js";
 import { limitRequests } from "../../src/io/http/limitRequests.js";
-import { placeLoneInstance } from "../support/placeLoneInstance.js";
 import { configuration, waitUntil } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
+import { startLoneProcess } from "../support/startLoneProcess.js";
 
 interface MetricsProcess {
     readonly instance: InstanceProcess;
@@ -53,20 +50,10 @@
 Given("a process of an instance whose metrics are read", async function(this: SiteWorld) {
     const store = await startFakeStore();
     store.put("keyed.op", "config", configuration);
-    const folder = mkdtempSync(join(tmpdir(), "reedward-metrics-"));
-    const place = placeLoneInstance({ lastOctet: 11, firstPort, storeAddress: store.address });
-    const instance = createInstanceProcess(place, join(folder, "settings.json"), [
-        ...readDeployArguments(),
-        bundledProgram,
-    ]);
-    this.cleanups.push(
-        () => instance.stop(),
-        () => store.stop(),
-        () => rmSync(folder, { recursive: true, force: true }),
-    );
-    instance.start();
-    await waitUntil("the instance is ready", () => instance.isReady());
-    processes.set(this, { instance, host: place.ip });
+    const place = { lastOctet: 11, firstPort, storeAddress: store.address };
+    const instance = await startLoneProcess(this, place);
+    this.cleanups.push(() => store.stop());
+    processes.set(this, { instance, host: instance.callerAddress.split(":")[0]! });
 });
 
 /** Sends requests for as long as the connection takes them. */
--- a/features/support/startLoneInstance.ts
+++ b/features/support/startLoneInstance.ts
@@ -2,16 +2,13 @@
  * @module
  * A process of the bundle that runs alone, beside a store with a configuration and one server.
  */
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { createInstanceProcess, type InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
-import { bundledProgram, readDeployArguments } from "../../bench/faults/platform/readDeployArguments.js";
+import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { type FakeServer, startFakeServer } from "../../fakes/startFakeServer.js";
 import { type FakeStore, startFakeStore } from "../../fakes/startFakeStore.js";
-import { type LonePlaceOptions, placeLoneInstance } from "./placeLoneInstance.js";
-import { configuration, waitUntil } from "./platformFixture.js";
+import type { LonePlaceOptions } from "./placeLoneInstance.js";
+import { configuration } from "./platformFixture.js";
 import type { SiteWorld } from "./siteWorld.js";
+import { startLoneProcess } from "./startLoneProcess.js";
 
 /** Options of {@link startLoneInstance}. */
 export interface LoneInstanceOptions extends Omit<LonePlaceOptions, "storeAddress"> {
@@ -35,22 +32,7 @@
     const server = await startFakeServer("i-1", "portal");
     store.put("keyed.op", "config", storedConfiguration);
     store.put("keyed.servers", server.id, server.entry());
-    const folder = mkdtempSync(join(tmpdir(), "reedward-lone-"));
-    const settingsPath = join(folder, "settings.json");
-    const instance = createInstanceProcess(
-        placeLoneInstance({ ...place, storeAddress: store.address }),
-        settingsPath,
-        [...readDeployArguments(), bundledProgram],
-    );
-    const settings = JSON.parse(readFileSync(settingsPath, "utf8")) as object;
-    writeFileSync(settingsPath, JSON.stringify({ ...settings, ...changedSettings }));
-    world.cleanups.push(
-        () => instance.stop(),
-        () => store.stop(),
-        () => server.stop(),
-        () => rmSync(folder, { recursive: true, force: true }),
-    );
-    instance.start();
-    await waitUntil("the instance is ready", () => instance.isReady());
+    const instance = await startLoneProcess(world, { ...place, storeAddress: store.address }, changedSettings);
+    world.cleanups.push(() => store.stop(), () => server.stop());
     return { instance, server, store };
 }
