Instances that the store turns away ask it less often for the holder of the lease

Change: failed reads back off from 100 to 800 ms (createBackoff, which createKeyedBackoff uses, too); the store's calls are counted by kind and topic (reedward_router_store_calls_total).

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -168,6 +168,14 @@
         Then in each play the engines have each version within 8000 ms
         And each engine has received one order a version, and the store at most 18 calls
 
+    # Each of the three may ask at once, after 100, 300 and 700 ms, and then every 800 ms: 13 calls.
+    Scenario: Instances that the store turns away ask it less and less often for the holder of the lease
+        Given 7 instances and 13 engines that load weights in 570 ms, seed 4
+        When versions are named while the store turns the first 3 instances away for 8000 ms
+        Then it turned away at most 39 calls
+        And in each play the engines have each version within 11000 ms
+        And in each play orders of two holders are 3000 ms apart and fences rise
+
     # Guards against a claim by an instance that ends at once, which keeps its successor from ordering.
     Scenario Outline: A leaving instance takes the lease only if it has as much time as others then have to wait
         Given a lone instance with an engine to load that was told to stop <stopped> ms ago and had <state>
--- a/features/steps/rolloutFleetSteps.ts
+++ b/features/steps/rolloutFleetSteps.ts
@@ -86,6 +86,32 @@
     }]);
 });
 
+When(
+    "versions are named while the store turns the first {int} instances away for {int} ms",
+    async function(this: SiteWorld, count: number, durationMs: number) {
+        const fixture = getFixture(this);
+        const fromMs = namedMs[1]!;
+        fixture.plays = await play([{
+            ...fixture.base,
+            namedMs,
+            successorKillsMs: [],
+            restarts: false,
+            turnedAway: {
+                names: Array.from({ length: count }, (_, index) => `entry-${index}`),
+                fromMs,
+                untilMs: fromMs + durationMs,
+            },
+            endMs,
+        }]);
+    },
+);
+
+Then("it turned away at most {int} calls", function(this: SiteWorld, maxCalls: number) {
+    for (const { play: { refusedCalls } } of getFixture(this).plays) {
+        assert.ok(refusedCalls <= maxCalls, `${refusedCalls} calls`);
+    }
+});
+
 When("the holder is killed once, each {int} ms of a rollout", async function(this: SiteWorld, intervalMs: number) {
     const fixture = getFixture(this);
     fixture.plays = await play(createKillPlans(fixture, intervalMs, []));
--- a/features/support/playRolloutFleet.ts
+++ b/features/support/playRolloutFleet.ts
@@ -32,6 +32,8 @@
     readonly successorKillsMs: readonly number[];
     /** Whether killed instances start again a second later. */
     readonly restarts: boolean;
+    /** Instances that the store turns away, and when; left out where it serves all. */
+    readonly turnedAway?: { readonly names: readonly string[]; readonly fromMs: number; readonly untilMs: number; };
     readonly endMs: number;
 }
 
@@ -41,6 +43,8 @@
     /** For each version, when each engine had it or a newer one; infinite where it never had. */
     readonly loadedMs: readonly (readonly number[])[];
     readonly storeCalls: number;
+    /** Calls that the store turned away. */
+    readonly refusedCalls: number;
     readonly killed: readonly string[];
 }
 
@@ -80,6 +84,7 @@
     readonly killed: string[];
     readonly pendingKillsMs: number[];
     storeCalls: number;
+    refusedCalls: number;
 }
 
 const listAlive = ({ processes }: Fleet) => processes.filter(process => process.isAlive);
@@ -136,6 +141,21 @@
     }
 }
 
+function isTurnedAway({ plan: { turnedAway }, clock }: Fleet, { name }: Process): boolean {
+    return turnedAway !== undefined && turnedAway.names.includes(name)
+        && clock.now() >= turnedAway.fromMs && clock.now() < turnedAway.untilMs;
+}
+
+/** Counts a call, and refuses it where the store turns the process away. */
+function refuseCall(fleet: Fleet, process: Process): Promise<StoreFailure> | undefined {
+    fleet.storeCalls += 1;
+    if (!isTurnedAway(fleet, process)) {
+        return undefined;
+    }
+    fleet.refusedCalls += 1;
+    return call(fleet, transitMs, () => failure, () => process.isAlive);
+}
+
 function createStore(fleet: Fleet, process: () => Process): RecordStore {
     const { topic } = fleet;
     const isAlive = () => process().isAlive;
@@ -145,15 +165,13 @@
         putKeyed: () => Promise.resolve(failure),
         close: () => undefined,
         readPlain: (_, from) => {
-            fleet.storeCalls += 1;
-            return call(fleet, transitMs, () => {
+            return refuseCall(fleet, process()) ?? call(fleet, transitMs, () => {
                 const records = topic.slice(from).map((value, index) => ({ offset: from + index, value }));
                 return { kind: "records", era, records, next: topic.length, end: topic.length } as const;
             }, isAlive);
         },
         appendAt: (_, end, value) => {
-            fleet.storeCalls += 1;
-            return call(fleet, appendMs, () => {
+            return refuseCall(fleet, process()) ?? call(fleet, appendMs, () => {
                 if (end !== topic.length) {
                     return { kind: "moved", era, end: topic.length } as const;
                 }
@@ -304,6 +322,7 @@
         killed: [],
         pendingKillsMs: [...plan.successorKillsMs],
         storeCalls: 0,
+        refusedCalls: 0,
     };
     Array.from({ length: plan.instances }, (_, index) => startProcess(fleet, `entry-${index}`));
     plan.namedMs.forEach(ms => scheduleNaming(fleet, ms));
@@ -315,5 +334,6 @@
         await setImmediate();
     }
     const loadedMs = plan.namedMs.map((_, index) => engines.listLoadedMs(index + 2));
-    return { orders: engines.listOrders(), loadedMs, storeCalls: fleet.storeCalls, killed: fleet.killed };
+    const { storeCalls, refusedCalls, killed } = fleet;
+    return { orders: engines.listOrders(), loadedMs, storeCalls, refusedCalls, killed };
 }
--- a/src/core/limits/createKeyedBackoff.ts
+++ b/src/core/limits/createKeyedBackoff.ts
@@ -2,6 +2,7 @@
  * @module
  * Exponential backoff by key: the delay doubles with each consecutive response without a useful result.
  */
+import { type Backoff, createBackoff } from "../time/createBackoff.js";
 
 /** Backoff state by key. */
 export interface KeyedBackoff {
@@ -10,12 +11,7 @@
     readonly recordResult: (key: string, isUseful: boolean) => void;
 }
 
-interface BackoffState {
-    readonly delayMs: number;
-    readonly untilMs: number;
-}
-
-const minDelayMs = 500;
+const firstDelayMs = 500;
 const maxDelayMs = 4_000;
 
 /**
@@ -27,16 +23,17 @@
  * createKeyedBackoff(clock.now).isBackingOff("town-hall/entry-2"); // false
  */
 export function createKeyedBackoff(now: () => number): KeyedBackoff {
-    const states = new Map<string, BackoffState>();
+    const backoffs = new Map<string, Backoff>();
     return {
-        isBackingOff: key => (states.get(key)?.untilMs ?? 0) > now(),
+        isBackingOff: key => backoffs.get(key)?.isWaiting() ?? false,
         recordResult: (key, isUseful) => {
             if (isUseful) {
-                states.delete(key);
+                backoffs.delete(key);
                 return;
             }
-            const delayMs = Math.min(maxDelayMs, (states.get(key)?.delayMs ?? minDelayMs / 2) * 2);
-            states.set(key, { delayMs, untilMs: now() + delayMs });
+            const backoff = backoffs.get(key) ?? createBackoff({ now, firstDelayMs, maxDelayMs });
+            backoffs.set(key, backoff);
+            backoff.recordResult(false);
         },
     };
 }
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -68,6 +68,8 @@
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
     readonly storeReturns: Counter<string>;
+    /** Calls to the store, by kind of call and topic. */
+    readonly storeCalls: Counter<"call" | "topic">;
     /** Failed reads of the store's topics by cause. */
     readonly storeReadFailures: Counter<"cause">;
     /** Reads of a peer's state by result. */
@@ -174,6 +176,7 @@
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
+        storeCalls: counter("store_calls_total", "Calls to the store.", ["call", "topic"]),
         storeReadFailures: counter("store_read_failures_total", "Failed reads of the store's topics.", ["cause"]),
         leaseClaims: counter("lease_claims_total", "Claims of the rollout lease.", ["result"]),
         requestSeconds: histogram("request_seconds", "Time until a request's answer was complete.", ["kind"]),
--- a/src/io/weights/maintainRolloutLease.ts
+++ b/src/io/weights/maintainRolloutLease.ts
@@ -6,6 +6,7 @@
 import type { WriteLog } from "../../core/logEvents/logEventTable.js";
 import type { AppendResult, RecordStore } from "../../core/ports/recordStore.js";
 import type { Clock } from "../../core/time/clock.js";
+import { createBackoff } from "../../core/time/createBackoff.js";
 import { leaseValidMs, type RolloutLease } from "../../core/weights/createRolloutLease.js";
 import { decodeLeaseRecord, encodeLeaseRecord } from "../../core/weights/leaseRecord.js";
 import { toFencingNumber } from "../../core/weights/toFencingNumber.js";
@@ -39,6 +40,10 @@
 /** Time between the attempts of two such instances, in milliseconds. */
 const takeoverSpacingMs = 100;
 
+/** Delay after a failed read of the claims, and the longest one after several in a row, in milliseconds. */
+const readRetryDelayMs = 100;
+const maxReadRetryDelayMs = 800;
+
 /**
  * Creates the function that acquires and renews the lease.
  *
@@ -55,6 +60,12 @@
     let searchedEnd: number | undefined;
     /** Work and reason of the last line that said why the lease is awaited. */
     let loggedWait: string | undefined;
+    /** Instances that the store turns away leave it alone: others may hold the lease meanwhile. */
+    const readBackoff = createBackoff({
+        now: clock.now,
+        firstDelayMs: readRetryDelayMs,
+        maxDelayMs: maxReadRetryDelayMs,
+    });
 
     /** The last holder is preferred; without it the instance with the lowest name, and after a delay any other. */
     function isPreferred(nowMs: number): boolean {
@@ -108,6 +119,7 @@
     async function readClaims(): Promise<boolean> {
         const first = await readFromEnd();
         const last = first === "moved" ? await readFromEnd() : first;
+        readBackoff.recordResult(last !== "failed");
         readEra = last === "read" ? lease.era() : undefined;
         return last === "read";
     }
@@ -163,6 +175,9 @@
             logWait("preferred", nowMs);
             return false;
         }
+        if (readBackoff.isWaiting()) {
+            return false;
+        }
         if (!lease.isFree(nowMs)) {
             logWait("claimed", nowMs);
             await searchLastClaim(nowMs);
