Estimate the load of upstreams from what they state, and relay it

Cause: the load that upstreams state in answers was decoded and dropped, and above 14 peers heartbeats carried nothing about upstreams, so that each instance placed by its own few requests. The pace of machines, a fourth figure, was not decoded. Change: src/core/load keeps the newest statement of each upstream, corrects it by the own requests since, and lets it fade towards what is expected of the service; in a large fleet heartbeats relay statements in 2 bytes a millisecond. Plain upstreams are placed by the share of their slots in use and their pace, on one of the numbers that the estimate allows; a header that is malformed or stated twice is logged and ignored. Conclusion: services that state no load, and direct fleets whose upstreams state no pace, are placed as before.

--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -21,5 +21,6 @@
     claims: async args => (await import("./claims/runClaims.js")).runClaims(args),
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
     catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
+    "even-load": async args => (await import("./evenLoad/runEvenLoad.js")).runEvenLoad(args),
     orders: async args => (await import("./orders/runOrderCosts.js")).runOrderCosts(args),
 };
--- /dev/null
+++ b/bench/evenLoad/runEvenLoad.ts
@@ -0,0 +1,68 @@
+/**
+ * @module
+ * Measures how evenly upstreams are loaded when many instances choose on statements that are some time old.
+ */
+import { policies } from "./createPolicies.js";
+import { type EvenLoadPlan, type EvenLoadResult, playEvenLoad } from "./playEvenLoad.js";
+
+type Shape = Pick<EvenLoadPlan, "instances" | "upstreams" | "slots">;
+
+const shapes: readonly Shape[] = [
+    { instances: 8, upstreams: 4, slots: 6 },
+    { instances: 91, upstreams: 4, slots: 6 },
+    { instances: 91, upstreams: 63, slots: 24 },
+    { instances: 380, upstreams: 120, slots: 8 },
+];
+const agesMs = [100, 400, 1_000];
+const utilisations = [0.6, 0.85];
+const seeds = [1, 2, 3];
+const paceHoldMs = 150;
+
+/** Requests of a play, so that large shapes take no longer than small ones. */
+const requests = 12_000;
+
+function average(results: readonly EvenLoadResult[], read: (result: EvenLoadResult) => number): number {
+    return results.reduce((sum, result) => sum + read(result), 0) / results.length;
+}
+
+function measure(shape: Shape, ageMs: number, utilisation: number, policy: string): readonly EvenLoadResult[] {
+    const durationMs = Math.max(5_000, requests * 80 / (shape.upstreams * shape.slots * utilisation));
+    return seeds.map(seed => playEvenLoad({ ...shape, policy, seed, ageMs, utilisation, paceHoldMs, durationMs }));
+}
+
+/** Runs the measurement and prints its table; the last line is a JSON object. */
+export function runEvenLoad(args: readonly string[]): void {
+    const only = args.find(arg => !arg.startsWith("-"));
+    console.log(
+        "| instances | upstreams x slots | age ms | used | policy | busiest/mean | idle while queued | rejected |"
+            + " wait p50 | wait p99 | took p50 | took p99 |",
+    );
+    console.log(`|${" --- |".repeat(12)}`);
+    const rows: Record<string, unknown>[] = [];
+    for (const shape of shapes.filter(one => only === undefined || `${one.instances}x${one.upstreams}` === only)) {
+        for (const ageMs of agesMs) {
+            for (const utilisation of utilisations) {
+                for (const policy of Object.keys(policies)) {
+                    const results = measure(shape, ageMs, utilisation, policy);
+                    const row = [
+                        shape.instances,
+                        `${shape.upstreams} x ${shape.slots}`,
+                        ageMs,
+                        utilisation,
+                        policy,
+                        average(results, one => one.busiestOverMean).toFixed(2),
+                        average(results, one => one.idleWhileQueued).toFixed(3),
+                        average(results, one => one.rejected).toFixed(3),
+                        average(results, one => one.waitP50Ms).toFixed(0),
+                        average(results, one => one.waitP99Ms).toFixed(0),
+                        average(results, one => one.tookP50Ms).toFixed(0),
+                        average(results, one => one.tookP99Ms).toFixed(0),
+                    ];
+                    console.log(`| ${row.join(" | ")} |`);
+                    rows.push({ row });
+                }
+            }
+        }
+    }
+    console.log(JSON.stringify({ bench: "even-load", seeds, rows: rows.length }));
+}
--- a/bench/placement/runPlacement.ts
+++ b/bench/placement/runPlacement.ts
@@ -4,6 +4,7 @@
  * and of instances that report their use.
  */
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { createUpstreamLoads } from "../../src/core/load/createUpstreamLoads.js";
 import { createHealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView } from "../../src/core/placement/createPartView.js";
 import { createPlacer } from "../../src/core/placement/createPlacer.js";
@@ -110,8 +111,11 @@
             used.map(({ id }) => ({ upstream: id, requests: 0.01, memoryTokens: 10, unreadTokens: 1 })),
         );
     }
+    const clock = createVirtualClock(1);
     const placer = createPlacer({
-        clock: createVirtualClock(1),
+        clock,
+        random: clock.random,
+        loads: createUpstreamLoads(registry.find),
         onPrefill: () => undefined,
         rateLimits: noRateLimits,
         signals: { findClosure: () => undefined },
--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -4,6 +4,7 @@
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
 import type { Prefill } from "../../src/core/fleet/prefillReport.js";
+import { createUpstreamLoads } from "../../src/core/load/createUpstreamLoads.js";
 import type { UpstreamRateLimits } from "../../src/core/permits/createUpstreamPermits.js";
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
@@ -71,6 +72,8 @@
         registry,
         weights,
         use,
+        loads: createUpstreamLoads(registry.find),
+        random: clock.random,
         parts,
         health,
         findService: indexRoutes(createTable()).findService,
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -41,6 +41,9 @@
 /** Minimum interval between two reads of the weights of one engine, in milliseconds. */
 const weightsReadIntervalMs = 400;
 
+/** Lowest status of an upstream's failure. */
+const serverErrorStatus = 500;
+
 /** Share of the process's memory for answers that are collected, not written out, or wait for the end of an event. */
 const answerMemoryShare = 0.16;
 
@@ -107,6 +110,8 @@
         registry: views.registry,
         weights: views.weights,
         use: views.use,
+        loads: views.loads,
+        random,
         parts: views.parts,
         health: views.health,
         findService: name => views.routes()?.findService(name),
@@ -120,6 +125,7 @@
     const placer = createGuardedPlacer(freePlacer, guard, clock);
     quarantine.onChange(placer.recheckGuard);
     permits.onChange(placer.recheck);
+    views.onLoads(placer.dispatch);
 
     /** Reads the weights of an engine that rejected a request because of its version; one read per engine at a time. */
     function refreshWeights(engine: UpstreamRecord, model: string): void {
@@ -136,8 +142,22 @@
             .finally(() => clock.after(weightsReadIntervalMs, () => recentlyRead.delete(engine.id)));
     }
 
+    /** An answer of another process states another load, and one that failed says nothing about the pace. */
+    function recordLoad(req: ProxyRequest, { upstream }: Placement, head: AnswerHead, sentMs: number): void {
+        const { load, rejection, status } = head;
+        if (load !== undefined && rejection !== "replaced") {
+            views.loads.recordAnswer(upstream.id, load, {
+                sentMs,
+                receivedMs: clock.now(),
+                isTimed: req.prompt === undefined && rejection === undefined && status < serverErrorStatus,
+                isRejected: rejection === "busy",
+            });
+        }
+    }
+
     function recordAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead, sentMs: number): void {
         views.signals.recordAnswer(effect.placement.upstream, head, sentMs);
+        recordLoad(req, effect.placement, head, sentMs);
         if (!head.isNotRun) {
             placer.recordAnswerStart(req, effect.placement);
         }
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -2,6 +2,8 @@
  * @module
  * Assembles the views of an instance: configuration, upstreams, weights, health, prompt parts and use.
  */
+import { createLoadExchange, type LoadExchange } from "../core/load/createLoadExchange.js";
+import { createUpstreamLoads, type UpstreamLoads } from "../core/load/createUpstreamLoads.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createHealthView, type HealthView } from "../core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../core/placement/createPartView.js";
@@ -40,6 +42,8 @@
     readonly weights: WeightsView;
     readonly health: HealthView;
     readonly use: UpstreamUseTracker;
+    readonly loads: UpstreamLoads;
+    readonly loadExchange: LoadExchange;
     readonly parts: PartView;
     readonly signals: InstanceSignals;
     readonly routes: () => RouteIndex | undefined;
@@ -57,6 +61,9 @@
     /** Calls `action` after each change that may let waiting requests be placed. */
     readonly onChange: (action: () => void) => void;
     readonly notifyChange: () => void;
+    /** Calls `action` after peers have told of the load of upstreams. */
+    readonly onLoads: (action: () => void) => void;
+    readonly notifyLoads: () => void;
     /** Calls `action` after each change of target weights or of the time from which they count. */
     readonly onTargets: (action: () => void) => void;
 }
@@ -104,6 +111,7 @@
             parts.removeHolder(id);
             health.remove(id);
             signals.view.remove(id);
+            loads.remove(id);
         }
         metrics.upstreamChanges.inc({ change: event.kind });
         writeLog("upstreamChanged", { change: event.kind, upstream: id, service, address, isDraining });
@@ -111,11 +119,26 @@
 
     const registry = createUpstreamRegistry(onRegistryEvent);
     const signals = assembleSignals(context, registry);
+    const loads = createUpstreamLoads(registry.find);
+    const loadListeners: (() => void)[] = [];
+    const use = createUpstreamUseTracker({
+        onBegin: upstream => loads.recordBegin(upstream, clock.now()),
+        onEnd: (upstream, beganMs) => {
+            const nowMs = clock.now();
+            loads.recordEnd(upstream, beganMs === undefined ? undefined : nowMs - beganMs, nowMs);
+        },
+    });
     return {
         registry,
         weights,
         health,
-        use: createUpstreamUseTracker(),
+        use,
+        loads,
+        loadExchange: createLoadExchange({
+            loads,
+            listUpstreams: registry.list,
+            digestUpstreams: registry.digest,
+        }),
         parts,
         signals,
         routes: () => index,
@@ -161,6 +184,10 @@
             listeners.push(action);
         },
         notifyChange,
+        onLoads: action => {
+            loadListeners.push(action);
+        },
+        notifyLoads: () => loadListeners.forEach(action => action()),
         onTargets: action => {
             targetListeners.push(action);
         },
--- a/src/assemble/createHeartbeatComposer.ts
+++ b/src/assemble/createHeartbeatComposer.ts
@@ -73,7 +73,13 @@
         composeOwn,
         compose: () => {
             const nowMs = clock.now();
-            return { ...composeOwn(), known: view.chooseKnown(nowMs), ages: view.describeAges(nowMs) };
+            const loads = views.loadExchange.describe(view.loadBytes(), nowMs);
+            return {
+                ...composeOwn(),
+                known: view.chooseKnown(nowMs),
+                ages: view.describeAges(nowMs),
+                loads: loads === "" ? undefined : loads,
+            };
         },
     };
 }
--- a/src/core/fleet/createFleetView.ts
+++ b/src/core/fleet/createFleetView.ts
@@ -40,6 +40,8 @@
     readonly nextIntervalMs: () => number;
     /** Time without a sign after which an instance counts as failed, in milliseconds. */
     readonly timeoutMs: () => number;
+    /** Bytes for the loads of upstreams in each heartbeat. */
+    readonly loadBytes: () => number;
     /** Whether each heartbeat reaches all other instances directly. */
     readonly isDirect: () => boolean;
     /** Number of other instances that are known or may run at a known address. */
@@ -237,6 +239,7 @@
         countInstances: nowMs => listRecent(nowMs).length + 1,
         nextIntervalMs: () => plan().intervalMs,
         timeoutMs: () => plan().timeoutMs,
+        loadBytes: () => plan().loadBytes,
         isDirect: () => members.size <= maxDirectPeers,
         countAddresses: () => members.size + contacts.size,
     };
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -39,6 +39,9 @@
 /** Longest text of ages: entries of some thousand instances. */
 const maxAgesLength = 32_768;
 
+/** Longest text of relayed loads. */
+const maxLoadsLength = 4_096;
+
 /** Longest digest of a quarantine or of signals: a hash of 64 bits. */
 const maxDigestLength = 16;
 
@@ -92,6 +95,8 @@
     known: z.array(knownInstanceSchema).readonly(),
     /** When live instances were last seen, as `encodeMemberAges` writes it; older builds leave it out. */
     ages: z.string().max(maxAgesLength).default(""),
+    /** What upstreams stated about their load lately, as `encodeLoads` writes it; left out in a small fleet. */
+    loads: z.string().max(maxLoadsLength).optional(),
     /** Ids of instances that the receiver is asked to describe; sent to one instance. */
     wanted: z.array(z.number().int()).max(maxWanted).readonly().optional(),
     /** Whether this is the answer to a heartbeat that asked for descriptions. */
--- a/src/core/fleet/planHeartbeats.ts
+++ b/src/core/fleet/planHeartbeats.ts
@@ -12,6 +12,8 @@
     readonly intervalMs: number;
     /** Time without a sign after which an instance counts as failed, in milliseconds. */
     readonly timeoutMs: number;
+    /** Bytes for the loads of upstreams in each heartbeat. */
+    readonly loadBytes: number;
 }
 
 /** Interval of heartbeats in a small fleet, in milliseconds. */
@@ -26,6 +28,9 @@
 /** Bytes that the heartbeats of an instance may take in a larger fleet. */
 const bytesPerMs = 10;
 
+/** Bytes that the loads of upstreams may take beside them. */
+const loadBytesPerMs = 2;
+
 /** Bytes of a heartbeat beside the ages: the sender, and the target weights. */
 const baseBytes = 880;
 
@@ -47,14 +52,15 @@
  * @param peers - Number of other instances.
  * @returns The plan.
  * @example
- * planHeartbeats(7); // { fanOut: 14, intervalMs: 300, timeoutMs: 1_300 }
+ * planHeartbeats(7); // { fanOut: 14, intervalMs: 300, timeoutMs: 1_300, loadBytes: 0 }
  */
 export function planHeartbeats(peers: number): HeartbeatPlan {
     if (peers <= maxDirectPeers) {
-        return { fanOut: maxDirectPeers, intervalMs: heartbeatIntervalMs, timeoutMs: directTimeoutMs };
+        return { fanOut: maxDirectPeers, intervalMs: heartbeatIntervalMs, timeoutMs: directTimeoutMs, loadBytes: 0 };
     }
     const messageBytes = baseBytes + peers * bytesPerAge;
     const intervalMs = Math.max(heartbeatIntervalMs, relayingFanOut * messageBytes / bytesPerMs);
     const timeoutMs = Math.max(minRelayedTimeoutMs, intervalMs * relayedTimeoutIntervals);
-    return { fanOut: relayingFanOut, intervalMs, timeoutMs };
+    const loadBytes = Math.floor(loadBytesPerMs * intervalMs / relayingFanOut);
+    return { fanOut: relayingFanOut, intervalMs, timeoutMs, loadBytes };
 }
--- /dev/null
+++ b/src/core/load/index.ts
@@ -0,0 +1,13 @@
+/**
+ * @module
+ * Exports of the load of upstreams.
+ */
+export * from "./createLoadExchange.js";
+export * from "./createOwnRequests.js";
+export * from "./createPaceMemory.js";
+export * from "./createServiceMeans.js";
+export * from "./createUpstreamLoads.js";
+export * from "./decodeLoads.js";
+export * from "./encodeLoads.js";
+export * from "./loadTypes.js";
+export * from "./predictRequests.js";
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -4,7 +4,7 @@
  * engines whose memory holds about a dozen large prompts, the prefill of a shared prompt is weighed against queueing
  * behind other prompts.
  */
-import type { PlacementCandidate } from "./placementTypes.js";
+import type { CandidateLoad, PlacementCandidate } from "./placementTypes.js";
 
 /** Cost of each running request for a new one, in prompt tokens: it makes each decoding step longer. */
 const runningRequestTokens = 40;
@@ -18,11 +18,22 @@
 /** Cost of another failure domain, in prompt tokens, for the traffic between failure domains. */
 const remoteDomainTokens = 150;
 
+/** The same at plain upstreams that state their load, as a share of their slots. */
+const remoteDomainShare = 0.02;
+
 /** Fraction of an engine's memory that placed requests may use: above it, engines preempt running requests. */
 const maxMemoryFraction = 0.95;
 
+/** How far below the length at which an upstream rejects requests its queue counts as full. */
+const queueMargin = 0.5;
+
 function hasFreeCapacity(candidate: PlacementCandidate): boolean {
-    if (candidate.use.requests >= candidate.slots) {
+    const { load } = candidate;
+    if ((load?.requests ?? candidate.use.requests) >= candidate.slots) {
+        return false;
+    }
+    const { waiting, queueLimit } = load?.estimate ?? {};
+    if (waiting !== undefined && queueLimit !== undefined && waiting > queueLimit - queueMargin) {
         return false;
     }
     if (candidate.memoryTokens === undefined || candidate.use.requests === 0) {
@@ -32,14 +43,31 @@
     return usedTokens + candidate.neededTokens <= candidate.memoryTokens * maxMemoryFraction;
 }
 
-/** Estimates the cost of a placement in prompt tokens: the prefill, the work queued before it, and penalties. */
+/**
+ * Estimates the cost of a plain upstream as the share of its slots in use. The square root of the pace stands between equal
+ * shares, which overload slow upstreams, and shortest delays, which overload fast ones before statements of it arrive.
+ */
+function estimatePlainCost(candidate: PlacementCandidate, { estimate, requests }: CandidateLoad): number {
+    const remoteDomain = candidate.isSameFailureDomain ? 0 : remoteDomainShare;
+    return Math.sqrt(estimate.pace) * (requests + 1) / candidate.slots + remoteDomain;
+}
+
+/**
+ * Estimates the cost of a placement in prompt tokens: the prefill, the work queued before it, and penalties. A pace that is
+ * stated makes work longer or shorter.
+ */
 function estimateCost(candidate: PlacementCandidate): number {
+    if (candidate.memoryTokens === undefined && candidate.load !== undefined) {
+        return estimatePlainCost(candidate, candidate.load);
+    }
     const unreadTokens = candidate.use.unreadTokens + candidate.unreported.unreadTokens;
-    const wait = unreadTokens + candidate.use.requests * runningRequestTokens;
+    const requests = candidate.load?.requests ?? candidate.use.requests;
+    const queuedTokens = Math.max(unreadTokens, candidate.load?.waitingTokens ?? 0);
+    const work = candidate.prefillTokens + queuedTokens + requests * runningRequestTokens;
     const outdated = candidate.isOutdated ? outdatedTokens : 0;
     const remoteDomain = candidate.isSameFailureDomain ? 0 : remoteDomainTokens;
     const repeated = candidate.repeatedTokens * repeatedTokenCost;
-    return candidate.prefillTokens + repeated + wait + outdated + remoteDomain;
+    return work * (candidate.load?.estimate.pace ?? 1) + repeated + outdated + remoteDomain;
 }
 
 /**
--- a/src/core/placement/createOptionReader.ts
+++ b/src/core/placement/createOptionReader.ts
@@ -3,6 +3,7 @@
  * Describes the upstreams that may run a request as candidates of a placement: their use, and what they would have to
  * prefill.
  */
+import type { UpstreamLoads } from "../load/createUpstreamLoads.js";
 import { deriveCacheSalt } from "../proxy/deriveCacheSalt.js";
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import type { Service } from "../routes/routingTable.js";
@@ -10,6 +11,7 @@
 import type { Choice, Option } from "./_lib/placementOptions.js";
 import type { PromptCacheReader, PromptCacheView } from "./createPromptCacheReader.js";
 import type { UpstreamUseTracker } from "./createUpstreamUseTracker.js";
+import { describeCandidateLoad } from "./describeCandidateLoad.js";
 import type { PlacementCandidate, Prompt, UnreportedUse, UpstreamUse } from "./placementTypes.js";
 
 /** Dependencies of {@link createOptionReader}. */
@@ -19,13 +21,18 @@
     readonly failureDomain: string;
     readonly use: UpstreamUseTracker;
     readonly reader: PromptCacheReader;
+    readonly loads: Pick<UpstreamLoads, "estimate">;
+    /** Returns a number from 0 (included) to 1 (excluded). */
+    readonly random: () => number;
+    /** Whether each instance hears from all others at short intervals what they place. */
+    readonly isFleetDirect: () => boolean;
     readonly findService: (name: string) => Service | undefined;
 }
 
 /** Describes the choices for a request. */
 export type ReadOptions = (req: ProxyRequest, choices: readonly Choice[]) => readonly Option[];
 
-/** Plain services are placed by running requests alone. */
+/** Plain services are placed by requests and, where they state it, by load. */
 const noUnreportedUse: UnreportedUse = { memoryTokens: 0, unreadTokens: 0 };
 
 function saltOf(req: ProxyRequest, prompt: Prompt, weightsVersion: number): string {
@@ -44,11 +51,17 @@
 export function createOptionReader(deps: OptionReaderDependencies): ReadOptions {
     const { reader, use } = deps;
 
-    function describePlain({ record }: Choice, used: UpstreamUse): PlacementCandidate {
+    function describePlain({ record }: Choice, used: UpstreamUse, ownTokens = 0): PlacementCandidate {
         return {
             id: record.id,
             use: used,
             unreported: noUnreportedUse,
+            load: describeCandidateLoad({
+                estimate: deps.loads.estimate(record.id, deps.now()),
+                reportedRequests: deps.isFleetDirect() ? used.requests : undefined,
+                ownTokens,
+                random: deps.random,
+            }),
             slots: record.slots,
             memoryTokens: undefined,
             prefillTokens: 0,
@@ -78,7 +91,7 @@
             const coverage = reader.describeCoverage(prompt, view, choice.record);
             const isShared = use.holdsShared(id, view.sharedKey);
             const candidate = {
-                ...describePlain(choice, view.uses.get(id) ?? use.read(id)),
+                ...describePlain(choice, view.uses.get(id) ?? use.read(id), countOwnTokens(prompt)),
                 unreported: use.estimateUnreported(id, deps.now()),
                 slots: engine?.slots ?? choice.record.slots,
                 memoryTokens: engine?.memoryTokens,
--- a/src/core/placement/createUpstreamUseTracker.ts
+++ b/src/core/placement/createUpstreamUseTracker.ts
@@ -25,6 +25,13 @@
     readonly upstream: string;
 }
 
+/** Called when a request of this instance begins and ends. */
+export interface OwnRequestObserver {
+    readonly onBegin: (upstream: string) => void;
+    /** `beganMs`: when it began; undefined when no answer to it began. */
+    readonly onEnd: (upstream: string, beganMs: number | undefined) => void;
+}
+
 /** Tracker of the use of upstreams. */
 export interface UpstreamUseTracker {
     readonly begin: (key: RequestKey, placed: PlacedRequest, nowMs: number) => void;
@@ -87,14 +94,15 @@
 /**
  * Creates a tracker without requests.
  *
+ * @param observer - Observes this instance's requests.
  * @returns The tracker.
  * @example
  * const use = createUpstreamUseTracker();
  * use.begin("r-1", { upstream: "e-1", ownTokens: 9, sharedKey: "k", sharedTokens: 60, unreadTokens: 9 }, clock.now());
  * use.read("e-1").memoryTokens; // 69
  */
-export function createUpstreamUseTracker(): UpstreamUseTracker {
-    const requests = new Map<RequestKey, PlacedRequest & { isPrefilled: boolean; }>();
+export function createUpstreamUseTracker(observer?: OwnRequestObserver): UpstreamUseTracker {
+    const requests = new Map<RequestKey, PlacedRequest & { readonly beganMs: number; isPrefilled: boolean; }>();
     const own = new Map<string, OwnState>();
     const peers = new Map<string, ReadonlyMap<string, UpstreamUse>>();
 
@@ -109,7 +117,8 @@
     }
 
     function begin(key: RequestKey, placed: PlacedRequest, nowMs: number): void {
-        requests.set(key, { ...placed, isPrefilled: false });
+        requests.set(key, { ...placed, beganMs: nowMs, isPrefilled: false });
+        observer?.onBegin(placed.upstream);
         const state = stateOf(placed.upstream);
         state.recent = [...listRecent(state, nowMs), {
             atMs: nowMs,
@@ -158,6 +167,7 @@
         if (placed === undefined) {
             return;
         }
+        observer?.onEnd(placed.upstream, placed.isPrefilled ? placed.beganMs : undefined);
         recordAnswerStart(key);
         requests.delete(key);
         const state = stateOf(placed.upstream);
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -17,5 +17,6 @@
 export * from "./createSourceChooser.js";
 export * from "./createUpstreamUseTracker.js";
 export * from "./createWaitQueue.js";
+export * from "./describeCandidateLoad.js";
 export * from "./isFeedReader.js";
 export * from "./placementTypes.js";
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -2,6 +2,7 @@
  * @module
  * Data on which placement decides: the prompt, the use of an upstream and the candidate upstreams.
  */
+import type { LoadEstimate } from "../load/loadTypes.js";
 
 /** One part of a prompt; all parts but the last may be shared with other requests. */
 export interface PromptPart {
@@ -35,6 +36,15 @@
     readonly unreadTokens: number;
 }
 
+/** Load of an upstream as one choice takes it. */
+export interface CandidateLoad {
+    readonly estimate: LoadEstimate;
+    /** Requests that are assumed there; not a whole number where they are drawn from the estimate. */
+    readonly requests: number;
+    /** Prompt tokens of the requests that wait there; 0 for a plain service. */
+    readonly waitingTokens: number;
+}
+
 /** One upstream that may run a request. */
 export interface PlacementCandidate {
     readonly id: string;
@@ -42,6 +52,8 @@
     readonly use: UpstreamUse;
     /** Use by requests that peers have probably placed since their last report. */
     readonly unreported: UnreportedUse;
+    /** Load by the upstream's statements; undefined when it states none. */
+    readonly load?: CandidateLoad | undefined;
     /** Maximum number of concurrent requests. */
     readonly slots: number;
     /** Memory of an engine in tokens; undefined for a plain service. */
--- a/src/core/signals/upstreamSignal.ts
+++ b/src/core/signals/upstreamSignal.ts
@@ -15,9 +15,9 @@
 /** Kind of a signal. */
 export type SignalKind = UpstreamSignal["kind"];
 
-/** A statement that could not be decoded. */
+/** A statement that could not be decoded; "load" is the load, which is kept in `src/core/load`. */
 export interface MalformedSignal {
-    readonly kind: SignalKind;
+    readonly kind: SignalKind | "load";
     readonly text: string;
 }
 
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -5,6 +5,7 @@
  */
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../core/errors/createRefusal.js";
+import type { StatedLoad } from "../../core/load/loadTypes.js";
 import type { Prompt } from "../../core/placement/placementTypes.js";
 import type { StatedAnswer } from "../../core/proxy/judgeAnswerHead.js";
 import type { HeaderPair, Placement, ProxyRequest } from "../../core/proxy/proxyTypes.js";
@@ -27,19 +28,13 @@
     readonly headers: readonly HeaderPair[];
 }
 
-/** An upstream's load, as reported with an answer. */
-export interface ReportedLoad {
-    readonly running: number;
-    readonly waiting: number;
-    readonly slots: number;
-}
-
 /** The decoded head of an upstream's answer. */
 export interface AnswerHead extends StatedAnswer {
     /** Whether the upstream reported that it did not and will not run the request. */
     readonly isNotRun: boolean;
     readonly retryAfterMs: number | undefined;
-    readonly load: ReportedLoad | undefined;
+    /** Load that the upstream states; undefined when it states none that can be decoded. */
+    readonly load: StatedLoad | undefined;
     /** What the upstream states about the requests that it wants. */
     readonly signals: AnswerSignals;
     /** Version of the weights that generated the answer. */
