--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -44,12 +44,15 @@
 }
 
 /**
- * Estimates the cost of a plain upstream as the share of its slots in use. The square root of the pace stands between equal
- * shares, which overload slow upstreams, and shortest delays, which overload fast ones before statements of it arrive.
+ * Weighs a pace: less than in proportion, which would overload fast upstreams before statements of it arrive, and more than
+ * not at all, which would overload slow ones.
  */
+const weighPace = (pace: number) => Math.cbrt(pace);
+
+/** Estimates the cost of a plain upstream as the share of its slots in use. */
 function estimatePlainCost(candidate: PlacementCandidate, { estimate, requests }: CandidateLoad): number {
     const remoteDomain = candidate.isSameFailureDomain ? 0 : remoteDomainShare;
-    return Math.sqrt(estimate.pace) * (requests + 1) / candidate.slots + remoteDomain;
+    return weighPace(estimate.pace) * (requests + 1) / candidate.slots + remoteDomain;
 }
 
 /**
@@ -67,7 +70,7 @@
     const outdated = candidate.isOutdated ? outdatedTokens : 0;
     const remoteDomain = candidate.isSameFailureDomain ? 0 : remoteDomainTokens;
     const repeated = candidate.repeatedTokens * repeatedTokenCost;
-    return work * (candidate.load?.estimate.pace ?? 1) + repeated + outdated + remoteDomain;
+    return work * weighPace(candidate.load?.estimate.pace ?? 1) + repeated + outdated + remoteDomain;
 }
 
 /**
