--- a/features/evenLoad.feature
+++ b/features/evenLoad.feature
@@ -106,3 +106,8 @@
 
         Scenario: Upstreams that state nothing are chosen as before
             Then over 100 random lists with seed 3 candidates without a load are ranked by requests and failure domain
+
+    Rule: Operators see how old and how even the known load is
+
+        Scenario: Spread of the load
+            Then the summary of the loads of upstreams with 2, 2 and 8 requests has a spread of 2
--- a/features/upstreamSignals.feature
+++ b/features/upstreamSignals.feature
@@ -28,6 +28,12 @@
             Then the plain server has got 3 requests
             And one malformed statement is logged
 
+        Scenario: A load whose pace is absurd is used without the pace, and logged
+            Given the plain server states "server-load: 3,0,8,1000000000" in its answers
+            When 3 plain calls are sent through the first instance
+            Then the plain server has got 3 requests
+            And one malformed statement is logged
+
     Rule: Decoding
 
         Scenario Outline: Rate limits in answers
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -4,6 +4,7 @@
  */
 import { createLoadExchange, type LoadExchange } from "../core/load/createLoadExchange.js";
 import { createUpstreamLoads, type UpstreamLoads } from "../core/load/createUpstreamLoads.js";
+import { describeLoadView, type LoadViewSummary } from "../core/load/describeLoadView.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createHealthView, type HealthView } from "../core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../core/placement/createPartView.js";
@@ -44,6 +45,7 @@
     readonly use: UpstreamUseTracker;
     readonly loads: UpstreamLoads;
     readonly loadExchange: LoadExchange;
+    readonly describeLoads: () => LoadViewSummary;
     readonly parts: PartView;
     readonly signals: InstanceSignals;
     readonly routes: () => RouteIndex | undefined;
@@ -134,6 +136,7 @@
         health,
         use,
         loads,
+        describeLoads: () => describeLoadView(registry.list(), upstream => loads.estimate(upstream, clock.now())),
         loadExchange: createLoadExchange({
             loads,
             listUpstreams: registry.list,
--- a/src/core/load/index.ts
+++ b/src/core/load/index.ts
@@ -8,6 +8,8 @@
 export * from "./createServiceMeans.js";
 export * from "./createUpstreamLoads.js";
 export * from "./decodeLoads.js";
+export * from "./describeLoadView.js";
+export * from "./drawRequests.js";
 export * from "./encodeLoads.js";
 export * from "./loadTypes.js";
 export * from "./predictRequests.js";
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -73,7 +73,7 @@
     const listChoices = createChoiceLister({ ...deps, now });
     const readOptions = createOptionReader({ ...deps, now, reader });
 
-    function toPlacement({ choice, model }: Option): Placement {
+    function toPlacement({ choice, candidate, model }: Option): Placement {
         const heldTokens = model?.coverage.heldTokens ?? 0;
         return {
             upstream: choice.record,
@@ -83,6 +83,7 @@
             cacheTarget: model === undefined ? undefined : reader.findCacheTarget(model.prompt, model.view)?.address,
             heldTokens,
             fetchedTokens: Math.max(0, (model?.coverage.source?.heldTokens ?? 0) - heldTokens),
+            load: candidate.load,
         };
     }
 
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -2,7 +2,7 @@
  * @module
  * A request with opaque method, path, headers and body, and the possible outcomes of sending it.
  */
-import type { Prompt } from "../placement/placementTypes.js";
+import type { CandidateLoad, Prompt } from "../placement/placementTypes.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
 import type { Route, RouteCustomer } from "../routes/routingTable.js";
 
@@ -47,6 +47,8 @@
     readonly heldTokens: number;
     /** Prompt tokens that the engine should fetch from `cacheSource`, as known to this instance. */
     readonly fetchedTokens: number;
+    /** Load by which the upstream was chosen; undefined when it states none. */
+    readonly load?: CandidateLoad | undefined;
 }
 
 /** An upstream's complete answer. */
--- a/src/core/why/describeLogLine.ts
+++ b/src/core/why/describeLogLine.ts
@@ -21,11 +21,25 @@
         : JSON.stringify(value);
 }
 
+function describeKnownLoad(fields: Fields): string {
+    if (fields["expectedRequests"] === undefined) {
+        return "";
+    }
+    const age = fields["loadAgeMs"] === undefined
+        ? "though it has stated nothing yet"
+        : `by what it stated ${text(fields, "loadAgeMs")} ms before`;
+    return `, where ${text(fields, "expectedRequests")} requests were expected ${age}, at ${
+        text(fields, "pace")
+    } of the`
+        + " usual duration of work";
+}
+
 function describeSent(fields: Fields): string {
     const limit = fields["rateLimit"] === undefined
         ? ""
         : `, by a permit of its limit of ${text(fields, "rateLimit")} requests a second`;
-    const head = `sent to ${text(fields, "upstream")} ${text(fields, "afterMs")} ms after it arrived${limit}`;
+    const head = `sent to ${text(fields, "upstream")} ${text(fields, "afterMs")} ms after it arrived${limit}`
+        + describeKnownLoad(fields);
     if (fields["promptTokens"] === undefined) {
         return head;
     }
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -25,6 +25,10 @@
     readonly quarantinedParts: () => number;
     /** Upstreams that state a rate limit. */
     readonly limitedUpstreams: () => number;
+    /** Median age of what upstreams have stated about their load, in seconds; infinite when they have stated nothing. */
+    readonly loadViewAgeSeconds: () => number;
+    /** Estimated use of the busiest upstream of a service as a factor of the service's mean. */
+    readonly loadViewSpread: () => number;
     readonly connectionsOpened: () => number;
     /** Memory that answers of upstreams hold, in bytes. */
     readonly heldAnswerBytes: () => number;
@@ -142,6 +146,16 @@
     gauge("store_reader", "1 when the instance reads the store all the time.", from => Number(from.isStoreReader()));
     gauge("quarantined_parts", "Prompt parts that are held back or contained.", from => from.quarantinedParts());
     gauge("limited_upstreams", "Upstreams that state a rate limit.", from => from.limitedUpstreams());
+    gauge(
+        "load_view_age_seconds",
+        "Median age of the known statements about the load of upstreams; -1 before the first.",
+        from => from.loadViewAgeSeconds(),
+    );
+    gauge(
+        "load_view_spread",
+        "Estimated use of the busiest upstream of a service as a factor of the mean.",
+        from => from.loadViewSpread(),
+    );
     gauge("connections_opened", "Connections opened to upstreams since the start.", from => from.connectionsOpened());
     gauge("held_answer_bytes", "Memory that answers of upstreams hold.", from => from.heldAnswerBytes());
     gauge("held_body_bytes", "Memory that bodies of requests hold.", from => from.heldBodyBytes());
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -8,6 +8,24 @@
 
 type LogFields = Readonly<Record<string, unknown>>;
 
+const round = (value: number) => Math.round(value * 100) / 100;
+
+/** Describes the load by which an upstream was chosen: without the request itself. */
+function describePlacedLoad({ load }: Placement): LogFields {
+    if (load === undefined) {
+        return {};
+    }
+    const { requests, deviation, waiting, pace, ageMs } = load.estimate;
+    return {
+        expectedRequests: round(requests),
+        requestsDeviation: round(deviation),
+        drawnRequests: round(load.requests),
+        expectedWaiting: round(waiting),
+        pace: round(pace),
+        loadAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    };
+}
+
 /**
  * Returns the log fields of a send: the request and the placement it was based on.
  *
@@ -24,7 +42,12 @@
     stop: StopProgress | undefined,
 ): LogFields {
     const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
-    const sent = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
+    const sent = {
+        requestId: req.id,
+        upstream: upstream.id,
+        afterMs: Math.round(nowMs - req.arrivedMs),
+        ...describePlacedLoad(placement),
+    };
     const basis = stop === undefined
         ? sent
         : { ...sent, leavingMs: stop.sinceMs, leftMs: stop.leftMs, dueMs: Math.round(req.deadlineMs - nowMs) };
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -192,6 +192,8 @@
         isStoreReader: () => plan().isReader,
         quarantinedParts: () => quarantine.guard.list().filter(entry => entry.state !== "lifted").length,
         limitedUpstreams: () => views.signals.view.countLimited(clock.now()),
+        loadViewAgeSeconds: () => views.describeLoads().ageMs / millisecondsPerSecond,
+        loadViewSpread: () => views.describeLoads().spread,
         connectionsOpened: proxy.countOpened,
         heldAnswerBytes: () => proxy.heldMemory().answerBytes,
         heldBodyBytes: () => proxy.heldMemory().bodyBytes,
