--- a/src/core/load/createOwnRequests.ts
+++ b/src/core/load/createOwnRequests.ts
@@ -9,6 +9,8 @@
     /** Records that a request began (1) or ended (-1). */
     readonly record: (upstream: string, change: 1 | -1, nowMs: number) => void;
     readonly count: (upstream: string) => number;
+    /** Forgets an upstream, at once or when its last request has ended. */
+    readonly remove: (upstream: string) => void;
     /** Number at an earlier time; for times before the history, the number at its start. */
     readonly countAt: (upstream: string, atMs: number) => number;
 }
@@ -21,6 +23,7 @@
 
 interface OwnState {
     count: number;
+    isRemoved: boolean;
     /** The oldest first. */
     readonly changes: { readonly atMs: number; readonly change: 1 | -1; }[];
 }
@@ -43,15 +46,24 @@
 
     return {
         record: (upstream, change, nowMs) => {
-            const state = states.get(upstream) ?? { count: 0, changes: [] };
+            const state = states.get(upstream) ?? { count: 0, isRemoved: false, changes: [] };
             states.set(upstream, state);
             state.count += change;
             state.changes.push({ atMs: nowMs, change });
             removeOld(state, nowMs);
-            if (state.count === 0 && state.changes.length === 0) {
+            if (state.isRemoved && state.count === 0) {
                 states.delete(upstream);
             }
         },
+        remove: upstream => {
+            const state = states.get(upstream);
+            if (state?.count === 0) {
+                states.delete(upstream);
+            }
+            else if (state !== undefined) {
+                state.isRemoved = true;
+            }
+        },
         count: upstream => states.get(upstream)?.count ?? 0,
         countAt: (upstream, atMs) => {
             const state = states.get(upstream);
--- a/src/core/load/createUpstreamLoads.ts
+++ b/src/core/load/createUpstreamLoads.ts
@@ -214,6 +214,7 @@
         estimate,
         listStatements: () => [...states.values()].map(state => state.statement),
         remove: upstream => {
+            own.remove(upstream);
             const state = states.get(upstream);
             if (state !== undefined) {
                 state.service.upstreams -= 1;
