Take the expected number of requests for whether an upstream is full

Under overload one of several full engines is nearly always drawn as free, and each dispatch draws again. Change: the expected number decides whether there is room, one request above the slots is allowed, and the drawn number only ranks.

--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -27,9 +27,20 @@
 /** How far below the length at which an upstream rejects requests its queue counts as full. */
 const queueMargin = 0.5;
 
+/** Requests beyond its slots that an upstream may have: one that waits keeps it busy until its next statement arrives. */
+const waitingAllowance = 1;
+
+/**
+ * The expected number of requests decides, not the drawn one: of several full upstreams one would nearly always be drawn as
+ * free.
+ */
+function hasFreeSlot({ load, use, slots }: PlacementCandidate): boolean {
+    return load === undefined ? use.requests < slots : load.estimate.requests < slots + waitingAllowance;
+}
+
 function hasFreeCapacity(candidate: PlacementCandidate): boolean {
     const { load } = candidate;
-    if ((load?.requests ?? candidate.use.requests) >= candidate.slots) {
+    if (!hasFreeSlot(candidate)) {
         return false;
     }
     const { waiting, queueLimit } = load?.estimate ?? {};
