--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -58,7 +58,7 @@
  * Weighs a pace: less than in proportion, which would overload fast upstreams before statements of it arrive, and more than
  * not at all, which would overload slow ones.
  */
-const weighPace = (pace: number) => Math.cbrt(pace);
+const weighPace = (pace: number) => Math.sqrt(pace);
 
 /** Estimates the cost of a plain upstream as the share of its slots in use. */
 function estimatePlainCost(candidate: PlacementCandidate, { estimate, requests }: CandidateLoad): number {
