--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -2,6 +2,9 @@
  * @module
  * Assembles the views of an instance: configuration, upstreams, weights, health, prompt parts and use.
  */
+import { createLoadExchange, type LoadExchange } from "../core/load/createLoadExchange.js";
+import { createUpstreamLoads, type UpstreamLoads } from "../core/load/createUpstreamLoads.js";
+import { describeLoadView, type LoadViewSummary } from "../core/load/describeLoadView.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createHealthView, type HealthView } from "../core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../core/placement/createPartView.js";
@@ -40,6 +43,9 @@
     readonly weights: WeightsView;
     readonly health: HealthView;
     readonly use: UpstreamUseTracker;
+    readonly loads: UpstreamLoads;
+    readonly loadExchange: LoadExchange;
+    readonly describeLoads: () => LoadViewSummary;
     readonly parts: PartView;
     readonly signals: InstanceSignals;
     readonly routes: () => RouteIndex | undefined;
@@ -57,6 +63,9 @@
     /** Calls `action` after each change that may let waiting requests be placed. */
     readonly onChange: (action: () => void) => void;
     readonly notifyChange: () => void;
+    /** Calls `action` after peers have told of the load of upstreams. */
+    readonly onLoads: (action: () => void) => void;
+    readonly notifyLoads: () => void;
     /** Calls `action` after each change of target weights or of the time from which they count. */
     readonly onTargets: (action: () => void) => void;
 }
@@ -104,6 +113,7 @@
             parts.removeHolder(id);
             health.remove(id);
             signals.view.remove(id);
+            loads.remove(id);
         }
         metrics.upstreamChanges.inc({ change: event.kind });
         writeLog("upstreamChanged", { change: event.kind, upstream: id, service, address, isDraining });
@@ -111,11 +121,27 @@
 
     const registry = createUpstreamRegistry(onRegistryEvent);
     const signals = assembleSignals(context, registry);
+    const loads = createUpstreamLoads(registry.find);
+    const loadListeners: (() => void)[] = [];
+    const use = createUpstreamUseTracker({
+        onBegin: upstream => loads.recordBegin(upstream, clock.now()),
+        onEnd: (upstream, beganMs) => {
+            const nowMs = clock.now();
+            loads.recordEnd(upstream, beganMs === undefined ? undefined : nowMs - beganMs, nowMs);
+        },
+    });
     return {
         registry,
         weights,
         health,
-        use: createUpstreamUseTracker(),
+        use,
+        loads,
+        describeLoads: () => describeLoadView(registry.list(), upstream => loads.estimate(upstream, clock.now())),
+        loadExchange: createLoadExchange({
+            loads,
+            listUpstreams: registry.list,
+            digestUpstreams: registry.digest,
+        }),
         parts,
         signals,
         routes: () => index,
@@ -161,6 +187,10 @@
             listeners.push(action);
         },
         notifyChange,
+        onLoads: action => {
+            loadListeners.push(action);
+        },
+        notifyLoads: () => loadListeners.forEach(action => action()),
         onTargets: action => {
             targetListeners.push(action);
         },
--- a/src/assemble/createHeartbeatComposer.ts
+++ b/src/assemble/createHeartbeatComposer.ts
@@ -73,7 +73,11 @@
         composeOwn,
         compose: () => {
             const nowMs = clock.now();
-            return { ...composeOwn(), known: view.chooseKnown(nowMs), ages: view.describeAges(nowMs) };
+            const known = view.chooseKnown(nowMs);
+            const heartbeat = { ...composeOwn(), known, ages: view.describeAges(nowMs) };
+            const loadBytes = view.findLoadBytes(JSON.stringify(heartbeat).length);
+            const loads = views.loadExchange.describe(loadBytes, nowMs);
+            return loads === "" ? heartbeat : { ...heartbeat, loads };
         },
     };
 }
