Leave room to urgent requests and share a full service between customers

Cause: a less urgent request took the last room of an upstream, so that an urgent one waited until a request had ended there; among requests of a priority the order followed the callers' timeouts alone, so that a customer that sends much got most. Change: a less urgent request is placed only where it leaves room to the urgent ones expected until room comes free (Poisson bound on observed arrivals times instances, spread over the upstreams; it shrinks to nothing until the request is due). The wait queue orders by urgency levels with a guaranteed part for the less urgent and by fair queueing between customers; createFairQueue serves both interfaces and is start-time fair queueing now. Retry-After of refused callers is spread, never earlier than predicted.

--- a/src/core/limits/createFairQueue.ts
+++ b/src/core/limits/createFairQueue.ts
@@ -1,6 +1,7 @@
 /**
  * @module
- * Queues of waiting requests, one per customer, dispatched by deficit round robin over tokens.
+ * Queues of waiting requests, one per customer, dispatched by start-time fair queueing over tokens. It answers a load that
+ * exceeds what all customers may use together: each gets a share by weight, however much the others send.
  */
 
 /** A waiting request. */
@@ -31,15 +32,26 @@
 /** Which request of the chosen customer is shed: the newest, or the one that needs the most recomputation. */
 export type VictimOrder = "newestFirst" | "recomputeFirst";
 
+/** Options of {@link createFairQueue}. */
+export interface FairQueueOptions<T> {
+    /** Order of one customer's requests; by default that of their arrival. */
+    readonly isBefore?: (left: T, right: T) => boolean;
+    /** Number of a customer's requests that are passed to `accept` after one that was not accepted; by default 0. */
+    readonly maxSkipped?: number;
+    /**
+     * Whether a customer is owed what it could not use since its request was not accepted: true where all customers wait for the
+     * same capacity, false where its own limits keep it waiting. By default false.
+     */
+    readonly keepsTurn?: boolean;
+}
+
 interface CustomerQueue<T> {
     items: readonly T[];
-    deficit: number;
     tokens: number;
+    /** Tokens dispatched per weight; the customer with the fewest goes first. */
+    served: number;
 }
 
-/** Tokens that a customer of weight 1 may dispatch in each round. */
-const quantumTokens = 512;
-
 function chooseVictim<T extends QueuedRequest>(items: readonly T[], order: VictimOrder): T {
     const newest = items[items.length - 1]!;
     if (order === "newestFirst") {
@@ -51,18 +63,30 @@
 /**
  * Creates fair queues.
  *
+ * @param options - The order of one customer's requests, and what happens to those that are not accepted.
  * @returns Empty queues.
  * @example
  * createFairQueue().totalTokens(); // 0
  */
-export function createFairQueue<T extends QueuedRequest>(): FairQueue<T> {
+export function createFairQueue<T extends QueuedRequest>(options: FairQueueOptions<T> = {}): FairQueue<T> {
+    const { isBefore = () => false, maxSkipped = 0, keepsTurn = false } = options;
     const queues = new Map<string, CustomerQueue<T>>();
     const customers = new Map<string, string>();
+    /** Tokens served per weight to customers without waiting requests, as far as they exceed `level`. */
+    const left = new Map<string, number>();
     let totalTokens = 0;
+    /** What the customer of the latest dispatched request had been served before. */
+    let level = 0;
+
+    function createQueue(customer: string): CustomerQueue<T> {
+        return { items: [], tokens: 0, served: Math.max(level, left.get(customer) ?? 0) };
+    }
 
     function enqueue(req: T): void {
-        const queue = queues.get(req.customer) ?? { items: [], deficit: 0, tokens: 0 };
-        queue.items = [...queue.items, req];
+        const queue = queues.get(req.customer) ?? createQueue(req.customer);
+        const index = queue.items.findIndex(item => isBefore(req, item));
+        const at = index === -1 ? queue.items.length : index;
+        queue.items = [...queue.items.slice(0, at), req, ...queue.items.slice(at)];
         queue.tokens += req.tokens;
         totalTokens += req.tokens;
         customers.set(req.requestId, req.customer);
@@ -82,52 +106,59 @@
         totalTokens -= found.tokens;
         if (queue.items.length === 0) {
             queues.delete(customer);
+            left.set(customer, queue.served);
         }
         return found;
     }
 
-    /** Dispatches from one customer's queue for one round; returns true when its head only lacks deficit. */
-    function dispatchFrom(queue: CustomerQueue<T>, accept: (req: T) => boolean, canContinue: () => boolean): boolean {
-        queue.deficit += quantumTokens * queue.items[0]!.weight;
-        while (queue.items.length > 0 && canContinue()) {
-            const head = queue.items[0]!;
-            if (head.tokens > queue.deficit) {
-                return true;
+    function raiseLevel(served: number): void {
+        level = Math.max(level, served);
+        left.forEach((value, customer) => {
+            if (value <= level) {
+                left.delete(customer);
             }
-            if (!accept(head)) {
-                queue.deficit = 0;
-                return false;
+        });
+    }
+
+    /** Finds the customer that was served least; among equals the one that has waited longest. */
+    function findNext(passedOver: ReadonlySet<CustomerQueue<T>>): CustomerQueue<T> | undefined {
+        let next: CustomerQueue<T> | undefined;
+        for (const queue of queues.values()) {
+            if (!passedOver.has(queue) && (next === undefined || queue.served < next.served)) {
+                next = queue;
             }
-            queue.deficit -= head.tokens;
-            remove(head.requestId);
         }
-        return false;
+        return next;
     }
 
-    /** Moves a customer behind the others after its round, so that the next call begins with the next customer. */
-    function rotate(customer: string): void {
-        const queue = queues.get(customer);
-        if (queue !== undefined) {
-            queues.delete(customer);
-            queues.set(customer, queue);
+    /** Dispatches one request of a customer; returns false when none was accepted. */
+    function dispatchFrom(queue: CustomerQueue<T>, accept: (req: T) => boolean, canContinue: () => boolean): boolean {
+        for (const req of queue.items.slice(0, maxSkipped + 1)) {
+            if (!canContinue()) {
+                return false;
+            }
+            if (accept(req)) {
+                const { served } = queue;
+                queue.served += req.tokens / req.weight;
+                remove(req.requestId);
+                raiseLevel(served);
+                return true;
+            }
         }
+        queue.served = keepsTurn ? queue.served : Math.max(queue.served, level);
+        return false;
     }
 
     function dispatch(accept: (req: T) => boolean, canContinue: () => boolean): void {
-        let shortOfDeficit = new Set(queues.keys());
-        while (shortOfDeficit.size > 0) {
-            const next = new Set<string>();
-            for (const customer of shortOfDeficit) {
-                if (!canContinue()) {
-                    return;
-                }
-                const queue = queues.get(customer);
-                if (queue !== undefined && dispatchFrom(queue, accept, canContinue)) {
-                    next.add(customer);
-                }
-                rotate(customer);
+        const passedOver = new Set<CustomerQueue<T>>();
+        while (canContinue()) {
+            const queue = findNext(passedOver);
+            if (queue === undefined) {
+                return;
+            }
+            if (!dispatchFrom(queue, accept, canContinue)) {
+                passedOver.add(queue);
             }
-            shortOfDeficit = next;
         }
     }
 
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -3,13 +3,15 @@
  * Holds the requests that find no free capacity, and refuses those that will not find any in time. It answers a load that
  * exceeds the capacity of a service: a caller whose request cannot be served learns it while there is time to come back.
  */
+import { hashText } from "../_lib/hashText.js";
 import { createRefusal } from "../errors/createRefusal.js";
 import { computeCallerDeadlines } from "../proxy/computeCallerDeadlines.js";
 import type { PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import { countOwnTokens, countSharedTokens } from "./_lib/countPromptTokens.js";
-import { createWaitQueue, type WaitQueue } from "./createWaitQueue.js";
+import { minStartMs } from "./_lib/minStartMs.js";
+import { createWaitQueue, type GuaranteedTurn, type WaitQueue } from "./createWaitQueue.js";
 
 /** A request that waits for capacity. */
 export interface PlacementWait {
@@ -18,6 +20,8 @@
     readonly hasStarted?: boolean;
     /** Places the request if an upstream has free capacity. */
     readonly tryPlace: () => Placement | undefined;
+    /** Whether an upstream has room that is left to more urgent requests for now: the request is tried again as time passes. */
+    readonly isWithheld: () => boolean;
     /** Describes the load for a refusal. */
     readonly describeLoad: () => string;
     /**
@@ -40,10 +44,14 @@
     /** Whether requests of a service wait. */
     readonly isWaiting: (service: string) => boolean;
     readonly countWaiting: () => number;
+    /** Number of requests that wait, by priority. */
+    readonly countByPriority: () => ReadonlyMap<number, number>;
 }
 
-/** Time from the placement of a request to the start of its answer: the prefill of ten thousand tokens. */
-const minServiceMs = 150;
+/** A placement out of the order of priorities. */
+export interface ServiceTurn extends GuaranteedTurn {
+    readonly service: string;
+}
 
 /** Fraction of the time until the caller's timeout for which a request may wait for capacity, over all its sends. */
 const maxWaitFraction = 0.6;
@@ -55,6 +63,18 @@
 const maxRetryAfterMs = 2_000;
 const maxPermitRetryAfterMs = 10_000;
 
+/** Part by which the delays of refused callers differ, so that they do not come back all at once. */
+const retryAfterSpread = 0.5;
+
+/** Values of a hash over which delays are spread. */
+const spreadSteps = 1_024n;
+
+/** Tries of a request over its time until it is due, while room is left to more urgent ones. */
+const withheldTries = 8;
+
+/** Minimum interval between two of these tries, in milliseconds. */
+const minWithheldIntervalMs = 20;
+
 /** Multiple of its expected wait for a permit that a request must have: permits come to one instance at irregular times. */
 const permitWaitMargin = 2;
 
@@ -62,8 +82,11 @@
     return prompt === undefined ? 1 : countOwnTokens(prompt) + countSharedTokens(prompt);
 }
 
-function chooseRetryAfterMs(predictedMs: number, maxMs: number): number {
-    return Math.max(minRetryAfterMs, Math.min(maxMs, Math.round(predictedMs)));
+/** Not earlier than predicted, and spread over a part of the delay by the request. */
+function chooseRetryAfterMs(predictedMs: number, maxMs: number, requestId: string): number {
+    const part = Number(hashText(requestId) % spreadSteps) / Number(spreadSteps);
+    const delayMs = Math.max(minRetryAfterMs, Math.min(maxMs, predictedMs));
+    return Math.round(delayMs * (1 + retryAfterSpread * part));
 }
 
 function describeWait(predictedMs: number): string {
@@ -76,17 +99,23 @@
  * Creates empty queues.
  *
  * @param clock - The clock.
+ * @param onGuaranteedTurn - Called when a request goes before more urgent ones, since its priority had had too little.
  * @returns The queues.
  * @example
- * const cancel = createPlacementQueues(clock).wait({ req, tryPlace, describeLoad, onResult });
+ * const cancel = createPlacementQueues(clock).wait({ req, tryPlace, isWithheld, describeLoad, onResult });
  */
-export function createPlacementQueues(clock: Clock): PlacementQueues {
+export function createPlacementQueues(
+    clock: Clock,
+    onGuaranteedTurn: (turn: ServiceTurn) => void = () => undefined,
+): PlacementQueues {
     const queues = new Map<string, WaitQueue>();
+    let waits = 0;
     /** Checks of the requests that wait, whether they wait in vain. */
     const checks = new Set<() => void>();
 
     function queueOf(service: string): WaitQueue {
-        const queue = queues.get(service) ?? createWaitQueue();
+        const queue = queues.get(service)
+            ?? createWaitQueue({ onGuaranteedTurn: turn => onGuaranteedTurn({ ...turn, service }) });
         queues.set(service, queue);
         return queue;
     }
@@ -94,21 +123,25 @@
     const dispatchAll = () => queues.forEach(queue => queue.dispatch(clock.now()));
 
     function wait(waiting: PlacementWait): CancelTimer {
-        const { req, hasStarted = false, tryPlace, describeLoad, predictPermitMs, onResult } = waiting;
+        const { req, hasStarted = false, tryPlace, describeLoad, isWithheld, predictPermitMs, onResult } = waiting;
+        // A caller may use the id of a request for two at once.
+        waits += 1;
+        const id = `${waits}`;
         const queue = queueOf(req.service);
         const { latencyDeadlineMs, disconnectMs: startDueMs } = computeCallerDeadlines(req);
         const disconnectMs = hasStarted ? req.deadlineMs : startDueMs;
-        const lastStartMs = latencyDeadlineMs - minServiceMs;
+        const lastStartMs = latencyDeadlineMs - minStartMs;
         const patienceMs = (disconnectMs - req.arrivedMs) * maxWaitFraction;
         const limitMs = hasStarted
             ? req.deadlineMs
-            : Math.min(disconnectMs - minServiceMs, req.arrivedMs + patienceMs);
+            : Math.min(disconnectMs - minStartMs, req.arrivedMs + patienceMs);
         const timers: CancelTimer[] = [];
+        let isRetryDue = false;
 
         function end(): void {
             timers.forEach(cancel => cancel());
             checks.delete(refuseIfHopeless);
-            queue.remove(req.id);
+            queue.remove(id);
         }
 
         function refuse(retryAfterMs: number, reason: string): void {
@@ -123,27 +156,43 @@
                 return;
             }
             const nowMs = clock.now();
-            const permitMs = predictPermitMs(() => queue.countAhead(req.id, nowMs));
+            const permitMs = predictPermitMs(() => queue.countAhead(id, nowMs));
             if (permitMs !== undefined && nowMs + permitMs * permitWaitMargin > limitMs) {
-                const retryAfterMs = chooseRetryAfterMs(permitMs, maxPermitRetryAfterMs);
+                const retryAfterMs = chooseRetryAfterMs(permitMs, maxPermitRetryAfterMs, req.id);
                 refuse(retryAfterMs, `rate limits of all upstreams; ${describeWait(permitMs)}`);
                 return;
             }
-            const predictedMs = queue.predictWaitMs(req.id, nowMs);
+            const predictedMs = queue.predictWaitMs(id, nowMs);
             if (predictedMs !== undefined && nowMs + predictedMs > limitMs) {
-                refuse(chooseRetryAfterMs(predictedMs, maxRetryAfterMs), describeWait(predictedMs));
+                refuse(chooseRetryAfterMs(predictedMs, maxRetryAfterMs, req.id), describeWait(predictedMs));
             }
         }
 
+        /** Room that is left to more urgent requests becomes available as time passes, without another event. */
+        function retryWhileWithheld(): void {
+            if (isRetryDue || !isWithheld()) {
+                return;
+            }
+            isRetryDue = true;
+            const intervalMs = Math.max(minWithheldIntervalMs, (lastStartMs - req.arrivedMs) / withheldTries);
+            timers.push(clock.after(Math.min(intervalMs, Math.max(0, lastStartMs - clock.now())), () => {
+                isRetryDue = false;
+                queue.dispatch(clock.now());
+            }));
+        }
+
         queue.enqueue({
-            id: req.id,
+            id,
+            customer: req.customer?.name ?? "",
             priority: req.priority,
             size: sizeOf(req),
-            latencyDeadlineMs: lastStartMs,
+            // The caller of a stream that has started has nothing of it unless it goes on.
+            latencyDeadlineMs: hasStarted ? Infinity : lastStartMs,
             disconnectMs,
             tryPlace: () => {
                 const placement = tryPlace();
                 if (placement === undefined) {
+                    retryWhileWithheld();
                     return false;
                 }
                 timers.forEach(cancel => cancel());
@@ -153,11 +202,15 @@
             },
         }, clock.now());
         timers.push(
-            clock.after(Math.max(0, limitMs - clock.now()), () => refuse(minRetryAfterMs, "waited as long as it may")),
+            clock.after(
+                Math.max(0, limitMs - clock.now()),
+                () => refuse(chooseRetryAfterMs(0, maxRetryAfterMs, req.id), "waited as long as it may"),
+            ),
         );
         if (lastStartMs > clock.now()) {
             timers.push(clock.after(lastStartMs - clock.now() + 1, refuseIfHopeless));
         }
+        retryWhileWithheld();
         checks.add(refuseIfHopeless);
         refuseIfHopeless();
         return end;
@@ -172,6 +225,15 @@
             [...checks].forEach(check => check());
         },
         isWaiting: service => (queues.get(service)?.size() ?? 0) > 0,
+        countByPriority: () => {
+            const counts = new Map<number, number>();
+            for (const queue of queues.values()) {
+                queue.countByPriority().forEach((count, priority) =>
+                    counts.set(priority, (counts.get(priority) ?? 0) + count)
+                );
+            }
+            return counts;
+        },
         countWaiting: () => [...queues.values()].reduce((sum, queue) => sum + queue.size(), 0),
     };
 }
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -15,9 +15,10 @@
 import { chooseLimitedPlacement } from "./chooseLimitedPlacement.js";
 import { type ChoiceListerDependencies, type ChoiceQuery, createChoiceLister } from "./createChoiceLister.js";
 import { createOptionReader, type OptionReaderDependencies } from "./createOptionReader.js";
-import { createPlacementQueues } from "./createPlacementQueues.js";
+import { createPlacementQueues, type ServiceTurn } from "./createPlacementQueues.js";
 import { createPromptCacheReader, type PromptCacheReaderDependencies } from "./createPromptCacheReader.js";
 import type { PlacedRequest } from "./createUpstreamUseTracker.js";
+import { createUrgentReserves, type WithheldPlacement } from "./createUrgentReserves.js";
 
 /** Dependencies of {@link createPlacer}. */
 export interface PlacerDependencies
@@ -29,6 +30,12 @@
     /** Called when an engine is about to prefill shared parts that neither it nor another one has cached. */
     readonly onPrefill: (prefill: Prefill) => void;
     readonly rateLimits: UpstreamRateLimits;
+    /** Number of instances that may take requests, this one included; by default 1. */
+    readonly countInstances?: () => number;
+    /** Called when a request is not placed on upstreams that have room, which is left to more urgent ones. */
+    readonly onWithheld?: (req: ProxyRequest, withheld: WithheldPlacement) => void;
+    /** Called when a waiting request goes before more urgent ones, since its priority had had too little. */
+    readonly onGuaranteedTurn?: (turn: ServiceTurn) => void;
 }
 
 /** Placer of requests. */
@@ -46,6 +53,10 @@
     /** The same after a change of permits, which may also show that a request waits in vain. */
     readonly recheck: () => void;
     readonly countWaiting: () => number;
+    /** Number of requests that wait, by priority. */
+    readonly countByPriority: () => ReadonlyMap<number, number>;
+    /** Largest reserve for more urgent requests at one upstream in the latest decision, in requests. */
+    readonly reservedRequests: () => number;
 }
 
 /** Minimum time to the deadline for a request to be sent. */
@@ -68,7 +79,8 @@
  */
 export function createPlacer(deps: PlacerDependencies): Placer {
     const { now } = deps.clock;
-    const queues = createPlacementQueues(deps.clock);
+    const queues = createPlacementQueues(deps.clock, deps.onGuaranteedTurn);
+    const reserves = createUrgentReserves({ now, countInstances: deps.countInstances ?? (() => 1) });
     const reader = createPromptCacheReader({ ...deps, now });
     const listChoices = createChoiceLister({ ...deps, now });
     const readOptions = createOptionReader({ ...deps, now, reader });
@@ -112,19 +124,37 @@
     /** Places the request on one of the choices; undefined when none has free capacity. */
     function tryPlace(req: ProxyRequest, choices: readonly Choice[]): Placement | undefined {
         const options = readOptions(req, choices);
-        const chosen = chooseLimitedPlacement(options.map(option => option.candidate), deps.rateLimits);
+        const candidates = reserves.filter(req, options.map(option => option.candidate));
+        const chosen = chooseLimitedPlacement(candidates, deps.rateLimits);
         const option = options.find(one => one.candidate === chosen);
         if (option === undefined) {
             return undefined;
         }
         const placement = toPlacement(option);
         deps.use.begin(req, toPlacedRequest(option), now());
+        reserves.begin(req);
         if (option.model !== undefined) {
             recordPrefill(option.model, placement);
         }
         return placement;
     }
 
+    /** Describes why a request waits although an upstream has room; undefined when none has. */
+    function findWithheld(req: ProxyRequest, query: ChoiceQuery): WithheldPlacement | undefined {
+        if (!reserves.hasReserve(req)) {
+            return undefined;
+        }
+        const options = readOptions(req, listChoices(req, query));
+        return reserves.describeWithheld(req, options.map(option => option.candidate));
+    }
+
+    function reportWithheld(req: ProxyRequest, query: ChoiceQuery): void {
+        const withheld = findWithheld(req, query);
+        if (withheld !== undefined) {
+            deps.onWithheld?.(req, withheld);
+        }
+    }
+
     function describeServiceLoad(req: ProxyRequest, query: ChoiceQuery): string {
         const known = deps.registry.listService(req.service);
         return describeLoad({
@@ -188,6 +218,9 @@
             onResult({ kind: "refused", refusal: obstacle });
             return () => undefined;
         }
+        if (query.excluded.length === 0) {
+            reserves.recordArrival(req);
+        }
         // A permit may have accrued since the requests that wait have tried; they go first.
         const goesLast = queues.isWaiting(req.service)
             && choices.some(choice => deps.rateLimits.isLimited(choice.record.id));
@@ -196,10 +229,12 @@
             onResult({ kind: "placed", placement });
             return () => undefined;
         }
+        reportWithheld(req, query);
         const cancel = queues.wait({
             req,
             hasStarted: query.hasStarted === true,
             tryPlace: () => tryPlace(req, listChoices(req, query)),
+            isWithheld: () => findWithheld(req, query) !== undefined,
             describeLoad: () => describeServiceLoad(req, query),
             predictPermitMs: countAhead => predictPermitMs(req, query, countAhead),
             onResult,
@@ -222,10 +257,13 @@
         },
         end: req => {
             deps.use.end(req);
+            reserves.end(req);
             queues.dispatch(req.service);
         },
         dispatch: queues.dispatchAll,
         recheck: queues.recheck,
         countWaiting: queues.countWaiting,
+        countByPriority: queues.countByPriority,
+        reservedRequests: reserves.reservedRequests,
     };
 }
--- /dev/null
+++ b/src/core/placement/createUrgentReserves.ts
@@ -0,0 +1,197 @@
+/**
+ * @module
+ * Says where a request may be placed without taking the room that more urgent requests of its service are about to need.
+ */
+import { millisecondsPerSecond } from "../constants.js";
+import { computeCallerDeadlines } from "../proxy/computeCallerDeadlines.js";
+import type { ProxyRequest } from "../proxy/proxyTypes.js";
+import { countOwnTokens } from "./_lib/countPromptTokens.js";
+import { minStartMs } from "./_lib/minStartMs.js";
+import { choosePlacement } from "./choosePlacement.js";
+import { computeUrgentReserve, type UrgentReserve } from "./computeUrgentReserve.js";
+import { createServiceDemand, type Demand } from "./createServiceDemand.js";
+import type { PlacementCandidate } from "./placementTypes.js";
+
+/** Inputs of a decision that withheld a placement. */
+export interface WithheldPlacement {
+    readonly service: string;
+    readonly priority: number;
+    /** Upstreams with room that is left to more urgent requests. */
+    readonly withheld: number;
+    readonly upstreams: number;
+    readonly instances: number;
+    /** More urgent requests a second at this instance. */
+    readonly urgentPerSecond: number;
+    readonly holdMs: number;
+    /** Largest reserve at one upstream, in requests. */
+    readonly reservedRequests: number;
+    /** Time until the request is placed beside any demand, in milliseconds. */
+    readonly slackMs: number;
+}
+
+/** Reserves for urgent requests. */
+export interface UrgentReserves {
+    /** Records a request on its arrival. */
+    readonly recordArrival: (req: ProxyRequest) => void;
+    /** Records that a request was placed. */
+    readonly begin: (req: ProxyRequest) => void;
+    /** Records that a placed request has ended. */
+    readonly end: (req: ProxyRequest) => void;
+    /** Whether more urgent requests of its service came lately, and the request is not due. */
+    readonly hasReserve: (req: ProxyRequest) => boolean;
+    /** Filters the upstreams on which the request leaves enough room. */
+    readonly filter: (req: ProxyRequest, candidates: readonly PlacementCandidate[]) => readonly PlacementCandidate[];
+    /** Describes why a request was not placed although an upstream has room; undefined when none has. */
+    readonly describeWithheld: (
+        req: ProxyRequest,
+        candidates: readonly PlacementCandidate[],
+    ) => WithheldPlacement | undefined;
+    /** Largest reserve at one upstream in the latest decision about a less urgent request, in requests. */
+    readonly reservedRequests: () => number;
+}
+
+/** Options of {@link createUrgentReserves}. */
+export interface UrgentReservesOptions {
+    /** Time on the instance's clock, in milliseconds. */
+    readonly now: () => number;
+    /** Number of instances that may take requests, this one included. */
+    readonly countInstances: () => number;
+}
+
+interface RunningRequest {
+    readonly service: string;
+    readonly tokens: number;
+    readonly sinceMs: number;
+}
+
+/** This instance's requests at the upstreams of a service. */
+interface OwnUse {
+    requests: number;
+    tokens: number;
+}
+
+function tokensOf({ prompt }: ProxyRequest): number {
+    return prompt === undefined ? 0 : countOwnTokens(prompt);
+}
+
+/**
+ * Creates the reserves, without observed demand.
+ *
+ * @param options - The clock and the size of the fleet.
+ * @returns The reserves.
+ * @example
+ * const reserves = createUrgentReserves({ now: clock.now, countInstances: () => 8 });
+ * choosePlacement(reserves.filter(req, candidates));
+ */
+export function createUrgentReserves({ now, countInstances }: UrgentReservesOptions): UrgentReserves {
+    const demand = createServiceDemand();
+    const running = new Map<ProxyRequest, RunningRequest>();
+    const own = new Map<string, OwnUse>();
+    let latestRequests = 0;
+
+    function changeOwn({ service, tokens }: RunningRequest, sign: number): void {
+        const use = own.get(service) ?? { requests: 0, tokens: 0 };
+        use.requests += sign;
+        use.tokens += sign * tokens;
+        own.set(service, use);
+    }
+
+    function end(req: ProxyRequest): void {
+        const request = running.get(req);
+        if (request !== undefined) {
+            running.delete(req);
+            changeOwn(request, -1);
+            demand.recordHold(request.service, now() - request.sinceMs, now());
+        }
+    }
+
+    /** Time until the request has to be placed to meet its latency objective, and the part of it that is left. */
+    function readSlack(req: ProxyRequest): { readonly slackMs: number; readonly slack: number; } {
+        const dueMs = computeCallerDeadlines(req).latencyDeadlineMs - minStartMs;
+        const slackMs = Math.max(0, dueMs - now());
+        return { slackMs, slack: dueMs <= req.arrivedMs ? 0 : slackMs / (dueMs - req.arrivedMs) };
+    }
+
+    /**
+     * Adds the reserve to an upstream's use. What is known of the use may lack the peers' requests: they are assumed to place as
+     * much as this instance, spread over the upstreams.
+     */
+    function addReserve(
+        req: ProxyRequest,
+        candidate: PlacementCandidate,
+        urgent: Demand,
+        upstreams: number,
+    ): { readonly candidate: PlacementCandidate; readonly reserve: UrgentReserve; } {
+        const instances = Math.max(1, countInstances());
+        const ownUse = own.get(req.service) ?? { requests: 0, tokens: 0 };
+        const instancesPerUpstream = instances / Math.max(1, upstreams);
+        const requests = Math.max(candidate.use.requests, Math.floor(ownUse.requests * instancesPerUpstream));
+        const memoryTokens = Math.max(candidate.use.memoryTokens, ownUse.tokens * instancesPerUpstream);
+        const reserve = computeUrgentReserve({
+            urgent,
+            instances,
+            upstreams,
+            holdMs: demand.readHoldMs(req.service) ?? 0,
+            running: requests,
+            slots: candidate.slots,
+            slack: readSlack(req).slack,
+        });
+        latestRequests = Math.max(latestRequests, reserve.requests);
+        const use = {
+            ...candidate.use,
+            requests: requests + reserve.requests,
+            memoryTokens: memoryTokens + reserve.tokens,
+        };
+        return { candidate: reserve.requests === 0 ? candidate : { ...candidate, use }, reserve };
+    }
+
+    function filter(req: ProxyRequest, candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
+        const urgent = demand.readMoreUrgent(req.service, req.priority, now());
+        if (urgent.requestsPerMs === 0 || readSlack(req).slackMs === 0) {
+            return candidates;
+        }
+        latestRequests = 0;
+        return candidates.filter(candidate =>
+            choosePlacement([addReserve(req, candidate, urgent, candidates.length).candidate]) !== undefined
+        );
+    }
+
+    function describeWithheld(
+        req: ProxyRequest,
+        candidates: readonly PlacementCandidate[],
+    ): WithheldPlacement | undefined {
+        const urgent = demand.readMoreUrgent(req.service, req.priority, now());
+        const { slackMs } = readSlack(req);
+        const withheld = candidates.filter(candidate => choosePlacement([candidate]) !== undefined).length;
+        if (withheld === 0 || slackMs === 0) {
+            return undefined;
+        }
+        return {
+            service: req.service,
+            priority: req.priority,
+            withheld,
+            upstreams: candidates.length,
+            instances: countInstances(),
+            urgentPerSecond: urgent.requestsPerMs * millisecondsPerSecond,
+            holdMs: demand.readHoldMs(req.service) ?? 0,
+            reservedRequests: latestRequests,
+            slackMs,
+        };
+    }
+
+    return {
+        recordArrival: req => demand.recordArrival(req.service, req.priority, tokensOf(req), now()),
+        begin: req => {
+            end(req);
+            const request = { service: req.service, tokens: tokensOf(req), sinceMs: now() };
+            running.set(req, request);
+            changeOwn(request, 1);
+        },
+        end,
+        hasReserve: req =>
+            demand.readMoreUrgent(req.service, req.priority, now()).requestsPerMs > 0 && readSlack(req).slackMs > 0,
+        filter,
+        describeWithheld,
+        reservedRequests: () => latestRequests,
+    };
+}
--- a/src/core/placement/createWaitQueue.ts
+++ b/src/core/placement/createWaitQueue.ts
@@ -3,10 +3,14 @@
  * Queue of requests that wait for free capacity on a service's upstreams, in the order of placement.
  */
 import { createQueueProgress } from "./createQueueProgress.js";
+import { createUrgencyLevels } from "./createUrgencyLevels.js";
 
 /** One waiting request. Times are milliseconds on the instance's clock. */
 export interface WaitingRequest {
+    /** Tells it apart from all others of its queue. */
     readonly id: string;
+    /** Customers share the room for requests of a priority; "" where none is known. */
+    readonly customer: string;
     /** 0 is the most urgent. */
     readonly priority: number;
     /** Memory that the request needs, in tokens. */
@@ -30,6 +34,22 @@
     /** Number of requests that are placed before a waiting one. */
     readonly countAhead: (id: string, nowMs: number) => number;
     readonly size: () => number;
+    readonly countByPriority: () => ReadonlyMap<number, number>;
+}
+
+/** Options of {@link createWaitQueue}. */
+export interface WaitQueueOptions {
+    /** Called when a request went before more urgent ones, since its priority had had too little. */
+    readonly onGuaranteedTurn?: (turn: GuaranteedTurn) => void;
+}
+
+/** A request that went before more urgent ones. */
+export interface GuaranteedTurn {
+    readonly priority: number;
+    readonly customer: string;
+    readonly isLate: boolean;
+    /** Number of requests that wait, by priority. */
+    readonly waiting: ReadonlyMap<number, number>;
 }
 
 /**
@@ -38,74 +58,63 @@
  */
 const maxFailedAttempts = 8;
 
-function isBefore(left: WaitingRequest, right: WaitingRequest): boolean {
-    if (left.priority !== right.priority) {
-        return left.priority < right.priority;
-    }
-    return left.disconnectMs < right.disconnectMs;
-}
-
 /**
- * Creates an empty queue. Requests that can still meet their latency objective go before those that cannot: under
- * overload, serving in the order of arrival would make all of them late. Within both groups, the most urgent priority
- * goes first, and among equals the request with the earliest caller timeout.
+ * Creates an empty queue, in the order of {@link createUrgencyLevels}.
  *
+ * @param options - What is called when requests are placed out of the order of priorities.
  * @returns The queue.
  * @example
  * const queue = createWaitQueue();
  * const times = { latencyDeadlineMs: 300, disconnectMs: 2_400 };
- * queue.enqueue({ id: "r-1", priority: 0, size: 900, ...times, tryPlace: () => false }, clock.now());
+ * queue.enqueue({ id: "r-1", customer: "clinic", priority: 0, size: 900, ...times, tryPlace: () => false }, clock.now());
  * queue.size(); // 1
  */
-export function createWaitQueue(): WaitQueue {
-    let waiting: readonly WaitingRequest[] = [];
+export function createWaitQueue({ onGuaranteedTurn = () => undefined }: WaitQueueOptions = {}): WaitQueue {
+    const levels = createUrgencyLevels();
     let isDispatching = false;
     const onTimeProgress = createQueueProgress();
     const lateProgress = createQueueProgress();
     const allProgress = createQueueProgress();
 
-    function remove(id: string): void {
-        waiting = waiting.filter(one => one.id !== id);
-    }
-
-    const isOnTime = (one: WaitingRequest, nowMs: number) => nowMs <= one.latencyDeadlineMs;
-
-    function order(nowMs: number): readonly WaitingRequest[] {
-        return [
-            ...waiting.filter(one => isOnTime(one, nowMs)),
-            ...waiting.filter(one => !isOnTime(one, nowMs)),
-        ];
-    }
-
     function enqueue(added: WaitingRequest, nowMs: number): void {
-        if (waiting.length === 0) {
+        if (levels.size() === 0) {
             onTimeProgress.start(nowMs);
             lateProgress.start(nowMs);
             allProgress.start(nowMs);
         }
-        const index = waiting.findIndex(one => isBefore(added, one));
-        const at = index === -1 ? waiting.length : index;
-        waiting = [...waiting.slice(0, at), added, ...waiting.slice(at)];
+        levels.add(added, nowMs);
+    }
+
+    /** Places one request; returns false when none fits. Requests that do not fit are not tried again in the same dispatch. */
+    function placeNext(failed: Set<string>, nowMs: number): boolean {
+        const placed = levels.placeNext(waiting => {
+            const isPlaced = !failed.has(waiting.id) && waiting.tryPlace();
+            if (!isPlaced) {
+                failed.add(waiting.id);
+            }
+            return isPlaced;
+        }, () => failed.size < maxFailedAttempts);
+        if (placed === undefined) {
+            return false;
+        }
+        const { waiting: { size, priority, customer }, isLate, isGuaranteed } = placed;
+        (isLate ? lateProgress : onTimeProgress).recordPlaced(size, nowMs);
+        allProgress.recordPlaced(size, nowMs);
+        if (isGuaranteed) {
+            onGuaranteedTurn({ priority, customer, isLate, waiting: levels.countByPriority() });
+        }
+        return true;
     }
 
     function dispatch(nowMs: number): void {
-        if (isDispatching || waiting.length === 0) {
+        if (isDispatching || levels.size() === 0) {
             return;
         }
         isDispatching = true;
-        let failedAttempts = 0;
-        for (const one of order(nowMs)) {
-            if (failedAttempts >= maxFailedAttempts) {
-                break;
-            }
-            if (one.tryPlace()) {
-                remove(one.id);
-                (isOnTime(one, nowMs) ? onTimeProgress : lateProgress).recordPlaced(one.size, nowMs);
-                allProgress.recordPlaced(one.size, nowMs);
-            }
-            else {
-                failedAttempts += 1;
-            }
+        levels.update(nowMs);
+        const failed = new Set<string>();
+        while (placeNext(failed, nowMs)) {
+            // The next one.
         }
         isDispatching = false;
     }
@@ -115,15 +124,13 @@
      * these waits. When no request was placed at all, the upstreams are stalled, and nothing is predicted.
      */
     function predictWaitMs(id: string, nowMs: number): number | undefined {
-        const position = waiting.findIndex(one => one.id === id);
-        const request = waiting[position];
+        levels.update(nowMs);
+        const request = levels.find(id);
         if (request === undefined) {
             return undefined;
         }
-        const group = isOnTime(request, nowMs);
-        const ahead = waiting.slice(0, position).filter(one => isOnTime(one, nowMs) === group);
-        const sizeAhead = ahead.reduce((sum, one) => sum + one.size, 0);
-        if (group) {
+        const sizeAhead = levels.listAhead(id).reduce((sum, one) => sum + one.size, 0);
+        if (nowMs <= request.latencyDeadlineMs) {
             const onTimeMs = onTimeProgress.predictWaitMs(sizeAhead, nowMs);
             return onTimeMs === Infinity ? undefined : onTimeMs;
         }
@@ -131,16 +138,23 @@
         if (allMs === Infinity) {
             return undefined;
         }
-        const hasOnTime = waiting.some(one => isOnTime(one, nowMs));
-        return hasOnTime ? lateProgress.predictWaitMs(sizeAhead, nowMs) : allMs;
+        return levels.countOnTime() > 0 ? lateProgress.predictWaitMs(sizeAhead, nowMs) : allMs;
+    }
+
+    function countAhead(id: string, nowMs: number): number {
+        levels.update(nowMs);
+        const request = levels.find(id);
+        const isLate = request !== undefined && nowMs > request.latencyDeadlineMs;
+        return levels.listAhead(id).length + (isLate ? levels.countOnTime() : 0);
     }
 
     return {
         enqueue,
-        remove,
+        remove: levels.remove,
         dispatch,
         predictWaitMs,
-        countAhead: (id, nowMs) => Math.max(0, order(nowMs).findIndex(one => one.id === id)),
-        size: () => waiting.length,
+        countAhead,
+        size: levels.size,
+        countByPriority: levels.countByPriority,
     };
 }
