Play loads of urgent and patient requests and of many customers, and say in logs and metrics what was withheld

Cause: nothing showed what callers get beside a burst of patient requests or a customer at six times its usual. Change: features/urgency.feature plays such loads on one to eight instances on a virtual clock, with an engine that leaves, an instance that sees no peers and instances that do not tell each other their use; RW2011 and RW2012, gauges and counters.

--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -51,6 +51,7 @@
     isFleetDirect = true,
     limits: UpstreamRateLimits = noRateLimits,
     signals: Pick<SignalView, "findClosure"> = { findClosure: () => undefined },
+    countInstances = () => 1,
 ): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
@@ -66,6 +67,7 @@
         clock,
         rateLimits: limits,
         signals,
+        countInstances,
         onPrefill: prefill => prefills.push(prefill),
         failureDomain: "north",
         registry,
--- /dev/null
+++ b/features/urgency.feature
@@ -0,0 +1,70 @@
+Feature: Urgent requests, patient ones, and many customers on too little room
+
+    # Engines run 8 requests at once. A second time after a refusal is the last one. Rates are requests a second of the fleet.
+
+    Scenario Outline: Urgent requests are on time beside twice as many patient ones as usual, which are served, too
+        Given <fleet>
+        When callers come for 12 s, with a peak from second 3 to 9:
+            | kind    | customer | priority | rate | peak | tokens | hold | aim  | deadline |
+            | urgent  | clinic   | 0        | 40   | 1    | 800    | 200  | 500  | 5000     |
+            | patient | clinic   | 2        | 11   | 2    | 800    | 1500 | 1500 | 12000    |
+        Then at least 95 % of the "urgent" requests begin within their aim
+        And at least 80 % of the "patient" requests begin within their aim
+        And at least 95 % of the "patient" requests are served
+        And from second 4 to 9 at least 90 % of the engines' capacity is used
+
+        Examples:
+            | fleet                                                                    |
+            | 1 instance before 4 engines                                              |
+            | 4 instances before 4 engines                                             |
+            | 4 instances before 4 engines that do not tell each other what they place |
+            | 8 instances before 4 engines that do not tell each other what they place |
+
+    Scenario: Urgent requests are on time although an instance sees none of its peers
+        Given 4 instances before 4 engines, of which the first sees no peers
+        When callers come for 12 s, with a peak from second 3 to 9:
+            | kind    | customer | priority | rate | peak | tokens | hold | aim  | deadline |
+            | urgent  | clinic   | 0        | 40   | 1    | 800    | 200  | 500  | 5000     |
+            | patient | clinic   | 2        | 11   | 2    | 800    | 1500 | 1500 | 12000    |
+        Then at least 90 % of the "urgent" requests begin within their aim
+        And at least 95 % of the "patient" requests are served
+
+    Scenario: Urgent requests are on time although an engine leaves beside a burst
+        Given 4 instances before 5 engines
+        And one of the engines begins to leave after 4 s
+        When callers come for 12 s, with a peak from second 3 to 9:
+            | kind    | customer | priority | rate | peak | tokens | hold | aim  | deadline |
+            | urgent  | clinic   | 0        | 40   | 1    | 800    | 200  | 500  | 5000     |
+            | patient | clinic   | 2        | 11   | 2    | 800    | 1500 | 1500 | 12000    |
+        Then at least 90 % of the "urgent" requests begin within their aim
+        And at least 95 % of the "patient" requests are served
+
+    Scenario: A customer at six times its usual does not push out the others
+        Given 1 instance before 4 engines
+        When callers come for 12 s, with a peak from second 3 to 9:
+            | kind | customer | priority | rate | peak | tokens | hold | aim | deadline |
+            | read | large    | 1        | 12   | 6    | 800    | 400  | 500 | 5000     |
+            | read | clinic   | 1        | 12   | 1    | 800    | 400  | 500 | 5000     |
+            | read | school   | 1        | 12   | 1    | 800    | 400  | 500 | 5000     |
+            | read | council  | 1        | 12   | 1    | 800    | 400  | 500 | 5000     |
+        Then at least 95 % of the requests of "clinic" begin within their aim
+        And at least 95 % of the requests of "school" begin within their aim
+        And at least 95 % of the requests of "council" begin within their aim
+        And at least 80 % of the requests of "large" are served
+        And from second 4 to 9 at least 90 % of the engines' capacity is used
+
+    Scenario: Patient requests are not left without service by urgent ones beyond the capacity, nor served better than these
+        Given 1 instance before 2 engines
+        When callers come for 12 s, with a peak from second 3 to 9:
+            | kind    | customer | priority | rate | peak | tokens | hold | aim  | deadline |
+            | urgent  | clinic   | 0        | 40   | 3    | 800    | 200  | 500  | 5000     |
+            | patient | clinic   | 2        | 8    | 1    | 800    | 200  | 1500 | 12000    |
+        Then at least 60 % of the "patient" requests are served
+        And a larger part of the "urgent" requests than of the "patient" ones begins within its aim
+
+    Scenario: Nothing is held back from patient requests while no urgent ones come
+        Given 1 instance before 4 engines
+        When callers come for 6 s, with a peak from second 3 to 4:
+            | kind    | customer | priority | rate | peak | tokens | hold | aim  | deadline |
+            | patient | clinic   | 2        | 20   | 1    | 800    | 600  | 1500 | 12000    |
+        Then all of the "patient" requests begin at once
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -52,6 +52,10 @@
     readonly handle: RequestListener;
     /** Number of requests that wait for placement. */
     readonly countWaiting: () => number;
+    /** The same by priority. */
+    readonly countByPriority: () => ReadonlyMap<number, number>;
+    /** Largest reserve for more urgent requests at one upstream in the latest decision, in requests. */
+    readonly reservedRequests: () => number;
     /** Number of connections opened to upstreams so far. */
     readonly countOpened: () => number;
     /** Memory that answers and the bodies of requests hold, in bytes. */
@@ -101,6 +105,15 @@
         clock,
         onPrefill: fleet.reportPrefill,
         rateLimits: permits.rateLimits,
+        countInstances: fleet.countInstances,
+        onWithheld: (req, withheld) => {
+            metrics.withheldPlacements.inc();
+            writeLog("placementWithheld", { requestId: req.id, ...withheld });
+        },
+        onGuaranteedTurn: ({ waiting, ...turn }) => {
+            metrics.guaranteedTurns.inc();
+            writeLog("guaranteedTurn", { ...turn, waiting: Object.fromEntries(waiting) });
+        },
         signals: views.signals.view,
         isFleetDirect: fleet.isDirect,
         failureDomain: settings.failureDomain,
@@ -283,6 +296,8 @@
     return {
         ...service,
         countWaiting: placer.countWaiting,
+        countByPriority: placer.countByPriority,
+        reservedRequests: placer.reservedRequests,
         countOpened: connections.countOpened,
         heldMemory: () => ({ answerBytes: answerMemory.totalBytes(), bodyBytes: bodyMemory.usedBytes() }),
         dispatch: placer.dispatch,
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -45,6 +45,12 @@
     logBehind: define("RW2008", "error", "log ends before the catalogue's offset; the catalogue stays in force"),
     catalogueRepeated: define("RW2009", "info", "catalogue change appended twice; its first verdict remains valid"),
     snapshotWritten: define("RW2010", "info", "catalogue snapshot written"),
+    placementWithheld: define("RW2011", "info", "room of upstreams left to more urgent requests"),
+    guaranteedTurn: define(
+        "RW2012",
+        "info",
+        "less urgent request placed before more urgent ones: it had had too little",
+    ),
     leaseTaken: define("RW2101", "info", "order lease acquired"),
     leaseLost: define("RW2102", "warn", "order lease lost"),
     orderSent: define("RW2103", "info", "order sent to an engine"),
--- a/src/core/placement/createUrgencyLevels.ts
+++ b/src/core/placement/createUrgencyLevels.ts
@@ -42,6 +42,8 @@
     readonly priority: number;
     readonly onTime: FairQueue<QueuedWaiting>;
     readonly late: FairQueue<QueuedWaiting>;
+    /** Tokens of the requests that had to wait, decaying over the window. */
+    arrivedTokens: number;
     /** Tokens that the level is owed for what more urgent levels were given. */
     owedTokens: number;
 }
@@ -52,9 +54,12 @@
     isLate: boolean;
 }
 
-/** Part of its share by waiting tokens that a level gets beside more urgent ones: enough not to be without service. */
+/** Part of its share by arrived tokens that a level gets beside more urgent ones: enough not to be without service. */
 const guaranteedFraction = 1 / 3;
 
+/** Time over which the shares of levels are taken, in milliseconds. */
+const shareWindowMs = 4_000;
+
 /** Requests of one customer that are tried after one that does not fit: a smaller one may. */
 const maxSkipped = 8;
 
@@ -64,7 +69,13 @@
         maxSkipped,
         keepsTurn: true,
     };
-    return { priority, onTime: createFairQueue(options), late: createFairQueue(options), owedTokens: 0 };
+    return {
+        priority,
+        onTime: createFairQueue(options),
+        late: createFairQueue(options),
+        arrivedTokens: 0,
+        owedTokens: 0,
+    };
 }
 
 function toQueued(waiting: WaitingRequest): QueuedWaiting {
@@ -110,14 +121,25 @@
 export function createUrgencyLevels(): UrgencyLevels {
     const levels = new Map<number, Level>();
     const entries = new Map<string, Entry>();
+    let decayedMs = 0;
 
     const listLevels = () => [...levels.values()].toSorted((left, right) => left.priority - right.priority);
 
     const queueOf = ({ level, isLate }: Entry) => isLate ? level.late : level.onTime;
 
+    function decayShares(nowMs: number): void {
+        const factor = Math.exp((decayedMs - nowMs) / shareWindowMs);
+        levels.forEach(level => {
+            level.arrivedTokens *= factor;
+        });
+        decayedMs = nowMs;
+    }
+
     function add(waiting: WaitingRequest, nowMs: number): void {
         const level = levels.get(waiting.priority) ?? createLevel(waiting.priority);
         levels.set(waiting.priority, level);
+        decayShares(nowMs);
+        level.arrivedTokens += waiting.size;
         const entry = { queued: toQueued(waiting), level, isLate: nowMs > waiting.latencyDeadlineMs };
         entries.set(waiting.id, entry);
         queueOf(entry).enqueue(entry.queued);
@@ -153,10 +175,11 @@
     /** Charges a placement to its level, and owes the less urgent ones that wait a part of their shares. */
     function settle(placed: Level, tokens: number): void {
         placed.owedTokens = Math.max(0, placed.owedTokens - tokens);
-        const waiting = listLevels().filter(level => countTokens(level) > 0);
-        const total = waiting.reduce((sum, level) => sum + countTokens(level), tokens);
-        for (const level of waiting.filter(one => one.priority > placed.priority)) {
-            level.owedTokens += tokens * guaranteedFraction * countTokens(level) / total;
+        const total = listLevels().reduce((sum, level) => sum + level.arrivedTokens, 0);
+        for (const level of levels.values()) {
+            if (level.priority > placed.priority && countTokens(level) > 0) {
+                level.owedTokens += tokens * guaranteedFraction * level.arrivedTokens / Math.max(1, total);
+            }
         }
     }
 
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -9,6 +9,10 @@
 /** Sources of the gauges, read when metrics are collected. */
 export interface RouterGauges {
     readonly waiting: () => number;
+    /** Requests that wait for placement, by priority. */
+    readonly waitingByPriority: () => ReadonlyMap<number, number>;
+    /** Largest reserve for more urgent requests at one upstream in the latest decision, in requests. */
+    readonly reservedRequests: () => number;
     readonly active: () => number;
     readonly liveInstances: () => number;
     readonly upstreams: () => number;
@@ -64,6 +68,10 @@
     readonly signalChanges: Counter<"signal" | "change">;
     /** Permits for requests to rate-limited upstreams that this instance has issued. */
     readonly permits: Counter<string>;
+    /** Requests that were not placed at once although an upstream had room, which was left to more urgent ones. */
+    readonly withheldPlacements: Counter<string>;
+    /** Waiting requests that were placed before more urgent ones, since their priority had had too little. */
+    readonly guaranteedTurns: Counter<string>;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
@@ -84,6 +92,9 @@
     readonly connectGauges: (gauges: RouterGauges) => void;
 }
 
+/** Highest value of the label of urgency. */
+const maxUrgencyLabel = 9;
+
 /** Bucket bounds of latencies in seconds, from a fast call to the longest stream timeout. */
 const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 16];
 
@@ -124,6 +135,26 @@
         });
     }
     gauge("waiting_requests", "Requests that wait for placement.", from => from.waiting());
+    gauge(
+        "urgent_reserve_requests",
+        "Largest reserve for urgent requests at one upstream.",
+        from => from.reservedRequests(),
+    );
+    new Gauge({
+        name: "reedward_router_waiting_requests_by_urgency",
+        help: "Requests that wait for placement, by urgency: 0 is the most urgent, 9 stands for all others.",
+        labelNames: ["urgency"],
+        registers,
+        collect() {
+            this.reset();
+            const counts = new Map<string, number>();
+            gauges?.waitingByPriority().forEach((count, priority) => {
+                const urgency = `${Math.max(0, Math.min(maxUrgencyLabel, Math.round(priority)))}`;
+                counts.set(urgency, (counts.get(urgency) ?? 0) + count);
+            });
+            counts.forEach((count, urgency) => this.set({ urgency }, count));
+        },
+    });
     gauge("active_requests", "Requests in progress.", from => from.active());
     gauge("live_instances", "Other instances with a recent heartbeat.", from => from.liveInstances());
     gauge("upstreams", "Upstreams in the list.", from => from.upstreams());
@@ -171,6 +202,8 @@
         quarantineChanges: counter("quarantine_changes_total", "Changes of the quarantine.", ["change"]),
         signalChanges: counter("signal_changes_total", "Changes of upstreams' signals.", ["signal", "change"]),
         permits: counter("permits_issued_total", "Permits issued for requests to rate-limited upstreams."),
+        withheldPlacements: counter("withheld_placements_total", "Requests that left room to more urgent ones."),
+        guaranteedTurns: counter("guaranteed_turns_total", "Requests placed before more urgent ones."),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -182,6 +182,8 @@
     });
     metrics.connectGauges({
         waiting: proxy.countWaiting,
+        waitingByPriority: proxy.countByPriority,
+        reservedRequests: proxy.reservedRequests,
         active: proxy.countActive,
         liveInstances: () => fleet.listLive().length,
         upstreams: () => views.registry.list().length,
