Leave retries to urgent requests first, and spread the delay of those that get none

Change: a request may use the part of the budget that requests of its priority and less urgent ones make up, so that the most urgent can use all of it; the default Retry-After is spread by the request. The sum of retries stays what it was. Conclusion: urgency, proxyRequest, proxySends, quarantine, placement, platformPath, wholePath and rateLimits pass.

--- a/features/steps/urgencySteps.ts
+++ b/features/steps/urgencySteps.ts
@@ -4,6 +4,7 @@
  */
 import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createFleetRetryBudget, type FleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import {
     type CallerKind,
@@ -141,3 +142,32 @@
         assert.ok(share >= percent, `${share} %`);
     },
 );
+
+interface RetryFixture {
+    readonly budget: FleetRetryBudget;
+    acquired: number;
+}
+
+const budgets = new WeakMap<SiteWorld, RetryFixture>();
+
+Given(
+    "a retry budget of a fifth of the requests of which {int} are of priority {int} and {int} of priority {int}",
+    function(this: SiteWorld, count: number, priority: number, otherCount: number, otherPriority: number) {
+        const options = { ratio: 0.2, slack: 0, windowMs: 10_000, countInstances: () => 1 };
+        const budget = createFleetRetryBudget(options);
+        for (let index = 0; index < count + otherCount; index += 1) {
+            budget.recordRequest("adapt", 0, index < count ? priority : otherPriority);
+        }
+        budgets.set(this, { budget, acquired: 0 });
+    },
+);
+
+When("{int} requests of priority {int} ask for a retry", function(this: SiteWorld, count: number, priority: number) {
+    const fixture = budgets.get(this)!;
+    const asked = Array.from({ length: count }, () => fixture.budget.tryAcquire("adapt", 1, priority));
+    fixture.acquired = asked.filter(isAcquired => isAcquired).length;
+});
+
+Then("{int} of them get one", function(this: SiteWorld, count: number) {
+    assert.equal(budgets.get(this)!.acquired, count);
+});
--- a/features/urgency.feature
+++ b/features/urgency.feature
@@ -68,3 +68,10 @@
             | kind    | customer | priority | rate | peak | tokens | hold | aim  | deadline |
             | patient | clinic   | 2        | 20   | 1    | 800    | 600  | 1500 | 12000    |
         Then all of the "patient" requests begin at once
+
+    Scenario: When many requests are rejected at once, patient ones leave retries to the urgent ones
+        Given a retry budget of a fifth of the requests of which 20 are of priority 0 and 30 of priority 2
+        When 50 requests of priority 2 ask for a retry
+        Then 3 of them get one
+        When 50 requests of priority 0 ask for a retry
+        Then 3 of them get one
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -255,8 +255,8 @@
     });
     const retryBudget: FleetRetryBudget = {
         ...baseBudget,
-        tryAcquire: (service, nowMs) => {
-            const isAllowed = baseBudget.tryAcquire(service, nowMs);
+        tryAcquire: (service, nowMs, priority) => {
+            const isAllowed = baseBudget.tryAcquire(service, nowMs, priority);
             metrics.retryDenials.inc(isAllowed ? 0 : 1);
             return isAllowed;
         },
--- a/src/core/placement/createPlacementQueues.ts
+++ b/src/core/placement/createPlacementQueues.ts
@@ -3,7 +3,7 @@
  * Holds the requests that find no free capacity, and refuses those that will not find any in time. It answers a load that
  * exceeds the capacity of a service: a caller whose request cannot be served learns it while there is time to come back.
  */
-import { hashText } from "../_lib/hashText.js";
+import { spreadDelay } from "../_lib/spreadDelay.js";
 import { createRefusal } from "../errors/createRefusal.js";
 import { computeCallerDeadlines } from "../proxy/computeCallerDeadlines.js";
 import type { PlaceResult } from "../proxy/proxyEffects.js";
@@ -63,12 +63,6 @@
 const maxRetryAfterMs = 2_000;
 const maxPermitRetryAfterMs = 10_000;
 
-/** Part by which the delays of refused callers differ, so that they do not come back all at once. */
-const retryAfterSpread = 0.5;
-
-/** Values of a hash over which delays are spread. */
-const spreadSteps = 1_024n;
-
 /** Tries of a request over its time until it is due, while room is left to more urgent ones. */
 const withheldTries = 8;
 
@@ -82,11 +76,9 @@
     return prompt === undefined ? 1 : countOwnTokens(prompt) + countSharedTokens(prompt);
 }
 
-/** Not earlier than predicted, and spread over a part of the delay by the request. */
+/** Not earlier than predicted, as far as a caller may be told. */
 function chooseRetryAfterMs(predictedMs: number, maxMs: number, requestId: string): number {
-    const part = Number(hashText(requestId) % spreadSteps) / Number(spreadSteps);
-    const delayMs = Math.max(minRetryAfterMs, Math.min(maxMs, predictedMs));
-    return Math.round(delayMs * (1 + retryAfterSpread * part));
+    return spreadDelay(Math.max(minRetryAfterMs, Math.min(maxMs, predictedMs)), requestId);
 }
 
 function describeWait(predictedMs: number): string {
--- a/src/core/proxy/createFleetRetryBudget.ts
+++ b/src/core/proxy/createFleetRetryBudget.ts
@@ -6,12 +6,12 @@
 
 /** Retry budgets by service. Times are milliseconds on the instance's clock. */
 export interface FleetRetryBudget {
-    /** Counts a caller's request for the service. */
-    readonly recordRequest: (service: string, nowMs: number) => void;
-    /** Returns whether a retry is left of this instance's share. */
-    readonly hasRetry: (service: string, nowMs: number) => boolean;
+    /** Counts a caller's request for the service; 0 is the most urgent priority. */
+    readonly recordRequest: (service: string, nowMs: number, priority?: number) => void;
+    /** Returns whether a retry is left of this instance's share for a request of the priority. */
+    readonly hasRetry: (service: string, nowMs: number, priority?: number) => boolean;
     /** Acquires one retry; returns false when this instance's share for the window is used up. */
-    readonly tryAcquire: (service: string, nowMs: number) => boolean;
+    readonly tryAcquire: (service: string, nowMs: number, priority?: number) => boolean;
 }
 
 /** Options of {@link createFleetRetryBudget}. */
@@ -31,6 +31,18 @@
  */
 const usableFraction = 0.6;
 
+/** A caller's request. */
+interface RecordedRequest {
+    readonly atMs: number;
+    readonly priority: number;
+}
+
+/** Drops requests that are outside the window. */
+function keepRecentRequests(requests: readonly RecordedRequest[], sinceMs: number): RecordedRequest[] {
+    const first = requests.findIndex(one => one.atMs > sinceMs);
+    return first === -1 ? [] : requests.slice(first);
+}
+
 /** Drops times that are outside the window. */
 function keepRecent(times: readonly number[], sinceMs: number): number[] {
     const first = times.findIndex(time => time > sinceMs);
@@ -38,7 +50,8 @@
 }
 
 /**
- * Creates a retry budget over a sliding window.
+ * Creates a retry budget over a sliding window. When many requests are rejected at once, those of the most urgent priorities can
+ * use all of it.
  *
  * @param options - The fleet's budget.
  * @returns This instance's retry budget.
@@ -47,7 +60,7 @@
  * retryBudget.tryAcquire("portal", clock.now());
  */
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
-    const requests = new Map<string, number[]>();
+    const requests = new Map<string, RecordedRequest[]>();
     const retries = new Map<string, number[]>();
 
     /** Lists when retries were acquired within the window. */
@@ -55,22 +68,26 @@
         return keepRecent(retries.get(service) ?? [], nowMs - options.windowMs);
     }
 
-    function isAllowed(service: string, used: readonly number[], nowMs: number): boolean {
-        const earned = keepRecent(requests.get(service) ?? [], nowMs - options.windowMs).length * options.ratio;
+    /** The more urgent requests find a retry left: the others use only the part that the requests from theirs on make up. */
+    function isAllowed(service: string, used: readonly number[], nowMs: number, priority: number): boolean {
+        const recent = keepRecentRequests(requests.get(service) ?? [], nowMs - options.windowMs);
+        const part = recent.filter(one => one.priority >= priority).length / Math.max(1, recent.length);
         const slack = options.slack / Math.max(1, options.countInstances());
-        return used.length + 1 <= (earned + slack) * usableFraction;
+        const budget = (recent.length * options.ratio + slack) * usableFraction;
+        return used.length + 1 <= budget * (recent.length === 0 ? 1 : part);
     }
 
     return {
-        recordRequest: (service, nowMs) => {
-            const times = requests.get(service) ?? [];
-            times.push(nowMs);
-            requests.set(service, times.length % 64 === 0 ? keepRecent(times, nowMs - options.windowMs) : times);
+        recordRequest: (service, nowMs, priority = 0) => {
+            const recorded = requests.get(service) ?? [];
+            recorded.push({ atMs: nowMs, priority });
+            const isFull = recorded.length % 64 === 0;
+            requests.set(service, isFull ? keepRecentRequests(recorded, nowMs - options.windowMs) : recorded);
         },
-        hasRetry: (service, nowMs) => isAllowed(service, listUsed(service, nowMs), nowMs),
-        tryAcquire: (service, nowMs) => {
+        hasRetry: (service, nowMs, priority = 0) => isAllowed(service, listUsed(service, nowMs), nowMs, priority),
+        tryAcquire: (service, nowMs, priority = 0) => {
             const used = listUsed(service, nowMs);
-            const isAcquired = isAllowed(service, used, nowMs);
+            const isAcquired = isAllowed(service, used, nowMs, priority);
             retries.set(service, isAcquired ? [...used, nowMs] : used);
             return isAcquired;
         },
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -3,6 +3,7 @@
  * The control flow of a proxied request: place it, send it, and decide from the outcome whether to retry. What is known
  * about each send is kept until the final answer, so that "not run" is reported only when it is certain.
  */
+import { spreadDelay } from "../_lib/spreadDelay.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
 import { performProxy, type ProxySteps } from "./proxyEffects.js";
 import type { ProxyRequest, SendOutcome } from "./proxyTypes.js";
@@ -118,7 +119,12 @@
 }
 
 /** Creates the refusal that follows from all sends. */
-function createFinalRefusal(history: SendHistory, outcome: SendOutcome, obstacle: string | undefined): Refusal {
+function createFinalRefusal(
+    req: ProxyRequest,
+    history: SendHistory,
+    outcome: SendOutcome,
+    obstacle: string | undefined,
+): Refusal {
     if (outcome.kind === "expired") {
         return createRefusal("deadlineExceeded", "the upstream did not answer in time");
     }
@@ -131,11 +137,11 @@
     if (outcome.kind === "rejected") {
         const detail = joinDetails(`the upstream answered ${outcome.status}`, obstacle);
         return createRefusal("upstreamNotReached", detail, {
-            retryAfterMs: outcome.retryAfterMs ?? defaultRetryAfterMs,
+            retryAfterMs: outcome.retryAfterMs ?? spreadDelay(defaultRetryAfterMs, req.id),
         });
     }
     const detail = joinDetails(outcome.kind === "notSent" ? outcome.detail : "", obstacle);
-    return createRefusal("upstreamNotReached", detail, { retryAfterMs: defaultRetryAfterMs });
+    return createRefusal("upstreamNotReached", detail, { retryAfterMs: spreadDelay(defaultRetryAfterMs, req.id) });
 }
 
 function recordSend(history: SendHistory, upstream: string, outcome: SendOutcome): SendHistory {
@@ -170,7 +176,12 @@
         && deps.hasAlternative(req, afterLoss.excluded);
 }
 
-function* finish(history: SendHistory, outcome: SendOutcome, obstacle?: string): ProxySteps<void> {
+function* finish(
+    req: ProxyRequest,
+    history: SendHistory,
+    outcome: SendOutcome,
+    obstacle?: string,
+): ProxySteps<void> {
     if (outcome.kind === "answered") {
         yield* performProxy({ kind: "answer", answer: outcome.answer });
         return;
@@ -179,16 +190,21 @@
         yield* performProxy({ kind: "cut", detail: outcome.kind });
         return;
     }
-    yield* performProxy({ kind: "refuse", refusal: createFinalRefusal(history, outcome, obstacle) });
+    yield* performProxy({ kind: "refuse", refusal: createFinalRefusal(req, history, outcome, obstacle) });
 }
 
 /**
  * Finishes a request that was not placed. A placement refusal reports "not run", which is true only if no send may have
  * run.
  */
-function* finishUnplaced(history: SendHistory, refusal: Refusal, last: SendOutcome | undefined): ProxySteps<void> {
+function* finishUnplaced(
+    req: ProxyRequest,
+    history: SendHistory,
+    refusal: Refusal,
+    last: SendOutcome | undefined,
+): ProxySteps<void> {
     if (last !== undefined && mayHaveRun(history)) {
-        yield* finish(history, last);
+        yield* finish(req, history, last);
         return;
     }
     yield* performProxy({ kind: "refuse", refusal });
@@ -224,7 +240,7 @@
             return;
         }
         if (placed.kind === "refused") {
-            yield* finishUnplaced(history, placed.refusal, last);
+            yield* finishUnplaced(req, history, placed.refusal, last);
             return;
         }
         const { placement } = placed;
@@ -247,7 +263,7 @@
         const reason = findRetryReason(req, history, last);
         const obstacle = reason === undefined ? undefined : findRetryObstacle(req, history, reason, deps);
         if (reason === undefined || obstacle !== undefined) {
-            yield* finish(history, last, obstacle);
+            yield* finish(req, history, last, obstacle);
             return;
         }
         deps.onRetry(reason);
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -153,10 +153,10 @@
                 deps.placer.end(req);
             }
         };
-        deps.retryBudget.recordRequest(req.service, deps.clock.now());
+        deps.retryBudget.recordRequest(req.service, deps.clock.now(), req.priority);
         const steps = serveProxyRequest(req, {
-            tryAcquireRetry: service => deps.retryBudget.tryAcquire(service, deps.clock.now()),
-            hasRetry: service => deps.retryBudget.hasRetry(service, deps.clock.now()),
+            tryAcquireRetry: service => deps.retryBudget.tryAcquire(service, deps.clock.now(), req.priority),
+            hasRetry: service => deps.retryBudget.hasRetry(service, deps.clock.now(), req.priority),
             hasAlternative: deps.placer.hasAlternative,
             onRetry: reason => {
                 deps.onRetry(reason);
