Rank a customer's requests by their routes, and estimate the peers' use where they don't report it

Change: ranks of (customer's, route's) priorities from the configuration; for the reserve, what a candidate's known use lacks is estimated from the own requests, and counts less the nearer the less urgent request comes to its objective.

--- a/features/steps/urgencySteps.ts
+++ b/features/steps/urgencySteps.ts
@@ -5,6 +5,7 @@
 import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../../src/core/proxy/createFleetRetryBudget.js";
+import { type PriorityRank, rankPriorities } from "../../src/core/routes/rankPriorities.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import {
     type CallerKind,
@@ -171,3 +172,26 @@
 Then("{int} of them get one", function(this: SiteWorld, count: number) {
     assert.equal(budgets.get(this)!.acquired, count);
 });
+
+const ranks = new WeakMap<SiteWorld, PriorityRank>();
+
+const toCustomer = (text: string) => ({ priority: text === "none" ? undefined : Number(text) });
+
+Given(
+    "routes of priorities {string} and customers of priorities {string}",
+    function(this: SiteWorld, routes: string, customers: string) {
+        const list = routes.split(", ").map(text => ({ priority: Number(text) }));
+        ranks.set(this, rankPriorities(list, customers.split(", ").map(toCustomer)));
+    },
+);
+
+/** Each request is written as the priorities of its customer and its route. */
+Then("requests rank as {string}", function(this: SiteWorld, order: string) {
+    const ranked = order.split(", ").map(text => {
+        const [customer = "", route = ""] = text.split("/");
+        return ranks.get(this)!({ priority: Number(route) }, toCustomer(customer));
+    });
+    for (const [index, rank] of ranked.entries()) {
+        assert.ok(index === 0 || rank > ranked[index - 1]!, `${ranked.join(", ")}`);
+    }
+});
--- a/features/urgency.feature
+++ b/features/urgency.feature
@@ -75,3 +75,13 @@
         Then 3 of them get one
         When 50 requests of priority 0 ask for a retry
         Then 3 of them get one
+
+    Scenario Outline: A customer's priority goes before its routes', which rank the customer's own requests
+        Given routes of priorities "0, 2" and customers of priorities "<customers>"
+        Then requests rank as "<order>"
+
+        Examples:
+            | customers | order                               |
+            | none      | none/0, none/2                      |
+            | 1         | none/0, 1/0, 1/2, none/2            |
+            | 0, 1      | 0/0, 0/2, 1/0, 1/2                  |
--- a/src/core/placement/createUrgentReserves.ts
+++ b/src/core/placement/createUrgentReserves.ts
@@ -8,7 +8,7 @@
 import { countOwnTokens } from "./_lib/countPromptTokens.js";
 import { minStartMs } from "./_lib/minStartMs.js";
 import { choosePlacement } from "./choosePlacement.js";
-import { computeUrgentReserve, type UrgentReserve } from "./computeUrgentReserve.js";
+import { computeUrgentReserve } from "./computeUrgentReserve.js";
 import { createServiceDemand, type Demand } from "./createServiceDemand.js";
 import type { PlacementCandidate } from "./placementTypes.js";
 
@@ -121,12 +121,14 @@
         candidate: PlacementCandidate,
         urgent: Demand,
         upstreams: number,
-    ): { readonly candidate: PlacementCandidate; readonly reserve: UrgentReserve; } {
+    ): PlacementCandidate {
         const instances = Math.max(1, countInstances());
         const ownUse = own.get(req.service) ?? { requests: 0, tokens: 0 };
         const instancesPerUpstream = instances / Math.max(1, upstreams);
-        const requests = Math.max(candidate.use.requests, Math.floor(ownUse.requests * instancesPerUpstream));
-        const memoryTokens = Math.max(candidate.use.memoryTokens, ownUse.tokens * instancesPerUpstream);
+        const { slack } = readSlack(req);
+        const addUnknown = (known: number, estimate: number) => known + Math.max(0, estimate - known) * slack;
+        const requests = Math.floor(addUnknown(candidate.use.requests, ownUse.requests * instancesPerUpstream));
+        const memoryTokens = addUnknown(candidate.use.memoryTokens, ownUse.tokens * instancesPerUpstream);
         const reserve = computeUrgentReserve({
             urgent,
             instances,
@@ -134,7 +136,7 @@
             holdMs: demand.readHoldMs(req.service) ?? 0,
             running: requests,
             slots: candidate.slots,
-            slack: readSlack(req).slack,
+            slack,
         });
         latestRequests = Math.max(latestRequests, reserve.requests);
         const use = {
@@ -142,7 +144,7 @@
             requests: requests + reserve.requests,
             memoryTokens: memoryTokens + reserve.tokens,
         };
-        return { candidate: reserve.requests === 0 ? candidate : { ...candidate, use }, reserve };
+        return { ...candidate, use };
     }
 
     function filter(req: ProxyRequest, candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
@@ -152,7 +154,7 @@
         }
         latestRequests = 0;
         return candidates.filter(candidate =>
-            choosePlacement([addReserve(req, candidate, urgent, candidates.length).candidate]) !== undefined
+            choosePlacement([addReserve(req, candidate, urgent, candidates.length)]) !== undefined
         );
     }
 
--- a/src/core/routes/index.ts
+++ b/src/core/routes/index.ts
@@ -4,4 +4,5 @@
  */
 export * from "./chooseService.js";
 export * from "./indexRoutes.js";
+export * from "./rankPriorities.js";
 export * from "./routingTable.js";
--- a/src/core/routes/indexRoutes.ts
+++ b/src/core/routes/indexRoutes.ts
@@ -2,6 +2,7 @@
  * @module
  * Index for lookups in one version of the configuration.
  */
+import { type PriorityRank, rankPriorities } from "./rankPriorities.js";
 import type { Route, RouteCustomer, RoutingTable, Service } from "./routingTable.js";
 
 /** A version of the configuration, indexed for lookups. */
@@ -11,6 +12,8 @@
     readonly findRoute: (host: string, path: string) => Route | undefined;
     readonly findCustomer: (key: string) => RouteCustomer | undefined;
     readonly findService: (name: string) => Service | undefined;
+    /** Rank of a request among all that the configuration allows; 0 is the most urgent. */
+    readonly rank: PriorityRank;
     /** Whether any customer is configured, so that routes that are not open require a customer's key. */
     readonly hasCustomers: boolean;
 }
@@ -58,6 +61,7 @@
         },
         findCustomer: key => customers.get(key),
         findService: name => services.get(name),
+        rank: rankPriorities(table.routes, table.customers),
         hasCustomers: table.customers.length > 0,
     };
 }
--- a/src/core/routes/routingTable.ts
+++ b/src/core/routes/routingTable.ts
@@ -72,7 +72,7 @@
 export interface RouteCustomer {
     readonly name: string;
     readonly keys: readonly string[];
-    /** Takes precedence over a route's priority. */
+    /** Takes precedence over a route's priority, which ranks the customer's own requests. */
     readonly priority: number | undefined;
     /** Whether the customer shares no cached prompts with other customers. */
     readonly isIsolated: boolean;
--- a/src/io/proxy/checkRequestHead.ts
+++ b/src/io/proxy/checkRequestHead.ts
@@ -15,6 +15,8 @@
     readonly route: Route;
     readonly service: string;
     readonly customer: RouteCustomer | undefined;
+    /** Rank among all requests that the configuration allows; 0 is the most urgent. */
+    readonly priority: number;
     /** The caller's deadline or the route's timeout, whichever is earlier. */
     readonly deadlineMs: number;
     readonly maxBodyBytes: number;
@@ -90,7 +92,8 @@
             }
             const budgetMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
             const deadlineMs = arrivedMs + budgetMs;
-            return ok({ head, route, service, customer, deadlineMs, maxBodyBytes: limits.maxBodyBytes });
+            const priority = routes.rank(route, customer);
+            return ok({ head, route, service, customer, priority, deadlineMs, maxBodyBytes: limits.maxBodyBytes });
         });
     });
 }
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -122,7 +122,7 @@
             lastEventId: head.lastEventId,
             arrivedMs,
             deadlineMs: checked.deadlineMs,
-            priority: customer?.priority ?? route.priority,
+            priority: checked.priority,
         };
     }
 
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -24,7 +24,8 @@
     stop: StopProgress | undefined,
 ): LogFields {
     const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
-    const sent = { requestId: req.id, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
+    const { id: requestId, priority } = req;
+    const sent = { requestId, priority, upstream: upstream.id, afterMs: Math.round(nowMs - req.arrivedMs) };
     const basis = stop === undefined
         ? sent
         : { ...sent, leavingMs: stop.sinceMs, leftMs: stop.leftMs, dueMs: Math.round(req.deadlineMs - nowMs) };
