--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -44,6 +44,7 @@
     const { upstream, weightsVersion, heldTokens, fetchedTokens, cacheSource } = placement;
     const sent = {
         requestId: req.id,
+        priority: req.priority,
         upstream: upstream.id,
         afterMs: Math.round(nowMs - req.arrivedMs),
         ...describePlacedLoad(placement),
