Agree on the homes of shared prompts in large fleets

Change: src/core/homes ranks engines by prompt for all instances alike, counts homes from demand, and names one home store; heartbeats tell which stores answer.

--- a/bench/placement/runPlacement.ts
+++ b/bench/placement/runPlacement.ts
@@ -124,6 +124,7 @@
         findService: () => service,
         findOutdatedLimitMs: () => 6_400,
         isFleetDirect: () => true,
+        countInstances: () => instanceCount,
         listStores: () => [],
     });
     let next = 0;
--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -76,6 +76,7 @@
         findService: indexRoutes(createTable()).findService,
         findOutdatedLimitMs: () => 6_400,
         isFleetDirect: () => isFleetDirect,
+        countInstances: () => isFleetDirect ? 8 : 91,
         listStores: () => [],
     });
     registry.applyList(engines.map(id => createEngineRecord(id)), 0);
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -181,6 +181,7 @@
         sources.permits.compareDigest(from.name, heartbeat.signals);
         peerStates.recordPeer(heartbeat);
         applyUses(from.name, heartbeat.uses);
+        heartbeat.stores?.forEach(answer => views.storeReach.record(answer, clock.now()));
         loadingView.applyHeartbeat(from.name, heartbeat.loading, clock.now());
         heartbeat.named.forEach(named => views.recordTarget(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.recordLoaded(engine, model, version));
--- a/src/assemble/assembleParts.ts
+++ b/src/assemble/assembleParts.ts
@@ -15,11 +15,13 @@
     readonly id: string;
     readonly address: string;
     readonly failureDomain: string;
+    /** Whether this instance reads its events. */
+    readonly isFollowed: boolean;
 }
 
 /** The feeds of prompt part events. */
 export interface PartFeeds {
-    /** Returns the cache stores that answered their last read. */
+    /** Returns the cache stores that answered their last read, by this instance or in a large fleet by another one. */
     readonly listStores: () => readonly CacheStore[];
     /** Starts the feeds that this instance is to read now, and stops the others. */
     readonly refresh: () => void;
@@ -85,6 +87,9 @@
                 onError: error => logInternalFailure(context.writeLog, error),
                 onReachable: isReachable => {
                     feed.isReachable = isReachable;
+                    if (isReachable && holder.isListed) {
+                        views.storeReach.record({ id: holder.id, ageMs: 0 }, clock.now());
+                    }
                 },
             }),
         };
@@ -119,11 +124,15 @@
 
     function listStores(): readonly CacheStore[] {
         const services = views.routes()?.table.services ?? [];
-        return services.flatMap(service =>
-            service.cacheStore !== undefined && feeds.get(service.name)?.isReachable === true
-                ? [{ id: service.name, ...service.cacheStore }]
-                : []
-        );
+        return services.flatMap(({ name, cacheStore }) => {
+            const feed = feeds.get(name);
+            const isReachable = feed === undefined && !fleet.isDirect()
+                ? views.storeReach.isReachable(name, clock.now())
+                : feed?.isReachable === true;
+            return cacheStore !== undefined && isReachable
+                ? [{ id: name, ...cacheStore, isFollowed: feed !== undefined }]
+                : [];
+        });
     }
 
     const stopRefreshing = repeatEvery(clock, refreshIntervalMs, refresh);
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -7,6 +7,7 @@
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createGarbageMeter } from "../core/memory/createGarbageMeter.js";
 import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
+import { sumTokens } from "../core/placement/_lib/countPromptTokens.js";
 import { createPlacer } from "../core/placement/createPlacer.js";
 import type { AnswerEnd } from "../core/proxy/answerEnd.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
@@ -103,6 +104,7 @@
         rateLimits: permits.rateLimits,
         signals: views.signals.view,
         isFleetDirect: fleet.isDirect,
+        countInstances: fleet.countInstances,
         failureDomain: settings.failureDomain,
         registry: views.registry,
         weights: views.weights,
@@ -272,7 +274,15 @@
                 writeLog("requestServed", { ...end });
             }
         },
-        onSendBegin: (req, { upstream }) => sends.recordBegin(req, upstream),
+        onSendBegin: (req, { upstream, home, heldTokens, fetchedTokens }) => {
+            sends.recordBegin(req, upstream);
+            if (req.prompt !== undefined && home !== undefined) {
+                const place = home.rank === undefined ? "other" : home.rank < home.homes ? "home" : "next";
+                metrics.homePlacements.inc({ place });
+                const sharedTokens = sumTokens(req.prompt, 0, -1);
+                metrics.sharedPrefillTokens.inc({ place }, Math.max(0, sharedTokens - heldTokens - fetchedTokens));
+            }
+        },
         onSend: (req, outcome) => {
             metrics.sends.inc({ outcome: outcome.kind });
             sends.recordOutcome(req, outcome);
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -2,6 +2,7 @@
  * @module
  * Assembles the views of an instance: configuration, upstreams, weights, health, prompt parts and use.
  */
+import { createStoreReach, type StoreReach } from "../core/homes/createStoreReach.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createHealthView, type HealthView } from "../core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../core/placement/createPartView.js";
@@ -41,6 +42,8 @@
     readonly health: HealthView;
     readonly use: UpstreamUseTracker;
     readonly parts: PartView;
+    /** Which cache stores answer, by this instance's reads and those of others. */
+    readonly storeReach: StoreReach;
     readonly signals: InstanceSignals;
     readonly routes: () => RouteIndex | undefined;
     /** Applies a configuration unless the one in force has the same version or a newer one. */
@@ -117,6 +120,7 @@
         health,
         use: createUpstreamUseTracker(),
         parts,
+        storeReach: createStoreReach(),
         signals,
         routes: () => index,
         applyTable: (table, source, details) => {
--- a/src/assemble/createHeartbeatComposer.ts
+++ b/src/assemble/createHeartbeatComposer.ts
@@ -64,6 +64,8 @@
             leaseReleased: sources.describeLeaseRelease(),
             quarantine: sources.quarantine.digest(),
             signals: sources.permits.digest(),
+            // Small fleets read the events of the stores themselves.
+            stores: view.isDirect() ? undefined : views.storeReach.list(clock.now()),
             known: [],
             ages: "",
         };
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -45,6 +45,10 @@
 /** Most ids in a heartbeat that asks for descriptions. */
 const maxWanted = 64;
 
+/** Most cache stores in a heartbeat, and the longest id of one. */
+const maxStores = 16;
+const maxStoreIdLength = 128;
+
 const loadedSchema = z.object({
     engine: z.string(),
     model: z.string(),
@@ -88,6 +92,10 @@
     quarantine: z.string().max(maxDigestLength).optional(),
     /** Digest of what the sender knows of upstreams' signals; left out while that is nothing. */
     signals: z.string().max(maxDigestLength).optional(),
+    /** Cache stores that answered an instance lately, in a large fleet; left out by older builds. */
+    stores: z.array(
+        z.object({ id: z.string().max(maxStoreIdLength), ageMs: z.number().min(0) }).readonly(),
+    ).max(maxStores).readonly().optional(),
     /** Instances that changed lately. */
     known: z.array(knownInstanceSchema).readonly(),
     /** When live instances were last seen, as `encodeMemberAges` writes it; older builds leave it out. */
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -9,6 +9,7 @@
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import { countOwnTokens, countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
+import { describeHome } from "./_lib/describeHome.js";
 import { describeLoad } from "./_lib/describeLoad.js";
 import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
@@ -73,14 +74,26 @@
     const listChoices = createChoiceLister({ ...deps, now });
     const readOptions = createOptionReader({ ...deps, now, reader });
 
+    function describeTransfers(
+        { prompt, view, coverage }: ModelOption,
+        engine: string,
+    ): Pick<Placement, "cacheSource" | "cacheTarget"> {
+        return {
+            cacheSource: reader.findCacheSource(prompt, view, coverage, engine),
+            cacheTarget: reader.findCacheTarget(prompt, view, coverage)?.address,
+        };
+    }
+
     function toPlacement({ choice, model }: Option): Placement {
         const heldTokens = model?.coverage.heldTokens ?? 0;
         return {
             upstream: choice.record,
             weightsVersion: choice.weightsVersion,
             cacheSalt: model?.view.salt,
-            cacheSource: model?.coverage.source?.address,
-            cacheTarget: model === undefined ? undefined : reader.findCacheTarget(model.prompt, model.view)?.address,
+            ...(model === undefined
+                ? { cacheSource: undefined, cacheTarget: undefined }
+                : describeTransfers(model, choice.record.id)),
+            home: describeHome(model, choice.record.id),
             heldTokens,
             fetchedTokens: Math.max(0, (model?.coverage.source?.heldTokens ?? 0) - heldTokens),
         };
@@ -120,6 +133,7 @@
         const placement = toPlacement(option);
         deps.use.begin(req, toPlacedRequest(option), now());
         if (option.model !== undefined) {
+            reader.recordPlaced(req, option.model.prompt, option.candidate.slots);
             recordPrefill(option.model, placement);
         }
         return placement;
@@ -216,12 +230,14 @@
             listChoices(req, { excluded }).some(choice => !deps.health.isEjected(choice.record.id, now())),
         recordAnswerStart: (req, { upstream, cacheSalt }) => {
             deps.use.recordAnswerStart(req);
+            reader.recordAnswerStart(req);
             if (req.prompt !== undefined && cacheSalt !== undefined) {
                 deps.parts.recordPrefilled(req.prompt, cacheSalt, upstream.id);
             }
         },
         end: req => {
             deps.use.end(req);
+            reader.recordEnd(req);
             queues.dispatch(req.service);
         },
         dispatch: queues.dispatchAll,
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -2,11 +2,14 @@
  * @module
  * Looks up which engines and cache stores hold parts of a prompt, and what an engine would have to prefill or fetch.
  */
+import { chooseHomeStore } from "../homes/chooseHomeStore.js";
+import { computeHomeBonus } from "../homes/computeHomeBonus.js";
+import { createPromptHomes, derivePromptKey, type HomeList } from "../homes/createPromptHomes.js";
+import { createWorkMeter } from "../homes/createWorkMeter.js";
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
 import type { WeightsView } from "../weights/createWeightsView.js";
-import { sumTokens } from "./_lib/countPromptTokens.js";
-import { chooseHomeEngine } from "./chooseHomeEngine.js";
+import { countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
 import { choosePreferredEngine, type PreferredEngine } from "./choosePreferredEngine.js";
 import type { HealthView } from "./createHealthView.js";
 import { deriveSharedKey, type PartView } from "./createPartView.js";
@@ -14,6 +17,7 @@
     type CacheHolder,
     type ChooseSource,
     createSourceChooser,
+    minFetchTokens,
     type SourceCandidate,
 } from "./createSourceChooser.js";
 import type { UpstreamUseTracker } from "./createUpstreamUseTracker.js";
@@ -24,8 +28,12 @@
     readonly id: string;
     readonly address: string;
     readonly failureDomain: string;
+    /** Whether this instance reads its events, and so knows which parts it has. */
+    readonly isFollowed: boolean;
 }
 
+type HolderPlace = Omit<ReachableStore, "isFollowed">;
+
 /** Dependencies of {@link createPromptCacheReader}. */
 export interface PromptCacheReaderDependencies {
     /** Time on the instance's clock, in milliseconds. */
@@ -37,6 +45,8 @@
     readonly weights: WeightsView;
     /** Whether each instance hears from all others at short intervals what they place. */
     readonly isFleetDirect: () => boolean;
+    /** Number of instances that share the requests. */
+    readonly countInstances: () => number;
     /** Lists the cache stores that answer. */
     readonly listStores: () => readonly ReachableStore[];
 }
@@ -59,9 +69,14 @@
     readonly uses: ReadonlyMap<string, UpstreamUse>;
     /** Chooses among the engines and stores from which parts can be fetched. */
     readonly chooseSource: ChooseSource;
-    /** Engine that all instances prefer: for the first shared part that is not cached anywhere, or in a large fleet for
-     * the shared prompt. */
+    /** Engine that all instances prefer for the first shared part that is not cached anywhere. */
     readonly preferred: PreferredEngine | undefined;
+    /** Where all instances of a large fleet let the requests of the shared prompt meet. */
+    readonly homes: HomeList | undefined;
+    /** Address of the first home from which parts may be fetched, and its id. */
+    readonly homeSource: { readonly id: string; readonly address: string; } | undefined;
+    /** The store that keeps the shared prompt in a large fleet. */
+    readonly homeStore: ReachableStore | undefined;
 }
 
 /** How much of a prompt one engine has cached or can fetch. */
@@ -81,8 +96,26 @@
     /** Reads the state of the caches for a prompt; the preferred engine is one of `ids`. */
     readonly read: (service: string, prompt: Prompt, scope: CacheScope, ids: readonly string[]) => PromptCacheView;
     readonly describeCoverage: (prompt: Prompt, view: PromptCacheView, record: UpstreamRecord) => CacheCoverage;
+    /**
+     * Finds where an engine should look for shared parts that nobody is known to hold: in the store that keeps the prompt, or at
+     * its home. A lookup in vain takes about a millisecond, a prefill of the parts tens of them.
+     */
+    readonly findCacheSource: (
+        prompt: Prompt,
+        view: PromptCacheView,
+        coverage: CacheCoverage,
+        engine: string,
+    ) => string | undefined;
     /** Finds a store that lacks shared parts of the prompt, to which the engine should write them. */
-    readonly findCacheTarget: (prompt: Prompt, view: PromptCacheView) => ReachableStore | undefined;
+    readonly findCacheTarget: (
+        prompt: Prompt,
+        view: PromptCacheView,
+        coverage: CacheCoverage,
+    ) => ReachableStore | undefined;
+    /** Records that a request was placed on an engine with a number of slots. */
+    readonly recordPlaced: (req: object, prompt: Prompt, slots: number) => void;
+    readonly recordAnswerStart: (req: object) => void;
+    readonly recordEnd: (req: object) => void;
 }
 
 /** Time to fetch tokens, as a fraction of the time of their prefill. */
@@ -101,6 +134,23 @@
  */
 export function createPromptCacheReader(deps: PromptCacheReaderDependencies): PromptCacheReader {
     const { parts, health, use, weights } = deps;
+    const homes = createPromptHomes({ countInstances: deps.countInstances });
+    const meter = createWorkMeter(homes.recordWork);
+
+    /** Lists the homes among all engines in service, so that what one request or instance excludes moves none. */
+    function listHomes(
+        engines: readonly UpstreamRecord[],
+        prompt: Prompt,
+        ids: readonly string[],
+    ): HomeList | undefined {
+        const serving = engines.filter(engine => !engine.isDraining && !weights.isLoading(engine.id));
+        const usable = new Set(ids);
+        const listed = homes.list(prompt, serving.map(engine => engine.id), deps.now());
+        // Few engines may have these weights yet: then the homes are among them.
+        return listed === undefined || listed.engines.some(id => usable.has(id))
+            ? listed
+            : homes.list(prompt, ids, deps.now());
+    }
 
     /** An engine that has loaded other weights since has no parts of this scope any more, or not of its weights. */
     function isSource(engine: UpstreamRecord, prompt: Prompt, weightsVersion: number, nowMs: number): boolean {
@@ -117,7 +167,7 @@
         const tokens = new Map(
             [...engines, ...stores].map(({ id }) => [id, parts.countCachedTokens(prompt, salt, id, nowMs)]),
         );
-        const describe = ({ id, address, failureDomain }: ReachableStore, isStore: boolean): SourceCandidate => ({
+        const describe = ({ id, address, failureDomain }: HolderPlace, isStore: boolean): SourceCandidate => ({
             id,
             address,
             failureDomain,
@@ -129,6 +179,9 @@
         const holders = [...sources.map(one => describe(one, false)), ...stores.map(one => describe(one, true))];
         const heldTokens = new Map([...tokens].map(([id, { expected }]) => [id, expected]));
         const mostHeldTokens = Math.max(0, ...heldTokens.values());
+        const isDirect = deps.isFleetDirect();
+        const homeList = isDirect ? undefined : listHomes(engines, prompt, ids);
+        const first = engines.find(engine => engine.id === homeList?.engines[0]);
         return {
             salt,
             sharedKey: deriveSharedKey(prompt, salt),
@@ -136,9 +189,12 @@
             mostHeldTokens,
             uses,
             chooseSource: createSourceChooser(holders.filter(holder => holder.heldTokens > 0)),
-            preferred: deps.isFleetDirect()
-                ? choosePreferredEngine(prompt, salt, mostHeldTokens, ids)
-                : chooseHomeEngine(prompt, salt, ids),
+            preferred: isDirect ? choosePreferredEngine(prompt, salt, mostHeldTokens, ids) : undefined,
+            homes: homeList,
+            homeSource: sources.find(engine => engine.id === first?.id),
+            homeStore: homeList === undefined
+                ? undefined
+                : chooseHomeStore(derivePromptKey(prompt), first?.failureDomain, stores),
         };
     }
 
@@ -150,7 +206,10 @@
         const availableTokens = source?.heldTokens ?? heldTokens;
         const fetchCost = (availableTokens - heldTokens) * fetchCostFraction;
         const isPreferred = record.id === preferred?.id;
-        const bonusTokens = isPreferred ? preferred.bonusTokens : 0;
+        const homeBonus = view.homes === undefined
+            ? 0
+            : computeHomeBonus(view.homes, record.id, countSharedTokens(prompt));
+        const bonusTokens = homeBonus + (isPreferred ? preferred.bonusTokens : 0);
         const bestTokens = view.mostHeldTokens + (preferred?.sharedTokens ?? 0);
         const ownBestTokens = isPreferred ? availableTokens + preferred.sharedTokens : availableTokens;
         return {
@@ -161,12 +220,54 @@
         };
     }
 
-    function findCacheTarget(prompt: Prompt, view: PromptCacheView): ReachableStore | undefined {
+    /** Whether shared parts are neither known to be cached at the engine nor fetched from where they are. */
+    function lacksShared(prompt: Prompt, { heldTokens, source }: CacheCoverage, minTokens: number): boolean {
+        return sumTokens(prompt, 0, -1) - (source?.heldTokens ?? heldTokens) >= minTokens;
+    }
+
+    function findCacheSource(
+        prompt: Prompt,
+        { homeStore, homeSource }: PromptCacheView,
+        coverage: CacheCoverage,
+        engine: string,
+    ): string | undefined {
+        if (!lacksShared(prompt, coverage, minFetchTokens)) {
+            return coverage.source?.address;
+        }
+        if (homeStore !== undefined && !homeStore.isFollowed) {
+            return homeStore.address;
+        }
+        return coverage.source?.address ?? (homeSource?.id === engine ? undefined : homeSource?.address);
+    }
+
+    function findCacheTarget(
+        prompt: Prompt,
+        view: PromptCacheView,
+        coverage: CacheCoverage,
+    ): ReachableStore | undefined {
         const shared = sumTokens(prompt, 0, -1);
-        return shared < minStoredTokens
-            ? undefined
-            : deps.listStores().find(store => (view.heldTokens.get(store.id) ?? 0) < shared);
+        if (shared < minStoredTokens) {
+            return undefined;
+        }
+        const { homeStore } = view;
+        if (homeStore !== undefined && !homeStore.isFollowed) {
+            return lacksShared(prompt, coverage, minStoredTokens) ? homeStore : undefined;
+        }
+        const stores = view.homes === undefined ? deps.listStores() : [homeStore].filter(one => one !== undefined);
+        return stores.find(store => (view.heldTokens.get(store.id) ?? 0) < shared);
     }
 
-    return { read, describeCoverage, findCacheTarget };
+    return {
+        read,
+        describeCoverage,
+        findCacheSource,
+        findCacheTarget,
+        recordPlaced: (req, prompt, slots) => {
+            if (meter.begin(req, slots, deps.now())) {
+                homes.recordPlaced(prompt, deps.now());
+            }
+        },
+        recordAnswerStart: req => meter.recordAnswerStart(req, deps.now()),
+        recordEnd: req => meter.end(req, deps.now()),
+    };
 }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -2,7 +2,6 @@
  * @module
  * Placement of requests on upstreams.
  */
-export * from "./chooseHomeEngine.js";
 export * from "./choosePlacement.js";
 export * from "./choosePreferredEngine.js";
 export * from "./createChoiceLister.js";
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -32,6 +32,16 @@
     readonly priority: number;
 }
 
+/** How an engine stands among the homes of a shared prompt. */
+export interface PlacedHome {
+    /** Place in the list of homes and of the engines that follow them, from 0; undefined for any other engine. */
+    readonly rank: number | undefined;
+    /** Number of homes. */
+    readonly homes: number;
+    /** Requests a second of the fleet that the prompt has at least. */
+    readonly requestsPerSecond: number;
+}
+
 /** Where a request is sent. */
 export interface Placement {
     readonly upstream: UpstreamRecord;
@@ -43,6 +53,8 @@
     readonly cacheSource: string | undefined;
     /** "ip:port" of the store to which the engine sends prompt parts after their prefill. */
     readonly cacheTarget: string | undefined;
+    /** The engine among the homes of the shared prompt; undefined or left out where none are agreed on. */
+    readonly home?: PlacedHome | undefined;
     /** Prompt tokens that the engine has in its cache, as known to this instance. */
     readonly heldTokens: number;
     /** Prompt tokens that the engine should fetch from `cacheSource`, as known to this instance. */
--- a/src/core/routing/createCostRouter.ts
+++ b/src/core/routing/createCostRouter.ts
@@ -7,6 +7,7 @@
 import type { Upstream } from "../catalogue/catalogueEntry.js";
 import { blockTokens, millisecondsPerSecond } from "../constants.js";
 import { createRefusal, type Refusal } from "../errors/createRefusal.js";
+import { countHomes } from "../homes/countHomes.js";
 import { chooseReplica } from "./_lib/chooseReplica.js";
 import { computeCaseDepth, deriveCaseKey, deriveSharedKey } from "./_lib/placementKeys.js";
 import type { FrequencySketch } from "./createFrequencySketch.js";
@@ -118,11 +119,8 @@
         const { prefixLoadBound, maxSpreadFactor } = dependencies.preset();
         const { instances, instancesPerCustomer } = dependencies.readSpread();
         const fleetLoad = (frequencies.ratePerSecond(key, nowMs) * instancesPerCustomer) / millisecondsPerSecond;
-        // Spreading a prefix lowers its hit rate and so adds prefill work, which would cause further spreading: the
-        // bound by its fair share of the upstreams stops this feedback.
         const fairShare = (frequencies.computeShare(key) * upstreams * instancesPerCustomer) / instances;
-        const needed = Math.ceil(Math.min(fleetLoad / prefixLoadBound, fairShare * maxSpreadFactor));
-        return Math.max(1, Math.min(upstreams, needed));
+        return countHomes({ neededUpstreams: fleetLoad / prefixLoadBound, fairShare, maxSpreadFactor }, upstreams);
     }
 
     function collectCandidates(req: RouteRequest, upstreams: readonly Upstream[], nowMs: number): readonly Candidate[] {
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -50,6 +50,10 @@
     readonly retryDenials: Counter<string>;
     /** Sends to upstreams by outcome. */
     readonly sends: Counter<"outcome">;
+    /** Sends in a large fleet by the engine's place among the homes of the prompt: "home", "next" or "other". */
+    readonly homePlacements: Counter<"place">;
+    /** Shared prompt tokens of these sends that are neither known to be cached at the engine nor fetched from a known place. */
+    readonly sharedPrefillTokens: Counter<"place">;
     /** Sends that were withdrawn since their runs had not begun before the limit of outdated weights. */
     readonly withdrawnSends: Counter<string>;
     /** Ends of upstreams' answers by framing, state of the connection, and whether the answer counts as complete. */
@@ -164,6 +168,14 @@
         retries: counter("repeats_total", "Retries by reason.", ["reason"]),
         retryDenials: counter("repeat_denials_total", "Retries that the retry budget did not allow."),
         sends: counter("sends_total", "Sends to upstreams.", ["outcome"]),
+        homePlacements: counter("home_placements_total", "Sends by the engine's place among the prompt's homes.", [
+            "place",
+        ]),
+        sharedPrefillTokens: counter(
+            "shared_prefill_tokens_total",
+            "Shared prompt tokens sent to engines that are not known to have them or fetch them.",
+            ["place"],
+        ),
         withdrawnSends: counter("withdrawn_sends_total", "Sends withdrawn from outdated weights before they began."),
         answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -6,8 +6,21 @@
 import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
 import type { StopProgress } from "../../core/shutdown/createShutdown.js";
 
+/** Requests a second are logged in hundredths. */
+const promptRateSteps = 100;
+
 type LogFields = Readonly<Record<string, unknown>>;
 
+/** Describes how the engine stands among the homes of the prompt, and the demand that decided their number. */
+function describeHome({ home, cacheTarget }: Placement): LogFields {
+    return home === undefined ? {} : {
+        cacheTarget,
+        homeRank: home.rank,
+        homes: home.homes,
+        promptRate: Math.round(home.requestsPerSecond * promptRateSteps) / promptRateSteps,
+    };
+}
+
 /**
  * Returns the log fields of a send: the request and the placement it was based on.
  *
@@ -28,9 +41,19 @@
     const basis = stop === undefined
         ? sent
         : { ...sent, leavingMs: stop.sinceMs, leftMs: stop.leftMs, dueMs: Math.round(req.deadlineMs - nowMs) };
-    return req.prompt === undefined
-        ? basis
-        : { ...basis, weightsVersion, promptTokens: req.prompt.promptTokens, heldTokens, fetchedTokens, cacheSource };
+    if (req.prompt === undefined) {
+        return basis;
+    }
+    const { promptTokens } = req.prompt;
+    return {
+        ...basis,
+        weightsVersion,
+        promptTokens,
+        heldTokens,
+        fetchedTokens,
+        cacheSource,
+        ...describeHome(placement),
+    };
 }
 
 /**
