Test the homes of shared prompts without a network

Cause: a prompt that one instance of hundreds has seen once or twice counted as hot, and short prompts were looked up in stores at the cost of their prefill. Change: demand is the least that a sample shows with two deviations; lookups from 512 tokens; scenarios play lost engines, other lists, a rollout, a demand that jumps, full homes and stores that others read.

--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -8,6 +8,7 @@
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
 import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
+import type { ReachableStore } from "../../src/core/placement/createPromptCacheReader.js";
 import {
     createUpstreamUseTracker,
     type UpstreamUseTracker,
@@ -51,6 +52,7 @@
     isFleetDirect = true,
     limits: UpstreamRateLimits = noRateLimits,
     signals: Pick<SignalView, "findClosure"> = { findClosure: () => undefined },
+    listStores: () => readonly ReachableStore[] = () => [],
 ): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
@@ -77,7 +79,7 @@
         findOutdatedLimitMs: () => 6_400,
         isFleetDirect: () => isFleetDirect,
         countInstances: () => isFleetDirect ? 8 : 91,
-        listStores: () => [],
+        listStores,
     });
     registry.applyList(engines.map(id => createEngineRecord(id)), 0);
     return { clock, registry, weights, health, parts, use, placer, prefills };
--- /dev/null
+++ b/features/steps/promptHomesSteps.ts
@@ -0,0 +1,381 @@
+/**
+ * @module
+ * Steps on the homes of shared prompts.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { createRandom } from "../../bench/faults/platform/createRandom.js";
+import { createPlacerFixture, type PlacerFixture } from "../../bench/support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
+import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { createPromptHomes, type PromptHomes } from "../../src/core/homes/createPromptHomes.js";
+import { createStoreReach } from "../../src/core/homes/createStoreReach.js";
+import { stepHomeCount } from "../../src/core/homes/stepHomeCount.js";
+import type { ReachableStore } from "../../src/core/placement/createPromptCacheReader.js";
+import type { Prompt } from "../../src/core/placement/placementTypes.js";
+import type { Placement } from "../../src/core/proxy/proxyTypes.js";
+
+interface HomesWorld {
+    engines: readonly string[];
+    prompts: readonly Prompt[];
+    before: readonly (readonly string[])[];
+    homes: PromptHomes;
+    workMs: number;
+    sampled: readonly PromptHomes[];
+    nowMs: number;
+    fixture: PlacerFixture;
+    stores: readonly ReachableStore[];
+}
+
+const hot = createOwnPrompt("hot");
+
+function nameEngines(count: number): readonly string[] {
+    return Array.from({ length: count }, (_, index) => `u-${index + 1}`);
+}
+
+function createOwnPrompt(name: string): Prompt {
+    return createPrompt({ parts: [{ id: name, tokens: 4_000 }, { id: "own", tokens: 900 }] });
+}
+
+function createCase(first: string, second: string): Prompt {
+    const parts = [{ id: first, tokens: 2_000 }, { id: second, tokens: 4_000 }, { id: "own", tokens: 1_000 }];
+    return createPrompt({ parts });
+}
+
+function createHomes(instances: number): PromptHomes {
+    return createPromptHomes({ countInstances: () => instances });
+}
+
+function listHomes(homes: PromptHomes, prompt: Prompt, engines: readonly string[], nowMs = 0): readonly string[] {
+    const list = homes.list(prompt, engines, nowMs);
+    return list?.engines.slice(0, list.homes) ?? [];
+}
+
+function listAll(world: HomesWorld, engines: readonly string[]): readonly (readonly string[])[] {
+    return world.prompts.map(prompt => createHomes(88).list(prompt, engines, 0)?.engines ?? []);
+}
+
+Then("{int} drawn lists of engines give the same homes on every instance", (runs: number) => {
+    const ids = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 1, maxLength: 40 });
+    fc.assert(
+        fc.property(ids, fc.string({ minLength: 1 }), fc.nat(), (engines, name, turn) => {
+            const at = turn % engines.length;
+            const turned = [...engines.slice(at), ...engines.slice(0, at)].toReversed();
+            const prompt = createOwnPrompt(name);
+            const listed = createHomes(91).list(prompt, engines, 0);
+            assert.deepEqual(createHomes(91).list(prompt, turned, 5_000), listed);
+            assert.equal(new Set(listed?.engines).size, Math.min(3, engines.length));
+        }),
+        { numRuns: runs, seed: 7 },
+    );
+});
+
+Given("{int} engines and {int} prompts", function(this: HomesWorld, engines: number, prompts: number) {
+    this.engines = nameEngines(engines);
+    this.prompts = Array.from({ length: prompts }, (_, index) => createCase(`first-${index % 4}`, `case-${index}`));
+    this.before = listAll(this, this.engines);
+});
+
+When("engine {int} is lost", function(this: HomesWorld, engine: number) {
+    this.engines = this.engines.filter(id => id !== `u-${engine}`);
+});
+
+When("engine {int} is back", function(this: HomesWorld, engine: number) {
+    this.engines = [...this.engines, `u-${engine}`];
+});
+
+Then("only its prompts move, each to the engine that came next", function(this: HomesWorld) {
+    const after = listAll(this, this.engines);
+    const moved = this.before.filter((list, index) => list[0] !== after[index]![0]);
+    assert.ok(moved.length > 0 && moved.length < this.prompts.length / 20, String(moved.length));
+    this.before.forEach((list, index) => {
+        assert.equal(after[index]![0], list.find(id => this.engines.includes(id)));
+    });
+});
+
+Then("no prompt has moved", function(this: HomesWorld) {
+    assert.deepEqual(listAll(this, this.engines), this.before);
+});
+
+Then(
+    "an instance that misses engine {int} names the same first home for all prompts of other engines",
+    function(this: HomesWorld, engine: number) {
+        const seen = listAll(this, this.engines.filter(id => id !== `u-${engine}`));
+        this.before.forEach((list, index) => {
+            assert.ok(list[0] === `u-${engine}` || list[0] === seen[index]![0]);
+        });
+    },
+);
+
+Given("{int} engines in a fleet of 91 instances", function(this: HomesWorld, engines: number) {
+    this.engines = nameEngines(engines);
+    this.stores = [];
+    this.fixture = createInstance(this);
+});
+
+function createInstance(world: HomesWorld): PlacerFixture {
+    return createPlacerFixture(createVirtualClock(1), world.engines, false, undefined, undefined, () => world.stores);
+}
+
+function placeAt(fixture: PlacerFixture, prompt: Prompt, id: string, excluded: readonly string[] = []): Placement {
+    let placement: Placement | undefined;
+    const req = createProxyRequest("stream", { id, prompt });
+    fixture.placer.place(req, { kind: "place", excluded }, result => {
+        placement = result.kind === "placed" ? result.placement : undefined;
+    });
+    fixture.placer.end(req);
+    assert.ok(placement !== undefined);
+    return placement;
+}
+
+const createCases = (count: number) =>
+    Array.from({ length: count }, (_, index) => createCase("first", `case-${index}`));
+
+Then(
+    "{int} prompts have the same first home before and after half of the engines have newer weights",
+    function(this: HomesWorld, count: number) {
+        const model = createPrompt().model;
+        const newer = this.engines.slice(0, this.engines.length / 2);
+        const before = createCases(count).map(prompt => placeAt(createInstance(this), prompt, "r").upstream.id);
+        const after = createCases(count).map(prompt => {
+            const fixture = createInstance(this);
+            fixture.weights.recordTarget({ model, version: 2, sinceMs: -5_000, isObserved: true });
+            newer.forEach(id => fixture.weights.recordLoaded(id, model, 2));
+            return placeAt(fixture, prompt, "r").upstream.id;
+        });
+        after.forEach((id, index) =>
+            assert.ok(
+                newer.includes(id)
+                    && (id === before[index] || !newer.includes(before[index]!)),
+            )
+        );
+    },
+);
+
+Given(
+    "{int} engines and requests that each occupy an engine for {int} ms",
+    function(this: HomesWorld, engines: number, workMs: number) {
+        this.engines = nameEngines(engines);
+        this.workMs = workMs;
+    },
+);
+
+/** Lets an instance place one request. */
+function place(homes: PromptHomes, prompt: Prompt, workMs: number, nowMs: number): void {
+    homes.recordPlaced(prompt, nowMs);
+    homes.recordWork(workMs);
+}
+
+When(
+    "each of {int} instances has got {float} requests a second, {float} of them for one prompt, for {int} s",
+    function(this: HomesWorld, instances: number, rate: number, part: number, seconds: number) {
+        this.homes = createHomes(instances);
+        this.nowMs = seconds * 1_000;
+        for (let index = 0; index < rate * seconds; index += 1) {
+            const isHot = Math.floor(index * part) !== Math.floor((index + 1) * part);
+            place(this.homes, isHot ? hot : createOwnPrompt(`cold-${index}`), this.workMs, index * 1_000 / rate);
+        }
+    },
+);
+
+Then("the prompt has {int} homes and an ordinary prompt has 1", function(this: HomesWorld, homes: number) {
+    assert.equal(listHomes(this.homes, hot, this.engines, this.nowMs).length, homes);
+    assert.equal(listHomes(this.homes, createOwnPrompt("cold-5"), this.engines, this.nowMs).length, 1);
+});
+
+When("an instance of 380 has got {int} requests for as many prompts", function(this: HomesWorld, requests: number) {
+    this.homes = createHomes(380);
+    this.prompts = Array.from({ length: requests }, (_, index) => createOwnPrompt(`p-${index}`));
+    this.prompts.forEach((prompt, index) => place(this.homes, prompt, this.workMs, index * 10));
+});
+
+Then("each of these prompts has 1 home", function(this: HomesWorld) {
+    this.prompts.forEach(one => assert.equal(listHomes(this.homes, one, this.engines, 20_000).length, 1));
+});
+
+When(
+    "{int} instances of {int} draw requests of which {float} are for one prompt, beginning after {int} s",
+    function(this: HomesWorld, sampled: number, instances: number, part: number, from: number) {
+        this.sampled = Array.from({ length: sampled }, () => createHomes(instances));
+        const random = createRandom(11);
+        for (const homes of this.sampled) {
+            for (let nowMs = 0; nowMs < 60_000; nowMs += 200) {
+                const isHot = nowMs > from * 1_000 && random() < part;
+                place(homes, isHot ? hot : createOwnPrompt(`cold-${Math.floor(random() * 500)}`), this.workMs, nowMs);
+                homes.list(hot, this.engines, nowMs);
+            }
+        }
+    },
+);
+
+Then(
+    "after {int} s their lists of homes are nested, and differ by one step at most",
+    function(this: HomesWorld, seconds: number) {
+        const lists = this.sampled.map(homes => listHomes(homes, hot, this.engines, 20_000 + seconds * 1_000))
+            .toSorted((left, right) => left.length - right.length);
+        const longest = lists.at(-1)!;
+        lists.forEach(list => assert.deepEqual(list, longest.slice(0, list.length)));
+        this.before = lists;
+        const counts = lists.map(list => list.length);
+        assert.ok(longest.length > 1 && counts.filter(one => one * 2 < longest.length).length <= 1, counts.join());
+    },
+);
+
+Then(
+    "{int} s after the jump has ended all of them have given up at least half of the homes",
+    function(this: HomesWorld, seconds: number) {
+        const random = createRandom(12);
+        const counts = this.sampled.map(homes => {
+            for (let nowMs = 60_000; nowMs < 60_000 + seconds * 1_000; nowMs += 200) {
+                place(homes, createOwnPrompt(`cold-${Math.floor(random() * 500)}`), this.workMs, nowMs);
+                homes.list(hot, this.engines, nowMs);
+            }
+            return listHomes(homes, hot, this.engines, 60_000 + seconds * 1_000).length;
+        });
+        assert.ok(Math.max(...counts) <= this.before.at(-1)!.length / 2, counts.join());
+    },
+);
+
+Then(
+    "an estimate that moves between {float} and {float} changes the number of homes once",
+    (low: number, high: number) => {
+        let count: number | undefined;
+        let changes = 0;
+        for (let step = 0; step < 100; step += 1) {
+            const next = stepHomeCount(step % 2 === 0 ? low : high, count);
+            changes += count !== undefined && next !== count ? 1 : 0;
+            count = next;
+        }
+        assert.equal(changes, 1);
+    },
+);
+
+Given("{int} engines in service", function(this: HomesWorld, engines: number) {
+    this.engines = nameEngines(engines);
+});
+
+When(
+    "an instance has got {int} requests with {int} first parts",
+    function(this: HomesWorld, requests: number, firsts: number) {
+        this.homes = createHomes(88);
+        for (let index = 0; index < requests; index += 1) {
+            this.homes.recordPlaced(createCase(`first-${index % firsts}`, `case-${index % 977}`), index * 5);
+        }
+        this.nowMs = requests * 5;
+    },
+);
+
+function countLeaders(world: HomesWorld): number {
+    const leaders = Array.from(
+        { length: 400 },
+        (_, index) => world.homes.list(createCase("first-1", `other-${index}`), world.engines, world.nowMs)?.engines[0],
+    );
+    return new Set(leaders).size;
+}
+
+Then(
+    "the prompts of one first part are led by {int} to {int} engines",
+    function(this: HomesWorld, least: number, most: number) {
+        const leaders = countLeaders(this);
+        assert.ok(leaders >= least && leaders <= most, String(leaders));
+    },
+);
+
+Then("the prompts of one first part are led by {int} engines or more", function(this: HomesWorld, least: number) {
+    assert.ok(countLeaders(this) >= least);
+});
+
+Then(
+    "{int} requests that were rejected by their home are placed at one and the same engine by {int} instances",
+    function(this: HomesWorld, count: number, instances: number) {
+        for (const prompt of createCases(count)) {
+            const home = placeAt(this.fixture, prompt, "r").upstream.id;
+            const next = Array.from({ length: instances }, () => createInstance(this))
+                .map((fixture, index) => placeAt(fixture, prompt, `r-${index}`, [home]).upstream.id);
+            assert.equal(new Set(next).size, 1);
+            assert.notEqual(next[0], home);
+        }
+    },
+);
+
+When("an instance has placed large prompts at the home of a prompt until it is full", function(this: HomesWorld) {
+    const [prompt] = createCases(1);
+    const { engines } = createHomes(91).list(prompt!, this.engines, 0)!;
+    this.before = [engines];
+    this.fixture.use.begin("r-0", {
+        upstream: engines[0]!,
+        ownTokens: 19_000,
+        sharedKey: "other",
+        sharedTokens: 0,
+        unreadTokens: 0,
+    }, 0);
+});
+
+Then("the prompt is placed at the engine that comes next", function(this: HomesWorld) {
+    const { upstream, home } = placeAt(this.fixture, createCases(1)[0]!, "r");
+    assert.equal(upstream.id, this.before[0]![1]);
+    assert.deepEqual([home?.rank, home?.homes], [1, 1]);
+});
+
+Given("cache stores in {string} whose events other instances read", function(this: HomesWorld, domains: string) {
+    this.stores = domains.split(", ").map((failureDomain, index) => (
+        { id: `store-${index}`, address: `10.0.1.${index}:80`, failureDomain, isFollowed: false }
+    ));
+});
+
+Then(
+    "{int} requests name the same store as source and as target on {int} instances",
+    function(this: HomesWorld, count: number, instances: number) {
+        // Engines of the fixture are all in the first store's failure domain.
+        this.stores = this.stores.map(store => ({ ...store, failureDomain: "other" }));
+        this.before = createCases(count).map(prompt => {
+            const named = Array.from({ length: instances }, () => placeAt(createInstance(this), prompt, "r"))
+                .flatMap(({ cacheSource, cacheTarget }) => [cacheSource ?? "", cacheTarget ?? ""]);
+            assert.equal(new Set(named).size, 1);
+            return [named[0]!];
+        });
+    },
+);
+
+Then("about half of the prompts are kept by each store", function(this: HomesWorld) {
+    const first = this.before.filter(([address]) => address === this.stores[0]!.address).length;
+    assert.ok(first > this.before.length / 4 && first < this.before.length * 3 / 4, String(first));
+});
+
+Then(
+    "{int} requests that were rejected by their home name it as source",
+    function(this: HomesWorld, count: number) {
+        for (const prompt of createCases(count)) {
+            const home = placeAt(createInstance(this), prompt, "r").upstream;
+            assert.equal(placeAt(createInstance(this), prompt, "r", [home.id]).cacheSource, home.address);
+        }
+    },
+);
+
+When("a store answered {int} ms ago according to a heartbeat", function(this: HomesWorld, ageMs: number) {
+    this.nowMs = ageMs;
+});
+
+Then(
+    "it is reachable for {int} ms more, and not after {int} ms",
+    function(this: HomesWorld, stillMs: number, afterMs: number) {
+        const reach = createStoreReach();
+        reach.record({ id: "store-1", ageMs: this.nowMs }, 0);
+        assert.ok(reach.isReachable("store-1", stillMs));
+        assert.equal(reach.isReachable("store-1", afterMs), false);
+        assert.deepEqual(reach.list(afterMs), []);
+    },
+);
+
+Then("older news changes nothing, and odd news neither", () => {
+    const reach = createStoreReach();
+    reach.record({ id: "store-1", ageMs: 100 }, 1_000);
+    reach.record({ id: "store-1", ageMs: 2_500 }, 1_000);
+    reach.record({ id: "store-2", ageMs: 3_600_000 }, 1_000);
+    assert.deepEqual(reach.list(1_000), [{ id: "store-1", ageMs: 100 }]);
+    for (let index = 0; index < 100; index += 1) {
+        reach.record({ id: `odd-${index}`, ageMs: 0 }, 1_000);
+    }
+    assert.ok(reach.list(1_000).length <= 16 && reach.isReachable("store-1", 1_000));
+});
--- a/src/core/homes/createPromptDemand.ts
+++ b/src/core/homes/createPromptDemand.ts
@@ -37,12 +37,15 @@
 /** Weight of a new observation in the average work of a request. */
 const workWeight = 0.05;
 
+/** Standard deviations by which a number that was seen may lie above what was to be expected. */
+const deviations = 2;
+
 /**
  * Estimates the least number of requests of which a number was probably seen by chance: one request of a rare prompt is no
  * sign of hundreds that other instances get.
  */
 function countAtLeast(seen: number): number {
-    return Math.max(0, seen - Math.sqrt(seen));
+    return Math.max(0, seen - deviations * Math.sqrt(seen));
 }
 
 /**
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -17,7 +17,6 @@
     type CacheHolder,
     type ChooseSource,
     createSourceChooser,
-    minFetchTokens,
     type SourceCandidate,
 } from "./createSourceChooser.js";
 import type { UpstreamUseTracker } from "./createUpstreamUseTracker.js";
@@ -121,6 +120,9 @@
 /** Time to fetch tokens, as a fraction of the time of their prefill. */
 const fetchCostFraction = 0.2;
 
+/** Minimum of shared tokens to look up where nobody is known to hold them: the prefill of fewer takes as long as the lookup. */
+const minLookupTokens = 512;
+
 /** Minimum of shared tokens for a write to a store. */
 const minStoredTokens = 64;
 
@@ -231,7 +233,7 @@
         coverage: CacheCoverage,
         engine: string,
     ): string | undefined {
-        if (!lacksShared(prompt, coverage, minFetchTokens)) {
+        if (!lacksShared(prompt, coverage, minLookupTokens)) {
             return coverage.source?.address;
         }
         if (homeStore !== undefined && !homeStore.isFollowed) {
@@ -251,7 +253,7 @@
         }
         const { homeStore } = view;
         if (homeStore !== undefined && !homeStore.isFollowed) {
-            return lacksShared(prompt, coverage, minStoredTokens) ? homeStore : undefined;
+            return lacksShared(prompt, coverage, minLookupTokens) ? homeStore : undefined;
         }
         const stores = view.homes === undefined ? deps.listStores() : [homeStore].filter(one => one !== undefined);
         return stores.find(store => (view.heldTokens.get(store.id) ?? 0) < shared);
--- a/src/core/placement/createSourceChooser.ts
+++ b/src/core/placement/createSourceChooser.ts
@@ -35,7 +35,7 @@
 type RankedHolder = SourceCandidate & CacheHolder;
 
 /** Minimum gain of a fetch in tokens: below it, the lookup takes as long as the prefill. */
-export const minFetchTokens = 64;
+const minFetchTokens = 64;
 
 /** Compares two sources: most tokens first, then engines, the same failure domain, and the less busy one. */
 function isBetter(left: CacheHolder, right: CacheHolder): boolean {
