Document the homes of shared prompts, and measure them on a virtual clock

Cause: a change of the number of homes left no trace, and nothing compared the ways to choose them; heartbeats that name stores passed their share of bytes.

--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -22,4 +22,5 @@
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
     catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
     orders: async args => (await import("./orders/runOrderCosts.js")).runOrderCosts(args),
+    homes: async args => (await import("./homes/runHomes.js")).runHomes(args),
 };
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -105,6 +105,7 @@
         signals: views.signals.view,
         isFleetDirect: fleet.isDirect,
         countInstances: fleet.countInstances,
+        onHomesChanged: change => writeLog("promptHomesChanged", { ...change }),
         failureDomain: settings.failureDomain,
         registry: views.registry,
         weights: views.weights,
--- a/src/core/fleet/planHeartbeats.ts
+++ b/src/core/fleet/planHeartbeats.ts
@@ -26,8 +26,8 @@
 /** Bytes that the heartbeats of an instance may take in a larger fleet. */
 const bytesPerMs = 10;
 
-/** Bytes of a heartbeat beside the ages: the sender, and the target weights. */
-const baseBytes = 880;
+/** Bytes of a heartbeat beside the ages: the sender, the target weights, and the cache stores that answer. */
+const baseBytes = 980;
 
 /** Bytes of an instance's age in a heartbeat. */
 const bytesPerAge = 6.7;
--- a/src/core/homes/createPromptDemand.ts
+++ b/src/core/homes/createPromptDemand.ts
@@ -38,7 +38,7 @@
 const workWeight = 0.05;
 
 /** Standard deviations by which a number that was seen may lie above what was to be expected. */
-const deviations = 2;
+const deviations = 1.5;
 
 /**
  * Estimates the least number of requests of which a number was probably seen by chance: one request of a rare prompt is no
--- a/src/core/homes/createPromptHomes.ts
+++ b/src/core/homes/createPromptHomes.ts
@@ -36,6 +36,17 @@
 export interface PromptHomesDependencies {
     /** Number of instances that share the requests. */
     readonly countInstances: () => number;
+    /** Called when the number of a prompt's homes has changed. */
+    readonly onChange?: ((change: HomesChange) => void) | undefined;
+}
+
+/** A change of the number of a prompt's homes, with the estimate that decided it. */
+export interface HomesChange extends Pick<PromptLoad, "requestsPerSecond" | "busyEngines" | "share"> {
+    /** Id of the last shared part. */
+    readonly part: string;
+    readonly homes: number;
+    readonly homesBefore: number;
+    readonly engines: number;
 }
 
 /** Engines after the homes to which all instances turn in the same order. */
@@ -108,13 +119,20 @@
         return count;
     }
 
-    function countPromptHomes(key: number, load: PromptLoad, engines: number): number {
+    function countPromptHomes(prompt: Prompt, key: number, load: PromptLoad, engines: number): number {
         const needed = countHomes({
             neededUpstreams: load.busyEngines / promptLoadBound,
             fairShare: load.share * engines,
             maxSpreadFactor: promptSpreadFactor,
         }, engines);
-        return stepCount(key, needed);
+        const homesBefore = counts.get(key) ?? 1;
+        const homes = stepCount(key, needed);
+        if (homes !== homesBefore) {
+            const { requestsPerSecond, busyEngines, share } = load;
+            const part = prompt.parts.at(-2)?.id ?? "";
+            deps.onChange?.({ part, homes, homesBefore, engines, requestsPerSecond, busyEngines, share });
+        }
+        return homes;
     }
 
     /**
@@ -143,7 +161,7 @@
         }
         const key = derivePromptKey(prompt);
         const load = prompts.estimate(key, deps.countInstances(), nowMs);
-        const homes = countPromptHomes(key, load, engines.length);
+        const homes = countPromptHomes(prompt, key, load, engines.length);
         const listed = homes + spillEngines;
         const among = hasCommonPart(prompt)
             ? listPrefixEngines(derivePrefixKey(prompt), engines, listed, nowMs)
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -52,6 +52,7 @@
     orderEnded: define("RW2105", "info", "operator's order ended"),
     rolloutDone: define("RW2106", "info", "rollout of a weights version done"),
     leaseAwaited: define("RW2107", "info", "order lease awaited while engines have outdated weights"),
+    promptHomesChanged: define("RW2116", "info", "number of engines at which a shared prompt's requests meet changed"),
     requestEnded: define("RW3001", "debug", "request ended"),
     requestRefused: define("RW3002", "info", "request refused"),
     answerMismatched: define("RW3003", "warn", "upstream answer discarded: wrong correlation id"),
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -4,7 +4,7 @@
  */
 import { chooseHomeStore } from "../homes/chooseHomeStore.js";
 import { computeHomeBonus } from "../homes/computeHomeBonus.js";
-import { createPromptHomes, derivePromptKey, type HomeList } from "../homes/createPromptHomes.js";
+import { createPromptHomes, derivePromptKey, type HomeList, type HomesChange } from "../homes/createPromptHomes.js";
 import { createWorkMeter } from "../homes/createWorkMeter.js";
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
@@ -46,6 +46,8 @@
     readonly isFleetDirect: () => boolean;
     /** Number of instances that share the requests. */
     readonly countInstances: () => number;
+    /** Called when the number of a prompt's homes has changed. */
+    readonly onHomesChanged?: ((change: HomesChange) => void) | undefined;
     /** Lists the cache stores that answer. */
     readonly listStores: () => readonly ReachableStore[];
 }
@@ -136,7 +138,7 @@
  */
 export function createPromptCacheReader(deps: PromptCacheReaderDependencies): PromptCacheReader {
     const { parts, health, use, weights } = deps;
-    const homes = createPromptHomes({ countInstances: deps.countInstances });
+    const homes = createPromptHomes({ countInstances: deps.countInstances, onChange: deps.onHomesChanged });
     const meter = createWorkMeter(homes.recordWork);
 
     /** Lists the homes among all engines in service, so that what one request or instance excludes moves none. */
