Count a store's last answer for as long as heartbeats take to pass it on

Cause: three seconds are too short at 380 instances, whose heartbeats go every 1.4 s, and longer than needed at 91. Change: computeStoreReachMs follows the heartbeats' plan, three and a half intervals; a scenario passes news on from 9 readers at 16, 91 and 380 instances.

--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -73,5 +73,15 @@
 
     Scenario: A store counts as reachable while an instance hears that it answers
         When a store answered 400 ms ago according to a heartbeat
-        Then it is reachable for 2500 ms more, and not after 2700 ms
-        And older news changes nothing, and odd news neither
+        Then 16 instances count it as reachable for 1500 ms more, and not after 1700 ms
+        And older news changes nothing, and odd news does no harm
+
+    # Guards against a large fleet in which news of a store is out of date before all instances have it.
+    Scenario Outline: News of a store reaches all instances of a large fleet in time
+        Then <instances> instances hear of a store from its 9 readers in 99 of 100 moments, and of its end within <end> ms
+
+        Examples:
+            | instances | end  |
+            | 16        | 2000 |
+            | 91        | 2300 |
+            | 380       | 5000 |
--- a/features/steps/promptHomesSteps.ts
+++ b/features/steps/promptHomesSteps.ts
@@ -9,6 +9,8 @@
 import { createPlacerFixture, type PlacerFixture } from "../../bench/support/placerFixtures.js";
 import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { planHeartbeats } from "../../src/core/fleet/planHeartbeats.js";
+import { computeStoreReachMs } from "../../src/core/homes/computeStoreReachMs.js";
 import { createPromptHomes, type PromptHomes } from "../../src/core/homes/createPromptHomes.js";
 import { createStoreReach } from "../../src/core/homes/createStoreReach.js";
 import { stepHomeCount } from "../../src/core/homes/stepHomeCount.js";
@@ -358,24 +360,63 @@
 });
 
 Then(
-    "it is reachable for {int} ms more, and not after {int} ms",
-    function(this: HomesWorld, stillMs: number, afterMs: number) {
+    "{int} instances count it as reachable for {int} ms more, and not after {int} ms",
+    function(this: HomesWorld, instances: number, stillMs: number, afterMs: number) {
+        const maxAgeMs = computeStoreReachMs(instances);
         const reach = createStoreReach();
         reach.record({ id: "store-1", ageMs: this.nowMs }, 0);
-        assert.ok(reach.isReachable("store-1", stillMs));
-        assert.equal(reach.isReachable("store-1", afterMs), false);
-        assert.deepEqual(reach.list(afterMs), []);
+        assert.ok(reach.isReachable("store-1", maxAgeMs, stillMs));
+        assert.equal(reach.isReachable("store-1", maxAgeMs, afterMs), false);
+        assert.deepEqual(reach.list(maxAgeMs, afterMs), []);
     },
 );
 
-Then("older news changes nothing, and odd news neither", () => {
+Then("older news changes nothing, and odd news does no harm", () => {
     const reach = createStoreReach();
     reach.record({ id: "store-1", ageMs: 100 }, 1_000);
-    reach.record({ id: "store-1", ageMs: 2_500 }, 1_000);
-    reach.record({ id: "store-2", ageMs: 3_600_000 }, 1_000);
-    assert.deepEqual(reach.list(1_000), [{ id: "store-1", ageMs: 100 }]);
+    reach.record({ id: "store-1", ageMs: 1_500 }, 1_000);
+    reach.record({ id: "x".repeat(129), ageMs: 0 }, 1_000);
+    assert.deepEqual(reach.list(2_000, 1_000), [{ id: "store-1", ageMs: 100 }]);
     for (let index = 0; index < 100; index += 1) {
-        reach.record({ id: `odd-${index}`, ageMs: 0 }, 1_000);
+        reach.record({ id: `odd-${index}`, ageMs: 200 }, 1_000);
     }
-    assert.ok(reach.list(1_000).length <= 16 && reach.isReachable("store-1", 1_000));
+    assert.ok(reach.list(2_000, 1_000).length <= 16 && reach.isReachable("store-1", 2_000, 1_000));
 });
+
+/** Passes the answers of a store from its 9 readers on, by heartbeats of which 1 in 50 is lost. */
+function passOn(instances: number, untilMs: number, deadFromMs: number): readonly boolean[][] {
+    const random = createRandom(5);
+    const { intervalMs, fanOut } = planHeartbeats(instances - 1);
+    const maxAgeMs = computeStoreReachMs(instances);
+    const reaches = Array.from({ length: instances }, createStoreReach);
+    const due = reaches.map(() => random() * intervalMs);
+    const seen: boolean[][] = [];
+    for (let nowMs = 0; nowMs < untilMs; nowMs += 20) {
+        const isRead = nowMs % 1_120 === 0 && nowMs < deadFromMs;
+        reaches.slice(0, isRead ? 9 : 0).forEach(reach => reach.record({ id: "store-1", ageMs: 0 }, nowMs));
+        due.forEach((dueMs, index) => {
+            if (nowMs < dueMs) {
+                return;
+            }
+            due[index] = dueMs + intervalMs;
+            const told = reaches[index]!.list(maxAgeMs, nowMs);
+            for (let target = 0; target < fanOut; target += 1) {
+                const receiver = reaches[Math.floor(random() * instances)]!;
+                told.filter(() => random() > 0.02).forEach(answer => receiver.record(answer, nowMs));
+            }
+        });
+        seen.push(reaches.map(reach => reach.isReachable("store-1", maxAgeMs, nowMs)));
+    }
+    return seen;
+}
+
+Then(
+    "{int} instances hear of a store from its 9 readers in 99 of 100 moments, and of its end within {int} ms",
+    (instances: number, endMs: number) => {
+        const deadFromMs = 30_000;
+        const moments = passOn(instances, deadFromMs + endMs + 1_000, deadFromMs);
+        const calm = moments.slice(15_000 / 20, deadFromMs / 20).flat();
+        assert.ok(calm.filter(Boolean).length > calm.length * 0.99);
+        assert.ok(!moments.at(-1)!.includes(true));
+    },
+);
--- a/src/assemble/assembleParts.ts
+++ b/src/assemble/assembleParts.ts
@@ -2,6 +2,7 @@
  * @module
  * Assembles the feeds of prompt part events from engines and from prompt cache stores.
  */
+import { computeStoreReachMs } from "../core/homes/computeStoreReachMs.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createFeedAssignment } from "../core/placement/createFeedAssignment.js";
 import { repeatEvery } from "../core/time/repeatEvery.js";
@@ -127,7 +128,7 @@
         return services.flatMap(({ name, cacheStore }) => {
             const feed = feeds.get(name);
             const isReachable = feed === undefined && !fleet.isDirect()
-                ? views.storeReach.isReachable(name, clock.now())
+                ? views.storeReach.isReachable(name, computeStoreReachMs(fleet.countInstances()), clock.now())
                 : feed?.isReachable === true;
             return cacheStore !== undefined && isReachable
                 ? [{ id: name, ...cacheStore, isFollowed: feed !== undefined }]
--- a/src/assemble/createHeartbeatComposer.ts
+++ b/src/assemble/createHeartbeatComposer.ts
@@ -4,6 +4,7 @@
  */
 import type { FleetView } from "../core/fleet/createFleetView.js";
 import type { FleetInstance, Heartbeat } from "../core/fleet/heartbeat.js";
+import { computeStoreReachMs } from "../core/homes/computeStoreReachMs.js";
 import type { Clock } from "../core/time/clock.js";
 import type { FleetSources } from "./assembleFleet.js";
 import type { InstanceViews } from "./assembleViews.js";
@@ -47,6 +48,11 @@
         );
     }
 
+    function listStores(): Heartbeat["stores"] {
+        const nowMs = clock.now();
+        return views.storeReach.list(computeStoreReachMs(view.countInstances(nowMs)), nowMs);
+    }
+
     function composeOwn(): Heartbeat {
         const lease = sources.heldLease();
         return {
@@ -65,7 +71,7 @@
             quarantine: sources.quarantine.digest(),
             signals: sources.permits.digest(),
             // Small fleets read the events of the stores themselves.
-            stores: view.isDirect() ? undefined : views.storeReach.list(clock.now()),
+            stores: view.isDirect() ? undefined : listStores(),
             known: [],
             ages: "",
         };
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -4,6 +4,7 @@
  */
 import * as z from "zod";
 import { addressSchema } from "../addresses/addressSchema.js";
+import { maxStoreIdLength, maxStores } from "../homes/createStoreReach.js";
 
 const instanceSchema = z.object({
     name: z.string().min(1).max(128),
@@ -45,10 +46,6 @@
 /** Most ids in a heartbeat that asks for descriptions. */
 const maxWanted = 64;
 
-/** Most cache stores in a heartbeat, and the longest id of one. */
-const maxStores = 16;
-const maxStoreIdLength = 128;
-
 const loadedSchema = z.object({
     engine: z.string(),
     model: z.string(),
--- a/src/core/homes/createStoreReach.ts
+++ b/src/core/homes/createStoreReach.ts
@@ -15,17 +15,16 @@
 export interface StoreReach {
     /** Records that a store answered this instance or another one. */
     readonly record: (answer: StoreAnswer, nowMs: number) => void;
-    /** Whether a store has answered lately. */
-    readonly isReachable: (id: string, nowMs: number) => boolean;
-    /** Lists the stores that answered lately, to be told to other instances. */
-    readonly list: (nowMs: number) => readonly StoreAnswer[];
+    /** Lists the stores whose last answer is at most `maxAgeMs` old, to be told to other instances. */
+    readonly list: (maxAgeMs: number, nowMs: number) => readonly StoreAnswer[];
+    readonly isReachable: (id: string, maxAgeMs: number, nowMs: number) => boolean;
 }
 
-/** Time after its last answer for which a store counts as reachable: a read, and the heartbeats that pass it on. */
-const reachMs = 3_000;
+/** Most stores that are remembered, and named in a heartbeat. */
+export const maxStores = 16;
 
-/** Stores that are remembered. */
-const maxStores = 16;
+/** Longest id of a store. */
+export const maxStoreIdLength = 128;
 
 /**
  * Creates the reach of stores of which nothing was heard.
@@ -34,28 +33,28 @@
  * @example
  * const reach = createStoreReach();
  * reach.record({ id: "store-1", ageMs: 400 }, clock.now());
- * reach.isReachable("store-1", clock.now()); // true
+ * reach.isReachable("store-1", 2_000, clock.now()); // true
  */
 export function createStoreReach(): StoreReach {
     const answeredMs = new Map<string, number>();
-    const isRecent = (id: string, nowMs: number) => nowMs - (answeredMs.get(id) ?? -Infinity) < reachMs;
+    const ageOf = (id: string, nowMs: number) => nowMs - (answeredMs.get(id) ?? -Infinity);
+
+    function record({ id, ageMs }: StoreAnswer, nowMs: number): void {
+        if (id.length > maxStoreIdLength || ageMs >= ageOf(id, nowMs)) {
+            return;
+        }
+        answeredMs.set(id, nowMs - ageMs);
+        const oldest = [...answeredMs].toSorted((left, right) => left[1] - right[1]).at(0);
+        if (answeredMs.size > maxStores && oldest !== undefined) {
+            answeredMs.delete(oldest[0]);
+        }
+    }
 
     return {
-        record: ({ id, ageMs }, nowMs) => {
-            const known = answeredMs.get(id) ?? -Infinity;
-            if (ageMs >= reachMs || nowMs - ageMs <= known) {
-                return;
-            }
-            if (answeredMs.size >= maxStores && !answeredMs.has(id)) {
-                [...answeredMs.keys()].filter(one => !isRecent(one, nowMs)).forEach(one => answeredMs.delete(one));
-            }
-            if (answeredMs.size < maxStores || answeredMs.has(id)) {
-                answeredMs.set(id, nowMs - ageMs);
-            }
-        },
-        isReachable: isRecent,
-        list: nowMs =>
-            [...answeredMs].filter(([id]) => isRecent(id, nowMs))
-                .map(([id, atMs]) => ({ id, ageMs: Math.round(nowMs - atMs) })),
+        record,
+        list: (maxAgeMs, nowMs) =>
+            [...answeredMs.keys()].map(id => ({ id, ageMs: Math.round(ageOf(id, nowMs)) }))
+                .filter(answer => answer.ageMs <= maxAgeMs),
+        isReachable: (id, maxAgeMs, nowMs) => ageOf(id, nowMs) <= maxAgeMs,
     };
 }
--- a/src/core/homes/index.ts
+++ b/src/core/homes/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./chooseHomeStore.js";
 export * from "./computeHomeBonus.js";
+export * from "./computeStoreReachMs.js";
 export * from "./countHomes.js";
 export * from "./createEngineRanking.js";
 export * from "./createPromptDemand.js";
--- a/src/core/why/describeLogLine.ts
+++ b/src/core/why/describeLogLine.ts
@@ -21,6 +21,16 @@
         : JSON.stringify(value);
 }
 
+function describeHome(fields: Fields): string {
+    const rank = fields["homeRank"];
+    if (fields["homes"] === undefined) {
+        return "";
+    }
+    return typeof rank === "number"
+        ? `; number ${rank + 1} in the prompt's list, of which ${text(fields, "homes")} are homes`
+        : `; not in the prompt's list, which has ${text(fields, "homes")} homes`;
+}
+
 function describeSent(fields: Fields): string {
     const limit = fields["rateLimit"] === undefined
         ? ""
@@ -33,7 +43,7 @@
     const fetched = fields["cacheSource"] === undefined
         ? ""
         : `, ${text(fields, "fetchedTokens")} to be fetched from ${text(fields, "cacheSource")}`;
-    return `${head}; weights version ${text(fields, "weightsVersion")}; ${cached}${fetched}`;
+    return `${head}; weights version ${text(fields, "weightsVersion")}; ${cached}${fetched}${describeHome(fields)}`;
 }
 
 const outcomes: ReadonlyMap<unknown, (fields: Fields) => string> = new Map<unknown, (fields: Fields) => string>([
