--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -42,6 +42,10 @@
         Then after 40 s their lists of homes are nested, and differ by one step at most
         And 60 s after the jump has ended all of them have given up at least half of the homes
 
+    Scenario: A short prompt has no home: load alone decides
+        Given 63 engines and requests that each occupy an engine for 60 ms
+        Then a prompt with 511 shared tokens has no home, and one with 512 has 1
+
     Scenario: The number of homes is steady while the estimate moves about a step
         Then an estimate that moves between 3.6 and 4.4 changes the number of homes once
 
--- a/features/steps/promptHomesSteps.ts
+++ b/features/steps/promptHomesSteps.ts
@@ -239,6 +239,16 @@
     },
 );
 
+Then(
+    "a prompt with {int} shared tokens has no home, and one with {int} has 1",
+    function(this: HomesWorld, few: number, enough: number) {
+        const create = (tokens: number) =>
+            createPrompt({ parts: [{ id: "short", tokens }, { id: "own", tokens: 900 }] });
+        assert.equal(createHomes(88).list(create(few), this.engines, 0), undefined);
+        assert.equal(listHomes(createHomes(88), create(enough), this.engines).length, 1);
+    },
+);
+
 Then(
     "an estimate that moves between {float} and {float} changes the number of homes once",
     (low: number, high: number) => {
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -4,7 +4,13 @@
  */
 import { chooseHomeStore } from "../homes/chooseHomeStore.js";
 import { computeHomeBonus } from "../homes/computeHomeBonus.js";
-import { createPromptHomes, derivePromptKey, type HomeList, type HomesChange } from "../homes/createPromptHomes.js";
+import {
+    createPromptHomes,
+    derivePromptKey,
+    type HomeList,
+    type HomesChange,
+    minHomeTokens,
+} from "../homes/createPromptHomes.js";
 import { createWorkMeter } from "../homes/createWorkMeter.js";
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
@@ -122,9 +128,6 @@
 /** Time to fetch tokens, as a fraction of the time of their prefill. */
 const fetchCostFraction = 0.2;
 
-/** Minimum of shared tokens to look up where nobody is known to hold them: the prefill of fewer takes as long as the lookup. */
-const minLookupTokens = 512;
-
 /** Minimum of shared tokens for a write to a store. */
 const minStoredTokens = 64;
 
@@ -156,6 +159,24 @@
             : homes.list(prompt, ids, deps.now());
     }
 
+    /** Describes where the requests of the prompt meet; `sources` are the engines from which parts may be fetched. */
+    function describeHomes(
+        prompt: Prompt,
+        ids: readonly string[],
+        { engines, sources }: Readonly<Record<"engines" | "sources", readonly UpstreamRecord[]>>,
+    ): Pick<PromptCacheView, "homes" | "homeSource" | "homeStore"> {
+        const list = deps.isFleetDirect() ? undefined : listHomes(engines, prompt, ids);
+        if (list === undefined) {
+            return { homes: undefined, homeSource: undefined, homeStore: undefined };
+        }
+        const first = engines.find(engine => engine.id === list.engines[0]);
+        return {
+            homes: list,
+            homeSource: sources.find(engine => engine.id === first?.id),
+            homeStore: chooseHomeStore(derivePromptKey(prompt), first?.failureDomain, deps.listStores()),
+        };
+    }
+
     /** An engine that has loaded other weights since has no parts of this scope any more, or not of its weights. */
     function isSource(engine: UpstreamRecord, prompt: Prompt, weightsVersion: number, nowMs: number): boolean {
         return weights.findVersion(engine, prompt.model) === weightsVersion
@@ -166,7 +187,8 @@
         const { salt, weightsVersion } = scope;
         const nowMs = deps.now();
         const engines = deps.registry.listService(service);
-        const stores = deps.listStores();
+        // What was known of a store whose events are not read any more may be long gone.
+        const stores = deps.listStores().filter(store => store.isFollowed);
         const uses = new Map(engines.map(({ id }) => [id, use.read(id)]));
         const tokens = new Map(
             [...engines, ...stores].map(({ id }) => [id, parts.countCachedTokens(prompt, salt, id, nowMs)]),
@@ -183,9 +205,6 @@
         const holders = [...sources.map(one => describe(one, false)), ...stores.map(one => describe(one, true))];
         const heldTokens = new Map([...tokens].map(([id, { expected }]) => [id, expected]));
         const mostHeldTokens = Math.max(0, ...heldTokens.values());
-        const isDirect = deps.isFleetDirect();
-        const homeList = isDirect ? undefined : listHomes(engines, prompt, ids);
-        const first = engines.find(engine => engine.id === homeList?.engines[0]);
         return {
             salt,
             sharedKey: deriveSharedKey(prompt, salt),
@@ -193,12 +212,10 @@
             mostHeldTokens,
             uses,
             chooseSource: createSourceChooser(holders.filter(holder => holder.heldTokens > 0)),
-            preferred: isDirect ? choosePreferredEngine(prompt, salt, mostHeldTokens, ids) : undefined,
-            homes: homeList,
-            homeSource: sources.find(engine => engine.id === first?.id),
-            homeStore: homeList === undefined
-                ? undefined
-                : chooseHomeStore(derivePromptKey(prompt), first?.failureDomain, stores),
+            preferred: deps.isFleetDirect()
+                ? choosePreferredEngine(prompt, salt, mostHeldTokens, ids)
+                : undefined,
+            ...describeHomes(prompt, ids, { engines, sources }),
         };
     }
 
@@ -235,7 +252,7 @@
         coverage: CacheCoverage,
         engine: string,
     ): string | undefined {
-        if (!lacksShared(prompt, coverage, minLookupTokens)) {
+        if (!lacksShared(prompt, coverage, minHomeTokens)) {
             return coverage.source?.address;
         }
         if (homeStore !== undefined && !homeStore.isFollowed) {
@@ -255,9 +272,11 @@
         }
         const { homeStore } = view;
         if (homeStore !== undefined && !homeStore.isFollowed) {
-            return lacksShared(prompt, coverage, minLookupTokens) ? homeStore : undefined;
+            return lacksShared(prompt, coverage, minHomeTokens) ? homeStore : undefined;
         }
-        const stores = view.homes === undefined ? deps.listStores() : [homeStore].filter(one => one !== undefined);
+        const stores = view.homes === undefined
+            ? deps.listStores().filter(store => store.isFollowed)
+            : [homeStore].filter(store => store !== undefined);
         return stores.find(store => (view.heldTokens.get(store.id) ?? 0) < shared);
     }
 
