--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -63,7 +63,7 @@
     Scenario: Load decides among the homes and beyond them
         Given 20 engines in a fleet of 91 instances
         When an instance has placed large prompts at the home of a prompt until it is full
-        Then the prompt is placed at the engine that comes next
+        Then the prompt is placed at the engine that comes next, and the log says so
 
     Scenario: An engine looks for parts in the store that keeps the prompt, and writes them there
         Given 20 engines in a fleet of 91 instances
@@ -71,6 +71,13 @@
         Then 40 requests name the same store as source and as target on 5 instances
         And about half of the prompts are kept by each store
 
+    # Guards against prefills at engines that had the parts once: memory holds the requests of a few seconds.
+    Scenario: An engine that is believed to have the parts looks in the store too
+        Given 20 engines in a fleet of 91 instances
+        And cache stores in "north, south" whose events other instances read
+        When an instance has placed a prompt, and its answer has begun
+        Then the next request for the prompt goes to the same engine, with the same store as source and no target
+
     Scenario: Without a store, an engine that is no home looks for parts at the home
         Given 20 engines in a fleet of 91 instances
         Then 40 requests that were rejected by their home name it as source
--- a/features/steps/promptHomesSteps.ts
+++ b/features/steps/promptHomesSteps.ts
@@ -11,12 +11,13 @@
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import { planHeartbeats } from "../../src/core/fleet/planHeartbeats.js";
 import { computeStoreReachMs } from "../../src/core/homes/computeStoreReachMs.js";
-import { createPromptHomes, type PromptHomes } from "../../src/core/homes/createPromptHomes.js";
+import { createPromptHomes, type HomesChange, type PromptHomes } from "../../src/core/homes/createPromptHomes.js";
 import { createStoreReach } from "../../src/core/homes/createStoreReach.js";
 import { stepHomeCount } from "../../src/core/homes/stepHomeCount.js";
 import type { ReachableStore } from "../../src/core/placement/createPromptCacheReader.js";
 import type { Prompt } from "../../src/core/placement/placementTypes.js";
 import type { Placement } from "../../src/core/proxy/proxyTypes.js";
+import { describeSend } from "../../src/io/proxy/describeSend.js";
 
 interface HomesWorld {
     engines: readonly string[];
@@ -24,6 +25,7 @@
     before: readonly (readonly string[])[];
     homes: PromptHomes;
     workMs: number;
+    changes: HomesChange[];
     sampled: readonly PromptHomes[];
     nowMs: number;
     fixture: PlacerFixture;
@@ -45,8 +47,8 @@
     return createPrompt({ parts });
 }
 
-function createHomes(instances: number): PromptHomes {
-    return createPromptHomes({ countInstances: () => instances });
+function createHomes(instances: number, onChange?: (change: HomesChange) => void): PromptHomes {
+    return createPromptHomes({ countInstances: () => instances, onChange });
 }
 
 function listHomes(homes: PromptHomes, prompt: Prompt, engines: readonly string[], nowMs = 0): readonly string[] {
@@ -172,7 +174,8 @@
 When(
     "each of {int} instances has got {float} requests a second, {float} of them for one prompt, for {int} s",
     function(this: HomesWorld, instances: number, rate: number, part: number, seconds: number) {
-        this.homes = createHomes(instances);
+        this.changes = [];
+        this.homes = createHomes(instances, change => this.changes.push(change));
         this.nowMs = seconds * 1_000;
         for (let index = 0; index < rate * seconds; index += 1) {
             const isHot = Math.floor(index * part) !== Math.floor((index + 1) * part);
@@ -184,6 +187,10 @@
 Then("the prompt has {int} homes and an ordinary prompt has 1", function(this: HomesWorld, homes: number) {
     assert.equal(listHomes(this.homes, hot, this.engines, this.nowMs).length, homes);
     assert.equal(listHomes(this.homes, createOwnPrompt("cold-5"), this.engines, this.nowMs).length, 1);
+    assert.deepEqual(
+        this.changes.map(change => [change.part, change.homesBefore, change.homes]),
+        homes === 1 ? [] : [["hot", 1, homes]],
+    );
 });
 
 When("an instance of 380 has got {int} requests for as many prompts", function(this: HomesWorld, requests: number) {
@@ -324,10 +331,17 @@
     }, 0);
 });
 
-Then("the prompt is placed at the engine that comes next", function(this: HomesWorld) {
-    const { upstream, home } = placeAt(this.fixture, createCases(1)[0]!, "r");
-    assert.equal(upstream.id, this.before[0]![1]);
-    assert.deepEqual([home?.rank, home?.homes], [1, 1]);
+Then("the prompt is placed at the engine that comes next, and the log says so", function(this: HomesWorld) {
+    const [prompt] = createCases(1);
+    const placement = placeAt(this.fixture, prompt!, "r");
+    assert.equal(placement.upstream.id, this.before[0]![1]);
+    const { homeRank, homes, promptRate } = describeSend(
+        createProxyRequest("stream", { prompt }),
+        placement,
+        0,
+        undefined,
+    );
+    assert.deepEqual({ homeRank, homes, promptRate }, { homeRank: 1, homes: 1, promptRate: 0 });
 });
 
 Given("cache stores in {string} whose events other instances read", function(this: HomesWorld, domains: string) {
@@ -355,6 +369,22 @@
     assert.ok(first > this.before.length / 4 && first < this.before.length * 3 / 4, String(first));
 });
 
+When("an instance has placed a prompt, and its answer has begun", function(this: HomesWorld) {
+    const [prompt] = createCases(1);
+    const placement = placeAt(this.fixture, prompt!, "r");
+    this.fixture.placer.recordAnswerStart(createProxyRequest("stream", { prompt }), placement);
+    this.before = [[placement.upstream.id, placement.cacheSource ?? ""]];
+});
+
+Then(
+    "the next request for the prompt goes to the same engine, with the same store as source and no target",
+    function(this: HomesWorld) {
+        const next = placeAt(this.fixture, createCases(1)[0]!, "next");
+        assert.equal(next.heldTokens, 6_000);
+        assert.deepEqual([next.upstream.id, next.cacheSource, next.cacheTarget], [...this.before[0]!, undefined]);
+    },
+);
+
 Then(
     "{int} requests that were rejected by their home name it as source",
     function(this: HomesWorld, count: number) {
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -104,8 +104,8 @@
     readonly read: (service: string, prompt: Prompt, scope: CacheScope, ids: readonly string[]) => PromptCacheView;
     readonly describeCoverage: (prompt: Prompt, view: PromptCacheView, record: UpstreamRecord) => CacheCoverage;
     /**
-     * Finds where an engine should look for shared parts that nobody is known to hold: in the store that keeps the prompt, or at
-     * its home. A lookup in vain takes about a millisecond, a prefill of the parts tens of them.
+     * Finds where an engine should look for shared parts that it lacks: where they are known to be, or else in the store that keeps
+     * the prompt, or at its home. A lookup in vain takes about a millisecond, a prefill of the parts tens of them.
      */
     readonly findCacheSource: (
         prompt: Prompt,
@@ -248,17 +248,19 @@
 
     function findCacheSource(
         prompt: Prompt,
-        { homeStore, homeSource }: PromptCacheView,
-        coverage: CacheCoverage,
+        { heldTokens, homes: list, homeStore, homeSource }: PromptCacheView,
+        { source }: CacheCoverage,
         engine: string,
     ): string | undefined {
-        if (!lacksShared(prompt, coverage, minHomeTokens)) {
-            return coverage.source?.address;
+        const shared = sumTokens(prompt, 0, -1);
+        if (list === undefined || (source !== undefined && source.heldTokens >= shared)) {
+            return source?.address;
         }
-        if (homeStore !== undefined && !homeStore.isFollowed) {
+        // An engine may have dropped what it is believed to have.
+        if (homeStore !== undefined && (!homeStore.isFollowed || (heldTokens.get(homeStore.id) ?? 0) >= shared)) {
             return homeStore.address;
         }
-        return coverage.source?.address ?? (homeSource?.id === engine ? undefined : homeSource?.address);
+        return source?.address ?? (homeSource?.id === engine ? undefined : homeSource?.address);
     }
 
     function findCacheTarget(
