--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -42,10 +42,6 @@
         Then after 40 s their lists of homes are nested, and differ by one step at most
         And 60 s after the jump has ended all of them have given up at least half of the homes
 
-    Scenario: A short prompt has no home: load alone decides
-        Given 63 engines and requests that each occupy an engine for 60 ms
-        Then a prompt with 511 shared tokens has no home, and one with 512 has 1
-
     Scenario: The number of homes is steady while the estimate moves about a step
         Then an estimate that moves between 3.6 and 4.4 changes the number of homes once
 
@@ -71,6 +67,11 @@
         Then 40 requests name the same store as source and as target on 5 instances
         And about half of the prompts are kept by each store
 
+    Scenario: A short prompt has a home, but its parts are not looked up
+        Given 20 engines in a fleet of 91 instances
+        And cache stores in "north, south" whose events other instances read
+        Then a prompt with 511 shared tokens is placed without a source, and one with 512 with a source
+
     # Guards against prefills at engines that had the parts once: memory holds the requests of a few seconds.
     Scenario: An engine that is believed to have the parts looks in the store too
         Given 20 engines in a fleet of 91 instances
--- a/features/steps/promptHomesSteps.ts
+++ b/features/steps/promptHomesSteps.ts
@@ -247,12 +247,14 @@
 );
 
 Then(
-    "a prompt with {int} shared tokens has no home, and one with {int} has 1",
+    "a prompt with {int} shared tokens is placed without a source, and one with {int} with a source",
     function(this: HomesWorld, few: number, enough: number) {
-        const create = (tokens: number) =>
-            createPrompt({ parts: [{ id: "short", tokens }, { id: "own", tokens: 900 }] });
-        assert.equal(createHomes(88).list(create(few), this.engines, 0), undefined);
-        assert.equal(listHomes(createHomes(88), create(enough), this.engines).length, 1);
+        const [short, long] = [few, enough].map(tokens => {
+            const parts = [{ id: "short", tokens }, { id: "own", tokens: 900 }];
+            return placeAt(createInstance(this), createPrompt({ parts, promptTokens: tokens + 900 }), "r");
+        });
+        assert.deepEqual([short?.cacheSource, short?.cacheTarget, short?.home?.rank], [undefined, undefined, 0]);
+        assert.ok(this.stores.some(store => store.address === long?.cacheSource && store.address === long.cacheTarget));
     },
 );
 
--- a/src/core/homes/computeHomeBonus.ts
+++ b/src/core/homes/computeHomeBonus.ts
@@ -5,11 +5,11 @@
  */
 import type { HomeList } from "./createPromptHomes.js";
 
-/** Part of the shared tokens by which a home costs less. */
-const homeBonus = 1;
+/** Part of the shared tokens by which a home costs less: more than a few requests that wait there outweigh it. */
+const homeBonus = 0.5;
 
 /** The same of the first engine after the homes; each further one has half of it. */
-const spillBonus = 0.5;
+const spillBonus = 0.25;
 
 /**
  * Computes the bonus of an engine.
@@ -19,7 +19,7 @@
  * @param sharedTokens - Shared tokens that only the requests of this prompt use.
  * @returns The reduction of its cost, in prompt tokens.
  * @example
- * computeHomeBonus({ engines: ["e-2", "e-1"], homes: 1, requestsPerSecond: 0 }, "e-2", 4_000); // 4_000
+ * computeHomeBonus({ engines: ["e-2", "e-1"], homes: 1, requestsPerSecond: 0 }, "e-2", 4_000); // 2_000
  */
 export function computeHomeBonus(homes: HomeList, engine: string, sharedTokens: number): number {
     const rank = homes.engines.indexOf(engine);
--- a/src/core/homes/createPromptHomes.ts
+++ b/src/core/homes/createPromptHomes.ts
@@ -24,7 +24,7 @@
 
 /** Names the homes of prompts. Times are milliseconds on the instance's clock. */
 export interface PromptHomes {
-    /** Lists the homes among the engines in service; undefined when the prompt shares little or there is no engine. */
+    /** Lists the homes among the engines in service; undefined when the prompt shares nothing or there is no engine. */
     readonly list: (prompt: Prompt, engines: readonly string[], nowMs: number) => HomeList | undefined;
     /** Records a request that this instance has placed. */
     readonly recordPlaced: (prompt: Prompt, nowMs: number) => void;
@@ -49,9 +49,6 @@
     readonly engines: number;
 }
 
-/** Minimum of shared tokens: fewer are prefilled in the time of a lookup elsewhere, and load alone decides. */
-export const minHomeTokens = 512;
-
 /** Engines after the homes to which all instances turn in the same order. */
 const spillEngines = 2;
 
@@ -159,7 +156,7 @@
     }
 
     function list(prompt: Prompt, engines: readonly string[], nowMs: number): HomeList | undefined {
-        if (engines.length === 0 || sumTokens(prompt, 0, -1) < minHomeTokens) {
+        if (engines.length === 0 || sumTokens(prompt, 0, -1) === 0) {
             return undefined;
         }
         const key = derivePromptKey(prompt);
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -4,13 +4,7 @@
  */
 import { chooseHomeStore } from "../homes/chooseHomeStore.js";
 import { computeHomeBonus } from "../homes/computeHomeBonus.js";
-import {
-    createPromptHomes,
-    derivePromptKey,
-    type HomeList,
-    type HomesChange,
-    minHomeTokens,
-} from "../homes/createPromptHomes.js";
+import { createPromptHomes, derivePromptKey, type HomeList, type HomesChange } from "../homes/createPromptHomes.js";
 import { createWorkMeter } from "../homes/createWorkMeter.js";
 import type { UpstreamRegistry } from "../registry/createUpstreamRegistry.js";
 import type { UpstreamRecord } from "../registry/upstreamRecord.js";
@@ -128,6 +122,9 @@
 /** Time to fetch tokens, as a fraction of the time of their prefill. */
 const fetchCostFraction = 0.2;
 
+/** Minimum of shared tokens to look up where nobody is known to hold them: the prefill of fewer takes as long as the lookup. */
+const minLookupTokens = 512;
+
 /** Minimum of shared tokens for a write to a store. */
 const minStoredTokens = 64;
 
@@ -253,7 +250,7 @@
         engine: string,
     ): string | undefined {
         const shared = sumTokens(prompt, 0, -1);
-        if (list === undefined || (source !== undefined && source.heldTokens >= shared)) {
+        if (list === undefined || shared < minLookupTokens || (source !== undefined && source.heldTokens >= shared)) {
             return source?.address;
         }
         // An engine may have dropped what it is believed to have.
@@ -274,7 +271,7 @@
         }
         const { homeStore } = view;
         if (homeStore !== undefined && !homeStore.isFollowed) {
-            return lacksShared(prompt, coverage, minHomeTokens) ? homeStore : undefined;
+            return lacksShared(prompt, coverage, minLookupTokens) ? homeStore : undefined;
         }
         const stores = view.homes === undefined
             ? deps.listStores().filter(store => store.isFollowed)
