--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -27,4 +27,5 @@
     catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
     "even-load": measureEvenLoad,
     orders: async args => (await import("./orders/runOrderCosts.js")).runOrderCosts(args),
+    homes: async args => (await import("./homes/runHomes.js")).runHomes(args),
 };
--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -9,6 +9,7 @@
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../../src/core/placement/createPartView.js";
 import { createPlacer, type Placer } from "../../src/core/placement/createPlacer.js";
+import type { ReachableStore } from "../../src/core/placement/createPromptCacheReader.js";
 import {
     createUpstreamUseTracker,
     type UpstreamUseTracker,
@@ -35,6 +36,13 @@
     readonly prefills: readonly Prefill[];
 }
 
+/** What the placer knows beside upstreams. */
+export interface PlacerFixtureOptions {
+    /** Instances that share the callers' requests. */
+    readonly countInstances?: () => number;
+    readonly listStores?: () => readonly ReachableStore[];
+}
+
 /** Memory of an engine, in tokens. */
 export const engineMemoryTokens = 20_000;
 
@@ -53,7 +61,7 @@
     isFleetDirect = true,
     limits: UpstreamRateLimits = noRateLimits,
     signals: Pick<SignalView, "findClosure"> = { findClosure: () => undefined },
-    countInstances = () => 1,
+    { countInstances = () => isFleetDirect ? 1 : 91, listStores = () => [] }: PlacerFixtureOptions = {},
 ): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
@@ -83,7 +91,7 @@
         findService: indexRoutes(createTable()).findService,
         findOutdatedLimitMs: () => 6_400,
         isFleetDirect: () => isFleetDirect,
-        listStores: () => [],
+        listStores,
     });
     registry.applyList(engines.map(id => createEngineRecord(id)), 0);
     return { clock, registry, weights, health, parts, use, loads, placer, prefills };
--- a/features/support/urgencyLoad.ts
+++ b/features/support/urgencyLoad.ts
@@ -79,7 +79,10 @@
     const countInstances = (index: number) => alone.includes(index) ? 1 : instances;
     const fixtures = Array.from(
         { length: instances },
-        (_, index) => createPlacerFixture(clock, engines, true, undefined, undefined, () => countInstances(index)),
+        (_, index) =>
+            createPlacerFixture(clock, engines, true, undefined, undefined, {
+                countInstances: () => countInstances(index),
+            }),
     );
     return {
         clock,
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -185,6 +185,7 @@
             views.loadExchange.receive(heartbeat.loads, clock.now());
             views.notifyLoads();
         }
+        heartbeat.stores?.forEach(answer => views.storeReach.record(answer, clock.now()));
         loadingView.applyHeartbeat(from.name, heartbeat.loading, clock.now());
         heartbeat.named.forEach(named => views.recordTarget(named, from.name));
         heartbeat.loaded.forEach(({ engine, model, version }) => views.weights.recordLoaded(engine, model, version));
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -2,6 +2,7 @@
  * @module
  * Assembles the views of an instance: configuration, upstreams, weights, health, prompt parts and use.
  */
+import { createStoreReach, type StoreReach } from "../core/homes/createStoreReach.js";
 import { createLoadExchange, type LoadExchange } from "../core/load/createLoadExchange.js";
 import { createUpstreamLoads, type UpstreamLoads } from "../core/load/createUpstreamLoads.js";
 import { describeLoadView, type LoadViewSummary } from "../core/load/describeLoadView.js";
@@ -47,6 +48,8 @@
     readonly loadExchange: LoadExchange;
     readonly describeLoads: () => LoadViewSummary;
     readonly parts: PartView;
+    /** Which cache stores answer, by this instance's reads and those of others. */
+    readonly storeReach: StoreReach;
     readonly signals: InstanceSignals;
     readonly routes: () => RouteIndex | undefined;
     /** Applies a configuration unless the one in force has the same version or a newer one. */
@@ -143,6 +146,7 @@
             digestUpstreams: registry.digest,
         }),
         parts,
+        storeReach: createStoreReach(),
         signals,
         routes: () => index,
         applyTable: (table, source, details) => {
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -4,6 +4,7 @@
  */
 import * as z from "zod";
 import { addressSchema } from "../addresses/addressSchema.js";
+import { maxStoreIdLength, maxStores } from "../homes/createStoreReach.js";
 
 const instanceSchema = z.object({
     name: z.string().min(1).max(128),
@@ -91,6 +92,10 @@
     quarantine: z.string().max(maxDigestLength).optional(),
     /** Digest of what the sender knows of upstreams' signals; left out while that is nothing. */
     signals: z.string().max(maxDigestLength).optional(),
+    /** Cache stores that answered an instance lately, in a large fleet; left out by older builds. */
+    stores: z.array(
+        z.object({ id: z.string().max(maxStoreIdLength), ageMs: z.number().min(0) }).readonly(),
+    ).max(maxStores).readonly().optional(),
     /** Instances that changed lately. */
     known: z.array(knownInstanceSchema).readonly(),
     /** When live instances were last seen, as `encodeMemberAges` writes it; older builds leave it out. */
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -9,6 +9,7 @@
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import { countOwnTokens, countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
+import { describeHome } from "./_lib/describeHome.js";
 import { describeLoad } from "./_lib/describeLoad.js";
 import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
@@ -30,8 +31,6 @@
     /** Called when an engine is about to prefill shared parts that neither it nor another one has cached. */
     readonly onPrefill: (prefill: Prefill) => void;
     readonly rateLimits: UpstreamRateLimits;
-    /** Number of instances that may take requests, this one included; by default 1. */
-    readonly countInstances?: () => number;
     /** Called when a request is not placed on upstreams that have room, which is left to more urgent ones. */
     readonly onWithheld?: (req: ProxyRequest, withheld: WithheldPlacement) => void;
     /** Called when a waiting request goes before more urgent ones, since its priority had had too little. */
@@ -80,19 +79,31 @@
 export function createPlacer(deps: PlacerDependencies): Placer {
     const { now } = deps.clock;
     const queues = createPlacementQueues(deps.clock, deps.onGuaranteedTurn);
-    const reserves = createUrgentReserves({ now, countInstances: deps.countInstances ?? (() => 1) });
+    const reserves = createUrgentReserves({ now, countInstances: deps.countInstances });
     const reader = createPromptCacheReader({ ...deps, now });
     const listChoices = createChoiceLister({ ...deps, now });
     const readOptions = createOptionReader({ ...deps, now, reader });
 
+    function describeTransfers(
+        { prompt, view, coverage }: ModelOption,
+        engine: string,
+    ): Pick<Placement, "cacheSource" | "cacheTarget"> {
+        return {
+            cacheSource: reader.findCacheSource(prompt, view, coverage, engine),
+            cacheTarget: reader.findCacheTarget(prompt, view, coverage)?.address,
+        };
+    }
+
     function toPlacement({ choice, candidate, model }: Option): Placement {
         const heldTokens = model?.coverage.heldTokens ?? 0;
         return {
             upstream: choice.record,
             weightsVersion: choice.weightsVersion,
             cacheSalt: model?.view.salt,
-            cacheSource: model?.coverage.source?.address,
-            cacheTarget: model === undefined ? undefined : reader.findCacheTarget(model.prompt, model.view)?.address,
+            ...(model === undefined
+                ? { cacheSource: undefined, cacheTarget: undefined }
+                : describeTransfers(model, choice.record.id)),
+            home: describeHome(model, choice.record.id),
             heldTokens,
             fetchedTokens: Math.max(0, (model?.coverage.source?.heldTokens ?? 0) - heldTokens),
             load: candidate.load,
@@ -135,6 +146,7 @@
         deps.use.begin(req, toPlacedRequest(option), now());
         reserves.begin(req);
         if (option.model !== undefined) {
+            reader.recordPlaced(req, option.model.prompt, option.candidate.slots);
             recordPrefill(option.model, placement);
         }
         return placement;
@@ -252,6 +264,7 @@
             listChoices(req, { excluded }).some(choice => !deps.health.isEjected(choice.record.id, now())),
         recordAnswerStart: (req, { upstream, cacheSalt }) => {
             deps.use.recordAnswerStart(req);
+            reader.recordAnswerStart(req);
             if (req.prompt !== undefined && cacheSalt !== undefined) {
                 deps.parts.recordPrefilled(req.prompt, cacheSalt, upstream.id);
             }
@@ -259,6 +272,7 @@
         end: req => {
             deps.use.end(req);
             reserves.end(req);
+            reader.recordEnd(req);
             queues.dispatch(req.service);
         },
         dispatch: queues.dispatchAll,
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -8,6 +8,7 @@
 
 type LogFields = Readonly<Record<string, unknown>>;
 
+/** Rounds to hundredths. */
 const round = (value: number) => Math.round(value * 100) / 100;
 
 /** Describes the load by which an upstream was chosen: without the request itself. */
@@ -26,6 +27,16 @@
     };
 }
 
+/** Describes how the engine stands among the homes of the prompt, and the demand that decided their number. */
+function describeHome({ home, cacheTarget }: Placement): LogFields {
+    return home === undefined ? {} : {
+        cacheTarget,
+        homeRank: home.rank,
+        homes: home.homes,
+        promptRate: round(home.requestsPerSecond),
+    };
+}
+
 /**
  * Returns the log fields of a send: the request and the placement it was based on.
  *
@@ -52,9 +63,19 @@
     const basis = stop === undefined
         ? sent
         : { ...sent, leavingMs: stop.sinceMs, leftMs: stop.leftMs, dueMs: Math.round(req.deadlineMs - nowMs) };
-    return req.prompt === undefined
-        ? basis
-        : { ...basis, weightsVersion, promptTokens: req.prompt.promptTokens, heldTokens, fetchedTokens, cacheSource };
+    if (req.prompt === undefined) {
+        return basis;
+    }
+    const { promptTokens } = req.prompt;
+    return {
+        ...basis,
+        weightsVersion,
+        promptTokens,
+        heldTokens,
+        fetchedTokens,
+        cacheSource,
+        ...describeHome(placement),
+    };
 }
 
 /**
