Quotas of customers over all instances: pledged shares, owners and their tests

Cause: a customer's rate and burst were decoded nowhere, so that customers used more than their quotas allow. Change: src/core/quotas holds a quota over the whole fleet. Each instance has one share of N and pledges it, for 3 s, to three owners a pool of customers; an owner grants from token buckets of its pledged shares, and others ask it by datagram. createProxyService is split: createRequestRunner runs a request's steps, serveChargedRequest charges before placement and gives back once what did not run.

--- a/features/configurationDecoding.feature
+++ b/features/configurationDecoding.feature
@@ -21,6 +21,14 @@
             | keys of a customer        | ["key-clinic",7]                            | key-clinic    | yes      |
             | priority of a customer    | "first"                                     | none          | yes      |
             | isolation of a customer   | "yes"                                       | true          | no       |
+            | quota of a customer       | -5                                          | none          | yes      |
+            | quota of a customer       | "many"                                      | none          | yes      |
+            | quota of a customer       | 0                                           | none          | no       |
+            | quota of a customer       | 40                                          | 40 requests   | no       |
+            | unit of a quota           | "litres"                                    | requests      | yes      |
+            | unit of a quota           | "token_stream"                              | tokens        | no       |
+            | burst of a quota          | -1                                          | 0             | yes      |
+            | plain tokens of a quota   | "x"                                         | 0             | yes      |
             | readers of an engine      | 0                                           | 4             | yes      |
             | largest body              | "big"                                       | 4194304       | yes      |
 
--- /dev/null
+++ b/features/quotas.feature
@@ -0,0 +1,79 @@
+Feature: Quotas of customers over all instances
+    Customers use no more than their quotas allow, summed over all instances, beside partitions, kills, pauses, restarts of all, lost
+    messages and changed quotas, on a virtual clock.
+
+    Scenario Outline: No customer passes its quota
+        When <histories> histories of quotas are played on <instances> instances from seed 1
+        Then no customer has used more than its quota allows
+
+        Examples:
+            | instances | histories |
+            | 2         | 12        |
+            | 24        | 6         |
+            | 91        | 1         |
+
+    Scenario Outline: Customers get what their quotas allow
+        When customers ask <instances> instances for more and for less than their quotas <while>
+        Then those that ask for more get at least <share> of their rate
+        And at most <refused> in 100 requests of the others are refused
+
+        Examples:
+            | instances | while                                       | share | refused |
+            | 1         | without failures                            | 0.95  | 1       |
+            | 2         | without failures                            | 0.95  | 1       |
+            | 24        | without failures                            | 0.95  | 1       |
+            | 24        | while half of the instances are cut off     | 0.6   | 25      |
+            | 24        | while three in ten instances end and return | 0.6   | 25      |
+            | 24        | while all instances end and return          | 0.6   | 25      |
+
+    Scenario: A customer that asks for six times its quota takes nothing from the others
+        When customers ask 24 instances for more and for less than their quotas without failures
+        Then 99 in 100 requests inside their quotas wait at most 100 ms
+
+    Scenario: A lowered quota binds within a window, and a raised one is used soon
+        When the quotas of 24 instances are changed by a factor of 0.2
+        Then customers that ask for more get between 0.15 and 0.22 of their earlier rate from 8 s after the change
+        When the quotas of 24 instances are changed by a factor of 2
+        Then customers that ask for more get between 1.5 and 2.2 of their earlier rate from 8 s after the change
+
+    Scenario Outline: What did not run is given back, once, and no more than the bucket would still hold
+        Given a bucket of 100 at 10 a second that is full
+        When 60 are taken and given back after <after> s with <taken> taken meanwhile
+        Then the bucket holds <level>
+
+        Examples:
+            | after | taken | level |
+            | 0     | 0     | 100   |
+            | 2     | 0     | 100   |
+            | 2     | 30    | 70    |
+            | 2     | 59    | 41    |
+
+    Scenario Outline: A request is charged before it is sent, and given back only when no upstream has run it
+        When a request of a customer with a quota ends with <outcome>
+        Then its charge was given back <times> times
+
+        Examples:
+            | outcome                 | times |
+            | an answer               | 0     |
+            | a lost answer           | 0     |
+            | rejections              | 1     |
+            | a refused placement     | 1     |
+            | a caller that has left  | 1     |
+
+    Scenario: A request over its quota is refused as not run, with the time after which it may come back
+        When a request of a customer with a quota is refused by the quota
+        Then its caller is told "quotaSpent" with 1500 ms to wait, and it was not placed
+
+    Scenario Outline: A message about quotas that is held up or comes from an earlier process prolongs no pledge
+        Given an owner to which 3 of 4 instances have pledged
+        When <what>
+        Then the owner grants a share of <share>
+
+        Examples:
+            | what                                              | share |
+            | nothing happens                                   | 0.75  |
+            | 4 s pass without pledges                          | 0     |
+            | a pledge arrives that answers a receipt of 4 s ago | 0     |
+            | the owner forgets everything after a pause        | 0     |
+            | a pledger states that 6 instances may run         | 0.5   |
+            | the owner leaves                                  | 0     |
--- a/features/steps/configurationDecodingSteps.ts
+++ b/features/steps/configurationDecodingSteps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { decodeConfiguration, type DecodedConfiguration } from "../../platform/decodeConfiguration.js";
-import { configuration } from "../support/platformFixture.js";
+import { configuration as platformConfiguration } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface DecodingFixture {
@@ -13,6 +13,12 @@
     decoded: ReturnType<typeof decodeConfiguration> | undefined;
 }
 
+/** A configuration with a customer whose use is limited. */
+const configuration = {
+    ...platformConfiguration,
+    tenants: [...platformConfiguration.tenants, { name: "school", api_keys: ["key-school"], rate_per_s: 40 }],
+};
+
 const fixtures = new WeakMap<SiteWorld, DecodingFixture>();
 
 /** A field of the configuration on the wire, and what it was decoded to. */
@@ -44,6 +50,19 @@
         path: ["tenants", 0, "isolated"],
         read: ({ table }) => table.customers[0]?.isIsolated,
     }],
+    ["quota of a customer", {
+        path: ["tenants", 0, "rate_per_s"],
+        read: ({ table }) => {
+            const quota = table.customers[0]?.quota;
+            return quota === undefined ? undefined : `${quota.ratePerSecond} ${quota.unit}`;
+        },
+    }],
+    ["unit of a quota", { path: ["tenants", 1, "unit"], read: ({ table }) => table.customers[1]?.quota?.unit }],
+    ["burst of a quota", { path: ["tenants", 1, "burst"], read: ({ table }) => table.customers[1]?.quota?.burst }],
+    ["plain tokens of a quota", {
+        path: ["tenants", 1, "plain_tokens"],
+        read: ({ table }) => table.customers[1]?.quota?.plainTokens,
+    }],
     ["readers of an engine", {
         path: ["services", 0, "engine", "max_inflight"],
         read: ({ table }) => table.services[0]?.engine?.maxReaders,
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -25,6 +25,7 @@
 import type { Feeds } from "./assembleFeeds.js";
 import { assemblePeerState, type PeerStates } from "./assemblePeerState.js";
 import type { InstancePermits } from "./assemblePermits.js";
+import type { InstanceQuotas } from "./assembleQuotas.js";
 import type { InstanceViews } from "./assembleViews.js";
 import { createHeartbeatComposer } from "./createHeartbeatComposer.js";
 import { createPeerMessenger } from "./createPeerMessenger.js";
@@ -35,6 +36,8 @@
 export interface Fleet {
     readonly listLive: () => readonly FleetMember[];
     readonly countInstances: () => number;
+    /** Number of other instances that are known or may run at a known address; undefined before the addresses are read. */
+    readonly countAddresses: () => number | undefined;
     /** Whether each heartbeat of an instance reaches all others directly. */
     readonly isDirect: () => boolean;
     /** Whether the fleet is small, or heartbeats of the others have had time to arrive. */
@@ -77,6 +80,7 @@
     readonly checkPause: () => void;
     readonly quarantine: Pick<PartGuard, "digest" | "compareDigest" | "receive">;
     readonly permits: Pick<InstancePermits, "digest" | "compareDigest" | "receive" | "update">;
+    readonly quotas: Pick<InstanceQuotas, "receive" | "update">;
 }
 
 /** Time after the start within which the heartbeats of the others arrive, in milliseconds. */
@@ -202,6 +206,7 @@
     function updateMembers(): void {
         loadingView.removeExpired(clock.now());
         sources.permits.update();
+        sources.quotas.update();
         const live = view.listLive(clock.now());
         const liveNames = new Set(live.map(member => member.instance.name));
         for (const { instance } of live) {
@@ -246,7 +251,11 @@
     const messenger = createPeerMessenger({
         listLive: () => view.listLive(clock.now()),
         transmit: heartbeats.sendReport,
-        receivers: { quarantine: sources.quarantine.receive, permits: sources.permits.receive },
+        receivers: {
+            quarantine: sources.quarantine.receive,
+            permits: sources.permits.receive,
+            quotas: sources.quotas.receive,
+        },
         writeLog,
     });
     const loadingReporter = createLoadingReporter(clock, (loading, sequence) => {
@@ -261,6 +270,7 @@
     return {
         listLive: () => view.listLive(clock.now()),
         countInstances: () => view.countInstances(clock.now()),
+        countAddresses: () => (discovery.isDone() ? view.countAddresses() : undefined),
         self,
         sendNow: heartbeats.sendNow,
         reportLoading: () => {
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -25,10 +25,10 @@
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
     createProxyService,
-    type OutdatedWeights,
     type ProxyService,
     type ProxyServiceDependencies,
 } from "../io/proxy/createProxyService.js";
+import type { ChargeQuota, OutdatedWeights } from "../io/proxy/createRequestRunner.js";
 import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
 import type { AnswerHead } from "../io/proxy/proxyCodec.js";
 import type { Fleet } from "./assembleFleet.js";
@@ -70,6 +70,8 @@
     readonly quarantine: InstanceQuarantine;
     /** Says which upstreams take no further request now. */
     readonly permits: Pick<InstancePermits, "rateLimits" | "onChange">;
+    /** Charges requests to their customers' quotas; left out where quotas are not kept. */
+    readonly chargeQuota?: ChargeQuota;
 }
 
 /**
@@ -88,7 +90,7 @@
     views: InstanceViews,
     fleet: Fleet,
     partFeeds: PartFeeds,
-    { quarantine, permits }: PlacementGuards,
+    { quarantine, permits, chargeQuota }: PlacementGuards,
     shutdown: ProxyServiceDependencies["shutdown"],
 ): Proxy {
     const { settings, ports, clock, random, writeLog, metrics } = context;
@@ -256,6 +258,7 @@
         placer,
         send,
         retryBudget,
+        chargeQuota,
         routes: views.routes,
         describeOutdated,
         findRateLimit: upstream => views.signals.view.findRateLimit(upstream, clock.now()),
--- a/src/assemble/createPeerMessenger.ts
+++ b/src/assemble/createPeerMessenger.ts
@@ -7,12 +7,14 @@
 import type { WriteLog } from "../core/logEvents/logEventTable.js";
 import type { PermitMessage } from "../core/permits/permitMessage.js";
 import type { QuarantineMessage } from "../core/quarantine/quarantineMessage.js";
+import type { QuotaMessage } from "../core/quotas/quotaMessage.js";
 import type { SignalMessage } from "../core/signals/signalReport.js";
 
 /** Receivers of messages, by subject. */
 export interface PeerMessageReceivers {
     readonly quarantine: (from: string, message: QuarantineMessage) => void;
     readonly permits: (from: string, message: SignalMessage | PermitMessage) => void;
+    readonly quotas: (from: string, message: QuotaMessage) => void;
 }
 
 /** What the messenger depends on. */
@@ -51,6 +53,9 @@
         if ("quarantine" in message) {
             deps.receivers.quarantine(name, message);
         }
+        else if ("quota" in message) {
+            deps.receivers.quotas(name, message);
+        }
         else {
             deps.receivers.permits(name, message);
         }
--- a/src/assemble/routerPorts.ts
+++ b/src/assemble/routerPorts.ts
@@ -5,6 +5,7 @@
 import type { Result } from "true-myth/result";
 import type { WriteLog } from "../core/logEvents/logEventTable.js";
 import type { KeyedRecord, RecordStore } from "../core/ports/recordStore.js";
+import type { QuotaBounds } from "../core/quotas/quotaTypes.js";
 import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
 import type { RoutingTable } from "../core/routes/routingTable.js";
 import type { StoreEra } from "../core/store/createStoreEra.js";
@@ -53,6 +54,8 @@
     readonly retryWindowMs: number;
     /** Maximum time to live of a list of entries at callers. */
     readonly maxEntryTtlMs: number;
+    /** How far the fleet may pass a customer's quota. */
+    readonly quotaBounds: QuotaBounds;
 }
 
 /** An update from the operator. */
--- a/src/core/errors/errorTable.ts
+++ b/src/core/errors/errorTable.ts
@@ -43,6 +43,8 @@
     requestRateLimited: define(429, "notRun", "retryLater", "The customer's request rate limit is reached."),
     promptTokensLimited: define(429, "notRun", "retryLater", "The customer's prompt token limit is reached."),
     outputTokensLimited: define(429, "notRun", "retryLater", "The customer's output token limit is reached."),
+    quotaSpent: define(429, "notRun", "retryLater", "The customer's quota is used up."),
+    quotaUnavailable: define(503, "notRun", "retryLater", "No instance could grant the customer's quota."),
     inFlightLimited: define(429, "notRun", "retryLater", "The customer's limit of requests in flight is reached."),
     queueFull: define(503, "notRun", "retryLater", "The customer's queue is full."),
     overloaded: define(
--- a/src/core/fleet/parseFleetMessage.ts
+++ b/src/core/fleet/parseFleetMessage.ts
@@ -6,6 +6,7 @@
 import { parseJson } from "../_lib/parseJson.js";
 import { type PermitMessage, permitMessageSchema } from "../permits/permitMessage.js";
 import { type QuarantineMessage, quarantineMessageSchema } from "../quarantine/quarantineMessage.js";
+import { type QuotaMessage, quotaMessageSchema } from "../quotas/quotaMessage.js";
 import { type SignalMessage, signalMessageSchema } from "../signals/signalReport.js";
 import { type Heartbeat, heartbeatSchema } from "./heartbeat.js";
 import { type LoadingReport, loadingReportSchema } from "./loadingReport.js";
@@ -15,7 +16,7 @@
 export type FleetMessage = Heartbeat | PrefillReport | LoadingReport | PeerMessage;
 
 /** A message that is handled by the subject that sent it, beside heartbeats and reports about engines. */
-export type PeerMessage = QuarantineMessage | SignalMessage | PermitMessage;
+export type PeerMessage = QuarantineMessage | SignalMessage | PermitMessage | QuotaMessage;
 
 const messageSchema = z.union([
     prefillReportSchema,
@@ -23,6 +24,7 @@
     quarantineMessageSchema,
     signalMessageSchema,
     permitMessageSchema,
+    quotaMessageSchema,
     heartbeatSchema,
 ]);
 
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -108,6 +108,10 @@
         "an upstream stated in an answer which requests it wants, or no longer did",
     ),
     upstreamSignalMalformed: define("RW5022", "warn", "statement of an upstream ignored: malformed"),
+    quotaRefused: define("RW6001", "info", "request refused by its customer's quota"),
+    quotaOwnerSilent: define("RW6002", "warn", "an instance that grants quotas does not answer and is passed over"),
+    quotaSharesChanged: define("RW6003", "info", "the quotas that this instance grants have changed"),
+    tokenCountMalformed: define("RW6004", "warn", "token count of a request ignored: malformed"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/src/core/proxy/proxyTypes.ts
+++ b/src/core/proxy/proxyTypes.ts
@@ -23,6 +23,8 @@
     readonly service: string;
     readonly customer: RouteCustomer | undefined;
     readonly prompt: Prompt | undefined;
+    /** Prompt and maximum output tokens together; left out when the request states none. */
+    readonly tokenCount?: number | undefined;
     /** Id of the last event that the caller has received, when it resumes a stream. */
     readonly lastEventId: string | undefined;
     readonly arrivedMs: number;
--- a/src/core/proxy/serveProxyRequest.ts
+++ b/src/core/proxy/serveProxyRequest.ts
@@ -19,6 +19,8 @@
     /** Whether an upstream that works can run the request, other than the excluded ones. */
     readonly hasAlternative: (req: ProxyRequest, excluded: readonly string[]) => boolean;
     readonly onRetry: (reason: ProxyRetryReason) => void;
+    /** Called when the request has ended and no upstream has run it. */
+    readonly onNotRun?: () => void;
 }
 
 /** What is known about the sends so far. */
@@ -194,16 +196,8 @@
     yield* performProxy({ kind: "refuse", refusal });
 }
 
-/**
- * Serves a request to its final answer.
- *
- * @param req - The request.
- * @param deps - The retry budget and the retry callback.
- * @returns Steps that end when the caller has its answer or has disconnected.
- * @example
- * runSteps(serveProxyRequest(req, deps), handlers, onDone, onError);
- */
-export function* serveProxyRequest(req: ProxyRequest, deps: ServeProxyDependencies): ProxySteps<void> {
+/** Sends a request until its caller has its final answer or has disconnected, and returns what is known of the sends. */
+function* serveBySends(req: ProxyRequest, deps: ServeProxyDependencies): ProxySteps<SendHistory> {
     let history: SendHistory = {
         excluded: [],
         possibleRuns: 0,
@@ -221,11 +215,11 @@
             hasStarted: history.hasStarted,
         });
         if (placed.kind === "callerGone") {
-            return;
+            return history;
         }
         if (placed.kind === "refused") {
             yield* finishUnplaced(history, placed.refusal, last);
-            return;
+            return history;
         }
         const { placement } = placed;
         const needsFreshConnection = !isRetryable(req) || history.sends > 0;
@@ -242,14 +236,30 @@
         last = takeOutcome(history, outcome);
         history = recordSend(history, placement.upstream.id, last);
         if (last.kind === "finished" || last.kind === "callerGone") {
-            return;
+            return history;
         }
         const reason = findRetryReason(req, history, last);
         const obstacle = reason === undefined ? undefined : findRetryObstacle(req, history, reason, deps);
         if (reason === undefined || obstacle !== undefined) {
             yield* finish(history, last, obstacle);
-            return;
+            return history;
         }
         deps.onRetry(reason);
     }
 }
+
+/**
+ * Serves a request to its final answer.
+ *
+ * @param req - The request.
+ * @param deps - The retry budget and the retry callback.
+ * @returns Steps that end when the caller has its answer or has disconnected.
+ * @example
+ * runSteps(serveProxyRequest(req, deps), handlers, onDone, onError);
+ */
+export function* serveProxyRequest(req: ProxyRequest, deps: ServeProxyDependencies): ProxySteps<void> {
+    const history = yield* serveBySends(req, deps);
+    if (!mayHaveRun(history)) {
+        deps.onNotRun?.();
+    }
+}
--- /dev/null
+++ b/src/core/quotas/createCustomerQuotas.ts
@@ -0,0 +1,173 @@
+/**
+ * @module
+ * Quotas of customers on one instance: pledges its share to the owners, grants what others have pledged to it, and asks for what its
+ * own requests count as.
+ */
+import type { CancelTimer, Clock } from "../time/clock.js";
+import { computeRequestCost } from "./computeRequestCost.js";
+import { createPledger } from "./createPledger.js";
+import { createQuotaAsker, type QuotaAskResult, type QuotaGrant, type QuotaWaitLimits } from "./createQuotaAsker.js";
+import { createQuotaOwner, type QuotaShare } from "./createQuotaOwner.js";
+import type { QuotaMessage } from "./quotaMessage.js";
+import { findQuotaPool } from "./quotaPools.js";
+import type { CustomerQuota, QuotaBounds } from "./quotaTypes.js";
+
+/** A request that is charged to its customer's quota. */
+export interface QuotaRequest {
+    readonly customer: string;
+    readonly quota: CustomerQuota;
+    /** Prompt and maximum output tokens; undefined when the request states none. */
+    readonly tokenCount: number | undefined;
+    readonly waitUntil: QuotaWaitLimits;
+}
+
+/** Quotas on one instance. */
+export interface CustomerQuotas {
+    /** Charges a request; returns a function that gives it up. */
+    readonly charge: (request: QuotaRequest, onResult: (result: QuotaAskResult) => void) => CancelTimer;
+    /** Gives back what a request that has not run was charged. */
+    readonly giveBack: (grant: QuotaGrant) => void;
+    readonly receive: (from: string, message: QuotaMessage) => void;
+    /** Takes note of the fleet and the configuration; called often. */
+    readonly update: () => void;
+    /** Shares that this instance grants. */
+    readonly describeShares: () => readonly QuotaShare[];
+    readonly countWaiting: () => number;
+    /** Forgets what it may grant, after a pause of the process. */
+    readonly clear: () => void;
+    readonly stop: () => void;
+}
+
+/** Dependencies of {@link createCustomerQuotas}. */
+export interface CustomerQuotasDependencies {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly self: string;
+    readonly bounds: QuotaBounds;
+    /** Quotas in force, by customer. */
+    readonly quotas: () => ReadonlyMap<string, CustomerQuota>;
+    /** Names of the instances that serve and do not leave, this one included. */
+    readonly listCandidates: () => readonly string[];
+    /** Upper bound on the instances that run; undefined while it is not known. */
+    readonly countInstances: () => number | undefined;
+    /** Time since an instance's process started, as its name and start are known here; undefined when it is not live. */
+    readonly findStart: (instance: string) => number | undefined;
+    /** Whether this instance may pledge: what an earlier process of it has pledged is over, or goes to the same owners. */
+    readonly mayPledge: () => boolean;
+    /** Whether this instance serves and does not leave. */
+    readonly mayOwn: () => boolean;
+    readonly send: (to: string, message: QuotaMessage) => void;
+    /** Receives an owner that does not answer. */
+    readonly onSilentOwner: (owner: string) => void;
+}
+
+/**
+ * Creates the quotas of an instance.
+ *
+ * @param deps - The fleet and the quotas in force.
+ * @returns The quotas.
+ * @example
+ * createCustomerQuotas(deps).charge({ customer: "clinic", quota, tokenCount: 900, waitUntil }, resume);
+ */
+export function createCustomerQuotas(deps: CustomerQuotasDependencies): CustomerQuotas {
+    const { clock, random, self, bounds } = deps;
+    /** Starts of the processes whose pledges count, by instance. */
+    const pledgerStarts = new Map<string, number | undefined>();
+
+    function countInstances(): number | undefined {
+        const own = deps.countInstances();
+        const told = pledger?.largestSize();
+        return own === undefined && told === undefined ? undefined : Math.max(own ?? 0, told ?? 0);
+    }
+
+    const owner = createQuotaOwner({
+        self,
+        now: clock.now,
+        random,
+        bounds,
+        quotas: deps.quotas,
+        countInstances: deps.countInstances,
+        mayOwn: deps.mayOwn,
+        isCurrent: from => deps.findStart(from) === pledgerStarts.get(from),
+    });
+    const send = (to: string, quota: QuotaMessage["quota"]) => deps.send(to, { quota });
+
+    function listPools(): readonly number[] {
+        const pools = [...deps.quotas()].map(([customer, quota]) => findQuotaPool(customer, quota, bounds));
+        return [...new Set(pools)].toSorted((left, right) => left - right);
+    }
+
+    let pledger: ReturnType<typeof createPledger> | undefined = undefined;
+    const startedPledger = createPledger({
+        clock,
+        random,
+        self,
+        listCandidates: deps.listCandidates,
+        listPools,
+        mayPledge: deps.mayPledge,
+        countInstances,
+        send,
+        pledgeSelf: owner.pledgeSelf,
+        onSilent: deps.onSilentOwner,
+    });
+    pledger = startedPledger;
+
+    const asker = createQuotaAsker({
+        clock,
+        random,
+        findOwners: startedPledger.findOwners,
+        sendAsk: (to, items) => {
+            if (to === self) {
+                const { epoch, items: answers } = owner.grant(items);
+                asker.receiveAnswer(self, epoch, answers);
+                return;
+            }
+            send(to, { kind: "ask", items });
+        },
+        sendReturn: (to, epoch, items) => {
+            if (to === self) {
+                owner.takeBack(epoch, items);
+                return;
+            }
+            send(to, { kind: "return", epoch, items });
+        },
+    });
+
+    function receive(from: string, { quota: message }: QuotaMessage): void {
+        switch (message.kind) {
+            case "pledge":
+                pledgerStarts.set(from, deps.findStart(from));
+                send(from, owner.receivePledge(from, message));
+                break;
+            case "receipt":
+                startedPledger.receiveReceipt(from, message);
+                break;
+            case "ask":
+                send(from, owner.grant(message.items));
+                break;
+            case "answer":
+                asker.receiveAnswer(from, message.epoch, message.items);
+                break;
+            case "return":
+                owner.takeBack(message.epoch, message.items);
+                break;
+        }
+    }
+
+    return {
+        charge: ({ customer, quota, tokenCount, waitUntil }, onResult) => {
+            const cost = computeRequestCost(quota, tokenCount, bounds);
+            return asker.ask({ customer, cost, pool: findQuotaPool(customer, quota, bounds), waitUntil }, onResult);
+        },
+        giveBack: asker.giveBack,
+        receive,
+        update: () => {
+            startedPledger.update();
+            owner.update();
+        },
+        describeShares: owner.describeShares,
+        countWaiting: asker.countOpen,
+        clear: owner.clear,
+        stop: startedPledger.stop,
+    };
+}
--- a/src/core/routes/routingTable.ts
+++ b/src/core/routes/routingTable.ts
@@ -3,6 +3,8 @@
  * The operator's configuration of routes, services and customers, replaced as one version.
  */
 
+import type { CustomerQuota } from "../quotas/quotaTypes.js";
+
 /** Whether a request can be retried; a stream cannot be retried unless its route can resume it. */
 export type RequestKind = "idempotent" | "nonIdempotent" | "stream";
 
@@ -76,6 +78,8 @@
     readonly priority: number | undefined;
     /** Whether the customer shares no cached prompts with other customers. */
     readonly isIsolated: boolean;
+    /** What it may use over all instances together; left out when it is not limited. */
+    readonly quota?: CustomerQuota | undefined;
 }
 
 /** Limits on the requests of callers. */
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -64,6 +64,10 @@
     readonly signalChanges: Counter<"signal" | "change">;
     /** Permits for requests to rate-limited upstreams that this instance has issued. */
     readonly permits: Counter<string>;
+    /** What requests were charged to quotas and gave back, in the quotas' units. */
+    readonly quotaUse: Counter<"unit" | "use">;
+    /** Requests that quotas refused: the quota was used up, or no instance could grant it. */
+    readonly quotaRefusals: Counter<"cause">;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
@@ -171,6 +175,8 @@
         quarantineChanges: counter("quarantine_changes_total", "Changes of the quarantine.", ["change"]),
         signalChanges: counter("signal_changes_total", "Changes of upstreams' signals.", ["signal", "change"]),
         permits: counter("permits_issued_total", "Permits issued for requests to rate-limited upstreams."),
+        quotaUse: counter("quota_use_total", "What requests were charged to quotas and gave back.", ["unit", "use"]),
+        quotaRefusals: counter("quota_refusals_total", "Requests that quotas refused.", ["cause"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -4,53 +4,30 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type ActionSet, createActionSet } from "../../core/_lib/createActionSet.js";
-import { runSteps } from "../../core/effects/runSteps.js";
-import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
-import { type ErrorKind, errorTable } from "../../core/errors/errorTable.js";
-import type { WriteLog } from "../../core/logEvents/logEventTable.js";
+import type { Refusal } from "../../core/errors/createRefusal.js";
+import { errorTable } from "../../core/errors/errorTable.js";
 import { logInternalFailure } from "../../core/logEvents/logInternalFailure.js";
 import type { MemoryBudget } from "../../core/memory/createMemoryBudget.js";
-import type { Placer } from "../../core/placement/createPlacer.js";
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import { createEndReport, type EndReport, type RequestEnd } from "../../core/proxy/createEndReport.js";
-import type { FleetRetryBudget } from "../../core/proxy/createFleetRetryBudget.js";
-import type { PlaceResult, ProxyEffect, ProxyEffectResults } from "../../core/proxy/proxyEffects.js";
-import type { Placement, ProxyRequest, SendOutcome } from "../../core/proxy/proxyTypes.js";
-import { type ProxyRetryReason, serveProxyRequest } from "../../core/proxy/serveProxyRequest.js";
+import type { ProxyRequest } from "../../core/proxy/proxyTypes.js";
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
 import type { Shutdown } from "../../core/shutdown/createShutdown.js";
-import type { CancelTimer, Clock } from "../../core/time/clock.js";
+import type { CancelTimer } from "../../core/time/clock.js";
 import { readBody } from "../http/readBody.js";
 import { shareUploadTurns } from "../http/shareUploadTurns.js";
 import { onResponseOver } from "./_lib/onResponseOver.js";
 import { type CheckedHead, checkRequestHead } from "./checkRequestHead.js";
-import { type CallerExchange, createCallerExchange } from "./createCallerExchange.js";
-import { describeSend, describeSendEnd } from "./describeSend.js";
+import { createCallerExchange } from "./createCallerExchange.js";
+import { createRequestRunner, type RequestRunnerDependencies } from "./createRequestRunner.js";
 import type { ProxyCodec } from "./proxyCodec.js";
-import type { SendToUpstream } from "./upstreamSenderTypes.js";
-
-/** For how long weights have been outdated. */
-export interface OutdatedWeights {
-    readonly outdatedMs: number;
-    /** Whether that age was observed; else it is an assumption. */
-    readonly isAgeObserved: boolean;
-}
 
 /** Dependencies of the service. */
-export interface ProxyServiceDependencies {
-    readonly clock: Clock;
+export interface ProxyServiceDependencies extends RequestRunnerDependencies {
     readonly random: () => number;
     readonly codec: ProxyCodec;
-    readonly writeLog: WriteLog;
-    readonly placer: Placer;
-    readonly send: SendToUpstream;
-    readonly retryBudget: FleetRetryBudget;
     /** The configuration in force; undefined while there is none. */
     readonly routes: () => RouteIndex | undefined;
-    /** Describes outdated weights for which a request is sent; nothing while they are the newest. */
-    readonly describeOutdated: (req: ProxyRequest, placement: Placement) => Partial<OutdatedWeights>;
-    /** Rate limit of an upstream that has stated one, in requests per second. */
-    readonly findRateLimit: (upstream: string) => number | undefined;
     /** Says which requests are still taken, and whether answers announce that their connection closes. */
     readonly shutdown: Pick<Shutdown, "isLeaving" | "progress" | "findRefusal" | "release" | "createRefusal">;
     /** Reads what has arrived on all connections, so that callers that have left are known. */
@@ -59,14 +36,6 @@
     readonly bodyMemory: Pick<MemoryBudget, "open">;
     /** Memory for answers that are not written out. */
     readonly answerMemory: Pick<AnswerMemory, "hold" | "open">;
-    readonly onRetry: (reason: ProxyRetryReason) => void;
-    /** Receives each send that begins. */
-    readonly onSendBegin: (req: ProxyRequest, placement: Placement) => void;
-    /** Receives the outcome of each send. */
-    readonly onSend: (req: ProxyRequest, outcome: SendOutcome) => void;
-    /** Receives the time that a request waited for its placement, in milliseconds. */
-    readonly onPlaced: (waitedMs: number) => void;
-    readonly onRefusal: (kind: ErrorKind) => void;
     /** Receives the end of each request that was read, also of one that was not answered. */
     readonly onEnd: (end: RequestEnd) => void;
 }
@@ -84,16 +53,12 @@
     readonly reportUnfinished: () => void;
 }
 
-/** A request that waits for an upstream. */
-interface WaitingRequest {
-    readonly mayHaveRun: boolean;
-    /** Ends the wait. */
-    readonly refuse: (refusal: Refusal) => void;
-}
-
 /** Timeout for receiving a body when the route's timeout is longer. */
 const maxBodyTimeoutMs = 30_000;
 
+/** Maximum length of a malformed header in the log. */
+const maxLoggedLength = 80;
+
 /**
  * Creates the service.
  *
@@ -104,8 +69,7 @@
     /** Responses that are not written out. */
     const active = new Map<ServerResponse, EndReport>();
     let isStopped = false;
-    const stopActions = createActionSet();
-    const waiting = new Map<ProxyRequest, WaitingRequest>();
+    const runner = createRequestRunner(deps);
 
     function toRequest(checked: CheckedHead, body: Buffer, arrivedMs: number): ProxyRequest {
         const { head, route, customer } = checked;
@@ -119,6 +83,7 @@
             service: checked.service,
             customer,
             prompt: head.prompt,
+            tokenCount: head.tokenCount,
             lastEventId: head.lastEventId,
             arrivedMs,
             deadlineMs: checked.deadlineMs,
@@ -145,126 +110,6 @@
         report.close(isWritten, isStopped ? "stopped" : "callerGone", deps.clock.now());
     }
 
-    function serve(req: ProxyRequest, caller: CallerExchange, report: EndReport): void {
-        let isPlaced = false;
-        const releaseUpstream = () => {
-            if (isPlaced) {
-                isPlaced = false;
-                deps.placer.end(req);
-            }
-        };
-        deps.retryBudget.recordRequest(req.service, deps.clock.now());
-        const steps = serveProxyRequest(req, {
-            tryAcquireRetry: service => deps.retryBudget.tryAcquire(service, deps.clock.now()),
-            hasRetry: service => deps.retryBudget.hasRetry(service, deps.clock.now()),
-            hasAlternative: deps.placer.hasAlternative,
-            onRetry: reason => {
-                deps.onRetry(reason);
-                deps.writeLog("requestRepeated", { requestId: req.id, reason });
-            },
-        });
-        runSteps<void, ProxyEffect, ProxyEffectResults>(
-            steps,
-            {
-                place: (effect, resume) => {
-                    if (caller.isDisconnected()) {
-                        resume({ kind: "callerGone" });
-                        return;
-                    }
-                    const { mayHaveRun } = effect;
-                    const refusal = deps.shutdown.findRefusal(req, mayHaveRun, deps.clock.now());
-                    if (refusal !== undefined) {
-                        resume({ kind: "refused", refusal });
-                        return;
-                    }
-                    const requestedMs = deps.clock.now();
-                    let cancelPlacement: () => void = () => undefined;
-                    const endWait = (result: PlaceResult) => {
-                        cancelPlacement();
-                        cancelOnDisconnect();
-                        waiting.delete(req);
-                        resume(result);
-                    };
-                    const cancelOnDisconnect = caller.onDisconnect(() => endWait({ kind: "callerGone" }));
-                    waiting.set(req, { mayHaveRun, refuse: late => endWait({ kind: "refused", refusal: late }) });
-                    cancelPlacement = deps.placer.place(req, effect, result => {
-                        isPlaced = result.kind === "placed";
-                        deps.onPlaced(deps.clock.now() - requestedMs);
-                        cancelPlacement = () => undefined;
-                        endWait(result);
-                    });
-                },
-                send: (effect, resume) => {
-                    if (caller.isDisconnected()) {
-                        releaseUpstream();
-                        resume({ kind: "callerGone" });
-                        return;
-                    }
-                    const { placement } = effect;
-                    const rateLimit = deps.findRateLimit(placement.upstream.id);
-                    const nowMs = deps.clock.now();
-                    const stop = deps.shutdown.progress(nowMs);
-                    deps.writeLog("requestSent", {
-                        ...describeSend(req, placement, nowMs, stop),
-                        ...deps.describeOutdated(req, placement),
-                        rateLimit,
-                    });
-                    deps.onSendBegin(req, placement);
-                    const cancelStop = stopActions.add(() => stopSend());
-                    const stopSend = deps.send(req, effect, caller, outcome => {
-                        cancelStop();
-                        releaseUpstream();
-                        deps.onSend(req, outcome);
-                        if (outcome.kind !== "answered" && outcome.kind !== "finished") {
-                            deps.writeLog("sendEnded", describeSendEnd(req, placement, outcome));
-                        }
-                        if (outcome.kind === "finished") {
-                            report.decide("answered", deps.clock.now());
-                        }
-                        resume(outcome);
-                    });
-                },
-                answer: (effect, resume) => {
-                    caller.answer(effect.answer);
-                    report.decide("answered", deps.clock.now());
-                    resume(undefined);
-                },
-                refuse: (effect, resume) => {
-                    const { kind, detail, retryAfterMs } = effect.refusal;
-                    const { status, outcome } = errorTable[kind];
-                    deps.onRefusal(kind);
-                    deps.writeLog("requestRefused", { requestId: req.id, kind, status, outcome, detail, retryAfterMs });
-                    caller.refuse(effect.refusal);
-                    report.decide(kind, deps.clock.now());
-                    resume(undefined);
-                },
-                cut: (effect, resume) => {
-                    deps.writeLog("streamCut", { requestId: req.id, detail: effect.detail });
-                    caller.abort();
-                    report.decide("cut", deps.clock.now());
-                    resume(undefined);
-                },
-            },
-            () => undefined,
-            error => {
-                waiting.delete(req);
-                releaseUpstream();
-                logInternalFailure(deps.writeLog, error, { requestId: req.id });
-                failInternally(caller, report);
-            },
-        );
-    }
-
-    /** A connection that closes without an answer would leave its caller without a reason. */
-    function failInternally(caller: CallerExchange, report: EndReport): void {
-        report.decide("internalError", deps.clock.now());
-        if (caller.hasStarted()) {
-            caller.abort();
-            return;
-        }
-        caller.refuse(createRefusal("internalError", ""));
-    }
-
     /** Refuses a request that was not read completely, or not accepted. */
     function refuseHead(res: ServerResponse, requestId: string, refusal: Refusal, report: EndReport): void {
         const { req } = res;
@@ -298,6 +143,11 @@
             refuseHead(res, requestId, checked.error, report);
             return;
         }
+        const { malformedTokenCount } = checked.value.head;
+        if (malformedTokenCount !== undefined) {
+            const tokenCount = malformedTokenCount.slice(0, maxLoggedLength);
+            deps.writeLog("tokenCountMalformed", { requestId, customer: checked.value.customer?.name, tokenCount });
+        }
         const caller = createCallerExchange(res, {
             requestId,
             isClosing: () => mustCloseAfter(res),
@@ -316,7 +166,7 @@
             timeoutMs,
             reservation,
             onBegin: stop => {
-                cancelStop = stopActions.add(() => stop(deps.shutdown.createRefusal(deps.clock.now())));
+                cancelStop = runner.onStop(() => stop(deps.shutdown.createRefusal(deps.clock.now())));
             },
         });
         cancelStop();
@@ -333,7 +183,7 @@
         }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
         overActions.add(() => deps.shutdown.release(proxied));
-        serve(proxied, caller, report);
+        runner.run(proxied, caller, report);
     }
 
     return {
@@ -353,22 +203,13 @@
             }
             accept(res, overActions, report).catch((error: unknown) => {
                 logInternalFailure(deps.writeLog, error);
-                failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }), report);
+                runner.failInternally(createCallerExchange(res, { requestId: "", isClosing: () => true }), report);
             });
         },
         countActive: () => active.size,
-        refuseLate: () => {
-            for (const [req, { mayHaveRun, refuse }] of waiting) {
-                const refusal = deps.shutdown.findRefusal(req, mayHaveRun, deps.clock.now());
-                if (refusal !== undefined) {
-                    refuse(refusal);
-                }
-            }
-        },
+        refuseLate: runner.refuseLate,
         stopRequests: () => {
-            const refusal = deps.shutdown.createRefusal(deps.clock.now());
-            [...waiting.values()].forEach(request => request.refuse(refusal));
-            stopActions.run();
+            runner.stop();
             isStopped = true;
         },
         reportUnfinished: () => active.forEach(report => closeReport(report, false)),
--- a/src/io/proxy/proxyCodec.ts
+++ b/src/io/proxy/proxyCodec.ts
@@ -22,6 +22,10 @@
     /** API key of the customer. */
     readonly credential: string | undefined;
     readonly prompt: Prompt | undefined;
+    /** Prompt and maximum output tokens together; left out when the request states none. */
+    readonly tokenCount?: number | undefined;
+    /** A token count that cannot be read. */
+    readonly malformedTokenCount?: string | undefined;
     readonly lastEventId: string | undefined;
     /** Headers to forward to the upstream. */
     readonly headers: readonly HeaderPair[];
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -8,6 +8,7 @@
 import { assemblePermits } from "./assemble/assemblePermits.js";
 import { assembleProxy } from "./assemble/assembleProxy.js";
 import { assembleQuarantine } from "./assemble/assembleQuarantine.js";
+import { assembleQuotas } from "./assemble/assembleQuotas.js";
 import { assembleServers } from "./assemble/assembleServers.js";
 import { assembleViews } from "./assemble/assembleViews.js";
 import type { InstanceContext } from "./assemble/routerPorts.js";
@@ -112,6 +113,13 @@
         send: (names, message) => joinedFleet?.sendMessage(names, message),
         isServing: () => joinedFleet?.self().state === "serving",
     });
+    const quotas = assembleQuotas(context, views, {
+        listLive: () => joinedFleet?.listLive() ?? [],
+        countAddresses: () => joinedFleet?.countAddresses(),
+        send: (names, message) => joinedFleet?.sendMessage(names, message),
+        isServing: () => joinedFleet?.self().state === "serving",
+        checkPause: () => pauses.check(),
+    });
     const fleet: Fleet = assembleFleet(context, views, feeds, {
         state: () => {
             if (shutdown.isLeaving()) {
@@ -131,11 +139,16 @@
         checkPause: () => pauses.check(),
         quarantine: quarantine.guard,
         permits,
+        quotas,
     });
     joinedFleet = fleet;
 
     const partFeeds = assembleParts(context, views, fleet);
-    const proxy = assembleProxy(context, views, fleet, partFeeds, { quarantine, permits }, shutdown);
+    const proxy = assembleProxy(context, views, fleet, partFeeds, {
+        quarantine,
+        permits,
+        chargeQuota: quotas.charge,
+    }, shutdown);
     const heap = createHeapWatch(readHeap, use => {
         const { answerBytes, bodyBytes } = proxy.heldMemory();
         writeLog("heapNearlyFull", { ...use, answerBytes, bodyBytes, active: proxy.countActive() });
@@ -148,6 +161,7 @@
         proxy.discardIdleConnections();
         quarantine.clear();
         permits.clear();
+        quotas.clear();
     }, {
         thresholdMs: pauseThresholdMs,
         onChecked: lateMs => {
@@ -255,6 +269,7 @@
         servers.close();
         feeds.stop();
         quarantine.stop();
+        quotas.stop();
         partFeeds.stop();
         rollout.stop();
         fleet.stop();
