Carry quotas in the configuration that peers copy

Change: the schema has the quota, and the field of RouteCustomer is required, so that the compiler names such places. While shares still grow after a start, an owner says that it is not ready instead of that the quota is used up.

--- a/bench/support/proxyFixtures.ts
+++ b/bench/support/proxyFixtures.ts
@@ -53,7 +53,7 @@
             engine: { slots: 8, memoryTokens: 20_000, models: ["easy-read"], maxReaders: 8 },
             cacheStore: undefined,
         }],
-        customers: [{ name: "clinic", keys: ["key-clinic"], priority: undefined, isIsolated: false }],
+        customers: [{ name: "clinic", keys: ["key-clinic"], priority: undefined, isIsolated: false, quota: undefined }],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
         ...changes,
     };
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -60,6 +60,10 @@
             | a refused placement     | 1     |
             | a caller that has left  | 1     |
 
+    Scenario: A configuration that is copied from a peer has the quotas
+        When a configuration with a quota of 40 requests a second is copied from a peer
+        Then its customer's quota is 40 requests a second
+
     Scenario: A request over its quota is refused as not run, with the time after which it may come back
         When a request of a customer with a quota is refused by the quota
         Then its caller is told "quotaSpent" with 1500 ms to wait, and it was not placed
--- a/features/steps/quotaSteps.ts
+++ b/features/steps/quotaSteps.ts
@@ -5,8 +5,10 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
 import { createRefusal, type Refusal } from "../../src/core/errors/createRefusal.js";
+import { parsePeerState } from "../../src/core/fleet/peerState.js";
 import type { PlaceResult } from "../../src/core/proxy/proxyEffects.js";
 import type { Placement, ProxyRequest, SendOutcome } from "../../src/core/proxy/proxyTypes.js";
 import {
@@ -19,6 +21,7 @@
 import { createQuotaOwner, type QuotaOwner } from "../../src/core/quotas/createQuotaOwner.js";
 import { findQuotaPool } from "../../src/core/quotas/quotaPools.js";
 import type { CustomerQuota } from "../../src/core/quotas/quotaTypes.js";
+import { configuration } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 const quota: CustomerQuota = { unit: "tokens", ratePerSecond: 18_000, burst: 18_000, plainTokens: 200 };
@@ -60,6 +63,24 @@
     assert.ok(Math.abs(buckets.get(this)!.level() - level) <= limit.rate / 10, `${buckets.get(this)!.level()}`);
 });
 
+const copies = new WeakMap<SiteWorld, ReturnType<typeof parsePeerState>>();
+
+When(
+    "a configuration with a quota of {int} requests a second is copied from a peer",
+    function(this: SiteWorld, rate: number) {
+        const tenants = [{ name: "clinic", api_keys: ["key-clinic"], rate_per_s: rate }];
+        const decoded = decodeConfiguration(Buffer.from(JSON.stringify({ ...configuration, tenants })));
+        assert.ok(decoded.isOk);
+        const state = { table: decoded.value.table, upstreamsAgeMs: 0, operatorAgeMs: 0, storeEra: 0, named: [] };
+        copies.set(this, parsePeerState(JSON.stringify(state)));
+    },
+);
+
+Then("its customer's quota is {int} requests a second", function(this: SiteWorld, rate: number) {
+    const copied = copies.get(this)?.table?.customers[0]?.quota;
+    assert.deepEqual({ unit: copied?.unit, rate: copied?.ratePerSecond }, { unit: "requests", rate });
+});
+
 interface ServedRequest {
     readonly charge: ChargeResult;
     readonly placed: PlaceResult;
--- a/src/core/fleet/peerState.ts
+++ b/src/core/fleet/peerState.ts
@@ -34,6 +34,13 @@
     cacheStore: z.object({ address: addressSchema, failureDomain: z.string(), maxReaders: z.number() }).optional(),
 });
 
+const quotaSchema = z.object({
+    unit: z.enum(["requests", "tokens"]),
+    ratePerSecond: z.number(),
+    burst: z.number(),
+    plainTokens: z.number(),
+});
+
 const tableSchema = z.object({
     version: z.number(),
     routes: z.array(routeSchema),
@@ -46,7 +53,8 @@
             keys: z.array(z.string()),
             priority: z.number().optional(),
             isIsolated: z.boolean(),
-        }).transform(customer => ({ ...customer, priority: customer.priority })),
+            quota: quotaSchema.optional(),
+        }).transform(customer => ({ ...customer, priority: customer.priority, quota: customer.quota })),
     ),
     limits: z.object({
         maxHeaderBytes: z.number(),
--- a/src/core/quotas/createQuotaAsker.ts
+++ b/src/core/quotas/createQuotaAsker.ts
@@ -85,6 +85,9 @@
 /** Shortest time between two rounds of asks for a request, in milliseconds. */
 const minRoundMs = 25;
 
+/** Time between two rounds while no owner can grant or refuse a request, in milliseconds. */
+const unreadyRoundMs = 100;
+
 /** Wait that callers are told when no owner could grant or refuse a request, in milliseconds. */
 const unreadyRetryMs = 500;
 
@@ -170,7 +173,7 @@
         /** Ends a round in which no owner has granted the request. */
         function endRound(spentMs: readonly number[]): void {
             const nowMs = clock.now();
-            const leastMs = spentMs.length === 0 ? minRoundMs : Math.max(minRoundMs, Math.min(...spentMs));
+            const leastMs = spentMs.length === 0 ? unreadyRoundMs : Math.max(minRoundMs, Math.min(...spentMs));
             const isSpent = spentMs.length > 0;
             const { waitUntil } = request;
             if (nowMs + leastMs <= (isSpent ? waitUntil.spentMs : waitUntil.unreadyMs)) {
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -62,6 +62,8 @@
 interface CustomerBucket {
     readonly bucket: QuotaBucket;
     share: number;
+    /** When the share last grew, other than by a renewed pledge. */
+    grownMs: number;
     /** What callers that were refused are expected to come back for, drained at the rate. */
     backlog: number;
     backlogMs: number;
@@ -76,6 +78,12 @@
 
 const majority = 0.5;
 
+/** Growth of a share from which on it counts as not settled, as a factor. */
+const notedGrowth = 1.1;
+
+/** Time after which a share that does not grow counts as settled, in milliseconds. */
+const settlingMs = 2_000;
+
 const maxEpoch = 2 ** 40;
 
 /** Time for which computed shares are used, in milliseconds. */
@@ -127,11 +135,13 @@
         const nowMs = deps.now();
         const share = findShare(findQuotaPool(customer, quota, deps.bounds));
         const known = buckets.get(customer);
-        const entry = known ?? { bucket: createQuotaBucket(nowMs), share, backlog: 0, backlogMs: nowMs };
+        const entry = known
+            ?? { bucket: createQuotaBucket(nowMs), share, grownMs: nowMs, backlog: 0, backlogMs: nowMs };
         buckets.set(customer, entry);
         // A pledge may have ended at any time since the last refill.
         const accruing = computeQuotaLimit(quota, Math.min(entry.share, share), deps.bounds);
         entry.bucket.refill(accruing, nowMs);
+        entry.grownMs = share > entry.share * notedGrowth ? nowMs : entry.grownMs;
         entry.share = share;
         if (share > 0) {
             entry.bucket.refill(computeQuotaLimit(quota, share, deps.bounds), nowMs);
@@ -168,6 +178,10 @@
             return { id, state: "granted", waitMs: 0, mark };
         }
         const { rate } = computeQuotaLimit(quota, share, deps.bounds);
+        if (deps.now() - entry.grownMs < settlingMs) {
+            // The shares of a fleet that has started again arrive one by one.
+            return { id, state: "unready", waitMs: 0 };
+        }
         // Each of the owners is asked for the request.
         const waitMs = queueRefused(entry, cost / owners, rate, bucket.findWaitMs(cost, mayOverdraw));
         return { id, state: "spent", waitMs: Math.ceil(waitMs) };
--- a/src/core/quotas/quotaMessage.ts
+++ b/src/core/quotas/quotaMessage.ts
@@ -43,7 +43,7 @@
 
 const answerItemSchema = z.object({
     id: count,
-    /** `spent`: not granted now. `unready`: the owner has no shares to grant from. */
+    /** `spent`: not granted now. `unready`: the owner has no shares to grant from, or gains some. */
     state: z.enum(["granted", "spent", "unready"]),
     /** Time until the amount can be granted, as it looks now, in milliseconds. */
     waitMs: amount,
--- a/src/core/routes/routingTable.ts
+++ b/src/core/routes/routingTable.ts
@@ -78,8 +78,8 @@
     readonly priority: number | undefined;
     /** Whether the customer shares no cached prompts with other customers. */
     readonly isIsolated: boolean;
-    /** What it may use over all instances together; left out when it is not limited. */
-    readonly quota?: CustomerQuota | undefined;
+    /** What it may use over all instances together; undefined when it is not limited. */
+    readonly quota: CustomerQuota | undefined;
 }
 
 /** Limits on the requests of callers. */
