--- a/bench/quotas/createQuotaFleet.ts
+++ b/bench/quotas/createQuotaFleet.ts
@@ -35,6 +35,8 @@
     /** Divides the network: instances reach those of the same side only. */
     readonly setSides: (sides: ReadonlyMap<string, number>) => void;
     readonly countMessages: () => number;
+    /** Bytes of all messages without the headers of datagrams, from a sample of them. */
+    readonly estimateBytes: () => number;
     /** Quotas as the instance knows them. */
     readonly quotasAt: (name: string) => ReadonlyMap<string, CustomerQuota>;
 }
@@ -44,6 +46,9 @@
 const discoveryMs = 300;
 const contactsMs = 60_000;
 
+/** One message in so many is measured. */
+const sampleInterval = 7;
+
 /** Time in which all instances learn of a configuration, in milliseconds. */
 export const configurationMs = 3_000;
 
@@ -55,6 +60,7 @@
     const started = new Map<string, number>();
     let sides: ReadonlyMap<string, number> = new Map();
     let messages = 0;
+    let sampledBytes = 0;
 
     const isConnected = (from: string, to: string) => (sides.get(from) ?? 0) === (sides.get(to) ?? 0);
     const before = new Map(plan.customers.map(one => [one.name, one.quota]));
@@ -79,6 +85,9 @@
     }
 
     function deliver(from: string, to: string, message: QuotaMessage): void {
+        if (messages % sampleInterval === 0) {
+            sampledBytes += JSON.stringify(message).length;
+        }
         messages += 1;
         const process = processes.get(to);
         if (process === undefined || !isConnected(from, to) || random() < plan.lossRatio) {
@@ -178,6 +187,7 @@
             sides = next;
         },
         countMessages: () => messages,
+        estimateBytes: () => sampledBytes * sampleInterval,
         quotasAt,
     };
 }
--- a/bench/quotas/playQuotaHistory.ts
+++ b/bench/quotas/playQuotaHistory.ts
@@ -10,6 +10,7 @@
 export interface QuotaHistory {
     readonly outcomes: readonly CustomerOutcome[];
     readonly messages: number;
+    readonly messageBytes: number;
 }
 
 /** Part of the granted requests that no upstream runs. */
@@ -88,5 +89,9 @@
     const readers = plan.customers.map(customer => createCaller(fleet, customer));
     plan.faults.forEach(fault => scheduleFault(fleet, fault));
     fleet.clock.runUntil(plan.durationMs);
-    return { outcomes: readers.map(read => read()), messages: fleet.countMessages() };
+    return {
+        outcomes: readers.map(read => read()),
+        messages: fleet.countMessages(),
+        messageBytes: fleet.estimateBytes(),
+    };
 }
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -28,6 +28,7 @@
 import type { InstanceQuotas } from "./assembleQuotas.js";
 import type { InstanceViews } from "./assembleViews.js";
 import { createHeartbeatComposer } from "./createHeartbeatComposer.js";
+import { createMemberLog } from "./createMemberLog.js";
 import { createPeerMessenger } from "./createPeerMessenger.js";
 import { discoverPeers } from "./discoverPeers.js";
 import type { InstanceContext } from "./routerPorts.js";
@@ -108,7 +109,6 @@
     const heartbeatAddress = `${settings.host}:${settings.heartbeatPort}`;
     const startedAtMs = clock.wallNow();
     const view = createFleetView({ self: { name: settings.instance, startedAtMs, heartbeatAddress }, random });
-    const loggedStates = new Map<string, string>();
     const loadingView = createLoadingView(views.weights.setLoading);
     view.addContacts(settings.contacts);
     const stateReader = createPeerStateReader();
@@ -202,29 +202,18 @@
         }
     }
 
-    /** Logs members that joined, changed or left, and removes the reports of those that left. */
+    /** Removes what members reported that left. */
+    const logMembers = createMemberLog(writeLog, name => {
+        peerStates.removePeer(name);
+        views.use.removePeer(name);
+        loadingView.applyHeartbeat(name, [], clock.now());
+    });
+
     function updateMembers(): void {
         loadingView.removeExpired(clock.now());
         sources.permits.update();
         sources.quotas.update();
-        const live = view.listLive(clock.now());
-        const liveNames = new Set(live.map(member => member.instance.name));
-        for (const { instance } of live) {
-            const state = `${instance.state} ${instance.startedAtMs}`;
-            if (loggedStates.get(instance.name) !== state) {
-                loggedStates.set(instance.name, state);
-                writeLog("memberChanged", { member: instance.name, state: instance.state });
-            }
-        }
-        for (const name of loggedStates.keys()) {
-            if (!liveNames.has(name)) {
-                loggedStates.delete(name);
-                peerStates.removePeer(name);
-                views.use.removePeer(name);
-                loadingView.applyHeartbeat(name, [], clock.now());
-                writeLog("memberChanged", { member: name, state: "gone" });
-            }
-        }
+        logMembers(view.listLive(clock.now()).map(member => member.instance));
     }
 
     const heartbeats = startHeartbeats({
--- a/src/core/quotas/computeQuotaLimit.ts
+++ b/src/core/quotas/computeQuotaLimit.ts
@@ -4,8 +4,8 @@
  */
 import type { CustomerQuota, QuotaBounds, QuotaLimit } from "./quotaTypes.js";
 
-/** Share of the slack that buckets may hold; the rest covers changes of owners. */
-const heldSlackShare = 0.5;
+/** Part of what may pass a quota that owners grant, since no caller inside its quota may be refused; the rest covers their changes. */
+const grantedOvershoot = 0.5;
 
 /**
  * Computes the part of a quota that an owner grants.
@@ -15,11 +15,12 @@
  * @param bounds - How far the fleet may pass a quota.
  * @returns The part.
  * @example
- * computeQuotaLimit({ unit: "requests", ratePerSecond: 10, burst: 20, plainTokens: 0 }, 0.5, bounds).rate; // 5
+ * computeQuotaLimit({ unit: "requests", ratePerSecond: 10, burst: 20, plainTokens: 0 }, 0.5, { windowMs: 8_000, overshootRatio: 0, slack: 0 }).rate; // 5
  */
 export function computeQuotaLimit(quota: CustomerQuota, share: number, bounds: QuotaBounds): QuotaLimit {
+    const factor = 1 + bounds.overshootRatio * grantedOvershoot;
     return {
-        rate: quota.ratePerSecond * share,
-        capacity: (quota.burst + bounds.slack * heldSlackShare) * share,
+        rate: quota.ratePerSecond * factor * share,
+        capacity: (quota.burst * factor + bounds.slack * grantedOvershoot) * share,
     };
 }
--- a/src/core/quotas/createPledger.ts
+++ b/src/core/quotas/createPledger.ts
@@ -58,6 +58,9 @@
 /** Smallest part of a share that is worth a pledge. */
 const minWeight = 0.01;
 
+/** Weights are rounded down to such parts, which keeps messages short. */
+const weightSteps = 1_000;
+
 /** Renewals differ in time by up to this part of the interval, so that owners do not hear from all instances at once. */
 const jitter = 0.2;
 
@@ -143,6 +146,7 @@
         const nowMs = clock.now();
         const state = stateOf(owner);
         const entries = [...wanted].map(([pool, weight]) => [pool, findWeight(pool, owner, weight)] as const)
+            .map(([pool, weight]) => [pool, Math.floor(weight * weightSteps) / weightSteps] as const)
             .filter(([, weight]) => weight >= minWeight);
         const { epoch, echoMs } = state;
         const valid = state.sent.filter(one => one.untilMs > nowMs);
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -84,7 +84,7 @@
 /** Time after which a share that does not grow counts as settled, in milliseconds. */
 const settlingMs = 2_000;
 
-const maxEpoch = 2 ** 40;
+const maxEpoch = 2 ** 30;
 
 /** Time for which computed shares are used, in milliseconds. */
 const shareLifetimeMs = 50;
@@ -189,16 +189,16 @@
 
     function receivePledge(from: string, pledge: QuotaPledge): QuotaReceipt {
         const nowMs = deps.now();
-        const size = deps.countInstances();
+        const receipt = { kind: "receipt", epoch, atMs: Math.floor(nowMs), size: deps.countInstances() } as const;
         if (!deps.mayOwn()) {
             book.remove(from);
-            return { kind: "receipt", epoch, atMs: nowMs, size, isReleased: true };
+            return { ...receipt, isReleased: true };
         }
         // A message that was held up on its way, or in a paused process, does not prolong a pledge.
         if (pledge.epoch === epoch && pledge.echoMs !== undefined && pledge.echoMs <= nowMs) {
             book.record(from, { weights: pledge.weights, size: pledge.size }, pledge.echoMs);
         }
-        return { kind: "receipt", epoch, atMs: nowMs, size };
+        return receipt;
     }
 
     function takeBack(ofEpoch: number, items: readonly QuotaReturnItem[]): void {
