Quotas: test over loopback, gauges, lists that are read for each request are kept shortly

Cause: at 380 instances each ask sorted the list of candidates, and each update searched it once for each pledge. Change: candidates and starts are kept for 50 to 100 ms; refusals of owners are forgotten; messages of instances that are not known yet are not logged; two gauges. A scenario over two instances, a store and a server: a quota that is lowered refuses with 429 and Retry-After, one that is raised serves again. The fixture's bounds had a slack that hid every quota. Conclusion: wiring shown on real processes of one machine.

--- a/bench/quotas/createQuotaFleet.ts
+++ b/bench/quotas/createQuotaFleet.ts
@@ -127,7 +127,7 @@
                 quotas: () => quotasAt(name),
                 listCandidates: () => [name, ...listLive()],
                 countInstances,
-                findStart: other => (seenMs.has(other) ? started.get(other) : undefined),
+                starts: () => new Map([...started].filter(([other]) => seenMs.has(other))),
                 mayPledge: () =>
                     ageMs() >= pledgeTermMs || (listLive().length + 1) * 2 > (countInstances() ?? Infinity),
                 mayOwn: () => true,
--- a/features/platformPath.feature
+++ b/features/platformPath.feature
@@ -35,6 +35,12 @@
             | a request to an unknown path              | unknownRoute    |
             | a request with a body that is too large   | bodyTooLarge    |
 
+    Scenario: A customer over its quota is refused as not run, with a time to wait, until its quota is raised
+        When the operator limits the customer to 0.01 requests a second
+        Then a plain call is eventually refused as over its quota
+        When the operator limits the customer to 1000 requests a second
+        Then a plain call is eventually served
+
     Scenario: New weights are rolled out by one holder, and requests then use them
         When the operator sets the target version to 2
         Then both engines load version 2 on one order each from the same holder
--- a/features/support/platformFixture.ts
+++ b/features/support/platformFixture.ts
@@ -156,7 +156,7 @@
         retrySlack: 50,
         retryWindowMs: 10_000,
         maxEntryTtlMs: 5_000,
-        quotaBounds: { windowMs: 8_000, overshootRatio: 0.1, slack: 72_000 },
+        quotaBounds: { windowMs: 8_000, overshootRatio: 0.1, slack: 0 },
     };
 }
 
--- a/src/assemble/assembleQuotas.ts
+++ b/src/assemble/assembleQuotas.ts
@@ -45,8 +45,8 @@
 /** Part of the time until its deadline for which a request waits for an owner. */
 const unreadyWaitShare = 1 / 3;
 
-/** Lifetime of the list of quotas, in milliseconds. */
-const quotasLifetimeMs = 50;
+/** Lifetime of lists that are read for each request or message, in milliseconds. */
+const viewLifetimeMs = 50;
 
 /** Change of a share from which on it is logged. */
 const loggedChange = 0.1;
@@ -73,7 +73,7 @@
     const ageMs = () => clock.now() - startedMs;
     const loggedShares = new Map<number, number>();
 
-    const quotas = memoizeFor(quotasLifetimeMs, clock.now, (): ReadonlyMap<string, CustomerQuota> => {
+    const quotas = memoizeFor(viewLifetimeMs, clock.now, (): ReadonlyMap<string, CustomerQuota> => {
         const customers = views.routes()?.table.customers ?? [];
         return new Map(customers.flatMap(({ name, quota }) => (quota === undefined ? [] : [[name, quota] as const])));
     });
@@ -104,7 +104,11 @@
             return peers.isServing() ? [settings.instance, ...others] : others;
         },
         countInstances,
-        findStart: name => peers.listLive().find(member => member.instance.name === name)?.instance.startedAtMs,
+        starts: memoizeFor(
+            viewLifetimeMs,
+            clock.now,
+            () => new Map(peers.listLive().map(({ instance }) => [instance.name, instance.startedAtMs])),
+        ),
         mayPledge,
         mayOwn: peers.isServing,
         send: (to, message) => peers.send([to], message),
--- a/src/assemble/createPeerMessenger.ts
+++ b/src/assemble/createPeerMessenger.ts
@@ -44,6 +44,10 @@
     /** Messages count only from addresses at which live instances send heartbeats. */
     function receive(message: PeerMessage, address: string): void {
         const sender = deps.listLive().find(member => member.instance.heartbeatAddress === address);
+        if (sender === undefined && "quota" in message) {
+            // After a start an instance may ask others before they have heard of it; it asks them again.
+            return;
+        }
         if (sender === undefined) {
             const [topic] = Object.keys(message);
             deps.writeLog("recordRejected", { topic, detail: `message of ${address}, which is no live instance` });
--- a/src/core/quotas/createCustomerQuotas.ts
+++ b/src/core/quotas/createCustomerQuotas.ts
@@ -50,8 +50,8 @@
     readonly listCandidates: () => readonly string[];
     /** Upper bound on the instances that run; undefined while it is not known. */
     readonly countInstances: () => number | undefined;
-    /** Time since an instance's process started, as its name and start are known here; undefined when it is not live. */
-    readonly findStart: (instance: string) => number | undefined;
+    /** When the processes of the other live instances started, by name. */
+    readonly starts: () => ReadonlyMap<string, number>;
     /** Whether this instance may pledge: what an earlier process of it has pledged is over, or goes to the same owners. */
     readonly mayPledge: () => boolean;
     /** Whether this instance serves and does not leave. */
@@ -88,7 +88,7 @@
         quotas: deps.quotas,
         countInstances: deps.countInstances,
         mayOwn: deps.mayOwn,
-        isCurrent: from => deps.findStart(from) === pledgerStarts.get(from),
+        isCurrent: from => deps.starts().get(from) === pledgerStarts.get(from),
     });
     const send = (to: string, quota: QuotaMessage["quota"]) => deps.send(to, { quota });
 
@@ -136,7 +136,7 @@
     function receive(from: string, { quota: message }: QuotaMessage): void {
         switch (message.kind) {
             case "pledge":
-                pledgerStarts.set(from, deps.findStart(from));
+                pledgerStarts.set(from, deps.starts().get(from));
                 send(from, owner.receivePledge(from, message));
                 break;
             case "receipt":
@@ -164,6 +164,8 @@
         update: () => {
             startedPledger.update();
             owner.update();
+            const starts = deps.starts();
+            [...pledgerStarts.keys()].filter(name => !starts.has(name)).forEach(name => pledgerStarts.delete(name));
         },
         describeShares: owner.describeShares,
         countWaiting: asker.countOpen,
--- a/src/core/quotas/createPledger.ts
+++ b/src/core/quotas/createPledger.ts
@@ -3,6 +3,7 @@
  * Pledges this instance's share of the quotas to their owners. A share is never pledged twice: what was pledged to an owner counts
  * until its term is over, also when the owner changes meanwhile.
  */
+import { memoizeFor } from "../_lib/memoizeFor.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
 import type { QuotaPledge, QuotaReceipt } from "./quotaMessage.js";
 import { chooseQuotaOwners } from "./quotaPools.js";
@@ -55,6 +56,9 @@
     sent: readonly SentPledge[];
 }
 
+/** Lifetime of the list of candidates, in milliseconds. */
+const candidatesLifetimeMs = 100;
+
 /** Smallest part of a share that is worth a pledge. */
 const minWeight = 0.01;
 
@@ -76,7 +80,8 @@
     const { clock, self } = deps;
     const states = new Map<string, OwnerState>();
     let ownWeights: Weights = new Map();
-    let lastKey = "";
+    /** The candidates of whom `owners` were chosen. */
+    let ownersOf: readonly string[] = [];
     let owners = new Map<number, readonly string[]>();
     let cancelRenewal: CancelTimer = () => undefined;
 
@@ -97,16 +102,15 @@
         return state;
     }
 
-    function listAnswering(): readonly string[] {
+    const listAnswering = memoizeFor(candidatesLifetimeMs, clock.now, (): readonly string[] => {
         const nowMs = clock.now();
         return deps.listCandidates().filter(name => (states.get(name)?.passedOverUntilMs ?? 0) <= nowMs).toSorted();
-    }
+    });
 
     function findOwners(pool: number): readonly string[] {
         const candidates = listAnswering();
-        const key = candidates.join(" ");
-        if (key !== lastKey) {
-            lastKey = key;
+        if (candidates !== ownersOf) {
+            ownersOf = candidates;
             owners = new Map();
         }
         const known = owners.get(pool) ?? chooseQuotaOwners(pool, candidates);
--- a/src/core/quotas/createQuotaAsker.ts
+++ b/src/core/quotas/createQuotaAsker.ts
@@ -120,6 +120,15 @@
         return isValid ? hint : undefined;
     }
 
+    function keepHint(key: string, hint: OwnerHint): void {
+        hints.set(key, hint);
+        clock.after(hintLifetimeMs, () => {
+            if (hints.get(key) === hint) {
+                hints.delete(key);
+            }
+        });
+    }
+
     function flush(): void {
         const asks = [...unsent];
         unsent.clear();
@@ -240,7 +249,7 @@
                 sent.delete(item.id);
                 if (item.state === "spent") {
                     const { customer, cost } = one;
-                    hints.set(`${from} ${customer}`, { cost, atMs: clock.now(), waitMs: item.waitMs });
+                    keepHint(`${from} ${customer}`, { cost, atMs: clock.now(), waitMs: item.waitMs });
                 }
                 if (one.onAnswer !== undefined) {
                     one.onAnswer(item, epoch);
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -25,6 +25,10 @@
     readonly quarantinedParts: () => number;
     /** Upstreams that state a rate limit. */
     readonly limitedUpstreams: () => number;
+    /** Pools of customers of whose quotas this instance grants a share. */
+    readonly quotaPools: () => number;
+    /** Requests that wait for their customers' quotas. */
+    readonly quotaWaiting: () => number;
     readonly connectionsOpened: () => number;
     /** Memory that answers of upstreams hold, in bytes. */
     readonly heldAnswerBytes: () => number;
@@ -145,6 +149,8 @@
     );
     gauge("store_reader", "1 when the instance reads the store all the time.", from => Number(from.isStoreReader()));
     gauge("quarantined_parts", "Prompt parts that are held back or contained.", from => from.quarantinedParts());
+    gauge("quota_pools", "Pools of customers of whose quotas a share is granted here.", from => from.quotaPools());
+    gauge("quota_waiting_requests", "Requests that wait for their customers' quotas.", from => from.quotaWaiting());
     gauge("limited_upstreams", "Upstreams that state a rate limit.", from => from.limitedUpstreams());
     gauge("connections_opened", "Connections opened to upstreams since the start.", from => from.connectionsOpened());
     gauge("held_answer_bytes", "Memory that answers of upstreams hold.", from => from.heldAnswerBytes());
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -205,6 +205,8 @@
         operatorAgeSeconds: () => fleet.operatorAgeMs() / millisecondsPerSecond,
         isStoreReader: () => plan().isReader,
         quarantinedParts: () => quarantine.guard.list().filter(entry => entry.state !== "lifted").length,
+        quotaPools: quotas.countOwnedPools,
+        quotaWaiting: quotas.countWaiting,
         limitedUpstreams: () => views.signals.view.countLimited(clock.now()),
         connectionsOpened: proxy.countOpened,
         heldAnswerBytes: () => proxy.heldMemory().answerBytes,
