--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -60,6 +60,22 @@
             | a refused placement     | 1     |
             | a caller that has left  | 1     |
 
+    Scenario Outline: What a request counts as in a quota of 1000 tokens a second and a burst of 500
+        When a request states the token counts <counts>
+        Then it counts as <cost>, and its count is reported as malformed: <reported>
+
+        Examples:
+            | counts            | cost | reported |
+            | 800,100           | 900  | no       |
+            | none              | 200  | no       |
+            | 0,0               | 0    | no       |
+            | 999999999999,1    | 8500 | no       |
+            | 9999999999999,1   | 200  | yes      |
+            | -5,10             | 200  | yes      |
+            | 800               | 200  | yes      |
+            | many              | 200  | yes      |
+            | 800,100 and 1,1   | 200  | yes      |
+
     Scenario: A configuration that is copied from a peer has the quotas
         When a configuration with a quota of 40 requests a second is copied from a peer
         Then its customer's quota is 40 requests a second
--- a/features/steps/quotaSteps.ts
+++ b/features/steps/quotaSteps.ts
@@ -5,6 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { createCodec } from "../../platform/createCodec.js";
 import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
 import { runSteps } from "../../src/core/effects/runSteps.js";
 import { createRefusal, type Refusal } from "../../src/core/errors/createRefusal.js";
@@ -17,6 +18,7 @@
     type ChargeResult,
     serveChargedRequest,
 } from "../../src/core/proxy/serveChargedRequest.js";
+import { computeRequestCost } from "../../src/core/quotas/computeRequestCost.js";
 import { createQuotaBucket, type QuotaBucket } from "../../src/core/quotas/createQuotaBucket.js";
 import { createQuotaOwner, type QuotaOwner } from "../../src/core/quotas/createQuotaOwner.js";
 import { findQuotaPool } from "../../src/core/quotas/quotaPools.js";
@@ -81,6 +83,26 @@
     assert.deepEqual({ unit: copied?.unit, rate: copied?.ratePerSecond }, { unit: "requests", rate });
 });
 
+const costs = new WeakMap<SiteWorld, { readonly cost: number; readonly isMalformed: boolean; }>();
+
+When(/^a request states the token counts (.+)$/, function(this: SiteWorld, counts: string) {
+    const stated = counts === "none" ? [] : counts.split(" and ").flatMap(text => ["Token-Count", text]);
+    const headers = ["Host", "letters.example", "Attempt-Id", "request-1", ...stated];
+    const head = createCodec().readRequest("POST", "/documents/1", headers);
+    assert.ok(head.isOk);
+    const { tokenCount, malformedTokenCount } = head.value;
+    const limited: CustomerQuota = { unit: "tokens", ratePerSecond: 1_000, burst: 500, plainTokens: 200 };
+    const cost = computeRequestCost(limited, tokenCount, bounds);
+    costs.set(this, { cost, isMalformed: malformedTokenCount !== undefined });
+});
+
+Then(
+    /^it counts as (\d+), and its count is reported as malformed: (yes|no)$/,
+    function(this: SiteWorld, cost: string, isReported: string) {
+        assert.deepEqual(costs.get(this), { cost: Number(cost), isMalformed: isReported === "yes" });
+    },
+);
+
 interface ServedRequest {
     readonly charge: ChargeResult;
     readonly placed: PlaceResult;
