Quotas: log malformed token counts only where a quota counts them

Cause: the line was written for customers without a quota as well, for whom the count changes nothing. Change: the line depends on the customer's quota; two comments say what the code does.

--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -30,7 +30,7 @@
     readonly takeBack: (epoch: number, items: readonly QuotaReturnItem[]) => void;
     /** Fills the buckets and drops what is over; called often. */
     readonly update: () => void;
-    /** Sum of this owner's shares of all pools, over the number of pools that it owns a share of. */
+    /** Lists the pools of which this owner grants a share now. */
     readonly describeShares: () => readonly QuotaShare[];
     /** Forgets everything, after a pause of the process. */
     readonly clear: () => void;
@@ -55,7 +55,7 @@
     readonly countInstances: () => number | undefined;
     /** Whether this instance may own quotas; not while it leaves. */
     readonly mayOwn: () => boolean;
-    /** Whether the process of an instance that pledged `atMs` or later is the present one. */
+    /** Whether an instance that pledged is live, and has not started again since. */
     readonly isCurrent: (from: string) => boolean;
 }
 
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -125,6 +125,15 @@
         caller.refuse(refusal);
     }
 
+    /** A count that cannot be read matters only to a quota. */
+    function logMalformedCount({ head, customer }: CheckedHead): void {
+        const { id: requestId, malformedTokenCount } = head;
+        if (malformedTokenCount !== undefined && customer?.quota !== undefined) {
+            const tokenCount = malformedTokenCount.slice(0, maxLoggedLength);
+            deps.writeLog("tokenCountMalformed", { requestId, customer: customer.name, tokenCount });
+        }
+    }
+
     /** `overActions` run once the response is over. */
     async function accept(res: ServerResponse, overActions: ActionSet, report: EndReport): Promise<void> {
         const { req } = res;
@@ -143,11 +152,7 @@
             refuseHead(res, requestId, checked.error, report);
             return;
         }
-        const { malformedTokenCount } = checked.value.head;
-        if (malformedTokenCount !== undefined) {
-            const tokenCount = malformedTokenCount.slice(0, maxLoggedLength);
-            deps.writeLog("tokenCountMalformed", { requestId, customer: checked.value.customer?.name, tokenCount });
-        }
+        logMalformedCount(checked.value);
         const caller = createCallerExchange(res, {
             requestId,
             isClosing: () => mustCloseAfter(res),
