--- a/bench/quotas/createQuotaFleet.ts
+++ b/bench/quotas/createQuotaFleet.ts
@@ -34,6 +34,8 @@
     readonly resume: (name: string) => void;
     /** Divides the network: instances reach those of the same side only. */
     readonly setSides: (sides: ReadonlyMap<string, number>) => void;
+    /** Lets instances get no messages. */
+    readonly setDeaf: (names: readonly string[]) => void;
     readonly countMessages: () => number;
     /** Bytes of all messages without the headers of datagrams, from a sample of them. */
     readonly estimateBytes: () => number;
@@ -59,6 +61,7 @@
     const processes = new Map<string, QuotaProcess>();
     const started = new Map<string, number>();
     let sides: ReadonlyMap<string, number> = new Map();
+    let deaf: ReadonlySet<string> = new Set();
     let messages = 0;
     let sampledBytes = 0;
 
@@ -90,7 +93,7 @@
         }
         messages += 1;
         const process = processes.get(to);
-        if (process === undefined || !isConnected(from, to) || random() < plan.lossRatio) {
+        if (process === undefined || !isConnected(from, to) || deaf.has(to) || random() < plan.lossRatio) {
             return;
         }
         const delayMs = random() < 0.02 ? 50 * random() : 1 + 3 * random();
@@ -186,6 +189,9 @@
         setSides: next => {
             sides = next;
         },
+        setDeaf: deafNames => {
+            deaf = new Set(deafNames);
+        },
         countMessages: () => messages,
         estimateBytes: () => sampledBytes * sampleInterval,
         quotasAt,
--- a/bench/quotas/drawQuotaPlan.ts
+++ b/bench/quotas/drawQuotaPlan.ts
@@ -5,7 +5,7 @@
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
 import type { PlannedCustomer, PlannedFault, QuotaPlan } from "./quotaHistoryTypes.js";
 
-const kinds: readonly PlannedFault["kind"][] = ["partition", "kill", "pause"];
+const kinds: readonly PlannedFault["kind"][] = ["partition", "deaf", "kill", "pause"];
 
 const durationMs = 45_000;
 
--- a/bench/quotas/playQuotaHistory.ts
+++ b/bench/quotas/playQuotaHistory.ts
@@ -33,6 +33,10 @@
             fleet.setSides(new Map(hit.map(name => [name, 1])));
             clock.after(forMs, () => fleet.setSides(new Map()));
         }
+        else if (kind === "deaf") {
+            fleet.setDeaf(hit);
+            clock.after(forMs, () => fleet.setDeaf([]));
+        }
         else if (kind === "pause") {
             hit.forEach(fleet.pause);
             clock.after(forMs, () => hit.forEach(fleet.resume));
--- a/bench/quotas/quotaHistoryTypes.ts
+++ b/bench/quotas/quotaHistoryTypes.ts
@@ -30,9 +30,16 @@
     readonly spread: number;
 }
 
-/** One failure. */
+/**
+ * One failure.
+ *
+ * - `partition`: the instances and the others lose each other.
+ * - `deaf`: the instances get no messages about quotas, but are heard by the others and see them.
+ * - `kill`: they end, and start again after it.
+ * - `pause`: they do nothing meanwhile.
+ */
 export interface PlannedFault {
-    readonly kind: "partition" | "kill" | "pause";
+    readonly kind: "partition" | "deaf" | "kill" | "pause";
     readonly atMs: number;
     readonly forMs: number;
     /** Part of the instances that it concerns. */
--- a/bench/slopes/slopeCases.ts
+++ b/bench/slopes/slopeCases.ts
@@ -7,6 +7,7 @@
 import { limitCases } from "./cases/limitCases.js";
 import { membershipCases } from "./cases/membershipCases.js";
 import { permitCases } from "./cases/permitCases.js";
+import { quotaCases } from "./cases/quotaCases.js";
 import { requestCases } from "./cases/requestCases.js";
 import type { SlopeCase } from "./slopeCase.js";
 
@@ -18,4 +19,5 @@
     ...membershipCases,
     ...limitCases,
     ...permitCases,
+    ...quotaCases,
 ];
