--- a/features/support/urgencyLoad.ts
+++ b/features/support/urgencyLoad.ts
@@ -127,7 +127,7 @@
     const route = createRoute({ kind: "stream", targetLatencyMs: aimMs, priority });
     return {
         ...createProxyRequest("stream", { id, prompt, priority, arrivedMs: load.clock.now(), deadlineMs }),
-        customer: { name: customer, keys: [], priority: undefined, isIsolated: false },
+        customer: { name: customer, keys: [], priority: undefined, isIsolated: false, quota: undefined },
         route,
     };
 }
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -25,8 +25,10 @@
 import type { Feeds } from "./assembleFeeds.js";
 import { assemblePeerState, type PeerStates } from "./assemblePeerState.js";
 import type { InstancePermits } from "./assemblePermits.js";
+import type { InstanceQuotas } from "./assembleQuotas.js";
 import type { InstanceViews } from "./assembleViews.js";
 import { createHeartbeatComposer } from "./createHeartbeatComposer.js";
+import { createMemberLog } from "./createMemberLog.js";
 import { createPeerMessenger } from "./createPeerMessenger.js";
 import { discoverPeers } from "./discoverPeers.js";
 import type { InstanceContext } from "./routerPorts.js";
@@ -35,6 +37,8 @@
 export interface Fleet {
     readonly listLive: () => readonly FleetMember[];
     readonly countInstances: () => number;
+    /** Number of other instances that are known or may run at a known address; undefined before the addresses are read. */
+    readonly countAddresses: () => number | undefined;
     /** Whether each heartbeat of an instance reaches all others directly. */
     readonly isDirect: () => boolean;
     /** Whether the fleet is small, or heartbeats of the others have had time to arrive. */
@@ -77,6 +81,7 @@
     readonly checkPause: () => void;
     readonly quarantine: Pick<PartGuard, "digest" | "compareDigest" | "receive">;
     readonly permits: Pick<InstancePermits, "digest" | "compareDigest" | "receive" | "update">;
+    readonly quotas: Pick<InstanceQuotas, "receive" | "update">;
 }
 
 /** Time after the start within which the heartbeats of the others arrive, in milliseconds. */
@@ -104,7 +109,6 @@
     const heartbeatAddress = `${settings.host}:${settings.heartbeatPort}`;
     const startedAtMs = clock.wallNow();
     const view = createFleetView({ self: { name: settings.instance, startedAtMs, heartbeatAddress }, random });
-    const loggedStates = new Map<string, string>();
     const loadingView = createLoadingView(views.weights.setLoading);
     view.addContacts(settings.contacts);
     const stateReader = createPeerStateReader();
@@ -203,28 +207,18 @@
         }
     }
 
-    /** Logs members that joined, changed or left, and removes the reports of those that left. */
+    /** Removes what members reported that left. */
+    const logMembers = createMemberLog(writeLog, name => {
+        peerStates.removePeer(name);
+        views.use.removePeer(name);
+        loadingView.applyHeartbeat(name, [], clock.now());
+    });
+
     function updateMembers(): void {
         loadingView.removeExpired(clock.now());
         sources.permits.update();
-        const live = view.listLive(clock.now());
-        const liveNames = new Set(live.map(member => member.instance.name));
-        for (const { instance } of live) {
-            const state = `${instance.state} ${instance.startedAtMs}`;
-            if (loggedStates.get(instance.name) !== state) {
-                loggedStates.set(instance.name, state);
-                writeLog("memberChanged", { member: instance.name, state: instance.state });
-            }
-        }
-        for (const name of loggedStates.keys()) {
-            if (!liveNames.has(name)) {
-                loggedStates.delete(name);
-                peerStates.removePeer(name);
-                views.use.removePeer(name);
-                loadingView.applyHeartbeat(name, [], clock.now());
-                writeLog("memberChanged", { member: name, state: "gone" });
-            }
-        }
+        sources.quotas.update();
+        logMembers(view.listLive(clock.now()).map(member => member.instance));
     }
 
     const heartbeats = startHeartbeats({
@@ -251,7 +245,11 @@
     const messenger = createPeerMessenger({
         listLive: () => view.listLive(clock.now()),
         transmit: heartbeats.sendReport,
-        receivers: { quarantine: sources.quarantine.receive, permits: sources.permits.receive },
+        receivers: {
+            quarantine: sources.quarantine.receive,
+            permits: sources.permits.receive,
+            quotas: sources.quotas.receive,
+        },
         writeLog,
     });
     const loadingReporter = createLoadingReporter(clock, (loading, sequence) => {
@@ -266,6 +264,7 @@
     return {
         listLive: () => view.listLive(clock.now()),
         countInstances: () => view.countInstances(clock.now()),
+        countAddresses: () => (discovery.isDone() ? view.countAddresses() : undefined),
         self,
         sendNow: heartbeats.sendNow,
         reportLoading: () => {
--- a/src/assemble/createPeerMessenger.ts
+++ b/src/assemble/createPeerMessenger.ts
@@ -7,12 +7,14 @@
 import type { WriteLog } from "../core/logEvents/logEventTable.js";
 import type { PermitMessage } from "../core/permits/permitMessage.js";
 import type { QuarantineMessage } from "../core/quarantine/quarantineMessage.js";
+import type { QuotaMessage } from "../core/quotas/quotaMessage.js";
 import type { SignalMessage } from "../core/signals/signalReport.js";
 
 /** Receivers of messages, by subject. */
 export interface PeerMessageReceivers {
     readonly quarantine: (from: string, message: QuarantineMessage) => void;
     readonly permits: (from: string, message: SignalMessage | PermitMessage) => void;
+    readonly quotas: (from: string, message: QuotaMessage) => void;
 }
 
 /** What the messenger depends on. */
@@ -42,6 +44,10 @@
     /** Messages count only from addresses at which live instances send heartbeats. */
     function receive(message: PeerMessage, address: string): void {
         const sender = deps.listLive().find(member => member.instance.heartbeatAddress === address);
+        if (sender === undefined && "quota" in message) {
+            // After a start an instance may ask others before they have heard of it; it asks them again.
+            return;
+        }
         if (sender === undefined) {
             const [topic] = Object.keys(message);
             deps.writeLog("recordRejected", { topic, detail: `message of ${address}, which is no live instance` });
@@ -51,6 +57,9 @@
         if ("quarantine" in message) {
             deps.receivers.quarantine(name, message);
         }
+        else if ("quota" in message) {
+            deps.receivers.quotas(name, message);
+        }
         else {
             deps.receivers.permits(name, message);
         }
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -33,6 +33,10 @@
     readonly loadViewAgeSeconds: () => number;
     /** Estimated use of the busiest upstream of a service as a factor of the service's mean. */
     readonly loadViewSpread: () => number;
+    /** Pools of customers of whose quotas this instance grants a share. */
+    readonly quotaPools: () => number;
+    /** Requests that wait for their customers' quotas. */
+    readonly quotaWaiting: () => number;
     readonly connectionsOpened: () => number;
     /** Memory that answers of upstreams hold, in bytes. */
     readonly heldAnswerBytes: () => number;
@@ -80,6 +84,10 @@
     readonly withheldPlacements: Counter<string>;
     /** Waiting requests that were placed before more urgent ones, since their priority had had too little. */
     readonly guaranteedTurns: Counter<string>;
+    /** What requests were charged to quotas and gave back, in the quotas' units. */
+    readonly quotaUse: Counter<"unit" | "use">;
+    /** Requests that quotas refused: the quota was used up, or no instance could grant it. */
+    readonly quotaRefusals: Counter<"cause">;
     /** Orders to engines by answer. */
     readonly orders: Counter<"answer">;
     /** Returns of the store from an older copy. */
@@ -182,6 +190,8 @@
     );
     gauge("store_reader", "1 when the instance reads the store all the time.", from => Number(from.isStoreReader()));
     gauge("quarantined_parts", "Prompt parts that are held back or contained.", from => from.quarantinedParts());
+    gauge("quota_pools", "Pools of customers of whose quotas a share is granted here.", from => from.quotaPools());
+    gauge("quota_waiting_requests", "Requests that wait for their customers' quotas.", from => from.quotaWaiting());
     gauge("limited_upstreams", "Upstreams that state a rate limit.", from => from.limitedUpstreams());
     gauge(
         "load_view_age_seconds",
@@ -232,6 +242,8 @@
         permits: counter("permits_issued_total", "Permits issued for requests to rate-limited upstreams."),
         withheldPlacements: counter("withheld_placements_total", "Requests that left room to more urgent ones."),
         guaranteedTurns: counter("guaranteed_turns_total", "Requests placed before more urgent ones."),
+        quotaUse: counter("quota_use_total", "What requests were charged to quotas and gave back.", ["unit", "use"]),
+        quotaRefusals: counter("quota_refusals_total", "Requests that quotas refused.", ["cause"]),
         orders: counter("orders_total", "Orders to engines.", ["answer"]),
         peerCopies: counter("peer_copies_total", "Reads of a peer's state.", ["result"]),
         storeReturns: counter("store_returns_total", "Returns of the store from an older copy."),
