Quotas: test that a share is never pledged twice when an owner is replaced

Cause: the owner's side of a release was tested, the pledger's only through histories, which have no planned stop. Change: a scenario outline with an owner that leaves, ends or falls silent; what owners may count is summed all the while.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -97,3 +97,14 @@
             | the owner forgets everything after a pause        | 0     |
             | a pledger states that 6 instances may run         | 0.5   |
             | the owner leaves                                  | 0     |
+
+    Scenario Outline: A share is never pledged twice, also when an owner is replaced
+        Given an instance that has pledged its share to the three owners of a pool
+        When its first owner <event>
+        Then within <seconds> s the next owner is pledged its part, and the instance never pledges more than its share
+
+        Examples:
+            | event                         | seconds |
+            | gives the pledge up and leaves | 1       |
+            | ends without a word           | 6       |
+            | does not answer any more      | 8       |
