Keep back only requests that have more time than the urgent ones

Change: a request whose objective is no longer than the mean of the more urgent ones' is not kept back.

--- a/src/core/placement/createUrgentReserves.ts
+++ b/src/core/placement/createUrgentReserves.ts
@@ -25,7 +25,7 @@
     readonly holdMs: number;
     /** Largest reserve at one upstream, in requests. */
     readonly reservedRequests: number;
-    /** Time until the request is placed beside any demand, in milliseconds. */
+    /** Time for which the request is kept back at most, in milliseconds. */
     readonly slackMs: number;
 }
 
@@ -37,7 +37,7 @@
     readonly begin: (req: ProxyRequest) => void;
     /** Records that a placed request has ended. */
     readonly end: (req: ProxyRequest) => void;
-    /** Whether more urgent requests of its service came lately, and the request is not due. */
+    /** Whether more urgent requests of its service that have less time came lately, and the request may still be kept back. */
     readonly hasReserve: (req: ProxyRequest) => boolean;
     /** Filters the upstreams on which the request leaves enough room. */
     readonly filter: (req: ProxyRequest, candidates: readonly PlacementCandidate[]) => readonly PlacementCandidate[];
@@ -105,11 +105,18 @@
         }
     }
 
-    /** Time until the request has to be placed to meet its latency objective, and the part of it that is left. */
-    function readSlack(req: ProxyRequest): { readonly slackMs: number; readonly slack: number; } {
+    const readMoreUrgent = ({ service, priority }: ProxyRequest) => demand.readMoreUrgent(service, priority, now());
+
+    /**
+     * Time until the request has to be placed to meet its latency objective, and the part of it that is left. Nothing is left of
+     * one whose objective is no longer than that of more urgent ones: it has no time to give.
+     */
+    function readSlack(req: ProxyRequest, urgent: Demand): { readonly slackMs: number; readonly slack: number; } {
+        const isPatient = req.route.targetLatencyMs > urgent.meanObjectiveMs;
         const dueMs = computeCallerDeadlines(req).latencyDeadlineMs - minStartMs;
-        const slackMs = Math.max(0, dueMs - now());
-        return { slackMs, slack: dueMs <= req.arrivedMs ? 0 : slackMs / (dueMs - req.arrivedMs) };
+        const maxMs = isPatient ? Math.max(0, dueMs - req.arrivedMs) : 0;
+        const slackMs = maxMs === 0 ? 0 : Math.max(0, dueMs - now());
+        return { slackMs, slack: maxMs === 0 ? 0 : slackMs / maxMs };
     }
 
     /**
@@ -125,7 +132,7 @@
         const instances = Math.max(1, countInstances());
         const ownUse = own.get(req.service) ?? { requests: 0, tokens: 0 };
         const instancesPerUpstream = instances / Math.max(1, upstreams);
-        const { slack } = readSlack(req);
+        const { slack } = readSlack(req, urgent);
         const addUnknown = (known: number, estimate: number) => known + Math.max(0, estimate - known) * slack;
         const requests = Math.floor(addUnknown(candidate.use.requests, ownUse.requests * instancesPerUpstream));
         const memoryTokens = addUnknown(candidate.use.memoryTokens, ownUse.tokens * instancesPerUpstream);
@@ -148,8 +155,8 @@
     }
 
     function filter(req: ProxyRequest, candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
-        const urgent = demand.readMoreUrgent(req.service, req.priority, now());
-        if (urgent.requestsPerMs === 0 || readSlack(req).slackMs === 0) {
+        const urgent = readMoreUrgent(req);
+        if (urgent.requestsPerMs === 0 || readSlack(req, urgent).slackMs === 0) {
             return candidates;
         }
         latestRequests = 0;
@@ -162,8 +169,8 @@
         req: ProxyRequest,
         candidates: readonly PlacementCandidate[],
     ): WithheldPlacement | undefined {
-        const urgent = demand.readMoreUrgent(req.service, req.priority, now());
-        const { slackMs } = readSlack(req);
+        const urgent = readMoreUrgent(req);
+        const { slackMs } = readSlack(req, urgent);
         const withheld = candidates.filter(candidate => choosePlacement([candidate]) !== undefined).length;
         if (withheld === 0 || slackMs === 0) {
             return undefined;
@@ -182,7 +189,13 @@
     }
 
     return {
-        recordArrival: req => demand.recordArrival(req.service, req.priority, tokensOf(req), now()),
+        recordArrival: req => {
+            const { service, priority, route } = req;
+            demand.recordArrival(
+                { service, priority, tokens: tokensOf(req), objectiveMs: route.targetLatencyMs },
+                now(),
+            );
+        },
         begin: req => {
             end(req);
             const request = { service: req.service, tokens: tokensOf(req), sinceMs: now() };
@@ -190,8 +203,10 @@
             changeOwn(request, 1);
         },
         end,
-        hasReserve: req =>
-            demand.readMoreUrgent(req.service, req.priority, now()).requestsPerMs > 0 && readSlack(req).slackMs > 0,
+        hasReserve: req => {
+            const urgent = readMoreUrgent(req);
+            return urgent.requestsPerMs > 0 && readSlack(req, urgent).slackMs > 0;
+        },
         filter,
         describeWithheld,
         reservedRequests: () => latestRequests,
