Test who yields when connections or memory run short

Cause: the decisions had only been played by real processes. Change: scenarios without a network on chooseLeastProgress (also over random crowds), the budget of bodies, unread answers, the plan of the memory, and connections of which none is idle. Conclusion: each decision has a test of its own.

--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,52 @@
+Feature: When connections or memory run short, those that make the least progress yield
+
+    Scenario Outline: Of connections that are received the one with the fewest bytes for its time yields
+        Given connections that began <began> ms ago and have sent <sent> bytes
+        Then the connection that yields is number <number>
+
+        Examples:
+            | began         | sent           | number |
+            | 400, 800, 900 | 400, 100, 4000 | 2      |
+            | 900, 800, 20  | 0, 0, 0        | 1      |
+            | 10, 90, 40    | 0, 5000, 20    | 2      |
+
+    # Guards against newcomers that yield to a crowd because they have sent nothing yet.
+    Scenario: One that has just begun never yields while another one has had its time
+        Then over 300 random crowds with seed 59 no connection that began in the last 249 ms yields beside an older one
+
+    Scenario: A body that is behind its pace yields to others, and one that is complete or at the pace does not
+        Given a budget of 1000 bytes for bodies that arrive, of which body 1 holds 600 bytes and body 2 holds 300
+        When 1000 ms have passed, in which 20 bytes of body 1 and 200000 bytes of body 2 have arrived
+        Then body 3 finds room for 700 bytes, since body 1 was refused
+        And body 4 finds no room for 100 bytes
+
+    Scenario: A complete body keeps its room
+        Given a budget of 1000 bytes for bodies that arrive, of which body 1 holds 600 bytes and body 2 holds 300
+        When body 1 is complete
+        And 1000 ms have passed, in which 0 bytes of body 1 and 200000 bytes of body 2 have arrived
+        Then body 3 finds no room for 200 bytes
+
+    # Guards against answers that nobody reads and that keep all others out of the memory.
+    Scenario: An answer that is not read for seconds yields to others, and one that was just made does not
+        Given a memory of 1000 bytes for answers with one of 400 bytes that was made 2500 ms ago and one of 300 made 1500 ms ago
+        When another answer is collected and grows to 500 bytes
+        Then of the answers only that of 400 bytes is ended
+
+    Scenario Outline: The memory is divided by what the program leaves
+        Then of <memory> MB at most <bodies> MB are for bodies and <answers> MB for answers
+
+        Examples:
+            | memory | bodies | answers |
+            | 100    | 12     | 12      |
+            | 178    | 33     | 16      |
+            | 200    | 42     | 21      |
+            | 602    | 193    | 96      |
+
+    Scenario: What is planned and the program fit into the memory from 125 MB on
+        Then for each memory from 125 to 1000 MB the plan leaves 96 MB for the program
+
+    # Guards against silent connections that keep callers out.
+    Scenario: When connections run short and none is idle, the oldest that has sent nothing is closed
+        Given at most 8 connections of callers, of which 6 are open
+        When 1 more is opened that has a request at once
+        Then connection 1 is closed and the others stay open
--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { readdirSync } from "node:fs";
-import { Agent, createServer, request } from "node:http";
+import { Agent, createServer, request, type ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
@@ -124,6 +124,19 @@
     },
 );
 
+When("1 more is opened that has a request at once", async function(this: SiteWorld) {
+    const { connections } = fixtures.get(this)!;
+    const [socket] = addSockets(connections, 1);
+    connections.beginRequest(socket!, { req: { complete: true } } as unknown as ServerResponse);
+    await settle();
+    assert.ok(!socket!.destroyed);
+});
+
+Then("connection {int} is closed and the others stay open", function(this: SiteWorld, number: number) {
+    const closed = fixtures.get(this)!.sockets.flatMap((socket, index) => socket.destroyed ? [index + 1] : []);
+    assert.deepEqual(closed, [number]);
+});
+
 When("all of them are to be closed", function(this: SiteWorld) {
     fixtures.get(this)!.connections.end();
 });
