--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -75,8 +75,9 @@
 /** Requests in progress on a connection of a caller, beyond which no more are read for the time being. */
 const maxCallerRequests = 64;
 
-/** Size of the slices in which connections of callers are parsed, in bytes. */
-const callerSliceBytes = 1_024;
+/** Size up to which what callers send is parsed as it is, in bytes, and line ends in a slice of more. */
+const callerWholeBytes = 1_024;
+const callerSliceLines = 192;
 
 /** Size of the slices in which connections of other ports are parsed, in bytes; their requests are short. */
 const otherSliceBytes = 1_024;
@@ -200,7 +201,8 @@
     );
     const gate = createConnectionGate(callerServer);
     readInTurns(callerServer, {
-        sliceBytes: callerSliceBytes,
+        wholeBytes: callerWholeBytes,
+        sliceLines: callerSliceLines,
         defer: deferInTurn,
         onRead: sources.recordRead,
         unparsed: createAnswerMemory(memory.unparsedBytes),
--- a/src/core/memory/createMemoryBudget.ts
+++ b/src/core/memory/createMemoryBudget.ts
@@ -28,8 +28,11 @@
 
 /** The budget. */
 export interface MemoryBudget {
-    /** Opens a reservation of no bytes. */
-    readonly open: () => MemoryReservation;
+    /**
+     * Opens a reservation. `otherBytes`, none by default, is what its request takes besides the body: it is counted, also when
+     * there is no room, and is not reported when it is returned.
+     */
+    readonly open: (otherBytes?: number) => MemoryReservation;
     readonly usedBytes: () => number;
 }
 
@@ -45,6 +48,7 @@
 /** What a reservation holds. */
 interface Holding {
     ownBytes: number;
+    otherBytes: number;
     body: UnfinishedBody | undefined;
 }
 
@@ -62,10 +66,11 @@
     let usedBytes = 0;
 
     function release(holding: Holding): void {
-        const { ownBytes } = holding;
+        const { ownBytes, otherBytes } = holding;
         unfinished.delete(holding);
         holding.ownBytes = 0;
-        usedBytes -= ownBytes;
+        holding.otherBytes = 0;
+        usedBytes -= ownBytes + otherBytes;
         options.onReleased(ownBytes);
     }
 
@@ -88,8 +93,9 @@
     }
 
     return {
-        open: () => {
-            const holding: Holding = { ownBytes: 0, body: undefined };
+        open: (otherBytes = 0) => {
+            const holding: Holding = { ownBytes: 0, otherBytes, body: undefined };
+            usedBytes += otherBytes;
             return {
                 tryGrow: bytes => {
                     if (!makeRoom(holding, bytes)) {
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -10,8 +10,10 @@
 
 /** Options of {@link readInTurns}. */
 export interface TurnReadOptions {
-    /** Size of a slice, in bytes. */
-    readonly sliceBytes: number;
+    /** Largest size of what is parsed as it is, in bytes. */
+    readonly wholeBytes: number;
+    /** Line ends in a slice of more: each piece of a body has two, and each request three or more. */
+    readonly sliceLines: number;
     /** Calls an action in a later turn; one is called in a turn. */
     readonly defer: (action: () => void) => void;
     /** Receives the number of bytes of each read. */
@@ -23,9 +25,26 @@
 }
 
 const nothing = Buffer.alloc(0);
+const lineEnd = 0x0a;
+
+/** Returns the size of the first slice of bytes: all of them, or up to the line end of a number. */
+function measureSlice(bytes: Buffer, { wholeBytes, sliceLines }: TurnReadOptions): number {
+    if (bytes.length <= wholeBytes) {
+        return bytes.length;
+    }
+    let end = -1;
+    for (let line = 0; line < sliceLines; line += 1) {
+        end = bytes.indexOf(lineEnd, end + 1);
+        if (end === -1) {
+            return bytes.length;
+        }
+    }
+    return end + 1;
+}
 
 /** Parses what arrives on one connection in slices, and reads no more while some of it is left. */
-function parseInTurns(socket: Socket, { sliceBytes, defer, onRead, unparsed, evict }: TurnReadOptions): void {
+function parseInTurns(socket: Socket, options: TurnReadOptions): void {
+    const { defer, onRead, unparsed, evict } = options;
     const push = socket.push.bind(socket);
     const read = socket._read.bind(socket);
     const holding = unparsed.open(() => {
@@ -43,6 +62,7 @@
     }
 
     function pushSlice(): boolean {
+        const sliceBytes = measureSlice(rest, options);
         const slice = rest.subarray(0, sliceBytes);
         rest = rest.subarray(sliceBytes);
         holding.set(rest.length === 0 ? 0 : rest.buffer.byteLength);
@@ -77,7 +97,7 @@
             onRead(chunk.length);
         }
         const isWhole = rest.length === 0 && !socket.isPaused();
-        if (!Buffer.isBuffer(chunk) || (isWhole && chunk.length <= sliceBytes)) {
+        if (!Buffer.isBuffer(chunk) || (isWhole && measureSlice(chunk, options) === chunk.length)) {
             return push(chunk, encoding);
         }
         rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -320,9 +320,8 @@
                 deps.writeLog("streamCut", { requestId, detail: "what waits to be written holds too much memory" }),
         });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
-        const reservation = deps.bodyMemory.open();
+        const reservation = deps.bodyMemory.open(requestBytes);
         overActions.add(reservation.release);
-        reservation.tryGrow(requestBytes);
         let cancelStop: CancelTimer = () => undefined;
         const body = await readBody(req, deps.clock, {
             maxBytes: checked.value.maxBodyBytes,
