--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -7,6 +7,7 @@
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createGarbageMeter } from "../core/memory/createGarbageMeter.js";
 import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
+import { planMemory } from "../core/memory/planMemory.js";
 import { sumTokens } from "../core/placement/_lib/countPromptTokens.js";
 import { createPlacer } from "../core/placement/createPlacer.js";
 import type { AnswerEnd } from "../core/proxy/answerEnd.js";
@@ -37,6 +38,7 @@
 import type { InstancePermits } from "./assemblePermits.js";
 import type { InstanceQuarantine } from "./assembleQuarantine.js";
 import type { InstanceViews } from "./assembleViews.js";
+import { recordEviction } from "./recordEviction.js";
 import type { InstanceContext } from "./routerPorts.js";
 
 /** Minimum interval between two reads of the weights of one engine, in milliseconds. */
@@ -45,12 +47,6 @@
 /** Lowest status of an upstream's failure. */
 const serverErrorStatus = 500;
 
-/** Share of the process's memory for answers that are collected, not written out, or wait for the end of an event. */
-const answerMemoryShare = 0.16;
-
-/** Share of the process's memory for the bodies of requests. */
-const bodyMemoryShare = 0.32;
-
 /** The proxy. */
 export interface Proxy extends Omit<ProxyService, "handle" | "reportUnfinished"> {
     readonly handle: RequestListener;
@@ -64,6 +60,8 @@
     readonly countOpened: () => number;
     /** Memory that answers and the bodies of requests hold, in bytes. */
     readonly heldMemory: () => { readonly answerBytes: number; readonly bodyBytes: number; };
+    /** Records the bytes of a read of callers' connections, whose memory is collected some time after it was parsed. */
+    readonly recordRead: (bytes: number) => void;
     /** Places waiting requests. */
     readonly dispatch: () => void;
     /** Closes all idle connections to upstreams, for example after a pause of the process. */
@@ -211,11 +209,16 @@
         });
     }
 
-    const garbage = createGarbageMeter(context.collectGarbage);
-    const answerMemory = createAnswerMemory(settings.memoryBytes * answerMemoryShare, garbage.record);
+    const limits = planMemory(settings.memoryBytes);
+    const garbage = createGarbageMeter(context.collectGarbage, context.collectYoungGarbage);
+    const answerMemory = createAnswerMemory(limits.answerBytes, garbage.record, {
+        onGrown: garbage.recordRead,
+        now: clock.now,
+    });
     const bodyMemory = createMemoryBudget({
-        maxBytes: settings.memoryBytes * bodyMemoryShare,
+        maxBytes: limits.bodyBytes,
         onReleased: garbage.record,
+        now: clock.now,
     });
     const beginLimitMs = computeBeginLimitMs(settings.weightsLimitMs);
     const unbegun = createUnbegunSends({
@@ -324,6 +327,11 @@
             sends.recordOutcome(req, outcome);
         },
         onPlaced: waitedMs => metrics.placementSeconds.observe(waitedMs / millisecondsPerSecond),
+        onEvicted: (socket, reason) =>
+            recordEviction(context, socket, reason, {
+                answerBytes: answerMemory.totalBytes(),
+                bodyBytes: bodyMemory.usedBytes(),
+            }),
         onRefusal: kind => metrics.refusals.inc({ kind }),
     });
     return {
@@ -332,6 +340,7 @@
         countByPriority: placer.countByPriority,
         reservedRequests: placer.reservedRequests,
         countOpened: connections.countOpened,
+        recordRead: garbage.recordRead,
         heldMemory: () => ({ answerBytes: answerMemory.totalBytes(), bodyBytes: bodyMemory.usedBytes() }),
         dispatch: placer.dispatch,
         discardIdleConnections: connections.discardIdle,
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -8,20 +8,25 @@
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { listServing } from "../core/fleet/listServing.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
+import { planMemory } from "../core/memory/planMemory.js";
+import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { limitCallerConnections } from "../core/proxy/limitCallerConnections.js";
 import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
+import { deferInTurn } from "../io/_lib/deferInTurn.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
-import { createCallerConnections } from "../io/http/createCallerConnections.js";
+import { createCallerConnections, type EvictionReason } from "../io/http/createCallerConnections.js";
 import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { limitRequests } from "../io/http/limitRequests.js";
 import { readInSlices } from "../io/http/readInSlices.js";
+import { readInTurns } from "../io/http/readInTurns.js";
 import { shareReading } from "../io/metrics/shareReading.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
 import type { Fleet } from "./assembleFleet.js";
+import { recordEviction } from "./recordEviction.js";
 import type { InstanceContext } from "./routerPorts.js";
 
 /** What the servers need in addition to the instance's context. */
@@ -32,6 +37,8 @@
     readonly routes: () => RouteIndex | undefined;
     readonly isReady: () => boolean;
     readonly handle: RequestListener;
+    /** Receives the number of bytes of each read of callers' connections. */
+    readonly recordRead: (bytes: number) => void;
     readonly quarantine: Pick<PartGuard, "list" | "lift">;
     readonly listSignals: () => readonly ListedSignal[];
 }
@@ -68,6 +75,10 @@
 /** Requests in progress on a connection of a caller, beyond which no more are read for the time being. */
 const maxCallerRequests = 64;
 
+/** Size up to which what callers send is parsed as it is, in bytes, and line ends in a slice of more. */
+const callerWholeBytes = 1_024;
+const callerSliceLines = 192;
+
 /** Size of the slices in which connections of other ports are parsed, in bytes; their requests are short. */
 const otherSliceBytes = 1_024;
 
@@ -130,12 +141,19 @@
     const { settings, ports, writeLog } = context;
     const { listeners } = sources;
     const maxConnections = limitCallerConnections(settings);
-    const connections = createCallerConnections(maxConnections, context.clock);
+    const memory = planMemory(settings.memoryBytes);
+    const connections = createCallerConnections(maxConnections, context.clock, { evict: evictConnection });
     /** The last request of each connection. */
     const lastRequests = new WeakMap<Socket, IncomingMessage>();
     let accepted = 0;
     let isClosed = false;
 
+    /** Whoever makes the least progress yields; its request is not run, since it is not complete, or was answered. */
+    function evictConnection(socket: Socket, reason: EvictionReason): void {
+        recordEviction(context, socket, reason, { connections: connections.count(), maxConnections });
+        socket.destroy();
+    }
+
     function recordDiscarded(req: IncomingMessage): void {
         const requestId = ports.codec.readRequest(req.method ?? "", req.url ?? "", req.rawHeaders)
             .map(head => head.id).unwrapOr("");
@@ -146,7 +164,7 @@
     /** A request that crosses the close of its connection is not served: its answer could not be written. */
     function handle(req: IncomingMessage, res: ServerResponse): void {
         const { socket } = req;
-        if (!connections.beginRequest(socket)) {
+        if (!connections.beginRequest(socket, res)) {
             recordDiscarded(req);
             req.resume();
             connections.close(socket);
@@ -182,9 +200,19 @@
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
     );
     const gate = createConnectionGate(callerServer);
+    readInTurns(callerServer, {
+        wholeBytes: callerWholeBytes,
+        sliceLines: callerSliceLines,
+        defer: deferInTurn,
+        onRead: sources.recordRead,
+        unparsed: createAnswerMemory(memory.unparsedBytes),
+        evict: socket => evictConnection(socket, "unparsed"),
+    });
     limitRequests(callerServer, handle, {
         maxRequests: maxCallerRequests,
         isPaused: true,
+        pipelined: createAnswerMemory(memory.pipelinedBytes),
+        evict: socket => evictConnection(socket, "pipelined"),
     });
     callerServer.maxConnections = maxConnections;
     callerServer.on("connection", (socket: Socket) => {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -3,6 +3,7 @@
  * Handles callers' requests: validates them against the configuration, reads their bodies and runs their steps.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { type ActionSet, createActionSet } from "../../core/_lib/createActionSet.js";
 import type { Refusal } from "../../core/errors/createRefusal.js";
 import { errorTable } from "../../core/errors/errorTable.js";
@@ -36,6 +37,8 @@
     readonly bodyMemory: Pick<MemoryBudget, "open">;
     /** Memory for answers that are not written out. */
     readonly answerMemory: Pick<AnswerMemory, "hold" | "open">;
+    /** Receives a connection whose caller holds memory that others need, before it is closed. */
+    readonly onEvicted: (socket: Socket, reason: "body" | "unread") => void;
     /** Receives the end of each request that was read, also of one that was not answered. */
     readonly onEnd: (end: RequestEnd) => void;
 }
@@ -53,6 +56,9 @@
     readonly reportUnfinished: () => void;
 }
 
+/** Memory that a request and its connection take besides the body, in bytes. */
+const requestBytes = 8 * 1_024;
+
 /** Timeout for receiving a body when the route's timeout is longer. */
 const maxBodyTimeoutMs = 30_000;
 
@@ -101,9 +107,14 @@
         return deps.shutdown.isLeaving() && listOnConnection(res).at(-1) === res;
     }
 
-    /** Whether an answer before this one on the connection has announced that the connection closes. */
+    /** Whether an answer before this one on the connection has closed it, or announced that it closes. */
     function isBehindClose(res: ServerResponse): boolean {
-        return listOnConnection(res).some(one => one !== res && one.headersSent && !one.shouldKeepAlive);
+        if (res.req.socket.writableEnded) {
+            return true;
+        }
+        // Only a response behind another one has no connection yet.
+        const mayBe = (res.socket ?? undefined) === undefined || deps.shutdown.isLeaving();
+        return mayBe && listOnConnection(res).some(one => one !== res && one.headersSent && !one.shouldKeepAlive);
     }
 
     function closeReport(report: EndReport, isWritten: boolean): void {
@@ -119,7 +130,7 @@
         deps.onRefusal(kind);
         const tableVersion = deps.routes()?.table.version;
         deps.writeLog("requestRefused", { requestId, kind, status, outcome, detail, tableVersion, target: req.url });
-        const mustClose = status === 400 || status === 413 || status === 431;
+        const mustClose = status === 400 || status === 413 || status === 431 || kind === "memoryFull";
         const isClosing = () => mustClose || mustCloseAfter(res);
         const caller = createCallerExchange(res, { requestId, isClosing });
         caller.refuse(refusal);
@@ -159,17 +170,19 @@
             onStreamStart: () => report.recordStreamStart(deps.clock.now()),
             holdAnswer: deps.answerMemory.hold,
             holdStream: deps.answerMemory.open,
+            onAnswerEvicted: () => deps.onEvicted(res.req.socket, "unread"),
             onStreamEvicted: () =>
                 deps.writeLog("streamCut", { requestId, detail: "what waits to be written holds too much memory" }),
         });
         const timeoutMs = Math.min(maxBodyTimeoutMs, checked.value.deadlineMs - arrivedMs);
-        const reservation = deps.bodyMemory.open();
+        const reservation = deps.bodyMemory.open(requestBytes);
         overActions.add(reservation.release);
         let cancelStop: CancelTimer = () => undefined;
         const body = await readBody(req, deps.clock, {
             maxBytes: checked.value.maxBodyBytes,
             timeoutMs,
             reservation,
+            onEvicted: () => deps.onEvicted(res.req.socket, "body"),
             onBegin: stop => {
                 cancelStop = runner.onStop(() => stop(deps.shutdown.createRefusal(deps.clock.now())));
             },
@@ -186,6 +199,10 @@
         if (caller.isDisconnected()) {
             return;
         }
+        if (isBehindClose(res)) {
+            report.decide("stopped", deps.clock.now());
+            return;
+        }
         const proxied = toRequest(checked.value, body.value, arrivedMs);
         overActions.add(() => deps.shutdown.release(proxied));
         runner.run(proxied, caller, report);
@@ -201,7 +218,7 @@
                 closeReport(report, isWritten);
                 overActions.run();
             });
-            if (deps.shutdown.isLeaving() && isBehindClose(res)) {
+            if (isBehindClose(res)) {
                 report.decide("stopped", deps.clock.now());
                 shareUploadTurns(res.req);
                 return;
