--- a/src/core/placement/createUrgencyLevels.ts
+++ b/src/core/placement/createUrgencyLevels.ts
@@ -99,7 +99,10 @@
 }
 
 /** Lists the requests that go before one of the same queue. */
-function listAheadInQueue(queue: FairQueue<QueuedWaiting>, { requestId, customer, tokens }: QueuedWaiting) {
+function listAheadInQueue(
+    queue: FairQueue<QueuedWaiting>,
+    { requestId, customer, tokens }: QueuedWaiting,
+): readonly QueuedWaiting[] {
     const own = queue.listByCustomer(customer);
     const ownAhead = own.slice(0, own.findIndex(item => item.requestId === requestId));
     const share = ownAhead.reduce((sum, item) => sum + item.tokens, tokens);
