Parse the other ports in turns, and give dropped bodies their share

Cause: bodies that are sent to ports other than the callers' are dropped without a share of a turn, and a read was parsed whole. Change: readInTurns in place of readInSlices (removed) on these ports too, and shareUploadTurns for their requests.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -20,8 +20,8 @@
 import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { limitRequests } from "../io/http/limitRequests.js";
-import { readInSlices } from "../io/http/readInSlices.js";
 import { readInTurns } from "../io/http/readInTurns.js";
+import { shareUploadTurns } from "../io/http/shareUploadTurns.js";
 import { shareReading } from "../io/metrics/shareReading.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
@@ -75,12 +75,11 @@
 /** Requests in progress on a connection of a caller, beyond which no more are read for the time being. */
 const maxCallerRequests = 64;
 
-/** Size up to which what callers send is parsed as it is, in bytes, and line ends in a slice of more. */
-const callerWholeBytes = 1_024;
-const callerSliceLines = 192;
+/** How what arrives is parsed: up to how many bytes as it is, and how many line ends there are in a slice of more. */
+const parsing = { wholeBytes: 1_024, sliceLines: 192, defer: deferInTurn } as const;
 
-/** Size of the slices in which connections of other ports are parsed, in bytes; their requests are short. */
-const otherSliceBytes = 1_024;
+/** Bytes that the connections of another port may hold together that are not parsed yet. */
+const otherUnparsedBytes = 2 * 1_024 * 1_024;
 
 /** Requests in progress on a connection of another port, beyond which it is closed. */
 const maxOtherRequests = 8;
@@ -97,8 +96,18 @@
     const server = createServer();
     server.maxConnections = maxConnections;
     server.setTimeout(otherTimeoutMs);
-    readInSlices(server, otherSliceBytes);
-    limitRequests(server, listener, { maxRequests: maxOtherRequests, isPaused: false });
+    readInTurns(server, {
+        ...parsing,
+        onRead: () => undefined,
+        unparsed: createAnswerMemory(otherUnparsedBytes),
+        evict: socket => socket.destroy(),
+    });
+    const listenInTurns: RequestListener = (req, res) => {
+        // Nothing reads the bodies of these requests; they are dropped.
+        shareUploadTurns(req);
+        listener(req, res);
+    };
+    limitRequests(server, listenInTurns, { maxRequests: maxOtherRequests, isPaused: false });
     return server;
 }
 
@@ -201,9 +210,7 @@
     );
     const gate = createConnectionGate(callerServer);
     readInTurns(callerServer, {
-        wholeBytes: callerWholeBytes,
-        sliceLines: callerSliceLines,
-        defer: deferInTurn,
+        ...parsing,
         onRead: sources.recordRead,
         unparsed: createAnswerMemory(memory.unparsedBytes),
         evict: socket => evictConnection(socket, "unparsed"),
