Move the servers of the other ports to a file of their own

Change: createOtherServer, and the share of a turn as one constant beside readInTurns; nothing else changes.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -13,15 +13,14 @@
 import { limitCallerConnections } from "../core/proxy/limitCallerConnections.js";
 import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
-import { deferInTurn } from "../io/_lib/deferInTurn.js";
 import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
 import { createCallerConnections, type EvictionReason } from "../io/http/createCallerConnections.js";
 import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
+import { createOtherServer } from "../io/http/createOtherServer.js";
 import { limitRequests } from "../io/http/limitRequests.js";
-import { readInTurns } from "../io/http/readInTurns.js";
-import { shareUploadTurns } from "../io/http/shareUploadTurns.js";
+import { parsingShare, readInTurns } from "../io/http/readInTurns.js";
 import { shareReading } from "../io/metrics/shareReading.js";
 import { quarantinePath } from "../io/peers/readQuarantine.js";
 import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
@@ -66,6 +65,9 @@
 /** Maximum size of a request head for the parser, in bytes; the configured limit is checked after parsing. */
 const maxHeadBytes = 65_536;
 
+/** Connections of the metrics port, whose answers are long. */
+const maxMetricsConnections = 32;
+
 /** Interval at which the timeout of incomplete request heads is checked, in milliseconds. */
 const headCheckMs = 500;
 
@@ -75,42 +77,6 @@
 /** Requests in progress on a connection of a caller, beyond which no more are read for the time being. */
 const maxCallerRequests = 64;
 
-/** How what arrives is parsed: up to how many bytes as it is, and how many line ends there are in a slice of more. */
-const parsing = { wholeBytes: 1_024, sliceLines: 192, defer: deferInTurn } as const;
-
-/** Bytes that the connections of another port may hold together that are not parsed yet. */
-const otherUnparsedBytes = 2 * 1_024 * 1_024;
-
-/** Requests in progress on a connection of another port, beyond which it is closed. */
-const maxOtherRequests = 8;
-
-/** Time after which a connection of another port on which nothing moves is closed, in milliseconds. */
-const otherTimeoutMs = 10_000;
-
-/** Connections of a port with short answers, and of the metrics port, whose answers are long. */
-const maxOtherConnections = 512;
-const maxMetricsConnections = 32;
-
-/** Creates a server of a port other than the callers'; whoever does not read its answers holds little memory. */
-function createOtherServer(listener: RequestListener, maxConnections = maxOtherConnections): Server {
-    const server = createServer();
-    server.maxConnections = maxConnections;
-    server.setTimeout(otherTimeoutMs);
-    readInTurns(server, {
-        ...parsing,
-        onRead: () => undefined,
-        unparsed: createAnswerMemory(otherUnparsedBytes),
-        evict: socket => socket.destroy(),
-    });
-    const listenInTurns: RequestListener = (req, res) => {
-        // Nothing reads the bodies of these requests; they are dropped.
-        shareUploadTurns(req);
-        listener(req, res);
-    };
-    limitRequests(server, listenInTurns, { maxRequests: maxOtherRequests, isPaused: false });
-    return server;
-}
-
 /** Listens on "ip:port", again after each failure. */
 function listen(server: Server, address: string, listeners: ListenerGroup): Server {
     const [host, port] = address.split(":");
@@ -210,7 +176,7 @@
     );
     const gate = createConnectionGate(callerServer);
     readInTurns(callerServer, {
-        ...parsing,
+        ...parsingShare,
         onRead: sources.recordRead,
         unparsed: createAnswerMemory(memory.unparsedBytes),
         evict: socket => evictConnection(socket, "unparsed"),
--- /dev/null
+++ b/src/io/http/createOtherServer.ts
@@ -0,0 +1,47 @@
+/**
+ * @module
+ * Servers of the ports for peers, callers that look for entries, and the platform's own questions. Their requests have no bodies.
+ */
+import { createServer, type RequestListener, type Server } from "node:http";
+import { createAnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import { limitRequests } from "./limitRequests.js";
+import { parsingShare, readInTurns } from "./readInTurns.js";
+import { shareUploadTurns } from "./shareUploadTurns.js";
+
+/** Bytes that the connections of another port may hold together that are not parsed yet. */
+const otherUnparsedBytes = 2 * 1_024 * 1_024;
+
+/** Requests in progress on a connection of another port, beyond which it is closed. */
+const maxOtherRequests = 8;
+
+/** Time after which a connection of another port on which nothing moves is closed, in milliseconds. */
+const otherTimeoutMs = 10_000;
+
+/** Connections of a port with short answers. */
+const maxOtherConnections = 512;
+
+/**
+ * Creates a server of a port other than the callers'; whoever does not read its answers holds little memory.
+ *
+ * @param listener - Answers a request.
+ * @param maxConnections - Connections beyond which none is accepted.
+ * @returns The server, which does not listen yet.
+ */
+export function createOtherServer(listener: RequestListener, maxConnections = maxOtherConnections): Server {
+    const server = createServer();
+    server.maxConnections = maxConnections;
+    server.setTimeout(otherTimeoutMs);
+    readInTurns(server, {
+        ...parsingShare,
+        onRead: () => undefined,
+        unparsed: createAnswerMemory(otherUnparsedBytes),
+        evict: socket => socket.destroy(),
+    });
+    const listenInTurns: RequestListener = (req, res) => {
+        // Nothing reads the bodies of these requests; they are dropped.
+        shareUploadTurns(req);
+        listener(req, res);
+    };
+    limitRequests(server, listenInTurns, { maxRequests: maxOtherRequests, isPaused: false });
+    return server;
+}
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -7,6 +7,7 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import { deferInTurn } from "../_lib/deferInTurn.js";
 
 /** Options of {@link readInTurns}. */
 export interface TurnReadOptions {
@@ -24,6 +25,9 @@
     readonly evict: (socket: Socket) => void;
 }
 
+/** The usual share: up to how many bytes are parsed as they are, and how many line ends there are in a slice of more. */
+export const parsingShare = { wholeBytes: 1_024, sliceLines: 192, defer: deferInTurn } as const;
+
 const nothing = Buffer.alloc(0);
 const lineEnd = 0x0a;
 
