--- a/src/core/load/createUpstreamLoads.ts
+++ b/src/core/load/createUpstreamLoads.ts
@@ -75,9 +75,6 @@
 /** Time without statements of a service in which the load that is expected falls by two thirds, in milliseconds. */
 const quietMs = 1_000;
 
-/** Share of the time that requests stay within which a rejection comes at once. */
-const promptShare = 0.1;
-
 /** Lowest pace of an estimate. */
 const minPace = 0.1;
 
@@ -140,14 +137,6 @@
         service.means.recordOthers(others, waiting, service.upstreams);
     }
 
-    /** A request that was rejected after it had waited says nothing of how many may wait. */
-    function recordRejection({ means }: ServiceState, waiting: number, answer: StatingAnswer): void {
-        const tookMs = answer.receivedMs - answer.sentMs;
-        if (answer.isRejected && waiting > 0 && tookMs < means.holdMs() * promptShare) {
-            means.recordRejection(waiting);
-        }
-    }
-
     /** Compares a duration with others of the service, without the wait and the pace that the upstream stated itself. */
     function rateDuration(service: string, { waiting, slots, pace }: StatedLoad, answer: StatingAnswer): number {
         const waitedTurns = 1 + waiting / Math.max(1, slots);
@@ -215,7 +204,9 @@
             if (found !== undefined) {
                 const slowness = answer.isTimed ? rateDuration(found.service, stated, answer) : undefined;
                 const { running, waiting, pace } = stated;
-                recordRejection(serviceOf(found.service), waiting, answer);
+                if (answer.isRejected && waiting > 0) {
+                    serviceOf(found.service).means.recordRejection(waiting);
+                }
                 recordStatement({ upstream, atMs: answer.receivedMs, running, waiting, pace, slowness });
             }
         },
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -32,13 +32,16 @@
 
 /**
  * Of a plain upstream the expected number of requests decides, not the drawn one: of several full upstreams one would nearly
- * always be drawn as free. An engine takes requests of all instances by their urgency, so that those which wait there are
- * served in a better order than those which wait at several instances.
+ * always be drawn as free. Of engines the drawn one does: they order waiting requests of all instances by urgency, and
+ * requests should not wait at instances for as long as a statement is old.
  */
 function hasFreeSlot({ load, use, slots, memoryTokens }: PlacementCandidate): boolean {
-    return load === undefined || memoryTokens !== undefined
-        ? use.requests < slots
-        : load.estimate.requests < slots + waitingAllowance;
+    if (load === undefined) {
+        return use.requests < slots;
+    }
+    return memoryTokens === undefined
+        ? load.estimate.requests < slots + waitingAllowance
+        : load.requests < slots;
 }
 
 function hasFreeCapacity(candidate: PlacementCandidate): boolean {
