--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -4,25 +4,13 @@
  */
 import type { RequestListener } from "node:http";
 import { millisecondsPerSecond } from "../core/constants.js";
-import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createGarbageMeter } from "../core/memory/createGarbageMeter.js";
 import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
 import { planMemory } from "../core/memory/planMemory.js";
 import { sumTokens } from "../core/placement/_lib/countPromptTokens.js";
-import { createPlacer } from "../core/placement/createPlacer.js";
-import type { AnswerEnd } from "../core/proxy/answerEnd.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
-import type { SendEffect } from "../core/proxy/proxyEffects.js";
-import type { Placement, ProxyRequest } from "../core/proxy/proxyTypes.js";
-import { isRetryable } from "../core/proxy/serveProxyRequest.js";
-import { createGuardedPlacer } from "../core/quarantine/createGuardedPlacer.js";
-import type { UpstreamRecord } from "../core/registry/upstreamRecord.js";
-import { computeBeginLimitMs } from "../core/weights/computeBeginLimitMs.js";
-import { computeOutdatedLimitMs } from "../core/weights/computeOutdatedLimitMs.js";
 import { createBeginTimes } from "../core/weights/createBeginTimes.js";
-import { createUnbegunSends } from "../core/weights/createUnbegunSends.js";
-import { findSentWeights } from "../core/weights/findSentWeights.js";
 import { readArrived } from "../io/_lib/readArrived.js";
 import { createConnectionPool } from "../io/proxy/createConnectionPool.js";
 import {
@@ -30,23 +18,17 @@
     type ProxyService,
     type ProxyServiceDependencies,
 } from "../io/proxy/createProxyService.js";
-import type { ChargeQuota, OutdatedWeights } from "../io/proxy/createRequestRunner.js";
-import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
-import type { AnswerHead } from "../io/proxy/proxyCodec.js";
+import type { ChargeQuota } from "../io/proxy/createRequestRunner.js";
 import type { Fleet } from "./assembleFleet.js";
 import type { PartFeeds } from "./assembleParts.js";
 import type { InstancePermits } from "./assemblePermits.js";
+import { assemblePlacer } from "./assemblePlacer.js";
 import type { InstanceQuarantine } from "./assembleQuarantine.js";
+import { assembleSender } from "./assembleSender.js";
 import type { InstanceViews } from "./assembleViews.js";
 import { recordEviction } from "./recordEviction.js";
 import type { InstanceContext } from "./routerPorts.js";
 
-/** Minimum interval between two reads of the weights of one engine, in milliseconds. */
-const weightsReadIntervalMs = 400;
-
-/** Lowest status of an upstream's failure. */
-const serverErrorStatus = 500;
-
 /** The proxy. */
 export interface Proxy extends Omit<ProxyService, "handle" | "reportUnfinished"> {
     readonly handle: RequestListener;
@@ -101,113 +83,9 @@
 ): Proxy {
     const { settings, ports, clock, random, writeLog, metrics } = context;
     const connections = createConnectionPool(clock);
-    /** Engines whose weights were read within the interval. */
-    const recentlyRead = new Set<string>();
-    const { guard, sends } = quarantine;
+    const { sends } = quarantine;
     const beginTimes = createBeginTimes();
-    const freePlacer = createPlacer({
-        clock,
-        onPrefill: fleet.reportPrefill,
-        rateLimits: permits.rateLimits,
-        countInstances: fleet.countInstances,
-        onWithheld: (req, withheld) => {
-            metrics.withheldPlacements.inc();
-            writeLog("placementWithheld", { requestId: req.id, ...withheld });
-        },
-        onGuaranteedTurn: ({ waiting, ...turn }) => {
-            metrics.guaranteedTurns.inc();
-            writeLog("guaranteedTurn", { ...turn, waiting: Object.fromEntries(waiting) });
-        },
-        signals: views.signals.view,
-        isFleetDirect: fleet.isDirect,
-        onHomesChanged: change => writeLog("promptHomesChanged", { ...change }),
-        failureDomain: settings.failureDomain,
-        registry: views.registry,
-        weights: views.weights,
-        use: views.use,
-        loads: views.loads,
-        random,
-        parts: views.parts,
-        health: views.health,
-        findService: name => views.routes()?.findService(name),
-        findOutdatedLimitMs: (req, model, hasStarted) => {
-            // A stream that has started is cut when its send is withdrawn and it may not be placed again.
-            const mayBeWithdrawn = isRetryable(req) && !hasStarted;
-            return computeOutdatedLimitMs(settings.weightsLimitMs, mayBeWithdrawn ? 0 : beginTimes.estimateMs(model));
-        },
-        listStores: partFeeds.listStores,
-    });
-    const placer = createGuardedPlacer(freePlacer, guard, clock);
-    quarantine.onChange(placer.recheckGuard);
-    permits.onChange(placer.recheck);
-    views.onLoads(placer.dispatch);
-
-    /** Reads the weights of an engine that rejected a request because of its version; one read per engine at a time. */
-    function refreshWeights(engine: UpstreamRecord, model: string): void {
-        if (recentlyRead.has(engine.id)) {
-            return;
-        }
-        recentlyRead.add(engine.id);
-        ports.engines.readState(engine, model).then(state => {
-            if (state?.version !== undefined) {
-                views.weights.recordLoaded(engine.id, model, state.version);
-                views.notifyChange();
-            }
-        }).catch((error: unknown) => logInternalFailure(writeLog, error))
-            .finally(() => clock.after(weightsReadIntervalMs, () => recentlyRead.delete(engine.id)));
-    }
-
-    /** An answer of another process states another load, and one that failed says nothing about the pace. */
-    function recordLoad(req: ProxyRequest, { upstream }: Placement, head: AnswerHead, sentMs: number): void {
-        const { load, rejection, status } = head;
-        if (load !== undefined && rejection !== "replaced") {
-            views.loads.recordAnswer(upstream.id, load, {
-                sentMs,
-                receivedMs: clock.now(),
-                isTimed: req.prompt === undefined && rejection === undefined && status < serverErrorStatus,
-                isRejected: rejection === "busy",
-            });
-        }
-    }
-
-    function recordAnswerHead(req: ProxyRequest, effect: SendEffect, head: AnswerHead, sentMs: number): void {
-        views.signals.recordAnswer(effect.placement.upstream, head, sentMs);
-        recordLoad(req, effect.placement, head, sentMs);
-        if (!head.isNotRun) {
-            placer.recordAnswerStart(req, effect.placement);
-        }
-        if (head.weightsVersion !== undefined && req.prompt !== undefined) {
-            views.weights.recordLoaded(effect.placement.upstream.id, req.prompt.model, head.weightsVersion);
-        }
-        else if (head.rejection === "otherWeights" && req.prompt !== undefined) {
-            refreshWeights(effect.placement.upstream, req.prompt.model);
-        }
-    }
-
-    function recordAnswerEnd(
-        req: ProxyRequest,
-        effect: SendEffect,
-        end: AnswerEnd,
-        incompleteReason: string | undefined,
-    ): void {
-        const { framing, connection, eventStream } = end;
-        const isComplete = incompleteReason === undefined;
-        metrics.answerEnds.inc({ framing, connection, complete: String(isComplete) });
-        const unfinishedBytes = eventStream?.unfinishedBytes ?? 0;
-        if (isComplete && connection === "open" && unfinishedBytes === 0) {
-            return;
-        }
-        writeLog("answerEndJudged", {
-            requestId: req.id,
-            upstream: effect.placement.upstream.id,
-            framing,
-            connection,
-            lastEventId: eventStream?.lastEventId,
-            unfinishedBytes,
-            isComplete,
-            reason: incompleteReason,
-        });
-    }
+    const placer = assemblePlacer(context, views, fleet, partFeeds, { quarantine, permits, beginTimes });
 
     const limits = planMemory(settings.memoryBytes);
     const garbage = createGarbageMeter(context.collectGarbage, context.collectYoungGarbage);
@@ -220,59 +98,13 @@
         onReleased: garbage.record,
         now: clock.now,
     });
-    const beginLimitMs = computeBeginLimitMs(settings.weightsLimitMs);
-    const unbegun = createUnbegunSends({
-        clock,
-        findDueMs: ({ model, version }) => {
-            const sinceMs = views.weights.outdatedSinceMs(model, version);
-            // While it leaves, an instance owes its callers their answers before the limit of weights.
-            return sinceMs === undefined || shutdown.isLeaving() ? undefined : sinceMs + beginLimitMs;
-        },
-        readArrived: () => readArrived(),
-    });
-    views.onTargets(unbegun.recheck);
-
-    /** Describes for how long weights have been outdated; undefined while they are the newest. */
-    function describeOutdated(req: ProxyRequest, placement: Placement): Partial<OutdatedWeights> {
-        const sent = findSentWeights(req, placement);
-        const outdated = sent === undefined ? undefined : views.weights.findOutdated(sent.model, sent.version);
-        return outdated === undefined
-            ? {}
-            : { outdatedMs: Math.round(clock.now() - outdated.sinceMs), isAgeObserved: outdated.isObserved };
-    }
-
-    const send = createUpstreamSender({
-        clock,
-        unbegun,
-        onRunBegin: ({ prompt }, tookMs) => {
-            if (prompt !== undefined) {
-                beginTimes.record(prompt.model, tookMs);
-            }
-        },
-        onWithdrawn: (req, { placement }, { waitedMs, hasHead }) => {
-            metrics.withdrawnSends.inc();
-            writeLog("sendWithdrawn", {
-                requestId: req.id,
-                upstream: placement.upstream.id,
-                weightsVersion: placement.weightsVersion,
-                ...describeOutdated(req, placement),
-                waitedMs: Math.round(waitedMs),
-                hasHead,
-            });
-        },
-        answerMemory,
-        codec: ports.codec,
+    const { send, describeOutdated } = assembleSender(context, views, {
+        placer,
+        sends,
+        beginTimes,
         connections,
-        health: views.health,
-        onAnswerHead: recordAnswerHead,
-        onHeadTime: tookMs => metrics.headSeconds.observe(tookMs / millisecondsPerSecond),
-        onAnswerEnd: recordAnswerEnd,
-        onEvent: sends.recordEvent,
-        onConnectionEnd: (req, { placement }) => sends.recordConnectionEnd(req, placement.upstream),
-        onForeignAnswer: (req, effect, { requestId: answeredId, status, isNotRun }) => {
-            const upstream = effect.placement.upstream.id;
-            writeLog("foreignAnswer", { requestId: req.id, upstream, answeredId, status, isNotRun });
-        },
+        answerMemory,
+        isLeaving: shutdown.isLeaving,
     });
     const baseBudget = createFleetRetryBudget({
         ratio: settings.retryRatio,
