--- a/src/core/placement/createChoiceLister.ts
+++ b/src/core/placement/createChoiceLister.ts
@@ -10,6 +10,7 @@
 import type { WeightsView } from "../weights/createWeightsView.js";
 import type { Choice } from "./_lib/placementOptions.js";
 import type { HealthView } from "./createHealthView.js";
+import { findExclusion } from "./findExclusion.js";
 
 /** Dependencies of {@link createChoiceLister}. */
 export interface ChoiceListerDependencies {
@@ -56,7 +57,7 @@
  * createChoiceLister(deps)(req, { excluded: ["engine-1"] }).map(choice => choice.record.id); // ["engine-2"]
  */
 export function createChoiceLister(deps: ChoiceListerDependencies): ListChoices {
-    const { registry, health, weights, signals } = deps;
+    const { registry, health, weights } = deps;
 
     function describeChoice(record: UpstreamRecord, req: ProxyRequest, hasStarted: boolean): Choice | undefined {
         const { prompt } = req;
@@ -78,10 +79,8 @@
     /** Ejected upstreams are listed only when there is no other. */
     return (req, { excluded, hasStarted = false }) => {
         const nowMs = deps.now();
-        const serving = registry.listService(req.service).filter(record =>
-            !record.isDraining && !excluded.includes(record.id) && !weights.isLoading(record.id)
-            && !health.isMisdirected(record.id) && signals.findClosure(record.id, nowMs) === undefined
-        );
+        const serving = registry.listService(req.service)
+            .filter(record => findExclusion(record, excluded, deps, nowMs) === undefined);
         const healthy = serving.filter(record => !health.isEjected(record.id, nowMs));
         const usable = healthy.length > 0 ? healthy : serving;
         return (deps.isFleetDirect() ? usable : rotateList(usable, req.id))
--- a/src/ctl/commandTypes.ts
+++ b/src/ctl/commandTypes.ts
@@ -27,6 +27,12 @@
     readonly lift: string;
     /** Whether to show the use of the customers' limits. */
     readonly customers: boolean;
+    /** Name of a customer; empty when not given. */
+    readonly customer: string;
+    /** Parts of a prompt as ID:TOKENS, separated by commas; empty when not given. */
+    readonly parts: string;
+    /** Number of generated tokens. */
+    readonly output: string;
 }
 
 /** One invocation of a command. */
--- a/src/ctl/commands/index.ts
+++ b/src/ctl/commands/index.ts
@@ -8,6 +8,7 @@
 import { drain } from "./drain.js";
 import { order } from "./order.js";
 import { orders } from "./orders.js";
+import { preview } from "./preview.js";
 import { quarantine } from "./quarantine.js";
 import { signals } from "./signals.js";
 import { status } from "./status.js";
@@ -31,5 +32,6 @@
     ["drain", define("UPSTREAM", "Take an upstream out of routing.", drain)],
     ["quarantine", define("", "List prompt parts that are held back since engines ended under them.", quarantine)],
     ["signals", define("", "List what upstreams have stated about the requests that they want.", signals)],
+    ["preview", define("HOST/PATH", "Tell where a request would go now, and why, without sending it.", preview)],
     ["why", define("REQUEST_ID", "Tell why a request went where it went.", why)],
 ]);
