--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -8,6 +8,7 @@
 import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
 import { planMemory } from "../core/memory/planMemory.js";
 import { sumTokens } from "../core/placement/_lib/countPromptTokens.js";
+import { createPreviewer, type PreviewRequest } from "../core/placement/createPreviewer.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
 import { createBeginTimes } from "../core/weights/createBeginTimes.js";
@@ -34,6 +35,8 @@
     readonly handle: RequestListener;
     /** Number of requests that wait for placement. */
     readonly countWaiting: () => number;
+    /** Says what would happen to a described request now; changes nothing. */
+    readonly preview: PreviewRequest;
     /** The same by priority. */
     readonly countByPriority: () => ReadonlyMap<number, number>;
     /** Largest reserve for more urgent requests at one upstream in the latest decision, in requests. */
@@ -169,6 +172,15 @@
     return {
         ...service,
         countWaiting: placer.countWaiting,
+        preview: createPreviewer({
+            instance: settings.instance,
+            now: clock.now,
+            random,
+            routes: views.routes,
+            preview: placer.preview,
+            listHeldParts: () => quarantine.guard.list().filter(one => one.state === "held").map(one => one.part),
+            countWaiting: placer.countWaiting,
+        }),
         countByPriority: placer.countByPriority,
         reservedRequests: placer.reservedRequests,
         countOpened: connections.countOpened,
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -4,32 +4,30 @@
  */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
-import polka from "polka";
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { listServing } from "../core/fleet/listServing.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { planMemory } from "../core/memory/planMemory.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { limitCallerConnections } from "../core/proxy/limitCallerConnections.js";
-import type { PartGuard } from "../core/quarantine/partGuardTypes.js";
 import type { RouteIndex } from "../core/routes/indexRoutes.js";
-import { peerStatePath } from "../io/fleet/createPeerStateReader.js";
 import { closeExpiredConnections } from "../io/http/closeExpiredConnections.js";
 import { createCallerConnections, type EvictionReason } from "../io/http/createCallerConnections.js";
 import { createConnectionGate } from "../io/http/createConnectionGate.js";
 import { createListenerGroup, type ListenerGroup } from "../io/http/createListenerGroup.js";
 import { createOtherServer } from "../io/http/createOtherServer.js";
+import { createPathListener } from "../io/http/createPathListener.js";
 import { limitRequests } from "../io/http/limitRequests.js";
 import { parsingShare, readInTurns } from "../io/http/readInTurns.js";
+import { sendJson } from "../io/http/sendJson.js";
 import { shareReading } from "../io/metrics/shareReading.js";
-import { quarantinePath } from "../io/peers/readQuarantine.js";
-import { type ListedSignal, signalsPath } from "../io/peers/readSignals.js";
 import type { Fleet } from "./assembleFleet.js";
+import { createPeerListener, type PeerAnswers } from "./createPeerListener.js";
 import { recordEviction } from "./recordEviction.js";
 import type { InstanceContext } from "./routerPorts.js";
 
 /** What the servers need in addition to the instance's context. */
-export interface ServerSources {
+export interface ServerSources extends PeerAnswers {
     readonly fleet: Fleet;
     /** The listeners that have to listen before the instance is ready. */
     readonly listeners: ListenerGroup;
@@ -38,8 +36,6 @@
     readonly handle: RequestListener;
     /** Receives the number of bytes of each read of callers' connections. */
     readonly recordRead: (bytes: number) => void;
-    readonly quarantine: Pick<PartGuard, "list" | "lift">;
-    readonly listSignals: () => readonly ListedSignal[];
 }
 
 /** The servers. */
@@ -87,24 +83,6 @@
     return server;
 }
 
-function sendJson(res: ServerResponse, status: number, text: string): void {
-    res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
-    res.end(text);
-}
-
-type Routes = Readonly<Record<string, (url: URL, res: ServerResponse) => void>>;
-
-function createListener(routes: Routes, removals: Routes = {}): RequestListener {
-    const app = polka();
-    for (const [path, answer] of Object.entries(routes)) {
-        app.get(path, (req, res) => answer(new URL(req.url ?? "", "http://instance"), res));
-    }
-    for (const [path, answer] of Object.entries(removals)) {
-        app.delete(path, (req, res) => answer(new URL(req.url ?? "", "http://instance"), res));
-    }
-    return app.handler as unknown as RequestListener;
-}
-
 /**
  * Starts the servers.
  *
@@ -166,11 +144,6 @@
         sendJson(res, 200, ports.formatEntries(entries, Math.min(entryTtlMs, settings.maxEntryTtlMs)));
     }
 
-    function liftPart(url: URL, res: ServerResponse): void {
-        const isLifted = sources.quarantine.lift(url.searchParams.get("part") ?? "");
-        sendJson(res, isLifted ? 200 : 404, JSON.stringify({ isLifted }));
-    }
-
     const callerServer = createServer(
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
     );
@@ -220,27 +193,19 @@
 
     const others = [
         listen(
-            createOtherServer(createListener({
+            createOtherServer(createPathListener({
                 [ports.readinessPath]: (_, res) => sendJson(res, sources.isReady() ? 200 : 503, "{}"),
             })),
             settings.readinessAddress,
             listeners,
         ),
         listen(
-            createOtherServer(createListener({ [ports.entriesPath]: answerEntries })),
+            createOtherServer(createPathListener({ [ports.entriesPath]: answerEntries })),
             settings.directoryAddress,
             listeners,
         ),
         listen(
-            createOtherServer(createListener({
-                [peerStatePath]: (url, res) => {
-                    const tableVersion = Number(url.searchParams.get("known") ?? 0);
-                    const upstreamsDigest = url.searchParams.get("upstreams") ?? "";
-                    sendJson(res, 200, JSON.stringify(sources.fleet.describeState({ tableVersion, upstreamsDigest })));
-                },
-                [signalsPath]: (_, res) => sendJson(res, 200, JSON.stringify(sources.listSignals())),
-                [quarantinePath]: (_, res) => sendJson(res, 200, JSON.stringify(sources.quarantine.list())),
-            }, { [quarantinePath]: liftPart })),
+            createOtherServer(createPeerListener(sources)),
             settings.peerAddress,
             listeners,
         ),
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -90,6 +90,25 @@
     return work * weighPace(candidate.load?.estimate.pace ?? 1) + repeated + outdated + remoteDomain;
 }
 
+/** Whether a candidate has room for a request, and what placing it there would cost. */
+export interface PlacementScore {
+    readonly hasRoom: boolean;
+    /** Cost in prompt tokens, or at a plain upstream that states its load as a share of its slots. */
+    readonly cost: number;
+}
+
+/**
+ * Scores one candidate.
+ *
+ * @param candidate - An upstream that may run the request.
+ * @returns The score by which {@link choosePlacement} decides.
+ * @example
+ * scorePlacement({ ...idle, prefillTokens: 900 }); // { hasRoom: true, cost: 900 }
+ */
+export function scorePlacement(candidate: PlacementCandidate): PlacementScore {
+    return { hasRoom: hasFreeCapacity(candidate), cost: estimateCost(candidate) };
+}
+
 /**
  * Chooses the candidate with free capacity and the lowest cost, which should begin the answer soonest.
  *
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -20,6 +20,8 @@
 import { createPromptCacheReader, type PromptCacheReaderDependencies } from "./createPromptCacheReader.js";
 import type { PlacedRequest } from "./createUpstreamUseTracker.js";
 import { createUrgentReserves, type WithheldPlacement } from "./createUrgentReserves.js";
+import { findExclusion } from "./findExclusion.js";
+import { type PlacementDecision, previewPlacement } from "./previewPlacement.js";
 
 /** Dependencies of {@link createPlacer}. */
 export interface PlacerDependencies
@@ -56,6 +58,8 @@
     readonly countByPriority: () => ReadonlyMap<number, number>;
     /** Largest reserve for more urgent requests at one upstream in the latest decision, in requests. */
     readonly reservedRequests: () => number;
+    /** Says what would happen to a request now; changes nothing. */
+    readonly preview: (req: ProxyRequest) => PlacementDecision;
 }
 
 /** Minimum time to the deadline for a request to be sent. */
@@ -258,8 +262,25 @@
         return cancel;
     }
 
+    function preview(req: ProxyRequest): PlacementDecision {
+        const query = { excluded: [] };
+        const choices = listChoices(req, query);
+        return previewPlacement({
+            known: deps.registry.listService(req.service),
+            choices,
+            options: readOptions(req, choices),
+            obstacle: findObstacle(req, choices),
+            filter: candidates => reserves.filter(req, candidates),
+            isLimited: deps.rateLimits.isLimited,
+            findExclusion: record =>
+                findExclusion(record, query.excluded, deps, now())
+                    ?? (deps.health.isEjected(record.id, now()) ? "ejected" : "otherWeights"),
+        });
+    }
+
     return {
         place,
+        preview,
         hasAlternative: (req, excluded) =>
             listChoices(req, { excluded }).some(choice => !deps.health.isEjected(choice.record.id, now())),
         recordAnswerStart: (req, { upstream, cacheSalt }) => {
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -225,6 +225,7 @@
         listeners,
         isReady,
         handle: proxy.handle,
+        preview: proxy.preview,
         recordRead: proxy.recordRead,
         quarantine: quarantine.guard,
         listSignals: permits.listSignals,
