Try urgent requests although patient ones are owed a turn and kept back

Cause: requests of an owed level are tried first; when the reserve keeps them back, 8 failed attempts end the dispatch.

--- a/src/core/placement/createUrgencyLevels.ts
+++ b/src/core/placement/createUrgencyLevels.ts
@@ -13,9 +13,12 @@
     readonly remove: (id: string) => void;
     /** Moves the requests that have become late behind those on time. */
     readonly update: (nowMs: number) => void;
-    /** Passes requests to `tryPlace` in order until one is placed, which is returned, or `canContinue` returns false. */
+    /**
+     * Passes requests to `tryPlace` in order until one is placed, which is returned, or `canContinue` returns false. One request
+     * of each level that goes before more urgent ones is passed in any case, as `isOwnTurn`.
+     */
     readonly placeNext: (
-        tryPlace: (waiting: WaitingRequest) => boolean,
+        tryPlace: (waiting: WaitingRequest, isOwnTurn: boolean) => boolean,
         canContinue: () => boolean,
     ) => PlacedWaiting | undefined;
     /** Lists the requests of the same state (on time or late) that are placed before a waiting one, about. */
@@ -48,6 +51,14 @@
     owedTokens: number;
 }
 
+/** A queue that is about to be dispatched. */
+interface Turn {
+    readonly level: Level;
+    readonly queue: FairQueue<QueuedWaiting>;
+    /** Whether one of its requests is tried in any case, and no more than one. */
+    readonly isOwnTurn: boolean;
+}
+
 interface Entry {
     readonly queued: QueuedWaiting;
     readonly level: Level;
@@ -186,24 +197,30 @@
         }
     }
 
+    /** Lists the queues in order. Requests of an owed level may be kept back for more urgent ones: that uses up no attempts. */
+    function listTurns(ordered: readonly Level[], owed: readonly Level[]): readonly Turn[] {
+        return [
+            ...owed.flatMap(level => [level.onTime, level.late].map(queue => ({ level, queue, isOwnTurn: true }))),
+            ...ordered.map(level => ({ level, queue: level.onTime, isOwnTurn: false })),
+            ...ordered.map(level => ({ level, queue: level.late, isOwnTurn: false })),
+        ];
+    }
+
     function placeNext(
-        tryPlace: (waiting: WaitingRequest) => boolean,
+        tryPlace: (waiting: WaitingRequest, isOwnTurn: boolean) => boolean,
         canContinue: () => boolean,
     ): PlacedWaiting | undefined {
         let placed: QueuedWaiting | undefined;
-        const accept = (queued: QueuedWaiting) => {
-            placed = tryPlace(queued.waiting) ? queued : undefined;
-            return placed !== undefined;
-        };
         const ordered = listLevels();
         const owed = ordered.filter(isOwed);
-        const turns = [
-            ...owed.flatMap(level => [{ level, queue: level.onTime }, { level, queue: level.late }]),
-            ...ordered.map(level => ({ level, queue: level.onTime })),
-            ...ordered.map(level => ({ level, queue: level.late })),
-        ];
-        for (const { level, queue } of turns) {
-            queue.dispatch(accept, () => placed === undefined && canContinue());
+        for (const { level, queue, isOwnTurn } of listTurns(ordered, owed)) {
+            let tries = 0;
+            const accept = (queued: QueuedWaiting) => {
+                tries += 1;
+                placed = tryPlace(queued.waiting, isOwnTurn) ? queued : undefined;
+                return placed !== undefined;
+            };
+            queue.dispatch(accept, () => placed === undefined && (isOwnTurn ? tries === 0 : canContinue()));
             if (placed !== undefined) {
                 const { waiting, tokens } = placed;
                 const isGuaranteed = owed.includes(level)
--- a/src/core/placement/createWaitQueue.ts
+++ b/src/core/placement/createWaitQueue.ts
@@ -58,6 +58,13 @@
  */
 const maxFailedAttempts = 8;
 
+/** Failed attempts of one dispatch. */
+interface Attempts {
+    readonly failed: Set<string>;
+    /** Those that count towards the maximum. */
+    counted: number;
+}
+
 /**
  * Creates an empty queue, in the order of {@link createUrgencyLevels}.
  *
@@ -86,14 +93,18 @@
     }
 
     /** Places one request; returns false when none fits. Requests that do not fit are not tried again in the same dispatch. */
-    function placeNext(failed: Set<string>, nowMs: number): boolean {
-        const placed = levels.placeNext(waiting => {
-            const isPlaced = !failed.has(waiting.id) && waiting.tryPlace();
+    function placeNext(attempts: Attempts, nowMs: number): boolean {
+        const placed = levels.placeNext((waiting, isOwnTurn) => {
+            if (attempts.failed.has(waiting.id)) {
+                return false;
+            }
+            const isPlaced = waiting.tryPlace();
             if (!isPlaced) {
-                failed.add(waiting.id);
+                attempts.failed.add(waiting.id);
+                attempts.counted += isOwnTurn ? 0 : 1;
             }
             return isPlaced;
-        }, () => failed.size < maxFailedAttempts);
+        }, () => attempts.counted < maxFailedAttempts);
         if (placed === undefined) {
             return false;
         }
@@ -112,8 +123,8 @@
         }
         isDispatching = true;
         levels.update(nowMs);
-        const failed = new Set<string>();
-        while (placeNext(failed, nowMs)) {
+        const attempts = { failed: new Set<string>(), counted: 0 };
+        while (placeNext(attempts, nowMs)) {
             // The next one.
         }
         isDispatching = false;
