Leave slots to urgent requests at upstreams that state their load

Cause: the reserve was added to the known use, while such an upstream's load decides whether it has a free slot. Change: the reserve is taken from the load and added to it; the request that may wait beyond the slots is not a patient one.

--- /dev/null
+++ b/features/steps/urgentShortageSteps.ts
@@ -0,0 +1,93 @@
+/**
+ * @module
+ * Steps on which waiting requests are tried, and on what is left to urgent ones.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createProxyRequest, createRoute } from "../../bench/support/proxyFixtures.js";
+import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createUrgentReserves, type UrgentReserves } from "../../src/core/placement/createUrgentReserves.js";
+import type { SiteWorld } from "../support/siteWorld.js";
+import { playUrgentShortage, type UrgentShortage } from "../support/urgentShortage.js";
+
+const shortages = new WeakMap<SiteWorld, UrgentShortage>();
+
+When(
+    "urgent requests nearly fill the upstreams while {int} patient ones wait",
+    function(this: SiteWorld, count: number) {
+        shortages.set(this, playUrgentShortage(count));
+    },
+);
+
+Then("no urgent request waits beside an idle slot, and none is refused", function(this: SiteWorld) {
+    const { idle, refused, sampled } = shortages.get(this)!;
+    assert.ok(sampled > 0);
+    assert.deepEqual({ idle, refused }, { idle: 0, refused: 0 });
+});
+
+interface ReserveFixture {
+    readonly clock: VirtualClock;
+    readonly reserves: UrgentReserves;
+}
+
+const fixtures = new WeakMap<SiteWorld, ReserveFixture>();
+
+function createRequest({ clock }: ReserveFixture, priority: number, targetLatencyMs: number) {
+    const times = { arrivedMs: clock.now(), deadlineMs: clock.now() + 20_000 };
+    return {
+        ...createProxyRequest("idempotent", { priority, ...times }),
+        service: "plain",
+        route: createRoute({ targetLatencyMs, priority, timeoutMs: 20_000 }),
+    };
+}
+
+Given("urgent requests arrive of which one is about to come to an upstream", function(this: SiteWorld) {
+    const clock = createVirtualClock(1);
+    const reserves = createUrgentReserves({ now: clock.now, countInstances: () => 1 });
+    const fixture = { clock, reserves };
+    for (let index = 0; index < 200; index += 1) {
+        const req = createRequest(fixture, 0, 300);
+        reserves.recordArrival(req);
+        reserves.begin(req);
+        clock.runUntil(clock.now() + 100);
+        reserves.end(req);
+    }
+    fixtures.set(this, fixture);
+});
+
+/** The upstream has 8 slots. */
+function countTaken(fixture: ReserveFixture, requests: number, memoryTokens: number | undefined): number {
+    const estimate = {
+        deviation: 0,
+        waiting: 0,
+        slots: 8,
+        pace: 1,
+        isPaceStated: true,
+        queueLimit: undefined,
+        ageMs: 10,
+    };
+    const candidate = {
+        id: "u-1",
+        use: { requests: 0, memoryTokens: 0, unreadTokens: 0 },
+        unreported: { memoryTokens: 0, unreadTokens: 0 },
+        load: { estimate: { ...estimate, requests }, requests, waitingTokens: 0 },
+        slots: 8,
+        memoryTokens,
+        prefillTokens: 0,
+        repeatedTokens: 0,
+        neededTokens: 0,
+        isOutdated: false,
+        isSameFailureDomain: true,
+    };
+    return fixture.reserves.filter(createRequest(fixture, 5, 8_000), [candidate]).length;
+}
+
+Then(
+    "a patient request may take an upstream that states {int} requests on 8 slots: {string}",
+    function(this: SiteWorld, requests: number, answer: string) {
+        const fixture = fixtures.get(this)!;
+        for (const memoryTokens of [undefined, 1_000_000]) {
+            assert.equal(countTaken(fixture, requests, memoryTokens), answer === "yes" ? 1 : 0);
+        }
+    },
+);
--- a/features/urgency.feature
+++ b/features/urgency.feature
@@ -69,6 +69,21 @@
             | patient | clinic   | 2        | 20   | 1    | 800    | 600  | 1500 | 12000    |
         Then all of the "patient" requests begin at once
 
+    Scenario Outline: Urgent requests are tried although patient ones are owed a turn and kept back
+        When urgent requests nearly fill the upstreams while <patient> patient ones wait
+        Then no urgent request waits beside an idle slot, and none is refused
+
+        Examples:
+            | patient |
+            | 7       |
+            | 8       |
+            | 20      |
+
+    Scenario: Slots are left to urgent requests at upstreams that state their load
+        Given urgent requests arrive of which one is about to come to an upstream
+        Then a patient request may take an upstream that states 6 requests on 8 slots: "yes"
+        And a patient request may take an upstream that states 7 requests on 8 slots: "no"
+
     Scenario: When many requests are rejected at once, patient ones leave retries to the urgent ones
         Given a retry budget of a fifth of the requests of which 20 are of priority 0 and 30 of priority 2
         When 50 requests of priority 2 ask for a retry
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -4,6 +4,7 @@
  * engines whose memory holds about a dozen large prompts, the prefill of a shared prompt is weighed against queueing
  * behind other prompts.
  */
+import { waitingAllowance } from "./_lib/waitingAllowance.js";
 import type { CandidateLoad, PlacementCandidate } from "./placementTypes.js";
 
 /** Cost of each running request for a new one, in prompt tokens: it makes each decoding step longer. */
@@ -27,9 +28,6 @@
 /** How far below the length at which an upstream rejects requests its queue counts as full. */
 const queueMargin = 0.5;
 
-/** Requests beyond its slots that an upstream may have: one that waits keeps it busy until its next statement arrives. */
-const waitingAllowance = 1;
-
 /**
  * Of a plain upstream the expected number of requests decides, not the drawn one: of several full upstreams one would nearly
  * always be drawn as free. Of engines the drawn one does: they order waiting requests of all instances by urgency, and
--- a/src/core/placement/createUrgentReserves.ts
+++ b/src/core/placement/createUrgentReserves.ts
@@ -7,10 +7,11 @@
 import type { ProxyRequest } from "../proxy/proxyTypes.js";
 import { countOwnTokens } from "./_lib/countPromptTokens.js";
 import { minStartMs } from "./_lib/minStartMs.js";
+import { waitingAllowance } from "./_lib/waitingAllowance.js";
 import { choosePlacement } from "./choosePlacement.js";
 import { computeUrgentReserve } from "./computeUrgentReserve.js";
 import { createServiceDemand, type Demand } from "./createServiceDemand.js";
-import type { PlacementCandidate } from "./placementTypes.js";
+import type { CandidateLoad, PlacementCandidate } from "./placementTypes.js";
 
 /** Inputs of a decision that withheld a placement. */
 export interface WithheldPlacement {
@@ -74,6 +75,17 @@
     return prompt === undefined ? 0 : countOwnTokens(prompt);
 }
 
+/** Adds a reserve to a load. The request that may wait beyond the slots is not a less urgent one. */
+function addToLoad(load: CandidateLoad, reserved: number): CandidateLoad {
+    const { estimate } = load;
+    const added = reserved === 0 ? 0 : reserved + waitingAllowance;
+    return {
+        ...load,
+        requests: load.requests + reserved,
+        estimate: { ...estimate, requests: estimate.requests + added },
+    };
+}
+
 /**
  * Creates the reserves, without observed demand.
  *
@@ -134,7 +146,9 @@
         const instancesPerUpstream = instances / Math.max(1, upstreams);
         const { slack } = readSlack(req, urgent);
         const addUnknown = (known: number, estimate: number) => known + Math.max(0, estimate - known) * slack;
-        const requests = Math.floor(addUnknown(candidate.use.requests, ownUse.requests * instancesPerUpstream));
+        const { load } = candidate;
+        const requests = load?.estimate.requests
+            ?? Math.floor(addUnknown(candidate.use.requests, ownUse.requests * instancesPerUpstream));
         const memoryTokens = addUnknown(candidate.use.memoryTokens, ownUse.tokens * instancesPerUpstream);
         const reserve = computeUrgentReserve({
             urgent,
@@ -151,7 +165,7 @@
             requests: requests + reserve.requests,
             memoryTokens: memoryTokens + reserve.tokens,
         };
-        return { ...candidate, use };
+        return { ...candidate, use, load: load && addToLoad(load, reserve.requests) };
     }
 
     function filter(req: ProxyRequest, candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
