Load: bound what a statement tells of a service

Cause: a statement of 999999 running requests, own or relayed, went unbounded into the averages of its service; all of its upstreams looked full, and with no further statement stayed so for 8 s and longer. Change: running is clipped to the upstream's slots, waiting to twice as many, before anything is derived from them. Conclusion: one wrong statement moves the average by at most an upstream's share.

--- a/features/evenLoad.feature
+++ b/features/evenLoad.feature
@@ -46,6 +46,19 @@
             When 8 seconds pass without a statement
             Then upstream 1 is estimated to have between 0 and 0.1 requests, with a deviation below 0.1
 
+        # Guards against one faulty upstream that makes all upstreams of its service look full.
+        Scenario Outline: An absurd statement about one upstream closes no other one
+            Given the loads of 12 upstreams, of which requests stay 200 ms
+            And a peer relays each 100 ms for 2 seconds that upstreams 1 to 12 have 3 requests
+            When 1 second passes without a statement
+            And <statement>
+            Then for 8 seconds upstreams 2 to 12 are estimated to have fewer requests than slots
+
+            Examples:
+                | statement                                              |
+                | upstream 1 states 999999 requests to this instance     |
+                | a peer relays that upstream 1 had 999999 requests 0 ms ago |
+
         Scenario: An upstream that ended is forgotten
             Given the loads of 4 upstreams, of which requests stay 200 ms
             And a peer relays that upstream 1 had 20 requests 100 ms ago
--- a/features/steps/evenLoadSteps.ts
+++ b/features/steps/evenLoadSteps.ts
@@ -112,7 +112,20 @@
     },
 );
 
-When("{int} seconds pass without a statement", function(this: SiteWorld, seconds: number) {
+Then(
+    "for {int} seconds upstreams {int} to {int} are estimated to have fewer requests than slots",
+    function(this: SiteWorld, seconds: number, first: number, last: number) {
+        const { loads, clock } = fixtures.get(this)!;
+        for (let waitedMs = 0; waitedMs <= seconds * 1_000; waitedMs += 200) {
+            for (let upstream = first; upstream <= last; upstream += 1) {
+                const { requests } = loads.estimate(`u-${upstream}`, clock.now() + waitedMs)!;
+                assert.ok(requests < slots, `${requests} at u-${upstream} after ${waitedMs} ms`);
+            }
+        }
+    },
+);
+
+When("{int} second(s) pass(es) without a statement", function(this: SiteWorld, seconds: number) {
     const { clock } = fixtures.get(this)!;
     clock.runUntil(clock.now() + seconds * 1_000);
 });
--- a/src/core/load/createUpstreamLoads.ts
+++ b/src/core/load/createUpstreamLoads.ts
@@ -78,6 +78,21 @@
 /** Lowest pace of an estimate. */
 const minPace = 0.1;
 
+/** Most waiting requests that are believed, as a multiple of an upstream's slots. */
+const maxWaitingTurns = 2;
+
+/**
+ * Bounds a statement: an upstream runs no more requests than it has slots, and the averages of its service would take many
+ * statements to recover from an absurd one.
+ */
+function boundStatement(statement: LoadStatement, slots: number): LoadStatement {
+    return {
+        ...statement,
+        running: Math.min(statement.running, slots),
+        waiting: Math.min(statement.waiting, maxWaitingTurns * slots),
+    };
+}
+
 /**
  * Creates a view without statements.
  *
@@ -113,14 +128,16 @@
         state.meanPace += paceWeight * (pace - state.meanPace);
     }
 
-    function recordStatement(statement: LoadStatement): void {
-        const { upstream, atMs, running, waiting, slowness } = statement;
+    function recordStatement(stated: LoadStatement): void {
+        const { upstream, atMs, slowness } = stated;
         const found = findUpstream(upstream);
         const known = states.get(upstream);
         if (found === undefined || (known !== undefined && known.statement.atMs >= atMs)) {
             return;
         }
         const service = serviceOf(found.service);
+        const statement = boundStatement(stated, found.slots);
+        const { running, waiting } = statement;
         const others = Math.max(0, running + waiting - own.countAt(upstream, atMs));
         if (known === undefined) {
             service.upstreams += 1;
