Homes: one count of homes a request

Cause: where no home of a prompt had the weights, the list was made a second time among the few engines that had them, which stepped the same count: it went to and fro, and promptHomesChanged was logged twice a request. Change: the second list only ranks; the number of homes stays that of all engines in service. Conclusion: the count follows the demand alone. createPlacerFixture takes onHomesChanged for the scenario.

--- a/bench/support/placerFixtures.ts
+++ b/bench/support/placerFixtures.ts
@@ -4,6 +4,7 @@
  */
 import type { VirtualClock } from "../../fakes/createVirtualClock.js";
 import type { Prefill } from "../../src/core/fleet/prefillReport.js";
+import type { HomesChange } from "../../src/core/homes/createPromptHomes.js";
 import { createUpstreamLoads, type UpstreamLoads } from "../../src/core/load/createUpstreamLoads.js";
 import type { UpstreamRateLimits } from "../../src/core/permits/createUpstreamPermits.js";
 import { createHealthView, type HealthView } from "../../src/core/placement/createHealthView.js";
@@ -41,6 +42,7 @@
     /** Instances that share the callers' requests. */
     readonly countInstances?: () => number;
     readonly listStores?: () => readonly ReachableStore[];
+    readonly onHomesChanged?: (change: HomesChange) => void;
 }
 
 /** Memory of an engine, in tokens. */
@@ -61,7 +63,7 @@
     isFleetDirect = true,
     limits: UpstreamRateLimits = noRateLimits,
     signals: Pick<SignalView, "findClosure"> = { findClosure: () => undefined },
-    { countInstances = () => isFleetDirect ? 1 : 91, listStores = () => [] }: PlacerFixtureOptions = {},
+    { countInstances = () => isFleetDirect ? 1 : 91, listStores = () => [], onHomesChanged }: PlacerFixtureOptions = {},
 ): PlacerFixture {
     const health = createHealthView();
     const registry = createUpstreamRegistry(event => {
@@ -92,6 +94,7 @@
         findOutdatedLimitMs: () => 6_400,
         isFleetDirect: () => isFleetDirect,
         listStores,
+        onHomesChanged,
     });
     registry.applyList(engines.map(id => createEngineRecord(id)), 0);
     return { clock, registry, weights, health, parts, use, loads, placer, prefills };
--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -45,6 +45,12 @@
     Scenario: The number of homes is steady while the estimate moves about a step
         Then an estimate that moves between 3.6 and 4.4 changes the number of homes once
 
+    # Guards against a number that each request changes to and fro, and logs twice.
+    Scenario: The number of homes is steady while few engines have the weights
+        Given 63 engines in a fleet of 91 instances
+        When one of them alone has newer weights, and 200 of 300 requests placed there are for one prompt
+        Then the number of homes has only risen, and the log names each change once
+
     Scenario: Prompts that begin alike share a few engines when few prompts do, and all engines when many do
         Given 64 engines in service
         When an instance has got 4000 requests with 100 first parts
--- a/features/steps/promptHomesSteps.ts
+++ b/features/steps/promptHomesSteps.ts
@@ -274,6 +274,46 @@
     },
 );
 
+/** Lets an instance answer one request after 60 ms, and returns the engine. */
+function answerAt({ placer, clock }: PlacerFixture, prompt: Prompt, id: string): string {
+    const arrivedMs = clock.now();
+    const req = createProxyRequest("stream", { id, prompt, arrivedMs, deadlineMs: arrivedMs + 3_000 });
+    let placement: Placement | undefined;
+    placer.place(req, { kind: "place", excluded: [] }, result => {
+        placement = result.kind === "placed" ? result.placement : undefined;
+    });
+    clock.runUntil(clock.now() + 60);
+    assert.ok(placement !== undefined, id);
+    placer.recordAnswerStart(req, placement);
+    placer.end(req);
+    return placement.upstream.id;
+}
+
+When(
+    "one of them alone has newer weights, and {int} of {int} requests placed there are for one prompt",
+    function(this: HomesWorld, hotCount: number, count: number) {
+        const model = createPrompt().model;
+        this.changes = [];
+        this.fixture = createPlacerFixture(createVirtualClock(1), this.engines, false, undefined, undefined, {
+            onHomesChanged: change => this.changes.push(change),
+        });
+        this.fixture.weights.recordTarget({ model, version: 2, sinceMs: -60_000, isObserved: true });
+        this.fixture.weights.recordLoaded("u-1", model, 2);
+        for (let index = 0; index < count; index += 1) {
+            const prompt = index * hotCount % count < hotCount ? hot : createOwnPrompt(`cold-${index}`);
+            assert.equal(answerAt(this.fixture, prompt, `r-${index}`), "u-1");
+        }
+    },
+);
+
+Then("the number of homes has only risen, and the log names each change once", function(this: HomesWorld) {
+    assert.ok(this.changes.length > 0);
+    this.changes.forEach(({ homes, homesBefore, engines }) => {
+        assert.ok(homes > homesBefore, `${homesBefore} to ${homes}`);
+        assert.equal(engines, this.engines.length);
+    });
+});
+
 Given("{int} engines in service", function(this: HomesWorld, engines: number) {
     this.engines = nameEngines(engines);
 });
--- a/src/core/homes/createPromptHomes.ts
+++ b/src/core/homes/createPromptHomes.ts
@@ -26,6 +26,11 @@
 export interface PromptHomes {
     /** Lists the homes among the engines in service; undefined when the prompt shares nothing or there is no engine. */
     readonly list: (prompt: Prompt, engines: readonly string[], nowMs: number) => HomeList | undefined;
+    /**
+     * Lists the homes anew among a few of the engines, where none of a list may run the prompt. The number of homes stays that
+     * of all engines in service, which alone follows the demand.
+     */
+    readonly listAmong: (prompt: Prompt, list: HomeList, engines: readonly string[]) => HomeList;
     /** Records a request that this instance has placed. */
     readonly recordPlaced: (prompt: Prompt, nowMs: number) => void;
     /** Records for how long a request has occupied an engine, as if it had run alone there, in milliseconds. */
@@ -175,6 +180,11 @@
 
     return {
         list,
+        listAmong: (prompt, { homes, requestsPerSecond }, engines) => ({
+            engines: ranking.list(derivePromptKey(prompt), engines, homes + spillEngines),
+            homes: Math.min(homes, engines.length),
+            requestsPerSecond,
+        }),
         recordPlaced: (prompt, nowMs) => {
             prompts.record(derivePromptKey(prompt), nowMs);
             if (hasCommonPart(prompt)) {
--- a/src/core/placement/createPromptCacheReader.ts
+++ b/src/core/placement/createPromptCacheReader.ts
@@ -151,9 +151,9 @@
         const usable = new Set(ids);
         const listed = homes.list(prompt, serving.map(engine => engine.id), deps.now());
         // Few engines may have these weights yet: then the homes are among them.
-        return listed === undefined || listed.engines.some(id => usable.has(id))
+        return listed === undefined || ids.length === 0 || listed.engines.some(id => usable.has(id))
             ? listed
-            : homes.list(prompt, ids, deps.now());
+            : homes.listAmong(prompt, listed, ids);
     }
 
     /** Describes where the requests of the prompt meet; `sources` are the engines from which parts may be fetched. */
