Cache stores: room for 64, and no rejected heartbeat

Cause: 16 stores were remembered, so that of 21 some were always forgotten again; and a heartbeat that named more was rejected as a whole, with its members, uses and leases. Change: 64 stores; a longer list is cut on receipt. Conclusion: builds that name more stores can run beside this one.

--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -94,6 +94,11 @@
         Then 16 instances count it as reachable for 1500 ms more, and not after 1700 ms
         And older news changes nothing, and odd news does no harm
 
+    Scenario: A fleet with more cache stores than one heartbeat names
+        Given heartbeats that name 21 and 100 cache stores, as a newer build might send
+        Then of the first all stores count as reachable, and of the second 64
+        And neither heartbeat is rejected
+
     # Guards against a large fleet in which news of a store is out of date before all instances have it.
     Scenario Outline: News of a store reaches all instances of a large fleet in time
         Then <instances> instances hear of a store from its 9 readers in 99 of 100 moments, and of its end within <end> ms
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -92,10 +92,10 @@
     quarantine: z.string().max(maxDigestLength).optional(),
     /** Digest of what the sender knows of upstreams' signals; left out while that is nothing. */
     signals: z.string().max(maxDigestLength).optional(),
-    /** Cache stores that answered an instance lately, in a large fleet; left out by older builds. */
+    /** Cache stores that answered an instance lately, in a large fleet; left out by older builds, and bounded by the receiver. */
     stores: z.array(
         z.object({ id: z.string().max(maxStoreIdLength), ageMs: z.number().min(0) }).readonly(),
-    ).max(maxStores).readonly().optional(),
+    ).transform(stores => stores.slice(0, maxStores)).readonly().optional(),
     /** Instances that changed lately. */
     known: z.array(knownInstanceSchema).readonly(),
     /** When live instances were last seen, as `encodeMemberAges` writes it; older builds leave it out. */
--- a/src/core/homes/createStoreReach.ts
+++ b/src/core/homes/createStoreReach.ts
@@ -21,7 +21,7 @@
 }
 
 /** Most stores that are remembered, and named in a heartbeat. */
-export const maxStores = 16;
+export const maxStores = 64;
 
 /** Longest id of a store. */
 export const maxStoreIdLength = 128;
