Load: place waiting requests as old statements fade

Cause: an upstream that is full by a statement counts as free as that gets older, but no event tells of it; in small fleets with a stated pace, which relay no loads, a request waited until it was refused. Change: where requests are placed by statements, waiting ones are tried again each 300 ms (retryAsLoadsFade). It is called with the update of the members, which a single instance makes, too. Conclusion: the wait is bounded by the fading of the statement. The scenario calls the retry itself; its wiring has no test of its own.

--- a/features/evenLoad.feature
+++ b/features/evenLoad.feature
@@ -112,6 +112,12 @@
             Given two plain upstreams with 6 slots, of which the first states 6 running and 3 waiting requests
             Then of 100 requests at that moment at most 2 are placed on the first
 
+        # Guards against requests that wait until they are refused beside an upstream that has long been free.
+        Scenario: A waiting request is placed as an old statement fades, also without a heartbeat
+            Given one plain upstream of a small fleet that stated its pace, 6 running and 3 waiting requests
+            When a request waits and no event happens
+            Then it is placed within 1500 ms
+
         Scenario: A prompt goes to the engine that has it in its cache unless waiting there takes longer
             Given two engines of which "u-2" is home to a prompt and has its shared parts in its cache
             Then a request is placed on "u-2" while "u-2" states 0 waiting requests
--- a/features/steps/evenLoadSteps.ts
+++ b/features/steps/evenLoadSteps.ts
@@ -14,7 +14,9 @@
 import { createLoadExchange } from "../../src/core/load/createLoadExchange.js";
 import { createUpstreamLoads, type UpstreamLoads } from "../../src/core/load/createUpstreamLoads.js";
 import { describeLoadView } from "../../src/core/load/describeLoadView.js";
+import { retryAsLoadsFade } from "../../src/core/load/retryAsLoadsFade.js";
 import { rankPlacements } from "../../src/core/placement/choosePlacement.js";
+import { repeatEvery } from "../../src/core/time/repeatEvery.js";
 import type { AnswerHead } from "../../src/io/proxy/proxyCodec.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -306,6 +308,35 @@
     },
 );
 
+Given(
+    "one plain upstream of a small fleet that stated its pace, {int} running and {int} waiting requests",
+    function(this: SiteWorld, running: number, waiting: number) {
+        const clock = createVirtualClock(3);
+        const fixture = createPlacerFixture(clock, ["u-1"]);
+        const statement = { upstream: "u-1", atMs: clock.now(), running, waiting, slowness: undefined };
+        fixture.loads.recordRelayed([{ ...statement, pace: 1 }]);
+        placers.set(this, fixture);
+    },
+);
+
+const placedMs = new WeakMap<SiteWorld, number>();
+
+When("a request waits and no event happens", function(this: SiteWorld) {
+    const { clock, loads, placer } = placers.get(this)!;
+    repeatEvery(clock, 300, () => retryAsLoadsFade({ loads, isFleetDirect: true, retry: placer.dispatch }));
+    const req = createProxyRequest("idempotent", { id: "r-1", prompt: undefined });
+    placer.place(req, { kind: "place", excluded: [] }, result => {
+        assert.equal(result.kind, "placed");
+        placedMs.set(this, clock.now());
+    });
+    assert.equal(placedMs.get(this), undefined);
+    clock.runUntil(clock.now() + 2_000);
+});
+
+Then("it is placed within {int} ms", function(this: SiteWorld, bound: number) {
+    assert.ok(placedMs.get(this)! <= bound, `${placedMs.get(this)}`);
+});
+
 Given(
     "two engines of which {string} is home to a prompt and has its shared parts in its cache",
     function(this: SiteWorld, home: string) {
--- a/src/assemble/assembleFleet.ts
+++ b/src/assemble/assembleFleet.ts
@@ -218,6 +218,7 @@
         loadingView.removeExpired(clock.now());
         sources.permits.update();
         sources.quotas.update();
+        views.notifyFadingLoads(view.isDirect());
         logMembers(view.listLive(clock.now()).map(member => member.instance));
     }
 
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -6,6 +6,7 @@
 import { createLoadExchange, type LoadExchange } from "../core/load/createLoadExchange.js";
 import { createUpstreamLoads, type UpstreamLoads } from "../core/load/createUpstreamLoads.js";
 import { describeLoadView, type LoadViewSummary } from "../core/load/describeLoadView.js";
+import { retryAsLoadsFade } from "../core/load/retryAsLoadsFade.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import { createHealthView, type HealthView } from "../core/placement/createHealthView.js";
 import { createPartView, type PartView } from "../core/placement/createPartView.js";
@@ -69,6 +70,8 @@
     /** Calls `action` after peers have told of the load of upstreams. */
     readonly onLoads: (action: () => void) => void;
     readonly notifyLoads: () => void;
+    /** Calls these actions, too, while requests are placed by loads of which the knowledge gets older. */
+    readonly notifyFadingLoads: (isFleetDirect: boolean) => void;
     /** Calls `action` after each change of target weights or of the time from which they count. */
     readonly onTargets: (action: () => void) => void;
 }
@@ -126,6 +129,7 @@
     const signals = assembleSignals(context, registry);
     const loads = createUpstreamLoads(registry.find);
     const loadListeners: (() => void)[] = [];
+    const notifyLoads = () => loadListeners.forEach(action => action());
     const use = createUpstreamUseTracker({
         onBegin: upstream => loads.recordBegin(upstream, clock.now()),
         onEnd: (upstream, beganMs) => {
@@ -194,7 +198,8 @@
         onLoads: action => {
             loadListeners.push(action);
         },
-        notifyLoads: () => loadListeners.forEach(action => action()),
+        notifyLoads,
+        notifyFadingLoads: isFleetDirect => retryAsLoadsFade({ loads, isFleetDirect, retry: notifyLoads }),
         onTargets: action => {
             targetListeners.push(action);
         },
--- a/src/core/load/index.ts
+++ b/src/core/load/index.ts
@@ -13,3 +13,4 @@
 export * from "./encodeLoads.js";
 export * from "./loadTypes.js";
 export * from "./predictRequests.js";
+export * from "./retryAsLoadsFade.js";
