--- a/features/evenLoad.feature
+++ b/features/evenLoad.feature
@@ -46,6 +46,19 @@
             When 8 seconds pass without a statement
             Then upstream 1 is estimated to have between 0 and 0.1 requests, with a deviation below 0.1
 
+        # Guards against one faulty upstream that makes all upstreams of its service look full.
+        Scenario Outline: An absurd statement about one upstream closes no other one
+            Given the loads of 12 upstreams, of which requests stay 200 ms
+            And a peer relays each 100 ms for 2 seconds that upstreams 1 to 12 have 3 requests
+            When 1 second passes without a statement
+            And <statement>
+            Then for 8 seconds upstreams 2 to 12 are estimated to have fewer requests than slots
+
+            Examples:
+                | statement                                              |
+                | upstream 1 states 999999 requests to this instance     |
+                | a peer relays that upstream 1 had 999999 requests 0 ms ago |
+
         Scenario: An upstream that ended is forgotten
             Given the loads of 4 upstreams, of which requests stay 200 ms
             And a peer relays that upstream 1 had 20 requests 100 ms ago
@@ -99,6 +112,12 @@
             Given two plain upstreams with 6 slots, of which the first states 6 running and 3 waiting requests
             Then of 100 requests at that moment at most 2 are placed on the first
 
+        # Guards against requests that wait until they are refused beside an upstream that has long been free.
+        Scenario: A waiting request is placed as an old statement fades, also without a heartbeat
+            Given one plain upstream of a small fleet that stated its pace, 6 running and 3 waiting requests
+            When a request waits and no event happens
+            Then it is placed within 1500 ms
+
         Scenario: A prompt goes to the engine that has it in its cache unless waiting there takes longer
             Given two engines of which "u-2" is home to a prompt and has its shared parts in its cache
             Then a request is placed on "u-2" while "u-2" states 0 waiting requests
--- a/features/promptHomes.feature
+++ b/features/promptHomes.feature
@@ -45,6 +45,12 @@
     Scenario: The number of homes is steady while the estimate moves about a step
         Then an estimate that moves between 3.6 and 4.4 changes the number of homes once
 
+    # Guards against a number that each request changes to and fro, and logs twice.
+    Scenario: The number of homes is steady while few engines have the weights
+        Given 63 engines in a fleet of 91 instances
+        When one of them alone has newer weights, and 200 of 300 requests placed there are for one prompt
+        Then the number of homes has only risen, and the log names each change once
+
     Scenario: Prompts that begin alike share a few engines when few prompts do, and all engines when many do
         Given 64 engines in service
         When an instance has got 4000 requests with 100 first parts
@@ -88,6 +94,11 @@
         Then 16 instances count it as reachable for 1500 ms more, and not after 1700 ms
         And older news changes nothing, and odd news does no harm
 
+    Scenario: A fleet with more cache stores than one heartbeat names
+        Given heartbeats that name 21 and 100 cache stores, as a newer build might send
+        Then of the first all stores count as reachable, and of the second 64
+        And neither heartbeat is rejected
+
     # Guards against a large fleet in which news of a store is out of date before all instances have it.
     Scenario Outline: News of a store reaches all instances of a large fleet in time
         Then <instances> instances hear of a store from its 9 readers in 99 of 100 moments, and of its end within <end> ms
