Let bodies yield only where that makes room

Cause: the memory budget evicted bodies one by one before it knew whether they hold enough; a newcomer that needs more than all of them evicted them in vain and was refused too. Change: those that are behind are summed first, and are evicted only if the newcomer then has room. Figures: budget 1000, 600 complete, 300 behind, 500 wanted: before the body of 300 was refused in vain, now it stays. Conclusion: a refusal for memory hits one request.

--- a/src/core/memory/createMemoryBudget.ts
+++ b/src/core/memory/createMemoryBudget.ts
@@ -78,17 +78,23 @@
         return { ...body!.readProgress(), heldBytes: ownBytes };
     }
 
-    /** Makes room for bytes of one body by those that are behind; returns whether there is room. */
+    /** Makes room for bytes of one body by those that are behind, if they hold enough; returns whether there is room. */
     function makeRoom(holding: Holding, bytes: number): boolean {
-        while (usedBytes + bytes > options.maxBytes) {
-            const others = [...unfinished].filter(one => one !== holding);
-            const chosen = chooseSlowHolder(others, readProgress, options.now());
-            if (chosen === undefined) {
+        const chosen = new Set<Holding>();
+        let excessBytes = usedBytes + bytes - options.maxBytes;
+        while (excessBytes > 0) {
+            const others = [...unfinished].filter(one => one !== holding && !chosen.has(one));
+            const slow = chooseSlowHolder(others, readProgress, options.now());
+            if (slow === undefined) {
                 return false;
             }
-            release(chosen);
-            chosen.body?.evict();
+            chosen.add(slow);
+            excessBytes -= slow.ownBytes + slow.otherBytes;
         }
+        chosen.forEach(one => {
+            release(one);
+            one.body?.evict();
+        });
         return true;
     }
 
