Judge unread answers by what is sent of them, and count evicted ones until they close

Cause: a ready answer was evicted by its age alone, also while its caller read it; one behind others on its connection has no socket, so that nothing was closed and its memory was written off. Change: an answer yields only if nothing of it was sent for 2 s between looks; one that has no socket yet is not offered; an evicted one is counted until its response closes, and does not evict others meanwhile. Conclusion: steady readers keep their answers. The measure is the system's write queue, as Node's own timeout uses it.

--- a/src/core/proxy/createAnswerMemory.ts
+++ b/src/core/proxy/createAnswerMemory.ts
@@ -19,9 +19,10 @@
     readonly open: (evict: () => void) => AnswerHolding;
     /**
      * Holds a complete answer until it is written out. `evict` is called when all answers together exceed the limit and this
-     * one has not been read for seconds, longer than any other; it has to close the holding. Without it, it is not evicted.
+     * one has not been read for seconds; it leads to the close of the holding. Without it, it is not evicted.
+     * `readUnsent` returns the bytes that are not sent yet, or undefined while others are sent before; by default none is sent.
      */
-    readonly hold: (bytes: number, evict?: () => void) => AnswerHolding;
+    readonly hold: (bytes: number, evict?: () => void, readUnsent?: () => number | undefined) => AnswerHolding;
     readonly totalBytes: () => number;
 }
 
@@ -29,8 +30,18 @@
     bytes: number;
     /** Undefined for an answer that is not evicted. */
     readonly evict: (() => void) | undefined;
-    /** When a complete answer was handed to its caller, in milliseconds on the clock; undefined for other ones. */
-    readonly madeMs: number | undefined;
+    /** How far a complete answer is sent; undefined for other ones. */
+    readonly sending: Sending | undefined;
+    /** Whether it was evicted and is not closed yet. */
+    isLeaving: boolean;
+}
+
+/** How far a complete answer was sent when that was last looked at. */
+interface Sending {
+    readonly readUnsent: () => number | undefined;
+    unsentBytes: number | undefined;
+    /** Since when nothing was sent, in milliseconds on the clock. */
+    sinceMs: number;
 }
 
 /** Time for which a complete answer is kept for its caller although others need the memory, in milliseconds. */
@@ -58,43 +69,55 @@
 export function createAnswerMemory(
     maxBytes: number,
     onReleased: (bytes: number) => void = () => undefined,
-    { onGrown = () => undefined, now = () => -Infinity }: AnswerMemoryOptions = {},
+    { onGrown = () => undefined, now = () => NaN }: AnswerMemoryOptions = {},
 ): AnswerMemory {
     const holdings = new Set<Holding>();
     let totalBytes = 0;
+    /** Bytes of those that were evicted and are not closed yet. */
+    let leavingBytes = 0;
 
     function findLargest(): Holding | undefined {
-        const isCollected = ({ evict, madeMs }: Holding) => evict !== undefined && madeMs === undefined;
+        const isCollected = ({ evict, sending }: Holding) => evict !== undefined && sending === undefined;
         return [...holdings].filter(isCollected).reduce<Holding | undefined>(
             (largest, one) => largest === undefined || one.bytes > largest.bytes ? one : largest,
             undefined,
         );
     }
 
-    /** Finds the answer that its caller has not read for the longest time. */
-    function findUnread(): Holding | undefined {
-        const sinceMs = now() - readTimeMs;
-        return [...holdings].find(({ evict, madeMs }) =>
-            evict !== undefined && madeMs !== undefined && madeMs <= sinceMs
-        );
+    /** Looks whether nothing of an answer was sent for seconds. */
+    function lookIfUnread({ sending, isLeaving, evict }: Holding): boolean {
+        if (sending === undefined || isLeaving || evict === undefined) {
+            return false;
+        }
+        const unsentBytes = sending.readUnsent();
+        if (unsentBytes !== sending.unsentBytes) {
+            sending.unsentBytes = unsentBytes;
+            sending.sinceMs = now();
+        }
+        return unsentBytes !== undefined && sending.sinceMs <= now() - readTimeMs;
+    }
+
+    function isOver(): boolean {
+        return totalBytes - leavingBytes > maxBytes;
     }
 
     function close(holding: Holding): void {
         if (holdings.delete(holding)) {
             totalBytes -= holding.bytes;
+            leavingBytes -= holding.isLeaving ? holding.bytes : 0;
             onReleased(holding.bytes);
         }
     }
 
     function makeRoom(): void {
-        let unread = findUnread();
-        while (totalBytes > maxBytes && unread !== undefined) {
-            unread.evict?.();
-            // An answer whose caller leaves may be closed later than it is evicted.
-            close(unread);
-            unread = findUnread();
+        for (const unread of [...holdings].filter(lookIfUnread)) {
+            if (isOver()) {
+                unread.isLeaving = true;
+                leavingBytes += unread.bytes;
+                unread.evict?.();
+            }
         }
-        if (totalBytes > maxBytes) {
+        if (isOver()) {
             findLargest()?.evict?.();
         }
     }
@@ -109,21 +132,21 @@
         if (grownBytes > 0) {
             onGrown(grownBytes);
         }
-        if (totalBytes > maxBytes) {
+        if (isOver()) {
             makeRoom();
         }
     }
 
-    function open(evict: (() => void) | undefined, madeMs?: number): AnswerHolding {
-        const holding: Holding = { bytes: 0, evict, madeMs };
+    function open(evict: (() => void) | undefined, sending?: Sending): AnswerHolding {
+        const holding: Holding = { bytes: 0, evict, sending, isLeaving: false };
         holdings.add(holding);
         return { set: bytes => set(holding, bytes), close: () => close(holding) };
     }
 
     return {
         open: evict => open(evict),
-        hold: (bytes, evict) => {
-            const holding = open(evict, now());
+        hold: (bytes, evict, readUnsent = () => bytes) => {
+            const holding = open(evict, { readUnsent, unsentBytes: readUnsent(), sinceMs: now() });
             holding.set(bytes);
             return holding;
         },
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -8,6 +8,7 @@
 import type { AnswerHolding, AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import type { HeaderPair, UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
+import { readUnsentBytes } from "../_lib/readUnsentBytes.js";
 import { onResponseOver } from "./_lib/onResponseOver.js";
 import { createStreamWriter, type StreamWriter } from "./createStreamWriter.js";
 import type { AnswerHead } from "./proxyCodec.js";
@@ -131,12 +132,15 @@
             const length: HeaderPair = ["content-length", String(answer.body.length)];
             const hasLength = res.req.method !== "HEAD" && !lengthlessStatuses.has(answer.status);
             writeHead(answer.status, hasLength ? [...answer.headers, length] : answer.headers);
-            const holding = options.holdAnswer?.(answer.body.length, () => {
+            res.end(answer.body);
+            const evict = () => {
                 options.onAnswerEvicted?.();
                 res.socket?.destroy();
-            });
+            };
+            // A response behind others on its connection has no socket yet.
+            const readUnsent = () => res.socket ? readUnsentBytes(res.socket) : undefined;
+            const holding = options.holdAnswer?.(answer.body.length, evict, readUnsent);
             onResponseOver(res, () => holding?.close());
-            res.end(answer.body);
         },
         refuse: refusal => {
             if (!isDisconnected && !res.headersSent) {
