Close no caller's connection in calm

Cause: beyond three quarters of the connections newcomers were closed before their head could have come, also the answers of requests that ran beside a body, just-made ones, and ones still flushed; uploads with many line ends and pipelined requests were closed because they waited for their turns or for each other. Change: one that has just begun yields only when no place is left; "receiving" means no other request in progress; an answer yields when nothing of it was sent for 2 s; a closing connection keeps 100 ms for its answer and is not counted. A body of a known length is one piece; connections with pipelined requests are paused and read in shorter slices when memory for them is short, and closed only if all their answers are ready and unread for 2 s. Tests: the scenario of the oldest silent connection lets 260 ms pass first; it asserted that one within its grace is closed while a place is free, which the new scenario beside it forbids. Conclusion: a crowd is needed before anybody is closed.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -48,5 +48,50 @@
     # Guards against silent connections that keep callers out.
     Scenario: When connections run short and none is idle, the oldest that has sent nothing is closed
         Given at most 8 connections of callers, of which 6 are open
-        When 1 more is opened that has a request at once
+        When 260 ms have passed for them
+        And 1 more is opened that has a request at once
         Then connection 1 is closed and the others stay open
+
+    # Guards against newcomers that are closed before their head can have come, while there are places.
+    Scenario: While there are places, no connection is closed that has just begun
+        Given at most 16 connections of callers, of which 12 are open
+        When each of them has a request in progress
+        And 3 more are opened
+        Then none is closed
+
+    # Guards against answers that are lost because the next body on their connection is not complete yet.
+    Scenario: A connection with a request that runs before one that is received stays
+        Given at most 8 connections of callers, of which 6 are open
+        When each of them has a request in progress and one that is received
+        And 260 ms have passed for them
+        And 1 more is opened that has a request at once
+        Then none is closed
+
+    # Guards against answers that are cut because their request ran long.
+    Scenario: An answer that was just made stays although its request ran for seconds
+        Given at most 8 connections of callers, of which 6 are open
+        When each of them has a request in progress
+        And 2100 ms have passed for them
+        And the answer on connection 1 is made
+        And 1 more is opened that has a request at once
+        Then none is closed
+
+    # Guards against answers that are cut while their connection is closed behind them.
+    Scenario: A connection that is being closed keeps the time for its answer
+        Given at most 8 connections of callers, of which 7 are open
+        When connection 1 is being closed behind an answer that is not sent
+        And 1 more is opened that has a request at once
+        Then none is closed
+
+    # Guards against bodies that are refused although the newcomer finds no room either.
+    Scenario: Bodies that are behind do not yield in vain
+        Given a budget of 1000 bytes for bodies that arrive, of which body 1 holds 600 bytes and body 2 holds 300
+        When body 1 is complete
+        And 1000 ms have passed, in which 0 bytes of body 1 and 20 bytes of body 2 have arrived
+        Then body 3 finds no room for 500 bytes
+
+    # Guards against steady readers that are cut, and against memory that is written off but still held.
+    Scenario: Answers that are being read or wait behind others stay, and one that is evicted counts until it is closed
+        Given a memory of 1000 bytes for answers with 300 bytes that are read, 300 behind another and 300 that are not read
+        When 2500 ms pass, and another answer is collected and grows to 200 bytes
+        Then only the one that is not read is ended, and 1100 bytes are counted
--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -172,3 +172,33 @@
         }
     },
 );
+
+Given(
+    "a memory of {int} bytes for answers with {int} bytes that are read, {int} behind another and {int} that are not read",
+    function(this: SiteWorld, maxBytes: number, read: number, behind: number, unread: number) {
+        const fixture = getFixture(this);
+        const answers = createAnswerMemory(maxBytes, () => undefined, { now: () => fixture.nowMs });
+        fixture.answers = answers;
+        answers.hold(read, () => fixture.ended.push(1), () => read - (fixture.nowMs - startMs) / 10);
+        answers.hold(behind, () => fixture.ended.push(2), () => undefined);
+        answers.hold(unread, () => fixture.ended.push(3));
+    },
+);
+
+When(
+    "{int} ms pass, and another answer is collected and grows to {int} bytes",
+    function(this: SiteWorld, ms: number, bytes: number) {
+        const { answers, ended } = getFixture(this);
+        getFixture(this).nowMs += ms;
+        answers!.open(() => ended.push(4)).set(bytes);
+    },
+);
+
+Then(
+    "only the one that is not read is ended, and {int} bytes are counted",
+    function(this: SiteWorld, bytes: number) {
+        const { answers, ended } = getFixture(this);
+        assert.deepEqual(ended, [3]);
+        assert.equal(answers!.totalBytes(), bytes);
+    },
+);
--- a/features/steps/callerConnectionSteps.ts
+++ b/features/steps/callerConnectionSteps.ts
@@ -7,6 +7,7 @@
 import { readdirSync } from "node:fs";
 import { Agent, createServer, request, type ServerResponse } from "node:http";
 import { Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import type { InstanceProcess } from "../../bench/faults/platform/createInstanceProcess.js";
 import { limitCallerConnections } from "../../src/core/proxy/limitCallerConnections.js";
 import { createSystemClock } from "../../src/io/clock/createSystemClock.js";
@@ -132,6 +133,53 @@
     assert.ok(!socket!.destroyed);
 });
 
+interface FakeResponse {
+    readonly req: { readonly complete: boolean; };
+    writableEnded: boolean;
+}
+
+const responses = new WeakMap<Socket, FakeResponse>();
+
+function beginRequest({ connections }: ConnectionFixture, socket: Socket, complete: boolean): void {
+    const res: FakeResponse = { req: { complete }, writableEnded: false };
+    responses.set(socket, res);
+    connections.beginRequest(socket, res as unknown as ServerResponse);
+}
+
+When(
+    /^each of them has a request in progress( and one that is received)?$/,
+    function(this: SiteWorld, received?: string) {
+        const fixture = fixtures.get(this)!;
+        fixture.sockets.forEach(socket => {
+            beginRequest(fixture, socket, true);
+            if (received) {
+                beginRequest(fixture, socket, false);
+            }
+        });
+    },
+);
+
+When("{int} ms have passed for them", (ms: number) => delay(ms));
+
+When("the answer on connection {int} is made", function(this: SiteWorld, number: number) {
+    responses.get(fixtures.get(this)!.sockets[number - 1]!)!.writableEnded = true;
+});
+
+When("connection {int} is being closed behind an answer that is not sent", function(this: SiteWorld, number: number) {
+    const fixture = fixtures.get(this)!;
+    fixture.sockets.forEach(socket => beginRequest(fixture, socket, true));
+    const socket = fixture.sockets[number - 1]!;
+    // Its end is not reached: what was written before waits.
+    socket.end = () => socket;
+    fixture.connections.close(socket);
+});
+
+Then("none is closed", function(this: SiteWorld) {
+    const { connections, sockets } = fixtures.get(this)!;
+    assert.ok(sockets.every(({ destroyed }) => !destroyed));
+    assert.ok(connections.count() > sockets.length);
+});
+
 Then("connection {int} is closed and the others stay open", function(this: SiteWorld, number: number) {
     const closed = fixtures.get(this)!.sockets.flatMap((socket, index) => socket.destroyed ? [index + 1] : []);
     assert.deepEqual(closed, [number]);
--- a/features/steps/uncontrolledClientSteps.ts
+++ b/features/steps/uncontrolledClientSteps.ts
@@ -23,6 +23,8 @@
     mostDescriptors: number;
     requests: number;
     slowAnswer: string;
+    /** What each of some callers in calm received. */
+    calmAnswers: readonly string[];
 }
 
 const fixtures = new WeakMap<SiteWorld, CrowdFixture>();
@@ -125,7 +127,14 @@
         const changedSettings = { limits: { memory_mb: megabytes, max_fds: descriptors } };
         const instance = await startLoneProcess(this, place, changedSettings);
         this.cleanups.push(() => store.stop());
-        const fixture = { instance, crowd: undefined, mostDescriptors: 0, requests: 0, slowAnswer: "" };
+        const fixture = {
+            instance,
+            crowd: undefined,
+            mostDescriptors: 0,
+            requests: 0,
+            slowAnswer: "",
+            calmAnswers: [],
+        };
         fixtures.set(this, fixture);
         watchDescriptors(this, fixture);
     },
@@ -222,3 +231,66 @@
 Then("this caller is answered with the upstream's answer", function(this: SiteWorld) {
     assert.match(fixtures.get(this)!.slowAnswer, /^HTTP\/1\.1 200 [^]*ordinary/);
 });
+
+/** Formats a request with a body of a stated length. */
+function formatRequest(id: string, body: string): string {
+    const { host, authorization } = streamHeaders;
+    const head = [
+        `POST /documents/${id} HTTP/1.1`,
+        `Host: ${host}`,
+        `Attempt-Id: ${id}`,
+        `Authorization: ${authorization}`,
+        `Content-Length: ${body.length}`,
+    ];
+    return `${head.join("\r\n")}\r\n\r\n${body}`;
+}
+
+/** Sends bytes on a connection of their own; returns what it received until so many answers came, or it was closed. */
+function exchange(world: SiteWorld, bytes: string, answers: number): Promise<string> {
+    const [host, port] = fixtures.get(world)!.instance.callerAddress.split(":");
+    const socket = connect(Number(port), host);
+    world.cleanups.unshift(() => void socket.destroy());
+    let received = "";
+    return new Promise(resolve => {
+        const finish = () => resolve(received);
+        socket.on("error", finish);
+        socket.on("close", finish);
+        socket.on("data", (piece: Buffer) => {
+            received += piece.toString("latin1");
+            if (received.split("HTTP/1.1 ").length > answers) {
+                finish();
+            }
+        });
+        socket.write(bytes);
+    });
+}
+
+When(
+    "{int} callers upload {int} KB each in lines of {int} bytes at once",
+    async function(this: SiteWorld, callers: number, kilobytes: number, lineBytes: number) {
+        const body = `${"l".repeat(lineBytes - 1)}\n`.repeat(Math.ceil(kilobytes * bytesPerKilobyte / lineBytes));
+        const calls = Array.from(
+            { length: callers },
+            (_, index) => exchange(this, formatRequest(`up-${index}`, body), 1),
+        );
+        fixtures.get(this)!.calmAnswers = await Promise.all(calls);
+    },
+);
+
+When(
+    "{int} callers send {int} short requests each on one connection at once",
+    async function(this: SiteWorld, callers: number, count: number) {
+        const calls = Array.from({ length: callers }, (_, index) => {
+            const requests = [...Array(count).keys()].map(number => formatRequest(`p-${index}-${number}`, "b"));
+            return exchange(this, requests.join(""), count);
+        });
+        fixtures.get(this)!.calmAnswers = await Promise.all(calls);
+    },
+);
+
+Then(/^each of them has (\d+) answers? "([\d|]+)"$/, function(this: SiteWorld, count: string, statuses: string) {
+    const pattern = new RegExp(`HTTP/1\\.1 (?:${statuses}) `, "g");
+    const answers = fixtures.get(this)!.calmAnswers.map(received => received.match(pattern)?.length ?? 0);
+    const isShort = (answered: number) => answered !== Number(count);
+    assert.ok(!answers.some(isShort), `${answers.filter(isShort).length} callers: ${answers.join(" ")}`);
+});
--- a/features/uncontrolledClients.feature
+++ b/features/uncontrolledClients.feature
@@ -37,3 +37,15 @@
         Given a process of an instance that is allowed 140 MB and 900 descriptors
         When a slow caller sends 20 KB in 100 pieces, 50 ms apart
         Then this caller is answered with the upstream's answer
+
+    # Guards against slices of uploads with many line ends that are closed because they wait for their turns.
+    Scenario: Uploads with many line ends are all answered in calm
+        Given a process of an instance that is allowed 140 MB and 900 descriptors
+        When 120 callers upload 100 KB each in lines of 40 bytes at once
+        Then each of them has 1 answer "200"
+
+    # Guards against pipelined requests that are cut in calm while they run.
+    Scenario: Requests that are sent behind others on their connections are all answered in calm
+        Given a process of an instance that is allowed 140 MB and 900 descriptors
+        When 24 callers send 40 short requests each on one connection at once
+        Then each of them has 40 answers "200|503"
--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -175,16 +175,18 @@
         { maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headCheckMs, requestTimeout: 0 },
     );
     const gate = createConnectionGate(callerServer);
+    const pipelined = createAnswerMemory(memory.pipelinedBytes, undefined, { now: context.clock.now });
     readInTurns(callerServer, {
         ...parsingShare,
         onRead: sources.recordRead,
-        unparsed: createAnswerMemory(memory.unparsedBytes),
+        isShort: () => pipelined.totalBytes() > memory.pipelinedBytes,
+        unparsed: createAnswerMemory(memory.unparsedBytes, undefined, { now: context.clock.now }),
         evict: socket => evictConnection(socket, "unparsed"),
     });
     limitRequests(callerServer, handle, {
         maxRequests: maxCallerRequests,
         isPaused: true,
-        pipelined: createAnswerMemory(memory.pipelinedBytes),
+        pipelined: { memory: pipelined, maxBytes: memory.pipelinedBytes },
         evict: socket => evictConnection(socket, "pipelined"),
     });
     callerServer.maxConnections = maxConnections;
--- a/src/io/http/createCallerConnections.ts
+++ b/src/io/http/createCallerConnections.ts
@@ -8,6 +8,7 @@
 import { chooseLeastProgress } from "../../core/admission/chooseLeastProgress.js";
 import type { Clock } from "../../core/time/clock.js";
 import { readArrived } from "../_lib/readArrived.js";
+import { readUnsentBytes } from "../_lib/readUnsentBytes.js";
 
 /** The connections. */
 export interface CallerConnections {
@@ -57,6 +58,8 @@
     sinceMs: number;
     /** Bytes that had been read by then. */
     bytesBefore: number;
+    /** What of its last answer was not sent when that was looked at, and since when nothing was sent. */
+    unread: { readonly bytes: number; readonly sinceMs: number; } | undefined;
 }
 
 /** Share of the maximum at which connections are closed. */
@@ -65,14 +68,31 @@
 /** Share of the maximum at which those that are being closed are no longer waited for. */
 const fullShare = 0.875;
 
+/** Time for which a connection is kept before its progress counts, in milliseconds. */
+const graceMs = 250;
+
+/** Time for which an answer of which nothing is sent is kept for its caller, in milliseconds. */
+const readTimeMs = 2_000;
+
+/** Time for which an answer is waited for on a connection that is being closed when there are too many, in milliseconds. */
+const flushMs = 100;
+
 /** Whether no complete request is in progress on a connection. */
 function isReceiving({ last, inProgress }: Connection): boolean {
-    return inProgress === 0 || last?.req.complete === false;
+    return inProgress === 0 || (inProgress === 1 && last?.req.complete === false);
 }
 
-/** Whether a connection has an answer that was made and is not read. */
-function isUnread({ last, inProgress }: Connection): boolean {
-    return inProgress > 0 && last?.writableEnded === true;
+/** Looks whether a connection has nothing but an answer of which nothing was sent for seconds. */
+function lookIfUnread(socket: Socket, connection: Connection, nowMs: number): boolean {
+    if (connection.inProgress !== 1 || connection.last?.writableEnded !== true) {
+        connection.unread = undefined;
+        return false;
+    }
+    const bytes = readUnsentBytes(socket);
+    if (connection.unread?.bytes !== bytes) {
+        connection.unread = { bytes, sinceMs: nowMs };
+    }
+    return nowMs - connection.unread.sinceMs >= readTimeMs;
 }
 
 /**
@@ -104,8 +124,8 @@
     const open = new Map<Socket, Connection>();
     /** Connections that had a request and have none in progress, with the time since when; the longest idle first. */
     const idle = new Map<Socket, number>();
-    /** Connections that are being closed, the earliest first. */
-    const closing = new Set<Socket>();
+    /** Connections that are being closed, with the time since when; the earliest first. */
+    const closing = new Map<Socket, number>();
     /** Connections that are closed when their requests are over. */
     const closedWhenIdle = new WeakSet<Socket>();
 
@@ -113,7 +133,7 @@
         if (closing.has(socket)) {
             return;
         }
-        closing.add(socket);
+        closing.set(socket, clock.now());
         socket.end();
         socket.once("close", clock.after(lingerMs, () => socket.destroy()));
     }
@@ -122,31 +142,50 @@
         return !closing.has(socket) && !socket.destroyed;
     }
 
-    /** Closes the connection that makes the least progress; one whose request runs stays. */
-    function closeLeastProgress(): void {
+    /** Chooses the connection that makes the least progress; one whose request runs stays. */
+    function findLeastProgress(added: Socket): readonly [Socket, EvictionReason] | undefined {
+        const nowMs = clock.now();
         const connections = [...open].filter(isOpen);
+        const unread = connections.filter(([socket, connection]) => lookIfUnread(socket, connection, nowMs));
         const receiving = connections.filter(([, connection]) => isReceiving(connection));
-        const reason = receiving.length > 0 ? "receiving" : "unread";
-        const candidates = receiving.length > 0 ? receiving : connections.filter(([, one]) => isUnread(one));
-        const readProgress = ([socket, { sinceMs, bytesBefore }]: (typeof candidates)[number]) => ({
+        const isFull = open.size >= maxConnections;
+        // One that has just begun yields only when there is no place.
+        const late = receiving.filter(([socket, { sinceMs }]) =>
+            nowMs - sinceMs >= graceMs || (isFull && socket !== added)
+        );
+        const readProgress = ([socket, { sinceMs, bytesBefore }]: (typeof late)[number]) => ({
             sinceMs,
-            bytes: reason === "receiving" ? socket.bytesRead - bytesBefore : 0,
+            bytes: socket.bytesRead - bytesBefore,
         });
-        const [socket] = chooseLeastProgress(candidates, readProgress, clock.now()) ?? [];
-        if (socket !== undefined) {
-            evict(socket, reason);
+        const [slow] = chooseLeastProgress(late, readProgress, nowMs) ?? [];
+        if (slow !== undefined) {
+            return [slow, "receiving"];
         }
+        const [longest] = unread.sort(([, one], [, other]) => one.unread!.sinceMs - other.unread!.sinceMs);
+        return longest === undefined ? undefined : [longest[0], "unread"];
     }
 
-    /** A connection is idle only if no request that has arrived on it is unread. */
-    async function makeRoom(): Promise<void> {
+    /** Destroys the earliest that is being closed and has sent its answer, or had time for it. */
+    function destroyClosing(): void {
+        const sinceMs = clock.now() - flushMs;
+        const [earliest] = [...closing].find(([socket, startedMs]) => socket.writableFinished || startedMs <= sinceMs)
+            ?? [];
+        earliest?.destroy();
+    }
+
+    /** Whether there are so many connections that some have to be closed, besides those that are being closed. */
+    function isCrowded(): boolean {
+        return open.size - closing.size > crowdedCount;
+    }
+
+    /** Makes room after a connection was added. A connection is idle only if no request that has arrived on it is unread. */
+    async function makeRoom(added: Socket): Promise<void> {
         await readArrived();
         if (open.size > fullCount) {
-            const [earliest] = closing;
-            earliest?.destroy();
+            destroyClosing();
         }
         const [longestIdle] = idle.keys();
-        if (open.size <= crowdedCount) {
+        if (!isCrowded()) {
             return;
         }
         if (longestIdle !== undefined) {
@@ -154,14 +193,23 @@
             close(longestIdle);
             return;
         }
-        closeLeastProgress();
+        const [socket, reason] = findLeastProgress(added) ?? [];
+        if (socket !== undefined && reason !== undefined) {
+            evict(socket, reason);
+        }
     }
 
     return {
         count: () => open.size,
         idleSinceMs: socket => idle.get(socket),
         add: socket => {
-            open.set(socket, { inProgress: 0, last: undefined, sinceMs: clock.now(), bytesBefore: 0 });
+            open.set(socket, {
+                inProgress: 0,
+                last: undefined,
+                sinceMs: clock.now(),
+                bytesBefore: 0,
+                unread: undefined,
+            });
             // Each request that waits on the connection listens for its end; limitRequests bounds them.
             socket.setMaxListeners(0);
             // Node.js calls it after the last answer of a connection.
@@ -172,7 +220,7 @@
                 closing.delete(socket);
             });
             if (open.size > crowdedCount) {
-                void makeRoom();
+                void makeRoom(socket);
             }
         },
         beginRequest: (socket, res) => {
--- a/src/io/http/createOtherServer.ts
+++ b/src/io/http/createOtherServer.ts
@@ -34,7 +34,7 @@
     readInTurns(server, {
         ...parsingShare,
         onRead: () => undefined,
-        unparsed: createAnswerMemory(otherUnparsedBytes),
+        unparsed: createAnswerMemory(otherUnparsedBytes, undefined, { now: () => performance.now() }),
         evict: socket => socket.destroy(),
     });
     const listenInTurns: RequestListener = (req, res) => {
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -4,10 +4,11 @@
  * loop. The parser turns a whole read of 64 KB into requests or pieces of a body, some thousands where they are short, before a
  * pause has an effect, and nobody else is served meanwhile.
  */
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
 import { deferInTurn } from "../_lib/deferInTurn.js";
+import { trackResponses } from "./_lib/trackResponses.js";
 
 /** Options of {@link readInTurns}. */
 export interface TurnReadOptions {
@@ -19,9 +20,14 @@
     readonly defer: (action: () => void) => void;
     /** Receives the number of bytes of each read. */
     readonly onRead: (bytes: number) => void;
-    /** Memory for what was read and not parsed yet; the connection that holds most is closed when there is too little. */
-    readonly unparsed: Pick<AnswerMemory, "open">;
-    /** Closes a connection because all of them hold too much that is not parsed. */
+    /** Whether slices are shorter, because memory for requests is short. */
+    readonly isShort?: () => boolean;
+    /**
+     * Memory for what was read and not parsed yet. When there is too little, a connection is closed whose rest was not parsed
+     * for seconds because its answers are not read.
+     */
+    readonly unparsed: Pick<AnswerMemory, "hold">;
+    /** Closes a connection because its unparsed rest takes too much. */
     readonly evict: (socket: Socket) => void;
 }
 
@@ -30,14 +36,27 @@
 
 const nothing = Buffer.alloc(0);
 const lineEnd = 0x0a;
+const headEnd = "\r\n\r\n";
+
+/** Share of the lines of a slice when memory is short. */
+const shortShare = 0.125;
+
+/** What a connection is in the middle of. */
+interface Message {
+    /** Its last request; undefined before the first one. */
+    req: IncomingMessage | undefined;
+    /** Bytes that certainly belong to the body of a known length of the last request. */
+    bodyBytes: number;
+}
 
 /** Returns the size of the first slice of bytes: all of them, or up to the line end of a number. */
-function measureSlice(bytes: Buffer, { wholeBytes, sliceLines }: TurnReadOptions): number {
+function measureSlice(bytes: Buffer, { wholeBytes, sliceLines, isShort }: TurnReadOptions): number {
     if (bytes.length <= wholeBytes) {
         return bytes.length;
     }
+    const lines = isShort?.() === true ? sliceLines * shortShare : sliceLines;
     let end = -1;
-    for (let line = 0; line < sliceLines; line += 1) {
+    for (let line = 0; line < lines; line += 1) {
         end = bytes.indexOf(lineEnd, end + 1);
         if (end === -1) {
             return bytes.length;
@@ -46,34 +65,81 @@
     return end + 1;
 }
 
+/** Returns the size of the head with which bytes begin, 0 if they begin with something else or its end is not among them. */
+function measureHead(bytes: Buffer, { req }: Message): number {
+    const isBetween = req === undefined || req.complete;
+    return isBetween ? bytes.indexOf(headEnd) + headEnd.length : 0;
+}
+
 /** Parses what arrives on one connection in slices, and reads no more while some of it is left. */
-function parseInTurns(socket: Socket, options: TurnReadOptions): void {
+function parseInTurns(socket: Socket, message: Message, hasRunning: () => boolean, options: TurnReadOptions): void {
     const { defer, onRead, unparsed, evict } = options;
-    const push = socket.push.bind(socket);
+    const pushParsed = socket.push.bind(socket);
     const read = socket._read.bind(socket);
-    const holding = unparsed.open(() => {
-        close();
-        evict(socket);
-    });
     let rest: Buffer = nothing;
     /** The end of the connection, if it came before the rest was parsed. */
     let end: { readonly chunk: unknown; } | undefined;
     let isQueued = false;
+    /** Whether what is handed on is a head and nothing else. */
+    let isHead = false;
+    // A rest waits for its turn, for requests that run, or for answers to be read.
+    const readStuck = () => rest.length === 0 || isQueued || hasRunning() ? undefined : rest.length;
+    const holding = unparsed.hold(0, () => {
+        close();
+        evict(socket);
+    }, readStuck);
 
     function close(): void {
         rest = nothing;
         holding.close();
     }
 
-    function pushSlice(): boolean {
-        const sliceBytes = measureSlice(rest, options);
-        const slice = rest.subarray(0, sliceBytes);
-        rest = rest.subarray(sliceBytes);
+    function push(chunk: unknown, encoding?: BufferEncoding): boolean {
+        const reqBefore = message.req;
+        const bytes = Buffer.isBuffer(chunk) ? chunk.length : 0;
+        message.bodyBytes = Math.max(0, message.bodyBytes - bytes);
+        const mayPushMore = pushParsed(chunk, encoding);
+        const { req } = message;
+        if (req !== reqBefore && req?.complete === false) {
+            // The slice may contain a part of the body: what is left of it is not less than this.
+            const statedBytes = Number(req.headers["content-length"] ?? 0);
+            message.bodyBytes = Math.max(0, statedBytes - (isHead ? 0 : bytes));
+        }
+        return mayPushMore;
+    }
+
+    /** Hands on the first so many bytes of the rest. */
+    function pushFirst(bytes: number): boolean {
+        const slice = rest.subarray(0, bytes);
+        rest = rest.subarray(bytes);
         holding.set(rest.length === 0 ? 0 : rest.buffer.byteLength);
         return push(slice);
     }
 
+    /** A part of a body of a known length is one piece, whatever its line ends; the slice begins behind it. */
+    function pushSlice(): boolean {
+        if (rest.length > options.wholeBytes && message.bodyBytes === 0) {
+            const headBytes = measureHead(rest, message);
+            isHead = headBytes >= headEnd.length;
+            if (isHead) {
+                pushFirst(headBytes);
+            }
+            isHead = false;
+        }
+        let mayPushMore = true;
+        if (message.bodyBytes > 0 && !socket.isPaused()) {
+            mayPushMore = pushFirst(Math.min(rest.length, message.bodyBytes));
+        }
+        if (rest.length === 0 || socket.isPaused() || socket.destroyed) {
+            return mayPushMore;
+        }
+        return pushFirst(measureSlice(rest, options));
+    }
+
     function goOnLater(): void {
+        if (rest.length <= message.bodyBytes) {
+            goOn();
+        }
         if (rest.length > 0 && !isQueued && !socket.isPaused()) {
             isQueued = true;
             defer(goOn);
@@ -97,11 +163,12 @@
             end = { chunk };
             return false;
         }
-        if (Buffer.isBuffer(chunk)) {
-            onRead(chunk.length);
+        if (!Buffer.isBuffer(chunk)) {
+            return push(chunk, encoding);
         }
+        onRead(chunk.length);
         const isWhole = rest.length === 0 && !socket.isPaused();
-        if (!Buffer.isBuffer(chunk) || (isWhole && measureSlice(chunk, options) === chunk.length)) {
+        if (isWhole && (chunk.length <= message.bodyBytes || measureSlice(chunk, options) === chunk.length)) {
             return push(chunk, encoding);
         }
         rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
@@ -126,8 +193,18 @@
  * @param options - Size of a slice, and what the rest may hold.
  */
 export function readInTurns(server: Server, options: TurnReadOptions): void {
+    const hasRunning = trackResponses(server);
+    const messages = new WeakMap<Socket, Message>();
+    server.on("request", (req: IncomingMessage) => {
+        const message = messages.get(req.socket);
+        if (message !== undefined) {
+            message.req = req;
+        }
+    });
     server.on("connection", (socket: Socket) => {
-        parseInTurns(socket, options);
+        const message: Message = { req: undefined, bodyBytes: 0 };
+        messages.set(socket, message);
+        parseInTurns(socket, message, () => hasRunning(socket), options);
         // The server's parser reads the connection itself, past the stream, unless its data has a listener.
         socket.on("data", () => undefined);
     });
