Let one body and one answer use what they may use without a crowd

Cause: the limits that hold a crowd off made the budgets of every process below some 480 MB smaller; with 128 MB a body over 12.8 MB could never be taken, also in calm, where 41 MB had room before. Change: one body, and one answer that is collected, may go beyond the limit of all up to the former shares (0.32 and 0.16 of the memory); the next one that needs room beside it is refused as before. Figures: 128 MB: one body of 40 MB and one answer of 20 MB find room; scenario with 100, 128 and 200 MB. Conclusion: a single request within the limits has its former room; many large ones at once are still refused sooner than before (200 MB: from 41.6 MB on instead of 64 MB), which keeps a crowd within the memory.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -95,3 +95,14 @@
         Given a memory of 1000 bytes for answers with 300 bytes that are read, 300 behind another and 300 that are not read
         When 2500 ms pass, and another answer is collected and grows to 200 bytes
         Then only the one that is not read is ended, and 1100 bytes are counted
+
+    # Guards against bodies and answers within the configuration that a small process can never take.
+    Scenario Outline: One body and one answer alone may use what they may use without a crowd
+        Then with <memory> MB one body finds room for <body> MB, and beside it none for another of 30 MB
+        And with <memory> MB one answer may grow to <answer> MB, and beside it none to another 12 MB
+
+        Examples:
+            | memory | body | answer |
+            | 100    | 32   | 16     |
+            | 128    | 40   | 20     |
+            | 200    | 64   | 32     |
--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -12,6 +12,7 @@
     type MemoryReservation,
 } from "../../src/core/memory/createMemoryBudget.js";
 import { planMemory } from "../../src/core/memory/planMemory.js";
+import { planSingleMemory } from "../../src/core/memory/planSingleMemory.js";
 import { type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
@@ -202,3 +203,38 @@
         assert.equal(answers!.totalBytes(), bytes);
     },
 );
+
+Then(
+    "with {int} MB one body finds room for {int} MB, and beside it none for another of {int} MB",
+    (megabytes: number, body: number, other: number) => {
+        const memoryBytes = megabytes * bytesPerMegabyte;
+        const { bodyBytes: maxBytes } = planMemory(memoryBytes);
+        const { bodyBytes: maxSingleBytes } = planSingleMemory(memoryBytes);
+        const budget = createMemoryBudget({
+            maxBytes,
+            maxSingleBytes,
+            onReleased: () => undefined,
+            now: () => startMs,
+        });
+        const reservation = budget.open();
+        assert.ok(reservation.tryGrow(body * bytesPerMegabyte));
+        assert.equal(budget.open().tryGrow(other * bytesPerMegabyte), false);
+        reservation.release();
+        assert.ok(budget.open().tryGrow(other * bytesPerMegabyte));
+    },
+);
+
+Then(
+    "with {int} MB one answer may grow to {int} MB, and beside it none to another {int} MB",
+    (megabytes: number, answer: number, other: number) => {
+        const memoryBytes = megabytes * bytesPerMegabyte;
+        const { answerBytes } = planMemory(memoryBytes);
+        const ended: number[] = [];
+        const options = { maxSingleBytes: planSingleMemory(memoryBytes).answerBytes };
+        const answers = createAnswerMemory(answerBytes, () => undefined, options);
+        answers.open(() => ended.push(answer)).set(answer * bytesPerMegabyte);
+        assert.equal(ended.length, 0);
+        answers.open(() => ended.push(other)).set(other * bytesPerMegabyte);
+        assert.deepEqual(ended, [answer]);
+    },
+);
--- a/src/assemble/assembleProxy.ts
+++ b/src/assemble/assembleProxy.ts
@@ -7,6 +7,7 @@
 import { createGarbageMeter } from "../core/memory/createGarbageMeter.js";
 import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
 import { planMemory } from "../core/memory/planMemory.js";
+import { planSingleMemory } from "../core/memory/planSingleMemory.js";
 import { sumTokens } from "../core/placement/_lib/countPromptTokens.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { createFleetRetryBudget, type FleetRetryBudget } from "../core/proxy/createFleetRetryBudget.js";
@@ -88,13 +89,16 @@
     const placer = assemblePlacer(context, views, fleet, partFeeds, { quarantine, permits, beginTimes });
 
     const limits = planMemory(settings.memoryBytes);
+    const singleLimits = planSingleMemory(settings.memoryBytes);
     const garbage = createGarbageMeter(context.collectGarbage, context.collectYoungGarbage);
     const answerMemory = createAnswerMemory(limits.answerBytes, garbage.record, {
         onGrown: garbage.recordRead,
+        maxSingleBytes: singleLimits.answerBytes,
         now: clock.now,
     });
     const bodyMemory = createMemoryBudget({
         maxBytes: limits.bodyBytes,
+        maxSingleBytes: singleLimits.bodyBytes,
         onReleased: garbage.record,
         now: clock.now,
     });
--- a/src/core/memory/createMemoryBudget.ts
+++ b/src/core/memory/createMemoryBudget.ts
@@ -39,6 +39,8 @@
 /** Dependencies of {@link createMemoryBudget}. */
 export interface MemoryBudgetOptions {
     readonly maxBytes: number;
+    /** Bound up to which one body alone may go beyond it; by default none may. */
+    readonly maxSingleBytes?: number;
     /** Called with the bytes of each reservation that was returned. */
     readonly onReleased: (bytes: number) => void;
     /** Time on the clock, in milliseconds. */
@@ -63,11 +65,15 @@
  */
 export function createMemoryBudget(options: MemoryBudgetOptions): MemoryBudget {
     const unfinished = new Set<Holding>();
+    const { maxBytes, maxSingleBytes = maxBytes } = options;
     let usedBytes = 0;
+    /** The body that went beyond the bound. */
+    let exceeding: Holding | undefined;
 
     function release(holding: Holding): void {
         const { ownBytes, otherBytes } = holding;
         unfinished.delete(holding);
+        exceeding = exceeding === holding ? undefined : exceeding;
         holding.ownBytes = 0;
         holding.otherBytes = 0;
         usedBytes -= ownBytes + otherBytes;
@@ -78,15 +84,24 @@
         return { ...body!.readProgress(), heldBytes: ownBytes };
     }
 
+    /** Lets one body at a time go beyond the bound. */
+    function tryExceed(holding: Holding, bytes: number): boolean {
+        if (usedBytes + bytes > maxSingleBytes || (exceeding !== undefined && exceeding !== holding)) {
+            return false;
+        }
+        exceeding = holding;
+        return true;
+    }
+
     /** Makes room for bytes of one body by those that are behind, if they hold enough; returns whether there is room. */
     function makeRoom(holding: Holding, bytes: number): boolean {
         const chosen = new Set<Holding>();
-        let excessBytes = usedBytes + bytes - options.maxBytes;
+        let excessBytes = usedBytes + bytes - maxBytes;
         while (excessBytes > 0) {
             const others = [...unfinished].filter(one => one !== holding && !chosen.has(one));
             const slow = chooseSlowHolder(others, readProgress, options.now());
             if (slow === undefined) {
-                return false;
+                return tryExceed(holding, bytes);
             }
             chosen.add(slow);
             excessBytes -= slow.ownBytes + slow.otherBytes;
--- a/src/core/proxy/createAnswerMemory.ts
+++ b/src/core/proxy/createAnswerMemory.ts
@@ -51,6 +51,8 @@
 export interface AnswerMemoryOptions {
     /** Called with the bytes by which an answer has grown. */
     readonly onGrown?: (bytes: number) => void;
+    /** Limit up to which one answer alone may go beyond the other one, in bytes; by default none may. */
+    readonly maxSingleBytes?: number;
     /** Time on the clock, in milliseconds; without it no complete answer is evicted. */
     readonly now?: () => number;
 }
@@ -69,7 +71,7 @@
 export function createAnswerMemory(
     maxBytes: number,
     onReleased: (bytes: number) => void = () => undefined,
-    { onGrown = () => undefined, now = () => NaN }: AnswerMemoryOptions = {},
+    { onGrown = () => undefined, now = () => NaN, maxSingleBytes = maxBytes }: AnswerMemoryOptions = {},
 ): AnswerMemory {
     const holdings = new Set<Holding>();
     let totalBytes = 0;
@@ -117,8 +119,11 @@
                 unread.evict?.();
             }
         }
-        if (isOver()) {
-            findLargest()?.evict?.();
+        const largest = findLargest();
+        const othersBytes = totalBytes - leavingBytes - (largest?.bytes ?? 0);
+        const isSingle = othersBytes <= maxBytes && totalBytes - leavingBytes <= maxSingleBytes;
+        if (isOver() && !isSingle) {
+            largest?.evict?.();
         }
     }
 
