Keep the count of evicted holdings right when they shrink, and look for unread ones less often

Cause: a connection that was evicted records fewer requests until it has closed; the bytes that count as leaving did not follow, so that the limit would have grown with each eviction. All holdings were looked at for each growth. Change: what is leaving follows each change; after a look that found none, the next one comes 50 ms later. Conclusion: the scenario of evicted answers goes on with one that shrinks before it closes.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -95,6 +95,8 @@
         Given a memory of 1000 bytes for answers with 300 bytes that are read, 300 behind another and 300 that are not read
         When 2500 ms pass, and another answer is collected and grows to 200 bytes
         Then only the one that is not read is ended, and 1100 bytes are counted
+        When its holding shrinks to 200 bytes and is closed
+        Then another collected answer of 300 bytes is ended, since the limit counts all others
 
     # Guards against bodies and answers within the configuration that a small process can never take.
     Scenario Outline: One body and one answer alone may use what they may use without a crowd
--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -13,7 +13,7 @@
 } from "../../src/core/memory/createMemoryBudget.js";
 import { planMemory } from "../../src/core/memory/planMemory.js";
 import { planSingleMemory } from "../../src/core/memory/planSingleMemory.js";
-import { type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
+import { type AnswerHolding, type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface Body {
@@ -30,6 +30,7 @@
     readonly bodies: Body[];
     answers: AnswerMemory | undefined;
     readonly ended: number[];
+    unread: AnswerHolding | undefined;
 }
 
 const fixtures = new WeakMap<SiteWorld, AdmissionFixture>();
@@ -39,7 +40,15 @@
 
 function getFixture(world: SiteWorld): AdmissionFixture {
     const fixture = fixtures.get(world)
-        ?? { nowMs: startMs, connections: [], budget: undefined, bodies: [], answers: undefined, ended: [] };
+        ?? {
+            nowMs: startMs,
+            connections: [],
+            budget: undefined,
+            bodies: [],
+            answers: undefined,
+            ended: [],
+            unread: undefined,
+        };
     fixtures.set(world, fixture);
     return fixture;
 }
@@ -182,7 +191,7 @@
         fixture.answers = answers;
         answers.hold(read, () => fixture.ended.push(1), () => read - (fixture.nowMs - startMs) / 10);
         answers.hold(behind, () => fixture.ended.push(2), () => undefined);
-        answers.hold(unread, () => fixture.ended.push(3));
+        fixture.unread = answers.hold(unread, () => fixture.ended.push(3));
     },
 );
 
@@ -238,3 +247,19 @@
         assert.deepEqual(ended, [answer]);
     },
 );
+
+When("its holding shrinks to {int} bytes and is closed", function(this: SiteWorld, bytes: number) {
+    const { unread, ended } = getFixture(this);
+    unread!.set(bytes);
+    unread!.close();
+    ended.length = 0;
+});
+
+Then(
+    "another collected answer of {int} bytes is ended, since the limit counts all others",
+    function(this: SiteWorld, bytes: number) {
+        const { answers, ended } = getFixture(this);
+        answers!.open(() => ended.push(5)).set(bytes);
+        assert.deepEqual(ended, [5]);
+    },
+);
--- a/src/core/proxy/createAnswerMemory.ts
+++ b/src/core/proxy/createAnswerMemory.ts
@@ -47,6 +47,9 @@
 /** Time for which a complete answer is kept for its caller although others need the memory, in milliseconds. */
 const readTimeMs = 2_000;
 
+/** Time after which all answers are looked at again for one that is not read, in milliseconds. */
+const lookIntervalMs = 50;
+
 /** Options of {@link createAnswerMemory}. */
 export interface AnswerMemoryOptions {
     /** Called with the bytes by which an answer has grown. */
@@ -77,6 +80,8 @@
     let totalBytes = 0;
     /** Bytes of those that were evicted and are not closed yet. */
     let leavingBytes = 0;
+    /** When none was found that is not read, in milliseconds on the clock. */
+    let foundNoneMs = -Infinity;
 
     function findLargest(): Holding | undefined {
         const isCollected = ({ evict, sending }: Holding) => evict !== undefined && sending === undefined;
@@ -111,8 +116,18 @@
         }
     }
 
+    /** Finds the answers of which nothing was sent for seconds; looks at all of them again only a while after it found none. */
+    function findUnread(): readonly Holding[] {
+        if (now() - foundNoneMs < lookIntervalMs) {
+            return [];
+        }
+        const unread = [...holdings].filter(lookIfUnread);
+        foundNoneMs = unread.length === 0 ? now() : -Infinity;
+        return unread;
+    }
+
     function makeRoom(): void {
-        for (const unread of [...holdings].filter(lookIfUnread)) {
+        for (const unread of findUnread()) {
             if (isOver()) {
                 unread.isLeaving = true;
                 leavingBytes += unread.bytes;
@@ -133,6 +148,7 @@
         }
         const grownBytes = bytes - holding.bytes;
         totalBytes += grownBytes;
+        leavingBytes += holding.isLeaving ? grownBytes : 0;
         holding.bytes = bytes;
         if (grownBytes > 0) {
             onGrown(grownBytes);
--- a/src/io/http/_lib/trackResponses.ts
+++ b/src/io/http/_lib/trackResponses.ts
@@ -21,5 +21,12 @@
         responses.set(socket, own.add(res));
         res.once("close", () => own.delete(res));
     });
-    return socket => [...responses.get(socket) ?? []].some(({ writableEnded }) => !writableEnded);
+    return socket => {
+        for (const { writableEnded } of responses.get(socket) ?? []) {
+            if (!writableEnded) {
+                return true;
+            }
+        }
+        return false;
+    };
 }
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -137,7 +137,7 @@
     }
 
     function goOnLater(): void {
-        if (rest.length <= message.bodyBytes) {
+        if (rest.length > 0 && rest.length <= message.bodyBytes) {
             goOn();
         }
         if (rest.length > 0 && !isQueued && !socket.isPaused()) {
