--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -12,7 +12,8 @@
     type MemoryReservation,
 } from "../../src/core/memory/createMemoryBudget.js";
 import { planMemory } from "../../src/core/memory/planMemory.js";
-import { type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
+import { planSingleMemory } from "../../src/core/memory/planSingleMemory.js";
+import { type AnswerHolding, type AnswerMemory, createAnswerMemory } from "../../src/core/proxy/createAnswerMemory.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 interface Body {
@@ -29,6 +30,7 @@
     readonly bodies: Body[];
     answers: AnswerMemory | undefined;
     readonly ended: number[];
+    unread: AnswerHolding | undefined;
 }
 
 const fixtures = new WeakMap<SiteWorld, AdmissionFixture>();
@@ -38,7 +40,15 @@
 
 function getFixture(world: SiteWorld): AdmissionFixture {
     const fixture = fixtures.get(world)
-        ?? { nowMs: startMs, connections: [], budget: undefined, bodies: [], answers: undefined, ended: [] };
+        ?? {
+            nowMs: startMs,
+            connections: [],
+            budget: undefined,
+            bodies: [],
+            answers: undefined,
+            ended: [],
+            unread: undefined,
+        };
     fixtures.set(world, fixture);
     return fixture;
 }
@@ -172,3 +182,84 @@
         }
     },
 );
+
+Given(
+    "a memory of {int} bytes for answers with {int} bytes that are read, {int} behind another and {int} that are not read",
+    function(this: SiteWorld, maxBytes: number, read: number, behind: number, unread: number) {
+        const fixture = getFixture(this);
+        const answers = createAnswerMemory(maxBytes, () => undefined, { now: () => fixture.nowMs });
+        fixture.answers = answers;
+        answers.hold(read, () => fixture.ended.push(1), () => read - (fixture.nowMs - startMs) / 10);
+        answers.hold(behind, () => fixture.ended.push(2), () => undefined);
+        fixture.unread = answers.hold(unread, () => fixture.ended.push(3));
+    },
+);
+
+When(
+    "{int} ms pass, and another answer is collected and grows to {int} bytes",
+    function(this: SiteWorld, ms: number, bytes: number) {
+        const { answers, ended } = getFixture(this);
+        getFixture(this).nowMs += ms;
+        answers!.open(() => ended.push(4)).set(bytes);
+    },
+);
+
+Then(
+    "only the one that is not read is ended, and {int} bytes are counted",
+    function(this: SiteWorld, bytes: number) {
+        const { answers, ended } = getFixture(this);
+        assert.deepEqual(ended, [3]);
+        assert.equal(answers!.totalBytes(), bytes);
+    },
+);
+
+Then(
+    "with {int} MB one body finds room for {int} MB, and beside it none for another of {int} MB",
+    (megabytes: number, body: number, other: number) => {
+        const memoryBytes = megabytes * bytesPerMegabyte;
+        const { bodyBytes: maxBytes } = planMemory(memoryBytes);
+        const { bodyBytes: maxSingleBytes } = planSingleMemory(memoryBytes);
+        const budget = createMemoryBudget({
+            maxBytes,
+            maxSingleBytes,
+            onReleased: () => undefined,
+            now: () => startMs,
+        });
+        const reservation = budget.open();
+        assert.ok(reservation.tryGrow(body * bytesPerMegabyte));
+        assert.equal(budget.open().tryGrow(other * bytesPerMegabyte), false);
+        reservation.release();
+        assert.ok(budget.open().tryGrow(other * bytesPerMegabyte));
+    },
+);
+
+Then(
+    "with {int} MB one answer may grow to {int} MB, and beside it none to another {int} MB",
+    (megabytes: number, answer: number, other: number) => {
+        const memoryBytes = megabytes * bytesPerMegabyte;
+        const { answerBytes } = planMemory(memoryBytes);
+        const ended: number[] = [];
+        const options = { maxSingleBytes: planSingleMemory(memoryBytes).answerBytes };
+        const answers = createAnswerMemory(answerBytes, () => undefined, options);
+        answers.open(() => ended.push(answer)).set(answer * bytesPerMegabyte);
+        assert.equal(ended.length, 0);
+        answers.open(() => ended.push(other)).set(other * bytesPerMegabyte);
+        assert.deepEqual(ended, [answer]);
+    },
+);
+
+When("its holding shrinks to {int} bytes and is closed", function(this: SiteWorld, bytes: number) {
+    const { unread, ended } = getFixture(this);
+    unread!.set(bytes);
+    unread!.close();
+    ended.length = 0;
+});
+
+Then(
+    "another collected answer of {int} bytes is ended, since the limit counts all others",
+    function(this: SiteWorld, bytes: number) {
+        const { answers, ended } = getFixture(this);
+        answers!.open(() => ended.push(5)).set(bytes);
+        assert.deepEqual(ended, [5]);
+    },
+);
