Quotas: bound requests that exceed what one owner may grant

Cause: each of three owners let a request overdraw its full bucket by up to a whole window, so large requests passed the quota. Histories with such costs (`large`). A request over burst and debt together is never granted: after a takeover it would pass.

--- a/bench/quotas/drawQuotaPlan.ts
+++ b/bench/quotas/drawQuotaPlan.ts
@@ -12,6 +12,17 @@
 /** Tokens of the requests of a customer. */
 const tokenCosts: readonly (readonly number[])[] = [[9_190], [870], [870, 870, 870, 9_190], [200]];
 
+/** The same of customers whose requests exceed a part of their quota, or all of it. */
+const largeCosts: readonly (readonly number[])[] = [[53_000], [870, 60_000], [40_000, 120_000], [20_000, 400_000]];
+
+function drawLargeCustomer(random: () => number, index: number): PlannedCustomer {
+    const ratePerSecond = 5_000 + Math.floor(30_000 * random());
+    const burst = Math.floor(90_000 * random());
+    const costs = largeCosts[Math.floor(random() * largeCosts.length)]!;
+    const quota = { unit: "tokens", ratePerSecond, burst, plainTokens: 200 } as const;
+    return { name: `customer-${index}`, quota, demand: 1 + 5 * random(), costs, spread: 1 };
+}
+
 function drawCustomer(random: () => number, index: number, instances: number): PlannedCustomer {
     const isOver = random() < 0.5;
     const demand = isOver ? 1.5 + 5 * random() : 0.55;
@@ -32,7 +43,7 @@
 }
 
 /** Draws a history with a few failures, and for some seeds a changed configuration. */
-export function drawQuotaPlan(seed: number, instances: number, customers: number): QuotaPlan {
+export function drawQuotaPlan(seed: number, instances: number, customers: number, areLarge = false): QuotaPlan {
     const { random } = createVirtualClock(seed);
     const faults = Array.from({ length: 1 + Math.floor(3 * random()) }, (): PlannedFault => ({
         kind: kinds[Math.floor(random() * kinds.length)]!,
@@ -44,8 +55,11 @@
     return {
         seed,
         instances,
-        customers: Array.from({ length: customers }, (_, index) => drawCustomer(random, index, instances)),
-        bounds: { windowMs: 8_000, overshootRatio: 0.1, slack: 72_000 },
+        customers: Array.from(
+            { length: customers },
+            (_, index) => areLarge ? drawLargeCustomer(random, index) : drawCustomer(random, index, instances),
+        ),
+        bounds: { windowMs: 8_000, overshootRatio: 0.1, slack: areLarge && random() < 0.5 ? 0 : 72_000 },
         durationMs,
         lossRatio: random() < 0.5 ? 0 : 0.03 * random(),
         faults,
--- a/bench/quotas/runQuotaHistories.ts
+++ b/bench/quotas/runQuotaHistories.ts
@@ -11,6 +11,8 @@
     readonly instances: number;
     readonly histories: number;
     readonly firstSeed: number;
+    /** Whether requests exceed what one owner may grant at once. */
+    readonly areLarge?: boolean;
 }
 
 /** What they have shown. */
@@ -26,13 +28,13 @@
 /** Customers of a history. */
 const customers = 8;
 
-export function runQuotaHistories({ instances, histories, firstSeed }: QuotaRunOptions): QuotaRunResult {
+export function runQuotaHistories({ instances, histories, firstSeed, areLarge }: QuotaRunOptions): QuotaRunResult {
     const overruns: string[] = [];
     let fullest = 0;
     let runs = 0;
     let perSecond = 0;
     for (let seed = firstSeed; seed < firstSeed + histories; seed += 1) {
-        const plan = drawQuotaPlan(seed, instances, customers);
+        const plan = drawQuotaPlan(seed, instances, customers, areLarge);
         const history = playQuotaHistory(plan);
         perSecond = Math.max(perSecond, history.messages * 1_000 / plan.durationMs / instances);
         plan.customers.forEach((customer, index) => {
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -12,6 +12,15 @@
             | 24        | 6         |
             | 91        | 1         |
 
+    Scenario Outline: No customer passes its quota with requests that exceed what one owner may grant
+        When <histories> histories of quotas with requests that exceed a part's capacity are played on <instances> instances from seed 1
+        Then no customer has used more than its quota allows
+
+        Examples:
+            | instances | histories |
+            | 2         | 12        |
+            | 24        | 6         |
+
     Scenario Outline: Customers get what their quotas allow
         When customers ask <instances> instances for more and for less than their quotas <while>
         Then those that ask for more get at least <share> of their rate
--- a/features/steps/quotaHistorySteps.ts
+++ b/features/steps/quotaHistorySteps.ts
@@ -20,6 +20,14 @@
     },
 );
 
+When(
+    "{int} histories of quotas with requests that exceed a part's capacity are played on {int} instances from seed {int}",
+    { timeout: 120_000 },
+    function(this: SiteWorld, histories: number, instances: number, firstSeed: number) {
+        results.set(this, runQuotaHistories({ instances, histories, firstSeed, areLarge: true }));
+    },
+);
+
 Then("no customer has used more than its quota allows", function(this: SiteWorld) {
     const { overruns, runs } = results.get(this)!;
     assert.ok(runs > 0, "no request has run");
--- a/features/steps/quotaSteps.ts
+++ b/features/steps/quotaSteps.ts
@@ -32,7 +32,7 @@
 
 const buckets = new WeakMap<SiteWorld, QuotaBucket>();
 
-const limit = { rate: 10, capacity: 100 };
+const limit = { rate: 10, capacity: 100, debt: 0 };
 const fullMs = 20_000;
 
 Given("a bucket of 100 at 10 a second that is full", function(this: SiteWorld) {
@@ -49,13 +49,13 @@
         const bucket = buckets.get(this)!;
         const takenMs = fullMs + 100;
         bucket.refill(limit, takenMs);
-        const mark = bucket.take(amount, false);
+        const mark = bucket.take(amount);
         assert.ok(mark !== undefined);
         const endMs = takenMs + afterSeconds * 1_000;
         for (let atMs = takenMs + 100; atMs < endMs; atMs += 100) {
             bucket.refill(limit, atMs);
         }
-        assert.ok(bucket.take(meanwhile, false) !== undefined);
+        assert.ok(bucket.take(meanwhile) !== undefined);
         bucket.refill(limit, endMs);
         bucket.giveBack(amount, mark);
     },
--- a/src/core/quotas/createCustomerQuotas.ts
+++ b/src/core/quotas/createCustomerQuotas.ts
@@ -4,6 +4,8 @@
  * own requests count as.
  */
 import type { CancelTimer, Clock } from "../time/clock.js";
+import { askOwnersForParts } from "./askOwnersForParts.js";
+import { computeQuotaLimit } from "./computeQuotaLimit.js";
 import { computeRequestCost } from "./computeRequestCost.js";
 import { createPledger } from "./createPledger.js";
 import { createQuotaAsker, type QuotaAskResult, type QuotaGrant, type QuotaWaitLimits } from "./createQuotaAsker.js";
@@ -157,7 +159,13 @@
     return {
         charge: ({ customer, quota, tokenCount, waitUntil }, onResult) => {
             const cost = computeRequestCost(quota, tokenCount, bounds);
-            return asker.ask({ customer, cost, pool: findQuotaPool(customer, quota, bounds), waitUntil }, onResult);
+            const pool = findQuotaPool(customer, quota, bounds);
+            const request = { customer, cost, pool, waitUntil };
+            const owners = startedPledger.findOwners(pool);
+            const isLarge = cost > computeQuotaLimit(quota, 1 / Math.max(1, owners.length), bounds).capacity;
+            return isLarge && owners.length > 1
+                ? askOwnersForParts(asker, request, owners, onResult)
+                : asker.ask(request, onResult);
         },
         giveBack: asker.giveBack,
         receive,
--- a/src/core/quotas/createQuotaAsker.ts
+++ b/src/core/quotas/createQuotaAsker.ts
@@ -20,6 +20,8 @@
     readonly customer: string;
     readonly cost: number;
     readonly pool: number;
+    /** The only owner that is asked; undefined for any. */
+    readonly owner?: string;
     readonly waitUntil: QuotaWaitLimits;
 }
 
@@ -31,6 +33,8 @@
     readonly epoch: number;
     /** The owner's name for the grant; undefined when it knows of no quota. */
     readonly mark: number | undefined;
+    /** Grants of several owners of which this one consists. */
+    readonly parts?: readonly QuotaGrant[];
 }
 
 /** Result of an ask. */
@@ -226,13 +230,14 @@
         }
 
         function beginRound(): void {
-            askNext(listOwners(request.pool), []);
+            askNext(request.owner === undefined ? listOwners(request.pool) : [request.owner], []);
         }
         beginRound();
         return end;
     }
 
-    function giveBack({ customer, cost, owner, epoch, mark }: QuotaGrant): void {
+    function giveBack({ customer, cost, owner, epoch, mark, parts = [] }: QuotaGrant): void {
+        parts.forEach(giveBack);
         if (mark !== undefined) {
             deps.sendReturn(owner, epoch, [{ customer, cost, mark }]);
         }
--- a/src/core/quotas/createQuotaBucket.ts
+++ b/src/core/quotas/createQuotaBucket.ts
@@ -11,14 +11,14 @@
     readonly refill: (limit: QuotaLimit, nowMs: number) => void;
     readonly level: () => number;
     /**
-     * Takes an amount; one that exceeds the capacity only from a full bucket, and if `mayOverdraw`. Returns a mark with which it can be
-     * given back; undefined when it is not there.
+     * Takes an amount; one that exceeds the capacity only from a full bucket, by the limit's debt at most. Returns a mark with which it
+     * can be given back; undefined when it is not there.
      */
-    readonly take: (amount: number, mayOverdraw: boolean) => number | undefined;
+    readonly take: (amount: number) => number | undefined;
     /** Gives back what was not used; returns how much of it the bucket would still have if it had not been taken. */
     readonly giveBack: (amount: number, mark: number) => number;
     /** Time until the amount can be taken, in milliseconds; Infinity when it cannot. */
-    readonly findWaitMs: (amount: number, mayOverdraw: boolean) => number;
+    readonly findWaitMs: (amount: number) => number;
 }
 
 /** Least room up to the capacity in a period. */
@@ -45,12 +45,12 @@
  * @returns The bucket.
  * @example
  * const bucket = createQuotaBucket(0);
- * bucket.refill({ rate: 100, capacity: 50 }, 200);
- * bucket.take(20, false); // a mark
+ * bucket.refill({ rate: 100, capacity: 50, debt: 0 }, 200);
+ * bucket.take(20); // a mark
  */
 export function createQuotaBucket(sinceMs: number): QuotaBucket {
     let level = 0;
-    let limit: QuotaLimit = { rate: 0, capacity: 0 };
+    let limit: QuotaLimit = { rate: 0, capacity: 0, debt: 0 };
     let refilledMs = sinceMs;
     const periods: Period[] = [];
     /** Marks of an earlier bucket of the customer are lower. */
@@ -75,8 +75,8 @@
     }
 
     /** What the bucket must hold for an amount to be taken. */
-    function findNeed(amount: number, mayOverdraw: boolean): number {
-        return mayOverdraw ? Math.min(amount, limit.capacity) : amount;
+    function findNeed(amount: number): number {
+        return amount <= limit.capacity + limit.debt + tolerance ? Math.min(amount, limit.capacity) : amount;
     }
 
     return {
@@ -88,8 +88,8 @@
             recordRoom();
         },
         level: () => level,
-        take: (amount, mayOverdraw) => {
-            if (level + tolerance < findNeed(amount, mayOverdraw)) {
+        take: amount => {
+            if (level + tolerance < findNeed(amount)) {
                 return undefined;
             }
             level -= amount;
@@ -115,8 +115,8 @@
             });
             return given;
         },
-        findWaitMs: (amount, mayOverdraw) => {
-            const need = findNeed(amount, mayOverdraw);
+        findWaitMs: amount => {
+            const need = findNeed(amount);
             const missing = Math.max(0, need - level);
             if (missing === 0) {
                 return 0;
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -17,7 +17,7 @@
     QuotaReturnItem,
 } from "./quotaMessage.js";
 import { countOwners, findQuotaPool } from "./quotaPools.js";
-import type { CustomerQuota, QuotaBounds } from "./quotaTypes.js";
+import type { CustomerQuota, QuotaBounds, QuotaLimit } from "./quotaTypes.js";
 
 /** Grants quotas. */
 export interface QuotaOwner {
@@ -59,9 +59,16 @@
     readonly isCurrent: (from: string) => boolean;
 }
 
+interface KeptShare {
+    readonly sinceMs: number;
+    readonly share: number;
+}
+
 interface CustomerBucket {
     readonly bucket: QuotaBucket;
     share: number;
+    /** Shares of the last window, each until the next one. */
+    shares: readonly KeptShare[];
     /** When the share last grew, other than by a renewed pledge. */
     grownMs: number;
     /** What callers that were refused are expected to come back for, drained at the rate. */
@@ -76,8 +83,6 @@
     readonly byPool: Map<number, number>;
 }
 
-const majority = 0.5;
-
 /** Growth of a share from which on it counts as not settled, as a factor. */
 const notedGrowth = 1.1;
 
@@ -131,20 +136,39 @@
         return share;
     }
 
+    function keepShare(entry: CustomerBucket, share: number): void {
+        const nowMs = deps.now();
+        const next = entry.shares.length === 0 ? [{ sinceMs: -Infinity, share: 0 }] : entry.shares;
+        const kept = next.at(-1)?.share === share ? next : [...next, { sinceMs: nowMs, share }];
+        // The one that the window begins with counts too.
+        const first = kept.findLastIndex(one => one.sinceMs < nowMs - deps.bounds.windowMs);
+        entry.shares = kept.slice(Math.max(0, first));
+    }
+
+    /** An owner overdraws only by what it had a share of during the whole window: else one share is overdrawn at two owners. */
+    function findLimit(quota: CustomerQuota, { share, shares: kept }: CustomerBucket): QuotaLimit {
+        const least = kept.reduce((smallest, one) => Math.min(smallest, one.share), share);
+        return {
+            ...computeQuotaLimit(quota, share, deps.bounds),
+            debt: computeQuotaLimit(quota, least, deps.bounds).debt,
+        };
+    }
+
     function refill(customer: string, quota: CustomerQuota): CustomerBucket {
         const nowMs = deps.now();
         const share = findShare(findQuotaPool(customer, quota, deps.bounds));
         const known = buckets.get(customer);
         const entry = known
-            ?? { bucket: createQuotaBucket(nowMs), share, grownMs: nowMs, backlog: 0, backlogMs: nowMs };
+            ?? { bucket: createQuotaBucket(nowMs), share, shares: [], grownMs: nowMs, backlog: 0, backlogMs: nowMs };
         buckets.set(customer, entry);
         // A pledge may have ended at any time since the last refill.
         const accruing = computeQuotaLimit(quota, Math.min(entry.share, share), deps.bounds);
         entry.bucket.refill(accruing, nowMs);
         entry.grownMs = share > entry.share * notedGrowth ? nowMs : entry.grownMs;
         entry.share = share;
+        keepShare(entry, share);
         if (share > 0) {
-            entry.bucket.refill(computeQuotaLimit(quota, share, deps.bounds), nowMs);
+            entry.bucket.refill(findLimit(quota, entry), nowMs);
         }
         return entry;
     }
@@ -171,9 +195,7 @@
             return { id, state: "unready", waitMs: 0 };
         }
         const owners = countOwners(findQuotaPool(customer, quota, deps.bounds));
-        // A request that exceeds a full bucket may pass where most instances have pledged, so that it can pass at all.
-        const mayOverdraw = share * owners > majority;
-        const mark = bucket.take(cost, mayOverdraw);
+        const mark = bucket.take(cost);
         if (mark !== undefined) {
             return { id, state: "granted", waitMs: 0, mark };
         }
@@ -183,7 +205,7 @@
             return { id, state: "unready", waitMs: 0 };
         }
         // Each of the owners is asked for the request.
-        const waitMs = queueRefused(entry, cost / owners, rate, bucket.findWaitMs(cost, mayOverdraw));
+        const waitMs = queueRefused(entry, cost / owners, rate, bucket.findWaitMs(cost));
         return { id, state: "spent", waitMs: Math.ceil(waitMs) };
     }
 
--- a/src/core/quotas/quotaTypes.ts
+++ b/src/core/quotas/quotaTypes.ts
@@ -32,4 +32,6 @@
     readonly rate: number;
     /** Most that may be unused. */
     readonly capacity: number;
+    /** Most by which a request that exceeds the capacity may overdraw a full bucket. */
+    readonly debt: number;
 }
