Quotas: leaving instances stay owners while no other instance serves

Cause: owners were the serving instances alone; when the only one leaves, or all at once, a request waited for an owner until 503. Change: while no instance serves, those that leave are candidates and owners; they release pledges once another one serves. Conclusion: a planned leave of all refuses nobody within the quota. Not played over a whole stop with real processes.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -117,3 +117,14 @@
             | gives the pledge up and leaves | 1       |
             | ends without a word           | 6       |
             | does not answer any more      | 8       |
+
+    Scenario Outline: Instances that leave keep granting quotas while no other instance serves
+        When the instances of the fleet are <states>
+        Then quotas may be owned by <owners>
+
+        Examples:
+            | states                      | owners           |
+            | serving, leaving, serving   | entry-1, entry-3 |
+            | leaving                     | entry-1          |
+            | leaving, leaving, starting  | entry-1, entry-2 |
+            | starting                    | none             |
--- a/src/assemble/assembleQuotas.ts
+++ b/src/assemble/assembleQuotas.ts
@@ -5,11 +5,12 @@
 import { memoizeFor } from "../core/_lib/memoizeFor.js";
 import { createRefusal } from "../core/errors/createRefusal.js";
 import type { FleetMember } from "../core/fleet/createFleetView.js";
-import { listServing } from "../core/fleet/listServing.js";
+import type { FleetInstance } from "../core/fleet/heartbeat.js";
 import type { ProxyRequest } from "../core/proxy/proxyTypes.js";
 import { createCustomerQuotas, type CustomerQuotas } from "../core/quotas/createCustomerQuotas.js";
 import { createInstanceCensus } from "../core/quotas/createInstanceCensus.js";
 import type { QuotaAskResult, QuotaWaitLimits } from "../core/quotas/createQuotaAsker.js";
+import { listQuotaCandidates } from "../core/quotas/listQuotaCandidates.js";
 import type { QuotaMessage } from "../core/quotas/quotaMessage.js";
 import { pledgeTermMs } from "../core/quotas/quotaTimes.js";
 import type { CustomerQuota } from "../core/quotas/quotaTypes.js";
@@ -23,8 +24,8 @@
     /** Number of other instances that are known or may run at a known address; undefined before the addresses are read. */
     readonly countAddresses: () => number | undefined;
     readonly send: (names: readonly string[], message: QuotaMessage) => void;
-    /** Whether this instance serves and does not leave. */
-    readonly isServing: () => boolean;
+    /** Whether this instance starts, serves or leaves. */
+    readonly ownState: () => FleetInstance["state"] | undefined;
     /** Detects a pause of the process, after which nothing may be granted on what was known before. */
     readonly checkPause: () => void;
 }
@@ -93,16 +94,20 @@
         return ageMs() >= pledgeTermMs || (size !== undefined && (peers.listLive().length + 1) * 2 > size);
     }
 
+    function listCandidates(): readonly string[] {
+        const state = peers.ownState();
+        const own = state === undefined ? [] : [{ name: settings.instance, state }];
+        return listQuotaCandidates([...own, ...peers.listLive().map(({ instance }) => instance)]);
+    }
+    const mayOwn = memoizeFor(viewLifetimeMs, clock.now, () => listCandidates().includes(settings.instance));
+
     const customerQuotas = createCustomerQuotas({
         clock,
         random,
         self: settings.instance,
         bounds: settings.quotaBounds,
         quotas,
-        listCandidates: () => {
-            const others = listServing(peers.listLive()).map(instance => instance.name);
-            return peers.isServing() ? [settings.instance, ...others] : others;
-        },
+        listCandidates,
         countInstances,
         starts: memoizeFor(
             viewLifetimeMs,
@@ -110,7 +115,7 @@
             () => new Map(peers.listLive().map(({ instance }) => [instance.name, instance.startedAtMs])),
         ),
         mayPledge,
-        mayOwn: peers.isServing,
+        mayOwn,
         send: (to, message) => peers.send([to], message),
         onSilentOwner: owner => writeLog("quotaOwnerSilent", { owner }),
     });
--- a/src/core/quotas/createCustomerQuotas.ts
+++ b/src/core/quotas/createCustomerQuotas.ts
@@ -48,7 +48,7 @@
     readonly bounds: QuotaBounds;
     /** Quotas in force, by customer. */
     readonly quotas: () => ReadonlyMap<string, CustomerQuota>;
-    /** Names of the instances that serve and do not leave, this one included. */
+    /** Names of the instances that may own quotas, this one included if it may. */
     readonly listCandidates: () => readonly string[];
     /** Upper bound on the instances that run; undefined while it is not known. */
     readonly countInstances: () => number | undefined;
@@ -56,7 +56,7 @@
     readonly starts: () => ReadonlyMap<string, number>;
     /** Whether this instance may pledge: what an earlier process of it has pledged is over, or goes to the same owners. */
     readonly mayPledge: () => boolean;
-    /** Whether this instance serves and does not leave. */
+    /** Whether this instance may own quotas. */
     readonly mayOwn: () => boolean;
     readonly send: (to: string, message: QuotaMessage) => void;
     /** Receives an owner that does not answer. */
--- a/src/wireRouter.ts
+++ b/src/wireRouter.ts
@@ -117,7 +117,7 @@
         listLive: () => joinedFleet?.listLive() ?? [],
         countAddresses: () => joinedFleet?.countAddresses(),
         send: (names, message) => joinedFleet?.sendMessage(names, message),
-        isServing: () => joinedFleet?.self().state === "serving",
+        ownState: () => joinedFleet?.self().state,
         checkPause: () => pauses.check(),
     });
     const fleet: Fleet = assembleFleet(context, views, feeds, {
