Quotas: keep buckets only of quotas of which a share is granted

Change: at share 0 nothing is created or refilled and the bucket goes; a full bucket that stays full records no periods. Conclusion: memory grows with the pools an instance owns. A share that comes back begins with an empty bucket.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -128,3 +128,14 @@
             | leaving                     | entry-1          |
             | leaving, leaving, starting  | entry-1, entry-2 |
             | starting                    | none             |
+
+    Scenario Outline: An instance keeps buckets only of the quotas of which it grants a share
+        Given an owner to which 3 of 4 instances have pledged
+        When <what>
+        Then the owner keeps <count> buckets
+
+        Examples:
+            | what                    | count |
+            | nothing happens         | 1     |
+            | 4 s pass without pledges | 0     |
+            | the owner leaves        | 0     |
--- a/features/steps/quotaSteps.ts
+++ b/features/steps/quotaSteps.ts
@@ -268,3 +268,7 @@
     const shares = owners.get(this)!.owner.describeShares();
     assert.equal(shares.find(one => one.pool === pool)?.share ?? 0, share);
 });
+
+Then("the owner keeps {int} buckets", function(this: SiteWorld, count: number) {
+    assert.equal(owners.get(this)!.owner.countBuckets(), count);
+});
--- a/src/core/quotas/createQuotaBucket.ts
+++ b/src/core/quotas/createQuotaBucket.ts
@@ -67,11 +67,16 @@
 
     function recordRoom(): void {
         const last = periods.at(-1);
+        const room = Math.max(0, limit.capacity - level);
+        // A full bucket that stays full needs no further period.
+        if (last?.room === 0 && room === 0) {
+            return;
+        }
         if (last === undefined || refilledMs - last.sinceMs >= maxPeriodMs) {
             beginPeriod();
             return;
         }
-        last.room = Math.min(last.room, Math.max(0, limit.capacity - level));
+        last.room = Math.min(last.room, room);
     }
 
     /** What the bucket must hold for an amount to be taken. */
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -30,6 +30,8 @@
     readonly takeBack: (epoch: number, items: readonly QuotaReturnItem[]) => void;
     /** Fills the buckets and drops what is over; called often. */
     readonly update: () => void;
+    /** Number of customers of whose quotas the owner keeps buckets. */
+    readonly countBuckets: () => number;
     /** Lists the pools of which this owner grants a share now. */
     readonly describeShares: () => readonly QuotaShare[];
     /** Forgets everything, after a pause of the process. */
@@ -154,9 +156,14 @@
         };
     }
 
-    function refill(customer: string, quota: CustomerQuota): CustomerBucket {
+    /** Returns nothing, and keeps no bucket, for a quota of which this instance has no share. */
+    function refill(customer: string, quota: CustomerQuota): CustomerBucket | undefined {
         const nowMs = deps.now();
         const share = findShare(findQuotaPool(customer, quota, deps.bounds));
+        if (share === 0) {
+            buckets.delete(customer);
+            return undefined;
+        }
         const known = buckets.get(customer);
         const entry = known
             ?? { bucket: createQuotaBucket(nowMs), share, shares: [], grownMs: nowMs, backlog: 0, backlogMs: nowMs };
@@ -167,9 +174,7 @@
         entry.grownMs = share > entry.share * notedGrowth ? nowMs : entry.grownMs;
         entry.share = share;
         keepShare(entry, share);
-        if (share > 0) {
-            entry.bucket.refill(findLimit(quota, entry), nowMs);
-        }
+        entry.bucket.refill(findLimit(quota, entry), nowMs);
         return entry;
     }
 
@@ -190,10 +195,10 @@
             return { id, state: "granted", waitMs: 0 };
         }
         const entry = refill(customer, quota);
-        const { bucket, share } = entry;
-        if (share === 0) {
+        if (entry === undefined) {
             return { id, state: "unready", waitMs: 0 };
         }
+        const { bucket, share } = entry;
         const owners = countOwners(findQuotaPool(customer, quota, deps.bounds));
         const mark = bucket.take(cost);
         if (mark !== undefined) {
@@ -227,7 +232,7 @@
         for (const { customer, cost, mark } of ofEpoch === epoch ? items : []) {
             const quota = deps.quotas().get(customer);
             if (quota !== undefined && buckets.has(customer)) {
-                refill(customer, quota).bucket.giveBack(cost, mark);
+                refill(customer, quota)?.bucket.giveBack(cost, mark);
             }
         }
     }
@@ -244,6 +249,7 @@
             quotas.forEach((quota, customer) => refill(customer, quota));
             [...buckets.keys()].filter(customer => !quotas.has(customer)).forEach(customer => buckets.delete(customer));
         },
+        countBuckets: () => buckets.size,
         describeShares: () => {
             const pools = new Set([...deps.quotas()].map(([name, quota]) => findQuotaPool(name, quota, deps.bounds)));
             return [...pools].map(pool => ({ pool, share: findShare(pool) })).filter(({ share }) => share > 0);
