Quotas: names of any length, and no retries earned by refused requests

Cause: names over 256 characters, or empty, failed the message schema: always 503. A request refused by its quota counted for the retry budget, so refusals bought retries. Change: names are as the configuration takes them; a request with a quota counts once it is charged. Asks with names of many kilobytes may still exceed a datagram.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -139,3 +139,21 @@
             | nothing happens         | 1     |
             | 4 s pass without pledges | 0     |
             | the owner leaves        | 0     |
+
+    Scenario Outline: A customer's name may have any length
+        When an ask names a customer of <length> characters
+        Then its owner reads the ask
+
+        Examples:
+            | length |
+            | 0      |
+            | 2000   |
+
+    Scenario Outline: A request that its quota refuses earns no retries
+        When a request is <end>
+        Then <count> requests count for retries
+
+        Examples:
+            | end                                             | count |
+            | refused by its quota                            | 0     |
+            | charged, and refused for want of an upstream    | 1     |
--- a/src/core/quotas/quotaMessage.ts
+++ b/src/core/quotas/quotaMessage.ts
@@ -7,11 +7,11 @@
 /** Most asks or returns in one message. */
 export const maxQuotaItems = 64;
 
-const maxNameLength = 256;
 const maxPools = 64;
 const maxInstances = 100_000;
 
-const name = z.string().min(1).max(maxNameLength);
+/** Whatever the configuration takes as a name. */
+const name = z.string();
 const amount = z.number().min(0);
 const count = z.number().int().min(0);
 
--- a/src/io/proxy/createRequestRunner.ts
+++ b/src/io/proxy/createRequestRunner.ts
@@ -138,7 +138,10 @@
                 deps.placer.end(req);
             }
         };
-        deps.retryBudget.recordRequest(req.service, deps.clock.now(), req.priority);
+        const recordRequest = () => deps.retryBudget.recordRequest(req.service, deps.clock.now(), req.priority);
+        if (req.customer?.quota === undefined) {
+            recordRequest();
+        }
         const steps = serveChargedRequest(req, {
             tryAcquireRetry: service => deps.retryBudget.tryAcquire(service, deps.clock.now(), req.priority),
             hasRetry: service => deps.retryBudget.hasRetry(service, deps.clock.now(), req.priority),
@@ -151,7 +154,14 @@
         runSteps<void, ChargedEffect, ChargedEffectResults>(
             steps,
             {
-                charge: ({ quota }, resume) => charge(req, quota, caller, resume),
+                charge: ({ quota }, resume) =>
+                    charge(req, quota, caller, result => {
+                        // A request that its quota refuses earns no retry.
+                        if (result.kind === "charged") {
+                            recordRequest();
+                        }
+                        resume(result);
+                    }),
                 place: (effect, resume) => {
                     if (caller.isDisconnected()) {
                         resume({ kind: "callerGone" });
