--- a/src/core/quotas/createPledger.ts
+++ b/src/core/quotas/createPledger.ts
@@ -41,6 +41,12 @@
 
 type Weights = ReadonlyMap<number, number>;
 
+/** Candidates that are not passed over. */
+interface AnsweringOwners {
+    readonly names: readonly string[];
+    readonly key: string;
+}
+
 interface SentPledge {
     readonly weights: Weights;
     readonly untilMs: number;
@@ -81,7 +87,7 @@
     const states = new Map<string, OwnerState>();
     let ownWeights: Weights = new Map();
     /** The candidates of whom `owners` were chosen. */
-    let ownersOf: readonly string[] = [];
+    let ownersOf = "";
     let owners = new Map<number, readonly string[]>();
     let cancelRenewal: CancelTimer = () => undefined;
 
@@ -102,15 +108,17 @@
         return state;
     }
 
-    const listAnswering = memoizeFor(candidatesLifetimeMs, clock.now, (): readonly string[] => {
+    const findAnswering = memoizeFor(candidatesLifetimeMs, clock.now, (): AnsweringOwners => {
         const nowMs = clock.now();
-        return deps.listCandidates().filter(name => (states.get(name)?.passedOverUntilMs ?? 0) <= nowMs).toSorted();
+        const isAnswering = (name: string) => (states.get(name)?.passedOverUntilMs ?? 0) <= nowMs;
+        const names = deps.listCandidates().filter(isAnswering).toSorted();
+        return { names, key: names.join(" ") };
     });
 
     function findOwners(pool: number): readonly string[] {
-        const candidates = listAnswering();
-        if (candidates !== ownersOf) {
-            ownersOf = candidates;
+        const { names: candidates, key } = findAnswering();
+        if (key !== ownersOf) {
+            ownersOf = key;
             owners = new Map();
         }
         const known = owners.get(pool) ?? chooseQuotaOwners(pool, candidates);
@@ -230,7 +238,7 @@
             }
         },
         update: () => {
-            const key = `${listAnswering().join(" ")} ${deps.listPools().join(" ")} ${deps.mayPledge()}`;
+            const key = `${findAnswering().key} ${deps.listPools().join(" ")} ${deps.mayPledge()}`;
             if (key !== renewedKey) {
                 renewedKey = key;
                 renew();
