Quotas: cancel timers of answered asks, count returns once, and shorter Retry-After

Cause: the 10 s timer outlived the answer; the list of unsent asks was copied for each; a repeated request queued behind itself in Retry-After; a return that arrived twice was credited twice. Change: timer cancelled, list appended, asks say that they are repeated, returns have ids that owners know for 30 s.

--- a/features/steps/quotaMendSteps.ts
+++ b/features/steps/quotaMendSteps.ts
@@ -51,7 +51,7 @@
     function(this: SiteWorld, end: string) {
         const refusal = createRefusal("overloaded", "");
         const giveBack = () => undefined;
-        const chargeQuota: ChargeQuota = (_req, _quota, onResult) => {
+        const chargeQuota: ChargeQuota = (...[, , onResult]) => {
             onResult(end.startsWith("refused") ? { kind: "refused", refusal } : { kind: "charged", giveBack });
             return () => undefined;
         };
--- a/src/core/quotas/createQuotaAsker.ts
+++ b/src/core/quotas/createQuotaAsker.ts
@@ -74,6 +74,7 @@
     readonly cost: number;
     /** Undefined once the answer is not waited for any more. */
     onAnswer: ((item: QuotaAnswerItem, epoch: number) => void) | undefined;
+    readonly cancelExpiry: CancelTimer;
 }
 
 /** An owner's last refusal of a customer. */
@@ -86,6 +87,9 @@
 /** Time for which the answer to an ask that counts as lost is recognized, in milliseconds. */
 const lateAnswerMs = 10_000;
 
+/** Returns of all instances differ in their ids. */
+const maxReturnId = 2 ** 48;
+
 /** Shortest time between two rounds of asks for a request, in milliseconds. */
 const minRoundMs = 25;
 
@@ -143,16 +147,23 @@
         }
     }
 
-    function askOwner(owner: string, { customer, cost }: QuotaAsk, onAnswer: SentAsk["onAnswer"]): SentAsk {
+    function askOwner(
+        owner: string,
+        { customer, cost }: QuotaAsk,
+        isRepeated: boolean,
+        onAnswer: SentAsk["onAnswer"],
+    ): SentAsk {
         lastId += 1;
         const id = lastId;
-        const one: SentAsk = { owner, customer, cost, onAnswer };
+        const cancelExpiry = clock.after(lateAnswerMs, () => sent.delete(id));
+        const one: SentAsk = { owner, customer, cost, onAnswer, cancelExpiry };
         sent.set(id, one);
-        clock.after(lateAnswerMs, () => sent.delete(id));
         if (unsent.size === 0) {
             clock.after(0, flush);
         }
-        unsent.set(owner, [...unsent.get(owner) ?? [], { id, customer, cost }]);
+        const items = unsent.get(owner) ?? [];
+        items.push(isRepeated ? { id, customer, cost, isRepeated } : { id, customer, cost });
+        unsent.set(owner, items);
         return one;
     }
 
@@ -168,6 +179,7 @@
         let waitedFor: SentAsk | undefined;
         let cancelTimer: CancelTimer = () => undefined;
         let tried: readonly string[] = [];
+        const refusing = new Set<string>();
         open += 1;
 
         function end(): void {
@@ -208,7 +220,7 @@
                 return;
             }
             tried = [...tried.filter(name => name !== owner), owner];
-            const one = askOwner(owner, request, (item, epoch) => {
+            const one = askOwner(owner, request, refusing.has(owner), (item, epoch) => {
                 cancelTimer();
                 waitedFor = undefined;
                 avoidedUntilMs.delete(owner);
@@ -218,6 +230,9 @@
                     onResult({ kind: "granted", grant: { customer, cost, owner, epoch, mark: item.mark } });
                     return;
                 }
+                if (item.state === "spent") {
+                    refusing.add(owner);
+                }
                 askNext(rest, item.state === "spent" ? [...spentMs, item.waitMs] : spentMs);
             });
             waitedFor = one;
@@ -239,7 +254,7 @@
     function giveBack({ customer, cost, owner, epoch, mark, parts = [] }: QuotaGrant): void {
         parts.forEach(giveBack);
         if (mark !== undefined) {
-            deps.sendReturn(owner, epoch, [{ customer, cost, mark }]);
+            deps.sendReturn(owner, epoch, [{ customer, cost, mark, id: Math.floor(deps.random() * maxReturnId) }]);
         }
     }
 
@@ -252,6 +267,7 @@
                     continue;
                 }
                 sent.delete(item.id);
+                one.cancelExpiry();
                 if (item.state === "spent") {
                     const { customer, cost } = one;
                     keepHint(`${from} ${customer}`, { cost, atMs: clock.now(), waitMs: item.waitMs });
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -88,6 +88,9 @@
 /** Growth of a share from which on it counts as not settled, as a factor. */
 const notedGrowth = 1.1;
 
+/** Time for which returns are known by their ids: buckets take nothing back that was taken before. */
+const returnRetentionMs = 30_000;
+
 /** Time after which a share that does not grow counts as settled, in milliseconds. */
 const settlingMs = 2_000;
 
@@ -108,6 +111,8 @@
     const book = createPledgeBook();
     const buckets = new Map<string, CustomerBucket>();
     const createEpoch = () => Math.floor(deps.random() * maxEpoch);
+    /** When returns arrived, by id. */
+    const returnedMs = new Map<number, number>();
     let epoch = createEpoch();
     let shares: PoolShares | undefined;
 
@@ -179,17 +184,24 @@
     }
 
     /** Time after which a refused caller finds its amount, behind those refused before it. */
-    function queueRefused(entry: CustomerBucket, cost: number, rate: number, waitMs: number): number {
+    function queueRefused(
+        entry: CustomerBucket,
+        cost: number,
+        isRepeated: boolean,
+        rate: number,
+        waitMs: number,
+    ): number {
         const nowMs = deps.now();
         const drained = rate * (nowMs - entry.backlogMs) / millisecondsPerSecond;
-        const backlog = Math.max(0, entry.backlog - drained);
+        // A request that was refused before is not behind itself.
+        const backlog = Math.max(0, entry.backlog - drained - (isRepeated ? cost : 0));
         const maxWaitMs = deps.bounds.windowMs;
         entry.backlog = Math.min(backlog + cost, rate * maxWaitMs / millisecondsPerSecond);
         entry.backlogMs = nowMs;
         return Math.min(maxWaitMs, waitMs + backlog * millisecondsPerSecond / rate);
     }
 
-    function answer({ id, customer, cost }: QuotaAskItem): QuotaAnswerItem {
+    function answer({ id, customer, cost, isRepeated = false }: QuotaAskItem): QuotaAnswerItem {
         const quota = deps.quotas().get(customer);
         if (quota === undefined) {
             return { id, state: "granted", waitMs: 0 };
@@ -210,7 +222,7 @@
             return { id, state: "unready", waitMs: 0 };
         }
         // Each of the owners is asked for the request.
-        const waitMs = queueRefused(entry, cost / owners, rate, bucket.findWaitMs(cost));
+        const waitMs = queueRefused(entry, cost / owners, isRepeated, rate, bucket.findWaitMs(cost));
         return { id, state: "spent", waitMs: Math.ceil(waitMs) };
     }
 
@@ -229,7 +241,11 @@
     }
 
     function takeBack(ofEpoch: number, items: readonly QuotaReturnItem[]): void {
-        for (const { customer, cost, mark } of ofEpoch === epoch ? items : []) {
+        for (const { customer, cost, mark, id } of ofEpoch === epoch ? items : []) {
+            if (returnedMs.has(id)) {
+                continue;
+            }
+            returnedMs.set(id, deps.now());
             const quota = deps.quotas().get(customer);
             if (quota !== undefined && buckets.has(customer)) {
                 refill(customer, quota)?.bucket.giveBack(cost, mark);
@@ -237,6 +253,15 @@
         }
     }
 
+    function dropReturns(): void {
+        for (const [id, atMs] of returnedMs) {
+            if (deps.now() - atMs < returnRetentionMs) {
+                return;
+            }
+            returnedMs.delete(id);
+        }
+    }
+
     return {
         receivePledge,
         pledgeSelf: weights => book.record(deps.self, { weights, size: deps.countInstances() }, deps.now()),
@@ -245,6 +270,7 @@
         update: () => {
             book.removeOver(deps.now(), from => from === deps.self || deps.isCurrent(from));
             shares = undefined;
+            dropReturns();
             const quotas = deps.quotas();
             quotas.forEach((quota, customer) => refill(customer, quota));
             [...buckets.keys()].filter(customer => !quotas.has(customer)).forEach(customer => buckets.delete(customer));
--- a/src/core/quotas/quotaMessage.ts
+++ b/src/core/quotas/quotaMessage.ts
@@ -39,7 +39,13 @@
     isReleased: z.boolean().optional(),
 }).readonly();
 
-const askItemSchema = z.object({ id: count, customer: name, cost: amount }).readonly();
+const askItemSchema = z.object({
+    id: count,
+    customer: name,
+    cost: amount,
+    /** Whether the owner has refused the same request before. */
+    isRepeated: z.boolean().optional(),
+}).readonly();
 
 const answerItemSchema = z.object({
     id: count,
@@ -55,6 +61,8 @@
     customer: name,
     cost: amount,
     mark: count,
+    /** Names the return: a message may arrive twice. */
+    id: count,
 }).readonly();
 
 /** Schema of the messages. */
