--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -12,6 +12,15 @@
             | 24        | 6         |
             | 91        | 1         |
 
+    Scenario Outline: No customer passes its quota with requests that exceed what one owner may grant
+        When <histories> histories of quotas with requests that exceed a part's capacity are played on <instances> instances from seed 1
+        Then no customer has used more than its quota allows
+
+        Examples:
+            | instances | histories |
+            | 2         | 12        |
+            | 24        | 6         |
+
     Scenario Outline: Customers get what their quotas allow
         When customers ask <instances> instances for more and for less than their quotas <while>
         Then those that ask for more get at least <share> of their rate
@@ -108,3 +117,43 @@
             | gives the pledge up and leaves | 1       |
             | ends without a word           | 6       |
             | does not answer any more      | 8       |
+
+    Scenario Outline: Instances that leave keep granting quotas while no other instance serves
+        When the instances of the fleet are <states>
+        Then quotas may be owned by <owners>
+
+        Examples:
+            | states                      | owners           |
+            | serving, leaving, serving   | entry-1, entry-3 |
+            | leaving                     | entry-1          |
+            | leaving, leaving, starting  | entry-1, entry-2 |
+            | starting                    | none             |
+
+    Scenario Outline: An instance keeps buckets only of the quotas of which it grants a share
+        Given an owner to which 3 of 4 instances have pledged
+        When <what>
+        Then the owner keeps <count> buckets
+
+        Examples:
+            | what                    | count |
+            | nothing happens         | 1     |
+            | 4 s pass without pledges | 0     |
+            | the owner leaves        | 0     |
+
+    Scenario Outline: A customer's name may have any length
+        When an ask names a customer of <length> characters
+        Then its owner reads the ask
+
+        Examples:
+            | length |
+            | 0      |
+            | 2000   |
+
+    Scenario Outline: A request that its quota refuses earns no retries
+        When a request is <end>
+        Then <count> requests count for retries
+
+        Examples:
+            | end                                             | count |
+            | refused by its quota                            | 0     |
+            | charged, and refused for want of an upstream    | 1     |
--- a/src/core/quotas/createCustomerQuotas.ts
+++ b/src/core/quotas/createCustomerQuotas.ts
@@ -4,6 +4,8 @@
  * own requests count as.
  */
 import type { CancelTimer, Clock } from "../time/clock.js";
+import { askOwnersForParts } from "./askOwnersForParts.js";
+import { computeQuotaLimit } from "./computeQuotaLimit.js";
 import { computeRequestCost } from "./computeRequestCost.js";
 import { createPledger } from "./createPledger.js";
 import { createQuotaAsker, type QuotaAskResult, type QuotaGrant, type QuotaWaitLimits } from "./createQuotaAsker.js";
@@ -46,7 +48,7 @@
     readonly bounds: QuotaBounds;
     /** Quotas in force, by customer. */
     readonly quotas: () => ReadonlyMap<string, CustomerQuota>;
-    /** Names of the instances that serve and do not leave, this one included. */
+    /** Names of the instances that may own quotas, this one included if it may. */
     readonly listCandidates: () => readonly string[];
     /** Upper bound on the instances that run; undefined while it is not known. */
     readonly countInstances: () => number | undefined;
@@ -54,7 +56,7 @@
     readonly starts: () => ReadonlyMap<string, number>;
     /** Whether this instance may pledge: what an earlier process of it has pledged is over, or goes to the same owners. */
     readonly mayPledge: () => boolean;
-    /** Whether this instance serves and does not leave. */
+    /** Whether this instance may own quotas. */
     readonly mayOwn: () => boolean;
     readonly send: (to: string, message: QuotaMessage) => void;
     /** Receives an owner that does not answer. */
@@ -157,7 +159,13 @@
     return {
         charge: ({ customer, quota, tokenCount, waitUntil }, onResult) => {
             const cost = computeRequestCost(quota, tokenCount, bounds);
-            return asker.ask({ customer, cost, pool: findQuotaPool(customer, quota, bounds), waitUntil }, onResult);
+            const pool = findQuotaPool(customer, quota, bounds);
+            const request = { customer, cost, pool, waitUntil };
+            const owners = startedPledger.findOwners(pool);
+            const isLarge = cost > computeQuotaLimit(quota, 1 / Math.max(1, owners.length), bounds).capacity;
+            return isLarge && owners.length > 1
+                ? askOwnersForParts(asker, request, owners, onResult)
+                : asker.ask(request, onResult);
         },
         giveBack: asker.giveBack,
         receive,
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -17,7 +17,7 @@
     QuotaReturnItem,
 } from "./quotaMessage.js";
 import { countOwners, findQuotaPool } from "./quotaPools.js";
-import type { CustomerQuota, QuotaBounds } from "./quotaTypes.js";
+import type { CustomerQuota, QuotaBounds, QuotaLimit } from "./quotaTypes.js";
 
 /** Grants quotas. */
 export interface QuotaOwner {
@@ -30,6 +30,8 @@
     readonly takeBack: (epoch: number, items: readonly QuotaReturnItem[]) => void;
     /** Fills the buckets and drops what is over; called often. */
     readonly update: () => void;
+    /** Number of customers of whose quotas the owner keeps buckets. */
+    readonly countBuckets: () => number;
     /** Lists the pools of which this owner grants a share now. */
     readonly describeShares: () => readonly QuotaShare[];
     /** Forgets everything, after a pause of the process. */
@@ -59,9 +61,16 @@
     readonly isCurrent: (from: string) => boolean;
 }
 
+interface KeptShare {
+    readonly sinceMs: number;
+    readonly share: number;
+}
+
 interface CustomerBucket {
     readonly bucket: QuotaBucket;
     share: number;
+    /** Shares of the last window, each until the next one. */
+    shares: readonly KeptShare[];
     /** When the share last grew, other than by a renewed pledge. */
     grownMs: number;
     /** What callers that were refused are expected to come back for, drained at the rate. */
@@ -76,11 +85,12 @@
     readonly byPool: Map<number, number>;
 }
 
-const majority = 0.5;
-
 /** Growth of a share from which on it counts as not settled, as a factor. */
 const notedGrowth = 1.1;
 
+/** Time for which returns are known by their ids: buckets take nothing back that was taken before. */
+const returnRetentionMs = 30_000;
+
 /** Time after which a share that does not grow counts as settled, in milliseconds. */
 const settlingMs = 2_000;
 
@@ -101,6 +111,8 @@
     const book = createPledgeBook();
     const buckets = new Map<string, CustomerBucket>();
     const createEpoch = () => Math.floor(deps.random() * maxEpoch);
+    /** When returns arrived, by id. */
+    const returnedMs = new Map<number, number>();
     let epoch = createEpoch();
     let shares: PoolShares | undefined;
 
@@ -131,49 +143,76 @@
         return share;
     }
 
-    function refill(customer: string, quota: CustomerQuota): CustomerBucket {
+    function keepShare(entry: CustomerBucket, share: number): void {
+        const nowMs = deps.now();
+        const next = entry.shares.length === 0 ? [{ sinceMs: -Infinity, share: 0 }] : entry.shares;
+        const kept = next.at(-1)?.share === share ? next : [...next, { sinceMs: nowMs, share }];
+        // The one that the window begins with counts too.
+        const first = kept.findLastIndex(one => one.sinceMs < nowMs - deps.bounds.windowMs);
+        entry.shares = kept.slice(Math.max(0, first));
+    }
+
+    /** An owner overdraws only by what it had a share of during the whole window: else one share is overdrawn at two owners. */
+    function findLimit(quota: CustomerQuota, { share, shares: kept }: CustomerBucket): QuotaLimit {
+        const least = kept.reduce((smallest, one) => Math.min(smallest, one.share), share);
+        return {
+            ...computeQuotaLimit(quota, share, deps.bounds),
+            debt: computeQuotaLimit(quota, least, deps.bounds).debt,
+        };
+    }
+
+    /** Returns nothing, and keeps no bucket, for a quota of which this instance has no share. */
+    function refill(customer: string, quota: CustomerQuota): CustomerBucket | undefined {
         const nowMs = deps.now();
         const share = findShare(findQuotaPool(customer, quota, deps.bounds));
+        if (share === 0) {
+            buckets.delete(customer);
+            return undefined;
+        }
         const known = buckets.get(customer);
         const entry = known
-            ?? { bucket: createQuotaBucket(nowMs), share, grownMs: nowMs, backlog: 0, backlogMs: nowMs };
+            ?? { bucket: createQuotaBucket(nowMs), share, shares: [], grownMs: nowMs, backlog: 0, backlogMs: nowMs };
         buckets.set(customer, entry);
         // A pledge may have ended at any time since the last refill.
         const accruing = computeQuotaLimit(quota, Math.min(entry.share, share), deps.bounds);
         entry.bucket.refill(accruing, nowMs);
         entry.grownMs = share > entry.share * notedGrowth ? nowMs : entry.grownMs;
         entry.share = share;
-        if (share > 0) {
-            entry.bucket.refill(computeQuotaLimit(quota, share, deps.bounds), nowMs);
-        }
+        keepShare(entry, share);
+        entry.bucket.refill(findLimit(quota, entry), nowMs);
         return entry;
     }
 
     /** Time after which a refused caller finds its amount, behind those refused before it. */
-    function queueRefused(entry: CustomerBucket, cost: number, rate: number, waitMs: number): number {
+    function queueRefused(
+        entry: CustomerBucket,
+        cost: number,
+        isRepeated: boolean,
+        rate: number,
+        waitMs: number,
+    ): number {
         const nowMs = deps.now();
         const drained = rate * (nowMs - entry.backlogMs) / millisecondsPerSecond;
-        const backlog = Math.max(0, entry.backlog - drained);
+        // A request that was refused before is not behind itself.
+        const backlog = Math.max(0, entry.backlog - drained - (isRepeated ? cost : 0));
         const maxWaitMs = deps.bounds.windowMs;
         entry.backlog = Math.min(backlog + cost, rate * maxWaitMs / millisecondsPerSecond);
         entry.backlogMs = nowMs;
         return Math.min(maxWaitMs, waitMs + backlog * millisecondsPerSecond / rate);
     }
 
-    function answer({ id, customer, cost }: QuotaAskItem): QuotaAnswerItem {
+    function answer({ id, customer, cost, isRepeated = false }: QuotaAskItem): QuotaAnswerItem {
         const quota = deps.quotas().get(customer);
         if (quota === undefined) {
             return { id, state: "granted", waitMs: 0 };
         }
         const entry = refill(customer, quota);
-        const { bucket, share } = entry;
-        if (share === 0) {
+        if (entry === undefined) {
             return { id, state: "unready", waitMs: 0 };
         }
+        const { bucket, share } = entry;
         const owners = countOwners(findQuotaPool(customer, quota, deps.bounds));
-        // A request that exceeds a full bucket may pass where most instances have pledged, so that it can pass at all.
-        const mayOverdraw = share * owners > majority;
-        const mark = bucket.take(cost, mayOverdraw);
+        const mark = bucket.take(cost);
         if (mark !== undefined) {
             return { id, state: "granted", waitMs: 0, mark };
         }
@@ -183,7 +222,7 @@
             return { id, state: "unready", waitMs: 0 };
         }
         // Each of the owners is asked for the request.
-        const waitMs = queueRefused(entry, cost / owners, rate, bucket.findWaitMs(cost, mayOverdraw));
+        const waitMs = queueRefused(entry, cost / owners, isRepeated, rate, bucket.findWaitMs(cost));
         return { id, state: "spent", waitMs: Math.ceil(waitMs) };
     }
 
@@ -202,11 +241,24 @@
     }
 
     function takeBack(ofEpoch: number, items: readonly QuotaReturnItem[]): void {
-        for (const { customer, cost, mark } of ofEpoch === epoch ? items : []) {
+        for (const { customer, cost, mark, id } of ofEpoch === epoch ? items : []) {
+            if (returnedMs.has(id)) {
+                continue;
+            }
+            returnedMs.set(id, deps.now());
             const quota = deps.quotas().get(customer);
             if (quota !== undefined && buckets.has(customer)) {
-                refill(customer, quota).bucket.giveBack(cost, mark);
+                refill(customer, quota)?.bucket.giveBack(cost, mark);
+            }
+        }
+    }
+
+    function dropReturns(): void {
+        for (const [id, atMs] of returnedMs) {
+            if (deps.now() - atMs < returnRetentionMs) {
+                return;
             }
+            returnedMs.delete(id);
         }
     }
 
@@ -218,10 +270,12 @@
         update: () => {
             book.removeOver(deps.now(), from => from === deps.self || deps.isCurrent(from));
             shares = undefined;
+            dropReturns();
             const quotas = deps.quotas();
             quotas.forEach((quota, customer) => refill(customer, quota));
             [...buckets.keys()].filter(customer => !quotas.has(customer)).forEach(customer => buckets.delete(customer));
         },
+        countBuckets: () => buckets.size,
         describeShares: () => {
             const pools = new Set([...deps.quotas()].map(([name, quota]) => findQuotaPool(name, quota, deps.bounds)));
             return [...pools].map(pool => ({ pool, share: findShare(pool) })).filter(({ share }) => share > 0);
--- a/src/core/quotas/quotaMessage.ts
+++ b/src/core/quotas/quotaMessage.ts
@@ -7,11 +7,11 @@
 /** Most asks or returns in one message. */
 export const maxQuotaItems = 64;
 
-const maxNameLength = 256;
 const maxPools = 64;
 const maxInstances = 100_000;
 
-const name = z.string().min(1).max(maxNameLength);
+/** Whatever the configuration takes as a name. */
+const name = z.string();
 const amount = z.number().min(0);
 const count = z.number().int().min(0);
 
@@ -39,7 +39,13 @@
     isReleased: z.boolean().optional(),
 }).readonly();
 
-const askItemSchema = z.object({ id: count, customer: name, cost: amount }).readonly();
+const askItemSchema = z.object({
+    id: count,
+    customer: name,
+    cost: amount,
+    /** Whether the owner has refused the same request before. */
+    isRepeated: z.boolean().optional(),
+}).readonly();
 
 const answerItemSchema = z.object({
     id: count,
@@ -55,6 +61,8 @@
     customer: name,
     cost: amount,
     mark: count,
+    /** Names the return: a message may arrive twice. */
+    id: count,
 }).readonly();
 
 /** Schema of the messages. */
