Keep no patient requests back while no urgent one is expected

Cause: with a reserve of 0 this instance's own use, times instances by upstreams, still decided, for 50 minutes after one request. Change: without a reserve the candidate stays as it is. Conclusion: the estimate for unheard peers is still added in small fleets while there is a reserve.

--- a/features/steps/urgentShortageSteps.ts
+++ b/features/steps/urgentShortageSteps.ts
@@ -7,6 +7,8 @@
 import { createProxyRequest, createRoute } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import { createUrgentReserves, type UrgentReserves } from "../../src/core/placement/createUrgentReserves.js";
+import { createWaitQueue, type WaitQueue } from "../../src/core/placement/createWaitQueue.js";
+import type { PlacementCandidate } from "../../src/core/placement/placementTypes.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 import { playUrgentShortage, type UrgentShortage } from "../support/urgentShortage.js";
 
@@ -55,30 +57,79 @@
     fixtures.set(this, fixture);
 });
 
-/** The upstream has 8 slots. */
-function countTaken(fixture: ReserveFixture, requests: number, memoryTokens: number | undefined): number {
-    const estimate = {
-        deviation: 0,
-        waiting: 0,
-        slots: 8,
-        pace: 1,
-        isPaceStated: true,
-        queueLimit: undefined,
-        ageMs: 10,
-    };
-    const candidate = {
+Given(
+    "an upstream that took urgent requests until {int} s ago and {int} patient ones since",
+    function(this: SiteWorld, seconds: number, count: number) {
+        const clock = createVirtualClock(1);
+        const reserves = createUrgentReserves({ now: clock.now, countInstances: () => 8 });
+        const fixture = { clock, reserves };
+        const urgent = createRequest(fixture, 0, 300);
+        reserves.recordArrival(urgent);
+        reserves.begin(urgent);
+        clock.runUntil(50);
+        reserves.end(urgent);
+        clock.runUntil(seconds * 1_000);
+        for (let index = 0; index < count; index += 1) {
+            reserves.begin(createRequest(fixture, 5, 8_000));
+        }
+        fixtures.set(this, fixture);
+    },
+);
+
+const queues = new WeakMap<SiteWorld, WaitQueue>();
+const waitTimes = { latencyDeadlineMs: 10_000, disconnectMs: 20_000 };
+
+Given(
+    "{int} requests of {string} that fit nowhere wait before one of {string}",
+    function(this: SiteWorld, count: number, customer: string, other: string) {
+        const queue = createWaitQueue();
+        for (let index = 0; index < count; index += 1) {
+            const waiting = { id: `r-${index}`, customer, priority: 0, size: 9_000, ...waitTimes };
+            queue.enqueue({ ...waiting, tryPlace: () => false }, 0);
+        }
+        const waiting = { id: "r-other", customer: other, priority: 0, size: 10, ...waitTimes };
+        queue.enqueue({ ...waiting, tryPlace: () => true }, 1);
+        queues.set(this, queue);
+    },
+);
+
+Then("the one that fits is placed by the next dispatch", function(this: SiteWorld) {
+    const queue = queues.get(this)!;
+    const before = queue.size();
+    queue.dispatch(100);
+    assert.equal(queue.size(), before - 1);
+});
+
+function describeUpstream(changes: Partial<PlacementCandidate>): PlacementCandidate {
+    return {
         id: "u-1",
         use: { requests: 0, memoryTokens: 0, unreadTokens: 0 },
         unreported: { memoryTokens: 0, unreadTokens: 0 },
-        load: { estimate: { ...estimate, requests }, requests, waitingTokens: 0 },
         slots: 8,
-        memoryTokens,
+        memoryTokens: undefined,
         prefillTokens: 0,
         repeatedTokens: 0,
         neededTokens: 0,
         isOutdated: false,
         isSameFailureDomain: true,
+        ...changes,
+    };
+}
+
+function describeLoad(requests: number) {
+    const stated = {
+        deviation: 0,
+        waiting: 0,
+        slots: 8,
+        pace: 1,
+        isPaceStated: true,
+        queueLimit: undefined,
+        ageMs: 10,
     };
+    return { estimate: { ...stated, requests }, requests, waitingTokens: 0 };
+}
+
+function countTaken(fixture: ReserveFixture, candidate: PlacementCandidate): number {
     return fixture.reserves.filter(createRequest(fixture, 5, 8_000), [candidate]).length;
 }
 
@@ -87,7 +138,18 @@
     function(this: SiteWorld, requests: number, answer: string) {
         const fixture = fixtures.get(this)!;
         for (const memoryTokens of [undefined, 1_000_000]) {
-            assert.equal(countTaken(fixture, requests, memoryTokens), answer === "yes" ? 1 : 0);
+            assert.equal(
+                countTaken(fixture, describeUpstream({ memoryTokens, load: describeLoad(requests) })),
+                answer === "yes" ? 1 : 0,
+            );
         }
     },
 );
+
+Then(
+    "a patient request may take an upstream with {int} of 8 slots in use: {string}",
+    function(this: SiteWorld, requests: number, answer: string) {
+        const candidate = describeUpstream({ use: { requests, memoryTokens: 0, unreadTokens: 0 }, load: undefined });
+        assert.equal(countTaken(fixtures.get(this)!, candidate), answer === "yes" ? 1 : 0);
+    },
+);
--- a/features/urgency.feature
+++ b/features/urgency.feature
@@ -84,6 +84,23 @@
         Then a patient request may take an upstream that states 6 requests on 8 slots: "yes"
         And a patient request may take an upstream that states 7 requests on 8 slots: "no"
 
+    Scenario: Urgent requests of long ago keep no patient ones back
+        Given an upstream that took urgent requests until 600 s ago and 5 patient ones since
+        Then a patient request may take an upstream with 1 of 8 slots in use: "yes"
+
+    Scenario: A customer whose requests fit nowhere does not keep others from being tried
+        Given 9 requests of "clinic" that fit nowhere wait before one of "school"
+        Then the one that fits is placed by the next dispatch
+
+    Scenario: A few patient requests get a retry beside many urgent ones, but no more than there are
+        Given a retry budget of a fifth of the requests of which 98 are of priority 0 and 2 of priority 2
+        When 50 requests of priority 2 ask for a retry
+        Then 1 of them get one
+        When 50 requests of priority 0 ask for a retry
+        Then 11 of them get one
+        When 50 requests of priority 2 ask for a retry
+        Then 0 of them get one
+
     Scenario: When many requests are rejected at once, patient ones leave retries to the urgent ones
         Given a retry budget of a fifth of the requests of which 20 are of priority 0 and 30 of priority 2
         When 50 requests of priority 2 ask for a retry
--- a/src/core/placement/createUrgentReserves.ts
+++ b/src/core/placement/createUrgentReserves.ts
@@ -78,11 +78,10 @@
 /** Adds a reserve to a load. The request that may wait beyond the slots is not a less urgent one. */
 function addToLoad(load: CandidateLoad, reserved: number): CandidateLoad {
     const { estimate } = load;
-    const added = reserved === 0 ? 0 : reserved + waitingAllowance;
     return {
         ...load,
         requests: load.requests + reserved,
-        estimate: { ...estimate, requests: estimate.requests + added },
+        estimate: { ...estimate, requests: estimate.requests + reserved + waitingAllowance },
     };
 }
 
@@ -159,6 +158,9 @@
             slots: candidate.slots,
             slack,
         });
+        if (reserve.requests === 0) {
+            return candidate;
+        }
         latestRequests = Math.max(latestRequests, reserve.requests);
         const use = {
             ...candidate.use,
