Try other customers although one's requests fit nowhere

Cause: 9 tries for one customer against 8 failed attempts for a dispatch: nobody else was tried. Change: at most 2 further requests of a customer are tried after one that does not fit. Conclusion: three customers with such requests can still use up the attempts of a rank.

--- a/src/core/placement/createUrgencyLevels.ts
+++ b/src/core/placement/createUrgencyLevels.ts
@@ -71,8 +71,8 @@
 /** Time over which the shares of levels are taken, in milliseconds. */
 const shareWindowMs = 4_000;
 
-/** Requests of one customer that are tried after one that does not fit: a smaller one may. */
-const maxSkipped = 8;
+/** Requests of one customer that are tried after one that does not fit: a smaller one may. So few that others are tried, too. */
+const maxSkipped = 2;
 
 function createLevel(priority: number): Level {
     const options = {
