Give rare priorities a retry of the budget

Cause: a rank's part of the requests also multiplies the slack: 2 % of the requests had no retry while 12 were left. Change: each rank may use one retry of a window as long as the budget has one; the sum stays within the budget. Conclusion: one at least, also for a request older than the window; more only by a rank's part.

--- a/src/core/proxy/createFleetRetryBudget.ts
+++ b/src/core/proxy/createFleetRetryBudget.ts
@@ -68,13 +68,17 @@
         return keepRecent(retries.get(service) ?? [], nowMs - options.windowMs);
     }
 
-    /** The more urgent requests find a retry left: the others use only the part that the requests from theirs on make up. */
+    /**
+     * The more urgent requests find a retry left: the others use only the part that the requests from theirs on make up, but one
+     * retry at least, and never more than the budget.
+     */
     function isAllowed(service: string, used: readonly number[], nowMs: number, priority: number): boolean {
         const recent = keepRecentRequests(requests.get(service) ?? [], nowMs - options.windowMs);
         const part = recent.filter(one => one.priority >= priority).length / Math.max(1, recent.length);
         const slack = options.slack / Math.max(1, options.countInstances());
         const budget = (recent.length * options.ratio + slack) * usableFraction;
-        return used.length + 1 <= budget * (recent.length === 0 ? 1 : part);
+        const partial = Math.max(1, budget * (recent.length === 0 ? 1 : part));
+        return used.length + 1 <= Math.min(budget, partial);
     }
 
     return {
