--- a/src/core/load/describeLoadView.ts
+++ b/src/core/load/describeLoadView.ts
@@ -44,7 +44,9 @@
         const load = estimate(id);
         if (load !== undefined && Number.isFinite(load.ageMs)) {
             ages.push(load.ageMs);
-            shares.set(service, [...(shares.get(service) ?? []), load.requests / Math.max(1, slots)]);
+            const known = shares.get(service) ?? [];
+            known.push(load.requests / Math.max(1, slots));
+            shares.set(service, known);
         }
     }
     const median = ages.toSorted((left, right) => left - right)[Math.floor(ages.length / 2)];
