Load: own requests at a restarted upstream keep their history

Cause: an upstream that restarted under its id while requests of the old process were in progress stayed marked as removed, so that its history was dropped each time its count reached 0 and older statements were corrected wrongly. Change: a request that begins ends the mark. Conclusion: the new process is counted like any other.

--- a/features/evenLoad.feature
+++ b/features/evenLoad.feature
@@ -34,6 +34,9 @@
             And upstream 1 states 4 requests to this instance
             Then upstream 1 is estimated to have between 3.99 and 4.01 requests, with a deviation below 0.01
 
+        Scenario: Requests of a new process count while those of the one before end
+            Then own requests at an upstream that was replaced are known of 150 ms ago
+
         Scenario: Old statements give way to what is expected of any upstream
             Given the loads of 4 upstreams, of which requests stay 200 ms
             And a peer relays that upstream 1 had 20 requests 100 ms ago
--- a/features/steps/evenLoadSteps.ts
+++ b/features/steps/evenLoadSteps.ts
@@ -12,6 +12,7 @@
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import { createCodec } from "../../platform/createCodec.js";
 import { createLoadExchange } from "../../src/core/load/createLoadExchange.js";
+import { createOwnRequests } from "../../src/core/load/createOwnRequests.js";
 import { createUpstreamLoads, type UpstreamLoads } from "../../src/core/load/createUpstreamLoads.js";
 import { describeLoadView } from "../../src/core/load/describeLoadView.js";
 import { retryAsLoadsFade } from "../../src/core/load/retryAsLoadsFade.js";
@@ -127,6 +128,16 @@
     },
 );
 
+Then("own requests at an upstream that was replaced are known of {int} ms ago", (agoMs: number) => {
+    const own = createOwnRequests();
+    own.record("u-1", 1, 0);
+    own.remove("u-1");
+    own.record("u-1", 1, 100);
+    own.record("u-1", -1, 200);
+    own.record("u-1", -1, 300);
+    assert.deepEqual([own.count("u-1"), own.countAt("u-1", 300 - agoMs)], [0, 2]);
+});
+
 When("{int} second(s) pass(es) without a statement", function(this: SiteWorld, seconds: number) {
     const { clock } = fixtures.get(this)!;
     clock.runUntil(clock.now() + seconds * 1_000);
--- a/src/core/load/createOwnRequests.ts
+++ b/src/core/load/createOwnRequests.ts
@@ -48,6 +48,8 @@
         record: (upstream, change, nowMs) => {
             const state = states.get(upstream) ?? { count: 0, isRemoved: false, changes: [] };
             states.set(upstream, state);
+            // A new process may have the id of the one that ended.
+            state.isRemoved &&= change < 0;
             state.count += change;
             state.changes.push({ atMs: nowMs, change });
             removeOld(state, nowMs);
