--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -157,3 +157,8 @@
             | end                                             | count |
             | refused by its quota                            | 0     |
             | charged, and refused for want of an upstream    | 1     |
+
+    Scenario: A return that arrives twice is credited once
+        Given an owner to which 3 of 4 instances have pledged
+        When a grant of 20000 is returned to it twice
+        Then it grants 20000 once more
--- a/features/steps/pledgerSteps.ts
+++ b/features/steps/pledgerSteps.ts
@@ -5,8 +5,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createVirtualClock } from "../../fakes/createVirtualClock.js";
+import { chooseQuotaOwners } from "../../src/core/quotas/chooseQuotaOwners.js";
 import { createPledger } from "../../src/core/quotas/createPledger.js";
-import { chooseQuotaOwners } from "../../src/core/quotas/quotaPools.js";
 import { pledgeTermMs } from "../../src/core/quotas/quotaTimes.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
--- a/features/steps/quotaSteps.ts
+++ b/features/steps/quotaSteps.ts
@@ -21,7 +21,7 @@
 import { computeRequestCost } from "../../src/core/quotas/computeRequestCost.js";
 import { createQuotaBucket, type QuotaBucket } from "../../src/core/quotas/createQuotaBucket.js";
 import { createQuotaOwner, type QuotaOwner } from "../../src/core/quotas/createQuotaOwner.js";
-import { findQuotaPool } from "../../src/core/quotas/quotaPools.js";
+import { findQuotaPool } from "../../src/core/quotas/findQuotaPool.js";
 import type { CustomerQuota } from "../../src/core/quotas/quotaTypes.js";
 import { configuration } from "../support/platformFixture.js";
 import type { SiteWorld } from "../support/siteWorld.js";
@@ -272,3 +272,24 @@
 Then("the owner keeps {int} buckets", function(this: SiteWorld, count: number) {
     assert.equal(owners.get(this)!.owner.countBuckets(), count);
 });
+
+When("a grant of {int} is returned to it twice", function(this: SiteWorld, cost: number) {
+    const { owner, clock } = owners.get(this)!;
+    const ask = () => owner.grant([{ id: 1, customer: "clinic", cost }]);
+    for (let step = 0; step < 40; step += 1) {
+        clock.runUntil(clock.now() + 90);
+        owner.update();
+    }
+    const { epoch, items: [granted] } = ask();
+    assert.equal(granted?.state, "granted");
+    ask();
+    const returned = { customer: "clinic", cost, mark: granted.mark!, id: 5 };
+    owner.takeBack(epoch, [returned]);
+    owner.takeBack(epoch, [returned]);
+});
+
+Then("it grants {int} once more", function(this: SiteWorld, cost: number) {
+    const { owner } = owners.get(this)!;
+    const grant = () => owner.grant([{ id: 2, customer: "clinic", cost }]).items[0]?.state;
+    assert.deepEqual([grant(), grant()].map(state => state === "granted"), [true, false]);
+});
--- a/src/core/quotas/createCustomerQuotas.ts
+++ b/src/core/quotas/createCustomerQuotas.ts
@@ -10,8 +10,8 @@
 import { createPledger } from "./createPledger.js";
 import { createQuotaAsker, type QuotaAskResult, type QuotaGrant, type QuotaWaitLimits } from "./createQuotaAsker.js";
 import { createQuotaOwner, type QuotaShare } from "./createQuotaOwner.js";
+import { findQuotaPool } from "./findQuotaPool.js";
 import type { QuotaMessage } from "./quotaMessage.js";
-import { findQuotaPool } from "./quotaPools.js";
 import type { CustomerQuota, QuotaBounds } from "./quotaTypes.js";
 
 /** A request that is charged to its customer's quota. */
--- a/src/core/quotas/createPledger.ts
+++ b/src/core/quotas/createPledger.ts
@@ -5,8 +5,8 @@
  */
 import { memoizeFor } from "../_lib/memoizeFor.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
+import { chooseQuotaOwners } from "./chooseQuotaOwners.js";
 import type { QuotaPledge, QuotaReceipt } from "./quotaMessage.js";
-import { chooseQuotaOwners } from "./quotaPools.js";
 import { ownerSilenceMs, passOverMs, pledgeTermMs, renewIntervalMs } from "./quotaTimes.js";
 
 /** Pledges of this instance. */
--- a/src/core/quotas/createQuotaOwner.ts
+++ b/src/core/quotas/createQuotaOwner.ts
@@ -6,8 +6,10 @@
  */
 import { millisecondsPerSecond } from "../constants.js";
 import { computeQuotaLimit } from "./computeQuotaLimit.js";
+import { countOwners } from "./countOwners.js";
 import { createPledgeBook } from "./createPledgeBook.js";
 import { createQuotaBucket, type QuotaBucket } from "./createQuotaBucket.js";
+import { findQuotaPool } from "./findQuotaPool.js";
 import type {
     QuotaAnswerItem,
     QuotaAskItem,
@@ -16,7 +18,6 @@
     QuotaReceipt,
     QuotaReturnItem,
 } from "./quotaMessage.js";
-import { countOwners, findQuotaPool } from "./quotaPools.js";
 import type { CustomerQuota, QuotaBounds, QuotaLimit } from "./quotaTypes.js";
 
 /** Grants quotas. */
