Bound what a customer is owed that could not be placed

Cause: a customer whose requests were not accepted kept its turn without bound: afterwards it alone was served. Change: it is owed at most its first request.

--- a/features/steps/urgentShortageSteps.ts
+++ b/features/steps/urgentShortageSteps.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import { createProxyRequest, createRoute } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { createFairQueue, type FairQueue, type QueuedRequest } from "../../src/core/limits/createFairQueue.js";
 import { createUrgentReserves, type UrgentReserves } from "../../src/core/placement/createUrgentReserves.js";
 import { createWaitQueue, type WaitQueue } from "../../src/core/placement/createWaitQueue.js";
 import type { PlacementCandidate } from "../../src/core/placement/placementTypes.js";
@@ -153,3 +154,44 @@
         assert.equal(countTaken(fixtures.get(this)!, candidate), answer === "yes" ? 1 : 0);
     },
 );
+
+const fairQueues = new WeakMap<SiteWorld, FairQueue<QueuedRequest>>();
+const placedNext = new WeakMap<SiteWorld, readonly string[]>();
+
+function dispatchSome(
+    queue: FairQueue<QueuedRequest>,
+    count: number,
+    fits: (customer: string) => boolean,
+): readonly string[] {
+    const placed: string[] = [];
+    for (let index = 0; index < count; index += 1) {
+        const before = placed.length;
+        queue.dispatch(({ customer }) => fits(customer) && placed.push(customer) > 0, () => placed.length === before);
+    }
+    return placed;
+}
+
+Given(
+    "requests of {string} fit nowhere while {int} of {string} are placed",
+    function(this: SiteWorld, customer: string, count: number, other: string) {
+        const queue = createFairQueue({ keepsTurn: true });
+        for (let index = 0; index < 2 * count; index += 1) {
+            const common = { tokens: 10, recomputeTokens: 0, weight: 1 };
+            queue.enqueue({ ...common, requestId: `a-${index}`, customer });
+            queue.enqueue({ ...common, requestId: `b-${index}`, customer: other });
+        }
+        assert.equal(dispatchSome(queue, count, one => one === other).length, count);
+        fairQueues.set(this, queue);
+    },
+);
+
+When("all of them fit", function(this: SiteWorld) {
+    placedNext.set(this, dispatchSome(fairQueues.get(this)!, 10, () => true));
+});
+
+Then(
+    "of the next 10 placed at least {int} are of {string}",
+    function(this: SiteWorld, count: number, customer: string) {
+        assert.ok(placedNext.get(this)!.filter(one => one === customer).length >= count);
+    },
+);
--- a/features/urgency.feature
+++ b/features/urgency.feature
@@ -101,6 +101,11 @@
         When 50 requests of priority 2 ask for a retry
         Then 0 of them get one
 
+    Scenario: A customer that could not be placed for long does not keep others waiting afterwards
+        Given requests of "clinic" fit nowhere while 40 of "school" are placed
+        When all of them fit
+        Then of the next 10 placed at least 3 are of "school"
+
     Scenario: When many requests are rejected at once, patient ones leave retries to the urgent ones
         Given a retry budget of a fifth of the requests of which 20 are of priority 0 and 30 of priority 2
         When 50 requests of priority 2 ask for a retry
--- a/src/core/limits/createFairQueue.ts
+++ b/src/core/limits/createFairQueue.ts
@@ -39,7 +39,7 @@
     /** Number of a customer's requests that are passed to `accept` after one that was not accepted; by default 0. */
     readonly maxSkipped?: number;
     /**
-     * Whether a customer is owed what it could not use since its request was not accepted: true where all customers wait for the
+     * Whether a customer is owed its first request while that is not accepted: true where all customers wait for the
      * same capacity, false where its own limits keep it waiting. By default false.
      */
     readonly keepsTurn?: boolean;
@@ -131,6 +131,9 @@
         return next;
     }
 
+    /** What a customer is owed at most: the request with which it waits. Otherwise it would later keep all others waiting. */
+    const owedFor = ({ items: [head] }: CustomerQueue<T>) => head === undefined ? 0 : head.tokens / head.weight;
+
     /** Dispatches one request of a customer; returns false when none was accepted. */
     function dispatchFrom(queue: CustomerQueue<T>, accept: (req: T) => boolean, canContinue: () => boolean): boolean {
         for (const req of queue.items.slice(0, maxSkipped + 1)) {
@@ -145,7 +148,7 @@
                 return true;
             }
         }
-        queue.served = keepsTurn ? queue.served : Math.max(queue.served, level);
+        queue.served = Math.max(queue.served, level - (keepsTurn ? owedFor(queue) : 0));
         return false;
     }
 
