Close a connection whose refused request has a body beyond the limit

What callers saw: a client with an unknown key or route sent its body for as long as it liked, and took a share of each turn. Cause: the body of a request that is refused by its head is dropped, and what is dropped was not limited in size. Change: dropBody closes the connection, once its answer is written, behind the size that the configuration allows a body. Why it works: every body has one of two readers, readBody or dropBody, and both end at the limit. A caller within the limits keeps its connection: the scenario of a refused body of 4,000,000 bytes passes before and after.

--- a/features/floods.feature
+++ b/features/floods.feature
@@ -44,6 +44,23 @@
         And at most 100 more requests of them reach the upstream
         And the process lives, and has held at most 140 MB and 2000 descriptors
 
+    # Guards against refused requests that are read on as long as their callers send.
+    Scenario Outline: A client whose request is refused and whose body has no end is closed
+        Given a process of an instance that is allowed 140 MB and 2000 descriptors
+        When a client sends <form>
+        Then its connection is closed
+
+        Examples:
+            | form                                 |
+            | endless bodies behind an unknown key |
+            | endless bodies on an unknown route   |
+
+    # Guards against connections that are closed since the body of a refused request is long.
+    Scenario: A connection on which a request with a body within the limit is refused takes the next request
+        Given a process of an instance that is allowed 140 MB and 2000 descriptors
+        When a caller sends a body of 4000000 bytes on an unknown route and a request behind it
+        Then each of them has 2 answers "404|200"
+
     # Guards against crowds at the other ports, which have no callers of their own.
     @known-red
     Scenario Outline: A process is within its memory and answers beside and after clients that send in all ways to the port of <port>
--- a/features/steps/calmCallerSteps.ts
+++ b/features/steps/calmCallerSteps.ts
@@ -57,10 +57,10 @@
 });
 
 /** Formats a request with a body of a stated length. */
-function formatRequest(id: string, body: string): string {
+function formatRequest(id: string, body: string, path = "documents"): string {
     const { host, authorization } = streamHeaders;
     const head = [
-        `POST /documents/${id} HTTP/1.1`,
+        `POST /${path}/${id} HTTP/1.1`,
         `Host: ${host}`,
         `Attempt-Id: ${id}`,
         `Authorization: ${authorization}`,
@@ -112,6 +112,14 @@
     },
 );
 
+When(
+    "a caller sends a body of {int} bytes on an unknown route and a request behind it",
+    async function(this: SiteWorld, bodyBytes: number) {
+        const refused = formatRequest("refused", "b".repeat(bodyBytes), "unknown");
+        received.set(this, [await exchange(this, `${refused}${formatRequest("next", "b")}`, 2)]);
+    },
+);
+
 Then(/^each of them has (\d+) answers? "([\d|]+)"$/, function(this: SiteWorld, count: string, statuses: string) {
     const pattern = new RegExp(`HTTP/1\\.1 (?:${statuses}) `, "g");
     const answers = (received.get(this) ?? []).map(text => text.match(pattern)?.length ?? 0);
--- a/features/steps/uncontrolledClientSteps.ts
+++ b/features/steps/uncontrolledClientSteps.ts
@@ -82,6 +82,18 @@
     },
 );
 
+When("a client sends {}", function(this: SiteWorld, form: CrowdFormName) {
+    const { callerAddress } = crowdedProcesses.get(this)!.instance;
+    const crowd = startCrowd(callerAddress, 1, [allForms[form]]);
+    records.set(this, { crowd, requestsAtLeave: 0 });
+    this.cleanups.unshift(() => crowd.leave());
+});
+
+Then("its connection is closed", async function(this: SiteWorld) {
+    // An endless form settles only when its connection is closed.
+    await records.get(this)!.crowd.settled();
+});
+
 /** Sends a request on a connection of its own, and returns how it ended. */
 async function callOnce(callerAddress: string, id: string): Promise<string> {
     try {
--- a/src/io/proxy/createProxyService.ts
+++ b/src/io/proxy/createProxyService.ts
@@ -15,8 +15,8 @@
 import type { RouteIndex } from "../../core/routes/indexRoutes.js";
 import type { Shutdown } from "../../core/shutdown/createShutdown.js";
 import type { CancelTimer } from "../../core/time/clock.js";
+import { dropBody } from "../http/dropBody.js";
 import { readBody } from "../http/readBody.js";
-import { shareUploadTurns } from "../http/shareUploadTurns.js";
 import { onResponseOver } from "./_lib/onResponseOver.js";
 import { type CheckedHead, checkRequestHead } from "./checkRequestHead.js";
 import { createCallerExchange } from "./createCallerExchange.js";
@@ -62,6 +62,9 @@
 /** Timeout for receiving a body when the route's timeout is longer. */
 const maxBodyTimeoutMs = 30_000;
 
+/** Size of a body that is dropped while there is no configuration that limits it, in bytes. */
+const unknownBodyBytes = 16 * 1_024 * 1_024;
+
 /** Maximum length of a malformed header in the log. */
 const maxLoggedLength = 80;
 
@@ -117,6 +120,10 @@
         return mayBe && listOnConnection(res).some(one => one !== res && one.headersSent && !one.shouldKeepAlive);
     }
 
+    function maxDroppedBytes(): number {
+        return deps.routes()?.table.limits.maxBodyBytes ?? unknownBodyBytes;
+    }
+
     function closeReport(report: EndReport, isWritten: boolean): void {
         report.close(isWritten, isStopped ? "stopped" : "callerGone", deps.clock.now());
     }
@@ -159,7 +166,7 @@
         });
         report.identify(requestId, checked.isOk ? checked.value.route : undefined);
         if (checked.isErr) {
-            shareUploadTurns(req);
+            dropBody(req, maxDroppedBytes());
             refuseHead(res, requestId, checked.error, report);
             return;
         }
@@ -220,7 +227,7 @@
             });
             if (isBehindClose(res)) {
                 report.decide("stopped", deps.clock.now());
-                shareUploadTurns(res.req);
+                dropBody(res.req, maxDroppedBytes());
                 return;
             }
             accept(res, overActions, report).catch((error: unknown) => {
