Count what connections that wait for a turn hold, and let those that are behind yield

What callers saw: crowds whose bytes are parsed in turns took 32 MB of reads and as much again in receive queues, where 3.5 MB were planned: 155 to 258 MB at 140 MB allowed. Cause: memory for unparsed reads was counted, but a connection that waited for its turn, or whose request was still received, never yielded; the system's queues behind it were not counted at all; and an upload in large pieces was read up to 32 times in a turn, so that the queues of all others filled. Change: readInTurns holds its memory in a MemoryBudget, as bodies do: each waiting connection counts its unparsed read and 64 KB of the system's; those behind their pace yield, otherwise the connection that finds no room is closed. A request is protected once it is complete (trackResponses). A connection whose read was full waits for its turn, too; nothing is parsed behind an answer that closes the connection. The plan gives this purpose what the others leave, up to 0.16. Why it works: what is held is what is counted, by the rule that holds for bodies; no form is named anywhere.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -7,6 +7,7 @@
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { listServing } from "../core/fleet/listServing.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
+import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
 import { planMemory } from "../core/memory/planMemory.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
 import { limitCallerConnections } from "../core/proxy/limitCallerConnections.js";
@@ -153,7 +154,12 @@
         ...parsingShare,
         onRead: sources.recordRead,
         isShort: () => pipelined.totalBytes() > memory.pipelinedBytes,
-        unparsed: createAnswerMemory(memory.unparsedBytes, undefined, { now: context.clock.now }),
+        memory: createMemoryBudget({
+            maxBytes: memory.unparsedBytes,
+            onReleased: () => undefined,
+            now: context.clock.now,
+        }),
+        now: context.clock.now,
         evict: socket => evictConnection(socket, "unparsed"),
     });
     limitRequests(callerServer, handle, {
--- a/src/core/memory/createMemoryBudget.ts
+++ b/src/core/memory/createMemoryBudget.ts
@@ -1,15 +1,15 @@
 /**
  * @module
- * A bound on the memory that the bodies of callers' requests hold together.
+ * A bound on the memory that what callers send holds together.
  */
 import type { Progress } from "../admission/chooseLeastProgress.js";
 import { chooseSlowHolder, type HolderProgress } from "../admission/chooseSlowHolder.js";
 
-/** A body that is received. */
-export interface UnfinishedBody {
-    /** How much of it has arrived, and since when. */
-    readonly readProgress: () => Progress;
-    /** Refuses its request, because others need the memory. */
+/** What may yield to others: a body that is received, or a connection that is read in turns. */
+export interface YieldingHolder {
+    /** How much of it has arrived or was parsed, and since when; undefined while it may not yield. */
+    readonly readProgress: () => Progress | undefined;
+    /** Refuses its request or closes it, because others need the memory. */
     readonly evict: () => void;
 }
 
@@ -20,8 +20,14 @@
      * pace can yield.
      */
     readonly tryGrow: (bytes: number) => boolean;
-    /** The body may yield to others until the returned function is called. */
-    readonly yieldWhile: (body: UnfinishedBody) => () => void;
+    /**
+     * Sets what is held, also when there is no room for it.
+     *
+     * @returns Whether there is, with those that were behind and yielded.
+     */
+    readonly hold: (bytes: number) => boolean;
+    /** The holder may yield to others until the returned function is called. */
+    readonly yieldWhile: (holder: YieldingHolder) => () => void;
     /** Returns the memory; calling it again has no effect. */
     readonly release: () => void;
 }
@@ -47,11 +53,19 @@
     readonly now: () => number;
 }
 
+/** Time after which all holdings are looked at again for one that can yield, in milliseconds. */
+const lookIntervalMs = 10;
+
 /** What a reservation holds. */
 interface Holding {
     ownBytes: number;
     otherBytes: number;
-    body: UnfinishedBody | undefined;
+    holder: YieldingHolder | undefined;
+}
+
+/** A holding that may yield. */
+interface Candidate extends HolderProgress {
+    readonly holding: Holding;
 }
 
 /**
@@ -69,6 +83,8 @@
     let usedBytes = 0;
     /** The body that went beyond the bound. */
     let exceeding: Holding | undefined;
+    /** When none was found that could yield, in milliseconds on the clock. */
+    let foundNoneMs = -Infinity;
 
     function release(holding: Holding): void {
         const { ownBytes, otherBytes } = holding;
@@ -80,8 +96,16 @@
         options.onReleased(ownBytes);
     }
 
-    function readProgress({ body, ownBytes }: Holding): HolderProgress {
-        return { ...body!.readProgress(), heldBytes: ownBytes };
+    /** Lists what may yield to a holding, with how far each has come. */
+    function listYielding(asking: Holding): readonly Candidate[] {
+        const candidates: Candidate[] = [];
+        for (const holding of unfinished) {
+            const progress = holding === asking ? undefined : holding.holder?.readProgress();
+            if (progress !== undefined) {
+                candidates.push({ holding, ...progress, heldBytes: holding.ownBytes });
+            }
+        }
+        return candidates;
     }
 
     /** Lets one body at a time go beyond the bound. */
@@ -95,39 +119,59 @@
 
     /** Makes room for bytes of one body by those that are behind, if they hold enough; returns whether there is room. */
     function makeRoom(holding: Holding, bytes: number): boolean {
-        const chosen = new Set<Holding>();
         let excessBytes = usedBytes + bytes - maxBytes;
+        if (excessBytes <= 0) {
+            return true;
+        }
+        const nowMs = options.now();
+        if (nowMs - foundNoneMs < lookIntervalMs) {
+            return tryExceed(holding, bytes);
+        }
+        const candidates = new Set(listYielding(holding));
+        const chosen: Holding[] = [];
         while (excessBytes > 0) {
-            const others = [...unfinished].filter(one => one !== holding && !chosen.has(one));
-            const slow = chooseSlowHolder(others, readProgress, options.now());
+            const slow = chooseSlowHolder(candidates, one => one, nowMs);
             if (slow === undefined) {
+                foundNoneMs = chosen.length === 0 ? nowMs : foundNoneMs;
                 return tryExceed(holding, bytes);
             }
-            chosen.add(slow);
-            excessBytes -= slow.ownBytes + slow.otherBytes;
+            candidates.delete(slow);
+            chosen.push(slow.holding);
+            excessBytes -= slow.holding.ownBytes + slow.holding.otherBytes;
         }
         chosen.forEach(one => {
+            const { holder } = one;
             release(one);
-            one.body?.evict();
+            holder?.evict();
         });
         return true;
     }
 
+    function grow(holding: Holding, bytes: number): void {
+        usedBytes += bytes;
+        holding.ownBytes += bytes;
+    }
+
     return {
         open: (otherBytes = 0) => {
-            const holding: Holding = { ownBytes: 0, otherBytes, body: undefined };
+            const holding: Holding = { ownBytes: 0, otherBytes, holder: undefined };
             usedBytes += otherBytes;
             return {
                 tryGrow: bytes => {
                     if (!makeRoom(holding, bytes)) {
                         return false;
                     }
-                    usedBytes += bytes;
-                    holding.ownBytes += bytes;
+                    grow(holding, bytes);
                     return true;
                 },
-                yieldWhile: body => {
-                    holding.body = body;
+                hold: bytes => {
+                    const grownBytes = bytes - holding.ownBytes;
+                    const hasRoom = grownBytes <= 0 || makeRoom(holding, grownBytes);
+                    grow(holding, grownBytes);
+                    return hasRoom;
+                },
+                yieldWhile: holder => {
+                    holding.holder = holder;
                     unfinished.add(holding);
                     return () => unfinished.delete(holding);
                 },
--- a/src/core/memory/planMemory.ts
+++ b/src/core/memory/planMemory.ts
@@ -9,7 +9,7 @@
     readonly bodyBytes: number;
     /** Answers that are collected, not written out, or wait for the end of an event. */
     readonly answerBytes: number;
-    /** What was read from callers and is not parsed yet. */
+    /** Connections that wait to be parsed: what was read of them, and what the system may hold unread. */
     readonly unparsedBytes: number;
     /** Requests that were sent behind others on their connection. */
     readonly pipelinedBytes: number;
@@ -21,10 +21,10 @@
 const programBytes = 96 * megabyte;
 
 /** Shares of the rest; what is left is for allocations between which memory lies unused. */
-const shares = { body: 0.4, answer: 0.2, unparsed: 0.08, pipelined: 0.08 } as const;
+const shares = { body: 0.4, answer: 0.2, unparsed: 0.16, pipelined: 0.08 } as const;
 
 /** Shares of all memory that are enough. */
-const maxShares = { body: 0.32, answer: 0.16, unparsed: 0.06, pipelined: 0.06 } as const;
+const maxShares = { body: 0.32, answer: 0.16, unparsed: 0.12, pipelined: 0.06 } as const;
 
 /** Smallest limits, which leave room for single requests and answers of any allowed size, in bytes. */
 const minBytes = {
@@ -49,10 +49,8 @@
             minBytes[purpose],
             Math.floor(Math.min(restBytes * shares[purpose], memoryBytes * maxShares[purpose])),
         );
-    return {
-        bodyBytes: limit("body"),
-        answerBytes: limit("answer"),
-        unparsedBytes: limit("unparsed"),
-        pipelinedBytes: limit("pipelined"),
-    };
+    const plan = { bodyBytes: limit("body"), answerBytes: limit("answer"), pipelinedBytes: limit("pipelined") };
+    const leftBytes = restBytes - plan.bodyBytes - plan.answerBytes - plan.pipelinedBytes;
+    const unparsedBytes = Math.max(minBytes.unparsed, Math.min(limit("unparsed"), leftBytes));
+    return { ...plan, unparsedBytes };
 }
--- a/src/io/http/createOtherServer.ts
+++ b/src/io/http/createOtherServer.ts
@@ -3,10 +3,10 @@
  * Servers of the ports for peers, callers that look for entries, and the platform's own questions. Their requests have no bodies.
  */
 import { createServer, type RequestListener, type Server } from "node:http";
-import { createAnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import { createMemoryBudget } from "../../core/memory/createMemoryBudget.js";
+import { dropBody } from "./dropBody.js";
 import { limitRequests } from "./limitRequests.js";
 import { parsingShare, readInTurns } from "./readInTurns.js";
-import { shareUploadTurns } from "./shareUploadTurns.js";
 
 /** Bytes that the connections of another port may hold together that are not parsed yet. */
 const otherUnparsedBytes = 2 * 1_024 * 1_024;
@@ -14,9 +14,14 @@
 /** Requests in progress on a connection of another port, beyond which it is closed. */
 const maxOtherRequests = 8;
 
+/** Size of the body of a request at another port, none of which has a use for it, in bytes. */
+const maxBodyBytes = 65_536;
+
 /** Time after which a connection of another port on which nothing moves is closed, in milliseconds. */
 const otherTimeoutMs = 10_000;
 
+const now = () => performance.now();
+
 /** Connections of a port with short answers. */
 const maxOtherConnections = 512;
 
@@ -34,12 +39,12 @@
     readInTurns(server, {
         ...parsingShare,
         onRead: () => undefined,
-        unparsed: createAnswerMemory(otherUnparsedBytes, undefined, { now: () => performance.now() }),
+        memory: createMemoryBudget({ maxBytes: otherUnparsedBytes, onReleased: () => undefined, now }),
+        now,
         evict: socket => socket.destroy(),
     });
     const listenInTurns: RequestListener = (req, res) => {
-        // Nothing reads the bodies of these requests; they are dropped.
-        shareUploadTurns(req);
+        dropBody(req, maxBodyBytes);
         listener(req, res);
     };
     limitRequests(server, listenInTurns, { maxRequests: maxOtherRequests, isPaused: false });
--- a/src/io/http/limitRequests.ts
+++ b/src/io/http/limitRequests.ts
@@ -63,7 +63,7 @@
  */
 export function limitRequests(server: Server, listener: RequestListener, options: RequestLimitOptions): void {
     const { maxRequests, pipelined, evict = socket => void socket.destroy() } = options;
-    const hasRunning = trackResponses(server);
+    const { hasRunning } = trackResponses(server);
     /** Connections that are open. */
     const connections = new WeakMap<Socket, Connection>();
 
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -6,9 +6,10 @@
  */
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
-import type { AnswerMemory } from "../../core/proxy/createAnswerMemory.js";
+import type { Progress } from "../../core/admission/chooseLeastProgress.js";
+import type { MemoryBudget } from "../../core/memory/createMemoryBudget.js";
 import { deferInTurn } from "../_lib/deferInTurn.js";
-import { trackResponses } from "./_lib/trackResponses.js";
+import { type TrackedResponses, trackResponses } from "./_lib/trackResponses.js";
 
 /** Options of {@link readInTurns}. */
 export interface TurnReadOptions {
@@ -22,12 +23,10 @@
     readonly onRead: (bytes: number) => void;
     /** Whether slices are shorter, because memory for requests is short. */
     readonly isShort?: () => boolean;
-    /**
-     * Memory for what was read and not parsed yet. When there is too little, a connection is closed whose rest was not parsed
-     * for seconds because its answers are not read.
-     */
-    readonly unparsed: Pick<AnswerMemory, "hold">;
-    /** Closes a connection because its unparsed rest takes too much. */
+    /** Memory for what connections that wait for their turn hold: what was read of them, and what was not. */
+    readonly memory: Pick<MemoryBudget, "open">;
+    readonly now: () => number;
+    /** Closes a connection because others need the memory that it holds. */
     readonly evict: (socket: Socket) => void;
 }
 
@@ -44,6 +43,15 @@
 /** Unparsed bytes of a connection up to which it is read on: only a connection that is read shows that its caller has gone. */
 const readAheadBytes = 16 * 1_024;
 
+/** Size of a read behind which more has probably arrived, in bytes. */
+const fullReadBytes = 64 * 1_024;
+
+/** Bytes of a connection that the system may hold while it is not read. */
+const unreadBytes = 64 * 1_024;
+
+/** Time for which answers that are not read protect what was sent behind their requests, in milliseconds. */
+const unreadTimeMs = 2_000;
+
 /** What a connection is in the middle of. */
 interface Message {
     /** Its last request; undefined before the first one. */
@@ -75,30 +83,73 @@
 }
 
 /** Parses what arrives on one connection in slices, and reads no more while much of it is left. */
-function parseInTurns(socket: Socket, message: Message, hasRunning: () => boolean, options: TurnReadOptions): void {
-    const { defer, onRead, unparsed, evict } = options;
+function parseInTurns(
+    socket: Socket,
+    message: Message,
+    responses: TrackedResponses,
+    options: TurnReadOptions,
+): void {
+    const { defer, onRead, now } = options;
     const pushParsed = socket.push.bind(socket);
     const read = socket._read.bind(socket);
+    const holding = options.memory.open();
     let rest: Buffer = nothing;
     let isQueued = false;
+    /** Whether the connection is not read until its turn, since its last read was a full one. */
+    let isResting = false;
+    /** Since when it waits for turns, and what was parsed since then; undefined while it does not. */
+    let waiting: { readonly sinceMs: number; bytes: number; parsedMs: number; } | undefined;
     /** Whether what is handed on is a head and nothing else. */
     let isHead = false;
-    // A rest waits for its turn, for requests that run, or for answers to be read.
-    const readStuck = () => rest.length === 0 || isQueued || hasRunning() ? undefined : rest.length;
-    const holding = unparsed.hold(0, () => {
-        close();
-        evict(socket);
-    }, readStuck);
+    const stopYielding = holding.yieldWhile({ readProgress, evict });
+
+    /** A connection whose requests run does not yield, nor one whose answers were moving lately. */
+    function readProgress(): Progress | undefined {
+        if (waiting === undefined || responses.hasRunning(socket)) {
+            return undefined;
+        }
+        const isStuck = now() - waiting.parsedMs >= unreadTimeMs;
+        return responses.hasUnfinished(socket) && !isStuck ? undefined : waiting;
+    }
 
     function close(): void {
         rest = nothing;
-        holding.close();
+        waiting = undefined;
+        stopYielding();
+        holding.release();
+    }
+
+    function evict(): void {
+        close();
+        options.evict(socket);
+    }
+
+    /** Counts what is held; a connection for whose rest there is no room is closed, unless its requests run. */
+    function recordHeld(): void {
+        if (rest.length === 0 && !isResting) {
+            waiting = undefined;
+            holding.hold(0);
+            return;
+        }
+        waiting ??= { sinceMs: now(), bytes: 0, parsedMs: now() };
+        const hasRoom = holding.hold(rest.buffer.byteLength + unreadBytes);
+        if (!hasRoom && rest.length > 0 && !responses.hasUnfinished(socket)) {
+            evict();
+        }
+    }
+
+    function mayRead(): boolean {
+        return !isResting && rest.length < readAheadBytes;
     }
 
     function push(chunk: unknown, encoding?: BufferEncoding): boolean {
         const reqBefore = message.req;
         const bytes = Buffer.isBuffer(chunk) ? chunk.length : 0;
         message.bodyBytes = Math.max(0, message.bodyBytes - bytes);
+        if (waiting !== undefined) {
+            waiting.bytes += bytes;
+            waiting.parsedMs = now();
+        }
         const mayPushMore = pushParsed(chunk, encoding);
         const { req } = message;
         if (req !== reqBefore && req?.complete === false) {
@@ -109,15 +160,10 @@
         return mayPushMore;
     }
 
-    function mayRead(): boolean {
-        return rest.length < readAheadBytes;
-    }
-
     /** Hands on the first so many bytes of the rest. */
     function pushFirst(bytes: number): boolean {
         const slice = rest.subarray(0, bytes);
-        rest = rest.subarray(bytes);
-        holding.set(rest.length === 0 ? 0 : rest.buffer.byteLength);
+        rest = bytes === rest.length ? nothing : rest.subarray(bytes);
         return push(slice);
     }
 
@@ -141,11 +187,10 @@
         return pushFirst(measureSlice(rest, options));
     }
 
+    /** Parses what is left in later turns. */
     function goOnLater(): void {
-        if (rest.length > 0 && rest.length <= message.bodyBytes) {
-            goOn();
-        }
-        if (rest.length > 0 && !isQueued && !socket.isPaused()) {
+        const mayParse = rest.length > 0 && !socket.isPaused();
+        if (!isQueued && !socket.destroyed && (isResting || mayParse)) {
             isQueued = true;
             defer(goOn);
         }
@@ -153,13 +198,31 @@
 
     function goOn(): void {
         isQueued = false;
-        if (socket.destroyed || socket.isPaused() || rest.length === 0) {
+        if (socket.destroyed) {
             return;
         }
-        pushSlice();
+        const wasResting = isResting;
+        isResting = false;
+        if (rest.length > 0 && !socket.isPaused()) {
+            pushSlice();
+        }
+        recordHeld();
+        if (wasResting && mayRead()) {
+            read(fullReadBytes);
+        }
         goOnLater();
     }
 
+    /** Parses the first slice of what was read, or puts it behind what waits. Returns whether to read on. */
+    function accept(chunk: Buffer): boolean {
+        const isWhole = rest.length === 0 && !socket.isPaused();
+        if (isWhole && (chunk.length <= message.bodyBytes || measureSlice(chunk, options) === chunk.length)) {
+            return push(chunk);
+        }
+        rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+        return !isWhole || pushSlice();
+    }
+
     socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
         if (!Buffer.isBuffer(chunk)) {
             // The caller has gone: what it sent last would be served for nobody.
@@ -167,13 +230,13 @@
             return push(chunk, encoding);
         }
         onRead(chunk.length);
-        const isWhole = rest.length === 0 && !socket.isPaused();
-        if (isWhole && (chunk.length <= message.bodyBytes || measureSlice(chunk, options) === chunk.length)) {
-            return push(chunk, encoding);
+        isResting = chunk.length >= fullReadBytes;
+        const mayPushMore = accept(chunk);
+        if (socket.writableEnded) {
+            // Nothing more is answered on the connection, which is read only so that its last answer is not lost.
+            rest = nothing;
         }
-        rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
-        holding.set(rest.buffer.byteLength);
-        const mayPushMore = !isWhole || pushSlice();
+        recordHeld();
         goOnLater();
         return mayPushMore && mayRead();
     };
@@ -193,7 +256,7 @@
  * @param options - Size of a slice, and what the rest may hold.
  */
 export function readInTurns(server: Server, options: TurnReadOptions): void {
-    const hasRunning = trackResponses(server);
+    const responses = trackResponses(server);
     const messages = new WeakMap<Socket, Message>();
     server.on("request", (req: IncomingMessage) => {
         const message = messages.get(req.socket);
@@ -204,7 +267,7 @@
     server.on("connection", (socket: Socket) => {
         const message: Message = { req: undefined, bodyBytes: 0 };
         messages.set(socket, message);
-        parseInTurns(socket, message, () => hasRunning(socket), options);
+        parseInTurns(socket, message, responses, options);
         // The server's parser reads the connection itself, past the stream, unless its data has a listener.
         socket.on("data", () => undefined);
     });
