Keep a part of the memory for small bodies and answers

What callers saw: beside a crowd that uploads at its pace or reads no answers, an ordinary request of some bytes got 503, since bodies held all their memory, or 502, since its answer was the largest that was still collected. Cause: whoever asked when the memory was used up was refused, however little it asked for; and while one body went beyond the limit as the design allows, no other found room at all. The body that exceeds the limit alone does not keep out small ones. Why it works: an ordinary request competes with its like, of which a crowd has to hold hundreds, and those are behind their pace and yield.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -26,6 +26,18 @@
         And 1000 ms have passed, in which 0 bytes of body 1 and 200000 bytes of body 2 have arrived
         Then body 3 finds no room for 200 bytes
 
+    # Guards against uploads at their pace that hold all of the memory, so that every ordinary request is refused.
+    Scenario: Small bodies find room beside large ones that hold their share
+        Given a budget of 1000000 bytes for bodies that arrive, of which body 1 holds 500000 bytes and body 2 holds 370000
+        Then body 3 finds no room for 200000 bytes
+        And 20 small bodies of 5000 bytes find room
+
+    # Guards against ordinary answers that are lost because others are not read.
+    Scenario: A small answer is collected beside large ones that hold their share
+        Given a memory of 1000000 bytes for answers with one of 500000 bytes that was made 100 ms ago and one of 370000 made 100 ms ago
+        When 2 answers are collected and grow to 100000 and to 50000 bytes
+        Then of them only the one of 100000 bytes is ended
+
     # Guards against answers that nobody reads and that keep all others out of the memory.
     Scenario: An answer that is not read for seconds yields to others, and one that was just made does not
         Given a memory of 1000 bytes for answers with one of 400 bytes that was made 2500 ms ago and one of 300 made 1500 ms ago
--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -140,6 +140,12 @@
     assert.equal(fixture.bodies.filter(({ isRefused }) => isRefused).length, before);
 });
 
+Then("{int} small bodies of {int} bytes find room", function(this: SiteWorld, count: number, bytes: number) {
+    const fixture = getFixture(this);
+    const bodies = Array.from({ length: count }, () => addBody(fixture, bytes));
+    assert.ok(bodies.every(({ hasRoom }) => hasRoom));
+});
+
 Given(
     "a memory of {int} bytes for answers with one of {int} bytes that was made {int} ms ago and one of {int} made {int} ms ago",
     function(this: SiteWorld, maxBytes: number, first: number, firstMs: number, second: number, secondMs: number) {
@@ -159,9 +165,28 @@
     answers!.open(() => ended.push(bytes)).set(bytes);
 });
 
-Then("of the answers only that of {int} bytes is ended", function(this: SiteWorld, bytes: number) {
-    assert.deepEqual(getFixture(this).ended, [bytes]);
-});
+When(
+    "2 answers are collected and grow to {int} and to {int} bytes",
+    function(this: SiteWorld, first: number, second: number) {
+        const { answers, ended } = getFixture(this);
+        const [large, small] = [first, second].map(bytes => {
+            const holding = answers!.open(() => {
+                ended.push(bytes);
+                holding.close();
+            });
+            return { holding, bytes };
+        });
+        small!.holding.set(small!.bytes);
+        large!.holding.set(large!.bytes);
+    },
+);
+
+Then(
+    /^of (?:the answers only that|them only the one) of (\d+) bytes is ended$/,
+    function(this: SiteWorld, bytes: string) {
+        assert.deepEqual(getFixture(this).ended, [Number(bytes)]);
+    },
+);
 
 Then(
     "of {int} MB at most {int} MB are for bodies and {int} MB for answers",
--- a/src/core/memory/createMemoryBudget.ts
+++ b/src/core/memory/createMemoryBudget.ts
@@ -4,6 +4,7 @@
  */
 import type { Progress } from "../admission/chooseLeastProgress.js";
 import { chooseSlowHolder, type HolderProgress } from "../admission/chooseSlowHolder.js";
+import { limitBySize } from "../admission/limitBySize.js";
 
 /** What may yield to others: a body that is received, or a connection that is read in turns. */
 export interface YieldingHolder {
@@ -117,9 +118,17 @@
         return true;
     }
 
+    /** Counts by how much bytes of a holding would exceed its limit. The one that may exceed all does not keep out small ones. */
+    function countExcess(holding: Holding, bytes: number): number {
+        const limitBytes = limitBySize(maxBytes, holding.ownBytes + bytes);
+        const isSmall = limitBytes === maxBytes;
+        const apartBytes = isSmall && exceeding !== holding ? exceeding?.ownBytes ?? 0 : 0;
+        return usedBytes - apartBytes + bytes - limitBytes;
+    }
+
     /** Makes room for bytes of one body by those that are behind, if they hold enough; returns whether there is room. */
     function makeRoom(holding: Holding, bytes: number): boolean {
-        let excessBytes = usedBytes + bytes - maxBytes;
+        let excessBytes = countExcess(holding, bytes);
         if (excessBytes <= 0) {
             return true;
         }
--- a/src/core/proxy/createAnswerMemory.ts
+++ b/src/core/proxy/createAnswerMemory.ts
@@ -3,6 +3,8 @@
  * Memory that answers in progress hold, with a limit for all of them together.
  */
 
+import { limitBySize } from "../admission/limitBySize.js";
+
 /** What one answer holds. */
 export interface AnswerHolding {
     /** Records how many bytes the answer holds now. */
@@ -104,8 +106,9 @@
         return unsentBytes !== undefined && sending.sinceMs <= now() - readTimeMs;
     }
 
-    function isOver(): boolean {
-        return totalBytes - leavingBytes > maxBytes;
+    /** Whether there is too much for an answer that holds a number of bytes. */
+    function isOverFor(bytes: number): boolean {
+        return totalBytes - leavingBytes > limitBySize(maxBytes, bytes);
     }
 
     function close(holding: Holding): void {
@@ -126,9 +129,10 @@
         return unread;
     }
 
-    function makeRoom(): void {
+    /** Makes room for an answer that holds a number of bytes. */
+    function makeRoom(bytes: number): void {
         for (const unread of findUnread()) {
-            if (isOver()) {
+            if (isOverFor(bytes)) {
                 unread.isLeaving = true;
                 leavingBytes += unread.bytes;
                 unread.evict?.();
@@ -137,8 +141,8 @@
         const largest = findLargest();
         const othersBytes = totalBytes - leavingBytes - (largest?.bytes ?? 0);
         const isSingle = othersBytes <= maxBytes && totalBytes - leavingBytes <= maxSingleBytes;
-        if (isOver() && !isSingle) {
-            largest?.evict?.();
+        if (largest !== undefined && isOverFor(largest.bytes) && !isSingle) {
+            largest.evict?.();
         }
     }
 
@@ -153,8 +157,8 @@
         if (grownBytes > 0) {
             onGrown(grownBytes);
         }
-        if (isOver()) {
-            makeRoom();
+        if (isOverFor(bytes)) {
+            makeRoom(bytes);
         }
     }
 
