Collect small answers beside one that exceeds the limit alone

What callers saw: beside a crowd that reads no answers an ordinary request ran and got 502: "the answers in progress hold too much memory", although its answer had some bytes. Cause: one answer alone may exceed the limit of all, as the design allows; while it did, the next one that was collected was ended, whatever its size. Change: a small answer is compared with what all others hold but the largest one. Why it works: large answers find room only up to seven eighths of the limit and one beyond it, so that what small ones compare with is under the limit unless small ones fill it.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -38,6 +38,12 @@
         When 2 answers are collected and grow to 100000 and to 50000 bytes
         Then of them only the one of 100000 bytes is ended
 
+    # Guards against ordinary answers that are lost because one large answer uses what one alone may.
+    Scenario: A small answer is collected beside one that exceeds the limit alone
+        Given a memory of 1000000 bytes for answers with one of 500000 bytes that was made 100 ms ago and one of 600000 made 100 ms ago
+        When another answer is collected and grows to 500 bytes
+        Then no answer is ended
+
     # Guards against answers that nobody reads and that keep all others out of the memory.
     Scenario: An answer that is not read for seconds yields to others, and one that was just made does not
         Given a memory of 1000 bytes for answers with one of 400 bytes that was made 2500 ms ago and one of 300 made 1500 ms ago
--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -188,6 +188,10 @@
     },
 );
 
+Then("no answer is ended", function(this: SiteWorld) {
+    assert.deepEqual(getFixture(this).ended, []);
+});
+
 Then(
     "of {int} MB at most {int} MB are for bodies and {int} MB for answers",
     (megabytes: number, bodies: number, answers: number) => {
--- a/src/core/proxy/createAnswerMemory.ts
+++ b/src/core/proxy/createAnswerMemory.ts
@@ -111,6 +111,26 @@
         return totalBytes - leavingBytes > limitBySize(maxBytes, bytes);
     }
 
+    function isSmall(bytes: number): boolean {
+        return limitBySize(maxBytes, bytes) === maxBytes;
+    }
+
+    /** Returns the size of the largest answer, 0 if it is a small one. */
+    function measureLargest(): number {
+        const sizes = [...holdings].map(({ isLeaving, bytes }) => isLeaving || isSmall(bytes) ? 0 : bytes);
+        return Math.max(0, ...sizes);
+    }
+
+    /** Whether an answer is ended. One that exceeds all others does not keep out small ones. */
+    function mustEnd({ bytes }: Holding): boolean {
+        const heldBytes = totalBytes - leavingBytes;
+        if (heldBytes - bytes <= maxBytes && heldBytes <= maxSingleBytes) {
+            return false;
+        }
+        const apartBytes = isSmall(bytes) ? measureLargest() : 0;
+        return heldBytes - apartBytes > limitBySize(maxBytes, bytes);
+    }
+
     function close(holding: Holding): void {
         if (holdings.delete(holding)) {
             totalBytes -= holding.bytes;
@@ -139,9 +159,7 @@
             }
         }
         const largest = findLargest();
-        const othersBytes = totalBytes - leavingBytes - (largest?.bytes ?? 0);
-        const isSingle = othersBytes <= maxBytes && totalBytes - leavingBytes <= maxSingleBytes;
-        if (largest !== undefined && isOverFor(largest.bytes) && !isSingle) {
+        if (largest !== undefined && mustEnd(largest)) {
             largest.evict?.();
         }
     }
