End all requests of a connection when its caller closes it

What callers saw (suspected, on the product's own interface): requests that had been sent behind others went on when their caller left, and were counted until the process ended, so that a stop waited for them until its bound. Cause: Node.js emits "close" for the first response of a connection that closes, and for none behind it; createExchange and trackConnections knew of a caller that has gone by that event alone. Change: both use onResponseOver, as the router of opaque requests does; it has one listener of a connection for all its responses, and moved to src/io/http. Evidence: features/requestEnds.feature "All requests of a connection end when their caller closes it": the requests behind the first did not end within 20 s before; passes with the change. Why it works: the end of the connection is heard on the connection itself. The other listeners of a response's "close" keep their state by connection, and it goes with that.

--- a/features/requestEnds.feature
+++ b/features/requestEnds.feature
@@ -34,3 +34,9 @@
 
     Scenario: A request that is sent while the instance leaves says so
         Then the line of a request that is sent 1200 ms after the order to stop of 8000 ms says how long the instance has
+
+    # Guards against requests behind others that go on, and are counted, until the process ends: Node.js closes only the first response.
+    Scenario: All requests of a connection end when their caller closes it
+        Given a server of the product's own interface whose requests wait
+        When a caller sends 5 requests on one connection and closes it
+        Then all 5 of them end, since the caller has gone, and none is counted
--- a/src/io/http/createExchange.ts
+++ b/src/io/http/createExchange.ts
@@ -13,6 +13,7 @@
 import { collectBody } from "../upstream/collectBody.js";
 import type { OpenedAnswer, UpstreamClient } from "../upstream/createUpstreamClient.js";
 import { forwardEvents } from "../upstream/forwardEvents.js";
+import { onResponseOver } from "./_lib/onResponseOver.js";
 import { awaitAdmission } from "./awaitAdmission.js";
 import { writeRefusal } from "./writeRefusal.js";
 
@@ -52,7 +53,7 @@
     let endWait: (() => void) | undefined;
     let firstByteMs: number | undefined;
 
-    res.on("close", () => {
+    onResponseOver(res, () => {
         if (!res.writableEnded) {
             callerDisconnect.abort();
             endWait?.();
--- a/src/io/lifecycle/trackConnections.ts
+++ b/src/io/lifecycle/trackConnections.ts
@@ -4,6 +4,7 @@
  */
 import type { Server } from "node:http";
 import type { Lifecycle } from "../../core/lifecycle/createLifecycle.js";
+import { onResponseOver } from "../http/_lib/onResponseOver.js";
 
 /**
  * Counts every request until its answer is closed. Once the instance shuts down, each answer asks the caller to close
@@ -12,10 +13,10 @@
  * @param server - The server for callers; its request handlers must be added after this call.
  * @param lifecycle - Lifecycle of the daemon.
  */
-export function trackConnections(server: Server, lifecycle: Lifecycle): void {
+export function trackConnections(server: Server, lifecycle: Pick<Lifecycle, "state" | "trackRequest">): void {
     server.prependListener("request", (req, res) => {
         const done = lifecycle.trackRequest(`${req.method ?? ""} ${req.url ?? ""}`);
-        res.once("close", done);
+        onResponseOver(res, done);
         if (lifecycle.state() === "leaving" || lifecycle.state() === "draining") {
             res.setHeader("connection", "close");
         }
--- a/src/io/proxy/createCallerExchange.ts
+++ b/src/io/proxy/createCallerExchange.ts
@@ -9,7 +9,7 @@
 import type { HeaderPair, UpstreamAnswer } from "../../core/proxy/proxyTypes.js";
 import type { CancelTimer } from "../../core/time/clock.js";
 import { readUnsentBytes } from "../_lib/readUnsentBytes.js";
-import { onResponseOver } from "./_lib/onResponseOver.js";
+import { onResponseOver } from "../http/_lib/onResponseOver.js";
 import { createStreamWriter, type StreamWriter } from "./createStreamWriter.js";
 import type { AnswerHead } from "./proxyCodec.js";
 import { writePlainRefusal } from "./writePlainRefusal.js";
