Refuse calls without a secret before their body is read

Cause: the peer server read each body whole, up to 8 MB and without a bound of all, and checked the secret when it was complete. Change: the secret is checked at the head; what follows a wrong one is dropped, and its connection closed behind 64 KB. tRPC gets an empty body and refuses as before. Evidence: features/pieces.feature "A call without the secret is refused before its body has arrived, and closed when that is long" is not refused as forbidden before (the check gets the timeout of the body), and passes with the change; 61 scenarios of pieces, reedwardctl and membership pass. Why it works: memory for a body is taken only for callers that hold the secret.

--- a/features/pieces.feature
+++ b/features/pieces.feature
@@ -54,6 +54,13 @@
         Then the heap has grown by at most 1 MB
         And the call is performed when it is complete
 
+    # Guards against bodies that are read into memory before their sender is known.
+    Scenario: A call without the secret is refused before its body has arrived, and closed when that is long
+        Given a server of calls from peers
+        When somebody without the secret begins a call of 8000000 bytes
+        Then the call is refused as forbidden
+        And its connection is closed although it sends on
+
     # Guards against answers to calls in short pieces that keep the event loop from other connections.
     Scenario: A call whose answer in short pieces never ends fails at its limit, and leaves turns to others
         Given a server that answers calls in chunks of one byte without end
--- a/features/steps/peerPieceSteps.ts
+++ b/features/steps/peerPieceSteps.ts
@@ -4,6 +4,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import type { Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { startScriptedUpstream } from "../../fakes/startScriptedUpstream.js";
@@ -100,6 +101,35 @@
     assert.deepEqual(payloads, ["hints"]);
 });
 
+When("somebody without the secret begins a call of {int} bytes", function(this: SiteWorld, bytes: number) {
+    const fixture = getFixture(this);
+    const socket = connect((fixture.server.address() as AddressInfo).port, "127.0.0.1");
+    const headers = `host: a\r\nauthorization: Bearer unknown\r\ncontent-type: application/json\r\n`;
+    socket.write(`POST /peer.noteHints HTTP/1.1\r\n${headers}content-length: ${bytes}\r\n\r\n{`);
+    fixture.socket = socket;
+    this.cleanups.unshift(() => void socket.destroy());
+});
+
+Then("the call is refused as forbidden", async function(this: SiteWorld) {
+    const { socket } = getFixture(this);
+    const [answer] = await once(socket!, "data") as [Buffer];
+    assert.match(answer.toString(), /^HTTP\/1.1 403 /);
+});
+
+Then("its connection is closed although it sends on", async function(this: SiteWorld) {
+    const { socket } = getFixture(this);
+    const block = Buffer.alloc(65_536, " ");
+    socket!.on("error", () => undefined);
+    const closed = new Promise(resolve => socket!.once("close", resolve));
+    const sendOn = () => {
+        if (socket!.writable) {
+            socket!.write(block, () => setImmediate(sendOn));
+        }
+    };
+    sendOn();
+    await closed;
+});
+
 interface CallFixture {
     readonly address: string;
     turns: number;
--- a/src/io/peers/createPeerServer.ts
+++ b/src/io/peers/createPeerServer.ts
@@ -5,7 +5,10 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { ok, type Result } from "true-myth/result";
+import type { Refusal } from "../../core/errors/createRefusal.js";
 import type { Clock } from "../../core/time/clock.js";
+import { dropBody } from "../http/dropBody.js";
 import { limitRequests } from "../http/limitRequests.js";
 import { readBody } from "../http/readBody.js";
 import { writeRefusal } from "../http/writeRefusal.js";
@@ -24,6 +27,9 @@
 /** Maximum size of a peer call's body. */
 const maxPeerBodyBytes = 8 << 20;
 
+/** Size of a body behind a wrong secret beyond which the connection is closed, in bytes. */
+const maxUnknownBodyBytes = 64 << 10;
+
 /** Time for a call to arrive, in milliseconds. */
 const callTimeoutMs = 10_000;
 
@@ -60,15 +66,29 @@
         return "unauthenticated";
     }
 
+    /** Callers of requests in progress. */
+    const callers = new WeakMap<IncomingMessage, PeerContext["caller"]>();
+
     const handler = createHTTPHandler({
         router: createPeerRouter(service, operatorService),
-        createContext: ({ req }): PeerContext => ({ caller: findCaller(req) }),
+        createContext: ({ req }): PeerContext => ({ caller: callers.get(req) ?? "unauthenticated" }),
         maxBodySize: maxPeerBodyBytes,
     });
 
+    /** What somebody without a secret sends is not kept: the refusal needs none of it. */
+    function readCall(req: IncomingMessage, caller: PeerContext["caller"]): Promise<Result<Buffer, Refusal>> {
+        if (caller === "unauthenticated") {
+            dropBody(req, maxUnknownBodyBytes);
+            return Promise.resolve(ok(Buffer.alloc(0)));
+        }
+        return readBody(req, options.clock, { maxBytes: maxPeerBodyBytes, timeoutMs: callTimeoutMs });
+    }
+
     /** tRPC takes the text of a body that was read, and would itself keep the pieces of one. */
     async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const body = await readBody(req, options.clock, { maxBytes: maxPeerBodyBytes, timeoutMs: callTimeoutMs });
+        const caller = findCaller(req);
+        callers.set(req, caller);
+        const body = await readCall(req, caller);
         if (body.isErr) {
             writeRefusal(res, body.error, "");
             return;
