Let the connections that have waited longest for turns yield, whatever their pace

What callers saw: crowds of chunks with long extensions, and of chunks of 64 KB, kept 30 to 46 MB in receive queues. Cause: their connections are parsed at a good pace in bytes when it is their turn, so that none of them was behind and none yielded, although they held several times what is planned for connections that wait; and a connection that sent on behind its last answer kept its window for two seconds. Change: createWaitingMemory: when memory for connections that wait is used up, those that have waited longest, and 250 ms at least, yield; so does at once one that sends on although its last answer is sent. Callers' connections and other ports use the same. Why it works: a connection waits only if it sends faster than it is read; one that is read as fast as it sends is never a candidate.

--- a/src/assemble/assembleServers.ts
+++ b/src/assemble/assembleServers.ts
@@ -7,7 +7,7 @@
 import { chooseEntries } from "../core/fleet/chooseEntries.js";
 import { listServing } from "../core/fleet/listServing.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
-import { createMemoryBudget } from "../core/memory/createMemoryBudget.js";
+import { createWaitingMemory } from "../core/memory/createWaitingMemory.js";
 import { limitWaitingConnections } from "../core/memory/limitWaitingConnections.js";
 import { planMemory } from "../core/memory/planMemory.js";
 import { createAnswerMemory } from "../core/proxy/createAnswerMemory.js";
@@ -156,11 +156,7 @@
         ...parsingShare,
         onRead: sources.recordRead,
         isShort: () => pipelined.totalBytes() > memory.pipelinedBytes,
-        memory: createMemoryBudget({
-            maxBytes: memory.unparsedBytes,
-            onReleased: () => undefined,
-            now: context.clock.now,
-        }),
+        memory: createWaitingMemory(memory.unparsedBytes, context.clock.now),
         now: context.clock.now,
         evict: socket => evictConnection(socket, "unparsed"),
     });
--- a/src/core/admission/chooseSlowHolder.ts
+++ b/src/core/admission/chooseSlowHolder.ts
@@ -13,7 +13,7 @@
 const graceMs = 250;
 
 /** Pace at which a body of some megabytes arrives within the time for it, in bytes per millisecond. */
-const paceBytesPerMs = 128;
+const defaultPaceBytesPerMs = 128;
 
 /**
  * Chooses the one that holds most for the time by which it is behind. An upload at the pace never yields, nor one that has
@@ -22,6 +22,7 @@
  * @param candidates - The unfinished uploads.
  * @param readProgress - Reads how far one has come.
  * @param nowMs - Time on the clock, in milliseconds.
+ * @param paceBytesPerMs - Pace at which none is behind, in bytes per millisecond.
  * @returns The chosen one; undefined if none yields.
  * @example
  * chooseSlowHolder(uploads, upload => upload.progress, clock.now())?.evict();
@@ -30,6 +31,7 @@
     candidates: Iterable<T>,
     readProgress: (candidate: T) => HolderProgress,
     nowMs: number,
+    paceBytesPerMs = defaultPaceBytesPerMs,
 ): T | undefined {
     let chosen: T | undefined;
     let mostHeld = 0;
--- a/src/core/memory/createMemoryBudget.ts
+++ b/src/core/memory/createMemoryBudget.ts
@@ -50,6 +50,8 @@
     readonly maxBytes: number;
     /** Bound up to which one body alone may go beyond it; by default none may. */
     readonly maxSingleBytes?: number;
+    /** Pace at which a holder does not yield, in bytes per millisecond; by default the one of bodies. */
+    readonly paceBytesPerMs?: number;
     /** Called with the bytes of each reservation that became garbage. */
     readonly onReleased: (bytes: number) => void;
     /** Time on the clock, in milliseconds. */
@@ -82,7 +84,7 @@
  */
 export function createMemoryBudget(options: MemoryBudgetOptions): MemoryBudget {
     const unfinished = new Set<Holding>();
-    const { maxBytes, maxSingleBytes = maxBytes } = options;
+    const { maxBytes, maxSingleBytes = maxBytes, paceBytesPerMs } = options;
     let usedBytes = 0;
     /** The body that went beyond the bound. */
     let exceeding: Holding | undefined;
@@ -148,7 +150,7 @@
         const candidates = new Set(listYielding(holding));
         const chosen: Holding[] = [];
         while (excessBytes > 0) {
-            const slow = chooseSlowHolder(candidates, one => one, nowMs);
+            const slow = chooseSlowHolder(candidates, one => one, nowMs, paceBytesPerMs);
             if (slow === undefined) {
                 foundNoneMs = chosen.length === 0 ? nowMs : foundNoneMs;
                 return tryExceed(holding, bytes);
--- a/src/io/http/createOtherServer.ts
+++ b/src/io/http/createOtherServer.ts
@@ -3,7 +3,7 @@
  * Servers of the ports for peers, callers that look for entries, and the platform's own questions. Their requests have no bodies.
  */
 import { createServer, type RequestListener, type Server } from "node:http";
-import { createMemoryBudget } from "../../core/memory/createMemoryBudget.js";
+import { createWaitingMemory } from "../../core/memory/createWaitingMemory.js";
 import { dropBody } from "./dropBody.js";
 import { limitRequests } from "./limitRequests.js";
 import { parsingShare, readInTurns } from "./readInTurns.js";
@@ -39,7 +39,7 @@
     readInTurns(server, {
         ...parsingShare,
         onRead: () => undefined,
-        memory: createMemoryBudget({ maxBytes: otherUnparsedBytes, onReleased: () => undefined, now }),
+        memory: createWaitingMemory(otherUnparsedBytes, now),
         now,
         evict: socket => socket.destroy(),
     });
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -124,7 +124,10 @@
         options.evict(socket);
     }
 
-    /** Counts what is held; a connection for whose rest there is no room is closed, unless its requests run. */
+    /**
+     * Counts what is held. A connection for whose rest there is no room is closed, unless its requests run, and so is one that
+     * sends on although its last answer was sent.
+     */
     function recordHeld(): void {
         if (rest.length === 0 && !isResting) {
             waiting = undefined;
@@ -133,7 +136,8 @@
         }
         waiting ??= { sinceMs: now(), bytes: 0, parsedMs: now() };
         const hasRoom = holding.hold(rest.buffer.byteLength + unreadBytes);
-        if (!hasRoom && rest.length > 0 && !responses.hasUnfinished(socket)) {
+        const mayYield = rest.length > 0 || socket.writableFinished;
+        if (!hasRoom && mayYield && !responses.hasUnfinished(socket)) {
             evict();
         }
     }
