Plan less for connections that wait, and collect sooner

What callers saw: 1,500 clients in all ways took 207 and 208 MB of the 200 that a process of that size is allowed. Cause: what waits to be accepted and what waits to be parsed held more than ordinary callers ever make them hold. All others of features/floods.feature and features/uncontrolledClients.feature: 34 passed, at most 135 of 140.

--- a/features/floods.feature
+++ b/features/floods.feature
@@ -24,16 +24,16 @@
             | 250     | 140       | 2000        | a chunk of 4 GB                                  |
             | 250     | 140       | 2000        | bodies of 4 MB without their last byte           |
             | 500     | 140       | 2000        | endless chunks of 1 byte                         |
+            | 150     | 140       | 2000        | 40 requests whose answers of 2 MB are not read   |
+            | 1500    | 200       | 4100        | in all ways and floods by turns                  |
 
         @known-red
         Examples:
             | clients | megabytes | descriptors | form                                             |
             | 250     | 140       | 900         | in all ways and floods by turns                  |
             | 500     | 140       | 2000        | in all ways and floods by turns                  |
-            | 1500    | 200       | 4100        | in all ways and floods by turns                  |
             | 500     | 140       | 2000        | endless chunks of 64 KB                          |
             | 500     | 140       | 2000        | endless chunks with extensions of 4 KB           |
-            | 150     | 140       | 2000        | 40 requests whose answers of 2 MB are not read   |
 
     # Guards against requests of callers that have left, behind others on their connections.
     Scenario: Requests of clients that have left are not sent on
--- a/src/core/memory/limitGarbage.ts
+++ b/src/core/memory/limitGarbage.ts
@@ -6,7 +6,7 @@
 const megabyte = 1_048_576;
 
 /** Share of the memory of a process. */
-const memoryShare = 0.04;
+const memoryShare = 0.03;
 
 /** Smallest limit, so that a small process does not collect all the time, and the largest one, in bytes. */
 const minBytes = 4 * megabyte;
@@ -18,7 +18,7 @@
  * @param memoryBytes - Memory that the process is allowed, in bytes.
  * @returns The limit, in bytes.
  * @example
- * limitGarbage(200 * 1_048_576); // 8_388_608
+ * limitGarbage(200 * 1_048_576); // 6_291_456
  */
 export function limitGarbage(memoryBytes: number): number {
     return Math.min(maxBytes, Math.max(minBytes, memoryBytes * memoryShare));
--- a/src/core/memory/limitWaitingConnections.ts
+++ b/src/core/memory/limitWaitingConnections.ts
@@ -8,7 +8,7 @@
 const connectionBytes = 64 * 1_024;
 
 /** Share of the memory for connections that wait. */
-const memoryShare = 0.08;
+const memoryShare = 0.05;
 
 /** The smallest number, which a burst of callers needs, and the largest, which is the engine's default. */
 const minConnections = 64;
@@ -20,7 +20,7 @@
  * @param memoryBytes - Memory that the process is allowed, in bytes.
  * @returns The number.
  * @example
- * limitWaitingConnections(200 * 1_048_576); // 256
+ * limitWaitingConnections(200 * 1_048_576); // 160
  */
 export function limitWaitingConnections(memoryBytes: number): number {
     const byMemory = Math.floor(memoryBytes * memoryShare / connectionBytes);
--- a/src/core/memory/planMemory.ts
+++ b/src/core/memory/planMemory.ts
@@ -21,10 +21,10 @@
 const programBytes = 96 * megabyte;
 
 /** Shares of the rest; what is left is for allocations between which memory lies unused. */
-const shares = { body: 0.4, answer: 0.2, unparsed: 0.12, pipelined: 0.08 } as const;
+const shares = { body: 0.4, answer: 0.2, unparsed: 0.1, pipelined: 0.08 } as const;
 
 /** Shares of all memory that are enough. */
-const maxShares = { body: 0.32, answer: 0.16, unparsed: 0.1, pipelined: 0.06 } as const;
+const maxShares = { body: 0.32, answer: 0.16, unparsed: 0.08, pipelined: 0.06 } as const;
 
 /** Smallest limits, which leave room for single requests and answers of any allowed size, in bytes. */
 const minBytes = {
