One constant for the bytes of a connection that the system may hold

Cause: 64 KB a connection that is not read stood in three files under three names. Change: unreadConnectionBytes of core/constants; a name and three comments that a newcomer would stop at.

--- a/src/core/admission/chooseSlowHolder.ts
+++ b/src/core/admission/chooseSlowHolder.ts
@@ -12,7 +12,7 @@
 /** Time by which an upload may be behind its pace, in milliseconds. */
 const graceMs = 250;
 
-/** Pace at which a body of some megabytes arrives within the time for it, in bytes per millisecond. */
+/** Default pace, at which a body of some megabytes arrives within the time for it, in bytes per millisecond. */
 const defaultPaceBytesPerMs = 128;
 
 /**
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -23,3 +23,6 @@
 
 /** Time without an answer after which a call to the store has failed, in milliseconds; a long poll's wait comes on top. */
 export const storeAnswerTimeoutMs = 1_000;
+
+/** Bytes that the system may hold for a connection while it is not read. They count toward the memory of the process. */
+export const unreadConnectionBytes = 65_536;
--- a/src/core/memory/limitWaitingConnections.ts
+++ b/src/core/memory/limitWaitingConnections.ts
@@ -4,8 +4,7 @@
  * of the process.
  */
 
-/** Bytes that the system may hold for a connection that waits. */
-const connectionBytes = 64 * 1_024;
+import { unreadConnectionBytes } from "../constants.js";
 
 /** Share of the memory for connections that wait. */
 const memoryShare = 0.05;
@@ -23,6 +22,6 @@
  * limitWaitingConnections(200 * 1_048_576); // 160
  */
 export function limitWaitingConnections(memoryBytes: number): number {
-    const byMemory = Math.floor(memoryBytes * memoryShare / connectionBytes);
+    const byMemory = Math.floor(memoryBytes * memoryShare / unreadConnectionBytes);
     return Math.min(maxConnections, Math.max(minConnections, byMemory));
 }
--- a/src/io/http/createOtherServer.ts
+++ b/src/io/http/createOtherServer.ts
@@ -20,11 +20,12 @@
 /** Time after which a connection of another port on which nothing moves is closed, in milliseconds. */
 const otherTimeoutMs = 10_000;
 
-const now = () => performance.now();
-
 /** Connections of a port with short answers. */
 const maxOtherConnections = 512;
 
+/** Returns the time on the monotonic clock, in milliseconds. */
+const now = () => performance.now();
+
 /**
  * Creates a server of a port other than the callers'; whoever does not read its answers holds little memory.
  *
--- a/src/io/http/readBody.ts
+++ b/src/io/http/readBody.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
+import { unreadConnectionBytes } from "../../core/constants.js";
 import { createRefusal, type Refusal } from "../../core/errors/createRefusal.js";
 import { type AppendResult, type BlockBuffer, createBlockBuffer } from "../../core/memory/createBlockBuffer.js";
 import type { BlockPool } from "../../core/memory/createBlockPool.js";
@@ -25,9 +26,6 @@
     readonly onBegin?: (stop: (refusal: Refusal) => void) => void;
 }
 
-/** Bytes of a connection that the system may hold while it is not read. */
-const unreadBytes = 64 * 1_024;
-
 /** Retry-after time of a caller whose request body has no room, in milliseconds. */
 const memoryRetryAfterMs = 500;
 
@@ -62,7 +60,7 @@
 ): Promise<Result<Buffer, Refusal>> {
     return new Promise(resolve => {
         let buffer: BlockBuffer | undefined = createBodyBuffer(req, options);
-        let isCounted = false;
+        let isUnreadCounted = false;
         const progress = { sinceMs: clock.now(), bytes: 0 };
         const keepRoom = options.reservation?.yieldWhile({
             readProgress: () => progress,
@@ -93,9 +91,9 @@
 
         /** Behind a body that takes more than one read, the system may hold bytes that are not read. */
         function countUnread(): AppendResult {
-            const isLong = !isCounted && progress.bytes > unreadBytes;
-            isCounted ||= isLong;
-            return isLong && options.reservation?.tryGrow(unreadBytes) === false ? "noRoom" : "appended";
+            const isLong = !isUnreadCounted && progress.bytes > unreadConnectionBytes;
+            isUnreadCounted ||= isLong;
+            return isLong && options.reservation?.tryGrow(unreadConnectionBytes) === false ? "noRoom" : "appended";
         }
 
         function onChunk(chunk: Buffer): void {
--- a/src/io/http/readInTurns.ts
+++ b/src/io/http/readInTurns.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Progress } from "../../core/admission/chooseLeastProgress.js";
+import { unreadConnectionBytes } from "../../core/constants.js";
 import type { MemoryBudget } from "../../core/memory/createMemoryBudget.js";
 import { deferInTurn } from "../_lib/deferInTurn.js";
 import { type TrackedResponses, trackResponses } from "./_lib/trackResponses.js";
@@ -46,9 +47,6 @@
 /** Size of a read behind which more has probably arrived, in bytes. */
 const fullReadBytes = 64 * 1_024;
 
-/** Bytes of a connection that the system may hold while it is not read. */
-const unreadBytes = 64 * 1_024;
-
 /** Time for which answers that are not read protect what was sent behind their requests, in milliseconds. */
 const unreadTimeMs = 2_000;
 
@@ -97,7 +95,7 @@
     let isQueued = false;
     /** Whether the connection is not read until its turn, since its last read was a full one. */
     let isResting = false;
-    /** Since when it waits for turns, and what was parsed since then; undefined while it does not. */
+    /** Since when it waits for turns, what was parsed since then, and when last; undefined while it does not wait. */
     let waiting: { readonly sinceMs: number; bytes: number; parsedMs: number; } | undefined;
     /** Whether what is handed on is a head and nothing else. */
     let isHead = false;
@@ -135,9 +133,9 @@
             return;
         }
         waiting ??= { sinceMs: now(), bytes: 0, parsedMs: now() };
-        const hasRoom = holding.hold(rest.buffer.byteLength + unreadBytes);
-        const mayYield = rest.length > 0 || socket.writableFinished;
-        if (!hasRoom && mayYield && !responses.hasUnfinished(socket)) {
+        const hasRoom = holding.hold(rest.buffer.byteLength + unreadConnectionBytes);
+        const mustYield = rest.length > 0 || socket.writableFinished;
+        if (!hasRoom && mustYield && !responses.hasUnfinished(socket)) {
             evict();
         }
     }
