RW3017 and a counter tell of queues that were met, beside what was believed of them

Logs had the belief at a send and never what the upstream stated then, so that queues that instances do not know of looked like queues that they accept. The line has both; the counter met_queues_total{expected} tells them apart at a glance. No logic is changed.

--- a/features/steps/whySteps.ts
+++ b/features/steps/whySteps.ts
@@ -109,6 +109,7 @@
     "requestServed",
     "foreignAnswer",
     "answerEndJudged",
+    "queueMet",
 ] as const;
 
 Then("every log event of requests is described by a sentence", () => {
--- a/src/assemble/assembleSender.ts
+++ b/src/assemble/assembleSender.ts
@@ -3,6 +3,7 @@
  * Assembles the sends to upstreams, and what is learned from their answers: weights, load, signals and ends.
  */
 import { millisecondsPerSecond } from "../core/constants.js";
+import type { StatedLoad } from "../core/load/loadTypes.js";
 import { logInternalFailure } from "../core/logEvents/logInternalFailure.js";
 import type { Placer } from "../core/placement/createPlacer.js";
 import type { AnswerEnd } from "../core/proxy/answerEnd.js";
@@ -18,6 +19,7 @@
 import type { ConnectionPool } from "../io/proxy/createConnectionPool.js";
 import type { OutdatedWeights } from "../io/proxy/createRequestRunner.js";
 import { createUpstreamSender } from "../io/proxy/createUpstreamSender.js";
+import { describeMetQueue } from "../io/proxy/describeMetQueue.js";
 import type { AnswerHead } from "../io/proxy/proxyCodec.js";
 import type { SendToUpstream } from "../io/proxy/upstreamSenderTypes.js";
 import type { InstanceQuarantine } from "./assembleQuarantine.js";
@@ -80,10 +82,20 @@
             .finally(() => clock.after(weightsReadIntervalMs, () => recentlyRead.delete(engine.id)));
     }
 
+    function recordMetQueue(req: ProxyRequest, placement: Placement, load: StatedLoad, tookMs: number): void {
+        const queue = describeMetQueue(req, placement, load, tookMs);
+        if (queue !== undefined) {
+            metrics.metQueues.inc({ expected: String(queue.isExpected) });
+            writeLog("queueMet", queue.fields);
+        }
+    }
+
     /** An answer of another process states another load, and one that failed says nothing about the pace. */
-    function recordLoad(req: ProxyRequest, { upstream }: Placement, head: AnswerHead, sentMs: number): void {
+    function recordLoad(req: ProxyRequest, placement: Placement, head: AnswerHead, sentMs: number): void {
+        const { upstream } = placement;
         const { load, rejection, status } = head;
         if (load !== undefined && rejection !== "replaced") {
+            recordMetQueue(req, placement, load, clock.now() - sentMs);
             views.loads.recordAnswer(upstream.id, load, {
                 sentMs,
                 receivedMs: clock.now(),
--- a/src/core/logEvents/logEventTable.ts
+++ b/src/core/logEvents/logEventTable.ts
@@ -79,6 +79,7 @@
         "info",
         "connection of a caller closed to make room: it made the least progress or held most",
     ),
+    queueMet: define("RW3017", "info", "an upstream stated in its answer that other requests wait there"),
     peerRejected: define("RW4001", "warn", "peer call rejected: wrong secret"),
     memberChanged: define("RW4002", "info", "a member of the fleet changed its state"),
     seatsHandedOver: define(
--- a/src/core/why/describeLogLine.ts
+++ b/src/core/why/describeLogLine.ts
@@ -93,6 +93,13 @@
         + unwritten;
 }
 
+function describeMetQueue(fields: Fields): string {
+    return `${text(fields, "upstream")} answered after ${text(fields, "tookMs")} ms: ${
+        text(fields, "waiting")
+    } requests wait there`
+        + ` beside ${text(fields, "running")} that run; ${text(fields, "expectedWaiting")} were expected to wait`;
+}
+
 function describeAnswerEnd(fields: Fields): string {
     const judgement = fields["isComplete"] === true ? "counts as complete" : "counts as incomplete";
     const unfinished = `${text(fields, "unfinishedBytes")} bytes of an unfinished event`;
@@ -119,6 +126,7 @@
     requestSent: describeSent,
     sendEnded: fields => outcomes.get(fields["outcome"])?.(fields) ?? `a send ended: ${text(fields, "outcome")}`,
     answerEndJudged: describeAnswerEnd,
+    queueMet: describeMetQueue,
     requestRepeated: fields => `may be sent again: ${text(fields, "reason")}`,
     requestRefused: describeRefused,
     streamCut: fields => `its stream was aborted so that it does not appear complete: ${text(fields, "detail")}`,
--- a/src/io/metrics/createRouterMetrics.ts
+++ b/src/io/metrics/createRouterMetrics.ts
@@ -70,6 +70,8 @@
     readonly sharedPrefillTokens: Counter<"place">;
     /** Sends that were withdrawn since their runs had not begun before the limit of outdated weights. */
     readonly withdrawnSends: Counter<string>;
+    /** Answers whose upstream states that requests wait there, by whether the instance expected it when it chose the upstream. */
+    readonly metQueues: Counter<"expected">;
     /** Ends of upstreams' answers by framing, state of the connection, and whether the answer counts as complete. */
     readonly answerEnds: Counter<"framing" | "connection" | "complete">;
     /** Changes of upstreams by kind. */
@@ -241,6 +243,7 @@
             ["place"],
         ),
         withdrawnSends: counter("withdrawn_sends_total", "Sends withdrawn from outdated weights before they began."),
+        metQueues: counter("met_queues_total", "Answers of upstreams at which other requests wait.", ["expected"]),
         answerEnds: counter("answer_ends_total", "Ends of upstreams' answers.", ["framing", "connection", "complete"]),
         upstreamChanges: counter("upstream_changes_total", "Changes in the list of upstreams.", ["change"]),
         upstreamEnds: counter("upstream_ends_total", "Ends of upstreams' processes under requests."),
