Herds at the engine that looked best, reproduced by two failing tests

A play of 88 instances before 63 engines with long and short prompts on a virtual clock, where statements are heard 0.3 to 1.5 s late, and one moment of it alone: all instances know the same of engines.

--- a/features/steps/queuesAtEnginesSteps.ts
+++ b/features/steps/queuesAtEnginesSteps.ts
@@ -2,11 +2,19 @@
  * @module
  * Steps on queues at engines: what instances know of them, and what that does to callers.
  */
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createPlainPlacement, createProxyRequest, createRecord } from "../../bench/support/proxyFixtures.js";
+import { createPlacerFixture, type PlacerFixture } from "../../bench/support/placerFixtures.js";
+import {
+    createPlainPlacement,
+    createPrompt,
+    createProxyRequest,
+    createRecord,
+} from "../../bench/support/proxyFixtures.js";
+import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import type { LoadEstimate } from "../../src/core/load/loadTypes.js";
 import { describeMetQueue, type MetQueue } from "../../src/io/proxy/describeMetQueue.js";
+import { type EngineQueuesResult, playEngineQueues } from "../support/engineQueues.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 const metQueues = new WeakMap<SiteWorld, { readonly met: MetQueue | undefined; }>();
@@ -44,3 +52,95 @@
         assert.equal(met.fields["tookMs"], 120);
     }
 });
+
+interface Herd {
+    readonly clock: VirtualClock;
+    readonly instances: readonly PlacerFixture[];
+    readonly placed: Map<string, number>;
+}
+
+const herds = new WeakMap<SiteWorld, Herd>();
+
+Given(
+    "{int} instances that heard the same of {int} engines {int} ms ago: requests wait at all but one",
+    function(this: SiteWorld, instanceCount: number, engineCount: number, ageMs: number) {
+        const clock = createVirtualClock(65);
+        clock.runUntil(10_000);
+        const engines = Array.from({ length: engineCount }, (_, index) => `u-${index + 1}`);
+        const statements = engines.map(upstream => ({
+            upstream,
+            atMs: clock.now() - ageMs,
+            running: upstream === "u-7" ? 2 : 6,
+            waiting: upstream === "u-7" ? 0 : 4,
+            pace: 1,
+            slowness: undefined,
+        }));
+        const instances = Array.from({ length: instanceCount }, () => createPlacerFixture(clock, engines, false));
+        instances.forEach(({ loads }) => loads.recordRelayed(statements));
+        herds.set(this, { clock, instances, placed: new Map() });
+    },
+);
+
+When(
+    "they get {int} requests within {int} ms, with prompts of {int} shared and {int} own tokens",
+    function(this: SiteWorld, requests: number, durationMs: number, shared: number, own: number) {
+        const { clock, instances, placed } = herds.get(this)!;
+        const startMs = clock.now();
+        for (let index = 0; index < requests; index += 1) {
+            clock.runUntil(startMs + index * durationMs / requests);
+            const parts = [
+                { id: `first-${index % 4}`, tokens: shared * 0.4 },
+                { id: `case-${index}`, tokens: shared * 0.6 },
+                { id: `own-${index}`, tokens: own },
+            ];
+            const prompt = createPrompt({ parts, promptTokens: shared + own });
+            const { placer } = instances[Math.floor(clock.random() * instances.length)]!;
+            const req = createProxyRequest("stream", {
+                id: `r-${index}`,
+                prompt,
+                arrivedMs: clock.now(),
+                deadlineMs: clock.now() + 5_000,
+            });
+            placer.place(req, { kind: "place", excluded: [] }, result => {
+                assert.ok(result.kind === "placed");
+                const { id } = result.placement.upstream;
+                placed.set(id, (placed.get(id) ?? 0) + 1);
+            });
+        }
+    },
+);
+
+Then("each engine got at most {int} of them", function(this: SiteWorld, bound: number) {
+    const most = Math.max(...herds.get(this)!.placed.values());
+    assert.ok(most <= bound, `one engine got ${most}`);
+});
+
+const results = new WeakMap<SiteWorld, EngineQueuesResult>();
+
+When(
+    "{int} instances before {int} engines get {int} long and {int} short prompts a second for {int} s, seed {int}",
+    function(
+        this: SiteWorld,
+        instances: number,
+        engines: number,
+        longRate: number,
+        shortRate: number,
+        seconds: number,
+        seed: number,
+    ) {
+        const kinds = [
+            { kind: "long", rate: longRate, prompts: 3_700, sharedTokens: 1_370, ownTokens: 630, answerMs: 100 },
+            { kind: "short", rate: shortRate, prompts: 525, sharedTokens: 40, ownTokens: 140, answerMs: 400 },
+        ];
+        results.set(this, playEngineQueues({ instances, engines, seed }, kinds, seconds * 1_000));
+    },
+);
+
+Then(
+    "at least {int} % of the {string} prompts begin within {int} ms",
+    function(this: SiteWorld, percent: number, kind: string, boundMs: number) {
+        const starts = results.get(this)!.startsMs.get(kind)!;
+        const share = starts.filter(startMs => startMs <= boundMs).length / starts.length;
+        assert.ok(share * 100 >= percent, `${(share * 100).toFixed(1)} % began in time`);
+    },
+);
