Engines are full when the requests of all instances fill their memory

Callers saw: streams cut short by preemption and late behind prompts that are read again. Evidence: two rows of the new scenario failed without the change of choosePlacement (a request was placed beside two and five others where memory for one is left). Why it works: others are like the own requests in the mean, so that their memory is known as well as their number is.

--- a/features/queuesAtEngines.feature
+++ b/features/queuesAtEngines.feature
@@ -37,3 +37,18 @@
                 | 1    |
                 | 2    |
                 | 3    |
+
+    Rule: An engine is full when the requests of all instances fill its memory
+
+        # Guards against engines that are filled by instances of which each knows its own requests alone; they hold 20,000 tokens.
+        Scenario Outline: What other instances have placed counts with the memory of the own requests
+            Given an instance of a large fleet whose requests need 7000 tokens of an engine's memory
+            When the engine states <running> running requests of other instances
+            Then a request of 7000 tokens is placed there: "<isPlaced>"
+
+            Examples:
+                | running | isPlaced |
+                | 0       | yes      |
+                | 1       | yes      |
+                | 2       | no       |
+                | 5       | no       |
--- a/features/steps/queuesAtEnginesSteps.ts
+++ b/features/steps/queuesAtEnginesSteps.ts
@@ -144,3 +144,41 @@
         assert.ok(share * 100 >= percent, `${(share * 100).toFixed(1)} % began in time`);
     },
 );
+
+const fixtures = new WeakMap<SiteWorld, PlacerFixture>();
+
+Given(
+    "an instance of a large fleet whose requests need {int} tokens of an engine's memory",
+    function(this: SiteWorld, tokens: number) {
+        const fixture = createPlacerFixture(createVirtualClock(5), ["u-1"], false);
+        fixture.loads.recordBegin("u-1", 0, tokens);
+        fixture.loads.recordEnd("u-1", 100, 0);
+        fixtures.set(this, fixture);
+    },
+);
+
+When("the engine states {int} running requests of other instances", function(this: SiteWorld, running: number) {
+    const { clock, loads } = fixtures.get(this)!;
+    clock.runUntil(1_000);
+    loads.recordRelayed([
+        { upstream: "u-1", atMs: clock.now(), running, waiting: 0, pace: undefined, slowness: undefined },
+    ]);
+});
+
+Then(
+    "a request of {int} tokens is placed there: {string}",
+    function(this: SiteWorld, tokens: number, expected: string) {
+        const { clock, placer } = fixtures.get(this)!;
+        let isPlaced = false;
+        const req = createProxyRequest("stream", {
+            id: "r-1",
+            prompt: createPrompt({ parts: [{ id: "own", tokens }], promptTokens: tokens }),
+            arrivedMs: clock.now(),
+            deadlineMs: clock.now() + 5_000,
+        });
+        placer.place(req, { kind: "place", excluded: [] }, result => {
+            isPlaced = result.kind === "placed";
+        });
+        assert.equal(isPlaced ? "yes" : "no", expected);
+    },
+);
--- a/features/support/engineQueues.ts
+++ b/features/support/engineQueues.ts
@@ -173,7 +173,7 @@
             const engine = engines.get(upstream)!;
             const sentMs = clock.now();
             engine.arrivals += 1;
-            loads.recordBegin(upstream, sentMs);
+            loads.recordBegin(upstream, sentMs, tokens);
             const unreadTokens = ownTokens + readShared(engine, key, sharedTokens);
             let hasStarted = false;
             const end = () => {
--- a/src/assemble/assembleViews.ts
+++ b/src/assemble/assembleViews.ts
@@ -131,7 +131,8 @@
     const loadListeners: (() => void)[] = [];
     const notifyLoads = () => loadListeners.forEach(action => action());
     const use = createUpstreamUseTracker({
-        onBegin: upstream => loads.recordBegin(upstream, clock.now()),
+        onBegin: ({ upstream, ownTokens, sharedTokens }) =>
+            loads.recordBegin(upstream, clock.now(), ownTokens + sharedTokens),
         onEnd: (upstream, beganMs) => {
             const nowMs = clock.now();
             loads.recordEnd(upstream, beganMs === undefined ? undefined : nowMs - beganMs, nowMs);
--- a/src/core/load/createServiceMeans.ts
+++ b/src/core/load/createServiceMeans.ts
@@ -8,6 +8,9 @@
     /** Mean time that a request stays at an upstream, in milliseconds. */
     readonly holdMs: () => number;
     readonly recordHold: (holdMs: number) => void;
+    /** Mean memory of a request, in tokens; undefined before the first one. */
+    readonly memoryTokens: () => number | undefined;
+    readonly recordMemory: (tokens: number) => void;
     /** Requests of other instances at an upstream, and those of them that wait. */
     readonly others: () => number;
     readonly waiting: () => number;
@@ -26,6 +29,9 @@
 /** Weight of a new duration in its moving averages. */
 const durationWeight = 0.05;
 
+/** Weight of a new request in the moving average of the memory. */
+const memoryWeight = 0.05;
+
 /** Weight of a new rejection in the moving average. */
 const rejectionWeight = 0.1;
 
@@ -42,6 +48,7 @@
 export function createServiceMeans(): ServiceMeans {
     let holdMs: number | undefined;
     let tookMs: number | undefined;
+    let memoryTokens: number | undefined;
     let others = 0;
     let waiting = 0;
     let statements = 0;
@@ -51,6 +58,10 @@
         recordHold: heldMs => {
             holdMs = holdMs === undefined ? heldMs : holdMs + durationWeight * (heldMs - holdMs);
         },
+        memoryTokens: () => memoryTokens,
+        recordMemory: tokens => {
+            memoryTokens = memoryTokens === undefined ? tokens : memoryTokens + memoryWeight * (tokens - memoryTokens);
+        },
         others: () => others,
         waiting: () => waiting,
         recordOthers: (statedOthers, statedWaiting, upstreams) => {
--- a/src/core/load/createUpstreamLoads.ts
+++ b/src/core/load/createUpstreamLoads.ts
@@ -27,8 +27,8 @@
 
 /** Load of upstreams. */
 export interface UpstreamLoads {
-    /** Records that a request of this instance began. */
-    readonly recordBegin: (upstream: string, nowMs: number) => void;
+    /** Records that a request of this instance began; `memoryTokens`: memory that it needs at an engine, in tokens. */
+    readonly recordBegin: (upstream: string, nowMs: number, memoryTokens?: number) => void;
     /** Records that it ended; `heldMs`: how long it ran there, undefined when it did not run. */
     readonly recordEnd: (upstream: string, heldMs: number | undefined, nowMs: number) => void;
     /** Records what an upstream stated to this instance. */
@@ -199,6 +199,7 @@
             requests: own.count(upstream) + others.mean,
             deviation: others.deviation,
             waiting: waiting.mean,
+            memoryTokens: means.memoryTokens(),
             slots: found.slots,
             pace: estimatePace(state, paces, ageMs),
             isPaceStated: state?.statement.pace !== undefined,
@@ -208,7 +209,13 @@
     }
 
     return {
-        recordBegin: (upstream, nowMs) => own.record(upstream, 1, nowMs),
+        recordBegin: (upstream, nowMs, memoryTokens) => {
+            own.record(upstream, 1, nowMs);
+            const found = findUpstream(upstream);
+            if (found !== undefined && memoryTokens !== undefined) {
+                serviceOf(found.service).means.recordMemory(memoryTokens);
+            }
+        },
         recordEnd: (upstream, heldMs, nowMs) => {
             own.record(upstream, -1, nowMs);
             const found = findUpstream(upstream);
--- a/src/core/load/loadTypes.ts
+++ b/src/core/load/loadTypes.ts
@@ -33,6 +33,8 @@
     readonly deviation: number;
     /** Requests that wait there for a slot or for memory. */
     readonly waiting: number;
+    /** Mean memory of a request of this instance to the service, in tokens; undefined before the first one. */
+    readonly memoryTokens?: number | undefined;
     readonly slots: number;
     readonly pace: number;
     /** Whether the upstream states its pace. */
--- a/src/core/placement/choosePlacement.ts
+++ b/src/core/placement/choosePlacement.ts
@@ -42,6 +42,12 @@
         : load.requests < slots;
 }
 
+/** Estimates the memory of those requests that no instance reports: they are like the ones of this instance. */
+function estimateUnknownMemory({ load, use }: PlacementCandidate): number {
+    const unknown = load === undefined ? 0 : Math.max(0, Math.round(load.requests) - use.requests);
+    return unknown * (load?.estimate.memoryTokens ?? 0);
+}
+
 function hasFreeCapacity(candidate: PlacementCandidate): boolean {
     const { load } = candidate;
     if (!hasFreeSlot(candidate)) {
@@ -51,10 +57,11 @@
     if (waiting !== undefined && queueLimit !== undefined && waiting > queueLimit - queueMargin) {
         return false;
     }
-    if (candidate.memoryTokens === undefined || candidate.use.requests === 0) {
+    const unknownTokens = estimateUnknownMemory(candidate);
+    if (candidate.memoryTokens === undefined || (candidate.use.requests === 0 && unknownTokens === 0)) {
         return true;
     }
-    const usedTokens = candidate.use.memoryTokens + candidate.unreported.memoryTokens;
+    const usedTokens = candidate.use.memoryTokens + candidate.unreported.memoryTokens + unknownTokens;
     return usedTokens + candidate.neededTokens <= candidate.memoryTokens * maxMemoryFraction;
 }
 
--- a/src/core/placement/createUpstreamUseTracker.ts
+++ b/src/core/placement/createUpstreamUseTracker.ts
@@ -27,7 +27,7 @@
 
 /** Called when a request of this instance begins and ends. */
 export interface OwnRequestObserver {
-    readonly onBegin: (upstream: string) => void;
+    readonly onBegin: (placed: PlacedRequest) => void;
     /** `beganMs`: when it began; undefined when no answer to it began. */
     readonly onEnd: (upstream: string, beganMs: number | undefined) => void;
 }
@@ -120,7 +120,7 @@
 
     function begin(key: RequestKey, placed: PlacedRequest, nowMs: number): void {
         requests.set(key, { ...placed, beganMs: nowMs, isPrefilled: false });
-        observer?.onBegin(placed.upstream);
+        observer?.onBegin(placed);
         const state = stateOf(placed.upstream);
         state.recent = [...listRecent(state, nowMs), {
             atMs: nowMs,
