Choice of an option in a module of its own; previews tell which engines are not considered

A preview chose among all engines, which a request no longer does: it narrows as the placement does and marks the others notDrawn.

--- a/features/queuesAtEngines.feature
+++ b/features/queuesAtEngines.feature
@@ -25,6 +25,15 @@
                 | 6000   | 2900 |
                 | 200    | 600  |
 
+        Scenario: A request is placed at an engine that was not drawn when no other has room
+            Given an instance of a large fleet to which 63 engines state 8 requests on 8 slots, but for "u-40", which states 0
+            Then a request is placed on "u-40"
+            And a preview has "u-40" as chosen
+
+        Scenario: A preview tells which engines a request does not consider first
+            Given an instance of a large fleet to which 63 engines state 3 requests on 8 slots, but for "u-40", which states 0
+            Then a preview has at most 5 engines that are considered
+
     Rule: Short prompts begin beside long ones that fill the engines' memory
 
         # A third of the engines is slower than the others, and other work slows some down for a while. Engines hold 8 long prompts.
--- a/features/steps/queuesAtEnginesSteps.ts
+++ b/features/steps/queuesAtEnginesSteps.ts
@@ -182,3 +182,36 @@
         assert.equal(isPlaced ? "yes" : "no", expected);
     },
 );
+
+Given(
+    "an instance of a large fleet to which {int} engines state {int} requests on 8 slots, but for {string}, which states {int}",
+    function(this: SiteWorld, count: number, running: number, other: string, otherRunning: number) {
+        const engines = Array.from({ length: count }, (_, index) => `u-${index + 1}`);
+        const fixture = createPlacerFixture(createVirtualClock(6), engines, false);
+        const basis = { atMs: fixture.clock.now(), waiting: 0, pace: undefined, slowness: undefined };
+        fixture.loads.recordRelayed(
+            engines.map(upstream => ({ ...basis, upstream, running: upstream === other ? otherRunning : running })),
+        );
+        fixtures.set(this, fixture);
+    },
+);
+
+const createModelRequest = () => createProxyRequest("stream", { id: "r-1", prompt: createPrompt() });
+
+Then("a request is placed on {string}", function(this: SiteWorld, expected: string) {
+    fixtures.get(this)!.placer.place(createModelRequest(), { kind: "place", excluded: [] }, result => {
+        assert.equal(result.kind === "placed" ? result.placement.upstream.id : result.kind, expected);
+    })();
+});
+
+Then("a preview has {string} as chosen", function(this: SiteWorld, expected: string) {
+    const { upstreams } = fixtures.get(this)!.placer.preview(createModelRequest());
+    assert.deepEqual(upstreams.filter(one => one.state === "chosen").map(one => one.upstream), [expected]);
+});
+
+Then("a preview has at most {int} engines that are considered", function(this: SiteWorld, bound: number) {
+    const { upstreams } = fixtures.get(this)!.placer.preview(createModelRequest());
+    const considered = upstreams.filter(one => one.state !== "notDrawn");
+    assert.ok(considered.length <= bound, `${considered.length} are considered`);
+    assert.equal(considered.filter(one => one.state === "chosen").length, 1);
+});
--- a/src/core/placement/createPlacer.ts
+++ b/src/core/placement/createPlacer.ts
@@ -8,17 +8,17 @@
 import type { PlacementQuery, PlaceResult } from "../proxy/proxyEffects.js";
 import type { Placement, ProxyRequest } from "../proxy/proxyTypes.js";
 import type { CancelTimer, Clock } from "../time/clock.js";
-import { countOwnTokens, countSharedTokens, sumTokens } from "./_lib/countPromptTokens.js";
+import { sumTokens } from "./_lib/countPromptTokens.js";
 import { describeHome } from "./_lib/describeHome.js";
 import { describeLoad } from "./_lib/describeLoad.js";
+import { describePlaced } from "./_lib/describePlaced.js";
 import { listSharedParts } from "./_lib/listSharedParts.js";
 import type { Choice, ModelOption, Option } from "./_lib/placementOptions.js";
-import { chooseLimitedPlacement } from "./chooseLimitedPlacement.js";
+import { chooseOption } from "./chooseOption.js";
 import { type ChoiceListerDependencies, type ChoiceQuery, createChoiceLister } from "./createChoiceLister.js";
 import { createOptionReader, type OptionReaderDependencies } from "./createOptionReader.js";
 import { createPlacementQueues, type ServiceTurn } from "./createPlacementQueues.js";
 import { createPromptCacheReader, type PromptCacheReaderDependencies } from "./createPromptCacheReader.js";
-import type { PlacedRequest } from "./createUpstreamUseTracker.js";
 import { createUrgentReserves, type WithheldPlacement } from "./createUrgentReserves.js";
 import { findExclusion } from "./findExclusion.js";
 import { narrowOptions } from "./narrowOptions.js";
@@ -88,6 +88,7 @@
     const reader = createPromptCacheReader({ ...deps, now });
     const listChoices = createChoiceLister({ ...deps, now });
     const readOptions = createOptionReader({ ...deps, now, reader });
+    const narrow = (options: readonly Option[]) => deps.isFleetDirect() ? options : narrowOptions(options, deps.random);
 
     function describeTransfers(
         { prompt, view, coverage }: ModelOption,
@@ -115,19 +116,6 @@
         };
     }
 
-    function toPlacedRequest({ candidate, model }: Option): PlacedRequest {
-        const upstream = candidate.id;
-        return model === undefined
-            ? { upstream, ownTokens: 0, sharedKey: "", sharedTokens: 0, unreadTokens: 0 }
-            : {
-                upstream,
-                ownTokens: countOwnTokens(model.prompt),
-                sharedKey: model.view.sharedKey,
-                sharedTokens: countSharedTokens(model.prompt),
-                unreadTokens: candidate.prefillTokens,
-            };
-    }
-
     function recordPrefill({ prompt, view }: ModelOption, placement: Placement): void {
         const { upstream, heldTokens, fetchedTokens } = placement;
         const { salt } = view;
@@ -138,22 +126,18 @@
         }
     }
 
-    function chooseAmong(req: ProxyRequest, options: readonly Option[]): Option | undefined {
-        const candidates = reserves.filter(req, options.map(option => option.candidate));
-        const chosen = chooseLimitedPlacement(candidates, deps.rateLimits);
-        return options.find(one => one.candidate === chosen);
-    }
-
     /** Places the request on one of the choices; undefined when none has free capacity. */
     function tryPlace(req: ProxyRequest, choices: readonly Choice[]): Placement | undefined {
-        const options = readOptions(req, choices);
-        const option = chooseAmong(req, deps.isFleetDirect() ? options : narrowOptions(options, deps.random))
-            ?? (deps.isFleetDirect() ? undefined : chooseAmong(req, options));
+        const option = chooseOption(readOptions(req, choices), {
+            narrow,
+            filter: candidates => reserves.filter(req, candidates),
+            limits: deps.rateLimits,
+        });
         if (option === undefined) {
             return undefined;
         }
         const placement = toPlacement(option);
-        deps.use.begin(req, toPlacedRequest(option), now());
+        deps.use.begin(req, describePlaced(option), now());
         reserves.begin(req);
         if (option.model !== undefined) {
             reader.recordPlaced(req, option.model.prompt, option.candidate.slots);
@@ -275,6 +259,7 @@
             known: deps.registry.listService(req.service),
             choices,
             options: readOptions(req, choices),
+            narrow,
             obstacle: findObstacle(req, choices),
             filter: candidates => reserves.filter(req, candidates),
             isLimited: deps.rateLimits.isLimited,
--- a/src/core/placement/narrowOptions.ts
+++ b/src/core/placement/narrowOptions.ts
@@ -26,11 +26,8 @@
 /** Draws some of a list, each as likely as any other. */
 function draw<T>(list: readonly T[], count: number, random: () => number): readonly T[] {
     const rest = [...list];
-    return Array.from(
-        { length: Math.min(count, rest.length) },
-        () => rest.splice(Math.floor(random() * rest.length), 1),
-    )
-        .flat();
+    const take = () => rest.splice(Math.floor(random() * rest.length), 1);
+    return Array.from({ length: Math.min(count, rest.length) }, take).flat();
 }
 
 /**
--- a/src/core/placement/placementPreview.ts
+++ b/src/core/placement/placementPreview.ts
@@ -29,7 +29,7 @@
 const previewedUpstreamSchema = z.object({
     upstream: z.string(),
     failureDomain: z.string(),
-    /** `chosen`, `free`, `full`, or why it takes no request. */
+    /** `chosen`, `free`, `notDrawn` (free, and not considered first), `full`, or why it takes no request. */
     state: z.string(),
     /** Requests in progress, as known to the instance. */
     requests: z.number(),
--- a/src/core/placement/previewPlacement.ts
+++ b/src/core/placement/previewPlacement.ts
@@ -18,6 +18,8 @@
     readonly options: readonly Option[];
     /** Why no upstream can run the request, however long it waits. */
     readonly obstacle: Refusal | undefined;
+    /** Keeps the options that the request considers first. */
+    readonly narrow: (options: readonly Option[]) => readonly Option[];
     /** Keeps the candidates that leave enough room to more urgent requests. */
     readonly filter: (candidates: readonly PlacementCandidate[]) => readonly PlacementCandidate[];
     readonly isLimited: (upstream: string) => boolean;
@@ -50,7 +52,9 @@
 function describeChosen({ choice, candidate, model }: Option): string {
     const { cost } = scorePlacement(candidate);
     const cached = model === undefined ? "" : `; ${model.coverage.heldTokens} prompt tokens are believed kept there`;
-    return `would be sent to ${choice.record.id}, the cheapest with room, at a cost of ${cost.toFixed(2)}${cached}`;
+    return `would be sent to ${choice.record.id}, the cheapest of those considered with room, at a cost of ${
+        cost.toFixed(2)
+    }${cached}`;
 }
 
 /** Says why the request waits: the first reason that holds for an upstream with room. */
@@ -76,7 +80,10 @@
     const { known, choices, options, obstacle } = sources;
     const candidates = options.map(option => option.candidate);
     const kept = new Set(obstacle === undefined ? sources.filter(candidates) : []);
-    const chosen = choosePlacement([...kept].filter(candidate => !sources.isLimited(candidate.id)));
+    const considered = new Set(sources.narrow(options).map(option => option.candidate));
+    const unlimited = [...kept].filter(candidate => !sources.isLimited(candidate.id));
+    const chosen = choosePlacement(unlimited.filter(candidate => considered.has(candidate)))
+        ?? choosePlacement(unlimited);
 
     function findState(candidate: PlacementCandidate): string {
         if (candidate === chosen) {
@@ -88,7 +95,10 @@
         if (!kept.has(candidate)) {
             return "reserved";
         }
-        return sources.isLimited(candidate.id) ? "limited" : "free";
+        if (sources.isLimited(candidate.id)) {
+            return "limited";
+        }
+        return considered.has(candidate) ? "free" : "notDrawn";
     }
 
     const listed = options.map(option => describeOption(option, findState(option.candidate)))
