--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -14,6 +14,10 @@
     (await import("./evenLoad/runEvenLoad.js")).runEvenLoad(args);
 }
 
+async function measureEngineQueues(): Promise<void> {
+    (await import("./evenLoad/runEngineQueues.js")).runEngineQueues();
+}
+
 /** Loads a measurement only when it is run. */
 export const benches: Readonly<Record<string, Bench>> = {
     "route-cost": measureRouteCost,
@@ -26,6 +30,7 @@
     slopes: async () => (await import("./slopes/runSlopes.js")).runSlopes(),
     catalogue: async args => (await import("./catalogue/runCatalogue.js")).runCatalogue(args),
     "even-load": measureEvenLoad,
+    "engine-queues": measureEngineQueues,
     orders: async args => (await import("./orders/runOrderCosts.js")).runOrderCosts(args),
     homes: async args => (await import("./homes/runHomes.js")).runHomes(args),
 };
--- a/features/support/engineQueues.ts
+++ b/bench/evenLoad/playEngineQueues.ts
@@ -3,10 +3,10 @@
  * Plays long and short prompts of many instances on shared engines whose memory holds few long ones, on a virtual clock. Instances hear
  * late what engines state.
  */
-import { createPlacerFixture, engineMemoryTokens, type PlacerFixture } from "../../bench/support/placerFixtures.js";
-import { createPrompt, createProxyRequest } from "../../bench/support/proxyFixtures.js";
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import type { LoadStatement } from "../../src/core/load/loadTypes.js";
+import { createPlacerFixture, engineMemoryTokens, type PlacerFixture } from "../support/placerFixtures.js";
+import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
 
 /** Callers of one kind of request. */
 export interface PromptKind {
--- a/features/steps/queuesAtEnginesSteps.ts
+++ b/features/steps/queuesAtEnginesSteps.ts
@@ -4,6 +4,8 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createPromptKinds } from "../../bench/evenLoad/createPromptKinds.js";
+import { type EngineQueuesResult, playEngineQueues } from "../../bench/evenLoad/playEngineQueues.js";
 import { createPlacerFixture, type PlacerFixture } from "../../bench/support/placerFixtures.js";
 import {
     createPlainPlacement,
@@ -14,7 +16,6 @@
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
 import type { LoadEstimate } from "../../src/core/load/loadTypes.js";
 import { describeMetQueue, type MetQueue } from "../../src/io/proxy/describeMetQueue.js";
-import { type EngineQueuesResult, playEngineQueues } from "../support/engineQueues.js";
 import type { SiteWorld } from "../support/siteWorld.js";
 
 const metQueues = new WeakMap<SiteWorld, { readonly met: MetQueue | undefined; }>();
@@ -128,10 +129,7 @@
         seconds: number,
         seed: number,
     ) {
-        const kinds = [
-            { kind: "long", rate: longRate, prompts: 3_700, sharedTokens: 1_370, ownTokens: 630, answerMs: 100 },
-            { kind: "short", rate: shortRate, prompts: 525, sharedTokens: 40, ownTokens: 140, answerMs: 400 },
-        ];
+        const kinds = createPromptKinds({ engines, longRate, shortRate });
         results.set(this, playEngineQueues({ instances, engines, seed }, kinds, seconds * 1_000));
     },
 );
