Log fields of a placed load are described once

The line of a met queue wrote the fields of the belief again that the line of a send has: it takes them from there, so that both say the same of one placement.

--- a/src/io/proxy/describeMetQueue.ts
+++ b/src/io/proxy/describeMetQueue.ts
@@ -4,6 +4,7 @@
  */
 import type { StatedLoad } from "../../core/load/loadTypes.js";
 import type { Placement, ProxyRequest } from "../../core/proxy/proxyTypes.js";
+import { describePlacedLoad } from "./describeSend.js";
 
 /** Expected number of waiting requests from which an instance knew of a queue. */
 const knownWaiting = 0.5;
@@ -15,9 +16,6 @@
     readonly fields: Readonly<Record<string, unknown>>;
 }
 
-/** Rounds to hundredths. */
-const round = (value: number) => Math.round(value * 100) / 100;
-
 /**
  * Describes the queue that a send met.
  *
@@ -31,28 +29,23 @@
  */
 export function describeMetQueue(
     req: ProxyRequest,
-    { upstream, load }: Placement,
+    placement: Placement,
     { running, waiting, pace }: StatedLoad,
     tookMs: number,
 ): MetQueue | undefined {
     if (waiting === 0) {
         return undefined;
     }
-    const estimate = load?.estimate;
-    const expectedWaiting = estimate?.waiting ?? 0;
+    const { upstream, load } = placement;
     return {
-        isExpected: expectedWaiting >= knownWaiting,
+        isExpected: (load?.estimate.waiting ?? 0) >= knownWaiting,
         fields: {
             requestId: req.id,
             upstream: upstream.id,
+            ...describePlacedLoad(placement),
             running,
             waiting,
             pace,
-            expectedRequests: estimate === undefined ? undefined : round(estimate.requests),
-            expectedWaiting: round(expectedWaiting),
-            loadAgeMs: estimate !== undefined && Number.isFinite(estimate.ageMs)
-                ? Math.round(estimate.ageMs)
-                : undefined,
             tookMs: Math.round(tookMs),
         },
     };
--- a/src/io/proxy/describeSend.ts
+++ b/src/io/proxy/describeSend.ts
@@ -11,8 +11,14 @@
 /** Rounds to hundredths. */
 const round = (value: number) => Math.round(value * 100) / 100;
 
-/** Describes the load by which an upstream was chosen: without the request itself. */
-function describePlacedLoad({ load }: Placement): LogFields {
+/**
+ * Returns the log fields of the load by which an upstream was chosen: without the request itself.
+ *
+ * @param placement - Where the request is sent.
+ * @returns The fields; none where the upstream states no load.
+ */
+export function describePlacedLoad(placement: Placement): LogFields {
+    const { load } = placement;
     if (load === undefined) {
         return {};
     }
