--- a/bench/evenLoad/playEngineQueues.ts
+++ b/bench/evenLoad/playEngineQueues.ts
@@ -4,6 +4,7 @@
  * late what engines state.
  */
 import { createVirtualClock, type VirtualClock } from "../../fakes/createVirtualClock.js";
+import { millisecondsPerSecond } from "../../src/core/constants.js";
 import type { LoadStatement } from "../../src/core/load/loadTypes.js";
 import { createPlacerFixture, engineMemoryTokens, type PlacerFixture } from "../support/placerFixtures.js";
 import { createPrompt, createProxyRequest } from "../support/proxyFixtures.js";
@@ -63,7 +64,6 @@
 const maxDelayMs = 1_500;
 const leaveMs = 2_000;
 const deadlineMs = 5_000;
-const millisecondsPerSecond = 1_000;
 
 function state(engine: Engine, upstream: string, nowMs: number): LoadStatement {
     const { running, waiting, pace } = engine;
--- a/features/queuesAtEngines.feature
+++ b/features/queuesAtEngines.feature
@@ -34,9 +34,9 @@
             Given an instance of a large fleet to which 63 engines state 3 requests on 8 slots, but for "u-40", which states 0
             Then a preview has at most 5 engines that are considered
 
-    Rule: Short prompts begin beside long ones that fill the engines' memory
+    Rule: Short prompts begin beside long ones that fill the engines
 
-        # A third of the engines is slower than the others, and other work slows some down for a while. Engines hold 8 long prompts.
+        # A third of the engines is slower than the others, and other work slows some down for a while. Engines run 8 requests at once.
         Scenario Outline: Short prompts wait at no engine that is overrun while others have room
             When 88 instances before 63 engines get 460 long and 150 short prompts a second for 10 s, seed <seed>
             Then at least 80 % of the "short" prompts begin within 250 ms
--- a/src/core/load/createServiceMeans.ts
+++ b/src/core/load/createServiceMeans.ts
@@ -38,6 +38,11 @@
 /** Fewest statements that the averages of the load extend over: with few upstreams the number varies much. */
 const minStatements = 8;
 
+/** Moves an average towards a new observation; the first one is the average. */
+function moveAverage(average: number | undefined, observed: number, weight: number): number {
+    return average === undefined ? observed : average + weight * (observed - average);
+}
+
 /**
  * Creates averages without observations.
  *
@@ -56,11 +61,11 @@
     return {
         holdMs: () => holdMs ?? assumedHoldMs,
         recordHold: heldMs => {
-            holdMs = holdMs === undefined ? heldMs : holdMs + durationWeight * (heldMs - holdMs);
+            holdMs = moveAverage(holdMs, heldMs, durationWeight);
         },
         memoryTokens: () => memoryTokens,
         recordMemory: tokens => {
-            memoryTokens = memoryTokens === undefined ? tokens : memoryTokens + memoryWeight * (tokens - memoryTokens);
+            memoryTokens = moveAverage(memoryTokens, tokens, memoryWeight);
         },
         others: () => others,
         waiting: () => waiting,
@@ -71,13 +76,11 @@
             waiting += weight * (statedWaiting - waiting);
         },
         recordRejection: rejectedWaiting => {
-            queueLimit = queueLimit === undefined
-                ? rejectedWaiting
-                : queueLimit + rejectionWeight * (rejectedWaiting - queueLimit);
+            queueLimit = moveAverage(queueLimit, rejectedWaiting, rejectionWeight);
         },
         queueLimit: () => queueLimit,
         rateDuration: durationMs => {
-            tookMs = tookMs === undefined ? durationMs : tookMs + durationWeight * (durationMs - tookMs);
+            tookMs = moveAverage(tookMs, durationMs, durationWeight);
             return durationMs / Math.max(1, tookMs);
         },
     };
--- a/src/core/placement/narrowOptions.ts
+++ b/src/core/placement/narrowOptions.ts
@@ -43,7 +43,7 @@
     if (!options.some(({ candidate }) => candidate.memoryTokens !== undefined && candidate.load !== undefined)) {
         return options;
     }
-    const others = options.filter(option => !isOfPrompt(option));
-    const drawn = new Set(draw(others, drawnEngines, random));
-    return options.filter(option => drawn.has(option) || isOfPrompt(option));
+    const ofPrompt = new Set(options.filter(isOfPrompt));
+    const drawn = new Set(draw(options.filter(option => !ofPrompt.has(option)), drawnEngines, random));
+    return options.filter(option => ofPrompt.has(option) || drawn.has(option));
 }
